--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions and wire types of the mangowalk router.
+//!
+//! Nothing in this crate opens a socket, reads a clock or starts a thread.
+//! Each function that decides takes the present time as an argument, in
+//! milliseconds of a monotonic clock unless its name says otherwise.
+
+pub mod config;
+pub mod edge;
+pub mod engine;
+pub mod limits;
+pub mod peer;
+pub mod placement;
+pub mod platform;
+pub mod record;
+pub mod refusal;
+pub mod stream;
--- /dev/null
+++ b/crates/core/src/limits/mod.rs
@@ -0,0 +1,14 @@
+//! Rate and burst over all instances together.
+//!
+//! Every rate is cut into [`SLOTS`] equal shares. One instance at a time
+//! holds a slot, under a lease of the platform, and only the holder mints the
+//! slot's tokens. Tokens are spent locally or moved to a peer that asks, and
+//! moving never makes any. So the tokens granted up to any time are at most
+//! burst + rate x time, whoever is paused, cut off or restarted.
+
+mod bucket;
+
+pub use bucket::Bucket;
+
+/// Shares into which every rate is cut.
+pub const SLOTS: u32 = 64;
--- /dev/null
+++ b/crates/core/src/placement/blocks.rs
@@ -0,0 +1,33 @@
+/// Bytes of prompt text in one cached block.
+pub const BLOCK_BYTES: usize = 256;
+
+/// Bytes of text that count as one token where no engine has counted yet.
+pub const TOKEN_BYTES: usize = 4;
+
+/// Returns the chained digests of a prompt's full blocks.
+///
+/// Each digest covers the salt and every block before it, so two prompts
+/// share a digest only if they share the whole prefix under the same salt.
+/// The salt holds team, model and weights version: a digest made for one
+/// team, or for older weights, never matches another.
+pub fn block_chain(salt: &str, prompt: &str) -> Vec<u64> {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(salt.len() as u64).to_le_bytes());
+    hasher.update(salt.as_bytes());
+    prompt
+        .as_bytes()
+        .chunks_exact(BLOCK_BYTES)
+        .map(|block| {
+            hasher.update(block);
+            let digest = hasher.finalize();
+            let mut head = [0; 8];
+            head.copy_from_slice(&digest.as_bytes()[..8]);
+            u64::from_le_bytes(head)
+        })
+        .collect()
+}
+
+/// Returns the tokens that a text is taken to have, at least 1.
+pub fn tokens_of(text: &str) -> u64 {
+    (text.len().div_ceil(TOKEN_BYTES) as u64).max(1)
+}
--- /dev/null
+++ b/crates/core/src/record/kind.rs
@@ -0,0 +1,43 @@
+use {
+    derive_more::Display,
+    serde::{Deserialize, Serialize},
+};
+
+/// The kinds of record that operators write.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A team of callers.
+    #[display("team")]
+    Team,
+    /// A key that authenticates a team.
+    #[display("key")]
+    Key,
+    /// A team's rate and burst.
+    #[display("rate")]
+    Rate,
+    /// A model and its offered weights version.
+    #[display("model")]
+    Model,
+    /// A serving engine or a plain service.
+    #[display("upstream")]
+    Upstream,
+}
+
+impl Kind {
+    /// Every kind, in the order in which a new fleet needs them.
+    pub const ALL: [Kind; 5] = [
+        Kind::Team,
+        Kind::Rate,
+        Kind::Key,
+        Kind::Model,
+        Kind::Upstream,
+    ];
+
+    /// Returns the kind with the name that the platform's paths use.
+    pub fn from_name(name: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|k| k.to_string() == name)
+    }
+}
--- /dev/null
+++ b/crates/core/src/refusal/kind.rs
@@ -0,0 +1,149 @@
+use {
+    super::Outcome,
+    derive_more::{Display, Error},
+};
+
+/// Why a request was refused. Each message names the remedy.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum Refusal {
+    /// The request can't be read.
+    #[display("{detail}")]
+    Malformed {
+        /// What is wrong and what would mend it.
+        detail: String,
+    },
+    /// The body is over the limit.
+    #[display("The body is over {limit_bytes} bytes; send a shorter prompt.")]
+    TooLarge {
+        /// Most bytes accepted.
+        limit_bytes: usize,
+    },
+    /// The key is missing, wrong or withdrawn.
+    #[display(
+        "The key is missing, wrong or withdrawn; send a valid key as `Authorization: Bearer`."
+    )]
+    Unauthorized,
+    /// The model or service is not offered.
+    #[display("{what} {name:?} is not offered; GET /v1/models lists what is.")]
+    NotFound {
+        /// `Model` or `Service`.
+        what: &'static str,
+        /// Name asked for.
+        name: String,
+    },
+    /// The path or method is unknown.
+    #[display("No such path; see docs/api.md for the paths.")]
+    NoSuchPath,
+    /// The team used its rate and burst.
+    #[display("The team's rate is used up; try again in {retry_ms} ms.")]
+    RateLimited {
+        /// When tokens will be there.
+        retry_ms: u64,
+    },
+    /// The request asks for more tokens than the team's burst, ever.
+    #[display(
+        "The request reserves {reserve_tokens} tokens, over the burst of {burst_tokens}; lower max_tokens or shorten the prompt."
+    )]
+    OverBurst {
+        /// Tokens that the request would reserve.
+        reserve_tokens: u64,
+        /// The team's burst.
+        burst_tokens: u64,
+    },
+    /// Every upstream is full, or none is there.
+    #[display("{reason}; try again in {retry_ms} ms.")]
+    Unavailable {
+        /// What is full or missing.
+        reason: &'static str,
+        /// When to come back.
+        retry_ms: u64,
+    },
+    /// The request crashed several upstreams.
+    #[display(
+        "This request crashed {crashes} upstreams and is not run again; change it before sending it anew."
+    )]
+    Poisonous {
+        /// Upstreams that crashed while they ran it.
+        crashes: usize,
+    },
+    /// A request with the same idempotency key runs or ran elsewhere.
+    #[display("{detail}")]
+    Claimed {
+        /// What is known of the other run.
+        detail: &'static str,
+        /// What is known of the outcome.
+        outcome: Outcome,
+        /// When to ask again.
+        retry_ms: u64,
+    },
+    /// It was sent to an upstream and the answer was lost.
+    #[display("The answer was lost after the request was sent; {remedy}.")]
+    Lost {
+        /// What the caller can do.
+        remedy: &'static str,
+        /// What is known of the outcome.
+        outcome: Outcome,
+    },
+}
+
+impl Refusal {
+    /// Returns the HTTP status code.
+    pub fn status(&self) -> u16 {
+        match self {
+            Refusal::Malformed { .. } | Refusal::OverBurst { .. } => 400,
+            Refusal::TooLarge { .. } => 413,
+            Refusal::Unauthorized => 401,
+            Refusal::NotFound { .. } | Refusal::NoSuchPath => 404,
+            Refusal::RateLimited { .. } => 429,
+            Refusal::Poisonous { .. } => 422,
+            Refusal::Claimed { .. } => 409,
+            Refusal::Unavailable { .. } => 503,
+            Refusal::Lost { .. } => 502,
+        }
+    }
+
+    /// Returns the `code` of the error body.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Refusal::Malformed { .. } => "invalid_request",
+            Refusal::OverBurst { .. } => "over_burst",
+            Refusal::TooLarge { .. } => "body_too_large",
+            Refusal::Unauthorized => "invalid_api_key",
+            Refusal::NotFound { .. } => "model_not_found",
+            Refusal::NoSuchPath => "unknown_path",
+            Refusal::RateLimited { .. } => "rate_limit_exceeded",
+            Refusal::Poisonous { .. } => "request_crashed_upstreams",
+            Refusal::Claimed { .. } => "idempotency_conflict",
+            Refusal::Unavailable { .. } => "unavailable",
+            Refusal::Lost { .. } => "answer_lost",
+        }
+    }
+
+    /// Returns the `type` of the error body.
+    pub fn error_type(&self) -> &'static str {
+        match self.status() {
+            401 => "authentication_error",
+            429 => "rate_limit_error",
+            400..=499 => "invalid_request_error",
+            _ => "server_error",
+        }
+    }
+
+    /// Returns what is known of the outcome.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Refusal::Claimed { outcome, .. } | Refusal::Lost { outcome, .. } => *outcome,
+            _ => Outcome::NotRun,
+        }
+    }
+
+    /// Returns when the caller should come back, if coming back helps.
+    pub fn retry_ms(&self) -> Option<u64> {
+        match self {
+            Refusal::RateLimited { retry_ms }
+            | Refusal::Unavailable { retry_ms, .. }
+            | Refusal::Claimed { retry_ms, .. } => Some(*retry_ms),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangowalkd/src/board/engines.rs
@@ -0,0 +1,68 @@
+use {
+    super::lock,
+    mangowalk_core::engine::EngineState,
+    std::{
+        collections::BTreeMap,
+        sync::{Arc, Mutex},
+    },
+};
+
+/// An engine as last seen.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct EngineSight {
+    /// What it reported last; none if it did not answer.
+    pub state: Option<EngineState>,
+    /// When it reported.
+    pub seen_ms: u64,
+    /// Attempts that this instance runs on it now.
+    pub in_flight: u32,
+    /// When it last failed an attempt.
+    pub failed_ms: Option<u64>,
+}
+
+/// Engines as last seen, by name of record.
+#[derive(Debug, Clone, Default)]
+pub struct EngineBoard {
+    sights: Arc<Mutex<BTreeMap<String, EngineSight>>>,
+}
+
+impl EngineBoard {
+    /// Returns a copy of every sight.
+    pub fn sights(&self) -> BTreeMap<String, EngineSight> {
+        lock(&self.sights).clone()
+    }
+
+    /// Changes one engine's sight.
+    pub fn update(&self, name: &str, writer: impl FnOnce(&mut EngineSight)) {
+        let mut sights = lock(&self.sights);
+        writer(sights.entry(name.to_owned()).or_default());
+    }
+
+    /// Forgets engines whose records are gone.
+    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
+        lock(&self.sights).retain(|name, _| keep(name));
+    }
+
+    /// Counts an attempt as in flight until the guard is dropped.
+    pub fn start(&self, name: &str) -> InFlight {
+        self.update(name, |s| s.in_flight += 1);
+        InFlight {
+            board: self.clone(),
+            name: name.to_owned(),
+        }
+    }
+}
+
+/// An attempt that is counted on its engine while this guard lives.
+#[derive(Debug)]
+pub struct InFlight {
+    board: EngineBoard,
+    name: String,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.board
+            .update(&self.name, |s| s.in_flight = s.in_flight.saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/mangowalkd/src/caller/service.rs
@@ -0,0 +1,48 @@
+use {
+    super::handler::{Handler, header},
+    crate::serve::ServiceRequest,
+    mangowalk_core::edge::Edges,
+    tiny_http::{Header, Request, Response},
+};
+
+/// Paths below which plain services are reached: `/v1/services/NAME/PATH`.
+pub(super) const PREFIX: &str = "/v1/services/";
+
+/// Serves one call of a plain service.
+pub(super) fn serve<E: Edges>(handler: &Handler<'_, E>, mut request: Request, team: &str) {
+    let body = match handler.body(&mut request) {
+        Ok(body) => body,
+        Err(refusal) => return handler.refuse(request, &refusal),
+    };
+    let rest = request.url().strip_prefix(PREFIX).unwrap_or_default();
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let call = ServiceRequest {
+        request_id: handler.request_id.clone(),
+        team: team.to_owned(),
+        service: service.to_owned(),
+        path: format!("/{path}"),
+        method: request.method().to_string(),
+        content_type: header(&request, "Content-Type")
+            .unwrap_or("application/octet-stream")
+            .to_owned(),
+        marked_not_repeatable: header(&request, "x-mangowalk-repeatable") == Some("no"),
+        idempotency_key: header(&request, "Idempotency-Key").map(str::to_owned),
+        body,
+    };
+    match handler.router.call_service(&call) {
+        Ok(reply) => {
+            let mut response = Response::from_data(reply.body).with_status_code(reply.status);
+            let headers = [
+                ("Content-Type", reply.content_type.as_str()),
+                ("x-request-id", handler.request_id.as_str()),
+            ];
+            for (name, value) in headers {
+                if let Ok(header) = Header::from_bytes(name, value) {
+                    response = response.with_header(header);
+                }
+            }
+            let _ = request.respond(response);
+        }
+        Err(refusal) => handler.refuse(request, &refusal),
+    }
+}
--- /dev/null
+++ b/crates/mangowalkd/src/cli/args.rs
@@ -0,0 +1,88 @@
+use {bpaf::Bpaf, std::net::SocketAddr};
+
+/// Routes language-model traffic with long shared prompts to engines.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+pub struct Args {
+    /// Address for callers, as IP number and port. Callers are told this
+    /// address, so it can't be 0.0.0.0.
+    #[bpaf(long, env("MANGOWALK_CALLER_ADDRESS"), argument("IP:PORT"))]
+    pub caller_address: SocketAddr,
+
+    /// Address for other instances, as IP number and port.
+    #[bpaf(long, env("MANGOWALK_PEER_ADDRESS"), argument("IP:PORT"))]
+    pub peer_address: SocketAddr,
+
+    /// Address of the platform's object API.
+    #[bpaf(long, env("MANGOWALK_PLATFORM_ADDRESS"), argument("IP:PORT"))]
+    pub platform_address: SocketAddr,
+
+    /// Failure domain of this instance.
+    #[bpaf(long, env("MANGOWALK_FAILURE_DOMAIN"), argument("NAME"))]
+    pub failure_domain: String,
+
+    /// Peer addresses to try at start while the platform is down, separated
+    /// by commas.
+    #[bpaf(
+        long,
+        env("MANGOWALK_SEED_PEERS"),
+        argument("IP:PORT,..."),
+        fallback(String::new())
+    )]
+    pub seed_peers: String,
+
+    /// Largest request body, in bytes.
+    #[bpaf(
+        long,
+        env("MANGOWALK_MAX_BODY_BYTES"),
+        argument("BYTES"),
+        fallback(1_048_576),
+        display_fallback
+    )]
+    pub max_body_bytes: usize,
+
+    /// Most requests open at once in this instance.
+    #[bpaf(
+        long,
+        env("MANGOWALK_MAX_OPEN_REQUESTS"),
+        argument("COUNT"),
+        fallback(1_000),
+        display_fallback
+    )]
+    pub max_open_requests: usize,
+
+    /// Longest time that a request may take, in milliseconds.
+    #[bpaf(
+        long,
+        env("MANGOWALK_REQUEST_TIMEOUT_MS"),
+        argument("MS"),
+        fallback(120_000),
+        display_fallback
+    )]
+    pub request_timeout_ms: u64,
+
+    /// Longest silence of an engine before the request resumes elsewhere, in
+    /// milliseconds.
+    #[bpaf(
+        long,
+        env("MANGOWALK_TOKEN_TIMEOUT_MS"),
+        argument("MS"),
+        fallback(5_000),
+        display_fallback
+    )]
+    pub token_timeout_ms: u64,
+
+    /// Longest time that a shutdown waits for open requests, in milliseconds.
+    #[bpaf(
+        long,
+        env("MANGOWALK_DRAIN_TIMEOUT_MS"),
+        argument("MS"),
+        fallback(150_000),
+        display_fallback
+    )]
+    pub drain_timeout_ms: u64,
+
+    /// Check the settings and exit.
+    #[bpaf(long)]
+    pub check: bool,
+}
--- /dev/null
+++ b/crates/mangowalkd/src/cli/mod.rs
@@ -0,0 +1,11 @@
+//! Flags, environment variables and their checks.
+
+mod args;
+mod run;
+mod settings;
+
+pub use {
+    args::{Args, args},
+    run::run,
+    settings::{Settings, SettingsError},
+};
--- /dev/null
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -0,0 +1,154 @@
+use {
+    super::Args,
+    derive_more::{Display, Error},
+    std::net::SocketAddr,
+};
+
+/// Checked settings of one instance.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// Address for callers.
+    pub caller_address: SocketAddr,
+    /// Address for other instances.
+    pub peer_address: SocketAddr,
+    /// Address of the platform's object API.
+    pub platform_address: SocketAddr,
+    /// Failure domain of this instance.
+    pub failure_domain: String,
+    /// Peers to try while the platform is down.
+    pub seed_peers: Vec<SocketAddr>,
+    /// Largest request body.
+    pub max_body_bytes: usize,
+    /// Most requests open at once.
+    pub max_open_requests: usize,
+    /// Longest time that a request may take.
+    pub request_timeout_ms: u64,
+    /// Longest silence of an engine within an answer.
+    pub token_timeout_ms: u64,
+    /// Longest time that a shutdown waits for open requests.
+    pub drain_timeout_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+        Settings {
+            caller_address: loopback,
+            peer_address: loopback,
+            platform_address: loopback,
+            failure_domain: "default".to_owned(),
+            seed_peers: Vec::new(),
+            max_body_bytes: 1 << 20,
+            max_open_requests: 1_000,
+            request_timeout_ms: 120_000,
+            token_timeout_ms: 5_000,
+            drain_timeout_ms: 150_000,
+        }
+    }
+}
+
+/// Why settings were refused. Each message names the remedy.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum SettingsError {
+    /// An address that others are told names no host.
+    #[display(
+        "{flag} is {address}, which others can't reach; give the IP number of one interface."
+    )]
+    Unspecified {
+        /// Flag.
+        flag: &'static str,
+        /// Address given.
+        address: SocketAddr,
+    },
+    /// Two addresses are the same.
+    #[display("--caller-address and --peer-address are both {address}; give two ports.")]
+    SameAddress {
+        /// Address given twice.
+        address: SocketAddr,
+    },
+    /// A name is empty.
+    #[display("{flag} is empty; give a name.")]
+    Empty {
+        /// Flag.
+        flag: &'static str,
+    },
+    /// A number is 0.
+    #[display("{flag} is 0; give a number above 0.")]
+    Zero {
+        /// Flag.
+        flag: &'static str,
+    },
+    /// A list of addresses can't be read.
+    #[display(
+        "--seed-peers holds {text:?}, which is no IP number and port; write it as 10.0.0.2:7001."
+    )]
+    SeedPeer {
+        /// Part that can't be read.
+        text: String,
+    },
+}
+
+impl Settings {
+    /// Checks the arguments.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first argument that can't be used, and its remedy.
+    pub fn check(args: &Args) -> Result<Settings, SettingsError> {
+        specified("--caller-address", args.caller_address)?;
+        specified("--peer-address", args.peer_address)?;
+        if args.caller_address == args.peer_address {
+            return Err(SettingsError::SameAddress {
+                address: args.caller_address,
+            });
+        }
+        if args.failure_domain.is_empty() {
+            return Err(SettingsError::Empty {
+                flag: "--failure-domain",
+            });
+        }
+        above_zero("--max-body-bytes", args.max_body_bytes as u64)?;
+        above_zero("--max-open-requests", args.max_open_requests as u64)?;
+        above_zero("--request-timeout-ms", args.request_timeout_ms)?;
+        above_zero("--token-timeout-ms", args.token_timeout_ms)?;
+        above_zero("--drain-timeout-ms", args.drain_timeout_ms)?;
+        Ok(Settings {
+            caller_address: args.caller_address,
+            peer_address: args.peer_address,
+            platform_address: args.platform_address,
+            failure_domain: args.failure_domain.clone(),
+            seed_peers: seed_peers(&args.seed_peers)?,
+            max_body_bytes: args.max_body_bytes,
+            max_open_requests: args.max_open_requests,
+            request_timeout_ms: args.request_timeout_ms,
+            token_timeout_ms: args.token_timeout_ms,
+            drain_timeout_ms: args.drain_timeout_ms,
+        })
+    }
+}
+
+fn specified(flag: &'static str, address: SocketAddr) -> Result<(), SettingsError> {
+    if address.ip().is_unspecified() {
+        return Err(SettingsError::Unspecified { flag, address });
+    }
+    Ok(())
+}
+
+fn above_zero(flag: &'static str, number: u64) -> Result<(), SettingsError> {
+    if number == 0 {
+        return Err(SettingsError::Zero { flag });
+    }
+    Ok(())
+}
+
+fn seed_peers(text: &str) -> Result<Vec<SocketAddr>, SettingsError> {
+    text.split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+        .map(|part| {
+            part.parse().map_err(|_| SettingsError::SeedPeer {
+                text: part.to_owned(),
+            })
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/mangowalkd/src/controller/run.rs
@@ -0,0 +1,43 @@
+use {
+    crate::board::Board,
+    mangowalk_core::edge::{Clock, Edges},
+    std::{
+        io,
+        sync::Arc,
+        thread::{self, JoinHandle},
+        time::Duration,
+    },
+};
+
+/// A part of the instance that acts again and again.
+pub trait Controller: Send + 'static {
+    /// The edges that it speaks through.
+    type Edges: Edges;
+
+    /// Name of its thread and prefix of its log lines.
+    const NAME: &'static str;
+
+    /// Acts once, and returns after how many milliseconds to act again.
+    fn step(&mut self, edges: &Self::Edges, board: &Board, now_ms: u64) -> u64;
+}
+
+/// Runs a controller on a thread of its own until the instance stops.
+///
+/// # Errors
+///
+/// Fails where the system gives no thread.
+pub fn spawn<C: Controller>(
+    mut controller: C,
+    edges: Arc<C::Edges>,
+    board: Arc<Board>,
+) -> io::Result<JoinHandle<()>> {
+    thread::Builder::new()
+        .name(C::NAME.to_owned())
+        .spawn(move || {
+            while !board.life.is_stopped() {
+                let now_ms = edges.clock().now_ms();
+                let pause_ms = controller.step(&edges, &board, now_ms);
+                thread::sleep(Duration::from_millis(pause_ms));
+            }
+        })
+}
--- /dev/null
+++ b/crates/mangowalkd/src/edge/engines.rs
@@ -0,0 +1,164 @@
+use {
+    super::http::{exchange, once, send_error},
+    flume::{Receiver, Sender},
+    mangowalk_core::{
+        edge::{Engines, SendError},
+        engine::{
+            CacheEvents, CancelRequest, EngineState, GenerateEvent, GenerateRequest, Order,
+            OrderReply,
+        },
+    },
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        io::{BufRead, BufReader},
+        net::SocketAddr,
+        thread,
+        time::Duration,
+    },
+};
+
+/// Longest time that a call other than a generation may take.
+const CALL_TIMEOUT_MS: u64 = 2_000;
+
+/// Events that an attempt may be ahead of its caller. A caller who reads
+/// slowly makes the engine wait, instead of filling the router's memory.
+const EVENTS_AHEAD: usize = 64;
+
+/// Stack of a thread that reads one attempt.
+const READER_STACK_BYTES: usize = 128 << 10;
+
+/// Model engines over HTTP, their answers as server-sent events.
+#[derive(Debug, Default)]
+pub struct HttpEngines;
+
+/// Events of one attempt, read on a thread of their own.
+pub struct HttpEvents {
+    events: Receiver<Result<GenerateEvent, SendError>>,
+    timeout_ms: u64,
+    over: bool,
+}
+
+impl Iterator for HttpEvents {
+    type Item = Result<GenerateEvent, SendError>;
+
+    fn next(&mut self) -> Option<Self::Item> {
+        if self.over {
+            return None;
+        }
+        let next = self
+            .events
+            .recv_timeout(Duration::from_millis(self.timeout_ms));
+        match next {
+            Ok(Ok(event)) => Some(Ok(event)),
+            Ok(Err(error)) => self.end(error),
+            Err(flume::RecvTimeoutError::Timeout) => self.end(SendError::TimedOut),
+            Err(flume::RecvTimeoutError::Disconnected) => None,
+        }
+    }
+}
+
+impl HttpEvents {
+    fn end(&mut self, error: SendError) -> Option<Result<GenerateEvent, SendError>> {
+        self.over = true;
+        Some(Err(error))
+    }
+}
+
+/// Longest time that the reading thread of an attempt may live.
+const ATTEMPT_TIMEOUT_MS: u64 = 300_000;
+
+impl Engines for HttpEngines {
+    type Events = HttpEvents;
+
+    fn generate(
+        &self,
+        address: SocketAddr,
+        request: &GenerateRequest,
+        timeout_ms: u64,
+    ) -> HttpEvents {
+        let (sender, events) = flume::bounded(EVENTS_AHEAD);
+        let request = post(address, "generate", request);
+        let failed = sender.clone();
+        let spawned = thread::Builder::new()
+            .name("attempt".to_owned())
+            .stack_size(READER_STACK_BYTES)
+            .spawn(move || read_events(request, &sender));
+        if spawned.is_err() {
+            let _ = failed.try_send(Err(SendError::NotConnected));
+        }
+        HttpEvents {
+            events,
+            timeout_ms,
+            over: false,
+        }
+    }
+
+    fn cancel(&self, address: SocketAddr, request: &CancelRequest) -> Result<(), SendError> {
+        exchange(post(address, "cancel", request), CALL_TIMEOUT_MS).map(|_| ())
+    }
+
+    fn state(&self, address: SocketAddr) -> Result<EngineState, SendError> {
+        call(minreq::get(format!("http://{address}/state")))
+    }
+
+    fn cache_events(
+        &self,
+        address: SocketAddr,
+        from_sequence: u64,
+    ) -> Result<CacheEvents, SendError> {
+        call(minreq::get(format!(
+            "http://{address}/events?from={from_sequence}"
+        )))
+    }
+
+    fn order(&self, address: SocketAddr, order: &Order) -> Result<OrderReply, SendError> {
+        call(post(address, "order", order))
+    }
+}
+
+fn post(address: SocketAddr, path: &str, body: &impl Serialize) -> minreq::Request {
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    minreq::post(format!("http://{address}/{path}"))
+        .with_header("Content-Type", "application/json")
+        .with_body(body)
+}
+
+fn call<T: DeserializeOwned>(request: minreq::Request) -> Result<T, SendError> {
+    let (status, _, body) = exchange(request, CALL_TIMEOUT_MS)?;
+    if status != 200 {
+        return Err(SendError::Refused { status });
+    }
+    serde_json::from_slice(&body).map_err(|_| SendError::Unreadable)
+}
+
+/// Reads events until the stream ends or nobody wants them.
+fn read_events(request: minreq::Request, sender: &Sender<Result<GenerateEvent, SendError>>) {
+    let response = match once(request, ATTEMPT_TIMEOUT_MS).send_lazy() {
+        Ok(response) => response,
+        Err(error) => {
+            let _ = sender.send(Err(send_error(&error)));
+            return;
+        }
+    };
+    let status = response.status_code;
+    if status != 200 {
+        let _ = sender.send(Err(SendError::Refused { status }));
+        return;
+    }
+    for line in BufReader::new(response).lines() {
+        let event = match line {
+            Ok(line) => event_of(&line),
+            Err(_) => Some(Err(SendError::Lost)),
+        };
+        let Some(event) = event else { continue };
+        let last = event.is_err();
+        if sender.send(event).is_err() || last {
+            return;
+        }
+    }
+}
+
+fn event_of(line: &str) -> Option<Result<GenerateEvent, SendError>> {
+    let data = line.strip_prefix("data:")?;
+    Some(serde_json::from_str(data).map_err(|_| SendError::Unreadable))
+}
--- /dev/null
+++ b/crates/mangowalkd/src/edge/http.rs
@@ -0,0 +1,65 @@
+//! What every HTTP client edge shares.
+
+use {
+    mangowalk_core::edge::SendError,
+    std::io::{ErrorKind, Read},
+};
+
+const MS_PER_S: u64 = 1_000;
+
+/// Longest answer that is read whole.
+const LONGEST_BODY_BYTES: u64 = 16 << 20;
+
+/// Prepares a request that is sent once: no redirect is followed, and the
+/// connection is closed behind it.
+pub(super) fn once(request: minreq::Request, timeout_ms: u64) -> minreq::Request {
+    request
+        .with_follow_redirects(false)
+        .with_header("Connection", "close")
+        .with_timeout(timeout_ms.div_ceil(MS_PER_S).max(1))
+}
+
+/// Tells what a failed call means for the request.
+///
+/// Only a refused connection shows that nothing was sent; every other failure
+/// may have come after the first byte left.
+pub(super) fn send_error(error: &minreq::Error) -> SendError {
+    let minreq::Error::IoError(io) = error else {
+        return SendError::Unreadable;
+    };
+    match io.kind() {
+        ErrorKind::ConnectionRefused => SendError::NotConnected,
+        ErrorKind::TimedOut | ErrorKind::WouldBlock => SendError::TimedOut,
+        _ => SendError::Lost,
+    }
+}
+
+/// Sends and reads the whole answer.
+pub(super) fn exchange(
+    request: minreq::Request,
+    timeout_ms: u64,
+) -> Result<(u16, String, Vec<u8>), SendError> {
+    let response = once(request, timeout_ms)
+        .send_lazy()
+        .map_err(|e| send_error(&e))?;
+    let status = response.status_code;
+    let content_type = header(&response, "content-type").unwrap_or_default();
+    let expected = header(&response, "content-length").and_then(|v| v.parse::<usize>().ok());
+    let mut body = Vec::new();
+    response
+        .take(LONGEST_BODY_BYTES)
+        .read_to_end(&mut body)
+        .map_err(|_| SendError::Lost)?;
+    if expected.is_some_and(|length| length != body.len()) {
+        return Err(SendError::Lost);
+    }
+    Ok((status, content_type, body))
+}
+
+fn header(response: &minreq::ResponseLazy, name: &str) -> Option<String> {
+    response
+        .headers
+        .iter()
+        .find(|(n, _)| n.eq_ignore_ascii_case(name))
+        .map(|(_, v)| v.clone())
+}
--- /dev/null
+++ b/crates/mangowalkd/src/edge/mod.rs
@@ -0,0 +1,18 @@
+//! The edges that a running instance uses.
+
+mod clock;
+mod engines;
+mod http;
+mod live;
+mod peers;
+mod platform;
+mod services;
+
+pub use {
+    clock::MonotonicClock,
+    engines::HttpEngines,
+    live::LiveEdges,
+    peers::{NngPeers, PeerServer},
+    platform::HttpPlatform,
+    services::HttpServices,
+};
--- /dev/null
+++ b/crates/mangowalkd/src/edge/peers.rs
@@ -0,0 +1,146 @@
+use {
+    mangowalk_core::{
+        edge::{PeerError, Peers},
+        peer::{PeerReply, PeerRequest},
+    },
+    nng::{
+        Protocol, Socket,
+        options::{Options, RecvMaxSize, RecvTimeout, SendTimeout},
+    },
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        thread,
+        time::Duration,
+    },
+};
+
+/// Largest message that is read from a peer.
+const LARGEST_MESSAGE_BYTES: usize = 4 << 20;
+
+/// Sockets kept for each peer, so that a slow answer holds up one asker.
+const IDLE_SOCKETS: usize = 4;
+
+/// Threads that answer peers.
+const ANSWERING_THREADS: usize = 4;
+
+/// Other instances over `nng`: request and reply, encoded by `postcard`.
+#[derive(Default)]
+pub struct NngPeers {
+    idle: Mutex<HashMap<SocketAddr, Vec<Socket>>>,
+}
+
+impl NngPeers {
+    fn socket(&self, address: SocketAddr) -> Result<Socket, nng::Error> {
+        let idle = self
+            .idle
+            .lock()
+            .ok()
+            .and_then(|mut idle| idle.get_mut(&address).and_then(Vec::pop));
+        if let Some(socket) = idle {
+            return Ok(socket);
+        }
+        let socket = Socket::new(Protocol::Req0)?;
+        socket.set_opt::<RecvMaxSize>(LARGEST_MESSAGE_BYTES)?;
+        socket.dial_async(&format!("tcp://{address}"))?;
+        Ok(socket)
+    }
+
+    /// Keeps a socket whose exchange ended well. One that timed out is
+    /// dropped, so that a late answer can't be taken for the next one's.
+    fn keep(&self, address: SocketAddr, socket: Socket) {
+        let Ok(mut idle) = self.idle.lock() else {
+            return;
+        };
+        let sockets = idle.entry(address).or_default();
+        if sockets.len() < IDLE_SOCKETS {
+            sockets.push(socket);
+        }
+    }
+}
+
+impl Peers for NngPeers {
+    fn ask(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        timeout_ms: u64,
+    ) -> Result<PeerReply, PeerError> {
+        let bytes = postcard::to_stdvec(request).map_err(|_| PeerError::Unreadable)?;
+        let socket = self.socket(address).map_err(|_| PeerError::NoAnswer)?;
+        let answer = exchange(&socket, &bytes, timeout_ms).map_err(|_| PeerError::NoAnswer)?;
+        self.keep(address, socket);
+        postcard::from_bytes(&answer).map_err(|_| PeerError::Unreadable)
+    }
+}
+
+fn exchange(socket: &Socket, bytes: &[u8], timeout_ms: u64) -> Result<nng::Message, nng::Error> {
+    let timeout = Some(Duration::from_millis(timeout_ms));
+    socket.set_opt::<SendTimeout>(timeout)?;
+    socket.set_opt::<RecvTimeout>(timeout)?;
+    socket.send(bytes).map_err(|(_, error)| error)?;
+    socket.recv()
+}
+
+/// Answers other instances until it is dropped.
+pub struct PeerServer {
+    socket: Socket,
+}
+
+impl PeerServer {
+    /// Starts to listen.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address is in use.
+    pub fn start(
+        address: SocketAddr,
+        answer: impl Fn(PeerRequest) -> PeerReply + Send + Sync + 'static,
+    ) -> Result<PeerServer, nng::Error> {
+        let socket = Socket::new(Protocol::Rep0)?;
+        socket.set_opt::<RecvMaxSize>(LARGEST_MESSAGE_BYTES)?;
+        socket.listen(&format!("tcp://{address}"))?;
+        let answer = Arc::new(answer);
+        for _ in 0..ANSWERING_THREADS {
+            let context = nng::Context::new(&socket)?;
+            let answer = answer.clone();
+            thread::spawn(move || serve(&context, &*answer));
+        }
+        Ok(PeerServer { socket })
+    }
+}
+
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        self.socket.close();
+    }
+}
+
+/// Serves one context: receive, answer, send, until the socket closes.
+fn serve(context: &nng::Context, answer: &dyn Fn(PeerRequest) -> PeerReply) {
+    let (wake, woken) = flume::bounded(1);
+    let aio = nng::Aio::new(move |_, result| {
+        let _ = wake.send(result);
+    });
+    let Ok(aio) = aio else { return };
+    loop {
+        if context.recv(&aio).is_err() {
+            return;
+        }
+        let Ok(nng::AioResult::Recv(Ok(message))) = woken.recv() else {
+            return;
+        };
+        let reply = match postcard::from_bytes(&message) {
+            Ok(request) => answer(request),
+            Err(_) => PeerReply::Unsupported,
+        };
+        let bytes = postcard::to_stdvec(&reply).unwrap_or_default();
+        if context.send(&aio, &bytes[..]).is_err() {
+            return;
+        }
+        if woken.recv().is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangowalkd/src/edge/platform.rs
@@ -0,0 +1,111 @@
+use {
+    super::http::exchange,
+    mangowalk_core::{
+        edge::{Platform, PlatformError, SendError},
+        platform::{Expect, ListReply, Object, ObjectKey, WatchReply},
+    },
+    serde::{Deserialize, de::DeserializeOwned},
+    serde_json::Value,
+    std::net::SocketAddr,
+};
+
+/// Longest time that a call other than a watch may take.
+const CALL_TIMEOUT_MS: u64 = 2_000;
+
+/// Time that a watch's answer may take beyond its wait.
+const WATCH_MARGIN_MS: u64 = 3_000;
+
+/// The platform's object API over HTTP.
+#[derive(Debug)]
+pub struct HttpPlatform {
+    base: String,
+}
+
+#[derive(Deserialize)]
+struct Written {
+    version: u64,
+}
+
+impl HttpPlatform {
+    /// Returns the platform at an address.
+    pub fn new(address: SocketAddr) -> HttpPlatform {
+        HttpPlatform {
+            base: format!("http://{address}"),
+        }
+    }
+
+    fn object_url(&self, key: &ObjectKey, expect: Expect) -> String {
+        let condition = match expect {
+            Expect::Any => String::new(),
+            Expect::Absent => "?absent=1".to_owned(),
+            Expect::Version(version) => format!("?version={version}"),
+        };
+        format!("{}/objects/{}/{}{condition}", self.base, key.kind, key.name)
+    }
+
+    fn write(&self, request: minreq::Request) -> Result<u64, PlatformError> {
+        let (status, _, body) = exchange(request, CALL_TIMEOUT_MS).map_err(|e| match e {
+            SendError::NotConnected => PlatformError::Unreached,
+            _ => PlatformError::Lost,
+        })?;
+        match status {
+            200 => decode::<Written>(&body)
+                .map(|w| w.version)
+                .map_err(|_| PlatformError::Lost),
+            409 => Err(PlatformError::Conflict {
+                version: decode::<Written>(&body)?.version,
+            }),
+            status => Err(PlatformError::Refused { status }),
+        }
+    }
+
+    fn read<T: DeserializeOwned>(&self, url: String, timeout_ms: u64) -> Result<T, PlatformError> {
+        let (status, _, body) =
+            exchange(minreq::get(url), timeout_ms).map_err(|_| PlatformError::Unreached)?;
+        if status != 200 {
+            return Err(PlatformError::Refused { status });
+        }
+        decode(&body)
+    }
+}
+
+impl Platform for HttpPlatform {
+    fn get(&self, key: &ObjectKey) -> Result<Option<Object>, PlatformError> {
+        match self.read(self.object_url(key, Expect::Any), CALL_TIMEOUT_MS) {
+            Ok(object) => Ok(Some(object)),
+            Err(PlatformError::Refused { status: 404 }) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn put(&self, key: &ObjectKey, expect: Expect, body: &Value) -> Result<u64, PlatformError> {
+        self.write(minreq::put(self.object_url(key, expect)).with_body(body.to_string()))
+    }
+
+    fn delete(&self, key: &ObjectKey, expect: Expect) -> Result<u64, PlatformError> {
+        self.write(minreq::delete(self.object_url(key, expect)))
+    }
+
+    fn list(&self, kinds: &[&str]) -> Result<ListReply, PlatformError> {
+        let url = format!("{}/list?kinds={}", self.base, kinds.join(","));
+        self.read(url, CALL_TIMEOUT_MS)
+    }
+
+    fn watch(
+        &self,
+        kinds: &[&str],
+        after_revision: u64,
+        wait_ms: u64,
+    ) -> Result<WatchReply, PlatformError> {
+        let kinds = kinds.join(",");
+        let url = format!(
+            "{}/watch?kinds={kinds}&after={after_revision}&wait_ms={wait_ms}",
+            self.base
+        );
+        self.read(url, wait_ms + WATCH_MARGIN_MS)
+    }
+}
+
+fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|_| PlatformError::Lost)
+}
--- /dev/null
+++ b/crates/mangowalkd/src/lib.rs
@@ -0,0 +1,13 @@
+//! The mangowalk router: edges to the outside, the blackboard, and the
+//! controllers that read and write it.
+
+pub mod board;
+pub mod caller;
+pub mod cli;
+pub mod controller;
+pub mod edge;
+pub mod serve;
+
+mod daemon;
+
+pub use daemon::{Daemon, StartError};
--- /dev/null
+++ b/crates/mangowalkd/src/main.rs
@@ -0,0 +1,7 @@
+//! The mangowalk router.
+
+use {mangowalkd::cli, std::process::ExitCode};
+
+fn main() -> ExitCode {
+    cli::run()
+}
--- /dev/null
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -0,0 +1,13 @@
+//! The way of one request: limit, place, attempt, answer.
+
+mod answer;
+mod generate;
+mod request;
+mod router;
+mod service;
+
+pub use {
+    answer::{AnswerSink, Finished},
+    request::{ChatRequest, ServiceRequest},
+    router::Router,
+};
--- /dev/null
+++ b/crates/standins/examples/standin.rs
@@ -0,0 +1,38 @@
+//! Runs one stand-in as a process: `standin platform|service|engine ADDRESS`.
+//!
+//! An engine takes `MODEL VERSION` behind the address.
+
+use {
+    mangowalk_standins::{EngineSettings, EngineStandIn, PlatformStandIn, ServiceStandIn},
+    std::{env, net::SocketAddr, process::exit, thread},
+};
+
+fn main() {
+    let args: Vec<String> = env::args().skip(1).collect();
+    let Some(address) = args.get(1).and_then(|a| a.parse::<SocketAddr>().ok()) else {
+        eprintln!("usage: standin platform|service|engine ADDRESS [MODEL VERSION]");
+        exit(2);
+    };
+    match args[0].as_str() {
+        "platform" => hold(PlatformStandIn::start(address)),
+        "service" => hold(ServiceStandIn::start(address)),
+        _ => hold(engine(address, &args)),
+    }
+}
+
+fn engine(address: SocketAddr, args: &[String]) -> EngineStandIn {
+    let defaults = EngineSettings::default();
+    let settings = EngineSettings {
+        model: args.get(2).cloned().unwrap_or(defaults.model.clone()),
+        version: args.get(3).cloned().unwrap_or(defaults.version.clone()),
+        ..defaults
+    };
+    EngineStandIn::start(address, settings)
+}
+
+/// Keeps the stand-in until the process is ended.
+fn hold<T>(_stand_in: T) {
+    loop {
+        thread::park();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/engine/faults.rs
@@ -0,0 +1,22 @@
+use serde::{Deserialize, Serialize};
+
+/// How an engine fails.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EngineFaults {
+    /// Each attempt crashes the engine once it wrote this many tokens.
+    pub crash_after_tokens: Option<u64>,
+    /// A prompt that holds this text crashes the engine.
+    pub crash_on: Option<String>,
+    /// Every attempt stops after this many tokens and says nothing more.
+    pub freeze_after_tokens: Option<u64>,
+    /// Each token is written twice, the second time with the identity of
+    /// another attempt.
+    pub cross_answers: bool,
+    /// This many cache events are lost out of the next ones.
+    pub lose_events: u32,
+    /// Time between two tokens is multiplied by this, 0 counts as 1.
+    pub slow_factor: u64,
+    /// Every load of weights is refused with this reason.
+    pub refuse_loads: Option<String>,
+}
--- /dev/null
+++ b/crates/standins/src/fleet/router.rs
@@ -0,0 +1,135 @@
+use {
+    crate::fleet::Answer,
+    nix::{
+        sys::signal::{Signal, kill},
+        unistd::Pid,
+    },
+    std::{
+        net::{SocketAddr, TcpListener},
+        process::{Child, Command, ExitStatus, Stdio},
+        thread,
+        time::Duration,
+    },
+};
+
+/// Looks at a starting router before the test gives up.
+const READY_LOOKS: u32 = 500;
+const READY_PAUSE: Duration = Duration::from_millis(20);
+
+/// Returns an address on loopback that no one listens on.
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .expect("a free port on loopback")
+}
+
+/// A router as a process of its own.
+pub struct RouterProcess {
+    program: String,
+    args: Vec<String>,
+    address: SocketAddr,
+    peer_address: SocketAddr,
+    child: Option<Child>,
+}
+
+impl RouterProcess {
+    /// Starts a router on free ports, with more arguments behind the usual.
+    pub fn start(program: &str, platform: SocketAddr, more: &[&str]) -> RouterProcess {
+        let address = free_address();
+        let peer_address = free_address();
+        let mut args = vec![
+            format!("--caller-address={address}"),
+            format!("--peer-address={peer_address}"),
+            format!("--platform-address={platform}"),
+        ];
+        if !more.iter().any(|a| a.starts_with("--failure-domain")) {
+            args.push("--failure-domain=a".to_owned());
+        }
+        args.extend(more.iter().map(|a| (*a).to_owned()));
+        let mut router = RouterProcess {
+            program: program.to_owned(),
+            args,
+            address,
+            peer_address,
+            child: None,
+        };
+        router.start_again();
+        router
+    }
+
+    /// Returns the address towards callers.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address towards peers.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Starts the process again with the same arguments.
+    pub fn start_again(&mut self) {
+        let child = Command::new(&self.program)
+            .args(&self.args)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the router's program");
+        self.child = Some(child);
+    }
+
+    /// Waits until the router says that it is ready.
+    pub fn wait_ready(&self) {
+        for _ in 0..READY_LOOKS {
+            if Answer::get(self.address, "/ready", &[]).status == 200 {
+                return;
+            }
+            thread::sleep(READY_PAUSE);
+        }
+        panic!("the router at {} did not become ready", self.address);
+    }
+
+    /// Kills the process with SIGKILL.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Pauses the process with SIGSTOP.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Asks the process to drain, with SIGTERM.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Waits until the process has ended.
+    pub fn wait(&mut self) -> Option<ExitStatus> {
+        self.child.take().and_then(|mut child| child.wait().ok())
+    }
+
+    /// Returns the process number.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+}
+
+impl Drop for RouterProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/standins/src/http/server.rs
@@ -0,0 +1,169 @@
+use {
+    serde::Serialize,
+    std::{
+        collections::HashMap,
+        io::Write,
+        net::{SocketAddr, TcpListener},
+        sync::Arc,
+        thread,
+        time::Duration,
+    },
+    tiny_http::{Header, Request, Response},
+};
+
+const BIND_TRIES: u32 = 100;
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
+/// A server that handles each request on a thread of its own, and that can be
+/// stopped and started again on the same port.
+pub(crate) struct Server {
+    address: SocketAddr,
+    inner: Arc<tiny_http::Server>,
+}
+
+impl Server {
+    /// Starts to listen; port 0 lets the system choose.
+    pub(crate) fn start(
+        bind: SocketAddr,
+        handler: impl Fn(Exchange) + Send + Sync + 'static,
+    ) -> Server {
+        let listener = listen(bind);
+        let address = listener.local_addr().expect("a bound listener");
+        let inner = Arc::new(tiny_http::Server::from_listener(listener, None).expect("a server"));
+        let server = inner.clone();
+        let handler = Arc::new(handler);
+        thread::spawn(move || {
+            for request in server.incoming_requests() {
+                let handler = handler.clone();
+                thread::spawn(move || handler(Exchange::new(request)));
+            }
+        });
+        Server { address, inner }
+    }
+
+    /// Returns the address listened on.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// Listens, waiting a while for a server on the same port to go: a crashed
+/// engine that comes back would otherwise meet its own last listener.
+fn listen(bind: SocketAddr) -> TcpListener {
+    for _ in 0..BIND_TRIES {
+        if let Ok(listener) = TcpListener::bind(bind) {
+            return listener;
+        }
+        thread::sleep(BIND_PAUSE);
+    }
+    panic!("{bind} stays in use; choose another port")
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.inner.unblock();
+    }
+}
+
+/// One request and its way to answer.
+pub(crate) struct Exchange {
+    /// Method, in capitals.
+    pub(crate) method: String,
+    /// Path without the query.
+    pub(crate) path: String,
+    /// Parameters of the query.
+    pub(crate) query: HashMap<String, String>,
+    /// Headers, names in lower case.
+    pub(crate) headers: HashMap<String, String>,
+    /// Body.
+    pub(crate) body: Vec<u8>,
+    request: Request,
+}
+
+impl Exchange {
+    fn new(mut request: Request) -> Exchange {
+        let mut body = Vec::new();
+        let _ = request.as_reader().read_to_end(&mut body);
+        let (path, query) = split_url(request.url());
+        let headers = request
+            .headers()
+            .iter()
+            .map(|h| {
+                let name = h.field.as_str().as_str().to_ascii_lowercase();
+                (name, h.value.to_string())
+            })
+            .collect();
+        Exchange {
+            method: request.method().to_string(),
+            path,
+            query,
+            headers,
+            body,
+            request,
+        }
+    }
+
+    /// Returns a number of the query, or 0.
+    pub(crate) fn number(&self, name: &str) -> u64 {
+        self.query
+            .get(name)
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(0)
+    }
+
+    /// Answers with JSON.
+    pub(crate) fn json(self, status: u16, body: &impl Serialize) {
+        let text = serde_json::to_string(body).expect("serializable");
+        let header = Header::from_bytes("Content-Type", "application/json").expect("a header");
+        let response = Response::from_string(text)
+            .with_status_code(status)
+            .with_header(header);
+        let _ = self.request.respond(response);
+    }
+
+    /// Closes the connection without an answer. The client must have sent
+    /// `Connection: close`.
+    pub(crate) fn hang_up(self) {
+        drop(self.request.into_writer());
+    }
+
+    /// Starts a streamed answer and returns where to write its lines.
+    pub(crate) fn stream(self) -> impl Write + Send {
+        let mut writer = self.request.into_writer();
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+                    Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let _ = writer.write_all(head.as_bytes());
+        let _ = writer.flush();
+        ChunkWriter { writer }
+    }
+}
+
+/// Writes each call's bytes as one chunk. The end marker is written only by
+/// an empty write, so that a crash can leave the body cut.
+struct ChunkWriter {
+    writer: Box<dyn Write + Send>,
+}
+
+impl Write for ChunkWriter {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        write!(self.writer, "{:x}\r\n", bytes.len())?;
+        self.writer.write_all(bytes)?;
+        self.writer.write_all(b"\r\n")?;
+        self.writer.flush()?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        self.writer.flush()
+    }
+}
+
+fn split_url(url: &str) -> (String, HashMap<String, String>) {
+    let (path, query) = url.split_once('?').unwrap_or((url, ""));
+    let query = query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(k, v)| (k.to_owned(), v.to_owned()))
+        .collect();
+    (path.to_owned(), query)
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,17 @@
+//! Stand-ins for the platform, engines and services, for tests and the demo.
+//!
+//! Each runs on threads of the calling process and can be made to fail the
+//! way the real one does. None is part of a shipped program.
+
+mod engine;
+mod fleet;
+mod http;
+mod platform;
+mod service;
+
+pub use {
+    engine::{EngineFaults, EngineSettings, EngineStandIn},
+    fleet::{Answer, Fleet, FleetSettings, RouterProcess, free_address},
+    platform::{PlatformFaults, PlatformStandIn},
+    service::{ServiceFaults, ServiceStandIn},
+};
--- /dev/null
+++ b/crates/standins/src/platform/faults.rs
@@ -0,0 +1,17 @@
+use serde::{Deserialize, Serialize};
+
+/// How the platform fails.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct PlatformFaults {
+    /// Every call is cut off before it takes effect.
+    pub down: bool,
+    /// Each call waits this long first.
+    pub delay_ms: u64,
+    /// Replies to this many writes are lost after they took effect.
+    pub lose_replies: u32,
+    /// Lists and watches show the state of this many revisions ago.
+    pub lag_revisions: u64,
+    /// Watches stay silent.
+    pub mute_watches: bool,
+}
--- /dev/null
+++ b/crates/standins/src/service/stand_in.rs
@@ -0,0 +1,81 @@
+use {
+    crate::http::{Exchange, Server},
+    serde_json::json,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        thread,
+        time::Duration,
+    },
+};
+
+/// How the service fails.
+#[derive(Debug, Clone, Default)]
+pub struct ServiceFaults {
+    /// Each call waits this long first.
+    pub delay_ms: u64,
+    /// Replies to this many calls are lost after they ran.
+    pub lose_replies: u32,
+}
+
+/// A plain service on threads of this process.
+pub struct ServiceStandIn {
+    server: Server,
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Default)]
+struct Inner {
+    faults: ServiceFaults,
+    runs: BTreeMap<String, u64>,
+    headers: Vec<(String, String)>,
+}
+
+impl ServiceStandIn {
+    /// Starts the service; port 0 lets the system choose.
+    pub fn start(bind: SocketAddr) -> ServiceStandIn {
+        let inner = Arc::new(Mutex::new(Inner::default()));
+        let state = inner.clone();
+        let server = Server::start(bind, move |exchange| handle(&state, exchange));
+        ServiceStandIn { server, inner }
+    }
+
+    /// Returns the address listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets how the service fails from now on.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        self.inner.lock().expect("state").faults = faults;
+    }
+
+    /// Returns how often each body was run.
+    pub fn runs(&self) -> BTreeMap<String, u64> {
+        self.inner.lock().expect("state").runs.clone()
+    }
+
+    /// Returns every header that any caller sent.
+    pub fn headers(&self) -> Vec<(String, String)> {
+        self.inner.lock().expect("state").headers.clone()
+    }
+}
+
+fn handle(state: &Mutex<Inner>, exchange: Exchange) {
+    let faults = state.lock().expect("state").faults.clone();
+    thread::sleep(Duration::from_millis(faults.delay_ms));
+    let body = String::from_utf8_lossy(&exchange.body).into_owned();
+    let lost = {
+        let mut inner = state.lock().expect("state");
+        inner.headers.extend(exchange.headers.clone());
+        *inner.runs.entry(body.clone()).or_default() += 1;
+        let lost = inner.faults.lose_replies > 0;
+        inner.faults.lose_replies = inner.faults.lose_replies.saturating_sub(1);
+        lost
+    };
+    if lost {
+        return exchange.hang_up();
+    }
+    exchange.json(200, &json!({ "booked": body }));
+}
