Give test ports outside the range of outgoing connections

Cause: a port that a test takes from the system and releases lies in the range that the system also gives to outgoing connections. Between release and the router's bind, or between a kill and the restart on the same address, another test's connection may take it, and the test fails without a fault.

Change: tests choose ports below ip_local_port_range, checked by binding. Letting the router bind port 0 and report it was ruled out, because it does not help a restart on the same address.

--- a/crates/standins/src/fleet/router.rs
+++ b/crates/standins/src/fleet/router.rs
@@ -1,11 +1,11 @@
 use {
-    crate::fleet::Answer,
+    super::{Answer, free_address},
     nix::{
         sys::signal::{Signal, kill},
         unistd::Pid,
     },
     std::{
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         process::{Child, Command, ExitStatus, Stdio},
         thread,
         time::Duration,
@@ -16,13 +16,6 @@
 const READY_LOOKS: u32 = 500;
 const READY_PAUSE: Duration = Duration::from_millis(20);
 
-/// Returns an address on loopback that no one listens on.
-pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .and_then(|l| l.local_addr())
-        .expect("a free port on loopback")
-}
-
 /// A router as a process of its own.
 pub struct RouterProcess {
     program: String,
--- a/crates/standins/src/fleet/whole.rs
+++ b/crates/standins/src/fleet/whole.rs
@@ -1,9 +1,8 @@
 use {
-    super::{Answer, RouterProcess},
+    super::{Answer, RouterProcess, free_address},
     crate::{EngineSettings, EngineStandIn, PlatformStandIn, ServiceStandIn},
     mangowalk_core::record::digest_of,
     serde_json::json,
-    std::net::SocketAddr,
 };
 
 /// What a test's fleet is made of.
@@ -57,12 +56,11 @@
 
     /// Starts everything and waits until each router is ready.
     pub fn start(settings: &FleetSettings) -> Fleet {
-        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
-        let platform = PlatformStandIn::start(any);
+        let platform = PlatformStandIn::start(free_address());
         let engines: Vec<EngineStandIn> = (0..settings.engines)
-            .map(|_| EngineStandIn::start(any, settings.engine.clone()))
+            .map(|_| EngineStandIn::start(free_address(), settings.engine.clone()))
             .collect();
-        let service = ServiceStandIn::start(any);
+        let service = ServiceStandIn::start(free_address());
         let mut fleet = Fleet {
             platform,
             engines,
