Fuzz what is read from outside

Cause: records, engine events, platform replies, peers' messages, request bodies and raw bytes all come from outside, and nothing showed that any of them leaves the process serving.

Change: generated inputs against each decoder and, over a socket, against a running router (64 bodies, 64 byte strings, 64 peer messages; 256 cases for each decoder).

--- /dev/null
+++ b/crates/core/tests/outside_input.rs
@@ -0,0 +1,143 @@
+//! What is read from outside: records, engine events, watches and peers'
+//! messages. Nothing that comes may stop the process or be taken for sound.
+
+use {
+    mangowalk_core::{
+        config::{EntryState, Store, View},
+        engine::{CacheEvents, GenerateEvent},
+        platform::{ListReply, WatchReply},
+        record::{Kind, RecordError, parse},
+        stream::{Sequencer, Step},
+    },
+    proptest::prelude::*,
+    serde_json::{Value, json},
+};
+
+/// Any JSON value, a few levels deep.
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(|f| json!(f)),
+        ".{0,12}".prop_map(Value::from),
+    ];
+    leaf.prop_recursive(3, 24, 6, |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..6).prop_map(Value::from),
+            prop::collection::btree_map(any_field(), inner, 0..6)
+                .prop_map(|map| Value::Object(map.into_iter().collect())),
+        ]
+    })
+}
+
+/// Names that the decoders know, and others.
+fn any_field() -> impl Strategy<Value = String> {
+    let known = [
+        "schema",
+        "priority",
+        "team",
+        "digest",
+        "tokens_per_s",
+        "burst_tokens",
+        "version",
+        "concurrent_loads",
+        "address",
+        "failure_domain",
+        "role",
+        "engine",
+        "service",
+        "type",
+        "request_id",
+        "attempt",
+        "index",
+        "text",
+        "usage",
+    ];
+    prop_oneof![
+        prop::sample::select(known.to_vec()).prop_map(str::to_owned),
+        "[a-z_]{1,10}",
+    ]
+}
+
+fn any_kind() -> impl Strategy<Value = Kind> {
+    prop::sample::select(Kind::ALL.to_vec())
+}
+
+proptest! {
+    /// Whatever stands in a record, reading it ends with a record or with an
+    /// error whose message tells what to do.
+    #[test]
+    fn any_record_is_read_or_refused(kind in any_kind(), body in any_json()) {
+        if let Err(error) = parse(kind, &body) {
+            let message = error.to_string();
+            prop_assert!(message.contains(';'), "no remedy in {message:?}");
+        }
+    }
+
+    /// A record that is refused leaves the one before it in force, and every
+    /// other record too. Without that, one bad write would take a team away.
+    #[test]
+    fn a_refused_record_is_refused_alone(kind in any_kind(), text in ".{0,64}") {
+        let mut store = Store::default();
+        let team = json!({ "schema": 1 }).to_string();
+        store.merge("team", "good", 1, Some(&team));
+        store.merge(&kind.to_string(), "bad", 2, Some(&text));
+        prop_assert!(View::of(&store).teams.contains_key("good"));
+        if let Some(entry) = store.entry(kind, "bad") {
+            let refused = matches!(entry.state, EntryState::Refused { .. });
+            prop_assert_eq!(refused, entry.state.record().is_none());
+        }
+    }
+
+    /// Any text in place of an engine's event is read or refused.
+    #[test]
+    fn any_engine_event_is_read_or_refused(text in ".{0,200}", body in any_json()) {
+        let _ = serde_json::from_str::<GenerateEvent>(&text);
+        let _ = serde_json::from_value::<CacheEvents>(body.clone());
+        if let Ok(event) = serde_json::from_value::<GenerateEvent>(body) {
+            let mut sequencer = Sequencer::new("r", "v1");
+            sequencer.next_attempt();
+            let _ = sequencer.take(&event);
+        }
+    }
+
+    /// Any reply in place of the platform's is read or refused, and merging
+    /// what could be read keeps the store usable.
+    #[test]
+    fn any_platform_reply_is_read_or_refused(body in any_json()) {
+        let mut store = Store::default();
+        if let Ok(list) = serde_json::from_value::<ListReply>(body.clone()) {
+            store.merge_list(&list);
+        }
+        if let Ok(watch) = serde_json::from_value::<WatchReply>(body) {
+            for change in &watch.changes {
+                store.merge_change(change);
+            }
+        }
+        let _ = View::of(&store);
+    }
+
+    /// An event of another request or attempt never writes.
+    #[test]
+    fn a_foreign_event_writes_nothing(
+        id in "[a-z]{1,4}",
+        attempt in 0u32..4,
+        index in 0u64..4,
+    ) {
+        let event = json!({
+            "request_id": id, "attempt": attempt,
+            "type": "token", "index": index, "text": "x",
+        });
+        let event: GenerateEvent = serde_json::from_value(event).expect("an event");
+        let mut sequencer = Sequencer::new("mine", "v1");
+        sequencer.next_attempt();
+        prop_assert_eq!(sequencer.take(&event), Step::Skip);
+    }
+}
+
+#[test]
+fn a_record_of_a_newer_schema_names_the_remedy() {
+    let error = parse(Kind::Team, &json!({ "schema": 99 })).expect_err("newer");
+    assert_eq!(error, RecordError::NewerSchema { schema: 99 });
+}
--- /dev/null
+++ b/crates/mangowalkd/tests/outside_input.rs
@@ -0,0 +1,108 @@
+//! Bytes from callers and peers that no honest one sends.
+
+use {
+    mangowalk_core::peer::{PeerReply, PeerRequest},
+    mangowalk_standins::{Answer, Fleet, FleetSettings},
+    proptest::{prelude::*, test_runner::TestRunner},
+    std::{
+        io::{Read, Write},
+        net::{Shutdown, SocketAddr, TcpStream},
+        time::Duration,
+    },
+};
+
+/// Generated inputs that are sent to one running router.
+const CASES: u32 = 64;
+
+/// Time that the router has to answer bytes that are no request.
+const READ_TIMEOUT: Duration = Duration::from_secs(5);
+
+fn runner() -> TestRunner {
+    TestRunner::new(ProptestConfig {
+        cases: CASES,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })
+}
+
+fn fleet() -> Fleet {
+    Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        ..FleetSettings::default()
+    })
+}
+
+fn still_serves(fleet: &Fleet) {
+    assert_eq!(
+        Answer::get(fleet.routers[0].address(), "/health", &[]).status,
+        200
+    );
+}
+
+/// The caller sends bytes in place of a JSON body. It receives an error of
+/// the protocol, status 400 or another of the 400s, and the router goes on.
+#[test]
+fn any_body_is_answered_in_the_protocol() {
+    let fleet = fleet();
+    let bearer = format!("Bearer {}", Fleet::KEY);
+    let bodies = prop_oneof![
+        ".{0,256}",
+        "\\{\"model\":\"drafting\",\"messages\":.{0,64}",
+        "\\[{0,200}\\]{0,200}",
+    ];
+    runner()
+        .run(&bodies, |body| {
+            let answer = Answer::post(
+                fleet.routers[0].address(),
+                "/v1/chat/completions",
+                &[("Authorization", &bearer)],
+                &body,
+            );
+            prop_assert!((400..500).contains(&answer.status), "{}", answer.status);
+            prop_assert!(answer.json()["error"]["message"].is_string());
+            Ok(())
+        })
+        .expect("every body is answered");
+    still_serves(&fleet);
+}
+
+/// The caller sends bytes that are no HTTP. Whatever it receives, the router
+/// goes on and serves the next caller.
+#[test]
+fn any_bytes_leave_the_router_serving() {
+    let fleet = fleet();
+    let bytes = prop_oneof![
+        prop::collection::vec(any::<u8>(), 0..200),
+        "(GET|POST) /[a-z/]{0,20} HTTP/1.1\r\n([A-Za-z-]{1,12}: .{0,20}\r\n){0,4}"
+            .prop_map(String::into_bytes),
+    ];
+    runner()
+        .run(&bytes, |bytes| {
+            send_raw(fleet.routers[0].address(), &bytes);
+            Ok(())
+        })
+        .expect("no bytes stop the router");
+    still_serves(&fleet);
+}
+
+fn send_raw(address: SocketAddr, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(address).expect("a listening router");
+    stream
+        .set_read_timeout(Some(READ_TIMEOUT))
+        .expect("a timeout");
+    let _ = stream.write_all(bytes);
+    let _ = stream.shutdown(Shutdown::Write);
+    let _ = stream.read_to_end(&mut Vec::new());
+}
+
+/// A peer's message is decoded or refused, whatever its bytes are.
+#[test]
+fn any_peer_message_is_read_or_refused() {
+    runner()
+        .run(&prop::collection::vec(any::<u8>(), 0..400), |bytes| {
+            let _ = postcard::from_bytes::<PeerRequest>(&bytes);
+            let _ = postcard::from_bytes::<PeerReply>(&bytes);
+            Ok(())
+        })
+        .expect("no message stops the decoder");
+}
