Count what each instance spends on control

Change: calls and bytes to the platform, peers and engines' reads are counted at the edges. Requests and their answers don't count.

--- a/crates/mangowalkd/src/edge/engines.rs
+++ b/crates/mangowalkd/src/edge/engines.rs
@@ -1,5 +1,8 @@
 use {
-    super::http::{exchange, once, send_error},
+    super::{
+        Traffic,
+        http::{exchange, once, send_error},
+    },
     flume::{Receiver, Sender},
     mangowalk_core::{
         edge::{Engines, SendError},
@@ -12,6 +15,7 @@
     std::{
         io::{BufRead, BufReader},
         net::SocketAddr,
+        sync::Arc,
         thread,
         time::Duration,
     },
@@ -29,7 +33,25 @@
 
 /// Model engines over HTTP, their answers as server-sent events.
 #[derive(Debug, Default)]
-pub struct HttpEngines;
+pub struct HttpEngines {
+    traffic: Arc<Traffic>,
+}
+
+impl HttpEngines {
+    /// Returns engines whose reads are counted.
+    pub fn new(traffic: Arc<Traffic>) -> HttpEngines {
+        HttpEngines { traffic }
+    }
+
+    fn call<T: DeserializeOwned>(&self, request: minreq::Request) -> Result<T, SendError> {
+        let (status, _, body) = exchange(request, CALL_TIMEOUT_MS)?;
+        self.traffic.engine(body.len());
+        if status != 200 {
+            return Err(SendError::Refused { status });
+        }
+        serde_json::from_slice(&body).map_err(|_| SendError::Unreadable)
+    }
+}
 
 /// Events of one attempt, read on a thread of their own.
 pub struct HttpEvents {
@@ -98,7 +120,7 @@
     }
 
     fn state(&self, address: SocketAddr) -> Result<EngineState, SendError> {
-        call(minreq::get(format!("http://{address}/state")))
+        self.call(minreq::get(format!("http://{address}/state")))
     }
 
     fn cache_events(
@@ -106,13 +128,13 @@
         address: SocketAddr,
         from_sequence: u64,
     ) -> Result<CacheEvents, SendError> {
-        call(minreq::get(format!(
+        self.call(minreq::get(format!(
             "http://{address}/events?from={from_sequence}"
         )))
     }
 
     fn order(&self, address: SocketAddr, order: &Order) -> Result<OrderReply, SendError> {
-        call(post(address, "order", order))
+        self.call(post(address, "order", order))
     }
 }
 
@@ -123,14 +145,6 @@
         .with_body(body)
 }
 
-fn call<T: DeserializeOwned>(request: minreq::Request) -> Result<T, SendError> {
-    let (status, _, body) = exchange(request, CALL_TIMEOUT_MS)?;
-    if status != 200 {
-        return Err(SendError::Refused { status });
-    }
-    serde_json::from_slice(&body).map_err(|_| SendError::Unreadable)
-}
-
 /// Reads events until the stream ends or nobody wants them.
 fn read_events(request: minreq::Request, sender: &Sender<Result<GenerateEvent, SendError>>) {
     let response = match once(request, ATTEMPT_TIMEOUT_MS).send_lazy() {
--- a/crates/mangowalkd/src/edge/live.rs
+++ b/crates/mangowalkd/src/edge/live.rs
@@ -1,7 +1,7 @@
 use {
-    super::{HttpEngines, HttpPlatform, HttpServices, MonotonicClock, NngPeers},
+    super::{HttpEngines, HttpPlatform, HttpServices, MonotonicClock, NngPeers, Traffic},
     mangowalk_core::edge::Edges,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// The edges of a running instance.
@@ -11,21 +11,31 @@
     engines: HttpEngines,
     services: HttpServices,
     peers: NngPeers,
+    traffic: Arc<Traffic>,
 }
 
 impl LiveEdges {
     /// Returns edges towards a platform.
     pub fn new(platform: SocketAddr) -> LiveEdges {
+        let traffic = Arc::new(Traffic::default());
         LiveEdges {
             clock: MonotonicClock::default(),
-            platform: HttpPlatform::new(platform),
-            engines: HttpEngines,
+            platform: HttpPlatform::new(platform, traffic.clone()),
+            engines: HttpEngines::new(traffic.clone()),
             services: HttpServices,
-            peers: NngPeers::default(),
+            peers: NngPeers::new(traffic.clone()),
+            traffic,
         }
     }
 }
 
+impl LiveEdges {
+    /// Returns what the instance has spent on control.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+}
+
 impl Edges for LiveEdges {
     type Clock = MonotonicClock;
     type Platform = HttpPlatform;
--- a/crates/mangowalkd/src/edge/mod.rs
+++ b/crates/mangowalkd/src/edge/mod.rs
@@ -7,6 +7,7 @@
 mod peers;
 mod platform;
 mod services;
+mod traffic;
 
 pub use {
     clock::MonotonicClock,
@@ -15,4 +16,5 @@
     peers::{NngPeers, PeerServer},
     platform::HttpPlatform,
     services::HttpServices,
+    traffic::Traffic,
 };
--- a/crates/mangowalkd/src/edge/peers.rs
+++ b/crates/mangowalkd/src/edge/peers.rs
@@ -1,4 +1,5 @@
 use {
+    super::Traffic,
     mangowalk_core::{
         edge::{PeerError, Peers},
         peer::{PeerReply, PeerRequest},
@@ -29,9 +30,18 @@
 #[derive(Default)]
 pub struct NngPeers {
     idle: Mutex<HashMap<SocketAddr, Vec<Socket>>>,
+    traffic: Arc<Traffic>,
 }
 
 impl NngPeers {
+    /// Returns peers whose messages are counted.
+    pub fn new(traffic: Arc<Traffic>) -> NngPeers {
+        NngPeers {
+            traffic,
+            ..NngPeers::default()
+        }
+    }
+
     fn socket(&self, address: SocketAddr) -> Result<Socket, nng::Error> {
         let idle = self
             .idle
@@ -70,6 +80,7 @@
         let bytes = postcard::to_stdvec(request).map_err(|_| PeerError::Unreadable)?;
         let socket = self.socket(address).map_err(|_| PeerError::NoAnswer)?;
         let answer = exchange(&socket, &bytes, timeout_ms).map_err(|_| PeerError::NoAnswer)?;
+        self.traffic.peer(bytes.len() + answer.len());
         self.keep(address, socket);
         postcard::from_bytes(&answer).map_err(|_| PeerError::Unreadable)
     }
--- a/crates/mangowalkd/src/edge/platform.rs
+++ b/crates/mangowalkd/src/edge/platform.rs
@@ -1,12 +1,12 @@
 use {
-    super::http::exchange,
+    super::{Traffic, http::exchange},
     mangowalk_core::{
         edge::{Platform, PlatformError, SendError},
         platform::{Expect, ListReply, Object, ObjectKey, WatchReply},
     },
     serde::{Deserialize, de::DeserializeOwned},
     serde_json::Value,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// Longest time that a call other than a watch may take.
@@ -19,6 +19,7 @@
 #[derive(Debug)]
 pub struct HttpPlatform {
     base: String,
+    traffic: Arc<Traffic>,
 }
 
 #[derive(Deserialize)]
@@ -28,9 +29,10 @@
 
 impl HttpPlatform {
     /// Returns the platform at an address.
-    pub fn new(address: SocketAddr) -> HttpPlatform {
+    pub fn new(address: SocketAddr, traffic: Arc<Traffic>) -> HttpPlatform {
         HttpPlatform {
             base: format!("http://{address}"),
+            traffic,
         }
     }
 
@@ -48,6 +50,7 @@
             SendError::NotConnected => PlatformError::Unreached,
             _ => PlatformError::Lost,
         })?;
+        self.traffic.platform(body.len());
         match status {
             200 => decode::<Written>(&body)
                 .map(|w| w.version)
@@ -62,6 +65,7 @@
     fn read<T: DeserializeOwned>(&self, url: String, timeout_ms: u64) -> Result<T, PlatformError> {
         let (status, _, body) =
             exchange(minreq::get(url), timeout_ms).map_err(|_| PlatformError::Unreached)?;
+        self.traffic.platform(body.len());
         if status != 200 {
             return Err(PlatformError::Refused { status });
         }
