Split the attempt from the way of a request

Cause: generate.rs held limit, placement and attempt in one file, which three parts of the work change at once. Change: serve/attempt.rs holds one attempt. ChatRequest carries the caller's deadline (not read yet). No behaviour changes.

--- a/crates/mangowalkd/src/caller/chat.rs
+++ b/crates/mangowalkd/src/caller/chat.rs
@@ -80,6 +80,7 @@
             .max_completion_tokens
             .or(body.max_tokens)
             .unwrap_or(DEFAULT_MAX_TOKENS),
+        deadline_ms: None,
     };
     let shape = Shape {
         form,
--- a/crates/mangowalkd/src/serve/generate.rs
+++ b/crates/mangowalkd/src/serve/generate.rs
@@ -1,13 +1,14 @@
 use {
-    super::{AnswerSink, ChatRequest, Finished, Router},
-    log::{info, warn},
+    super::{
+        AnswerSink, ChatRequest, Finished, Router,
+        attempt::{AttemptEnd, Target},
+    },
     mangowalk_core::{
-        config::{EngineRecord, View},
-        edge::{Clock, Edges, Engines, SendError},
-        engine::{CancelRequest, GenerateRequest},
+        config::View,
+        edge::Edges,
         placement::tokens_of,
         refusal::{Outcome, Refusal},
-        stream::{Fault, Sequencer, Step},
+        stream::Sequencer,
     },
     std::collections::HashSet,
 };
@@ -18,20 +19,6 @@
 /// When a caller should come back if no engine can take its request.
 const NO_ENGINE_RETRY_MS: u64 = 1_000;
 
-/// An engine that can take an attempt now.
-struct Target {
-    engine: EngineRecord,
-    incarnation: u64,
-    version: String,
-}
-
-/// How one attempt ended.
-enum AttemptEnd {
-    Complete(Finished),
-    CallerGone,
-    TryAgain,
-}
-
 impl<E: Edges> Router<E> {
     /// Serves a request for generated text, and writes each token to the sink.
     ///
@@ -133,113 +120,4 @@
                 version: state.version.clone(),
             })
     }
-
-    fn attempt(
-        &self,
-        request: &ChatRequest,
-        target: &Target,
-        sequencer: &mut Sequencer,
-        sink: &mut dyn AnswerSink,
-    ) -> AttemptEnd {
-        let _in_flight = self.board.engines.start(&target.engine.name);
-        let attempt = sequencer.next_attempt();
-        let message = self.message(request, target, sequencer, attempt);
-        let events = self.edges.engines().generate(
-            target.engine.address,
-            &message,
-            self.settings.token_timeout_ms,
-        );
-        for event in events {
-            let step = match event {
-                Ok(event) => sequencer.take(&event),
-                Err(error) => return self.failed(request, target, attempt, error),
-            };
-            match step {
-                Step::Write(text) => {
-                    if sink.token(&text).is_err() {
-                        self.cancel(request, target, attempt);
-                        return AttemptEnd::CallerGone;
-                    }
-                }
-                Step::Complete {
-                    finish_reason,
-                    usage,
-                } => {
-                    return AttemptEnd::Complete(Finished {
-                        finish_reason,
-                        usage,
-                        engine: target.engine.name.clone(),
-                    });
-                }
-                Step::Skip => {}
-                Step::Fail(fault) => return self.faulty(request, target, attempt, fault),
-            }
-        }
-        self.failed(request, target, attempt, SendError::Lost)
-    }
-
-    fn message(
-        &self,
-        request: &ChatRequest,
-        target: &Target,
-        sequencer: &Sequencer,
-        attempt: u32,
-    ) -> GenerateRequest {
-        GenerateRequest {
-            request_id: request.request_id.clone(),
-            attempt,
-            cache_salt: format!("{}/{}/{}", request.team, request.model, target.version),
-            model: request.model.clone(),
-            version: target.version.clone(),
-            incarnation: target.incarnation,
-            prompt: request.prompt.clone(),
-            max_tokens: request.max_tokens,
-            generated: sequencer.tokens().to_vec(),
-            priority: 5,
-        }
-    }
-
-    fn failed(
-        &self,
-        request: &ChatRequest,
-        target: &Target,
-        attempt: u32,
-        error: SendError,
-    ) -> AttemptEnd {
-        warn!(
-            "serve: Attempt {attempt} of {} on {} failed. {error}",
-            request.request_id, target.engine.name
-        );
-        let now_ms = self.edges.clock().now_ms();
-        self.board
-            .engines
-            .update(&target.engine.name, |s| s.failed_ms = Some(now_ms));
-        if error == SendError::TimedOut {
-            self.cancel(request, target, attempt);
-        }
-        AttemptEnd::TryAgain
-    }
-
-    fn faulty(
-        &self,
-        request: &ChatRequest,
-        target: &Target,
-        attempt: u32,
-        fault: Fault,
-    ) -> AttemptEnd {
-        info!(
-            "serve: Attempt {attempt} of {} on {} gave up ({fault:?}).",
-            request.request_id, target.engine.name
-        );
-        self.cancel(request, target, attempt);
-        AttemptEnd::TryAgain
-    }
-
-    fn cancel(&self, request: &ChatRequest, target: &Target, attempt: u32) {
-        let cancel = CancelRequest {
-            request_id: request.request_id.clone(),
-            attempt,
-        };
-        let _ = self.edges.engines().cancel(target.engine.address, &cancel);
-    }
 }
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! The way of one request: limit, place, attempt, answer.
 
 mod answer;
+mod attempt;
 mod generate;
 mod request;
 mod router;
--- a/crates/mangowalkd/src/serve/request.rs
+++ b/crates/mangowalkd/src/serve/request.rs
@@ -11,6 +11,9 @@
     pub prompt: String,
     /// Most tokens to generate.
     pub max_tokens: u32,
+    /// Longest time to the first token that the caller will wait, counted
+    /// from its arrival; none if it did not say.
+    pub deadline_ms: Option<u64>,
 }
 
 /// A call of a plain service, after its edge has read it.
