Give operators a client and newcomers a demo

Cause: records could be written only by the tests' stand-ins, so nobody could start a fleet by hand.

Change: `mangowalk` applies, sets, withdraws, lists and shows records, issues and withdraws keys, and asks a question as a caller would. Writes are conditional on the version that the operator saw; a lost reply is read back. `./demo` starts platform, service, 4 engines and 3 routers, writes the records with the client and shows a prefix hit; `--once` checks it and ends all.

Ruled out: finding ports by probing from bash; a port that answers nothing may still be taken a moment later, so all are held at once before they are printed.

--- /dev/null
+++ b/crates/mangowalk/src/ask/mod.rs
@@ -0,0 +1,8 @@
+//! The command that sends a chat request as a caller would.
+
+mod addresses;
+mod answer;
+mod command;
+mod send;
+
+pub(crate) use command::{Ask, ask};
--- /dev/null
+++ b/crates/mangowalk/src/cli/completion.rs
@@ -0,0 +1,38 @@
+use {super::command::command, bpaf::Bpaf};
+
+/// Arguments of `completion`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub(super) struct Completion {
+    /// Shell: bash, zsh, fish or elvish
+    #[bpaf(positional::<String>("SHELL"), parse(shell))]
+    shell: Shell,
+}
+
+/// Shells that the library writes scripts for.
+const SHELLS: [&str; 4] = ["bash", "zsh", "fish", "elvish"];
+
+#[derive(Debug, Clone)]
+struct Shell(String);
+
+impl Shell {
+    fn flag(&self) -> String {
+        format!("--bpaf-complete-style-{}", self.0)
+    }
+}
+
+fn shell(text: String) -> Result<Shell, &'static str> {
+    if !SHELLS.contains(&text.as_str()) {
+        return Err("no such shell; give bash, zsh, fish or elvish");
+    }
+    Ok(Shell(text))
+}
+
+impl Completion {
+    /// Prints the script; the library that writes it ends the process.
+    pub(super) fn run(&self) {
+        let flags = vec![self.shell.flag()];
+        let args = bpaf::Args::from(flags.as_slice()).set_name("mangowalk");
+        let _ = command().run_inner(args);
+    }
+}
--- /dev/null
+++ b/crates/mangowalk/src/failure/kind.rs
@@ -0,0 +1,100 @@
+use {
+    derive_more::{Display, Error},
+    mangowalk_core::{edge::PlatformError, platform::ObjectKey, record::RecordError},
+};
+
+/// Why a command failed. Each message names the remedy.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub(crate) enum Failure {
+    /// The platform gave no answer; nothing was written.
+    #[display(
+        "The platform was not reached; check --platform-address and the platform's health. Nothing was written."
+    )]
+    Unreached,
+    /// A write was sent, its reply was lost, and it can't be read back.
+    #[display(
+        "Whether {}/{} was written is not known; run the command again once the platform answers, it writes nothing twice.",
+        key.kind, key.name
+    )]
+    Unknown {
+        /// The object.
+        key: ObjectKey,
+    },
+    /// The platform refused a call.
+    #[display("The platform refused with status {status}; check the request and its limits.")]
+    PlatformRefused {
+        /// HTTP status.
+        status: u16,
+    },
+    /// Another operator wrote in between.
+    #[display(
+        "{}/{} is at version {version} by now; nothing of yours was written. Read it with `mangowalk show {} {}` and decide again.",
+        key.kind, key.name, key.kind, key.name
+    )]
+    Conflict {
+        /// The object.
+        key: ObjectKey,
+        /// Version that the platform holds, 0 if there is none.
+        version: u64,
+    },
+    /// A file would change a record without saying which version it saw.
+    #[display(
+        "{}/{} exists at version {version} and differs. Put \"version\": {version} beside its name to change just that, or give --overwrite.",
+        key.kind, key.name
+    )]
+    Differs {
+        /// The object.
+        key: ObjectKey,
+        /// Version that the platform holds.
+        version: u64,
+    },
+    /// A record was refused by its check; nothing was sent.
+    #[display("{}/{} was refused, nothing was sent. {error}", key.kind, key.name)]
+    BadRecord {
+        /// The object.
+        key: ObjectKey,
+        /// Why, and what would mend it.
+        error: RecordError,
+    },
+    /// A file or argument can't be read as records.
+    #[display("{what} can't be used: {detail}; nothing was sent. See docs/records.md.")]
+    BadFile {
+        /// File or argument.
+        what: String,
+        /// Why.
+        detail: String,
+    },
+    /// There is no such record.
+    #[display("There is no {}/{}; `mangowalk list {}` shows the names.", key.kind, key.name, key.kind)]
+    Missing {
+        /// The object.
+        key: ObjectKey,
+    },
+    /// No instance answered the request.
+    #[display("{detail}")]
+    NotAnswered {
+        /// What was answered instead.
+        detail: String,
+    },
+}
+
+impl Failure {
+    /// Returns the exit code, as the help lists them.
+    pub(crate) fn exit_code(&self) -> u8 {
+        match self {
+            Failure::PlatformRefused { .. } | Failure::Missing { .. } => 1,
+            Failure::BadRecord { .. } | Failure::BadFile { .. } => 3,
+            Failure::Conflict { .. } | Failure::Differs { .. } => 4,
+            Failure::Unreached | Failure::Unknown { .. } => 5,
+            Failure::NotAnswered { .. } => 7,
+        }
+    }
+
+    /// Returns what a failed read means.
+    pub(crate) fn of_read(error: &PlatformError) -> Failure {
+        match error {
+            PlatformError::Refused { status } => Failure::PlatformRefused { status: *status },
+            _ => Failure::Unreached,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mangowalk/src/keys/issue.rs
@@ -0,0 +1,84 @@
+use {
+    super::secret,
+    crate::{
+        cli::{Common, common},
+        failure::Failure,
+        output::progress,
+        records::{RecordFile, put, read},
+    },
+    bpaf::Bpaf,
+    error_stack::Report,
+    mangowalk_core::{
+        platform::ObjectKey,
+        record::{Kind, SCHEMA, digest_of},
+    },
+    serde::Serialize,
+    serde_json::json,
+};
+
+/// Digits of the digest in the name of a key that is given none.
+const NAME_DIGITS: usize = 8;
+
+/// Arguments of `key issue`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub(crate) struct IssueKey {
+    #[bpaf(external(common))]
+    common: Common,
+
+    /// Name of the key's record; without it the team's name and a part of the
+    /// digest.
+    #[bpaf(long, argument("NAME"), optional)]
+    name: Option<String>,
+
+    /// Name of the team
+    #[bpaf(positional("TEAM"))]
+    team: String,
+}
+
+#[derive(Debug, Serialize)]
+struct Issued {
+    name: String,
+    team: String,
+    version: u64,
+    key: String,
+}
+
+impl IssueKey {
+    /// Writes the digest of a new key, then prints the key.
+    pub(crate) fn run(&self) -> Result<(), Report<Failure>> {
+        let platform = self.common.platform();
+        let team = ObjectKey::new(&Kind::Team.to_string(), &self.team);
+        if read(&platform, &team)?.is_none() {
+            return Err(Report::new(Failure::Missing { key: team }));
+        }
+        let key = secret::draw().map_err(|error| Failure::BadFile {
+            what: "The system's random generator".to_owned(),
+            detail: error.to_string(),
+        })?;
+        let digest = digest_of(&key);
+        let name = self
+            .name
+            .clone()
+            .unwrap_or_else(|| format!("{}-{}", self.team, &digest[..NAME_DIGITS]));
+        let file = RecordFile {
+            kind: Kind::Key,
+            name: name.clone(),
+            version: None,
+            record: json!({ "schema": SCHEMA, "team": self.team, "digest": digest }),
+        };
+        file.check()?;
+        let version = put(&platform, &file.key(), 0, &file.record)?;
+        progress(&format!(
+            "Issued key/{name} at version {version}. The key is shown this once; `mangowalk key withdraw {name}` ends it."
+        ));
+        let issued = Issued {
+            name,
+            team: self.team.clone(),
+            version,
+            key,
+        };
+        self.common.output().print(&issued, &issued.key);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/mangowalk/src/keys/mod.rs
@@ -0,0 +1,10 @@
+//! Commands that issue and withdraw keys.
+
+mod issue;
+mod secret;
+mod withdraw;
+
+pub(crate) use {
+    issue::{IssueKey, issue_key},
+    withdraw::{WithdrawKey, withdraw_key},
+};
--- /dev/null
+++ b/crates/mangowalk/src/keys/withdraw.rs
@@ -0,0 +1,32 @@
+use {
+    crate::{
+        cli::{Common, common},
+        failure::Failure,
+        records::withdraw_record,
+    },
+    bpaf::Bpaf,
+    error_stack::Report,
+    mangowalk_core::{platform::ObjectKey, record::Kind},
+};
+
+/// Arguments of `key withdraw`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub(crate) struct WithdrawKey {
+    #[bpaf(external(common))]
+    common: Common,
+
+    /// Name of the key's record, as `mangowalk list key` shows it
+    #[bpaf(positional("NAME"))]
+    name: String,
+}
+
+impl WithdrawKey {
+    /// Withdraws the key.
+    pub(crate) fn run(&self) -> Result<(), Report<Failure>> {
+        let key = ObjectKey::new(&Kind::Key.to_string(), &self.name);
+        let written = withdraw_record(&self.common.platform(), key, None)?;
+        self.common.output().print(&written, &written.text());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/mangowalk/src/records/apply.rs
@@ -0,0 +1,103 @@
+use {
+    super::{Action, RecordFile, Written, plan::Plan, put},
+    crate::{
+        cli::{Common, common},
+        failure::Failure,
+        output::progress,
+    },
+    bpaf::Bpaf,
+    error_stack::Report,
+    mangowalk_core::{edge::Platform, record::Kind},
+    std::{collections::HashSet, path::PathBuf},
+};
+
+/// Arguments of `apply`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub(crate) struct Apply {
+    #[bpaf(external(common))]
+    common: Common,
+
+    /// Show what would change, and write nothing.
+    #[bpaf(long)]
+    dry_run: bool,
+
+    /// Change records that exist whatever their version.
+    #[bpaf(long)]
+    overwrite: bool,
+
+    /// Files of records, `-` for standard input
+    #[bpaf(positional("FILE"), some("no file of records; give one or more"))]
+    files: Vec<PathBuf>,
+}
+
+impl Apply {
+    /// Checks every record, then writes those that differ.
+    pub(crate) fn run(&self) -> Result<(), Report<Failure>> {
+        let records = self.records()?;
+        let platform = self.common.platform();
+        let plans = records
+            .iter()
+            .map(|r| Plan::new(&platform, r, self.overwrite))
+            .collect::<Result<Vec<Plan<'_>>, _>>()?;
+        let written = if self.dry_run {
+            progress("Dry run: nothing is written.");
+            plans.into_iter().map(|p| p.written).collect()
+        } else {
+            self.write(&platform, &plans)?
+        };
+        let text = Written::texts(&written);
+        self.common.output().print(&written, &text);
+        Ok(())
+    }
+
+    /// Reads every file, and returns the records in the order in which a new
+    /// fleet needs them.
+    fn records(&self) -> Result<Vec<RecordFile>, Report<Failure>> {
+        let mut records = Vec::new();
+        for file in &self.files {
+            records.extend(RecordFile::read(file)?);
+        }
+        let mut seen = HashSet::new();
+        for record in &records {
+            record.check()?;
+            if !seen.insert(record.key()) {
+                return Err(Report::new(Failure::BadFile {
+                    what: format!("{}/{}", record.kind, record.name),
+                    detail: "it is there twice; leave one out".to_owned(),
+                }));
+            }
+        }
+        records.sort_by_key(|r| Kind::ALL.iter().position(|k| *k == r.kind));
+        Ok(records)
+    }
+
+    fn write(
+        &self,
+        platform: &dyn Platform,
+        plans: &[Plan<'_>],
+    ) -> Result<Vec<Written>, Report<Failure>> {
+        let mut done: Vec<Written> = Vec::new();
+        for plan in plans {
+            match write_one(platform, plan) {
+                Ok(written) => done.push(written),
+                Err(report) => {
+                    let left = plans.len() - done.len() - 1;
+                    let before = Written::texts(&done);
+                    self.common.output().print(&done, &before);
+                    return Err(report.attach(format!("{left} records behind it were not tried.")));
+                }
+            }
+        }
+        Ok(done)
+    }
+}
+
+fn write_one(platform: &dyn Platform, plan: &Plan<'_>) -> Result<Written, Report<Failure>> {
+    let mut written = plan.written.clone();
+    if written.action != Action::Unchanged {
+        let seen = written.version;
+        written.version = put(platform, &written.key, seen, &plan.record.record)?;
+    }
+    Ok(written)
+}
--- /dev/null
+++ b/crates/mangowalk/src/records/file.rs
@@ -0,0 +1,99 @@
+use {
+    crate::failure::Failure,
+    error_stack::Report,
+    mangowalk_core::{
+        platform::ObjectKey,
+        record::{Kind, parse},
+    },
+    serde::{Deserialize, Serialize},
+    serde_json::{Deserializer, Value},
+    std::{
+        fs,
+        io::{self, Read},
+        path::Path,
+    },
+};
+
+/// Characters of a name beside letters and digits. Names are segments of the
+/// platform's paths.
+const NAME_MARKS: &str = "._:-";
+
+/// One record of a file.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct RecordFile {
+    /// Kind of the record.
+    pub(crate) kind: Kind,
+    /// Name of the record.
+    pub(crate) name: String,
+    /// Version that the writer saw; the write happens only to that one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) version: Option<u64>,
+    /// The record itself.
+    pub(crate) record: Value,
+}
+
+impl RecordFile {
+    /// Returns the identity on the platform.
+    pub(crate) fn key(&self) -> ObjectKey {
+        ObjectKey::new(&self.kind.to_string(), &self.name)
+    }
+
+    /// Checks name and record as an instance would.
+    pub(crate) fn check(&self) -> Result<(), Report<Failure>> {
+        check_name(&self.name)?;
+        parse(self.kind, &self.record).map_err(|error| Failure::BadRecord {
+            key: self.key(),
+            error,
+        })?;
+        Ok(())
+    }
+
+    /// Reads every record of a file, `-` for standard input: one object, an
+    /// array of objects, or several of these one behind the other.
+    pub(crate) fn read(path: &Path) -> Result<Vec<RecordFile>, Report<Failure>> {
+        let text = text_of(path).map_err(|e| bad(path, &e.to_string()))?;
+        let mut records = Vec::new();
+        for value in Deserializer::from_str(&text).into_iter::<Value>() {
+            let value = value.map_err(|e| bad(path, &e.to_string()))?;
+            let items = match value {
+                Value::Array(items) => items,
+                item => vec![item],
+            };
+            for item in items {
+                records.push(serde_json::from_value(item).map_err(|e| bad(path, &e.to_string()))?);
+            }
+        }
+        if records.is_empty() {
+            return Err(bad(path, "it holds no record"));
+        }
+        Ok(records)
+    }
+}
+
+fn check_name(name: &str) -> Result<(), Report<Failure>> {
+    let fits = |c: char| c.is_ascii_alphanumeric() || NAME_MARKS.contains(c);
+    if !name.is_empty() && name.chars().all(fits) {
+        return Ok(());
+    }
+    Err(Report::new(Failure::BadFile {
+        what: format!("The name {name:?}"),
+        detail: format!("a name has letters, digits and {NAME_MARKS} only"),
+    }))
+}
+
+fn text_of(path: &Path) -> io::Result<String> {
+    if path != Path::new("-") {
+        return fs::read_to_string(path);
+    }
+    let mut text = String::new();
+    io::stdin().read_to_string(&mut text)?;
+    Ok(text)
+}
+
+fn bad(path: &Path, detail: &str) -> Report<Failure> {
+    Report::new(Failure::BadFile {
+        what: path.display().to_string(),
+        detail: detail.to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/mangowalk/src/records/plan.rs
@@ -0,0 +1,50 @@
+use {
+    super::{Action, RecordFile, Written, fields::changes, read},
+    crate::failure::Failure,
+    error_stack::Report,
+    mangowalk_core::edge::Platform,
+};
+
+/// What is to be done to one record, decided on the version that was read.
+#[derive(Debug)]
+pub(super) struct Plan<'a> {
+    /// The record of the file.
+    pub(super) record: &'a RecordFile,
+    /// What is to be done, with the version that is there.
+    pub(super) written: Written,
+}
+
+impl<'a> Plan<'a> {
+    /// Compares a record of a file with what the platform holds.
+    pub(super) fn new(
+        platform: &dyn Platform,
+        record: &'a RecordFile,
+        overwrite: bool,
+    ) -> Result<Plan<'a>, Report<Failure>> {
+        let key = record.key();
+        let held = read(platform, &key)?;
+        let version = held.as_ref().map_or(0, |o| o.version);
+        let plan = |action, changes| Plan {
+            record,
+            written: Written {
+                key: key.clone(),
+                action,
+                version,
+                changes,
+            },
+        };
+        if held.as_ref().is_some_and(|o| o.body == record.record) {
+            return Ok(plan(Action::Unchanged, Vec::new()));
+        }
+        if record.version.is_some_and(|seen| seen != version) && !overwrite {
+            return Err(Report::new(Failure::Conflict { key, version }));
+        }
+        let Some(held) = held else {
+            return Ok(plan(Action::Created, Vec::new()));
+        };
+        if record.version.is_none() && !overwrite {
+            return Err(Report::new(Failure::Differs { key, version }));
+        }
+        Ok(plan(Action::Changed, changes(&held.body, &record.record)))
+    }
+}
--- /dev/null
+++ b/crates/mangowalk/src/records/withdraw.rs
@@ -0,0 +1,61 @@
+use {
+    super::{Action, Written, delete, read},
+    crate::{
+        cli::{Common, common, kind},
+        failure::Failure,
+    },
+    bpaf::Bpaf,
+    error_stack::Report,
+    mangowalk_core::{edge::Platform, platform::ObjectKey, record::Kind},
+};
+
+/// Arguments of `withdraw`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub(crate) struct Withdraw {
+    #[bpaf(external(common))]
+    common: Common,
+
+    /// Withdraw only if the record is at this version.
+    #[bpaf(long("if-version"), argument("VERSION"), optional)]
+    seen: Option<u64>,
+
+    #[bpaf(external(kind))]
+    kind: Kind,
+
+    /// Name of the record
+    #[bpaf(positional("NAME"))]
+    name: String,
+}
+
+impl Withdraw {
+    /// Withdraws the record.
+    pub(crate) fn run(&self) -> Result<(), Report<Failure>> {
+        let key = ObjectKey::new(&self.kind.to_string(), &self.name);
+        let written = withdraw_record(&self.common.platform(), key, self.seen)?;
+        self.common.output().print(&written, &written.text());
+        Ok(())
+    }
+}
+
+/// Withdraws a record as it is now, or only at the version that was seen.
+pub(crate) fn withdraw_record(
+    platform: &dyn Platform,
+    key: ObjectKey,
+    seen: Option<u64>,
+) -> Result<Written, Report<Failure>> {
+    let held = read(platform, &key)?.ok_or_else(|| Failure::Missing { key: key.clone() })?;
+    if seen.is_some_and(|version| version != held.version) {
+        return Err(Report::new(Failure::Conflict {
+            key,
+            version: held.version,
+        }));
+    }
+    let version = delete(platform, &key, held.version)?;
+    Ok(Written {
+        key,
+        action: Action::Withdrawn,
+        version,
+        changes: Vec::new(),
+    })
+}
--- a/crates/standins/examples/standin.rs
+++ b/crates/standins/examples/standin.rs
@@ -1,14 +1,23 @@
 //! Runs one stand-in as a process: `standin platform|service|engine ADDRESS`.
 //!
-//! An engine takes `MODEL VERSION` behind the address.
+//! An engine takes `MODEL VERSION` behind the address. `standin ports COUNT`
+//! prints addresses on loopback that no one listens on.
 
 use {
     mangowalk_standins::{EngineSettings, EngineStandIn, PlatformStandIn, ServiceStandIn},
-    std::{env, net::SocketAddr, process::exit, thread},
+    std::{
+        env,
+        net::{SocketAddr, TcpListener},
+        process::exit,
+        thread,
+    },
 };
 
 fn main() {
     let args: Vec<String> = env::args().skip(1).collect();
+    if args.first().is_some_and(|a| a == "ports") {
+        return ports(&args);
+    }
     let Some(address) = args.get(1).and_then(|a| a.parse::<SocketAddr>().ok()) else {
         eprintln!("usage: standin platform|service|engine ADDRESS [MODEL VERSION]");
         exit(2);
@@ -20,6 +29,17 @@
     }
 }
 
+/// Prints addresses that differ: all are held until the last is found.
+fn ports(args: &[String]) {
+    let count = args.get(1).and_then(|a| a.parse().ok()).unwrap_or(1);
+    let listeners: Vec<TcpListener> = (0..count)
+        .filter_map(|_| TcpListener::bind("127.0.0.1:0").ok())
+        .collect();
+    for listener in &listeners {
+        println!("{}", listener.local_addr().expect("a bound listener"));
+    }
+}
+
 fn engine(address: SocketAddr, args: &[String]) -> EngineStandIn {
     let defaults = EngineSettings::default();
     let settings = EngineSettings {
