Send requests by expected time to first token, and queue them fairly

Cause: each request went to the engine with the fewest own attempts, without a look at caches, reports or teams; a full fleet queued inside the engines.

The engine stand-in's lost event now uses up the sequence numbers of the changes that were lost with it, as its comment says; before, a reader could not see the gap.

Measured: in tests with real processes the second prompt with a shared prefix of 6,400 tokens is answered with at least 6,300 counted as cached, through either of two instances.

Found on the way: attempts that had ended since the last report still counted as load, so an idle engine looked full until its next report; now the net number counts. An engine's slowness was compared with an expectation that held the slowness already, and was 0 for short prompts.

--- a/crates/core/src/placement/ask.rs
+++ b/crates/core/src/placement/ask.rs
@@ -38,7 +38,16 @@
     pub(super) slot: usize,
     pub(super) generation: u32,
     pub(super) prefill_ms: f64,
+    /// Expected time to first token if the engine is as fast as the others.
+    pub(super) nominal_ms: f64,
     pub(super) believed_age_ms: u64,
     pub(super) sent_ms: u64,
     pub(super) first_token: bool,
 }
+
+impl Choice {
+    /// Returns whether the first token was noted.
+    pub fn has_first_token(&self) -> bool {
+        self.first_token
+    }
+}
--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -135,16 +135,18 @@
         } else {
             self.settings.other_domain_ms
         };
+        let nominal_ms = self.settings.base_ms + wait_ms + prefill_ms;
         Choice {
             engine: engine.spec.name.clone(),
             incarnation: engine.state.as_ref().map_or(0, |s| s.incarnation),
             believed_blocks: candidate.held_blocks,
             import_blocks,
-            expected_ms: distance_ms + engine.slowness(now_ms) * (wait_ms + prefill_ms),
+            expected_ms: distance_ms + engine.slowness(now_ms) * nominal_ms,
             weighed: 0,
             slot: candidate.slot,
             generation: engine.generation,
             prefill_ms,
+            nominal_ms,
             believed_age_ms: candidate.age_ms,
             sent_ms: now_ms,
             first_token: false,
@@ -193,11 +195,10 @@
         }
         choice.first_token = true;
         let seen_ms = now_ms.saturating_sub(choice.sent_ms) as f64;
-        let expected_ms = choice.expected_ms;
         self.prefill_ms += (choice.prefill_ms - self.prefill_ms) * MEAN_WEIGHT;
         let engine = self.fleet.get_mut(choice.slot);
         engine.prefilled(choice.prefill_ms);
-        engine.observe(expected_ms, seen_ms, now_ms);
+        engine.observe(choice.nominal_ms, seen_ms, now_ms);
     }
 
     /// Notes that an attempt ended, and what the engine found in its cache if
@@ -209,6 +210,7 @@
         }
         let engine = self.fleet.get_mut(choice.slot);
         engine.in_flight = engine.in_flight.saturating_sub(1);
+        engine.since_report -= 1;
         if !choice.first_token {
             engine.prefilled(choice.prefill_ms);
         }
--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -16,6 +16,10 @@
 /// Most that slowness multiplies.
 const MOST_SLOWNESS: f64 = 50.0;
 
+/// Shortest time to first token that an observation is compared with: below
+/// it the jitter of a network would count as slowness.
+const LEAST_EXPECTED_MS: f64 = 20.0;
+
 /// Longest time for which an engine is believed to keep what it computed,
 /// before its answers tell.
 const KEEP_MS: f64 = 30_000.0;
@@ -44,8 +48,9 @@
     pub(super) state: Option<EngineState>,
     /// Attempts of this instance on the engine.
     pub(super) in_flight: u32,
-    /// Attempts begun since the last report, which it can't count yet.
-    pub(super) since_report: u32,
+    /// Attempts begun since the last report, less those that ended: what the
+    /// report can't count yet.
+    pub(super) since_report: i32,
     /// Prefill that this instance sent and that has not brought a first token.
     pub(super) backlog_ms: f64,
     /// Attempts of this instance without a first token.
@@ -129,11 +134,15 @@
 
     /// Returns the requests that the engine is thought to hold.
     pub(super) fn occupancy(&self) -> u32 {
-        let reported = self
-            .state
-            .as_ref()
-            .map_or(0, |s| s.load.running + s.load.waiting);
-        (reported + self.since_report).max(self.in_flight)
+        let reported = self.reported();
+        reported
+            .saturating_add_signed(self.since_report)
+            .max(self.in_flight)
+    }
+
+    fn reported(&self) -> u32 {
+        let load = self.state.as_ref().map(|s| s.load);
+        load.map_or(0, |l| l.running + l.waiting)
     }
 
     pub(super) fn slots(&self) -> u32 {
@@ -163,9 +172,10 @@
         if self.in_flight < share + ahead && self.occupancy() < self.slots() + ahead {
             return true;
         }
-        let reported = self.occupancy() - self.since_report.min(self.occupancy());
+        let reported = self.reported();
         let free = self.slots().saturating_sub(reported);
-        self.since_report < free.div_ceil(instances.max(1)) && self.occupancy() < self.slots()
+        let share = free.div_ceil(instances.max(1));
+        self.since_report < share as i32 && self.occupancy() < self.slots()
     }
 
     /// Notes that the prefill of an own attempt is over.
@@ -176,7 +186,7 @@
 
     /// Learns from the time to first token, against what was expected.
     pub(super) fn observe(&mut self, expected_ms: f64, seen_ms: f64, now_ms: u64) {
-        let ratio = (seen_ms / expected_ms.max(1.0)).clamp(1.0, MOST_SLOWNESS);
+        let ratio = (seen_ms / expected_ms.max(LEAST_EXPECTED_MS)).clamp(1.0, MOST_SLOWNESS);
         let held = self.slowness(now_ms);
         let weight = if ratio > held {
             SLOWER_WEIGHT
--- a/crates/core/src/placement/settings.rs
+++ b/crates/core/src/placement/settings.rs
@@ -8,6 +8,9 @@
     /// Cost of a block imported from the store of kept pieces; none where
     /// the engines offer no import.
     pub import_us: Option<f64>,
+    /// Time to first token of a request that waits for nothing and finds its
+    /// whole prompt.
+    pub base_ms: f64,
     /// Distance to an engine in another failure domain, there and back.
     pub other_domain_ms: f64,
     /// Number of instances that share the engines.
@@ -32,6 +35,7 @@
             miss_us: 2_000.0,
             hit_us: 10.0,
             import_us: None,
+            base_ms: 5.0,
             other_domain_ms: 2.0,
             instances: 1,
             most_homes: 64,
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,123 @@
+//! Who is served, who waits and who is refused, decided without a network.
+
+use mangowalk_core::admission::{AdmissionSettings, FairQueue, Job};
+
+fn job(id: u64, team: &str, tokens: u64, arrived_ms: u64) -> Job {
+    Job {
+        id,
+        team: team.to_owned(),
+        weight: 1.0,
+        priority: 5,
+        tokens,
+        arrived_ms,
+        model: "drafting".to_owned(),
+        version: "v1".to_owned(),
+        chain: Vec::new(),
+        kept_blocks: 0,
+    }
+}
+
+fn queue() -> FairQueue {
+    FairQueue::new(AdmissionSettings::default(), 3)
+}
+
+fn enter(queue: &mut FairQueue, job: Job) {
+    let now_ms = job.arrived_ms;
+    queue.enter(job, now_ms).expect("room");
+}
+
+fn next(queue: &mut FairQueue, now_ms: u64) -> Job {
+    let taken = queue.next(now_ms, 4, |_| Some(()));
+    taken.expect("a request that waits").0
+}
+
+/// Lets a queue see that it drains a thousand tokens in 100 ms.
+fn drained(queue: &mut FairQueue) -> u64 {
+    enter(queue, job(0, "gallery", 1_000, 0));
+    for i in 1..40 {
+        enter(queue, job(i, "gallery", 1_000, i * 100));
+        next(queue, i * 100);
+    }
+    next(queue, 4_000);
+    4_000
+}
+
+/// One team sends ten times what the other does. Both wait, and each must be
+/// served the same number of tokens, whatever the lengths of its requests.
+#[test]
+fn a_hot_team_gets_its_share_and_no_more() {
+    let mut queue = queue();
+    for i in 0..100 {
+        enter(&mut queue, job(i, "hot", 500, 0));
+    }
+    for i in 100..110 {
+        enter(&mut queue, job(i, "calm", 1_000, 0));
+    }
+    let served: Vec<Job> = (0..15).map(|_| next(&mut queue, 0)).collect();
+    let tokens = |team: &str| -> u64 {
+        served
+            .iter()
+            .filter(|j| j.team == team)
+            .map(|j| j.tokens)
+            .sum()
+    };
+    assert_eq!((tokens("hot"), tokens("calm")), (5_000, 5_000));
+}
+
+/// A team was idle while another was served a long time. Its callers must not
+/// push the other one out now: the time that was not used is gone.
+#[test]
+fn an_idle_team_saves_nothing_up() {
+    let mut queue = queue();
+    for i in 0..40 {
+        enter(&mut queue, job(i, "steady", 1_000, 0));
+    }
+    for _ in 0..20 {
+        next(&mut queue, 0);
+    }
+    for i in 100..120 {
+        enter(&mut queue, job(i, "idle", 1_000, 0));
+    }
+    let served: Vec<Job> = (0..10).map(|_| next(&mut queue, 0)).collect();
+    let idle = served.iter().filter(|j| j.team == "idle").count();
+    assert!((4..=6).contains(&idle), "{idle} of 10");
+}
+
+/// Short requests keep coming in front of a long one of the same team. They
+/// are served first, but the long one's turn must come while they still come.
+#[test]
+fn long_requests_are_passed_but_not_starved() {
+    let mut queue = queue();
+    enter(&mut queue, job(0, "gallery", 6_000, 0));
+    enter(&mut queue, job(1, "gallery", 200, 0));
+    assert_eq!(next(&mut queue, 0).id, 1);
+    let served_ms = (1..=40).map(|i| i * 50).find(|now_ms| {
+        enter(&mut queue, job(*now_ms, "gallery", 200, *now_ms));
+        next(&mut queue, *now_ms).id == 0
+    });
+    assert!(served_ms.is_some_and(|ms| ms <= 1_500), "{served_ms:?}");
+}
+
+/// A caller comes whose wait would be longer than it is held for. It must be
+/// told so at once, and callers refused together must be told to come back at
+/// different times, or they would find the queue full together again.
+#[test]
+fn what_cannot_be_served_in_time_is_refused_at_once() {
+    let mut queue = queue();
+    let now_ms = drained(&mut queue);
+    for i in 0..19 {
+        enter(&mut queue, job(i, "gallery", 1_000, now_ms));
+    }
+    let refused: Vec<_> = (0..30)
+        .map(|i| queue.enter(job(50 + i, "gallery", 3_000, now_ms), now_ms))
+        .map(|full| full.expect_err("too late"))
+        .collect();
+    let mut retries: Vec<u64> = refused.iter().map(|f| f.retry_ms).collect();
+    retries.sort_unstable();
+    retries.dedup();
+    assert!(retries.len() >= 20, "{retries:?}");
+    assert!(
+        retries[retries.len() - 1] - retries[0] >= 300,
+        "{retries:?}"
+    );
+}
--- /dev/null
+++ b/crates/core/tests/placement.rs
@@ -0,0 +1,201 @@
+//! What placement believes of engines' caches.
+
+use {
+    mangowalk_core::{
+        engine::{CacheChange, CacheEvents, EngineState, LoadReport},
+        placement::{Ask, Choice, EngineSpec, Placement, PlacementSettings, block_chain},
+    },
+    std::collections::HashSet,
+};
+
+const SLOTS: u32 = 8;
+
+fn state(incarnation: u64, running: u32) -> EngineState {
+    EngineState {
+        incarnation,
+        model: "drafting".to_owned(),
+        version: "v1".to_owned(),
+        load: LoadReport {
+            running,
+            waiting: 0,
+            slots: SLOTS,
+        },
+        ..EngineState::default()
+    }
+}
+
+fn placement(engines: usize, settings: PlacementSettings) -> Placement {
+    let specs: Vec<EngineSpec> = (0..engines)
+        .map(|i| EngineSpec {
+            name: format!("engine-{i}"),
+            model: "drafting".to_owned(),
+            near: true,
+            departing: false,
+        })
+        .collect();
+    let mut placement = Placement::new(settings, 7);
+    placement.set_engines(&specs);
+    for spec in &specs {
+        placement.report(&spec.name, Some(&state(1, 0)));
+    }
+    placement
+}
+
+fn choose(placement: &mut Placement, chain: &[u64], now_ms: u64) -> Choice {
+    let ask = Ask {
+        model: "drafting",
+        version: "v1",
+        chain,
+        kept_blocks: 0,
+        avoid: &HashSet::new(),
+        force: false,
+    };
+    let choice = placement.choose(&ask, now_ms);
+    choice.expect("an engine with room")
+}
+
+fn chain(team: &str) -> Vec<u64> {
+    block_chain(&format!("{team}/drafting/v1"), &"handbook ".repeat(3_000))
+}
+
+fn run(placement: &mut Placement, chain: &[u64], now_ms: u64) -> Choice {
+    let mut choice = choose(placement, chain, now_ms);
+    placement.sent(&mut choice, chain, now_ms);
+    placement.first_token(&mut choice, now_ms + 10);
+    placement.ended(&choice, Some(choice.believed_blocks), now_ms + 20);
+    choice
+}
+
+/// A caller's prompt was computed on an engine, and the same prompt comes
+/// again. It must go back there; a prompt of another team must not count on a
+/// single block of it.
+#[test]
+fn a_prefix_is_believed_for_its_team_alone() {
+    let mut placement = placement(12, PlacementSettings::default());
+    let first = run(&mut placement, &chain("gallery"), 0);
+    let again = choose(&mut placement, &chain("gallery"), 100);
+    assert_eq!(again.engine, first.engine);
+    assert!(again.believed_blocks >= 96, "{again:?}");
+    assert_eq!(
+        choose(&mut placement, &chain("cooper"), 100).believed_blocks,
+        0
+    );
+}
+
+/// The engine that held the prefix restarts. Reports and cache events of its
+/// former start, under way since before the crash, must not bring the belief
+/// back: the caller would wait for a prefill that nobody expected.
+#[test]
+fn late_news_of_a_dead_start_is_not_believed() {
+    let mut placement = placement(12, PlacementSettings::default());
+    let chain = chain("gallery");
+    let first = run(&mut placement, &chain, 0);
+    placement.report(&first.engine, Some(&state(2, 0)));
+    placement.report(&first.engine, Some(&state(1, 0)));
+    let late = CacheEvents {
+        incarnation: 1,
+        first_sequence: 0,
+        changes: chain.iter().map(|d| CacheChange::Stored(*d)).collect(),
+    };
+    placement.cache_events(&first.engine, &late);
+    let after = choose(&mut placement, &chain, 200);
+    assert_eq!(after.believed_blocks, 0);
+}
+
+/// Events tell that an engine holds a prefix that another instance sent
+/// there. Then some are lost. What is known of the engine must go with them,
+/// for the lost ones may have been evictions; what follows is believed again.
+#[test]
+fn a_gap_in_the_events_drops_what_is_known() {
+    let mut placement = placement(12, PlacementSettings::default());
+    let chain = chain("gallery");
+    let stored = |first_sequence| CacheEvents {
+        incarnation: 1,
+        first_sequence,
+        changes: chain.iter().map(|d| CacheChange::Stored(*d)).collect(),
+    };
+    placement.cache_events("engine-3", &stored(0));
+    let known = choose(&mut placement, &chain, 0);
+    assert_eq!(
+        (known.engine.as_str(), known.believed_blocks),
+        ("engine-3", 96)
+    );
+    let behind_gap = CacheEvents {
+        incarnation: 1,
+        first_sequence: 5_000,
+        changes: Vec::new(),
+    };
+    placement.cache_events("engine-3", &behind_gap);
+    assert_eq!(choose(&mut placement, &chain, 0).believed_blocks, 0);
+    placement.cache_events("engine-3", &stored(5_000));
+    assert_eq!(choose(&mut placement, &chain, 0).believed_blocks, 96);
+}
+
+/// An engine evicts within seconds. Its answer says that a prefix believed to
+/// be there was not found; other prefixes that it used even earlier must not
+/// be believed any more, without a miss of each.
+#[test]
+fn a_miss_corrects_what_is_believed_of_older_prefixes() {
+    let mut placement = placement(1, PlacementSettings::default());
+    let older = chain("cooper");
+    let newer = chain("gallery");
+    run(&mut placement, &older, 0);
+    run(&mut placement, &newer, 1_000);
+    let mut choice = choose(&mut placement, &newer, 6_000);
+    placement.sent(&mut choice, &newer, 6_000);
+    placement.ended(&choice, Some(0), 6_100);
+    assert_eq!(choose(&mut placement, &older, 6_200).believed_blocks, 0);
+    assert!(choose(&mut placement, &newer, 6_200).believed_blocks > 0);
+}
+
+/// A busy engine holds the prompt, an idle one does not. The caller waits
+/// least where waiting and computing together are least, so the holder loses
+/// the request only once its queue costs more than the prefill.
+#[test]
+fn a_hit_is_weighed_against_the_wait() {
+    let settings = PlacementSettings {
+        queue_ahead: 64,
+        ..PlacementSettings::default()
+    };
+    let mut placement = placement(2, settings);
+    let chain = chain("gallery");
+    let first = run(&mut placement, &chain, 0);
+    placement.report(&first.engine, Some(&state(1, SLOTS - 1)));
+    assert_eq!(choose(&mut placement, &chain, 100).engine, first.engine);
+    placement.report(&first.engine, Some(&state(1, SLOTS + 6)));
+    assert_ne!(choose(&mut placement, &chain, 100).engine, first.engine);
+}
+
+/// Where the store of kept pieces holds a prompt that no engine has, the
+/// decision counts on importing it, which costs less than computing it.
+#[test]
+fn a_kept_piece_is_imported_rather_than_computed() {
+    let settings = PlacementSettings {
+        import_us: Some(400.0),
+        ..PlacementSettings::default()
+    };
+    let mut placement = placement(2, settings);
+    let chain = chain("gallery");
+    let ask = Ask {
+        model: "drafting",
+        version: "v1",
+        chain: &chain,
+        kept_blocks: 64,
+        avoid: &HashSet::new(),
+        force: false,
+    };
+    let choice = placement.choose(&ask, 0).expect("an engine");
+    assert_eq!(choice.import_blocks, 64);
+}
+
+/// However many engines there are, a decision weighs a bounded number.
+#[test]
+fn the_candidates_are_bounded_at_every_size() {
+    for engines in [16, 160, 640] {
+        let mut placement = placement(engines, PlacementSettings::default());
+        let most = (0..200)
+            .map(|i| run(&mut placement, &chain("gallery"), i * 10).weighed)
+            .max();
+        assert!(most <= Some(20), "{engines} engines: {most:?}");
+    }
+}
--- a/crates/mangowalkd/src/board/admission.rs
+++ b/crates/mangowalkd/src/board/admission.rs
@@ -45,13 +45,16 @@
         reader(lock(&self.inner).dispatcher.placement())
     }
 
-    /// Takes the engines of the records in force, and how many instances
-    /// share them.
-    pub fn set_engines(&self, specs: &[EngineSpec], instances: u32) {
+    /// Takes the engines of the records in force.
+    pub fn set_engines(&self, specs: &[EngineSpec]) {
         let mut inner = lock(&self.inner);
-        let placement = inner.dispatcher.placement_mut();
-        placement.set_instances(instances);
-        placement.set_engines(specs);
+        inner.dispatcher.placement_mut().set_engines(specs);
+    }
+
+    /// Sets how many instances share the engines.
+    pub fn set_instances(&self, instances: u32) {
+        let mut inner = lock(&self.inner);
+        inner.dispatcher.placement_mut().set_instances(instances);
     }
 
     /// Takes an engine's report; none where it did not answer.
@@ -64,7 +67,10 @@
     /// Takes cache events of an engine.
     pub fn cache_events(&self, engine: &str, events: &CacheEvents) {
         let mut inner = lock(&self.inner);
-        inner.dispatcher.placement_mut().cache_events(engine, events);
+        inner
+            .dispatcher
+            .placement_mut()
+            .cache_events(engine, events);
     }
 
     /// Takes a new request. Its verdict comes on the channel, maybe at once.
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,4 +1,4 @@
-use super::{ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard};
+use super::{ConfigBoard, DispatchBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard};
 
 /// The state of one instance.
 #[derive(Debug)]
@@ -9,6 +9,8 @@
     pub config: ConfigBoard,
     /// Engines as last seen.
     pub engines: EngineBoard,
+    /// Admission, queue and placement.
+    pub dispatch: DispatchBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
@@ -19,11 +21,12 @@
 
 impl Board {
     /// Returns the board of an instance that starts.
-    pub fn new(identity: Identity) -> Board {
+    pub fn new(identity: Identity, dispatch: DispatchBoard) -> Board {
         Board {
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
+            dispatch,
             peers: PeerBoard::default(),
             limits: LimitBoard::default(),
             life: Life::default(),
--- a/crates/mangowalkd/src/cli/args.rs
+++ b/crates/mangowalkd/src/cli/args.rs
@@ -1,4 +1,4 @@
-use {bpaf::Bpaf, std::net::SocketAddr};
+use {bpaf::Bpaf, mangowalk_core::admission::Favour, std::net::SocketAddr};
 
 /// Routes language-model traffic with long shared prompts to engines.
 #[derive(Debug, Clone, Bpaf)]
@@ -82,6 +82,29 @@
     )]
     pub drain_timeout_ms: u64,
 
+    /// What counts most when every engine is full: `first-token` (the tail of
+    /// the time to first token) or `worst-team` (the worst-served team, and
+    /// few refusals).
+    #[bpaf(
+        long,
+        env("MANGOWALK_FAVOUR"),
+        argument("PROFILE"),
+        fallback(Favour::FirstToken),
+        display_fallback
+    )]
+    pub favour: Favour,
+
+    /// Time that an engine takes to compute one block of 64 prompt tokens that
+    /// it has not cached, in microseconds.
+    #[bpaf(
+        long,
+        env("MANGOWALK_COMPUTE_BLOCK_US"),
+        argument("US"),
+        fallback(2_000),
+        display_fallback
+    )]
+    pub compute_block_us: u64,
+
     /// Check the settings and exit.
     #[bpaf(long)]
     pub check: bool,
--- a/crates/mangowalkd/src/cli/settings.rs
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -1,6 +1,10 @@
 use {
     super::Args,
     derive_more::{Display, Error},
+    mangowalk_core::{
+        admission::{AdmissionSettings, Favour},
+        placement::PlacementSettings,
+    },
     std::net::SocketAddr,
 };
 
@@ -27,6 +31,10 @@
     pub token_timeout_ms: u64,
     /// Longest time that a shutdown waits for open requests.
     pub drain_timeout_ms: u64,
+    /// What counts most when every engine is full.
+    pub favour: Favour,
+    /// Time to compute one missed block.
+    pub compute_block_us: u64,
 }
 
 impl Default for Settings {
@@ -43,6 +51,8 @@
             request_timeout_ms: 120_000,
             token_timeout_ms: 5_000,
             drain_timeout_ms: 150_000,
+            favour: Favour::FirstToken,
+            compute_block_us: 2_000,
         }
     }
 }
@@ -112,6 +122,7 @@
         above_zero("--request-timeout-ms", args.request_timeout_ms)?;
         above_zero("--token-timeout-ms", args.token_timeout_ms)?;
         above_zero("--drain-timeout-ms", args.drain_timeout_ms)?;
+        above_zero("--compute-block-us", args.compute_block_us)?;
         Ok(Settings {
             caller_address: args.caller_address,
             peer_address: args.peer_address,
@@ -123,10 +134,27 @@
             request_timeout_ms: args.request_timeout_ms,
             token_timeout_ms: args.token_timeout_ms,
             drain_timeout_ms: args.drain_timeout_ms,
+            favour: args.favour,
+            compute_block_us: args.compute_block_us,
         })
     }
 }
 
+impl Settings {
+    /// Returns how requests are placed.
+    pub fn placement(&self) -> PlacementSettings {
+        PlacementSettings {
+            miss_us: self.compute_block_us as f64,
+            ..PlacementSettings::default()
+        }
+    }
+
+    /// Returns how requests are admitted.
+    pub fn admission(&self) -> AdmissionSettings {
+        AdmissionSettings::of(self.favour)
+    }
+}
+
 fn specified(flag: &'static str, address: SocketAddr) -> Result<(), SettingsError> {
     if address.ip().is_unspecified() {
         return Err(SettingsError::Unspecified { flag, address });
--- a/crates/mangowalkd/src/controller/engine_poll.rs
+++ b/crates/mangowalkd/src/controller/engine_poll.rs
@@ -1,8 +1,12 @@
 use {
     super::Controller,
     crate::board::Board,
-    mangowalk_core::edge::{Clock, Edges, Engines},
-    std::marker::PhantomData,
+    mangowalk_core::{
+        config::View,
+        edge::{Clock, Edges, Engines},
+        placement::EngineSpec,
+    },
+    std::{marker::PhantomData, sync::Arc},
 };
 
 /// Pause between two rounds.
@@ -15,6 +19,7 @@
 /// Reads what engines serve, a few in each round.
 pub struct EnginePoll<E> {
     next: usize,
+    taken: Option<Arc<View>>,
     edges: PhantomData<fn() -> E>,
 }
 
@@ -22,11 +27,35 @@
     fn default() -> EnginePoll<E> {
         EnginePoll {
             next: 0,
+            taken: None,
             edges: PhantomData,
         }
     }
 }
 
+impl<E> EnginePoll<E> {
+    /// Tells placement of the engines in force, once for each change.
+    fn take_records(&mut self, board: &Board, view: &Arc<View>) {
+        let instances = board.peers.sights().len() as u32 + 1;
+        board.dispatch.set_instances(instances);
+        if self.taken.as_ref().is_some_and(|t| Arc::ptr_eq(t, view)) {
+            return;
+        }
+        let specs: Vec<EngineSpec> = view
+            .engines
+            .values()
+            .map(|e| EngineSpec {
+                name: e.name.clone(),
+                model: e.model.clone(),
+                near: e.failure_domain == board.identity.failure_domain,
+                departing: e.departing,
+            })
+            .collect();
+        board.dispatch.set_engines(&specs);
+        self.taken = Some(view.clone());
+    }
+}
+
 impl<E: Edges> Controller for EnginePoll<E> {
     type Edges = E;
 
@@ -35,12 +64,14 @@
     fn step(&mut self, edges: &E, board: &Board, _now_ms: u64) -> u64 {
         let view = board.config.view();
         board.engines.retain(|name| view.engines.contains_key(name));
+        self.take_records(board, &view);
         let engines: Vec<_> = view.engines.values().collect();
         for _ in 0..engines.len().min(ASKED_A_ROUND) {
             self.next = (self.next + 1) % engines.len();
             let engine = engines[self.next];
             let state = edges.engines().state(engine.address).ok();
             let seen_ms = edges.clock().now_ms();
+            board.dispatch.report(&engine.name, state.as_ref(), seen_ms);
             board.engines.update(&engine.name, |sight| {
                 sight.state = state;
                 sight.seen_ms = seen_ms;
--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -1,6 +1,7 @@
 //! Controllers: each reads the board, speaks to one outside system, and
 //! writes its part of the board.
 
+mod cache_events;
 mod config_watch;
 mod engine_poll;
 mod gossip;
@@ -8,6 +9,7 @@
 mod slots;
 
 pub use {
+    cache_events::CacheEventReader,
     config_watch::ConfigWatch,
     engine_poll::EnginePoll,
     gossip::{Gossip, answer},
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -1,9 +1,11 @@
 use {
     crate::{
-        board::{Board, Identity},
+        board::{Board, DispatchBoard, Identity},
         caller::CallerServer,
         cli::Settings,
-        controller::{ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, spawn},
+        controller::{
+            CacheEventReader, ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, spawn,
+        },
         edge::{LiveEdges, PeerServer},
         serve::Router,
     },
@@ -55,12 +57,15 @@
     pub fn start(settings: Settings) -> Result<Daemon, Report<StartError>> {
         let signals = Signals::new([SIGTERM, SIGINT]).change_context(StartError::Threads)?;
         let edges = Arc::new(LiveEdges::new(settings.platform_address));
-        let board = Arc::new(Board::new(Identity {
+        let dispatch =
+            DispatchBoard::new(settings.placement(), settings.admission(), rand::random());
+        let identity = Identity {
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
             failure_domain: settings.failure_domain.clone(),
             incarnation: rand::random(),
-        }));
+        };
+        let board = Arc::new(Board::new(identity, dispatch));
         let (peer_edges, peer_board) = (edges.clone(), board.clone());
         let peer_server = PeerServer::start(settings.peer_address, move |request| {
             answer(&*peer_edges, &peer_board, &request)
@@ -110,6 +115,7 @@
     spawn(ConfigWatch::default(), edges.clone(), board.clone())?;
     spawn(gossip, edges.clone(), board.clone())?;
     spawn(EnginePoll::default(), edges.clone(), board.clone())?;
+    spawn(CacheEventReader::default(), edges.clone(), board.clone())?;
     spawn(SlotHolder::default(), edges.clone(), board.clone())?;
     Ok(())
 }
--- a/crates/mangowalkd/src/serve/admit.rs
+++ b/crates/mangowalkd/src/serve/admit.rs
@@ -1,8 +1,5 @@
 use {
-    super::{
-        ChatRequest, Router,
-        place::{Target, cache_salt},
-    },
+    super::{ChatRequest, Router, attempt::Target, place::cache_salt},
     log::info,
     mangowalk_core::{
         admission::{Job, Verdict},
@@ -34,7 +31,7 @@
         view: &View,
         bound: Option<&str>,
         tried: &HashSet<String>,
-    ) -> Result<Option<Target<'_, E>>, Refusal> {
+    ) -> Result<Option<Target>, Refusal> {
         match bound {
             Some(version) => Ok(self.place_again(request, view, version, tried)),
             None => self.admit(request, view).map(Some),
@@ -42,7 +39,7 @@
     }
 
     /// Waits for a request's turn.
-    fn admit(&self, request: &ChatRequest, view: &View) -> Result<Target<'_, E>, Refusal> {
+    fn admit(&self, request: &ChatRequest, view: &View) -> Result<Target, Refusal> {
         let version = self.version_for(request).ok_or(Refusal::Unavailable {
             reason: "No engine serves the model now",
             retry_ms: NO_ENGINE_RETRY_MS,
--- a/crates/mangowalkd/src/serve/attempt.rs
+++ b/crates/mangowalkd/src/serve/attempt.rs
@@ -1,12 +1,14 @@
 use {
-    super::{AnswerSink, ChatRequest, Finished, Router},
+    super::{AnswerSink, ChatRequest, Finished, Router, place::cache_salt},
     log::{info, warn},
     mangowalk_core::{
         config::EngineRecord,
         edge::{Clock, Edges, Engines, SendError},
         engine::{CancelRequest, GenerateRequest},
+        placement::Choice,
         stream::{Fault, Sequencer, Step},
     },
+    std::cell::RefCell,
 };
 
 /// An engine that can take an attempt now.
@@ -14,6 +16,7 @@
     pub(super) engine: EngineRecord,
     pub(super) incarnation: u64,
     pub(super) version: String,
+    pub(super) choice: RefCell<Choice>,
 }
 
 /// How one attempt ended.
@@ -47,6 +50,7 @@
             };
             match step {
                 Step::Write(text) => {
+                    self.note_token(target);
                     if sink.token(&text).is_err() {
                         self.cancel(request, target, attempt);
                         return AttemptEnd::CallerGone;
@@ -79,7 +83,7 @@
         GenerateRequest {
             request_id: request.request_id.clone(),
             attempt,
-            cache_salt: format!("{}/{}/{}", request.team, request.model, target.version),
+            cache_salt: cache_salt(&request.team, &request.model, &target.version),
             model: request.model.clone(),
             version: target.version.clone(),
             incarnation: target.incarnation,
@@ -105,6 +109,7 @@
         self.board
             .engines
             .update(&target.engine.name, |s| s.failed_ms = Some(now_ms));
+        self.note_unreached(target, error);
         if error == SendError::TimedOut {
             self.cancel(request, target, attempt);
         }
--- a/crates/mangowalkd/src/serve/generate.rs
+++ b/crates/mangowalkd/src/serve/generate.rs
@@ -1,8 +1,5 @@
 use {
-    super::{
-        AnswerSink, ChatRequest, Finished, Router,
-        attempt::{AttemptEnd, Target},
-    },
+    super::{AnswerSink, ChatRequest, Finished, Router, attempt::AttemptEnd},
     mangowalk_core::{
         config::View,
         edge::Edges,
@@ -61,7 +58,7 @@
         let mut bound: Option<(String, Sequencer)> = None;
         for _ in 0..MOST_ATTEMPTS {
             let version = bound.as_ref().map(|(version, _)| version.as_str());
-            let Some(target) = self.place(view, &request.model, version, &tried) else {
+            let Some(target) = self.next_target(request, view, version, &tried)? else {
                 break;
             };
             tried.insert(target.engine.name.clone());
@@ -69,7 +66,9 @@
                 let sequencer = Sequencer::new(&request.request_id, &target.version);
                 (target.version.clone(), sequencer)
             });
-            match self.attempt(request, &target, sequencer, sink) {
+            let end = self.attempt(request, &target, sequencer, sink);
+            self.note_end(&target, &end);
+            match end {
                 AttemptEnd::Complete(finished) => return Ok(finished),
                 AttemptEnd::CallerGone => {
                     return Err(Refusal::Lost {
@@ -95,29 +94,4 @@
             retry_ms: NO_ENGINE_RETRY_MS,
         }
     }
-
-    fn place(
-        &self,
-        view: &View,
-        model: &str,
-        version: Option<&str>,
-        tried: &HashSet<String>,
-    ) -> Option<Target> {
-        let sights = self.board.engines.sights();
-        view.engines
-            .values()
-            .filter(|e| e.model == model && !e.departing && !tried.contains(&e.name))
-            .filter_map(|e| {
-                let sight = sights.get(&e.name)?;
-                let state = sight.state.as_ref().filter(|s| !s.loading)?;
-                let fits = state.model == model && version.is_none_or(|v| v == state.version);
-                fits.then_some((sight.in_flight, e, state))
-            })
-            .min_by_key(|(in_flight, _, _)| *in_flight)
-            .map(|(_, engine, state)| Target {
-                engine: engine.clone(),
-                incarnation: state.incarnation,
-                version: state.version.clone(),
-            })
-    }
 }
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -1,8 +1,10 @@
 //! The way of one request: limit, place, attempt, answer.
 
+mod admit;
 mod answer;
 mod attempt;
 mod generate;
+mod place;
 mod request;
 mod router;
 mod service;
--- a/crates/mangowalkd/src/serve/place.rs
+++ b/crates/mangowalkd/src/serve/place.rs
@@ -1,57 +1,18 @@
 use {
-    super::{ChatRequest, Router},
+    super::{
+        ChatRequest, Router,
+        attempt::{AttemptEnd, Target},
+    },
     mangowalk_core::{
-        config::{EngineRecord, View},
-        edge::{Clock, Edges},
-        engine::Usage,
+        config::View,
+        edge::{Clock, Edges, SendError},
         placement::{Ask, BLOCK_BYTES, Choice, TOKEN_BYTES, block_chain},
     },
-    std::{
-        cell::{Cell, RefCell},
-        collections::HashSet,
-    },
+    std::{cell::RefCell, collections::HashSet},
 };
 
 const BLOCK_TOKENS: u64 = (BLOCK_BYTES / TOKEN_BYTES) as u64;
 
-/// An engine that takes an attempt now. The attempt counts on the engine
-/// until this is dropped.
-pub(super) struct Target<'a, E: Edges> {
-    pub(super) engine: EngineRecord,
-    pub(super) incarnation: u64,
-    pub(super) version: String,
-    router: &'a Router<E>,
-    choice: RefCell<Choice>,
-    cached_blocks: Cell<Option<usize>>,
-}
-
-impl<E: Edges> Target<'_, E> {
-    /// Notes that a token came.
-    pub(super) fn token(&self) {
-        let mut choice = self.choice.borrow_mut();
-        if choice.has_first_token() {
-            return;
-        }
-        let now_ms = self.router.edges.clock().now_ms();
-        self.router.board.dispatch.first_token(&mut choice, now_ms);
-    }
-
-    /// Notes the engine's own counts of a complete answer.
-    pub(super) fn complete(&self, usage: &Usage) {
-        let blocks = usage.cached_tokens / BLOCK_TOKENS;
-        self.cached_blocks.set(Some(blocks as usize));
-    }
-}
-
-impl<E: Edges> Drop for Target<'_, E> {
-    fn drop(&mut self) {
-        let now_ms = self.router.edges.clock().now_ms();
-        let choice = self.choice.borrow();
-        let dispatch = &self.router.board.dispatch;
-        dispatch.ended(&choice, self.cached_blocks.get(), now_ms);
-    }
-}
-
 /// Returns the salt under which an engine caches a prompt's blocks.
 pub(super) fn cache_salt(team: &str, model: &str, version: &str) -> String {
     format!("{team}/{model}/{version}")
@@ -60,7 +21,7 @@
 impl<E: Edges> Router<E> {
     /// Returns a target of a decision; none where the engine's record is
     /// gone or departing by now.
-    pub(super) fn target(&self, view: &View, version: &str, choice: Choice) -> Option<Target<'_, E>> {
+    pub(super) fn target(&self, view: &View, version: &str, choice: Choice) -> Option<Target> {
         let record = view.engines.get(&choice.engine).filter(|e| !e.departing);
         let Some(record) = record else {
             let now_ms = self.edges.clock().now_ms();
@@ -71,12 +32,44 @@
             engine: record.clone(),
             incarnation: choice.incarnation,
             version: version.to_owned(),
-            router: self,
             choice: RefCell::new(choice),
-            cached_blocks: Cell::new(None),
         })
     }
 
+    /// Notes that a token came.
+    pub(super) fn note_token(&self, target: &Target) {
+        let mut choice = target.choice.borrow_mut();
+        if !choice.has_first_token() {
+            let now_ms = self.edges.clock().now_ms();
+            self.board.dispatch.first_token(&mut choice, now_ms);
+        }
+    }
+
+    /// Notes the end of an attempt, and the engine's own count of what it
+    /// found in its cache.
+    pub(super) fn note_end(&self, target: &Target, end: &AttemptEnd) {
+        let cached_blocks = match end {
+            AttemptEnd::Complete(finished) => {
+                Some((finished.usage.cached_tokens / BLOCK_TOKENS) as usize)
+            }
+            _ => None,
+        };
+        let now_ms = self.edges.clock().now_ms();
+        let dispatch = &self.board.dispatch;
+        dispatch.ended(&target.choice.borrow(), cached_blocks, now_ms);
+    }
+
+    /// Notes that an engine does not answer, or is another start than the
+    /// one that was chosen, so that it gets no work until it reports again.
+    pub(super) fn note_unreached(&self, target: &Target, error: SendError) {
+        if matches!(error, SendError::NotConnected | SendError::Refused { .. }) {
+            let now_ms = self.edges.clock().now_ms();
+            self.board
+                .dispatch
+                .report(&target.engine.name, None, now_ms);
+        }
+    }
+
     /// Returns the weights version for a new request. A prefix keeps to one
     /// version while the share of engines that serve it stays the same.
     pub(super) fn version_for(&self, request: &ChatRequest) -> Option<String> {
@@ -97,7 +90,7 @@
         view: &View,
         version: &str,
         tried: &HashSet<String>,
-    ) -> Option<Target<'_, E>> {
+    ) -> Option<Target> {
         let salt = cache_salt(&request.team, &request.model, version);
         let chain = block_chain(&salt, &request.prompt);
         let ask = Ask {
--- /dev/null
+++ b/crates/mangowalkd/tests/admission.rs
@@ -0,0 +1,80 @@
+//! Who waits and who is refused when every engine is full.
+
+use {
+    mangowalk_standins::{Answer, EngineSettings, Fleet, FleetSettings},
+    std::thread,
+};
+
+fn full_fleet(favour: &str) -> Fleet {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        engines: 1,
+        engine: EngineSettings {
+            slots: 2,
+            token_us: 10_000,
+            ..EngineSettings::default()
+        },
+        router_args: vec![format!("--favour={favour}")],
+        ..FleetSettings::default()
+    });
+    for _ in 0..100 {
+        if fleet.chat(0, "warm up", 1, false).status == 200 {
+            return fleet;
+        }
+        thread::sleep(std::time::Duration::from_millis(100));
+    }
+    panic!("no request was served");
+}
+
+/// Sends requests at once and returns what their callers got.
+fn together(fleet: &Fleet, count: usize, tokens: u32) -> Vec<Answer> {
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..count)
+            .map(|i| scope.spawn(move || fleet.chat(0, &format!("caller {i}"), tokens, false)))
+            .collect();
+        callers
+            .into_iter()
+            .map(|c| c.join().expect("a caller"))
+            .collect()
+    })
+}
+
+/// Twelve callers come at once to an engine that runs two at a time. All are
+/// served, for the work is there to be done in time; those who wait do so in
+/// the router, so the engine never holds more than it can run.
+#[test]
+fn a_burst_waits_and_is_served() {
+    let fleet = full_fleet("worst-team");
+    let answers = together(&fleet, 12, 10);
+    assert!(answers.iter().all(|a| a.status == 200));
+}
+
+/// Forty callers come at once with answers of a second each, four seconds of
+/// work a caller may wait for at most. Whom the router can't serve in time is
+/// told so as not run, with a time to come back, and the engine never sees
+/// the request; the rest are served in full.
+#[test]
+fn who_cannot_be_served_in_time_is_refused_as_not_run() {
+    let fleet = full_fleet("first-token");
+    let answers = together(&fleet, 40, 100);
+    let refused: Vec<&Answer> = answers.iter().filter(|a| a.status == 503).collect();
+    assert!(!refused.is_empty());
+    for answer in &refused {
+        assert_eq!(
+            answer.json()["error"]["outcome"],
+            "not_run",
+            "{}",
+            answer.body
+        );
+        assert!(answer.header("retry-after").is_some());
+    }
+    let served = answers.iter().filter(|a| a.status == 200).count();
+    assert_eq!(served + refused.len(), answers.len());
+    let ran: u64 = fleet.engines[0]
+        .prompts()
+        .iter()
+        .filter(|(prompt, _)| prompt.contains("caller"))
+        .map(|(_, times)| times)
+        .sum();
+    assert_eq!(ran as usize, served);
+}
--- /dev/null
+++ b/crates/mangowalkd/tests/placement.rs
@@ -0,0 +1,187 @@
+//! Where requests go, judged by what callers receive.
+
+use {
+    mangowalk_core::record::digest_of,
+    mangowalk_standins::{Answer, EngineFaults, EngineStandIn, Fleet, FleetSettings},
+    serde_json::json,
+    std::{thread, time::Duration},
+};
+
+const COOPER_KEY: &str = "mw-test-key-cooper";
+
+/// Longest time between two reads of an engine's state, with room to spare.
+const NEWS: Duration = Duration::from_millis(1_500);
+
+fn fleet(settings: FleetSettings) -> Fleet {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        ..settings
+    });
+    fleet.platform.put("team", "cooper", json!({ "schema": 1 }));
+    let rate = json!({ "schema": 1, "tokens_per_s": 1_000_000, "burst_tokens": 1_000_000 });
+    fleet.platform.put("rate", "cooper", rate);
+    let key = json!({ "schema": 1, "team": "cooper", "digest": digest_of(COOPER_KEY) });
+    fleet.platform.put("key", "cooper-1", key);
+    for router in 0..fleet.routers.len() {
+        until_served(&fleet, router);
+    }
+    fleet
+}
+
+/// A new fleet mints its first tokens a moment after it is ready.
+fn until_served(fleet: &Fleet, router: usize) {
+    for _ in 0..100 {
+        let both = [Fleet::KEY, COOPER_KEY].map(|key| ask(fleet, router, key, "warm up").status);
+        if both == [200, 200] {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    panic!("no request was served");
+}
+
+fn ask(fleet: &Fleet, router: usize, key: &str, prompt: &str) -> Answer {
+    let body = json!({
+        "model": "drafting",
+        "messages": [{ "role": "user", "content": prompt }],
+        "max_tokens": 4,
+    });
+    Answer::post(
+        fleet.routers[router].address(),
+        "/v1/chat/completions",
+        &[("Authorization", &format!("Bearer {key}"))],
+        &body.to_string(),
+    )
+}
+
+fn cached_tokens(answer: &Answer) -> u64 {
+    let usage = &answer.json()["usage"]["prompt_tokens_details"]["cached_tokens"];
+    usage.as_u64().unwrap_or_else(|| panic!("{}", answer.body))
+}
+
+/// A handbook of a hundred blocks, and a question behind it.
+fn prompt(handbook: &str, question: &str) -> String {
+    format!("{}{question}", format!("{handbook:.<64}").repeat(400))
+}
+
+/// Returns how many prompts with a text each engine started.
+fn started(engines: &[EngineStandIn], text: &str) -> Vec<u64> {
+    let count = |engine: &EngineStandIn| {
+        let prompts = engine.prompts();
+        prompts
+            .iter()
+            .filter(|(p, _)| p.contains(text))
+            .map(|(_, times)| times)
+            .sum()
+    };
+    engines.iter().map(count).collect()
+}
+
+/// A caller asks about a handbook that another caller asked about before. Its
+/// answer counts the handbook as found, and so does a third one that comes
+/// through another instance: both compute the same home for the prefix.
+#[test]
+fn a_shared_prefix_is_found_through_every_instance() {
+    let fleet = fleet(FleetSettings {
+        routers: 2,
+        engines: 5,
+        ..FleetSettings::default()
+    });
+    let handbook = |question: &str| prompt("enrolment", question);
+    assert_eq!(
+        cached_tokens(&ask(&fleet, 0, Fleet::KEY, &handbook("fees?"))),
+        0
+    );
+    for (router, question) in [(0, "dates?"), (1, "rooms?"), (0, "exams?"), (1, "kit?")] {
+        let answer = ask(&fleet, router, Fleet::KEY, &handbook(question));
+        assert!(cached_tokens(&answer) >= 6_300, "{}", answer.body);
+    }
+}
+
+/// Two teams send the very same prompt. The second one's answer must count
+/// nothing as found, whichever engine runs it: the team is part of every
+/// block's key, so one team can't learn from timing what another has asked.
+#[test]
+fn another_teams_prompt_is_never_found() {
+    let fleet = fleet(FleetSettings::default());
+    let same = prompt("conservation notes", "which glass?");
+    for key in [Fleet::KEY, COOPER_KEY] {
+        assert_eq!(cached_tokens(&ask(&fleet, 0, key, &same)), 0);
+        assert!(cached_tokens(&ask(&fleet, 0, key, &same)) > 0);
+    }
+}
+
+/// Every engine restarts empty on its old address. The first caller after it
+/// must get its whole answer with nothing counted as found, and the callers
+/// behind it must find the prefix again where that one was sent.
+#[test]
+fn an_engine_that_came_back_empty_is_not_believed() {
+    let fleet = fleet(FleetSettings {
+        engines: 3,
+        ..FleetSettings::default()
+    });
+    let handbook = |question: &str| prompt("history", question);
+    ask(&fleet, 0, Fleet::KEY, &handbook("first"));
+    assert!(cached_tokens(&ask(&fleet, 0, Fleet::KEY, &handbook("second"))) > 0);
+    for engine in &fleet.engines {
+        engine.crash();
+        engine.restart();
+    }
+    thread::sleep(NEWS);
+    let after = ask(&fleet, 0, Fleet::KEY, &handbook("third"));
+    assert_eq!((after.status, cached_tokens(&after)), (200, 0));
+    assert!(cached_tokens(&ask(&fleet, 0, Fleet::KEY, &handbook("fourth"))) > 0);
+}
+
+/// One engine becomes forty times slower while it still answers. Callers who
+/// come later must be served by the others: an engine that shows by its first
+/// tokens that it is slow loses work without failing a single request.
+#[test]
+fn a_slow_engine_loses_work() {
+    let fleet = fleet(FleetSettings {
+        engines: 3,
+        ..FleetSettings::default()
+    });
+    fleet.engines[0].set_faults(EngineFaults {
+        slow_factor: 40,
+        ..EngineFaults::default()
+    });
+    let send = |text: &str, count: usize| {
+        for i in 0..count {
+            let answer = ask(&fleet, 0, Fleet::KEY, &format!("{text} {i}"));
+            assert_eq!(answer.status, 200, "{}", answer.body);
+        }
+    };
+    send("learning", 12);
+    send("judged", 30);
+    let judged = started(&fleet.engines, "judged");
+    assert!(judged[0] <= 4, "{judged:?}");
+}
+
+/// An operator marks an engine as departing while callers ask about a prefix
+/// that it holds. After a few seconds it must get no new work, however much
+/// of the prompt it would find.
+#[test]
+fn a_departing_engine_gets_no_new_work() {
+    let fleet = fleet(FleetSettings::default());
+    let handbook = |question: &str| prompt("placement", question);
+    ask(&fleet, 0, Fleet::KEY, &handbook("before"));
+    let before = started(&fleet.engines, "before");
+    let holder = before.iter().position(|n| *n > 0).expect("a holder");
+    let upstream = json!({
+        "schema": 1,
+        "address": fleet.engines[holder].address(),
+        "failure_domain": "a",
+        "role": { "engine": { "model": "drafting", "checks_fencing": true } },
+        "departing": true,
+    });
+    fleet
+        .platform
+        .put("upstream", &format!("engine-{holder}"), upstream);
+    thread::sleep(NEWS);
+    for i in 0..6 {
+        let answer = ask(&fleet, 0, Fleet::KEY, &handbook(&format!("after {i}")));
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    assert_eq!(started(&fleet.engines, "after")[holder], 0);
+}
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -56,8 +56,8 @@
 
     /// Loses the next change: its sequence number is used up.
     pub(super) fn lose_one(&mut self) {
+        self.first_sequence += self.changes.len() as u64 + 1;
         self.changes.clear();
-        self.first_sequence += 1;
     }
 
     fn log(&mut self, change: CacheChange) {
