--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,11 +7,13 @@
 mod fleet;
 mod http;
 mod platform;
+mod queue;
 mod service;
 
 pub use {
     engine::{EngineFaults, EngineSettings, EngineStandIn},
     fleet::{Answer, Fleet, FleetSettings, RouterProcess, free_address},
     platform::{PlatformFaults, PlatformStandIn},
+    queue::{Deployment, Figures, Pattern, PolicyKind, RunSettings, Spread, simulate},
     service::{ServiceFaults, ServiceStandIn},
 };
--- /dev/null
+++ b/crates/standins/src/queue/engine.rs
@@ -0,0 +1,135 @@
+use {
+    super::{
+        cache::CacheModel,
+        deployment::{CACHE_BLOCKS, HIT_US, IMPORT_US, MISS_US, SLOTS, TOKEN_US},
+    },
+    mangowalk_core::engine::{EngineState, LoadReport},
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// A request on an engine.
+#[derive(Debug, Clone)]
+pub(super) struct Task {
+    pub(super) id: u64,
+    pub(super) chain: Arc<[u64]>,
+    pub(super) answer_tokens: u64,
+    pub(super) import_blocks: usize,
+}
+
+/// A prefill that began.
+#[derive(Debug, Clone)]
+pub(super) struct Prefill {
+    pub(super) task: Task,
+    pub(super) hit_blocks: usize,
+    pub(super) takes_us: u64,
+}
+
+/// One engine: slots of a continuous batch, and one prefill at a time.
+#[derive(Debug)]
+pub(super) struct EngineModel {
+    pub(super) incarnation: u64,
+    pub(super) up: bool,
+    pub(super) slow: u64,
+    pub(super) cache: CacheModel,
+    running: u32,
+    waiting: VecDeque<Task>,
+    prefills: VecDeque<Task>,
+    computing: bool,
+    published: LoadReport,
+}
+
+impl EngineModel {
+    pub(super) fn new(incarnation: u64) -> EngineModel {
+        let published = LoadReport {
+            slots: SLOTS,
+            ..LoadReport::default()
+        };
+        EngineModel {
+            incarnation,
+            up: true,
+            slow: 1,
+            cache: CacheModel::new(CACHE_BLOCKS),
+            running: 0,
+            waiting: VecDeque::new(),
+            prefills: VecDeque::new(),
+            computing: false,
+            published,
+        }
+    }
+
+    /// Takes a task, and begins its prefill if nothing is in the way.
+    pub(super) fn take(&mut self, task: Task) -> Option<Prefill> {
+        self.waiting.push_back(task);
+        self.advance()
+    }
+
+    /// Moves waiting tasks into free slots, and begins a prefill.
+    fn advance(&mut self) -> Option<Prefill> {
+        while self.running < SLOTS {
+            let Some(task) = self.waiting.pop_front() else {
+                break;
+            };
+            self.running += 1;
+            self.prefills.push_back(task);
+        }
+        if self.computing {
+            return None;
+        }
+        let task = self.prefills.pop_front()?;
+        self.computing = true;
+        let blocks = task.chain.len();
+        let hit_blocks = self.cache.hits(&task.chain);
+        let imported = task.import_blocks.min(blocks - hit_blocks);
+        let missed = blocks - hit_blocks - imported;
+        let takes_us =
+            hit_blocks as u64 * HIT_US + imported as u64 * IMPORT_US + missed as u64 * MISS_US;
+        Some(Prefill {
+            task,
+            hit_blocks,
+            takes_us: takes_us * self.slow,
+        })
+    }
+
+    /// Ends a prefill. Returns the next one, and the time of the answer.
+    pub(super) fn prefilled(&mut self, task: &Task) -> (Option<Prefill>, u64) {
+        self.cache.store(&task.chain);
+        self.computing = false;
+        let answer_us = task.answer_tokens * TOKEN_US * self.slow;
+        (self.advance(), answer_us)
+    }
+
+    /// Frees a slot.
+    pub(super) fn ended(&mut self) -> Option<Prefill> {
+        self.running -= 1;
+        self.advance()
+    }
+
+    /// Drops a task that still waits. Returns whether it did.
+    pub(super) fn drop_waiting(&mut self, id: u64) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|t| t.id != id);
+        before > self.waiting.len()
+    }
+
+    /// Publishes the load; readers see it until the next time.
+    pub(super) fn publish(&mut self) {
+        self.published = LoadReport {
+            running: self.running - self.prefills.len() as u32,
+            waiting: (self.waiting.len() + self.prefills.len()) as u32,
+            slots: SLOTS,
+        };
+    }
+
+    pub(super) fn state(&self) -> Option<EngineState> {
+        self.up.then(|| EngineState {
+            incarnation: self.incarnation,
+            model: MODEL.to_owned(),
+            version: VERSION.to_owned(),
+            load: self.published,
+            ..EngineState::default()
+        })
+    }
+}
+
+pub(super) const MODEL: &str = "assistant";
+pub(super) const VERSION: &str = "v1";
--- /dev/null
+++ b/crates/standins/src/queue/figures.rs
@@ -0,0 +1,113 @@
+use super::deployment::{PATIENCE_US, TEAM_SHARES};
+
+/// What became of one request.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Outcome {
+    pub(super) team: usize,
+    pub(super) tokens: u64,
+    pub(super) in_rate: bool,
+    pub(super) measured: bool,
+    pub(super) blocks: usize,
+    pub(super) hit_blocks: usize,
+    pub(super) recomputed_blocks: usize,
+    /// Time to first token; none if it was refused or its caller left.
+    pub(super) first_token_us: Option<u64>,
+    pub(super) refused: bool,
+}
+
+/// The users' five figures of one run.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Figures {
+    /// Blocks found, in percent of all prompt blocks that ran.
+    pub hit_percent: f64,
+    /// 99th percentile of the time to first token. A caller who left counts
+    /// with the time that it waited; a refused one does not count.
+    pub p99_ms: f64,
+    /// Blocks computed although computed before within half a minute, in
+    /// percent of all prompt blocks that ran.
+    pub recomputed_percent: f64,
+    /// Tokens served of tokens asked for within the rate, in percent, of the
+    /// team with the least.
+    pub worst_team_percent: f64,
+    /// Requests within their team's rate that were refused or given up, in
+    /// percent of those within the rate.
+    pub refused_percent: f64,
+    /// Tokens served of each team.
+    pub served_tokens: [u64; TEAM_SHARES.len()],
+}
+
+impl Figures {
+    pub(super) fn of(outcomes: &[Outcome]) -> Figures {
+        let measured: Vec<&Outcome> = outcomes.iter().filter(|o| o.measured).collect();
+        let ran = || measured.iter().filter(|o| o.first_token_us.is_some());
+        let blocks: usize = ran().map(|o| o.blocks).sum();
+        let hit: usize = ran().map(|o| o.hit_blocks).sum();
+        let recomputed: usize = ran().map(|o| o.recomputed_blocks).sum();
+        let in_rate: Vec<&&Outcome> = measured.iter().filter(|o| o.in_rate).collect();
+        let lost = in_rate.iter().filter(|o| o.first_token_us.is_none());
+        let mut served_tokens = [0; TEAM_SHARES.len()];
+        for outcome in in_rate.iter().filter(|o| o.first_token_us.is_some()) {
+            served_tokens[outcome.team] += outcome.tokens;
+        }
+        Figures {
+            hit_percent: percent(hit as f64, blocks as f64),
+            p99_ms: p99_ms(&measured),
+            recomputed_percent: percent(recomputed as f64, blocks as f64),
+            worst_team_percent: worst_team(&in_rate),
+            refused_percent: percent(lost.count() as f64, in_rate.len() as f64),
+            served_tokens,
+        }
+    }
+}
+
+fn percent(part: f64, whole: f64) -> f64 {
+    if whole == 0.0 {
+        0.0
+    } else {
+        100.0 * part / whole
+    }
+}
+
+fn p99_ms(measured: &[&Outcome]) -> f64 {
+    let mut times_us: Vec<u64> = measured
+        .iter()
+        .filter(|o| !o.refused)
+        .map(|o| o.first_token_us.unwrap_or(PATIENCE_US))
+        .collect();
+    times_us.sort_unstable();
+    let at = times_us.len().saturating_sub(1) * 99 / 100;
+    times_us.get(at).map_or(0.0, |us| *us as f64 / 1e3)
+}
+
+fn worst_team(in_rate: &[&&Outcome]) -> f64 {
+    (0..TEAM_SHARES.len())
+        .map(|team| {
+            let own = || in_rate.iter().filter(|o| o.team == team);
+            let asked: u64 = own().map(|o| o.tokens).sum();
+            let served: u64 = own()
+                .filter(|o| o.first_token_us.is_some())
+                .map(|o| o.tokens)
+                .sum();
+            percent(served as f64, asked as f64)
+        })
+        .fold(100.0, f64::min)
+}
+
+/// Mean of a figure over several seeds, and the widest difference from it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Spread {
+    /// Mean.
+    pub mean: f64,
+    /// Widest difference from the mean.
+    pub plus_minus: f64,
+}
+
+impl Spread {
+    /// Returns the spread of values.
+    pub fn of(values: impl Iterator<Item = f64> + Clone) -> Spread {
+        let count = values.clone().count().max(1);
+        let mean = values.clone().sum::<f64>() / count as f64;
+        let plus_minus = values.map(|v| (v - mean).abs()).fold(0.0, f64::max);
+        Spread { mean, plus_minus }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/queue/mangowalk.rs
@@ -0,0 +1,182 @@
+use {
+    super::{
+        Deployment, PolicyKind,
+        deployment::{HIT_US, IMPORT_US, MISS_US, TEAM_SHARES},
+        engine::{MODEL, VERSION},
+        policy::{Action, Policy},
+        request::Request,
+    },
+    mangowalk_core::{
+        admission::{AdmissionSettings, Dispatcher, Job, Verdict},
+        engine::{CacheEvents, EngineState},
+        placement::{Ask, Choice, EngineSpec, Placement, PlacementSettings},
+    },
+    std::collections::{HashMap, HashSet},
+};
+
+/// One instance of the router: its decisions as they run in production.
+pub(super) struct Mangowalk {
+    dispatcher: Dispatcher,
+    choices: HashMap<u64, Choice>,
+    waiting: HashSet<u64>,
+}
+
+fn name(engine: usize) -> String {
+    format!("engine-{engine}")
+}
+
+fn number(name: &str) -> usize {
+    let digits = name.trim_start_matches("engine-");
+    digits.parse().expect("an engine of the model")
+}
+
+impl Mangowalk {
+    pub(super) fn new(
+        deployment: &Deployment,
+        kind: PolicyKind,
+        instance: usize,
+        seed: u64,
+    ) -> Mangowalk {
+        let domains = deployment.failure_domains;
+        let defaults = PlacementSettings::default();
+        let settings = PlacementSettings {
+            miss_us: MISS_US as f64,
+            hit_us: HIT_US as f64,
+            import_us: (kind == PolicyKind::Import).then_some(IMPORT_US as f64),
+            other_domain_ms: deployment.other_domain_us as f64 / 1e3,
+            instances: deployment.instances as u32,
+            full_events_engines: match kind {
+                PolicyKind::NoEvents => 0,
+                _ => defaults.full_events_engines,
+            },
+            ..defaults
+        };
+        let mut placement = Placement::new(settings, seed);
+        let specs: Vec<EngineSpec> = (0..deployment.engines)
+            .map(|engine| EngineSpec {
+                name: name(engine),
+                model: MODEL.to_owned(),
+                near: engine % domains == instance % domains,
+                departing: false,
+            })
+            .collect();
+        placement.set_engines(&specs);
+        let admission = AdmissionSettings::of(deployment.favour);
+        Mangowalk {
+            dispatcher: Dispatcher::new(placement, admission, seed),
+            choices: HashMap::new(),
+            waiting: HashSet::new(),
+        }
+    }
+
+    fn act(&mut self, verdicts: Vec<Verdict>) -> Vec<Action> {
+        verdicts.into_iter().map(|v| self.action(v)).collect()
+    }
+
+    fn action(&mut self, verdict: Verdict) -> Action {
+        match verdict {
+            Verdict::Send { id, choice } => {
+                self.waiting.remove(&id);
+                self.send(id, choice)
+            }
+            Verdict::Refuse { id, .. } => {
+                self.waiting.remove(&id);
+                Action::Refuse { id }
+            }
+        }
+    }
+
+    fn send(&mut self, id: u64, choice: Choice) -> Action {
+        let engine = number(&choice.engine);
+        let import_blocks = choice.import_blocks;
+        self.choices.insert(id, choice);
+        Action::Send {
+            id,
+            engine,
+            import_blocks,
+        }
+    }
+}
+
+impl Policy for Mangowalk {
+    fn arrive(&mut self, request: &Request, kept_blocks: usize, now_ms: u64) -> Vec<Action> {
+        let job = Job {
+            id: request.id,
+            team: format!("team-{}", request.team),
+            weight: TEAM_SHARES[request.team],
+            priority: 5,
+            tokens: request.tokens(),
+            arrived_ms: now_ms,
+            model: MODEL.to_owned(),
+            version: VERSION.to_owned(),
+            chain: request.chain.to_vec(),
+            kept_blocks,
+        };
+        self.waiting.insert(request.id);
+        let verdicts = self.dispatcher.arrive(job, now_ms);
+        self.act(verdicts)
+    }
+
+    fn again(&mut self, request: &Request, dead: usize, now_ms: u64) -> Vec<Action> {
+        let avoid = HashSet::from([name(dead)]);
+        let ask = Ask {
+            model: MODEL,
+            version: VERSION,
+            chain: &request.chain,
+            kept_blocks: 0,
+            avoid: &avoid,
+            force: true,
+        };
+        let placement = self.dispatcher.placement_mut();
+        let Some(mut choice) = placement.choose(&ask, now_ms) else {
+            return vec![Action::Refuse { id: request.id }];
+        };
+        placement.sent(&mut choice, &request.chain, now_ms);
+        vec![self.send(request.id, choice)]
+    }
+
+    fn report(&mut self, engine: usize, state: Option<&EngineState>, now_ms: u64) -> Vec<Action> {
+        let placement = self.dispatcher.placement_mut();
+        placement.report(&name(engine), state);
+        self.tick(now_ms)
+    }
+
+    fn first_token(&mut self, id: u64, now_ms: u64) {
+        if let Some(choice) = self.choices.get_mut(&id) {
+            self.dispatcher.placement_mut().first_token(choice, now_ms);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        id: u64,
+        _engine: usize,
+        cached_blocks: Option<usize>,
+        now_ms: u64,
+    ) -> Vec<Action> {
+        if let Some(choice) = self.choices.remove(&id) {
+            let placement = self.dispatcher.placement_mut();
+            placement.ended(&choice, cached_blocks, now_ms);
+        }
+        self.tick(now_ms)
+    }
+
+    fn leave(&mut self, id: u64) -> bool {
+        self.dispatcher.leave(id);
+        self.waiting.remove(&id)
+    }
+
+    fn tick(&mut self, now_ms: u64) -> Vec<Action> {
+        let verdicts = self.dispatcher.pump(now_ms);
+        self.act(verdicts)
+    }
+
+    fn events_from(&self, engine: usize) -> Option<u64> {
+        self.dispatcher.placement().events_from(&name(engine))
+    }
+
+    fn cache_events(&mut self, engine: usize, events: &CacheEvents) {
+        let placement = self.dispatcher.placement_mut();
+        placement.cache_events(&name(engine), events);
+    }
+}
