Judge each upstream by its own attempts, and tell outcomes truly

Cause: a request that timed out on every engine was refused as "not run", which nobody knew; a dead engine cost each request a failed attempt; a refusal by an engine that had restarted counted as its failure; cancelling on a hung engine held up the resumption for up to 2 s. Change: core/attempt gives each phase of an attempt a type (planned, sent, streaming, ended), with a timeout of its own for the first token. core/ upstream holds the concurrency limit, breaker and retry budget; the board keeps them, and serve/attempts.rs asks them. A refusal with 409 refreshes the engine's state and goes elsewhere uncharged. A begun stream waits for an engine to come back. A written token binds the weights version, and the end is checked against version and incarnation. Seen red with the safeguard taken out: attempt number, request identity, gap, repeated index, count of tokens and incarnation at the end (core streams); timeout told as not run, 409 counted as failure (core attempts); peers' measure, cut, one cut a round, gradual growth, late failures, single probe, retry budget (core upstreams). Ruled out: a limit from an engine's own average alone; after some hundred answers it takes a lasting slowness for the usual (the test is red).

--- a/crates/core/src/edge/engines.rs
+++ b/crates/core/src/edge/engines.rs
@@ -29,27 +29,29 @@
     },
 }
 
+/// Events of one attempt, as they come.
+pub trait EngineEvents: Send {
+    /// Waits for the next event, at most `wait_ms`; none if nothing came.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::Lost`] where the stream ended, whether or not the engine
+    /// closed it properly: the final event is an event of its own.
+    fn wait(&mut self, wait_ms: u64) -> Result<Option<GenerateEvent>, SendError>;
+}
+
 /// Model engines.
 pub trait Engines: Send + Sync + 'static {
-    /// Events of one attempt. A stream that ends without a final event was
-    /// cut.
-    type Events: Iterator<Item = Result<GenerateEvent, SendError>> + Send;
+    /// Events of one attempt.
+    type Events: EngineEvents;
 
     /// Starts an attempt. The call returns before the engine answers, so
     /// that a hung engine can't hold the caller past its own timeout.
-    fn generate(
-        &self,
-        address: SocketAddr,
-        request: &GenerateRequest,
-        timeout_ms: u64,
-    ) -> Self::Events;
+    fn generate(&self, address: SocketAddr, request: &GenerateRequest) -> Self::Events;
 
-    /// Stops an attempt.
-    ///
-    /// # Errors
-    ///
-    /// Fails where the engine can't be reached.
-    fn cancel(&self, address: SocketAddr, request: &CancelRequest) -> Result<(), SendError>;
+    /// Stops an attempt. The call returns at once: an engine that hangs must
+    /// not hold up the attempt that replaces it.
+    fn cancel(&self, address: SocketAddr, request: &CancelRequest);
 
     /// Reads what the engine serves, and its load.
     ///
--- a/crates/core/src/edge/mod.rs
+++ b/crates/core/src/edge/mod.rs
@@ -11,7 +11,7 @@
 
 pub use {
     clock::Clock,
-    engines::{Engines, SendError},
+    engines::{EngineEvents, Engines, SendError},
     peers::{PeerError, Peers},
     platform::{Platform, PlatformError},
     services::{ServiceCall, ServiceReply, Services},
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each function that decides takes the present time as an argument, in
 //! milliseconds of a monotonic clock unless its name says otherwise.
 
+pub mod attempt;
 pub mod config;
 pub mod edge;
 pub mod engine;
@@ -14,3 +15,4 @@
 pub mod record;
 pub mod refusal;
 pub mod stream;
+pub mod upstream;
--- a/crates/core/src/stream/sequencer.rs
+++ b/crates/core/src/stream/sequencer.rs
@@ -42,6 +42,7 @@
     request_id: String,
     attempt: u32,
     version: String,
+    incarnation: u64,
     tokens: Vec<String>,
 }
 
@@ -52,17 +53,34 @@
             request_id: request_id.to_owned(),
             attempt: 0,
             version: version.to_owned(),
+            incarnation: 0,
             tokens: Vec::new(),
         }
     }
 
-    /// Starts the next attempt and returns its number. Events of the attempts
-    /// before it are skipped from now on.
-    pub fn next_attempt(&mut self) -> u32 {
+    /// Starts the next attempt on an incarnation of an engine and returns its
+    /// number. Events of the attempts before it are skipped from now on.
+    pub fn next_attempt(&mut self, incarnation: u64) -> u32 {
         self.attempt += 1;
+        self.incarnation = incarnation;
         self.attempt
     }
 
+    /// Returns the weights version that the answer is bound to; none while no
+    /// token has been written, so that any version may still serve it.
+    pub fn bound_version(&self) -> Option<&str> {
+        (!self.tokens.is_empty()).then_some(self.version.as_str())
+    }
+
+    /// Binds the answer to another version, as long as nothing was written.
+    /// Behind a written token the version stays: a text that two weights
+    /// versions wrote in turn is the answer of neither.
+    pub fn rebind(&mut self, version: &str) {
+        if self.tokens.is_empty() {
+            self.version = version.to_owned();
+        }
+    }
+
     /// Returns the tokens that the caller has.
     pub fn tokens(&self) -> &[String] {
         &self.tokens
@@ -78,9 +96,12 @@
             GeneratePayload::Done {
                 finish_reason,
                 version,
+                incarnation,
                 usage,
-                ..
-            } => self.done(finish_reason, version, *usage),
+            } if *version == self.version && *incarnation == self.incarnation => {
+                self.done(finish_reason, *usage)
+            }
+            GeneratePayload::Done { .. } => Step::Fail(Fault::OtherWeights),
             GeneratePayload::Failed { not_run: true, .. } => Step::Fail(Fault::NotRun),
             GeneratePayload::Failed { .. } => Step::Fail(Fault::Failed),
         }
@@ -98,10 +119,7 @@
         Step::Write(text.to_owned())
     }
 
-    fn done(&self, finish_reason: &str, version: &str, usage: Usage) -> Step {
-        if version != self.version {
-            return Step::Fail(Fault::OtherWeights);
-        }
+    fn done(&self, finish_reason: &str, usage: Usage) -> Step {
         if usage.completion_tokens != self.tokens.len() as u64 {
             return Step::Fail(Fault::Gap);
         }
--- /dev/null
+++ b/crates/core/src/upstream/health.rs
@@ -0,0 +1,88 @@
+use {
+    super::{Breaker, BreakerSettings, ConcurrencyLimit, LimitSettings},
+    crate::attempt::{End, Ended},
+};
+
+/// All that one instance knows of one upstream through its own attempts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Health {
+    limit: ConcurrencyLimit,
+    breaker: Breaker,
+    in_flight: u32,
+}
+
+impl Default for Health {
+    fn default() -> Health {
+        Health {
+            limit: ConcurrencyLimit::new(LimitSettings::default()),
+            breaker: Breaker::new(BreakerSettings::default()),
+            in_flight: 0,
+        }
+    }
+}
+
+impl Health {
+    /// Returns whether it may get one more attempt within its limit.
+    pub fn usable(&self, now_ms: u64) -> bool {
+        self.breaker.allows(now_ms) && self.in_flight < self.limit.attempts()
+    }
+
+    /// Returns whether its breaker lets an attempt through.
+    pub fn allows(&self, now_ms: u64) -> bool {
+        self.breaker.allows(now_ms)
+    }
+
+    /// Returns when its breaker lets the next attempt through.
+    pub fn wait_ms(&self, now_ms: u64) -> u64 {
+        self.breaker.wait_ms(now_ms)
+    }
+
+    /// Returns how many attempts fit below its limit.
+    pub fn free(&self) -> u32 {
+        self.limit.attempts().saturating_sub(self.in_flight)
+    }
+
+    /// Returns the limit of attempts.
+    pub fn limit(&self) -> u32 {
+        self.limit.attempts()
+    }
+
+    /// Returns the smoothed time to first token.
+    pub fn short_ms(&self) -> Option<f64> {
+        self.limit.short_ms()
+    }
+
+    /// Counts an attempt, unless the breaker holds it back.
+    pub fn start(&mut self, now_ms: u64) -> bool {
+        if !self.breaker.enter(now_ms) {
+            return false;
+        }
+        self.in_flight += 1;
+        true
+    }
+
+    /// Takes the time to first token of an attempt that goes on.
+    pub fn first_token(&mut self, took_ms: u64, peers_ms: Option<f64>, now_ms: u64) {
+        self.breaker.succeeded();
+        self.limit
+            .first_token(took_ms, self.in_flight, peers_ms, now_ms);
+    }
+
+    /// Takes back an attempt whose end is not known.
+    pub fn forget(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Takes the end of an attempt.
+    pub fn end(&mut self, ended: &Ended, now_ms: u64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if ended.is_failure() {
+            self.breaker.failed(now_ms);
+            self.limit.failed(now_ms);
+        } else if ended.end() == End::Complete {
+            self.breaker.succeeded();
+        } else if ended.first_token_ms().is_none() {
+            self.breaker.told_nothing(now_ms);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/upstream/limit_settings.rs
@@ -0,0 +1,43 @@
+/// Figures of a [`super::ConcurrencyLimit`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitSettings {
+    /// Limit of an upstream that nothing is known of. A new engine gets work
+    /// at once; 32 is four times the batch of 8 at which the smallest engines
+    /// stop to gain, so only a slow one meets it.
+    pub start: f64,
+    /// Lowest limit. One attempt at a time must stay, or the upstream could
+    /// never show that it recovered.
+    pub least: f64,
+    /// Highest limit: the streams that one instance may hold.
+    pub most: f64,
+    /// Time to first token counts as slow above this many times the usual.
+    /// A missed prefix alone makes one answer several times slower than a
+    /// hit, so single answers are smoothed first, and twice the usual of a
+    /// smoothed time is more than the mix of hits and misses moves it.
+    pub slow_factor: f64,
+    /// Added to the usual time before it counts as slow, so that a few
+    /// milliseconds of scheduling on a fast engine are no sign of load.
+    pub slack_ms: f64,
+    /// Weight of one answer in the short average. At 0.25 four answers are
+    /// two thirds of it: three slow ones in a row are enough to react.
+    pub short_weight: f64,
+    /// Weight of one answer in the usual time, some hundred answers.
+    pub long_weight: f64,
+    /// Smallest factor of one decrease.
+    pub deepest_cut: f64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> LimitSettings {
+        LimitSettings {
+            start: 32.0,
+            least: 1.0,
+            most: 512.0,
+            slow_factor: 2.0,
+            slack_ms: 30.0,
+            short_weight: 0.25,
+            long_weight: 0.01,
+            deepest_cut: 0.5,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/attempts.rs
@@ -0,0 +1,58 @@
+//! What is known of an attempt in each phase.
+
+use mangowalk_core::{
+    attempt::{Attempt, End, Timeouts},
+    edge::SendError,
+    refusal::Outcome,
+    stream::Fault,
+};
+
+/// "Not run" is said only where the connection was refused or the engine
+/// stated it. A timeout leaves open whether the request waits in a queue.
+#[test]
+fn only_a_refusal_shows_that_nothing_ran() {
+    let ends = [
+        (End::Send(SendError::NotConnected), Outcome::NotRun),
+        (
+            End::Send(SendError::Refused { status: 503 }),
+            Outcome::NotRun,
+        ),
+        (End::Stream(Fault::NotRun), Outcome::NotRun),
+        (End::Send(SendError::TimedOut), Outcome::Unknown),
+        (End::Send(SendError::Lost), Outcome::Unknown),
+        (End::Send(SendError::Unreadable), Outcome::Unknown),
+        (End::Stream(Fault::Failed), Outcome::Unknown),
+        (End::CallerGone, Outcome::Unknown),
+    ];
+    for (end, outcome) in ends {
+        let ended = Attempt::plan(1).send(0).end(end);
+        assert_eq!(ended.outcome(), outcome, "{end:?}");
+        let ended = Attempt::plan(1).send(0).first_token(5).end(end);
+        assert_eq!(ended.outcome(), Outcome::Ran, "{end:?}");
+    }
+}
+
+#[test]
+fn the_first_token_and_the_next_have_their_own_timeouts() {
+    let timeouts = Timeouts {
+        first_token_ms: 1_000,
+        between_tokens_ms: 100,
+    };
+    let sent = Attempt::plan(1).send(50);
+    assert_eq!(sent.wait_ms(&timeouts, 550), 500);
+    assert_eq!(sent.wait_ms(&timeouts, 1_050), 0);
+    let mut streaming = sent.first_token(700);
+    assert_eq!(streaming.wait_ms(&timeouts, 750), 50);
+    streaming.token(780);
+    assert_eq!(streaming.wait_ms(&timeouts, 800), 80);
+    assert_eq!(streaming.first_token_ms(), 650);
+}
+
+/// An engine that was restarted or given new weights refuses what was meant
+/// for its old self. That is no fault of its own.
+#[test]
+fn a_stale_refusal_is_no_failure() {
+    let end = End::Send(SendError::Refused { status: 409 });
+    let ended = Attempt::plan(1).send(0).end(end);
+    assert!(ended.is_stale() && !ended.is_failure() && !ended.needs_cancel());
+}
--- /dev/null
+++ b/crates/core/tests/streams.rs
@@ -0,0 +1,177 @@
+//! One answer out of the events of several attempts.
+
+use {
+    mangowalk_core::{
+        engine::{GenerateEvent, GeneratePayload, Usage},
+        stream::{Fault, Sequencer, Step},
+    },
+    proptest::prelude::*,
+};
+
+const REQUEST: &str = "req-1";
+const INCARNATION: u64 = 7;
+
+fn token(attempt: u32, index: u64, text: &str) -> GenerateEvent {
+    GenerateEvent {
+        request_id: REQUEST.to_owned(),
+        attempt,
+        payload: GeneratePayload::Token {
+            index,
+            text: text.to_owned(),
+        },
+    }
+}
+
+fn done(attempt: u32, version: &str, incarnation: u64, tokens: u64) -> GenerateEvent {
+    GenerateEvent {
+        request_id: REQUEST.to_owned(),
+        attempt,
+        payload: GeneratePayload::Done {
+            finish_reason: "stop".to_owned(),
+            version: version.to_owned(),
+            incarnation,
+            usage: Usage {
+                prompt_tokens: 4,
+                cached_tokens: 0,
+                completion_tokens: tokens,
+            },
+        },
+    }
+}
+
+fn begun() -> Sequencer {
+    let mut sequencer = Sequencer::new(REQUEST, "v1");
+    sequencer.next_attempt(INCARNATION);
+    sequencer
+}
+
+/// The first attempt was given up and its engine answers after all, between
+/// the tokens of the second. The caller must see the second attempt's alone.
+#[test]
+fn a_late_answer_of_an_attempt_given_up_reaches_nobody() {
+    let mut sequencer = begun();
+    sequencer.take(&token(1, 0, "a"));
+    sequencer.next_attempt(INCARNATION + 1);
+    assert_eq!(sequencer.take(&token(1, 1, "late")), Step::Skip);
+    assert_eq!(sequencer.take(&done(1, "v1", INCARNATION, 1)), Step::Skip);
+    assert_eq!(
+        sequencer.take(&token(2, 1, "b")),
+        Step::Write("b".to_owned())
+    );
+}
+
+#[test]
+fn a_missing_token_fails_the_attempt() {
+    let mut sequencer = begun();
+    assert_eq!(sequencer.take(&token(1, 1, "b")), Step::Fail(Fault::Gap));
+}
+
+/// The engine says that it is done while tokens it counts never came. With a
+/// closing marker the caller would take half an answer for the whole.
+#[test]
+fn an_end_that_counts_more_tokens_than_came_is_no_end() {
+    let mut sequencer = begun();
+    sequencer.take(&token(1, 0, "a"));
+    let step = sequencer.take(&done(1, "v1", INCARNATION, 2));
+    assert_eq!(step, Step::Fail(Fault::Gap));
+}
+
+/// The engine restarted or changed its weights under the request, and says so
+/// only at the end. What it wrote is not the answer of the chosen weights.
+#[test]
+fn an_end_under_other_weights_is_no_end() {
+    for (version, incarnation) in [("v2", INCARNATION), ("v1", INCARNATION + 1)] {
+        let mut sequencer = begun();
+        sequencer.take(&token(1, 0, "a"));
+        let step = sequencer.take(&done(1, version, incarnation, 1));
+        assert_eq!(step, Step::Fail(Fault::OtherWeights));
+    }
+}
+
+#[test]
+fn a_written_token_binds_the_version() {
+    let mut sequencer = begun();
+    sequencer.rebind("v2");
+    sequencer.take(&token(1, 0, "a"));
+    sequencer.rebind("v3");
+    assert_eq!(sequencer.bound_version(), Some("v2"));
+}
+
+/// What may come from one of three attempts, in any order.
+#[derive(Debug, Clone)]
+enum Input {
+    NextAttempt,
+    Token { attempt: u32, index: u64 },
+    Foreign { index: u64 },
+    Done { attempt: u32, tokens: u64 },
+    Failed { attempt: u32 },
+}
+
+const LENGTH: u64 = 6;
+
+/// The true answer's text at a position.
+fn truth(index: u64) -> String {
+    format!("t{index} ")
+}
+
+fn input() -> impl Strategy<Value = Input> {
+    prop_oneof![
+        1 => Just(Input::NextAttempt),
+        8 => (1..4u32, 0..LENGTH).prop_map(|(attempt, index)| Input::Token { attempt, index }),
+        2 => (0..LENGTH).prop_map(|index| Input::Foreign { index }),
+        2 => (1..4u32, 0..=LENGTH).prop_map(|(attempt, tokens)| Input::Done { attempt, tokens }),
+        1 => (1..4u32).prop_map(|attempt| Input::Failed { attempt }),
+    ]
+}
+
+fn event(input: &Input) -> Option<GenerateEvent> {
+    match input {
+        Input::NextAttempt => None,
+        Input::Token { attempt, index } => Some(token(*attempt, *index, &truth(*index))),
+        Input::Foreign { index } => Some(GenerateEvent {
+            request_id: "req-2".to_owned(),
+            ..token(1, *index, "foreign")
+        }),
+        Input::Done { attempt, tokens } => Some(done(*attempt, "v1", INCARNATION, *tokens)),
+        Input::Failed { attempt } => Some(GenerateEvent {
+            payload: GeneratePayload::Failed {
+                reason: "full".to_owned(),
+                not_run: false,
+            },
+            ..token(*attempt, 0, "")
+        }),
+    }
+}
+
+proptest! {
+    /// Whatever comes in whatever order, the caller has the head of the true
+    /// answer, and is told that it is complete only with as many tokens as
+    /// the engine counted.
+    #[test]
+    fn what_was_written_is_the_head_of_the_answer(
+        inputs in prop::collection::vec(input(), 0..60),
+    ) {
+        let mut sequencer = begun();
+        let mut attempt = 1;
+        let mut written = String::new();
+        for input in &inputs {
+            let Some(event) = event(input) else {
+                attempt = sequencer.next_attempt(INCARNATION);
+                continue;
+            };
+            match sequencer.take(&event) {
+                Step::Write(text) => {
+                    prop_assert_eq!(event.attempt, attempt);
+                    written.push_str(&text);
+                }
+                Step::Complete { usage, .. } => {
+                    let whole: String = (0..usage.completion_tokens).map(truth).collect();
+                    prop_assert_eq!(&written, &whole);
+                }
+                Step::Skip | Step::Fail(_) => {}
+            }
+            let head: String = (0..sequencer.tokens().len() as u64).map(truth).collect();
+            prop_assert_eq!(&written, &head);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/upstreams.rs
@@ -0,0 +1,134 @@
+//! What one upstream is given, as it turns slow, fails and recovers.
+
+use mangowalk_core::{
+    attempt::{Attempt, End, Ended},
+    edge::SendError,
+    upstream::{Breaker, BreakerSettings, ConcurrencyLimit, Health, LimitSettings, RetryBudget},
+};
+
+const USUAL_MS: u64 = 40;
+const SLOW_MS: u64 = 800;
+
+fn lost() -> Ended {
+    Attempt::plan(1).send(0).end(End::Send(SendError::Lost))
+}
+
+/// Gives an upstream that is kept busy a number of answers, and returns the
+/// time after them.
+fn answers(limit: &mut ConcurrencyLimit, count: u32, took_ms: u64, mut now_ms: u64) -> u64 {
+    for _ in 0..count {
+        now_ms += took_ms;
+        let in_flight = limit.attempts();
+        limit.first_token(took_ms, in_flight, Some(USUAL_MS as f64), now_ms);
+    }
+    now_ms
+}
+
+/// One engine of several needs twenty times as long. Its queue must not go on
+/// growing: it loses nine tenths of its work within ten answers, and regains
+/// it by one attempt a round, not at once.
+#[test]
+fn a_slow_upstream_loses_work_quickly_and_regains_it_gradually() {
+    let mut limit = ConcurrencyLimit::new(LimitSettings::default());
+    let now_ms = answers(&mut limit, 50, USUAL_MS, 0);
+    let before = limit.attempts();
+    let now_ms = answers(&mut limit, 10, SLOW_MS, now_ms);
+    let during = limit.attempts();
+    let now_ms = answers(&mut limit, 30, USUAL_MS, now_ms);
+    let soon = limit.attempts();
+    answers(&mut limit, 2_000, USUAL_MS, now_ms);
+    insta::assert_snapshot!(
+        format!("before {before}, slow {during}, 30 answers on {soon}, 2000 on {}", limit.attempts()),
+        @"before 33, slow 1, 30 answers on 6, 2000 on 63"
+    );
+    assert!(during * 10 <= before && soon < before / 2 && limit.attempts() >= before);
+}
+
+/// An engine stays slow for a thousand answers. Its own average then calls
+/// that usual; beside its peers it is still slow.
+#[test]
+fn a_lasting_slowness_does_not_become_usual() {
+    let mut limit = ConcurrencyLimit::new(LimitSettings::default());
+    answers(&mut limit, 1_000, SLOW_MS, 0);
+    assert!(limit.attempts() <= 2, "{}", limit.attempts());
+}
+
+/// A mix of hits (20 ms) and missed prefixes (200 ms) is no slowness.
+#[test]
+fn missed_prefixes_cost_no_work() {
+    let mut limit = ConcurrencyLimit::new(LimitSettings::default());
+    let before = limit.attempts();
+    for i in 0..400_u64 {
+        let took_ms = if i % 4 == 0 { 200 } else { 20 };
+        limit.first_token(took_ms, limit.attempts(), Some(65.0), i * 50);
+    }
+    assert!(limit.attempts() >= before, "{}", limit.attempts());
+}
+
+/// All attempts in the queue of one slow moment answer slowly. They tell one
+/// thing, so they cut once.
+#[test]
+fn one_slow_round_cuts_once() {
+    let mut limit = ConcurrencyLimit::new(LimitSettings::default());
+    let now_ms = answers(&mut limit, 50, USUAL_MS, 0);
+    let before = limit.attempts();
+    for _ in 0..30 {
+        limit.first_token(SLOW_MS, before, Some(USUAL_MS as f64), now_ms + SLOW_MS);
+    }
+    assert!(limit.attempts() >= before / 2 - 1, "{}", limit.attempts());
+}
+
+/// A dead engine costs three requests an attempt. Then one probe goes through
+/// after each pause, each pause twice as long, and one success closes it.
+#[test]
+fn a_breaker_lets_one_probe_through() {
+    let mut breaker = Breaker::new(BreakerSettings::default());
+    for _ in 0..3 {
+        assert!(breaker.enter(0));
+        breaker.failed(0);
+    }
+    assert!(!breaker.enter(499));
+    assert!(breaker.enter(500));
+    assert!(!breaker.enter(501));
+    breaker.failed(510);
+    assert_eq!(breaker.wait_ms(510), 1_000);
+    assert!(breaker.enter(1_510));
+    breaker.succeeded();
+    assert!(breaker.enter(1_511) && breaker.enter(1_511));
+}
+
+/// Requests that were out when the breaker opened fail one after another.
+/// They must not lengthen the pause.
+#[test]
+fn late_failures_do_not_lengthen_the_pause() {
+    let mut breaker = Breaker::new(BreakerSettings::default());
+    for now_ms in 0..20 {
+        breaker.failed(now_ms);
+    }
+    assert_eq!(breaker.wait_ms(20), 482);
+}
+
+/// Every engine fails. Retries stay a tenth of the traffic, beside the few
+/// that were saved up.
+#[test]
+fn retries_stay_a_tenth_of_the_traffic() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.first_attempt();
+        retries += u32::from(budget.retry()) + u32::from(budget.retry());
+    }
+    assert!((100..=120).contains(&retries), "{retries}");
+}
+
+#[test]
+fn health_counts_what_is_in_flight() {
+    let mut health = Health::default();
+    let limit = health.limit();
+    for _ in 0..limit {
+        assert!(health.usable(0) && health.start(0));
+    }
+    assert!(!health.usable(0) && health.allows(0));
+    health.end(&lost(), 10);
+    assert_eq!(health.free(), 0);
+}
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -9,6 +9,7 @@
 mod life;
 mod limits;
 mod peers;
+mod upstreams;
 mod whole;
 
 pub use {
@@ -18,6 +19,7 @@
     life::{Life, OpenRequest},
     limits::LimitBoard,
     peers::{PeerBoard, PeerSight},
+    upstreams::{UpstreamBoard, UpstreamRun},
     whole::Board,
 };
 
--- /dev/null
+++ b/crates/mangowalkd/src/board/upstreams.rs
@@ -0,0 +1,164 @@
+use {
+    super::lock,
+    mangowalk_core::{
+        attempt::Ended,
+        upstream::{Health, RetryBudget},
+    },
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex},
+    },
+};
+
+/// What each upstream can take, judged from this instance's own attempts.
+///
+/// Placement asks [`UpstreamBoard::usable`] for each engine that it weighs
+/// and leaves out those that are not. Among the rest [`UpstreamBoard::free`]
+/// serves as the weight: a slow upstream has few free places at once and gets
+/// them back one by one. Where nothing is usable, an engine that
+/// [`UpstreamBoard::allows`] an attempt is better than a refusal, unless the
+/// request can wait.
+#[derive(Debug, Clone, Default)]
+pub struct UpstreamBoard {
+    inner: Arc<Mutex<Inner>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    upstreams: HashMap<String, Entry>,
+    budget: RetryBudget,
+}
+
+#[derive(Debug, Default)]
+struct Entry {
+    health: Health,
+    serves: String,
+}
+
+impl UpstreamBoard {
+    /// Returns whether an upstream may get one more attempt: its breaker is
+    /// closed or due for a probe, and it is below its limit.
+    pub fn usable(&self, name: &str, now_ms: u64) -> bool {
+        self.read(name, |health| health.usable(now_ms))
+    }
+
+    /// Returns whether an upstream's breaker lets an attempt through.
+    pub fn allows(&self, name: &str, now_ms: u64) -> bool {
+        self.read(name, |health| health.allows(now_ms))
+    }
+
+    /// Returns how many attempts fit below an upstream's limit, its weight
+    /// beside others.
+    pub fn free(&self, name: &str) -> u32 {
+        self.read(name, Health::free)
+    }
+
+    /// Returns an upstream's limit of attempts.
+    pub fn limit(&self, name: &str) -> u32 {
+        self.read(name, Health::limit)
+    }
+
+    /// Returns when an upstream's breaker lets the next attempt through.
+    pub fn wait_ms(&self, name: &str, now_ms: u64) -> u64 {
+        self.read(name, |health| health.wait_ms(now_ms))
+    }
+
+    /// Forgets upstreams whose records are gone.
+    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
+        lock(&self.inner).upstreams.retain(|name, _| keep(name));
+    }
+
+    /// Notes a request that is tried for the first time.
+    pub fn first_attempt(&self) {
+        lock(&self.inner).budget.first_attempt();
+    }
+
+    /// Takes a retry out of the budget, if one is left.
+    pub fn retry(&self) -> bool {
+        lock(&self.inner).budget.retry()
+    }
+
+    /// Charges a stream that is resumed.
+    pub fn resume(&self) {
+        lock(&self.inner).budget.resume();
+    }
+
+    /// Counts an attempt on an upstream, unless its breaker holds it back.
+    /// Upstreams that serve the same are each other's measure.
+    pub fn start(&self, name: &str, serves: &str, now_ms: u64) -> Option<UpstreamRun> {
+        let mut inner = lock(&self.inner);
+        let entry = inner.upstreams.entry(name.to_owned()).or_default();
+        if entry.serves != serves {
+            entry.serves = serves.to_owned();
+        }
+        entry.health.start(now_ms).then(|| UpstreamRun {
+            board: self.clone(),
+            name: name.to_owned(),
+            is_open: true,
+        })
+    }
+
+    fn read<T>(&self, name: &str, reader: impl FnOnce(&Health) -> T) -> T {
+        let inner = lock(&self.inner);
+        match inner.upstreams.get(name) {
+            Some(entry) => reader(&entry.health),
+            None => reader(&Health::default()),
+        }
+    }
+}
+
+impl Inner {
+    /// Returns the middle of the times that the peers of an upstream need.
+    fn peers_ms(&self, name: &str) -> Option<f64> {
+        let serves = &self.upstreams.get(name)?.serves;
+        let mut times: Vec<f64> = self
+            .upstreams
+            .iter()
+            .filter(|(peer, entry)| *peer != name && entry.serves == *serves)
+            .filter_map(|(_, entry)| entry.health.short_ms())
+            .collect();
+        times.sort_by(f64::total_cmp);
+        times.get(times.len() / 2).copied()
+    }
+}
+
+/// An attempt that is counted on its upstream while this guard lives.
+#[derive(Debug)]
+pub struct UpstreamRun {
+    board: UpstreamBoard,
+    name: String,
+    is_open: bool,
+}
+
+impl UpstreamRun {
+    /// Notes the time to first token.
+    pub fn first_token(&self, took_ms: u64, now_ms: u64) {
+        let mut inner = lock(&self.board.inner);
+        let peers_ms = inner.peers_ms(&self.name);
+        if let Some(entry) = inner.upstreams.get_mut(&self.name) {
+            entry.health.first_token(took_ms, peers_ms, now_ms);
+        }
+    }
+
+    /// Notes how the attempt ended.
+    pub fn end(mut self, ended: &Ended, now_ms: u64) {
+        self.is_open = false;
+        let mut inner = lock(&self.board.inner);
+        if let Some(entry) = inner.upstreams.get_mut(&self.name) {
+            entry.health.end(ended, now_ms);
+        }
+    }
+}
+
+impl Drop for UpstreamRun {
+    /// A request's thread that panics must not hold its place for ever.
+    fn drop(&mut self) {
+        if !self.is_open {
+            return;
+        }
+        let mut inner = lock(&self.board.inner);
+        if let Some(entry) = inner.upstreams.get_mut(&self.name) {
+            entry.health.forget();
+        }
+    }
+}
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,4 +1,4 @@
-use super::{ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard};
+use super::{ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard, UpstreamBoard};
 
 /// The state of one instance.
 #[derive(Debug)]
@@ -9,6 +9,8 @@
     pub config: ConfigBoard,
     /// Engines as last seen.
     pub engines: EngineBoard,
+    /// What each upstream can take, and the budget of retries.
+    pub upstreams: UpstreamBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
@@ -24,6 +26,7 @@
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
+            upstreams: UpstreamBoard::default(),
             peers: PeerBoard::default(),
             limits: LimitBoard::default(),
             life: Life::default(),
--- a/crates/mangowalkd/src/cli/args.rs
+++ b/crates/mangowalkd/src/cli/args.rs
@@ -61,6 +61,28 @@
     )]
     pub request_timeout_ms: u64,
 
+    /// Longest wait for an engine's first token before the request is sent
+    /// elsewhere, in milliseconds.
+    #[bpaf(
+        long,
+        env("MANGOWALK_FIRST_TOKEN_TIMEOUT_MS"),
+        argument("MS"),
+        fallback(20_000),
+        display_fallback
+    )]
+    pub first_token_timeout_ms: u64,
+
+    /// Longest silence of a caller that sends its request or reads its
+    /// answer, in milliseconds.
+    #[bpaf(
+        long,
+        env("MANGOWALK_CALLER_TIMEOUT_MS"),
+        argument("MS"),
+        fallback(10_000),
+        display_fallback
+    )]
+    pub caller_timeout_ms: u64,
+
     /// Longest silence of an engine before the request resumes elsewhere, in
     /// milliseconds.
     #[bpaf(
--- a/crates/mangowalkd/src/cli/settings.rs
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -23,6 +23,10 @@
     pub max_open_requests: usize,
     /// Longest time that a request may take.
     pub request_timeout_ms: u64,
+    /// Longest wait for an engine's first token.
+    pub first_token_timeout_ms: u64,
+    /// Longest silence of a caller that sends or reads.
+    pub caller_timeout_ms: u64,
     /// Longest silence of an engine within an answer.
     pub token_timeout_ms: u64,
     /// Longest time that a shutdown waits for open requests.
@@ -41,6 +45,8 @@
             max_body_bytes: 1 << 20,
             max_open_requests: 1_000,
             request_timeout_ms: 120_000,
+            first_token_timeout_ms: 20_000,
+            caller_timeout_ms: 10_000,
             token_timeout_ms: 5_000,
             drain_timeout_ms: 150_000,
         }
@@ -110,6 +116,8 @@
         above_zero("--max-body-bytes", args.max_body_bytes as u64)?;
         above_zero("--max-open-requests", args.max_open_requests as u64)?;
         above_zero("--request-timeout-ms", args.request_timeout_ms)?;
+        above_zero("--first-token-timeout-ms", args.first_token_timeout_ms)?;
+        above_zero("--caller-timeout-ms", args.caller_timeout_ms)?;
         above_zero("--token-timeout-ms", args.token_timeout_ms)?;
         above_zero("--drain-timeout-ms", args.drain_timeout_ms)?;
         Ok(Settings {
@@ -121,6 +129,8 @@
             max_body_bytes: args.max_body_bytes,
             max_open_requests: args.max_open_requests,
             request_timeout_ms: args.request_timeout_ms,
+            first_token_timeout_ms: args.first_token_timeout_ms,
+            caller_timeout_ms: args.caller_timeout_ms,
             token_timeout_ms: args.token_timeout_ms,
             drain_timeout_ms: args.drain_timeout_ms,
         })
--- a/crates/mangowalkd/src/edge/engines.rs
+++ b/crates/mangowalkd/src/edge/engines.rs
@@ -1,8 +1,8 @@
 use {
     super::http::{exchange, once, send_error},
-    flume::{Receiver, Sender},
+    flume::{Receiver, RecvTimeoutError, Sender},
     mangowalk_core::{
-        edge::{Engines, SendError},
+        edge::{EngineEvents, Engines, SendError},
         engine::{
             CacheEvents, CancelRequest, EngineState, GenerateEvent, GenerateRequest, Order,
             OrderReply,
@@ -31,51 +31,28 @@
 #[derive(Debug, Default)]
 pub struct HttpEngines;
 
+/// Longest time that the reading thread of an attempt may live.
+const ATTEMPT_TIMEOUT_MS: u64 = 300_000;
+
 /// Events of one attempt, read on a thread of their own.
 pub struct HttpEvents {
     events: Receiver<Result<GenerateEvent, SendError>>,
-    timeout_ms: u64,
-    over: bool,
 }
 
-impl Iterator for HttpEvents {
-    type Item = Result<GenerateEvent, SendError>;
-
-    fn next(&mut self) -> Option<Self::Item> {
-        if self.over {
-            return None;
+impl EngineEvents for HttpEvents {
+    fn wait(&mut self, wait_ms: u64) -> Result<Option<GenerateEvent>, SendError> {
+        match self.events.recv_timeout(Duration::from_millis(wait_ms)) {
+            Ok(event) => event.map(Some),
+            Err(RecvTimeoutError::Timeout) => Ok(None),
+            Err(RecvTimeoutError::Disconnected) => Err(SendError::Lost),
         }
-        let next = self
-            .events
-            .recv_timeout(Duration::from_millis(self.timeout_ms));
-        match next {
-            Ok(Ok(event)) => Some(Ok(event)),
-            Ok(Err(error)) => self.end(error),
-            Err(flume::RecvTimeoutError::Timeout) => self.end(SendError::TimedOut),
-            Err(flume::RecvTimeoutError::Disconnected) => None,
-        }
-    }
-}
-
-impl HttpEvents {
-    fn end(&mut self, error: SendError) -> Option<Result<GenerateEvent, SendError>> {
-        self.over = true;
-        Some(Err(error))
     }
 }
 
-/// Longest time that the reading thread of an attempt may live.
-const ATTEMPT_TIMEOUT_MS: u64 = 300_000;
-
 impl Engines for HttpEngines {
     type Events = HttpEvents;
 
-    fn generate(
-        &self,
-        address: SocketAddr,
-        request: &GenerateRequest,
-        timeout_ms: u64,
-    ) -> HttpEvents {
+    fn generate(&self, address: SocketAddr, request: &GenerateRequest) -> HttpEvents {
         let (sender, events) = flume::bounded(EVENTS_AHEAD);
         let request = post(address, "generate", request);
         let failed = sender.clone();
@@ -86,15 +63,17 @@
         if spawned.is_err() {
             let _ = failed.try_send(Err(SendError::NotConnected));
         }
-        HttpEvents {
-            events,
-            timeout_ms,
-            over: false,
-        }
+        HttpEvents { events }
     }
 
-    fn cancel(&self, address: SocketAddr, request: &CancelRequest) -> Result<(), SendError> {
-        exchange(post(address, "cancel", request), CALL_TIMEOUT_MS).map(|_| ())
+    fn cancel(&self, address: SocketAddr, request: &CancelRequest) {
+        let request = post(address, "cancel", request);
+        // Without a thread the attempt is not cancelled; the engine notices
+        // the closed connection at its next token instead.
+        let _ = thread::Builder::new()
+            .name("cancel".to_owned())
+            .stack_size(READER_STACK_BYTES)
+            .spawn(move || exchange(request, CALL_TIMEOUT_MS));
     }
 
     fn state(&self, address: SocketAddr) -> Result<EngineState, SendError> {
--- a/crates/mangowalkd/src/serve/answer.rs
+++ b/crates/mangowalkd/src/serve/answer.rs
@@ -8,6 +8,16 @@
     ///
     /// Fails where the caller can't be written to.
     fn token(&mut self, text: &str) -> io::Result<()>;
+
+    /// Is told that the engine has been silent for a while. A sink that can
+    /// find out whether its caller is still there does so.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the caller can't be written to.
+    fn silence(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
 
 /// How a complete answer ended.
--- a/crates/mangowalkd/src/serve/attempt.rs
+++ b/crates/mangowalkd/src/serve/attempt.rs
@@ -1,14 +1,25 @@
 use {
     super::{AnswerSink, ChatRequest, Finished, Router},
+    crate::board::UpstreamRun,
     log::{info, warn},
     mangowalk_core::{
+        attempt::{Attempt, End, Ended, Sent, Streaming, Timeouts},
         config::EngineRecord,
-        edge::{Clock, Edges, Engines, SendError},
-        engine::{CancelRequest, GenerateRequest},
-        stream::{Fault, Sequencer, Step},
+        edge::{Clock, Edges, EngineEvents, Engines, SendError},
+        engine::{CancelRequest, GenerateEvent, GenerateRequest},
+        stream::{Sequencer, Step},
     },
 };
 
+/// Longest silence in which a stream's caller is not written to.
+///
+/// A caller that goes away shows only when it is written to. Without a sign
+/// in between, a slow engine would work on for it until its next token.
+const SIGN_MS: u64 = 1_000;
+
+/// Priority of a team whose record names none.
+const MIDDLE_PRIORITY: u8 = 5;
+
 /// An engine that can take an attempt now.
 pub(super) struct Target {
     pub(super) engine: EngineRecord,
@@ -16,57 +27,57 @@
     pub(super) version: String,
 }
 
-/// How one attempt ended.
-pub(super) enum AttemptEnd {
-    Complete(Finished),
-    CallerGone,
-    TryAgain,
+/// What one wait brought.
+enum Next {
+    Token,
+    Nothing,
+    End(End),
+}
+
+/// One attempt while it runs.
+struct Run<'a, E: Edges> {
+    router: &'a Router<E>,
+    events: <E::Engines as Engines>::Events,
+    sequencer: &'a mut Sequencer,
+    sink: &'a mut dyn AnswerSink,
+    timeouts: Timeouts,
+    engine: &'a str,
+    finished: Option<Finished>,
 }
 
 impl<E: Edges> Router<E> {
-    /// Runs one attempt and writes its tokens to the sink.
+    /// Runs one attempt and writes its tokens to the sink. A complete answer
+    /// comes with how it finished.
     pub(super) fn attempt(
         &self,
         request: &ChatRequest,
         target: &Target,
+        on: UpstreamRun,
+        timeouts: Timeouts,
         sequencer: &mut Sequencer,
         sink: &mut dyn AnswerSink,
-    ) -> AttemptEnd {
+    ) -> (Ended, Option<Finished>) {
         let _in_flight = self.board.engines.start(&target.engine.name);
-        let attempt = sequencer.next_attempt();
-        let message = self.message(request, target, sequencer, attempt);
-        let events = self.edges.engines().generate(
-            target.engine.address,
-            &message,
-            self.settings.token_timeout_ms,
-        );
-        for event in events {
-            let step = match event {
-                Ok(event) => sequencer.take(&event),
-                Err(error) => return self.failed(request, target, attempt, error),
-            };
-            match step {
-                Step::Write(text) => {
-                    if sink.token(&text).is_err() {
-                        self.cancel(request, target, attempt);
-                        return AttemptEnd::CallerGone;
-                    }
-                }
-                Step::Complete {
-                    finish_reason,
-                    usage,
-                } => {
-                    return AttemptEnd::Complete(Finished {
-                        finish_reason,
-                        usage,
-                        engine: target.engine.name.clone(),
-                    });
-                }
-                Step::Skip => {}
-                Step::Fail(fault) => return self.faulty(request, target, attempt, fault),
-            }
-        }
-        self.failed(request, target, attempt, SendError::Lost)
+        let planned = Attempt::plan(sequencer.next_attempt(target.incarnation));
+        let message = self.message(request, target, sequencer, planned.number());
+        let sent = planned.send(self.edges.clock().now_ms());
+        let mut run = Run {
+            router: self,
+            events: self
+                .edges
+                .engines()
+                .generate(target.engine.address, &message),
+            sequencer,
+            sink,
+            timeouts,
+            engine: &target.engine.name,
+            finished: None,
+        };
+        let ended = run.until_first_token(sent, &on);
+        let finished = run.finished;
+        on.end(&ended, self.edges.clock().now_ms());
+        self.note(request, target, sent.number(), &ended);
+        (ended, finished)
     }
 
     fn message(
@@ -76,6 +87,11 @@
         sequencer: &Sequencer,
         attempt: u32,
     ) -> GenerateRequest {
+        let view = self.board.config.view();
+        let priority = view
+            .teams
+            .get(&request.team)
+            .map_or(MIDDLE_PRIORITY, |team| team.priority);
         GenerateRequest {
             request_id: request.request_id.clone(),
             attempt,
@@ -86,51 +102,111 @@
             prompt: request.prompt.clone(),
             max_tokens: request.max_tokens,
             generated: sequencer.tokens().to_vec(),
-            priority: 5,
+            priority,
         }
     }
 
-    fn failed(
-        &self,
-        request: &ChatRequest,
-        target: &Target,
-        attempt: u32,
-        error: SendError,
-    ) -> AttemptEnd {
-        warn!(
-            "serve: Attempt {attempt} of {} on {} failed. {error}",
-            request.request_id, target.engine.name
-        );
-        let now_ms = self.edges.clock().now_ms();
-        self.board
-            .engines
-            .update(&target.engine.name, |s| s.failed_ms = Some(now_ms));
-        if error == SendError::TimedOut {
-            self.cancel(request, target, attempt);
+    /// Writes down how an attempt ended, and acts on what that tells.
+    fn note(&self, request: &ChatRequest, target: &Target, attempt: u32, ended: &Ended) {
+        let engine = &target.engine;
+        let id = &request.request_id;
+        if ended.needs_cancel() {
+            let cancel = CancelRequest {
+                request_id: id.clone(),
+                attempt,
+            };
+            self.edges.engines().cancel(engine.address, &cancel);
+        }
+        if ended.is_stale() {
+            info!("serve: {} changed; its state is read again.", engine.name);
+            self.refresh(engine);
+        }
+        if ended.is_failure() {
+            let end = ended.end();
+            warn!(
+                "serve: Attempt {attempt} of {id} on {} failed ({end:?}).",
+                engine.name
+            );
+            let now_ms = self.edges.clock().now_ms();
+            self.board
+                .engines
+                .update(&engine.name, |sight| sight.failed_ms = Some(now_ms));
         }
-        AttemptEnd::TryAgain
     }
 
-    fn faulty(
-        &self,
-        request: &ChatRequest,
-        target: &Target,
-        attempt: u32,
-        fault: Fault,
-    ) -> AttemptEnd {
-        info!(
-            "serve: Attempt {attempt} of {} on {} gave up ({fault:?}).",
-            request.request_id, target.engine.name
-        );
-        self.cancel(request, target, attempt);
-        AttemptEnd::TryAgain
+    /// Reads an engine's state again, so that the next placement does not
+    /// meet the same refusal.
+    fn refresh(&self, engine: &EngineRecord) {
+        let state = self.edges.engines().state(engine.address).ok();
+        let seen_ms = self.edges.clock().now_ms();
+        self.board.engines.update(&engine.name, |sight| {
+            sight.state = state;
+            sight.seen_ms = seen_ms;
+        });
     }
+}
 
-    fn cancel(&self, request: &ChatRequest, target: &Target, attempt: u32) {
-        let cancel = CancelRequest {
-            request_id: request.request_id.clone(),
-            attempt,
-        };
-        let _ = self.edges.engines().cancel(target.engine.address, &cancel);
+impl<E: Edges> Run<'_, E> {
+    fn now_ms(&self) -> u64 {
+        self.router.edges.clock().now_ms()
+    }
+
+    fn until_first_token(&mut self, sent: Attempt<Sent>, on: &UpstreamRun) -> Ended {
+        loop {
+            let wait_ms = sent.wait_ms(&self.timeouts, self.now_ms());
+            match self.next(wait_ms) {
+                Next::Nothing => {}
+                Next::End(end) => return sent.end(end),
+                Next::Token => {
+                    let now_ms = self.now_ms();
+                    let streaming = sent.first_token(now_ms);
+                    on.first_token(streaming.first_token_ms(), now_ms);
+                    return self.until_end(streaming);
+                }
+            }
+        }
+    }
+
+    fn until_end(&mut self, mut streaming: Attempt<Streaming>) -> Ended {
+        loop {
+            let wait_ms = streaming.wait_ms(&self.timeouts, self.now_ms());
+            match self.next(wait_ms) {
+                Next::Nothing => {}
+                Next::End(end) => return streaming.end(end),
+                Next::Token => streaming.token(self.now_ms()),
+            }
+        }
+    }
+
+    fn next(&mut self, wait_ms: u64) -> Next {
+        if wait_ms == 0 {
+            return Next::End(End::Send(SendError::TimedOut));
+        }
+        match self.events.wait(wait_ms.min(SIGN_MS)) {
+            Ok(Some(event)) => self.take(&event),
+            Ok(None) if self.sink.silence().is_err() => Next::End(End::CallerGone),
+            Ok(None) => Next::Nothing,
+            Err(error) => Next::End(End::Send(error)),
+        }
+    }
+
+    fn take(&mut self, event: &GenerateEvent) -> Next {
+        match self.sequencer.take(event) {
+            Step::Write(text) if self.sink.token(&text).is_err() => Next::End(End::CallerGone),
+            Step::Write(_) => Next::Token,
+            Step::Skip => Next::Nothing,
+            Step::Fail(fault) => Next::End(End::Stream(fault)),
+            Step::Complete {
+                finish_reason,
+                usage,
+            } => {
+                self.finished = Some(Finished {
+                    finish_reason,
+                    usage,
+                    engine: self.engine.to_owned(),
+                });
+                Next::End(End::Complete)
+            }
+        }
     }
 }
--- a/crates/mangowalkd/src/serve/generate.rs
+++ b/crates/mangowalkd/src/serve/generate.rs
@@ -1,24 +1,14 @@
 use {
-    super::{
-        AnswerSink, ChatRequest, Finished, Router,
-        attempt::{AttemptEnd, Target},
-    },
+    super::{AnswerSink, ChatRequest, Finished, Router, attempt::Target},
     mangowalk_core::{
         config::View,
         edge::Edges,
         placement::tokens_of,
         refusal::{Outcome, Refusal},
-        stream::Sequencer,
     },
     std::collections::HashSet,
 };
 
-/// Attempts that one request may use.
-const MOST_ATTEMPTS: u32 = 4;
-
-/// When a caller should come back if no engine can take its request.
-const NO_ENGINE_RETRY_MS: u64 = 1_000;
-
 impl<E: Edges> Router<E> {
     /// Serves a request for generated text, and writes each token to the sink.
     ///
@@ -39,7 +29,7 @@
         }
         let reserved = tokens_of(&request.prompt) + u64::from(request.max_tokens);
         self.reserve(&request.team, reserved)?;
-        let result = self.attempts(request, &view, sink);
+        let result = self.attempts(request, sink);
         let used = match &result {
             Ok(finished) => finished.usage.prompt_tokens + finished.usage.completion_tokens,
             Err(refusal) if refusal.outcome() == Outcome::NotRun => 0,
@@ -51,52 +41,7 @@
         result
     }
 
-    fn attempts(
-        &self,
-        request: &ChatRequest,
-        view: &View,
-        sink: &mut dyn AnswerSink,
-    ) -> Result<Finished, Refusal> {
-        let mut tried = HashSet::new();
-        let mut bound: Option<(String, Sequencer)> = None;
-        for _ in 0..MOST_ATTEMPTS {
-            let version = bound.as_ref().map(|(version, _)| version.as_str());
-            let Some(target) = self.place(view, &request.model, version, &tried) else {
-                break;
-            };
-            tried.insert(target.engine.name.clone());
-            let (_, sequencer) = bound.get_or_insert_with(|| {
-                let sequencer = Sequencer::new(&request.request_id, &target.version);
-                (target.version.clone(), sequencer)
-            });
-            match self.attempt(request, &target, sequencer, sink) {
-                AttemptEnd::Complete(finished) => return Ok(finished),
-                AttemptEnd::CallerGone => {
-                    return Err(Refusal::Lost {
-                        remedy: "the caller closed the connection",
-                        outcome: Outcome::Ran,
-                    });
-                }
-                AttemptEnd::TryAgain => {}
-            }
-        }
-        Err(Self::given_up(bound.as_ref().map(|(_, s)| s)))
-    }
-
-    fn given_up(sequencer: Option<&Sequencer>) -> Refusal {
-        if sequencer.is_some_and(|s| !s.tokens().is_empty()) {
-            return Refusal::Lost {
-                remedy: "send it again",
-                outcome: Outcome::Ran,
-            };
-        }
-        Refusal::Unavailable {
-            reason: "No engine can take the request",
-            retry_ms: NO_ENGINE_RETRY_MS,
-        }
-    }
-
-    fn place(
+    pub(super) fn place(
         &self,
         view: &View,
         model: &str,
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod attempt;
+mod attempts;
 mod generate;
 mod request;
 mod router;
