Read and refuse callers' requests in full

Cause: parameters that change the answer (n, stop, tools) were ignored, a list of prompts or parts could not be read, doubtful lengths were taken as tiny_http takes them, and a slow caller held a thread without limit. Change: every parameter is read, without effect, passed over and named in the head, or refused. Doubtful framing is refused and its connection served no more. The listener bounds reading and writing by timeouts that accepted sockets inherit, sets no-delay, and is given a new server when accepting ends. Refusing happens on a thread, never on the one that hands out requests. Sources read: tiny_http 0.12 reserves memory for the rest of a declared body when it drops a request, so a length over 1 GiB is answered and never dropped.

--- a/crates/core/src/refusal/kind.rs
+++ b/crates/core/src/refusal/kind.rs
@@ -18,6 +18,12 @@
         /// Most bytes accepted.
         limit_bytes: usize,
     },
+    /// The body did not come in time.
+    #[display("The body did not come within {timeout_ms} ms; send it faster.")]
+    TooSlow {
+        /// Longest time that is waited.
+        timeout_ms: u64,
+    },
     /// The key is missing, wrong or withdrawn.
     #[display(
         "The key is missing, wrong or withdrawn; send a valid key as `Authorization: Bearer`."
@@ -92,6 +98,7 @@
         match self {
             Refusal::Malformed { .. } | Refusal::OverBurst { .. } => 400,
             Refusal::TooLarge { .. } => 413,
+            Refusal::TooSlow { .. } => 408,
             Refusal::Unauthorized => 401,
             Refusal::NotFound { .. } | Refusal::NoSuchPath => 404,
             Refusal::RateLimited { .. } => 429,
@@ -108,6 +115,7 @@
             Refusal::Malformed { .. } => "invalid_request",
             Refusal::OverBurst { .. } => "over_burst",
             Refusal::TooLarge { .. } => "body_too_large",
+            Refusal::TooSlow { .. } => "body_too_slow",
             Refusal::Unauthorized => "invalid_api_key",
             Refusal::NotFound { .. } => "model_not_found",
             Refusal::NoSuchPath => "unknown_path",
--- /dev/null
+++ b/crates/mangowalkd/src/caller/body.rs
@@ -0,0 +1,124 @@
+use {
+    super::{
+        messages::prompt_of_messages,
+        parameters::{self, Parameters},
+    },
+    mangowalk_core::refusal::Refusal,
+    serde_json::{Map, Value},
+};
+
+/// Tokens generated where the caller gives no limit.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// The two forms of request and answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Form {
+    /// `/v1/chat/completions`
+    Chat,
+    /// `/v1/completions`
+    Completion,
+}
+
+/// A request for generated text, read and checked.
+#[derive(Debug, Clone, PartialEq)]
+pub(super) struct Body {
+    pub(super) model: String,
+    pub(super) prompt: String,
+    pub(super) max_tokens: u32,
+    pub(super) stream: bool,
+    pub(super) include_usage: bool,
+    /// Parameters that engines can't be told.
+    pub(super) passed_over: Vec<&'static str>,
+}
+
+/// Reads and checks a body.
+pub(super) fn read(bytes: &[u8], form: Form) -> Result<Body, Refusal> {
+    let fields: Map<String, Value> = serde_json::from_slice(bytes).map_err(|error| {
+        malformed(format!(
+            "The body is no JSON object: {error}; correct it there."
+        ))
+    })?;
+    let Parameters { passed_over } = parameters::check(&fields, form)?;
+    let prompt = match form {
+        Form::Chat => prompt_of_messages(fields.get("messages"))?,
+        Form::Completion => prompt_of(fields.get("prompt"))?,
+    };
+    Ok(Body {
+        model: model_of(&fields)?,
+        prompt,
+        max_tokens: max_tokens_of(&fields)?,
+        stream: flag(&fields, "stream")?,
+        include_usage: include_usage_of(&fields)?,
+        passed_over,
+    })
+}
+
+pub(super) fn malformed(detail: String) -> Refusal {
+    Refusal::Malformed { detail }
+}
+
+fn model_of(fields: &Map<String, Value>) -> Result<String, Refusal> {
+    match fields.get("model") {
+        Some(Value::String(model)) if !model.is_empty() => Ok(model.clone()),
+        _ => Err(malformed(
+            "`model` is missing; give the name of one that GET /v1/models lists.".to_owned(),
+        )),
+    }
+}
+
+fn prompt_of(prompt: Option<&Value>) -> Result<String, Refusal> {
+    let text = match prompt {
+        Some(Value::String(text)) => Some(text),
+        Some(Value::Array(texts)) if texts.len() == 1 => match &texts[0] {
+            Value::String(text) => Some(text),
+            _ => None,
+        },
+        _ => None,
+    };
+    match text {
+        Some(text) if !text.is_empty() => Ok(text.clone()),
+        _ => Err(malformed(
+            "`prompt` must be a text that is not empty, or a list of one; send a request for each text."
+                .to_owned(),
+        )),
+    }
+}
+
+fn max_tokens_of(fields: &Map<String, Value>) -> Result<u32, Refusal> {
+    let given = ["max_completion_tokens", "max_tokens"]
+        .into_iter()
+        .find_map(|name| Some((name, fields.get(name).filter(|v| !v.is_null())?)));
+    let Some((name, value)) = given else {
+        return Ok(DEFAULT_MAX_TOKENS);
+    };
+    value
+        .as_u64()
+        .and_then(|tokens| u32::try_from(tokens).ok())
+        .filter(|tokens| *tokens > 0)
+        .ok_or_else(|| {
+            malformed(format!(
+                "`{name}` is {value}; give a whole number from 1 to {}.",
+                u32::MAX
+            ))
+        })
+}
+
+fn include_usage_of(fields: &Map<String, Value>) -> Result<bool, Refusal> {
+    match fields.get("stream_options") {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Object(options)) => flag(options, "include_usage"),
+        Some(_) => Err(malformed(
+            "`stream_options` must be an object; give {\"include_usage\": true}.".to_owned(),
+        )),
+    }
+}
+
+fn flag(fields: &Map<String, Value>, name: &str) -> Result<bool, Refusal> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(Value::Bool(flag)) => Ok(*flag),
+        Some(value) => Err(malformed(format!(
+            "`{name}` is {value}; give true or false."
+        ))),
+    }
+}
--- a/crates/mangowalkd/src/caller/error.rs
+++ b/crates/mangowalkd/src/caller/error.rs
@@ -1,12 +1,4 @@
-use {
-    super::reply,
-    mangowalk_core::refusal::Refusal,
-    serde::Serialize,
-    std::io::Cursor,
-    tiny_http::{Request, Response},
-};
-
-const MS_PER_S: u64 = 1_000;
+use {mangowalk_core::refusal::Refusal, serde::Serialize};
 
 /// The protocol's error body.
 #[derive(Debug, Serialize)]
@@ -37,21 +29,3 @@
         }
     }
 }
-
-/// Answers with a refusal.
-pub(super) fn respond(request: Request, refusal: &Refusal, request_id: &str) {
-    let _ = request.respond(response(refusal, request_id));
-}
-
-fn response(refusal: &Refusal, request_id: &str) -> Response<Cursor<Vec<u8>>> {
-    let body = serde_json::to_vec(&ErrorBody::of(refusal)).unwrap_or_default();
-    let mut response = reply::json(refusal.status(), body, request_id);
-    let outcome = refusal.outcome().to_string();
-    response = reply::with_header(response, "x-mangowalk-outcome", &outcome);
-    if let Some(retry_ms) = refusal.retry_ms() {
-        let retry_s = retry_ms.div_ceil(MS_PER_S).max(1).to_string();
-        response = reply::with_header(response, "Retry-After", &retry_s);
-        response = reply::with_header(response, "retry-after-ms", &retry_ms.to_string());
-    }
-    response
-}
--- /dev/null
+++ b/crates/mangowalkd/src/caller/framing.rs
@@ -0,0 +1,65 @@
+use {super::body::malformed, mangowalk_core::refusal::Refusal, tiny_http::Request};
+
+/// Headers of which a second one would leave open which counts.
+const ONCE: [&str; 4] = [
+    "Content-Length",
+    "Transfer-Encoding",
+    "Authorization",
+    "Idempotency-Key",
+];
+
+/// Checks that there is one way to tell where a request ends.
+///
+/// Where two readers of one connection disagree on that, the rest of one
+/// request is read as the next (request smuggling). Whatever is doubtful is
+/// refused, and nothing more is read from its connection.
+///
+/// # Errors
+///
+/// Returns what is doubtful.
+pub(super) fn check(request: &Request) -> Result<(), Refusal> {
+    for name in ONCE {
+        if count(request, name) > 1 {
+            return Err(malformed(format!("`{name}` came twice; send it once.")));
+        }
+    }
+    let length = value(request, "Content-Length");
+    let encoding = value(request, "Transfer-Encoding");
+    if length.is_some() && encoding.is_some() {
+        return Err(malformed(
+            "`Content-Length` and `Transfer-Encoding` came together; send one of them.".to_owned(),
+        ));
+    }
+    if length.is_some_and(|text| !is_length(text)) {
+        return Err(malformed(
+            "`Content-Length` is no number of bytes; send decimal digits.".to_owned(),
+        ));
+    }
+    if encoding.is_some_and(|text| !text.eq_ignore_ascii_case("chunked")) {
+        return Err(malformed(
+            "`Transfer-Encoding` must be chunked; send no other.".to_owned(),
+        ));
+    }
+    let upgrade = value(request, "Connection")
+        .is_some_and(|text| text.to_ascii_lowercase().contains("upgrade"));
+    if upgrade {
+        return Err(malformed(
+            "The connection can't be upgraded; leave `Connection: upgrade` out.".to_owned(),
+        ));
+    }
+    Ok(())
+}
+
+/// Signs and blanks would pass the parser of a number.
+fn is_length(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit()) && text.parse::<usize>().is_ok()
+}
+
+fn count(request: &Request, name: &'static str) -> usize {
+    let headers = request.headers().iter();
+    headers.filter(|h| h.field.equiv(name)).count()
+}
+
+fn value<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
+    super::handler::header(request, name)
+}
--- a/crates/mangowalkd/src/caller/handler.rs
+++ b/crates/mangowalkd/src/caller/handler.rs
@@ -1,26 +1,74 @@
 use {
-    super::{addresses, chat, error, reply, service},
+    super::{
+        addresses,
+        body::{Form, malformed},
+        chat,
+        condemned::Condemned,
+        framing, models,
+        reply::Head,
+        request_id, service,
+    },
     crate::serve::Router,
+    log::info,
     mangowalk_core::{edge::Edges, refusal::Refusal},
-    std::io::Read,
-    tiny_http::Request,
+    std::mem,
+    tiny_http::{Method, Request},
 };
 
+/// Bytes of a body that are read at once, between two looks at the time.
+const READ_BYTES: usize = 16 << 10;
+
+/// Declared length above which a body is not even thrown away. The server
+/// reserves memory for what is left of a body when it drops the request, and
+/// a length that no memory can hold would end the process.
+const ABSURD_BYTES: usize = 1 << 30;
+
+/// Read timeouts for which a condemned connection is remembered.
+const CONDEMNED_TIMEOUTS: u64 = 3;
+
 /// Serves one request of a caller.
 pub(super) struct Handler<'a, E: Edges> {
     pub(super) router: &'a Router<E>,
+    condemned: &'a Condemned,
+    /// Identity between router and upstreams.
     pub(super) request_id: String,
+    /// What every response to this request says.
+    pub(super) head: Head,
 }
 
 impl<'a, E: Edges> Handler<'a, E> {
-    pub(super) fn new(router: &'a Router<E>) -> Handler<'a, E> {
+    pub(super) fn new(
+        router: &'a Router<E>,
+        condemned: &'a Condemned,
+        request: &Request,
+    ) -> Handler<'a, E> {
+        let drawn = request_id::draw();
+        let shown = header(request, "x-request-id").and_then(request_id::accepted);
+        let head = Head::of(shown.unwrap_or(&drawn));
         Handler {
             router,
-            request_id: format!("req-{:016x}", rand::random::<u64>()),
+            condemned,
+            request_id: drawn,
+            head,
         }
     }
 
     pub(super) fn handle(&self, request: Request) {
+        if self.is_condemned(&request) {
+            let refusal = malformed("This connection sent a doubtful length; open another.".into());
+            return self.refuse(request, &refusal);
+        }
+        if let Err(refusal) = framing::check(&request) {
+            self.condemn(&request);
+            return self.refuse(request, &refusal);
+        }
+        if request.body_length().is_some_and(|b| b > ABSURD_BYTES) {
+            return self.refuse_absurd(request);
+        }
+        self.route(request);
+    }
+
+    fn route(&self, request: Request) {
         let url = request.url().to_owned();
         let path = url.split('?').next().unwrap_or_default();
         match path {
@@ -40,43 +88,141 @@
     fn authenticated(&self, request: Request, path: &str) {
         let team = match self.router.authenticate(bearer(&request)) {
             Ok(team) => team,
-            Err(refusal) => return self.refuse(request, &refusal),
+            Err(refusal) => return self.refuse_unread(request, &refusal),
         };
+        let is_post = *request.method() == Method::Post;
+        let is_get = *request.method() == Method::Get;
         match path {
-            "/v1/models" => self.json(request, 200, chat::models(self.router)),
-            "/v1/chat/completions" => chat::serve(self, request, &team, chat::Form::Chat),
-            "/v1/completions" => chat::serve(self, request, &team, chat::Form::Completion),
+            "/v1/models" if is_get => self.json(request, 200, models::list(self.router)),
+            "/v1/chat/completions" if is_post => chat::serve(self, request, &team, Form::Chat),
+            "/v1/completions" if is_post => chat::serve(self, request, &team, Form::Completion),
             _ if path.starts_with(service::PREFIX) => service::serve(self, request, &team),
-            _ => self.refuse(request, &Refusal::NoSuchPath),
+            _ => self.other(request, path),
+        }
+    }
+
+    fn other(&self, request: Request, path: &str) {
+        let model = path
+            .strip_prefix("/v1/models/")
+            .filter(|_| *request.method() == Method::Get);
+        match model.map(|id| models::one(self.router, id)) {
+            Some(Ok(body)) => self.json(request, 200, body),
+            Some(Err(refusal)) => self.refuse(request, &refusal),
+            None => self.refuse_unread(request, &Refusal::NoSuchPath),
         }
     }
 
     pub(super) fn json(&self, request: Request, status: u16, body: Vec<u8>) {
-        let _ = request.respond(reply::json(status, body, &self.request_id));
+        self.head.json(request, status, body);
     }
 
     pub(super) fn refuse(&self, request: Request, refusal: &Refusal) {
-        error::respond(request, refusal, &self.request_id);
+        self.head.refuse(request, refusal);
+    }
+
+    /// Refuses a request whose body was not read. The server passes over a
+    /// body of known length; of a chunked one it would take the rest for the
+    /// next request.
+    fn refuse_unread(&self, request: Request, refusal: &Refusal) {
+        if header(&request, "Transfer-Encoding").is_some() {
+            self.condemn(&request);
+        }
+        self.refuse(request, refusal);
+    }
+
+    /// Refuses a request without dropping what the server holds of it: that
+    /// would reserve memory for the whole declared length. The connection is
+    /// lost for good, which costs a descriptor and a thread for a length that
+    /// no honest caller declares.
+    fn refuse_absurd(&self, request: Request) {
+        info!("callers: A caller declared a body of over {ABSURD_BYTES} bytes.");
+        let refusal = Refusal::TooLarge {
+            limit_bytes: self.router.settings().max_body_bytes,
+        };
+        let stream = request.upgrade("none", self.head.refusal(&refusal));
+        mem::forget(stream);
+    }
+
+    fn condemn(&self, request: &Request) {
+        let now_ms = self.router.now_ms();
+        self.condemned.add(request.remote_addr(), now_ms);
+    }
+
+    fn is_condemned(&self, request: &Request) -> bool {
+        let keep_ms = self.router.settings().caller_timeout_ms * CONDEMNED_TIMEOUTS;
+        let now_ms = self.router.now_ms();
+        self.condemned.holds(request.remote_addr(), keep_ms, now_ms)
     }
 
-    /// Reads the body, up to the limit.
+    /// Adds the team's rate to a head.
+    pub(super) fn add_rate(&self, head: &mut Head, team: &str) {
+        let view = self.router.board().config.view();
+        if let Some(rate) = view.rates.get(team) {
+            head.add("x-ratelimit-limit-tokens", rate.burst_tokens.to_string());
+        }
+    }
+
+    /// Reads the body, up to the limits of length and time.
+    ///
+    /// The read timeout bounds each wait; a caller that sends one byte before
+    /// each would still hold a thread for hours, so the sum is bounded too.
     pub(super) fn body(&self, request: &mut Request) -> Result<Vec<u8>, Refusal> {
-        let limit_bytes = self.router.settings().max_body_bytes;
-        let mut body = Vec::new();
-        request
-            .as_reader()
-            .take(limit_bytes as u64 + 1)
-            .read_to_end(&mut body)
-            .map_err(|_| Refusal::Malformed {
-                detail: "The body could not be read; send it whole.".to_owned(),
-            })?;
-        if body.len() > limit_bytes {
+        let body = self.read_body(request);
+        let is_counted = request.body_length().is_some();
+        match &body {
+            // The server passes over the rest of a body of known length.
+            Err(Refusal::TooLarge { .. }) if is_counted => {}
+            Ok(_) => {}
+            // What comes next is the rest of this body.
+            Err(_) => self.condemn(request),
+        }
+        body
+    }
+
+    fn read_body(&self, request: &mut Request) -> Result<Vec<u8>, Refusal> {
+        let settings = self.router.settings();
+        let limit_bytes = settings.max_body_bytes;
+        if request.body_length().is_some_and(|b| b > limit_bytes) {
             return Err(Refusal::TooLarge { limit_bytes });
         }
+        let until_ms = self.router.now_ms() + settings.caller_timeout_ms;
+        let too_slow = Refusal::TooSlow {
+            timeout_ms: settings.caller_timeout_ms,
+        };
+        let expected = request.body_length();
+        let mut body = Vec::new();
+        let mut part = [0; READ_BYTES];
+        loop {
+            let read = match request.as_reader().read(&mut part) {
+                Ok(0) => break,
+                Ok(read) => read,
+                Err(error) if is_timeout(&error) => return Err(too_slow),
+                Err(_) => return Err(broken_body()),
+            };
+            body.extend_from_slice(&part[..read]);
+            if body.len() > limit_bytes {
+                return Err(Refusal::TooLarge { limit_bytes });
+            }
+            if self.router.now_ms() > until_ms {
+                return Err(too_slow);
+            }
+        }
+        if expected.is_some_and(|length| length != body.len()) {
+            return Err(broken_body());
+        }
         Ok(body)
     }
 }
 
+fn broken_body() -> Refusal {
+    malformed("The body ended early or its chunks are broken; send it whole.".to_owned())
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    use std::io::ErrorKind::{TimedOut, WouldBlock};
+    matches!(error.kind(), TimedOut | WouldBlock)
+}
+
 /// Returns a header's value.
 pub(super) fn header<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
     request
@@ -87,5 +233,6 @@
 }
 
 fn bearer(request: &Request) -> Option<&str> {
-    header(request, "Authorization")?.strip_prefix("Bearer ")
+    let (scheme, key) = header(request, "Authorization")?.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("Bearer").then_some(key.trim())
 }
--- /dev/null
+++ b/crates/mangowalkd/src/caller/parameters.rs
@@ -0,0 +1,111 @@
+use {
+    super::body::{Form, malformed},
+    mangowalk_core::refusal::Refusal,
+    serde_json::{Map, Value, json},
+};
+
+/// Fields that are read elsewhere.
+const READ: [&str; 5] = [
+    "model",
+    "max_tokens",
+    "max_completion_tokens",
+    "stream",
+    "stream_options",
+];
+
+/// Parameters that change nothing in the answer.
+const WITHOUT_EFFECT: [&str; 6] = [
+    "user",
+    "metadata",
+    "safety_identifier",
+    "prompt_cache_key",
+    "prompt_cache_retention",
+    "parallel_tool_calls",
+];
+
+/// Parameters of sampling. Engines sample with their own settings, and their
+/// protocol has no field for these; the answer's head names what was passed
+/// over, so that nobody takes it for followed.
+const PASSED_OVER: [&str; 3] = ["temperature", "top_p", "seed"];
+
+/// What follows from the parameters of a request.
+pub(super) struct Parameters {
+    pub(super) passed_over: Vec<&'static str>,
+}
+
+/// Checks every parameter.
+///
+/// One that would change the answer and can't be followed is refused unless
+/// it asks for what happens anyway. Ignored silently, it would give a caller
+/// an answer to another request.
+pub(super) fn check(fields: &Map<String, Value>, form: Form) -> Result<Parameters, Refusal> {
+    let mut passed_over = Vec::new();
+    for (name, value) in fields.iter().filter(|(_, value)| !value.is_null()) {
+        if is_read(name, form) || WITHOUT_EFFECT.contains(&name.as_str()) {
+            continue;
+        }
+        if let Some(known) = PASSED_OVER.into_iter().find(|known| known == name) {
+            check_number(known, value)?;
+            passed_over.push(known);
+            continue;
+        }
+        check_neutral(name, value)?;
+    }
+    Ok(Parameters { passed_over })
+}
+
+fn is_read(name: &str, form: Form) -> bool {
+    let own = match form {
+        Form::Chat => "messages",
+        Form::Completion => "prompt",
+    };
+    name == own || READ.contains(&name)
+}
+
+fn check_number(name: &str, value: &Value) -> Result<(), Refusal> {
+    let is_fit = match name {
+        "temperature" => value.as_f64().is_some_and(|t| (0.0..=2.0).contains(&t)),
+        "top_p" => value.as_f64().is_some_and(|p| (0.0..=1.0).contains(&p)),
+        _ => value.is_i64() || value.is_u64(),
+    };
+    if is_fit {
+        return Ok(());
+    }
+    Err(malformed(format!(
+        "`{name}` is {value}, out of its range; correct it or leave it out."
+    )))
+}
+
+fn check_neutral(name: &str, value: &Value) -> Result<(), Refusal> {
+    let neutral = neutral(name).ok_or_else(|| {
+        malformed(format!(
+            "`{name}` is no known parameter; leave it out. docs/api.md lists all."
+        ))
+    })?;
+    if neutral.contains(value) {
+        return Ok(());
+    }
+    Err(malformed(format!(
+        "`{name}` can't be followed by the engines here; leave it out or send {}.",
+        neutral[0]
+    )))
+}
+
+/// Returns the values of a parameter that ask for what happens anyway.
+fn neutral(name: &str) -> Option<Vec<Value>> {
+    Some(match name {
+        "n" | "best_of" => vec![json!(1)],
+        "stop" | "tools" | "functions" => vec![json!([])],
+        "echo" | "store" => vec![json!(false)],
+        "logprobs" => vec![json!(false), json!(0)],
+        "top_logprobs" => vec![json!(0)],
+        "presence_penalty" | "frequency_penalty" => vec![json!(0), json!(0.0)],
+        "logit_bias" => vec![json!({})],
+        "suffix" => vec![json!("")],
+        "response_format" => vec![json!({ "type": "text" })],
+        "tool_choice" | "function_call" => vec![json!("none"), json!("auto")],
+        "modalities" => vec![json!(["text"])],
+        "service_tier" => vec![json!("auto"), json!("default")],
+        _ => return None,
+    })
+}
--- a/crates/mangowalkd/src/caller/reply.rs
+++ b/crates/mangowalkd/src/caller/reply.rs
@@ -1,24 +1,87 @@
 use {
+    super::error::ErrorBody,
+    mangowalk_core::refusal::{Outcome, Refusal},
     std::io::Cursor,
-    tiny_http::{Header, Response},
+    tiny_http::{Header, Request, Response},
 };
 
-/// Returns a JSON response that names the request.
-pub(super) fn json(status: u16, body: Vec<u8>, request_id: &str) -> Response<Cursor<Vec<u8>>> {
-    let response = Response::from_data(body).with_status_code(status);
-    let response = with_header(response, "Content-Type", "application/json");
-    if request_id.is_empty() {
-        return response;
+const MS_PER_S: u64 = 1_000;
+
+/// A response whose body is held whole.
+pub(super) type WholeResponse = Response<Cursor<Vec<u8>>>;
+
+/// Headers that every response to one request carries.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Head {
+    headers: Vec<(&'static str, String)>,
+}
+
+impl Head {
+    /// Returns the head of a response that names its request.
+    pub(super) fn of(request_id: &str) -> Head {
+        let mut head = Head::default();
+        head.add("x-request-id", request_id.to_owned());
+        head
+    }
+
+    /// Adds a header.
+    pub(super) fn add(&mut self, name: &'static str, value: String) {
+        self.headers.push((name, value));
+    }
+
+    /// Returns every header.
+    pub(super) fn headers(&self) -> &[(&'static str, String)] {
+        &self.headers
+    }
+
+    /// Answers with JSON.
+    pub(super) fn json(&self, request: Request, status: u16, body: Vec<u8>) {
+        let _ = request.respond(self.response(status, body));
+    }
+
+    /// Answers with a refusal.
+    pub(super) fn refuse(&self, request: Request, refusal: &Refusal) {
+        let _ = request.respond(self.refusal(refusal));
+    }
+
+    /// Returns the response that tells a refusal.
+    pub(super) fn refusal(&self, refusal: &Refusal) -> WholeResponse {
+        let body = serde_json::to_vec(&ErrorBody::of(refusal)).unwrap_or_default();
+        let mut response = self.response(refusal.status(), body);
+        let outcome = refusal.outcome().to_string();
+        response = with_header(response, "x-mangowalk-outcome", &outcome);
+        response = with_header(response, "x-should-retry", should_retry(refusal));
+        if let Some(retry_ms) = refusal.retry_ms() {
+            let retry_s = retry_ms.div_ceil(MS_PER_S).max(1).to_string();
+            response = with_header(response, "Retry-After", &retry_s);
+            response = with_header(response, "retry-after-ms", &retry_ms.to_string());
+        }
+        response
+    }
+
+    fn response(&self, status: u16, body: Vec<u8>) -> WholeResponse {
+        let response = Response::from_data(body).with_status_code(status);
+        let response = with_header(response, "Content-Type", "application/json");
+        self.headers
+            .iter()
+            .fold(response, |response, (name, value)| {
+                with_header(response, name, value)
+            })
+    }
+}
+
+/// Tells clients whether to send again by themselves. They would otherwise
+/// repeat after every 409 and 5xx, also where the request may have run.
+fn should_retry(refusal: &Refusal) -> &'static str {
+    let helps = refusal.retry_ms().is_some() || refusal.status() == 408;
+    if helps && refusal.outcome() == Outcome::NotRun {
+        return "true";
     }
-    with_header(response, "x-request-id", request_id)
+    "false"
 }
 
 /// Adds a header. A value that no header can hold is left out.
-pub(super) fn with_header(
-    response: Response<Cursor<Vec<u8>>>,
-    name: &str,
-    value: &str,
-) -> Response<Cursor<Vec<u8>>> {
+fn with_header(response: WholeResponse, name: &str, value: &str) -> WholeResponse {
     match Header::from_bytes(name, value) {
         Ok(header) => response.with_header(header),
         Err(()) => response,
--- a/crates/mangowalkd/src/caller/server.rs
+++ b/crates/mangowalkd/src/caller/server.rs
@@ -1,7 +1,7 @@
 use {
-    super::{error, handler::Handler},
+    super::{condemned::Condemned, handler::Handler, listener, reply::Head},
     crate::serve::Router,
-    log::warn,
+    log::{info, warn},
     mangowalk_core::{edge::Edges, refusal::Refusal},
     std::{
         io,
@@ -10,17 +10,27 @@
         thread,
         time::Duration,
     },
+    tiny_http::Request,
 };
 
 /// Stack of a thread that serves one request.
 const REQUEST_STACK_BYTES: usize = 512 << 10;
 
+/// Stack of a thread that refuses one request.
+const REFUSAL_STACK_BYTES: usize = 64 << 10;
+
 /// When a caller should come back if every thread is taken.
 const FULL_RETRY_MS: u64 = 1_000;
 
 /// Pause between two looks at whether to stop.
 const POLL: Duration = Duration::from_millis(100);
 
+/// Knocks within one read timeout.
+const KNOCKS: u32 = 4;
+
+/// Looks without a request after which a server that was replaced ends.
+const LAST_LOOKS: u32 = 6_000;
+
 /// Listens to callers and serves each request on a thread of its own.
 pub struct CallerServer {
     address: SocketAddr,
@@ -33,12 +43,21 @@
     ///
     /// Fails where the address is in use.
     pub fn start<E: Edges>(router: Arc<Router<E>>) -> io::Result<CallerServer> {
-        let listener = TcpListener::bind(router.settings().caller_address)?;
+        let settings = router.settings();
+        let timeout = Duration::from_millis(settings.caller_timeout_ms);
+        let listener = listener::listen(settings.caller_address, timeout)?;
         let address = listener.local_addr()?;
-        let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let callers = Arc::new(Callers {
+            listener,
+            router,
+            condemned: Condemned::default(),
+        });
+        let first = callers.server()?;
+        let knocking = callers.clone();
         thread::Builder::new()
-            .name("callers".to_owned())
-            .spawn(move || accept(&server, &router))?;
+            .name("callers-knock".to_owned())
+            .spawn(move || knocking.knock(address, timeout / KNOCKS))?;
+        callers.spawn(first)?;
         Ok(CallerServer { address })
     }
 
@@ -48,34 +67,103 @@
     }
 }
 
-fn accept<E: Edges>(server: &tiny_http::Server, router: &Arc<Router<E>>) {
-    while !router.board().life.is_stopped() {
-        match server.recv_timeout(POLL) {
-            Ok(Some(request)) => dispatch(request, router),
-            Ok(None) => {}
-            Err(error) => warn!("callers: A connection failed. {error}"),
+struct Callers<E: Edges> {
+    listener: TcpListener,
+    router: Arc<Router<E>>,
+    condemned: Condemned,
+}
+
+impl<E: Edges> Callers<E> {
+    /// Returns a new server on the same listener.
+    fn server(&self) -> io::Result<tiny_http::Server> {
+        let listener = self.listener.try_clone()?;
+        tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)
+    }
+
+    fn spawn(self: &Arc<Self>, server: tiny_http::Server) -> io::Result<()> {
+        let callers = self.clone();
+        thread::Builder::new()
+            .name("callers".to_owned())
+            .spawn(move || callers.serve(&server))
+            .map(|_| ())
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.router.board().life.is_stopped()
+    }
+
+    /// Hands out requests until the instance stops.
+    ///
+    /// A server that meets an error in `accept` (no descriptor left, or no
+    /// connection within the read timeout) accepts no more for good. Another
+    /// takes its place on the same listener, and the connections that wait
+    /// there are kept. The old one still brings the requests of its open
+    /// connections.
+    fn serve(self: &Arc<Self>, server: &tiny_http::Server) {
+        let mut is_ended = false;
+        let mut is_replaced = false;
+        let mut idle_looks = 0;
+        while !self.is_stopped() && idle_looks < LAST_LOOKS {
+            match server.recv_timeout(POLL) {
+                Ok(Some(request)) => {
+                    idle_looks = 0;
+                    self.dispatch(request);
+                }
+                Ok(None) => idle_looks += u32::from(is_replaced),
+                Err(error) => {
+                    info!("callers: Accepting ended and begins anew. {error}.");
+                    is_ended = true;
+                }
+            }
+            if is_ended && !is_replaced {
+                is_replaced = self.replace();
+            }
+        }
+    }
+
+    fn replace(self: &Arc<Self>) -> bool {
+        let replaced = self.server().and_then(|server| self.spawn(server));
+        if let Err(error) = &replaced {
+            warn!("callers: No new server yet. {error}; raise the limit of open files.");
+        }
+        replaced.is_ok()
+    }
+
+    fn knock(&self, address: SocketAddr, period: Duration) {
+        while !self.is_stopped() {
+            thread::sleep(period);
+            listener::knock(address);
         }
     }
-}
 
-fn dispatch<E: Edges>(request: tiny_http::Request, router: &Arc<Router<E>>) {
-    let most = router.settings().max_open_requests;
-    let Some(guard) = router.board().life.open(most) else {
-        let refusal = Refusal::Unavailable {
-            reason: "This instance serves as many requests as it may",
-            retry_ms: FULL_RETRY_MS,
+    /// Serves or refuses a request on a thread of its own. Neither happens
+    /// here: a caller that reads or sends slowly would hold up every other.
+    fn dispatch(self: &Arc<Self>, request: Request) {
+        let callers = self.clone();
+        let most = self.router.settings().max_open_requests;
+        let spawned = match self.router.board().life.open(most) {
+            Some(guard) => thread::Builder::new()
+                .name("request".to_owned())
+                .stack_size(REQUEST_STACK_BYTES)
+                .spawn(move || {
+                    let _guard = guard;
+                    Handler::new(&callers.router, &callers.condemned, &request).handle(request);
+                }),
+            None => thread::Builder::new()
+                .name("refusal".to_owned())
+                .stack_size(REFUSAL_STACK_BYTES)
+                .spawn(move || refuse_full(request)),
         };
-        return error::respond(request, &refusal, "");
-    };
-    let router = router.clone();
-    let spawned = thread::Builder::new()
-        .name("request".to_owned())
-        .stack_size(REQUEST_STACK_BYTES)
-        .spawn(move || {
-            let _guard = guard;
-            Handler::new(&router).handle(request);
-        });
-    if let Err(error) = spawned {
-        warn!("callers: No thread for a request. {error}");
+        if let Err(error) = spawned {
+            warn!("callers: No thread for a request. {error}; raise the limit of threads.");
+        }
     }
 }
+
+fn refuse_full(request: Request) {
+    let refusal = Refusal::Unavailable {
+        reason: "This instance serves as many requests as it may",
+        retry_ms: FULL_RETRY_MS,
+    };
+    Head::default().refuse(request, &refusal);
+}
--- a/crates/mangowalkd/src/caller/service.rs
+++ b/crates/mangowalkd/src/caller/service.rs
@@ -32,12 +32,10 @@
     match handler.router.call_service(&call) {
         Ok(reply) => {
             let mut response = Response::from_data(reply.body).with_status_code(reply.status);
-            let headers = [
-                ("Content-Type", reply.content_type.as_str()),
-                ("x-request-id", handler.request_id.as_str()),
-            ];
-            for (name, value) in headers {
-                if let Ok(header) = Header::from_bytes(name, value) {
+            let content_type = ("Content-Type", reply.content_type);
+            let headers = handler.head.headers().iter();
+            for (name, value) in headers.chain([&content_type]) {
+                if let Ok(header) = Header::from_bytes(*name, value.as_str()) {
                     response = response.with_header(header);
                 }
             }
--- /dev/null
+++ b/crates/mangowalkd/src/caller/shape.rs
@@ -0,0 +1,101 @@
+use {
+    super::body::Form,
+    crate::serve::Finished,
+    mangowalk_core::engine::Usage,
+    serde_json::{Value, json},
+};
+
+/// Writes the protocol's objects for one answer.
+pub(super) struct Shape {
+    pub(super) form: Form,
+    pub(super) id: String,
+    pub(super) model: String,
+    pub(super) created_s: u64,
+    pub(super) include_usage: bool,
+}
+
+impl Shape {
+    fn object(&self, choices: Value) -> Value {
+        let (object, prefix) = match self.form {
+            Form::Chat => ("chat.completion.chunk", "chatcmpl"),
+            Form::Completion => ("text_completion", "cmpl"),
+        };
+        json!({
+            "id": format!("{prefix}-{}", self.id),
+            "object": object,
+            "created": self.created_s,
+            "model": self.model,
+            "choices": choices,
+        })
+    }
+
+    /// Returns the event that opens a stream, if the form has one.
+    pub(super) fn opening(&self) -> Option<Value> {
+        (self.form == Form::Chat).then(|| {
+            self.object(json!([{
+                "index": 0,
+                "delta": { "role": "assistant", "content": "" },
+                "finish_reason": null,
+            }]))
+        })
+    }
+
+    /// Returns the event of one token.
+    pub(super) fn delta(&self, text: &str) -> Value {
+        self.object(match self.form {
+            Form::Chat => json!([{
+                "index": 0, "delta": { "content": text }, "finish_reason": null,
+            }]),
+            Form::Completion => json!([{
+                "index": 0, "text": text, "finish_reason": null, "logprobs": null,
+            }]),
+        })
+    }
+
+    /// Returns the events that close a complete stream.
+    pub(super) fn closing(&self, finished: &Finished) -> Vec<Value> {
+        let reason = &finished.finish_reason;
+        let last = self.object(match self.form {
+            Form::Chat => json!([{ "index": 0, "delta": {}, "finish_reason": reason }]),
+            Form::Completion => json!([{
+                "index": 0, "text": "", "finish_reason": reason, "logprobs": null,
+            }]),
+        });
+        if !self.include_usage {
+            return vec![last];
+        }
+        let mut usage = self.object(json!([]));
+        usage["usage"] = usage_of(&finished.usage);
+        vec![last, usage]
+    }
+
+    /// Returns the body of an answer that is not streamed.
+    pub(super) fn whole(&self, text: &str, finished: &Finished) -> Value {
+        let reason = &finished.finish_reason;
+        let choices = match self.form {
+            Form::Chat => json!([{
+                "index": 0,
+                "message": { "role": "assistant", "content": text },
+                "finish_reason": reason,
+            }]),
+            Form::Completion => json!([{
+                "index": 0, "text": text, "finish_reason": reason, "logprobs": null,
+            }]),
+        };
+        let mut body = self.object(choices);
+        if self.form == Form::Chat {
+            body["object"] = json!("chat.completion");
+        }
+        body["usage"] = usage_of(&finished.usage);
+        body
+    }
+}
+
+fn usage_of(usage: &Usage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": { "cached_tokens": usage.cached_tokens },
+    })
+}
--- a/crates/mangowalkd/src/caller/sse.rs
+++ b/crates/mangowalkd/src/caller/sse.rs
@@ -1,10 +1,14 @@
 use {
+    super::reply::Head,
     chunked_transfer::Encoder,
     serde::Serialize,
     std::io::{self, Write},
     tiny_http::Request,
 };
 
+/// A line that every reader of server-sent events passes over.
+const COMMENT: &str = ": waiting\n\n";
+
 /// Writes server-sent events, each at once.
 ///
 /// The encoder flushes after each write: the server's own chunked writer
@@ -15,13 +19,17 @@
 
 impl SseWriter {
     /// Writes the head of the response.
-    pub(super) fn start(request: Request, request_id: &str) -> io::Result<SseWriter> {
+    pub(super) fn start(request: Request, head: &Head) -> io::Result<SseWriter> {
         let mut writer = request.into_writer();
         write!(
             writer,
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n\
-             x-request-id: {request_id}\r\nTransfer-Encoding: chunked\r\n\r\n"
+             Transfer-Encoding: chunked\r\n"
         )?;
+        for (name, value) in head.headers() {
+            write!(writer, "{name}: {value}\r\n")?;
+        }
+        writer.write_all(b"\r\n")?;
         Ok(SseWriter {
             encoder: Some(Encoder::with_flush_after_write(writer)),
         })
@@ -33,17 +41,23 @@
         self.write(&format!("data: {text}\n\n"))
     }
 
+    /// Writes a line that means nothing, to find out whether the caller is
+    /// still there.
+    pub(super) fn comment(&mut self) -> io::Result<()> {
+        self.write(COMMENT)
+    }
+
     /// Writes the marker that the answer is complete, and ends the body.
     pub(super) fn done(&mut self) -> io::Result<()> {
         self.write("data: [DONE]\n\n")?;
-        self.end()
+        self.end();
+        Ok(())
     }
 
     /// Ends the body.
-    pub(super) fn end(&mut self) -> io::Result<()> {
+    pub(super) fn end(&mut self) {
         // Dropping the encoder writes the last chunk.
         self.encoder = None;
-        Ok(())
     }
 
     fn write(&mut self, text: &str) -> io::Result<()> {
--- /dev/null
+++ b/crates/mangowalkd/src/caller/stream.rs
@@ -0,0 +1,93 @@
+use {
+    super::{error::ErrorBody, reply::Head, shape::Shape, sse::SseWriter},
+    crate::serve::{AnswerSink, Finished},
+    log::info,
+    mangowalk_core::refusal::Refusal,
+    std::io,
+    tiny_http::Request,
+};
+
+/// A streamed answer on its way to the caller.
+///
+/// The head leaves with the first token. Until then a refusal has a status of
+/// its own, and a caller that goes away is not noticed: the protocol has
+/// nothing that could be written to find out. That time is bounded by the
+/// timeout of the first token.
+pub(super) struct StreamSink {
+    request: Option<Request>,
+    writer: Option<SseWriter>,
+    head: Head,
+    shape: Shape,
+}
+
+impl StreamSink {
+    pub(super) fn new(request: Request, head: Head, shape: Shape) -> StreamSink {
+        StreamSink {
+            request: Some(request),
+            writer: None,
+            head,
+            shape,
+        }
+    }
+
+    fn writer(&mut self) -> io::Result<&mut SseWriter> {
+        if let Some(request) = self.request.take() {
+            let mut writer = SseWriter::start(request, &self.head)?;
+            if let Some(first) = self.shape.opening() {
+                writer.event(&first)?;
+            }
+            self.writer = Some(writer);
+        }
+        self.writer
+            .as_mut()
+            .ok_or_else(|| io::Error::from(io::ErrorKind::BrokenPipe))
+    }
+
+    /// Writes the end of a complete answer.
+    pub(super) fn finish(&mut self, finished: &Finished) {
+        if let Err(error) = self.write_end(finished) {
+            info!(
+                "callers: The end of {} was not taken. {error}.",
+                self.shape.id
+            );
+        }
+    }
+
+    fn write_end(&mut self, finished: &Finished) -> io::Result<()> {
+        let closing = self.shape.closing(finished);
+        let writer = self.writer()?;
+        for event in closing {
+            writer.event(&event)?;
+        }
+        writer.done()
+    }
+
+    /// Refuses the request, with its own status while no token was written.
+    ///
+    /// Behind a token only an error event is left. Neither the closing marker
+    /// nor a finish reason follows it, so that half an answer never looks
+    /// whole.
+    pub(super) fn refuse(mut self, refusal: &Refusal) {
+        if let Some(request) = self.request.take() {
+            return self.head.refuse(request, refusal);
+        }
+        if let Some(mut writer) = self.writer.take() {
+            let _ = writer.event(&ErrorBody::of(refusal));
+            writer.end();
+        }
+    }
+}
+
+impl AnswerSink for StreamSink {
+    fn token(&mut self, text: &str) -> io::Result<()> {
+        let event = self.shape.delta(text);
+        self.writer()?.event(&event)
+    }
+
+    fn silence(&mut self) -> io::Result<()> {
+        match &mut self.writer {
+            Some(writer) => writer.comment(),
+            None => Ok(()),
+        }
+    }
+}
