Report service-level burn, and show what each instance does and why

Cause: operators could not see which configuration an instance has in force, why a request is refused, or whose promises are being broken.

Every request is counted per team in cells of three windows (core::burn, time as argument); counts and histogram buckets are published, never percentiles, so the client's sums over all instances are exact.

Ruled out: one ring of minutes for six hours (360 cells a team against 39); percentiles in what is published (they don't add up).

--- /dev/null
+++ b/crates/core/src/burn/report.rs
@@ -0,0 +1,122 @@
+use {
+    super::{BurnRow, Counts, Level, Objective, TeamBurn, Window, WindowBurn, WindowCounts},
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+const MS_PER_S: u64 = 1_000;
+
+/// Burn of the whole fleet.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct BurnReport {
+    /// Burn by team and objective, the most urgent first.
+    pub rows: Vec<BurnRow>,
+    /// Further facts by team.
+    pub teams: Vec<TeamSummary>,
+}
+
+/// What a team's callers saw in the longest window.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TeamSummary {
+    /// Name of the team.
+    pub team: String,
+    /// Bound within which half of the first tokens came.
+    pub first_token_half_ms: Option<u64>,
+    /// Bound within which 99 of 100 first tokens came.
+    pub first_token_99_percent_ms: Option<u64>,
+    /// Requests refused for the rate, by window.
+    pub over_rate: Vec<u64>,
+    /// Share of its rate that the team asked for, in percent, by window.
+    pub asked_percent: Vec<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Sum {
+    tokens_per_s: u64,
+    windows: BTreeMap<Window, (u64, Counts)>,
+}
+
+impl Sum {
+    fn add(&mut self, window: &WindowCounts) {
+        let (covered_ms, counts) = self.windows.entry(window.window).or_default();
+        *covered_ms = (*covered_ms).max(window.covered_ms);
+        counts.add(&window.counts);
+    }
+
+    fn window(&self, window: Window) -> (u64, Counts) {
+        self.windows.get(&window).copied().unwrap_or_default()
+    }
+
+    fn asked_percent(&self, window: Window) -> u64 {
+        let (covered_ms, counts) = self.window(window);
+        let allowed = self.tokens_per_s.saturating_mul(covered_ms) / MS_PER_S;
+        (counts.asked_tokens().saturating_mul(100))
+            .checked_div(allowed)
+            .unwrap_or(0)
+    }
+
+    fn burn(&self, objective: Objective, window: Window) -> WindowBurn {
+        let (_, counts) = self.window(window);
+        let (good, mut bad) = counts.good_and_bad(objective);
+        // The team as a whole asked for less than its rate, and yet instances
+        // refused for the rate: their shares were in the wrong places.
+        let within = self.tokens_per_s > 0 && self.asked_percent(window) <= 100;
+        if objective == Objective::Admitted && within {
+            bad += counts.over_rate;
+        }
+        WindowBurn {
+            window,
+            good,
+            bad,
+            burn: objective.burn(good, bad),
+        }
+    }
+}
+
+impl BurnReport {
+    /// Returns the report over what all instances published.
+    pub fn of<'a>(published: impl IntoIterator<Item = &'a TeamBurn>) -> BurnReport {
+        let mut sums: BTreeMap<&str, Sum> = BTreeMap::new();
+        for team in published {
+            let sum = sums.entry(&team.team).or_default();
+            sum.tokens_per_s = sum.tokens_per_s.max(team.tokens_per_s);
+            for window in &team.windows {
+                sum.add(window);
+            }
+        }
+        let mut report = BurnReport::default();
+        for (team, sum) in &sums {
+            for objective in Objective::ALL {
+                report.rows.push(row(team, objective, sum));
+            }
+            report.teams.push(summary(team, sum));
+        }
+        // The sort is stable, so teams stay in the order of their names.
+        report.rows.sort_by_key(|row| std::cmp::Reverse(row.level));
+        report
+    }
+}
+
+fn row(team: &str, objective: Objective, sum: &Sum) -> BurnRow {
+    let windows: Vec<WindowBurn> = Window::ALL
+        .into_iter()
+        .map(|w| sum.burn(objective, w))
+        .collect();
+    BurnRow {
+        team: team.to_owned(),
+        objective,
+        level: Level::of(&windows),
+        windows,
+    }
+}
+
+fn summary(team: &str, sum: &Sum) -> TeamSummary {
+    let (_, longest) = sum.window(Window::SixHours);
+    TeamSummary {
+        team: team.to_owned(),
+        first_token_half_ms: longest.first_token.within_ms(50),
+        first_token_99_percent_ms: longest.first_token.within_ms(99),
+        over_rate: Window::ALL.map(|w| sum.window(w).1.over_rate).to_vec(),
+        asked_percent: Window::ALL.map(|w| sum.asked_percent(w)).to_vec(),
+    }
+}
--- /dev/null
+++ b/crates/core/src/burn/ring.rs
@@ -0,0 +1,55 @@
+use super::{CELLS, Counts, Window};
+
+const RING: usize = CELLS as usize + 1;
+
+/// Counts of one team over one window, in cells of a twelfth of it.
+#[derive(Debug, Clone)]
+pub struct Ring {
+    window: Window,
+    cells: [(u64, Counts); RING],
+}
+
+impl Ring {
+    /// Returns an empty ring.
+    pub fn new(window: Window) -> Ring {
+        Ring {
+            window,
+            cells: [(0, Counts::default()); RING],
+        }
+    }
+
+    /// Returns the window.
+    pub fn window(&self) -> Window {
+        self.window
+    }
+
+    /// Returns the counts of the cell that runs at a time, to be added to.
+    pub fn cell(&mut self, now_ms: u64) -> &mut Counts {
+        let index = now_ms / self.window.cell_ms();
+        let cell = &mut self.cells[index as usize % RING];
+        // A thread that waited for the lock comes with an older time; it must
+        // not clear what was counted since.
+        if cell.0 < index {
+            *cell = (index, Counts::default());
+        }
+        &mut cell.1
+    }
+
+    /// Returns the sum over the window at a time.
+    pub fn sum(&self, now_ms: u64) -> Counts {
+        let index = now_ms / self.window.cell_ms();
+        let mut sum = Counts::default();
+        for (cell, counts) in &self.cells {
+            if *cell + CELLS >= index && *cell <= index {
+                sum.add(counts);
+            }
+        }
+        sum
+    }
+
+    /// Returns the time that the sum covers.
+    pub fn covered_ms(&self, now_ms: u64) -> u64 {
+        let cell_ms = self.window.cell_ms();
+        (now_ms % cell_ms + CELLS * cell_ms).min(now_ms)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each function that decides takes the present time as an argument, in
 //! milliseconds of a monotonic clock unless its name says otherwise.
 
+pub mod burn;
 pub mod config;
 pub mod edge;
 pub mod engine;
@@ -13,4 +14,5 @@
 pub mod platform;
 pub mod record;
 pub mod refusal;
+pub mod status;
 pub mod stream;
--- /dev/null
+++ b/crates/mangowalk/src/burn/command.rs
@@ -0,0 +1,54 @@
+use {
+    super::table,
+    crate::{
+        cli::{Common, common},
+        failure::Failure,
+        fleet::{Survey, instances},
+    },
+    bpaf::Bpaf,
+    error_stack::Report,
+    mangowalk_core::burn::BurnReport,
+    serde::Serialize,
+    std::net::SocketAddr,
+};
+
+/// Arguments of `burn`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub(crate) struct Burn {
+    #[bpaf(external(common))]
+    common: Common,
+
+    /// Report on this team only.
+    #[bpaf(long, argument("NAME"), optional)]
+    team: Option<String>,
+}
+
+#[derive(Serialize)]
+struct Printed<'a> {
+    answered: Vec<SocketAddr>,
+    silent: Vec<&'a str>,
+    #[serde(flatten)]
+    report: &'a BurnReport,
+}
+
+impl Burn {
+    /// Sums what every instance published and prints the report.
+    pub(crate) fn run(&self) -> Result<(), Report<Failure>> {
+        let survey = Survey::of(&instances(&self.common.platform())?);
+        let published = survey
+            .answered
+            .iter()
+            .flat_map(|s| &s.burn)
+            .filter(|b| self.team.as_ref().is_none_or(|team| *team == b.team));
+        let report = BurnReport::of(published);
+        let printed = Printed {
+            answered: survey.answered.iter().map(|s| s.caller_address).collect(),
+            silent: survey.silent.iter().map(|s| s.name.as_str()).collect(),
+            report: &report,
+        };
+        let text = table::text(&report, &survey);
+        self.common.output().print(&printed, &text);
+        survey.complete()
+    }
+}
--- /dev/null
+++ b/crates/mangowalk/src/burn/mod.rs
@@ -0,0 +1,6 @@
+//! The report on service-level burn.
+
+mod command;
+mod table;
+
+pub(crate) use command::{Burn, burn};
--- /dev/null
+++ b/crates/mangowalk/src/burn/table.rs
@@ -0,0 +1,78 @@
+use {
+    crate::{fleet::Survey, output::Table},
+    mangowalk_core::burn::{BurnReport, BurnRow, TeamSummary, Window, WindowBurn},
+};
+
+/// Returns the report as text.
+pub(super) fn text(report: &BurnReport, survey: &Survey) -> String {
+    let all = survey.answered.len() + survey.silent.len();
+    let head = format!(
+        "Summed over {} of {all} instances. Burn 1.0 uses the error budget up exactly.",
+        survey.answered.len()
+    );
+    if report.rows.is_empty() {
+        return format!("{head}\n\nNo requests in the last six hours.");
+    }
+    let parts = [head, burn(&report.rows), teams(&report.teams)];
+    parts.join("\n\n")
+}
+
+fn burn(rows: &[BurnRow]) -> String {
+    let mut table = Table::new(&[
+        "TEAM",
+        "OBJECTIVE",
+        "LEVEL",
+        "BURN 5m",
+        "BURN 1h",
+        "BURN 6h",
+    ]);
+    for row in rows {
+        let head = [
+            row.team.clone(),
+            row.objective.to_string(),
+            row.level.to_string(),
+        ];
+        let cells = head.into_iter().chain(row.windows.iter().map(cell));
+        table.row(cells.collect());
+    }
+    table.text()
+}
+
+/// Returns the burn, with the requests that missed out of all.
+fn cell(burn: &WindowBurn) -> String {
+    let all = burn.good + burn.bad;
+    if all == 0 {
+        return "-".to_owned();
+    }
+    format!("{:.1} ({} of {all})", burn.burn, burn.bad)
+}
+
+fn teams(teams: &[TeamSummary]) -> String {
+    let mut table = Table::new(&[
+        "TEAM",
+        "HALF OF FIRST TOKENS",
+        "99 OF 100",
+        "OVER RATE 5m/1h/6h",
+        "ASKED OF RATE 5m/1h/6h",
+    ]);
+    for team in teams {
+        table.row(vec![
+            team.team.clone(),
+            within(team.first_token_half_ms),
+            within(team.first_token_99_percent_ms),
+            by_window(&team.over_rate, ""),
+            by_window(&team.asked_percent, "%"),
+        ]);
+    }
+    table.text()
+}
+
+fn within(bound_ms: Option<u64>) -> String {
+    bound_ms.map_or("-".to_owned(), |ms| format!("within {ms} ms"))
+}
+
+fn by_window(values: &[u64], unit: &str) -> String {
+    debug_assert_eq!(values.len(), Window::ALL.len());
+    let cells: Vec<String> = values.iter().map(|v| format!("{v}{unit}")).collect();
+    cells.join("/")
+}
--- a/crates/mangowalk/src/cli/command.rs
+++ b/crates/mangowalk/src/cli/command.rs
@@ -2,7 +2,10 @@
     super::completion::{Completion, completion},
     crate::{
         ask::{Ask, ask},
+        burn::{Burn, burn},
+        explain::{Explain, explain},
         failure::Failure,
+        fleet::{Fleet, fleet},
         keys::{IssueKey, WithdrawKey, issue_key, withdraw_key},
         records::{Apply, List, Set, Show, Withdraw, apply, list, set, show, withdraw},
     },
@@ -38,6 +41,15 @@
     /// Issue and withdraw keys.
     #[bpaf(command)]
     Key(#[bpaf(external(key_command))] KeyCommand),
+    /// Show instances, upstreams, and what configuration is in force.
+    #[bpaf(command)]
+    Fleet(#[bpaf(external(fleet))] Fleet),
+    /// Tell what an instance would do with a request, and why.
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain))] Explain),
+    /// Report on service-level burn, per team and objective.
+    #[bpaf(command)]
+    Burn(#[bpaf(external(burn))] Burn),
     /// Send a chat request and print the answer as it streams.
     #[bpaf(command)]
     Ask(#[bpaf(external(ask))] Ask),
@@ -69,6 +81,9 @@
             Command::Show(args) => args.run(),
             Command::Key(KeyCommand::Issue(args)) => args.run(),
             Command::Key(KeyCommand::Withdraw(args)) => args.run(),
+            Command::Fleet(args) => args.run(),
+            Command::Explain(args) => args.run(),
+            Command::Burn(args) => args.run(),
             Command::Ask(args) => args.run(),
             Command::Completion(args) => {
                 args.run();
--- /dev/null
+++ b/crates/mangowalk/src/explain/mod.rs
@@ -0,0 +1,5 @@
+//! The command that asks an instance what it would do with a request.
+
+mod command;
+
+pub(crate) use command::{Explain, explain};
--- a/crates/mangowalk/src/failure/kind.rs
+++ b/crates/mangowalk/src/failure/kind.rs
@@ -70,6 +70,12 @@
         /// The object.
         key: ObjectKey,
     },
+    /// Some instances did not answer or are behind.
+    #[display("{detail}. Check these instances, or withdraw them from the list if they are gone.")]
+    Incomplete {
+        /// Which instances, and what they lack.
+        detail: String,
+    },
     /// No instance answered the request.
     #[display("{detail}")]
     NotAnswered {
@@ -86,6 +92,7 @@
             Failure::BadRecord { .. } | Failure::BadFile { .. } => 3,
             Failure::Conflict { .. } | Failure::Differs { .. } => 4,
             Failure::Unreached | Failure::Unknown { .. } => 5,
+            Failure::Incomplete { .. } => 6,
             Failure::NotAnswered { .. } => 7,
         }
     }
--- /dev/null
+++ b/crates/mangowalk/src/fleet/command.rs
@@ -0,0 +1,39 @@
+use {
+    super::{Survey, instances, tables},
+    crate::{
+        cli::{Common, common},
+        failure::Failure,
+    },
+    bpaf::Bpaf,
+    error_stack::Report,
+    mangowalk_core::{edge::Platform, record::Kind},
+};
+
+/// Arguments of `fleet`.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(ignore_rustdoc)]
+pub(crate) struct Fleet {
+    #[bpaf(external(common))]
+    common: Common,
+}
+
+impl Fleet {
+    /// Shows instances, upstreams, and what configuration is in force.
+    pub(crate) fn run(&self) -> Result<(), Report<Failure>> {
+        let platform = self.common.platform();
+        let survey = Survey::of(&instances(&platform)?);
+        let newest = newest_record(&platform)?;
+        let text = tables::text(&survey, newest);
+        self.common.output().print(&survey, &text);
+        survey.complete()
+    }
+}
+
+/// Returns the version of the record that was written last.
+fn newest_record(platform: &dyn Platform) -> Result<u64, Report<Failure>> {
+    let kinds: Vec<String> = Kind::ALL.iter().map(Kind::to_string).collect();
+    let kinds: Vec<&str> = kinds.iter().map(String::as_str).collect();
+    let list = platform.list(&kinds).map_err(|e| Failure::of_read(&e))?;
+    let versions = list.objects.iter().map(|o| o.version);
+    Ok(versions.max().unwrap_or(0))
+}
--- /dev/null
+++ b/crates/mangowalk/src/fleet/instance.rs
@@ -0,0 +1,37 @@
+use {
+    crate::failure::Failure,
+    error_stack::Report,
+    mangowalk_core::{
+        edge::Platform,
+        platform::{Object, own_kind},
+    },
+    serde::Serialize,
+    std::net::SocketAddr,
+};
+
+/// An instance as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(crate) struct Instance {
+    /// Address towards callers, its name.
+    pub(crate) name: String,
+    /// Address towards operators, if it has one.
+    pub(crate) operator_address: Option<SocketAddr>,
+}
+
+impl Instance {
+    fn of(object: &Object) -> Instance {
+        let address = object.body["operator_address"].as_str();
+        Instance {
+            name: object.key.name.clone(),
+            operator_address: address.and_then(|a| a.parse().ok()),
+        }
+    }
+}
+
+/// Returns every instance that the platform lists.
+pub(crate) fn instances(platform: &dyn Platform) -> Result<Vec<Instance>, Report<Failure>> {
+    let list = platform
+        .list(&[own_kind::INSTANCE])
+        .map_err(|e| Failure::of_read(&e))?;
+    Ok(list.objects.iter().map(Instance::of).collect())
+}
--- /dev/null
+++ b/crates/mangowalk/src/fleet/tables.rs
@@ -0,0 +1,136 @@
+use {
+    super::Survey,
+    crate::output::Table,
+    mangowalk_core::status::{InstanceStatus, UpstreamStatus},
+    std::collections::BTreeMap,
+};
+
+/// Returns the fleet as text.
+pub(super) fn text(survey: &Survey, newest_record: u64) -> String {
+    let mut parts = vec![
+        instances(survey, newest_record),
+        upstreams(&survey.answered),
+    ];
+    let refused = refused(&survey.answered);
+    if !refused.is_empty() {
+        parts.push(refused);
+    }
+    parts.join("\n\n")
+}
+
+fn instances(survey: &Survey, newest_record: u64) -> String {
+    let mut table = Table::new(&[
+        "INSTANCE", "DOMAIN", "PHASE", "REVISION", "RECORDS", "OPEN", "SHARES",
+    ]);
+    for status in &survey.answered {
+        let records = if status.revision >= newest_record {
+            "in force".to_owned()
+        } else {
+            format!("behind {newest_record}")
+        };
+        table.row(vec![
+            status.caller_address.to_string(),
+            status.failure_domain.clone(),
+            status.phase.to_string(),
+            status.revision.to_string(),
+            records,
+            status.open_requests.to_string(),
+            status.slots.to_string(),
+        ]);
+    }
+    for silent in &survey.silent {
+        table.row(vec![silent.name.clone(), "-".into(), "no answer".into()]);
+    }
+    table.text()
+}
+
+/// What all instances say of one upstream.
+#[derive(Default)]
+struct Seen<'a> {
+    serves: &'a str,
+    states: BTreeMap<&'a str, usize>,
+    versions: BTreeMap<&'a str, usize>,
+    in_flight: u32,
+    departing: usize,
+}
+
+impl<'a> Seen<'a> {
+    fn add(&mut self, upstream: &'a UpstreamStatus) {
+        self.serves = &upstream.serves;
+        *self.states.entry(&upstream.state).or_default() += 1;
+        if let Some(version) = &upstream.version {
+            *self.versions.entry(version).or_default() += 1;
+        }
+        self.in_flight += upstream.in_flight;
+        self.departing += usize::from(upstream.departing);
+    }
+}
+
+fn upstreams(answered: &[InstanceStatus]) -> String {
+    let mut all: BTreeMap<&str, Seen<'_>> = BTreeMap::new();
+    for upstream in answered.iter().flat_map(|s| &s.upstreams) {
+        all.entry(&upstream.name).or_default().add(upstream);
+    }
+    let mut table = Table::new(&[
+        "UPSTREAM",
+        "SERVES",
+        "STATE",
+        "VERSION",
+        "IN FLIGHT",
+        "DEPARTING",
+    ]);
+    for (name, seen) in &all {
+        table.row(vec![
+            (*name).to_owned(),
+            seen.serves.to_owned(),
+            agreed(&seen.states),
+            agreed(&seen.versions),
+            seen.in_flight.to_string(),
+            departing(seen.departing, answered.len()),
+        ]);
+    }
+    table.text()
+}
+
+/// Returns the value that all instances see, or each value with how many see
+/// it.
+fn agreed(values: &BTreeMap<&str, usize>) -> String {
+    match values.len() {
+        0 => "-".to_owned(),
+        1 => values.keys().copied().collect(),
+        _ => values
+            .iter()
+            .map(|(value, count)| format!("{value} ({count})"))
+            .collect::<Vec<String>>()
+            .join(", "),
+    }
+}
+
+fn departing(count: usize, answered: usize) -> String {
+    match count {
+        0 => "no".to_owned(),
+        n if n == answered => "yes".to_owned(),
+        n => format!("yes ({n} of {answered})"),
+    }
+}
+
+fn refused(answered: &[InstanceStatus]) -> String {
+    let mut lines: BTreeMap<String, usize> = BTreeMap::new();
+    for record in answered.iter().flat_map(|s| &s.refused) {
+        let earlier = if record.earlier_in_force {
+            "the write before it stays in force"
+        } else {
+            "nothing is in force"
+        };
+        let line = format!(
+            "{}/{} at version {} is refused, {earlier}. {}",
+            record.kind, record.name, record.version, record.why
+        );
+        *lines.entry(line).or_default() += 1;
+    }
+    lines
+        .iter()
+        .map(|(line, count)| format!("{line} ({count} of {} instances)", answered.len()))
+        .collect::<Vec<String>>()
+        .join("\n")
+}
--- a/crates/mangowalk/src/keys/issue.rs
+++ b/crates/mangowalk/src/keys/issue.rs
@@ -3,6 +3,7 @@
     crate::{
         cli::{Common, common},
         failure::Failure,
+        fleet::{Wait, wait},
         output::progress,
         records::{RecordFile, put, read},
     },
@@ -26,6 +27,9 @@
     #[bpaf(external(common))]
     common: Common,
 
+    #[bpaf(external(wait))]
+    wait: Wait,
+
     /// Name of the key's record; without it the team's name and a part of the
     /// digest.
     #[bpaf(long, argument("NAME"), optional)]
@@ -79,6 +83,6 @@
             key,
         };
         self.common.output().print(&issued, &issued.key);
-        Ok(())
+        self.wait.until_in_force(&platform, version)
     }
 }
--- a/crates/mangowalk/src/keys/withdraw.rs
+++ b/crates/mangowalk/src/keys/withdraw.rs
@@ -2,6 +2,7 @@
     crate::{
         cli::{Common, common},
         failure::Failure,
+        fleet::{Wait, wait},
         records::withdraw_record,
     },
     bpaf::Bpaf,
@@ -16,6 +17,9 @@
     #[bpaf(external(common))]
     common: Common,
 
+    #[bpaf(external(wait))]
+    wait: Wait,
+
     /// Name of the key's record, as `mangowalk list key` shows it
     #[bpaf(positional("NAME"))]
     name: String,
@@ -25,8 +29,9 @@
     /// Withdraws the key.
     pub(crate) fn run(&self) -> Result<(), Report<Failure>> {
         let key = ObjectKey::new(&Kind::Key.to_string(), &self.name);
-        let written = withdraw_record(&self.common.platform(), key, None)?;
+        let platform = self.common.platform();
+        let written = withdraw_record(&platform, key, None)?;
         self.common.output().print(&written, &written.text());
-        Ok(())
+        self.wait.until_in_force(&platform, written.version)
     }
 }
--- a/crates/mangowalk/src/lib.rs
+++ b/crates/mangowalk/src/lib.rs
@@ -7,7 +7,10 @@
 pub mod cli;
 
 mod ask;
+mod burn;
+mod explain;
 mod failure;
+mod fleet;
 mod keys;
 mod output;
 mod records;
--- a/crates/mangowalk/src/records/apply.rs
+++ b/crates/mangowalk/src/records/apply.rs
@@ -3,6 +3,7 @@
     crate::{
         cli::{Common, common},
         failure::Failure,
+        fleet::{Wait, wait},
         output::progress,
     },
     bpaf::Bpaf,
@@ -22,6 +23,9 @@
     #[bpaf(long)]
     dry_run: bool,
 
+    #[bpaf(external(wait))]
+    wait: Wait,
+
     /// Change records that exist whatever their version.
     #[bpaf(long)]
     overwrite: bool,
@@ -42,13 +46,20 @@
             .collect::<Result<Vec<Plan<'_>>, _>>()?;
         let written = if self.dry_run {
             progress("Dry run: nothing is written.");
-            plans.into_iter().map(|p| p.written).collect()
+            plans
+                .into_iter()
+                .map(|p| p.written)
+                .collect::<Vec<Written>>()
         } else {
             self.write(&platform, &plans)?
         };
         let text = Written::texts(&written);
         self.common.output().print(&written, &text);
-        Ok(())
+        if self.dry_run {
+            return Ok(());
+        }
+        let newest = written.iter().map(|w| w.version).max().unwrap_or(0);
+        self.wait.until_in_force(&platform, newest)
     }
 
     /// Reads every file, and returns the records in the order in which a new
--- a/crates/mangowalk/src/records/set.rs
+++ b/crates/mangowalk/src/records/set.rs
@@ -3,6 +3,7 @@
     crate::{
         cli::{Common, common, kind},
         failure::Failure,
+        fleet::{Wait, wait},
         output::progress,
     },
     bpaf::Bpaf,
@@ -23,6 +24,9 @@
     #[bpaf(long)]
     dry_run: bool,
 
+    #[bpaf(external(wait))]
+    wait: Wait,
+
     #[bpaf(external(kind))]
     kind: Kind,
 
@@ -97,7 +101,10 @@
         }
         let text = written.text();
         self.common.output().print(&written, &text);
-        Ok(())
+        if self.dry_run {
+            return Ok(());
+        }
+        self.wait.until_in_force(&platform, written.version)
     }
 }
 
--- a/crates/mangowalk/src/records/withdraw.rs
+++ b/crates/mangowalk/src/records/withdraw.rs
@@ -3,6 +3,7 @@
     crate::{
         cli::{Common, common, kind},
         failure::Failure,
+        fleet::{Wait, wait},
     },
     bpaf::Bpaf,
     error_stack::Report,
@@ -16,6 +17,9 @@
     #[bpaf(external(common))]
     common: Common,
 
+    #[bpaf(external(wait))]
+    wait: Wait,
+
     /// Withdraw only if the record is at this version.
     #[bpaf(long("if-version"), argument("VERSION"), optional)]
     seen: Option<u64>,
@@ -32,9 +36,10 @@
     /// Withdraws the record.
     pub(crate) fn run(&self) -> Result<(), Report<Failure>> {
         let key = ObjectKey::new(&self.kind.to_string(), &self.name);
-        let written = withdraw_record(&self.common.platform(), key, self.seen)?;
+        let platform = self.common.platform();
+        let written = withdraw_record(&platform, key, self.seen)?;
         self.common.output().print(&written, &written.text());
-        Ok(())
+        self.wait.until_in_force(&platform, written.version)
     }
 }
 
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -3,6 +3,7 @@
 //! Controllers read and write it, one part each; requests read it and note
 //! what they saw. No part calls another, so each can be tested alone.
 
+mod burn;
 mod config;
 mod engines;
 mod identity;
@@ -12,6 +13,7 @@
 mod whole;
 
 pub use {
+    burn::{BurnBoard, Unsent},
     config::ConfigBoard,
     engines::{EngineBoard, EngineSight, InFlight},
     identity::Identity,
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,8 +1,15 @@
-use super::{ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard};
+use {
+    super::{BurnBoard, ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard},
+    std::net::SocketAddr,
+};
 
 /// The state of one instance.
 #[derive(Debug)]
 pub struct Board {
+    /// Address towards operators, if there is one.
+    pub operator_address: Option<SocketAddr>,
+    /// What became of every team's requests.
+    pub burn: BurnBoard,
     /// Who the instance is.
     pub identity: Identity,
     /// Records in force.
@@ -21,6 +28,8 @@
     /// Returns the board of an instance that starts.
     pub fn new(identity: Identity) -> Board {
         Board {
+            operator_address: None,
+            burn: BurnBoard::default(),
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
--- a/crates/mangowalkd/src/caller/chat.rs
+++ b/crates/mangowalkd/src/caller/chat.rs
@@ -115,7 +115,7 @@
 
 fn whole<E: Edges>(handler: &Handler<'_, E>, request: Request, chat: &ChatRequest, shape: &Shape) {
     let mut sink = Collect::default();
-    match handler.router.generate(chat, &mut sink) {
+    match handler.router.generate_counted(chat, &mut sink) {
         Ok(finished) => {
             let body = shape.whole(&sink.text, &finished).to_string();
             handler.json(request, 200, body.into_bytes());
@@ -137,7 +137,7 @@
         writer: None,
         shape,
     };
-    let result = handler.router.generate(chat, &mut sink);
+    let result = handler.router.generate_counted(chat, &mut sink);
     match result {
         Ok(finished) => {
             let _ = sink.finish(&finished);
--- a/crates/mangowalkd/src/caller/service.rs
+++ b/crates/mangowalkd/src/caller/service.rs
@@ -29,7 +29,7 @@
         idempotency_key: header(&request, "Idempotency-Key").map(str::to_owned),
         body,
     };
-    match handler.router.call_service(&call) {
+    match handler.router.call_service_counted(&call) {
         Ok(reply) => {
             let mut response = Response::from_data(reply.body).with_status_code(reply.status);
             let headers = [
--- a/crates/mangowalkd/src/cli/args.rs
+++ b/crates/mangowalkd/src/cli/args.rs
@@ -82,6 +82,15 @@
     )]
     pub drain_timeout_ms: u64,
 
+    /// Address for operators, as IP number and port: status, health and
+    /// explanations. Without it the client can't show this instance.
+    #[bpaf(long, env("MANGOWALK_OPERATOR_ADDRESS"), argument("IP:PORT"), optional)]
+    pub operator_address: Option<SocketAddr>,
+
+    /// Address of a statsd daemon that metrics are sent to over UDP.
+    #[bpaf(long, env("MANGOWALK_STATSD_ADDRESS"), argument("IP:PORT"), optional)]
+    pub statsd_address: Option<SocketAddr>,
+
     /// Check the settings and exit.
     #[bpaf(long)]
     pub check: bool,
--- a/crates/mangowalkd/src/cli/settings.rs
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -27,6 +27,10 @@
     pub token_timeout_ms: u64,
     /// Longest time that a shutdown waits for open requests.
     pub drain_timeout_ms: u64,
+    /// Address for operators.
+    pub operator_address: Option<SocketAddr>,
+    /// Address of a statsd daemon.
+    pub statsd_address: Option<SocketAddr>,
 }
 
 impl Default for Settings {
@@ -43,6 +47,8 @@
             request_timeout_ms: 120_000,
             token_timeout_ms: 5_000,
             drain_timeout_ms: 150_000,
+            operator_address: None,
+            statsd_address: None,
         }
     }
 }
@@ -123,6 +129,8 @@
             request_timeout_ms: args.request_timeout_ms,
             token_timeout_ms: args.token_timeout_ms,
             drain_timeout_ms: args.drain_timeout_ms,
+            operator_address: args.operator_address,
+            statsd_address: args.statsd_address,
         })
     }
 }
--- a/crates/mangowalkd/src/controller/gossip.rs
+++ b/crates/mangowalkd/src/controller/gossip.rs
@@ -44,7 +44,8 @@
     fn register(&mut self, edges: &E, board: &Board) {
         let id = &board.identity;
         let name = id.caller_address.to_string();
-        let body = json!({ "schema": 1, "peer_address": id.peer_address });
+        let body = json!({ "schema": 1, "peer_address": id.peer_address,
+            "operator_address": board.operator_address });
         let key = ObjectKey::new(own_kind::INSTANCE, &name);
         self.registered = edges.platform().put(&key, Expect::Any, &body).is_ok();
     }
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -5,6 +5,8 @@
         cli::Settings,
         controller::{ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, spawn},
         edge::{LiveEdges, PeerServer},
+        metrics::{MetricsReport, metrics_client},
+        operator::OperatorServer,
         serve::Router,
     },
     derive_more::{Display, Error},
@@ -33,6 +35,12 @@
     /// The address for peers can't be listened on.
     #[display("--peer-address can't be listened on; check that no other process uses it.")]
     PeerAddress,
+    /// The address for operators can't be listened on.
+    #[display("--operator-address can't be listened on; check that no other process uses it.")]
+    OperatorAddress,
+    /// The system gives no socket for metrics.
+    #[display("--statsd-address can't be sent to; give an IP number of this network.")]
+    StatsdAddress,
     /// The system gives no threads or signals.
     #[display("The system gives no more threads; raise the limit of threads.")]
     Threads,
@@ -55,12 +63,14 @@
     pub fn start(settings: Settings) -> Result<Daemon, Report<StartError>> {
         let signals = Signals::new([SIGTERM, SIGINT]).change_context(StartError::Threads)?;
         let edges = Arc::new(LiveEdges::new(settings.platform_address));
-        let board = Arc::new(Board::new(Identity {
+        let mut board = Board::new(Identity {
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
             failure_domain: settings.failure_domain.clone(),
             incarnation: rand::random(),
-        }));
+        });
+        board.operator_address = settings.operator_address;
+        let board = Arc::new(board);
         let (peer_edges, peer_board) = (edges.clone(), board.clone());
         let peer_server = PeerServer::start(settings.peer_address, move |request| {
             answer(&*peer_edges, &peer_board, &request)
@@ -69,6 +79,7 @@
         let router = Router::new(edges.clone(), board.clone(), settings.clone());
         CallerServer::start(Arc::new(router)).change_context(StartError::CallerAddress)?;
         start_controllers(&settings, &edges, &board).change_context(StartError::Threads)?;
+        start_operator_edge(&settings, &edges, &board)?;
         info!("daemon: Listening on {}.", settings.caller_address);
         Ok(Daemon {
             board,
@@ -101,6 +112,24 @@
     }
 }
 
+fn start_operator_edge(
+    settings: &Settings,
+    edges: &Arc<LiveEdges>,
+    board: &Arc<Board>,
+) -> Result<(), Report<StartError>> {
+    if let Some(address) = settings.operator_address {
+        OperatorServer::start(address, edges, board).change_context(StartError::OperatorAddress)?;
+        info!("daemon: Listening to operators on {address}.");
+    }
+    if let Some(address) = settings.statsd_address {
+        let client = metrics_client(address, settings.caller_address)
+            .change_context(StartError::StatsdAddress)?;
+        spawn(MetricsReport::new(client), edges.clone(), board.clone())
+            .change_context(StartError::Threads)?;
+    }
+    Ok(())
+}
+
 fn start_controllers(
     settings: &Settings,
     edges: &Arc<LiveEdges>,
--- a/crates/mangowalkd/src/lib.rs
+++ b/crates/mangowalkd/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod cli;
 pub mod controller;
 pub mod edge;
+pub mod metrics;
+pub mod operator;
 pub mod serve;
 
 mod daemon;
--- /dev/null
+++ b/crates/mangowalkd/src/metrics/controller.rs
@@ -0,0 +1,82 @@
+use {
+    crate::{board::Board, controller::Controller},
+    cadence::{Counted, Gauged, StatsdClient, Timed},
+    mangowalk_core::{burn::Counts, edge::Edges},
+    std::marker::PhantomData,
+};
+
+/// Pause between two reports.
+const PERIOD_MS: u64 = 1_000;
+
+/// Sends what the blackboard counted.
+pub struct MetricsReport<E> {
+    client: StatsdClient,
+    edges: PhantomData<fn() -> E>,
+}
+
+impl<E> MetricsReport<E> {
+    /// Returns a controller that sends through a client.
+    pub fn new(client: StatsdClient) -> MetricsReport<E> {
+        MetricsReport {
+            client,
+            edges: PhantomData,
+        }
+    }
+
+    fn requests(&self, team: &str, counts: &Counts) {
+        let ends = [
+            ("complete", counts.complete),
+            ("cut", counts.cut),
+            ("abandoned", counts.abandoned),
+            ("rejected", counts.rejected),
+            ("over_rate", counts.over_rate),
+            ("turned_away", counts.turned_away),
+        ];
+        for (end, count) in ends {
+            if count > 0 {
+                self.client
+                    .count_with_tags("requests", count)
+                    .with_tag("team", team)
+                    .with_tag("end", end)
+                    .send();
+            }
+        }
+        if counts.served_tokens > 0 {
+            self.client
+                .count_with_tags("tokens", counts.served_tokens)
+                .with_tag("team", team)
+                .send();
+        }
+    }
+
+    fn gauges(&self, board: &Board, now_ms: u64) {
+        let gauge = |name: &str, value: u64| {
+            self.client.gauge_with_tags(name, value).send();
+        };
+        gauge("open_requests", board.life.open_requests() as u64);
+        gauge("revision", board.config.view().revision);
+        gauge("slots", u64::from(board.limits.slots(now_ms)));
+        gauge("peers", board.peers.sights().len() as u64);
+    }
+}
+
+impl<E: Edges> Controller for MetricsReport<E> {
+    type Edges = E;
+
+    const NAME: &'static str = "metrics";
+
+    fn step(&mut self, _edges: &E, board: &Board, now_ms: u64) -> u64 {
+        let unsent = board.burn.take_unsent();
+        for (team, counts) in &unsent.counts {
+            self.requests(team, counts);
+        }
+        for (team, first_ms) in &unsent.first_tokens {
+            self.client
+                .time_with_tags("first_token", *first_ms)
+                .with_tag("team", team)
+                .send();
+        }
+        self.gauges(board, now_ms);
+        PERIOD_MS
+    }
+}
--- /dev/null
+++ b/crates/mangowalkd/src/operator/server.rs
@@ -0,0 +1,65 @@
+use {
+    super::handler::handle,
+    crate::board::Board,
+    log::warn,
+    mangowalk_core::edge::{Clock, Edges},
+    std::{
+        io,
+        net::{SocketAddr, TcpListener},
+        sync::Arc,
+        thread,
+        time::Duration,
+    },
+};
+
+/// Threads that answer operators. Few on purpose: an operator's script that
+/// asks too often waits, and takes nothing from callers.
+const THREADS: usize = 2;
+
+/// Pause between two looks at whether to stop.
+const POLL: Duration = Duration::from_millis(100);
+
+/// Listens to operators.
+pub struct OperatorServer {
+    address: SocketAddr,
+}
+
+impl OperatorServer {
+    /// Starts to listen.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address is in use.
+    pub fn start<E: Edges>(
+        address: SocketAddr,
+        edges: &Arc<E>,
+        board: &Arc<Board>,
+    ) -> io::Result<OperatorServer> {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let server = tiny_http::Server::from_listener(listener, None).map_err(io::Error::other)?;
+        let server = Arc::new(server);
+        for _ in 0..THREADS {
+            let (server, edges, board) = (server.clone(), edges.clone(), board.clone());
+            thread::Builder::new()
+                .name("operators".to_owned())
+                .spawn(move || serve(&server, &*edges, &board))?;
+        }
+        Ok(OperatorServer { address })
+    }
+
+    /// Returns the address listened on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+fn serve<E: Edges>(server: &tiny_http::Server, edges: &E, board: &Board) {
+    while !board.life.is_stopped() {
+        match server.recv_timeout(POLL) {
+            Ok(Some(request)) => handle(request, board, edges.clock().now_ms()),
+            Ok(None) => {}
+            Err(error) => warn!("operators: A connection failed. {error}"),
+        }
+    }
+}
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod generate;
+mod observe;
 mod request;
 mod router;
 mod service;
