Prove the counting of the burn report

Figures: less than 2 MiB counted for 230 teams, less than 5 MiB for any number of names (the test's own bounds).

--- /dev/null
+++ b/crates/core/tests/burn.rs
@@ -0,0 +1,241 @@
+//! Counting of the burn report: windows, sums over instances, memory.
+
+use {
+    mangowalk_core::{
+        burn::{
+            BOUNDS_MS, BurnReport, CELLS, Counts, End, Ledger, Level, Objective, Observation,
+            TeamBurn, Window,
+        },
+        refusal::{Outcome, Refusal},
+    },
+    proptest::prelude::*,
+};
+
+const OBJECTIVE_MS: u64 = 600;
+
+fn seen(first_ms: u64, end: End) -> Observation {
+    Observation {
+        first_token_ms: Some(first_ms),
+        end,
+        tokens: 10,
+    }
+}
+
+fn published(ledger: &Ledger, now_ms: u64, tokens_per_s: u64) -> Vec<TeamBurn> {
+    let mut teams = ledger.publish(now_ms);
+    for team in &mut teams {
+        team.tokens_per_s = tokens_per_s;
+    }
+    teams
+}
+
+fn counts(ledger: &Ledger, window: usize, now_ms: u64) -> Counts {
+    let teams = ledger.publish(now_ms);
+    teams
+        .first()
+        .map_or(Counts::default(), |t| t.windows[window].counts)
+}
+
+fn end() -> impl Strategy<Value = End> {
+    prop_oneof![
+        Just(End::Complete),
+        Just(End::Cut),
+        Just(End::Abandoned),
+        Just(End::Rejected),
+        Just(End::OverRate),
+        Just(End::TurnedAway),
+    ]
+}
+
+proptest! {
+    /// Requests are spread over several instances in any way. The report must
+    /// not depend on it: an operator who sees other figures after a restart
+    /// would not know which to believe.
+    #[test]
+    fn the_report_is_the_same_however_requests_are_spread(
+        requests in prop::collection::vec((0u64..20_000, end(), 0usize..5), 1..200),
+    ) {
+        let mut spread = vec![Ledger::default(); 5];
+        let mut whole = Ledger::default();
+        for (i, (first_ms, end, instance)) in requests.iter().enumerate() {
+            let now_ms = 1_000_000 + i as u64;
+            let seen = seen(*first_ms, *end);
+            spread[*instance].note("gallery", &seen, OBJECTIVE_MS, now_ms);
+            whole.note("gallery", &seen, OBJECTIVE_MS, now_ms);
+        }
+        let parts: Vec<TeamBurn> =
+            spread.iter().flat_map(|l| published(l, 1_001_000, 1)).collect();
+        prop_assert_eq!(
+            BurnReport::of(&parts),
+            BurnReport::of(&published(&whole, 1_001_000, 1))
+        );
+    }
+
+    /// A request is in a window for its whole length, and out of it a cell
+    /// later at the latest.
+    #[test]
+    fn a_request_leaves_each_window_in_time(at_ms in 0u64..100_000_000, later_ms in 0u64..50_000_000) {
+        let mut ledger = Ledger::default();
+        ledger.note("gallery", &seen(1, End::Complete), OBJECTIVE_MS, at_ms);
+        for (i, window) in Window::ALL.into_iter().enumerate() {
+            let counted = counts(&ledger, i, at_ms + later_ms).complete == 1;
+            if later_ms <= window.length_ms() {
+                prop_assert!(counted, "{window} lost it after {later_ms} ms");
+            }
+            if later_ms > window.length_ms() + window.length_ms() / CELLS {
+                prop_assert!(!counted, "{window} kept it for {later_ms} ms");
+            }
+        }
+    }
+
+    /// A thread that waited for the lock notes with an older time than the
+    /// last one. Nothing that was counted may go.
+    #[test]
+    fn an_older_time_clears_nothing(at_ms in 400_000u64..1_000_000, back_ms in 0u64..400_000) {
+        let mut ledger = Ledger::default();
+        ledger.note("gallery", &seen(1, End::Complete), OBJECTIVE_MS, at_ms);
+        ledger.note("gallery", &seen(1, End::Complete), OBJECTIVE_MS, at_ms - back_ms);
+        prop_assert!(counts(&ledger, 0, at_ms).complete >= 1);
+        prop_assert_eq!(counts(&ledger, 2, at_ms).complete, 2);
+    }
+}
+
+/// One instance refuses for the rate although the team as a whole asked for a
+/// tenth of it: shares are in the wrong places, and the team's callers are
+/// refused wrongly. The same refusals count for nothing once the team asks for
+/// more than its rate.
+#[test]
+fn refusals_for_the_rate_burn_only_within_the_rate() {
+    let mut ledger = Ledger::default();
+    for _ in 0..10 {
+        ledger.note("gallery", &seen(1, End::Complete), OBJECTIVE_MS, 300_000);
+        ledger.note("gallery", &seen(1, End::OverRate), OBJECTIVE_MS, 300_000);
+    }
+    let bad = |tokens_per_s| {
+        let report = BurnReport::of(&published(&ledger, 300_000, tokens_per_s));
+        let row = report
+            .rows
+            .into_iter()
+            .find(|r| r.objective == Objective::Admitted);
+        row.map(|r| r.windows[0].bad)
+    };
+    // 200 tokens were asked for within 300 s.
+    assert_eq!(bad(1), Some(10));
+    assert_eq!(bad(0), Some(0));
+    let hungry = 100_000;
+    ledger.note(
+        "gallery",
+        &Observation {
+            tokens: hungry,
+            ..seen(1, End::OverRate)
+        },
+        OBJECTIVE_MS,
+        300_000,
+    );
+    let report = BurnReport::of(&published(&ledger, 300_000, 1));
+    let row = report
+        .rows
+        .iter()
+        .find(|r| r.objective == Objective::Admitted);
+    assert_eq!(row.map(|r| r.windows[0].bad), Some(0));
+}
+
+/// An engine fails for five minutes and is well again. The level rises while
+/// both windows burn, and falls soon after, although an hour's window still
+/// holds the failure.
+#[test]
+fn the_level_falls_soon_after_the_failure_ends() {
+    let mut ledger = Ledger::default();
+    let minute_ms = 60_000;
+    let level = |ledger: &Ledger, now_ms| {
+        let report = BurnReport::of(&published(ledger, now_ms, 0));
+        report.rows.iter().map(|r| r.level).max()
+    };
+    for minute in 0..60 {
+        let end = if minute >= 55 {
+            End::Cut
+        } else {
+            End::Complete
+        };
+        for _ in 0..100 {
+            ledger.note("gallery", &seen(1, end), OBJECTIVE_MS, minute * minute_ms);
+        }
+    }
+    assert_eq!(level(&ledger, 60 * minute_ms), Some(Level::Fast));
+    for minute in 60..70 {
+        for _ in 0..100 {
+            ledger.note(
+                "gallery",
+                &seen(1, End::Complete),
+                OBJECTIVE_MS,
+                minute * minute_ms,
+            );
+        }
+    }
+    assert_ne!(level(&ledger, 70 * minute_ms), Some(Level::Fast));
+}
+
+#[test]
+fn refusals_count_for_whom_they_blame() {
+    let unavailable = Refusal::Unavailable {
+        reason: "full",
+        retry_ms: 1,
+    };
+    let lost = Refusal::Lost {
+        remedy: "ask",
+        outcome: Outcome::Unknown,
+    };
+    let cases = [
+        (Refusal::RateLimited { retry_ms: 1 }, false, End::OverRate),
+        (unavailable.clone(), false, End::TurnedAway),
+        (unavailable, true, End::Cut),
+        (lost, false, End::Cut),
+        (Refusal::Unauthorized, false, End::Rejected),
+        (
+            Refusal::OverBurst {
+                reserve_tokens: 2,
+                burst_tokens: 1,
+            },
+            false,
+            End::Rejected,
+        ),
+    ];
+    for (refusal, answered, end) in cases {
+        assert_eq!(End::of_refusal(&refusal, answered), end, "{refusal}");
+    }
+}
+
+/// 230 teams, the size of two years from now, and then as many names as the
+/// ledger takes.
+#[test]
+fn memory_is_bounded() {
+    let mut ledger = Ledger::default();
+    let mut note = |teams: std::ops::Range<u32>| {
+        for team in teams {
+            ledger.note(
+                &format!("team-{team:04}"),
+                &seen(1, End::Complete),
+                OBJECTIVE_MS,
+                1,
+            );
+        }
+        ledger.memory_bytes()
+    };
+    let at_230 = note(0..230);
+    assert!(at_230 < 2 << 20, "{at_230} bytes for 230 teams");
+    let at_most = note(0..10_000);
+    assert!(at_most < 5 << 20, "{at_most} bytes for 10,000 names");
+}
+
+#[test]
+fn times_fall_into_the_bucket_whose_bound_they_reach() {
+    let mut counts = Counts::default();
+    for bound_ms in BOUNDS_MS {
+        counts.note(&seen(bound_ms, End::Complete), OBJECTIVE_MS);
+    }
+    assert_eq!(counts.first_token.within_ms(50), Some(BOUNDS_MS[5]));
+    assert_eq!(counts.first_token.within_ms(100), Some(BOUNDS_MS[10]));
+    counts.note(&seen(BOUNDS_MS[10] + 1, End::Complete), OBJECTIVE_MS);
+    assert_eq!(counts.first_token.within_ms(100), None);
+    assert_eq!((counts.first_in_time, counts.first_late), (6, 6));
+}
