--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! milliseconds of a monotonic clock unless its name says otherwise.
 
 pub mod attempt;
+pub mod burn;
 pub mod config;
 pub mod edge;
 pub mod engine;
@@ -14,5 +15,6 @@
 pub mod platform;
 pub mod record;
 pub mod refusal;
+pub mod status;
 pub mod stream;
 pub mod upstream;
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,8 +1,17 @@
-use super::{ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard, UpstreamBoard};
+use {
+    super::{
+        BurnBoard, ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard, UpstreamBoard,
+    },
+    std::net::SocketAddr,
+};
 
 /// The state of one instance.
 #[derive(Debug)]
 pub struct Board {
+    /// Address towards operators, if there is one.
+    pub operator_address: Option<SocketAddr>,
+    /// What became of every team's requests.
+    pub burn: BurnBoard,
     /// Who the instance is.
     pub identity: Identity,
     /// Records in force.
@@ -23,6 +32,8 @@
     /// Returns the board of an instance that starts.
     pub fn new(identity: Identity) -> Board {
         Board {
+            operator_address: None,
+            burn: BurnBoard::default(),
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
--- a/crates/mangowalkd/src/caller/chat.rs
+++ b/crates/mangowalkd/src/caller/chat.rs
@@ -84,7 +84,7 @@
     shape: &Shape,
 ) {
     let mut sink = Collect::default();
-    match handler.router.generate(chat, &mut sink) {
+    match handler.router.generate_counted(chat, &mut sink) {
         Ok(finished) => {
             let body = shape.whole(&sink.text, &finished).to_string();
             handler.add_rate(&mut head, &chat.team);
@@ -108,7 +108,7 @@
 ) {
     handler.add_rate(&mut head, &chat.team);
     let mut sink = StreamSink::new(request, head, shape);
-    match handler.router.generate(chat, &mut sink) {
+    match handler.router.generate_counted(chat, &mut sink) {
         Ok(finished) => sink.finish(&finished),
         Err(refusal) => sink.refuse(&refusal),
     }
--- a/crates/mangowalkd/src/cli/settings.rs
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -31,6 +31,10 @@
     pub token_timeout_ms: u64,
     /// Longest time that a shutdown waits for open requests.
     pub drain_timeout_ms: u64,
+    /// Address for operators.
+    pub operator_address: Option<SocketAddr>,
+    /// Address of a statsd daemon.
+    pub statsd_address: Option<SocketAddr>,
 }
 
 impl Default for Settings {
@@ -49,6 +53,8 @@
             caller_timeout_ms: 10_000,
             token_timeout_ms: 5_000,
             drain_timeout_ms: 150_000,
+            operator_address: None,
+            statsd_address: None,
         }
     }
 }
@@ -133,6 +139,8 @@
             caller_timeout_ms: args.caller_timeout_ms,
             token_timeout_ms: args.token_timeout_ms,
             drain_timeout_ms: args.drain_timeout_ms,
+            operator_address: args.operator_address,
+            statsd_address: args.statsd_address,
         })
     }
 }
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod attempts;
 mod generate;
+mod observe;
 mod request;
 mod router;
 mod service;
