--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -13,6 +13,9 @@
 /// (power of two choices); more would follow lagging reports into herds.
 const RANDOM_DRAWS: usize = 2;
 
+/// Engines drawn for a prompt without a full block, which has no homes.
+const DRAWS_WITHOUT_HOMES: usize = 4;
+
 /// Looks for an eligible engine behind a random one.
 const RANDOM_STEPS: usize = 8;
 
@@ -51,9 +54,12 @@
         marks: &[Mark],
         now_ms: u64,
     ) -> Vec<Candidate> {
-        let draws: Vec<u64> = (0..RANDOM_DRAWS + 1)
-            .map(|_| placement.rng.random())
-            .collect();
+        let random = if marks.is_empty() {
+            DRAWS_WITHOUT_HOMES
+        } else {
+            RANDOM_DRAWS
+        };
+        let draws: Vec<u64> = (0..random + 1).map(|_| placement.rng.random()).collect();
         let Some(model) = placement.fleet.model(ask.model) else {
             return Vec::new();
         };
@@ -75,6 +81,11 @@
         let engine = self.placement.fleet.get(slot);
         engine.serves(self.ask.model, self.ask.version)
             && (self.ask.avoid.is_empty() || !self.ask.avoid.contains(&engine.spec.name))
+            && (self.ask.fit)(&engine.spec.name)
+    }
+
+    fn is_found(&self, slot: usize) -> bool {
+        self.found.iter().any(|c| c.slot == slot)
     }
 
     fn add(&mut self, candidate: Candidate) {
@@ -197,7 +208,7 @@
         let slots = &self.model.slots;
         let slot = (0..slots.len().min(RANDOM_STEPS))
             .map(|step| slots[(draw as usize).wrapping_add(step) % slots.len()])
-            .find(|slot| self.eligible(*slot));
+            .find(|slot| !self.is_found(*slot) && self.eligible(*slot));
         if let Some(slot) = slot {
             self.add(Candidate {
                 slot,
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -4,22 +4,28 @@
 //! what they saw. No part calls another, so each can be tested alone.
 
 mod admission;
+mod burn;
 mod config;
 mod engines;
 mod identity;
 mod life;
 mod limits;
 mod peers;
+mod placed;
+mod upstreams;
 mod whole;
 
 pub use {
-    admission::DispatchBoard,
+    admission::{DispatchBoard, DispatchSettings},
+    burn::{BurnBoard, Unsent},
     config::ConfigBoard,
     engines::{EngineBoard, EngineSight, InFlight},
     identity::Identity,
     life::{Life, OpenRequest},
     limits::LimitBoard,
     peers::{PeerBoard, PeerSight},
+    placed::Placed,
+    upstreams::{UpstreamBoard, UpstreamRun},
     whole::Board,
 };
 
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,8 +1,18 @@
-use super::{ConfigBoard, DispatchBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard};
+use {
+    super::{
+        BurnBoard, ConfigBoard, DispatchBoard, DispatchSettings, EngineBoard, Identity, Life,
+        LimitBoard, PeerBoard, UpstreamBoard,
+    },
+    std::net::SocketAddr,
+};
 
 /// The state of one instance.
 #[derive(Debug)]
 pub struct Board {
+    /// Address towards operators, if there is one.
+    pub operator_address: Option<SocketAddr>,
+    /// What became of every team's requests.
+    pub burn: BurnBoard,
     /// Who the instance is.
     pub identity: Identity,
     /// Records in force.
@@ -11,6 +21,8 @@
     pub engines: EngineBoard,
     /// Admission, queue and placement.
     pub dispatch: DispatchBoard,
+    /// What each upstream can take, and the budget of retries.
+    pub upstreams: UpstreamBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
@@ -21,12 +33,16 @@
 
 impl Board {
     /// Returns the board of an instance that starts.
-    pub fn new(identity: Identity, dispatch: DispatchBoard) -> Board {
+    pub fn new(identity: Identity, settings: DispatchSettings) -> Board {
+        let upstreams = UpstreamBoard::default();
         Board {
+            operator_address: None,
+            burn: BurnBoard::default(),
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
-            dispatch,
+            dispatch: DispatchBoard::new(settings, upstreams.clone()),
+            upstreams,
             peers: PeerBoard::default(),
             limits: LimitBoard::default(),
             life: Life::default(),
--- a/crates/mangowalkd/src/serve/admit.rs
+++ b/crates/mangowalkd/src/serve/admit.rs
@@ -1,12 +1,12 @@
 use {
-    super::{ChatRequest, Router, attempt::Target, place::cache_salt},
+    super::{AnswerSink, ChatRequest, Router, attempt::Target, place::cache_salt},
     log::info,
     mangowalk_core::{
         admission::{Job, Verdict},
         config::View,
         edge::{Clock, Edges},
         placement::{block_chain, tokens_of},
-        refusal::Refusal,
+        refusal::{Outcome, Refusal},
     },
     std::{collections::HashSet, time::Duration},
 };
@@ -15,46 +15,34 @@
 /// reports move the queue; this is for when neither comes.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// Looks between two signs to a waiting caller, which show whether it left.
+const LOOKS_A_SIGN: u32 = 20;
+
 /// When a caller should come back if no engine serves the model.
 const NO_ENGINE_RETRY_MS: u64 = 1_000;
 
 impl<E: Edges> Router<E> {
-    /// Returns where the next attempt of a request goes. The first attempt
-    /// waits for its turn; later ones don't.
+    /// Waits for a request's turn.
     ///
     /// # Errors
     ///
     /// Refuses at once what would not be served in time.
-    pub(super) fn next_target(
+    pub(super) fn admit(
         &self,
         request: &ChatRequest,
-        view: &View,
-        bound: Option<&str>,
-        tried: &HashSet<String>,
-    ) -> Result<Option<Target>, Refusal> {
-        match bound {
-            Some(version) => Ok(self.place_again(request, view, version, tried)),
-            None => self.admit(request, view).map(Some),
-        }
-    }
-
-    /// Waits for a request's turn.
-    fn admit(&self, request: &ChatRequest, view: &View) -> Result<Target, Refusal> {
+        sink: &mut dyn AnswerSink,
+    ) -> Result<Target, Refusal> {
+        let view = self.board.config.view();
         let version = self.version_for(request).ok_or(Refusal::Unavailable {
             reason: "No engine serves the model now",
             retry_ms: NO_ENGINE_RETRY_MS,
         })?;
-        let job = self.job(request, view, &version);
-        let (_, verdict) = self.board.dispatch.arrive(job, self.edges.clock().now_ms());
-        let verdict = loop {
-            match verdict.recv_timeout(LOOK) {
-                Ok(verdict) => break verdict,
-                Err(_) => self.board.dispatch.pump(self.edges.clock().now_ms()),
-            }
-        };
-        match verdict {
+        let job = self.job(request, &view, &version);
+        match self.wait_turn(job, sink)? {
             Verdict::Send { choice, .. } => {
-                self.target(view, &version, choice)
+                // Read anew: an engine withdrawn meanwhile gets no work.
+                let view = self.board.config.view();
+                self.target(&view, &version, choice)
                     .ok_or(Refusal::Unavailable {
                         reason: "The engine chosen is departing",
                         retry_ms: NO_ENGINE_RETRY_MS,
@@ -73,6 +61,31 @@
         }
     }
 
+    /// Waits for the verdict on a request. One whose caller has gone leaves
+    /// the queue: it would take the turn of a caller who is still there.
+    fn wait_turn(&self, job: Job, sink: &mut dyn AnswerSink) -> Result<Verdict, Refusal> {
+        let dispatch = &self.board.dispatch;
+        let (id, verdict) = dispatch.arrive(job, self.edges.clock().now_ms());
+        for look in 1.. {
+            if let Ok(verdict) = verdict.recv_timeout(LOOK) {
+                return Ok(verdict);
+            }
+            dispatch.pump(self.edges.clock().now_ms());
+            if look % LOOKS_A_SIGN == 0 && sink.silence().is_err() {
+                break;
+            }
+        }
+        dispatch.leave(id);
+        // Its turn may have come in between: the slot must not stay taken.
+        if let Ok(Verdict::Send { choice, .. }) = verdict.try_recv() {
+            dispatch.ended(&choice, None, self.edges.clock().now_ms());
+        }
+        Err(Refusal::Lost {
+            remedy: "the caller closed the connection",
+            outcome: Outcome::NotRun,
+        })
+    }
+
     fn job(&self, request: &ChatRequest, view: &View, version: &str) -> Job {
         let salt = cache_salt(&request.team, &request.model, version);
         let rate = view.rates.get(&request.team);
@@ -84,9 +97,11 @@
             priority: team.map_or(9, |t| t.priority),
             tokens: tokens_of(&request.prompt) + u64::from(request.max_tokens),
             arrived_ms: self.edges.clock().now_ms(),
+            deadline_ms: request.deadline_ms,
             model: request.model.clone(),
             version: version.to_owned(),
             chain: block_chain(&salt, &request.prompt),
+            avoid: HashSet::new(),
             kept_blocks: 0,
         }
     }
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -3,7 +3,9 @@
 mod admit;
 mod answer;
 mod attempt;
+mod attempts;
 mod generate;
+mod observe;
 mod place;
 mod request;
 mod router;
--- a/crates/standins/src/queue/figures.rs
+++ b/crates/standins/src/queue/figures.rs
@@ -88,6 +88,9 @@
                 .filter(|o| o.first_token_us.is_some())
                 .map(|o| o.tokens)
                 .sum();
+            if asked == 0 {
+                return 100.0;
+            }
             percent(served as f64, asked as f64)
         })
         .fold(100.0, f64::min)
--- a/crates/standins/src/queue/mangowalk.rs
+++ b/crates/standins/src/queue/mangowalk.rs
@@ -107,13 +107,15 @@
             priority: 5,
             tokens: request.tokens(),
             arrived_ms: now_ms,
+            deadline_ms: None,
+            avoid: HashSet::new(),
             model: MODEL.to_owned(),
             version: VERSION.to_owned(),
             chain: request.chain.to_vec(),
             kept_blocks,
         };
         self.waiting.insert(request.id);
-        let verdicts = self.dispatcher.arrive(job, now_ms);
+        let verdicts = self.dispatcher.arrive(job, &|_| true, now_ms);
         self.act(verdicts)
     }
 
@@ -125,6 +127,7 @@
             chain: &request.chain,
             kept_blocks: 0,
             avoid: &avoid,
+            fit: &|_| true,
             force: true,
         };
         let placement = self.dispatcher.placement_mut();
@@ -167,7 +170,7 @@
     }
 
     fn tick(&mut self, now_ms: u64) -> Vec<Action> {
-        let verdicts = self.dispatcher.pump(now_ms);
+        let verdicts = self.dispatcher.pump(&|_| true, now_ms);
         self.act(verdicts)
     }
 
