Merge placement and admission with attempts

Two parts judge engines: placement and the queue from reports and cache events, and each upstream's limit and breaker from this instance's own attempts.

--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -3,6 +3,7 @@
 //! Controllers read and write it, one part each; requests read it and note
 //! what they saw. No part calls another, so each can be tested alone.
 
+mod admission;
 mod burn;
 mod config;
 mod engines;
@@ -14,6 +15,7 @@
 mod whole;
 
 pub use {
+    admission::DispatchBoard,
     burn::{BurnBoard, Unsent},
     config::ConfigBoard,
     engines::{EngineBoard, EngineSight, InFlight},
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        BurnBoard, ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard, UpstreamBoard,
+        BurnBoard, ConfigBoard, DispatchBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard,
+        UpstreamBoard,
     },
     std::net::SocketAddr,
 };
@@ -20,6 +21,8 @@
     pub engines: EngineBoard,
     /// What each upstream can take, and the budget of retries.
     pub upstreams: UpstreamBoard,
+    /// Admission, queue and placement.
+    pub dispatch: DispatchBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
@@ -30,7 +33,7 @@
 
 impl Board {
     /// Returns the board of an instance that starts.
-    pub fn new(identity: Identity) -> Board {
+    pub fn new(identity: Identity, dispatch: DispatchBoard) -> Board {
         Board {
             operator_address: None,
             burn: BurnBoard::default(),
@@ -38,6 +41,7 @@
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
             upstreams: UpstreamBoard::default(),
+            dispatch,
             peers: PeerBoard::default(),
             limits: LimitBoard::default(),
             life: Life::default(),
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -1,9 +1,11 @@
 use {
     crate::{
-        board::{Board, Identity},
+        board::{Board, DispatchBoard, Identity},
         caller::CallerServer,
         cli::Settings,
-        controller::{ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, spawn},
+        controller::{
+            CacheEventReader, ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, spawn,
+        },
         edge::{LiveEdges, PeerServer},
         metrics::{MetricsReport, metrics_client},
         operator::OperatorServer,
@@ -63,12 +65,15 @@
     pub fn start(settings: Settings) -> Result<Daemon, Report<StartError>> {
         let signals = Signals::new([SIGTERM, SIGINT]).change_context(StartError::Threads)?;
         let edges = Arc::new(LiveEdges::new(settings.platform_address));
-        let mut board = Board::new(Identity {
+        let dispatch =
+            DispatchBoard::new(settings.placement(), settings.admission(), rand::random());
+        let identity = Identity {
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
             failure_domain: settings.failure_domain.clone(),
             incarnation: rand::random(),
-        });
+        };
+        let mut board = Board::new(identity, dispatch);
         board.operator_address = settings.operator_address;
         let board = Arc::new(board);
         let (peer_edges, peer_board) = (edges.clone(), board.clone());
@@ -139,6 +144,7 @@
     spawn(ConfigWatch::default(), edges.clone(), board.clone())?;
     spawn(gossip, edges.clone(), board.clone())?;
     spawn(EnginePoll::default(), edges.clone(), board.clone())?;
+    spawn(CacheEventReader::default(), edges.clone(), board.clone())?;
     spawn(SlotHolder::default(), edges.clone(), board.clone())?;
     Ok(())
 }
