--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -9,6 +9,7 @@
     },
     crate::engine::{CacheEvents, EngineState},
     rand::{SeedableRng, rngs::SmallRng},
+    std::cmp::Ordering,
 };
 
 /// Weight of one observation in a mean.
@@ -20,6 +21,9 @@
 /// Prefill of a request, before answers tell.
 const FIRST_PREFILL_MS: f64 = 50.0;
 
+/// Expectations that differ by less count as equal.
+const GRAIN_MS: f64 = 5.0;
+
 const US_PER_MS: f64 = 1_000.0;
 
 /// Decides where requests go, for one instance.
@@ -37,6 +41,7 @@
     pub(super) rng: SmallRng,
     service_ms: f64,
     prefill_ms: f64,
+    sent: u64,
 }
 
 impl Placement {
@@ -49,6 +54,7 @@
             rng: SmallRng::seed_from_u64(seed),
             service_ms: FIRST_SERVICE_MS,
             prefill_ms: FIRST_PREFILL_MS,
+            sent: 0,
             settings,
         }
     }
@@ -122,10 +128,21 @@
                 ask.force || engine.has_room(settings.instances, settings.queue_ahead)
             })
             .map(|c| self.weigh(ask, c, now_ms))
-            .min_by(|a, b| a.expected_ms.total_cmp(&b.expected_ms))?;
+            .min_by(|a, b| self.compare(a, b))?;
         Some(Choice { weighed, ..best })
     }
 
+    /// Compares two choices. Where the expectations are as good as equal, the
+    /// engine that was not chosen for longer is better: estimates that differ
+    /// by noise must not gather the work on one engine.
+    fn compare(&self, a: &Choice, b: &Choice) -> Ordering {
+        let grains = |choice: &Choice| (choice.expected_ms / GRAIN_MS).floor();
+        let last_sent = |choice: &Choice| self.fleet.get(choice.slot).last_sent;
+        grains(a)
+            .total_cmp(&grains(b))
+            .then(last_sent(a).cmp(&last_sent(b)))
+    }
+
     fn weigh(&self, ask: &Ask<'_>, candidate: &Candidate, now_ms: u64) -> Choice {
         let engine = self.fleet.get(candidate.slot);
         let (prefill_ms, import_blocks) = self.prefill_ms(ask, candidate.expected_blocks);
@@ -170,7 +187,9 @@
     /// Notes that a request was sent where it was placed.
     pub fn sent(&mut self, choice: &mut Choice, chain: &[u64], now_ms: u64) {
         choice.sent_ms = now_ms;
+        self.sent += 1;
         let engine = self.fleet.get_mut(choice.slot);
+        engine.last_sent = self.sent;
         engine.in_flight += 1;
         engine.since_report += 1;
         engine.pending += 1;
--- a/crates/mangowalkd/src/board/admission.rs
+++ b/crates/mangowalkd/src/board/admission.rs
@@ -90,7 +90,7 @@
     }
 
     /// Takes a new request. Its verdict comes on the channel, maybe at once.
-    pub fn arrive(&self, job: Job, now_ms: u64) -> (u64, Receiver<Verdict>) {
+    pub fn arrive(&self, job: Job, now_ms: u64) -> Receiver<Verdict> {
         let (sender, verdict) = flume::bounded(1);
         let mut inner = lock(&self.inner);
         let id = inner.next_id;
@@ -101,7 +101,7 @@
         let fit = |name: &str| upstreams.usable(name, now_ms);
         let verdicts = inner.dispatcher.arrive(Job { id, ..job }, &fit, now_ms);
         inner.tell(verdicts, now_ms);
-        (id, verdict)
+        verdict
     }
 
     /// Sends what has room now, and refuses what can't be served in time.
@@ -132,13 +132,6 @@
         self.ended(choice, None, now_ms);
     }
 
-    /// Takes a waiting request out.
-    pub fn leave(&self, id: u64) {
-        let mut inner = lock(&self.inner);
-        inner.dispatcher.leave(id);
-        inner.waiters.remove(&id);
-    }
-
     /// Notes the end of an attempt, and what the engine found in its cache.
     pub fn ended(&self, choice: &Choice, cached_blocks: Option<usize>, now_ms: u64) {
         let mut inner = lock(&self.inner);
--- a/crates/mangowalkd/src/caller/chat.rs
+++ b/crates/mangowalkd/src/caller/chat.rs
@@ -124,4 +124,10 @@
         self.text.push_str(text);
         Ok(())
     }
+
+    /// Nothing is written before the answer is whole, so nothing tells whether
+    /// the caller is still there.
+    fn silence(&mut self) -> io::Result<()> {
+        Ok(())
+    }
 }
--- a/crates/mangowalkd/src/serve/admit.rs
+++ b/crates/mangowalkd/src/serve/admit.rs
@@ -1,12 +1,12 @@
 use {
-    super::{AnswerSink, ChatRequest, Router, attempt::Target, place::cache_salt},
+    super::{ChatRequest, Router, attempt::Target, place::cache_salt},
     log::info,
     mangowalk_core::{
         admission::{Job, Verdict},
         config::View,
         edge::{Clock, Edges},
         placement::{block_chain, tokens_of},
-        refusal::{Outcome, Refusal},
+        refusal::Refusal,
     },
     std::{collections::HashSet, time::Duration},
 };
@@ -15,9 +15,6 @@
 /// reports move the queue; this is for when neither comes.
 const LOOK: Duration = Duration::from_millis(50);
 
-/// Looks between two signs to a waiting caller, which show whether it left.
-const LOOKS_A_SIGN: u32 = 20;
-
 /// When a caller should come back if no engine serves the model.
 const NO_ENGINE_RETRY_MS: u64 = 1_000;
 
@@ -27,18 +24,14 @@
     /// # Errors
     ///
     /// Refuses at once what would not be served in time.
-    pub(super) fn admit(
-        &self,
-        request: &ChatRequest,
-        sink: &mut dyn AnswerSink,
-    ) -> Result<Target, Refusal> {
+    pub(super) fn admit(&self, request: &ChatRequest) -> Result<Target, Refusal> {
         let view = self.board.config.view();
         let version = self.version_for(request).ok_or(Refusal::Unavailable {
             reason: "No engine serves the model now",
             retry_ms: NO_ENGINE_RETRY_MS,
         })?;
         let job = self.job(request, &view, &version);
-        match self.wait_turn(job, sink)? {
+        match self.wait_turn(job) {
             Verdict::Send { choice, .. } => {
                 // Read anew: an engine withdrawn meanwhile gets no work.
                 let view = self.board.config.view();
@@ -61,29 +54,15 @@
         }
     }
 
-    /// Waits for the verdict on a request. One whose caller has gone leaves
-    /// the queue: it would take the turn of a caller who is still there.
-    fn wait_turn(&self, job: Job, sink: &mut dyn AnswerSink) -> Result<Verdict, Refusal> {
+    fn wait_turn(&self, job: Job) -> Verdict {
         let dispatch = &self.board.dispatch;
-        let (id, verdict) = dispatch.arrive(job, self.edges.clock().now_ms());
-        for look in 1.. {
-            if let Ok(verdict) = verdict.recv_timeout(LOOK) {
-                return Ok(verdict);
-            }
-            dispatch.pump(self.edges.clock().now_ms());
-            if look % LOOKS_A_SIGN == 0 && sink.silence().is_err() {
-                break;
+        let verdict = dispatch.arrive(job, self.edges.clock().now_ms());
+        loop {
+            match verdict.recv_timeout(LOOK) {
+                Ok(verdict) => return verdict,
+                Err(_) => dispatch.pump(self.edges.clock().now_ms()),
             }
         }
-        dispatch.leave(id);
-        // Its turn may have come in between: the slot must not stay taken.
-        if let Ok(Verdict::Send { choice, .. }) = verdict.try_recv() {
-            dispatch.ended(&choice, None, self.edges.clock().now_ms());
-        }
-        Err(Refusal::Lost {
-            remedy: "the caller closed the connection",
-            outcome: Outcome::NotRun,
-        })
     }
 
     fn job(&self, request: &ChatRequest, view: &View, version: &str) -> Job {
--- a/crates/mangowalkd/src/serve/answer.rs
+++ b/crates/mangowalkd/src/serve/answer.rs
@@ -15,9 +15,7 @@
     /// # Errors
     ///
     /// Fails where the caller can't be written to.
-    fn silence(&mut self) -> io::Result<()> {
-        Ok(())
-    }
+    fn silence(&mut self) -> io::Result<()>;
 }
 
 /// How a complete answer ended.
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -167,7 +167,7 @@
         sink: &mut dyn AnswerSink,
     ) -> Result<Option<Target>, Refusal> {
         if course.tried.is_empty() {
-            return self.admit(request, sink).map(Some);
+            return self.admit(request).map(Some);
         }
         let mut left_ms = if course.has_begun() {
             self.settings.token_timeout_ms
