Let a request wait for an engine that holds its prompt

Cause: with every holder full, a request went to the first engine with a free slot and computed its prompt again there.

Change: a request waits for the better engine as long as that engine is better by, then takes what is free; up to eight requests of a team are asked.

Ruled out: waiting without end, which idles engines beside a hot one.

--- a/crates/core/src/admission/dispatcher.rs
+++ b/crates/core/src/admission/dispatcher.rs
@@ -105,6 +105,7 @@
             kept_blocks: job.kept_blocks,
             avoid: &job.avoid,
             fit,
+            waited_ms: now_ms.saturating_sub(job.arrived_ms),
             force: false,
         };
         let mut choice = placement.choose(&ask, now_ms)?;
--- a/crates/core/src/admission/fair_queue.rs
+++ b/crates/core/src/admission/fair_queue.rs
@@ -5,6 +5,10 @@
     std::collections::BTreeMap,
 };
 
+/// Requests of a team that are asked for one that has room. The first may
+/// wait for the engine that holds its prompt while others could go.
+const JOBS_TRIED: usize = 8;
+
 /// Why a request may not wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 #[display("The request would wait {wait_ms} ms; send it again in {retry_ms} ms.")]
@@ -133,9 +137,11 @@
         order.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
         let (name, at, sent) = order.into_iter().take(tries).find_map(|(_, _, name)| {
             let team = self.teams.get(name)?;
-            let at = team.first(&self.settings, now_ms)?;
-            let sent = send(&team.jobs[at])?;
-            Some((name.clone(), at, sent))
+            let order = team.order(&self.settings, now_ms);
+            order.into_iter().take(JOBS_TRIED).find_map(|at| {
+                let sent = send(&team.jobs[at])?;
+                Some((name.clone(), at, sent))
+            })
         })?;
         let job = self.take(&name, at)?;
         self.charge(&job);
--- a/crates/core/src/admission/team_queue.rs
+++ b/crates/core/src/admission/team_queue.rs
@@ -21,18 +21,21 @@
         job
     }
 
-    /// Returns the request to be served first: short before long, and each
-    /// millisecond waited takes some of the length off, so that a long one is
-    /// passed only by what came within a bounded time after it.
-    pub(super) fn first(&self, settings: &AdmissionSettings, now_ms: u64) -> Option<usize> {
+    /// Returns the requests in the order in which they shall be served: short
+    /// before long, and each millisecond waited takes some of the length off,
+    /// so that a long one is passed only by what came within a bounded time
+    /// after it.
+    pub(super) fn order(&self, settings: &AdmissionSettings, now_ms: u64) -> Vec<usize> {
         let key = |job: &Job| {
             let waited_ms = now_ms.saturating_sub(job.arrived_ms) as f64;
             job.tokens as f64 - waited_ms * settings.aging_tokens_per_ms
         };
-        (0..self.jobs.len()).min_by(|a, b| {
+        let mut order: Vec<usize> = (0..self.jobs.len()).collect();
+        order.sort_unstable_by(|a, b| {
             let (a, b) = (&self.jobs[*a], &self.jobs[*b]);
             key(a).total_cmp(&key(b)).then(a.id.cmp(&b.id))
-        })
+        });
+        order
     }
 
     /// Returns tokens that would be served before a request of a length.
--- a/crates/core/src/placement/ask.rs
+++ b/crates/core/src/placement/ask.rs
@@ -19,6 +19,8 @@
     /// Tells whether an engine may get one more request, by its breaker and
     /// its limit. It is asked for the candidates alone.
     pub fit: &'a dyn Fn(&str) -> bool,
+    /// Time that the request has waited for its turn.
+    pub waited_ms: u64,
     /// Whether an engine without room may be chosen.
     pub force: bool,
 }
--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -115,21 +115,43 @@
         self.service_ms
     }
 
-    /// Chooses an engine; none if no candidate may take the request now.
+    /// Chooses an engine; none if the request had better wait.
+    ///
+    /// Under load every engine that holds the prompt is full most of the time.
+    /// Sending the request to the first engine with a free slot instead would
+    /// compute the prompt again there and take the time from others, which
+    /// makes the engines fuller still. So it waits for a better engine as long
+    /// as that engine is better by, and then takes what is free.
     pub fn choose(&mut self, ask: &Ask<'_>, now_ms: u64) -> Option<Choice> {
         let marks = marks(ask.chain);
         let candidates = Candidates::gather(self, ask, &marks, now_ms);
-        let weighed = candidates.len();
-        let settings = &self.settings;
-        let best = candidates
+        let weighed: Vec<Choice> = candidates
             .iter()
-            .filter(|c| {
-                let engine = self.fleet.get(c.slot);
-                ask.force || engine.has_room(settings.instances, settings.queue_ahead)
-            })
             .map(|c| self.weigh(ask, c, now_ms))
+            .collect();
+        let best = weighed.iter().min_by(|a, b| self.compare(a, b))?;
+        if ask.force || self.has_room(best) {
+            return Some(self.chosen(best, weighed.len()));
+        }
+        let free = weighed
+            .iter()
+            .filter(|choice| self.has_room(choice))
             .min_by(|a, b| self.compare(a, b))?;
-        Some(Choice { weighed, ..best })
+        let worse_by_ms = free.expected_ms - best.expected_ms;
+        (worse_by_ms <= ask.waited_ms as f64).then(|| self.chosen(free, weighed.len()))
+    }
+
+    fn has_room(&self, choice: &Choice) -> bool {
+        let settings = &self.settings;
+        let engine = self.fleet.get(choice.slot);
+        engine.has_room(settings.instances, settings.queue_ahead)
+    }
+
+    fn chosen(&self, choice: &Choice, weighed: usize) -> Choice {
+        Choice {
+            weighed,
+            ..choice.clone()
+        }
     }
 
     /// Compares two choices. Where the expectations are as good as equal, the
@@ -145,7 +167,14 @@
 
     fn weigh(&self, ask: &Ask<'_>, candidate: &Candidate, now_ms: u64) -> Choice {
         let engine = self.fleet.get(candidate.slot);
-        let (prefill_ms, import_blocks) = self.prefill_ms(ask, candidate.expected_blocks);
+        let (prefill_ms, imports) = self.prefill_ms(ask, candidate.expected_blocks);
+        // What is only expected to be there is imported all the same: the
+        // engine skips what it finds.
+        let import_blocks = if imports {
+            ask.kept_blocks.saturating_sub(candidate.held_blocks)
+        } else {
+            0
+        };
         let wait_ms = engine.wait_ms(self.service_ms, self.prefill_ms);
         let distance_ms = if engine.spec.near {
             0.0
@@ -170,8 +199,9 @@
         }
     }
 
-    /// Returns the expected time of the prefill, and the blocks to import.
-    fn prefill_ms(&self, ask: &Ask<'_>, held_blocks: f64) -> (f64, usize) {
+    /// Returns the expected time of the prefill, and whether blocks are to be
+    /// imported for it.
+    fn prefill_ms(&self, ask: &Ask<'_>, held_blocks: f64) -> (f64, bool) {
         let settings = &self.settings;
         let blocks = ask.chain.len() as f64;
         let importable = (ask.kept_blocks as f64 - held_blocks).max(0.0);
@@ -181,7 +211,7 @@
         let us = held_blocks * settings.hit_us
             + imported * import_us.unwrap_or_default()
             + missed * settings.miss_us;
-        (us / US_PER_MS, imported as usize)
+        (us / US_PER_MS, imported > 0.0)
     }
 
     /// Notes that a request was sent where it was placed.
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -49,6 +49,7 @@
         kept_blocks: 0,
         avoid: &HashSet::new(),
         fit: &|_| true,
+        waited_ms: 0,
         force: false,
     };
     let choice = placement.choose(&ask, now_ms);
@@ -184,6 +185,7 @@
         kept_blocks: 64,
         avoid: &HashSet::new(),
         fit: &|_| true,
+        waited_ms: 0,
         force: false,
     };
     let choice = placement.choose(&ask, 0).expect("an engine");
--- a/crates/mangowalkd/src/serve/place.rs
+++ b/crates/mangowalkd/src/serve/place.rs
@@ -63,6 +63,7 @@
             kept_blocks: 0,
             avoid: tried,
             fit,
+            waited_ms: 0,
             force: true,
         };
         let now_ms = self.edges.clock().now_ms();
--- a/crates/standins/src/queue/mangowalk.rs
+++ b/crates/standins/src/queue/mangowalk.rs
@@ -128,6 +128,7 @@
             kept_blocks: 0,
             avoid: &avoid,
             fit: &|_| true,
+            waited_ms: 0,
             force: true,
         };
         let placement = self.dispatcher.placement_mut();
