Weigh what a prefill costs those who wait

Change: a prefill counts once for the request and once for each request that waits for each engine, estimated from the instance's own queue.

Ruled out: a fixed limit on the wait, which is either too short at 3x or too long beside one hot engine.

--- a/crates/core/src/admission/dispatcher.rs
+++ b/crates/core/src/admission/dispatcher.rs
@@ -4,7 +4,7 @@
 };
 
 /// Teams asked for a request that has room, each time room appears.
-const TRIES: usize = 4;
+const TRIES: usize = 8;
 
 /// Tells whether an engine may get one more request, by its breaker and its
 /// limit.
@@ -65,7 +65,7 @@
     pub fn arrive(&mut self, job: Job, fit: &Fit<'_>, now_ms: u64) -> Vec<Verdict> {
         let id = job.id;
         if self.queue.is_empty()
-            && let Some(choice) = Self::place(&mut self.placement, fit, &job, now_ms)
+            && let Some(choice) = Self::place(&mut self.placement, fit, &job, 0, now_ms)
         {
             self.queue.charge(&job);
             return vec![Verdict::Send { id, choice }];
@@ -84,12 +84,16 @@
             verdicts.push(Verdict::Refuse { id: job.id, full });
         }
         let placement = &mut self.placement;
-        while let Some((job, choice)) = self.queue.next(now_ms, TRIES, |job| {
-            Self::place(placement, fit, job, now_ms)
-        }) {
+        loop {
+            let queued = self.queue.len();
+            let next = self.queue.next(now_ms, TRIES, |job| {
+                Self::place(placement, fit, job, queued, now_ms)
+            });
+            let Some((job, choice)) = next else {
+                return verdicts;
+            };
             verdicts.push(Verdict::Send { id: job.id, choice });
         }
-        verdicts
     }
 
     /// Takes out a request whose caller has gone.
@@ -97,7 +101,13 @@
         self.queue.leave(id);
     }
 
-    fn place(placement: &mut Placement, fit: &Fit<'_>, job: &Job, now_ms: u64) -> Option<Choice> {
+    fn place(
+        placement: &mut Placement,
+        fit: &Fit<'_>,
+        job: &Job,
+        queued: usize,
+        now_ms: u64,
+    ) -> Option<Choice> {
         let ask = Ask {
             model: &job.model,
             version: &job.version,
@@ -106,6 +116,7 @@
             avoid: &job.avoid,
             fit,
             waited_ms: now_ms.saturating_sub(job.arrived_ms),
+            queued,
             force: false,
         };
         let mut choice = placement.choose(&ask, now_ms)?;
--- a/crates/core/src/placement/ask.rs
+++ b/crates/core/src/placement/ask.rs
@@ -21,6 +21,8 @@
     pub fit: &'a dyn Fn(&str) -> bool,
     /// Time that the request has waited for its turn.
     pub waited_ms: u64,
+    /// Requests that wait in this instance.
+    pub queued: usize,
     /// Whether an engine without room may be chosen.
     pub force: bool,
 }
@@ -43,6 +45,8 @@
     pub(super) slot: usize,
     pub(super) generation: u32,
     pub(super) prefill_ms: f64,
+    /// Expected time to first token, and what the prefill costs others.
+    pub(super) cost_ms: f64,
     /// Expected time to first token if the engine is as fast as the others.
     pub(super) nominal_ms: f64,
     pub(super) believed_age_ms: u64,
--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -137,10 +137,20 @@
             .iter()
             .filter(|choice| self.has_room(choice))
             .min_by(|a, b| self.compare(a, b))?;
-        let worse_by_ms = free.expected_ms - best.expected_ms;
+        let worse_by_ms = free.cost_ms - best.cost_ms;
         (worse_by_ms <= ask.waited_ms as f64).then(|| self.chosen(free, weighed.len()))
     }
 
+    /// Returns how many requests wait for each engine, those of the other
+    /// instances estimated from its own. A prefill holds each of them up, so
+    /// computing a prompt anew costs the more the fuller the fleet is; without
+    /// this, misses under overload take the capacity that would end it.
+    fn pressure(&self, ask: &Ask<'_>) -> f64 {
+        let engines = self.fleet.model(ask.model).map_or(1, |m| m.slots.len());
+        let queued = ask.queued as f64 * f64::from(self.settings.instances);
+        queued / engines.max(1) as f64
+    }
+
     fn has_room(&self, choice: &Choice) -> bool {
         let settings = &self.settings;
         let engine = self.fleet.get(choice.slot);
@@ -158,7 +168,7 @@
     /// engine that was not chosen for longer is better: estimates that differ
     /// by noise must not gather the work on one engine.
     fn compare(&self, a: &Choice, b: &Choice) -> Ordering {
-        let grains = |choice: &Choice| (choice.expected_ms / GRAIN_MS).floor();
+        let grains = |choice: &Choice| (choice.cost_ms / GRAIN_MS).floor();
         let last_sent = |choice: &Choice| self.fleet.get(choice.slot).last_sent;
         grains(a)
             .total_cmp(&grains(b))
@@ -182,12 +192,14 @@
             self.settings.other_domain_ms
         };
         let nominal_ms = self.settings.base_ms + wait_ms + prefill_ms;
+        let expected_ms = distance_ms + engine.slowness(now_ms) * nominal_ms;
         Choice {
             engine: engine.spec.name.clone(),
             incarnation: engine.state.as_ref().map_or(0, |s| s.incarnation),
             believed_blocks: candidate.held_blocks,
             import_blocks,
-            expected_ms: distance_ms + engine.slowness(now_ms) * nominal_ms,
+            expected_ms,
+            cost_ms: expected_ms + prefill_ms * self.pressure(ask),
             weighed: 0,
             slot: candidate.slot,
             generation: engine.generation,
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -50,6 +50,7 @@
         avoid: &HashSet::new(),
         fit: &|_| true,
         waited_ms: 0,
+        queued: 0,
         force: false,
     };
     let choice = placement.choose(&ask, now_ms);
@@ -186,6 +187,7 @@
         avoid: &HashSet::new(),
         fit: &|_| true,
         waited_ms: 0,
+        queued: 0,
         force: false,
     };
     let choice = placement.choose(&ask, 0).expect("an engine");
--- a/crates/mangowalkd/src/serve/place.rs
+++ b/crates/mangowalkd/src/serve/place.rs
@@ -64,6 +64,7 @@
             avoid: tried,
             fit,
             waited_ms: 0,
+            queued: 0,
             force: true,
         };
         let now_ms = self.edges.clock().now_ms();
--- a/crates/standins/src/queue/mangowalk.rs
+++ b/crates/standins/src/queue/mangowalk.rs
@@ -129,6 +129,7 @@
             avoid: &avoid,
             fit: &|_| true,
             waited_ms: 0,
+            queued: 0,
             force: true,
         };
         let placement = self.dispatcher.placement_mut();
