--- a/crates/standins/examples/policy.rs
+++ b/crates/standins/examples/policy.rs
@@ -60,7 +60,12 @@
 /// Returns what teams within their rate get beside those that flood, of what
 /// they get alone: the least of any team.
 fn of_alone(settings: &RunSettings, seeds: u64, runs: &[Figures]) -> Option<Spread> {
-    let floods = [Pattern::Overload1, Pattern::Overload3, Pattern::OneTeam];
+    let floods = [
+        Pattern::Overload1,
+        Pattern::Overload3,
+        Pattern::NoRates,
+        Pattern::OneTeam,
+    ];
     if !floods.contains(&settings.pattern) {
         return None;
     }
--- a/crates/standins/src/queue/pattern.rs
+++ b/crates/standins/src/queue/pattern.rs
@@ -27,6 +27,9 @@
     /// Large teams flood: three times the capacity together.
     #[display("overload 3x")]
     Overload3,
+    /// As the one above, but no rate limits the teams: the queue alone shares.
+    #[display("overload 3x, no rates")]
+    NoRates,
     /// One team sends five times its rate.
     #[display("one team at 5x rate")]
     OneTeam,
@@ -43,7 +46,7 @@
 
 impl Pattern {
     /// Every pattern, in the order of the table.
-    pub const ALL: [Pattern; 12] = [
+    pub const ALL: [Pattern; 13] = [
         Pattern::Steady,
         Pattern::Burst,
         Pattern::HotCaller,
@@ -52,6 +55,7 @@
         Pattern::LongAmongShort,
         Pattern::Overload1,
         Pattern::Overload3,
+        Pattern::NoRates,
         Pattern::OneTeam,
         Pattern::Shifting,
         Pattern::EngineEmpty,
@@ -67,17 +71,23 @@
             Pattern::HotCaller => share * 0.45 + if team == 2 { 0.15 } else { 0.0 },
             // The small teams stay at four fifths of their rate.
             Pattern::Overload1 if flooding => share / 0.7 * (1.5 - 0.24),
-            Pattern::Overload3 if flooding => share / 0.7 * (3.0 - 0.24),
-            Pattern::Overload1 | Pattern::Overload3 => share * 0.8,
+            Pattern::Overload3 | Pattern::NoRates if flooding => share / 0.7 * (3.0 - 0.24),
+            Pattern::Overload1 | Pattern::Overload3 | Pattern::NoRates => share * 0.8,
             Pattern::OneTeam if team == 2 => share * 5.0,
             _ => share * 0.6,
         }
     }
 
+    /// Returns whether rates limit the teams before any queue, for every
+    /// policy alike, as the router's limits do.
+    pub(super) fn is_limited(self) -> bool {
+        self != Pattern::NoRates
+    }
+
     /// Returns whether a team may send more than its rate.
     pub(super) fn floods(self, team: usize) -> bool {
         match self {
-            Pattern::Overload1 | Pattern::Overload3 => team < 2,
+            Pattern::Overload1 | Pattern::Overload3 | Pattern::NoRates => team < 2,
             Pattern::OneTeam => team == 2,
             _ => false,
         }
--- a/crates/standins/src/queue/run.rs
+++ b/crates/standins/src/queue/run.rs
@@ -167,7 +167,8 @@
             .map(|r| Outcome {
                 team: r.team,
                 tokens: r.tokens(),
-                in_rate: r.in_rate && !settings.pattern.floods(r.team),
+                in_rate: r.in_rate
+                    && (settings.pattern.is_limited() || !settings.pattern.floods(r.team)),
                 measured: r.at_us >= settings.warm_up_us,
                 blocks: r.chain.len(),
                 ..Outcome::default()
@@ -308,6 +309,10 @@
 
     fn arrive(&mut self, id: u64) {
         let request = self.requests[id as usize].clone();
+        if self.settings.pattern.is_limited() && !request.in_rate {
+            self.outcomes[id as usize].refused = true;
+            return;
+        }
         let kept_blocks = self.kept_blocks(&request);
         self.at(request.at_us + PATIENCE_US, Event::GiveUp(id));
         let now_ms = self.now_ms();
