Count a prefill's cost to others only where slots are short

Cause: the cost counted on idle engines too. With a queue, no prefix spread to an engine with slots to spare, the queue grew, and with it the cost.

Change: the cost is scaled by how full the candidate is, none below 70 % of its slots.

--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -199,7 +199,7 @@
             believed_blocks: candidate.held_blocks,
             import_blocks,
             expected_ms,
-            cost_ms: expected_ms + prefill_ms * self.pressure(ask),
+            cost_ms: expected_ms + prefill_ms * self.pressure(ask) * engine.fullness(),
             weighed: 0,
             slot: candidate.slot,
             generation: engine.generation,
--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -16,6 +16,9 @@
 /// Most that slowness multiplies.
 const MOST_SLOWNESS: f64 = 50.0;
 
+/// Share of used slots below which an engine has slots to spare.
+const SPARE_BELOW: f64 = 0.7;
+
 /// Shortest time to first token that an observation is compared with: below
 /// it the jitter of a network would count as slowness.
 const LEAST_EXPECTED_MS: f64 = 20.0;
@@ -167,6 +170,13 @@
         slot_ms + self.backlog_ms + f64::from(others) * prefill_ms
     }
 
+    /// Returns from 0 to 1 how far the engine is from having slots to spare. On
+    /// one with slots to spare a prefill holds up nobody who waits.
+    pub(super) fn fullness(&self) -> f64 {
+        let used = f64::from(self.occupancy()) / f64::from(self.slots());
+        ((used - SPARE_BELOW) / (1.0 - SPARE_BELOW)).clamp(0.0, 1.0)
+    }
+
     /// Returns whether this instance may send one more. Free slots are split
     /// between the instances: all see the same report and would fill the
     /// same slots several times over.
