Let an instance use its own share of slots without a report

Cause: a report is up to a second old and a request takes 1.2 s, so a slot that an instance's own request had freed stood idle until the next report.

Change: an instance may always fill its share of each engine's slots; reports decide about more.

Ruled out: a general overdraft, which queues inside engines where no team counts.

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -177,16 +177,19 @@
         ((used - SPARE_BELOW) / (1.0 - SPARE_BELOW)).clamp(0.0, 1.0)
     }
 
-    /// Returns whether this instance may send one more. Free slots are split
-    /// between the instances: all see the same report and would fill the
-    /// same slots several times over.
+    /// Returns whether this instance may send one more.
+    ///
+    /// Its share of the slots is its own whatever the report says: a report
+    /// is up to a second old, and a slot that its own request freed would
+    /// stand idle until the next one. Beyond the share, free slots are split
+    /// between the instances: all see the same report and would fill the same
+    /// slots several times over.
     pub(super) fn has_room(&self, instances: u32, ahead: u32) -> bool {
-        let share = self.slots().div_ceil(instances.max(1));
-        if self.in_flight < share + ahead && self.occupancy() < self.slots() + ahead {
+        let share = (self.slots() / instances.max(1)).max(1);
+        if self.in_flight < share + ahead {
             return true;
         }
-        let reported = self.reported();
-        let free = self.slots().saturating_sub(reported);
+        let free = self.slots().saturating_sub(self.reported());
         let share = free.div_ceil(instances.max(1));
         self.since_report < share as i32 && self.occupancy() < self.slots()
     }
