Believe a seen prefix to be at its home

Cause: without events, a home counted as holding 60 % of a prefix that other instances send there too.

Change: 90 %.

Ruled out: full belief, as a home that just changed holds nothing.

--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -21,7 +21,7 @@
 
 /// Share of a prefix that a home is expected to hold if other instances send
 /// their requests there too and nothing better is known.
-const HOME_BELIEF: f64 = 0.6;
+const HOME_BELIEF: f64 = 0.9;
 
 /// Share of a prompt that its home is expected to hold if this instance never
 /// saw any of it: enough to prefer the home among engines as good as equal.
