Count a prefill once more for the request it holds up

Change: a prefill's cost to others is at least one request's, queue or not.

Failed try before it, reverted: letting each instance take three times its part of the free slots.

--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -24,6 +24,10 @@
 /// Expectations that differ by less count as equal.
 const GRAIN_MS: f64 = 5.0;
 
+/// Requests that a prefill holds up where none waits: at half of its prefill
+/// time an engine has one other under way or coming, on average.
+const RUNNING_HELD_UP: f64 = 1.0;
+
 const US_PER_MS: f64 = 1_000.0;
 
 /// Decides where requests go, for one instance.
@@ -193,13 +197,14 @@
         };
         let nominal_ms = self.settings.base_ms + wait_ms + prefill_ms;
         let expected_ms = distance_ms + engine.slowness(now_ms) * nominal_ms;
+        let held_up = RUNNING_HELD_UP + self.pressure(ask) * engine.fullness();
         Choice {
             engine: engine.spec.name.clone(),
             incarnation: engine.state.as_ref().map_or(0, |s| s.incarnation),
             believed_blocks: candidate.held_blocks,
             import_blocks,
             expected_ms,
-            cost_ms: expected_ms + prefill_ms * self.pressure(ask) * engine.fullness(),
+            cost_ms: expected_ms + prefill_ms * held_up,
             weighed: 0,
             slot: candidate.slot,
             generation: engine.generation,
