Publish what an instance spends on control, and measure it

Cause: the counters at the edges could not be read from outside, and docs/CAPACITY.md needs slopes over instances, engines and teams.

Change: /status carries the counts; the example capacity measures memory and time of the state in one process, and runs routers over stand-ins at seven sizes, at rest.

--- a/crates/core/src/status/instance.rs
+++ b/crates/core/src/status/instance.rs
@@ -1,5 +1,5 @@
 use {
-    super::{PeerStatus, Phase, RefusedRecord, UpstreamStatus},
+    super::{ControlTraffic, PeerStatus, Phase, RefusedRecord, UpstreamStatus},
     crate::burn::TeamBurn,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -35,4 +35,7 @@
     /// Counts for the burn report.
     #[serde(default)]
     pub burn: Vec<TeamBurn>,
+    /// What was spent on control.
+    #[serde(default)]
+    pub control: ControlTraffic,
 }
--- a/crates/core/src/status/mod.rs
+++ b/crates/core/src/status/mod.rs
@@ -8,6 +8,7 @@
 mod peer;
 mod phase;
 mod refused;
+mod traffic;
 mod upstream;
 
 pub use {
@@ -16,5 +17,6 @@
     peer::PeerStatus,
     phase::Phase,
     refused::RefusedRecord,
+    traffic::ControlTraffic,
     upstream::UpstreamStatus,
 };
--- /dev/null
+++ b/crates/mangowalkd/examples/capacity/fleet.rs
@@ -0,0 +1,154 @@
+//! What routers spend while nothing is asked of them.
+
+use {
+    crate::process::{cpu_s, resident_kib},
+    mangowalk_core::status::{ControlTraffic, InstanceStatus},
+    mangowalk_standins::{
+        Answer, EngineSettings, EngineStandIn, PlatformStandIn, RouterProcess, free_address,
+    },
+    serde_json::json,
+    std::{env, net::SocketAddr, path::PathBuf, thread, time::Duration},
+};
+
+/// Time for a new fleet to come to rest, before anything is counted.
+const SETTLE: Duration = Duration::from_secs(12);
+
+/// Time over which is counted.
+const WINDOW: Duration = Duration::from_secs(20);
+
+/// Engines that stand behind all the records of engines.
+const ENGINES: usize = 4;
+
+/// A fleet of one size.
+struct Size {
+    routers: usize,
+    engines: usize,
+    teams: usize,
+}
+
+/// What one router spends.
+#[derive(Default)]
+struct Spent {
+    cpu_percent: f64,
+    resident_kib: f64,
+    control: ControlTraffic,
+}
+
+/// Prints the slopes over routers, engines and teams.
+pub(crate) fn measure() {
+    println!("## One instance at rest, mean over the fleet\n");
+    println!(
+        "| instances | engines | teams | core % | memory KiB | platform calls/s | \
+         platform B/s | peer B/s | engine B/s |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    for routers in [4, 12, 36] {
+        row(&Size {
+            routers,
+            engines: 16,
+            teams: 5,
+        });
+    }
+    for engines in [160, 640] {
+        row(&Size {
+            routers: 4,
+            engines,
+            teams: 5,
+        });
+    }
+    for teams in [58, 230] {
+        row(&Size {
+            routers: 4,
+            engines: 16,
+            teams,
+        });
+    }
+}
+
+fn row(size: &Size) {
+    let platform = PlatformStandIn::start(free_address());
+    let engines: Vec<EngineStandIn> = (0..ENGINES)
+        .map(|_| EngineStandIn::start(free_address(), EngineSettings::default()))
+        .collect();
+    write_records(&platform, &engines, size);
+    let routers: Vec<(RouterProcess, SocketAddr)> = (0..size.routers)
+        .map(|_| start_router(platform.address()))
+        .collect();
+    for (router, _) in &routers {
+        router.wait_ready();
+    }
+    thread::sleep(SETTLE);
+    let before: Vec<Spent> = routers.iter().map(|(r, a)| look(r, *a)).collect();
+    thread::sleep(WINDOW);
+    let after: Vec<Spent> = routers.iter().map(|(r, a)| look(r, *a)).collect();
+    print(size, &before, &after);
+}
+
+fn start_router(platform: SocketAddr) -> (RouterProcess, SocketAddr) {
+    let operator = free_address();
+    let flag = format!("--operator-address={operator}");
+    let program = program().to_string_lossy().into_owned();
+    (RouterProcess::start(&program, platform, &[&flag]), operator)
+}
+
+/// Returns the router's program beside this one.
+fn program() -> PathBuf {
+    let own = env::current_exe().unwrap_or_default();
+    let folder = own.ancestors().nth(2).map(PathBuf::from);
+    folder.unwrap_or_default().join("mangowalkd")
+}
+
+fn write_records(platform: &PlatformStandIn, engines: &[EngineStandIn], size: &Size) {
+    platform.put("model", "drafting", json!({ "schema": 1, "version": "v1" }));
+    for i in 0..size.teams {
+        let name = format!("team-{i}");
+        let rate = json!({ "schema": 1, "tokens_per_s": 1_000, "burst_tokens": 10_000 });
+        platform.put("team", &name, json!({ "schema": 1 }));
+        platform.put("rate", &name, rate);
+    }
+    for i in 0..size.engines {
+        let upstream = json!({
+            "schema": 1,
+            "address": engines[i % engines.len()].address(),
+            "failure_domain": "a",
+            "role": { "engine": { "model": "drafting", "checks_fencing": true } },
+        });
+        platform.put("upstream", &format!("engine-{i}"), upstream);
+    }
+}
+
+fn look(router: &RouterProcess, operator: SocketAddr) -> Spent {
+    let pid = router.pid().unwrap_or_default();
+    let answer = Answer::get(operator, "/status", &[]);
+    let control = serde_json::from_str::<InstanceStatus>(&answer.body)
+        .map(|status| status.control)
+        .unwrap_or_default();
+    Spent {
+        cpu_percent: cpu_s(pid),
+        resident_kib: resident_kib(pid) as f64,
+        control,
+    }
+}
+
+fn print(size: &Size, before: &[Spent], after: &[Spent]) {
+    let window_s = WINDOW.as_secs_f64();
+    let mean = |value: &dyn Fn(&Spent, &Spent) -> f64| -> f64 {
+        let sum: f64 = before.iter().zip(after).map(|(b, a)| value(b, a)).sum();
+        sum / before.len() as f64
+    };
+    let rate = |counter: fn(&ControlTraffic) -> u64| -> f64 {
+        mean(&|b, a| (counter(&a.control) - counter(&b.control)) as f64 / window_s)
+    };
+    println!(
+        "| {} | {} | {} | {:.2} | {:.0} | {:.2} | {:.0} | {:.0} | {:.0} |",
+        size.routers,
+        size.engines,
+        size.teams,
+        mean(&|b, a| (a.cpu_percent - b.cpu_percent) * 100.0 / window_s),
+        mean(&|_, a| a.resident_kib),
+        rate(|c| c.platform_calls),
+        rate(|c| c.platform_bytes),
+        rate(|c| c.peer_bytes),
+        rate(|c| c.engine_bytes),
+    );
+}
--- /dev/null
+++ b/crates/mangowalkd/examples/capacity/state.rs
@@ -0,0 +1,110 @@
+//! Memory and time of the state that one process holds.
+
+use {
+    crate::process::own_resident_kib,
+    mangowalk_core::{
+        config::{Store, View},
+        limits::{Bucket, SLOTS},
+        peer::{InstanceView, PeerReply},
+        record::Rate,
+    },
+    serde_json::json,
+    std::{hint::black_box, net::SocketAddr, time::Instant},
+};
+
+const RECORDS: [usize; 3] = [500, 2_000, 8_000];
+const INSTANCES: [usize; 4] = [8, 32, 128, 350];
+const TEAMS: [u64; 3] = [5, 58, 230];
+const REPEATS: u32 = 50;
+
+/// Prints every slope of the state.
+pub(crate) fn measure() {
+    println!("## Records in force\n");
+    println!("| records | memory KiB | view rebuilt us | one merge us |");
+    println!("| --- | --- | --- | --- |");
+    for records in RECORDS {
+        config(records);
+    }
+    println!("\n## Exchange between instances\n");
+    println!("| instances known | bytes of one answer |");
+    println!("| --- | --- |");
+    for instances in INSTANCES {
+        exchange(instances);
+    }
+    println!("\n## Tokens\n");
+    println!("| teams | ns to mint and take for every team |");
+    println!("| --- | --- |");
+    for teams in TEAMS {
+        tokens(teams);
+    }
+}
+
+fn config(records: usize) {
+    let before_kib = own_resident_kib();
+    let mut store = Store::default();
+    for i in 0..records {
+        let body = json!({
+            "schema": 1,
+            "address": SocketAddr::from(([10, 0, (i >> 8) as u8, i as u8], 8_000)),
+            "failure_domain": "domain-1",
+            "role": { "engine": { "model": "drafting" } },
+        });
+        let name = format!("engine-{i}");
+        store.merge("upstream", &name, i as u64 + 1, Some(&body.to_string()));
+    }
+    let view = View::of(&store);
+    let memory_kib = own_resident_kib().saturating_sub(before_kib);
+    let started = Instant::now();
+    for _ in 0..REPEATS {
+        black_box(View::of(&store));
+    }
+    let view_us = started.elapsed().as_micros() / u128::from(REPEATS);
+    let body = json!({ "schema": 1 }).to_string();
+    let started = Instant::now();
+    for i in 0..REPEATS {
+        let version = records as u64 + 2 + u64::from(i);
+        store.merge("team", "gallery", version, Some(&body));
+    }
+    let merge_us = started.elapsed().as_micros() / u128::from(REPEATS);
+    println!("| {records} | {memory_kib} | {view_us} | {merge_us} |");
+    black_box((store, view));
+}
+
+fn exchange(instances: usize) {
+    let view = |i: usize| InstanceView {
+        caller_address: SocketAddr::from(([10, 0, (i >> 8) as u8, i as u8], 8_000)),
+        peer_address: SocketAddr::from(([10, 0, (i >> 8) as u8, i as u8], 8_001)),
+        incarnation: u64::MAX / (i as u64 + 1),
+        heartbeat: 1 << 20,
+        failure_domain: "domain-1".to_owned(),
+        ready: true,
+        departing: false,
+    };
+    let reply = PeerReply::Exchange {
+        from: view(0),
+        others: (1..instances).map(view).collect(),
+        revision: 1 << 20,
+        entries: Vec::new(),
+        crashes: Vec::new(),
+    };
+    let bytes = postcard::to_stdvec(&reply).map_or(0, |b| b.len());
+    println!("| {instances} | {bytes} |");
+}
+
+fn tokens(teams: u64) {
+    let rate = Rate {
+        schema: 1,
+        tokens_per_s: 100_000,
+        burst_tokens: 400_000,
+    };
+    let mut buckets: Vec<Bucket> = (0..teams).map(|_| Bucket::empty(0)).collect();
+    let started = Instant::now();
+    for now_ms in 1..=u64::from(REPEATS) {
+        for bucket in &mut buckets {
+            bucket.mint(&rate, 4, SLOTS, now_ms);
+            black_box(bucket.take(10));
+        }
+    }
+    let ns = started.elapsed().as_nanos() / u128::from(REPEATS);
+    println!("| {teams} | {ns} |");
+}
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -3,7 +3,8 @@
         BurnBoard, ConfigBoard, DispatchBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard,
         UpstreamBoard,
     },
-    std::net::SocketAddr,
+    crate::edge::Traffic,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// The state of one instance.
@@ -27,6 +28,8 @@
     pub peers: PeerBoard,
     /// Tokens of every team.
     pub limits: LimitBoard,
+    /// What is spent on control.
+    pub traffic: Arc<Traffic>,
     /// Phase of the process and its open requests.
     pub life: Life,
 }
@@ -44,6 +47,7 @@
             dispatch,
             peers: PeerBoard::default(),
             limits: LimitBoard::default(),
+            traffic: Arc::default(),
             life: Life::default(),
         }
     }
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -75,6 +75,7 @@
         };
         let mut board = Board::new(identity, dispatch);
         board.operator_address = settings.operator_address;
+        board.traffic = edges.traffic().clone();
         let board = Arc::new(board);
         let (peer_edges, peer_board) = (edges.clone(), board.clone());
         let peer_server = PeerServer::start(settings.peer_address, move |request| {
--- a/crates/mangowalkd/src/edge/live.rs
+++ b/crates/mangowalkd/src/edge/live.rs
@@ -31,7 +31,7 @@
 
 impl LiveEdges {
     /// Returns what the instance has spent on control.
-    pub fn traffic(&self) -> &Traffic {
+    pub fn traffic(&self) -> &Arc<Traffic> {
         &self.traffic
     }
 }
--- a/crates/mangowalkd/src/edge/traffic.rs
+++ b/crates/mangowalkd/src/edge/traffic.rs
@@ -1,4 +1,7 @@
-use std::sync::atomic::{AtomicU64, Ordering};
+use {
+    mangowalk_core::status::ControlTraffic,
+    std::sync::atomic::{AtomicU64, Ordering},
+};
 
 /// Bytes that the heads of one HTTP exchange take, request and answer
 /// together, as the clients here write them. Bodies are counted exactly.
@@ -6,23 +9,31 @@
 
 /// What the instance has spent on control: everything but requests and their
 /// answers.
+/// Counts what the instance spends on control.
 #[derive(Debug, Default)]
 pub struct Traffic {
-    /// Calls of the platform; a waiting watch is one.
-    pub platform_calls: AtomicU64,
-    /// Bytes to and from the platform.
-    pub platform_bytes: AtomicU64,
-    /// Messages to and from peers that this instance started.
-    pub peer_messages: AtomicU64,
-    /// Bytes of those messages, both ways.
-    pub peer_bytes: AtomicU64,
-    /// Reads of engines' state and cache events.
-    pub engine_calls: AtomicU64,
-    /// Bytes of those reads, both ways.
-    pub engine_bytes: AtomicU64,
+    platform_calls: AtomicU64,
+    platform_bytes: AtomicU64,
+    peer_messages: AtomicU64,
+    peer_bytes: AtomicU64,
+    engine_calls: AtomicU64,
+    engine_bytes: AtomicU64,
 }
 
 impl Traffic {
+    /// Returns the counts since the start.
+    pub fn counts(&self) -> ControlTraffic {
+        let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        ControlTraffic {
+            platform_calls: count(&self.platform_calls),
+            platform_bytes: count(&self.platform_bytes),
+            peer_messages: count(&self.peer_messages),
+            peer_bytes: count(&self.peer_bytes),
+            engine_calls: count(&self.engine_calls),
+            engine_bytes: count(&self.engine_bytes),
+        }
+    }
+
     /// Counts one call of the platform.
     pub(super) fn platform(&self, body_bytes: usize) {
         add(&self.platform_calls, 1);
--- a/crates/mangowalkd/src/operator/status.rs
+++ b/crates/mangowalkd/src/operator/status.rs
@@ -34,6 +34,7 @@
             .map(|p| peer(p, now_ms))
             .collect(),
         burn: burn(board, &view, now_ms),
+        control: board.traffic.counts(),
     }
 }
 
