Send each token at once, and prove streams whole

Cause: the first token stayed in the server's buffer of a kilobyte until the tokens behind it filled it: Encoder::with_flush_after_write sends its own buffer and never flushes the writer below it. The new test was red for that (nothing at the caller while the engine was frozen after one token). Change: SseWriter flushes the writer below after each event. Stand-in engines can cut, skip, refuse and fail; RawCaller reads byte by byte; a router's log is kept for tests.

--- a/crates/mangowalkd/src/caller/sse.rs
+++ b/crates/mangowalkd/src/caller/sse.rs
@@ -11,8 +11,9 @@
 
 /// Writes server-sent events, each at once.
 ///
-/// The encoder flushes after each write: the server's own chunked writer
-/// gathers kilobytes first, and a token would wait for those behind it.
+/// Two buffers hold a token back until the tokens behind it fill them. The
+/// encoder's own is sent after each write; that of the server below it holds
+/// a kilobyte, and the encoder never flushes it.
 pub(super) struct SseWriter {
     encoder: Option<Encoder<Box<dyn Write + Send>>>,
 }
@@ -62,7 +63,10 @@
 
     fn write(&mut self, text: &str) -> io::Result<()> {
         match &mut self.encoder {
-            Some(encoder) => encoder.write_all(text.as_bytes()),
+            Some(encoder) => {
+                encoder.write_all(text.as_bytes())?;
+                encoder.get_mut().flush()
+            }
             None => Err(io::Error::from(io::ErrorKind::BrokenPipe)),
         }
     }
--- /dev/null
+++ b/crates/mangowalkd/tests/outcomes.rs
@@ -0,0 +1,84 @@
+//! What a refusal says of the request is true.
+
+use mangowalk_standins::{Answer, EngineFaults, Fleet, FleetSettings};
+
+fn fleet_with(faults: &EngineFaults) -> Fleet {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        router_args: vec![
+            "--first-token-timeout-ms=300".to_owned(),
+            "--token-timeout-ms=300".to_owned(),
+        ],
+        ..FleetSettings::default()
+    });
+    fleet.until_served();
+    for engine in &fleet.engines {
+        engine.set_faults(faults.clone());
+    }
+    fleet
+}
+
+fn outcome(answer: &Answer) -> (u16, &str) {
+    let outcome = answer.header("x-mangowalk-outcome").unwrap_or("none");
+    (answer.status, outcome)
+}
+
+fn runs(fleet: &Fleet, prompt: &str) -> u64 {
+    let prompts = fleet.engines.iter().flat_map(|e| e.prompts());
+    prompts
+        .filter(|(text, _)| text.contains(prompt))
+        .map(|(_, count)| count)
+        .sum()
+}
+
+/// Every engine refuses before it runs anything. "Not run" is true, and the
+/// caller is told when to come back.
+#[test]
+fn a_request_that_no_engine_took_was_not_run() {
+    let fleet = fleet_with(&EngineFaults {
+        refuse_status: Some(503),
+        ..EngineFaults::default()
+    });
+    let answer = fleet.chat(0, "nobody", 5, false);
+    assert_eq!(outcome(&answer), (503, "not_run"));
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(answer.header("x-should-retry"), Some("true"));
+    assert_eq!(runs(&fleet, "nobody"), 0);
+}
+
+/// The engines state in an event that nothing ran.
+#[test]
+fn an_engine_that_says_not_run_is_believed() {
+    let fleet = fleet_with(&EngineFaults {
+        fail_not_run: Some(true),
+        ..EngineFaults::default()
+    });
+    let answer = fleet.chat(0, "stated", 5, true);
+    assert_eq!(outcome(&answer), (503, "not_run"));
+}
+
+/// Every engine takes the request and says nothing. Whether it ran is not
+/// known, so "not run" would be a lie, and nobody is told to send it again.
+#[test]
+fn a_request_without_an_answer_has_an_unknown_outcome() {
+    let fleet = fleet_with(&EngineFaults {
+        freeze_after_tokens: Some(0),
+        ..EngineFaults::default()
+    });
+    let answer = fleet.chat(0, "silence", 5, false);
+    assert_eq!(outcome(&answer), (502, "unknown"));
+    assert_eq!(answer.header("x-should-retry"), Some("false"));
+    assert!(runs(&fleet, "silence") > 0);
+}
+
+/// Tokens came and the rest did not. The request ran.
+#[test]
+fn a_request_that_was_cut_ran() {
+    let fleet = fleet_with(&EngineFaults {
+        cut_after_tokens: Some(2),
+        ..EngineFaults::default()
+    });
+    // Each attempt brings two tokens more: four of them bring eight.
+    let answer = fleet.chat(0, "half", 50, false);
+    assert_eq!(outcome(&answer), (502, "ran"));
+}
--- /dev/null
+++ b/crates/mangowalkd/tests/streams.rs
@@ -0,0 +1,252 @@
+//! Streams reach their callers complete and in order, or are seen to be cut.
+
+use {
+    mangowalk_standins::{Answer, EngineFaults, EngineStandIn, Fleet, FleetSettings, RawCaller},
+    serde_json::json,
+    std::{thread, time::Duration},
+};
+
+/// Looks at a condition that must come to hold.
+const LOOKS: u32 = 500;
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+const TOKENS: u32 = 20;
+
+fn fleet(engines: usize, args: &[&str]) -> Fleet {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        engines,
+        router_args: args.iter().map(|a| (*a).to_owned()).collect(),
+        ..FleetSettings::default()
+    });
+    fleet.until_served();
+    fleet
+}
+
+fn comes_true(condition: impl Fn() -> bool) -> bool {
+    (0..LOOKS).any(|_| {
+        let holds = condition();
+        if !holds {
+            thread::sleep(LOOK_PAUSE);
+        }
+        holds
+    })
+}
+
+/// Sends a request whose stream the test reads byte by byte.
+fn open_stream(fleet: &Fleet, prompt: &str) -> RawCaller {
+    let body = json!({
+        "model": "drafting",
+        "messages": [{ "role": "user", "content": prompt }],
+        "max_tokens": TOKENS,
+        "stream": true,
+        "stream_options": { "include_usage": true },
+    })
+    .to_string();
+    let mut caller = RawCaller::connect(fleet.routers[0].address());
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {}\r\n\
+         Connection: close\r\nContent-Length: {}\r\n\r\n{body}",
+        Fleet::KEY,
+        body.len()
+    );
+    assert!(caller.send(head.as_bytes()));
+    caller
+}
+
+fn assert_whole(answer: &Answer, prompt: &str) {
+    let expected = Fleet::expected(prompt, u64::from(TOKENS));
+    assert_eq!(answer.streamed_text(), expected, "{}", answer.body);
+    assert!(answer.is_done() && answer.ended, "{}", answer.body);
+}
+
+/// Sends several requests, so that each engine gets some, streamed and not.
+fn assert_all_whole(fleet: &Fleet) {
+    for i in 0..6 {
+        let prompt = format!("order {i}");
+        assert_whole(&fleet.chat(0, &prompt, TOKENS, true), &prompt);
+        let answer = fleet.chat(0, &prompt, TOKENS, false);
+        let expected = Fleet::expected(&prompt, u64::from(TOKENS));
+        assert_eq!(answer.text(), expected, "{}", answer.body);
+        assert_eq!(answer.json()["usage"]["completion_tokens"], TOKENS);
+    }
+}
+
+/// The engine writes one token and stops. The caller must read that token
+/// while the second does not exist: whatever holds tokens back until more
+/// come would keep it waiting here for ever.
+#[test]
+fn the_first_token_arrives_before_the_second_exists() {
+    let fleet = fleet(1, &[]);
+    fleet.engines[0].set_faults(EngineFaults {
+        freeze_after_tokens: Some(1),
+        ..EngineFaults::default()
+    });
+    let mut caller = open_stream(&fleet, "counter");
+    let prompt = "<|user|>\ncounter\n<|assistant|>\n";
+    assert!(caller.read_until(&EngineStandIn::answer_to(prompt, 1)));
+    assert!(!caller.text().contains("w1x"), "{}", caller.text());
+    fleet.engines[0].set_faults(EngineFaults::default());
+    assert!(caller.read_until("data: [DONE]"), "{}", caller.text());
+}
+
+/// An engine stops in the middle of an answer, without a word. The caller
+/// sees a pause and then the rest from the other engine, and the silent one
+/// is told to stop.
+#[test]
+fn a_silent_engine_is_left_behind_its_last_token() {
+    let fleet = fleet(2, &["--token-timeout-ms=300"]);
+    fleet.engines[0].set_faults(EngineFaults {
+        freeze_after_tokens: Some(3),
+        ..EngineFaults::default()
+    });
+    assert_all_whole(&fleet);
+    assert!(fleet.engines[0].attempts() > 0);
+    assert!(comes_true(|| fleet.engines[0].state().load.running == 0));
+}
+
+/// An engine takes requests and writes nothing. That wait has a timeout of
+/// its own, longer than between tokens.
+#[test]
+fn an_engine_without_a_first_token_is_left() {
+    let fleet = fleet(2, &["--first-token-timeout-ms=300"]);
+    fleet.engines[0].set_faults(EngineFaults {
+        freeze_after_tokens: Some(0),
+        ..EngineFaults::default()
+    });
+    assert_all_whole(&fleet);
+}
+
+/// Each token comes twice, once under the number of another attempt. Only
+/// one of them is the caller's.
+#[test]
+fn crossed_answers_reach_nobody() {
+    let fleet = fleet(2, &[]);
+    for engine in &fleet.engines {
+        engine.set_faults(EngineFaults {
+            cross_answers: true,
+            ..EngineFaults::default()
+        });
+    }
+    assert_all_whole(&fleet);
+}
+
+/// An engine leaves a token out. The caller gets it from the other engine,
+/// in its place.
+#[test]
+fn a_token_left_out_is_fetched_elsewhere() {
+    let fleet = fleet(2, &[]);
+    fleet.engines[0].set_faults(EngineFaults {
+        skip_token: Some(4),
+        ..EngineFaults::default()
+    });
+    assert_all_whole(&fleet);
+}
+
+/// An engine ends its stream properly but without its final event, as a
+/// proxy or a stopping process does. To the router that is a cut.
+#[test]
+fn a_stream_that_ends_early_is_resumed() {
+    let fleet = fleet(2, &[]);
+    fleet.engines[0].set_faults(EngineFaults {
+        cut_after_tokens: Some(5),
+        ..EngineFaults::default()
+    });
+    assert_all_whole(&fleet);
+}
+
+/// The only engine cuts every stream, so nothing can resume. The caller has
+/// five tokens and an error that says so, and no marker of completeness.
+#[test]
+fn a_cut_stream_never_looks_complete() {
+    let fleet = fleet(1, &["--token-timeout-ms=300"]);
+    fleet.engines[0].set_faults(EngineFaults {
+        cut_after_tokens: Some(5),
+        ..EngineFaults::default()
+    });
+    let answer = fleet.chat(0, "cut", TOKENS, true);
+    assert_eq!(answer.streamed_text(), Fleet::expected("cut", 5));
+    assert!(!answer.is_done(), "{}", answer.body);
+    let events = answer.events();
+    let reasons = events.iter().map(|e| &e["choices"][0]["finish_reason"]);
+    assert!(reasons.into_iter().all(|reason| reason.is_null()));
+    assert_eq!(events.last().expect("an event")["error"]["outcome"], "ran");
+}
+
+/// The only engine crashes after five tokens and comes back empty. The
+/// stream waits for it and goes on; usage counts each token once.
+#[test]
+fn a_stream_waits_for_its_engine_to_come_back() {
+    let fleet = fleet(1, &["--token-timeout-ms=20000"]);
+    fleet.engines[0].set_faults(EngineFaults {
+        crash_after_tokens: Some(5),
+        ..EngineFaults::default()
+    });
+    let mut caller = open_stream(&fleet, "back");
+    assert!(comes_true(|| fleet.engines[0].crashes() == 1));
+    fleet.engines[0].set_faults(EngineFaults::default());
+    fleet.engines[0].restart();
+    assert!(caller.read_until("data: [DONE]"), "{}", caller.text());
+    let text = caller.text();
+    let expected = Fleet::expected("back", u64::from(TOKENS));
+    for token in expected.split_inclusive(' ') {
+        assert_eq!(text.matches(token).count(), 1, "{token} in {text}");
+    }
+    assert!(text.contains("\"completion_tokens\":20"), "{text}");
+}
+
+/// The caller hangs up while the engine is silent between two tokens. No
+/// token comes whose writing could fail, so only the lines in between can
+/// show it. The engine must be free again.
+#[test]
+fn a_caller_that_goes_away_frees_a_silent_engine() {
+    let fleet = fleet(1, &["--token-timeout-ms=60000"]);
+    fleet.engines[0].set_faults(EngineFaults {
+        freeze_after_tokens: Some(1),
+        ..EngineFaults::default()
+    });
+    let mut caller = open_stream(&fleet, "gone");
+    assert!(caller.read_until("w0x"));
+    assert_eq!(fleet.engines[0].state().load.running, 1);
+    drop(caller);
+    assert!(comes_true(|| fleet.engines[0].state().load.running == 0));
+}
+
+/// The engine restarted, and the router still knows its old incarnation. The
+/// engine refuses; the router reads its state again and the caller is served,
+/// unless the router found it down in between, which it says as "not run".
+#[test]
+fn an_engine_that_restarted_is_known_again() {
+    let fleet = fleet(1, &[]);
+    for i in 0..4 {
+        fleet.engines[0].crash();
+        fleet.engines[0].restart();
+        let prompt = format!("again {i}");
+        let served = comes_true(|| {
+            let answer = fleet.chat(0, &prompt, TOKENS, true);
+            let is_refused = answer.header("x-mangowalk-outcome") == Some("not_run");
+            if !is_refused {
+                assert_whole(&answer, &prompt);
+            }
+            !is_refused
+        });
+        assert!(served);
+    }
+}
+
+/// One engine refuses all as meant for another incarnation. It is healthy, so
+/// its breaker stays closed, it goes on to be asked, and no caller notices.
+#[test]
+fn a_refusal_of_what_is_stale_is_no_failure() {
+    let fleet = fleet(2, &[]);
+    fleet.engines[0].set_faults(EngineFaults {
+        refuse_status: Some(409),
+        ..EngineFaults::default()
+    });
+    let before = fleet.engines[0].attempts();
+    for _ in 0..3 {
+        assert_all_whole(&fleet);
+    }
+    let asked = fleet.engines[0].attempts() - before;
+    assert!(asked > 6, "{asked}");
+}
--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -10,6 +10,16 @@
     pub crash_on: Option<String>,
     /// Every attempt stops after this many tokens and says nothing more.
     pub freeze_after_tokens: Option<u64>,
+    /// Every attempt ends after this many tokens as if it were complete, with
+    /// no final event.
+    pub cut_after_tokens: Option<u64>,
+    /// Every attempt fails with an event before its first token, and states
+    /// whether nothing ran.
+    pub fail_not_run: Option<bool>,
+    /// The token at this position is left out.
+    pub skip_token: Option<u64>,
+    /// Every attempt is refused with this status before it runs.
+    pub refuse_status: Option<u16>,
     /// Each token is written twice, the second time with the identity of
     /// another attempt.
     pub cross_answers: bool,
--- a/crates/standins/src/engine/stand_in.rs
+++ b/crates/standins/src/engine/stand_in.rs
@@ -57,6 +57,7 @@
     headers: Vec<(String, String)>,
     orders: Vec<Order>,
     crashes: u64,
+    attempts: u64,
 }
 
 impl EngineStandIn {
@@ -77,6 +78,7 @@
             headers: Vec::new(),
             orders: Vec::new(),
             crashes: 0,
+            attempts: 0,
         };
         let shared = Arc::new(Shared {
             settings,
@@ -134,6 +136,11 @@
         self.shared.lock().crashes
     }
 
+    /// Returns how many attempts came, those refused included.
+    pub fn attempts(&self) -> u64 {
+        self.shared.lock().attempts
+    }
+
     /// Returns the answer that the engine gives to a prompt.
     pub fn answer_to(prompt: &str, tokens: u64) -> String {
         (0..tokens).map(|i| answer::token(prompt, i)).collect()
@@ -289,6 +296,11 @@
         let incarnation = {
             let mut inner = self.lock();
             inner.headers.extend(exchange.headers.clone());
+            inner.attempts += 1;
+            if let Some(status) = inner.faults.refuse_status {
+                drop(inner);
+                return exchange.json(status, &json!({}));
+            }
             let wrong = inner.loading
                 || inner.model != request.model
                 || inner.version != request.version
@@ -363,10 +375,24 @@
     fn write(&self, writer: &mut impl Write) {
         let tokens = u64::from(self.request.max_tokens).min(LONGEST_ANSWER_TOKENS);
         let first = self.request.generated.len() as u64;
+        let faults = self.shared.lock().faults.clone();
+        if let Some(not_run) = faults.fail_not_run {
+            let reason = "made to fail".to_owned();
+            let failed = GeneratePayload::Failed { reason, not_run };
+            let _ = send(writer, &self.event(self.request.attempt, failed));
+            return;
+        }
         for index in first..tokens {
             if !self.go_on(index - first) {
                 return;
             }
+            if faults.cut_after_tokens == Some(index - first) {
+                let _ = writer.write(b"");
+                return;
+            }
+            if faults.skip_token == Some(index) {
+                continue;
+            }
             let token = GeneratePayload::Token {
                 index,
                 text: answer::token(&self.request.prompt, index),
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -2,12 +2,14 @@
 
 mod address;
 mod answer;
+mod raw;
 mod router;
 mod whole;
 
 pub use {
     address::free_address,
     answer::Answer,
+    raw::RawCaller,
     router::RouterProcess,
     whole::{Fleet, FleetSettings},
 };
--- a/crates/standins/src/fleet/router.rs
+++ b/crates/standins/src/fleet/router.rs
@@ -5,8 +5,10 @@
         unistd::Pid,
     },
     std::{
+        io::{BufRead, BufReader},
         net::SocketAddr,
-        process::{Child, Command, ExitStatus, Stdio},
+        process::{Child, ChildStderr, Command, ExitStatus, Stdio},
+        sync::{Arc, Mutex},
         thread,
         time::Duration,
     },
@@ -23,6 +25,7 @@
     address: SocketAddr,
     peer_address: SocketAddr,
     child: Option<Child>,
+    log: Arc<Mutex<String>>,
 }
 
 impl RouterProcess {
@@ -45,6 +48,7 @@
             address,
             peer_address,
             child: None,
+            log: Arc::default(),
         };
         router.start_again();
         router
@@ -62,14 +66,24 @@
 
     /// Starts the process again with the same arguments.
     pub fn start_again(&mut self) {
-        let child = Command::new(&self.program)
+        let mut child = Command::new(&self.program)
             .args(&self.args)
             .stdout(Stdio::null())
+            .stderr(Stdio::piped())
             .spawn()
             .expect("the router's program");
+        if let Some(stderr) = child.stderr.take() {
+            let log = self.log.clone();
+            thread::spawn(move || keep_log(stderr, &log));
+        }
         self.child = Some(child);
     }
 
+    /// Returns the lines that the process has logged so far.
+    pub fn log(&self) -> String {
+        self.log.lock().expect("the log").clone()
+    }
+
     /// Waits until the router says that it is ready.
     pub fn wait_ready(&self) {
         for _ in 0..READY_LOOKS {
@@ -121,6 +135,16 @@
     }
 }
 
+/// Keeps what the process logs, and shows it with the test's own output.
+fn keep_log(stderr: ChildStderr, log: &Mutex<String>) {
+    for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+        eprintln!("{line}");
+        let mut log = log.lock().expect("the log");
+        log.push_str(&line);
+        log.push('\n');
+    }
+}
+
 impl Drop for RouterProcess {
     fn drop(&mut self) {
         self.kill();
--- a/crates/standins/src/fleet/whole.rs
+++ b/crates/standins/src/fleet/whole.rs
@@ -3,8 +3,13 @@
     crate::{EngineSettings, EngineStandIn, PlatformStandIn, ServiceStandIn},
     mangowalk_core::record::digest_of,
     serde_json::json,
+    std::{thread, time::Duration},
 };
 
+/// Looks at whether a new fleet serves.
+const SERVED_LOOKS: u32 = 200;
+const SERVED_PAUSE: Duration = Duration::from_millis(50);
+
 /// What a test's fleet is made of.
 #[derive(Debug, Clone)]
 pub struct FleetSettings {
@@ -129,6 +134,18 @@
         )
     }
 
+    /// Sends requests until the first is served: a new fleet mints its first
+    /// tokens a moment after its routers are ready.
+    pub fn until_served(&self) {
+        for _ in 0..SERVED_LOOKS {
+            if self.chat(0, "warm", 1, false).status == 200 {
+                return;
+            }
+            thread::sleep(SERVED_PAUSE);
+        }
+        panic!("the fleet serves nobody");
+    }
+
     /// Returns the answer that `chat` must bring.
     pub fn expected(prompt: &str, max_tokens: u64) -> String {
         let prompt = format!("<|user|>\n{prompt}\n<|assistant|>\n");
