Prove bad input, slow callers and the protocol's shapes

Found by the tests: two requests of one connection were checked on threads of their own, so that the one hidden behind a doubtful length was served first (seen red: 200 with the list of models); framing is checked in order now. A caller timeout under a second kept the listener from opening, since keepalive counts seconds. Tests: bad_input (9), callers (8).

--- a/crates/mangowalkd/src/caller/handler.rs
+++ b/crates/mangowalkd/src/caller/handler.rs
@@ -4,7 +4,7 @@
         body::{Form, malformed},
         chat,
         condemned::Condemned,
-        framing, models,
+        models,
         reply::Head,
         request_id, service,
     },
@@ -23,9 +23,6 @@
 /// a length that no memory can hold would end the process.
 const ABSURD_BYTES: usize = 1 << 30;
 
-/// Read timeouts for which a condemned connection is remembered.
-const CONDEMNED_TIMEOUTS: u64 = 3;
-
 /// Serves one request of a caller.
 pub(super) struct Handler<'a, E: Edges> {
     pub(super) router: &'a Router<E>,
@@ -53,13 +50,9 @@
         }
     }
 
-    pub(super) fn handle(&self, request: Request) {
-        if self.is_condemned(&request) {
-            let refusal = malformed("This connection sent a doubtful length; open another.".into());
-            return self.refuse(request, &refusal);
-        }
-        if let Err(refusal) = framing::check(&request) {
-            self.condemn(&request);
+    /// Serves the request, unless a check of its framing refused it.
+    pub(super) fn handle(&self, request: Request, refused: Option<Refusal>) {
+        if let Some(refusal) = refused {
             return self.refuse(request, &refusal);
         }
         if request.body_length().is_some_and(|b| b > ABSURD_BYTES) {
@@ -148,12 +141,6 @@
         self.condemned.add(request.remote_addr(), now_ms);
     }
 
-    fn is_condemned(&self, request: &Request) -> bool {
-        let keep_ms = self.router.settings().caller_timeout_ms * CONDEMNED_TIMEOUTS;
-        let now_ms = self.router.now_ms();
-        self.condemned.holds(request.remote_addr(), keep_ms, now_ms)
-    }
-
     /// Adds the team's rate to a head.
     pub(super) fn add_rate(&self, head: &mut Head, team: &str) {
         let view = self.router.board().config.view();
--- a/crates/mangowalkd/src/caller/listener.rs
+++ b/crates/mangowalkd/src/caller/listener.rs
@@ -10,6 +10,9 @@
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
 
+/// Shortest keepalive that the system accepts.
+const LEAST_KEEPALIVE: Duration = Duration::from_secs(1);
+
 /// Longest time that the listener's own connection may take.
 const KNOCK_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -36,7 +39,8 @@
     socket.set_read_timeout(Some(timeout))?;
     socket.set_write_timeout(Some(timeout))?;
     socket.set_tcp_user_timeout(Some(timeout))?;
-    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(timeout))?;
+    let keepalive = TcpKeepalive::new().with_time(timeout.max(LEAST_KEEPALIVE));
+    socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_nodelay(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
--- a/crates/mangowalkd/src/caller/server.rs
+++ b/crates/mangowalkd/src/caller/server.rs
@@ -1,5 +1,7 @@
 use {
-    super::{condemned::Condemned, handler::Handler, listener, reply::Head},
+    super::{
+        body::malformed, condemned::Condemned, framing, handler::Handler, listener, reply::Head,
+    },
     crate::serve::Router,
     log::{info, warn},
     mangowalk_core::{edge::Edges, refusal::Refusal},
@@ -28,6 +30,9 @@
 /// Knocks within one read timeout.
 const KNOCKS: u32 = 4;
 
+/// Read timeouts for which a condemned connection is remembered.
+const CONDEMNED_TIMEOUTS: u64 = 3;
+
 /// Looks without a request after which a server that was replaced ends.
 const LAST_LOOKS: u32 = 6_000;
 
@@ -136,9 +141,27 @@
         }
     }
 
+    /// Checks the framing of a request.
+    ///
+    /// This happens here, in the order in which one connection's requests
+    /// came: on threads of their own, a hidden request might be served before
+    /// the doubtful one in front of it is refused.
+    fn check(&self, request: &Request) -> Result<(), Refusal> {
+        let now_ms = self.router.now_ms();
+        let keep_ms = self.router.settings().caller_timeout_ms * CONDEMNED_TIMEOUTS;
+        let caller = request.remote_addr();
+        if self.condemned.holds(caller, keep_ms, now_ms) {
+            return Err(malformed(
+                "This connection sent a doubtful length; open another.".to_owned(),
+            ));
+        }
+        framing::check(request).inspect_err(|_| self.condemned.add(caller, now_ms))
+    }
+
     /// Serves or refuses a request on a thread of its own. Neither happens
     /// here: a caller that reads or sends slowly would hold up every other.
     fn dispatch(self: &Arc<Self>, request: Request) {
+        let refused = self.check(&request).err();
         let callers = self.clone();
         let most = self.router.settings().max_open_requests;
         let spawned = match self.router.board().life.open(most) {
@@ -147,7 +170,8 @@
                 .stack_size(REQUEST_STACK_BYTES)
                 .spawn(move || {
                     let _guard = guard;
-                    Handler::new(&callers.router, &callers.condemned, &request).handle(request);
+                    Handler::new(&callers.router, &callers.condemned, &request)
+                        .handle(request, refused);
                 }),
             None => thread::Builder::new()
                 .name("refusal".to_owned())
--- /dev/null
+++ b/crates/mangowalkd/tests/bad_input.rs
@@ -0,0 +1,253 @@
+//! Bad input: a clear error in the protocol's form, and the router serves on.
+
+use {
+    mangowalk_standins::{Answer, Fleet, FleetSettings, RawCaller},
+    std::{fmt::Write, thread, time::Duration},
+};
+
+/// Pause between two bytes of a slow caller, within its read timeout.
+const SLOW_PAUSE: Duration = Duration::from_millis(100);
+
+fn fleet(args: &[&str]) -> Fleet {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        engines: 1,
+        router_args: args.iter().map(|a| (*a).to_owned()).collect(),
+        ..FleetSettings::default()
+    });
+    fleet.until_served();
+    fleet
+}
+
+fn post(fleet: &Fleet, path: &str, body: &str) -> Answer {
+    let bearer = format!("Bearer {}", Fleet::KEY);
+    let address = fleet.routers[0].address();
+    Answer::post(address, path, &[("Authorization", &bearer)], body)
+}
+
+/// Sends a head with a good key and the given lines, and bytes behind it.
+fn raw(fleet: &Fleet, lines: &str, body: &str) -> RawCaller {
+    let mut caller = RawCaller::connect(fleet.routers[0].address());
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {}\r\n{lines}\r\n\r\n",
+        Fleet::KEY
+    );
+    caller.send(head.as_bytes());
+    caller.send(body.as_bytes());
+    caller
+}
+
+fn serves_on(fleet: &Fleet) {
+    let answer = fleet.chat(0, "still", 3, false);
+    assert_eq!(
+        answer.text(),
+        Fleet::expected("still", 3),
+        "{}",
+        answer.body
+    );
+}
+
+/// Every body that can't be served, and what its caller is told. Nothing of
+/// it reaches an engine.
+#[test]
+fn a_bad_body_is_refused_with_its_remedy() {
+    let fleet = fleet(&[]);
+    let before = fleet.engines[0].attempts();
+    let (open, close) = ("[".repeat(100_000), "]".repeat(100_000));
+    let deep = format!(r#"{{"model":"drafting","messages":{open}{close}}}"#);
+    let message = r#""messages":[{"role":"user","content":"a"}]"#;
+    let bodies = [
+        ("malformed", "{\"model\":".to_owned()),
+        ("no object", "[]".to_owned()),
+        ("deep nesting", deep),
+        ("no model", format!("{{{message}}}")),
+        ("unknown model", format!(r#"{{"model":"none",{message}}}"#)),
+        (
+            "no messages",
+            r#"{"model":"drafting","messages":[]}"#.to_owned(),
+        ),
+        (
+            "tool role",
+            r#"{"model":"drafting","messages":[{"role":"tool","content":"a"}]}"#.to_owned(),
+        ),
+        (
+            "image part",
+            r#"{"model":"drafting","messages":[{"role":"user","content":[{"type":"image_url"}]}]}"#
+                .to_owned(),
+        ),
+    ];
+    let fields = [
+        r#""max_tokens":-1"#,
+        r#""max_tokens":0"#,
+        r#""max_tokens":1.5"#,
+        r#""max_tokens":99999999999999999999"#,
+        r#""max_tokens":4294967295"#,
+        r#""temperature":-1"#,
+        r#""n":2"#,
+        r#""stop":["a"]"#,
+        r#""tools":[{}]"#,
+        r#""stream":"yes""#,
+        r#""stream_options":[]"#,
+        r#""surprise":1"#,
+    ];
+    let fields = fields.map(|f| (f, format!(r#"{{"model":"drafting",{message},{f}}}"#)));
+    let mut told = String::new();
+    for (name, body) in bodies.into_iter().chain(fields) {
+        let answer = post(&fleet, "/v1/chat/completions", &body);
+        let error = &answer.json()["error"];
+        let (code, text) = (&error["code"], &error["message"]);
+        assert_eq!(error["outcome"], "not_run", "{name}: {}", answer.body);
+        writeln!(told, "{name}: {} {code} {text}", answer.status).expect("a text");
+    }
+    insta::assert_snapshot!(told);
+    assert_eq!(fleet.engines[0].attempts(), before);
+    serves_on(&fleet);
+}
+
+#[test]
+fn bytes_that_are_no_text_are_refused() {
+    let fleet = fleet(&[]);
+    let mut caller = raw(&fleet, "Connection: close\r\nContent-Length: 14", "");
+    caller.send(b"{\"model\":\"\xff\xfe\"}");
+    let text = caller.read_to_end();
+    assert!(text.starts_with("HTTP/1.1 400"), "{text}");
+    assert!(text.contains("invalid_request"), "{text}");
+    serves_on(&fleet);
+}
+
+#[test]
+fn a_body_over_the_limit_is_refused() {
+    let fleet = fleet(&["--max-body-bytes=2000"]);
+    let answer = post(&fleet, "/v1/chat/completions", &"a".repeat(3_000));
+    assert_eq!(answer.status, 413);
+    assert_eq!(answer.json()["error"]["code"], "body_too_large");
+    let chunked = format!("bb8\r\n{}\r\n0\r\n\r\n", "a".repeat(3_000));
+    let text = raw(&fleet, "Transfer-Encoding: chunked", &chunked).read_to_end();
+    assert!(text.starts_with("HTTP/1.1 413"), "{text}");
+    serves_on(&fleet);
+}
+
+/// A caller declares more bytes than any memory holds. The server below
+/// reserves memory for a body that it throws away, which would end the
+/// process and every stream in it.
+#[test]
+fn an_absurd_length_does_not_end_the_process() {
+    let fleet = fleet(&[]);
+    for length in ["99999999999999", "9223372036854775807"] {
+        let mut caller = raw(&fleet, &format!("Content-Length: {length}"), "{}");
+        assert!(caller.read_until("HTTP/1.1 413"), "{}", caller.text());
+    }
+    serves_on(&fleet);
+}
+
+/// The length of a request is told in two ways that differ. Behind it, hidden
+/// from a reader who believes the other way, stands a second request. The
+/// first is refused and the second never served.
+#[test]
+fn a_request_hidden_behind_a_doubtful_length_is_not_served() {
+    let fleet = fleet(&[]);
+    let hidden = format!(
+        "GET /v1/models HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {}\r\nConnection: close\r\n\r\n",
+        Fleet::KEY
+    );
+    let doubtful = [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked",
+        "Content-Length: 5\r\nContent-Length: 6",
+        "Content-Length: +5",
+        "Content-Length: 5, 6",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+        "Connection: upgrade\r\nContent-Length: 5",
+    ];
+    for lines in doubtful {
+        let text = raw(&fleet, lines, &format!("0\r\n\r\n{hidden}")).read_to_end();
+        assert!(text.starts_with("HTTP/1.1 400"), "{lines}: {text}");
+        assert!(text.contains("\"not_run\""), "{lines}: {text}");
+        assert!(!text.contains("\"data\""), "{lines}: {text}");
+    }
+    serves_on(&fleet);
+}
+
+/// Callers who stop in the middle of a head or a body, or trickle it. Each
+/// is let go, and none keeps another from being served.
+#[test]
+fn slow_callers_are_let_go() {
+    let fleet = fleet(&["--caller-timeout-ms=400"]);
+    let address = fleet.routers[0].address();
+    let mut head = RawCaller::connect(address);
+    head.send(b"POST /v1/chat/completions HTTP/1.1\r\nHost:");
+    let mut silent = raw(&fleet, "Content-Length: 2000", "{");
+    let mut trickling = raw(&fleet, "Content-Length: 2000", "");
+    serves_on(&fleet);
+    while trickling.send(b" ") && !silent.text().contains("408") {
+        thread::sleep(SLOW_PAUSE);
+        silent.read_until("body_too_slow");
+    }
+    assert!(
+        silent.text().starts_with("HTTP/1.1 408"),
+        "{}",
+        silent.text()
+    );
+    assert!(
+        trickling.read_until("body_too_slow"),
+        "{}",
+        trickling.text()
+    );
+    assert_eq!(head.read_to_end(), "");
+    serves_on(&fleet);
+}
+
+/// No caller comes for several read timeouts, which end an idle `accept`.
+/// The next caller is served all the same.
+#[test]
+fn a_router_that_nobody_calls_goes_on_listening() {
+    let fleet = fleet(&["--caller-timeout-ms=100"]);
+    thread::sleep(Duration::from_millis(1_000));
+    serves_on(&fleet);
+}
+
+/// As many requests are open as may be. One more is refused at once and told
+/// when to come back; a freed place serves again.
+#[test]
+fn a_request_over_the_limit_is_refused_as_not_run() {
+    let fleet = fleet(&["--max-open-requests=1"]);
+    let mut holding = raw(&fleet, "Content-Length: 2000", "{");
+    let mut answer = Answer::default();
+    for _ in 0..100 {
+        answer = fleet.chat(0, "one more", 3, false);
+        if answer.status == 503 {
+            break;
+        }
+    }
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    assert_eq!(answer.json()["error"]["outcome"], "not_run");
+    assert!(answer.header("retry-after").is_some());
+    assert!(holding.send("}".repeat(1_999).as_bytes()));
+    assert!(holding.read_until("HTTP/1.1 400"));
+    drop(holding);
+    fleet.until_served();
+}
+
+/// A withdrawn key is refused like a wrong one, within seconds.
+#[test]
+fn a_missing_wrong_or_withdrawn_key_is_refused() {
+    let fleet = fleet(&[]);
+    let address = fleet.routers[0].address();
+    let missing = Answer::post(address, "/v1/chat/completions", &[], "{}");
+    let wrong = [("Authorization", "Bearer nonsense")];
+    let wrong = Answer::post(address, "/v1/chat/completions", &wrong, "{}");
+    for answer in [missing, wrong] {
+        assert_eq!(answer.status, 401);
+        assert_eq!(answer.json()["error"]["code"], "invalid_api_key");
+    }
+    fleet.platform.delete("key", "gallery-1");
+    let mut status = 200;
+    for _ in 0..200 {
+        status = fleet.chat(0, "withdrawn", 3, false).status;
+        if status == 401 {
+            break;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(status, 401);
+}
--- /dev/null
+++ b/crates/mangowalkd/tests/callers.rs
@@ -0,0 +1,159 @@
+//! The protocol towards callers.
+
+use {
+    mangowalk_standins::{Answer, Fleet, FleetSettings},
+    serde_json::{Value, json},
+};
+
+fn fleet() -> Fleet {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        engines: 1,
+        ..FleetSettings::default()
+    });
+    fleet.until_served();
+    fleet
+}
+
+fn post(fleet: &Fleet, path: &str, headers: &[(&str, &str)], body: &Value) -> Answer {
+    let bearer = format!("Bearer {}", Fleet::KEY);
+    let mut all = vec![("Authorization", bearer.as_str())];
+    all.extend(headers);
+    let address = fleet.routers[0].address();
+    Answer::post(address, path, &all, &body.to_string())
+}
+
+fn get(fleet: &Fleet, path: &str) -> Answer {
+    let bearer = format!("Bearer {}", Fleet::KEY);
+    let address = fleet.routers[0].address();
+    Answer::get(address, path, &[("Authorization", &bearer)])
+}
+
+/// Replaces what differs from run to run.
+fn steady(mut body: Value) -> String {
+    for field in ["id", "created"] {
+        if !body[field].is_null() {
+            body[field] = json!("*");
+        }
+    }
+    serde_json::to_string_pretty(&body).expect("a text")
+}
+
+fn chat(content: Value, more: Value) -> Value {
+    let mut body = json!({
+        "model": "drafting",
+        "messages": [{ "role": "user", "content": content }],
+        "max_tokens": 3,
+    });
+    for (name, value) in more.as_object().into_iter().flatten() {
+        body[name] = value.clone();
+    }
+    body
+}
+
+#[test]
+fn answers_have_the_shapes_of_the_protocol() {
+    let fleet = fleet();
+    let body = chat(json!("hello"), json!({}));
+    let answer = post(&fleet, "/v1/chat/completions", &[], &body);
+    insta::assert_snapshot!("chat", steady(answer.json()));
+    let prompt = json!({ "model": "drafting", "prompt": ["hello"], "max_tokens": 3 });
+    let answer = post(&fleet, "/v1/completions", &[], &prompt);
+    insta::assert_snapshot!("completion", steady(answer.json()));
+    insta::assert_snapshot!("models", steady(get(&fleet, "/v1/models").json()));
+    insta::assert_snapshot!("model", get(&fleet, "/v1/models/drafting").body);
+    insta::assert_snapshot!("no_model", get(&fleet, "/v1/models/none").body);
+    insta::assert_snapshot!("no_path", get(&fleet, "/v1/chat/completions").body);
+}
+
+#[test]
+fn a_stream_has_the_events_of_the_protocol() {
+    let fleet = fleet();
+    let options = json!({ "stream": true, "stream_options": { "include_usage": true } });
+    let body = chat(json!("hello"), options);
+    let answer = post(&fleet, "/v1/chat/completions", &[], &body);
+    let events: Vec<String> = answer.events().into_iter().map(steady).collect();
+    insta::assert_snapshot!("stream", events.join("\n"));
+    assert_eq!(answer.header("content-type"), Some("text/event-stream"));
+}
+
+#[test]
+fn parts_of_text_are_joined() {
+    let fleet = fleet();
+    let parts = json!([{ "type": "text", "text": "hel" }, { "type": "text", "text": "lo" }]);
+    let answer = post(&fleet, "/v1/chat/completions", &[], &chat(parts, json!({})));
+    assert_eq!(answer.text(), Fleet::expected("hello", 3));
+}
+
+/// The engines can't be told a temperature. The answer says so, since the
+/// caller would otherwise take it for followed.
+#[test]
+fn what_is_passed_over_is_named() {
+    let fleet = fleet();
+    let more = json!({ "temperature": 0.2, "user": "desk-1", "n": 1, "stop": null });
+    let body = chat(json!("hello"), more);
+    let answer = post(&fleet, "/v1/chat/completions", &[], &body);
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    let passed_over = answer.header("x-mangowalk-passed-over");
+    assert_eq!(passed_over, Some("temperature"));
+}
+
+#[test]
+fn a_sane_request_id_is_taken_over() {
+    let fleet = fleet();
+    let body = chat(json!("hello"), json!({}));
+    let path = "/v1/chat/completions";
+    let sane = post(&fleet, path, &[("x-request-id", "desk-17.a")], &body);
+    assert_eq!(sane.header("x-request-id"), Some("desk-17.a"));
+    let long = "a".repeat(65);
+    for id in ["a b", "", long.as_str()] {
+        let answer = post(&fleet, path, &[("x-request-id", id)], &body);
+        let given = answer.header("x-request-id").expect("an id");
+        assert!(given.starts_with("req-"), "{given}");
+    }
+}
+
+#[test]
+fn a_deadline_is_a_number_of_milliseconds() {
+    let fleet = fleet();
+    let body = chat(json!("hello"), json!({}));
+    for (deadline, status) in [("30000", 200), ("0", 400), ("-1", 400), ("soon", 400)] {
+        let headers = [("x-mangowalk-deadline-ms", deadline)];
+        let answer = post(&fleet, "/v1/chat/completions", &headers, &body);
+        assert_eq!(answer.status, status, "{deadline}: {}", answer.body);
+    }
+}
+
+#[test]
+fn answers_tell_the_teams_rate() {
+    let fleet = fleet();
+    let body = chat(json!("hello"), json!({ "stream": true }));
+    let answer = post(&fleet, "/v1/chat/completions", &[], &body);
+    let limit = answer.header("x-ratelimit-limit-tokens");
+    assert_eq!(limit, Some("1000000"));
+}
+
+/// Callers present their key in every way that the protocol knows, also with
+/// requests that fail. It must reach no engine, no service, no log line and
+/// no error.
+#[test]
+fn the_key_goes_no_further() {
+    let fleet = fleet();
+    let body = chat(json!("hello"), json!({ "stream": true }));
+    let mut told = String::new();
+    for path in ["/v1/chat/completions", "/v1/services/orders/book", "/none"] {
+        let headers = [("Idempotency-Key", "order-1"), ("x-request-id", Fleet::KEY)];
+        told += &post(&fleet, path, &headers, &body).body;
+        told += &post(&fleet, path, &[], &json!("broken")).body;
+    }
+    let sent = fleet.engines[0].headers().into_iter();
+    let sent = sent.chain(fleet.service.headers());
+    let sent: Vec<String> = sent
+        .map(|(name, value)| format!("{name}: {value}"))
+        .collect();
+    assert!(!sent.is_empty());
+    assert!(!sent.join("\n").contains(Fleet::KEY));
+    assert!(!sent.iter().any(|line| line.starts_with("authorization")));
+    assert!(!told.contains(Fleet::KEY));
+    assert!(!fleet.routers[0].log().contains(Fleet::KEY));
+}
--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -20,8 +20,8 @@
     pub skip_token: Option<u64>,
     /// Every attempt is refused with this status before it runs.
     pub refuse_status: Option<u16>,
-    /// Each token is written twice, the second time with the identity of
-    /// another attempt.
+    /// Before each token comes a foreign one, with the same position and the
+    /// number of another attempt.
     pub cross_answers: bool,
     /// This many cache events are lost out of the next ones.
     pub lose_events: u32,
--- a/crates/standins/src/engine/stand_in.rs
+++ b/crates/standins/src/engine/stand_in.rs
@@ -398,7 +398,9 @@
                 text: answer::token(&self.request.prompt, index),
             };
             if self.shared.lock().faults.cross_answers {
-                let foreign = self.event(self.request.attempt + 1, token.clone());
+                let text = "foreign ".to_owned();
+                let foreign = GeneratePayload::Token { index, text };
+                let foreign = self.event(self.request.attempt + 1, foreign);
                 let _ = send(writer, &foreign);
             }
             if send(writer, &self.event(self.request.attempt, token)).is_err() {
