--- a/crates/mangowalk/src/fleet/wait.rs
+++ b/crates/mangowalk/src/fleet/wait.rs
@@ -51,15 +51,14 @@
                 progress(&line);
                 shown = line;
             }
-            if behind.is_empty() {
+            // A lagging list may show no instance at all; the write is in force
+            // nowhere then.
+            if all > 0 && behind.is_empty() {
                 return Ok(());
             }
             if Instant::now() >= until {
                 return Err(Report::new(Failure::Incomplete {
-                    detail: format!(
-                        "The write took effect, but version {version} is not in force on {}",
-                        behind.join(", ")
-                    ),
+                    detail: not_in_force(version, &behind),
                 }));
             }
             thread::sleep(PAUSE);
@@ -67,6 +66,15 @@
     }
 }
 
+fn not_in_force(version: u64, behind: &[String]) -> String {
+    let where_not = if behind.is_empty() {
+        "any instance, since the platform lists none".to_owned()
+    } else {
+        behind.join(", ")
+    };
+    format!("The write took effect, but version {version} is not in force on {where_not}")
+}
+
 fn behind(survey: &Survey, version: u64) -> Vec<String> {
     let late = survey.answered.iter().filter(|s| s.revision < version);
     let silent = survey.silent.iter().map(|s| s.name.clone());
--- a/crates/mangowalk/src/records/file.rs
+++ b/crates/mangowalk/src/records/file.rs
@@ -18,6 +18,9 @@
 /// platform's paths.
 const NAME_MARKS: &str = "._:-";
 
+/// File name that stands for standard input.
+const STDIN: &str = "-";
+
 /// One record of a file.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -83,7 +86,7 @@
 }
 
 fn text_of(path: &Path) -> io::Result<String> {
-    if path != Path::new("-") {
+    if path != Path::new(STDIN) {
         return fs::read_to_string(path);
     }
     let mut text = String::new();
@@ -93,7 +96,11 @@
 
 fn bad(path: &Path, detail: &str) -> Report<Failure> {
     Report::new(Failure::BadFile {
-        what: path.display().to_string(),
+        what: if path == Path::new(STDIN) {
+            "Standard input".to_owned()
+        } else {
+            path.display().to_string()
+        },
         detail: detail.to_owned(),
     })
 }
--- /dev/null
+++ b/crates/mangowalk/tests/client/explain.rs
@@ -0,0 +1,45 @@
+//! What an instance would do with a request.
+
+use {
+    crate::support::{Client, Run, client_of, eventually, fleet},
+    mangowalk_standins::FleetSettings,
+};
+
+fn explain(client: &Client, model: &str, more: &[&str]) -> Run {
+    let model = format!("--model={model}");
+    let base = ["explain", "--team=gallery", &model, "Which glass?"];
+    client.run(&[&base[..], more].concat())
+}
+
+#[test]
+fn a_departing_engine_is_passed_over_and_named() {
+    let fleet = fleet(1, FleetSettings::default());
+    let client = client_of(&fleet);
+    eventually(
+        || explain(&client, "drafting", &[]),
+        |run| run.stdout.starts_with("It would go to engine-"),
+    );
+    let set = client.run(&["set", "upstream", "engine-0", "departing=true", "--wait"]);
+    assert_eq!(set.code, 0, "{set}");
+    let run = explain(&client, "drafting", &["--json"]);
+    let reply = run.json();
+    assert_eq!(reply["engine"], "engine-1", "{run}");
+    assert_eq!(reply["candidates"][0]["usable"], false, "{run}");
+    let reason = reply["candidates"][0]["reason"].as_str();
+    assert!(reason.is_some_and(|r| r.contains("departs")), "{run}");
+}
+
+#[test]
+fn a_refusal_is_explained_in_words() {
+    let fleet = fleet(1, FleetSettings::default());
+    let client = client_of(&fleet);
+    let run = eventually(|| explain(&client, "sketching", &[]), |run| run.code == 0);
+    assert!(
+        run.stdout
+            .starts_with("It would be refused: Model \"sketching\""),
+        "{run}"
+    );
+    let run = explain(&client, "drafting", &["--max-tokens=4000000"]);
+    assert!(run.stdout.starts_with("It would be refused:"), "{run}");
+    assert!(run.stdout.contains("burst"), "{run}");
+}
--- /dev/null
+++ b/crates/mangowalk/tests/client/fleet.rs
@@ -0,0 +1,118 @@
+//! What the fleet says of itself, and waiting until a write is in force.
+
+use {
+    crate::support::{Client, client_of, eventually, fleet, platform},
+    mangowalk_standins::FleetSettings,
+    serde_json::json,
+};
+
+#[test]
+fn every_instance_is_shown_with_its_records_in_force() {
+    let fleet = fleet(2, FleetSettings::default());
+    let client = client_of(&fleet);
+    eventually(
+        || client.run(&["fleet"]),
+        |run| run.stdout.matches("in force").count() == 2,
+    );
+    let shown = client.run(&["fleet", "--json"]).json();
+    let answered = shown["answered"].as_array().expect("instances");
+    for (status, router) in answered.iter().zip(sorted(&fleet)) {
+        assert_eq!(status["caller_address"], router);
+        assert_eq!(status["phase"], "ready");
+        assert_eq!(status["upstreams"].as_array().map(Vec::len), Some(3));
+    }
+}
+
+fn sorted(fleet: &mangowalk_standins::Fleet) -> Vec<String> {
+    let mut addresses: Vec<_> = fleet.routers.iter().map(|r| r.address()).collect();
+    addresses.sort();
+    addresses.iter().map(ToString::to_string).collect()
+}
+
+/// An instance dies and the platform's list still has it. The operator sees
+/// the others, is told which one is missing, and a script sees exit code 6.
+#[test]
+fn an_instance_that_does_not_answer_is_named() {
+    let mut fleet = fleet(2, FleetSettings::default());
+    let client = client_of(&fleet);
+    eventually(
+        || client.run(&["fleet", "--json"]),
+        |run| run.json()["answered"].as_array().map(Vec::len) == Some(2),
+    );
+    let dead = fleet.routers[1].address().to_string();
+    fleet.routers[1].kill();
+    for command in ["fleet", "burn"] {
+        let run = client.run(&[command]);
+        assert_eq!(run.code, 6, "{run}");
+        assert!(run.stderr.contains(&dead), "{run}");
+        assert!(!run.stdout.is_empty(), "{run}");
+    }
+}
+
+/// A bad record reaches the platform past the client. It is refused alone; the
+/// fleet's page says why, what would mend it, and that the write before it
+/// stays in force.
+#[test]
+fn a_refused_record_is_shown_with_its_remedy() {
+    let fleet = fleet(1, FleetSettings::default());
+    let client = client_of(&fleet);
+    fleet
+        .platform
+        .put("rate", "gallery", json!({ "schema": 99 }));
+    let run = eventually(
+        || client.run(&["fleet"]),
+        |run| run.stdout.contains("rate/gallery"),
+    );
+    assert!(
+        run.stdout.contains("the write before it stays in force"),
+        "{run}"
+    );
+    assert!(run.stdout.contains("upgrade this instance"), "{run}");
+}
+
+/// One instance is paused while a key is issued. The key is there, but a
+/// caller who meets that instance is refused: `--wait` says so instead of
+/// reporting success, and succeeds once the instance goes on.
+#[test]
+fn waiting_fails_while_an_instance_is_behind() {
+    let fleet = fleet(2, FleetSettings::default());
+    let client = client_of(&fleet);
+    eventually(
+        || client.run(&["fleet", "--json"]),
+        |run| run.json()["answered"].as_array().map(Vec::len) == Some(2),
+    );
+    fleet.routers[1].freeze();
+    let late = client.run(&[
+        "set",
+        "team",
+        "gallery",
+        "priority=4",
+        "--wait",
+        "--wait-timeout-ms=100",
+    ]);
+    fleet.routers[1].thaw();
+    assert_eq!(late.code, 6, "{late}");
+    let frozen = fleet.routers[1].address().to_string();
+    assert!(late.stderr.contains(&frozen), "{late}");
+    let done = client.run(&["set", "team", "gallery", "priority=3", "--wait"]);
+    assert_eq!(done.code, 0, "{done}");
+    assert!(done.stderr.contains("in force on 2 of 2"), "{done}");
+}
+
+/// The platform's list lags and shows no instance. "In force on all of none"
+/// would be a lie.
+#[test]
+fn waiting_for_no_instance_fails() {
+    let platform = platform();
+    platform.put("team", "gallery", json!({ "schema": 1 }));
+    let client = Client::new(platform.address());
+    let run = client.run(&[
+        "set",
+        "team",
+        "gallery",
+        "priority=4",
+        "--wait",
+        "--wait-timeout-ms=1",
+    ]);
+    assert_eq!(run.code, 6, "{run}");
+}
--- /dev/null
+++ b/crates/mangowalk/tests/client/main.rs
@@ -0,0 +1,10 @@
+//! Runs the client's program against stand-ins and real routers.
+
+mod ask;
+mod burn;
+mod explain;
+mod fleet;
+mod keys;
+mod records;
+mod support;
+mod usage;
