--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each function that decides takes the present time as an argument, in
 //! milliseconds of a monotonic clock unless its name says otherwise.
 
+pub mod attempt;
 pub mod burn;
 pub mod config;
 pub mod edge;
@@ -16,3 +17,4 @@
 pub mod refusal;
 pub mod status;
 pub mod stream;
+pub mod upstream;
--- a/crates/core/tests/outside_input.rs
+++ b/crates/core/tests/outside_input.rs
@@ -97,7 +97,7 @@
         let _ = serde_json::from_value::<CacheEvents>(body.clone());
         if let Ok(event) = serde_json::from_value::<GenerateEvent>(body) {
             let mut sequencer = Sequencer::new("r", "v1");
-            sequencer.next_attempt();
+            sequencer.next_attempt(0);
             let _ = sequencer.take(&event);
         }
     }
@@ -131,7 +131,7 @@
         });
         let event: GenerateEvent = serde_json::from_value(event).expect("an event");
         let mut sequencer = Sequencer::new("mine", "v1");
-        sequencer.next_attempt();
+        sequencer.next_attempt(0);
         prop_assert_eq!(sequencer.take(&event), Step::Skip);
     }
 }
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -10,6 +10,7 @@
 mod life;
 mod limits;
 mod peers;
+mod upstreams;
 mod whole;
 
 pub use {
@@ -20,6 +21,7 @@
     life::{Life, OpenRequest},
     limits::LimitBoard,
     peers::{PeerBoard, PeerSight},
+    upstreams::{UpstreamBoard, UpstreamRun},
     whole::Board,
 };
 
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,5 +1,7 @@
 use {
-    super::{BurnBoard, ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard},
+    super::{
+        BurnBoard, ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard, UpstreamBoard,
+    },
     std::net::SocketAddr,
 };
 
@@ -16,6 +18,8 @@
     pub config: ConfigBoard,
     /// Engines as last seen.
     pub engines: EngineBoard,
+    /// What each upstream can take, and the budget of retries.
+    pub upstreams: UpstreamBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
@@ -33,6 +37,7 @@
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
+            upstreams: UpstreamBoard::default(),
             peers: PeerBoard::default(),
             limits: LimitBoard::default(),
             life: Life::default(),
