--- a/crates/mangowalkd/src/cli/settings.rs
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -1,6 +1,10 @@
 use {
     super::Args,
     derive_more::{Display, Error},
+    mangowalk_core::{
+        admission::{AdmissionSettings, Favour},
+        placement::PlacementSettings,
+    },
     std::net::SocketAddr,
 };
 
@@ -35,6 +39,10 @@
     pub operator_address: Option<SocketAddr>,
     /// Address of a statsd daemon.
     pub statsd_address: Option<SocketAddr>,
+    /// What counts most when every engine is full.
+    pub favour: Favour,
+    /// Time to compute one missed block.
+    pub compute_block_us: u64,
 }
 
 impl Default for Settings {
@@ -55,6 +63,8 @@
             drain_timeout_ms: 150_000,
             operator_address: None,
             statsd_address: None,
+            favour: Favour::FirstToken,
+            compute_block_us: 2_000,
         }
     }
 }
@@ -126,6 +136,7 @@
         above_zero("--caller-timeout-ms", args.caller_timeout_ms)?;
         above_zero("--token-timeout-ms", args.token_timeout_ms)?;
         above_zero("--drain-timeout-ms", args.drain_timeout_ms)?;
+        above_zero("--compute-block-us", args.compute_block_us)?;
         Ok(Settings {
             caller_address: args.caller_address,
             peer_address: args.peer_address,
@@ -141,10 +152,27 @@
             drain_timeout_ms: args.drain_timeout_ms,
             operator_address: args.operator_address,
             statsd_address: args.statsd_address,
+            favour: args.favour,
+            compute_block_us: args.compute_block_us,
         })
     }
 }
 
+impl Settings {
+    /// Returns how requests are placed.
+    pub fn placement(&self) -> PlacementSettings {
+        PlacementSettings {
+            miss_us: self.compute_block_us as f64,
+            ..PlacementSettings::default()
+        }
+    }
+
+    /// Returns how requests are admitted.
+    pub fn admission(&self) -> AdmissionSettings {
+        AdmissionSettings::of(self.favour)
+    }
+}
+
 fn specified(flag: &'static str, address: SocketAddr) -> Result<(), SettingsError> {
     if address.ip().is_unspecified() {
         return Err(SettingsError::Unspecified { flag, address });
--- a/crates/mangowalkd/src/serve/attempt.rs
+++ b/crates/mangowalkd/src/serve/attempt.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AnswerSink, ChatRequest, Finished, Router},
+    super::{AnswerSink, ChatRequest, Finished, Router, place::cache_salt},
     crate::board::UpstreamRun,
     log::{info, warn},
     mangowalk_core::{
@@ -7,8 +7,10 @@
         config::EngineRecord,
         edge::{Clock, Edges, EngineEvents, Engines, SendError},
         engine::{CancelRequest, GenerateEvent, GenerateRequest},
+        placement::Choice,
         stream::{Sequencer, Step},
     },
+    std::cell::RefCell,
 };
 
 /// Longest silence in which a stream's caller is not written to.
@@ -25,6 +27,7 @@
     pub(super) engine: EngineRecord,
     pub(super) incarnation: u64,
     pub(super) version: String,
+    pub(super) choice: RefCell<Choice>,
 }
 
 /// What one wait brought.
@@ -41,7 +44,7 @@
     sequencer: &'a mut Sequencer,
     sink: &'a mut dyn AnswerSink,
     timeouts: Timeouts,
-    engine: &'a str,
+    target: &'a Target,
     finished: Option<Finished>,
 }
 
@@ -70,7 +73,7 @@
             sequencer,
             sink,
             timeouts,
-            engine: &target.engine.name,
+            target,
             finished: None,
         };
         let ended = run.until_first_token(sent, &on);
@@ -95,7 +98,7 @@
         GenerateRequest {
             request_id: request.request_id.clone(),
             attempt,
-            cache_salt: format!("{}/{}/{}", request.team, request.model, target.version),
+            cache_salt: cache_salt(&request.team, &request.model, &target.version),
             model: request.model.clone(),
             version: target.version.clone(),
             incarnation: target.incarnation,
@@ -131,6 +134,7 @@
             self.board
                 .engines
                 .update(&engine.name, |sight| sight.failed_ms = Some(now_ms));
+            self.note_unreached(target, ended);
         }
     }
 
@@ -139,6 +143,9 @@
     fn refresh(&self, engine: &EngineRecord) {
         let state = self.edges.engines().state(engine.address).ok();
         let seen_ms = self.edges.clock().now_ms();
+        self.board
+            .dispatch
+            .report(&engine.name, state.as_ref(), seen_ms);
         self.board.engines.update(&engine.name, |sight| {
             sight.state = state;
             sight.seen_ms = seen_ms;
@@ -161,6 +168,7 @@
                     let now_ms = self.now_ms();
                     let streaming = sent.first_token(now_ms);
                     on.first_token(streaming.first_token_ms(), now_ms);
+                    self.router.note_token(self.target);
                     return self.until_end(streaming);
                 }
             }
@@ -203,7 +211,7 @@
                 self.finished = Some(Finished {
                     finish_reason,
                     usage,
-                    engine: self.engine.to_owned(),
+                    engine: self.target.engine.name.clone(),
                 });
                 Next::End(End::Complete)
             }
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -104,22 +104,24 @@
         let mut course = Course::new(&request.request_id);
         self.board.upstreams.first_attempt();
         while !course.is_over() {
-            let Some(target) = self.next_target(request, &course, sink) else {
-                break;
-            };
             if !self.may_send(&course) {
                 return Err(course.given_up("Too many requests had to be sent again"));
             }
+            let Some(target) = self.next_target(request, &course, sink)? else {
+                break;
+            };
             let now_ms = self.edges.clock().now_ms();
             let name = &target.engine.name;
             let Some(on) = self.board.upstreams.start(name, &request.model, now_ms) else {
                 course.tried.insert(name.clone(), target.incarnation);
+                self.note_end(&target, None);
                 continue;
             };
             course.sequencer.rebind(&target.version);
             let timeouts = self.timeouts(request, now_ms.saturating_sub(started_ms));
             let (ended, finished) =
                 self.attempt(request, &target, on, timeouts, &mut course.sequencer, sink);
+            self.note_end(&target, finished.as_ref());
             if let Some(finished) = finished {
                 return Ok(finished);
             }
@@ -155,15 +157,22 @@
         course.attempts == 0 || self.board.upstreams.retry()
     }
 
-    /// Chooses an engine. For a stream that has begun it waits for one to
-    /// come: an engine that restarts is back within seconds, and its caller
-    /// has half a sentence.
+    /// Chooses an engine. The first time the request waits for its turn. For
+    /// a stream that has begun it waits for an engine to come: one that
+    /// restarts is back within seconds, and its caller has half a sentence.
+    ///
+    /// # Errors
+    ///
+    /// Refuses at once what would not be served in time.
     fn next_target(
         &self,
         request: &ChatRequest,
         course: &Course,
         sink: &mut dyn AnswerSink,
-    ) -> Option<Target> {
+    ) -> Result<Option<Target>, Refusal> {
+        if course.tried.is_empty() {
+            return self.admit(request).map(Some);
+        }
         let mut left_ms = if course.has_begun() {
             self.settings.token_timeout_ms
         } else {
@@ -171,10 +180,10 @@
         };
         loop {
             if let Some(target) = self.choose(request, course) {
-                return Some(target);
+                return Ok(Some(target));
             }
             if left_ms == 0 || sink.silence().is_err() {
-                return None;
+                return Ok(None);
             }
             thread::sleep(Duration::from_millis(RESUME_LOOK_MS));
             left_ms = left_ms.saturating_sub(RESUME_LOOK_MS);
@@ -184,20 +193,19 @@
     /// Prefers engines below their limits. Where there is none, one whose
     /// breaker is closed is better than a refusal.
     fn choose(&self, request: &ChatRequest, course: &Course) -> Option<Target> {
-        // Read anew for each attempt: an engine withdrawn meanwhile gets none.
-        let view = self.board.config.view();
         let now_ms = self.edges.clock().now_ms();
         let upstreams = &self.board.upstreams;
-        let version = course.sequencer.bound_version();
+        let bound = course.sequencer.bound_version().map(str::to_owned);
+        let version = bound.or_else(|| self.version_for(request))?;
         let tried = self.still_tried(course);
-        let avoiding = |unfit: &dyn Fn(&str) -> bool| -> HashSet<String> {
-            let unfit = view.engines.keys().filter(|name| unfit(name)).cloned();
+        let avoiding = |unfit: HashSet<String>| -> HashSet<String> {
             tried.iter().cloned().chain(unfit).collect()
         };
-        let full = avoiding(&|name| !upstreams.usable(name, now_ms));
-        let broken = avoiding(&|name| !upstreams.allows(name, now_ms));
-        self.place(&view, &request.model, version, &full)
-            .or_else(|| self.place(&view, &request.model, version, &broken))
+        let full = avoiding(upstreams.unusable(now_ms));
+        self.place_again(request, &version, &full).or_else(|| {
+            let broken = avoiding(upstreams.broken(now_ms));
+            self.place_again(request, &version, &broken)
+        })
     }
 
     /// Returns the tried engines that have not restarted since.
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -1,10 +1,12 @@
 //! The way of one request: limit, place, attempt, answer.
 
+mod admit;
 mod answer;
 mod attempt;
 mod attempts;
 mod generate;
 mod observe;
+mod place;
 mod request;
 mod router;
 mod service;
