Name the setting that can't be used, and check the page against the program

Cause: the parser says "couldn't parse: invalid socket address syntax" of a bad environment variable, and names neither it nor what to write.

Change: the flag or variable is found and named, with what to write instead; addresses are checked for a port and for being given twice, part times against the request's.

--- a/crates/mangowalkd/src/cli/mod.rs
+++ b/crates/mangowalkd/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod args;
 mod run;
 mod settings;
+mod usage;
 
 pub use {
     args::{Args, args},
--- a/crates/mangowalkd/src/cli/run.rs
+++ b/crates/mangowalkd/src/cli/run.rs
@@ -1,15 +1,18 @@
 use {
-    super::{Settings, args},
+    super::{Settings, args, usage},
     crate::Daemon,
     std::process::ExitCode,
 };
 
 /// Exit code for settings that can't be used.
-const EXIT_SETTINGS: u8 = 2;
+pub(super) const EXIT_SETTINGS: u8 = 2;
 
 /// Runs the program with the arguments of the process.
 pub fn run() -> ExitCode {
-    let args = args().run();
+    let args = match args().run_inner(bpaf::Args::current_args()) {
+        Ok(args) => args,
+        Err(failure) => return usage::fail(failure),
+    };
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_target(false)
         .init();
--- a/crates/mangowalkd/src/cli/settings.rs
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -82,15 +82,35 @@
         /// Address given.
         address: SocketAddr,
     },
+    /// An address that others are told has no port.
+    #[display("{flag} is {address}; give a port above 0, since others are told this address.")]
+    NoPort {
+        /// Flag.
+        flag: &'static str,
+        /// Address given.
+        address: SocketAddr,
+    },
     /// Two addresses are the same.
-    #[display("--caller-address and --peer-address are both {address}; give two ports.")]
+    #[display("{flag} and {other} are both {address}; give two ports.")]
     SameAddress {
+        /// Flag.
+        flag: &'static str,
+        /// Flag that was given the address before.
+        other: &'static str,
         /// Address given twice.
         address: SocketAddr,
     },
-    /// A name is empty.
-    #[display("{flag} is empty; give a name.")]
-    Empty {
+    /// A name is empty or holds blanks.
+    #[display("{flag} is {text:?}; give a name without blanks, such as a rack's or a room's.")]
+    Name {
+        /// Flag.
+        flag: &'static str,
+        /// Text given.
+        text: String,
+    },
+    /// A part of a time is longer than the whole.
+    #[display("{flag} is above --request-timeout-ms; give fewer milliseconds, or raise that.")]
+    LongerThanRequest {
         /// Flag.
         flag: &'static str,
     },
@@ -117,18 +137,12 @@
     ///
     /// Returns the first argument that can't be used, and its remedy.
     pub fn check(args: &Args) -> Result<Settings, SettingsError> {
-        specified("--caller-address", args.caller_address)?;
-        specified("--peer-address", args.peer_address)?;
-        if args.caller_address == args.peer_address {
-            return Err(SettingsError::SameAddress {
-                address: args.caller_address,
-            });
-        }
-        if args.failure_domain.is_empty() {
-            return Err(SettingsError::Empty {
-                flag: "--failure-domain",
-            });
+        own_addresses(args)?;
+        reached("--platform-address", args.platform_address)?;
+        if let Some(address) = args.statsd_address {
+            reached("--statsd-address", address)?;
         }
+        name("--failure-domain", &args.failure_domain)?;
         above_zero("--max-body-bytes", args.max_body_bytes as u64)?;
         above_zero("--max-open-requests", args.max_open_requests as u64)?;
         above_zero("--request-timeout-ms", args.request_timeout_ms)?;
@@ -136,6 +150,9 @@
         above_zero("--caller-timeout-ms", args.caller_timeout_ms)?;
         above_zero("--token-timeout-ms", args.token_timeout_ms)?;
         above_zero("--drain-timeout-ms", args.drain_timeout_ms)?;
+        let part = |flag, time_ms| within_request(flag, time_ms, args);
+        part("--first-token-timeout-ms", args.first_token_timeout_ms)?;
+        part("--token-timeout-ms", args.token_timeout_ms)?;
         above_zero("--compute-block-us", args.compute_block_us)?;
         Ok(Settings {
             caller_address: args.caller_address,
@@ -173,10 +190,54 @@
     }
 }
 
-fn specified(flag: &'static str, address: SocketAddr) -> Result<(), SettingsError> {
+/// Checks the addresses that this instance listens on and tells others.
+fn own_addresses(args: &Args) -> Result<(), SettingsError> {
+    let mut seen: Vec<(&'static str, SocketAddr)> = Vec::new();
+    let all = [
+        ("--caller-address", Some(args.caller_address)),
+        ("--peer-address", Some(args.peer_address)),
+        ("--operator-address", args.operator_address),
+    ];
+    for (flag, address) in all {
+        let Some(address) = address else { continue };
+        reached(flag, address)?;
+        if let Some((other, _)) = seen.iter().find(|(_, a)| *a == address) {
+            return Err(SettingsError::SameAddress {
+                flag,
+                other,
+                address,
+            });
+        }
+        seen.push((flag, address));
+    }
+    Ok(())
+}
+
+/// Checks an address that some process has to reach.
+fn reached(flag: &'static str, address: SocketAddr) -> Result<(), SettingsError> {
     if address.ip().is_unspecified() {
         return Err(SettingsError::Unspecified { flag, address });
     }
+    if address.port() == 0 {
+        return Err(SettingsError::NoPort { flag, address });
+    }
+    Ok(())
+}
+
+fn name(flag: &'static str, text: &str) -> Result<(), SettingsError> {
+    if text.is_empty() || text.chars().any(char::is_whitespace) {
+        return Err(SettingsError::Name {
+            flag,
+            text: text.to_owned(),
+        });
+    }
+    Ok(())
+}
+
+fn within_request(flag: &'static str, time_ms: u64, args: &Args) -> Result<(), SettingsError> {
+    if time_ms > args.request_timeout_ms {
+        return Err(SettingsError::LongerThanRequest { flag });
+    }
     Ok(())
 }
 
--- /dev/null
+++ b/crates/mangowalkd/src/cli/usage.rs
@@ -0,0 +1,87 @@
+//! What an operator is told of arguments that can't be parsed.
+//!
+//! The parser names the text that it can't read, and nothing of a bad
+//! environment variable. Behind ten variables of a unit file that is a long
+//! search, so the flag or variable is found and named here.
+
+use {
+    super::{args, run::EXIT_SETTINGS},
+    bpaf::ParseFailure,
+    std::{env, process::ExitCode},
+};
+
+/// Width to which help is wrapped.
+const HELP_WIDTH: usize = 90;
+
+const VARIABLE_PREFIX: &str = "MANGOWALK_";
+
+/// Prints help, or why the arguments can't be used.
+pub(super) fn fail(failure: ParseFailure) -> ExitCode {
+    let ParseFailure::Stderr(message) = &failure else {
+        failure.print_message(HELP_WIDTH);
+        return ExitCode::SUCCESS;
+    };
+    let message = message.monochrome(false);
+    let given: Vec<String> = env::args().skip(1).collect();
+    let told = match culprit(&given, &message) {
+        Some((name, text)) => {
+            let why = message.rsplit(": ").next().unwrap_or_default().trim();
+            format!("{name} is {text:?}. {}", remedy(why))
+        }
+        None => message.trim().to_owned(),
+    };
+    eprintln!("mangowalkd: {told}");
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+/// Returns the flag or variable that can't be parsed, and its text.
+fn culprit(given: &[String], message: &str) -> Option<(String, String)> {
+    if !message.contains(PARSE) {
+        return None;
+    }
+    flag_of(given, message).or_else(|| variable_of(given))
+}
+
+const PARSE: &str = "couldn't parse";
+
+fn flag_of(given: &[String], message: &str) -> Option<(String, String)> {
+    let pairs = given.iter().enumerate().map(|(i, arg)| {
+        let next = given.get(i + 1).map_or("", String::as_str);
+        arg.split_once('=').unwrap_or((arg, next))
+    });
+    pairs
+        .filter(|(flag, _)| flag.starts_with("--"))
+        .find(|(_, text)| message.contains(&format!("{PARSE} `{text}`")))
+        .map(|(flag, text)| (flag.to_owned(), text.to_owned()))
+}
+
+/// Finds the variable by giving each one's text as a flag: the parser names
+/// the text of a flag.
+fn variable_of(given: &[String]) -> Option<(String, String)> {
+    let variables = env::vars().filter(|(name, _)| name.starts_with(VARIABLE_PREFIX));
+    variables.into_iter().find(|(name, text)| {
+        let flag = name[VARIABLE_PREFIX.len()..]
+            .to_lowercase()
+            .replace('_', "-");
+        let mut given = given.to_vec();
+        given.push(format!("--{flag}={text}"));
+        let Err(ParseFailure::Stderr(message)) = args().run_inner(given.as_slice()) else {
+            return false;
+        };
+        message
+            .monochrome(false)
+            .contains(&format!("{PARSE} `{text}`"))
+    })
+}
+
+/// Returns what to write instead: the standard library's errors don't say, the
+/// project's own do.
+fn remedy(why: &str) -> &str {
+    if why.contains("socket address") {
+        return "Write an IP number and port, such as 10.0.0.2:7000.";
+    }
+    if why.contains("digit") || why.contains("integer") || why.contains("number") {
+        return "Write a whole number without a unit.";
+    }
+    why
+}
--- /dev/null
+++ b/crates/mangowalkd/tests/settings.rs
@@ -0,0 +1,182 @@
+//! Settings: each bad value is refused at start with its remedy, and the page
+//! says what the program says.
+
+use std::{
+    fs,
+    process::{Command, Output},
+};
+
+/// Settings that can be used. Nothing is listened on: `--check` ends first.
+const GOOD: [(&str, &str); 4] = [
+    ("caller-address", "127.0.0.1:7000"),
+    ("peer-address", "127.0.0.1:7001"),
+    ("platform-address", "127.0.0.1:7002"),
+    ("failure-domain", "rack-1"),
+];
+
+/// A flag, a value that can't be used, and what the message must hold.
+const BAD: &[(&str, &str, &str)] = &[
+    ("caller-address", "here", "such as 10.0.0.2:7000"),
+    (
+        "caller-address",
+        "0.0.0.0:7000",
+        "IP number of one interface",
+    ),
+    ("caller-address", "127.0.0.1:0", "give a port above 0"),
+    ("peer-address", "127.0.0.1", "such as 10.0.0.2:7000"),
+    ("peer-address", "[::]:7000", "IP number of one interface"),
+    ("peer-address", "127.0.0.1:7000", "give two ports"),
+    ("platform-address", "platform:80", "such as 10.0.0.2:7000"),
+    (
+        "platform-address",
+        "0.0.0.0:80",
+        "IP number of one interface",
+    ),
+    ("failure-domain", "", "give a name without blanks"),
+    ("failure-domain", "rack 1", "give a name without blanks"),
+    ("seed-peers", "10.0.0.2", "write it as 10.0.0.2:7001"),
+    ("seed-peers", "10.0.0.2:1,x", "as 10.0.0.2:7001"),
+    ("max-body-bytes", "1MB", "Write a whole number"),
+    ("max-body-bytes", "0", "give a number above 0"),
+    ("max-open-requests", "-1", "Write a whole number"),
+    ("max-open-requests", "0", "give a number above 0"),
+    ("request-timeout-ms", "0", "give a number above 0"),
+    ("request-timeout-ms", "2s", "Write a whole number"),
+    ("request-timeout-ms", "10", "raise that"),
+    ("first-token-timeout-ms", "0", "give a number above 0"),
+    ("first-token-timeout-ms", "999999999", "fewer milliseconds"),
+    ("caller-timeout-ms", "0", "give a number above 0"),
+    ("token-timeout-ms", "0", "give a number above 0"),
+    ("token-timeout-ms", "999999999", "fewer milliseconds"),
+    ("drain-timeout-ms", "0", "give a number above 0"),
+    (
+        "operator-address",
+        "0.0.0.0:7003",
+        "IP number of one interface",
+    ),
+    ("operator-address", "127.0.0.1:7001", "give two ports"),
+    ("favour", "speed", "give first-token or worst-team"),
+    ("compute-block-us", "0", "give a number above 0"),
+    ("compute-block-us", "2ms", "Write a whole number"),
+    ("statsd-address", "localhost", "such as 10.0.0.2:7000"),
+    ("statsd-address", "127.0.0.1:0", "give a port above 0"),
+];
+
+fn program() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_mangowalkd"));
+    command.env_clear();
+    command
+}
+
+fn variable(flag: &str) -> String {
+    format!("MANGOWALK_{}", flag.to_uppercase().replace('-', "_"))
+}
+
+fn told(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+fn with_flags(changed: (&str, &str)) -> Output {
+    let mut command = program();
+    for (flag, value) in GOOD.into_iter().filter(|(f, _)| *f != changed.0) {
+        command.arg(format!("--{flag}={value}"));
+    }
+    let changed = format!("--{}={}", changed.0, changed.1);
+    command
+        .arg(changed)
+        .arg("--check")
+        .output()
+        .expect("the program")
+}
+
+fn with_variables(changed: (&str, &str)) -> Output {
+    let mut command = program();
+    for (flag, value) in GOOD.into_iter().filter(|(f, _)| *f != changed.0) {
+        command.env(variable(flag), value);
+    }
+    command.env(variable(changed.0), changed.1);
+    command.arg("--check").output().expect("the program")
+}
+
+#[test]
+fn good_settings_pass_by_flags_and_by_variables() {
+    for given in [with_flags, with_variables] {
+        let output = given(("operator-address", "127.0.0.1:7003"));
+        assert_eq!(output.status.code(), Some(0), "{}", told(&output));
+    }
+}
+
+#[test]
+fn each_bad_value_is_refused_with_its_remedy() {
+    for &(flag, value, remedy) in BAD {
+        for (given, name) in [
+            (with_flags as fn(_) -> _, format!("--{flag}")),
+            (with_variables, variable(flag)),
+        ] {
+            let output: Output = given((flag, value));
+            let told = told(&output);
+            assert_eq!(output.status.code(), Some(2), "{name}={value}: {told}");
+            assert!(told.contains(remedy), "{name}={value}: {told}");
+            let named = told.contains(&name) || told.contains(&format!("--{flag}"));
+            assert!(named, "{name}={value}: {told}");
+        }
+    }
+}
+
+#[test]
+fn a_missing_setting_is_named() {
+    for (missing, _) in GOOD {
+        let mut command = program();
+        for (flag, value) in GOOD.into_iter().filter(|(f, _)| *f != missing) {
+            command.arg(format!("--{flag}={value}"));
+        }
+        let output = command.output().expect("the program");
+        assert_eq!(output.status.code(), Some(2));
+        assert!(
+            told(&output).contains(&format!("--{missing}")),
+            "{}",
+            told(&output)
+        );
+    }
+}
+
+/// Returns the help as the page prints it: blanks at the ends of lines left
+/// out, and no line about the variables of whoever made the page.
+fn help() -> String {
+    let output = program().arg("--help").output().expect("the program");
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let lines: Vec<&str> = text.trim().lines().map(str::trim_end).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn every_flag_has_a_variable_and_the_table_covers_it() {
+    let help = help();
+    let flags: Vec<&str> = help
+        .lines()
+        .filter_map(|line| line.trim_start().strip_prefix("--"))
+        .filter_map(|line| line.split_once('=').map(|(flag, _)| flag))
+        .filter(|flag| flag.chars().all(|c| c.is_ascii_lowercase() || c == '-'))
+        .collect();
+    assert!(flags.len() >= GOOD.len(), "{help}");
+    for flag in flags {
+        assert!(
+            help.contains(&format!("[env:{}:", variable(flag))),
+            "{flag}"
+        );
+        assert!(
+            BAD.iter().any(|(f, _, _)| *f == flag),
+            "{flag} has no bad value"
+        );
+    }
+}
+
+#[test]
+fn the_page_says_what_the_program_says() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/settings.md");
+    let page = fs::read_to_string(page).expect("docs/settings.md");
+    assert!(
+        page.contains(&format!("```text\n{}\n```", help())),
+        "docs/settings.md differs from `mangowalkd --help`; run scripts/update-settings-page"
+    );
+}
