Explain a decision by placement's own weighing

Cause: `explain` chose by the fewest attempts, which the router no longer does.

Change: the instance asks its own placement, once with all engines and once with each alone, and sends nothing; the reply names what each is believed to hold, when its first token is expected and why it can't be used. Status and metrics show the queue. tests/status.rs proves the operators' edge: what callers don't see, what a drain shows, and metrics over UDP.

--- a/crates/core/src/status/instance.rs
+++ b/crates/core/src/status/instance.rs
@@ -26,6 +26,9 @@
     pub refused: Vec<RefusedRecord>,
     /// Requests open now.
     pub open_requests: usize,
+    /// Requests that wait for an engine.
+    #[serde(default)]
+    pub queued: usize,
     /// Shares of every rate that are held.
     pub slots: u32,
     /// Upstreams.
--- a/crates/mangowalk/src/fleet/tables.rs
+++ b/crates/mangowalk/src/fleet/tables.rs
@@ -20,7 +20,7 @@
 
 fn instances(survey: &Survey, newest_record: u64) -> String {
     let mut table = Table::new(&[
-        "INSTANCE", "DOMAIN", "PHASE", "REVISION", "RECORDS", "OPEN", "SHARES",
+        "INSTANCE", "DOMAIN", "PHASE", "REVISION", "RECORDS", "OPEN", "QUEUED", "SHARES",
     ]);
     for status in &survey.answered {
         let records = if status.revision >= newest_record {
@@ -35,6 +35,7 @@
             status.revision.to_string(),
             records,
             status.open_requests.to_string(),
+            status.queued.to_string(),
             status.slots.to_string(),
         ]);
     }
--- a/crates/mangowalk/tests/client/explain.rs
+++ b/crates/mangowalk/tests/client/explain.rs
@@ -43,3 +43,42 @@
     assert!(run.stdout.starts_with("It would be refused:"), "{run}");
     assert!(run.stdout.contains("burst"), "{run}");
 }
+
+/// A long prompt was answered once. The explanation of the next one behind the
+/// same text names the engine that holds its blocks, and says how many.
+#[test]
+fn the_engine_that_holds_the_prefix_is_named() {
+    let fleet = fleet(1, FleetSettings::default());
+    let client = client_of(&fleet);
+    let notes = "A watercolour is mounted with a spacer behind glass. ".repeat(40);
+    let ask = [
+        "ask",
+        "--model=drafting",
+        "--max-tokens=2",
+        "--patience-ms=20000",
+    ];
+    let asked = client.run(&[&ask[..], &[&notes]].concat());
+    assert_eq!(asked.code, 0, "{asked}");
+    let prompt = format!("<|user|>\n{notes}");
+    let run = client.run(&[
+        "explain",
+        "--team=gallery",
+        "--model=drafting",
+        "--json",
+        &prompt,
+    ]);
+    let reply = run.json();
+    let holders: Vec<&str> = reply["candidates"]
+        .as_array()
+        .expect("candidates")
+        .iter()
+        .filter(|c| {
+            c["reason"]
+                .as_str()
+                .is_some_and(|r| r.contains("hold 8 of 8 blocks"))
+        })
+        .filter_map(|c| c["engine"].as_str())
+        .collect();
+    assert_eq!(holders.len(), 1, "{run}");
+    assert_eq!(reply["engine"], holders[0], "{run}");
+}
--- a/crates/mangowalkd/src/board/admission.rs
+++ b/crates/mangowalkd/src/board/admission.rs
@@ -108,6 +108,17 @@
         Some(choice)
     }
 
+    /// Returns where a request would go now, and sends nothing.
+    pub fn preview(&self, ask: &Ask<'_>, now_ms: u64) -> Option<Choice> {
+        let mut inner = lock(&self.inner);
+        inner.dispatcher.placement_mut().choose(ask, now_ms)
+    }
+
+    /// Returns how many requests wait for an engine.
+    pub fn queued(&self) -> usize {
+        lock(&self.inner).dispatcher.queued()
+    }
+
     /// Notes a first token.
     pub fn first_token(&self, choice: &mut Choice, now_ms: u64) {
         let mut inner = lock(&self.inner);
--- a/crates/mangowalkd/src/metrics/controller.rs
+++ b/crates/mangowalkd/src/metrics/controller.rs
@@ -54,6 +54,7 @@
             self.client.gauge_with_tags(name, value).send();
         };
         gauge("open_requests", board.life.open_requests() as u64);
+        gauge("queued", board.dispatch.queued() as u64);
         gauge("revision", board.config.view().revision);
         gauge("slots", u64::from(board.limits.slots(now_ms)));
         gauge("peers", board.peers.sights().len() as u64);
--- /dev/null
+++ b/crates/mangowalkd/src/operator/candidates.rs
@@ -0,0 +1,137 @@
+use {
+    crate::{
+        board::{Board, EngineSight},
+        serve::cache_salt,
+    },
+    mangowalk_core::{
+        config::{EngineRecord, View},
+        placement::{Ask, Choice, block_chain},
+        status::{Candidate, ExplainRequest},
+    },
+    std::collections::HashSet,
+};
+
+/// Weighs the engines of a model for one request, without sending it.
+pub(super) struct Weighing<'a> {
+    board: &'a Board,
+    engines: Vec<&'a EngineRecord>,
+    model: &'a str,
+    version: &'a str,
+    chain: Vec<u64>,
+    /// Engines that this instance's own attempts have shown to be full or
+    /// broken.
+    unusable: HashSet<String>,
+    now_ms: u64,
+}
+
+impl<'a> Weighing<'a> {
+    pub(super) fn new(
+        board: &'a Board,
+        view: &'a View,
+        request: &'a ExplainRequest,
+        version: &'a str,
+        now_ms: u64,
+    ) -> Weighing<'a> {
+        let salt = cache_salt(&request.team, &request.model, version);
+        Weighing {
+            board,
+            engines: view
+                .engines
+                .values()
+                .filter(|e| e.model == request.model)
+                .collect(),
+            model: &request.model,
+            version,
+            chain: block_chain(&salt, &request.prompt),
+            unusable: board.upstreams.unusable(now_ms),
+            now_ms,
+        }
+    }
+
+    /// Returns where the request would go now.
+    pub(super) fn choice(&self) -> Option<Choice> {
+        self.choose(&self.unusable, false)
+    }
+
+    /// Returns how many whole blocks the prompt has.
+    pub(super) fn blocks(&self) -> usize {
+        self.chain.len()
+    }
+
+    /// Returns every engine of the model, with why it could be used or not.
+    pub(super) fn candidates(&self) -> Vec<Candidate> {
+        let sights = self.board.engines.sights();
+        self.engines
+            .iter()
+            .map(|engine| {
+                let (usable, reason) = self.judge(engine, sights.get(&engine.name));
+                Candidate {
+                    engine: engine.name.clone(),
+                    usable,
+                    reason,
+                }
+            })
+            .collect()
+    }
+
+    fn judge(&self, engine: &EngineRecord, sight: Option<&EngineSight>) -> (bool, String) {
+        let no = |reason: &str| (false, reason.to_owned());
+        if engine.departing {
+            return no("It departs and gets no new work.");
+        }
+        let Some(state) = sight.and_then(|s| s.state.as_ref()) else {
+            return no("It does not answer.");
+        };
+        if state.loading {
+            return no("It loads weights.");
+        }
+        if state.model != engine.model {
+            return (false, format!("It still serves model {}.", state.model));
+        }
+        if state.version != self.version {
+            let version = &state.version;
+            return (
+                false,
+                format!(
+                    "It serves version {version}; this prefix keeps to {}.",
+                    self.version
+                ),
+            );
+        }
+        if self.unusable.contains(&engine.name) {
+            return no("Attempts on it failed or it is at its limit of attempts.");
+        }
+        let Some(choice) = self.alone(engine, true) else {
+            return no("Placement knows of no answer from it yet.");
+        };
+        if self.alone(engine, false).is_none() {
+            return no("It has no room for more of this instance's requests.");
+        }
+        let expected_ms = choice.expected_ms.round();
+        let reason = format!(
+            "First token expected after {expected_ms} ms; it is believed to hold {} of {} blocks.",
+            choice.believed_blocks,
+            self.blocks()
+        );
+        (true, reason)
+    }
+
+    /// Weighs one engine as if there were no other.
+    fn alone(&self, engine: &EngineRecord, force: bool) -> Option<Choice> {
+        let others = self.engines.iter().filter(|e| e.name != engine.name);
+        let avoid = others.map(|e| e.name.clone()).collect();
+        self.choose(&avoid, force)
+    }
+
+    fn choose(&self, avoid: &HashSet<String>, force: bool) -> Option<Choice> {
+        let ask = Ask {
+            model: self.model,
+            version: self.version,
+            chain: &self.chain,
+            kept_blocks: 0,
+            avoid,
+            force,
+        };
+        self.board.dispatch.preview(&ask, self.now_ms)
+    }
+}
--- a/crates/mangowalkd/src/operator/explain.rs
+++ b/crates/mangowalkd/src/operator/explain.rs
@@ -1,14 +1,16 @@
 use {
-    crate::board::{Board, EngineSight},
+    super::candidates::Weighing,
+    crate::{board::Board, serve::version_of},
     mangowalk_core::{
-        config::{EngineRecord, View},
+        config::View,
         placement::tokens_of,
         refusal::Refusal,
-        status::{Candidate, ExplainReply, ExplainRequest},
+        status::{ExplainReply, ExplainRequest},
     },
 };
 
-/// Returns what the instance would do with a request now. Nothing is spent.
+/// Returns what the instance would do with a request now. Nothing is spent,
+/// queued or sent.
 pub(super) fn explain(board: &Board, request: &ExplainRequest, now_ms: u64) -> ExplainReply {
     let view = board.config.view();
     let mut reply = ExplainReply {
@@ -17,34 +19,13 @@
         steps: Vec::new(),
         candidates: Vec::new(),
     };
-    if let Err(refusal) = admit(&mut reply.steps, board, &view, request, now_ms) {
-        reply.refusal = Some(refusal.to_string());
-        return reply;
-    }
-    let sights = board.engines.sights();
-    let engines = view.engines.values().filter(|e| e.model == request.model);
-    reply.candidates = engines.map(|e| candidate(e, sights.get(&e.name))).collect();
-    reply.engine = reply
-        .candidates
-        .iter()
-        .filter(|c| c.usable)
-        .min_by_key(|c| sights.get(&c.engine).map_or(0, |s| s.in_flight))
-        .map(|c| c.engine.clone());
-    match &reply.engine {
-        Some(engine) => reply.steps.push(format!(
-            "Engine {engine} runs the fewest attempts of this instance."
-        )),
-        None => {
-            let refusal = Refusal::Unavailable {
-                reason: "No engine can take the request",
-                retry_ms: 1_000,
-            };
-            reply.refusal = Some(refusal.to_string());
-        }
-    }
+    let refused = admit(&mut reply.steps, board, &view, request, now_ms)
+        .and_then(|()| place(&mut reply, board, &view, request, now_ms));
+    reply.refusal = refused.err().map(|refusal| refusal.to_string());
     reply
 }
 
+/// Follows the checks that a request passes before its turn.
 fn admit(
     steps: &mut Vec<String>,
     board: &Board,
@@ -65,25 +46,23 @@
             name: model.clone(),
         });
     };
-    steps.push(format!(
-        "Model {model} is offered at version {}.",
-        offered.version
-    ));
+    let version = &offered.version;
+    steps.push(format!("Model {model} is offered at version {version}."));
     let tokens = tokens_of(&request.prompt) + u64::from(request.max_tokens);
     let Some(rate) = view.rates.get(team) else {
         steps.push(format!("Team {team} has no rate, so nothing is let in."));
         return Err(Refusal::RateLimited { retry_ms: 60_000 });
     };
+    steps.push(format!(
+        "The request reserves {tokens} tokens; team {team} has {} a second and a burst of {}.",
+        rate.tokens_per_s, rate.burst_tokens
+    ));
     if tokens > rate.burst_tokens {
         return Err(Refusal::OverBurst {
             reserve_tokens: tokens,
             burst_tokens: rate.burst_tokens,
         });
     }
-    steps.push(format!(
-        "The request reserves {tokens} tokens; team {team} has {} a second and a burst of {}.",
-        rate.tokens_per_s, rate.burst_tokens
-    ));
     steps.push(format!(
         "This instance holds {} shares of every rate, and asks peers for what it lacks.",
         board.limits.slots(now_ms)
@@ -91,29 +70,34 @@
     Ok(())
 }
 
-fn candidate(engine: &EngineRecord, sight: Option<&EngineSight>) -> Candidate {
-    let state = sight.and_then(|s| s.state.as_ref());
-    let (usable, reason) = match state {
-        _ if engine.departing => (false, "It departs and gets no new work.".to_owned()),
-        None => (false, "It does not answer.".to_owned()),
-        Some(s) if s.loading => (false, "It loads weights.".to_owned()),
-        Some(s) if s.model != engine.model => {
-            (false, format!("It still serves model {}.", s.model))
-        }
-        Some(s) => {
-            let in_flight = sight.map_or(0, |s| s.in_flight);
-            let version = &s.version;
-            (
-                true,
-                format!(
-                    "It serves version {version} and runs {in_flight} attempts of this instance."
-                ),
-            )
-        }
-    };
-    Candidate {
-        engine: engine.name.clone(),
-        usable,
+/// Weighs the engines as placement does.
+fn place(
+    reply: &mut ExplainReply,
+    board: &Board,
+    view: &View,
+    request: &ExplainRequest,
+    now_ms: u64,
+) -> Result<(), Refusal> {
+    let unavailable = |reason| Refusal::Unavailable {
         reason,
-    }
+        retry_ms: 1_000,
+    };
+    let version = version_of(board, &request.team, &request.model, &request.prompt)
+        .ok_or_else(|| unavailable("No engine serves the model now"))?;
+    let weighing = Weighing::new(board, view, request, &version, now_ms);
+    reply.candidates = weighing.candidates();
+    reply.steps.push(format!(
+        "The prompt has {} whole blocks, and {} requests wait for an engine.",
+        weighing.blocks(),
+        board.dispatch.queued()
+    ));
+    let choice = weighing
+        .choice()
+        .ok_or_else(|| unavailable("Every engine is full; the request would wait or be refused"))?;
+    reply.steps.push(format!(
+        "Of {} engines weighed, {} is expected to bring the first token soonest.",
+        choice.weighed, choice.engine
+    ));
+    reply.engine = Some(choice.engine);
+    Ok(())
 }
--- a/crates/mangowalkd/src/operator/mod.rs
+++ b/crates/mangowalkd/src/operator/mod.rs
@@ -3,6 +3,7 @@
 //! It has an address of its own, so that callers never see the names of teams
 //! or the load.
 
+mod candidates;
 mod explain;
 mod handler;
 mod server;
--- a/crates/mangowalkd/src/operator/status.rs
+++ b/crates/mangowalkd/src/operator/status.rs
@@ -25,6 +25,7 @@
         revision: view.revision,
         refused: refused(board),
         open_requests: board.life.open_requests(),
+        queued: board.dispatch.queued(),
         slots: board.limits.slots(now_ms),
         upstreams: upstreams(board, &view, now_ms),
         peers: board
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -11,6 +11,8 @@
 mod router;
 mod service;
 
+pub(crate) use place::{cache_salt, version_of};
+
 pub use {
     answer::{AnswerSink, Finished},
     request::{ChatRequest, ServiceRequest},
--- a/crates/mangowalkd/src/serve/place.rs
+++ b/crates/mangowalkd/src/serve/place.rs
@@ -1,5 +1,6 @@
 use {
     super::{ChatRequest, Finished, Router, attempt::Target},
+    crate::board::Board,
     mangowalk_core::{
         attempt::{End, Ended},
         config::View,
@@ -12,10 +13,22 @@
 const BLOCK_TOKENS: u64 = (BLOCK_BYTES / TOKEN_BYTES) as u64;
 
 /// Returns the salt under which an engine caches a prompt's blocks.
-pub(super) fn cache_salt(team: &str, model: &str, version: &str) -> String {
+pub(crate) fn cache_salt(team: &str, model: &str, version: &str) -> String {
     format!("{team}/{model}/{version}")
 }
 
+/// Returns the weights version for a new request. A prefix keeps to one
+/// version while the share of engines that serve it stays the same.
+pub(crate) fn version_of(board: &Board, team: &str, model: &str, prompt: &str) -> Option<String> {
+    let salt = cache_salt(team, model, "");
+    let first_block = prompt.get(..BLOCK_BYTES).unwrap_or_default();
+    let key = block_chain(&salt, first_block).first().copied();
+    board.dispatch.read(|placement| {
+        let version = placement.version(model, key.unwrap_or_default());
+        version.map(str::to_owned)
+    })
+}
+
 impl<E: Edges> Router<E> {
     /// Returns a target of a decision; none where the engine's record is
     /// gone or departing by now.
@@ -63,16 +76,9 @@
         }
     }
 
-    /// Returns the weights version for a new request. A prefix keeps to one
-    /// version while the share of engines that serve it stays the same.
+    /// Returns the weights version for a new request.
     pub(super) fn version_for(&self, request: &ChatRequest) -> Option<String> {
-        let salt = cache_salt(&request.team, &request.model, "");
-        let first_block = request.prompt.get(..BLOCK_BYTES).unwrap_or_default();
-        let key = block_chain(&salt, first_block).first().copied();
-        self.board.dispatch.read(|placement| {
-            let version = placement.version(&request.model, key.unwrap_or_default());
-            version.map(str::to_owned)
-        })
+        version_of(&self.board, &request.team, &request.model, &request.prompt)
     }
 
     /// Places a request that was let in already and lost its engine. It does
--- /dev/null
+++ b/crates/mangowalkd/tests/status.rs
@@ -0,0 +1,170 @@
+//! What an instance shows operators, what it keeps from callers, and metrics.
+
+use {
+    mangowalk_core::record::digest_of,
+    mangowalk_standins::{Answer, Fleet, FleetSettings, RouterProcess, free_address},
+    serde_json::json,
+    std::{collections::BTreeSet, net::SocketAddr, net::UdpSocket, thread, time::Duration},
+};
+
+const MOST_LOOKS: u32 = 200;
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// A fleet of one router that listens to operators.
+fn fleet(more: &[&str]) -> (Fleet, SocketAddr) {
+    let operators = free_address();
+    let mut fleet = Fleet::start(&FleetSettings {
+        routers: 0,
+        ..FleetSettings::default()
+    });
+    let flag = format!("--operator-address={operators}");
+    let args = [&[flag.as_str()], more].concat();
+    let program = env!("CARGO_BIN_EXE_mangowalkd");
+    let router = RouterProcess::start(program, fleet.platform.address(), &args);
+    router.wait_ready();
+    fleet.routers.push(router);
+    (fleet, operators)
+}
+
+fn chat_until_served(fleet: &Fleet) {
+    for _ in 0..MOST_LOOKS {
+        if fleet.chat(0, "Is walnut in stock?", 4, true).status == 200 {
+            return;
+        }
+        thread::sleep(PAUSE);
+    }
+    panic!("the router served nothing");
+}
+
+#[test]
+fn the_status_counts_requests_and_shows_no_key() {
+    let (fleet, operators) = fleet(&[]);
+    chat_until_served(&fleet);
+    let answer = Answer::get(operators, "/status", &[]);
+    let status = answer.json();
+    assert_eq!(status["phase"], "ready", "{}", answer.body);
+    assert_eq!(status["burn"][0]["team"], "gallery");
+    assert_eq!(status["burn"][0]["windows"][0]["counts"]["complete"], 1);
+    assert!(!answer.body.contains(Fleet::KEY), "{}", answer.body);
+    assert!(
+        !answer.body.contains(&digest_of(Fleet::KEY)),
+        "{}",
+        answer.body
+    );
+}
+
+/// Team names, load and the reasons of refusals are for operators. A caller,
+/// with a key or without, gets none of them at the callers' address.
+#[test]
+fn callers_see_nothing_of_it() {
+    let (fleet, _) = fleet(&[]);
+    let bearer = format!("Bearer {}", Fleet::KEY);
+    for path in ["/status", "/explain"] {
+        for headers in [&[][..], &[("Authorization", bearer.as_str())]] {
+            let answer = Answer::get(fleet.routers[0].address(), path, headers);
+            assert!(answer.status >= 400, "{path}: {}", answer.body);
+            assert!(!answer.body.contains("gallery"), "{}", answer.body);
+        }
+    }
+}
+
+#[test]
+fn what_can_not_be_answered_is_said() {
+    let (fleet, operators) = fleet(&[]);
+    let cases = [
+        (Answer::get(operators, "/nothing", &[]), 404),
+        (Answer::post(operators, "/explain", &[], "{"), 400),
+        (
+            Answer::post(operators, "/explain", &[], r#"{"team":1}"#),
+            400,
+        ),
+        (Answer::post(operators, "/status", &[], ""), 404),
+    ];
+    for (answer, status) in cases {
+        assert_eq!(answer.status, status, "{}", answer.body);
+        assert!(answer.json()["error"].is_string(), "{}", answer.body);
+    }
+    assert_eq!(Answer::get(operators, "/health", &[]).status, 200);
+    assert_eq!(Answer::get(operators, "/ready", &[]).status, 200);
+    drop(fleet);
+}
+
+/// The instance drains: its supervisor must see that it is not ready, while
+/// the operators' page still says why.
+#[test]
+fn a_departing_instance_says_so() {
+    let (mut fleet, operators) = fleet(&[]);
+    fleet.engines[0].set_faults(freeze());
+    fleet.engines[1].set_faults(freeze());
+    chat_in_the_background(&fleet);
+    fleet.routers[0].terminate();
+    let mut seen = 0;
+    for _ in 0..MOST_LOOKS {
+        seen = Answer::get(operators, "/ready", &[]).status;
+        if seen == 503 {
+            break;
+        }
+        thread::sleep(PAUSE);
+    }
+    assert_eq!(seen, 503);
+    let status = Answer::get(operators, "/status", &[]).json();
+    assert_eq!(status["phase"], "departing", "{status}");
+    fleet.routers[0].kill();
+}
+
+fn freeze() -> mangowalk_standins::EngineFaults {
+    mangowalk_standins::EngineFaults {
+        freeze_after_tokens: Some(1),
+        ..Default::default()
+    }
+}
+
+/// Opens a request that no engine ends, so that the drain has to wait.
+fn chat_in_the_background(fleet: &Fleet) {
+    let address = fleet.routers[0].address();
+    thread::spawn(move || {
+        let body = json!({
+            "model": "drafting",
+            "messages": [{ "role": "user", "content": "wait" }],
+            "stream": true,
+        });
+        let bearer = format!("Bearer {}", Fleet::KEY);
+        let headers = [("Authorization", bearer.as_str())];
+        Answer::post(address, "/v1/chat/completions", &headers, &body.to_string())
+    });
+}
+
+/// A request is answered, and a metrics daemon hears of it within a few
+/// seconds: count, tokens, time to first token, and the gauges.
+#[test]
+fn metrics_are_sent() {
+    let daemon = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    daemon.set_read_timeout(Some(PAUSE)).expect("a timeout");
+    let address = daemon.local_addr().expect("an address");
+    let (fleet, _) = fleet(&[&format!("--statsd-address={address}")]);
+    chat_until_served(&fleet);
+    let mut missing: BTreeSet<&str> = [
+        "mangowalk.requests:1|c",
+        "mangowalk.tokens:",
+        "mangowalk.first_token:",
+        "mangowalk.open_requests:",
+        "mangowalk.queued:",
+        "mangowalk.revision:",
+        "mangowalk.slots:",
+        "mangowalk.peers:",
+        "end:complete",
+        "team:gallery",
+    ]
+    .into();
+    let mut packet = [0; 2_048];
+    for _ in 0..MOST_LOOKS {
+        if let Ok(length) = daemon.recv(&mut packet) {
+            let text = String::from_utf8_lossy(&packet[..length]).into_owned();
+            missing.retain(|part| !text.contains(part));
+        }
+        if missing.is_empty() {
+            return;
+        }
+    }
+    panic!("not sent: {missing:?}");
+}
