Explain a departing engine at once

Cause: placement hears of a withdrawn or departing engine up to one poll after the record is in force; in that moment `explain` named it. Seen once, as a second failure while another safeguard was taken out.

Change: the explanation leaves departing engines out itself, as the router does when it sends.

--- a/crates/mangowalk/tests/client/support.rs
+++ b/crates/mangowalk/tests/client/support.rs
@@ -92,7 +92,7 @@
 }
 
 /// Path of the router's program, which `cargo test --workspace` builds beside
-/// the client's.
+/// the client's. `cargo test -p mangowalk` alone leaves an old one there.
 pub(crate) fn router_program() -> String {
     let program = Path::new(env!("CARGO_BIN_EXE_mangowalk")).with_file_name("mangowalkd");
     assert!(
--- a/crates/mangowalkd/src/operator/candidates.rs
+++ b/crates/mangowalkd/src/operator/candidates.rs
@@ -18,8 +18,8 @@
     model: &'a str,
     version: &'a str,
     chain: Vec<u64>,
-    /// Engines that this instance's own attempts have shown to be full or
-    /// broken.
+    /// Engines that depart, or that this instance's own attempts have shown to
+    /// be full or broken.
     unusable: HashSet<String>,
     now_ms: u64,
 }
@@ -33,17 +33,19 @@
         now_ms: u64,
     ) -> Weighing<'a> {
         let salt = cache_salt(&request.team, &request.model, version);
+        let engines = view.engines.values().filter(|e| e.model == request.model);
+        let engines: Vec<&EngineRecord> = engines.collect();
+        // Placement hears of a record a moment after it is in force.
+        let departing = engines.iter().filter(|e| e.departing);
+        let mut unusable = board.upstreams.unusable(now_ms);
+        unusable.extend(departing.map(|e| e.name.clone()));
         Weighing {
             board,
-            engines: view
-                .engines
-                .values()
-                .filter(|e| e.model == request.model)
-                .collect(),
+            engines,
             model: &request.model,
             version,
             chain: block_chain(&salt, &request.prompt),
-            unusable: board.upstreams.unusable(now_ms),
+            unusable,
             now_ms,
         }
     }
