--- a/crates/mangowalk/tests/client/fleet.rs
+++ b/crates/mangowalk/tests/client/fleet.rs
@@ -1,7 +1,7 @@
 //! What the fleet says of itself, and waiting until a write is in force.
 
 use {
-    crate::support::{Client, client_of, eventually, fleet, platform},
+    crate::support::{Client, client_of, eventually, eventually_in_force, fleet, platform},
     mangowalk_standins::FleetSettings,
     serde_json::json,
 };
@@ -10,10 +10,7 @@
 fn every_instance_is_shown_with_its_records_in_force() {
     let fleet = fleet(2, FleetSettings::default());
     let client = client_of(&fleet);
-    eventually(
-        || client.run(&["fleet"]),
-        |run| run.stdout.matches("in force").count() == 2,
-    );
+    eventually_in_force(&fleet, 2);
     let shown = client.run(&["fleet", "--json"]).json();
     let answered = shown["answered"].as_array().expect("instances");
     for (status, router) in answered.iter().zip(sorted(&fleet)) {
@@ -35,10 +32,7 @@
 fn an_instance_that_does_not_answer_is_named() {
     let mut fleet = fleet(2, FleetSettings::default());
     let client = client_of(&fleet);
-    eventually(
-        || client.run(&["fleet", "--json"]),
-        |run| run.json()["answered"].as_array().map(Vec::len) == Some(2),
-    );
+    eventually_in_force(&fleet, 2);
     let dead = fleet.routers[1].address().to_string();
     fleet.routers[1].kill();
     for command in ["fleet", "burn"] {
@@ -77,10 +71,7 @@
 fn waiting_fails_while_an_instance_is_behind() {
     let fleet = fleet(2, FleetSettings::default());
     let client = client_of(&fleet);
-    eventually(
-        || client.run(&["fleet", "--json"]),
-        |run| run.json()["answered"].as_array().map(Vec::len) == Some(2),
-    );
+    eventually_in_force(&fleet, 2);
     fleet.routers[1].freeze();
     let late = client.run(&[
         "set",
--- a/crates/mangowalk/tests/client/main.rs
+++ b/crates/mangowalk/tests/client/main.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod fleet;
 mod keys;
+mod page;
 mod records;
 mod support;
 mod usage;
--- a/crates/mangowalk/tests/client/support.rs
+++ b/crates/mangowalk/tests/client/support.rs
@@ -144,6 +144,15 @@
     panic!("the result never fitted: {last}");
 }
 
+/// Waits until so many instances are listed and answer.
+pub(crate) fn eventually_in_force(fleet: &Fleet, instances: usize) {
+    let client = client_of(fleet);
+    eventually(
+        || client.run(&["fleet"]),
+        |run| run.stdout.matches("in force").count() == instances,
+    );
+}
+
 /// Compares a run with its snapshot, addresses and versions left out.
 macro_rules! assert_run {
     ($run:expr) => {{
