--- a/crates/core/src/admission/fair_queue.rs
+++ b/crates/core/src/admission/fair_queue.rs
@@ -64,7 +64,7 @@
     /// Refuses at once what would not be served in time, or is one too many.
     pub fn enter(&mut self, job: Job, now_ms: u64) -> Result<(), Full> {
         let wait_ms = self.predicted_wait_ms(&job);
-        if wait_ms > self.settings.most_wait_ms || self.queued >= self.settings.most_queued {
+        if wait_ms > self.most_wait_ms(&job) || self.queued >= self.settings.most_queued {
             return Err(self.full(wait_ms));
         }
         self.drain.backlogged(now_ms);
@@ -73,6 +73,12 @@
         Ok(())
     }
 
+    fn most_wait_ms(&self, job: &Job) -> u64 {
+        let most_ms = self.settings.most_wait_ms;
+        job.deadline_ms
+            .map_or(most_ms, |deadline_ms| deadline_ms.min(most_ms))
+    }
+
     /// Returns the refusal of a request with a predicted wait.
     pub fn full(&mut self, wait_ms: u64) -> Full {
         let excess_ms = wait_ms.saturating_sub(self.settings.most_wait_ms);
@@ -163,7 +169,10 @@
     /// Takes out every request that has waited as long as a caller is held.
     pub fn expired(&mut self, now_ms: u64) -> Vec<Job> {
         let most_wait_ms = self.settings.most_wait_ms;
-        let is_over = |job: &Job| now_ms.saturating_sub(job.arrived_ms) > most_wait_ms;
+        let is_over = |job: &Job| {
+            let most_ms = job.deadline_ms.unwrap_or(most_wait_ms).min(most_wait_ms);
+            now_ms.saturating_sub(job.arrived_ms) > most_ms
+        };
         let mut over = Vec::new();
         for team in self.teams.values_mut() {
             while let Some(at) = team.jobs.iter().position(is_over) {
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -11,11 +11,12 @@
 mod life;
 mod limits;
 mod peers;
+mod placed;
 mod upstreams;
 mod whole;
 
 pub use {
-    admission::DispatchBoard,
+    admission::{DispatchBoard, DispatchSettings},
     burn::{BurnBoard, Unsent},
     config::ConfigBoard,
     engines::{EngineBoard, EngineSight, InFlight},
@@ -23,6 +24,7 @@
     life::{Life, OpenRequest},
     limits::LimitBoard,
     peers::{PeerBoard, PeerSight},
+    placed::Placed,
     upstreams::{UpstreamBoard, UpstreamRun},
     whole::Board,
 };
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        BurnBoard, ConfigBoard, DispatchBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard,
-        UpstreamBoard,
+        BurnBoard, ConfigBoard, DispatchBoard, DispatchSettings, EngineBoard, Identity, Life,
+        LimitBoard, PeerBoard, UpstreamBoard,
     },
     crate::edge::Traffic,
     std::{net::SocketAddr, sync::Arc},
@@ -20,10 +20,10 @@
     pub config: ConfigBoard,
     /// Engines as last seen.
     pub engines: EngineBoard,
-    /// What each upstream can take, and the budget of retries.
-    pub upstreams: UpstreamBoard,
     /// Admission, queue and placement.
     pub dispatch: DispatchBoard,
+    /// What each upstream can take, and the budget of retries.
+    pub upstreams: UpstreamBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
@@ -36,15 +36,16 @@
 
 impl Board {
     /// Returns the board of an instance that starts.
-    pub fn new(identity: Identity, dispatch: DispatchBoard) -> Board {
+    pub fn new(identity: Identity, settings: DispatchSettings) -> Board {
+        let upstreams = UpstreamBoard::default();
         Board {
             operator_address: None,
             burn: BurnBoard::default(),
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
-            upstreams: UpstreamBoard::default(),
-            dispatch,
+            dispatch: DispatchBoard::new(settings, upstreams.clone()),
+            upstreams,
             peers: PeerBoard::default(),
             limits: LimitBoard::default(),
             traffic: Arc::default(),
