Hold rates in leased slots, and prove their bound

Cause: an instance minted on slots whose lease nobody renewed, released or took over; a grant was all or nothing; a put-back had no limit; and a connection that closed without an answer looked like status 503, which minreq makes of it, so that a lost reply counted as "nothing was written".

Change: a rate is cut into 512 slots under leases of an hour, one in four of two minutes. The state machine (core/limits) renews at half of the lease, takes over what it watched unchanged for the lease and an allowance, or what its own address held, gives a surplus back, and reads back a write whose reply was lost, by its nonce. Tokens are minted up to each lease's end. A reservation keeps room in its bucket, the oldest losing it first, so that put-backs never stand on top of a refilled bucket. Requests gather partial grants from peers, wait at most 300 ms for tokens that will be there, and are refused at once otherwise, each told a time behind the one told before. A graceful shutdown gives its slots back. A connection closed without an answer, and a 5xx of the platform to a write, are now "lost".

Before: a restart held no slot until the platform's objects were deleted.

Ruled out: expect() without its bound is no fault, since minting cuts rooms anyway.

--- /dev/null
+++ b/crates/core/src/limits/holding.rs
@@ -0,0 +1,131 @@
+use {
+    super::{Ledger, SlotBody, SlotList, SlotTable, SlotWrite},
+    crate::edge::PlatformError,
+    std::{net::SocketAddr, ops::ControlFlow},
+};
+
+/// The slots of one instance, and the tokens that it mints from them.
+///
+/// The table says what the platform knows, the ledger what may be spent. Both
+/// change together here, the ledger always first where something is given up.
+#[derive(Debug, Clone)]
+pub struct Holding {
+    table: SlotTable,
+    ledger: Ledger,
+}
+
+impl Holding {
+    /// Returns the holding of an instance that starts: nothing.
+    pub fn new(address: SocketAddr, incarnation: u64) -> Holding {
+        Holding {
+            table: SlotTable::new(address, incarnation),
+            ledger: Ledger::default(),
+        }
+    }
+
+    /// Returns the tokens.
+    pub fn ledger(&mut self) -> &mut Ledger {
+        &mut self.ledger
+    }
+
+    /// Returns how many slots are held at a time.
+    pub fn slots(&self, now_ms: u64) -> u32 {
+        self.ledger.slots(now_ms)
+    }
+
+    /// Returns whether everything was given up.
+    pub fn is_closed(&self) -> bool {
+        self.ledger.is_closed()
+    }
+
+    /// Returns what this instance writes into a slot.
+    pub fn body(&self, slot: u32, nonce: u64) -> SlotBody {
+        self.table.body(slot, nonce)
+    }
+
+    /// Returns the next writes, at most `most`, with so many instances live.
+    pub fn plan(&self, live_instances: u32, most: usize, now_ms: u64) -> Vec<SlotWrite> {
+        if self.is_closed() {
+            return Vec::new();
+        }
+        self.table.plan(live_instances, most, now_ms)
+    }
+
+    /// Gives everything up for good, and returns the writes that let others
+    /// take the slots at once.
+    pub fn close(&mut self) -> Vec<SlotWrite> {
+        self.ledger.close();
+        self.table.release_all()
+    }
+
+    /// Takes a list of every slot; what turns out not to be held mints no
+    /// more.
+    pub fn see(&mut self, list: &SlotList, now_ms: u64) {
+        for slot in self.table.see(list, now_ms) {
+            self.ledger.release(slot, now_ms);
+        }
+    }
+
+    /// Takes the result of writing a slot in a call begun at `begun_ms`, and
+    /// returns whether to go on with the next write.
+    ///
+    /// A reply that was lost has been read back: [`PlatformError::Lost`] says
+    /// that it is still open whether the write took effect. Then an older
+    /// lease goes on to its own end and no further.
+    pub fn written(
+        &mut self,
+        slot: u32,
+        begun_ms: u64,
+        result: &Result<u64, PlatformError>,
+        now_ms: u64,
+    ) -> ControlFlow<()> {
+        match result {
+            Ok(version) => {
+                let end_ms = self.table.wrote(slot, *version, begun_ms);
+                self.ledger.hold(slot, end_ms, now_ms);
+                return ControlFlow::Continue(());
+            }
+            Err(PlatformError::Conflict { .. }) => self.lose(slot, now_ms),
+            Err(_) => {}
+        }
+        ControlFlow::Break(())
+    }
+
+    /// Stops to mint on a slot, before its release is sent: its next holder
+    /// may mint from the moment of that write on.
+    pub fn stop_minting(&mut self, slot: u32, now_ms: u64) {
+        self.ledger.release(slot, now_ms);
+    }
+
+    /// Takes the result of releasing a slot, and returns whether to go on
+    /// with the next write.
+    pub fn released(
+        &mut self,
+        slot: u32,
+        result: &Result<u64, PlatformError>,
+        now_ms: u64,
+    ) -> ControlFlow<()> {
+        match result {
+            Ok(_) => {
+                self.table.released(slot);
+                return ControlFlow::Continue(());
+            }
+            Err(PlatformError::Unreached | PlatformError::Refused { .. }) => {
+                self.mint_again(slot, now_ms);
+            }
+            Err(PlatformError::Lost | PlatformError::Conflict { .. }) => self.lose(slot, now_ms),
+        }
+        ControlFlow::Break(())
+    }
+
+    fn mint_again(&mut self, slot: u32, now_ms: u64) {
+        if let Some(end_ms) = self.table.lease_end_ms(slot) {
+            self.ledger.hold(slot, end_ms, now_ms);
+        }
+    }
+
+    fn lose(&mut self, slot: u32, now_ms: u64) {
+        self.ledger.release(slot, now_ms);
+        self.table.lost(slot);
+    }
+}
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -7,8 +7,24 @@
 //! burst + rate x time, whoever is paused, cut off or restarted.
 
 mod bucket;
+mod holding;
+mod ledger;
+mod reservation;
+mod retry;
+mod scarcity;
+mod slot;
+mod table;
 
-pub use bucket::Bucket;
+pub use {
+    bucket::Bucket,
+    holding::Holding,
+    ledger::Ledger,
+    reservation::Reservation,
+    retry::{RetryAsk, RetryTimes, minting_ms},
+    scarcity::Scarcity,
+    slot::{LONG_LEASE_MS, SHORT_LEASE_MS, SlotBody, lease_ms},
+    table::{ListedSlot, SlotList, SlotTable, SlotWrite},
+};
 
 /// Shares into which every rate is cut.
-pub const SLOTS: u32 = 64;
+pub const SLOTS: u32 = 512;
--- /dev/null
+++ b/crates/core/src/limits/table.rs
@@ -0,0 +1,261 @@
+use {
+    super::{SLOTS, SlotBody, lease_ms},
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// A slot that this instance holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Held {
+    version: u64,
+    /// When the write that made or renewed the lease was begun.
+    begun_ms: u64,
+}
+
+/// A slot that another holds, as last listed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Sight {
+    version: u64,
+    body: Option<SlotBody>,
+    /// When this version was first seen, after the list was answered.
+    seen_ms: u64,
+}
+
+/// Every slot as the platform listed it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SlotList {
+    /// Revision of the list.
+    pub revision: u64,
+    /// Slots that some instance holds or held.
+    pub slots: Vec<ListedSlot>,
+}
+
+/// One slot of a list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedSlot {
+    /// Number of the slot.
+    pub slot: u32,
+    /// Version on the platform.
+    pub version: u64,
+    /// What its holder wrote; none if this build can't read it.
+    pub body: Option<SlotBody>,
+}
+
+/// One write that an instance should send for its slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotWrite {
+    /// Create a slot that no one holds.
+    Create {
+        /// Number of the slot.
+        slot: u32,
+    },
+    /// Write a slot over its version: renew, or take over.
+    Replace {
+        /// Number of the slot.
+        slot: u32,
+        /// Version that must still be there.
+        version: u64,
+    },
+    /// Delete a slot at its version, for others to take.
+    Release {
+        /// Number of the slot.
+        slot: u32,
+        /// Version that must still be there.
+        version: u64,
+    },
+}
+
+/// What one instance knows of all slots, and what it should write next.
+#[derive(Debug, Clone)]
+pub struct SlotTable {
+    address: SocketAddr,
+    incarnation: u64,
+    held: BTreeMap<u32, Held>,
+    sights: BTreeMap<u32, Sight>,
+    listed: bool,
+}
+
+impl SlotTable {
+    /// Returns the table of an instance that starts.
+    pub fn new(address: SocketAddr, incarnation: u64) -> SlotTable {
+        SlotTable {
+            address,
+            incarnation,
+            held: BTreeMap::new(),
+            sights: BTreeMap::new(),
+            listed: false,
+        }
+    }
+
+    /// Returns what this instance writes into a slot.
+    pub fn body(&self, slot: u32, nonce: u64) -> SlotBody {
+        SlotBody::new(slot, self.address, self.incarnation, nonce)
+    }
+
+    /// Returns how many slots are held.
+    pub fn held(&self) -> u32 {
+        u32::try_from(self.held.len()).unwrap_or(SLOTS)
+    }
+
+    /// Takes a list of every slot, whose answer came at `now_ms`, and returns
+    /// the slots that are not held here after all.
+    ///
+    /// A version that is still the same keeps the time when it was first
+    /// seen: only what this process watched itself counts towards a lapse.
+    pub fn see(&mut self, list: &SlotList, now_ms: u64) -> Vec<u32> {
+        let mut sights = BTreeMap::new();
+        for listed in &list.slots {
+            let seen_ms = match self.sights.get(&listed.slot) {
+                Some(sight) if sight.version == listed.version => sight.seen_ms,
+                _ => now_ms,
+            };
+            let sight = Sight {
+                version: listed.version,
+                body: listed.body.clone(),
+                seen_ms,
+            };
+            sights.insert(listed.slot, sight);
+        }
+        self.sights = sights;
+        self.listed = true;
+        let gone = self.gone(list.revision);
+        for slot in &gone {
+            self.held.remove(slot);
+        }
+        gone
+    }
+
+    /// Returns held slots that someone wrote over or deleted since. A list
+    /// that lags behind the own write says nothing about it.
+    fn gone(&self, revision: u64) -> Vec<u32> {
+        self.held
+            .iter()
+            .filter(|(slot, held)| match self.sights.get(slot) {
+                Some(sight) => sight.version > held.version,
+                None => revision >= held.version,
+            })
+            .map(|(slot, _)| *slot)
+            .collect()
+    }
+
+    /// Notes a slot written by this instance, in a write begun at `begun_ms`,
+    /// and returns when the lease ends.
+    pub fn wrote(&mut self, slot: u32, version: u64, begun_ms: u64) -> u64 {
+        self.held.insert(slot, Held { version, begun_ms });
+        begun_ms + lease_ms(slot)
+    }
+
+    /// Notes that a slot is not or no longer held here. It is not tried again
+    /// before the next list.
+    pub fn lost(&mut self, slot: u32) {
+        self.held.remove(&slot);
+        let unknown = Sight {
+            version: 0,
+            body: None,
+            seen_ms: u64::MAX,
+        };
+        self.sights.insert(slot, unknown);
+    }
+
+    /// Notes that a slot was released and is free.
+    pub fn released(&mut self, slot: u32) {
+        self.held.remove(&slot);
+        self.sights.remove(&slot);
+    }
+
+    /// Returns the lease's end of a held slot.
+    pub fn lease_end_ms(&self, slot: u32) -> Option<u64> {
+        let held = self.held.get(&slot)?;
+        Some(held.begun_ms + lease_ms(slot))
+    }
+
+    /// Returns the next writes, at most `most`, with so many instances live.
+    ///
+    /// Leases are renewed at half of their time. An instance over its share
+    /// gives slots back, one under it takes free and lapsed ones.
+    pub fn plan(&self, live_instances: u32, most: usize, now_ms: u64) -> Vec<SlotWrite> {
+        let aim = SLOTS.div_ceil(live_instances.max(1));
+        let mut writes = self.renewals(now_ms);
+        writes.truncate(most);
+        let surplus = self.held().saturating_sub(aim + slack(aim));
+        if surplus > 0 {
+            writes.extend(self.releases(aim));
+        } else if self.listed {
+            let lacking = aim.saturating_sub(self.held()) as usize;
+            writes.extend(self.takings(now_ms).take(lacking));
+        }
+        writes.truncate(most);
+        writes
+    }
+
+    /// Returns a release of everything, for a shutdown.
+    pub fn release_all(&self) -> Vec<SlotWrite> {
+        self.releases(0).collect()
+    }
+
+    fn renewals(&self, now_ms: u64) -> Vec<SlotWrite> {
+        self.held
+            .iter()
+            .filter(|(slot, held)| now_ms >= held.begun_ms + lease_ms(**slot) / 2)
+            .map(|(slot, held)| SlotWrite::Replace {
+                slot: *slot,
+                version: held.version,
+            })
+            .collect()
+    }
+
+    fn releases(&self, keep: u32) -> impl Iterator<Item = SlotWrite> {
+        self.held
+            .iter()
+            .skip(keep as usize)
+            .map(|(slot, held)| SlotWrite::Release {
+                slot: *slot,
+                version: held.version,
+            })
+    }
+
+    /// Returns the slots to take: first those of this address, then others,
+    /// each instance beginning elsewhere, so that a herd of starts does not
+    /// write the same slots.
+    fn takings(&self, now_ms: u64) -> impl Iterator<Item = SlotWrite> {
+        let first = (self.incarnation % u64::from(SLOTS)) as u32;
+        let own = self.sights.iter().filter(|(_, s)| self.was_ours(s));
+        own.map(|(slot, _)| *slot)
+            .chain((0..SLOTS).map(move |i| (first + i) % SLOTS))
+            .filter(|slot| !self.held.contains_key(slot))
+            .filter_map(move |slot| match self.sights.get(&slot) {
+                None => Some(SlotWrite::Create { slot }),
+                Some(sight) if self.may_take(sight, now_ms) => Some(SlotWrite::Replace {
+                    slot,
+                    version: sight.version,
+                }),
+                Some(_) => None,
+            })
+    }
+
+    /// Returns whether a slot's holder is surely gone.
+    ///
+    /// Either this process has watched the version unchanged for longer than
+    /// the holder may mint on it, or the holder listened on this process's
+    /// own address: a listening address is exclusive, so that holder ended
+    /// before this process began. The write is conditional on the version, so
+    /// that a renewal seen by no list yet makes the taking fail.
+    fn may_take(&self, sight: &Sight, now_ms: u64) -> bool {
+        let Some(body) = &sight.body else {
+            return false;
+        };
+        let watched_ms = now_ms.saturating_sub(sight.seen_ms);
+        self.was_ours(sight) || watched_ms > body.left_alone_ms()
+    }
+
+    fn was_ours(&self, sight: &Sight) -> bool {
+        let body = sight.body.as_ref();
+        body.is_some_and(|body| body.holder == self.address)
+    }
+}
+
+/// Returns how far over its share an instance may be before it gives slots
+/// back, so that a peer heard late does not set slots moving to and fro.
+fn slack(aim: u32) -> u32 {
+    const SLACK_ONE_IN: u32 = 8;
+    aim / SLACK_ONE_IN
+}
--- a/crates/core/src/peer/message.rs
+++ b/crates/core/src/peer/message.rs
@@ -43,7 +43,7 @@
         /// Crashes seen: identity of the request, and of the crash.
         crashes: Vec<(u64, u64)>,
     },
-    /// Tokens granted; 0 if there were too few.
+    /// Tokens granted, as many as were there of those asked for.
     Granted {
         /// Tokens, to be spent at once.
         tokens: u64,
--- /dev/null
+++ b/crates/core/tests/limits/main.rs
@@ -0,0 +1,5 @@
+//! Rate and burst over several instances, as state machines under faults.
+
+mod leases;
+mod model;
+mod property;
--- /dev/null
+++ b/crates/core/tests/limits/model.rs
@@ -0,0 +1,353 @@
+//! Several instances and the platform, as far as limits need them.
+
+mod platform;
+
+use {
+    mangowalk_core::{
+        edge::PlatformError,
+        limits::{Holding, Reservation, SlotBody, SlotWrite},
+        record::Rate,
+    },
+    platform::ModelPlatform,
+    std::{collections::VecDeque, net::SocketAddr},
+};
+
+const TEAM: &str = "gallery";
+const BATCH: usize = 300;
+const START_MS: u64 = 1_000_000;
+
+/// One thing that happens.
+#[derive(Debug, Clone)]
+pub(crate) enum Op {
+    /// Time goes on. An instance that gets no other event stands still.
+    Advance(u64),
+    /// An instance lists the slots.
+    List(usize),
+    /// An instance lists, and all its writes go well at once.
+    Sync { at: usize, live: u32 },
+    /// An instance plans a batch of writes and sends the first.
+    Begin { at: usize, live: u32 },
+    /// The batch arrives at the platform, or some part of it fails.
+    Arrive { at: usize, fate: u8 },
+    /// The answers reach the instance.
+    Answer(usize),
+    /// A request takes this share of the tokens that are there.
+    Take { at: usize, percent: u64 },
+    /// A request draws all tokens and asks a peer for this share of its own,
+    /// or for more than it has.
+    Move {
+        to: usize,
+        from: usize,
+        percent: u64,
+    },
+    /// The peer's answer comes, or is lost.
+    Receive { index: usize, lost: bool },
+    /// A request ends and puts back what it did not use.
+    Settle { index: usize, used_percent: u64 },
+    /// An instance is killed and starts again, at another address or its own.
+    Crash { at: usize, moves: bool },
+    /// An instance shuts down in good order; another starts in its place.
+    Close(usize),
+}
+
+struct Sent {
+    write: SlotWrite,
+    body: SlotBody,
+    begun_ms: u64,
+    result: Option<Result<u64, PlatformError>>,
+}
+
+struct Instance {
+    address: SocketAddr,
+    holding: Holding,
+    sent: VecDeque<Sent>,
+    drift_per_mille: i64,
+    generation: u64,
+}
+
+struct Open {
+    at: usize,
+    generation: u64,
+    reservation: Reservation,
+    grant: usize,
+}
+
+struct Moving {
+    open: Open,
+    wanted: u64,
+    given: u64,
+}
+
+/// The whole model, and every grant with its time.
+pub(crate) struct Model {
+    now_ms: u64,
+    rate: Rate,
+    platform: ModelPlatform,
+    instances: Vec<Instance>,
+    open: VecDeque<Open>,
+    moving: VecDeque<Moving>,
+    grants: Vec<(u64, u64)>,
+    next: u64,
+}
+
+impl Model {
+    pub(crate) fn new(instances: usize, rate: &Rate) -> Model {
+        let mut model = Model {
+            now_ms: START_MS,
+            rate: rate.clone(),
+            platform: ModelPlatform::default(),
+            instances: Vec::new(),
+            open: VecDeque::new(),
+            moving: VecDeque::new(),
+            grants: Vec::new(),
+            next: 1,
+        };
+        for i in 0..instances {
+            let address = model.fresh_address();
+            let instance = model.start(address, i);
+            model.instances.push(instance);
+        }
+        // Every instance holds its share, and every bucket fills.
+        for at in (0..instances).chain(0..instances) {
+            model.sync(at, instances as u32);
+            model.tokens(at);
+        }
+        model.now_ms += 2_000 * rate.burst_tokens / rate.tokens_per_s;
+        model
+    }
+
+    fn fresh_address(&mut self) -> SocketAddr {
+        self.next += 1;
+        SocketAddr::from(([127, 0, 0, 1], self.next as u16))
+    }
+
+    fn start(&mut self, address: SocketAddr, index: usize) -> Instance {
+        self.next += 1;
+        Instance {
+            address,
+            holding: Holding::new(address, self.next * 167),
+            sent: VecDeque::new(),
+            drift_per_mille: [5, -5, 0][index % 3],
+            generation: self.next,
+        }
+    }
+
+    fn local_ms(&self, at: usize) -> u64 {
+        let drift = self.instances[at].drift_per_mille;
+        (self.now_ms as i64 + self.now_ms as i64 * drift / 1_000) as u64
+    }
+
+    /// Moves on to a time since the first leases.
+    pub(crate) fn advance_to(&mut self, since_start_ms: u64) {
+        self.now_ms = self.now_ms.max(START_MS + since_start_ms);
+    }
+
+    pub(crate) fn apply(&mut self, op: &Op) {
+        match *op {
+            Op::Advance(ms) => self.now_ms += ms,
+            Op::List(at) => {
+                let list = self.platform.list();
+                let now_ms = self.local_ms(at);
+                self.instances[at].holding.see(&list, now_ms);
+            }
+            Op::Begin { at, live } => self.begin(at, live),
+            Op::Arrive { at, fate } => self.arrive(at, fate),
+            Op::Answer(at) => self.answer(at),
+            Op::Sync { at, live } => self.sync(at, live),
+            Op::Take { at, percent } => self.take(at, percent),
+            Op::Move { to, from, percent } => self.start_move(to, from, percent),
+            Op::Receive { index, lost } => self.receive(index, lost),
+            Op::Settle {
+                index,
+                used_percent,
+            } => self.settle(index, used_percent),
+            Op::Crash { at, moves } => self.crash(at, moves),
+            Op::Close(at) => self.close(at),
+        }
+    }
+
+    fn sync(&mut self, at: usize, live: u32) {
+        self.apply(&Op::List(at));
+        self.begin(at, live);
+        self.arrive(at, 9);
+        self.answer(at);
+    }
+
+    fn begin(&mut self, at: usize, live: u32) {
+        let now_ms = self.local_ms(at);
+        if !self.instances[at].sent.is_empty() {
+            return;
+        }
+        for write in self.instances[at].holding.plan(live, BATCH, now_ms) {
+            self.send(at, write, now_ms);
+        }
+    }
+
+    fn send(&mut self, at: usize, write: SlotWrite, begun_ms: u64) {
+        self.next += 1;
+        let holding = &mut self.instances[at].holding;
+        let (SlotWrite::Create { slot }
+        | SlotWrite::Replace { slot, .. }
+        | SlotWrite::Release { slot, .. }) = write;
+        if matches!(write, SlotWrite::Release { .. }) {
+            holding.stop_minting(slot, begun_ms);
+        }
+        let sent = Sent {
+            write,
+            body: holding.body(slot, self.next),
+            begun_ms,
+            result: None,
+        };
+        self.instances[at].sent.push_back(sent);
+    }
+
+    /// Fates: 0 never arrives; 1 takes effect and the reply is lost for good;
+    /// 2 takes effect, the reply is lost and read back; the rest go well.
+    fn arrive(&mut self, at: usize, fate: u8) {
+        for sent in &mut self.instances[at].sent {
+            if sent.result.is_some() {
+                continue;
+            }
+            sent.result = Some(match fate {
+                0 => Err(PlatformError::Unreached),
+                1 => {
+                    let _ = self.platform.write(&sent.write, &sent.body);
+                    Err(PlatformError::Lost)
+                }
+                2 => {
+                    let _ = self.platform.write(&sent.write, &sent.body);
+                    self.platform.read_back(&sent.write, &sent.body)
+                }
+                _ => self.platform.write(&sent.write, &sent.body),
+            });
+        }
+    }
+
+    fn answer(&mut self, at: usize) {
+        let now_ms = self.local_ms(at);
+        let instance = &mut self.instances[at];
+        while let Some(sent) = instance.sent.front() {
+            let Some(result) = &sent.result else { return };
+            let _ = match sent.write {
+                SlotWrite::Create { slot } | SlotWrite::Replace { slot, .. } => {
+                    let holding = &mut instance.holding;
+                    holding.written(slot, sent.begun_ms, result, now_ms)
+                }
+                SlotWrite::Release { slot, .. } => instance.holding.released(slot, result, now_ms),
+            };
+            instance.sent.pop_front();
+        }
+    }
+
+    fn take(&mut self, at: usize, percent: u64) {
+        let tokens = self.tokens(at) * percent / 100;
+        let now_ms = self.local_ms(at);
+        let ledger = self.instances[at].holding.ledger();
+        let Some(reservation) = ledger.take(TEAM, &self.rate, tokens, now_ms) else {
+            return;
+        };
+        let open = self.open(at, reservation);
+        self.open.push_back(open);
+    }
+
+    /// Notes a grant at the time when its tokens left the bucket.
+    fn open(&mut self, at: usize, reservation: Reservation) -> Open {
+        self.grants.push((self.now_ms, reservation.tokens));
+        Open {
+            at,
+            generation: self.instances[at].generation,
+            reservation,
+            grant: self.grants.len() - 1,
+        }
+    }
+
+    fn tokens(&mut self, at: usize) -> u64 {
+        let now_ms = self.local_ms(at);
+        let ledger = self.instances[at].holding.ledger();
+        ledger.tokens(TEAM, &self.rate, now_ms)
+    }
+
+    fn start_move(&mut self, to: usize, from: usize, percent: u64) {
+        if to == from {
+            return;
+        }
+        let wanted = self.tokens(to) + self.tokens(from) * percent / 100;
+        let (to_ms, from_ms) = (self.local_ms(to), self.local_ms(from));
+        let mut reservation = Reservation::empty(TEAM);
+        let asker = self.instances[to].holding.ledger();
+        asker.draw(&mut reservation, &self.rate, wanted, to_ms);
+        let giver = self.instances[from].holding.ledger();
+        let given = giver.give(TEAM, &self.rate, wanted - reservation.tokens, from_ms);
+        let open = self.open(to, reservation);
+        self.grants[open.grant].1 = 0;
+        self.moving.push_back(Moving {
+            open,
+            wanted,
+            given,
+        });
+    }
+
+    fn receive(&mut self, index: usize, lost: bool) {
+        let Some(mut moving) = self.moving.remove(index) else {
+            return;
+        };
+        let reservation = &mut moving.open.reservation;
+        reservation.tokens += if lost { 0 } else { moving.given };
+        if reservation.tokens < moving.wanted {
+            return self.end(&moving.open, 0);
+        }
+        self.grants[moving.open.grant].1 = reservation.tokens;
+        self.open.push_back(moving.open);
+    }
+
+    fn settle(&mut self, index: usize, used_percent: u64) {
+        if let Some(open) = self.open.remove(index) {
+            let used = open.reservation.tokens * used_percent / 100;
+            self.end(&open, used);
+        }
+    }
+
+    fn end(&mut self, open: &Open, used: u64) {
+        let instance = &mut self.instances[open.at];
+        if instance.generation != open.generation {
+            return;
+        }
+        instance.holding.ledger().settle(&open.reservation, used);
+        self.grants[open.grant].1 = used;
+    }
+
+    fn crash(&mut self, at: usize, moves: bool) {
+        let held = self.instances[at].address;
+        let address = if moves { self.fresh_address() } else { held };
+        self.instances[at] = self.start(address, at);
+    }
+
+    fn close(&mut self, at: usize) {
+        let now_ms = self.local_ms(at);
+        self.instances[at].sent.clear();
+        for write in self.instances[at].holding.close() {
+            self.send(at, write, now_ms);
+        }
+        self.arrive(at, 9);
+        self.crash(at, true);
+    }
+
+    /// Checks every span of time between two grants.
+    pub(crate) fn check(&self) -> Result<(), String> {
+        for (first, (from_ms, _)) in self.grants.iter().enumerate() {
+            let mut sum = 0;
+            for (at_ms, tokens) in &self.grants[first..] {
+                sum += tokens;
+                // A clock that runs half a percent fast mints as much more.
+                let minted = (at_ms - from_ms) * self.rate.tokens_per_s * 1_005 / 1_000_000;
+                let most = self.rate.burst_tokens + minted + 1;
+                if sum > most {
+                    return Err(format!(
+                        "{sum} tokens in {from_ms}..={at_ms} ms, over {most}"
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/mangowalkd/src/board/limits.rs
+++ b/crates/mangowalkd/src/board/limits.rs
@@ -1,60 +1,146 @@
 use {
-    super::lock,
+    super::{Identity, lock},
     mangowalk_core::{
-        limits::{Bucket, SLOTS},
+        edge::PlatformError,
+        limits::{
+            Holding, Reservation, RetryAsk, RetryTimes, Scarcity, SlotBody, SlotList, SlotWrite,
+        },
         record::Rate,
     },
-    std::{collections::HashMap, sync::Mutex},
+    std::{ops::ControlFlow, sync::Mutex},
 };
 
-/// Tokens of every team that this instance may spend.
-#[derive(Debug, Default)]
+/// Tokens of every team that this instance may spend, and the slots from
+/// which they come.
+#[derive(Debug)]
 pub struct LimitBoard {
     inner: Mutex<Inner>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Inner {
-    slots: u32,
-    lease_until_ms: u64,
-    buckets: HashMap<String, Bucket>,
+    holding: Holding,
+    retry_times: RetryTimes,
+    scarcity: Scarcity,
 }
 
 impl LimitBoard {
-    /// Notes how many slots are held, and until when.
-    pub fn hold(&self, slots: u32, lease_until_ms: u64) {
+    /// Returns the board of an instance that holds nothing yet.
+    pub fn new(identity: &Identity) -> LimitBoard {
+        let inner = Inner {
+            holding: Holding::new(identity.caller_address, identity.incarnation),
+            retry_times: RetryTimes::default(),
+            scarcity: Scarcity::default(),
+        };
+        LimitBoard {
+            inner: Mutex::new(inner),
+        }
+    }
+
+    /// Returns the next writes for the slots.
+    pub fn plan(&self, live_instances: u32, most: usize, now_ms: u64) -> Vec<SlotWrite> {
+        lock(&self.inner).holding.plan(live_instances, most, now_ms)
+    }
+
+    /// Returns what this instance writes into a slot.
+    pub fn body(&self, slot: u32, nonce: u64) -> SlotBody {
+        lock(&self.inner).holding.body(slot, nonce)
+    }
+
+    /// Takes a list of every slot.
+    pub fn see(&self, list: &SlotList, now_ms: u64) {
+        lock(&self.inner).holding.see(list, now_ms);
+    }
+
+    /// Takes the result of writing a slot in a call begun at `begun_ms`.
+    pub fn written(
+        &self,
+        slot: u32,
+        begun_ms: u64,
+        result: &Result<u64, PlatformError>,
+        now_ms: u64,
+    ) -> ControlFlow<()> {
         let mut inner = lock(&self.inner);
-        inner.slots = slots;
-        inner.lease_until_ms = lease_until_ms;
+        inner.holding.written(slot, begun_ms, result, now_ms)
+    }
+
+    /// Stops to mint on a slot, before its release is sent.
+    pub fn stop_minting(&self, slot: u32, now_ms: u64) {
+        lock(&self.inner).holding.stop_minting(slot, now_ms);
+    }
+
+    /// Takes the result of releasing a slot.
+    pub fn released(
+        &self,
+        slot: u32,
+        result: &Result<u64, PlatformError>,
+        now_ms: u64,
+    ) -> ControlFlow<()> {
+        lock(&self.inner).holding.released(slot, result, now_ms)
+    }
+
+    /// Gives everything up for good, and returns the writes that let others
+    /// take the slots at once.
+    pub fn close(&self) -> Vec<SlotWrite> {
+        lock(&self.inner).holding.close()
+    }
+
+    /// Returns whether everything was given up.
+    pub fn is_closed(&self) -> bool {
+        lock(&self.inner).holding.is_closed()
+    }
+
+    /// Forgets teams whose rates are withdrawn.
+    pub fn retain(&self, keep: impl Fn(&str) -> bool) {
+        lock(&self.inner).holding.ledger().retain(keep);
     }
 
     /// Returns how many slots are held at a time.
     pub fn slots(&self, now_ms: u64) -> u32 {
-        let inner = lock(&self.inner);
-        if now_ms < inner.lease_until_ms {
-            inner.slots
-        } else {
-            0
-        }
+        lock(&self.inner).holding.slots(now_ms)
     }
 
     /// Takes tokens of a team, all or none.
-    pub fn take(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> bool {
+    pub fn take(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> Option<Reservation> {
         let mut inner = lock(&self.inner);
-        let until_ms = now_ms.min(inner.lease_until_ms);
-        let slots = inner.slots;
-        let bucket = inner
-            .buckets
-            .entry(team.to_owned())
-            .or_insert_with(|| Bucket::empty(now_ms));
-        bucket.mint(rate, slots, SLOTS, until_ms);
-        bucket.take(tokens)
-    }
-
-    /// Puts unused tokens of a team back.
-    pub fn put_back(&self, team: &str, tokens: u64) {
-        if let Some(bucket) = lock(&self.inner).buckets.get_mut(team) {
-            bucket.put_back(tokens);
-        }
+        inner.holding.ledger().take(team, rate, tokens, now_ms)
+    }
+
+    /// Adds up to so many tokens to a reservation, and keeps room for the
+    /// rest, which peers may send.
+    pub fn draw(&self, reservation: &mut Reservation, rate: &Rate, tokens: u64, now_ms: u64) {
+        let mut inner = lock(&self.inner);
+        let ledger = inner.holding.ledger();
+        ledger.draw(reservation, rate, tokens, now_ms);
+    }
+
+    /// Takes up to so many tokens out, for a peer that asks.
+    pub fn give(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> u64 {
+        let mut inner = lock(&self.inner);
+        inner.holding.ledger().give(team, rate, tokens, now_ms)
+    }
+
+    /// Ends a reservation and puts back what it did not use.
+    pub fn settle(&self, reservation: &Reservation, used_tokens: u64) {
+        let mut inner = lock(&self.inner);
+        inner.holding.ledger().settle(reservation, used_tokens);
+    }
+
+    /// Returns how many tokens are surely missing for a request, if a look at
+    /// every peer a moment ago tells.
+    pub fn short_tokens(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> Option<u64> {
+        let inner = lock(&self.inner);
+        inner.scarcity.short_tokens(team, rate, tokens, now_ms)
+    }
+
+    /// Notes the tokens that a request found over all instances, too few.
+    pub fn note_scarce(&self, team: &str, tokens: u64, now_ms: u64) {
+        lock(&self.inner).scarcity.note(team, tokens, now_ms);
+    }
+
+    /// Returns when a refused caller's tokens will be there.
+    pub fn retry_ms(&self, team: &str, rate: &Rate, ask: &RetryAsk, now_ms: u64) -> u64 {
+        let mut inner = lock(&self.inner);
+        inner.retry_times.retry_ms(team, rate, ask, now_ms)
     }
 }
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -21,11 +21,11 @@
     /// Returns the board of an instance that starts.
     pub fn new(identity: Identity) -> Board {
         Board {
+            limits: LimitBoard::new(&identity),
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
             peers: PeerBoard::default(),
-            limits: LimitBoard::default(),
             life: Life::default(),
         }
     }
--- a/crates/mangowalkd/src/controller/gossip.rs
+++ b/crates/mangowalkd/src/controller/gossip.rs
@@ -4,7 +4,6 @@
     log::info,
     mangowalk_core::{
         edge::{Clock, Edges, Peers, Platform},
-        limits::SLOTS,
         peer::{ConfigEntry, InstanceView, PeerReply, PeerRequest},
         platform::{Expect, ObjectKey, own_kind},
     },
@@ -163,13 +162,10 @@
         }
         PeerRequest::Grant { team, tokens } => {
             let view = board.config.view();
-            let granted = view
-                .rates
-                .get(team)
-                .filter(|_| board.limits.slots(now_ms) <= SLOTS)
-                .is_some_and(|rate| board.limits.take(team, rate, *tokens, now_ms));
+            let rate = view.rates.get(team);
+            let granted = rate.map(|rate| board.limits.give(team, rate, *tokens, now_ms));
             PeerReply::Granted {
-                tokens: if granted { *tokens } else { 0 },
+                tokens: granted.unwrap_or_default(),
             }
         }
     }
--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -12,5 +12,5 @@
     engine_poll::EnginePoll,
     gossip::{Gossip, answer},
     run::{Controller, spawn},
-    slots::SlotHolder,
+    slots::{SlotHolder, release_slots},
 };
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -3,7 +3,7 @@
         board::{Board, Identity},
         caller::CallerServer,
         cli::Settings,
-        controller::{ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, spawn},
+        controller::{ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, release_slots, spawn},
         edge::{LiveEdges, PeerServer},
         serve::Router,
     },
@@ -40,6 +40,7 @@
 
 /// One running instance.
 pub struct Daemon {
+    edges: Arc<LiveEdges>,
     board: Arc<Board>,
     settings: Settings,
     signals: Signals,
@@ -71,6 +72,7 @@
         start_controllers(&settings, &edges, &board).change_context(StartError::Threads)?;
         info!("daemon: Listening on {}.", settings.caller_address);
         Ok(Daemon {
+            edges,
             board,
             settings,
             signals,
@@ -90,6 +92,7 @@
             thread::sleep(DRAIN_POLL);
             left_ms = left_ms.saturating_sub(DRAIN_POLL.as_millis() as u64);
         }
+        release_slots(&*self.edges, &self.board);
         self.board.life.stop();
         let open = self.board.life.open_requests();
         if open > 0 {
--- a/crates/mangowalkd/src/edge/engines.rs
+++ b/crates/mangowalkd/src/edge/engines.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Traffic,
-        http::{exchange, once, send_error},
+        http::{answered, exchange, once, send_error},
     },
     flume::{Receiver, Sender},
     mangowalk_core::{
@@ -154,6 +154,10 @@
             return;
         }
     };
+    if let Err(error) = answered(&response) {
+        let _ = sender.send(Err(error));
+        return;
+    }
     let status = response.status_code;
     if status != 200 {
         let _ = sender.send(Err(SendError::Refused { status }));
--- a/crates/mangowalkd/src/edge/http.rs
+++ b/crates/mangowalkd/src/edge/http.rs
@@ -42,6 +42,7 @@
     let response = once(request, timeout_ms)
         .send_lazy()
         .map_err(|e| send_error(&e))?;
+    answered(&response)?;
     let status = response.status_code;
     let content_type = header(&response, "content-type").unwrap_or_default();
     let expected = header(&response, "content-length").and_then(|v| v.parse::<usize>().ok());
@@ -56,6 +57,19 @@
     Ok((status, content_type, body))
 }
 
+/// What `minreq` makes of a connection that closed without an answer: status
+/// 503 with this reason.
+const NO_STATUS_LINE: &str = "Server did not provide a status line";
+
+/// Tells an answer from a connection that closed without one. Taken for a
+/// status, a lost reply would look like a refusal before anything ran.
+pub(super) fn answered(response: &minreq::ResponseLazy) -> Result<(), SendError> {
+    if response.reason_phrase == NO_STATUS_LINE {
+        return Err(SendError::Lost);
+    }
+    Ok(())
+}
+
 fn header(response: &minreq::ResponseLazy, name: &str) -> Option<String> {
     response
         .headers
--- a/crates/mangowalkd/src/edge/platform.rs
+++ b/crates/mangowalkd/src/edge/platform.rs
@@ -58,6 +58,8 @@
             409 => Err(PlatformError::Conflict {
                 version: decode::<Written>(&body)?.version,
             }),
+            // A gateway that gave up says nothing of what became of the write.
+            500.. => Err(PlatformError::Lost),
             status => Err(PlatformError::Refused { status }),
         }
     }
--- a/crates/mangowalkd/src/serve/generate.rs
+++ b/crates/mangowalkd/src/serve/generate.rs
@@ -38,16 +38,14 @@
             });
         }
         let reserved = tokens_of(&request.prompt) + u64::from(request.max_tokens);
-        self.reserve(&request.team, reserved)?;
+        let reservation = self.reserve(&request.team, reserved)?;
         let result = self.attempts(request, &view, sink);
         let used = match &result {
             Ok(finished) => finished.usage.prompt_tokens + finished.usage.completion_tokens,
             Err(refusal) if refusal.outcome() == Outcome::NotRun => 0,
             Err(_) => reserved,
         };
-        self.board
-            .limits
-            .put_back(&request.team, reserved.saturating_sub(used));
+        self.settle(&reservation, used);
         result
     }
 
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod generate;
 mod request;
+mod reserve;
 mod router;
 mod service;
 
--- a/crates/mangowalkd/src/serve/service.rs
+++ b/crates/mangowalkd/src/serve/service.rs
@@ -33,7 +33,7 @@
                 name: request.service.clone(),
             });
         };
-        self.reserve(
+        let _reservation = self.reserve(
             &request.team,
             (request.body.len().div_ceil(TOKEN_BYTES) as u64).max(1),
         )?;
--- /dev/null
+++ b/crates/mangowalkd/tests/limits.rs
@@ -0,0 +1,235 @@
+//! Rate and burst over several router processes, under faults.
+
+use {
+    mangowalk_standins::{Answer, EngineSettings, Fleet, FleetSettings, PlatformFaults},
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+const SLOTS: usize = 512;
+const RATE: u64 = 2_000;
+const BURST: u64 = 3_000;
+const MAX_TOKENS: u32 = 90;
+
+/// Time in which a full burst is minted from nothing, with some to spare.
+const FILL: Duration = Duration::from_millis(1_800);
+
+fn fleet(routers: usize) -> Fleet {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        routers,
+        engine: EngineSettings {
+            slots: 64,
+            miss_us: 0,
+            token_us: 0,
+            ..EngineSettings::default()
+        },
+        tokens_per_s: RATE,
+        burst_tokens: BURST,
+        ..FleetSettings::default()
+    });
+    wait_for_slots(&fleet);
+    fleet
+}
+
+/// Waits until the routers hold every slot, and none much more than its share.
+fn wait_for_slots(fleet: &Fleet) {
+    let most = SLOTS.div_ceil(fleet.routers.len()) * 9 / 8;
+    for _ in 0..300 {
+        let held: Vec<usize> = (0..fleet.routers.len())
+            .map(|router| slots_of(fleet, router))
+            .collect();
+        if held.iter().sum::<usize>() == SLOTS && held.iter().all(|held| *held <= most) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    panic!("the routers do not hold every slot");
+}
+
+fn slots_of(fleet: &Fleet, router: usize) -> usize {
+    let holder = fleet.routers[router].address().to_string();
+    let slots = fleet.platform.list("slot");
+    slots
+        .iter()
+        .filter(|s| s.body["holder"] == holder.as_str())
+        .count()
+}
+
+/// Sends to the routers in turn until the time is over, and returns the
+/// tokens of all answers.
+fn spend(fleet: &Fleet, routers: &[usize], time: Duration) -> u64 {
+    let started = Instant::now();
+    let mut tokens = 0;
+    for router in routers.iter().cycle() {
+        if started.elapsed() > time {
+            break;
+        }
+        tokens += tokens_of(&fleet.chat(*router, "Is walnut in stock?", MAX_TOKENS, false));
+    }
+    tokens
+}
+
+fn tokens_of(answer: &Answer) -> u64 {
+    answer.json()["usage"]["total_tokens"]
+        .as_u64()
+        .unwrap_or_default()
+}
+
+/// Most tokens that may have been granted since a time.
+fn bound(since: Instant) -> u64 {
+    BURST + RATE * since.elapsed().as_millis() as u64 / 1_000 + RATE / 100
+}
+
+/// Two routers share one team, and callers send several times the rate, first
+/// to both and then to one. Together they receive no more than rate and
+/// burst, and no less than most of the rate.
+#[test]
+fn two_routers_grant_one_rate_together() {
+    let fleet = fleet(2);
+    thread::sleep(FILL);
+    let since = Instant::now();
+    let tokens = spend(&fleet, &[0, 1], Duration::from_secs(2))
+        + spend(&fleet, &[0], Duration::from_secs(2));
+    assert!(tokens <= bound(since), "{tokens} over {}", bound(since));
+    assert!(tokens >= 4 * RATE, "{tokens} are less than the rate");
+}
+
+/// All callers use one of two routers and send half of the rate. That is all
+/// that this router mints; without tokens from its peer some would be
+/// refused as soon as they send in a clump. None is refused.
+#[test]
+fn a_skewed_load_within_the_rate_is_not_refused() {
+    let fleet = fleet(2);
+    thread::sleep(FILL);
+    for clump in 0..4 {
+        for i in 0..20 {
+            let answer = fleet.chat(0, "Is walnut in stock?", MAX_TOKENS, false);
+            assert_eq!(answer.status, 200, "{clump} {i} {}", answer.body);
+        }
+        thread::sleep(FILL);
+    }
+}
+
+/// Every router is killed just after its callers used the burst, and starts
+/// again at once. A new process takes its predecessor's slots over, so that
+/// callers are served again soon, but starts with nothing: started full, each
+/// restart would hand the burst out again.
+#[test]
+fn a_herd_of_restarts_hands_out_no_second_burst() {
+    let mut fleet = fleet(2);
+    thread::sleep(FILL);
+    let since = Instant::now();
+    let mut tokens = spend(&fleet, &[0, 1], Duration::from_millis(700));
+    for _ in 0..2 {
+        fleet.routers.iter_mut().for_each(|router| router.kill());
+        fleet
+            .routers
+            .iter_mut()
+            .for_each(|router| router.start_again());
+        fleet.routers.iter().for_each(|router| router.wait_ready());
+        let after = spend(&fleet, &[0, 1], Duration::from_millis(1_500));
+        assert!(after > RATE / 4, "{after} tokens after a restart");
+        tokens += after;
+    }
+    assert!(tokens <= bound(since), "{tokens} over {}", bound(since));
+}
+
+/// One router stands still while the other serves. Callers of the other get
+/// its share at least, none waits for the one that stands still for long, and
+/// after it goes on both together keep to rate and burst.
+#[test]
+fn a_paused_router_neither_blocks_nor_doubles_tokens() {
+    let fleet = fleet(2);
+    thread::sleep(FILL);
+    let since = Instant::now();
+    fleet.routers[1].freeze();
+    let alone = spend(&fleet, &[0], Duration::from_secs(2));
+    fleet.routers[1].thaw();
+    let tokens = alone + spend(&fleet, &[0, 1], Duration::from_secs(1));
+    assert!(
+        alone >= RATE * 2 / 3,
+        "{alone} tokens beside a paused router"
+    );
+    assert!(tokens <= bound(since), "{tokens} over {}", bound(since));
+}
+
+/// The platform is down for a while. Slots are held under long leases, so
+/// callers within the rate notice nothing.
+#[test]
+fn an_outage_of_the_platform_refuses_no_one() {
+    let fleet = fleet(2);
+    thread::sleep(FILL);
+    fleet.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    for _ in 0..3 {
+        for i in 0..15 {
+            let answer = fleet.chat(i % 2, "Is walnut in stock?", MAX_TOKENS, false);
+            assert_eq!(answer.status, 200, "{}", answer.body);
+        }
+        thread::sleep(FILL);
+    }
+}
+
+/// A router restarts while replies to its writes are lost after they took
+/// effect. It reads the slots back, and holds its share all the same.
+#[test]
+fn lost_replies_cost_no_slots() {
+    let mut fleet = fleet(2);
+    fleet.routers[0].kill();
+    fleet.platform.set_faults(PlatformFaults {
+        lose_replies: 40,
+        ..PlatformFaults::default()
+    });
+    fleet.routers[0].start_again();
+    fleet.routers[0].wait_ready();
+    wait_for_slots(&fleet);
+    thread::sleep(FILL);
+    let since = Instant::now();
+    let tokens = spend(&fleet, &[0, 1], Duration::from_secs(1));
+    assert!(tokens >= BURST / 2, "{tokens}");
+    assert!(tokens <= bound(since), "{tokens} over {}", bound(since));
+}
+
+/// A router shuts down in good order. It gives its slots back, and the other
+/// takes them long before any lease ends.
+#[test]
+fn a_graceful_shutdown_gives_slots_back() {
+    let mut fleet = fleet(2);
+    fleet.routers[1].terminate();
+    fleet.routers[1].wait();
+    assert_eq!(slots_of(&fleet, 1), 0);
+    for _ in 0..300 {
+        if slots_of(&fleet, 0) == SLOTS {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    panic!("the other router holds {} slots", slots_of(&fleet, 0));
+}
+
+/// Everything restarts while the platform is down. No one can know what was
+/// granted, so callers are told that nothing ran, and why.
+#[test]
+fn without_slots_a_refusal_says_why() {
+    let mut fleet = fleet(1);
+    fleet.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    fleet.routers[0].kill();
+    fleet.routers[0].start_again();
+    let answer = (0..100)
+        .map(|_| {
+            thread::sleep(Duration::from_millis(20));
+            fleet.chat(0, "Is walnut in stock?", MAX_TOKENS, false)
+        })
+        .find(|answer| answer.status != 0)
+        .unwrap_or_default();
+    assert_eq!(answer.status, 503, "{}", answer.body);
+    assert_eq!(answer.json()["error"]["outcome"], "not_run");
+}
