--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,8 @@
 //! Each function that decides takes the present time as an argument, in
 //! milliseconds of a monotonic clock unless its name says otherwise.
 
+pub mod attempt;
+pub mod burn;
 pub mod config;
 pub mod edge;
 pub mod engine;
@@ -13,4 +15,6 @@
 pub mod platform;
 pub mod record;
 pub mod refusal;
+pub mod status;
 pub mod stream;
+pub mod upstream;
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -3,21 +3,25 @@
 //! Controllers read and write it, one part each; requests read it and note
 //! what they saw. No part calls another, so each can be tested alone.
 
+mod burn;
 mod config;
 mod engines;
 mod identity;
 mod life;
 mod limits;
 mod peers;
+mod upstreams;
 mod whole;
 
 pub use {
+    burn::{BurnBoard, Unsent},
     config::ConfigBoard,
     engines::{EngineBoard, EngineSight, InFlight},
     identity::Identity,
     life::{Life, OpenRequest},
     limits::LimitBoard,
     peers::{PeerBoard, PeerSight},
+    upstreams::{UpstreamBoard, UpstreamRun},
     whole::Board,
 };
 
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,14 +1,25 @@
-use super::{ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard};
+use {
+    super::{
+        BurnBoard, ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard, UpstreamBoard,
+    },
+    std::net::SocketAddr,
+};
 
 /// The state of one instance.
 #[derive(Debug)]
 pub struct Board {
+    /// Address towards operators, if there is one.
+    pub operator_address: Option<SocketAddr>,
+    /// What became of every team's requests.
+    pub burn: BurnBoard,
     /// Who the instance is.
     pub identity: Identity,
     /// Records in force.
     pub config: ConfigBoard,
     /// Engines as last seen.
     pub engines: EngineBoard,
+    /// What each upstream can take, and the budget of retries.
+    pub upstreams: UpstreamBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
@@ -22,9 +33,12 @@
     pub fn new(identity: Identity) -> Board {
         Board {
             limits: LimitBoard::new(&identity),
+            operator_address: None,
+            burn: BurnBoard::default(),
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
+            upstreams: UpstreamBoard::default(),
             peers: PeerBoard::default(),
             life: Life::default(),
         }
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -2,7 +2,9 @@
 
 mod answer;
 mod attempt;
+mod attempts;
 mod generate;
+mod observe;
 mod request;
 mod reserve;
 mod router;
