Run what is not repeatable at most once, whoever dies

Cause: a claim was one unnamed object. A lost reply to its write refused the call while the claim stayed, a finished call could not be answered again, one key served different calls, a refused connection left the claim behind, and nothing deleted claims.

Change: a claim is a typestate (Unclaimed, Claimed, Sent, Settled), named by a digest of team and key with lengths, and holds nonce, request digest, holder and epoch. A lost reply is read back by the nonce; where that fails the call is refused as not run, which is true, and the claim is withdrawn behind. A refused connection withdraws it. Outcomes and answers up to 200 KB are written behind the answer, so that a caller that sends again elsewhere gets the whole answer; a key used for another call is refused (422). Claims are kept for 150 epochs of at least ten minutes, counted by conditional writes and no clock.

Seen red with the safeguard taken out, each on a scratch copy: no claim (6 of 8 tests); own nonce not compared; request digest not compared; outcome not written; claim not withdrawn after a refused connection; claim not withdrawn after an unreadable reply; sent without a claim in an outage; a closed connection taken for status 503; sent again after a lost answer; a silent holder told as running; an epoch not watched by version; parts without length.

Stand-ins: the platform can lose replies to reads, and a test's caller sees status 0, as documented, where the connection closed without an answer (minreq makes 503 of it).

Ruled out: a second write before sending, to tell a claim that was never sent from one that was. It costs each call a write, and a paused holder may still send behind it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod burn;
+pub mod claim;
 pub mod config;
 pub mod edge;
 pub mod engine;
--- a/crates/core/src/platform/mod.rs
+++ b/crates/core/src/platform/mod.rs
@@ -18,6 +18,8 @@
     pub const SLOT: &str = "slot";
     /// A claim to run one request that is not repeatable.
     pub const CLAIM: &str = "claim";
+    /// The epoch by which claims are kept.
+    pub const CLAIM_EPOCH: &str = "claim_epoch";
     /// A lease of one controller.
     pub const LEASE: &str = "lease";
     /// The platform's lagging list of live and departing instances.
--- a/crates/core/src/refusal/kind.rs
+++ b/crates/core/src/refusal/kind.rs
@@ -82,6 +82,11 @@
         /// When to ask again.
         retry_ms: u64,
     },
+    /// The idempotency key came with another request before.
+    #[display(
+        "This Idempotency-Key was used for another request; send each request with a key of its own."
+    )]
+    KeyReused,
     /// It was sent to an upstream and the answer was lost.
     #[display("The answer was lost after the request was sent; {remedy}.")]
     Lost {
@@ -102,7 +107,7 @@
             Refusal::Unauthorized => 401,
             Refusal::NotFound { .. } | Refusal::NoSuchPath => 404,
             Refusal::RateLimited { .. } => 429,
-            Refusal::Poisonous { .. } => 422,
+            Refusal::Poisonous { .. } | Refusal::KeyReused => 422,
             Refusal::Claimed { .. } => 409,
             Refusal::Unavailable { .. } => 503,
             Refusal::Lost { .. } => 502,
@@ -122,6 +127,7 @@
             Refusal::RateLimited { .. } => "rate_limit_exceeded",
             Refusal::Poisonous { .. } => "request_crashed_upstreams",
             Refusal::Claimed { .. } => "idempotency_conflict",
+            Refusal::KeyReused => "idempotency_key_reused",
             Refusal::Unavailable { .. } => "unavailable",
             Refusal::Lost { .. } => "answer_lost",
         }
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -4,6 +4,7 @@
 //! what they saw. No part calls another, so each can be tested alone.
 
 mod burn;
+mod claims;
 mod config;
 mod engines;
 mod identity;
@@ -15,6 +16,7 @@
 
 pub use {
     burn::{BurnBoard, Unsent},
+    claims::{ClaimBoard, ClaimWrite},
     config::ConfigBoard,
     engines::{EngineBoard, EngineSight, InFlight},
     identity::Identity,
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        BurnBoard, ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard, UpstreamBoard,
+        BurnBoard, ClaimBoard, ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard,
+        UpstreamBoard,
     },
     std::net::SocketAddr,
 };
@@ -14,6 +15,8 @@
     pub burn: BurnBoard,
     /// Who the instance is.
     pub identity: Identity,
+    /// Claims whose outcome is still to be written.
+    pub claims: ClaimBoard,
     /// Records in force.
     pub config: ConfigBoard,
     /// Engines as last seen.
@@ -33,6 +36,7 @@
     pub fn new(identity: Identity) -> Board {
         Board {
             limits: LimitBoard::new(&identity),
+            claims: ClaimBoard::default(),
             operator_address: None,
             burn: BurnBoard::default(),
             identity,
--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -1,6 +1,7 @@
 //! Controllers: each reads the board, speaks to one outside system, and
 //! writes its part of the board.
 
+mod claim_keeper;
 mod config_watch;
 mod engine_poll;
 mod gossip;
@@ -8,6 +9,7 @@
 mod slots;
 
 pub use {
+    claim_keeper::{ClaimKeeper, flush_claims},
     config_watch::ConfigWatch,
     engine_poll::EnginePoll,
     gossip::{Gossip, answer},
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -3,7 +3,10 @@
         board::{Board, Identity},
         caller::CallerServer,
         cli::Settings,
-        controller::{ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, release_slots, spawn},
+        controller::{
+            ClaimKeeper, ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, flush_claims,
+            release_slots, spawn,
+        },
         edge::{LiveEdges, PeerServer},
         metrics::{MetricsReport, metrics_client},
         operator::OperatorServer,
@@ -104,6 +107,7 @@
             left_ms = left_ms.saturating_sub(DRAIN_POLL.as_millis() as u64);
         }
         release_slots(&*self.edges, &self.board);
+        flush_claims(&*self.edges, &self.board);
         self.board.life.stop();
         let open = self.board.life.open_requests();
         if open > 0 {
@@ -142,6 +146,7 @@
     spawn(ConfigWatch::default(), edges.clone(), board.clone())?;
     spawn(gossip, edges.clone(), board.clone())?;
     spawn(EnginePoll::default(), edges.clone(), board.clone())?;
+    spawn(ClaimKeeper::default(), edges.clone(), board.clone())?;
     spawn(SlotHolder::default(), edges.clone(), board.clone())?;
     Ok(())
 }
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod attempt;
 mod attempts;
+mod claim;
 mod generate;
 mod observe;
 mod request;
--- a/crates/mangowalkd/src/serve/service.rs
+++ b/crates/mangowalkd/src/serve/service.rs
@@ -1,18 +1,16 @@
 use {
-    super::{Router, ServiceRequest},
+    super::{Router, ServiceRequest, claim::Claiming},
     mangowalk_core::{
+        claim::{Claim, Claimed, ClaimedTooLong, Verdict},
         config::ServiceRecord,
-        edge::{Edges, SendError, ServiceCall, ServiceReply, Services},
+        edge::{Clock, Edges, SendError, ServiceCall, ServiceReply, Services},
         placement::TOKEN_BYTES,
-        platform::{Expect, ObjectKey, own_kind},
         refusal::{Outcome, Refusal},
     },
 };
 
-use mangowalk_core::edge::{Platform, PlatformError};
-
-/// When a caller should ask again for a claimed request.
-const CLAIMED_RETRY_MS: u64 = 1_000;
+/// When a caller should come back if the service can't be reached.
+const UNREACHED_RETRY_MS: u64 = 1_000;
 
 impl<E: Edges> Router<E> {
     /// Serves one call of a plain service.
@@ -33,32 +31,83 @@
                 name: request.service.clone(),
             });
         };
-        let _reservation = self.reserve(
-            &request.team,
-            (request.body.len().div_ceil(TOKEN_BYTES) as u64).max(1),
-        )?;
-        let repeatable = first.repeatable && !request.marked_not_repeatable;
-        if !repeatable {
-            self.claim(request)?;
-        }
-        let mut last = SendError::NotConnected;
-        for service in &instances {
-            match self.call_once(request, service) {
+        let tokens = (request.body.len().div_ceil(TOKEN_BYTES) as u64).max(1);
+        let reservation = self.reserve(&request.team, tokens)?;
+        let result = if first.repeatable && !request.marked_not_repeatable {
+            self.call_repeatable(request, &instances)
+        } else {
+            self.call_once(request, &instances)
+        };
+        let ran = match &result {
+            Ok(_) => true,
+            Err(refusal) => refusal.outcome() != Outcome::NotRun,
+        };
+        self.settle(&reservation, if ran { tokens } else { 0 });
+        result
+    }
+
+    /// Sends a call until one instance of the service answers.
+    fn call_repeatable(
+        &self,
+        request: &ServiceRequest,
+        instances: &[&ServiceRecord],
+    ) -> Result<ServiceReply, Refusal> {
+        let mut may_have_run = false;
+        for service in instances {
+            match self.send(request, service) {
                 Ok(reply) => return Ok(reply),
-                Err(error) if error == SendError::NotConnected || repeatable => last = error,
-                Err(error) => return Err(lost(error)),
+                Err(error) => may_have_run |= !states_not_run(error),
             }
         }
-        Err(match last {
-            SendError::NotConnected => Refusal::Unavailable {
-                reason: "The service can't be reached",
-                retry_ms: CLAIMED_RETRY_MS,
-            },
-            error => lost(error),
-        })
+        Err(if may_have_run { lost() } else { unreached() })
     }
 
+    /// Sends a call that may run at most once, under a claim.
     fn call_once(
+        &self,
+        request: &ServiceRequest,
+        instances: &[&ServiceRecord],
+    ) -> Result<ServiceReply, Refusal> {
+        match self.claim(request) {
+            Claiming::Won(claim) => self.send_claimed(request, instances, claim),
+            Claiming::Met(Verdict::Replay(reply)) => Ok(reply.into_reply()),
+            Claiming::Met(Verdict::Refuse(refusal)) => Err(refusal),
+        }
+    }
+
+    /// Goes on to the next instance only where it is sure that nothing left.
+    fn send_claimed(
+        &self,
+        request: &ServiceRequest,
+        instances: &[&ServiceRecord],
+        mut claim: Claim<Claimed>,
+    ) -> Result<ServiceReply, Refusal> {
+        let claims = &self.board.claims;
+        for service in instances {
+            let sent = match claim.send(self.edges.clock().now_ms()) {
+                Ok(sent) => sent,
+                Err(ClaimedTooLong(unsent)) => {
+                    claims.withdraw(&unsent);
+                    return Err(unreached());
+                }
+            };
+            match self.send(request, service) {
+                Ok(reply) => {
+                    claims.settle(sent.ran(&reply));
+                    return Ok(reply);
+                }
+                Err(error) if states_not_run(error) => claim = sent.not_sent(),
+                Err(_) => {
+                    claims.settle(sent.lost());
+                    return Err(lost());
+                }
+            }
+        }
+        claims.withdraw(&claim);
+        Err(unreached())
+    }
+
+    fn send(
         &self,
         request: &ServiceRequest,
         service: &ServiceRecord,
@@ -76,48 +125,23 @@
             .services()
             .call(service.address, &call, self.settings.request_timeout_ms)
     }
+}
 
-    /// Claims a request that may run at most once, before it is sent.
-    ///
-    /// Without the claim a caller that sends again through another instance,
-    /// after this one died, would have its deposit taken twice. The platform
-    /// creates a name once, so one claimant wins.
-    fn claim(&self, request: &ServiceRequest) -> Result<(), Refusal> {
-        let Some(key) = &request.idempotency_key else {
-            return Err(Refusal::Malformed {
-                detail: "This call may run only once; send an Idempotency-Key.".to_owned(),
-            });
-        };
-        let name = mangowalk_core::record::digest_of(&format!("{}/{key}", request.team));
-        let body = serde_json::json!({
-            "schema": 1,
-            "holder": self.board.identity.caller_address,
-        });
-        let key = ObjectKey::new(own_kind::CLAIM, &name);
-        match self.edges.platform().put(&key, Expect::Absent, &body) {
-            Ok(_) => Ok(()),
-            Err(PlatformError::Conflict { .. }) => Err(Refusal::Claimed {
-                detail: "A call with this Idempotency-Key ran or runs; what became of it is not known here.",
-                outcome: Outcome::Unknown,
-                retry_ms: CLAIMED_RETRY_MS,
-            }),
-            Err(_) => Err(Refusal::Unavailable {
-                reason: "The platform can't record that this call runs once",
-                retry_ms: CLAIMED_RETRY_MS,
-            }),
-        }
+/// Returns whether an error states that nothing ran.
+fn states_not_run(error: SendError) -> bool {
+    matches!(error, SendError::NotConnected | SendError::Refused { .. })
+}
+
+fn unreached() -> Refusal {
+    Refusal::Unavailable {
+        reason: "The service can't be reached",
+        retry_ms: UNREACHED_RETRY_MS,
     }
 }
 
-fn lost(error: SendError) -> Refusal {
-    match error {
-        SendError::Refused { .. } => Refusal::Unavailable {
-            reason: "The service refused the call before it ran",
-            retry_ms: CLAIMED_RETRY_MS,
-        },
-        _ => Refusal::Lost {
-            remedy: "ask the service whether it ran before sending it with a new key",
-            outcome: Outcome::Unknown,
-        },
+fn lost() -> Refusal {
+    Refusal::Lost {
+        remedy: "ask the service whether it ran before sending it with a new key",
+        outcome: Outcome::Unknown,
     }
 }
--- a/crates/standins/src/fleet/answer.rs
+++ b/crates/standins/src/fleet/answer.rs
@@ -46,6 +46,10 @@
         let Ok(mut response) = request.send_lazy() else {
             return Answer::default();
         };
+        // What `minreq` makes of a connection that closed without an answer.
+        if response.reason_phrase == "Server did not provide a status line" {
+            return Answer::default();
+        }
         let mut answer = Answer {
             status: response.status_code,
             headers: response
--- a/crates/standins/src/platform/faults.rs
+++ b/crates/standins/src/platform/faults.rs
@@ -10,6 +10,8 @@
     pub delay_ms: u64,
     /// Replies to this many writes are lost after they took effect.
     pub lose_replies: u32,
+    /// Reads of single objects get no answer.
+    pub lose_reads: bool,
     /// Lists and watches show the state of this many revisions ago.
     pub lag_revisions: u64,
     /// Watches stay silent.
--- a/crates/standins/src/platform/stand_in.rs
+++ b/crates/standins/src/platform/stand_in.rs
@@ -148,6 +148,9 @@
 
     fn get(&self, exchange: Exchange, key: &ObjectKey) {
         self.count("get");
+        if self.lock().faults.lose_reads {
+            return exchange.hang_up();
+        }
         let object = self.lock().state.get(key).cloned();
         match object {
             Some(object) => exchange.json(200, &object),
