--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -3,6 +3,7 @@
 //! Controllers read and write it, one part each; requests read it and note
 //! what they saw. No part calls another, so each can be tested alone.
 
+mod admission;
 mod burn;
 mod claims;
 mod config;
@@ -15,6 +16,7 @@
 mod whole;
 
 pub use {
+    admission::DispatchBoard,
     burn::{BurnBoard, Unsent},
     claims::{ClaimBoard, ClaimWrite},
     config::ConfigBoard,
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,9 +1,10 @@
 use {
     super::{
-        BurnBoard, ClaimBoard, ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard,
-        UpstreamBoard,
+        BurnBoard, ClaimBoard, ConfigBoard, DispatchBoard, EngineBoard, Identity, Life, LimitBoard,
+        PeerBoard, UpstreamBoard,
     },
-    std::net::SocketAddr,
+    crate::edge::Traffic,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// The state of one instance.
@@ -23,17 +24,21 @@
     pub engines: EngineBoard,
     /// What each upstream can take, and the budget of retries.
     pub upstreams: UpstreamBoard,
+    /// Admission, queue and placement.
+    pub dispatch: DispatchBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
     pub limits: LimitBoard,
+    /// What is spent on control.
+    pub traffic: Arc<Traffic>,
     /// Phase of the process and its open requests.
     pub life: Life,
 }
 
 impl Board {
     /// Returns the board of an instance that starts.
-    pub fn new(identity: Identity) -> Board {
+    pub fn new(identity: Identity, dispatch: DispatchBoard) -> Board {
         Board {
             limits: LimitBoard::new(&identity),
             claims: ClaimBoard::default(),
@@ -43,7 +48,9 @@
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
             upstreams: UpstreamBoard::default(),
+            dispatch,
             peers: PeerBoard::default(),
+            traffic: Arc::default(),
             life: Life::default(),
         }
     }
--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -1,6 +1,7 @@
 //! Controllers: each reads the board, speaks to one outside system, and
 //! writes its part of the board.
 
+mod cache_events;
 mod claim_keeper;
 mod config_watch;
 mod engine_poll;
@@ -9,6 +10,7 @@
 mod slots;
 
 pub use {
+    cache_events::CacheEventReader,
     claim_keeper::{ClaimKeeper, flush_claims},
     config_watch::ConfigWatch,
     engine_poll::EnginePoll,
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -1,11 +1,11 @@
 use {
     crate::{
-        board::{Board, Identity},
+        board::{Board, DispatchBoard, Identity},
         caller::CallerServer,
         cli::Settings,
         controller::{
-            ClaimKeeper, ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, flush_claims,
-            release_slots, spawn,
+            CacheEventReader, ClaimKeeper, ConfigWatch, EnginePoll, Gossip, SlotHolder, answer,
+            flush_claims, release_slots, spawn,
         },
         edge::{LiveEdges, PeerServer},
         metrics::{MetricsReport, metrics_client},
@@ -67,13 +67,17 @@
     pub fn start(settings: Settings) -> Result<Daemon, Report<StartError>> {
         let signals = Signals::new([SIGTERM, SIGINT]).change_context(StartError::Threads)?;
         let edges = Arc::new(LiveEdges::new(settings.platform_address));
-        let mut board = Board::new(Identity {
+        let dispatch =
+            DispatchBoard::new(settings.placement(), settings.admission(), rand::random());
+        let identity = Identity {
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
             failure_domain: settings.failure_domain.clone(),
             incarnation: rand::random(),
-        });
+        };
+        let mut board = Board::new(identity, dispatch);
         board.operator_address = settings.operator_address;
+        board.traffic = edges.traffic().clone();
         let board = Arc::new(board);
         let (peer_edges, peer_board) = (edges.clone(), board.clone());
         let peer_server = PeerServer::start(settings.peer_address, move |request| {
@@ -147,6 +151,7 @@
     spawn(gossip, edges.clone(), board.clone())?;
     spawn(EnginePoll::default(), edges.clone(), board.clone())?;
     spawn(ClaimKeeper::default(), edges.clone(), board.clone())?;
+    spawn(CacheEventReader::default(), edges.clone(), board.clone())?;
     spawn(SlotHolder::default(), edges.clone(), board.clone())?;
     Ok(())
 }
--- a/crates/mangowalkd/src/serve/generate.rs
+++ b/crates/mangowalkd/src/serve/generate.rs
@@ -1,12 +1,10 @@
 use {
-    super::{AnswerSink, ChatRequest, Finished, Router, attempt::Target},
+    super::{AnswerSink, ChatRequest, Finished, Router},
     mangowalk_core::{
-        config::View,
         edge::Edges,
         placement::tokens_of,
         refusal::{Outcome, Refusal},
     },
-    std::collections::HashSet,
 };
 
 impl<E: Edges> Router<E> {
@@ -38,29 +36,4 @@
         self.settle(&reservation, used);
         result
     }
-
-    pub(super) fn place(
-        &self,
-        view: &View,
-        model: &str,
-        version: Option<&str>,
-        tried: &HashSet<String>,
-    ) -> Option<Target> {
-        let sights = self.board.engines.sights();
-        view.engines
-            .values()
-            .filter(|e| e.model == model && !e.departing && !tried.contains(&e.name))
-            .filter_map(|e| {
-                let sight = sights.get(&e.name)?;
-                let state = sight.state.as_ref().filter(|s| !s.loading)?;
-                let fits = state.model == model && version.is_none_or(|v| v == state.version);
-                fits.then_some((sight.in_flight, e, state))
-            })
-            .min_by_key(|(in_flight, _, _)| *in_flight)
-            .map(|(_, engine, state)| Target {
-                engine: engine.clone(),
-                incarnation: state.incarnation,
-                version: state.version.clone(),
-            })
-    }
 }
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -1,11 +1,13 @@
 //! The way of one request: limit, place, attempt, answer.
 
+mod admit;
 mod answer;
 mod attempt;
 mod attempts;
 mod claim;
 mod generate;
 mod observe;
+mod place;
 mod request;
 mod reserve;
 mod router;
