--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        BurnBoard, ConfigBoard, DispatchBoard, DispatchSettings, EngineBoard, Identity, Life,
-        LimitBoard, PeerBoard, UpstreamBoard,
+        BurnBoard, ClaimBoard, ConfigBoard, DispatchBoard, DispatchSettings, EngineBoard, Identity,
+        Life, LimitBoard, PeerBoard, UpstreamBoard,
     },
     crate::edge::Traffic,
     std::{net::SocketAddr, sync::Arc},
@@ -16,6 +16,8 @@
     pub burn: BurnBoard,
     /// Who the instance is.
     pub identity: Identity,
+    /// Claims whose outcome is still to be written.
+    pub claims: ClaimBoard,
     /// Records in force.
     pub config: ConfigBoard,
     /// Engines as last seen.
@@ -39,6 +41,8 @@
     pub fn new(identity: Identity, settings: DispatchSettings) -> Board {
         let upstreams = UpstreamBoard::default();
         Board {
+            limits: LimitBoard::new(&identity),
+            claims: ClaimBoard::default(),
             operator_address: None,
             burn: BurnBoard::default(),
             identity,
@@ -47,7 +51,6 @@
             dispatch: DispatchBoard::new(settings, upstreams.clone()),
             upstreams,
             peers: PeerBoard::default(),
-            limits: LimitBoard::default(),
             traffic: Arc::default(),
             life: Life::default(),
         }
--- a/crates/mangowalkd/src/operator/candidates.rs
+++ b/crates/mangowalkd/src/operator/candidates.rs
@@ -132,6 +132,7 @@
             avoid,
             fit: &|name| force || self.board.upstreams.usable(name, self.now_ms),
             force,
+            waited_ms: 0,
         };
         self.board.dispatch.preview(&ask, self.now_ms)
     }
