--- a/crates/core/src/config/entry.rs
+++ b/crates/core/src/config/entry.rs
@@ -1,6 +1,14 @@
-use crate::record::{Record, RecordError};
+use {
+    super::{MergeOutcome, Write},
+    crate::record::{Kind, Record, RecordError, parse},
+};
 
 /// What an instance knows of one record.
+///
+/// An entry is the join of every write seen: the newest write, and below a
+/// refused one the newest that could be read. A join gives the same result in
+/// whatever order writes come and however often, so all instances that saw
+/// the same writes have the same record in force.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Entry {
     /// Version of the newest write seen, readable or not.
@@ -9,6 +17,8 @@
     pub body: Option<String>,
     /// What is in force.
     pub state: EntryState,
+    /// The newest readable write or withdrawal below a refused one.
+    pub last: Option<Write>,
 }
 
 /// What of a record is in force.
@@ -38,3 +48,82 @@
         }
     }
 }
+
+impl Entry {
+    /// Returns the entry of a record's first write.
+    pub(super) fn first(kind: Kind, version: u64, body: Option<&str>) -> Entry {
+        Entry {
+            version,
+            body: body.map(str::to_owned),
+            state: read(kind, body),
+            last: None,
+        }
+    }
+
+    /// Returns the version of what is in force, 0 if nothing ever was.
+    pub fn version_in_force(&self) -> u64 {
+        match &self.state {
+            EntryState::Refused { .. } => self.last.as_ref().map_or(0, |w| w.version),
+            _ => self.version,
+        }
+    }
+
+    /// Joins one more write.
+    pub(super) fn join(&mut self, kind: Kind, version: u64, body: Option<&str>) -> MergeOutcome {
+        if version > self.version {
+            return self.supersede(Entry::first(kind, version, body));
+        }
+        if version == self.version || version <= self.version_in_force() {
+            return MergeOutcome::Stale;
+        }
+        self.fill_in(Entry::first(kind, version, body))
+    }
+
+    /// Takes a newer write. Below a refused one, what was in force stays.
+    fn supersede(&mut self, newer: Entry) -> MergeOutcome {
+        let older = std::mem::replace(self, newer);
+        let EntryState::Refused { last, .. } = &mut self.state else {
+            return MergeOutcome::Taken;
+        };
+        *last = older.state.record().cloned();
+        self.last = match older.state {
+            EntryState::Refused { .. } => older.last,
+            _ => Some(Write {
+                version: older.version,
+                body: older.body,
+            }),
+        };
+        MergeOutcome::Refused
+    }
+
+    /// Takes a readable write that is older than the refused one.
+    fn fill_in(&mut self, older: Entry) -> MergeOutcome {
+        let EntryState::Refused { last, .. } = &mut self.state else {
+            return MergeOutcome::Stale;
+        };
+        if matches!(older.state, EntryState::Refused { .. }) {
+            return MergeOutcome::Stale;
+        }
+        *last = older.state.record().cloned();
+        self.last = Some(Write {
+            version: older.version,
+            body: older.body,
+        });
+        MergeOutcome::Taken
+    }
+}
+
+fn read(kind: Kind, body: Option<&str>) -> EntryState {
+    let Some(text) = body else {
+        return EntryState::Withdrawn;
+    };
+    let parsed = serde_json::from_str(text)
+        .map_err(|e| RecordError::Shape {
+            detail: e.to_string(),
+        })
+        .and_then(|body| parse(kind, &body));
+    match parsed {
+        Ok(record) => EntryState::InForce(record),
+        Err(error) => EntryState::Refused { error, last: None },
+    }
+}
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -5,12 +5,20 @@
 //! them, so a lagging list, an old peer or a replayed watch can't bring an
 //! older record back.
 
+mod delta;
+mod digest;
 mod entry;
+mod freshness;
 mod store;
 mod view;
+mod write;
 
 pub use {
+    delta::Delta,
+    digest::Digest,
     entry::{Entry, EntryState},
+    freshness::Freshness,
     store::{MergeOutcome, Store},
     view::{EngineRecord, ServiceRecord, View},
+    write::Write,
 };
--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -1,9 +1,9 @@
 use {
-    super::{Entry, EntryState},
+    super::{Delta, Digest, Entry, EntryState, Write},
     crate::{
         peer::ConfigEntry,
-        platform::{Change, ListReply, ObjectKey},
-        record::{Kind, RecordError, parse},
+        platform::{Change, ListReply, WatchReply},
+        record::Kind,
     },
     std::collections::{BTreeMap, HashSet},
 };
@@ -26,6 +26,7 @@
 pub struct Store {
     entries: BTreeMap<(Kind, String), Entry>,
     revision: u64,
+    tombstones_since: u64,
 }
 
 impl Store {
@@ -50,33 +51,53 @@
     /// lagging list or an old peer would otherwise bring a withdrawn key
     /// back; versions are given by the platform alone, so comparing them is
     /// enough.
+    ///
+    /// Of a record that is not held, or held as withdrawn, only a write after
+    /// the own revision is taken: the store is complete up to that revision,
+    /// so an older write was withdrawn since. Its version alone would not
+    /// show it, because a list brings no tombstones.
     pub fn merge(
         &mut self,
         kind: &str,
         name: &str,
         version: u64,
         body: Option<&str>,
+    ) -> MergeOutcome {
+        self.merge_above(self.revision, kind, name, version, body)
+    }
+
+    fn merge_above(
+        &mut self,
+        floor: u64,
+        kind: &str,
+        name: &str,
+        version: u64,
+        body: Option<&str>,
     ) -> MergeOutcome {
         let Some(kind) = Kind::from_name(kind) else {
             return MergeOutcome::Ignored;
         };
-        let held = self.entries.get(&(kind, name.to_owned()));
-        if held.is_some_and(|e| e.version >= version) {
+        let held = self.entries.get_mut(&(kind, name.to_owned()));
+        let is_live = |e: &Entry| e.state != EntryState::Withdrawn;
+        if version <= floor && !held.as_deref().is_some_and(is_live) {
             return MergeOutcome::Stale;
         }
-        let state = match body {
-            None => EntryState::Withdrawn,
-            Some(text) => read(kind, text, held),
-        };
-        let outcome = match state {
+        if let Some(held) = held {
+            return held.join(kind, version, body);
+        }
+        let mut entry = Entry::first(kind, version, body);
+        let outcome = match entry.state {
             EntryState::Refused { .. } => MergeOutcome::Refused,
             _ => MergeOutcome::Taken,
         };
-        let entry = Entry {
-            version,
-            body: body.map(str::to_owned),
-            state,
-        };
+        if outcome == MergeOutcome::Refused && floor > 0 {
+            // The record did not exist at the floor. Without this note a peer's
+            // last readable write from before would count as in force.
+            entry.last = Some(Write {
+                version: floor,
+                body: None,
+            });
+        }
         self.entries.insert((kind, name.to_owned()), entry);
         outcome
     }
@@ -94,39 +115,58 @@
         }
     }
 
+    /// Merges a watch's answer, which was asked for after a revision that
+    /// this store had. Returns how many records were refused.
+    pub fn merge_watch(&mut self, reply: &WatchReply) -> usize {
+        let refused = reply
+            .changes
+            .iter()
+            .filter(|change| self.merge_change(change) == MergeOutcome::Refused)
+            .count();
+        self.advance(reply.revision);
+        refused
+    }
+
     /// Merges a complete list, and returns how many records it changed.
     ///
-    /// A record that the list lacks was withdrawn, but only if the list was
-    /// read after the version held: a lagging list lacks what is newer.
+    /// A list older than the own revision brings nothing: it is a lagging
+    /// one, and what it shows beyond the store was withdrawn since. In any
+    /// other, a record that is missing was withdrawn.
     pub fn merge_list(&mut self, list: &ListReply) -> usize {
+        if list.revision < self.revision {
+            return 0;
+        }
         let mut changed = 0;
         let mut seen = HashSet::new();
         for object in &list.objects {
-            seen.insert(&object.key);
-            let outcome = self.merge_change(&Change::Put(object.clone()));
+            let text = object.body.to_string();
+            let key = &object.key;
+            seen.insert((key.kind.as_str(), key.name.as_str()));
+            let outcome = self.merge_above(0, &key.kind, &key.name, object.version, Some(&text));
             changed += usize::from(outcome == MergeOutcome::Taken);
         }
-        let gone: Vec<(Kind, String)> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| e.state != EntryState::Withdrawn && e.version <= list.revision)
-            .filter(|((k, n), _)| !seen.contains(&ObjectKey::new(&k.to_string(), n)))
-            .map(|(key, _)| key.clone())
-            .collect();
-        for (kind, name) in gone {
-            self.withdraw_missing(kind, &name, list.revision);
-            changed += 1;
-        }
-        self.advance(list.revision);
-        changed
+        changed + self.adopt_whole(list.revision, &seen)
     }
 
-    fn withdraw_missing(&mut self, kind: Kind, name: &str, revision: u64) {
-        if let Some(entry) = self.entries.get_mut(&(kind, name.to_owned())) {
-            entry.version = revision;
-            entry.body = None;
-            entry.state = EntryState::Withdrawn;
+    /// Takes the revision of a whole, and withdraws what the whole lacks.
+    ///
+    /// The tombstone gets the whole's revision as its version. The withdrawal
+    /// came at or before it, so every write up to it is older than the
+    /// withdrawal, and every later write is newer.
+    fn adopt_whole(&mut self, revision: u64, seen: &HashSet<(&str, &str)>) -> usize {
+        let mut changed = 0;
+        for ((kind, name), entry) in &mut self.entries {
+            let live = entry.state != EntryState::Withdrawn && entry.version <= revision;
+            if live && !seen.contains(&(kind.to_string().as_str(), name.as_str())) {
+                *entry = Entry::first(*kind, revision, None);
+                changed += 1;
+            }
         }
+        if revision > self.revision {
+            self.tombstones_since = revision;
+        }
+        self.advance(revision);
+        changed
     }
 
     /// Notes that every write up to the revision has been merged.
@@ -136,40 +176,100 @@
 
     /// Merges a record that a peer holds.
     pub fn merge_peer(&mut self, entry: &ConfigEntry) -> MergeOutcome {
-        self.merge(
-            &entry.kind,
-            &entry.name,
-            entry.version,
-            entry.body.as_deref(),
-        )
+        self.merge_peer_above(self.revision, entry)
+    }
+
+    fn merge_peer_above(&mut self, floor: u64, entry: &ConfigEntry) -> MergeOutcome {
+        let (kind, name) = (entry.kind.as_str(), entry.name.as_str());
+        let body = entry.body.as_deref();
+        let outcome = self.merge_above(floor, kind, name, entry.version, body);
+        let Some(last) = &entry.last else {
+            return outcome;
+        };
+        match self.merge_above(floor, kind, name, last.version, last.body.as_deref()) {
+            MergeOutcome::Taken => MergeOutcome::Taken,
+            _ => outcome,
+        }
     }
 
-    /// Returns the records newer than a peer's revision.
-    pub fn newer_than(&self, revision: u64) -> Vec<ConfigEntry> {
-        self.entries
+    /// Merges what a peer sent, and returns how many records it changed.
+    ///
+    /// The peer's revision is taken only where its entries join without a gap
+    /// onto what is held. Taking it in any other case would skip the writes
+    /// in the gap for good, because the next watch starts behind it.
+    pub fn merge_delta(&mut self, delta: &Delta) -> usize {
+        let whole = delta.whole && delta.revision >= self.revision;
+        let floor = if whole { 0 } else { self.revision };
+        let mut changed = 0;
+        let mut seen = HashSet::new();
+        for entry in &delta.entries {
+            // A tombstone in a whole may be older than the write held here: the
+            // sender did not see a rewrite and its withdrawal between two lists.
+            if entry.body.is_some() {
+                seen.insert((entry.kind.as_str(), entry.name.as_str()));
+            }
+            let outcome = self.merge_peer_above(floor, entry);
+            changed += usize::from(outcome == MergeOutcome::Taken);
+        }
+        if whole {
+            return changed + self.adopt_whole(delta.revision, &seen);
+        }
+        if !delta.whole && delta.after <= self.revision {
+            self.advance(delta.revision);
+        }
+        changed
+    }
+
+    /// Returns the digest of what is held.
+    pub fn digest(&self) -> Digest {
+        let mut hasher = blake3::Hasher::new();
+        let live = self
+            .entries
             .iter()
-            .filter(|(_, e)| e.version > revision)
-            .map(|((kind, name), e)| ConfigEntry {
-                kind: kind.to_string(),
-                name: name.clone(),
-                version: e.version,
-                body: e.body.clone(),
-            })
-            .collect()
+            .filter(|(_, e)| e.state != EntryState::Withdrawn);
+        for ((kind, name), entry) in live {
+            hasher.update(&[*kind as u8]);
+            hasher.update(&(name.len() as u32).to_le_bytes());
+            hasher.update(name.as_bytes());
+            hasher.update(&entry.version.to_le_bytes());
+            hasher.update(&entry.version_in_force().to_le_bytes());
+        }
+        let mut first = [0; 8];
+        hasher.finalize_xof().fill(&mut first);
+        Digest {
+            revision: self.revision,
+            hash: u64::from_le_bytes(first),
+        }
+    }
+
+    /// Returns what the holder of a digest may lack; nothing if it holds the
+    /// same.
+    pub fn delta_for(&self, digest: &Digest) -> Delta {
+        let whole = digest.revision < self.tombstones_since;
+        let mut delta = Delta {
+            after: digest.revision,
+            revision: self.revision,
+            whole,
+            entries: Vec::new(),
+        };
+        if *digest != self.digest() {
+            delta.entries = self
+                .entries
+                .iter()
+                .filter(|(_, e)| whole || e.version > digest.revision || e.last.is_some())
+                .map(|((kind, name), e)| wire_entry(*kind, name, e))
+                .collect();
+        }
+        delta
     }
 }
 
-fn read(kind: Kind, text: &str, held: Option<&Entry>) -> EntryState {
-    let parsed = serde_json::from_str(text)
-        .map_err(|e| RecordError::Shape {
-            detail: e.to_string(),
-        })
-        .and_then(|body| parse(kind, &body));
-    match parsed {
-        Ok(record) => EntryState::InForce(record),
-        Err(error) => EntryState::Refused {
-            error,
-            last: held.and_then(|e| e.state.record()).cloned(),
-        },
+fn wire_entry(kind: Kind, name: &str, entry: &Entry) -> ConfigEntry {
+    ConfigEntry {
+        kind: kind.to_string(),
+        name: name.to_owned(),
+        version: entry.version,
+        body: entry.body.clone(),
+        last: entry.last.clone(),
     }
 }
--- a/crates/core/src/config/view.rs
+++ b/crates/core/src/config/view.rs
@@ -1,7 +1,10 @@
 use {
     super::Store,
     crate::record::{Model, Rate, Record, Team, UpstreamRole, digest_of},
-    std::{collections::BTreeMap, net::SocketAddr},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+    },
 };
 
 /// A serving engine as requests see it.
@@ -54,6 +57,8 @@
     pub engines: BTreeMap<String, EngineRecord>,
     /// Services by name of record.
     pub services: BTreeMap<String, ServiceRecord>,
+    /// Engines that get no new work while their weights change.
+    pub draining: BTreeSet<String>,
     keys: BTreeMap<String, String>,
 }
 
@@ -87,6 +92,9 @@
                 self.models.insert(name.to_owned(), model.clone());
             }
             Record::Upstream(upstream) => self.insert_upstream(name, upstream),
+            Record::Drain(_) => {
+                self.draining.insert(name.to_owned());
+            }
         }
     }
 
@@ -125,9 +133,15 @@
 
     /// Returns the team that a key authenticates, if the team exists.
     pub fn team_of_key(&self, key: &str) -> Option<&str> {
+        self.team_of_digest(&digest_of(key))
+    }
+
+    /// Returns the team that the key with this digest authenticates, if the
+    /// team exists.
+    pub fn team_of_digest(&self, digest: &str) -> Option<&str> {
         // Looking up a digest leaks nothing of use through its timing: a caller
         // can't choose the digits of a hash.
-        let team = self.keys.get(&digest_of(key))?;
+        let team = self.keys.get(digest)?;
         self.teams.contains_key(team).then_some(team.as_str())
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod edge;
 pub mod engine;
 pub mod limits;
+pub mod membership;
 pub mod peer;
 pub mod placement;
 pub mod platform;
--- /dev/null
+++ b/crates/core/src/membership/members.rs
@@ -0,0 +1,160 @@
+use {
+    super::{Member, member::rank},
+    crate::peer::InstanceView,
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// Bounds of what is kept and told of other instances.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MemberSettings {
+    /// Instances named in one message.
+    pub news: usize,
+    /// Messages that carry a change before it counts as known. Each message
+    /// of a random pair doubles who knows, so three times the logarithm of
+    /// the fleet's size reaches everyone but for a rest that later exchanges
+    /// bring; 30 serves 1,000 instances.
+    pub tells: u32,
+    /// Time for which an instance's own answer outweighs a suspicion.
+    pub fresh_ms: u64,
+    /// Time after which a suspected instance is forgotten.
+    pub forget_ms: u64,
+}
+
+impl Default for MemberSettings {
+    fn default() -> MemberSettings {
+        MemberSettings {
+            news: 6,
+            tells: 30,
+            fresh_ms: 1_000,
+            forget_ms: 30 * 60 * 1_000,
+        }
+    }
+}
+
+/// Other instances, by their address towards callers.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    settings: MemberSettings,
+    members: BTreeMap<SocketAddr, Member>,
+    next: usize,
+}
+
+impl Members {
+    /// Takes what a third instance says of one. What ranks lower than what is
+    /// known is older news and dropped. Returns whether it was news.
+    pub fn hear(&mut self, view: &InstanceView, now_ms: u64) -> bool {
+        match self.members.get(&view.caller_address) {
+            // Told on by those who still remember it, an instance that died
+            // would never be forgotten.
+            None if view.suspected => return false,
+            Some(held) if rank(view) <= rank(&held.view) => return false,
+            Some(held) if view.suspected && self.is_fresh(held, now_ms) => return false,
+            _ => {}
+        }
+        self.insert(view, now_ms);
+        true
+    }
+
+    /// Returns whether an instance was heard of so lately that a suspicion of
+    /// it is the suspecting one's own trouble: one that was cut off suspects
+    /// everyone, and tells so when it is back.
+    fn is_fresh(&self, held: &Member, now_ms: u64) -> bool {
+        !held.view.suspected && now_ms.saturating_sub(held.heard_ms) < self.settings.fresh_ms
+    }
+
+    /// Takes what an instance says of itself. It counts whatever was known:
+    /// an instance whose wall clock went back would otherwise be taken for
+    /// the one before it, which is dead.
+    pub fn hear_direct(&mut self, view: &InstanceView, now_ms: u64) {
+        match self.members.get_mut(&view.caller_address) {
+            Some(held) if held.view == *view => held.heard_ms = now_ms,
+            _ => self.insert(view, now_ms),
+        }
+    }
+
+    fn insert(&mut self, view: &InstanceView, now_ms: u64) {
+        let held = self.members.get(&view.caller_address);
+        let since_ms = held.and_then(|m| m.suspected_ms).unwrap_or(now_ms);
+        let heard_ms = held.map_or(now_ms, |m| m.heard_ms);
+        let member = Member {
+            view: view.clone(),
+            heard_ms: if view.suspected { heard_ms } else { now_ms },
+            suspected_ms: view.suspected.then_some(since_ms),
+            tells: self.settings.tells,
+        };
+        self.members.insert(view.caller_address, member);
+    }
+
+    /// Notes that an instance gave no answer.
+    pub fn suspect(&mut self, address: SocketAddr, now_ms: u64) {
+        let Some(member) = self.members.get(&address) else {
+            return;
+        };
+        if !member.view.suspected {
+            let view = InstanceView {
+                suspected: true,
+                ..member.view.clone()
+            };
+            self.insert(&view, now_ms);
+        }
+    }
+
+    /// Returns the news for one message: changes first, the least told among
+    /// them before others, and then the others in turn.
+    pub fn news(&mut self) -> Vec<InstanceView> {
+        let mut changed: Vec<(u32, SocketAddr)> = self
+            .members
+            .iter()
+            .filter(|(_, m)| m.tells > 0)
+            .map(|(address, m)| (m.tells, *address))
+            .collect();
+        changed.sort_unstable_by(|a, b| b.cmp(a));
+        changed.truncate(self.settings.news);
+        let mut named: Vec<SocketAddr> = changed.into_iter().map(|(_, a)| a).collect();
+        let known: Vec<SocketAddr> = self.members.keys().copied().collect();
+        let rest = known.len().min(self.settings.news) - named.len();
+        for _ in 0..rest {
+            self.next = (self.next + 1) % known.len();
+            if !named.contains(&known[self.next]) {
+                named.push(known[self.next]);
+            }
+        }
+        named.iter().filter_map(|a| self.tell(a)).collect()
+    }
+
+    fn tell(&mut self, address: &SocketAddr) -> Option<InstanceView> {
+        let member = self.members.get_mut(address)?;
+        member.tells = member.tells.saturating_sub(1);
+        Some(member.view.clone())
+    }
+
+    /// Returns every member.
+    pub fn all(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns the number of members that answered in this time, and the
+    /// number of those known that did not say that they leave.
+    pub fn heard_within(&self, window_ms: u64, now_ms: u64) -> (usize, usize) {
+        let known = self.members.values().filter(|m| !m.view.departing);
+        let heard = known
+            .clone()
+            .filter(|m| !m.view.suspected && now_ms.saturating_sub(m.heard_ms) < window_ms);
+        (heard.count(), known.count())
+    }
+
+    /// Forgets instances that left, and those suspected for long.
+    pub fn forget(&mut self, now_ms: u64) {
+        let forget_ms = self.settings.forget_ms;
+        self.members.retain(|_, m| {
+            let quiet_ms = now_ms.saturating_sub(m.suspected_ms.unwrap_or(now_ms));
+            let left = m.view.departing && m.view.suspected;
+            !(left && m.tells == 0) && quiet_ms < forget_ms
+        });
+    }
+
+    /// Keeps only the members that the filter accepts.
+    pub fn retain(&mut self, keep: impl Fn(&Member) -> bool) {
+        self.members.retain(|_, member| keep(member));
+    }
+}
--- a/crates/core/src/peer/message.rs
+++ b/crates/core/src/peer/message.rs
@@ -1,4 +1,5 @@
 use {
+    crate::config::{Delta, Digest, Write},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -10,10 +11,10 @@
     Exchange {
         /// The sender, as it sees itself.
         from: InstanceView,
-        /// Highest revision up to which the sender holds every record.
-        revision: u64,
-        /// Records that the sender believes newer than the receiver's.
-        entries: Vec<ConfigEntry>,
+        /// Records that the sender holds, in a constant size.
+        digest: Digest,
+        /// News of other instances, a bounded number.
+        news: Vec<InstanceView>,
         /// Crashes seen: identity of the request, and of the crash.
         crashes: Vec<(u64, u64)>,
     },
@@ -34,12 +35,10 @@
     Exchange {
         /// The answering instance, as it sees itself.
         from: InstanceView,
-        /// Instances that the answering one has heard of.
-        others: Vec<InstanceView>,
-        /// Highest revision up to which it holds every record.
-        revision: u64,
+        /// News of other instances, a bounded number.
+        news: Vec<InstanceView>,
         /// Records that the asker may lack.
-        entries: Vec<ConfigEntry>,
+        delta: Delta,
         /// Crashes seen: identity of the request, and of the crash.
         crashes: Vec<(u64, u64)>,
     },
@@ -63,6 +62,8 @@
     pub version: u64,
     /// JSON text of the body; none if the record is withdrawn.
     pub body: Option<String>,
+    /// The newest readable write below an unreadable one.
+    pub last: Option<Write>,
 }
 
 /// An instance as peers see it.
@@ -72,9 +73,10 @@
     pub caller_address: SocketAddr,
     /// Address towards peers.
     pub peer_address: SocketAddr,
-    /// Number drawn at start.
+    /// Number drawn at start; a later start has a higher one.
     pub incarnation: u64,
-    /// Counter that grows with each heartbeat.
+    /// Counter that only the instance itself raises, to state that what
+    /// others said of it is out of date.
     pub heartbeat: u64,
     /// Failure domain.
     pub failure_domain: String,
@@ -82,4 +84,6 @@
     pub ready: bool,
     /// Whether the instance is leaving.
     pub departing: bool,
+    /// Whether some instance got no answer from it.
+    pub suspected: bool,
 }
--- a/crates/core/src/record/check.rs
+++ b/crates/core/src/record/check.rs
@@ -51,6 +51,7 @@
         Kind::Rate => rate(body),
         Kind::Model => model(body),
         Kind::Upstream => decode(body).map(Record::Upstream),
+        Kind::Drain => decode(body).map(Record::Drain),
     }
 }
 
--- a/crates/core/src/record/kind.rs
+++ b/crates/core/src/record/kind.rs
@@ -24,10 +24,14 @@
     /// A serving engine or a plain service.
     #[display("upstream")]
     Upstream,
+    /// A mark of the system's own: an engine that gets no new work while its
+    /// weights change.
+    #[display("drain")]
+    Drain,
 }
 
 impl Kind {
-    /// Every kind, in the order in which a new fleet needs them.
+    /// Every kind that operators write, in the order in which a new fleet needs them.
     pub const ALL: [Kind; 5] = [
         Kind::Team,
         Kind::Rate,
@@ -36,8 +40,19 @@
         Kind::Upstream,
     ];
 
+    /// Every kind that instances hold: what operators write, and the marks
+    /// that the system writes for all its instances.
+    pub const HELD: [Kind; 6] = [
+        Kind::Team,
+        Kind::Rate,
+        Kind::Key,
+        Kind::Model,
+        Kind::Upstream,
+        Kind::Drain,
+    ];
+
     /// Returns the kind with the name that the platform's paths use.
     pub fn from_name(name: &str) -> Option<Kind> {
-        Kind::ALL.into_iter().find(|k| k.to_string() == name)
+        Kind::HELD.into_iter().find(|k| k.to_string() == name)
     }
 }
--- a/crates/core/src/record/mod.rs
+++ b/crates/core/src/record/mod.rs
@@ -4,6 +4,7 @@
 //! a newer schema keeps the last record that it could read.
 
 mod check;
+mod drain;
 mod key;
 mod kind;
 mod model;
@@ -13,6 +14,7 @@
 
 pub use {
     check::{RecordError, parse},
+    drain::Drain,
     key::{Key, digest_of},
     kind::Kind,
     model::Model,
@@ -37,4 +39,6 @@
     Model(Model),
     /// A serving engine or a plain service.
     Upstream(Upstream),
+    /// An engine that gets no new work while its weights change.
+    Drain(Drain),
 }
--- a/crates/mangowalkd/src/board/config.rs
+++ b/crates/mangowalkd/src/board/config.rs
@@ -1,7 +1,7 @@
 use {
     super::lock,
     arc_swap::ArcSwap,
-    mangowalk_core::config::{Store, View},
+    mangowalk_core::config::{Freshness, Store, View},
     std::sync::{Arc, Mutex},
 };
 
@@ -10,6 +10,7 @@
 pub struct ConfigBoard {
     store: Mutex<Store>,
     view: ArcSwap<View>,
+    freshness: Mutex<Freshness>,
 }
 
 impl ConfigBoard {
@@ -30,4 +31,19 @@
         self.view.store(Arc::new(View::of(&store)));
         result
     }
+
+    /// Sets for how long the records may be used without a confirmation.
+    pub fn set_stale_after(&self, limit_ms: u64) {
+        lock(&self.freshness).limit_ms = limit_ms;
+    }
+
+    /// Notes that the platform, or enough peers, answered.
+    pub fn confirm(&self, now_ms: u64) {
+        lock(&self.freshness).confirm(now_ms);
+    }
+
+    /// Returns how long the records may be relied on.
+    pub fn freshness(&self) -> Freshness {
+        *lock(&self.freshness)
+    }
 }
--- a/crates/mangowalkd/src/board/peers.rs
+++ b/crates/mangowalkd/src/board/peers.rs
@@ -1,47 +1,86 @@
 use {
     super::lock,
-    mangowalk_core::peer::InstanceView,
-    std::{collections::BTreeMap, net::SocketAddr, sync::Mutex},
+    mangowalk_core::{
+        membership::{Member, Members},
+        peer::InstanceView,
+    },
+    std::{
+        net::SocketAddr,
+        sync::{
+            Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+    },
 };
 
 /// Another instance as last heard of.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PeerSight {
-    /// What it said of itself.
-    pub view: InstanceView,
-    /// When its heartbeat last grew.
-    pub heard_ms: u64,
-}
+pub use mangowalk_core::membership::Member as PeerSight;
 
 /// Other instances, by their address towards callers.
 #[derive(Debug, Default)]
 pub struct PeerBoard {
-    sights: Mutex<BTreeMap<SocketAddr, PeerSight>>,
+    members: Mutex<Members>,
+    own_heartbeat: AtomicU64,
 }
 
 impl PeerBoard {
     /// Takes news of an instance; older news than held is dropped.
     pub fn hear(&self, view: &InstanceView, now_ms: u64) {
-        let mut sights = lock(&self.sights);
-        let newer = sights.get(&view.caller_address).is_none_or(|held| {
-            (view.incarnation, view.heartbeat) > (held.view.incarnation, held.view.heartbeat)
-        });
-        if newer {
-            let sight = PeerSight {
-                view: view.clone(),
-                heard_ms: now_ms,
-            };
-            sights.insert(view.caller_address, sight);
-        }
-    }
-
-    /// Returns a copy of every sight.
+        lock(&self.members).hear(view, now_ms);
+    }
+
+    /// Takes what an instance says of itself.
+    pub fn hear_direct(&self, view: &InstanceView, now_ms: u64) {
+        lock(&self.members).hear_direct(view, now_ms);
+    }
+
+    /// Returns a copy of every sight of an instance that answers.
     pub fn sights(&self) -> Vec<PeerSight> {
-        lock(&self.sights).values().cloned().collect()
+        self.read(|m| m.all().filter(|m| !m.view.suspected).cloned().collect())
+    }
+
+    /// Returns the instances that answer and don't leave.
+    pub fn live(&self) -> Vec<InstanceView> {
+        self.read(|m| {
+            let live = m.all().filter(|m| m.is_live());
+            live.map(|m| m.view.clone()).collect()
+        })
+    }
+
+    /// Reads what is known of all instances.
+    pub fn read<T>(&self, reader: impl FnOnce(&Members) -> T) -> T {
+        reader(&lock(&self.members))
+    }
+
+    /// Returns the news for one message.
+    pub fn news(&self) -> Vec<InstanceView> {
+        lock(&self.members).news()
+    }
+
+    /// Notes that an instance gave no answer.
+    pub fn suspect(&self, address: SocketAddr, now_ms: u64) {
+        lock(&self.members).suspect(address, now_ms);
+    }
+
+    /// Forgets instances that are gone for long.
+    pub fn forget(&self, now_ms: u64) {
+        lock(&self.members).forget(now_ms);
     }
 
     /// Forgets instances.
-    pub fn retain(&self, keep: impl Fn(&PeerSight) -> bool) {
-        lock(&self.sights).retain(|_, sight| keep(sight));
+    pub fn retain(&self, keep: impl Fn(&Member) -> bool) {
+        lock(&self.members).retain(keep);
+    }
+
+    /// Returns the counter that marks what this instance says of itself.
+    pub fn own_heartbeat(&self) -> u64 {
+        self.own_heartbeat.load(Ordering::SeqCst)
+    }
+
+    /// Raises the counter above what others tell, so that this instance's
+    /// own word counts.
+    pub fn outdo(&self, heartbeat: u64) {
+        self.own_heartbeat
+            .fetch_max(heartbeat + 1, Ordering::SeqCst);
     }
 }
--- a/crates/mangowalkd/src/caller/addresses.rs
+++ b/crates/mangowalkd/src/caller/addresses.rs
@@ -1,47 +1,41 @@
 use {
     crate::serve::Router,
-    mangowalk_core::edge::{Clock, Edges},
+    mangowalk_core::{
+        edge::Edges,
+        membership::{SpreadSettings, keep_ms, spread},
+        peer::InstanceView,
+    },
     serde::Serialize,
     std::net::SocketAddr,
 };
 
-/// Time for which a caller may keep the answer.
-const KEEP_MS: u64 = 10_000;
-
-/// Silence after which another instance is no longer named.
-const SILENT_MS: u64 = 3_000;
-
 #[derive(Debug, Serialize)]
 struct Addresses {
     addresses: Vec<SocketAddr>,
     keep_ms: u64,
 }
 
-/// Returns the instances that a caller may use.
+/// Returns the instances that a caller may use, in the order in which it
+/// should try them.
 pub(super) fn body<E: Edges>(router: &Router<E>) -> Vec<u8> {
     let board = router.board();
-    let now_ms = router.now_ms();
-    let mut addresses: Vec<SocketAddr> = board
+    let id = &board.identity;
+    let mut instances: Vec<InstanceView> = board
         .peers
-        .sights()
-        .into_iter()
-        .filter(|p| p.view.ready && !p.view.departing)
-        .filter(|p| now_ms.saturating_sub(p.heard_ms) < SILENT_MS)
-        .map(|p| p.view.caller_address)
-        .collect();
-    if !board.life.is_departing() {
-        addresses.push(board.identity.caller_address);
-    }
+        .read(|m| m.all().map(|m| m.view.clone()).collect());
+    instances.push(InstanceView {
+        caller_address: id.caller_address,
+        peer_address: id.peer_address,
+        incarnation: id.incarnation,
+        heartbeat: 0,
+        failure_domain: id.failure_domain.clone(),
+        ready: board.life.is_ready(),
+        departing: board.life.is_departing(),
+        suspected: false,
+    });
     let body = Addresses {
-        addresses,
-        keep_ms: KEEP_MS,
+        addresses: spread(&instances, &id.failure_domain, rand::random()),
+        keep_ms: keep_ms(&SpreadSettings::default(), &instances),
     };
     serde_json::to_vec(&body).unwrap_or_default()
 }
-
-impl<E: Edges> Router<E> {
-    /// Returns the present time.
-    pub(crate) fn now_ms(&self) -> u64 {
-        self.edges.clock().now_ms()
-    }
-}
--- a/crates/mangowalkd/src/caller/handler.rs
+++ b/crates/mangowalkd/src/caller/handler.rs
@@ -33,7 +33,7 @@
 
     fn ready(&self, request: Request) {
         let board = self.router.board();
-        let ready = board.config.view().revision > 0 && !board.life.is_departing();
+        let ready = board.life.is_ready();
         self.json(request, if ready { 200 } else { 503 }, b"{}".to_vec());
     }
 
--- a/crates/mangowalkd/src/cli/args.rs
+++ b/crates/mangowalkd/src/cli/args.rs
@@ -82,6 +82,28 @@
     )]
     pub drain_timeout_ms: u64,
 
+    /// Time for which a departing instance still takes callers who kept its
+    /// address, in milliseconds.
+    #[bpaf(
+        long,
+        env("MANGOWALK_DEPART_GRACE_MS"),
+        argument("MS"),
+        fallback(12_000),
+        display_fallback
+    )]
+    pub depart_grace_ms: u64,
+
+    /// Time for which an instance that reaches neither the platform nor its
+    /// peers uses the records it holds, in milliseconds.
+    #[bpaf(
+        long,
+        env("MANGOWALK_STALE_CONFIG_MS"),
+        argument("MS"),
+        fallback(900_000),
+        display_fallback
+    )]
+    pub stale_config_ms: u64,
+
     /// Check the settings and exit.
     #[bpaf(long)]
     pub check: bool,
--- a/crates/mangowalkd/src/cli/settings.rs
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -1,6 +1,7 @@
 use {
     super::Args,
     derive_more::{Display, Error},
+    mangowalk_core::config::Freshness,
     std::net::SocketAddr,
 };
 
@@ -27,6 +28,10 @@
     pub token_timeout_ms: u64,
     /// Longest time that a shutdown waits for open requests.
     pub drain_timeout_ms: u64,
+    /// Shortest time for which a departing instance still serves.
+    pub depart_grace_ms: u64,
+    /// Time for which records are used while cut off.
+    pub stale_config_ms: u64,
 }
 
 impl Default for Settings {
@@ -43,6 +48,8 @@
             request_timeout_ms: 120_000,
             token_timeout_ms: 5_000,
             drain_timeout_ms: 150_000,
+            depart_grace_ms: 12_000,
+            stale_config_ms: Freshness::LIMIT_MS,
         }
     }
 }
@@ -112,6 +119,7 @@
         above_zero("--request-timeout-ms", args.request_timeout_ms)?;
         above_zero("--token-timeout-ms", args.token_timeout_ms)?;
         above_zero("--drain-timeout-ms", args.drain_timeout_ms)?;
+        above_zero("--stale-config-ms", args.stale_config_ms)?;
         Ok(Settings {
             caller_address: args.caller_address,
             peer_address: args.peer_address,
@@ -123,6 +131,8 @@
             request_timeout_ms: args.request_timeout_ms,
             token_timeout_ms: args.token_timeout_ms,
             drain_timeout_ms: args.drain_timeout_ms,
+            depart_grace_ms: args.depart_grace_ms,
+            stale_config_ms: args.stale_config_ms,
         })
     }
 }
--- a/crates/mangowalkd/src/controller/config_watch.rs
+++ b/crates/mangowalkd/src/controller/config_watch.rs
@@ -3,10 +3,10 @@
     crate::board::Board,
     log::{info, warn},
     mangowalk_core::{
-        config::MergeOutcome,
-        edge::{Edges, Platform, PlatformError},
+        edge::{Clock, Edges, Platform, PlatformError},
         record::Kind,
     },
+    rand::Rng,
     std::marker::PhantomData,
 };
 
@@ -14,8 +14,10 @@
 /// instance costs the platform.
 const WATCH_WAIT_MS: u64 = 10_000;
 
-/// Pause after a failed call.
-const RETRY_MS: u64 = 500;
+/// Shortest pause after a failed call. The pause is drawn from this to four
+/// times as much: instances that lost the platform together would otherwise
+/// all come back to it at once.
+const RETRY_MS: u64 = 250;
 
 /// Keeps the records in force up to date with the platform.
 pub struct ConfigWatch<E> {
@@ -34,9 +36,7 @@
 
 impl<E: Edges> ConfigWatch<E> {
     fn list(&mut self, edges: &E, board: &Board) -> Result<(), PlatformError> {
-        let kinds: Vec<String> = Kind::ALL.iter().map(Kind::to_string).collect();
-        let kinds: Vec<&str> = kinds.iter().map(String::as_str).collect();
-        let list = edges.platform().list(&kinds)?;
+        let list = edges.platform().list(&as_strs(&held_kinds()))?;
         let changed = board.config.update(|store| store.merge_list(&list));
         info!(
             "config: Listed revision {}, {changed} records changed.",
@@ -47,22 +47,21 @@
     }
 
     fn watch(&mut self, edges: &E, board: &Board) -> Result<(), PlatformError> {
-        let kinds: Vec<String> = Kind::ALL.iter().map(Kind::to_string).collect();
-        let kinds: Vec<&str> = kinds.iter().map(String::as_str).collect();
         let after = board.config.read(|store| store.revision());
-        let reply = edges.platform().watch(&kinds, after, WATCH_WAIT_MS)?;
+        let kinds = held_kinds();
+        // Each answer confirms the records, so that several must fit into the
+        // time for which they may be used.
+        let wait_ms = WATCH_WAIT_MS.min(board.config.freshness().limit_ms / 4);
+        let reply = edges.platform().watch(&as_strs(&kinds), after, wait_ms)?;
         if reply.compacted {
+            info!("config: The platform forgot revision {after}; listing again.");
             self.listed = false;
             return Ok(());
         }
-        board.config.update(|store| {
-            for change in &reply.changes {
-                if store.merge_change(change) == MergeOutcome::Refused {
-                    warn!("config: A record was refused; see its status.");
-                }
-            }
-            store.advance(reply.revision);
-        });
+        let refused = board.config.update(|store| store.merge_watch(&reply));
+        if refused > 0 {
+            warn!("config: {refused} records were refused; see their status.");
+        }
         Ok(())
     }
 }
@@ -79,11 +78,22 @@
             self.list(edges, board)
         };
         match result {
-            Ok(()) => 0,
+            Ok(()) => {
+                board.config.confirm(edges.clock().now_ms());
+                0
+            }
             Err(error) => {
                 warn!("config: {error}");
-                RETRY_MS
+                rand::rng().random_range(RETRY_MS..RETRY_MS * 4)
             }
         }
     }
 }
+
+fn held_kinds() -> Vec<String> {
+    Kind::HELD.iter().map(Kind::to_string).collect()
+}
+
+fn as_strs(kinds: &[String]) -> Vec<&str> {
+    kinds.iter().map(String::as_str).collect()
+}
--- a/crates/mangowalkd/src/controller/gossip.rs
+++ b/crates/mangowalkd/src/controller/gossip.rs
@@ -1,33 +1,46 @@
 use {
-    super::Controller,
+    super::{Controller, registry::Registry},
     crate::board::Board,
     log::info,
     mangowalk_core::{
-        edge::{Clock, Edges, Peers, Platform},
+        config::{Delta, Freshness},
+        edge::{Clock, Edges, Peers},
         limits::SLOTS,
-        peer::{ConfigEntry, InstanceView, PeerReply, PeerRequest},
-        platform::{Expect, ObjectKey, own_kind},
+        membership::StartingFacts,
+        peer::{InstanceView, PeerReply, PeerRequest},
     },
-    rand::seq::IndexedRandom,
-    serde_json::json,
-    std::{marker::PhantomData, net::SocketAddr},
+    rand::{Rng, seq::IndexedRandom},
+    std::net::SocketAddr,
 };
 
 /// Pause between two exchanges.
 const PERIOD_MS: u64 = 500;
 
+/// Pause between two exchanges until the instance is ready.
+const STARTING_PERIOD_MS: u64 = 50;
+
 /// Time that a peer has to answer.
 const ANSWER_TIMEOUT_MS: u64 = 400;
 
-/// Exchanges between two reads of the platform's list of instances.
-const ROUNDS_A_LIST: u64 = 20;
+/// Times that a peer is asked before it is suspected. One lost connection is
+/// no death.
+const TRIES: u32 = 2;
+
+/// One exchange in this many goes to an instance that is suspected or only
+/// known by its address, so that a cut that heals is seen.
+const DOUBTFUL_EVERY: u64 = 8;
+
+/// Peers that a leaving instance tells.
+const FAREWELLS: usize = 3;
 
-/// Exchanges heartbeats, records and crash counts with other instances.
-pub struct Gossip<E> {
+/// Exchanges records, news of instances and crash counts with other
+/// instances.
+pub struct Gossip<E: Edges> {
     seeds: Vec<SocketAddr>,
+    registry: Registry<E>,
     round: u64,
-    registered: bool,
-    edges: PhantomData<fn() -> E>,
+    compared: bool,
+    said: (bool, bool),
 }
 
 impl<E: Edges> Gossip<E> {
@@ -35,62 +48,84 @@
     pub fn new(seeds: &[SocketAddr]) -> Gossip<E> {
         Gossip {
             seeds: seeds.to_vec(),
+            registry: Registry::default(),
             round: 0,
-            registered: false,
-            edges: PhantomData,
+            compared: false,
+            said: (false, false),
         }
     }
 
-    fn register(&mut self, edges: &E, board: &Board) {
-        let id = &board.identity;
-        let name = id.caller_address.to_string();
-        let body = json!({ "schema": 1, "peer_address": id.peer_address });
-        let key = ObjectKey::new(own_kind::INSTANCE, &name);
-        self.registered = edges.platform().put(&key, Expect::Any, &body).is_ok();
+    /// Returns the peer to ask next: at random, so that no list of who asks
+    /// whom has to be agreed on.
+    fn choose(&self, board: &Board) -> Option<SocketAddr> {
+        let live = board.peers.sights();
+        let known: Vec<SocketAddr> = live.iter().map(|m| m.view.peer_address).collect();
+        let doubtful = self.doubtful(board, &known);
+        let from_doubtful = known.is_empty()
+            || board.life.is_starting()
+            || self.round.is_multiple_of(DOUBTFUL_EVERY);
+        let mut random = rand::rng();
+        if from_doubtful && !doubtful.is_empty() {
+            return doubtful.choose(&mut random).copied();
+        }
+        known.choose(&mut random).copied()
     }
 
-    fn read_list(&mut self, edges: &E, board: &Board) {
-        let Ok(list) = edges.platform().list(&[own_kind::INSTANCE]) else {
-            return;
-        };
-        for object in &list.objects {
-            let address = object.body["peer_address"].as_str();
-            let Some(address) = address.and_then(|a| a.parse().ok()) else {
-                continue;
-            };
-            if address != board.identity.peer_address && !self.seeds.contains(&address) {
-                self.seeds.push(address);
-            }
-        }
+    fn doubtful(&self, board: &Board, known: &[SocketAddr]) -> Vec<SocketAddr> {
+        let suspected: Vec<SocketAddr> = board.peers.read(|m| {
+            let suspected = m.all().filter(|m| m.view.suspected);
+            suspected.map(|m| m.view.peer_address).collect()
+        });
+        let own = board.identity.peer_address;
+        suspected
+            .into_iter()
+            .chain(self.seeds.iter().copied())
+            .chain(self.registry.peers().iter().copied())
+            .filter(|address| *address != own && !known.contains(address))
+            .collect()
     }
 
-    fn exchange(&self, edges: &E, board: &Board) {
-        let Some(address) = self.seeds.choose(&mut rand::rng()) else {
-            return;
-        };
-        let revision = board.config.read(|s| s.revision());
+    fn exchange(&mut self, edges: &E, board: &Board, address: SocketAddr) {
         let request = PeerRequest::Exchange {
-            from: own_view(board, self.round),
-            revision,
-            entries: Vec::new(),
+            from: own_view(board),
+            digest: board.config.read(|s| s.digest()),
+            news: board.peers.news(),
             crashes: Vec::new(),
         };
-        let Ok(PeerReply::Exchange {
-            from,
-            others,
-            entries,
-            revision: theirs,
-            ..
-        }) = edges.peers().ask(*address, &request, ANSWER_TIMEOUT_MS)
-        else {
-            return;
+        for _ in 0..TRIES {
+            let reply = edges.peers().ask(address, &request, ANSWER_TIMEOUT_MS);
+            if let Ok(PeerReply::Exchange {
+                from, news, delta, ..
+            }) = reply
+            {
+                self.compared = true;
+                return take(edges, board, &from, &news, &delta);
+            }
+        }
+        suspect(board, address, edges.clock().now_ms());
+    }
+
+    /// Raises the own counter where this instance has something new to say
+    /// of itself, so that the change outranks what is known of it.
+    fn note_change(&mut self, board: &Board) {
+        let says = (board.life.is_ready(), board.life.is_departing());
+        if says != self.said {
+            self.said = says;
+            board.peers.outdo(board.peers.own_heartbeat());
+        }
+    }
+
+    fn try_ready(&self, board: &Board, now_ms: u64) {
+        let facts = StartingFacts {
+            has_records: board.config.view().revision > 0,
+            compared: self.compared,
+            knows_peers: !self.registry.has_looked()
+                || !self.seeds.is_empty()
+                || !self.registry.peers().is_empty(),
         };
-        let now_ms = edges.clock().now_ms();
-        board.peers.hear(&from, now_ms);
-        for view in others {
-            hear(board, &view, now_ms);
+        if board.life.try_ready(facts, now_ms) {
+            info!("peers: Ready for callers.");
         }
-        merge(board, &entries, theirs);
     }
 }
 
@@ -99,65 +134,107 @@
 
     const NAME: &'static str = "peers";
 
-    fn step(&mut self, edges: &E, board: &Board, _now_ms: u64) -> u64 {
-        if !self.registered {
-            self.register(edges, board);
+    fn step(&mut self, edges: &E, board: &Board, now_ms: u64) -> u64 {
+        self.registry.step(edges, board, now_ms);
+        self.round += 1;
+        self.note_change(board);
+        board.peers.forget(now_ms);
+        if let Some(address) = self.choose(board) {
+            self.exchange(edges, board, address);
         }
-        if self.round.is_multiple_of(ROUNDS_A_LIST) {
-            self.read_list(edges, board);
+        self.try_ready(board, edges.clock().now_ms());
+        let period_ms = if board.life.is_starting() {
+            STARTING_PERIOD_MS
+        } else {
+            PERIOD_MS
+        };
+        // Without jitter, instances that started together ask together.
+        rand::rng().random_range(period_ms / 2..period_ms * 3 / 2)
+    }
+
+    fn leave(&mut self, edges: &E, board: &Board) {
+        self.note_change(board);
+        self.registry.leave(edges, board);
+        for peer in board.peers.live().iter().take(FAREWELLS) {
+            self.exchange(edges, board, peer.peer_address);
         }
-        self.round += 1;
-        self.exchange(edges, board);
-        PERIOD_MS
     }
 }
 
-fn own_view(board: &Board, heartbeat: u64) -> InstanceView {
-    let id = &board.identity;
-    InstanceView {
-        caller_address: id.caller_address,
-        peer_address: id.peer_address,
-        incarnation: id.incarnation,
-        heartbeat,
-        failure_domain: id.failure_domain.clone(),
-        ready: board.config.read(|s| s.revision()) > 0,
-        departing: board.life.is_departing(),
+/// Takes a peer's side of an exchange.
+fn take<E: Edges>(
+    edges: &E,
+    board: &Board,
+    from: &InstanceView,
+    news: &[InstanceView],
+    delta: &Delta,
+) {
+    let now_ms = edges.clock().now_ms();
+    hear(board, from, news, now_ms);
+    let window_ms = board.config.freshness().limit_ms;
+    let (heard, known) = board.peers.read(|m| m.heard_within(window_ms, now_ms));
+    if Freshness::peers_confirm(heard, known) {
+        board.config.confirm(now_ms);
+    }
+    let held = board.config.read(|s| s.revision());
+    if delta.entries.is_empty() && delta.revision <= held {
+        return;
+    }
+    let changed = board.config.update(|store| store.merge_delta(delta));
+    if changed > 0 {
+        info!("peers: Took {changed} records from a peer.");
     }
 }
 
-fn hear(board: &Board, view: &InstanceView, now_ms: u64) {
-    if view.caller_address != board.identity.caller_address {
-        board.peers.hear(view, now_ms);
+fn hear(board: &Board, from: &InstanceView, news: &[InstanceView], now_ms: u64) {
+    let id = &board.identity;
+    if from.caller_address != id.caller_address {
+        board.peers.hear_direct(from, now_ms);
+    }
+    for view in news {
+        if view.caller_address != id.caller_address {
+            board.peers.hear(view, now_ms);
+        } else if view.incarnation == id.incarnation && view.suspected {
+            board.peers.outdo(view.heartbeat);
+        }
     }
 }
 
-fn merge(board: &Board, entries: &[ConfigEntry], revision: u64) {
-    if entries.is_empty() {
+fn suspect(board: &Board, peer_address: SocketAddr, now_ms: u64) {
+    let suspects = board.peers.live();
+    let Some(view) = suspects.iter().find(|v| v.peer_address == peer_address) else {
         return;
+    };
+    info!("peers: {} does not answer.", view.caller_address);
+    board.peers.suspect(view.caller_address, now_ms);
+}
+
+fn own_view(board: &Board) -> InstanceView {
+    let id = &board.identity;
+    InstanceView {
+        caller_address: id.caller_address,
+        peer_address: id.peer_address,
+        incarnation: id.incarnation,
+        heartbeat: board.peers.own_heartbeat(),
+        failure_domain: id.failure_domain.clone(),
+        ready: board.life.is_ready(),
+        departing: board.life.is_departing(),
+        suspected: false,
     }
-    info!("peers: Took {} records from a peer.", entries.len());
-    board.config.update(|store| {
-        for entry in entries {
-            store.merge_peer(entry);
-        }
-        store.advance(revision);
-    });
 }
 
 /// Answers one request of a peer.
 pub fn answer<E: Edges>(edges: &E, board: &Board, request: &PeerRequest) -> PeerReply {
     let now_ms = edges.clock().now_ms();
     match request {
-        PeerRequest::Exchange { from, revision, .. } => {
-            hear(board, from, now_ms);
-            let (entries, held) = board
-                .config
-                .read(|s| (s.newer_than(*revision), s.revision()));
+        PeerRequest::Exchange {
+            from, digest, news, ..
+        } => {
+            hear(board, from, news, now_ms);
             PeerReply::Exchange {
-                from: own_view(board, now_ms),
-                others: board.peers.sights().into_iter().map(|s| s.view).collect(),
-                revision: held,
-                entries,
+                from: own_view(board),
+                news: board.peers.news(),
+                delta: board.config.read(|s| s.delta_for(digest)),
                 crashes: Vec::new(),
             }
         }
--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -4,6 +4,7 @@
 mod config_watch;
 mod engine_poll;
 mod gossip;
+mod registry;
 mod run;
 mod slots;
 
--- /dev/null
+++ b/crates/mangowalkd/src/controller/registry.rs
@@ -0,0 +1,165 @@
+use {
+    crate::board::Board,
+    log::{info, warn},
+    mangowalk_core::{
+        edge::{Edges, Platform},
+        platform::{Expect, ListReply, Object, ObjectKey, own_kind},
+    },
+    rand::Rng,
+    serde_json::json,
+    std::{collections::HashMap, marker::PhantomData, net::SocketAddr},
+};
+
+/// Pause between two reads of the platform's list of instances. Peers bring
+/// news within seconds; the list only finds who is known to no peer.
+const LIST_MS: u64 = 60_000;
+
+/// Pause before the list is read again while no other instance is known.
+const LIST_ALONE_MS: u64 = 2_000;
+
+/// Pause after a failed call.
+const RETRY_MS: u64 = 1_000;
+
+/// Time for which nobody heard of an instance before its object goes.
+const REMOVE_MS: u64 = 120_000;
+
+/// This instance's object in the platform's list, and the list.
+pub(super) struct Registry<E> {
+    registered: bool,
+    next_put_ms: u64,
+    next_list_ms: u64,
+    looked: bool,
+    peers: Vec<SocketAddr>,
+    unheard: HashMap<String, u64>,
+    edges: PhantomData<fn() -> E>,
+}
+
+impl<E> Default for Registry<E> {
+    fn default() -> Registry<E> {
+        Registry {
+            registered: false,
+            next_put_ms: 0,
+            next_list_ms: 0,
+            looked: false,
+            peers: Vec::new(),
+            unheard: HashMap::new(),
+            edges: PhantomData,
+        }
+    }
+}
+
+impl<E: Edges> Registry<E> {
+    /// Registers the instance and reads the list, each when it is due.
+    pub(super) fn step(&mut self, edges: &E, board: &Board, now_ms: u64) {
+        if now_ms >= self.next_list_ms {
+            self.read_list(edges, board, now_ms);
+        }
+        if !self.registered && now_ms >= self.next_put_ms {
+            self.register(edges, board, now_ms);
+        }
+    }
+
+    /// Returns the addresses for peers that the list names.
+    pub(super) fn peers(&self) -> &[SocketAddr] {
+        &self.peers
+    }
+
+    /// Returns whether the list was read.
+    pub(super) fn has_looked(&self) -> bool {
+        self.looked
+    }
+
+    /// Removes this instance from the list.
+    pub(super) fn leave(&mut self, edges: &E, board: &Board) {
+        self.registered = true;
+        if let Err(error) = edges.platform().delete(&own_key(board), Expect::Any) {
+            warn!("peers: This instance stays in the list for now. {error}");
+        }
+    }
+
+    fn register(&mut self, edges: &E, board: &Board, now_ms: u64) {
+        let body = json!({
+            "schema": 1,
+            "peer_address": board.identity.peer_address,
+            "failure_domain": board.identity.failure_domain,
+        });
+        // A lost reply is harmless: the same write is sent again.
+        self.registered = edges
+            .platform()
+            .put(&own_key(board), Expect::Any, &body)
+            .is_ok();
+        self.next_put_ms = now_ms + spread_ms(RETRY_MS);
+    }
+
+    fn read_list(&mut self, edges: &E, board: &Board, now_ms: u64) {
+        self.next_list_ms = now_ms + spread_ms(RETRY_MS);
+        let Ok(list) = edges.platform().list(&[own_kind::INSTANCE]) else {
+            return;
+        };
+        self.looked = true;
+        self.peers = peers_of(board, &list);
+        let period_ms = if board.peers.sights().is_empty() {
+            LIST_ALONE_MS
+        } else {
+            LIST_MS
+        };
+        self.next_list_ms = now_ms + spread_ms(period_ms);
+        let own = own_key(board);
+        self.registered &= list.objects.iter().any(|o| o.key == own);
+        self.remove_dead(edges, board, &list, now_ms);
+    }
+
+    /// Removes the objects of instances that nobody heard of for long. One
+    /// instance does it, the first among those that live, and only at the
+    /// version it read: an instance that registers anew stays.
+    fn remove_dead(&mut self, edges: &E, board: &Board, list: &ListReply, now_ms: u64) {
+        let live = board.peers.live();
+        let own = board.identity.caller_address;
+        let is_first = live.iter().all(|v| own < v.caller_address);
+        let unheard: Vec<&Object> = list
+            .objects
+            .iter()
+            .filter(|o| o.key != own_key(board))
+            .filter(|o| {
+                !live
+                    .iter()
+                    .any(|v| v.caller_address.to_string() == o.key.name)
+            })
+            .collect();
+        self.unheard
+            .retain(|name, _| unheard.iter().any(|o| &o.key.name == name));
+        for object in unheard {
+            let since_ms = *self
+                .unheard
+                .entry(object.key.name.clone())
+                .or_insert(now_ms);
+            if is_first && now_ms.saturating_sub(since_ms) >= REMOVE_MS {
+                info!("peers: Removing {} from the list.", object.key.name);
+                let _ = edges
+                    .platform()
+                    .delete(&object.key, Expect::Version(object.version));
+            }
+        }
+    }
+}
+
+fn own_key(board: &Board) -> ObjectKey {
+    ObjectKey::new(
+        own_kind::INSTANCE,
+        &board.identity.caller_address.to_string(),
+    )
+}
+
+fn peers_of(board: &Board, list: &ListReply) -> Vec<SocketAddr> {
+    list.objects
+        .iter()
+        .filter_map(|o| o.body["peer_address"].as_str()?.parse().ok())
+        .filter(|address| *address != board.identity.peer_address)
+        .collect()
+}
+
+/// Returns a time between half of the given one and one and a half of it, so
+/// that instances that restart together don't call the platform together.
+fn spread_ms(time_ms: u64) -> u64 {
+    rand::rng().random_range(time_ms / 2..time_ms * 3 / 2)
+}
--- a/crates/mangowalkd/src/controller/run.rs
+++ b/crates/mangowalkd/src/controller/run.rs
@@ -9,6 +9,9 @@
     },
 };
 
+/// Longest sleep before a controller looks whether it shall end.
+const NAP: Duration = Duration::from_millis(100);
+
 /// A part of the instance that acts again and again.
 pub trait Controller: Send + 'static {
     /// The edges that it speaks through.
@@ -19,6 +22,10 @@
 
     /// Acts once, and returns after how many milliseconds to act again.
     fn step(&mut self, edges: &Self::Edges, board: &Board, now_ms: u64) -> u64;
+
+    /// Acts a last time when the instance has served its last request: gives
+    /// back what it holds.
+    fn leave(&mut self, _edges: &Self::Edges, _board: &Board) {}
 }
 
 /// Runs a controller on a thread of its own until the instance stops.
@@ -37,7 +44,16 @@
             while !board.life.is_stopped() {
                 let now_ms = edges.clock().now_ms();
                 let pause_ms = controller.step(&edges, &board, now_ms);
-                thread::sleep(Duration::from_millis(pause_ms));
+                sleep(&board, Duration::from_millis(pause_ms));
             }
+            controller.leave(&edges, &board);
         })
 }
+
+fn sleep(board: &Board, mut left: Duration) {
+    while !left.is_zero() && !board.life.is_stopped() {
+        let nap = left.min(NAP);
+        thread::sleep(nap);
+        left -= nap;
+    }
+}
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -10,19 +10,30 @@
     derive_more::{Display, Error},
     error_stack::{Report, ResultExt},
     log::{info, warn},
+    mangowalk_core::edge::{Clock, Edges},
     signal_hook::{
         consts::{SIGINT, SIGTERM},
         iterator::Signals,
     },
-    std::{process::ExitCode, sync::Arc, thread, time::Duration},
+    std::{
+        process::ExitCode,
+        sync::Arc,
+        thread::{self, JoinHandle},
+        time::Duration,
+    },
 };
 
 /// Pause between two looks at the open requests while draining.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
-/// Time for which a departing instance still answers callers who come with an
-/// address that they kept.
-const DEPART_GRACE: Duration = Duration::from_millis(500);
+/// Time in which the listener takes notice of the stop.
+const LISTENER_END: Duration = Duration::from_millis(250);
+
+/// Time that controllers have to give back what they hold.
+const LEAVE_TIMEOUT_MS: u64 = 3_000;
+
+/// Bits of the incarnation below the time of the start.
+const INCARNATION_RANDOM_BITS: u32 = 16;
 
 /// Why an instance did not start. Each message names the remedy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
@@ -40,6 +51,8 @@
 
 /// One running instance.
 pub struct Daemon {
+    edges: Arc<LiveEdges>,
+    controllers: Vec<JoinHandle<()>>,
     board: Arc<Board>,
     settings: Settings,
     signals: Signals,
@@ -59,8 +72,9 @@
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
             failure_domain: settings.failure_domain.clone(),
-            incarnation: rand::random(),
+            incarnation: incarnation(edges.clock().wall_ms()),
         }));
+        board.config.set_stale_after(settings.stale_config_ms);
         let (peer_edges, peer_board) = (edges.clone(), board.clone());
         let peer_server = PeerServer::start(settings.peer_address, move |request| {
             answer(&*peer_edges, &peer_board, &request)
@@ -68,9 +82,12 @@
         .change_context(StartError::PeerAddress)?;
         let router = Router::new(edges.clone(), board.clone(), settings.clone());
         CallerServer::start(Arc::new(router)).change_context(StartError::CallerAddress)?;
-        start_controllers(&settings, &edges, &board).change_context(StartError::Threads)?;
+        let controllers =
+            start_controllers(&settings, &edges, &board).change_context(StartError::Threads)?;
         info!("daemon: Listening on {}.", settings.caller_address);
         Ok(Daemon {
+            edges,
+            controllers,
             board,
             settings,
             signals,
@@ -83,14 +100,17 @@
     pub fn wait(mut self) -> ExitCode {
         let _ = self.signals.forever().next();
         info!("daemon: Draining.");
-        self.board.life.depart();
-        thread::sleep(DEPART_GRACE);
-        let mut left_ms = self.settings.drain_timeout_ms;
-        while self.board.life.open_requests() > 0 && left_ms > 0 {
+        let clock = self.edges.clock();
+        let departed_ms = clock.now_ms();
+        let give_up_ms = departed_ms + self.settings.drain_timeout_ms;
+        self.board.life.depart(departed_ms);
+        let grace_ms = self.settings.depart_grace_ms;
+        while !self.board.life.try_stop(grace_ms, clock.now_ms()) && clock.now_ms() < give_up_ms {
             thread::sleep(DRAIN_POLL);
-            left_ms = left_ms.saturating_sub(DRAIN_POLL.as_millis() as u64);
         }
         self.board.life.stop();
+        self.serve_the_last(give_up_ms);
+        self.join_controllers();
         let open = self.board.life.open_requests();
         if open > 0 {
             warn!("daemon: The drain timeout cut off {open} requests.");
@@ -99,17 +119,47 @@
         info!("daemon: Stopped.");
         ExitCode::SUCCESS
     }
+
+    /// Serves what was accepted between the last look at the open requests
+    /// and the end of listening.
+    fn serve_the_last(&self, give_up_ms: u64) {
+        thread::sleep(LISTENER_END);
+        let clock = self.edges.clock();
+        while self.board.life.open_requests() > 0 && clock.now_ms() < give_up_ms {
+            thread::sleep(DRAIN_POLL);
+        }
+    }
+
+    /// Waits until the controllers gave back what they hold. One that is
+    /// stuck in a call does not keep the process.
+    fn join_controllers(&self) {
+        let clock = self.edges.clock();
+        let give_up_ms = clock.now_ms() + LEAVE_TIMEOUT_MS;
+        let done = || self.controllers.iter().all(JoinHandle::is_finished);
+        while !done() && clock.now_ms() < give_up_ms {
+            thread::sleep(DRAIN_POLL);
+        }
+    }
 }
 
 fn start_controllers(
     settings: &Settings,
     edges: &Arc<LiveEdges>,
     board: &Arc<Board>,
-) -> std::io::Result<()> {
+) -> std::io::Result<Vec<JoinHandle<()>>> {
     let gossip = Gossip::new(&settings.seed_peers);
     spawn(ConfigWatch::default(), edges.clone(), board.clone())?;
-    spawn(gossip, edges.clone(), board.clone())?;
-    spawn(EnginePoll::default(), edges.clone(), board.clone())?;
-    spawn(SlotHolder::default(), edges.clone(), board.clone())?;
-    Ok(())
+    Ok(vec![
+        spawn(gossip, edges.clone(), board.clone())?,
+        spawn(EnginePoll::default(), edges.clone(), board.clone())?,
+        spawn(SlotHolder::default(), edges.clone(), board.clone())?,
+    ])
+}
+
+/// Returns a number that is higher at each start: what is said of the process
+/// before this one on the same address must rank lower. The random part tells
+/// two starts in one millisecond apart.
+fn incarnation(wall_ms: u64) -> u64 {
+    let random = u64::from(rand::random::<u16>());
+    (wall_ms << INCARNATION_RANDOM_BITS) | random
 }
--- a/crates/mangowalkd/src/serve/generate.rs
+++ b/crates/mangowalkd/src/serve/generate.rs
@@ -119,7 +119,12 @@
         let sights = self.board.engines.sights();
         view.engines
             .values()
-            .filter(|e| e.model == model && !e.departing && !tried.contains(&e.name))
+            .filter(|e| {
+                e.model == model
+                    && !e.departing
+                    && !view.draining.contains(&e.name)
+                    && !tried.contains(&e.name)
+            })
             .filter_map(|e| {
                 let sight = sights.get(&e.name)?;
                 let state = sight.state.as_ref().filter(|s| !s.loading)?;
--- a/crates/mangowalkd/src/serve/router.rs
+++ b/crates/mangowalkd/src/serve/router.rs
@@ -15,6 +15,9 @@
 /// Peers asked for tokens before a request is refused.
 const PEERS_ASKED: usize = 3;
 
+/// When a caller should come back to an instance without usable records.
+const NO_RECORDS_RETRY_MS: u64 = 1_000;
+
 /// Serves requests with what the board knows.
 pub struct Router<E: Edges> {
     pub(crate) edges: Arc<E>,
@@ -48,18 +51,38 @@
     ///
     /// Fails where the key is wrong or withdrawn, or no record is held yet.
     pub fn authenticate(&self, key: Option<&str>) -> Result<String, Refusal> {
+        self.records_usable()?;
         let view = self.board.config.view();
-        if view.revision == 0 {
-            return Err(Refusal::Unavailable {
-                reason: "This instance has no configuration yet",
-                retry_ms: 1_000,
-            });
-        }
         key.and_then(|key| view.team_of_key(key))
             .map(str::to_owned)
             .ok_or(Refusal::Unauthorized)
     }
 
+    /// Returns whether a key still authenticates a team. A request that waited
+    /// asks again right before it is sent: the key may be withdrawn by now.
+    pub fn still_authorized(&self, team: &str, key_digest: &str) -> bool {
+        let view = self.board.config.view();
+        view.team_of_digest(key_digest) == Some(team)
+    }
+
+    /// Refuses while the records held can't be relied on.
+    fn records_usable(&self) -> Result<(), Refusal> {
+        let now_ms = self.edges.clock().now_ms();
+        let reason = if self.board.config.view().revision == 0 {
+            "This instance has no configuration yet"
+        } else if self.board.life.is_starting() {
+            "This instance compares its configuration with its peers"
+        } else if !self.board.config.freshness().is_usable(now_ms) {
+            "This instance is cut off, and can't tell which keys are withdrawn"
+        } else {
+            return Ok(());
+        };
+        Err(Refusal::Unavailable {
+            reason,
+            retry_ms: NO_RECORDS_RETRY_MS,
+        })
+    }
+
     /// Takes tokens of the team's rate, here or from a peer.
     pub(super) fn reserve(&self, team: &str, tokens: u64) -> Result<(), Refusal> {
         let view = self.board.config.view();
--- /dev/null
+++ b/crates/mangowalkd/tests/config.rs
@@ -0,0 +1,149 @@
+//! Configuration in force, through real processes.
+
+use {
+    mangowalk_standins::{
+        Answer, Fleet, FleetSettings, PlatformFaults, RouterProcess, eventually, free_address,
+    },
+    serde_json::json,
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mangowalkd");
+
+fn fleet(routers: usize, args: &[&str]) -> Fleet {
+    Fleet::start(&FleetSettings {
+        program: PROGRAM.to_owned(),
+        routers,
+        router_args: args.iter().map(|a| (*a).to_owned()).collect(),
+        ..FleetSettings::default()
+    })
+}
+
+/// Asks for what any valid key may read.
+fn models(router: &RouterProcess) -> Answer {
+    let bearer = format!("Bearer {}", Fleet::KEY);
+    Answer::get(
+        router.address(),
+        "/v1/models",
+        &[("Authorization", &bearer)],
+    )
+}
+
+fn seeds(fleet: &Fleet) -> String {
+    let peers: Vec<String> = fleet
+        .routers
+        .iter()
+        .map(|r| r.peer_address().to_string())
+        .collect();
+    format!("--seed-peers={}", peers.join(","))
+}
+
+/// A caller keeps using a key that was withdrawn, at a router whose watch
+/// never says anything. The other routers hear of the withdrawal from the
+/// platform, and this one from them.
+#[test]
+fn a_router_whose_watch_is_silent_learns_from_peers() {
+    let fleet = fleet(2, &[]);
+    let silent = fleet.platform.silent_address();
+    let router = RouterProcess::start(PROGRAM, silent, &[&seeds(&fleet)]);
+    router.wait_ready();
+    assert_eq!(models(&router).status, 200);
+    fleet.platform.delete("key", "gallery-1");
+    eventually("the silent router refuses the key", || {
+        models(&router).status == 401
+    });
+}
+
+/// A router restarts while the platform is down. Its callers are served,
+/// because it takes the records from a peer; and the key that was withdrawn
+/// before the outage stays refused.
+#[test]
+fn a_router_that_restarts_in_an_outage_takes_records_from_a_peer() {
+    let fleet = fleet(2, &[]);
+    fleet.platform.put(
+        "key",
+        "gallery-2",
+        json!({ "schema": 1, "team": "gallery", "digest": mangowalk_core::record::digest_of("old") }),
+    );
+    fleet.platform.delete("key", "gallery-2");
+    let router = RouterProcess::start(PROGRAM, free_address(), &[&seeds(&fleet)]);
+    router.wait_ready();
+    assert_eq!(models(&router).status, 200);
+    let old = [("Authorization", "Bearer old")];
+    assert_eq!(
+        Answer::get(router.address(), "/v1/models", &old).status,
+        401
+    );
+}
+
+/// Every router and the platform are down, and the routers come back first.
+/// No one holds a record, so callers are told that nothing ran and when to
+/// come back; a guess would accept withdrawn keys.
+#[test]
+fn without_platform_and_peers_nothing_runs() {
+    let router = RouterProcess::start(PROGRAM, free_address(), &[]);
+    eventually("the router listens", || models(&router).status != 0);
+    let answer = models(&router);
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("x-mangowalk-outcome"), Some("not_run"));
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(Answer::get(router.address(), "/ready", &[]).status, 503);
+}
+
+/// A router loses platform and peers. It serves known keys for a bounded
+/// time, because it can't know which are withdrawn; then it says that nothing
+/// ran. When the platform is back it serves again.
+#[test]
+fn a_router_that_is_cut_off_stops_after_a_bounded_time() {
+    let fleet = fleet(1, &["--stale-config-ms=2000"]);
+    let router = &fleet.routers[0];
+    fleet.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    assert_eq!(models(router).status, 200, "known keys still work");
+    eventually("the router refuses", || models(router).status == 503);
+    let answer = models(router);
+    assert_eq!(answer.header("x-mangowalk-outcome"), Some("not_run"));
+    fleet.platform.set_faults(PlatformFaults::default());
+    eventually("the router serves again", || models(router).status == 200);
+}
+
+/// The platform is down for longer than records may be used while cut off,
+/// but routers hear each other. Nobody can withdraw a key meanwhile, so
+/// callers are served on.
+#[test]
+fn peers_that_hear_each_other_outlast_an_outage_of_the_platform() {
+    let fleet = fleet(3, &["--stale-config-ms=3000"]);
+    eventually("the routers know each other", || {
+        let answer = Answer::get(fleet.routers[0].address(), "/v1/addresses", &[]);
+        answer.json()["addresses"].as_array().map_or(0, Vec::len) == 3
+    });
+    fleet.platform.set_faults(PlatformFaults {
+        down: true,
+        ..PlatformFaults::default()
+    });
+    for _ in 0..50 {
+        std::thread::sleep(std::time::Duration::from_millis(100));
+        for router in &fleet.routers {
+            assert_eq!(models(router).status, 200);
+        }
+    }
+}
+
+/// A record that can't be read is refused alone: the team keeps the rate that
+/// it had, and the record written after it is in force.
+#[test]
+fn a_bad_record_is_refused_alone() {
+    let fleet = fleet(1, &[]);
+    let router = &fleet.routers[0];
+    fleet
+        .platform
+        .put("team", "gallery", json!({ "schema": 7 }));
+    fleet
+        .platform
+        .put("model", "other", json!({ "schema": 1, "version": "v1" }));
+    eventually("the record behind the bad one is in force", || {
+        models(router).body.contains("\"other\"")
+    });
+    assert_eq!(models(router).status, 200, "the team is still known");
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use {
     engine::{EngineFaults, EngineSettings, EngineStandIn},
-    fleet::{Answer, Fleet, FleetSettings, RouterProcess, free_address},
+    fleet::{Answer, Fleet, FleetSettings, RouterProcess, eventually, free_address},
     platform::{PlatformFaults, PlatformStandIn},
     service::{ServiceFaults, ServiceStandIn},
 };
--- a/crates/standins/src/platform/stand_in.rs
+++ b/crates/standins/src/platform/stand_in.rs
@@ -18,6 +18,7 @@
 /// A platform on threads of this process.
 pub struct PlatformStandIn {
     server: Server,
+    doors: Mutex<Vec<Server>>,
     shared: Arc<Shared>,
 }
 
@@ -40,7 +41,29 @@
         let shared = Arc::new(Shared::default());
         let handler = shared.clone();
         let server = Server::start(bind, move |exchange| handler.handle(exchange));
-        PlatformStandIn { server, shared }
+        PlatformStandIn {
+            server,
+            doors: Mutex::default(),
+            shared,
+        }
+    }
+
+    /// Returns a further address of the platform, at which watches stay
+    /// silent for ever.
+    pub fn silent_address(&self) -> SocketAddr {
+        let handler = self.shared.clone();
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let server = Server::start(any, move |exchange| match exchange.path.as_str() {
+            "/watch" => {
+                thread::sleep(Duration::from_millis(exchange.number("wait_ms")));
+                let revision = exchange.number("after");
+                exchange.json(200, &json!({ "revision": revision, "changes": [] }));
+            }
+            _ => handler.handle(exchange),
+        });
+        let address = server.address();
+        self.doors.lock().expect("doors").push(server);
+        address
     }
 
     /// Returns the address listened on.
