--- a/crates/mangowalkd/src/controller/registry.rs
+++ b/crates/mangowalkd/src/controller/registry.rs
@@ -82,6 +82,7 @@
             "schema": 1,
             "peer_address": board.identity.peer_address,
             "failure_domain": board.identity.failure_domain,
+            "operator_address": board.operator_address,
         });
         // A lost reply is harmless: the same write is sent again.
         self.registered = edges
--- a/crates/mangowalkd/src/edge/engines.rs
+++ b/crates/mangowalkd/src/edge/engines.rs
@@ -1,8 +1,11 @@
 use {
-    super::http::{exchange, once, send_error},
-    flume::{Receiver, Sender},
+    super::{
+        Traffic,
+        http::{exchange, once, send_error},
+    },
+    flume::{Receiver, RecvTimeoutError, Sender},
     mangowalk_core::{
-        edge::{Engines, SendError},
+        edge::{EngineEvents, Engines, SendError},
         engine::{
             CacheEvents, CancelRequest, EngineState, GenerateEvent, GenerateRequest, Order,
             OrderReply,
@@ -12,6 +15,7 @@
     std::{
         io::{BufRead, BufReader},
         net::SocketAddr,
+        sync::Arc,
         thread,
         time::Duration,
     },
@@ -29,53 +33,48 @@
 
 /// Model engines over HTTP, their answers as server-sent events.
 #[derive(Debug, Default)]
-pub struct HttpEngines;
-
-/// Events of one attempt, read on a thread of their own.
-pub struct HttpEvents {
-    events: Receiver<Result<GenerateEvent, SendError>>,
-    timeout_ms: u64,
-    over: bool,
+pub struct HttpEngines {
+    traffic: Arc<Traffic>,
 }
 
-impl Iterator for HttpEvents {
-    type Item = Result<GenerateEvent, SendError>;
-
-    fn next(&mut self) -> Option<Self::Item> {
-        if self.over {
-            return None;
-        }
-        let next = self
-            .events
-            .recv_timeout(Duration::from_millis(self.timeout_ms));
-        match next {
-            Ok(Ok(event)) => Some(Ok(event)),
-            Ok(Err(error)) => self.end(error),
-            Err(flume::RecvTimeoutError::Timeout) => self.end(SendError::TimedOut),
-            Err(flume::RecvTimeoutError::Disconnected) => None,
-        }
+impl HttpEngines {
+    /// Returns engines whose reads are counted.
+    pub fn new(traffic: Arc<Traffic>) -> HttpEngines {
+        HttpEngines { traffic }
     }
-}
 
-impl HttpEvents {
-    fn end(&mut self, error: SendError) -> Option<Result<GenerateEvent, SendError>> {
-        self.over = true;
-        Some(Err(error))
+    fn call<T: DeserializeOwned>(&self, request: minreq::Request) -> Result<T, SendError> {
+        let (status, _, body) = exchange(request, CALL_TIMEOUT_MS)?;
+        self.traffic.engine(body.len());
+        if status != 200 {
+            return Err(SendError::Refused { status });
+        }
+        serde_json::from_slice(&body).map_err(|_| SendError::Unreadable)
     }
 }
 
 /// Longest time that the reading thread of an attempt may live.
 const ATTEMPT_TIMEOUT_MS: u64 = 300_000;
 
+/// Events of one attempt, read on a thread of their own.
+pub struct HttpEvents {
+    events: Receiver<Result<GenerateEvent, SendError>>,
+}
+
+impl EngineEvents for HttpEvents {
+    fn wait(&mut self, wait_ms: u64) -> Result<Option<GenerateEvent>, SendError> {
+        match self.events.recv_timeout(Duration::from_millis(wait_ms)) {
+            Ok(event) => event.map(Some),
+            Err(RecvTimeoutError::Timeout) => Ok(None),
+            Err(RecvTimeoutError::Disconnected) => Err(SendError::Lost),
+        }
+    }
+}
+
 impl Engines for HttpEngines {
     type Events = HttpEvents;
 
-    fn generate(
-        &self,
-        address: SocketAddr,
-        request: &GenerateRequest,
-        timeout_ms: u64,
-    ) -> HttpEvents {
+    fn generate(&self, address: SocketAddr, request: &GenerateRequest) -> HttpEvents {
         let (sender, events) = flume::bounded(EVENTS_AHEAD);
         let request = post(address, "generate", request);
         let failed = sender.clone();
@@ -86,19 +85,21 @@
         if spawned.is_err() {
             let _ = failed.try_send(Err(SendError::NotConnected));
         }
-        HttpEvents {
-            events,
-            timeout_ms,
-            over: false,
-        }
+        HttpEvents { events }
     }
 
-    fn cancel(&self, address: SocketAddr, request: &CancelRequest) -> Result<(), SendError> {
-        exchange(post(address, "cancel", request), CALL_TIMEOUT_MS).map(|_| ())
+    fn cancel(&self, address: SocketAddr, request: &CancelRequest) {
+        let request = post(address, "cancel", request);
+        // Without a thread the attempt is not cancelled; the engine notices
+        // the closed connection at its next token instead.
+        let _ = thread::Builder::new()
+            .name("cancel".to_owned())
+            .stack_size(READER_STACK_BYTES)
+            .spawn(move || exchange(request, CALL_TIMEOUT_MS));
     }
 
     fn state(&self, address: SocketAddr) -> Result<EngineState, SendError> {
-        call(minreq::get(format!("http://{address}/state")))
+        self.call(minreq::get(format!("http://{address}/state")))
     }
 
     fn cache_events(
@@ -106,13 +107,13 @@
         address: SocketAddr,
         from_sequence: u64,
     ) -> Result<CacheEvents, SendError> {
-        call(minreq::get(format!(
+        self.call(minreq::get(format!(
             "http://{address}/events?from={from_sequence}"
         )))
     }
 
     fn order(&self, address: SocketAddr, order: &Order) -> Result<OrderReply, SendError> {
-        call(post(address, "order", order))
+        self.call(post(address, "order", order))
     }
 }
 
@@ -123,14 +124,6 @@
         .with_body(body)
 }
 
-fn call<T: DeserializeOwned>(request: minreq::Request) -> Result<T, SendError> {
-    let (status, _, body) = exchange(request, CALL_TIMEOUT_MS)?;
-    if status != 200 {
-        return Err(SendError::Refused { status });
-    }
-    serde_json::from_slice(&body).map_err(|_| SendError::Unreadable)
-}
-
 /// Reads events until the stream ends or nobody wants them.
 fn read_events(request: minreq::Request, sender: &Sender<Result<GenerateEvent, SendError>>) {
     let response = match once(request, ATTEMPT_TIMEOUT_MS).send_lazy() {
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -1,7 +1,10 @@
 //! The way of one request: limit, place, attempt, answer.
 
 mod answer;
+mod attempt;
+mod attempts;
 mod generate;
+mod observe;
 mod request;
 mod router;
 mod service;
--- a/crates/mangowalkd/src/serve/router.rs
+++ b/crates/mangowalkd/src/serve/router.rs
@@ -58,6 +58,11 @@
             .ok_or(Refusal::Unauthorized)
     }
 
+    /// Returns the present time.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.edges.clock().now_ms()
+    }
+
     /// Returns whether a key still authenticates a team. A request that waited
     /// asks again right before it is sent: the key may be withdrawn by now.
     pub fn still_authorized(&self, team: &str, key_digest: &str) -> bool {
@@ -67,7 +72,7 @@
 
     /// Refuses while the records held can't be relied on.
     fn records_usable(&self) -> Result<(), Refusal> {
-        let now_ms = self.edges.clock().now_ms();
+        let now_ms = self.now_ms();
         let reason = if self.board.config.view().revision == 0 {
             "This instance has no configuration yet"
         } else if self.board.life.is_starting() {
