--- a/crates/core/src/config/store.rs
+++ b/crates/core/src/config/store.rs
@@ -27,6 +27,7 @@
     entries: BTreeMap<(Kind, String), Entry>,
     revision: u64,
     tombstones_since: u64,
+    hash: u64,
 }
 
 impl Store {
@@ -83,7 +84,10 @@
             return MergeOutcome::Stale;
         }
         if let Some(held) = held {
-            return held.join(kind, version, body);
+            let before = entry_hash(kind, name, held);
+            let outcome = held.join(kind, version, body);
+            self.hash ^= before ^ entry_hash(kind, name, held);
+            return outcome;
         }
         let mut entry = Entry::first(kind, version, body);
         let outcome = match entry.state {
@@ -98,6 +102,7 @@
                 body: None,
             });
         }
+        self.hash ^= entry_hash(kind, name, &entry);
         self.entries.insert((kind, name.to_owned()), entry);
         outcome
     }
@@ -158,6 +163,7 @@
         for ((kind, name), entry) in &mut self.entries {
             let live = entry.state != EntryState::Withdrawn && entry.version <= revision;
             if live && !seen.contains(&(kind.to_string().as_str(), name.as_str())) {
+                self.hash ^= entry_hash(*kind, name, entry);
                 *entry = Entry::first(*kind, revision, None);
                 changed += 1;
             }
@@ -222,23 +228,9 @@
 
     /// Returns the digest of what is held.
     pub fn digest(&self) -> Digest {
-        let mut hasher = blake3::Hasher::new();
-        let live = self
-            .entries
-            .iter()
-            .filter(|(_, e)| e.state != EntryState::Withdrawn);
-        for ((kind, name), entry) in live {
-            hasher.update(&[*kind as u8]);
-            hasher.update(&(name.len() as u32).to_le_bytes());
-            hasher.update(name.as_bytes());
-            hasher.update(&entry.version.to_le_bytes());
-            hasher.update(&entry.version_in_force().to_le_bytes());
-        }
-        let mut first = [0; 8];
-        hasher.finalize_xof().fill(&mut first);
         Digest {
             revision: self.revision,
-            hash: u64::from_le_bytes(first),
+            hash: self.hash,
         }
     }
 
@@ -264,6 +256,22 @@
     }
 }
 
+/// Hash of one entry; 0 for a withdrawn one. The digest joins them by
+/// exclusive or, so that a change costs one hash and not one a record.
+fn entry_hash(kind: Kind, name: &str, entry: &Entry) -> u64 {
+    if entry.state == EntryState::Withdrawn {
+        return 0;
+    }
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&[kind as u8]);
+    hasher.update(&entry.version.to_le_bytes());
+    hasher.update(&entry.version_in_force().to_le_bytes());
+    hasher.update(name.as_bytes());
+    let mut first = [0; 8];
+    hasher.finalize_xof().fill(&mut first);
+    u64::from_le_bytes(first)
+}
+
 fn wire_entry(kind: Kind, name: &str, entry: &Entry) -> ConfigEntry {
     ConfigEntry {
         kind: kind.to_string(),
--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -14,6 +14,9 @@
     /// the fleet's size reaches everyone but for a rest that later exchanges
     /// bring; 30 serves 1,000 instances.
     pub tells: u32,
+    /// Messages that carry an instance heard of for the first time. After a
+    /// restart all are new; they must not hold up the news of a death.
+    pub first_tells: u32,
     /// Time for which an instance's own answer outweighs a suspicion.
     pub fresh_ms: u64,
     /// Time after which a suspected instance is forgotten.
@@ -25,6 +28,7 @@
         MemberSettings {
             news: 6,
             tells: 30,
+            first_tells: 4,
             fresh_ms: 1_000,
             forget_ms: 30 * 60 * 1_000,
         }
@@ -80,7 +84,11 @@
             view: view.clone(),
             heard_ms: if view.suspected { heard_ms } else { now_ms },
             suspected_ms: view.suspected.then_some(since_ms),
-            tells: self.settings.tells,
+            tells: if held.is_some() {
+                self.settings.tells
+            } else {
+                self.settings.first_tells
+            },
         };
         self.members.insert(view.caller_address, member);
     }
--- /dev/null
+++ b/crates/core/tests/membership.rs
@@ -0,0 +1,225 @@
+//! A fleet in memory: what exchanges cost a node, and how fast news travel.
+
+use {
+    mangowalk_core::{
+        config::Store,
+        membership::Members,
+        peer::{InstanceView, PeerReply, PeerRequest},
+        platform::{ListReply, Object, ObjectKey, WatchReply},
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    serde_json::json,
+    std::net::SocketAddr,
+};
+
+/// Exchanges that one node starts in a second.
+const EXCHANGES_A_S: f64 = 2.0;
+const FIRST_PORT: u16 = 10_000;
+const ROUND_MS: u64 = 500;
+
+struct Node {
+    view: InstanceView,
+    members: Members,
+    store: Store,
+    bytes: usize,
+    alive: bool,
+}
+
+struct Net {
+    nodes: Vec<Node>,
+    random: SmallRng,
+    now_ms: u64,
+}
+
+fn view(i: usize) -> InstanceView {
+    let port = FIRST_PORT + i as u16;
+    InstanceView {
+        caller_address: SocketAddr::from(([10, 0, 0, 1], port)),
+        peer_address: SocketAddr::from(([10, 0, 0, 2], port)),
+        incarnation: (1_764_720_000_000 << 16) + i as u64,
+        heartbeat: 1,
+        failure_domain: format!("san-antonio-{}", i % 6),
+        ready: true,
+        departing: false,
+        suspected: false,
+    }
+}
+
+impl Net {
+    fn of(size: usize, records: usize) -> Net {
+        let object = |i: usize| Object {
+            key: ObjectKey::new("team", &format!("team-{i}")),
+            version: i as u64 + 1,
+            body: json!({ "schema": 1, "priority": 5 }),
+        };
+        let list = ListReply {
+            revision: records as u64,
+            objects: (0..records).map(object).collect(),
+        };
+        let nodes = (0..size).map(|i| Node {
+            view: view(i),
+            members: Members::default(),
+            store: Store::default(),
+            bytes: 0,
+            alive: true,
+        });
+        let mut net = Net {
+            nodes: nodes.collect(),
+            random: SmallRng::seed_from_u64(7),
+            now_ms: 0,
+        };
+        for node in &mut net.nodes {
+            node.store.merge_list(&list);
+            for i in 0..size {
+                if view(i) != node.view {
+                    node.members.hear_direct(&view(i), 0);
+                }
+            }
+        }
+        net
+    }
+
+    fn round(&mut self) {
+        self.now_ms += ROUND_MS;
+        for at in 0..self.nodes.len() {
+            let members = self.nodes[at].members.all().filter(|m| m.is_live());
+            let live: Vec<usize> = members
+                .map(|m| usize::from(m.view.caller_address.port() - FIRST_PORT))
+                .collect();
+            if self.nodes[at].alive && !live.is_empty() {
+                let peer = live[self.random.random_range(0..live.len())];
+                self.exchange(at, peer);
+            }
+        }
+    }
+
+    fn believes_live(&self, at: usize, other: usize) -> bool {
+        let address = view(other).caller_address;
+        let members = &self.nodes[at].members;
+        members
+            .all()
+            .any(|m| m.view.caller_address == address && m.is_live())
+    }
+
+    fn exchange(&mut self, at: usize, peer: usize) {
+        let digest = self.nodes[at].store.digest();
+        let news = self.nodes[at].members.news();
+        let request = PeerRequest::Exchange {
+            from: self.nodes[at].view.clone(),
+            digest,
+            news: news.clone(),
+            crashes: Vec::new(),
+        };
+        let bytes = postcard::to_stdvec(&request).expect("a message").len();
+        self.nodes[at].bytes += bytes;
+        if !self.nodes[peer].alive {
+            let address = view(peer).caller_address;
+            self.nodes[at].members.suspect(address, self.now_ms);
+            return;
+        }
+        self.nodes[peer].bytes += bytes;
+        let from = self.nodes[at].view.clone();
+        self.hear(peer, &from, &news);
+        let reply = PeerReply::Exchange {
+            from: self.nodes[peer].view.clone(),
+            news: self.nodes[peer].members.news(),
+            delta: self.nodes[peer].store.delta_for(&digest),
+            crashes: Vec::new(),
+        };
+        let bytes = postcard::to_stdvec(&reply).expect("a message").len();
+        self.nodes[peer].bytes += bytes;
+        self.nodes[at].bytes += bytes;
+        if let PeerReply::Exchange {
+            from, news, delta, ..
+        } = reply
+        {
+            self.hear(at, &from, &news);
+            self.nodes[at].store.merge_delta(&delta);
+        }
+    }
+
+    fn hear(&mut self, at: usize, from: &InstanceView, news: &[InstanceView]) {
+        let now_ms = self.now_ms;
+        let node = &mut self.nodes[at];
+        node.members.hear_direct(from, now_ms);
+        for view in news
+            .iter()
+            .filter(|v| v.caller_address != node.view.caller_address)
+        {
+            node.members.hear(view, now_ms);
+        }
+    }
+
+    fn rounds_until(&mut self, done: impl Fn(&Net) -> bool) -> u32 {
+        for round in 1..200 {
+            self.round();
+            if done(self) {
+                return round;
+            }
+        }
+        panic!("the news did not reach everyone")
+    }
+}
+
+/// Prints, for each size of fleet, what a node at rest sends and receives, and
+/// how many rounds of half a second news take.
+fn table() -> String {
+    let mut lines = vec!["nodes  bytes/s  death  change".to_owned()];
+    for size in [7, 50, 150, 350] {
+        let mut net = Net::of(size, 200);
+        let warm = 100;
+        (0..warm).for_each(|_| net.round());
+        net.nodes.iter_mut().for_each(|n| n.bytes = 0);
+        let rounds = 20;
+        (0..rounds).for_each(|_| net.round());
+        let most = net.nodes.iter().map(|n| n.bytes).sum::<usize>() / size;
+        let bytes_a_s = most as f64 / f64::from(rounds) * EXCHANGES_A_S;
+        net.nodes[1].alive = false;
+        let death =
+            net.rounds_until(|n| (0..n.nodes.len()).all(|at| at == 1 || !n.believes_live(at, 1)));
+        let written = WatchReply {
+            revision: 300,
+            ..WatchReply::default()
+        };
+        net.nodes[0].store.merge_watch(&written);
+        let change = net.rounds_until(|n| {
+            let alive = n.nodes.iter().filter(|n| n.alive);
+            alive.clone().all(|n| n.store.revision() == 300)
+        });
+        lines.push(format!(
+            "{size:>5}  {bytes_a_s:>7.0}  {death:>5}  {change:>6}"
+        ));
+    }
+    lines.join("\n")
+}
+
+/// What a node spends does not grow with the fleet, and stays under its
+/// 4 KB a second; what takes longer in a larger fleet is news, by a round or
+/// two each time it doubles.
+#[test]
+fn the_cost_of_a_node_does_not_grow_with_the_fleet() {
+    insta::assert_snapshot!(table());
+}
+
+/// An instance that was cut off suspects everyone, and tells so. Those who
+/// heard from the suspected ones a moment ago don't believe it.
+#[test]
+fn a_suspicion_against_fresh_word_is_dropped() {
+    let mut members = Members::default();
+    members.hear_direct(&view(1), 1_000);
+    let suspicion = InstanceView {
+        suspected: true,
+        ..view(1)
+    };
+    assert!(!members.hear(&suspicion, 1_500));
+    assert!(members.hear(&suspicion, 5_000));
+    let refuted = InstanceView {
+        heartbeat: 2,
+        ..view(1)
+    };
+    assert!(members.hear(&refuted, 5_500));
+    assert!(
+        !members.hear(&suspicion, 60_000),
+        "older than the refutation"
+    );
+}
