Roll versions out step by step, and tell what became of each record

Cause: nobody carried out a changed version; an operator's bad record was only logged.

Change: core::rollout decides what to do with each engine - drain, wait, order, probe, put back - with the time as argument. The instance that holds lease/rollout.MODEL carries it out; its number is the lease object's version, so it grows. The plan (target, version to go back to, why it stopped) and the drain marks lie on the platform, so another holder goes on. Drain marks come to all instances as records do. A second lease covers status objects.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod platform;
 pub mod record;
 pub mod refusal;
+pub mod rollout;
 pub mod status;
 pub mod stream;
 pub mod upstream;
--- a/crates/core/src/platform/mod.rs
+++ b/crates/core/src/platform/mod.rs
@@ -22,6 +22,10 @@
     pub const LEASE: &str = "lease";
     /// The platform's lagging list of live and departing instances.
     pub const INSTANCE: &str = "instance";
+    /// A mark that an engine gets no new work.
+    pub const DRAIN: &str = "drain";
+    /// How far a change of a model's version has come.
+    pub const ROLLOUT: &str = "rollout";
     /// Status of a record: accepted, or why not.
     pub const STATUS: &str = "status";
 }
--- a/crates/core/src/status/mod.rs
+++ b/crates/core/src/status/mod.rs
@@ -7,6 +7,7 @@
 mod instance;
 mod peer;
 mod phase;
+mod record;
 mod refused;
 mod upstream;
 
@@ -15,6 +16,7 @@
     instance::InstanceStatus,
     peer::PeerStatus,
     phase::Phase,
+    record::RecordStatus,
     refused::RefusedRecord,
     upstream::UpstreamStatus,
 };
--- /dev/null
+++ b/crates/core/src/status/record.rs
@@ -0,0 +1,71 @@
+use {
+    crate::{
+        config::{Entry, EntryState, Store},
+        record::{Kind, SCHEMA},
+    },
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// What became of a record, as written to the platform under `KIND.NAME`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordStatus {
+    /// Schema number of this object.
+    pub schema: u32,
+    /// Kind of the record.
+    pub kind: String,
+    /// Name of the record.
+    pub name: String,
+    /// Version of the write that this tells of.
+    pub version: u64,
+    /// Whether that write is in force.
+    pub accepted: bool,
+    /// Why not, and what would mend it.
+    pub why: Option<String>,
+    /// Version in force, 0 if there is none.
+    pub version_in_force: u64,
+    /// Newest schema number that the writer reads.
+    pub reader_schema: u32,
+}
+
+impl RecordStatus {
+    /// Returns the status of every record that operators wrote and did not
+    /// withdraw, by the name of its object.
+    pub fn of_all(store: &Store) -> BTreeMap<String, RecordStatus> {
+        store
+            .entries()
+            .filter(|(kind, _, e)| *kind != Kind::Drain && e.state != EntryState::Withdrawn)
+            .map(|(kind, name, e)| (format!("{kind}.{name}"), RecordStatus::of(kind, name, e)))
+            .collect()
+    }
+
+    fn of(kind: Kind, name: &str, entry: &Entry) -> RecordStatus {
+        let why = match &entry.state {
+            EntryState::Refused { error, .. } => Some(error.to_string()),
+            _ => None,
+        };
+        RecordStatus {
+            schema: 1,
+            kind: kind.to_string(),
+            name: name.to_owned(),
+            version: entry.version,
+            accepted: why.is_none(),
+            why,
+            version_in_force: entry.version_in_force(),
+            reader_schema: SCHEMA,
+        }
+    }
+
+    /// Returns whether this status is to be written over one.
+    ///
+    /// While builds are mixed, the writer may be an older one than before. It
+    /// can't read what the newer one accepted, and must not say that the
+    /// record is bad.
+    pub fn replaces(&self, written: Option<&RecordStatus>) -> bool {
+        let Some(written) = written else {
+            return true;
+        };
+        let rank = |s: &RecordStatus| (s.version, s.reader_schema);
+        self != written && rank(self) >= rank(written)
+    }
+}
--- /dev/null
+++ b/crates/mangowalkd/src/controller/lease_keeper.rs
@@ -0,0 +1,147 @@
+use {
+    crate::board::Board,
+    log::info,
+    mangowalk_core::{
+        edge::{Clock, Edges, Platform, PlatformError},
+        membership::{Held, Lease, LeaseSettings, Watching},
+        peer::InstanceView,
+        platform::{Expect, ObjectKey, own_kind},
+        record::digest_of,
+    },
+    serde_json::json,
+    std::net::SocketAddr,
+};
+
+/// Instances that try to get a lease. More would only read it for nothing;
+/// with fewer, two deaths at once would leave it untaken.
+const CANDIDATES: usize = 3;
+
+/// Pause between two reads of a lease that another instance holds.
+const LOOK_MS: u64 = 1_000;
+
+#[derive(Debug, Clone, Copy)]
+enum State {
+    Watching(Lease<Watching>),
+    Held(Lease<Held>),
+}
+
+/// Takes and renews one lease of the platform.
+pub(super) struct LeaseKeeper {
+    name: String,
+    nonce: u64,
+    state: State,
+    look_ms: u64,
+}
+
+impl LeaseKeeper {
+    /// Returns a keeper of the lease with a name.
+    pub(super) fn new(name: &str, now_ms: u64) -> LeaseKeeper {
+        LeaseKeeper {
+            name: name.to_owned(),
+            nonce: rand::random(),
+            state: State::Watching(Lease::watching(LeaseSettings::default(), now_ms)),
+            look_ms: 0,
+        }
+    }
+
+    /// Takes or renews the lease where that is due, and returns it if held.
+    pub(super) fn keep<E: Edges>(&mut self, edges: &E, board: &Board) -> Option<Lease<Held>> {
+        let now_ms = edges.clock().now_ms();
+        match self.state {
+            State::Held(held) if !held.is_valid(now_ms) => {
+                info!("lease: {} lapsed.", self.name);
+                self.state = State::Watching(held.lost(now_ms));
+            }
+            State::Held(held) if held.wants_renewal(now_ms) => {
+                self.renew(edges, board, held, now_ms);
+            }
+            State::Held(_) => {}
+            State::Watching(watching) if now_ms >= self.look_ms => {
+                self.look_ms = now_ms + LOOK_MS;
+                self.look(edges, board, watching);
+            }
+            State::Watching(_) => {}
+        }
+        self.held(edges.clock().now_ms())
+    }
+
+    /// Returns the lease if it is held at this time.
+    pub(super) fn held(&self, now_ms: u64) -> Option<Lease<Held>> {
+        match self.state {
+            State::Held(held) if held.is_valid(now_ms) => Some(held),
+            _ => None,
+        }
+    }
+
+    /// Gives the lease back, so that another instance takes it at once.
+    pub(super) fn release<E: Edges>(&mut self, edges: &E) {
+        let now_ms = edges.clock().now_ms();
+        if let State::Held(held) = self.state {
+            let expect = Expect::Version(held.fencing());
+            let _ = edges.platform().delete(&self.key(), expect);
+            self.state = State::Watching(held.lost(now_ms));
+        }
+    }
+
+    fn key(&self) -> ObjectKey {
+        ObjectKey::new(own_kind::LEASE, &self.name)
+    }
+
+    fn renew<E: Edges>(&mut self, edges: &E, board: &Board, held: Lease<Held>, asked_ms: u64) {
+        // Without a reply nothing is known, and the lease runs on to its end.
+        if let Some(version) = self.write(edges, board, Expect::Version(held.fencing())) {
+            self.state = State::Held(held.renewed(version, asked_ms));
+        }
+    }
+
+    fn look<E: Edges>(&mut self, edges: &E, board: &Board, mut watching: Lease<Watching>) {
+        let Ok(object) = edges.platform().get(&self.key()) else {
+            return;
+        };
+        let now_ms = edges.clock().now_ms();
+        watching.observe(object.map_or(0, |o| o.version), now_ms);
+        self.state = State::Watching(watching);
+        let Some(version) = watching.free(now_ms) else {
+            return;
+        };
+        let expect = match version {
+            0 => Expect::Absent,
+            version => Expect::Version(version),
+        };
+        if let Some(version) = self.write(edges, board, expect) {
+            info!("lease: Holding {} with number {version}.", self.name);
+            self.state = State::Held(watching.taken(version, now_ms));
+        }
+    }
+
+    /// Writes the lease and returns its version. A lost reply is read back: a
+    /// write of this keeper is known by its nonce.
+    fn write<E: Edges>(&mut self, edges: &E, board: &Board, expect: Expect) -> Option<u64> {
+        self.nonce = rand::random();
+        let body = json!({
+            "schema": 1,
+            "holder": board.identity.caller_address,
+            "nonce": self.nonce,
+        });
+        match edges.platform().put(&self.key(), expect, &body) {
+            Ok(version) => Some(version),
+            Err(PlatformError::Lost) => self.read_back(edges),
+            Err(_) => None,
+        }
+    }
+
+    fn read_back<E: Edges>(&self, edges: &E) -> Option<u64> {
+        let object = edges.platform().get(&self.key()).ok()??;
+        (object.body["nonce"].as_u64() == Some(self.nonce)).then_some(object.version)
+    }
+}
+
+/// Returns whether this instance is among those that try to get a lease. All
+/// instances that see the same others come to the same answer without a word.
+pub(super) fn is_candidate(board: &Board, lease: &str) -> bool {
+    let weight = |address: SocketAddr| digest_of(&format!("{lease}/{address}"));
+    let own = weight(board.identity.caller_address);
+    let lower = |v: &InstanceView| weight(v.caller_address) < own;
+    let before = board.peers.live().into_iter().filter(lower).count();
+    !board.life.is_starting() && !board.life.is_departing() && before < CANDIDATES
+}
--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -4,7 +4,12 @@
 mod config_watch;
 mod engine_poll;
 mod gossip;
+mod lease_keeper;
+mod model_rollout;
+mod probe;
+mod record_status;
 mod registry;
+mod rollout;
 mod run;
 mod slots;
 
@@ -12,6 +17,8 @@
     config_watch::ConfigWatch,
     engine_poll::EnginePoll,
     gossip::{Gossip, answer},
+    record_status::StatusWriter,
+    rollout::RolloutKeeper,
     run::{Controller, spawn},
     slots::SlotHolder,
 };
--- /dev/null
+++ b/crates/mangowalkd/src/controller/model_rollout.rs
@@ -0,0 +1,263 @@
+use {
+    super::{lease_keeper::LeaseKeeper, probe::probe},
+    crate::board::Board,
+    log::{info, warn},
+    mangowalk_core::{
+        config::{EngineRecord, View},
+        edge::{Clock, Edges, Engines, Platform, PlatformError},
+        engine::{EngineState, Order, OrderReply},
+        platform::{Expect, ObjectKey, own_kind},
+        rollout::{Action, EngineFacts, Plan, Rollout, RolloutSettings},
+    },
+    serde_json::json,
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        marker::PhantomData,
+    },
+};
+
+/// What the holder of a lease works on.
+struct Work {
+    rollout: Rollout,
+    saved: Plan,
+    plan_version: u64,
+    marks: BTreeSet<String>,
+}
+
+/// One model's rollout: the lease, and the work while it is held.
+pub(super) struct ModelRollout<E> {
+    model: String,
+    lease: LeaseKeeper,
+    work: Option<Work>,
+    edges: PhantomData<fn() -> E>,
+}
+
+/// Returns the name of the lease under which a model's engines get orders.
+pub(super) fn lease_name(model: &str) -> String {
+    format!("rollout.{model}")
+}
+
+impl<E: Edges> ModelRollout<E> {
+    pub(super) fn new(model: &str, now_ms: u64) -> ModelRollout<E> {
+        ModelRollout {
+            model: model.to_owned(),
+            lease: LeaseKeeper::new(&lease_name(model), now_ms),
+            work: None,
+            edges: PhantomData,
+        }
+    }
+
+    /// Gives the lease back. What was done stands on the platform.
+    pub(super) fn release(&mut self, edges: &E) {
+        self.work = None;
+        self.lease.release(edges);
+    }
+
+    /// Takes the next steps, if the lease is held. A failed call ends the
+    /// step; the work is then read again, because what took effect is not
+    /// known.
+    pub(super) fn step(&mut self, edges: &E, board: &Board, view: &View) {
+        if self.lease.keep(edges, board).is_none() {
+            self.work = None;
+            return;
+        }
+        if let Err(error) = self.act(edges, board, view) {
+            warn!("rollout: {} waits. {error}", self.model);
+            self.work = None;
+        }
+    }
+
+    fn act(&mut self, edges: &E, board: &Board, view: &View) -> Result<(), PlatformError> {
+        let Some(record) = view.models.get(&self.model) else {
+            return Ok(());
+        };
+        let mut work = match self.work.take() {
+            Some(work) => work,
+            None => self.take_up(edges)?,
+        };
+        let states = self.read_states(edges, board, view, &work.marks);
+        let engines = self.engines(view);
+        let facts = facts(&self.model, &engines, &states, &work.marks);
+        let loads = record.concurrent_loads as usize;
+        work.rollout.aim(&record.version, loads, &facts);
+        let now_ms = edges.clock().now_ms();
+        let actions = work.rollout.decide(&facts, now_ms);
+        self.save(edges, &mut work)?;
+        for action in &actions {
+            self.perform(edges, view, &mut work, &states, action)?;
+        }
+        self.save(edges, &mut work)?;
+        self.work = Some(work);
+        Ok(())
+    }
+
+    /// Reads what the holder before left: its plan and its marks.
+    fn take_up(&self, edges: &E) -> Result<Work, PlatformError> {
+        let object = edges.platform().get(&self.plan_key())?;
+        let plan_version = object.as_ref().map_or(0, |o| o.version);
+        let saved: Plan = object
+            .and_then(|o| serde_json::from_value(o.body).ok())
+            .unwrap_or_default();
+        let marks = edges.platform().list(&[own_kind::DRAIN])?;
+        let own = marks
+            .objects
+            .into_iter()
+            .filter(|o| o.body["model"] == self.model.as_str());
+        let now_ms = edges.clock().now_ms();
+        Ok(Work {
+            rollout: Rollout::resume(RolloutSettings::default(), saved.clone(), now_ms),
+            saved,
+            plan_version,
+            marks: own.map(|o| o.key.name).collect(),
+        })
+    }
+
+    fn plan_key(&self) -> ObjectKey {
+        ObjectKey::new(own_kind::ROLLOUT, &self.model)
+    }
+
+    fn save(&self, edges: &E, work: &mut Work) -> Result<(), PlatformError> {
+        let plan = work.rollout.plan();
+        if *plan == work.saved {
+            return Ok(());
+        }
+        if let Some(failure) = &plan.failure {
+            warn!(
+                "rollout: {} stopped at {}. {}",
+                self.model, failure.engine, failure.reason
+            );
+        }
+        let expect = match work.plan_version {
+            0 => Expect::Absent,
+            version => Expect::Version(version),
+        };
+        let body = json!(plan);
+        work.plan_version = edges.platform().put(&self.plan_key(), expect, &body)?;
+        work.saved = plan.clone();
+        Ok(())
+    }
+
+    fn engines<'a>(&self, view: &'a View) -> Vec<&'a EngineRecord> {
+        let of_model = |e: &&EngineRecord| e.model == self.model;
+        view.engines.values().filter(of_model).collect()
+    }
+
+    /// Returns what engines serve: those that are out as they say now, the
+    /// others as last seen. Asking all of them in each step would hold up the
+    /// renewal of the lease behind each dead one.
+    fn read_states(
+        &self,
+        edges: &E,
+        board: &Board,
+        view: &View,
+        marks: &BTreeSet<String>,
+    ) -> BTreeMap<String, Option<EngineState>> {
+        let mut states: BTreeMap<String, Option<EngineState>> = board
+            .engines
+            .sights()
+            .into_iter()
+            .map(|(name, sight)| (name, sight.state))
+            .collect();
+        for name in marks {
+            if let Some(engine) = view.engines.get(name) {
+                states.insert(name.clone(), edges.engines().state(engine.address).ok());
+            }
+        }
+        states
+    }
+
+    fn perform(
+        &self,
+        edges: &E,
+        view: &View,
+        work: &mut Work,
+        states: &BTreeMap<String, Option<EngineState>>,
+        action: &Action<'_>,
+    ) -> Result<(), PlatformError> {
+        match action {
+            Action::Drain { engine } => self.mark(edges, work, engine),
+            Action::Undrain { engine } => self.unmark(edges, work, engine),
+            Action::Order { engine, version } => {
+                self.order(edges, &view.engines[*engine], work, version);
+                Ok(())
+            }
+            Action::Probe { engine, version } => {
+                let record = &view.engines[*engine];
+                let state = states.get(*engine).and_then(Option::as_ref);
+                let incarnation = state.map_or(0, |s| s.incarnation);
+                let ok = probe(edges, record, version, incarnation);
+                let now_ms = edges.clock().now_ms();
+                work.rollout
+                    .probed(engine, incarnation, version, ok, now_ms);
+                Ok(())
+            }
+        }
+    }
+
+    fn mark(&self, edges: &E, work: &mut Work, engine: &str) -> Result<(), PlatformError> {
+        info!("rollout: Draining {engine}.");
+        let key = ObjectKey::new(own_kind::DRAIN, engine);
+        let body = json!({ "schema": 1, "model": self.model });
+        edges.platform().put(&key, Expect::Any, &body)?;
+        work.marks.insert(engine.to_owned());
+        Ok(())
+    }
+
+    fn unmark(&self, edges: &E, work: &mut Work, engine: &str) -> Result<(), PlatformError> {
+        info!("rollout: Putting {engine} back.");
+        let key = ObjectKey::new(own_kind::DRAIN, engine);
+        edges.platform().delete(&key, Expect::Any)?;
+        work.marks.remove(engine);
+        Ok(())
+    }
+
+    /// Gives an order. The lease is checked against the clock right before:
+    /// the calls since the last look may have taken longer than it lasts, or
+    /// the process may have been paused.
+    fn order(&self, edges: &E, engine: &EngineRecord, work: &mut Work, version: &str) {
+        let Some(lease) = self.lease.held(edges.clock().now_ms()) else {
+            return;
+        };
+        info!("rollout: Ordering {} to load {version}.", engine.name);
+        let order = Order {
+            fencing: lease.fencing(),
+            model: self.model.clone(),
+            version: version.to_owned(),
+        };
+        let reply = edges.engines().order(engine.address, &order);
+        if let Ok(OrderReply::OldFencing { highest }) = reply {
+            // A later holder is at work; it says nothing about the version.
+            warn!(
+                "rollout: {} follows a holder with number {highest}.",
+                engine.name
+            );
+            return;
+        }
+        let now_ms = edges.clock().now_ms();
+        work.rollout
+            .ordered(&engine.name, version, reply.ok().as_ref(), now_ms);
+    }
+}
+
+fn facts<'a>(
+    model: &str,
+    engines: &[&'a EngineRecord],
+    states: &'a BTreeMap<String, Option<EngineState>>,
+    marks: &BTreeSet<String>,
+) -> Vec<EngineFacts<'a>> {
+    let of = |engine: &&'a EngineRecord| {
+        let state = states.get(&engine.name).and_then(Option::as_ref);
+        let version = |s: &'a EngineState| if s.model == model { &s.version } else { "" };
+        EngineFacts {
+            name: &engine.name,
+            version: state.map(version),
+            incarnation: state.map_or(0, |s| s.incarnation),
+            loading: state.is_some_and(|s| s.loading),
+            open: state.map_or(0, |s| s.load.running + s.load.waiting),
+            checks_fencing: engine.checks_fencing,
+            drained: marks.contains(&engine.name),
+            departing: engine.departing,
+        }
+    };
+    engines.iter().map(of).collect()
+}
--- /dev/null
+++ b/crates/mangowalkd/src/controller/record_status.rs
@@ -0,0 +1,119 @@
+use {
+    super::{
+        Controller,
+        lease_keeper::{LeaseKeeper, is_candidate},
+    },
+    crate::board::Board,
+    log::warn,
+    mangowalk_core::{
+        edge::{Edges, Platform},
+        platform::{Expect, ObjectKey, own_kind},
+        status::RecordStatus,
+    },
+    std::{collections::BTreeMap, marker::PhantomData},
+};
+
+/// Pause between two comparisons.
+const PERIOD_MS: u64 = 1_000;
+
+/// Pause of an instance that does not write status.
+const IDLE_MS: u64 = 2_000;
+
+/// Writes in one step. A new fleet writes the status of all its records; the
+/// platform takes several hundred writes a second from everyone together.
+const MOST_WRITES: usize = 20;
+
+/// Name of the lease under which status is written.
+const LEASE: &str = "status";
+
+/// Writes to the platform what became of each record, by one instance at a
+/// time, and only where it changed.
+pub struct StatusWriter<E> {
+    lease: LeaseKeeper,
+    written: Option<BTreeMap<String, RecordStatus>>,
+    edges: PhantomData<fn() -> E>,
+}
+
+impl<E> Default for StatusWriter<E> {
+    fn default() -> StatusWriter<E> {
+        StatusWriter {
+            lease: LeaseKeeper::new(LEASE, 0),
+            written: None,
+            edges: PhantomData,
+        }
+    }
+}
+
+impl<E: Edges> StatusWriter<E> {
+    /// Reads what was written before, by whoever held the lease.
+    fn read_written(&mut self, edges: &E) -> Option<()> {
+        if self.written.is_none() {
+            let list = edges.platform().list(&[own_kind::STATUS]).ok()?;
+            let written = list.objects.into_iter().filter_map(|object| {
+                let status = serde_json::from_value(object.body).ok()?;
+                Some((object.key.name, status))
+            });
+            self.written = Some(written.collect());
+        }
+        Some(())
+    }
+
+    fn write_changes(&mut self, edges: &E, board: &Board) -> Option<()> {
+        self.read_written(edges)?;
+        let wanted = board.config.read(RecordStatus::of_all);
+        let written = self.written.get_or_insert_default();
+        let changed: Vec<(String, RecordStatus)> = wanted
+            .iter()
+            .filter(|(name, status)| status.replaces(written.get(*name)))
+            .take(MOST_WRITES)
+            .map(|(name, status)| (name.clone(), status.clone()))
+            .collect();
+        for (name, status) in changed {
+            let body = serde_json::to_value(&status).ok()?;
+            edges.platform().put(&key(&name), Expect::Any, &body).ok()?;
+            written.insert(name, status);
+        }
+        let gone: Vec<String> = written
+            .keys()
+            .filter(|name| !wanted.contains_key(*name))
+            .take(MOST_WRITES)
+            .cloned()
+            .collect();
+        for name in gone {
+            edges.platform().delete(&key(&name), Expect::Any).ok()?;
+            written.remove(&name);
+        }
+        Some(())
+    }
+}
+
+impl<E: Edges> Controller for StatusWriter<E> {
+    type Edges = E;
+
+    const NAME: &'static str = "status";
+
+    fn step(&mut self, edges: &E, board: &Board, _now_ms: u64) -> u64 {
+        if !is_candidate(board, LEASE) {
+            self.lease.release(edges);
+            self.written = None;
+            return IDLE_MS;
+        }
+        if self.lease.keep(edges, board).is_none() {
+            self.written = None;
+            return IDLE_MS;
+        }
+        if self.write_changes(edges, board).is_none() {
+            warn!("status: The platform took no status; trying again.");
+            self.written = None;
+        }
+        PERIOD_MS
+    }
+
+    fn leave(&mut self, edges: &E, _board: &Board) {
+        self.lease.release(edges);
+    }
+}
+
+fn key(name: &str) -> ObjectKey {
+    ObjectKey::new(own_kind::STATUS, name)
+}
--- /dev/null
+++ b/crates/mangowalkd/src/controller/rollout.rs
@@ -0,0 +1,77 @@
+use {
+    super::{
+        Controller,
+        lease_keeper::is_candidate,
+        model_rollout::{ModelRollout, lease_name},
+    },
+    crate::board::Board,
+    mangowalk_core::{
+        config::View,
+        edge::{Clock, Edges},
+    },
+    std::collections::BTreeMap,
+};
+
+/// Pause between two steps.
+const PERIOD_MS: u64 = 500;
+
+/// Carries changes of weights versions out, each model under a lease of its
+/// own.
+pub struct RolloutKeeper<E: Edges> {
+    models: BTreeMap<String, ModelRollout<E>>,
+}
+
+impl<E: Edges> Default for RolloutKeeper<E> {
+    fn default() -> RolloutKeeper<E> {
+        RolloutKeeper {
+            models: BTreeMap::new(),
+        }
+    }
+}
+
+impl<E: Edges> Controller for RolloutKeeper<E> {
+    type Edges = E;
+
+    const NAME: &'static str = "rollout";
+
+    fn step(&mut self, edges: &E, board: &Board, _now_ms: u64) -> u64 {
+        let view = board.config.view();
+        self.models
+            .retain(|model, _| view.models.contains_key(model));
+        for model in view.models.keys() {
+            let wanted = has_work(board, &view, model) && is_candidate(board, &lease_name(model));
+            if wanted && !self.models.contains_key(model) {
+                let rollout = ModelRollout::new(model, edges.clock().now_ms());
+                self.models.insert(model.clone(), rollout);
+            }
+            let Some(rollout) = self.models.get_mut(model) else {
+                continue;
+            };
+            if wanted {
+                rollout.step(edges, board, &view);
+            } else {
+                rollout.release(edges);
+                self.models.remove(model);
+            }
+        }
+        PERIOD_MS
+    }
+
+    fn leave(&mut self, edges: &E, _board: &Board) {
+        self.models.values_mut().for_each(|r| r.release(edges));
+    }
+}
+
+/// Returns whether an engine of the model serves another version than the
+/// record asks for, or is marked. An idle model costs the platform nothing.
+fn has_work(board: &Board, view: &View, model: &str) -> bool {
+    let sights = board.engines.sights();
+    let Some(record) = view.models.get(model) else {
+        return false;
+    };
+    view.engines.values().filter(|e| e.model == model).any(|e| {
+        let state = sights.get(&e.name).and_then(|s| s.state.as_ref());
+        let other = state.is_some_and(|s| s.version != record.version || s.model != model);
+        view.draining.contains(&e.name) || (other && !e.departing)
+    })
+}
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -3,7 +3,9 @@
         board::{Board, Identity},
         caller::CallerServer,
         cli::Settings,
-        controller::{ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, spawn},
+        controller::{
+            ConfigWatch, EnginePoll, Gossip, RolloutKeeper, SlotHolder, StatusWriter, answer, spawn,
+        },
         edge::{LiveEdges, PeerServer},
         metrics::{MetricsReport, metrics_client},
         operator::OperatorServer,
@@ -182,6 +184,8 @@
         spawn(gossip, edges.clone(), board.clone())?,
         spawn(EnginePoll::default(), edges.clone(), board.clone())?,
         spawn(SlotHolder::default(), edges.clone(), board.clone())?,
+        spawn(StatusWriter::default(), edges.clone(), board.clone())?,
+        spawn(RolloutKeeper::default(), edges.clone(), board.clone())?,
     ])
 }
 
--- /dev/null
+++ b/crates/mangowalkd/tests/rollout.rs
@@ -0,0 +1,200 @@
+//! Changes of weights versions, through real processes.
+
+use {
+    mangowalk_standins::{EngineFaults, EngineSettings, Fleet, FleetSettings, eventually},
+    serde_json::json,
+    std::{
+        sync::atomic::{AtomicBool, Ordering},
+        thread,
+    },
+};
+
+const MODEL: &str = "drafting";
+
+fn fleet(routers: usize, checks_fencing: bool) -> Fleet {
+    Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        routers,
+        engines: 3,
+        engine: EngineSettings {
+            checks_fencing,
+            ..EngineSettings::default()
+        },
+        ..FleetSettings::default()
+    })
+}
+
+fn write_version(fleet: &Fleet, version: &str) {
+    let record = json!({ "schema": 1, "version": version });
+    fleet.platform.put("model", MODEL, record);
+}
+
+fn all_serve(fleet: &Fleet, version: &str) -> bool {
+    let serves = |e: &mangowalk_standins::EngineStandIn| e.state().version == version;
+    fleet.engines.iter().all(serves) && fleet.platform.list("drain").is_empty()
+}
+
+fn eventually_all_serve(fleet: &Fleet, version: &str) {
+    eventually(&format!("every engine serves {version}"), || {
+        all_serve(fleet, version)
+    });
+}
+
+/// Returns the number of the router that holds the lease.
+fn holder(fleet: &Fleet) -> Option<usize> {
+    let lease = fleet.platform.get("lease", &format!("rollout.{MODEL}"))?;
+    let holder = lease.body["holder"].as_str()?.to_owned();
+    let is_holder = |r: &mangowalk_standins::RouterProcess| r.address().to_string() == holder;
+    fleet.routers.iter().position(is_holder)
+}
+
+fn eventually_holder(fleet: &Fleet) -> usize {
+    let mut found = None;
+    eventually("an engine is drained by a holder", || {
+        found = holder(fleet);
+        found.is_some() && !fleet.platform.list("drain").is_empty()
+    });
+    found.unwrap_or_default()
+}
+
+/// Fencing numbers that an engine followed never fall.
+fn assert_no_stale_order(fleet: &Fleet) {
+    for engine in &fleet.engines {
+        let numbers: Vec<u64> = engine.orders().iter().map(|o| o.fencing).collect();
+        assert!(numbers.is_sorted(), "{numbers:?}");
+    }
+}
+
+/// The version changes while callers send requests. Each is answered in full,
+/// by the old version or by the new one: an engine is drained before it
+/// loads, and put back once it answered.
+#[test]
+fn callers_notice_nothing_of_a_rollout() {
+    let fleet = fleet(2, true);
+    eventually("the routers serve", || {
+        (0..2).all(|r| fleet.chat(r, "warm", 2, false).status == 200)
+    });
+    let over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for caller in 0..4 {
+            let (fleet, over) = (&fleet, &over);
+            scope.spawn(move || {
+                let mut turn = 0;
+                while !over.load(Ordering::SeqCst) {
+                    let prompt = format!("caller {caller} turn {turn}");
+                    let answer = fleet.chat(caller % 2, &prompt, 20, true);
+                    let expected = Fleet::expected(&prompt, 20);
+                    assert_eq!(answer.streamed_text(), expected, "{}", answer.body);
+                    assert!(answer.is_done());
+                    turn += 1;
+                }
+            });
+        }
+        write_version(&fleet, "v2");
+        eventually_all_serve(&fleet, "v2");
+        over.store(true, Ordering::SeqCst);
+    });
+    let plan = fleet.platform.get("rollout", MODEL).expect("a plan").body;
+    assert!(plan["failure"].is_null(), "{plan}");
+}
+
+/// The weights of a version can't be loaded. One engine meets it; the rollout
+/// stops, says why, and every engine serves the old version. Written back by
+/// the operators, the old version is in force without an order.
+#[test]
+fn a_version_that_does_not_load_stops_by_itself() {
+    let fleet = fleet(2, true);
+    for engine in &fleet.engines {
+        engine.set_faults(EngineFaults {
+            refuse_loads: Some("no such weights".to_owned()),
+            ..EngineFaults::default()
+        });
+    }
+    write_version(&fleet, "v9");
+    eventually("the rollout says why it stopped", || {
+        let plan = fleet.platform.get("rollout", MODEL);
+        plan.is_some_and(|p| {
+            p.body["failure"]["reason"]
+                .to_string()
+                .contains("no such weights")
+        })
+    });
+    eventually_all_serve(&fleet, "v1");
+    assert!(fleet.engines.iter().all(|e| e.orders().is_empty()));
+    eventually("callers are served", || {
+        fleet.chat(0, "still here", 5, false).status == 200
+    });
+}
+
+/// The version loads and gives no answers. The probe finds it before any
+/// caller does, and the engine goes back to the old version.
+#[test]
+fn a_version_that_does_not_answer_goes_back() {
+    let fleet = fleet(2, true);
+    for engine in &fleet.engines {
+        engine.set_faults(EngineFaults {
+            crash_on: None,
+            freeze_after_tokens: Some(0),
+            ..EngineFaults::default()
+        });
+    }
+    write_version(&fleet, "v9");
+    eventually("the rollout stops", || {
+        let plan = fleet.platform.get("rollout", MODEL);
+        plan.is_some_and(|p| !p.body["failure"].is_null())
+    });
+    for engine in &fleet.engines {
+        engine.set_faults(EngineFaults::default());
+    }
+    eventually_all_serve(&fleet, "v1");
+    let met = fleet.engines.iter().filter(|e| !e.orders().is_empty());
+    assert_eq!(met.count(), 1, "one engine met the bad version");
+}
+
+/// The instance that rolls out is killed while an engine is out. Another one
+/// takes over when the lease has lapsed, finds the mark and goes on.
+#[test]
+fn a_rollout_outlives_its_holder() {
+    let mut fleet = fleet(3, true);
+    write_version(&fleet, "v2");
+    let holder = eventually_holder(&fleet);
+    fleet.routers[holder].kill();
+    eventually_all_serve(&fleet, "v2");
+    assert_no_stale_order(&fleet);
+}
+
+/// The holder is paused, another one finishes, and the operators go on to
+/// the next version. The first one wakes with the old version in mind. Its
+/// lease has lapsed by its own clock, so it orders nothing; these engines
+/// would follow it, because they ignore fencing numbers.
+#[test]
+fn a_holder_that_wakes_up_gives_no_stale_order() {
+    let fleet = fleet(3, false);
+    write_version(&fleet, "v2");
+    let holder = eventually_holder(&fleet);
+    fleet.routers[holder].freeze();
+    write_version(&fleet, "v3");
+    eventually_all_serve(&fleet, "v3");
+    fleet.routers[holder].thaw();
+    eventually("the one that woke up knows the version", || {
+        fleet.chat(holder, "awake", 2, false).status == 200
+    });
+    thread::sleep(std::time::Duration::from_secs(3));
+    assert_no_stale_order(&fleet);
+    eventually_all_serve(&fleet, "v3");
+}
+
+/// An engine restarts behind the rollout and comes back with the weights it
+/// was set up with. It is ordered again.
+#[test]
+fn an_engine_that_restarts_is_ordered_again() {
+    let fleet = fleet(1, true);
+    write_version(&fleet, "v2");
+    eventually_all_serve(&fleet, "v2");
+    fleet.engines[1].crash();
+    fleet.engines[1].restart();
+    eventually("the engine is back with old weights", || {
+        fleet.engines[1].state().version == "v1"
+    });
+    eventually_all_serve(&fleet, "v2");
+}
