--- a/crates/mangowalkd/src/serve/admit.rs
+++ b/crates/mangowalkd/src/serve/admit.rs
@@ -26,6 +26,7 @@
     /// Refuses at once what would not be served in time.
     pub(super) fn admit(&self, request: &ChatRequest) -> Result<Target, Refusal> {
         let view = self.board.config.view();
+        self.board.take_engines(&view);
         let version = self.version_for(request).ok_or(Refusal::Unavailable {
             reason: "No engine serves the model now",
             retry_ms: NO_ENGINE_RETRY_MS,
@@ -33,11 +34,15 @@
         let job = self.job(request, &view, &version);
         match self.wait_turn(job) {
             Verdict::Send { choice, .. } => {
-                // Read anew: an engine withdrawn meanwhile gets no work.
+                // Read anew: an engine withdrawn meanwhile gets no work, and
+                // the request, whose turn has come, goes to another.
                 let view = self.board.config.view();
+                let gone = HashSet::from([choice.engine.clone()]);
+                let anyone = |_: &str| true;
                 self.target(&view, &version, choice)
+                    .or_else(|| self.place_again(request, &view, None, &gone, &anyone))
                     .ok_or(Refusal::Unavailable {
-                        reason: "The engine chosen is departing",
+                        reason: "The only engine left is departing",
                         retry_ms: NO_ENGINE_RETRY_MS,
                     })
             }
--- a/crates/mangowalkd/src/serve/place.rs
+++ b/crates/mangowalkd/src/serve/place.rs
@@ -33,7 +33,10 @@
     pub(super) fn target(&self, view: &View, version: &str, choice: Choice) -> Option<Target> {
         let (name, incarnation) = (choice.engine.clone(), choice.incarnation);
         let placed = Placed::new(self.board.clone(), choice);
-        let record = view.engines.get(&name).filter(|e| !e.departing)?;
+        let record = view
+            .engines
+            .get(&name)
+            .filter(|e| !e.departing && !view.draining.contains(&e.name))?;
         Some(Target {
             engine: record.clone(),
             incarnation,
--- a/crates/mangowalkd/tests/settings.rs
+++ b/crates/mangowalkd/tests/settings.rs
@@ -49,6 +49,8 @@
     ("token-timeout-ms", "0", "give a number above 0"),
     ("token-timeout-ms", "999999999", "fewer milliseconds"),
     ("drain-timeout-ms", "0", "give a number above 0"),
+    ("depart-grace-ms", "soon", "Write a whole number"),
+    ("stale-config-ms", "0", "give a number above 0"),
     (
         "operator-address",
         "0.0.0.0:7003",
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod address;
 mod answer;
+mod eventually;
 mod raw;
 mod router;
 mod whole;
@@ -9,6 +10,7 @@
 pub use {
     address::free_address,
     answer::Answer,
+    eventually::eventually,
     raw::RawCaller,
     router::RouterProcess,
     whole::{Fleet, FleetSettings},
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use {
     engine::{EngineFaults, EngineSettings, EngineStandIn},
-    fleet::{Answer, Fleet, FleetSettings, RawCaller, RouterProcess, free_address},
+    fleet::{Answer, Fleet, FleetSettings, RawCaller, RouterProcess, eventually, free_address},
     platform::{PlatformFaults, PlatformStandIn},
     queue::{Deployment, Figures, Pattern, PolicyKind, RunSettings, Spread, simulate},
     service::{ServiceFaults, ServiceStandIn},
