--- a/crates/core/src/status/mod.rs
+++ b/crates/core/src/status/mod.rs
@@ -7,7 +7,9 @@
 mod instance;
 mod peer;
 mod phase;
+mod record;
 mod refused;
+mod traffic;
 mod upstream;
 
 pub use {
@@ -15,6 +17,8 @@
     instance::InstanceStatus,
     peer::PeerStatus,
     phase::Phase,
+    record::RecordStatus,
     refused::RefusedRecord,
+    traffic::ControlTraffic,
     upstream::UpstreamStatus,
 };
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -5,6 +5,7 @@
 
 mod admission;
 mod burn;
+mod claims;
 mod config;
 mod engines;
 mod identity;
@@ -18,6 +19,7 @@
 pub use {
     admission::{DispatchBoard, DispatchSettings},
     burn::{BurnBoard, Unsent},
+    claims::{ClaimBoard, ClaimWrite},
     config::ConfigBoard,
     engines::{EngineBoard, EngineSight, InFlight},
     identity::Identity,
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,9 +1,11 @@
 use {
     super::{
-        BurnBoard, ConfigBoard, DispatchBoard, DispatchSettings, EngineBoard, Identity, Life,
-        LimitBoard, PeerBoard, UpstreamBoard,
+        BurnBoard, ClaimBoard, ConfigBoard, DispatchBoard, DispatchSettings, EngineBoard, Identity,
+        Life, LimitBoard, PeerBoard, UpstreamBoard,
     },
-    std::net::SocketAddr,
+    crate::edge::Traffic,
+    mangowalk_core::{config::View, placement::EngineSpec},
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// The state of one instance.
@@ -15,6 +17,8 @@
     pub burn: BurnBoard,
     /// Who the instance is.
     pub identity: Identity,
+    /// Claims whose outcome is still to be written.
+    pub claims: ClaimBoard,
     /// Records in force.
     pub config: ConfigBoard,
     /// Engines as last seen.
@@ -27,6 +31,8 @@
     pub peers: PeerBoard,
     /// Tokens of every team.
     pub limits: LimitBoard,
+    /// What is spent on control.
+    pub traffic: Arc<Traffic>,
     /// Phase of the process and its open requests.
     pub life: Life,
 }
@@ -36,6 +42,8 @@
     pub fn new(identity: Identity, settings: DispatchSettings) -> Board {
         let upstreams = UpstreamBoard::default();
         Board {
+            limits: LimitBoard::new(&identity),
+            claims: ClaimBoard::default(),
             operator_address: None,
             burn: BurnBoard::default(),
             identity,
@@ -44,8 +52,30 @@
             dispatch: DispatchBoard::new(settings, upstreams.clone()),
             upstreams,
             peers: PeerBoard::default(),
-            limits: LimitBoard::default(),
+            traffic: Arc::default(),
             life: Life::default(),
         }
     }
+
+    /// Tells placement of the engines in force, once for each view.
+    ///
+    /// A request asks for this before it is placed. Were only the poll to tell
+    /// placement, requests in between would be sent to an engine that drains
+    /// or departs, and refused when that is found out.
+    pub fn take_engines(&self, view: &Arc<View>) {
+        if !self.dispatch.is_new(view) {
+            return;
+        }
+        let specs: Vec<EngineSpec> = view
+            .engines
+            .values()
+            .map(|e| EngineSpec {
+                name: e.name.clone(),
+                model: e.model.clone(),
+                near: e.failure_domain == self.identity.failure_domain,
+                departing: e.departing || view.draining.contains(&e.name),
+            })
+            .collect();
+        self.dispatch.set_engines(&specs, view);
+    }
 }
--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -2,17 +2,27 @@
 //! writes its part of the board.
 
 mod cache_events;
+mod claim_keeper;
 mod config_watch;
 mod engine_poll;
 mod gossip;
+mod lease_keeper;
+mod model_rollout;
+mod probe;
+mod record_status;
+mod registry;
+mod rollout;
 mod run;
 mod slots;
 
 pub use {
     cache_events::CacheEventReader,
+    claim_keeper::{ClaimKeeper, flush_claims},
     config_watch::ConfigWatch,
     engine_poll::EnginePoll,
     gossip::{Gossip, answer},
+    record_status::StatusWriter,
+    rollout::RolloutKeeper,
     run::{Controller, spawn},
-    slots::SlotHolder,
+    slots::{SlotHolder, release_slots},
 };
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -4,13 +4,17 @@
 mod answer;
 mod attempt;
 mod attempts;
+mod claim;
 mod generate;
 mod observe;
 mod place;
 mod request;
+mod reserve;
 mod router;
 mod service;
 
+pub(crate) use place::{cache_salt, version_of};
+
 pub use {
     answer::{AnswerSink, Finished},
     request::{ChatRequest, ServiceRequest},
--- a/crates/mangowalkd/src/serve/router.rs
+++ b/crates/mangowalkd/src/serve/router.rs
@@ -1,19 +1,14 @@
 use {
     crate::{board::Board, cli::Settings},
     mangowalk_core::{
-        edge::{Clock, Edges, Peers},
-        peer::{PeerReply, PeerRequest},
-        record::Rate,
+        edge::{Clock, Edges},
         refusal::Refusal,
     },
     std::sync::Arc,
 };
 
-/// Time that a peer has to answer a request for tokens.
-const GRANT_TIMEOUT_MS: u64 = 100;
-
-/// Peers asked for tokens before a request is refused.
-const PEERS_ASKED: usize = 3;
+/// When a caller should come back to an instance without usable records.
+const NO_RECORDS_RETRY_MS: u64 = 1_000;
 
 /// Serves requests with what the board knows.
 pub struct Router<E: Edges> {
@@ -48,60 +43,40 @@
     ///
     /// Fails where the key is wrong or withdrawn, or no record is held yet.
     pub fn authenticate(&self, key: Option<&str>) -> Result<String, Refusal> {
+        self.records_usable()?;
         let view = self.board.config.view();
-        if view.revision == 0 {
-            return Err(Refusal::Unavailable {
-                reason: "This instance has no configuration yet",
-                retry_ms: 1_000,
-            });
-        }
         key.and_then(|key| view.team_of_key(key))
             .map(str::to_owned)
             .ok_or(Refusal::Unauthorized)
     }
 
-    /// Takes tokens of the team's rate, here or from a peer.
-    pub(super) fn reserve(&self, team: &str, tokens: u64) -> Result<(), Refusal> {
+    /// Returns the present time.
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.edges.clock().now_ms()
+    }
+
+    /// Returns whether a key still authenticates a team. A request that waited
+    /// asks again right before it is sent: the key may be withdrawn by now.
+    pub fn still_authorized(&self, team: &str, key_digest: &str) -> bool {
         let view = self.board.config.view();
-        let rate = view
-            .rates
-            .get(team)
-            .ok_or(Refusal::RateLimited { retry_ms: 60_000 })?;
-        if tokens > rate.burst_tokens {
-            return Err(Refusal::OverBurst {
-                reserve_tokens: tokens,
-                burst_tokens: rate.burst_tokens,
-            });
-        }
-        let now_ms = self.edges.clock().now_ms();
-        if self.board.limits.take(team, rate, tokens, now_ms) || self.ask_peers(team, tokens) {
-            return Ok(());
-        }
-        Err(Refusal::RateLimited {
-            retry_ms: refill_ms(rate, tokens),
-        })
+        view.team_of_digest(key_digest) == Some(team)
     }
 
-    fn ask_peers(&self, team: &str, tokens: u64) -> bool {
-        let request = PeerRequest::Grant {
-            team: team.to_owned(),
-            tokens,
+    /// Refuses while the records held can't be relied on.
+    fn records_usable(&self) -> Result<(), Refusal> {
+        let now_ms = self.now_ms();
+        let reason = if self.board.config.view().revision == 0 {
+            "This instance has no configuration yet"
+        } else if self.board.life.is_starting() {
+            "This instance compares its configuration with its peers"
+        } else if !self.board.config.freshness().is_usable(now_ms) {
+            "This instance is cut off, and can't tell which keys are withdrawn"
+        } else {
+            return Ok(());
         };
-        self.board
-            .peers
-            .sights()
-            .iter()
-            .take(PEERS_ASKED)
-            .any(|peer| {
-                let reply =
-                    self.edges
-                        .peers()
-                        .ask(peer.view.peer_address, &request, GRANT_TIMEOUT_MS);
-                reply == Ok(PeerReply::Granted { tokens })
-            })
+        Err(Refusal::Unavailable {
+            reason,
+            retry_ms: NO_RECORDS_RETRY_MS,
+        })
     }
 }
-
-fn refill_ms(rate: &Rate, tokens: u64) -> u64 {
-    (tokens * 1_000).div_ceil(rate.tokens_per_s).max(1)
-}
