Tell those who wait in vain as soon as that is known

Cause: a request whose prediction turned out too good was held until its time was over. A caller who is told early can go elsewhere.

Change: every 100 ms each waiting request's whole time is predicted anew, and what would miss its time by half is refused, as not run, with when to come back. The measured drain counts a standstill while it lasts.

Proof: who_waits_in_vain_is_told_at_once, red with the standstill not counted.

--- a/crates/core/src/admission/dispatcher.rs
+++ b/crates/core/src/admission/dispatcher.rs
@@ -6,6 +6,9 @@
 /// Teams asked for a request that has room, each time room appears.
 const TRIES: usize = 8;
 
+/// Time between two looks at who waits in vain.
+const REVIEW_MS: u64 = 100;
+
 /// Tells whether an engine may get one more request, by its breaker and its
 /// limit.
 pub type Fit<'a> = dyn Fn(&str) -> bool + 'a;
@@ -34,6 +37,7 @@
 pub struct Dispatcher {
     placement: Placement,
     queue: FairQueue,
+    review_ms: u64,
 }
 
 impl Dispatcher {
@@ -42,6 +46,7 @@
         Dispatcher {
             placement,
             queue: FairQueue::new(settings, seed),
+            review_ms: 0,
         }
     }
 
@@ -79,8 +84,8 @@
     /// Sends what has room now, and refuses what has waited too long.
     pub fn pump(&mut self, fit: &Fit<'_>, now_ms: u64) -> Vec<Verdict> {
         let mut verdicts = Vec::new();
-        for job in self.queue.expired(now_ms) {
-            let full = self.queue.full(self.queue.predicted_wait_ms(&job));
+        for (job, wait_ms) in self.review(now_ms) {
+            let full = self.queue.full(wait_ms);
             verdicts.push(Verdict::Refuse { id: job.id, full });
         }
         let placement = &mut self.placement;
@@ -96,6 +101,15 @@
         }
     }
 
+    /// Looks now and then whether those who wait do so in vain.
+    fn review(&mut self, now_ms: u64) -> Vec<(Job, u64)> {
+        if now_ms < self.review_ms {
+            return Vec::new();
+        }
+        self.review_ms = now_ms + REVIEW_MS;
+        self.queue.hopeless(now_ms)
+    }
+
     /// Takes out a request whose caller has gone.
     pub fn leave(&mut self, id: u64) {
         self.queue.leave(id);
--- a/crates/core/src/admission/drain.rs
+++ b/crates/core/src/admission/drain.rs
@@ -27,8 +27,11 @@
         self.last_ms.get_or_insert(now_ms);
     }
 
-    /// Returns tokens a millisecond; none before enough was seen.
-    pub(super) fn tokens_per_ms(&self) -> Option<f64> {
-        (self.elapsed_ms >= 1.0 && self.tokens > 0.0).then(|| self.tokens / self.elapsed_ms)
+    /// Returns tokens a millisecond; none before enough was seen. Time since
+    /// the last request counts, so that a standstill shows while it lasts.
+    pub(super) fn tokens_per_ms(&self, now_ms: u64) -> Option<f64> {
+        let still_ms = self.last_ms.map_or(0, |ms| now_ms.saturating_sub(ms));
+        let elapsed_ms = self.elapsed_ms + still_ms as f64;
+        (self.elapsed_ms >= 1.0 && self.tokens > 0.0).then(|| self.tokens / elapsed_ms)
     }
 }
--- a/crates/core/src/admission/fair_queue.rs
+++ b/crates/core/src/admission/fair_queue.rs
@@ -9,6 +9,10 @@
 /// wait for the engine that holds its prompt while others could go.
 const JOBS_TRIED: usize = 8;
 
+/// Factor by which a request must be expected to miss its time before it is
+/// given up while it waits.
+const CLEAR_MISS: f64 = 1.5;
+
 /// Why a request may not wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 #[display("The request would wait {wait_ms} ms; send it again in {retry_ms} ms.")]
@@ -67,7 +71,7 @@
     ///
     /// Refuses at once what would not be served in time, or is one too many.
     pub fn enter(&mut self, job: Job, now_ms: u64) -> Result<(), Full> {
-        let wait_ms = self.predicted_wait_ms(&job);
+        let wait_ms = self.predicted_wait_ms(&job, now_ms);
         if wait_ms > self.most_wait_ms(&job) || self.queued >= self.settings.most_queued {
             return Err(self.full(wait_ms));
         }
@@ -96,24 +100,29 @@
     /// Returns how long a request would wait: its team's work ahead of it at
     /// the team's share of the measured drain, or all work at the whole drain
     /// where that is less.
-    pub fn predicted_wait_ms(&self, job: &Job) -> u64 {
-        let Some(drain) = self.drain.tokens_per_ms() else {
+    pub fn predicted_wait_ms(&self, job: &Job, now_ms: u64) -> u64 {
+        let Some(drain) = self.drain.tokens_per_ms(now_ms) else {
             return 0;
         };
         let own = self.teams.get(&job.team);
         let ahead = own.map_or(0, |t| t.tokens_ahead(job.tokens)) + job.tokens;
+        let share = self.share(&job.team, job.weight);
+        let all: u64 = self.teams.values().map(|t| t.queued_tokens).sum();
+        let fair_ms = ahead as f64 / (drain * share);
+        let whole_ms = (all + job.tokens) as f64 / drain;
+        fair_ms.min(whole_ms) as u64
+    }
+
+    /// Returns the part of the drain that a team gets beside those that wait.
+    fn share(&self, team: &str, weight: f64) -> f64 {
         let others: f64 = self
             .teams
             .iter()
-            .filter(|(name, _)| **name != job.team)
+            .filter(|(name, _)| **name != team)
             .filter_map(|(_, team)| team.jobs.first())
             .map(|j| j.weight)
             .sum();
-        let share = job.weight / (job.weight + others).max(f64::MIN_POSITIVE);
-        let all: u64 = self.teams.values().map(|t| t.queued_tokens).sum();
-        let fair_ms = ahead as f64 / (drain * share);
-        let whole_ms = (all + job.tokens) as f64 / drain;
-        fair_ms.min(whole_ms) as u64
+        weight / (weight + others).max(f64::MIN_POSITIVE)
     }
 
     /// Takes the next request for which `send` returns something. At most
@@ -172,20 +181,57 @@
         self.take(&name, at)
     }
 
-    /// Takes out every request that has waited as long as a caller is held.
-    pub fn expired(&mut self, now_ms: u64) -> Vec<Job> {
-        let most_wait_ms = self.settings.most_wait_ms;
-        let is_over = |job: &Job| {
-            let most_ms = job.deadline_ms.unwrap_or(most_wait_ms).min(most_wait_ms);
-            now_ms.saturating_sub(job.arrived_ms) > most_ms
+    /// Takes out every request that won't be served in time any more, with its
+    /// predicted wait, and every one whose time is over.
+    ///
+    /// The prediction at arrival may turn out too good: an engine dies, or a
+    /// more urgent team comes. Who waits in vain is told so as soon as that is
+    /// known, while there is time to go elsewhere. It takes a clear miss, as a
+    /// prediction wavers.
+    pub fn hopeless(&mut self, now_ms: u64) -> Vec<(Job, u64)> {
+        let drain = self.drain.tokens_per_ms(now_ms);
+        let names: Vec<String> = self.teams.keys().cloned().collect();
+        let mut given_up = Vec::new();
+        for name in names {
+            given_up.extend(self.hopeless_of(&name, drain, now_ms));
+        }
+        self.queued -= given_up.len();
+        given_up
+    }
+
+    fn hopeless_of(&mut self, name: &str, drain: Option<f64>, now_ms: u64) -> Vec<(Job, u64)> {
+        let weight = self.teams.get(name).and_then(|t| t.jobs.first());
+        let Some(weight) = weight.map(|j| j.weight) else {
+            return Vec::new();
         };
-        let mut over = Vec::new();
-        for team in self.teams.values_mut() {
-            while let Some(at) = team.jobs.iter().position(is_over) {
-                over.push(team.remove(at));
+        let team_drain = drain.map(|drain| drain * self.share(name, weight));
+        let settings = self.settings.clone();
+        let Some(team) = self.teams.get_mut(name) else {
+            return Vec::new();
+        };
+        let mut ahead_tokens = 0;
+        let mut given_up: Vec<(u64, u64)> = Vec::new();
+        for at in team.order(&settings, now_ms) {
+            let job = &team.jobs[at];
+            let most_ms = job
+                .deadline_ms
+                .unwrap_or(u64::MAX)
+                .min(settings.most_wait_ms);
+            let waited_ms = now_ms.saturating_sub(job.arrived_ms);
+            let left_ms = team_drain.map_or(0.0, |d| (ahead_tokens + job.tokens) as f64 / d);
+            let total_ms = waited_ms as f64 + left_ms;
+            if waited_ms > most_ms || total_ms > most_ms as f64 * CLEAR_MISS {
+                given_up.push((job.id, total_ms as u64));
+            } else {
+                ahead_tokens += job.tokens;
             }
         }
-        self.queued -= over.len();
-        over
+        given_up
+            .into_iter()
+            .filter_map(|(id, wait_ms)| {
+                let at = team.jobs.iter().position(|j| j.id == id)?;
+                Some((team.remove(at), wait_ms))
+            })
+            .collect()
     }
 }
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -103,6 +103,26 @@
     assert!(served_ms.is_some_and(|ms| ms <= 1_500), "{served_ms:?}");
 }
 
+/// Requests wait that would all be served in time. Then the engines stand
+/// still. Who waits in vain must be told so as soon as that shows, with most
+/// of the time that its caller gave still left, and not at the end of it.
+#[test]
+fn who_waits_in_vain_is_told_at_once() {
+    let mut queue = queue();
+    let start_ms = drained(&mut queue);
+    for i in 0..10 {
+        enter(&mut queue, job(i, "gallery", 1_000, start_ms));
+    }
+    assert!(queue.hopeless(start_ms + 100).is_empty());
+    let told_ms = (1..=20)
+        .map(|i| start_ms + i * 100)
+        .find(|now_ms| !queue.hopeless(*now_ms).is_empty());
+    assert!(
+        told_ms.is_some_and(|ms| ms <= start_ms + 1_500),
+        "{told_ms:?}"
+    );
+}
+
 /// A caller comes whose wait would be longer than it is held for. It must be
 /// told so at once, and callers refused together must be told to come back at
 /// different times, or they would find the queue full together again.
--- a/crates/mangowalkd/src/operator/candidates.rs
+++ b/crates/mangowalkd/src/operator/candidates.rs
@@ -133,6 +133,7 @@
             fit: &|name| force || self.board.upstreams.usable(name, self.now_ms),
             force,
             waited_ms: 0,
+            queued: 0,
         };
         self.board.dispatch.preview(&ask, self.now_ms)
     }
