Count three requests that a prefill holds up

Change: a prefill's cost to others is at least three requests', which is what an engine of 16 slots holds back at the load that was measured.

--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -26,7 +26,7 @@
 
 /// Requests that a prefill holds up where none waits: at half of its prefill
 /// time an engine has one other under way or coming, on average.
-const RUNNING_HELD_UP: f64 = 1.0;
+const RUNNING_HELD_UP: f64 = 3.0;
 
 const US_PER_MS: f64 = 1_000.0;
 
--- a/crates/mangowalkd/tests/placement.rs
+++ b/crates/mangowalkd/tests/placement.rs
@@ -7,6 +7,10 @@
     std::{thread, time::Duration},
 };
 
+/// Rate of each team: so high that no prompt here meets it, also right after
+/// the start, when a router has minted for a moment only.
+const TOKENS_PER_S: u64 = 20_000_000;
+
 const COOPER_KEY: &str = "mw-test-key-cooper";
 
 /// Longest time between two reads of an engine's state, with room to spare.
@@ -15,10 +19,12 @@
 fn fleet(settings: FleetSettings) -> Fleet {
     let fleet = Fleet::start(&FleetSettings {
         program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        tokens_per_s: TOKENS_PER_S,
+        burst_tokens: TOKENS_PER_S,
         ..settings
     });
     fleet.platform.put("team", "cooper", json!({ "schema": 1 }));
-    let rate = json!({ "schema": 1, "tokens_per_s": 1_000_000, "burst_tokens": 1_000_000 });
+    let rate = json!({ "schema": 1, "tokens_per_s": TOKENS_PER_S, "burst_tokens": TOKENS_PER_S });
     fleet.platform.put("rate", "cooper", rate);
     let key = json!({ "schema": 1, "team": "cooper", "digest": digest_of(COOPER_KEY) });
     fleet.platform.put("key", "cooper-1", key);
@@ -165,7 +171,8 @@
 fn a_departing_engine_gets_no_new_work() {
     let fleet = fleet(FleetSettings::default());
     let handbook = |question: &str| prompt("placement", question);
-    ask(&fleet, 0, Fleet::KEY, &handbook("before"));
+    let answer = ask(&fleet, 0, Fleet::KEY, &handbook("before"));
+    assert_eq!(answer.status, 200, "{}", answer.body);
     let before = started(&fleet.engines, "before");
     let holder = before.iter().position(|n| *n > 0).expect("a holder");
     let upstream = json!({
