Write why a record is refused beside it

Cause: a refused record was shown by the instances alone, and only to who asked them.

`show` prints it if it is of the version that is there. A test compares docs/records.md with the fields of every record.

Seen red with the safeguard taken out, one at a time: the removal of a status; the comparison of its version; one field renamed on the page.

--- a/crates/core/src/status/mod.rs
+++ b/crates/core/src/status/mod.rs
@@ -7,6 +7,7 @@
 mod instance;
 mod peer;
 mod phase;
+mod record;
 mod refused;
 mod traffic;
 mod upstream;
@@ -16,6 +17,7 @@
     instance::InstanceStatus,
     peer::PeerStatus,
     phase::Phase,
+    record::RecordStatus,
     refused::RefusedRecord,
     traffic::ControlTraffic,
     upstream::UpstreamStatus,
--- a/crates/core/src/status/refused.rs
+++ b/crates/core/src/status/refused.rs
@@ -1,9 +1,13 @@
-use serde::{Deserialize, Serialize};
+use {
+    super::RecordStatus,
+    crate::config::{EntryState, Store},
+    serde::{Deserialize, Serialize},
+};
 
 /// A record that an instance can't put in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RefusedRecord {
-    /// Kind.
+    /// Kind. Text, since an old client may meet kinds that it doesn't know.
     pub kind: String,
     /// Name.
     pub name: String,
@@ -14,3 +18,35 @@
     /// Whether an earlier write stays in force.
     pub earlier_in_force: bool,
 }
+
+impl RefusedRecord {
+    /// Returns every record of a store that is refused.
+    pub fn of(store: &Store) -> Vec<RefusedRecord> {
+        store
+            .entries()
+            .filter_map(|(kind, name, entry)| {
+                let EntryState::Refused { error, last } = &entry.state else {
+                    return None;
+                };
+                Some(RefusedRecord {
+                    kind: kind.to_string(),
+                    name: name.to_owned(),
+                    version: entry.version,
+                    why: error.to_string(),
+                    earlier_in_force: last.is_some(),
+                })
+            })
+            .collect()
+    }
+
+    /// Returns the status object for the record.
+    pub fn status(&self, instance: &str) -> RecordStatus {
+        RecordStatus {
+            schema: RecordStatus::SCHEMA,
+            version: self.version,
+            why: self.why.clone(),
+            earlier_in_force: self.earlier_in_force,
+            instance: instance.to_owned(),
+        }
+    }
+}
--- a/crates/mangowalk/src/records/show.rs
+++ b/crates/mangowalk/src/records/show.rs
@@ -8,8 +8,10 @@
     bpaf::Bpaf,
     error_stack::Report,
     mangowalk_core::{
-        platform::ObjectKey,
+        edge::Platform,
+        platform::{Object, ObjectKey},
         record::{Kind, parse},
+        status::RecordStatus,
     },
 };
 
@@ -33,10 +35,13 @@
     /// edited and written back over the version that was seen.
     pub(crate) fn run(&self) -> Result<(), Report<Failure>> {
         let key = ObjectKey::new(&self.kind.to_string(), &self.name);
-        let held = read(&self.common.platform(), &key)?
-            .ok_or_else(|| Failure::Missing { key: key.clone() })?;
+        let platform = self.common.platform();
+        let held = read(&platform, &key)?.ok_or_else(|| Failure::Missing { key: key.clone() })?;
         if let Err(error) = parse(self.kind, &held.body) {
-            progress(&format!("This record is refused. {error}"));
+            progress(&format!("This client would refuse the record. {error}"));
+        }
+        if let Some(status) = status_of(&platform, &held)? {
+            progress(&status.text());
         }
         let file = RecordFile {
             kind: self.kind,
@@ -48,3 +53,14 @@
         Ok(())
     }
 }
+
+/// Returns what the instances say of a record, if it is of this version.
+fn status_of(
+    platform: &dyn Platform,
+    held: &Object,
+) -> Result<Option<RecordStatus>, Report<Failure>> {
+    let key = RecordStatus::key(&held.key.kind, &held.key.name);
+    let status = read(platform, &key)?
+        .and_then(|object| serde_json::from_value::<RecordStatus>(object.body).ok());
+    Ok(status.filter(|s| s.version == held.version))
+}
--- a/crates/mangowalk/tests/client/fleet.rs
+++ b/crates/mangowalk/tests/client/fleet.rs
@@ -107,3 +107,35 @@
     ]);
     assert_eq!(run.code, 6, "{run}");
 }
+
+/// A record that instances refuse gets a status object, written by one of them.
+/// It goes when the record is mended, and a status of an older version is not
+/// shown, whoever left it there.
+#[test]
+fn a_refused_record_has_a_status_until_it_is_mended() {
+    let fleet = fleet(2, FleetSettings::default());
+    let client = client_of(&fleet);
+    let bad = fleet
+        .platform
+        .put("rate", "gallery", json!({ "schema": 99 }));
+    let show = || client.run(&["show", "rate", "gallery"]);
+    let run = eventually(show, |run| run.stderr.contains("was refused by"));
+    assert!(
+        run.stderr
+            .contains(&format!("Version {bad} was refused by")),
+        "{run}"
+    );
+    assert!(run.stderr.contains("upgrade this instance"), "{run}");
+    let stale = fleet
+        .platform
+        .get("status", "rate.gallery")
+        .expect("the status");
+    let good = json!({ "schema": 1, "tokens_per_s": 9, "burst_tokens": 9 });
+    fleet.platform.put("rate", "gallery", good);
+    eventually(show, |_| {
+        fleet.platform.get("status", "rate.gallery").is_none()
+    });
+    fleet.platform.put("status", "rate.gallery", stale.body);
+    let run = show();
+    assert_eq!(run.stderr, "", "{run}");
+}
--- a/crates/mangowalk/tests/client/page.rs
+++ b/crates/mangowalk/tests/client/page.rs
@@ -1,8 +1,11 @@
-//! The operators' page: every command on it runs as printed.
+//! The pages for operators: commands run as printed, fields are all there.
 
 use {
     crate::support::{eventually_in_force, fleet, router_program},
+    mangowalk_core::record::{Key, Model, Rate, Team, Upstream},
     mangowalk_standins::{Fleet, FleetSettings},
+    serde::{Serialize, de::DeserializeOwned},
+    serde_json::{Value, json},
     std::{
         env, fs,
         path::{Path, PathBuf},
@@ -83,3 +86,67 @@
     let before = env::var("PATH").unwrap_or_default();
     format!("{}:{before}", programs.display())
 }
+
+/// The page of records names every field that a record can have, so that a new
+/// field can't be left out.
+#[test]
+fn every_field_is_on_the_page_of_records() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/records.md");
+    let page = fs::read_to_string(page).expect("docs/records.md");
+    let upstream = |role: Value| {
+        let body = json!({
+            "schema": 1, "address": "10.0.0.1:1", "failure_domain": "a", "role": role,
+        });
+        fields::<Upstream>(body)
+    };
+    let cases = [
+        ("team", fields::<Team>(json!({ "schema": 1 }))),
+        (
+            "rate",
+            fields::<Rate>(json!({ "schema": 1, "tokens_per_s": 1, "burst_tokens": 1 })),
+        ),
+        (
+            "key",
+            fields::<Key>(json!({ "schema": 1, "team": "a", "digest": "" })),
+        ),
+        (
+            "model",
+            fields::<Model>(json!({ "schema": 1, "version": "v1" })),
+        ),
+        ("upstream", upstream(json!({ "engine": { "model": "a" } }))),
+        (
+            "upstream",
+            upstream(json!({ "service": { "service": "a" } })),
+        ),
+    ];
+    for (kind, fields) in cases {
+        let section = page.split(&format!("\n## {kind}\n")).nth(1).expect(kind);
+        let section = section.split("\n## ").next().expect(kind);
+        for field in fields.iter().filter(|f| *f != "schema") {
+            assert!(section.contains(&format!("`{field}`")), "{kind}: {field}");
+        }
+    }
+}
+
+/// Returns the paths of all fields of a record, those left out included.
+fn fields<T: Serialize + DeserializeOwned>(minimal: Value) -> Vec<String> {
+    let record: T = serde_json::from_value(minimal).expect("a record");
+    let mut paths = Vec::new();
+    collect(
+        "",
+        &serde_json::to_value(record).expect("a value"),
+        &mut paths,
+    );
+    paths
+}
+
+fn collect(path: &str, value: &Value, paths: &mut Vec<String>) {
+    let Value::Object(object) = value else {
+        paths.push(path.to_owned());
+        return;
+    };
+    for (name, value) in object {
+        let dot = if path.is_empty() { "" } else { "." };
+        collect(&format!("{path}{dot}{name}"), value, paths);
+    }
+}
--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -5,6 +5,7 @@
 mod config_watch;
 mod engine_poll;
 mod gossip;
+mod record_status;
 mod run;
 mod slots;
 
@@ -13,6 +14,7 @@
     config_watch::ConfigWatch,
     engine_poll::EnginePoll,
     gossip::{Gossip, answer},
+    record_status::RecordStatusWriter,
     run::{Controller, spawn},
     slots::SlotHolder,
 };
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -4,7 +4,8 @@
         caller::CallerServer,
         cli::Settings,
         controller::{
-            CacheEventReader, ConfigWatch, EnginePoll, Gossip, SlotHolder, answer, spawn,
+            CacheEventReader, ConfigWatch, EnginePoll, Gossip, RecordStatusWriter, SlotHolder,
+            answer, spawn,
         },
         edge::{LiveEdges, PeerServer},
         metrics::{MetricsReport, metrics_client},
@@ -146,6 +147,7 @@
     spawn(gossip, edges.clone(), board.clone())?;
     spawn(EnginePoll::default(), edges.clone(), board.clone())?;
     spawn(CacheEventReader::default(), edges.clone(), board.clone())?;
+    spawn(RecordStatusWriter::default(), edges.clone(), board.clone())?;
     spawn(SlotHolder::default(), edges.clone(), board.clone())?;
     Ok(())
 }
--- a/crates/mangowalkd/src/operator/status.rs
+++ b/crates/mangowalkd/src/operator/status.rs
@@ -2,7 +2,7 @@
     crate::board::{Board, EngineSight, PeerSight},
     mangowalk_core::{
         burn::TeamBurn,
-        config::{EngineRecord, EntryState, ServiceRecord, View},
+        config::{EngineRecord, ServiceRecord, View},
         status::{InstanceStatus, PeerStatus, Phase, RefusedRecord, UpstreamStatus},
     },
 };
@@ -23,7 +23,7 @@
         program_version: env!("CARGO_PKG_VERSION").to_owned(),
         phase: phase(board, &view),
         revision: view.revision,
-        refused: refused(board),
+        refused: board.config.read(RefusedRecord::of),
         open_requests: board.life.open_requests(),
         queued: board.dispatch.queued(),
         slots: board.limits.slots(now_ms),
@@ -49,26 +49,6 @@
     Phase::Ready
 }
 
-fn refused(board: &Board) -> Vec<RefusedRecord> {
-    board.config.read(|store| {
-        store
-            .entries()
-            .filter_map(|(kind, name, entry)| {
-                let EntryState::Refused { error, last } = &entry.state else {
-                    return None;
-                };
-                Some(RefusedRecord {
-                    kind: kind.to_string(),
-                    name: name.to_owned(),
-                    version: entry.version,
-                    why: error.to_string(),
-                    earlier_in_force: last.is_some(),
-                })
-            })
-            .collect()
-    })
-}
-
 fn upstreams(board: &Board, view: &View, now_ms: u64) -> Vec<UpstreamStatus> {
     let sights = board.engines.sights();
     let engines = view
