Give the platform that is not there an address of its own

Cause: a test took the port of a stand-in that had gone for one that answers nothing; another test's stand-in got the port in one run of about ten.

Change: the assertion is a test of its own against port 1, and now covers list, fleet and show.

--- a/crates/mangowalk/tests/client/records.rs
+++ b/crates/mangowalk/tests/client/records.rs
@@ -25,8 +25,6 @@
 
 #[test]
 fn apply_creates_in_the_order_that_a_fleet_needs() {
-    let client = Client::new(platform().address());
-    assert_eq!(client.run(&["list"]).code, 5, "the platform has gone");
     let platform = platform();
     let client = Client::new(platform.address());
     assert_run!(client.run_with_input(&["apply", "-"], TEAM_AND_RATE));
@@ -103,6 +101,15 @@
     assert_eq!(platform.list("key").len(), 1);
 }
 
+#[test]
+fn a_platform_that_is_not_there_has_its_own_exit_code() {
+    let nobody = Client::new(([127, 0, 0, 1], 1).into());
+    for args in [&["list"][..], &["fleet"], &["show", "team", "gallery"]] {
+        let run = nobody.run(args);
+        assert_eq!(run.code, 5, "{args:?}: {run}");
+    }
+}
+
 #[test]
 fn a_platform_that_is_down_has_its_own_exit_code() {
     let (platform, client) = with_rate();
