Name a bad variable of the client too, and compare log prefixes with the page

Change: a test reads the prefixes out of the router's sources. The search for a variable that can't be parsed is shared by both programs.

Seen red: the test itself found the missing prefix; renaming one on the page fails it.

--- a/crates/mangowalk/src/cli/run.rs
+++ b/crates/mangowalk/src/cli/run.rs
@@ -3,6 +3,7 @@
     crate::failure::Failure,
     bpaf::{Args, ParseFailure},
     error_stack::Report,
+    mangowalkd::cli::usage_message,
     std::process::ExitCode,
 };
 
@@ -23,12 +24,21 @@
     }
 }
 
+/// Prints help or a script, or why the arguments can't be used.
 fn usage(failure: &ParseFailure) -> ExitCode {
-    failure.print_message(HELP_WIDTH);
-    match failure {
-        ParseFailure::Stderr(_) => ExitCode::from(EXIT_USAGE),
-        _ => ExitCode::SUCCESS,
-    }
+    let ParseFailure::Stderr(message) = failure else {
+        failure.print_message(HELP_WIDTH);
+        return ExitCode::SUCCESS;
+    };
+    let told = usage_message(
+        &message.monochrome(false),
+        &|given| match command().run_inner(given) {
+            Err(ParseFailure::Stderr(message)) => Some(message.monochrome(false)),
+            _ => None,
+        },
+    );
+    eprintln!("mangowalk: {told}");
+    ExitCode::from(EXIT_USAGE)
 }
 
 /// Prints the failure first and what led to it below.
--- a/crates/mangowalk/tests/client/usage.rs
+++ b/crates/mangowalk/tests/client/usage.rs
@@ -38,3 +38,16 @@
     let words = client.run(&["--bpaf-complete-rev=8", "li"]);
     assert!(words.stdout.contains("list"), "{words}");
 }
+
+#[test]
+fn a_bad_variable_is_named() {
+    let client = Client::new(platform().address());
+    let client = client.with("MANGOWALK_PLATFORM_ADDRESS", "platform:80");
+    let run = client.run(&["list"]);
+    assert_eq!(run.code, 2, "{run}");
+    assert!(
+        run.stderr
+            .contains("MANGOWALK_PLATFORM_ADDRESS is \"platform:80\""),
+        "{run}"
+    );
+}
--- a/crates/mangowalkd/src/cli/run.rs
+++ b/crates/mangowalkd/src/cli/run.rs
@@ -1,17 +1,21 @@
 use {
-    super::{Settings, args, usage},
+    super::{Settings, args, usage_message},
     crate::Daemon,
+    bpaf::ParseFailure,
     std::process::ExitCode,
 };
 
 /// Exit code for settings that can't be used.
-pub(super) const EXIT_SETTINGS: u8 = 2;
+const EXIT_SETTINGS: u8 = 2;
+
+/// Width to which help is wrapped.
+const HELP_WIDTH: usize = 90;
 
 /// Runs the program with the arguments of the process.
 pub fn run() -> ExitCode {
     let args = match args().run_inner(bpaf::Args::current_args()) {
         Ok(args) => args,
-        Err(failure) => return usage::fail(failure),
+        Err(failure) => return usage(&failure),
     };
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_target(false)
@@ -35,3 +39,20 @@
         }
     }
 }
+
+/// Prints help, or why the arguments can't be used.
+fn usage(failure: &ParseFailure) -> ExitCode {
+    let ParseFailure::Stderr(message) = failure else {
+        failure.print_message(HELP_WIDTH);
+        return ExitCode::SUCCESS;
+    };
+    let told = usage_message(
+        &message.monochrome(false),
+        &|given| match args().run_inner(given) {
+            Err(ParseFailure::Stderr(message)) => Some(message.monochrome(false)),
+            _ => None,
+        },
+    );
+    eprintln!("mangowalkd: {told}");
+    ExitCode::from(EXIT_SETTINGS)
+}
--- a/crates/mangowalkd/src/cli/usage.rs
+++ b/crates/mangowalkd/src/cli/usage.rs
@@ -4,46 +4,38 @@
 //! environment variable. Behind ten variables of a unit file that is a long
 //! search, so the flag or variable is found and named here.
 
-use {
-    super::{args, run::EXIT_SETTINGS},
-    bpaf::ParseFailure,
-    std::{env, process::ExitCode},
-};
-
-/// Width to which help is wrapped.
-const HELP_WIDTH: usize = 90;
+use std::env;
 
 const VARIABLE_PREFIX: &str = "MANGOWALK_";
 
-/// Prints help, or why the arguments can't be used.
-pub(super) fn fail(failure: ParseFailure) -> ExitCode {
-    let ParseFailure::Stderr(message) = &failure else {
-        failure.print_message(HELP_WIDTH);
-        return ExitCode::SUCCESS;
-    };
-    let message = message.monochrome(false);
+/// How the parser says that it can't read a text.
+const PARSE: &str = "couldn't parse";
+
+/// Returns what to tell of arguments that the parser refused with a message.
+///
+/// `parse` parses arguments again, and returns the parser's message if it
+/// refuses them.
+pub fn usage_message(message: &str, parse: &dyn Fn(&[String]) -> Option<String>) -> String {
     let given: Vec<String> = env::args().skip(1).collect();
-    let told = match culprit(&given, &message) {
-        Some((name, text)) => {
-            let why = message.rsplit(": ").next().unwrap_or_default().trim();
-            format!("{name} is {text:?}. {}", remedy(why))
-        }
-        None => message.trim().to_owned(),
+    let Some((name, text)) = culprit(&given, message, parse) else {
+        return message.trim().to_owned();
     };
-    eprintln!("mangowalkd: {told}");
-    ExitCode::from(EXIT_SETTINGS)
+    let why = message.rsplit(": ").next().unwrap_or_default().trim();
+    format!("{name} is {text:?}. {}", remedy(why))
 }
 
 /// Returns the flag or variable that can't be parsed, and its text.
-fn culprit(given: &[String], message: &str) -> Option<(String, String)> {
+fn culprit(
+    given: &[String],
+    message: &str,
+    parse: &dyn Fn(&[String]) -> Option<String>,
+) -> Option<(String, String)> {
     if !message.contains(PARSE) {
         return None;
     }
-    flag_of(given, message).or_else(|| variable_of(given))
+    flag_of(given, message).or_else(|| variable_of(given, parse))
 }
 
-const PARSE: &str = "couldn't parse";
-
 fn flag_of(given: &[String], message: &str) -> Option<(String, String)> {
     let pairs = given.iter().enumerate().map(|(i, arg)| {
         let next = given.get(i + 1).map_or("", String::as_str);
@@ -57,7 +49,10 @@
 
 /// Finds the variable by giving each one's text as a flag: the parser names
 /// the text of a flag.
-fn variable_of(given: &[String]) -> Option<(String, String)> {
+fn variable_of(
+    given: &[String],
+    parse: &dyn Fn(&[String]) -> Option<String>,
+) -> Option<(String, String)> {
     let variables = env::vars().filter(|(name, _)| name.starts_with(VARIABLE_PREFIX));
     variables.into_iter().find(|(name, text)| {
         let flag = name[VARIABLE_PREFIX.len()..]
@@ -65,12 +60,8 @@
             .replace('_', "-");
         let mut given = given.to_vec();
         given.push(format!("--{flag}={text}"));
-        let Err(ParseFailure::Stderr(message)) = args().run_inner(given.as_slice()) else {
-            return false;
-        };
-        message
-            .monochrome(false)
-            .contains(&format!("{PARSE} `{text}`"))
+        let message = parse(&given).unwrap_or_default();
+        message.contains(&format!("{PARSE} `{text}`"))
     })
 }
 
--- a/crates/mangowalkd/tests/settings.rs
+++ b/crates/mangowalkd/tests/settings.rs
@@ -3,6 +3,7 @@
 
 use std::{
     fs,
+    path::{Path, PathBuf},
     process::{Command, Output},
 };
 
@@ -180,3 +181,46 @@
         "docs/settings.md differs from `mangowalkd --help`; run scripts/update-settings-page"
     );
 }
+
+/// Returns the source files below a directory.
+fn sources(directory: &Path) -> Vec<PathBuf> {
+    let entries = fs::read_dir(directory).expect("a directory");
+    let paths = entries.map(|entry| entry.expect("an entry").path());
+    paths
+        .flat_map(|path| {
+            if path.is_dir() {
+                sources(&path)
+            } else {
+                vec![path]
+            }
+        })
+        .collect()
+}
+
+/// Returns the first text behind each log macro of a source file.
+fn log_lines(source: &str) -> Vec<&str> {
+    ["info!(", "warn!(", "error!(", "debug!("]
+        .iter()
+        .flat_map(|call| source.split(call).skip(1))
+        .filter_map(|rest| rest.trim_start().strip_prefix('"'))
+        .collect()
+}
+
+/// A prefix that the page lacks is one that an operator can't look up.
+#[test]
+fn every_log_prefix_is_on_the_page() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = fs::read_to_string(root.join("../../docs/settings.md")).expect("the page");
+    let mut seen = 0;
+    for file in sources(&root.join("src")) {
+        let source = fs::read_to_string(&file).expect("a source file");
+        for line in log_lines(&source) {
+            let prefix = line.split(' ').next().unwrap_or_default();
+            assert!(prefix.ends_with(':'), "{}: {prefix}", file.display());
+            let row = format!("| `{prefix}` |");
+            assert!(page.contains(&row), "{}: {prefix}", file.display());
+            seen += 1;
+        }
+    }
+    assert!(seen > 20, "only {seen} log lines found");
+}
