--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -14,7 +14,7 @@
 mod team_queue;
 
 pub use {
-    dispatcher::{Dispatcher, Verdict},
+    dispatcher::{Dispatcher, Fit, Verdict},
     fair_queue::{FairQueue, Full},
     job::Job,
     settings::{AdmissionSettings, Favour},
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod burn;
+pub mod claim;
 pub mod config;
 pub mod edge;
 pub mod engine;
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -1,6 +1,9 @@
 //! Who is served, who waits and who is refused, decided without a network.
 
-use mangowalk_core::admission::{AdmissionSettings, FairQueue, Job};
+use {
+    mangowalk_core::admission::{AdmissionSettings, FairQueue, Job},
+    std::collections::HashSet,
+};
 
 fn job(id: u64, team: &str, tokens: u64, arrived_ms: u64) -> Job {
     Job {
@@ -10,6 +13,8 @@
         priority: 5,
         tokens,
         arrived_ms,
+        deadline_ms: None,
+        avoid: HashSet::new(),
         model: "drafting".to_owned(),
         version: "v1".to_owned(),
         chain: Vec::new(),
--- a/crates/mangowalkd/src/cli/settings.rs
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -35,14 +35,14 @@
     pub token_timeout_ms: u64,
     /// Longest time that a shutdown waits for open requests.
     pub drain_timeout_ms: u64,
-    /// Address for operators.
-    pub operator_address: Option<SocketAddr>,
-    /// Address of a statsd daemon.
-    pub statsd_address: Option<SocketAddr>,
     /// What counts most when every engine is full.
     pub favour: Favour,
     /// Time to compute one missed block.
     pub compute_block_us: u64,
+    /// Address for operators.
+    pub operator_address: Option<SocketAddr>,
+    /// Address of a statsd daemon.
+    pub statsd_address: Option<SocketAddr>,
 }
 
 impl Default for Settings {
@@ -61,10 +61,10 @@
             caller_timeout_ms: 10_000,
             token_timeout_ms: 5_000,
             drain_timeout_ms: 150_000,
-            operator_address: None,
-            statsd_address: None,
             favour: Favour::FirstToken,
             compute_block_us: 2_000,
+            operator_address: None,
+            statsd_address: None,
         }
     }
 }
@@ -167,10 +167,10 @@
             caller_timeout_ms: args.caller_timeout_ms,
             token_timeout_ms: args.token_timeout_ms,
             drain_timeout_ms: args.drain_timeout_ms,
-            operator_address: args.operator_address,
-            statsd_address: args.statsd_address,
             favour: args.favour,
             compute_block_us: args.compute_block_us,
+            operator_address: args.operator_address,
+            statsd_address: args.statsd_address,
         })
     }
 }
--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -2,6 +2,7 @@
 //! writes its part of the board.
 
 mod cache_events;
+mod claim_keeper;
 mod config_watch;
 mod engine_poll;
 mod gossip;
@@ -11,10 +12,11 @@
 
 pub use {
     cache_events::CacheEventReader,
+    claim_keeper::{ClaimKeeper, flush_claims},
     config_watch::ConfigWatch,
     engine_poll::EnginePoll,
     gossip::{Gossip, answer},
     record_status::RecordStatusWriter,
     run::{Controller, spawn},
-    slots::SlotHolder,
+    slots::{SlotHolder, release_slots},
 };
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -1,11 +1,11 @@
 use {
     crate::{
-        board::{Board, DispatchBoard, Identity},
+        board::{Board, DispatchSettings, Identity},
         caller::CallerServer,
         cli::Settings,
         controller::{
-            CacheEventReader, ConfigWatch, EnginePoll, Gossip, RecordStatusWriter, SlotHolder,
-            answer, spawn,
+            CacheEventReader, ClaimKeeper, ConfigWatch, EnginePoll, Gossip, RecordStatusWriter,
+            SlotHolder, answer, flush_claims, release_slots, spawn,
         },
         edge::{LiveEdges, PeerServer},
         metrics::{MetricsReport, metrics_client},
@@ -51,6 +51,7 @@
 
 /// One running instance.
 pub struct Daemon {
+    edges: Arc<LiveEdges>,
     board: Arc<Board>,
     settings: Settings,
     signals: Signals,
@@ -66,8 +67,11 @@
     pub fn start(settings: Settings) -> Result<Daemon, Report<StartError>> {
         let signals = Signals::new([SIGTERM, SIGINT]).change_context(StartError::Threads)?;
         let edges = Arc::new(LiveEdges::new(settings.platform_address));
-        let dispatch =
-            DispatchBoard::new(settings.placement(), settings.admission(), rand::random());
+        let dispatch = DispatchSettings {
+            placement: settings.placement(),
+            admission: settings.admission(),
+            seed: rand::random(),
+        };
         let identity = Identity {
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
@@ -89,6 +93,7 @@
         start_operator_edge(&settings, &edges, &board)?;
         info!("daemon: Listening on {}.", settings.caller_address);
         Ok(Daemon {
+            edges,
             board,
             settings,
             signals,
@@ -108,6 +113,8 @@
             thread::sleep(DRAIN_POLL);
             left_ms = left_ms.saturating_sub(DRAIN_POLL.as_millis() as u64);
         }
+        release_slots(&*self.edges, &self.board);
+        flush_claims(&*self.edges, &self.board);
         self.board.life.stop();
         let open = self.board.life.open_requests();
         if open > 0 {
@@ -146,6 +153,7 @@
     spawn(ConfigWatch::default(), edges.clone(), board.clone())?;
     spawn(gossip, edges.clone(), board.clone())?;
     spawn(EnginePoll::default(), edges.clone(), board.clone())?;
+    spawn(ClaimKeeper::default(), edges.clone(), board.clone())?;
     spawn(CacheEventReader::default(), edges.clone(), board.clone())?;
     spawn(RecordStatusWriter::default(), edges.clone(), board.clone())?;
     spawn(SlotHolder::default(), edges.clone(), board.clone())?;
--- a/crates/mangowalkd/src/operator/candidates.rs
+++ b/crates/mangowalkd/src/operator/candidates.rs
@@ -18,9 +18,9 @@
     model: &'a str,
     version: &'a str,
     chain: Vec<u64>,
-    /// Engines that depart, or that this instance's own attempts have shown to
-    /// be full or broken.
-    unusable: HashSet<String>,
+    /// Engines that depart. Placement hears of a record a moment after it is
+    /// in force.
+    departing: HashSet<String>,
     now_ms: u64,
 }
 
@@ -35,24 +35,22 @@
         let salt = cache_salt(&request.team, &request.model, version);
         let engines = view.engines.values().filter(|e| e.model == request.model);
         let engines: Vec<&EngineRecord> = engines.collect();
-        // Placement hears of a record a moment after it is in force.
         let departing = engines.iter().filter(|e| e.departing);
-        let mut unusable = board.upstreams.unusable(now_ms);
-        unusable.extend(departing.map(|e| e.name.clone()));
+        let departing = departing.map(|e| e.name.clone()).collect();
         Weighing {
             board,
             engines,
             model: &request.model,
             version,
             chain: block_chain(&salt, &request.prompt),
-            unusable,
+            departing,
             now_ms,
         }
     }
 
     /// Returns where the request would go now.
     pub(super) fn choice(&self) -> Option<Choice> {
-        self.choose(&self.unusable, false)
+        self.choose(&self.departing, false)
     }
 
     /// Returns how many whole blocks the prompt has.
@@ -100,7 +98,7 @@
                 ),
             );
         }
-        if self.unusable.contains(&engine.name) {
+        if !self.board.upstreams.usable(&engine.name, self.now_ms) {
             return no("Attempts on it failed or it is at its limit of attempts.");
         }
         let Some(choice) = self.alone(engine, true) else {
@@ -132,7 +130,9 @@
             chain: &self.chain,
             kept_blocks: 0,
             avoid,
+            fit: &|name| force || self.board.upstreams.usable(name, self.now_ms),
             force,
+            waited_ms: 0,
         };
         self.board.dispatch.preview(&ask, self.now_ms)
     }
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -104,28 +104,28 @@
         let mut course = Course::new(&request.request_id);
         self.board.upstreams.first_attempt();
         while !course.is_over() {
-            if !self.may_send(&course) {
-                return Err(course.given_up("Too many requests had to be sent again"));
-            }
             let Some(target) = self.next_target(request, &course, sink)? else {
                 break;
             };
+            if !self.may_send(&course) {
+                return Err(course.given_up("Too many requests had to be sent again"));
+            }
             let now_ms = self.edges.clock().now_ms();
             let name = &target.engine.name;
             let Some(on) = self.board.upstreams.start(name, &request.model, now_ms) else {
                 course.tried.insert(name.clone(), target.incarnation);
-                self.note_end(&target, None);
                 continue;
             };
             course.sequencer.rebind(&target.version);
             let timeouts = self.timeouts(request, now_ms.saturating_sub(started_ms));
             let (ended, finished) =
                 self.attempt(request, &target, on, timeouts, &mut course.sequencer, sink);
-            self.note_end(&target, finished.as_ref());
+            course.note(&target, &ended);
+            let usage = finished.as_ref().map(|f| &f.usage);
+            target.placed.end(usage, self.edges.clock().now_ms());
             if let Some(finished) = finished {
                 return Ok(finished);
             }
-            course.note(&target, &ended);
             if ended.end() == End::CallerGone {
                 return Err(Refusal::Lost {
                     remedy: "the caller closed the connection",
@@ -157,13 +157,9 @@
         course.attempts == 0 || self.board.upstreams.retry()
     }
 
-    /// Chooses an engine. The first time the request waits for its turn. For
-    /// a stream that has begun it waits for an engine to come: one that
-    /// restarts is back within seconds, and its caller has half a sentence.
-    ///
-    /// # Errors
-    ///
-    /// Refuses at once what would not be served in time.
+    /// Chooses an engine. For a stream that has begun it waits for one to
+    /// come: an engine that restarts is back within seconds, and its caller
+    /// has half a sentence.
     fn next_target(
         &self,
         request: &ChatRequest,
@@ -193,19 +189,16 @@
     /// Prefers engines below their limits. Where there is none, one whose
     /// breaker is closed is better than a refusal.
     fn choose(&self, request: &ChatRequest, course: &Course) -> Option<Target> {
+        // Read anew for each attempt: an engine withdrawn meanwhile gets none.
+        let view = self.board.config.view();
         let now_ms = self.edges.clock().now_ms();
         let upstreams = &self.board.upstreams;
-        let bound = course.sequencer.bound_version().map(str::to_owned);
-        let version = bound.or_else(|| self.version_for(request))?;
+        let version = course.sequencer.bound_version();
         let tried = self.still_tried(course);
-        let avoiding = |unfit: HashSet<String>| -> HashSet<String> {
-            tried.iter().cloned().chain(unfit).collect()
-        };
-        let full = avoiding(upstreams.unusable(now_ms));
-        self.place_again(request, &version, &full).or_else(|| {
-            let broken = avoiding(upstreams.broken(now_ms));
-            self.place_again(request, &version, &broken)
-        })
+        let usable = |name: &str| upstreams.usable(name, now_ms);
+        let allowed = |name: &str| upstreams.allows(name, now_ms);
+        self.place_again(request, &view, version, &tried, &usable)
+            .or_else(|| self.place_again(request, &view, version, &tried, &allowed))
     }
 
     /// Returns the tried engines that have not restarted since.
