Explain whether a request would get its tokens

Change: the explanation takes the tokens and puts them back at once; where they lack, it says what a look at the other instances a moment ago found.

Seen red with the safeguard taken out: putting the tokens back; the refusal when too few are there.

--- a/crates/mangowalk/tests/client/explain.rs
+++ b/crates/mangowalk/tests/client/explain.rs
@@ -82,3 +82,54 @@
     assert_eq!(holders.len(), 1, "{run}");
     assert_eq!(reply["engine"], holders[0], "{run}");
 }
+
+/// The team's rate is used up over all instances. The caller is refused with
+/// 429; the explanation says the same, and how many tokens are missing.
+#[test]
+fn a_rate_that_is_used_up_is_explained() {
+    let fleet = fleet(
+        1,
+        FleetSettings {
+            tokens_per_s: 1,
+            burst_tokens: 1_000,
+            ..FleetSettings::default()
+        },
+    );
+    let client = client_of(&fleet);
+    let run = eventually(
+        || {
+            fleet.chat(0, "Which glass?", 500, false);
+            explain(&client, "drafting", &["--max-tokens=500"])
+        },
+        |run| run.stdout.contains("tokens too few"),
+    );
+    assert!(
+        run.stdout
+            .starts_with("It would be refused: The team's rate"),
+        "{run}"
+    );
+    assert_eq!(fleet.chat(0, "Which glass?", 500, false).status, 429);
+}
+
+/// Operators look at the same request again and again. Had one look spent the
+/// team's tokens, the next would find them missing for seconds, and so would
+/// the team's callers.
+#[test]
+fn an_explanation_spends_nothing() {
+    let fleet = fleet(
+        1,
+        FleetSettings {
+            tokens_per_s: 500,
+            burst_tokens: 2_000,
+            ..FleetSettings::default()
+        },
+    );
+    let client = client_of(&fleet);
+    let look = || explain(&client, "drafting", &["--max-tokens=1900"]);
+    let at_hand = |run: &Run| run.stdout.contains("has the tokens at hand");
+    eventually(look, at_hand);
+    for _ in 0..5 {
+        let run = look();
+        assert!(at_hand(&run), "{run}");
+    }
+}
--- a/crates/mangowalkd/src/operator/explain.rs
+++ b/crates/mangowalkd/src/operator/explain.rs
@@ -1,9 +1,14 @@
 use {
     super::candidates::Weighing,
-    crate::{board::Board, serve::version_of},
+    crate::{
+        board::Board,
+        serve::{LONGEST_WAIT_MS, version_of},
+    },
     mangowalk_core::{
         config::View,
+        limits::minting_ms,
         placement::tokens_of,
+        record::Rate,
         refusal::Refusal,
         status::{ExplainReply, ExplainRequest},
     },
@@ -63,11 +68,41 @@
             burst_tokens: rate.burst_tokens,
         });
     }
+    reserve(steps, board, rate, request, tokens, now_ms)
+}
+
+/// Tells whether the request would get its tokens. They are put back at once.
+fn reserve(
+    steps: &mut Vec<String>,
+    board: &Board,
+    rate: &Rate,
+    request: &ExplainRequest,
+    tokens: u64,
+    now_ms: u64,
+) -> Result<(), Refusal> {
+    let (limits, team) = (&board.limits, &request.team);
+    let shares = limits.slots(now_ms);
+    if let Some(reservation) = limits.take(team, rate, tokens, now_ms) {
+        limits.settle(&reservation, 0);
+        steps.push(format!(
+            "This instance holds {shares} shares of every rate and has the tokens at hand."
+        ));
+        return Ok(());
+    }
     steps.push(format!(
-        "This instance holds {} shares of every rate, and asks peers for what it lacks.",
-        board.limits.slots(now_ms)
+        "This instance holds {shares} shares of every rate and lacks the tokens; it would ask other instances."
     ));
-    Ok(())
+    match limits.short_tokens(team, rate, tokens, now_ms) {
+        Some(short) if minting_ms(rate, short) > LONGEST_WAIT_MS => {
+            steps.push(format!(
+                "A look at the other instances a moment ago found {short} tokens too few."
+            ));
+            Err(Refusal::RateLimited {
+                retry_ms: minting_ms(rate, short),
+            })
+        }
+        _ => Ok(()),
+    }
 }
 
 /// Weighs the engines as placement does.
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -13,7 +13,10 @@
 mod router;
 mod service;
 
-pub(crate) use place::{cache_salt, version_of};
+pub(crate) use {
+    place::{cache_salt, version_of},
+    reserve::LONGEST_WAIT_MS,
+};
 
 pub use {
     answer::{AnswerSink, Finished},
--- a/crates/mangowalkd/src/serve/reserve.rs
+++ b/crates/mangowalkd/src/serve/reserve.rs
@@ -25,7 +25,7 @@
 const PEER_SILENT_MS: u64 = 5_000;
 
 /// Longest time that a request waits for tokens that are about to be minted.
-const LONGEST_WAIT_MS: u64 = 300;
+pub(crate) const LONGEST_WAIT_MS: u64 = 300;
 
 /// Added to such a wait, so that rounding does not end it too soon.
 const WAIT_MARGIN_MS: u64 = 2;
