--- a/crates/core/src/status/record.rs
+++ b/crates/core/src/status/record.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         config::{Entry, EntryState, Store},
+        platform::{ObjectKey, own_kind},
         record::{Kind, SCHEMA},
     },
     serde::{Deserialize, Serialize},
@@ -29,6 +30,23 @@
 }
 
 impl RecordStatus {
+    /// Returns the identity of the status of a record.
+    pub fn key(kind: &str, name: &str) -> ObjectKey {
+        ObjectKey::new(own_kind::STATUS, &format!("{kind}.{name}"))
+    }
+
+    /// Returns the status in words.
+    pub fn text(&self) -> String {
+        let Some(why) = &self.why else {
+            return format!("Version {} is in force.", self.version);
+        };
+        let earlier = match self.version_in_force {
+            0 => "nothing is in force".to_owned(),
+            version => format!("version {version} stays in force"),
+        };
+        format!("Version {} was refused, {earlier}. {why}", self.version)
+    }
+
     /// Returns the status of every record that operators wrote and did not
     /// withdraw, by the name of its object.
     pub fn of_all(store: &Store) -> BTreeMap<String, RecordStatus> {
