--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -3,6 +3,8 @@
 //! Controllers read and write it, one part each; requests read it and note
 //! what they saw. No part calls another, so each can be tested alone.
 
+mod admission;
+mod burn;
 mod config;
 mod engines;
 mod identity;
@@ -13,6 +15,8 @@
 mod whole;
 
 pub use {
+    admission::DispatchBoard,
+    burn::{BurnBoard, Unsent},
     config::ConfigBoard,
     engines::{EngineBoard, EngineSight, InFlight},
     identity::Identity,
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,8 +1,19 @@
-use super::{ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard, UpstreamBoard};
+use {
+    super::{
+        BurnBoard, ConfigBoard, DispatchBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard,
+        UpstreamBoard,
+    },
+    crate::edge::Traffic,
+    std::{net::SocketAddr, sync::Arc},
+};
 
 /// The state of one instance.
 #[derive(Debug)]
 pub struct Board {
+    /// Address towards operators, if there is one.
+    pub operator_address: Option<SocketAddr>,
+    /// What became of every team's requests.
+    pub burn: BurnBoard,
     /// Who the instance is.
     pub identity: Identity,
     /// Records in force.
@@ -11,24 +22,32 @@
     pub engines: EngineBoard,
     /// What each upstream can take, and the budget of retries.
     pub upstreams: UpstreamBoard,
+    /// Admission, queue and placement.
+    pub dispatch: DispatchBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
     pub limits: LimitBoard,
+    /// What is spent on control.
+    pub traffic: Arc<Traffic>,
     /// Phase of the process and its open requests.
     pub life: Life,
 }
 
 impl Board {
     /// Returns the board of an instance that starts.
-    pub fn new(identity: Identity) -> Board {
+    pub fn new(identity: Identity, dispatch: DispatchBoard) -> Board {
         Board {
+            operator_address: None,
+            burn: BurnBoard::default(),
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
             upstreams: UpstreamBoard::default(),
+            dispatch,
             peers: PeerBoard::default(),
             limits: LimitBoard::default(),
+            traffic: Arc::default(),
             life: Life::default(),
         }
     }
--- /dev/null
+++ b/crates/mangowalkd/src/operator/explain.rs
@@ -0,0 +1,103 @@
+use {
+    super::candidates::Weighing,
+    crate::{board::Board, serve::version_of},
+    mangowalk_core::{
+        config::View,
+        placement::tokens_of,
+        refusal::Refusal,
+        status::{ExplainReply, ExplainRequest},
+    },
+};
+
+/// Returns what the instance would do with a request now. Nothing is spent,
+/// queued or sent.
+pub(super) fn explain(board: &Board, request: &ExplainRequest, now_ms: u64) -> ExplainReply {
+    let view = board.config.view();
+    let mut reply = ExplainReply {
+        engine: None,
+        refusal: None,
+        steps: Vec::new(),
+        candidates: Vec::new(),
+    };
+    let refused = admit(&mut reply.steps, board, &view, request, now_ms)
+        .and_then(|()| place(&mut reply, board, &view, request, now_ms));
+    reply.refusal = refused.err().map(|refusal| refusal.to_string());
+    reply
+}
+
+/// Follows the checks that a request passes before its turn.
+fn admit(
+    steps: &mut Vec<String>,
+    board: &Board,
+    view: &View,
+    request: &ExplainRequest,
+    now_ms: u64,
+) -> Result<(), Refusal> {
+    let (team, model) = (&request.team, &request.model);
+    if !view.teams.contains_key(team) {
+        steps.push(format!("Team {team} has no record, so no key of it works."));
+        return Err(Refusal::Unauthorized);
+    }
+    steps.push(format!("Team {team} is known."));
+    let Some(offered) = view.models.get(model) else {
+        steps.push(format!("Model {model} has no record."));
+        return Err(Refusal::NotFound {
+            what: "Model",
+            name: model.clone(),
+        });
+    };
+    let version = &offered.version;
+    steps.push(format!("Model {model} is offered at version {version}."));
+    let tokens = tokens_of(&request.prompt) + u64::from(request.max_tokens);
+    let Some(rate) = view.rates.get(team) else {
+        steps.push(format!("Team {team} has no rate, so nothing is let in."));
+        return Err(Refusal::RateLimited { retry_ms: 60_000 });
+    };
+    steps.push(format!(
+        "The request reserves {tokens} tokens; team {team} has {} a second and a burst of {}.",
+        rate.tokens_per_s, rate.burst_tokens
+    ));
+    if tokens > rate.burst_tokens {
+        return Err(Refusal::OverBurst {
+            reserve_tokens: tokens,
+            burst_tokens: rate.burst_tokens,
+        });
+    }
+    steps.push(format!(
+        "This instance holds {} shares of every rate, and asks peers for what it lacks.",
+        board.limits.slots(now_ms)
+    ));
+    Ok(())
+}
+
+/// Weighs the engines as placement does.
+fn place(
+    reply: &mut ExplainReply,
+    board: &Board,
+    view: &View,
+    request: &ExplainRequest,
+    now_ms: u64,
+) -> Result<(), Refusal> {
+    let unavailable = |reason| Refusal::Unavailable {
+        reason,
+        retry_ms: 1_000,
+    };
+    let version = version_of(board, &request.team, &request.model, &request.prompt)
+        .ok_or_else(|| unavailable("No engine serves the model now"))?;
+    let weighing = Weighing::new(board, view, request, &version, now_ms);
+    reply.candidates = weighing.candidates();
+    reply.steps.push(format!(
+        "The prompt has {} whole blocks, and {} requests wait for an engine.",
+        weighing.blocks(),
+        board.dispatch.queued()
+    ));
+    let choice = weighing
+        .choice()
+        .ok_or_else(|| unavailable("Every engine is full; the request would wait or be refused"))?;
+    reply.steps.push(format!(
+        "Of {} engines weighed, {} is expected to bring the first token soonest.",
+        choice.weighed, choice.engine
+    ));
+    reply.engine = Some(choice.engine);
+    Ok(())
+}
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -1,13 +1,18 @@
 //! The way of one request: limit, place, attempt, answer.
 
+mod admit;
 mod answer;
 mod attempt;
 mod attempts;
 mod generate;
+mod observe;
+mod place;
 mod request;
 mod router;
 mod service;
 
+pub(crate) use place::{cache_salt, version_of};
+
 pub use {
     answer::{AnswerSink, Finished},
     request::{ChatRequest, ServiceRequest},
