--- a/crates/core/src/placement/ask.rs
+++ b/crates/core/src/placement/ask.rs
@@ -1,7 +1,7 @@
 use std::collections::HashSet;
 
 /// What a request asks of placement.
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone, Copy)]
 pub struct Ask<'a> {
     /// Model.
     pub model: &'a str,
@@ -16,6 +16,11 @@
     /// Engines that must not be used: those that an earlier attempt tried,
     /// or that run another suspect of a crash.
     pub avoid: &'a HashSet<String>,
+    /// Tells whether an engine may get one more request, by its breaker and
+    /// its limit. It is asked for the candidates alone.
+    pub fit: &'a dyn Fn(&str) -> bool,
+    /// Time that the request has waited for its turn.
+    pub waited_ms: u64,
     /// Whether an engine without room may be chosen.
     pub force: bool,
 }
--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -55,6 +55,8 @@
     pub(super) backlog_ms: f64,
     /// Attempts of this instance without a first token.
     pub(super) pending: u32,
+    /// Number of this instance's request that was sent here last.
+    pub(super) last_sent: u64,
     reachable: bool,
     retired: Vec<u64>,
     slowness: f64,
@@ -72,6 +74,7 @@
             since_report: 0,
             backlog_ms: 0.0,
             pending: 0,
+            last_sent: 0,
             reachable: false,
             retired: Vec::new(),
             slowness: 1.0,
--- a/crates/mangowalkd/src/board/admission.rs
+++ b/crates/mangowalkd/src/board/admission.rs
@@ -1,17 +1,25 @@
 use {
-    super::lock,
+    super::{UpstreamBoard, lock},
     flume::{Receiver, Sender},
     mangowalk_core::{
         admission::{AdmissionSettings, Dispatcher, Job, Verdict},
         engine::{CacheEvents, EngineState},
         placement::{Ask, Choice, EngineSpec, Placement, PlacementSettings},
     },
-    std::{
-        collections::{HashMap, HashSet},
-        sync::Mutex,
-    },
+    std::{collections::HashMap, sync::Mutex},
 };
 
+/// Settings of placement and admission.
+#[derive(Debug, Clone, Default)]
+pub struct DispatchSettings {
+    /// How requests are placed.
+    pub placement: PlacementSettings,
+    /// How requests are admitted.
+    pub admission: AdmissionSettings,
+    /// Seed of what is random.
+    pub seed: u64,
+}
+
 /// Admission, queue and placement of this instance, and who waits for them.
 #[derive(Debug)]
 pub struct DispatchBoard {
@@ -21,24 +29,29 @@
 #[derive(Debug)]
 struct Inner {
     dispatcher: Dispatcher,
+    upstreams: UpstreamBoard,
     waiters: HashMap<u64, Sender<Verdict>>,
     next_id: u64,
+    now_ms: u64,
 }
 
 impl DispatchBoard {
     /// Returns a board that knows no engine yet. The seed differs between
     /// instances, so that refused callers of several do not return together.
-    pub fn new(
-        placement: PlacementSettings,
-        admission: AdmissionSettings,
-        seed: u64,
-    ) -> DispatchBoard {
+    pub fn new(settings: DispatchSettings, upstreams: UpstreamBoard) -> DispatchBoard {
+        let DispatchSettings {
+            placement,
+            admission,
+            seed,
+        } = settings;
         let placement = Placement::new(placement, seed);
         DispatchBoard {
             inner: Mutex::new(Inner {
                 dispatcher: Dispatcher::new(placement, admission, seed),
+                upstreams,
                 waiters: HashMap::new(),
                 next_id: 1,
+                now_ms: 0,
             }),
         }
     }
@@ -54,11 +67,6 @@
         inner.dispatcher.placement_mut().set_engines(specs);
     }
 
-    /// Sets the engines that get no request from the queue now.
-    pub fn set_avoid(&self, avoid: HashSet<String>) {
-        lock(&self.inner).dispatcher.set_avoid(avoid);
-    }
-
     /// Sets how many instances share the engines.
     pub fn set_instances(&self, instances: u32) {
         let mut inner = lock(&self.inner);
@@ -82,15 +90,18 @@
     }
 
     /// Takes a new request. Its verdict comes on the channel, maybe at once.
-    pub fn arrive(&self, job: Job, now_ms: u64) -> (u64, Receiver<Verdict>) {
+    pub fn arrive(&self, job: Job, now_ms: u64) -> Receiver<Verdict> {
         let (sender, verdict) = flume::bounded(1);
         let mut inner = lock(&self.inner);
         let id = inner.next_id;
         inner.next_id += 1;
+        inner.now_ms = now_ms;
         inner.waiters.insert(id, sender);
-        let verdicts = inner.dispatcher.arrive(Job { id, ..job }, now_ms);
+        let upstreams = inner.upstreams.clone();
+        let fit = |name: &str| upstreams.usable(name, now_ms);
+        let verdicts = inner.dispatcher.arrive(Job { id, ..job }, &fit, now_ms);
         inner.tell(verdicts, now_ms);
-        (id, verdict)
+        verdict
     }
 
     /// Sends what has room now, and refuses what can't be served in time.
@@ -125,6 +136,13 @@
         inner.dispatcher.placement_mut().first_token(choice, now_ms);
     }
 
+    /// Notes the end of an attempt whose request broke off. Its end is taken
+    /// to be the last time that the board was told.
+    pub(super) fn broke_off(&self, choice: &Choice) {
+        let now_ms = lock(&self.inner).now_ms;
+        self.ended(choice, None, now_ms);
+    }
+
     /// Notes the end of an attempt, and what the engine found in its cache.
     pub fn ended(&self, choice: &Choice, cached_blocks: Option<usize>, now_ms: u64) {
         let mut inner = lock(&self.inner);
@@ -136,7 +154,10 @@
 
 impl Inner {
     fn pump(&mut self, now_ms: u64) {
-        let verdicts = self.dispatcher.pump(now_ms);
+        self.now_ms = now_ms;
+        let upstreams = &self.upstreams;
+        let fit = |name: &str| upstreams.usable(name, now_ms);
+        let verdicts = self.dispatcher.pump(&fit, now_ms);
         self.tell(verdicts, now_ms);
     }
 
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -5,24 +5,28 @@
 
 mod admission;
 mod burn;
+mod claims;
 mod config;
 mod engines;
 mod identity;
 mod life;
 mod limits;
 mod peers;
+mod placed;
 mod upstreams;
 mod whole;
 
 pub use {
-    admission::DispatchBoard,
+    admission::{DispatchBoard, DispatchSettings},
     burn::{BurnBoard, Unsent},
+    claims::{ClaimBoard, ClaimWrite},
     config::ConfigBoard,
     engines::{EngineBoard, EngineSight, InFlight},
     identity::Identity,
     life::{Life, OpenRequest},
     limits::LimitBoard,
     peers::{PeerBoard, PeerSight},
+    placed::Placed,
     upstreams::{UpstreamBoard, UpstreamRun},
     whole::Board,
 };
--- a/crates/mangowalkd/src/board/upstreams.rs
+++ b/crates/mangowalkd/src/board/upstreams.rs
@@ -5,7 +5,7 @@
         upstream::{Health, RetryBudget},
     },
     std::{
-        collections::{HashMap, HashSet},
+        collections::HashMap,
         sync::{Arc, Mutex},
     },
 };
@@ -47,16 +47,6 @@
         self.read(name, |health| health.allows(now_ms))
     }
 
-    /// Returns the upstreams that may get no attempt now.
-    pub fn unusable(&self, now_ms: u64) -> HashSet<String> {
-        self.names(|health| !health.usable(now_ms))
-    }
-
-    /// Returns the upstreams whose breaker lets no attempt through now.
-    pub fn broken(&self, now_ms: u64) -> HashSet<String> {
-        self.names(|health| !health.allows(now_ms))
-    }
-
     /// Returns how many attempts fit below an upstream's limit, its weight
     /// beside others.
     pub fn free(&self, name: &str) -> u32 {
@@ -108,15 +98,6 @@
         })
     }
 
-    fn names(&self, unfit: impl Fn(&Health) -> bool) -> HashSet<String> {
-        lock(&self.inner)
-            .upstreams
-            .iter()
-            .filter(|(_, entry)| unfit(&entry.health))
-            .map(|(name, _)| name.clone())
-            .collect()
-    }
-
     fn read<T>(&self, name: &str, reader: impl FnOnce(&Health) -> T) -> T {
         let inner = lock(&self.inner);
         match inner.upstreams.get(name) {
--- a/crates/mangowalkd/src/serve/admit.rs
+++ b/crates/mangowalkd/src/serve/admit.rs
@@ -8,7 +8,7 @@
         placement::{block_chain, tokens_of},
         refusal::Refusal,
     },
-    std::time::Duration,
+    std::{collections::HashSet, time::Duration},
 };
 
 /// Pause after which a waiting request looks at the queue itself. Answers and
@@ -19,36 +19,28 @@
 const NO_ENGINE_RETRY_MS: u64 = 1_000;
 
 impl<E: Edges> Router<E> {
-    /// Waits for a request's turn, and returns where its first attempt goes.
+    /// Waits for a request's turn.
     ///
     /// # Errors
     ///
     /// Refuses at once what would not be served in time.
     pub(super) fn admit(&self, request: &ChatRequest) -> Result<Target, Refusal> {
-        let view = &*self.board.config.view();
+        let view = self.board.config.view();
         let version = self.version_for(request).ok_or(Refusal::Unavailable {
             reason: "No engine serves the model now",
             retry_ms: NO_ENGINE_RETRY_MS,
         })?;
-        let job = self.job(request, view, &version);
-        self.avoid_unusable();
-        let (_, verdict) = self.board.dispatch.arrive(job, self.edges.clock().now_ms());
-        let verdict = loop {
-            match verdict.recv_timeout(LOOK) {
-                Ok(verdict) => break verdict,
-                Err(_) => {
-                    self.avoid_unusable();
-                    self.board.dispatch.pump(self.edges.clock().now_ms());
-                }
+        let job = self.job(request, &view, &version);
+        match self.wait_turn(job) {
+            Verdict::Send { choice, .. } => {
+                // Read anew: an engine withdrawn meanwhile gets no work.
+                let view = self.board.config.view();
+                self.target(&view, &version, choice)
+                    .ok_or(Refusal::Unavailable {
+                        reason: "The engine chosen is departing",
+                        retry_ms: NO_ENGINE_RETRY_MS,
+                    })
             }
-        };
-        match verdict {
-            Verdict::Send { choice, .. } => self
-                .target(&self.board.config.view(), &version, choice)
-                .ok_or(Refusal::Unavailable {
-                    reason: "The engine chosen is departing",
-                    retry_ms: NO_ENGINE_RETRY_MS,
-                }),
             Verdict::Refuse { full, .. } => {
                 info!(
                     "admission: Refused {} of {}, expected to wait {} ms.",
@@ -62,12 +54,15 @@
         }
     }
 
-    /// Keeps the queue from sending to upstreams that this instance's own
-    /// attempts have shown to be full or broken.
-    fn avoid_unusable(&self) {
-        let now_ms = self.edges.clock().now_ms();
-        let unusable = self.board.upstreams.unusable(now_ms);
-        self.board.dispatch.set_avoid(unusable);
+    fn wait_turn(&self, job: Job) -> Verdict {
+        let dispatch = &self.board.dispatch;
+        let verdict = dispatch.arrive(job, self.edges.clock().now_ms());
+        loop {
+            match verdict.recv_timeout(LOOK) {
+                Ok(verdict) => return verdict,
+                Err(_) => dispatch.pump(self.edges.clock().now_ms()),
+            }
+        }
     }
 
     fn job(&self, request: &ChatRequest, view: &View, version: &str) -> Job {
@@ -81,9 +76,11 @@
             priority: team.map_or(9, |t| t.priority),
             tokens: tokens_of(&request.prompt) + u64::from(request.max_tokens),
             arrived_ms: self.edges.clock().now_ms(),
+            deadline_ms: request.deadline_ms,
             model: request.model.clone(),
             version: version.to_owned(),
             chain: block_chain(&salt, &request.prompt),
+            avoid: HashSet::new(),
             kept_blocks: 0,
         }
     }
