Count only attempts that wait for their first token

Cause: the limit counted streams too. One instance with 500 open streams on four engines would have had 125 on each, over the limit of 32, and refused work to engines that were well. Change: an attempt leaves the count with its first token. Answers tell the team's burst, the tokens here and when it fills again.

--- a/crates/core/src/upstream/health.rs
+++ b/crates/core/src/upstream/health.rs
@@ -4,11 +4,17 @@
 };
 
 /// All that one instance knows of one upstream through its own attempts.
+///
+/// The limit holds for attempts that wait for their first token. Those that
+/// stream already are part of the engine's batch, stay there for tens of
+/// seconds and slow the first token of others only through the engine's own
+/// queue, which the waiting ones show. Counting them too would refuse work to
+/// healthy engines that hold many long streams.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Health {
     limit: ConcurrencyLimit,
     breaker: Breaker,
-    in_flight: u32,
+    waiting: u32,
 }
 
 impl Default for Health {
@@ -16,7 +22,7 @@
         Health {
             limit: ConcurrencyLimit::new(LimitSettings::default()),
             breaker: Breaker::new(BreakerSettings::default()),
-            in_flight: 0,
+            waiting: 0,
         }
     }
 }
@@ -24,7 +30,7 @@
 impl Health {
     /// Returns whether it may get one more attempt within its limit.
     pub fn usable(&self, now_ms: u64) -> bool {
-        self.breaker.allows(now_ms) && self.in_flight < self.limit.attempts()
+        self.breaker.allows(now_ms) && self.waiting < self.limit.attempts()
     }
 
     /// Returns whether its breaker lets an attempt through.
@@ -37,12 +43,12 @@
         self.breaker.wait_ms(now_ms)
     }
 
-    /// Returns how many attempts fit below its limit.
+    /// Returns how many more attempts may wait there.
     pub fn free(&self) -> u32 {
-        self.limit.attempts().saturating_sub(self.in_flight)
+        self.limit.attempts().saturating_sub(self.waiting)
     }
 
-    /// Returns the limit of attempts.
+    /// Returns how many attempts may wait there at once.
     pub fn limit(&self) -> u32 {
         self.limit.attempts()
     }
@@ -57,7 +63,7 @@
         if !self.breaker.enter(now_ms) {
             return false;
         }
-        self.in_flight += 1;
+        self.waiting += 1;
         true
     }
 
@@ -65,17 +71,20 @@
     pub fn first_token(&mut self, took_ms: u64, peers_ms: Option<f64>, now_ms: u64) {
         self.breaker.succeeded();
         self.limit
-            .first_token(took_ms, self.in_flight, peers_ms, now_ms);
+            .first_token(took_ms, self.waiting, peers_ms, now_ms);
+        self.waiting = self.waiting.saturating_sub(1);
     }
 
-    /// Takes back an attempt whose end is not known.
+    /// Takes back a waiting attempt whose end is not known.
     pub fn forget(&mut self) {
-        self.in_flight = self.in_flight.saturating_sub(1);
+        self.waiting = self.waiting.saturating_sub(1);
     }
 
     /// Takes the end of an attempt.
     pub fn end(&mut self, ended: &Ended, now_ms: u64) {
-        self.in_flight = self.in_flight.saturating_sub(1);
+        if ended.first_token_ms().is_none() {
+            self.waiting = self.waiting.saturating_sub(1);
+        }
         if ended.is_failure() {
             self.breaker.failed(now_ms);
             self.limit.failed(now_ms);
--- a/crates/core/src/upstream/limit.rs
+++ b/crates/core/src/upstream/limit.rs
@@ -1,6 +1,6 @@
 use super::LimitSettings;
 
-/// How many attempts one upstream gets at once.
+/// How many attempts may wait for one upstream's first token at once.
 ///
 /// Load pattern: one engine among many turns slow (a noisy neighbour, a bad
 /// clock, long jobs in its batch). Without a limit it keeps its share of new
@@ -49,22 +49,15 @@
 
     /// Takes the time to first token of one attempt.
     ///
-    /// `in_flight` counts the attempts that were out, `peers_ms` is the
-    /// middle of the short averages of the others that serve the same.
-    pub fn first_token(
-        &mut self,
-        took_ms: u64,
-        in_flight: u32,
-        peers_ms: Option<f64>,
-        now_ms: u64,
-    ) {
+    /// `waiting` counts the attempts that waited, `peers_ms` is the middle of the short averages of the others that serve the same.
+    pub fn first_token(&mut self, took_ms: u64, waiting: u32, peers_ms: Option<f64>, now_ms: u64) {
         let short_ms = self.smooth(took_ms as f64);
         let usual_ms = self.usual_ms.unwrap_or(short_ms);
         let fair_ms = peers_ms.map_or(usual_ms, |peers_ms| peers_ms.min(usual_ms));
         let bound_ms = fair_ms * self.settings.slow_factor + self.settings.slack_ms;
         if short_ms > bound_ms {
             self.cut(bound_ms / short_ms, now_ms);
-        } else if f64::from(in_flight) * 2.0 >= self.limit {
+        } else if f64::from(waiting) * 2.0 >= self.limit {
             // A limit that is not in use says nothing about what more would do.
             self.limit = (self.limit + 1.0 / self.limit).min(self.settings.most);
         }
--- a/crates/core/src/upstream/limit_settings.rs
+++ b/crates/core/src/upstream/limit_settings.rs
@@ -1,14 +1,14 @@
 /// Figures of a [`super::ConcurrencyLimit`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitSettings {
-    /// Limit of an upstream that nothing is known of. A new engine gets work
-    /// at once; 32 is four times the batch of 8 at which the smallest engines
-    /// stop to gain, so only a slow one meets it.
+    /// Limit of an upstream that nothing is known of. At 20 requests a second
+    /// a node and 16 engines, 32 that wait are 25 s of one engine's share: a
+    /// healthy engine never meets it, and a new one gets work at once.
     pub start: f64,
     /// Lowest limit. One attempt at a time must stay, or the upstream could
     /// never show that it recovered.
     pub least: f64,
-    /// Highest limit: the streams that one instance may hold.
+    /// Highest limit, about half the streams that one instance may hold.
     pub most: f64,
     /// Time to first token counts as slow above this many times the usual.
     /// A missed prefix alone makes one answer several times slower than a
--- a/crates/mangowalkd/src/board/limits.rs
+++ b/crates/mangowalkd/src/board/limits.rs
@@ -100,6 +100,14 @@
         lock(&self.inner).holding.slots(now_ms)
     }
 
+    /// Returns the tokens of a team that are here.
+    pub fn tokens(&self, team: &str, rate: &Rate, now_ms: u64) -> u64 {
+        lock(&self.inner)
+            .holding
+            .ledger()
+            .tokens(team, rate, now_ms)
+    }
+
     /// Takes tokens of a team, all or none.
     pub fn take(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> Option<Reservation> {
         let mut inner = lock(&self.inner);
--- a/crates/mangowalkd/src/board/upstreams.rs
+++ b/crates/mangowalkd/src/board/upstreams.rs
@@ -5,6 +5,7 @@
         upstream::{Health, RetryBudget},
     },
     std::{
+        cell::Cell,
         collections::HashMap,
         sync::{Arc, Mutex},
     },
@@ -47,13 +48,13 @@
         self.read(name, |health| health.allows(now_ms))
     }
 
-    /// Returns how many attempts fit below an upstream's limit, its weight
+    /// Returns how many more attempts may wait at an upstream, its weight
     /// beside others.
     pub fn free(&self, name: &str) -> u32 {
         self.read(name, Health::free)
     }
 
-    /// Returns an upstream's limit of attempts.
+    /// Returns how many attempts may wait at an upstream.
     pub fn limit(&self, name: &str) -> u32 {
         self.read(name, Health::limit)
     }
@@ -94,7 +95,7 @@
         entry.health.start(now_ms).then(|| UpstreamRun {
             board: self.clone(),
             name: name.to_owned(),
-            is_open: true,
+            is_waiting: Cell::new(true),
         })
     }
 
@@ -127,12 +128,13 @@
 pub struct UpstreamRun {
     board: UpstreamBoard,
     name: String,
-    is_open: bool,
+    is_waiting: Cell<bool>,
 }
 
 impl UpstreamRun {
     /// Notes the time to first token.
     pub fn first_token(&self, took_ms: u64, now_ms: u64) {
+        self.is_waiting.set(false);
         let mut inner = lock(&self.board.inner);
         let peers_ms = inner.peers_ms(&self.name);
         if let Some(entry) = inner.upstreams.get_mut(&self.name) {
@@ -141,8 +143,8 @@
     }
 
     /// Notes how the attempt ended.
-    pub fn end(mut self, ended: &Ended, now_ms: u64) {
-        self.is_open = false;
+    pub fn end(self, ended: &Ended, now_ms: u64) {
+        self.is_waiting.set(false);
         let mut inner = lock(&self.board.inner);
         if let Some(entry) = inner.upstreams.get_mut(&self.name) {
             entry.health.end(ended, now_ms);
@@ -153,7 +155,7 @@
 impl Drop for UpstreamRun {
     /// A request's thread that panics must not hold its place for ever.
     fn drop(&mut self) {
-        if !self.is_open {
+        if !self.is_waiting.get() {
             return;
         }
         let mut inner = lock(&self.board.inner);
--- a/crates/mangowalkd/src/caller/handler.rs
+++ b/crates/mangowalkd/src/caller/handler.rs
@@ -10,7 +10,7 @@
     },
     crate::serve::Router,
     log::info,
-    mangowalk_core::{edge::Edges, refusal::Refusal},
+    mangowalk_core::{edge::Edges, limits::minting_ms, refusal::Refusal},
     std::mem,
     tiny_http::{Method, Request},
 };
@@ -141,12 +141,22 @@
         self.condemned.add(request.remote_addr(), now_ms);
     }
 
-    /// Adds the team's rate to a head.
+    /// Adds the team's rate to a head: its burst, the tokens that are here,
+    /// and when the whole rate would have filled the burst again. Others may
+    /// hold more of the team's tokens, so a request over what remains here is
+    /// not refused for that alone.
     pub(super) fn add_rate(&self, head: &mut Head, team: &str) {
-        let view = self.router.board().config.view();
-        if let Some(rate) = view.rates.get(team) {
-            head.add("x-ratelimit-limit-tokens", rate.burst_tokens.to_string());
-        }
+        let board = self.router.board();
+        let view = board.config.view();
+        let Some(rate) = view.rates.get(team) else {
+            return;
+        };
+        let remaining_tokens = board.limits.tokens(team, rate, self.router.now_ms());
+        let missing_tokens = rate.burst_tokens.saturating_sub(remaining_tokens);
+        let reset_ms = minting_ms(rate, missing_tokens);
+        head.add("x-ratelimit-limit-tokens", rate.burst_tokens.to_string());
+        head.add("x-ratelimit-remaining-tokens", remaining_tokens.to_string());
+        head.add("x-ratelimit-reset-tokens", format!("{reset_ms}ms"));
     }
 
     /// Reads the body, up to the limits of length and time.
--- a/crates/mangowalkd/tests/callers.rs
+++ b/crates/mangowalkd/tests/callers.rs
@@ -131,6 +131,11 @@
     let answer = post(&fleet, "/v1/chat/completions", &[], &body);
     let limit = answer.header("x-ratelimit-limit-tokens");
     assert_eq!(limit, Some("1000000"));
+    let remaining = answer.header("x-ratelimit-remaining-tokens");
+    let remaining: u64 = remaining.and_then(|r| r.parse().ok()).expect("a number");
+    assert!((1..1_000_000).contains(&remaining), "{remaining}");
+    let reset = answer.header("x-ratelimit-reset-tokens").expect("a time");
+    assert!(reset.ends_with("ms"), "{reset}");
 }
 
 /// Callers present their key in every way that the protocol knows, also with
