--- a/crates/mangowalkd/src/caller/reply.rs
+++ b/crates/mangowalkd/src/caller/reply.rs
@@ -7,6 +7,9 @@
 
 const MS_PER_S: u64 = 1_000;
 
+/// Who wrote a response: a service's own error looks like one of the router's.
+pub(super) const SOURCE_HEADER: &str = "x-mangowalk-source";
+
 /// A response whose body is held whole.
 pub(super) type WholeResponse = Response<Cursor<Vec<u8>>>;
 
@@ -51,6 +54,7 @@
         let outcome = refusal.outcome().to_string();
         response = with_header(response, "x-mangowalk-outcome", &outcome);
         response = with_header(response, "x-should-retry", should_retry(refusal));
+        response = with_header(response, SOURCE_HEADER, "router");
         if let Some(retry_ms) = refusal.retry_ms() {
             let retry_s = retry_ms.div_ceil(MS_PER_S).max(1).to_string();
             response = with_header(response, "Retry-After", &retry_s);
--- a/crates/mangowalkd/src/caller/service.rs
+++ b/crates/mangowalkd/src/caller/service.rs
@@ -1,5 +1,8 @@
 use {
-    super::handler::{Handler, header},
+    super::{
+        handler::{Handler, header},
+        reply::SOURCE_HEADER,
+    },
     crate::serve::ServiceRequest,
     mangowalk_core::edge::Edges,
     tiny_http::{Header, Request, Response},
@@ -32,9 +35,11 @@
     match handler.router.call_service_counted(&call) {
         Ok(reply) => {
             let mut response = Response::from_data(reply.body).with_status_code(reply.status);
-            let content_type = ("Content-Type", reply.content_type);
-            let headers = handler.head.headers().iter();
-            for (name, value) in headers.chain([&content_type]) {
+            let own = [
+                ("Content-Type", reply.content_type),
+                (SOURCE_HEADER, "service".to_owned()),
+            ];
+            for (name, value) in handler.head.headers().iter().chain(&own) {
                 if let Ok(header) = Header::from_bytes(*name, value.as_str()) {
                     response = response.with_header(header);
                 }
--- a/crates/mangowalkd/tests/callers.rs
+++ b/crates/mangowalkd/tests/callers.rs
@@ -138,6 +138,19 @@
     assert!(reset.ends_with("ms"), "{reset}");
 }
 
+/// An error of the service looks like one of the router's. The head tells who
+/// wrote it: only the router's says anything of what ran.
+#[test]
+fn a_response_names_its_source() {
+    let fleet = fleet();
+    let path = "/v1/services/orders/book";
+    let headers = [("Idempotency-Key", "order-9")];
+    let served = post(&fleet, path, &headers, &json!({}));
+    assert_eq!(served.header("x-mangowalk-source"), Some("service"));
+    let refused = post(&fleet, "/v1/services/none/book", &headers, &json!({}));
+    assert_eq!(refused.header("x-mangowalk-source"), Some("router"));
+}
+
 /// Callers present their key in every way that the protocol knows, also with
 /// requests that fail. It must reach no engine, no service, no log line and
 /// no error.
