Leave a stalled engine before the timeout of the first token

Cause: an engine that stalls holds each request sent to it for the whole timeout of the first token (20 s), and a copy sent elsewhere by the wait of the request alone computes the prefix again. Change: a stream that listens for a second and hears nothing reports it; an engine on which no stream heard a token for a second counts as stalled, gets no new work, and its waiting requests move once, within the budget. Seen red without the move: requests_leave_a_stalled_engine.

--- a/crates/core/src/attempt/ended.rs
+++ b/crates/core/src/attempt/ended.rs
@@ -9,6 +9,8 @@
     CallerGone,
     /// The call failed.
     Send(SendError),
+    /// The engine fell silent to all of its streams, and another is free.
+    Stalled,
     /// The stream can't go on.
     Stream(Fault),
 }
@@ -45,7 +47,7 @@
             End::Complete => Outcome::Ran,
             End::Send(SendError::NotConnected | SendError::Refused { .. })
             | End::Stream(Fault::NotRun) => Outcome::NotRun,
-            End::CallerGone | End::Send(_) | End::Stream(_) => Outcome::Unknown,
+            End::CallerGone | End::Stalled | End::Send(_) | End::Stream(_) => Outcome::Unknown,
         }
     }
 
@@ -78,6 +80,7 @@
         matches!(
             self.end,
             End::CallerGone
+                | End::Stalled
                 | End::Send(SendError::TimedOut | SendError::Unreadable)
                 | End::Stream(Fault::Gap | Fault::OtherWeights)
         )
--- a/crates/core/src/upstream/health.rs
+++ b/crates/core/src/upstream/health.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Breaker, BreakerSettings, ConcurrencyLimit, LimitSettings},
+    super::{Breaker, BreakerSettings, ConcurrencyLimit, LimitSettings, Silence},
     crate::attempt::{End, Ended},
 };
 
@@ -14,6 +14,7 @@
 pub struct Health {
     limit: ConcurrencyLimit,
     breaker: Breaker,
+    silence: Silence,
     waiting: u32,
 }
 
@@ -22,6 +23,7 @@
         Health {
             limit: ConcurrencyLimit::new(LimitSettings::default()),
             breaker: Breaker::new(BreakerSettings::default()),
+            silence: Silence::default(),
             waiting: 0,
         }
     }
@@ -30,7 +32,24 @@
 impl Health {
     /// Returns whether it may get one more attempt within its limit.
     pub fn usable(&self, now_ms: u64) -> bool {
-        self.breaker.allows(now_ms) && self.waiting < self.limit.attempts()
+        self.breaker.allows(now_ms)
+            && self.waiting < self.limit.attempts()
+            && !self.silence.is_stalled(now_ms)
+    }
+
+    /// Returns whether it has fallen silent to all of its streams.
+    pub fn is_stalled(&self, now_ms: u64) -> bool {
+        self.silence.is_stalled(now_ms)
+    }
+
+    /// Notes a token.
+    pub fn heard(&mut self, now_ms: u64) {
+        self.silence.heard(now_ms);
+    }
+
+    /// Notes that a stream listened and heard nothing.
+    pub fn unheard(&mut self, now_ms: u64) {
+        self.silence.unheard(now_ms);
     }
 
     /// Returns whether its breaker lets an attempt through.
@@ -70,6 +89,7 @@
     /// Takes the time to first token of an attempt that goes on.
     pub fn first_token(&mut self, took_ms: u64, peers_ms: Option<f64>, now_ms: u64) {
         self.breaker.succeeded();
+        self.silence.heard(now_ms);
         self.limit
             .first_token(took_ms, self.waiting, peers_ms, now_ms);
         self.waiting = self.waiting.saturating_sub(1);
--- a/crates/core/tests/upstreams.rs
+++ b/crates/core/tests/upstreams.rs
@@ -3,7 +3,9 @@
 use mangowalk_core::{
     attempt::{Attempt, End, Ended},
     edge::SendError,
-    upstream::{Breaker, BreakerSettings, ConcurrencyLimit, Health, LimitSettings, RetryBudget},
+    upstream::{
+        Breaker, BreakerSettings, ConcurrencyLimit, Health, LimitSettings, RetryBudget, Silence,
+    },
 };
 
 const USUAL_MS: u64 = 40;
@@ -121,6 +123,22 @@
     assert!((100..=120).contains(&retries), "{retries}");
 }
 
+/// A long queue does not silence the streams beside it; a stall does. One
+/// stream that listened for a second shows it, until any hears a token.
+#[test]
+fn an_upstream_silent_to_all_its_streams_is_stalled() {
+    let mut silence = Silence::default();
+    silence.heard(1_000);
+    assert!(!silence.is_stalled(5_000), "nobody listened");
+    silence.unheard(2_100);
+    assert!(silence.is_stalled(2_100));
+    silence.heard(2_200);
+    assert!(!silence.is_stalled(2_300));
+    silence.unheard(2_400);
+    assert!(!silence.is_stalled(2_500), "another stream just heard");
+    assert!(!silence.is_stalled(9_000), "a report of long ago");
+}
+
 /// An engine holds as many streams as it may have waiting. They stream, so it
 /// gets more; only those that wait for a first token count.
 #[test]
--- a/crates/mangowalkd/src/board/upstreams.rs
+++ b/crates/mangowalkd/src/board/upstreams.rs
@@ -59,6 +59,11 @@
         self.read(name, Health::limit)
     }
 
+    /// Returns whether an upstream has fallen silent to all of its streams.
+    pub fn is_stalled(&self, name: &str, now_ms: u64) -> bool {
+        self.read(name, |health| health.is_stalled(now_ms))
+    }
+
     /// Returns when an upstream's breaker lets the next attempt through.
     pub fn wait_ms(&self, name: &str, now_ms: u64) -> u64 {
         self.read(name, |health| health.wait_ms(now_ms))
@@ -142,6 +147,23 @@
         }
     }
 
+    /// Notes a token behind the first.
+    pub fn heard(&self, now_ms: u64) {
+        self.update(|health| health.heard(now_ms));
+    }
+
+    /// Notes that a stream listened and heard nothing.
+    pub fn unheard(&self, now_ms: u64) {
+        self.update(|health| health.unheard(now_ms));
+    }
+
+    fn update(&self, writer: impl FnOnce(&mut Health)) {
+        let mut inner = lock(&self.board.inner);
+        if let Some(entry) = inner.upstreams.get_mut(&self.name) {
+            writer(&mut entry.health);
+        }
+    }
+
     /// Notes how the attempt ended.
     pub fn end(self, ended: &Ended, now_ms: u64) {
         self.is_waiting.set(false);
--- a/crates/mangowalkd/src/serve/attempt.rs
+++ b/crates/mangowalkd/src/serve/attempt.rs
@@ -31,7 +31,10 @@
 /// What one wait brought.
 enum Next {
     Token,
+    /// An event that is nothing to the caller.
     Nothing,
+    /// Nothing came.
+    Silence,
     End(End),
 }
 
@@ -135,6 +138,22 @@
         }
     }
 
+    /// Returns whether another engine could take the request of a target.
+    fn has_other(&self, target: &Target, now_ms: u64) -> bool {
+        let sights = self.board.engines.sights();
+        let serves = |name: &str| {
+            let state = sights.get(name).and_then(|sight| sight.state.as_ref());
+            state.is_some_and(|s| s.version == target.version && !s.loading)
+        };
+        self.board.config.view().engines.values().any(|engine| {
+            engine.name != target.engine.name
+                && engine.model == target.engine.model
+                && !engine.departing
+                && serves(&engine.name)
+                && self.board.upstreams.usable(&engine.name, now_ms)
+        })
+    }
+
     /// Reads an engine's state again, so that the next placement does not
     /// meet the same refusal.
     fn refresh(&self, engine: &EngineRecord) {
@@ -160,29 +179,48 @@
             let wait_ms = sent.wait_ms(&self.timeouts, self.now_ms());
             match self.next(wait_ms) {
                 Next::Nothing => {}
+                Next::Silence if sent.number() == 1 && self.may_move() => {
+                    return sent.end(End::Stalled);
+                }
+                Next::Silence => {}
                 Next::End(end) => return sent.end(end),
                 Next::Token => {
                     let now_ms = self.now_ms();
                     let streaming = sent.first_token(now_ms);
                     self.target.placed.first_token(now_ms);
                     on.first_token(streaming.first_token_ms(), now_ms);
-                    return self.until_end(streaming);
+                    return self.until_end(streaming, on);
                 }
             }
         }
     }
 
-    fn until_end(&mut self, mut streaming: Attempt<Streaming>) -> Ended {
+    fn until_end(&mut self, mut streaming: Attempt<Streaming>, on: &UpstreamRun) -> Ended {
         loop {
             let wait_ms = streaming.wait_ms(&self.timeouts, self.now_ms());
             match self.next(wait_ms) {
                 Next::Nothing => {}
+                Next::Silence => on.unheard(self.now_ms()),
                 Next::End(end) => return streaming.end(end),
-                Next::Token => streaming.token(self.now_ms()),
+                Next::Token => {
+                    let now_ms = self.now_ms();
+                    streaming.token(now_ms);
+                    on.heard(now_ms);
+                }
             }
         }
     }
 
+    /// Returns whether the request may leave its engine before the timeout: it
+    /// is stalled, another one is free, and the budget pays for it.
+    fn may_move(&self) -> bool {
+        let now_ms = self.now_ms();
+        let upstreams = &self.router.board.upstreams;
+        upstreams.is_stalled(&self.target.engine.name, now_ms)
+            && self.router.has_other(self.target, now_ms)
+            && upstreams.retry()
+    }
+
     fn next(&mut self, wait_ms: u64) -> Next {
         if wait_ms == 0 {
             return Next::End(End::Send(SendError::TimedOut));
@@ -190,7 +228,7 @@
         match self.events.wait(wait_ms.min(SIGN_MS)) {
             Ok(Some(event)) => self.take(&event),
             Ok(None) if self.sink.silence().is_err() => Next::End(End::CallerGone),
-            Ok(None) => Next::Nothing,
+            Ok(None) => Next::Silence,
             Err(error) => Next::End(End::Send(error)),
         }
     }
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -34,6 +34,8 @@
     tried: HashMap<String, u64>,
     attempts: u32,
     stale: u32,
+    /// Whether the next attempt was charged when the last one gave up.
+    is_paid: bool,
     outcome: Outcome,
 }
 
@@ -44,6 +46,7 @@
             tried: HashMap::new(),
             attempts: 0,
             stale: 0,
+            is_paid: false,
             outcome: Outcome::NotRun,
         }
     }
@@ -56,6 +59,7 @@
         let name = target.engine.name.clone();
         self.tried.insert(name, target.incarnation);
         self.outcome = worse(self.outcome, ended.outcome());
+        self.is_paid = ended.end() == End::Stalled;
         if ended.is_stale() {
             self.stale += 1;
         } else {
@@ -154,7 +158,7 @@
             self.board.upstreams.resume();
             return true;
         }
-        course.attempts == 0 || self.board.upstreams.retry()
+        course.attempts == 0 || course.is_paid || self.board.upstreams.retry()
     }
 
     /// Chooses an engine. For a stream that has begun it waits for one to
--- a/crates/mangowalkd/tests/upstreams.rs
+++ b/crates/mangowalkd/tests/upstreams.rs
@@ -1,6 +1,9 @@
 //! What failing engines are sent, judged by what they and callers receive.
 
-use mangowalk_standins::{EngineFaults, Fleet, FleetSettings};
+use {
+    mangowalk_standins::{EngineFaults, EngineSettings, Fleet, FleetSettings},
+    std::{thread, time::Duration},
+};
 
 const REQUESTS: u64 = 30;
 
@@ -33,6 +36,63 @@
     assert!((3..REQUESTS / 2).contains(&sent), "{sent}");
 }
 
+/// One engine of two stalls under its streams: no token, no error. Requests
+/// sent there before that showed leave for the other engine within seconds,
+/// and later ones are not sent there. Without that each would wait for the
+/// timeout of the first token, here longer than any caller does.
+#[test]
+fn requests_leave_a_stalled_engine() {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        engine: EngineSettings {
+            token_us: 50_000,
+            ..EngineSettings::default()
+        },
+        router_args: vec![
+            "--request-timeout-ms=300000".to_owned(),
+            "--first-token-timeout-ms=200000".to_owned(),
+            "--token-timeout-ms=100000".to_owned(),
+            "--drain-timeout-ms=400000".to_owned(),
+        ],
+        ..FleetSettings::default()
+    });
+    fleet.until_served();
+    let running = |engine: usize| fleet.engines[engine].state().load.running;
+    thread::scope(|scope| {
+        let mut streams = 0;
+        while running(0) == 0 || running(1) == 0 {
+            scope.spawn({
+                let fleet = &fleet;
+                move || fleet.chat(0, &format!("long {streams}"), 100, true)
+            });
+            streams += 1;
+            thread::sleep(Duration::from_millis(100));
+        }
+        let before = fleet.engines[0].attempts();
+        fleet.engines[0].set_faults(EngineFaults {
+            stall: true,
+            ..EngineFaults::default()
+        });
+        let sent: Vec<_> = (0..8)
+            .map(|i| {
+                (
+                    i,
+                    scope.spawn({
+                        let fleet = &fleet;
+                        move || fleet.chat(0, &format!("short {i}"), 2, false)
+                    }),
+                )
+            })
+            .collect();
+        for (i, sent) in sent {
+            let answer = sent.join().expect("an answer");
+            assert_eq!(answer.text(), Fleet::expected(&format!("short {i}"), 2));
+        }
+        assert!(fleet.engines[0].attempts() > before);
+        fleet.engines[0].set_faults(EngineFaults::default());
+    });
+}
+
 /// One engine of two is dead. No caller notices, and the other serves all.
 #[test]
 fn a_dead_engine_is_noticed_by_no_caller() {
--- a/crates/standins/src/engine/stand_in.rs
+++ b/crates/standins/src/engine/stand_in.rs
@@ -431,7 +431,7 @@
             self.shared.crash();
             return false;
         }
-        if faults.freeze_after_tokens == Some(written) {
+        if faults.stall || faults.freeze_after_tokens == Some(written) {
             return self.stay_silent();
         }
         let slow = faults.slow_factor.max(1);
@@ -448,7 +448,7 @@
             if inner.incarnation != self.incarnation || inner.cancelled.contains(&key) {
                 return false;
             }
-            if inner.faults.freeze_after_tokens.is_none() {
+            if !inner.faults.stall && inner.faults.freeze_after_tokens.is_none() {
                 return true;
             }
         }
