--- a/crates/core/src/attempt/ended.rs
+++ b/crates/core/src/attempt/ended.rs
@@ -9,6 +9,8 @@
     CallerGone,
     /// The call failed.
     Send(SendError),
+    /// The request reached the longest time that it may take.
+    OverTime,
     /// The engine fell silent to all of its streams, and another is free.
     Stalled,
     /// The stream can't go on.
@@ -47,7 +49,9 @@
             End::Complete => Outcome::Ran,
             End::Send(SendError::NotConnected | SendError::Refused { .. })
             | End::Stream(Fault::NotRun) => Outcome::NotRun,
-            End::CallerGone | End::Stalled | End::Send(_) | End::Stream(_) => Outcome::Unknown,
+            End::CallerGone | End::OverTime | End::Stalled | End::Send(_) | End::Stream(_) => {
+                Outcome::Unknown
+            }
         }
     }
 
@@ -61,6 +65,7 @@
             self.end,
             End::Complete
                 | End::CallerGone
+                | End::OverTime
                 | End::Send(SendError::Refused { status: 409 })
                 | End::Stream(Fault::NotRun)
         )
@@ -80,6 +85,7 @@
         matches!(
             self.end,
             End::CallerGone
+                | End::OverTime
                 | End::Stalled
                 | End::Send(SendError::TimedOut | SendError::Unreadable)
                 | End::Stream(Fault::Gap | Fault::OtherWeights)
--- a/crates/core/src/attempt/timeouts.rs
+++ b/crates/core/src/attempt/timeouts.rs
@@ -12,6 +12,9 @@
     pub first_token_ms: u64,
     /// Longest wait between two tokens.
     pub between_tokens_ms: u64,
+    /// When the request reaches the longest time that it may take. A shutdown
+    /// waits a little longer than that, so that it cuts off none.
+    pub request_until_ms: u64,
 }
 
 impl Default for Timeouts {
@@ -19,6 +22,7 @@
         Timeouts {
             first_token_ms: 20_000,
             between_tokens_ms: 5_000,
+            request_until_ms: u64::MAX,
         }
     }
 }
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -37,6 +37,7 @@
     let timeouts = Timeouts {
         first_token_ms: 1_000,
         between_tokens_ms: 100,
+        ..Timeouts::default()
     };
     let sent = Attempt::plan(1).send(50);
     assert_eq!(sent.wait_ms(&timeouts, 550), 500);
--- a/crates/mangowalkd/src/serve/attempt.rs
+++ b/crates/mangowalkd/src/serve/attempt.rs
@@ -222,10 +222,15 @@
     }
 
     fn next(&mut self, wait_ms: u64) -> Next {
+        let until_ms = self.timeouts.request_until_ms;
+        let left_ms = until_ms.saturating_sub(self.now_ms());
+        if left_ms == 0 {
+            return Next::End(End::OverTime);
+        }
         if wait_ms == 0 {
             return Next::End(End::Send(SendError::TimedOut));
         }
-        match self.events.wait(wait_ms.min(SIGN_MS)) {
+        match self.events.wait(wait_ms.min(SIGN_MS).min(left_ms)) {
             Ok(Some(event)) => self.take(&event),
             Ok(None) if self.sink.silence().is_err() => Next::End(End::CallerGone),
             Ok(None) => Next::Silence,
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -121,7 +121,7 @@
                 continue;
             };
             course.sequencer.rebind(&target.version);
-            let timeouts = self.timeouts(request, now_ms.saturating_sub(started_ms));
+            let timeouts = self.timeouts(request, started_ms, now_ms);
             let (ended, finished) =
                 self.attempt(request, &target, on, timeouts, &mut course.sequencer, sink);
             course.note(&target, &ended);
@@ -130,24 +130,30 @@
             if let Some(finished) = finished {
                 return Ok(finished);
             }
-            if ended.end() == End::CallerGone {
-                return Err(Refusal::Lost {
-                    remedy: "the caller closed the connection",
-                    outcome: course.outcome,
-                });
+            match ended.end() {
+                End::OverTime => break,
+                End::CallerGone => {
+                    return Err(Refusal::Lost {
+                        remedy: "the caller closed the connection",
+                        outcome: course.outcome,
+                    });
+                }
+                _ => {}
             }
         }
         Err(course.given_up("No engine can take the request"))
     }
 
-    fn timeouts(&self, request: &ChatRequest, spent_ms: u64) -> Timeouts {
+    fn timeouts(&self, request: &ChatRequest, started_ms: u64, now_ms: u64) -> Timeouts {
         let settings = &self.settings;
+        let spent_ms = now_ms.saturating_sub(started_ms);
         let left_ms = request
             .deadline_ms
             .map_or(u64::MAX, |deadline_ms| deadline_ms.saturating_sub(spent_ms));
         Timeouts {
             first_token_ms: settings.first_token_timeout_ms.min(left_ms),
             between_tokens_ms: settings.token_timeout_ms,
+            request_until_ms: started_ms.saturating_add(settings.request_timeout_ms),
         }
     }
 
--- a/crates/mangowalkd/tests/streams.rs
+++ b/crates/mangowalkd/tests/streams.rs
@@ -1,7 +1,9 @@
 //! Streams reach their callers complete and in order, or are seen to be cut.
 
 use {
-    mangowalk_standins::{Answer, EngineFaults, EngineStandIn, Fleet, FleetSettings, RawCaller},
+    mangowalk_standins::{
+        Answer, EngineFaults, EngineSettings, EngineStandIn, Fleet, FleetSettings, RawCaller,
+    },
     serde_json::json,
     std::{thread, time::Duration},
 };
@@ -195,6 +197,38 @@
     assert!(text.contains("\"completion_tokens\":20"), "{text}");
 }
 
+/// The answer takes longer than a request may. A shutdown waits for no longer
+/// than that, so the stream ends here, seen to be cut, and frees its engine.
+#[test]
+fn a_stream_over_the_longest_time_is_cut() {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        engines: 1,
+        engine: EngineSettings {
+            token_us: 100_000,
+            ..EngineSettings::default()
+        },
+        router_args: ["request", "token", "first-token"]
+            .map(|name| format!("--{name}-timeout-ms=1000"))
+            .to_vec(),
+        ..FleetSettings::default()
+    });
+    fleet.until_served();
+    let answer = fleet.chat(0, "long", 200, true);
+    assert!(!answer.is_done(), "{}", answer.body);
+    assert!(
+        answer
+            .streamed_text()
+            .starts_with(&Fleet::expected("long", 2))
+    );
+    assert!(
+        answer.body.contains("\"outcome\":\"ran\""),
+        "{}",
+        answer.body
+    );
+    assert!(comes_true(|| fleet.engines[0].state().load.running == 0));
+}
+
 /// The caller hangs up while the engine is silent between two tokens. No
 /// token comes whose writing could fail, so only the lines in between can
 /// show it. The engine must be free again.
