--- a/crates/mangowalkd/examples/capacity/state.rs
+++ b/crates/mangowalkd/examples/capacity/state.rs
@@ -3,11 +3,12 @@
 use {
     crate::process::own_resident_kib,
     mangowalk_core::{
-        config::{Store, View},
+        config::{Delta, Store, View},
         limits::Ledger,
         peer::{InstanceView, PeerReply},
         record::Rate,
     },
+    mangowalkd::board::PeerBoard,
     serde_json::json,
     std::{hint::black_box, net::SocketAddr, time::Instant},
 };
@@ -17,6 +18,9 @@
 const TEAMS: [u64; 3] = [5, 58, 230];
 const REPEATS: u32 = 50;
 
+/// Exchanges after which nothing is news any more.
+const SETTLING_ROUNDS: u32 = 5_000;
+
 /// Prints every slope of the state.
 pub(crate) fn measure() {
     println!("## Records in force\n");
@@ -26,8 +30,8 @@
         config(records);
     }
     println!("\n## Exchange between instances\n");
-    println!("| instances known | bytes of one answer |");
-    println!("| --- | --- |");
+    println!("| instances known | bytes of an answer with news | at rest |");
+    println!("| --- | --- | --- |");
     for instances in INSTANCES {
         exchange(instances);
     }
@@ -79,16 +83,29 @@
         failure_domain: "domain-1".to_owned(),
         ready: true,
         departing: false,
+        suspected: false,
+    };
+    let peers = PeerBoard::default();
+    for i in 1..instances {
+        peers.hear(&view(i), i as u64);
+    }
+    let mean_bytes = |rounds: u32| -> usize {
+        let bytes: usize = (0..rounds).map(|_| answer_bytes(&peers, view(0))).sum();
+        bytes / rounds as usize
     };
+    let fresh_bytes = mean_bytes(1);
+    mean_bytes(SETTLING_ROUNDS);
+    println!("| {instances} | {fresh_bytes} | {} |", mean_bytes(REPEATS));
+}
+
+fn answer_bytes(peers: &PeerBoard, from: InstanceView) -> usize {
     let reply = PeerReply::Exchange {
-        from: view(0),
-        others: (1..instances).map(view).collect(),
-        revision: 1 << 20,
-        entries: Vec::new(),
+        from,
+        news: peers.news(),
+        delta: Delta::default(),
         crashes: Vec::new(),
     };
-    let bytes = postcard::to_stdvec(&reply).map_or(0, |b| b.len());
-    println!("| {instances} | {bytes} |");
+    postcard::to_stdvec(&reply).map_or(0, |b| b.len())
 }
 
 fn tokens(teams: u64) {
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -4,6 +4,7 @@
         Life, LimitBoard, PeerBoard, UpstreamBoard,
     },
     crate::edge::Traffic,
+    mangowalk_core::{config::View, placement::EngineSpec},
     std::{net::SocketAddr, sync::Arc},
 };
 
@@ -55,4 +56,26 @@
             life: Life::default(),
         }
     }
+
+    /// Tells placement of the engines in force, once for each view.
+    ///
+    /// A request asks for this before it is placed. Were only the poll to tell
+    /// placement, requests in between would be sent to an engine that drains
+    /// or departs, and refused when that is found out.
+    pub fn take_engines(&self, view: &Arc<View>) {
+        if !self.dispatch.is_new(view) {
+            return;
+        }
+        let specs: Vec<EngineSpec> = view
+            .engines
+            .values()
+            .map(|e| EngineSpec {
+                name: e.name.clone(),
+                model: e.model.clone(),
+                near: e.failure_domain == self.identity.failure_domain,
+                departing: e.departing || view.draining.contains(&e.name),
+            })
+            .collect();
+        self.dispatch.set_engines(&specs, view);
+    }
 }
