--- a/crates/mangowalkd/src/operator/status.rs
+++ b/crates/mangowalkd/src/operator/status.rs
@@ -1,8 +1,8 @@
 use {
     crate::board::{Board, EngineSight, PeerSight},
     mangowalk_core::{
-        burn::TeamBurn,
-        config::{EngineRecord, EntryState, ServiceRecord, View},
+        burn::InstanceBurn,
+        config::{EngineRecord, ServiceRecord, View},
         status::{InstanceStatus, PeerStatus, Phase, RefusedRecord, UpstreamStatus},
     },
 };
@@ -23,7 +23,7 @@
         program_version: env!("CARGO_PKG_VERSION").to_owned(),
         phase: phase(board, &view),
         revision: view.revision,
-        refused: refused(board),
+        refused: board.config.read(RefusedRecord::of),
         open_requests: board.life.open_requests(),
         queued: board.dispatch.queued(),
         slots: board.limits.slots(now_ms),
@@ -34,7 +34,6 @@
             .iter()
             .map(|p| peer(p, now_ms))
             .collect(),
-        burn: burn(board, &view, now_ms),
         control: board.traffic.counts(),
     }
 }
@@ -49,26 +48,6 @@
     Phase::Ready
 }
 
-fn refused(board: &Board) -> Vec<RefusedRecord> {
-    board.config.read(|store| {
-        store
-            .entries()
-            .filter_map(|(kind, name, entry)| {
-                let EntryState::Refused { error, last } = &entry.state else {
-                    return None;
-                };
-                Some(RefusedRecord {
-                    kind: kind.to_string(),
-                    name: name.to_owned(),
-                    version: entry.version,
-                    why: error.to_string(),
-                    earlier_in_force: last.is_some(),
-                })
-            })
-            .collect()
-    })
-}
-
 fn upstreams(board: &Board, view: &View, now_ms: u64) -> Vec<UpstreamStatus> {
     let sights = board.engines.sights();
     let engines = view
@@ -125,10 +104,16 @@
     }
 }
 
-fn burn(board: &Board, view: &View, now_ms: u64) -> Vec<TeamBurn> {
+/// Returns what the instance counted. It has a path of its own: at 230 teams it
+/// is hundreds of kilobytes, and the status is asked for far more often.
+pub(super) fn burn(board: &Board, now_ms: u64) -> InstanceBurn {
+    let view = board.config.view();
     let mut teams = board.burn.publish(now_ms);
     for team in &mut teams {
         team.tokens_per_s = view.rates.get(&team.team).map_or(0, |r| r.tokens_per_s);
     }
-    teams
+    InstanceBurn {
+        caller_address: board.identity.caller_address,
+        teams,
+    }
 }
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -34,6 +34,8 @@
     tried: HashMap<String, u64>,
     attempts: u32,
     stale: u32,
+    /// Whether the next attempt was charged when the last one gave up.
+    is_paid: bool,
     outcome: Outcome,
 }
 
@@ -44,6 +46,7 @@
             tried: HashMap::new(),
             attempts: 0,
             stale: 0,
+            is_paid: false,
             outcome: Outcome::NotRun,
         }
     }
@@ -56,6 +59,7 @@
         let name = target.engine.name.clone();
         self.tried.insert(name, target.incarnation);
         self.outcome = worse(self.outcome, ended.outcome());
+        self.is_paid = ended.end() == End::Stalled;
         if ended.is_stale() {
             self.stale += 1;
         } else {
@@ -117,7 +121,7 @@
                 continue;
             };
             course.sequencer.rebind(&target.version);
-            let timeouts = self.timeouts(request, now_ms.saturating_sub(started_ms));
+            let timeouts = self.timeouts(request, started_ms, now_ms);
             let (ended, finished) =
                 self.attempt(request, &target, on, timeouts, &mut course.sequencer, sink);
             course.note(&target, &ended);
@@ -126,24 +130,30 @@
             if let Some(finished) = finished {
                 return Ok(finished);
             }
-            if ended.end() == End::CallerGone {
-                return Err(Refusal::Lost {
-                    remedy: "the caller closed the connection",
-                    outcome: course.outcome,
-                });
+            match ended.end() {
+                End::OverTime => break,
+                End::CallerGone => {
+                    return Err(Refusal::Lost {
+                        remedy: "the caller closed the connection",
+                        outcome: course.outcome,
+                    });
+                }
+                _ => {}
             }
         }
         Err(course.given_up("No engine can take the request"))
     }
 
-    fn timeouts(&self, request: &ChatRequest, spent_ms: u64) -> Timeouts {
+    fn timeouts(&self, request: &ChatRequest, started_ms: u64, now_ms: u64) -> Timeouts {
         let settings = &self.settings;
+        let spent_ms = now_ms.saturating_sub(started_ms);
         let left_ms = request
             .deadline_ms
             .map_or(u64::MAX, |deadline_ms| deadline_ms.saturating_sub(spent_ms));
         Timeouts {
             first_token_ms: settings.first_token_timeout_ms.min(left_ms),
             between_tokens_ms: settings.token_timeout_ms,
+            request_until_ms: started_ms.saturating_add(settings.request_timeout_ms),
         }
     }
 
@@ -154,7 +164,7 @@
             self.board.upstreams.resume();
             return true;
         }
-        course.attempts == 0 || self.board.upstreams.retry()
+        course.attempts == 0 || course.is_paid || self.board.upstreams.retry()
     }
 
     /// Chooses an engine. For a stream that has begun it waits for one to
--- a/crates/mangowalkd/tests/callers.rs
+++ b/crates/mangowalkd/tests/callers.rs
@@ -131,6 +131,24 @@
     let answer = post(&fleet, "/v1/chat/completions", &[], &body);
     let limit = answer.header("x-ratelimit-limit-tokens");
     assert_eq!(limit, Some("1000000"));
+    let remaining = answer.header("x-ratelimit-remaining-tokens");
+    let remaining: u64 = remaining.and_then(|r| r.parse().ok()).expect("a number");
+    assert!((1..1_000_000).contains(&remaining), "{remaining}");
+    let reset = answer.header("x-ratelimit-reset-tokens").expect("a time");
+    assert!(reset.ends_with("ms"), "{reset}");
+}
+
+/// An error of the service looks like one of the router's. The head tells who
+/// wrote it: only the router's says anything of what ran.
+#[test]
+fn a_response_names_its_source() {
+    let fleet = fleet();
+    let path = "/v1/services/orders/book";
+    let headers = [("Idempotency-Key", "order-9")];
+    let served = post(&fleet, path, &headers, &json!({}));
+    assert_eq!(served.header("x-mangowalk-source"), Some("service"));
+    let refused = post(&fleet, "/v1/services/none/book", &headers, &json!({}));
+    assert_eq!(refused.header("x-mangowalk-source"), Some("router"));
 }
 
 /// Callers present their key in every way that the protocol knows, also with
--- a/crates/mangowalkd/tests/claims.rs
+++ b/crates/mangowalkd/tests/claims.rs
@@ -139,6 +139,7 @@
     let fleet = fleet();
     fleet.platform.set_faults(PlatformFaults {
         lose_replies: 1,
+        lose_replies_of: Some("claim".to_owned()),
         ..PlatformFaults::default()
     });
     let answer = book(&fleet, 0, "seat-3", "seat");
@@ -176,6 +177,7 @@
     let fleet = fleet();
     fleet.platform.set_faults(PlatformFaults {
         lose_replies: 1,
+        lose_replies_of: Some("claim".to_owned()),
         lose_reads: true,
         ..PlatformFaults::default()
     });
