--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -169,6 +169,41 @@
     assert_ne!(choose(&mut placement, &chain, 100).engine, first.engine);
 }
 
+/// The engine that holds the prompt is full, another one is free. The caller
+/// is served sooner by waiting a little than by a long prefill elsewhere, and
+/// others keep their prefill time. Once it has waited for as long as the prompt
+/// takes to compute, it must go where there is room.
+#[test]
+fn a_request_waits_for_its_prompt_but_not_for_ever() {
+    let settings = PlacementSettings {
+        instances: 8,
+        ..PlacementSettings::default()
+    };
+    let mut placement = placement(2, settings);
+    let chain = chain("gallery");
+    let mut held = choose(&mut placement, &chain, 0);
+    placement.sent(&mut held, &chain, 0);
+    placement.first_token(&mut held, 10);
+    placement.report(&held.engine, Some(&state(1, SLOTS)));
+    let mut after = |waited_ms| {
+        let ask = Ask {
+            model: "drafting",
+            version: "v1",
+            chain: &chain,
+            kept_blocks: 0,
+            avoid: &HashSet::new(),
+            fit: &|_| true,
+            waited_ms,
+            queued: 0,
+            force: false,
+        };
+        placement.choose(&ask, 100 + waited_ms)
+    };
+    assert_eq!(after(0), None);
+    let elsewhere = after(2_000).expect("the other engine");
+    assert_ne!(elsewhere.engine, held.engine);
+}
+
 /// Where the store of kept pieces holds a prompt that no engine has, the
 /// decision counts on importing it, which costs less than computing it.
 #[test]
