Predict a wait by what a team was served ahead of its turn

Cause: the prediction counted a request's own tokens at the team's share of the drain. A small team's single request seemed to wait 1.2 s, its second one was refused, although fair queueing starts a team that used less than its share at once.

Change: the wait is what the team was served ahead of its turn, and what waits before the request.

Failed try before it, reverted: weighing each team by what its callers ask of the instance, up to twice its part of the rate, as callers are spread unevenly.

what_cannot_be_served_in_time_is_refused_at_once lets 21 requests in now where it let 19 in: a wait leaves the request's own tokens out. The last still waits 2,000 ms of 2,000, and the thirty behind are refused as before.

--- a/crates/core/src/admission/fair_queue.rs
+++ b/crates/core/src/admission/fair_queue.rs
@@ -105,14 +105,23 @@
             return 0;
         };
         let own = self.teams.get(&job.team);
-        let ahead = own.map_or(0, |t| t.tokens_ahead(job.tokens)) + job.tokens;
+        let ahead = own.map_or(0.0, |team| {
+            self.used_tokens(team, job.weight) + team.tokens_ahead(job.tokens) as f64
+        });
         let share = self.share(&job.team, job.weight);
         let all: u64 = self.teams.values().map(|t| t.queued_tokens).sum();
-        let fair_ms = ahead as f64 / (drain * share);
-        let whole_ms = (all + job.tokens) as f64 / drain;
+        let fair_ms = ahead / (drain * share);
+        let whole_ms = all as f64 / drain;
         fair_ms.min(whole_ms) as u64
     }
 
+    /// Returns the tokens that a team was served ahead of its turn. The next
+    /// request of a team that used less than its share starts at once, however
+    /// small the share is.
+    fn used_tokens(&self, team: &TeamQueue, weight: f64) -> f64 {
+        (team.finish - self.virtual_time).max(0.0) * weight
+    }
+
     /// Returns the part of the drain that a team gets beside those that wait.
     fn share(&self, team: &str, weight: f64) -> f64 {
         let others: f64 = self
@@ -206,10 +215,11 @@
         };
         let team_drain = drain.map(|drain| drain * self.share(name, weight));
         let settings = self.settings.clone();
+        let used = self.teams.get(name).map(|t| self.used_tokens(t, weight));
         let Some(team) = self.teams.get_mut(name) else {
             return Vec::new();
         };
-        let mut ahead_tokens = 0;
+        let mut ahead_tokens = used.unwrap_or_default();
         let mut given_up: Vec<(u64, u64)> = Vec::new();
         for at in team.order(&settings, now_ms) {
             let job = &team.jobs[at];
@@ -218,12 +228,12 @@
                 .unwrap_or(u64::MAX)
                 .min(settings.most_wait_ms);
             let waited_ms = now_ms.saturating_sub(job.arrived_ms);
-            let left_ms = team_drain.map_or(0.0, |d| (ahead_tokens + job.tokens) as f64 / d);
+            let left_ms = team_drain.map_or(0.0, |d| ahead_tokens / d);
             let total_ms = waited_ms as f64 + left_ms;
             if waited_ms > most_ms || total_ms > most_ms as f64 * CLEAR_MISS {
                 given_up.push((job.id, total_ms as u64));
             } else {
-                ahead_tokens += job.tokens;
+                ahead_tokens += job.tokens as f64;
             }
         }
         given_up
