--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -2,6 +2,7 @@
 
 use {
     mangowalk_core::admission::{AdmissionSettings, FairQueue, Job},
+    proptest::prelude::*,
     std::collections::HashSet,
 };
 
@@ -146,3 +147,31 @@
         "{retries:?}"
     );
 }
+
+proptest! {
+    /// Callers of two teams send requests of any lengths, and both always
+    /// wait. Whatever the lengths, neither team's callers may get more than
+    /// one longest request ahead of the other's, and nobody is lost.
+    #[test]
+    fn two_backlogged_teams_stay_together(
+        lengths in prop::collection::vec((1_u64..5_000, 1_u64..5_000), 40),
+    ) {
+        let mut queue = queue();
+        for (i, (a, b)) in lengths.iter().enumerate() {
+            enter(&mut queue, job(i as u64, "a", *a, 0));
+            enter(&mut queue, job(1_000 + i as u64, "b", *b, 0));
+        }
+        let mut served = [0_u64; 2];
+        let mut left = [lengths.len(); 2];
+        while !queue.is_empty() {
+            let taken = next(&mut queue, 0);
+            let team = usize::from(taken.team == "b");
+            served[team] += taken.tokens;
+            left[team] -= 1;
+            if left.iter().all(|n| *n > 0) {
+                prop_assert!(served[0].abs_diff(served[1]) <= 10_000, "{served:?}");
+            }
+        }
+        prop_assert_eq!(left, [0, 0]);
+    }
+}
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -5,6 +5,7 @@
         engine::{CacheChange, CacheEvents, EngineState, LoadReport},
         placement::{Ask, Choice, EngineSpec, Placement, PlacementSettings, block_chain},
     },
+    proptest::prelude::*,
     std::collections::HashSet,
 };
 
@@ -240,3 +241,81 @@
         assert!(most <= Some(20), "{engines} engines: {most:?}");
     }
 }
+
+/// What may happen to an engine.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    Restart,
+    Load,
+    OtherVersion,
+    Silent,
+    Report,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        Just(Event::Restart),
+        Just(Event::Load),
+        Just(Event::OtherVersion),
+        Just(Event::Silent),
+        Just(Event::Report),
+    ]
+}
+
+proptest! {
+    /// Engines restart, load weights, change version and fall silent in any
+    /// order while requests come. No request may go to an engine that last
+    /// said it can't serve it or that is to be avoided, nor count on blocks
+    /// that were computed before the engine's last restart.
+    #[test]
+    fn no_request_goes_where_it_cannot_run(
+        steps in prop::collection::vec((0_usize..4, event(), any::<bool>()), 1..60),
+    ) {
+        let mut placement = placement(4, PlacementSettings::default());
+        let chain = chain("gallery");
+        let mut states: Vec<Option<EngineState>> = vec![Some(state(1, 0)); 4];
+        let mut holds = [false; 4];
+        let avoid = HashSet::from(["engine-3".to_owned()]);
+        for (i, (engine, event, shunned)) in steps.into_iter().enumerate() {
+            let before = states[engine].clone().unwrap_or_else(|| state(i as u64 + 100, 0));
+            let after = match event {
+                Event::Restart => Some(state(i as u64 + 100, 0)),
+                Event::Load => Some(EngineState { loading: true, ..before }),
+                Event::OtherVersion => Some(EngineState { version: "v2".to_owned(), ..before }),
+                Event::Silent => None,
+                Event::Report => Some(EngineState {
+                    loading: false,
+                    version: "v1".to_owned(),
+                    ..before
+                }),
+            };
+            let restarted = after.as_ref().map(|s| s.incarnation)
+                != states[engine].as_ref().map(|s| s.incarnation);
+            holds[engine] &= !restarted;
+            placement.report(&format!("engine-{engine}"), after.as_ref());
+            states[engine] = after;
+            let none = HashSet::new();
+            let ask = Ask {
+                model: "drafting",
+                version: "v1",
+                chain: &chain,
+                kept_blocks: 0,
+                avoid: if shunned { &avoid } else { &none },
+                fit: &|_| true,
+                waited_ms: 0,
+                queued: 0,
+                force: true,
+            };
+            let now_ms = i as u64 * 100;
+            let Some(mut choice) = placement.choose(&ask, now_ms) else { continue };
+            let at: usize = choice.engine.trim_start_matches("engine-").parse().unwrap_or(9);
+            let now = states[at].as_ref();
+            prop_assert!(now.is_some_and(|s| !s.loading && s.version == "v1"), "{choice:?}");
+            prop_assert!(!(shunned && at == 3));
+            prop_assert!(choice.believed_blocks == 0 || holds[at], "{choice:?}");
+            holds[at] = true;
+            placement.sent(&mut choice, &chain, now_ms);
+            placement.ended(&choice, Some(choice.believed_blocks), now_ms + 10);
+        }
+    }
+}
