--- a/crates/standins/src/queue/mod.rs
+++ b/crates/standins/src/queue/mod.rs
@@ -8,13 +8,16 @@
 mod cache;
 mod deployment;
 mod engine;
+mod faults;
 mod figures;
 mod mangowalk;
 mod pattern;
 mod plain;
 mod policy;
+mod reads;
 mod request;
 mod run;
+mod service;
 mod workload;
 
 pub use {
--- a/crates/standins/src/queue/run.rs
+++ b/crates/standins/src/queue/run.rs
@@ -2,11 +2,12 @@
     super::{
         Deployment, Figures, Pattern, PolicyKind,
         deployment::PATIENCE_US,
-        engine::{EngineModel, Prefill, Task},
+        engine::{EngineModel, Task},
         figures::Outcome,
         mangowalk::Mangowalk,
         plain::Plain,
         policy::{Action, Policy},
+        reads::REPORT_ROUND_US,
         request::Request,
         workload::workload,
     },
@@ -17,23 +18,14 @@
     },
 };
 
-/// Engines whose state, or whose events, an instance reads in one round; as
-/// in the running router.
-const ASKED_A_ROUND: usize = 8;
-const REPORT_ROUND_US: u64 = 250_000;
-const EVENTS_ROUND_US: u64 = 200_000;
-
 /// Time between two publications of an engine's load.
 const PUBLISH_US: u64 = 250_000;
 
 /// Time between two looks at the queue.
 const TICK_US: u64 = 50_000;
 
-/// Time within which a block that is computed again counts as wasted.
-const RECOMPUTED_US: u64 = 30_000_000;
-
 /// Blocks in a kept piece: 4,096 tokens.
-const PIECE_BLOCKS: usize = 64;
+pub(super) const PIECE_BLOCKS: usize = 64;
 
 /// When faults set in, and when a slow engine recovers.
 const FAULT_US: u64 = 16_000_000;
@@ -74,8 +66,9 @@
     }
 }
 
+/// What happens next.
 #[derive(Debug)]
-enum Event {
+pub(super) enum Event {
     Arrive(u64),
     Reach {
         engine: usize,
@@ -113,25 +106,26 @@
 
 /// Where a request is now.
 #[derive(Debug, Clone, Default)]
-struct Place {
-    on: Option<(usize, u64)>,
-    over: bool,
+pub(super) struct Place {
+    pub(super) on: Option<(usize, u64)>,
+    pub(super) over: bool,
 }
 
-struct Run {
-    settings: RunSettings,
-    requests: Vec<Request>,
-    places: Vec<Place>,
-    outcomes: Vec<Outcome>,
-    engines: Vec<EngineModel>,
-    instances: Vec<Box<dyn Policy>>,
-    heap: BinaryHeap<Reverse<(u64, u64)>>,
-    events: HashMap<u64, Event>,
-    next: u64,
-    now_us: u64,
-    computed: HashMap<u64, u64>,
-    kept: HashSet<u64>,
-    rng: SmallRng,
+/// One run under way.
+pub(super) struct Run {
+    pub(super) settings: RunSettings,
+    pub(super) requests: Vec<Request>,
+    pub(super) places: Vec<Place>,
+    pub(super) outcomes: Vec<Outcome>,
+    pub(super) engines: Vec<EngineModel>,
+    pub(super) instances: Vec<Box<dyn Policy>>,
+    pub(super) heap: BinaryHeap<Reverse<(u64, u64)>>,
+    pub(super) events: HashMap<u64, Event>,
+    pub(super) next: u64,
+    pub(super) now_us: u64,
+    pub(super) computed: HashMap<u64, u64>,
+    pub(super) kept: HashSet<u64>,
+    pub(super) rng: SmallRng,
 }
 
 /// Runs one policy on one workload and returns what its callers got.
@@ -142,7 +136,7 @@
     Figures::of(&run.outcomes)
 }
 
-fn policy(settings: &RunSettings, instance: usize, seed: u64) -> Box<dyn Policy> {
+pub(super) fn policy(settings: &RunSettings, instance: usize, seed: u64) -> Box<dyn Policy> {
     let (deployment, kind) = (&settings.deployment, settings.policy);
     match kind {
         PolicyKind::Mangowalk | PolicyKind::NoEvents | PolicyKind::Import => {
@@ -196,7 +190,7 @@
         }
     }
 
-    fn at(&mut self, at_us: u64, event: Event) {
+    pub(super) fn at(&mut self, at_us: u64, event: Event) {
         self.heap.push(Reverse((at_us, self.next)));
         self.events.insert(self.next, event);
         self.next += 1;
@@ -243,16 +237,6 @@
         }
     }
 
-    fn schedule_reads(&mut self, instance: usize, from_us: u64) {
-        for engine in 0..self.settings.deployment.engines {
-            let round = (engine / ASKED_A_ROUND) as u64;
-            let at_us = from_us + round * REPORT_ROUND_US;
-            self.at(at_us, Event::Report { instance, engine });
-            let at_us = from_us + round * EVENTS_ROUND_US;
-            self.at(at_us, Event::ReadEvents { instance, engine });
-        }
-    }
-
     fn go(&mut self) {
         // Requests that came late still get their time.
         let end_us = self.settings.length_us + 2 * PATIENCE_US;
@@ -267,7 +251,7 @@
         }
     }
 
-    fn now_ms(&self) -> u64 {
+    pub(super) fn now_ms(&self) -> u64 {
         self.now_us / 1_000
     }
 
@@ -329,7 +313,7 @@
         pieces.take_while(|b| self.kept.contains(b)).count() * PIECE_BLOCKS
     }
 
-    fn act(&mut self, actions: Vec<Action>) {
+    pub(super) fn act(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
                 Action::Send {
@@ -357,171 +341,9 @@
     }
 
     /// Returns the time of one way.
-    fn distance_us(&self, instance: usize, engine: usize) -> u64 {
+    pub(super) fn distance_us(&self, instance: usize, engine: usize) -> u64 {
         let d = &self.settings.deployment;
         let near = instance % d.failure_domains == engine % d.failure_domains;
         if near { 0 } else { d.other_domain_us / 2 }
     }
-
-    fn reach(&mut self, engine: usize, task: Task) {
-        if !self.engines[engine].up {
-            return self.again(task.id, engine);
-        }
-        let prefill = self.engines[engine].take(task);
-        self.begin(engine, prefill);
-    }
-
-    fn begin(&mut self, engine: usize, prefill: Option<Prefill>) {
-        let Some(prefill) = prefill else { return };
-        let chain = &prefill.task.chain;
-        let known = |b: &&u64| {
-            let computed_us = self.computed.get(b);
-            computed_us.is_some_and(|us| self.now_us - us < RECOMPUTED_US)
-        };
-        let behind = prefill.hit_blocks + prefill.task.import_blocks;
-        let recomputed = chain.iter().skip(behind).filter(known).count();
-        let outcome = &mut self.outcomes[prefill.task.id as usize];
-        outcome.hit_blocks = prefill.hit_blocks;
-        outcome.recomputed_blocks = recomputed;
-        let event = Event::Prefilled {
-            engine,
-            incarnation: self.engines[engine].incarnation,
-            task: prefill.task,
-        };
-        self.at(self.now_us + prefill.takes_us, event);
-    }
-
-    fn prefilled(&mut self, engine: usize, incarnation: u64, task: &Task) {
-        if self.engines[engine].incarnation != incarnation {
-            return;
-        }
-        for (depth, block) in task.chain.iter().enumerate() {
-            let again = self.computed.insert(*block, self.now_us).is_some();
-            if again && (depth + 1) % PIECE_BLOCKS == 0 {
-                self.kept.insert(*block);
-            }
-        }
-        let (next, answer_us) = self.engines[engine].prefilled(task);
-        self.begin(engine, next);
-        let ended = Event::Ended {
-            engine,
-            incarnation,
-            id: task.id,
-        };
-        self.at(self.now_us + answer_us, ended);
-        let at = task.id as usize;
-        if self.places[at].on != Some((engine, incarnation)) {
-            return;
-        }
-        let request = &self.requests[at];
-        let back_us = self.distance_us(request.instance, engine);
-        let first_token_us = self.now_us + back_us - request.at_us;
-        let outcome = &mut self.outcomes[at];
-        outcome.first_token_us.get_or_insert(first_token_us);
-        let (instance, now_ms) = (request.instance, self.now_ms());
-        self.instances[instance].first_token(task.id, now_ms);
-    }
-
-    fn ended(&mut self, engine: usize, incarnation: u64, id: u64) {
-        if self.engines[engine].incarnation != incarnation {
-            return;
-        }
-        let next = self.engines[engine].ended();
-        self.begin(engine, next);
-        if self.places[id as usize].on != Some((engine, incarnation)) {
-            return;
-        }
-        self.places[id as usize].over = true;
-        let cached = self.outcomes[id as usize].hit_blocks;
-        self.settle(id, engine, Some(cached));
-    }
-
-    fn settle(&mut self, id: u64, engine: usize, cached_blocks: Option<usize>) {
-        self.places[id as usize].on = None;
-        let instance = self.requests[id as usize].instance;
-        let now_ms = self.now_ms();
-        let actions = self.instances[instance].ended(id, engine, cached_blocks, now_ms);
-        self.act(actions);
-    }
-
-    fn give_up(&mut self, id: u64) {
-        let place = self.places[id as usize].clone();
-        if place.over || self.outcomes[id as usize].first_token_us.is_some() {
-            return;
-        }
-        let instance = self.requests[id as usize].instance;
-        if self.instances[instance].leave(id) {
-            self.places[id as usize].over = true;
-        } else if let Some((engine, _)) = place.on
-            && self.engines[engine].drop_waiting(id)
-        {
-            self.places[id as usize].over = true;
-            self.settle(id, engine, None);
-        }
-    }
-
-    fn again(&mut self, id: u64, dead: usize) {
-        self.settle(id, dead, None);
-        let request = self.requests[id as usize].clone();
-        let now_ms = self.now_ms();
-        let actions = self.instances[request.instance].again(&request, dead, now_ms);
-        self.act(actions);
-    }
-
-    fn report(&mut self, instance: usize, engine: usize) {
-        let state = self.engines[engine].state();
-        let now_ms = self.now_ms();
-        let actions = self.instances[instance].report(engine, state.as_ref(), now_ms);
-        self.act(actions);
-        let rounds = self.settings.deployment.engines.div_ceil(ASKED_A_ROUND) as u64;
-        let at_us = self.now_us + rounds * REPORT_ROUND_US;
-        self.at(at_us, Event::Report { instance, engine });
-    }
-
-    fn read_events(&mut self, instance: usize, engine: usize) {
-        let Some(from) = self.instances[instance].events_from(engine) else {
-            return;
-        };
-        let model = &self.engines[engine];
-        let events = model.cache.events(model.incarnation, from);
-        self.instances[instance].cache_events(engine, &events);
-        let rounds = self.settings.deployment.engines.div_ceil(ASKED_A_ROUND) as u64;
-        let at_us = self.now_us + rounds * EVENTS_ROUND_US;
-        self.at(at_us, Event::ReadEvents { instance, engine });
-    }
-
-    fn crash(&mut self, engine: usize) {
-        let incarnation = self.engines[engine].incarnation;
-        self.engines[engine] = EngineModel::new(incarnation + 1_000);
-        self.engines[engine].up = false;
-        let lost: Vec<u64> = (0..self.places.len() as u64)
-            .filter(|id| self.places[*id as usize].on == Some((engine, incarnation)))
-            .collect();
-        for id in lost {
-            self.again(id, engine);
-        }
-    }
-
-    /// Replaces an instance. Callers whose first token had not come send
-    /// their request again within a second.
-    fn restart(&mut self, instance: usize) {
-        let seed = self.rng.random();
-        self.instances[instance] = policy(&self.settings, instance, seed);
-        for engine in 0..self.engines.len() {
-            let at_us = self.now_us + (engine / ASKED_A_ROUND) as u64 * REPORT_ROUND_US;
-            self.at(at_us, Event::Report { instance, engine });
-        }
-        for id in 0..self.requests.len() {
-            let request = &self.requests[id];
-            let came = request.at_us <= self.now_us && request.instance == instance;
-            if !came || self.places[id].over {
-                continue;
-            }
-            self.places[id].on = None;
-            if self.outcomes[id].first_token_us.is_none() {
-                let at_us = self.now_us + self.rng.random_range(0..1_000_000);
-                self.at(at_us, Event::Arrive(id as u64));
-            }
-        }
-    }
 }
