Let each instance send one request ahead of its share of slots

Cause: under overload a slot stood idle from a request's end until the router had heard of it and the next one was there, and a holder that was one request short of room sent its requests away.

Change: one request of each instance may wait inside each engine.

--- a/crates/core/src/placement/settings.rs
+++ b/crates/core/src/placement/settings.rs
@@ -42,7 +42,7 @@
             home_load: 0.35,
             table_entries: 16_384,
             full_events_engines: 32,
-            queue_ahead: 0,
+            queue_ahead: 1,
         }
     }
 }
