Stop a request that crashes engines after three of them, fleet-wide

Cause: nothing counted crashes. A request that crashes engines took one with each attempt, and its caller sent it again to other instances.

Change: a request is known by a digest of team and content. A cut stream whose engine is gone or runs under another incarnation is a crash, named by engine and incarnation. The most suspect requests on the engine are charged; the first crash is charged to all that were there. At three crashes the request is refused at once. Charges go to peers before the next attempt and in the usual exchanges, with their age, so that they end after ten minutes everywhere; a crash that a peer has charged is not charged again. A completed answer clears, clearing wins over charging. A suspect is resumed apart from other suspects. Services' instances count once each.

Partial: the first attempt of a suspect is not kept from other suspects, only its later ones. Two routers that send the same poison request at the same moment may crash one engine more each before they hear of each other.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod peer;
 pub mod placement;
 pub mod platform;
+pub mod poison;
 pub mod record;
 pub mod refusal;
 pub mod status;
--- a/crates/core/src/peer/message.rs
+++ b/crates/core/src/peer/message.rs
@@ -1,4 +1,5 @@
 use {
+    crate::poison::CrashSight,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -14,8 +15,8 @@
         revision: u64,
         /// Records that the sender believes newer than the receiver's.
         entries: Vec<ConfigEntry>,
-        /// Crashes seen: identity of the request, and of the crash.
-        crashes: Vec<(u64, u64)>,
+        /// Crashes charged to requests.
+        crashes: Vec<CrashSight>,
     },
     /// Asks for tokens of a team's rate. The answer is
     /// [`PeerReply::Granted`]; the giver has already deducted them.
@@ -25,6 +26,11 @@
         /// Tokens needed.
         tokens: u64,
     },
+    /// Tells of crashes at once. The answer is [`PeerReply::Crashes`].
+    Crashes {
+        /// Crashes charged to requests.
+        crashes: Vec<CrashSight>,
+    },
 }
 
 /// An answer of a peer.
@@ -40,8 +46,8 @@
         revision: u64,
         /// Records that the asker may lack.
         entries: Vec<ConfigEntry>,
-        /// Crashes seen: identity of the request, and of the crash.
-        crashes: Vec<(u64, u64)>,
+        /// Crashes charged to requests.
+        crashes: Vec<CrashSight>,
     },
     /// Tokens granted, as many as were there of those asked for.
     Granted {
@@ -50,6 +56,11 @@
     },
     /// The request can't be read by this version.
     Unsupported,
+    /// What the peer knows of crashes.
+    Crashes {
+        /// Crashes charged to requests.
+        crashes: Vec<CrashSight>,
+    },
 }
 
 /// A record's state as peers exchange it.
--- a/crates/core/src/refusal/kind.rs
+++ b/crates/core/src/refusal/kind.rs
@@ -71,6 +71,8 @@
     Poisonous {
         /// Upstreams that crashed while they ran it.
         crashes: usize,
+        /// What is known of this sending of it.
+        outcome: Outcome,
     },
     /// A request with the same idempotency key runs or ran elsewhere.
     #[display("{detail}")]
@@ -146,7 +148,9 @@
     /// Returns what is known of the outcome.
     pub fn outcome(&self) -> Outcome {
         match self {
-            Refusal::Claimed { outcome, .. } | Refusal::Lost { outcome, .. } => *outcome,
+            Refusal::Claimed { outcome, .. }
+            | Refusal::Lost { outcome, .. }
+            | Refusal::Poisonous { outcome, .. } => *outcome,
             _ => Outcome::NotRun,
         }
     }
--- /dev/null
+++ b/crates/core/tests/poison.rs
@@ -0,0 +1,94 @@
+//! Whom a crash is charged to, and how instances tell each other.
+
+use {
+    mangowalk_core::poison::{CrashSight, FORGET_MS, MOST_CRASHES, PoisonLedger, charged},
+    proptest::prelude::*,
+    std::collections::BTreeSet,
+};
+
+const POISON: u64 = 0;
+
+proptest! {
+    /// One request crashes whatever runs it, and others run beside it. Nobody
+    /// knows which it is. It is refused after three crashes all the same, and
+    /// neighbours are charged with the first crash at most: from the second on
+    /// it is the most suspect, since other suspects are kept apart from it.
+    #[test]
+    fn only_the_poison_request_is_condemned(
+        crashes in prop::collection::vec(prop::collection::btree_set(1u64..20, 0..6), 3..8),
+    ) {
+        let mut ledger = PoisonLedger::default();
+        for (crash, neighbours) in crashes.iter().enumerate().take(MOST_CRASHES) {
+            let on_upstream: Vec<(u64, usize)> = [POISON]
+                .iter()
+                .chain(neighbours)
+                .filter(|r| **r == POISON || ledger.crashes(**r, 0) == 0)
+                .map(|r| (*r, ledger.crashes(*r, 0)))
+                .collect();
+            for request in charged(&on_upstream) {
+                ledger.charge(request, crash as u64, 0);
+            }
+        }
+        prop_assert_eq!(ledger.crashes(POISON, 0), MOST_CRASHES);
+        for neighbour in 1..20 {
+            let was_first = crashes[0].contains(&neighbour);
+            prop_assert_eq!(ledger.crashes(neighbour, 0), usize::from(was_first));
+        }
+    }
+
+    /// Exchanges come in any order, twice or late. Every instance ends with
+    /// the same count, and a request that completed anywhere is clear
+    /// everywhere.
+    #[test]
+    fn the_order_of_exchanges_does_not_matter(
+        sights in prop::collection::vec(
+            (0u64..4, 0u64..4, any::<bool>()).prop_map(|(request, crash, cleared)| CrashSight {
+                request, crash, age_ms: 0, cleared,
+            }),
+            0..12,
+        ).prop_flat_map(|sights| (Just(sights.clone()), Just(sights).prop_shuffle())),
+    ) {
+        let (one, other) = sights;
+        let (mut a, mut b) = (PoisonLedger::default(), PoisonLedger::default());
+        a.merge(&one, 0);
+        b.merge(&other, 0);
+        b.merge(&one, 0);
+        for request in 0..4 {
+            let of = |cleared: bool| -> BTreeSet<u64> {
+                let sights = one.iter().filter(|s| s.request == request && s.cleared == cleared);
+                sights.map(|s| s.crash).collect()
+            };
+            let counted = of(false).difference(&of(true)).count();
+            prop_assert_eq!(a.crashes(request, 0), counted);
+            prop_assert_eq!(b.crashes(request, 0), counted);
+        }
+    }
+}
+
+/// Two instances tell each other of a crash, one long after it. It is forgotten all
+/// the same: told with a time of receipt, each would keep it alive for the
+/// other, and an engine's own fault would condemn a request for ever.
+#[test]
+fn a_charge_is_not_kept_alive_by_being_told() {
+    let (mut a, mut b) = (PoisonLedger::default(), PoisonLedger::default());
+    a.charge(1, 1, 0);
+    for now_ms in (FORGET_MS / 2..=FORGET_MS).step_by(1_000) {
+        b.merge(&a.sights(now_ms), now_ms);
+        a.merge(&b.sights(now_ms), now_ms);
+    }
+    assert_eq!((a.crashes(1, FORGET_MS), b.crashes(1, FORGET_MS)), (0, 0));
+    assert!(a.sights(FORGET_MS).is_empty());
+}
+
+/// A caller sends ever new requests that crash engines. What is remembered
+/// stays bounded, and the latest are kept.
+#[test]
+fn the_ledger_stays_bounded() {
+    let mut ledger = PoisonLedger::default();
+    for request in 0..6_000 {
+        ledger.charge(request, request, request);
+    }
+    let held = (0..6_000).filter(|r| ledger.crashes(*r, 6_000) > 0).count();
+    assert_eq!(held, 4_096);
+    assert_eq!(ledger.crashes(5_999, 6_000), 1);
+}
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -12,6 +12,7 @@
 mod life;
 mod limits;
 mod peers;
+mod poison;
 mod upstreams;
 mod whole;
 
@@ -25,6 +26,7 @@
     life::{Life, OpenRequest},
     limits::LimitBoard,
     peers::{PeerBoard, PeerSight},
+    poison::{PoisonBoard, Running},
     upstreams::{UpstreamBoard, UpstreamRun},
     whole::Board,
 };
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         BurnBoard, ClaimBoard, ConfigBoard, DispatchBoard, EngineBoard, Identity, Life, LimitBoard,
-        PeerBoard, UpstreamBoard,
+        PeerBoard, PoisonBoard, UpstreamBoard,
     },
     crate::edge::Traffic,
     std::{net::SocketAddr, sync::Arc},
@@ -18,6 +18,8 @@
     pub identity: Identity,
     /// Claims whose outcome is still to be written.
     pub claims: ClaimBoard,
+    /// Requests that crash upstreams.
+    pub poison: PoisonBoard,
     /// Records in force.
     pub config: ConfigBoard,
     /// Engines as last seen.
@@ -42,6 +44,7 @@
         Board {
             limits: LimitBoard::new(&identity),
             claims: ClaimBoard::default(),
+            poison: PoisonBoard::default(),
             operator_address: None,
             burn: BurnBoard::default(),
             identity,
--- a/crates/mangowalkd/src/controller/gossip.rs
+++ b/crates/mangowalkd/src/controller/gossip.rs
@@ -1,5 +1,5 @@
 use {
-    super::Controller,
+    super::{Controller, crashes::hear_crashes},
     crate::board::Board,
     log::info,
     mangowalk_core::{
@@ -73,14 +73,14 @@
             from: own_view(board, self.round),
             revision,
             entries: Vec::new(),
-            crashes: Vec::new(),
+            crashes: board.poison.sights(edges.clock().now_ms()),
         };
         let Ok(PeerReply::Exchange {
             from,
             others,
             entries,
             revision: theirs,
-            ..
+            crashes,
         }) = edges.peers().ask(*address, &request, ANSWER_TIMEOUT_MS)
         else {
             return;
@@ -91,6 +91,7 @@
             hear(board, &view, now_ms);
         }
         merge(board, &entries, theirs);
+        board.poison.merge(&crashes, now_ms);
     }
 }
 
@@ -148,8 +149,14 @@
 pub fn answer<E: Edges>(edges: &E, board: &Board, request: &PeerRequest) -> PeerReply {
     let now_ms = edges.clock().now_ms();
     match request {
-        PeerRequest::Exchange { from, revision, .. } => {
+        PeerRequest::Exchange {
+            from,
+            revision,
+            crashes,
+            ..
+        } => {
             hear(board, from, now_ms);
+            board.poison.merge(crashes, now_ms);
             let (entries, held) = board
                 .config
                 .read(|s| (s.newer_than(*revision), s.revision()));
@@ -158,9 +165,10 @@
                 others: board.peers.sights().into_iter().map(|s| s.view).collect(),
                 revision: held,
                 entries,
-                crashes: Vec::new(),
+                crashes: board.poison.sights(now_ms),
             }
         }
+        PeerRequest::Crashes { crashes } => hear_crashes(board, crashes, now_ms),
         PeerRequest::Grant { team, tokens } => {
             let view = board.config.view();
             let rate = view.rates.get(team);
--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -4,6 +4,7 @@
 mod cache_events;
 mod claim_keeper;
 mod config_watch;
+mod crashes;
 mod engine_poll;
 mod gossip;
 mod run;
@@ -13,6 +14,7 @@
     cache_events::CacheEventReader,
     claim_keeper::{ClaimKeeper, flush_claims},
     config_watch::ConfigWatch,
+    crashes::tell_crashes,
     engine_poll::EnginePoll,
     gossip::{Gossip, answer},
     run::{Controller, spawn},
--- a/crates/mangowalkd/src/serve/attempt.rs
+++ b/crates/mangowalkd/src/serve/attempt.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AnswerSink, ChatRequest, Finished, Router, place::cache_salt},
+    super::{AnswerSink, ChatRequest, Finished, Router, place::cache_salt, poison::identity_of},
     crate::board::UpstreamRun,
     log::{info, warn},
     mangowalk_core::{
@@ -61,6 +61,8 @@
         sink: &mut dyn AnswerSink,
     ) -> (Ended, Option<Finished>) {
         let _in_flight = self.board.engines.start(&target.engine.name);
+        let identity = identity_of(request);
+        let _running = self.board.poison.start(&target.engine.name, identity);
         let planned = Attempt::plan(sequencer.next_attempt(target.incarnation));
         let message = self.message(request, target, sequencer, planned.number());
         let sent = planned.send(self.edges.clock().now_ms());
@@ -80,6 +82,7 @@
         let finished = run.finished;
         on.end(&ended, self.edges.clock().now_ms());
         self.note(request, target, sent.number(), &ended);
+        self.note_run(request, target, &ended);
         (ended, finished)
     }
 
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AnswerSink, ChatRequest, Finished, Router, attempt::Target},
+    super::{AnswerSink, ChatRequest, Finished, Router, attempt::Target, poison::identity_of},
     mangowalk_core::{
         attempt::{End, Ended, Timeouts},
         edge::{Clock, Edges},
@@ -126,6 +126,7 @@
                 return Ok(finished);
             }
             course.note(&target, &ended);
+            self.refuse_poison(identity_of(request), course.outcome)?;
             if ended.end() == End::CallerGone {
                 return Err(Refusal::Lost {
                     remedy: "the caller closed the connection",
@@ -202,10 +203,14 @@
             tried.iter().cloned().chain(unfit).collect()
         };
         let full = avoiding(upstreams.unusable(now_ms));
-        self.place_again(request, &version, &full).or_else(|| {
-            let broken = avoiding(upstreams.broken(now_ms));
-            self.place_again(request, &version, &broken)
-        })
+        let apart = self.apart_from_suspects(request, &full);
+        let placed = apart.and_then(|apart| self.place_again(request, &version, &apart));
+        placed
+            .or_else(|| self.place_again(request, &version, &full))
+            .or_else(|| {
+                let broken = avoiding(upstreams.broken(now_ms));
+                self.place_again(request, &version, &broken)
+            })
     }
 
     /// Returns the tried engines that have not restarted since.
--- a/crates/mangowalkd/src/serve/generate.rs
+++ b/crates/mangowalkd/src/serve/generate.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AnswerSink, ChatRequest, Finished, Router},
+    super::{AnswerSink, ChatRequest, Finished, Router, poison::identity_of},
     mangowalk_core::{
         edge::Edges,
         placement::tokens_of,
@@ -25,6 +25,7 @@
                 name: request.model.clone(),
             });
         }
+        self.refuse_poison(identity_of(request), Outcome::NotRun)?;
         let reserved = tokens_of(&request.prompt) + u64::from(request.max_tokens);
         let reservation = self.reserve(&request.team, reserved)?;
         let result = self.attempts(request, sink);
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -8,6 +8,7 @@
 mod generate;
 mod observe;
 mod place;
+mod poison;
 mod request;
 mod reserve;
 mod router;
--- a/crates/mangowalkd/src/serve/service.rs
+++ b/crates/mangowalkd/src/serve/service.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Router, ServiceRequest, claim::Claiming},
+    super::{Router, ServiceRequest, claim::Claiming, poison::identity_of_call},
     mangowalk_core::{
         claim::{Claim, Claimed, ClaimedTooLong, Verdict},
         config::ServiceRecord,
@@ -31,6 +31,7 @@
                 name: request.service.clone(),
             });
         };
+        self.refuse_poison(identity_of_call(request), Outcome::NotRun)?;
         let tokens = (request.body.len().div_ceil(TOKEN_BYTES) as u64).max(1);
         let reservation = self.reserve(&request.team, tokens)?;
         let result = if first.repeatable && !request.marked_not_repeatable {
@@ -58,6 +59,9 @@
                 Ok(reply) => return Ok(reply),
                 Err(error) => may_have_run |= !states_not_run(error),
             }
+            if may_have_run {
+                self.refuse_poison(identity_of_call(request), Outcome::Unknown)?;
+            }
         }
         Err(if may_have_run { lost() } else { unreached() })
     }
@@ -121,9 +125,18 @@
             idempotency_key: request.idempotency_key.as_deref(),
             body: &request.body,
         };
-        self.edges
-            .services()
-            .call(service.address, &call, self.settings.request_timeout_ms)
+        let identity = identity_of_call(request);
+        let _running = self.board.poison.start(&service.name, identity);
+        let result =
+            self.edges
+                .services()
+                .call(service.address, &call, self.settings.request_timeout_ms);
+        match &result {
+            Ok(_) => self.board.poison.completed(identity),
+            Err(SendError::Lost) => self.note_lost_call(&service.name),
+            Err(_) => {}
+        }
+        result
     }
 }
 
--- /dev/null
+++ b/crates/mangowalkd/tests/poison.rs
@@ -0,0 +1,115 @@
+//! A request that crashes each engine that runs it, sent again and again.
+
+use {
+    mangowalk_standins::{Answer, EngineFaults, EngineSettings, Fleet, FleetSettings},
+    std::{thread, time::Duration},
+};
+
+const ENGINES: usize = 9;
+const ROUTERS: usize = 3;
+const ANSWER: u32 = 200;
+const POISON: &str = "a prompt that crashes engines";
+
+/// Time in which routers hear of each other and of every engine.
+const SETTLE: Duration = Duration::from_millis(2_500);
+
+fn fleet() -> Fleet {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        routers: ROUTERS,
+        engines: ENGINES,
+        engine: EngineSettings {
+            slots: 32,
+            token_us: 8_000,
+            ..EngineSettings::default()
+        },
+        tokens_per_s: 10_000_000,
+        burst_tokens: 10_000_000,
+        ..FleetSettings::default()
+    });
+    thread::sleep(SETTLE);
+    for engine in &fleet.engines {
+        engine.set_faults(EngineFaults {
+            crash_on: Some(POISON.to_owned()),
+            ..EngineFaults::default()
+        });
+    }
+    fleet
+}
+
+fn crashes(fleet: &Fleet) -> u64 {
+    fleet.engines.iter().map(|engine| engine.crashes()).sum()
+}
+
+fn send_poison(fleet: &Fleet, router: usize) -> Answer {
+    fleet.chat(router, POISON, 20, false)
+}
+
+/// Sends the request to each router in turn until one calls it poisonous.
+fn send_until_refused(fleet: &Fleet) -> Answer {
+    let mut answer = Answer::default();
+    for i in 0..12 {
+        answer = send_poison(fleet, i % ROUTERS);
+        if answer.status == 422 {
+            break;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    answer
+}
+
+/// A caller sends a request that crashes engines, and sends it again to other
+/// routers. Each router counts what the others saw, so that three engines
+/// crash in all, and then every router refuses it at once.
+#[test]
+fn a_poison_request_stops_after_three_crashes() {
+    let fleet = fleet();
+    let refused = send_until_refused(&fleet);
+    assert_eq!(refused.status, 422, "{}", refused.body);
+    assert_eq!(crashes(&fleet), 3);
+    for router in 0..ROUTERS {
+        let again = send_poison(&fleet, router);
+        assert_eq!(again.status, 422, "{}", again.body);
+        assert_eq!(again.header("x-mangowalk-outcome"), Some("not_run"));
+    }
+    assert_eq!(crashes(&fleet), 3);
+}
+
+/// Callers stream long answers from all engines while one sends a request
+/// that crashes three of them. Their answers are resumed elsewhere and come
+/// whole, and sent again they are served: only the most suspect request is
+/// charged with a crash.
+#[test]
+fn innocent_requests_beside_a_poison_request_complete() {
+    let fleet = fleet();
+    let prompts: Vec<String> = (0..18).map(|i| format!("innocent {i}")).collect();
+    let answers: Vec<Answer> = thread::scope(|scope| {
+        let callers: Vec<_> = prompts
+            .iter()
+            .enumerate()
+            .map(|(i, prompt)| {
+                let fleet = &fleet;
+                scope.spawn(move || fleet.chat(i % ROUTERS, prompt, ANSWER, true))
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(200));
+        assert_eq!(send_until_refused(&fleet).status, 422);
+        callers
+            .into_iter()
+            .map(|caller| caller.join().unwrap_or_default())
+            .collect()
+    });
+    for (prompt, answer) in prompts.iter().zip(&answers) {
+        let end: String = answer.body.chars().rev().take(300).collect();
+        let end: String = end.chars().rev().collect();
+        assert!(answer.is_done(), "{prompt}: {end}");
+        assert_eq!(
+            answer.streamed_text(),
+            Fleet::expected(prompt, u64::from(ANSWER))
+        );
+    }
+    assert_eq!(crashes(&fleet), 3);
+    for (i, prompt) in prompts.iter().enumerate() {
+        assert_eq!(fleet.chat(i % ROUTERS, prompt, 20, false).status, 200);
+    }
+}
