--- a/crates/core/src/admission/dispatcher.rs
+++ b/crates/core/src/admission/dispatcher.rs
@@ -1,12 +1,15 @@
 use {
     super::{AdmissionSettings, FairQueue, Full, Job},
     crate::placement::{Ask, Choice, Placement},
-    std::collections::HashSet,
 };
 
 /// Teams asked for a request that has room, each time room appears.
 const TRIES: usize = 4;
 
+/// Tells whether an engine may get one more request, by its breaker and its
+/// limit.
+pub type Fit<'a> = dyn Fn(&str) -> bool + 'a;
+
 /// What becomes of a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Verdict {
@@ -31,7 +34,6 @@
 pub struct Dispatcher {
     placement: Placement,
     queue: FairQueue,
-    avoid: HashSet<String>,
 }
 
 impl Dispatcher {
@@ -40,7 +42,6 @@
         Dispatcher {
             placement,
             queue: FairQueue::new(settings, seed),
-            avoid: HashSet::new(),
         }
     }
 
@@ -59,37 +60,32 @@
         self.queue.len()
     }
 
-    /// Sets the engines that get no request from the queue now.
-    pub fn set_avoid(&mut self, avoid: HashSet<String>) {
-        self.avoid = avoid;
-    }
-
     /// Takes a new request. It is sent, waits, or is refused at once; verdicts
     /// for it and for others that can go now are returned.
-    pub fn arrive(&mut self, job: Job, now_ms: u64) -> Vec<Verdict> {
+    pub fn arrive(&mut self, job: Job, fit: &Fit<'_>, now_ms: u64) -> Vec<Verdict> {
         let id = job.id;
         if self.queue.is_empty()
-            && let Some(choice) = Self::place(&mut self.placement, &self.avoid, &job, now_ms)
+            && let Some(choice) = Self::place(&mut self.placement, fit, &job, now_ms)
         {
             self.queue.charge(&job);
             return vec![Verdict::Send { id, choice }];
         }
         match self.queue.enter(job, now_ms) {
-            Ok(()) => self.pump(now_ms),
+            Ok(()) => self.pump(fit, now_ms),
             Err(full) => vec![Verdict::Refuse { id, full }],
         }
     }
 
     /// Sends what has room now, and refuses what has waited too long.
-    pub fn pump(&mut self, now_ms: u64) -> Vec<Verdict> {
+    pub fn pump(&mut self, fit: &Fit<'_>, now_ms: u64) -> Vec<Verdict> {
         let mut verdicts = Vec::new();
         for job in self.queue.expired(now_ms) {
             let full = self.queue.full(self.queue.predicted_wait_ms(&job));
             verdicts.push(Verdict::Refuse { id: job.id, full });
         }
-        let (placement, avoid) = (&mut self.placement, &self.avoid);
+        let placement = &mut self.placement;
         while let Some((job, choice)) = self.queue.next(now_ms, TRIES, |job| {
-            Self::place(placement, avoid, job, now_ms)
+            Self::place(placement, fit, job, now_ms)
         }) {
             verdicts.push(Verdict::Send { id: job.id, choice });
         }
@@ -101,18 +97,15 @@
         self.queue.leave(id);
     }
 
-    fn place(
-        placement: &mut Placement,
-        avoid: &HashSet<String>,
-        job: &Job,
-        now_ms: u64,
-    ) -> Option<Choice> {
+    fn place(placement: &mut Placement, fit: &Fit<'_>, job: &Job, now_ms: u64) -> Option<Choice> {
         let ask = Ask {
             model: &job.model,
             version: &job.version,
             chain: &job.chain,
             kept_blocks: job.kept_blocks,
-            avoid,
+            avoid: &job.avoid,
+            fit,
+            waited_ms: now_ms.saturating_sub(job.arrived_ms),
             force: false,
         };
         let mut choice = placement.choose(&ask, now_ms)?;
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -12,12 +12,13 @@
 mod life;
 mod limits;
 mod peers;
+mod placed;
 mod poison;
 mod upstreams;
 mod whole;
 
 pub use {
-    admission::DispatchBoard,
+    admission::{DispatchBoard, DispatchSettings},
     burn::{BurnBoard, Unsent},
     claims::{ClaimBoard, ClaimWrite},
     config::ConfigBoard,
@@ -26,6 +27,7 @@
     life::{Life, OpenRequest},
     limits::LimitBoard,
     peers::{PeerBoard, PeerSight},
+    placed::Placed,
     poison::{PoisonBoard, Running},
     upstreams::{UpstreamBoard, UpstreamRun},
     whole::Board,
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        BurnBoard, ClaimBoard, ConfigBoard, DispatchBoard, EngineBoard, Identity, Life, LimitBoard,
-        PeerBoard, PoisonBoard, UpstreamBoard,
+        BurnBoard, ClaimBoard, ConfigBoard, DispatchBoard, DispatchSettings, EngineBoard, Identity,
+        Life, LimitBoard, PeerBoard, PoisonBoard, UpstreamBoard,
     },
     crate::edge::Traffic,
     std::{net::SocketAddr, sync::Arc},
@@ -24,10 +24,10 @@
     pub config: ConfigBoard,
     /// Engines as last seen.
     pub engines: EngineBoard,
-    /// What each upstream can take, and the budget of retries.
-    pub upstreams: UpstreamBoard,
     /// Admission, queue and placement.
     pub dispatch: DispatchBoard,
+    /// What each upstream can take, and the budget of retries.
+    pub upstreams: UpstreamBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
@@ -40,7 +40,8 @@
 
 impl Board {
     /// Returns the board of an instance that starts.
-    pub fn new(identity: Identity, dispatch: DispatchBoard) -> Board {
+    pub fn new(identity: Identity, settings: DispatchSettings) -> Board {
+        let upstreams = UpstreamBoard::default();
         Board {
             limits: LimitBoard::new(&identity),
             claims: ClaimBoard::default(),
@@ -50,8 +51,8 @@
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
-            upstreams: UpstreamBoard::default(),
-            dispatch,
+            dispatch: DispatchBoard::new(settings, upstreams.clone()),
+            upstreams,
             peers: PeerBoard::default(),
             traffic: Arc::default(),
             life: Life::default(),
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        board::{Board, DispatchBoard, Identity},
+        board::{Board, DispatchSettings, Identity},
         caller::CallerServer,
         cli::Settings,
         controller::{
@@ -67,8 +67,11 @@
     pub fn start(settings: Settings) -> Result<Daemon, Report<StartError>> {
         let signals = Signals::new([SIGTERM, SIGINT]).change_context(StartError::Threads)?;
         let edges = Arc::new(LiveEdges::new(settings.platform_address));
-        let dispatch =
-            DispatchBoard::new(settings.placement(), settings.admission(), rand::random());
+        let dispatch = DispatchSettings {
+            placement: settings.placement(),
+            admission: settings.admission(),
+            seed: rand::random(),
+        };
         let identity = Identity {
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
--- a/crates/mangowalkd/src/serve/attempt.rs
+++ b/crates/mangowalkd/src/serve/attempt.rs
@@ -1,16 +1,14 @@
 use {
     super::{AnswerSink, ChatRequest, Finished, Router, place::cache_salt, poison::identity_of},
-    crate::board::UpstreamRun,
+    crate::board::{Placed, UpstreamRun},
     log::{info, warn},
     mangowalk_core::{
         attempt::{Attempt, End, Ended, Sent, Streaming, Timeouts},
         config::EngineRecord,
         edge::{Clock, Edges, EngineEvents, Engines, SendError},
         engine::{CancelRequest, GenerateEvent, GenerateRequest},
-        placement::Choice,
         stream::{Sequencer, Step},
     },
-    std::cell::RefCell,
 };
 
 /// Longest silence in which a stream's caller is not written to.
@@ -27,7 +25,7 @@
     pub(super) engine: EngineRecord,
     pub(super) incarnation: u64,
     pub(super) version: String,
-    pub(super) choice: RefCell<Choice>,
+    pub(super) placed: Placed,
 }
 
 /// What one wait brought.
@@ -137,7 +135,6 @@
             self.board
                 .engines
                 .update(&engine.name, |sight| sight.failed_ms = Some(now_ms));
-            self.note_unreached(target, ended);
         }
     }
 
@@ -170,8 +167,8 @@
                 Next::Token => {
                     let now_ms = self.now_ms();
                     let streaming = sent.first_token(now_ms);
+                    self.target.placed.first_token(now_ms);
                     on.first_token(streaming.first_token_ms(), now_ms);
-                    self.router.note_token(self.target);
                     return self.until_end(streaming);
                 }
             }
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -14,6 +14,8 @@
 mod router;
 mod service;
 
+pub(crate) use place::{cache_salt, version_of};
+
 pub use {
     answer::{AnswerSink, Finished},
     request::{ChatRequest, ServiceRequest},
--- a/crates/mangowalkd/src/serve/poison.rs
+++ b/crates/mangowalkd/src/serve/poison.rs
@@ -91,21 +91,16 @@
         }
     }
 
-    /// Returns the engines that a suspect request is to be kept from, besides
-    /// those given; none if the request is no suspect.
-    pub(super) fn apart_from_suspects(
-        &self,
-        request: &ChatRequest,
-        avoid: &HashSet<String>,
-    ) -> Option<HashSet<String>> {
+    /// Returns the engines that a suspect request is to be kept from: those
+    /// that run another suspect. None, if the request is no suspect.
+    pub(super) fn suspects_apart_from(&self, request: &ChatRequest) -> HashSet<String> {
         let identity = identity_of(request);
         let now_ms = self.edges.clock().now_ms();
         let poison = &self.board.poison;
         if poison.crashes(identity, now_ms) == 0 {
-            return None;
+            return HashSet::new();
         }
-        let suspects = poison.with_suspects(identity, now_ms);
-        Some(avoid.iter().cloned().chain(suspects).collect())
+        poison.with_suspects(identity, now_ms).into_iter().collect()
     }
 
     /// Returns whether an engine whose stream was cut is still the same
