Mint each team's tokens on sixteen slots, and take parts only if they suffice

Change: a team's rate is minted by 16 slots that every instance computes; the others ask their holders. A grant is all or nothing and says what is left; parts are taken only if all together suffice. Requests that wait are counted, and a request behind too many of them is refused with no one asked.

--- a/crates/core/src/limits/bucket.rs
+++ b/crates/core/src/limits/bucket.rs
@@ -1,4 +1,8 @@
-use {super::SLOTS, crate::record::Rate, std::collections::BTreeMap};
+use {
+    super::{Grant, HOMES},
+    crate::record::Rate,
+    std::collections::BTreeMap,
+};
 
 const MICRO: u128 = 1_000_000;
 const MS_PER_S: u128 = 1_000;
@@ -51,7 +55,7 @@
         }
         self.minted_ms = self.minted_ms.max(now_ms);
         let micro_per_ms = u128::from(self.rate.tokens_per_s) * MICRO / MS_PER_S;
-        let minted = micro_per_ms.saturating_mul(elapsed_ms) / u128::from(SLOTS);
+        let minted = micro_per_ms.saturating_mul(elapsed_ms) / HOMES as u128;
         let paid = minted.min(self.debt_micro);
         self.debt_micro -= paid;
         self.level_micro = self.level_micro.saturating_add(minted - paid);
@@ -95,12 +99,18 @@
         drawn
     }
 
-    /// Takes up to so many tokens out for a peer, which alone may put them
-    /// back.
-    pub fn give(&mut self, tokens: u64) -> u64 {
-        let given = tokens.min(self.tokens());
-        self.level_micro -= micro(given);
-        given
+    /// Takes tokens out for a peer, all or none.
+    ///
+    /// A part of what was asked for would be lost if the rest is nowhere: the
+    /// peer has no room for it.
+    pub fn grant(&mut self, tokens: u64) -> Grant {
+        let enough = tokens <= self.tokens();
+        let granted = if enough { tokens } else { 0 };
+        self.level_micro -= micro(granted);
+        Grant {
+            tokens: granted,
+            left_tokens: self.tokens(),
+        }
     }
 
     /// Keeps room in a part for tokens that a peer may send. Without it
@@ -154,7 +164,7 @@
     }
 
     fn capacity(&self, slots: u64) -> u128 {
-        micro(self.rate.burst_tokens) * u128::from(slots) / u128::from(SLOTS)
+        micro(self.rate.burst_tokens) * u128::from(slots) / HOMES as u128
     }
 }
 
--- a/crates/core/src/limits/holding.rs
+++ b/crates/core/src/limits/holding.rs
@@ -33,6 +33,11 @@
         self.ledger.slots(now_ms)
     }
 
+    /// Returns who else holds a team's homes, as far as the last list tells.
+    pub fn holders(&self, team: &str) -> Vec<SocketAddr> {
+        self.table.holders(team)
+    }
+
     /// Returns whether everything was given up.
     pub fn is_closed(&self) -> bool {
         self.ledger.is_closed()
--- a/crates/core/src/limits/ledger.rs
+++ b/crates/core/src/limits/ledger.rs
@@ -1,15 +1,22 @@
 use {
-    super::{Bucket, Reservation, SLOTS},
+    super::{Bucket, Grant, HOMES, Reservation, SLOTS, homes_of},
     crate::record::Rate,
     std::collections::{BTreeMap, HashMap},
 };
 
+/// A team's tokens, and the slots that mint them.
+#[derive(Debug, Clone)]
+struct Team {
+    homes: [u32; HOMES],
+    bucket: Bucket,
+}
+
 /// Everything that one instance may spend: the slots that it holds, and a
 /// bucket for each team.
 #[derive(Debug, Clone, Default)]
 pub struct Ledger {
     lease_ends_ms: BTreeMap<u32, u64>,
-    buckets: HashMap<String, Bucket>,
+    teams: HashMap<String, Team>,
     closed: bool,
     next_part: u64,
 }
@@ -40,7 +47,7 @@
     pub fn close(&mut self) {
         self.closed = true;
         self.lease_ends_ms.clear();
-        self.buckets.clear();
+        self.teams.clear();
     }
 
     /// Returns whether everything was given up.
@@ -77,17 +84,17 @@
     /// rest, which peers may send.
     pub fn draw(&mut self, reservation: &mut Reservation, rate: &Rate, tokens: u64, now_ms: u64) {
         let part = self.part();
-        let slots = u64::from(self.slots(now_ms));
+        let homes = self.homes_held(&reservation.team, now_ms);
         let bucket = self.bucket(&reservation.team, rate, now_ms);
         let drawn = bucket.draw(tokens, part);
-        bucket.expect(tokens - drawn, slots, part);
+        bucket.expect(tokens - drawn, homes, part);
         reservation.tokens += drawn;
         reservation.parts.push(part);
     }
 
-    /// Takes up to so many tokens of a team out, for a peer that asks.
-    pub fn give(&mut self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> u64 {
-        self.bucket(team, rate, now_ms).give(tokens)
+    /// Takes tokens of a team out for a peer that asks, all or none.
+    pub fn grant(&mut self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> Grant {
+        self.bucket(team, rate, now_ms).grant(tokens)
     }
 
     /// Returns the tokens of a team that are here.
@@ -100,9 +107,10 @@
     /// ended meanwhile is noticed at the next take, which cuts the bucket to
     /// its capacity first.
     pub fn settle(&mut self, reservation: &Reservation, used_tokens: u64) {
-        let Some(bucket) = self.buckets.get_mut(&reservation.team) else {
+        let Some(team) = self.teams.get_mut(&reservation.team) else {
             return;
         };
+        let bucket = &mut team.bucket;
         bucket.charge(used_tokens.saturating_sub(reservation.tokens));
         let mut unused = reservation.tokens.saturating_sub(used_tokens);
         for part in &reservation.parts {
@@ -112,7 +120,7 @@
 
     /// Forgets teams whose rates are withdrawn.
     pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
-        self.buckets.retain(|team, _| keep(team));
+        self.teams.retain(|team, _| keep(team));
     }
 
     fn part(&mut self) -> u64 {
@@ -120,27 +128,47 @@
         self.next_part
     }
 
+    fn homes_held(&self, team: &str, now_ms: u64) -> u64 {
+        let ends_ms = &self.lease_ends_ms;
+        let held = |slot: &u32| ends_ms.get(slot).is_some_and(|end_ms| *end_ms > now_ms);
+        homes_of(team).iter().filter(|slot| held(slot)).count() as u64
+    }
+
     fn bucket(&mut self, team: &str, rate: &Rate, now_ms: u64) -> &mut Bucket {
-        let ends_ms = self.lease_ends_ms.values().copied();
-        let bucket = self
-            .buckets
+        let ends_ms = &self.lease_ends_ms;
+        let team = self
+            .teams
             .entry(team.to_owned())
-            .or_insert_with(|| Bucket::empty(rate, now_ms));
-        if bucket.rate() != rate {
-            let lower = lower_of(bucket.rate(), rate);
-            bucket.change_rate(&lower);
-            bucket.mint(ends_ms.clone(), now_ms);
-            bucket.change_rate(rate);
+            .or_insert_with_key(|name| Team::new(name, rate, now_ms));
+        if team.bucket.rate() != rate {
+            let lower = lower_of(team.bucket.rate(), rate);
+            team.bucket.change_rate(&lower);
+            team.mint(ends_ms, now_ms);
+            team.bucket.change_rate(rate);
         }
-        bucket.mint(ends_ms, now_ms);
-        bucket
+        team.mint(ends_ms, now_ms);
+        &mut team.bucket
     }
 
     fn mint_all(&mut self, now_ms: u64) {
-        for bucket in self.buckets.values_mut() {
-            bucket.mint(self.lease_ends_ms.values().copied(), now_ms);
+        for team in self.teams.values_mut() {
+            team.mint(&self.lease_ends_ms, now_ms);
+        }
+    }
+}
+
+impl Team {
+    fn new(name: &str, rate: &Rate, now_ms: u64) -> Team {
+        Team {
+            homes: homes_of(name),
+            bucket: Bucket::empty(rate, now_ms),
         }
     }
+
+    fn mint(&mut self, lease_ends_ms: &BTreeMap<u32, u64>, now_ms: u64) {
+        let ends_ms = self.homes.iter().filter_map(|slot| lease_ends_ms.get(slot));
+        self.bucket.mint(ends_ms.copied(), now_ms);
+    }
 }
 
 fn lower_of(held: &Rate, new: &Rate) -> Rate {
--- a/crates/core/src/limits/scarcity.rs
+++ b/crates/core/src/limits/scarcity.rs
@@ -3,15 +3,21 @@
 /// Time for which a look at every peer's tokens counts.
 const COUNTS_MS: u64 = 100;
 
-/// How few tokens of each team all instances had together, a moment ago.
+/// Longest time that a request waits for tokens that are about to be minted.
+/// Longer, and its caller does better to hear of the refusal at once.
+pub const LONGEST_WAIT_MS: u64 = 300;
+
+/// How few tokens of each team all instances had together a moment ago, and
+/// how many requests wait for more.
 ///
 /// A team that sends several times its rate would have each of its refused
-/// requests ask every peer, and take tokens from the ones that fit. What was
-/// there a moment ago plus the whole rate since is the most that can be there
-/// now; a request over it is refused with no one asked.
+/// requests ask every peer. What was there a moment ago plus the whole rate
+/// since is the most that can be there now; a request over it, behind those
+/// that wait, is refused with no one asked.
 #[derive(Debug, Clone, Default)]
 pub struct Scarcity {
     looks: HashMap<String, Look>,
+    waiting_tokens: HashMap<String, u64>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -31,16 +37,37 @@
         self.looks.insert(team.to_owned(), look);
     }
 
-    /// Returns how many tokens are surely missing for a request; none if it
-    /// is worth asking.
-    pub fn short_tokens(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> Option<u64> {
+    /// Returns how many tokens are surely missing for a request that is not
+    /// worth asking for.
+    pub fn hopeless(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> Option<u64> {
         let look = self.looks.get(team)?;
         let since_ms = now_ms.saturating_sub(look.at_ms);
-        let missing = tokens.saturating_sub(look.tokens);
-        if since_ms > COUNTS_MS || minting_ms(rate, missing) <= since_ms {
+        if since_ms > COUNTS_MS {
             return None;
         }
-        let minted = rate.tokens_per_s.saturating_mul(since_ms) / 1_000;
-        Some(missing.saturating_sub(minted).max(1))
+        let minted = rate.tokens_per_s.saturating_mul(since_ms).div_ceil(1_000);
+        let short_tokens = tokens.saturating_sub(look.tokens.saturating_add(minted));
+        let hopeless = short_tokens > 0 && self.wait_ms(team, rate, short_tokens).is_none();
+        hopeless.then_some(short_tokens)
+    }
+
+    /// Returns how long missing tokens take to be minted, behind those for
+    /// which others wait; none if that is too long to wait.
+    pub fn wait_ms(&self, team: &str, rate: &Rate, short_tokens: u64) -> Option<u64> {
+        let waiting = self.waiting_tokens.get(team).copied().unwrap_or_default();
+        let wait_ms = minting_ms(rate, short_tokens.saturating_add(waiting));
+        (wait_ms <= LONGEST_WAIT_MS).then_some(wait_ms)
+    }
+
+    /// Counts a request as waiting for tokens.
+    pub fn begin_wait(&mut self, team: &str, tokens: u64) {
+        *self.waiting_tokens.entry(team.to_owned()).or_default() += tokens;
+    }
+
+    /// Counts a request as waiting no longer.
+    pub fn end_wait(&mut self, team: &str, tokens: u64) {
+        if let Some(waiting) = self.waiting_tokens.get_mut(team) {
+            *waiting = waiting.saturating_sub(tokens);
+        }
     }
 }
--- a/crates/core/src/limits/table.rs
+++ b/crates/core/src/limits/table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{SLOTS, SlotBody, lease_ms},
+    super::{SLOTS, SlotBody, homes_of, lease_ms},
     std::{collections::BTreeMap, net::SocketAddr},
 };
 
@@ -91,6 +91,21 @@
         SlotBody::new(slot, self.address, self.incarnation, nonce)
     }
 
+    /// Returns who else holds a team's homes, as far as the last list tells.
+    pub fn holders(&self, team: &str) -> Vec<SocketAddr> {
+        let sights = homes_of(team)
+            .into_iter()
+            .filter_map(|s| self.sights.get(&s));
+        let mut holders: Vec<SocketAddr> = sights
+            .filter_map(|sight| sight.body.as_ref())
+            .map(|body| body.holder)
+            .filter(|holder| *holder != self.address)
+            .collect();
+        holders.sort_unstable();
+        holders.dedup();
+        holders
+    }
+
     /// Returns how many slots are held.
     pub fn held(&self) -> u32 {
         u32::try_from(self.held.len()).unwrap_or(SLOTS)
--- a/crates/core/src/peer/message.rs
+++ b/crates/core/src/peer/message.rs
@@ -49,10 +49,12 @@
         /// Crashes charged to requests.
         crashes: Vec<CrashSight>,
     },
-    /// Tokens granted, as many as were there of those asked for.
+    /// Tokens granted.
     Granted {
-        /// Tokens, to be spent at once.
+        /// Tokens, to be spent at once: all that were asked for, or none.
         tokens: u64,
+        /// Tokens that are left.
+        left_tokens: u64,
     },
     /// The request can't be read by this version.
     Unsupported,
--- a/crates/core/tests/limits/leases.rs
+++ b/crates/core/tests/limits/leases.rs
@@ -4,7 +4,7 @@
 use {
     super::model::{Model, Op},
     mangowalk_core::{
-        limits::{Bucket, SHORT_LEASE_MS},
+        limits::{Bucket, HOMES, SHORT_LEASE_MS},
         record::Rate,
     },
 };
@@ -97,7 +97,7 @@
 /// the one that began first; the later one still puts all of its tokens back.
 #[test]
 fn minting_takes_the_room_of_the_oldest_reservation() {
-    let forever = || std::iter::repeat_n(u64::MAX, 512);
+    let forever = || std::iter::repeat_n(u64::MAX, HOMES);
     let mut bucket = Bucket::empty(&RATE, 0);
     bucket.mint(forever(), 10_000);
     assert!(bucket.take(100, 1) && bucket.take(100, 2));
--- a/crates/core/tests/limits/model.rs
+++ b/crates/core/tests/limits/model.rs
@@ -277,7 +277,8 @@
         let asker = self.instances[to].holding.ledger();
         asker.draw(&mut reservation, &self.rate, wanted, to_ms);
         let giver = self.instances[from].holding.ledger();
-        let given = giver.give(TEAM, &self.rate, wanted - reservation.tokens, from_ms);
+        let left = wanted - reservation.tokens;
+        let given = giver.grant(TEAM, &self.rate, left, from_ms).tokens;
         let open = self.open(to, reservation);
         self.grants[open.grant].1 = 0;
         self.moving.push_back(Moving {
--- a/crates/mangowalkd/src/board/limits.rs
+++ b/crates/mangowalkd/src/board/limits.rs
@@ -3,11 +3,12 @@
     mangowalk_core::{
         edge::PlatformError,
         limits::{
-            Holding, Reservation, RetryAsk, RetryTimes, Scarcity, SlotBody, SlotList, SlotWrite,
+            Grant, Holding, Reservation, RetryAsk, RetryTimes, Scarcity, SlotBody, SlotList,
+            SlotWrite,
         },
         record::Rate,
     },
-    std::{ops::ControlFlow, sync::Mutex},
+    std::{net::SocketAddr, ops::ControlFlow, sync::Mutex},
 };
 
 /// Tokens of every team that this instance may spend, and the slots from
@@ -114,10 +115,15 @@
         ledger.draw(reservation, rate, tokens, now_ms);
     }
 
-    /// Takes up to so many tokens out, for a peer that asks.
-    pub fn give(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> u64 {
+    /// Takes tokens out for a peer that asks, all or none.
+    pub fn grant(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> Grant {
         let mut inner = lock(&self.inner);
-        inner.holding.ledger().give(team, rate, tokens, now_ms)
+        inner.holding.ledger().grant(team, rate, tokens, now_ms)
+    }
+
+    /// Returns who else holds a team's homes, as far as the last list tells.
+    pub fn holders(&self, team: &str) -> Vec<SocketAddr> {
+        lock(&self.inner).holding.holders(team)
     }
 
     /// Ends a reservation and puts back what it did not use.
@@ -126,16 +132,9 @@
         inner.holding.ledger().settle(reservation, used_tokens);
     }
 
-    /// Returns how many tokens are surely missing for a request, if a look at
-    /// every peer a moment ago tells.
-    pub fn short_tokens(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> Option<u64> {
-        let inner = lock(&self.inner);
-        inner.scarcity.short_tokens(team, rate, tokens, now_ms)
-    }
-
-    /// Notes the tokens that a request found over all instances, too few.
-    pub fn note_scarce(&self, team: &str, tokens: u64, now_ms: u64) {
-        lock(&self.inner).scarcity.note(team, tokens, now_ms);
+    /// Reads or changes what is known of teams that are short of tokens.
+    pub fn scarcity<T>(&self, change: impl FnOnce(&mut Scarcity) -> T) -> T {
+        change(&mut lock(&self.inner).scarcity)
     }
 
     /// Returns when a refused caller's tokens will be there.
--- a/crates/mangowalkd/src/controller/gossip.rs
+++ b/crates/mangowalkd/src/controller/gossip.rs
@@ -172,9 +172,11 @@
         PeerRequest::Grant { team, tokens } => {
             let view = board.config.view();
             let rate = view.rates.get(team);
-            let granted = rate.map(|rate| board.limits.give(team, rate, *tokens, now_ms));
+            let grant = rate.map(|rate| board.limits.grant(team, rate, *tokens, now_ms));
+            let grant = grant.unwrap_or_default();
             PeerReply::Granted {
-                tokens: granted.unwrap_or_default(),
+                tokens: grant.tokens,
+                left_tokens: grant.left_tokens,
             }
         }
     }
--- a/crates/mangowalkd/src/serve/reserve.rs
+++ b/crates/mangowalkd/src/serve/reserve.rs
@@ -1,14 +1,15 @@
 use {
     super::Router,
+    crate::board::PeerSight,
     mangowalk_core::{
         edge::{Clock, Edges, Peers},
-        limits::{Reservation, RetryAsk, minting_ms},
+        limits::{Grant, HOMES, Reservation, RetryAsk},
         peer::{PeerReply, PeerRequest},
         record::Rate,
         refusal::Refusal,
     },
     rand::seq::SliceRandom,
-    std::{net::SocketAddr, thread, time::Duration},
+    std::{cmp::Reverse, net::SocketAddr, thread, time::Duration},
 };
 
 /// Time that a peer has to answer a request for tokens.
@@ -18,15 +19,9 @@
 /// after a pause the tokens belong to a moment long gone.
 const GATHER_MS: u64 = 300;
 
-/// Peers asked for tokens before a request is refused.
-const PEERS_ASKED: usize = 8;
-
 /// Time since the last heartbeat after which a peer is not asked for tokens.
 const PEER_SILENT_MS: u64 = 5_000;
 
-/// Longest time that a request waits for tokens that are about to be minted.
-const LONGEST_WAIT_MS: u64 = 300;
-
 /// Added to such a wait, so that rounding does not end it too soon.
 const WAIT_MARGIN_MS: u64 = 2;
 
@@ -41,7 +36,7 @@
     ///
     /// # Errors
     ///
-    /// A request that can't have its tokens within [`LONGEST_WAIT_MS`] is
+    /// A request that can't have its tokens within the longest wait is
     /// refused at once.
     pub(super) fn reserve(&self, team: &str, tokens: u64) -> Result<Reservation, Refusal> {
         let view = self.board.config.view();
@@ -59,11 +54,10 @@
         if let Some(reservation) = limits.take(team, rate, tokens, now_ms) {
             return Ok(reservation);
         }
-        match limits.short_tokens(team, rate, tokens, now_ms) {
-            Some(short_tokens) if minting_ms(rate, short_tokens) > LONGEST_WAIT_MS => {
-                Err(self.refuse_short(team, rate, tokens, short_tokens))
-            }
-            _ => self.gather(team, rate, tokens),
+        let hopeless = limits.scarcity(|s| s.hopeless(team, rate, tokens, now_ms));
+        match hopeless {
+            Some(short_tokens) => Err(self.refuse_short(team, rate, tokens, short_tokens)),
+            None => self.gather(team, rate, tokens),
         }
     }
 
@@ -75,73 +69,124 @@
     /// Gathers a request's tokens from here and from peers, and waits once if
     /// the rest will be minted soon.
     fn gather(&self, team: &str, rate: &Rate, tokens: u64) -> Result<Reservation, Refusal> {
+        let limits = &self.board.limits;
         let mut gathered = Reservation::empty(team);
-        self.gather_once(rate, tokens, &mut gathered);
-        let wait_ms = minting_ms(rate, tokens - gathered.tokens);
-        if wait_ms > 0 && wait_ms <= LONGEST_WAIT_MS {
+        let mut elsewhere = self.gather_once(rate, tokens, &mut gathered);
+        let mut short_tokens = tokens.saturating_sub(gathered.tokens + elsewhere);
+        let wait_ms = limits.scarcity(|s| s.wait_ms(team, rate, short_tokens));
+        if let Some(wait_ms) = wait_ms.filter(|_| gathered.tokens < tokens) {
+            limits.scarcity(|s| s.begin_wait(team, short_tokens));
             thread::sleep(Duration::from_millis(wait_ms + WAIT_MARGIN_MS));
-            self.gather_once(rate, tokens, &mut gathered);
+            limits.scarcity(|s| s.end_wait(team, short_tokens));
+            elsewhere = self.gather_once(rate, tokens, &mut gathered);
         }
         if gathered.tokens == tokens {
             return Ok(gathered);
         }
         let now_ms = self.edges.clock().now_ms();
-        let limits = &self.board.limits;
+        let found = gathered.tokens + elsewhere;
         limits.settle(&gathered, 0);
-        if gathered.tokens == 0 && limits.slots(now_ms) == 0 {
+        if found == 0 && limits.slots(now_ms) == 0 {
             return Err(Refusal::Unavailable {
                 reason: "This instance holds no share of the rates yet, and no peer gave of its own",
                 retry_ms: NO_SLOT_RETRY_MS,
             });
         }
-        limits.note_scarce(team, gathered.tokens, now_ms);
-        Err(self.refuse_short(team, rate, tokens, tokens - gathered.tokens))
+        limits.scarcity(|s| s.note(team, found, now_ms));
+        short_tokens = tokens.saturating_sub(found).max(1);
+        Err(self.refuse_short(team, rate, tokens, short_tokens))
     }
 
-    fn gather_once(&self, rate: &Rate, tokens: u64, gathered: &mut Reservation) {
+    /// Adds what is missing to a reservation, and returns how many tokens
+    /// peers have left.
+    ///
+    /// Each peer is first asked for all that is missing. Only if none has
+    /// that, but all together do, are parts taken: a part taken for a request
+    /// that is refused after all is lost, since there is no room for it here.
+    fn gather_once(&self, rate: &Rate, tokens: u64, gathered: &mut Reservation) -> u64 {
         let begun_ms = self.edges.clock().now_ms();
         let missing = tokens - gathered.tokens;
         self.board.limits.draw(gathered, rate, missing, begun_ms);
-        for peer in self.peers_to_ask(begun_ms) {
-            let missing = tokens - gathered.tokens;
-            if missing == 0 {
-                return;
+        let mut left = Vec::new();
+        for peer in self.peers_to_ask(&gathered.team, begun_ms) {
+            let grant = self.ask_peer(peer, gathered, tokens, begun_ms);
+            if gathered.tokens == tokens {
+                return 0;
             }
-            let granted = self.ask_peer(peer, &gathered.team, missing);
-            let now_ms = self.edges.clock().now_ms();
-            if now_ms.saturating_sub(begun_ms) > GATHER_MS {
-                return;
+            left.push((grant.left_tokens, peer));
+        }
+        let total = |left: &[(u64, SocketAddr)]| left.iter().map(|(tokens, _)| tokens).sum();
+        if gathered.tokens + total(&left) < tokens {
+            return total(&left);
+        }
+        left.sort_unstable_by_key(|(tokens, _)| Reverse(*tokens));
+        for (left_tokens, peer) in &mut left {
+            let part = tokens.min(gathered.tokens + *left_tokens);
+            *left_tokens = self.ask_peer(*peer, gathered, part, begun_ms).left_tokens;
+            if gathered.tokens == tokens {
+                return 0;
             }
-            gathered.tokens += granted.min(missing);
         }
+        total(&left)
     }
 
-    /// Asks one peer. The peer has deducted what it grants before it answers,
-    /// so a lost answer loses tokens and can't double them.
-    fn ask_peer(&self, peer: SocketAddr, team: &str, tokens: u64) -> u64 {
+    /// Asks one peer for what a reservation lacks up to so many tokens. The
+    /// peer has deducted what it grants before it answers, so a lost answer
+    /// loses tokens and can't double them.
+    fn ask_peer(
+        &self,
+        peer: SocketAddr,
+        gathered: &mut Reservation,
+        up_to: u64,
+        begun_ms: u64,
+    ) -> Grant {
+        let spent_ms = self.edges.clock().now_ms().saturating_sub(begun_ms);
+        let missing = up_to - gathered.tokens;
+        if missing == 0 || spent_ms > GATHER_MS {
+            return Grant::default();
+        }
         let request = PeerRequest::Grant {
-            team: team.to_owned(),
-            tokens,
+            team: gathered.team.clone(),
+            tokens: missing,
         };
-        match self.edges.peers().ask(peer, &request, GRANT_TIMEOUT_MS) {
-            Ok(PeerReply::Granted { tokens }) => tokens,
-            _ => 0,
+        let reply = self.edges.peers().ask(peer, &request, GRANT_TIMEOUT_MS);
+        let spent_ms = self.edges.clock().now_ms().saturating_sub(begun_ms);
+        match reply {
+            Ok(PeerReply::Granted {
+                tokens,
+                left_tokens,
+            }) if spent_ms <= GATHER_MS => {
+                gathered.tokens += tokens.min(missing);
+                Grant {
+                    tokens,
+                    left_tokens,
+                }
+            }
+            _ => Grant::default(),
         }
     }
 
-    /// Returns the peers to ask, in an order drawn anew, so that no peer is
+    /// Returns the peers to ask: those that mint the team's tokens, or any
+    /// while they are not known. The order is drawn anew, so that no peer is
     /// emptied by all others.
-    fn peers_to_ask(&self, now_ms: u64) -> Vec<SocketAddr> {
-        let mut peers: Vec<SocketAddr> = self
+    fn peers_to_ask(&self, team: &str, now_ms: u64) -> Vec<SocketAddr> {
+        let holders = self.board.limits.holders(team);
+        let live: Vec<PeerSight> = self
             .board
             .peers
             .sights()
-            .iter()
+            .into_iter()
             .filter(|peer| now_ms.saturating_sub(peer.heard_ms) < PEER_SILENT_MS)
-            .map(|peer| peer.view.peer_address)
             .collect();
+        let minting = live
+            .iter()
+            .filter(|peer| holders.contains(&peer.view.caller_address));
+        let mut peers: Vec<SocketAddr> = minting.map(|peer| peer.view.peer_address).collect();
+        if peers.is_empty() {
+            peers.extend(live.iter().map(|peer| peer.view.peer_address));
+        }
         peers.shuffle(&mut rand::rng());
-        peers.truncate(PEERS_ASKED);
+        peers.truncate(HOMES);
         peers
     }
 
