Give unused tokens back to the peer that granted them

Change: the giver keeps room under a number, and takes back once what comes under it; a message that comes twice, or reaches a successor on the same address, adds nothing. So the asker needs no room for tokens under way (expect() is gone). No request of a team waits for tokens within a second of a refusal of that team: waiting then only refuses later.

--- a/crates/core/examples/limits_skew/fleet.rs
+++ b/crates/core/examples/limits_skew/fleet.rs
@@ -5,7 +5,7 @@
         record::Rate,
     },
     rand::{SeedableRng, rngs::StdRng, seq::SliceRandom},
-    std::{cmp::Reverse, collections::BinaryHeap},
+    std::{cmp::Reverse, collections::BinaryHeap, net::SocketAddr},
 };
 
 const TEAM: &str = "gallery";
@@ -78,7 +78,7 @@
             let at = self.at(request);
             let mut gathered = held[i].take().unwrap_or_else(|| Reservation::empty(TEAM));
             if event == Event::End(i) {
-                self.ledgers[at].settle(&gathered, request.used);
+                self.settle(at, &gathered, request.used);
                 self.used += request.used;
                 continue;
             }
@@ -98,7 +98,7 @@
                 continue;
             }
             let short = request.tokens.saturating_sub(found);
-            let wait_ms = self.scarcity[at].wait_ms(TEAM, &self.rate, short);
+            let wait_ms = self.scarcity[at].wait_ms(TEAM, &self.rate, short, now_ms);
             if let Some(wait_ms) = wait_ms.filter(|_| may_wait) {
                 held[i] = Some(gathered);
                 waiting[i] = short;
@@ -106,7 +106,7 @@
                 events.push(Reverse((now_ms + wait_ms + 2, Event::Again(i))));
             } else {
                 self.scarcity[at].note(TEAM, found, now_ms);
-                self.ledgers[at].settle(&gathered, 0);
+                self.settle(at, &gathered, 0);
             }
         }
         served
@@ -164,10 +164,17 @@
         }
         self.asked += 1;
         let grant = self.ledgers[peer].grant(TEAM, &self.rate, tokens, now_ms);
-        gathered.tokens += grant.tokens;
+        gathered.add(address_of(peer), &grant);
         grant.left_tokens
     }
 
+    fn settle(&mut self, at: usize, reservation: &Reservation, used: u64) {
+        for moved in self.ledgers[at].settle(reservation, used) {
+            let peer = usize::from(moved.peer.port());
+            self.ledgers[peer].take_back(TEAM, moved.part, moved.tokens);
+        }
+    }
+
     fn peers(&mut self, but: usize) -> Vec<usize> {
         let instances = self.ledgers.len();
         let mut peers: Vec<usize> = homes_of(TEAM)
@@ -181,3 +188,7 @@
         peers
     }
 }
+
+fn address_of(peer: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], peer as u16))
+}
--- a/crates/core/src/limits/bucket.rs
+++ b/crates/core/src/limits/bucket.rs
@@ -1,8 +1,4 @@
-use {
-    super::{Grant, HOMES},
-    crate::record::Rate,
-    std::collections::BTreeMap,
-};
+use {super::HOMES, crate::record::Rate, std::collections::BTreeMap};
 
 const MICRO: u128 = 1_000_000;
 const MS_PER_S: u128 = 1_000;
@@ -99,29 +95,6 @@
         drawn
     }
 
-    /// Takes tokens out for a peer, all or none.
-    ///
-    /// A part of what was asked for would be lost if the rest is nowhere: the
-    /// peer has no room for it.
-    pub fn grant(&mut self, tokens: u64) -> Grant {
-        let enough = tokens <= self.tokens();
-        let granted = if enough { tokens } else { 0 };
-        self.level_micro -= micro(granted);
-        Grant {
-            tokens: granted,
-            left_tokens: self.tokens(),
-        }
-    }
-
-    /// Keeps room in a part for tokens that a peer may send. Without it
-    /// tokens that were under way would come on top of a bucket refilled
-    /// meanwhile.
-    pub fn expect(&mut self, tokens: u64, held_slots: u64, part: u64) {
-        let taken = self.level_micro + self.all_rooms_micro;
-        let free = self.capacity(held_slots).saturating_sub(taken);
-        self.keep_room(micro(tokens).min(free), part);
-    }
-
     /// Ends a part and puts its unused tokens back as far as it still has
     /// room; returns how many did not fit. A reservation that is put back
     /// after a long answer would otherwise stand on top of a full burst.
--- a/crates/core/src/limits/grant.rs
+++ b/crates/core/src/limits/grant.rs
@@ -5,4 +5,6 @@
     pub tokens: u64,
     /// Tokens that are left.
     pub left_tokens: u64,
+    /// Number under which unused tokens may come back, once.
+    pub part: u64,
 }
--- a/crates/core/src/limits/holding.rs
+++ b/crates/core/src/limits/holding.rs
@@ -19,7 +19,7 @@
     pub fn new(address: SocketAddr, incarnation: u64) -> Holding {
         Holding {
             table: SlotTable::new(address, incarnation),
-            ledger: Ledger::default(),
+            ledger: Ledger::numbered_from(incarnation),
         }
     }
 
--- a/crates/core/src/limits/ledger.rs
+++ b/crates/core/src/limits/ledger.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Bucket, Grant, HOMES, Reservation, SLOTS, homes_of},
+    super::{Bucket, Grant, HOMES, Moved, Reservation, SLOTS, homes_of},
     crate::record::Rate,
     std::collections::{BTreeMap, HashMap},
 };
@@ -22,6 +22,16 @@
 }
 
 impl Ledger {
+    /// Returns an empty ledger that numbers its parts from the given number
+    /// on. It is drawn at random: a part of a predecessor on the same address
+    /// must not be taken for one of this process.
+    pub fn numbered_from(part: u64) -> Ledger {
+        Ledger {
+            next_part: part,
+            ..Ledger::default()
+        }
+    }
+
     /// Notes that a slot is held until a time. What was minted before is
     /// settled first, so that the slot mints nothing for the time before.
     pub fn hold(&mut self, slot: u32, lease_end_ms: u64, now_ms: u64) {
@@ -77,24 +87,39 @@
             team: team.to_owned(),
             tokens,
             parts: vec![part],
+            moved: Vec::new(),
         })
     }
 
-    /// Adds up to so many tokens to a reservation, and keeps room for the
-    /// rest, which peers may send.
+    /// Adds up to so many tokens to a reservation, which asks peers for the
+    /// rest.
     pub fn draw(&mut self, reservation: &mut Reservation, rate: &Rate, tokens: u64, now_ms: u64) {
         let part = self.part();
-        let homes = self.homes_held(&reservation.team, now_ms);
         let bucket = self.bucket(&reservation.team, rate, now_ms);
         let drawn = bucket.draw(tokens, part);
-        bucket.expect(tokens - drawn, homes, part);
         reservation.tokens += drawn;
         reservation.parts.push(part);
     }
 
-    /// Takes tokens of a team out for a peer that asks, all or none.
+    /// Takes tokens of a team out for a peer that asks, all or none. Room is
+    /// kept here for what the peer sends back.
     pub fn grant(&mut self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> Grant {
-        self.bucket(team, rate, now_ms).grant(tokens)
+        let part = self.part();
+        let bucket = self.bucket(team, rate, now_ms);
+        let granted = if bucket.take(tokens, part) { tokens } else { 0 };
+        Grant {
+            tokens: granted,
+            left_tokens: bucket.tokens(),
+            part,
+        }
+    }
+
+    /// Takes unused tokens of a grant back. A part ends with the first time
+    /// that it is put back, so a message that comes twice adds nothing.
+    pub fn take_back(&mut self, team: &str, part: u64, tokens: u64) {
+        if let Some(team) = self.teams.get_mut(team) {
+            team.bucket.put_back(tokens, part);
+        }
     }
 
     /// Returns the tokens of a team that are here.
@@ -102,20 +127,28 @@
         self.bucket(team, rate, now_ms).tokens()
     }
 
-    /// Ends a reservation, and puts back what it did not use or charges what
-    /// it used beyond. A lease that
-    /// ended meanwhile is noticed at the next take, which cuts the bucket to
-    /// its capacity first.
-    pub fn settle(&mut self, reservation: &Reservation, used_tokens: u64) {
-        let Some(team) = self.teams.get_mut(&reservation.team) else {
-            return;
-        };
-        let bucket = &mut team.bucket;
-        bucket.charge(used_tokens.saturating_sub(reservation.tokens));
+    /// Ends a reservation: puts back what it did not use, or charges what it
+    /// used beyond, and returns what is to go back to peers.
+    ///
+    /// A lease that ended meanwhile is noticed at the next take, which cuts
+    /// the bucket to its capacity first.
+    pub fn settle(&mut self, reservation: &Reservation, used_tokens: u64) -> Vec<Moved> {
         let mut unused = reservation.tokens.saturating_sub(used_tokens);
-        for part in &reservation.parts {
-            unused = bucket.put_back(unused, *part);
+        let mut back = Vec::new();
+        for moved in &reservation.moved {
+            let tokens = unused.min(moved.tokens);
+            unused -= tokens;
+            back.push(Moved { tokens, ..*moved });
+        }
+        if let Some(team) = self.teams.get_mut(&reservation.team) {
+            let bucket = &mut team.bucket;
+            bucket.charge(used_tokens.saturating_sub(reservation.tokens));
+            for part in &reservation.parts {
+                unused = bucket.put_back(unused, *part);
+            }
         }
+        back.retain(|moved| moved.tokens > 0);
+        back
     }
 
     /// Forgets teams whose rates are withdrawn.
@@ -124,16 +157,10 @@
     }
 
     fn part(&mut self) -> u64 {
-        self.next_part += 1;
+        self.next_part = self.next_part.wrapping_add(1);
         self.next_part
     }
 
-    fn homes_held(&self, team: &str, now_ms: u64) -> u64 {
-        let ends_ms = &self.lease_ends_ms;
-        let held = |slot: &u32| ends_ms.get(slot).is_some_and(|end_ms| *end_ms > now_ms);
-        homes_of(team).iter().filter(|slot| held(slot)).count() as u64
-    }
-
     fn bucket(&mut self, team: &str, rate: &Rate, now_ms: u64) -> &mut Bucket {
         let ends_ms = &self.lease_ends_ms;
         let team = self
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -23,7 +23,7 @@
     holding::Holding,
     homes::{HOMES, homes_of},
     ledger::Ledger,
-    reservation::Reservation,
+    reservation::{Moved, Reservation},
     retry::{RetryAsk, RetryTimes, minting_ms},
     scarcity::{LONGEST_WAIT_MS, Scarcity},
     slot::{LONG_LEASE_MS, SHORT_LEASE_MS, SlotBody, lease_ms},
--- a/crates/core/src/limits/reservation.rs
+++ b/crates/core/src/limits/reservation.rs
@@ -1,14 +1,29 @@
+use {super::Grant, std::net::SocketAddr};
+
 /// Tokens of a team that a request has taken and may put back in part.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[must_use = "settle it, or its unused tokens are lost to the team"]
 pub struct Reservation {
     /// Team.
     pub team: String,
-    /// Tokens taken.
+    /// Tokens taken, here and from peers.
     pub tokens: u64,
-    /// Parts in the order in which they were drawn. Each has its own room in
-    /// the bucket for what comes back.
+    /// Parts drawn here. Each has its own room in the bucket for what comes
+    /// back.
     pub(super) parts: Vec<u64>,
+    /// Parts that peers granted.
+    pub(super) moved: Vec<Moved>,
+}
+
+/// Tokens that a peer granted, or that go back to it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Moved {
+    /// Address of the peer, towards peers.
+    pub peer: SocketAddr,
+    /// Number that the peer gave the grant.
+    pub part: u64,
+    /// Tokens.
+    pub tokens: u64,
 }
 
 impl Reservation {
@@ -18,6 +33,20 @@
             team: team.to_owned(),
             tokens: 0,
             parts: Vec::new(),
+            moved: Vec::new(),
+        }
+    }
+
+    /// Adds what a peer granted.
+    pub fn add(&mut self, peer: SocketAddr, grant: &Grant) {
+        if grant.tokens == 0 {
+            return;
         }
+        self.tokens += grant.tokens;
+        self.moved.push(Moved {
+            peer,
+            part: grant.part,
+            tokens: grant.tokens,
+        });
     }
 }
--- a/crates/core/src/limits/scarcity.rs
+++ b/crates/core/src/limits/scarcity.rs
@@ -7,6 +7,9 @@
 /// Longer, and its caller does better to hear of the refusal at once.
 pub const LONGEST_WAIT_MS: u64 = 300;
 
+/// Time after a refusal in which no request of the team waits.
+const NO_WAIT_MS: u64 = 1_000;
+
 /// How few tokens of each team all instances had together a moment ago, and
 /// how many requests wait for more.
 ///
@@ -47,13 +50,21 @@
         }
         let minted = rate.tokens_per_s.saturating_mul(since_ms).div_ceil(1_000);
         let short_tokens = tokens.saturating_sub(look.tokens.saturating_add(minted));
-        let hopeless = short_tokens > 0 && self.wait_ms(team, rate, short_tokens).is_none();
+        let hopeless = short_tokens > 0 && self.wait_ms(team, rate, short_tokens, now_ms).is_none();
         hopeless.then_some(short_tokens)
     }
 
     /// Returns how long missing tokens take to be minted, behind those for
     /// which others wait; none if that is too long to wait.
-    pub fn wait_ms(&self, team: &str, rate: &Rate, short_tokens: u64) -> Option<u64> {
+    ///
+    /// A team of which a request was refused a moment ago is over its rate.
+    /// Whoever waits then competes with all who come meanwhile, and is refused
+    /// later instead of at once.
+    pub fn wait_ms(&self, team: &str, rate: &Rate, short_tokens: u64, now_ms: u64) -> Option<u64> {
+        let refused = self.looks.get(team);
+        if refused.is_some_and(|look| now_ms.saturating_sub(look.at_ms) < NO_WAIT_MS) {
+            return None;
+        }
         let waiting = self.waiting_tokens.get(team).copied().unwrap_or_default();
         let wait_ms = minting_ms(rate, short_tokens.saturating_add(waiting));
         (wait_ms <= LONGEST_WAIT_MS).then_some(wait_ms)
--- a/crates/core/src/peer/message.rs
+++ b/crates/core/src/peer/message.rs
@@ -26,6 +26,16 @@
         /// Tokens needed.
         tokens: u64,
     },
+    /// Gives unused tokens of a grant back. The answer is
+    /// [`PeerReply::Granted`] with no tokens.
+    GiveBack {
+        /// Team.
+        team: String,
+        /// Number that the grant came with.
+        part: u64,
+        /// Tokens that were not used.
+        tokens: u64,
+    },
     /// Tells of crashes at once. The answer is [`PeerReply::Crashes`].
     Crashes {
         /// Crashes charged to requests.
@@ -55,6 +65,8 @@
         tokens: u64,
         /// Tokens that are left.
         left_tokens: u64,
+        /// Number under which unused tokens may come back.
+        part: u64,
     },
     /// The request can't be read by this version.
     Unsupported,
--- a/crates/core/tests/limits/model.rs
+++ b/crates/core/tests/limits/model.rs
@@ -5,7 +5,7 @@
 use {
     mangowalk_core::{
         edge::PlatformError,
-        limits::{Holding, Reservation, SlotBody, SlotWrite},
+        limits::{Grant, Holding, Moved, Reservation, SlotBody, SlotWrite},
         record::Rate,
     },
     platform::ModelPlatform,
@@ -43,7 +43,12 @@
     /// The peer's answer comes, or is lost.
     Receive { index: usize, lost: bool },
     /// A request ends and puts back what it did not use.
-    Settle { index: usize, used_percent: u64 },
+    Settle {
+        index: usize,
+        used_percent: u64,
+        /// How often what goes back to a peer arrives.
+        messages: u8,
+    },
     /// An instance is killed and starts again, at another address or its own.
     Crash { at: usize, moves: bool },
     /// An instance shuts down in good order; another starts in its place.
@@ -74,8 +79,9 @@
 
 struct Moving {
     open: Open,
+    from: SocketAddr,
     wanted: u64,
-    given: u64,
+    grant: Grant,
 }
 
 /// The whole model, and every grant with its time.
@@ -125,7 +131,7 @@
         self.next += 1;
         Instance {
             address,
-            holding: Holding::new(address, self.next * 167),
+            holding: Holding::new(address, self.next * 1_000_003),
             sent: VecDeque::new(),
             drift_per_mille: [5, -5, 0][index % 3],
             generation: self.next,
@@ -160,7 +166,8 @@
             Op::Settle {
                 index,
                 used_percent,
-            } => self.settle(index, used_percent),
+                messages,
+            } => self.settle(index, used_percent, messages),
             Op::Crash { at, moves } => self.crash(at, moves),
             Op::Close(at) => self.close(at),
         }
@@ -278,13 +285,14 @@
         asker.draw(&mut reservation, &self.rate, wanted, to_ms);
         let giver = self.instances[from].holding.ledger();
         let left = wanted - reservation.tokens;
-        let given = giver.grant(TEAM, &self.rate, left, from_ms).tokens;
+        let grant = giver.grant(TEAM, &self.rate, left, from_ms);
         let open = self.open(to, reservation);
         self.grants[open.grant].1 = 0;
         self.moving.push_back(Moving {
             open,
+            from: self.instances[from].address,
             wanted,
-            given,
+            grant,
         });
     }
 
@@ -293,28 +301,43 @@
             return;
         };
         let reservation = &mut moving.open.reservation;
-        reservation.tokens += if lost { 0 } else { moving.given };
+        if !lost {
+            reservation.add(moving.from, &moving.grant);
+        }
         if reservation.tokens < moving.wanted {
-            return self.end(&moving.open, 0);
+            return self.end(&moving.open, 0, 1);
         }
         self.grants[moving.open.grant].1 = reservation.tokens;
         self.open.push_back(moving.open);
     }
 
-    fn settle(&mut self, index: usize, used_percent: u64) {
+    fn settle(&mut self, index: usize, used_percent: u64, messages: u8) {
         if let Some(open) = self.open.remove(index) {
             let used = open.reservation.tokens * used_percent / 100;
-            self.end(&open, used);
+            self.end(&open, used, messages);
         }
     }
 
-    fn end(&mut self, open: &Open, used: u64) {
+    /// Ends a reservation; what goes back to peers gets lost, or comes once or
+    /// more often.
+    fn end(&mut self, open: &Open, used: u64, messages: u8) {
         let instance = &mut self.instances[open.at];
         if instance.generation != open.generation {
             return;
         }
-        instance.holding.ledger().settle(&open.reservation, used);
+        let back = instance.holding.ledger().settle(&open.reservation, used);
         self.grants[open.grant].1 = used;
+        for moved in back {
+            (0..messages).for_each(|_| self.take_back(&moved));
+        }
+    }
+
+    fn take_back(&mut self, moved: &Moved) {
+        let peer = self.instances.iter_mut().find(|i| i.address == moved.peer);
+        if let Some(peer) = peer {
+            let ledger = peer.holding.ledger();
+            ledger.take_back(TEAM, moved.part, moved.tokens);
+        }
     }
 
     fn crash(&mut self, at: usize, moves: bool) {
--- a/crates/core/tests/limits/property.rs
+++ b/crates/core/tests/limits/property.rs
@@ -33,8 +33,9 @@
             .prop_map(|(to, from, percent)| Op::Move { to, from, percent }),
         4 => (index.clone(), any::<bool>())
             .prop_map(|(index, lost)| Op::Receive { index, lost }),
-        4 => (index, 0u64..=100)
-            .prop_map(|(index, used_percent)| Op::Settle { index, used_percent }),
+        4 => (index, 0u64..=100, 0u8..3).prop_map(|(index, used_percent, messages)| {
+            Op::Settle { index, used_percent, messages }
+        }),
         1 => (instance(), any::<bool>()).prop_map(|(at, moves)| Op::Crash { at, moves }),
         1 => instance().prop_map(Op::Close),
     ]
--- a/crates/mangowalkd/src/board/limits.rs
+++ b/crates/mangowalkd/src/board/limits.rs
@@ -3,7 +3,7 @@
     mangowalk_core::{
         edge::PlatformError,
         limits::{
-            Grant, Holding, Reservation, RetryAsk, RetryTimes, Scarcity, SlotBody, SlotList,
+            Grant, Holding, Moved, Reservation, RetryAsk, RetryTimes, Scarcity, SlotBody, SlotList,
             SlotWrite,
         },
         record::Rate,
@@ -107,8 +107,8 @@
         inner.holding.ledger().take(team, rate, tokens, now_ms)
     }
 
-    /// Adds up to so many tokens to a reservation, and keeps room for the
-    /// rest, which peers may send.
+    /// Adds up to so many tokens to a reservation, which asks peers for the
+    /// rest.
     pub fn draw(&self, reservation: &mut Reservation, rate: &Rate, tokens: u64, now_ms: u64) {
         let mut inner = lock(&self.inner);
         let ledger = inner.holding.ledger();
@@ -126,10 +126,16 @@
         lock(&self.inner).holding.holders(team)
     }
 
-    /// Ends a reservation and puts back what it did not use.
-    pub fn settle(&self, reservation: &Reservation, used_tokens: u64) {
+    /// Takes unused tokens of a grant back.
+    pub fn take_back(&self, team: &str, part: u64, tokens: u64) {
         let mut inner = lock(&self.inner);
-        inner.holding.ledger().settle(reservation, used_tokens);
+        inner.holding.ledger().take_back(team, part, tokens);
+    }
+
+    /// Ends a reservation, and returns what is to go back to peers.
+    pub fn settle(&self, reservation: &Reservation, used_tokens: u64) -> Vec<Moved> {
+        let mut inner = lock(&self.inner);
+        inner.holding.ledger().settle(reservation, used_tokens)
     }
 
     /// Reads or changes what is known of teams that are short of tokens.
--- a/crates/mangowalkd/src/controller/gossip.rs
+++ b/crates/mangowalkd/src/controller/gossip.rs
@@ -177,6 +177,15 @@
             PeerReply::Granted {
                 tokens: grant.tokens,
                 left_tokens: grant.left_tokens,
+                part: grant.part,
+            }
+        }
+        PeerRequest::GiveBack { team, part, tokens } => {
+            board.limits.take_back(team, *part, *tokens);
+            PeerReply::Granted {
+                tokens: 0,
+                left_tokens: 0,
+                part: *part,
             }
         }
     }
--- a/crates/mangowalkd/src/serve/reserve.rs
+++ b/crates/mangowalkd/src/serve/reserve.rs
@@ -61,9 +61,18 @@
         }
     }
 
-    /// Ends a reservation and puts back what it did not use.
+    /// Ends a reservation and puts back what it did not use, here and at the
+    /// peers that granted it. A message that is lost loses tokens.
     pub(super) fn settle(&self, reservation: &Reservation, used_tokens: u64) {
-        self.board.limits.settle(reservation, used_tokens);
+        for moved in self.board.limits.settle(reservation, used_tokens) {
+            let request = PeerRequest::GiveBack {
+                team: reservation.team.clone(),
+                part: moved.part,
+                tokens: moved.tokens,
+            };
+            let peers = self.edges.peers();
+            let _ = peers.ask(moved.peer, &request, GRANT_TIMEOUT_MS);
+        }
     }
 
     /// Gathers a request's tokens from here and from peers, and waits once if
@@ -73,7 +82,8 @@
         let mut gathered = Reservation::empty(team);
         let mut elsewhere = self.gather_once(rate, tokens, &mut gathered);
         let mut short_tokens = tokens.saturating_sub(gathered.tokens + elsewhere);
-        let wait_ms = limits.scarcity(|s| s.wait_ms(team, rate, short_tokens));
+        let now_ms = self.edges.clock().now_ms();
+        let wait_ms = limits.scarcity(|s| s.wait_ms(team, rate, short_tokens, now_ms));
         if let Some(wait_ms) = wait_ms.filter(|_| gathered.tokens < tokens) {
             limits.scarcity(|s| s.begin_wait(team, short_tokens));
             thread::sleep(Duration::from_millis(wait_ms + WAIT_MARGIN_MS));
@@ -85,7 +95,7 @@
         }
         let now_ms = self.edges.clock().now_ms();
         let found = gathered.tokens + elsewhere;
-        limits.settle(&gathered, 0);
+        self.settle(&gathered, 0);
         if found == 0 && limits.slots(now_ms) == 0 {
             return Err(Refusal::Unavailable {
                 reason: "This instance holds no share of the rates yet, and no peer gave of its own",
@@ -101,8 +111,8 @@
     /// peers have left.
     ///
     /// Each peer is first asked for all that is missing. Only if none has
-    /// that, but all together do, are parts taken: a part taken for a request
-    /// that is refused after all is lost, since there is no room for it here.
+    /// that, but all together do, are parts taken: parts taken for a request
+    /// that is refused after all would be missing to smaller ones meanwhile.
     fn gather_once(&self, rate: &Rate, tokens: u64, gathered: &mut Reservation) -> u64 {
         let begun_ms = self.edges.clock().now_ms();
         let missing = tokens - gathered.tokens;
@@ -155,12 +165,15 @@
             Ok(PeerReply::Granted {
                 tokens,
                 left_tokens,
-            }) if spent_ms <= GATHER_MS => {
-                gathered.tokens += tokens.min(missing);
-                Grant {
+                part,
+            }) if spent_ms <= GATHER_MS && tokens <= missing => {
+                let grant = Grant {
                     tokens,
                     left_tokens,
-                }
+                    part,
+                };
+                gathered.add(peer, &grant);
+                grant
             }
             _ => Grant::default(),
         }
