--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -4,6 +4,7 @@
 mod cache_events;
 mod claim_keeper;
 mod config_watch;
+mod crashes;
 mod engine_poll;
 mod gossip;
 mod lease_keeper;
@@ -19,6 +20,7 @@
     cache_events::CacheEventReader,
     claim_keeper::{ClaimKeeper, flush_claims},
     config_watch::ConfigWatch,
+    crashes::tell_crashes,
     engine_poll::EnginePoll,
     gossip::{Gossip, answer},
     record_status::StatusWriter,
--- a/crates/mangowalkd/src/operator/explain.rs
+++ b/crates/mangowalkd/src/operator/explain.rs
@@ -1,9 +1,6 @@
 use {
     super::candidates::Weighing,
-    crate::{
-        board::Board,
-        serve::{LONGEST_WAIT_MS, version_of},
-    },
+    crate::{board::Board, serve::version_of},
     mangowalk_core::{
         config::View,
         limits::minting_ms,
@@ -92,8 +89,8 @@
     steps.push(format!(
         "This instance holds {shares} shares of every rate and lacks the tokens; it would ask other instances."
     ));
-    match limits.short_tokens(team, rate, tokens, now_ms) {
-        Some(short) if minting_ms(rate, short) > LONGEST_WAIT_MS => {
+    match limits.scarcity(|s| s.hopeless(team, rate, tokens, now_ms)) {
+        Some(short) => {
             steps.push(format!(
                 "A look at the other instances a moment ago found {short} tokens too few."
             ));
@@ -101,7 +98,7 @@
                 retry_ms: minting_ms(rate, short),
             })
         }
-        _ => Ok(()),
+        None => Ok(()),
     }
 }
 
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -8,15 +8,13 @@
 mod generate;
 mod observe;
 mod place;
+mod poison;
 mod request;
 mod reserve;
 mod router;
 mod service;
 
-pub(crate) use {
-    place::{cache_salt, version_of},
-    reserve::LONGEST_WAIT_MS,
-};
+pub(crate) use place::{cache_salt, version_of};
 
 pub use {
     answer::{AnswerSink, Finished},
