--- a/crates/core/src/status/instance.rs
+++ b/crates/core/src/status/instance.rs
@@ -1,5 +1,5 @@
 use {
-    super::{PeerStatus, Phase, RefusedRecord, UpstreamStatus},
+    super::{ControlTraffic, PeerStatus, Phase, RefusedRecord, UpstreamStatus},
     crate::burn::TeamBurn,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -26,6 +26,9 @@
     pub refused: Vec<RefusedRecord>,
     /// Requests open now.
     pub open_requests: usize,
+    /// Requests that wait for an engine.
+    #[serde(default)]
+    pub queued: usize,
     /// Shares of every rate that are held.
     pub slots: u32,
     /// Upstreams.
@@ -35,4 +38,7 @@
     /// Counts for the burn report.
     #[serde(default)]
     pub burn: Vec<TeamBurn>,
+    /// What was spent on control.
+    #[serde(default)]
+    pub control: ControlTraffic,
 }
--- a/crates/core/src/status/mod.rs
+++ b/crates/core/src/status/mod.rs
@@ -9,6 +9,7 @@
 mod phase;
 mod record;
 mod refused;
+mod traffic;
 mod upstream;
 
 pub use {
@@ -18,5 +19,6 @@
     phase::Phase,
     record::RecordStatus,
     refused::RefusedRecord,
+    traffic::ControlTraffic,
     upstream::UpstreamStatus,
 };
--- a/crates/core/tests/rollout.rs
+++ b/crates/core/tests/rollout.rs
@@ -30,7 +30,7 @@
 }
 
 fn op() -> impl Strategy<Value = Op> {
-    let engine = 0..6_usize;
+    let engine = 0..12_usize;
     prop_oneof![
         8 => (1..12_u8).prop_map(|steps| Op::Pass { steps }),
         2 => (0..VERSIONS.len()).prop_map(|version| Op::Aim { version }),
@@ -226,7 +226,7 @@
     /// new version or, where the rollout stopped, with one that works.
     #[test]
     fn a_rollout_keeps_capacity_and_ends(
-        size in 2..7_usize,
+        size in 2..13_usize,
         ops in prop::collection::vec(op(), 1..30),
     ) {
         let mut world = World::of(size);
@@ -255,3 +255,21 @@
     assert_eq!(world.serving(), 1);
     assert_eq!(world.engines[0].version, OLD);
 }
+
+/// Two engines die while they are out, as many as may be out. The others must
+/// not wait for them.
+#[test]
+fn dead_engines_do_not_hold_up_the_others() {
+    let mut world = World::of(12);
+    world.target = "v2".to_owned();
+    while world.engines.iter().filter(|e| e.drained).count() < 2 {
+        world.step().expect("a step");
+    }
+    for engine in world.engines.iter_mut().filter(|e| e.drained) {
+        engine.alive = false;
+        engine.load = None;
+    }
+    (0..400).for_each(|_| world.step().expect("a step"));
+    let new = world.engines.iter().filter(|e| e.version == "v2").count();
+    assert_eq!((new, world.serving()), (10, 10));
+}
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -3,6 +3,7 @@
 //! Controllers read and write it, one part each; requests read it and note
 //! what they saw. No part calls another, so each can be tested alone.
 
+mod admission;
 mod burn;
 mod config;
 mod engines;
@@ -10,10 +11,12 @@
 mod life;
 mod limits;
 mod peers;
+mod sync;
 mod upstreams;
 mod whole;
 
 pub use {
+    admission::DispatchBoard,
     burn::{BurnBoard, Unsent},
     config::ConfigBoard,
     engines::{EngineBoard, EngineSight, InFlight},
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,8 +1,14 @@
 use {
     super::{
-        BurnBoard, ConfigBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard, UpstreamBoard,
+        BurnBoard, ConfigBoard, DispatchBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard,
+        UpstreamBoard,
+    },
+    crate::edge::Traffic,
+    mangowalk_core::config::View,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex},
     },
-    std::net::SocketAddr,
 };
 
 /// The state of one instance.
@@ -20,17 +26,23 @@
     pub engines: EngineBoard,
     /// What each upstream can take, and the budget of retries.
     pub upstreams: UpstreamBoard,
+    /// Admission, queue and placement.
+    pub dispatch: DispatchBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
     pub limits: LimitBoard,
+    /// What is spent on control.
+    pub traffic: Arc<Traffic>,
+    /// Records that placement was told of last.
+    pub(super) dispatched: Mutex<Option<Arc<View>>>,
     /// Phase of the process and its open requests.
     pub life: Life,
 }
 
 impl Board {
     /// Returns the board of an instance that starts.
-    pub fn new(identity: Identity) -> Board {
+    pub fn new(identity: Identity, dispatch: DispatchBoard) -> Board {
         Board {
             operator_address: None,
             burn: BurnBoard::default(),
@@ -38,8 +50,11 @@
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
             upstreams: UpstreamBoard::default(),
+            dispatch,
             peers: PeerBoard::default(),
             limits: LimitBoard::default(),
+            traffic: Arc::default(),
+            dispatched: Mutex::default(),
             life: Life::default(),
         }
     }
--- a/crates/mangowalkd/src/controller/engine_poll.rs
+++ b/crates/mangowalkd/src/controller/engine_poll.rs
@@ -35,12 +35,16 @@
     fn step(&mut self, edges: &E, board: &Board, _now_ms: u64) -> u64 {
         let view = board.config.view();
         board.engines.retain(|name| view.engines.contains_key(name));
+        let instances = board.peers.sights().len() as u32 + 1;
+        board.dispatch.set_instances(instances);
+        board.sync_engines();
         let engines: Vec<_> = view.engines.values().collect();
         for _ in 0..engines.len().min(ASKED_A_ROUND) {
             self.next = (self.next + 1) % engines.len();
             let engine = engines[self.next];
             let state = edges.engines().state(engine.address).ok();
             let seen_ms = edges.clock().now_ms();
+            board.dispatch.report(&engine.name, state.as_ref(), seen_ms);
             board.engines.update(&engine.name, |sight| {
                 sight.state = state;
                 sight.seen_ms = seen_ms;
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -1,10 +1,11 @@
 use {
     crate::{
-        board::{Board, Identity},
+        board::{Board, DispatchBoard, Identity},
         caller::CallerServer,
         cli::Settings,
         controller::{
-            ConfigWatch, EnginePoll, Gossip, RolloutKeeper, SlotHolder, StatusWriter, answer, spawn,
+            CacheEventReader, ConfigWatch, EnginePoll, Gossip, RolloutKeeper, SlotHolder,
+            StatusWriter, answer, spawn,
         },
         edge::{LiveEdges, PeerServer},
         metrics::{MetricsReport, metrics_client},
@@ -78,13 +79,17 @@
     pub fn start(settings: Settings) -> Result<Daemon, Report<StartError>> {
         let signals = Signals::new([SIGTERM, SIGINT]).change_context(StartError::Threads)?;
         let edges = Arc::new(LiveEdges::new(settings.platform_address));
-        let mut board = Board::new(Identity {
+        let dispatch =
+            DispatchBoard::new(settings.placement(), settings.admission(), rand::random());
+        let identity = Identity {
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
             failure_domain: settings.failure_domain.clone(),
             incarnation: incarnation(edges.clock().wall_ms()),
-        });
+        };
+        let mut board = Board::new(identity, dispatch);
         board.operator_address = settings.operator_address;
+        board.traffic = edges.traffic().clone();
         let board = Arc::new(board);
         board.config.set_stale_after(settings.stale_config_ms);
         let (peer_edges, peer_board) = (edges.clone(), board.clone());
@@ -183,6 +188,7 @@
     Ok(vec![
         spawn(gossip, edges.clone(), board.clone())?,
         spawn(EnginePoll::default(), edges.clone(), board.clone())?,
+        spawn(CacheEventReader::default(), edges.clone(), board.clone())?,
         spawn(SlotHolder::default(), edges.clone(), board.clone())?,
         spawn(StatusWriter::default(), edges.clone(), board.clone())?,
         spawn(RolloutKeeper::default(), edges.clone(), board.clone())?,
--- a/crates/mangowalkd/src/serve/observe.rs
+++ b/crates/mangowalkd/src/serve/observe.rs
@@ -28,6 +28,12 @@
         self.first_ms.get_or_insert(self.clock.now_ms());
         result
     }
+
+    fn silence(&mut self) -> io::Result<()> {
+        let result = self.sink.silence();
+        self.caller_gone |= result.is_err();
+        result
+    }
 }
 
 impl<E: Edges> Router<E> {
--- a/crates/mangowalkd/src/serve/request.rs
+++ b/crates/mangowalkd/src/serve/request.rs
@@ -5,6 +5,9 @@
     pub request_id: String,
     /// Team whose key came with it.
     pub team: String,
+    /// Digest of the key that came with it. The key itself is dropped at the
+    /// edge.
+    pub key_digest: String,
     /// Model asked for.
     pub model: String,
     /// Prompt as text.
--- a/crates/mangowalkd/tests/membership.rs
+++ b/crates/mangowalkd/tests/membership.rs
@@ -2,12 +2,14 @@
 
 use {
     mangowalk_core::{
+        admission::AdmissionSettings,
         config::Digest,
         peer::{InstanceView, PeerReply, PeerRequest},
+        placement::PlacementSettings,
     },
     mangowalk_standins::{Answer, Fleet, FleetSettings, RouterProcess, eventually, free_address},
     mangowalkd::{
-        board::{Board, Identity},
+        board::{Board, DispatchBoard, Identity},
         controller::answer,
         edge::LiveEdges,
     },
@@ -112,12 +114,18 @@
 #[test]
 fn a_suspected_instance_contradicts() {
     let address = free_address();
-    let board = Board::new(Identity {
+    let identity = Identity {
         caller_address: address,
         peer_address: address,
         failure_domain: "a".to_owned(),
         incarnation: 7,
-    });
+    };
+    let dispatch = DispatchBoard::new(
+        PlacementSettings::default(),
+        AdmissionSettings::default(),
+        1,
+    );
+    let board = Board::new(identity, dispatch);
     let view = |port: u16, heartbeat, suspected| InstanceView {
         caller_address: SocketAddr::from(([127, 0, 0, 1], port)),
         peer_address: SocketAddr::from(([127, 0, 0, 1], port)),
--- a/crates/mangowalkd/tests/rollout.rs
+++ b/crates/mangowalkd/tests/rollout.rs
@@ -198,3 +198,79 @@
     });
     eventually_all_serve(&fleet, "v2");
 }
+
+/// A holder died after its engine had loaded and before the mark was gone.
+/// Left there, the mark would keep the engine idle for good.
+#[test]
+fn a_mark_that_was_left_behind_goes() {
+    let fleet = fleet(2, true);
+    let mark = json!({ "schema": 1, "model": MODEL });
+    fleet.platform.put("drain", "engine-0", mark);
+    eventually_all_serve(&fleet, "v1");
+    assert!(fleet.engines.iter().all(|e| e.orders().is_empty()));
+}
+
+/// An engine is marked as draining by whoever drains it. A moment later no
+/// instance sends it new requests, and callers are still served.
+#[test]
+fn a_drained_engine_gets_no_new_work() {
+    let fleet = fleet(2, true);
+    let mark = json!({ "schema": 1, "model": "of-another-holder" });
+    fleet.platform.put("drain", "engine-0", mark);
+    let started = || -> u64 { fleet.engines[0].prompts().values().sum() };
+    let all_served = |turn: &str| {
+        (0..16).all(|i| fleet.chat(i % 2, &format!("{turn} {i}"), 2, false).status == 200)
+    };
+    eventually("requests leave engine-0 out", || {
+        let before = started();
+        all_served("until") && started() == before
+    });
+    let before = started();
+    assert!(all_served("after"));
+    assert_eq!(started(), before);
+}
+
+/// Streams of several seconds run while the version changes. Each ends on the
+/// engine where it began: an engine is ordered when its last stream is over.
+#[test]
+fn long_streams_are_not_moved_by_a_rollout() {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        engines: 2,
+        engine: EngineSettings {
+            token_us: 40_000,
+            ..EngineSettings::default()
+        },
+        ..FleetSettings::default()
+    });
+    eventually("the router serves", || {
+        fleet.chat(0, "warm", 1, false).status == 200
+    });
+    thread::scope(|scope| {
+        let fleet = &fleet;
+        let streams: Vec<_> = (0..6)
+            .map(|i| scope.spawn(move || fleet.chat(0, &format!("long {i}"), 150, true)))
+            .collect();
+        eventually("the streams run", || {
+            fleet
+                .engines
+                .iter()
+                .map(|e| e.state().load.running)
+                .sum::<u32>()
+                == 6
+        });
+        write_version(fleet, "v2");
+        for (i, stream) in streams.into_iter().enumerate() {
+            let answer = stream.join().expect("a caller");
+            let expected = Fleet::expected(&format!("long {i}"), 150);
+            assert_eq!(answer.streamed_text(), expected, "{}", answer.body);
+        }
+    });
+    let starts = fleet.engines.iter().flat_map(|e| e.prompts());
+    let long: u64 = starts
+        .filter(|(p, _)| p.contains("long"))
+        .map(|(_, n)| n)
+        .sum();
+    assert_eq!(long, 6, "each stream was started once");
+    eventually_all_serve(&fleet, "v2");
+}
--- a/crates/standins/src/fleet/mod.rs
+++ b/crates/standins/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod address;
 mod answer;
 mod eventually;
+mod raw;
 mod router;
 mod whole;
 
@@ -10,6 +11,7 @@
     address::free_address,
     answer::Answer,
     eventually::eventually,
+    raw::RawCaller,
     router::RouterProcess,
     whole::{Fleet, FleetSettings},
 };
