--- a/crates/core/src/admission/fair_queue.rs
+++ b/crates/core/src/admission/fair_queue.rs
@@ -5,6 +5,10 @@
     std::collections::BTreeMap,
 };
 
+/// Requests of a team that are asked for one that has room. The first may
+/// wait for the engine that holds its prompt while others could go.
+const JOBS_TRIED: usize = 8;
+
 /// Why a request may not wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 #[display("The request would wait {wait_ms} ms; send it again in {retry_ms} ms.")]
@@ -64,7 +68,7 @@
     /// Refuses at once what would not be served in time, or is one too many.
     pub fn enter(&mut self, job: Job, now_ms: u64) -> Result<(), Full> {
         let wait_ms = self.predicted_wait_ms(&job);
-        if wait_ms > self.settings.most_wait_ms || self.queued >= self.settings.most_queued {
+        if wait_ms > self.most_wait_ms(&job) || self.queued >= self.settings.most_queued {
             return Err(self.full(wait_ms));
         }
         self.drain.backlogged(now_ms);
@@ -73,6 +77,12 @@
         Ok(())
     }
 
+    fn most_wait_ms(&self, job: &Job) -> u64 {
+        let most_ms = self.settings.most_wait_ms;
+        job.deadline_ms
+            .map_or(most_ms, |deadline_ms| deadline_ms.min(most_ms))
+    }
+
     /// Returns the refusal of a request with a predicted wait.
     pub fn full(&mut self, wait_ms: u64) -> Full {
         let excess_ms = wait_ms.saturating_sub(self.settings.most_wait_ms);
@@ -127,9 +137,11 @@
         order.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
         let (name, at, sent) = order.into_iter().take(tries).find_map(|(_, _, name)| {
             let team = self.teams.get(name)?;
-            let at = team.first(&self.settings, now_ms)?;
-            let sent = send(&team.jobs[at])?;
-            Some((name.clone(), at, sent))
+            let order = team.order(&self.settings, now_ms);
+            order.into_iter().take(JOBS_TRIED).find_map(|at| {
+                let sent = send(&team.jobs[at])?;
+                Some((name.clone(), at, sent))
+            })
         })?;
         let job = self.take(&name, at)?;
         self.charge(&job);
@@ -163,7 +175,10 @@
     /// Takes out every request that has waited as long as a caller is held.
     pub fn expired(&mut self, now_ms: u64) -> Vec<Job> {
         let most_wait_ms = self.settings.most_wait_ms;
-        let is_over = |job: &Job| now_ms.saturating_sub(job.arrived_ms) > most_wait_ms;
+        let is_over = |job: &Job| {
+            let most_ms = job.deadline_ms.unwrap_or(most_wait_ms).min(most_wait_ms);
+            now_ms.saturating_sub(job.arrived_ms) > most_ms
+        };
         let mut over = Vec::new();
         for team in self.teams.values_mut() {
             while let Some(at) = team.jobs.iter().position(is_over) {
--- a/crates/core/src/placement/candidates.rs
+++ b/crates/core/src/placement/candidates.rs
@@ -13,6 +13,9 @@
 /// (power of two choices); more would follow lagging reports into herds.
 const RANDOM_DRAWS: usize = 2;
 
+/// Engines drawn for a prompt without a full block, which has no homes.
+const DRAWS_WITHOUT_HOMES: usize = 4;
+
 /// Looks for an eligible engine behind a random one.
 const RANDOM_STEPS: usize = 8;
 
@@ -20,6 +23,10 @@
 /// their requests there too and nothing better is known.
 const HOME_BELIEF: f64 = 0.6;
 
+/// Share of a prompt that its home is expected to hold if this instance never
+/// saw any of it: enough to prefer the home among engines as good as equal.
+const COLD_BELIEF: f64 = 0.1;
+
 /// Age from which a small fleet's event index is trusted over what this
 /// instance sent itself; events come late.
 const EVENT_LAG_MS: u64 = 1_000;
@@ -51,9 +58,12 @@
         marks: &[Mark],
         now_ms: u64,
     ) -> Vec<Candidate> {
-        let draws: Vec<u64> = (0..RANDOM_DRAWS + 1)
-            .map(|_| placement.rng.random())
-            .collect();
+        let random = if marks.is_empty() {
+            DRAWS_WITHOUT_HOMES
+        } else {
+            RANDOM_DRAWS
+        };
+        let draws: Vec<u64> = (0..random + 1).map(|_| placement.rng.random()).collect();
         let Some(model) = placement.fleet.model(ask.model) else {
             return Vec::new();
         };
@@ -75,6 +85,11 @@
         let engine = self.placement.fleet.get(slot);
         engine.serves(self.ask.model, self.ask.version)
             && (self.ask.avoid.is_empty() || !self.ask.avoid.contains(&engine.spec.name))
+            && (self.ask.fit)(&engine.spec.name)
+    }
+
+    fn is_found(&self, slot: usize) -> bool {
+        self.found.iter().any(|c| c.slot == slot)
     }
 
     fn add(&mut self, candidate: Candidate) {
@@ -153,12 +168,15 @@
             if prefix.is_none() && at > 0 {
                 continue;
             }
+            if prefix.is_none() {
+                self.add_cold_home(mark);
+                return;
+            }
             let load = prefix.map_or(0.0, |p| p.load(now_ms));
             let homes = self.homes(load);
             if homes > homes_below && levels < MOST_LEVELS {
-                let belief = if prefix.is_some() { HOME_BELIEF } else { 0.0 };
-                self.add_home(mark, deeper % homes, belief);
-                self.add_home(mark, draw % homes, belief);
+                self.add_home(mark, deeper % homes);
+                self.add_home(mark, draw % homes);
                 homes_below = homes;
                 levels += 1;
                 deeper = mark.digest;
@@ -174,7 +192,22 @@
         (1 + whole as u64).min(u64::from(settings.most_homes))
     }
 
-    fn add_home(&mut self, mark: &Mark, home: u64, belief: f64) {
+    /// Adds the home of a prompt that this instance never saw. Other instances
+    /// may have, and have sent it there; where they have not, the next one
+    /// shall find it there.
+    fn add_cold_home(&mut self, mark: &Mark) {
+        let key = mix(mark.digest, 0);
+        if let Some(slot) = self.model.ring.find(key, |slot| self.eligible(slot)) {
+            self.add(Candidate {
+                slot,
+                held_blocks: 0,
+                expected_blocks: self.ask.chain.len() as f64 * COLD_BELIEF,
+                age_ms: 0,
+            });
+        }
+    }
+
+    fn add_home(&mut self, mark: &Mark, home: u64) {
         let key = mix(mark.digest, home);
         let Some(slot) = self.model.ring.find(key, |slot| self.eligible(slot)) else {
             return;
@@ -183,7 +216,7 @@
         let expected_blocks = if synced {
             0.0
         } else {
-            mark.depth_blocks as f64 * belief
+            mark.depth_blocks as f64 * HOME_BELIEF
         };
         self.add(Candidate {
             slot,
@@ -197,7 +230,7 @@
         let slots = &self.model.slots;
         let slot = (0..slots.len().min(RANDOM_STEPS))
             .map(|step| slots[(draw as usize).wrapping_add(step) % slots.len()])
-            .find(|slot| self.eligible(*slot));
+            .find(|slot| !self.is_found(*slot) && self.eligible(*slot));
         if let Some(slot) = slot {
             self.add(Candidate {
                 slot,
--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -9,6 +9,7 @@
     },
     crate::engine::{CacheEvents, EngineState},
     rand::{SeedableRng, rngs::SmallRng},
+    std::cmp::Ordering,
 };
 
 /// Weight of one observation in a mean.
@@ -20,6 +21,9 @@
 /// Prefill of a request, before answers tell.
 const FIRST_PREFILL_MS: f64 = 50.0;
 
+/// Expectations that differ by less count as equal.
+const GRAIN_MS: f64 = 5.0;
+
 const US_PER_MS: f64 = 1_000.0;
 
 /// Decides where requests go, for one instance.
@@ -37,6 +41,7 @@
     pub(super) rng: SmallRng,
     service_ms: f64,
     prefill_ms: f64,
+    sent: u64,
 }
 
 impl Placement {
@@ -49,6 +54,7 @@
             rng: SmallRng::seed_from_u64(seed),
             service_ms: FIRST_SERVICE_MS,
             prefill_ms: FIRST_PREFILL_MS,
+            sent: 0,
             settings,
         }
     }
@@ -109,26 +115,66 @@
         self.service_ms
     }
 
-    /// Chooses an engine; none if no candidate may take the request now.
+    /// Chooses an engine; none if the request had better wait.
+    ///
+    /// Under load every engine that holds the prompt is full most of the time.
+    /// Sending the request to the first engine with a free slot instead would
+    /// compute the prompt again there and take the time from others, which
+    /// makes the engines fuller still. So it waits for a better engine as long
+    /// as that engine is better by, and then takes what is free.
     pub fn choose(&mut self, ask: &Ask<'_>, now_ms: u64) -> Option<Choice> {
         let marks = marks(ask.chain);
         let candidates = Candidates::gather(self, ask, &marks, now_ms);
-        let weighed = candidates.len();
-        let settings = &self.settings;
-        let best = candidates
+        let weighed: Vec<Choice> = candidates
             .iter()
-            .filter(|c| {
-                let engine = self.fleet.get(c.slot);
-                ask.force || engine.has_room(settings.instances, settings.queue_ahead)
-            })
             .map(|c| self.weigh(ask, c, now_ms))
-            .min_by(|a, b| a.expected_ms.total_cmp(&b.expected_ms))?;
-        Some(Choice { weighed, ..best })
+            .collect();
+        let best = weighed.iter().min_by(|a, b| self.compare(a, b))?;
+        if ask.force || self.has_room(best) {
+            return Some(self.chosen(best, weighed.len()));
+        }
+        let free = weighed
+            .iter()
+            .filter(|choice| self.has_room(choice))
+            .min_by(|a, b| self.compare(a, b))?;
+        let worse_by_ms = free.expected_ms - best.expected_ms;
+        (worse_by_ms <= ask.waited_ms as f64).then(|| self.chosen(free, weighed.len()))
+    }
+
+    fn has_room(&self, choice: &Choice) -> bool {
+        let settings = &self.settings;
+        let engine = self.fleet.get(choice.slot);
+        engine.has_room(settings.instances, settings.queue_ahead)
+    }
+
+    fn chosen(&self, choice: &Choice, weighed: usize) -> Choice {
+        Choice {
+            weighed,
+            ..choice.clone()
+        }
+    }
+
+    /// Compares two choices. Where the expectations are as good as equal, the
+    /// engine that was not chosen for longer is better: estimates that differ
+    /// by noise must not gather the work on one engine.
+    fn compare(&self, a: &Choice, b: &Choice) -> Ordering {
+        let grains = |choice: &Choice| (choice.expected_ms / GRAIN_MS).floor();
+        let last_sent = |choice: &Choice| self.fleet.get(choice.slot).last_sent;
+        grains(a)
+            .total_cmp(&grains(b))
+            .then(last_sent(a).cmp(&last_sent(b)))
     }
 
     fn weigh(&self, ask: &Ask<'_>, candidate: &Candidate, now_ms: u64) -> Choice {
         let engine = self.fleet.get(candidate.slot);
-        let (prefill_ms, import_blocks) = self.prefill_ms(ask, candidate.expected_blocks);
+        let (prefill_ms, imports) = self.prefill_ms(ask, candidate.expected_blocks);
+        // What is only expected to be there is imported all the same: the
+        // engine skips what it finds.
+        let import_blocks = if imports {
+            ask.kept_blocks.saturating_sub(candidate.held_blocks)
+        } else {
+            0
+        };
         let wait_ms = engine.wait_ms(self.service_ms, self.prefill_ms);
         let distance_ms = if engine.spec.near {
             0.0
@@ -153,8 +199,9 @@
         }
     }
 
-    /// Returns the expected time of the prefill, and the blocks to import.
-    fn prefill_ms(&self, ask: &Ask<'_>, held_blocks: f64) -> (f64, usize) {
+    /// Returns the expected time of the prefill, and whether blocks are to be
+    /// imported for it.
+    fn prefill_ms(&self, ask: &Ask<'_>, held_blocks: f64) -> (f64, bool) {
         let settings = &self.settings;
         let blocks = ask.chain.len() as f64;
         let importable = (ask.kept_blocks as f64 - held_blocks).max(0.0);
@@ -164,13 +211,15 @@
         let us = held_blocks * settings.hit_us
             + imported * import_us.unwrap_or_default()
             + missed * settings.miss_us;
-        (us / US_PER_MS, imported as usize)
+        (us / US_PER_MS, imported > 0.0)
     }
 
     /// Notes that a request was sent where it was placed.
     pub fn sent(&mut self, choice: &mut Choice, chain: &[u64], now_ms: u64) {
         choice.sent_ms = now_ms;
+        self.sent += 1;
         let engine = self.fleet.get_mut(choice.slot);
+        engine.last_sent = self.sent;
         engine.in_flight += 1;
         engine.since_report += 1;
         engine.pending += 1;
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -48,6 +48,8 @@
         chain,
         kept_blocks: 0,
         avoid: &HashSet::new(),
+        fit: &|_| true,
+        waited_ms: 0,
         force: false,
     };
     let choice = placement.choose(&ask, now_ms);
@@ -182,6 +184,8 @@
         chain: &chain,
         kept_blocks: 64,
         avoid: &HashSet::new(),
+        fit: &|_| true,
+        waited_ms: 0,
         force: false,
     };
     let choice = placement.choose(&ask, 0).expect("an engine");
--- a/crates/mangowalkd/examples/capacity/state.rs
+++ b/crates/mangowalkd/examples/capacity/state.rs
@@ -4,7 +4,7 @@
     crate::process::own_resident_kib,
     mangowalk_core::{
         config::{Delta, Store, View},
-        limits::{Bucket, SLOTS},
+        limits::Ledger,
         membership::Members,
         peer::{InstanceView, PeerReply},
         record::Rate,
@@ -100,12 +100,17 @@
         tokens_per_s: 100_000,
         burst_tokens: 400_000,
     };
-    let mut buckets: Vec<Bucket> = (0..teams).map(|_| Bucket::empty(0)).collect();
+    let mut ledger = Ledger::default();
+    for slot in 0..2 {
+        ledger.hold(slot, u64::MAX, 0);
+    }
+    let names: Vec<String> = (0..teams).map(|i| format!("team-{i}")).collect();
     let started = Instant::now();
     for now_ms in 1..=u64::from(REPEATS) {
-        for bucket in &mut buckets {
-            bucket.mint(&rate, 4, SLOTS, now_ms);
-            black_box(bucket.take(10));
+        for name in &names {
+            if let Some(reservation) = black_box(ledger.take(name, &rate, 10, now_ms)) {
+                ledger.settle(&reservation, 5);
+            }
         }
     }
     let ns = started.elapsed().as_nanos() / u128::from(REPEATS);
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        BurnBoard, ConfigBoard, DispatchBoard, EngineBoard, Identity, Life, LimitBoard, PeerBoard,
-        UpstreamBoard,
+        BurnBoard, ClaimBoard, ConfigBoard, DispatchBoard, DispatchSettings, EngineBoard, Identity,
+        Life, LimitBoard, PeerBoard, UpstreamBoard,
     },
     crate::edge::Traffic,
     mangowalk_core::config::View,
@@ -20,14 +20,16 @@
     pub burn: BurnBoard,
     /// Who the instance is.
     pub identity: Identity,
+    /// Claims whose outcome is still to be written.
+    pub claims: ClaimBoard,
     /// Records in force.
     pub config: ConfigBoard,
     /// Engines as last seen.
     pub engines: EngineBoard,
-    /// What each upstream can take, and the budget of retries.
-    pub upstreams: UpstreamBoard,
     /// Admission, queue and placement.
     pub dispatch: DispatchBoard,
+    /// What each upstream can take, and the budget of retries.
+    pub upstreams: UpstreamBoard,
     /// Other instances as last heard of.
     pub peers: PeerBoard,
     /// Tokens of every team.
@@ -42,17 +44,19 @@
 
 impl Board {
     /// Returns the board of an instance that starts.
-    pub fn new(identity: Identity, dispatch: DispatchBoard) -> Board {
+    pub fn new(identity: Identity, settings: DispatchSettings) -> Board {
+        let upstreams = UpstreamBoard::default();
         Board {
+            limits: LimitBoard::new(&identity),
+            claims: ClaimBoard::default(),
             operator_address: None,
             burn: BurnBoard::default(),
             identity,
             config: ConfigBoard::default(),
             engines: EngineBoard::default(),
-            upstreams: UpstreamBoard::default(),
-            dispatch,
+            dispatch: DispatchBoard::new(settings, upstreams.clone()),
+            upstreams,
             peers: PeerBoard::default(),
-            limits: LimitBoard::default(),
             traffic: Arc::default(),
             dispatched: Mutex::default(),
             life: Life::default(),
--- a/crates/mangowalkd/src/cli/settings.rs
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -40,14 +40,14 @@
     pub depart_grace_ms: u64,
     /// Time for which records are used while cut off.
     pub stale_config_ms: u64,
-    /// Address for operators.
-    pub operator_address: Option<SocketAddr>,
-    /// Address of a statsd daemon.
-    pub statsd_address: Option<SocketAddr>,
     /// What counts most when every engine is full.
     pub favour: Favour,
     /// Time to compute one missed block.
     pub compute_block_us: u64,
+    /// Address for operators.
+    pub operator_address: Option<SocketAddr>,
+    /// Address of a statsd daemon.
+    pub statsd_address: Option<SocketAddr>,
 }
 
 impl Default for Settings {
@@ -68,10 +68,10 @@
             drain_timeout_ms: 150_000,
             depart_grace_ms: 12_000,
             stale_config_ms: Freshness::LIMIT_MS,
-            operator_address: None,
-            statsd_address: None,
             favour: Favour::FirstToken,
             compute_block_us: 2_000,
+            operator_address: None,
+            statsd_address: None,
         }
     }
 }
@@ -177,10 +177,10 @@
             drain_timeout_ms: args.drain_timeout_ms,
             depart_grace_ms: args.depart_grace_ms,
             stale_config_ms: args.stale_config_ms,
-            operator_address: args.operator_address,
-            statsd_address: args.statsd_address,
             favour: args.favour,
             compute_block_us: args.compute_block_us,
+            operator_address: args.operator_address,
+            statsd_address: args.statsd_address,
         })
     }
 }
--- a/crates/mangowalkd/src/controller/gossip.rs
+++ b/crates/mangowalkd/src/controller/gossip.rs
@@ -5,7 +5,6 @@
     mangowalk_core::{
         config::{Delta, Freshness},
         edge::{Clock, Edges, Peers},
-        limits::SLOTS,
         membership::StartingFacts,
         peer::{InstanceView, PeerReply, PeerRequest},
     },
@@ -240,13 +239,10 @@
         }
         PeerRequest::Grant { team, tokens } => {
             let view = board.config.view();
-            let granted = view
-                .rates
-                .get(team)
-                .filter(|_| board.limits.slots(now_ms) <= SLOTS)
-                .is_some_and(|rate| board.limits.take(team, rate, *tokens, now_ms));
+            let rate = view.rates.get(team);
+            let granted = rate.map(|rate| board.limits.give(team, rate, *tokens, now_ms));
             PeerReply::Granted {
-                tokens: if granted { *tokens } else { 0 },
+                tokens: granted.unwrap_or_default(),
             }
         }
     }
--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -1,11 +1,11 @@
 use {
     crate::{
-        board::{Board, DispatchBoard, Identity},
+        board::{Board, DispatchSettings, Identity},
         caller::CallerServer,
         cli::Settings,
         controller::{
-            CacheEventReader, ConfigWatch, EnginePoll, Gossip, RolloutKeeper, SlotHolder,
-            StatusWriter, answer, spawn,
+            CacheEventReader, ClaimKeeper, ConfigWatch, EnginePoll, Gossip, RolloutKeeper,
+            SlotHolder, StatusWriter, answer, flush_claims, release_slots, spawn,
         },
         edge::{LiveEdges, PeerServer},
         metrics::{MetricsReport, metrics_client},
@@ -79,8 +79,11 @@
     pub fn start(settings: Settings) -> Result<Daemon, Report<StartError>> {
         let signals = Signals::new([SIGTERM, SIGINT]).change_context(StartError::Threads)?;
         let edges = Arc::new(LiveEdges::new(settings.platform_address));
-        let dispatch =
-            DispatchBoard::new(settings.placement(), settings.admission(), rand::random());
+        let dispatch = DispatchSettings {
+            placement: settings.placement(),
+            admission: settings.admission(),
+            seed: rand::random(),
+        };
         let identity = Identity {
             caller_address: settings.caller_address,
             peer_address: settings.peer_address,
@@ -128,6 +131,8 @@
         }
         self.board.life.stop();
         self.serve_the_last(give_up_ms);
+        release_slots(&*self.edges, &self.board);
+        flush_claims(&*self.edges, &self.board);
         self.join_controllers();
         let open = self.board.life.open_requests();
         if open > 0 {
@@ -188,6 +193,7 @@
     Ok(vec![
         spawn(gossip, edges.clone(), board.clone())?,
         spawn(EnginePoll::default(), edges.clone(), board.clone())?,
+        spawn(ClaimKeeper::default(), edges.clone(), board.clone())?,
         spawn(CacheEventReader::default(), edges.clone(), board.clone())?,
         spawn(SlotHolder::default(), edges.clone(), board.clone())?,
         spawn(StatusWriter::default(), edges.clone(), board.clone())?,
--- a/crates/mangowalkd/src/serve/admit.rs
+++ b/crates/mangowalkd/src/serve/admit.rs
@@ -22,7 +22,7 @@
 const VERSION_TRIES: u32 = 3;
 
 impl<E: Edges> Router<E> {
-    /// Waits for a request's turn, and returns where its first attempt goes.
+    /// Waits for a request's turn.
     ///
     /// # Errors
     ///
@@ -30,7 +30,7 @@
     pub(super) fn admit(&self, request: &ChatRequest) -> Result<Target, Refusal> {
         let mut version = self.version_now(request)?;
         for _ in 1..VERSION_TRIES {
-            let refusal = match self.wait_turn(request, &version) {
+            let refusal = match self.wait_for(request, &version) {
                 Err(refusal @ Refusal::Unavailable { .. }) => refusal,
                 other => return other,
             };
@@ -43,7 +43,7 @@
             }
             version = now;
         }
-        self.wait_turn(request, &version)
+        self.wait_for(request, &version)
     }
 
     /// Returns the weights version for a request that arrives now.
@@ -55,22 +55,10 @@
         })
     }
 
-    /// Queues a request for a version, and waits for its turn.
-    fn wait_turn(&self, request: &ChatRequest, version: &str) -> Result<Target, Refusal> {
-        let view = &*self.board.config.view();
-        let job = self.job(request, view, version);
-        self.avoid_unusable();
-        let (_, verdict) = self.board.dispatch.arrive(job, self.edges.clock().now_ms());
-        let verdict = loop {
-            match verdict.recv_timeout(LOOK) {
-                Ok(verdict) => break verdict,
-                Err(_) => {
-                    self.avoid_unusable();
-                    self.board.dispatch.pump(self.edges.clock().now_ms());
-                }
-            }
-        };
-        match verdict {
+    /// Waits for a request's turn on an engine that serves a version.
+    fn wait_for(&self, request: &ChatRequest, version: &str) -> Result<Target, Refusal> {
+        let job = self.job(request, &self.board.config.view(), version);
+        match self.wait_turn(job) {
             Verdict::Send { choice, .. } => self.dispatch(request, version, choice),
             Verdict::Refuse { full, .. } => {
                 info!(
@@ -97,26 +85,31 @@
         version: &str,
         choice: Choice,
     ) -> Result<Target, Refusal> {
+        // Read anew: an engine withdrawn meanwhile gets no work.
+        let view = self.board.config.view();
+        let target = self.target(&view, version, choice);
         if !self.still_authorized(&request.team, &request.key_digest) {
-            let now_ms = self.edges.clock().now_ms();
-            self.board.dispatch.ended(&choice, None, now_ms);
             return Err(Refusal::Unauthorized);
         }
-        self.target(&self.board.config.view(), version, choice)
-            .or_else(|| self.place_again(request, version, &HashSet::new()))
+        let now_ms = self.edges.clock().now_ms();
+        let allowed = |name: &str| self.board.upstreams.allows(name, now_ms);
+        target
+            .or_else(|| self.place_again(request, &view, Some(version), &HashSet::new(), &allowed))
             .ok_or(Refusal::Unavailable {
                 reason: "The engine chosen is departing",
                 retry_ms: NO_ENGINE_RETRY_MS,
             })
     }
 
-    /// Keeps the queue from sending to upstreams that this instance's own
-    /// attempts have shown to be full or broken.
-    fn avoid_unusable(&self) {
-        let now_ms = self.edges.clock().now_ms();
-        let mut unusable = self.board.upstreams.unusable(now_ms);
-        unusable.extend(self.board.config.view().closed_engines());
-        self.board.dispatch.set_avoid(unusable);
+    fn wait_turn(&self, job: Job) -> Verdict {
+        let dispatch = &self.board.dispatch;
+        let verdict = dispatch.arrive(job, self.edges.clock().now_ms());
+        loop {
+            match verdict.recv_timeout(LOOK) {
+                Ok(verdict) => return verdict,
+                Err(_) => dispatch.pump(self.edges.clock().now_ms()),
+            }
+        }
     }
 
     fn job(&self, request: &ChatRequest, view: &View, version: &str) -> Job {
@@ -130,9 +123,11 @@
             priority: team.map_or(9, |t| t.priority),
             tokens: tokens_of(&request.prompt) + u64::from(request.max_tokens),
             arrived_ms: self.edges.clock().now_ms(),
+            deadline_ms: request.deadline_ms,
             model: request.model.clone(),
             version: version.to_owned(),
             chain: block_chain(&salt, &request.prompt),
+            avoid: HashSet::new(),
             kept_blocks: 0,
         }
     }
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -4,10 +4,12 @@
 mod answer;
 mod attempt;
 mod attempts;
+mod claim;
 mod generate;
 mod observe;
 mod place;
 mod request;
+mod reserve;
 mod router;
 mod service;
 
--- a/crates/mangowalkd/tests/membership.rs
+++ b/crates/mangowalkd/tests/membership.rs
@@ -2,14 +2,12 @@
 
 use {
     mangowalk_core::{
-        admission::AdmissionSettings,
         config::Digest,
         peer::{InstanceView, PeerReply, PeerRequest},
-        placement::PlacementSettings,
     },
     mangowalk_standins::{Answer, Fleet, FleetSettings, RouterProcess, eventually, free_address},
     mangowalkd::{
-        board::{Board, DispatchBoard, Identity},
+        board::{Board, DispatchSettings, Identity},
         controller::answer,
         edge::LiveEdges,
     },
@@ -120,12 +118,7 @@
         failure_domain: "a".to_owned(),
         incarnation: 7,
     };
-    let dispatch = DispatchBoard::new(
-        PlacementSettings::default(),
-        AdmissionSettings::default(),
-        1,
-    );
-    let board = Board::new(identity, dispatch);
+    let board = Board::new(identity, DispatchSettings::default());
     let view = |port: u16, heartbeat, suspected| InstanceView {
         caller_address: SocketAddr::from(([127, 0, 0, 1], port)),
         peer_address: SocketAddr::from(([127, 0, 0, 1], port)),
--- a/crates/standins/src/platform/stand_in.rs
+++ b/crates/standins/src/platform/stand_in.rs
@@ -171,6 +171,9 @@
 
     fn get(&self, exchange: Exchange, key: &ObjectKey) {
         self.count("get");
+        if self.lock().faults.lose_reads {
+            return exchange.hang_up();
+        }
         let object = self.lock().state.get(key).cloned();
         match object {
             Some(object) => exchange.json(200, &object),
@@ -190,8 +193,9 @@
         let (result, lost) = {
             let mut inner = self.lock();
             let result = inner.state.write(key, expect, body);
-            let lost = inner.faults.lose_replies > 0;
-            inner.faults.lose_replies = inner.faults.lose_replies.saturating_sub(1);
+            let of = inner.faults.lose_replies_of.as_ref();
+            let lost = inner.faults.lose_replies > 0 && of.is_none_or(|kind| *kind == key.kind);
+            inner.faults.lose_replies -= u32::from(lost);
             (result, lost)
         };
         self.written.notify_all();
