--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -3,7 +3,7 @@
 use {
     mangowalk_core::{
         config::Store,
-        membership::Members,
+        membership::{Members, SpreadSettings, keep_ms, spread},
         peer::{InstanceView, PeerReply, PeerRequest},
         platform::{ListReply, Object, ObjectKey, WatchReply},
     },
@@ -223,3 +223,27 @@
         "older than the refutation"
     );
 }
+
+/// Seven instances restart at once and one is ready. Callers are told of it
+/// alone, for a moment only, so that they spread when the others are ready.
+#[test]
+fn callers_of_the_first_one_ready_come_back_soon() {
+    let mut instances: Vec<InstanceView> = (0..7).map(view).collect();
+    instances[1..].iter_mut().for_each(|i| i.ready = false);
+    let settings = SpreadSettings::default();
+    assert_eq!(keep_ms(&settings, &instances), settings.keep_starting_ms);
+    assert_eq!(spread(&instances, "san-antonio-0", 1).len(), 1);
+    instances.iter_mut().for_each(|i| i.ready = true);
+    assert_eq!(keep_ms(&settings, &instances), settings.keep_ms);
+}
+
+/// Every failure domain but the caller's is named last, and one address of
+/// another domain is always among the eight.
+#[test]
+fn the_own_failure_domain_comes_first_and_not_alone() {
+    let instances: Vec<InstanceView> = (0..120).map(view).collect();
+    let named = spread(&instances, "san-antonio-0", 1);
+    let near = |a: &SocketAddr| (a.port() - FIRST_PORT).is_multiple_of(6);
+    let order: Vec<bool> = named.iter().map(near).collect();
+    assert_eq!(order, [true, true, true, true, true, true, true, false]);
+}
--- a/crates/mangowalkd/tests/config.rs
+++ b/crates/mangowalkd/tests/config.rs
@@ -70,6 +70,13 @@
     let router = RouterProcess::start(PROGRAM, free_address(), &[&seeds(&fleet)]);
     router.wait_ready();
     assert_eq!(models(&router).status, 200);
+    let chat = json!({ "model": "drafting", "prompt": "still there?", "max_tokens": 2 });
+    let bearer = format!("Bearer {}", Fleet::KEY);
+    let headers = [("Authorization", bearer.as_str())];
+    eventually("it answers with tokens of its peers", || {
+        let path = "/v1/completions";
+        Answer::post(router.address(), path, &headers, &chat.to_string()).status == 200
+    });
     let old = [("Authorization", "Bearer old")];
     assert_eq!(
         Answer::get(router.address(), "/v1/models", &old).status,
