--- a/crates/mangowalkd/src/board/admission.rs
+++ b/crates/mangowalkd/src/board/admission.rs
@@ -3,10 +3,14 @@
     flume::{Receiver, Sender},
     mangowalk_core::{
         admission::{AdmissionSettings, Dispatcher, Job, Verdict},
+        config::View,
         engine::{CacheEvents, EngineState},
         placement::{Ask, Choice, EngineSpec, Placement, PlacementSettings},
     },
-    std::{collections::HashMap, sync::Mutex},
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex},
+    },
 };
 
 /// Settings of placement and admission.
@@ -32,6 +36,8 @@
     upstreams: UpstreamBoard,
     waiters: HashMap<u64, Sender<Verdict>>,
     next_id: u64,
+    /// View whose engines placement knows.
+    taken: Option<Arc<View>>,
     now_ms: u64,
 }
 
@@ -51,6 +57,7 @@
                 upstreams,
                 waiters: HashMap::new(),
                 next_id: 1,
+                taken: None,
                 now_ms: 0,
             }),
         }
@@ -61,10 +68,17 @@
         reader(lock(&self.inner).dispatcher.placement())
     }
 
-    /// Takes the engines of the records in force.
-    pub fn set_engines(&self, specs: &[EngineSpec]) {
+    /// Returns whether the engines of a view were not taken yet.
+    pub fn is_new(&self, view: &Arc<View>) -> bool {
+        let inner = lock(&self.inner);
+        !inner.taken.as_ref().is_some_and(|t| Arc::ptr_eq(t, view))
+    }
+
+    /// Takes the engines of a view.
+    pub fn set_engines(&self, specs: &[EngineSpec], view: &Arc<View>) {
         let mut inner = lock(&self.inner);
         inner.dispatcher.placement_mut().set_engines(specs);
+        inner.taken = Some(view.clone());
     }
 
     /// Sets how many instances share the engines.
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -13,7 +13,6 @@
 mod limits;
 mod peers;
 mod placed;
-mod sync;
 mod upstreams;
 mod whole;
 
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -4,11 +4,8 @@
         Life, LimitBoard, PeerBoard, UpstreamBoard,
     },
     crate::edge::Traffic,
-    mangowalk_core::config::View,
-    std::{
-        net::SocketAddr,
-        sync::{Arc, Mutex},
-    },
+    mangowalk_core::{config::View, placement::EngineSpec},
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// The state of one instance.
@@ -36,8 +33,6 @@
     pub limits: LimitBoard,
     /// What is spent on control.
     pub traffic: Arc<Traffic>,
-    /// Records that placement was told of last.
-    pub(super) dispatched: Mutex<Option<Arc<View>>>,
     /// Phase of the process and its open requests.
     pub life: Life,
 }
@@ -58,8 +53,29 @@
             upstreams,
             peers: PeerBoard::default(),
             traffic: Arc::default(),
-            dispatched: Mutex::default(),
             life: Life::default(),
         }
     }
+
+    /// Tells placement of the engines in force, once for each view.
+    ///
+    /// A request asks for this before it is placed. Were only the poll to tell
+    /// placement, requests in between would be sent to an engine that drains
+    /// or departs, and refused when that is found out.
+    pub fn take_engines(&self, view: &Arc<View>) {
+        if !self.dispatch.is_new(view) {
+            return;
+        }
+        let specs: Vec<EngineSpec> = view
+            .engines
+            .values()
+            .map(|e| EngineSpec {
+                name: e.name.clone(),
+                model: e.model.clone(),
+                near: e.failure_domain == self.identity.failure_domain,
+                departing: e.departing || view.draining.contains(&e.name),
+            })
+            .collect();
+        self.dispatch.set_engines(&specs, view);
+    }
 }
--- a/crates/mangowalkd/src/cli/settings.rs
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -36,14 +36,14 @@
     pub token_timeout_ms: u64,
     /// Longest time that a shutdown waits for open requests.
     pub drain_timeout_ms: u64,
-    /// Shortest time for which a departing instance still serves.
-    pub depart_grace_ms: u64,
-    /// Time for which records are used while cut off.
-    pub stale_config_ms: u64,
     /// What counts most when every engine is full.
     pub favour: Favour,
     /// Time to compute one missed block.
     pub compute_block_us: u64,
+    /// Shortest time for which a departing instance still serves.
+    pub depart_grace_ms: u64,
+    /// Time for which records are used while cut off.
+    pub stale_config_ms: u64,
     /// Address for operators.
     pub operator_address: Option<SocketAddr>,
     /// Address of a statsd daemon.
@@ -66,10 +66,10 @@
             caller_timeout_ms: 10_000,
             token_timeout_ms: 5_000,
             drain_timeout_ms: 150_000,
-            depart_grace_ms: 12_000,
-            stale_config_ms: Freshness::LIMIT_MS,
             favour: Favour::FirstToken,
             compute_block_us: 2_000,
+            depart_grace_ms: 12_000,
+            stale_config_ms: Freshness::LIMIT_MS,
             operator_address: None,
             statsd_address: None,
         }
@@ -157,11 +157,11 @@
         above_zero("--caller-timeout-ms", args.caller_timeout_ms)?;
         above_zero("--token-timeout-ms", args.token_timeout_ms)?;
         above_zero("--drain-timeout-ms", args.drain_timeout_ms)?;
-        above_zero("--stale-config-ms", args.stale_config_ms)?;
         let part = |flag, time_ms| within_request(flag, time_ms, args);
         part("--first-token-timeout-ms", args.first_token_timeout_ms)?;
         part("--token-timeout-ms", args.token_timeout_ms)?;
         above_zero("--compute-block-us", args.compute_block_us)?;
+        above_zero("--stale-config-ms", args.stale_config_ms)?;
         Ok(Settings {
             caller_address: args.caller_address,
             peer_address: args.peer_address,
@@ -175,10 +175,10 @@
             caller_timeout_ms: args.caller_timeout_ms,
             token_timeout_ms: args.token_timeout_ms,
             drain_timeout_ms: args.drain_timeout_ms,
-            depart_grace_ms: args.depart_grace_ms,
-            stale_config_ms: args.stale_config_ms,
             favour: args.favour,
             compute_block_us: args.compute_block_us,
+            depart_grace_ms: args.depart_grace_ms,
+            stale_config_ms: args.stale_config_ms,
             operator_address: args.operator_address,
             statsd_address: args.statsd_address,
         })
--- a/crates/mangowalkd/src/controller/engine_poll.rs
+++ b/crates/mangowalkd/src/controller/engine_poll.rs
@@ -35,9 +35,10 @@
     fn step(&mut self, edges: &E, board: &Board, _now_ms: u64) -> u64 {
         let view = board.config.view();
         board.engines.retain(|name| view.engines.contains_key(name));
-        let instances = board.peers.sights().len() as u32 + 1;
-        board.dispatch.set_instances(instances);
-        board.sync_engines();
+        board
+            .dispatch
+            .set_instances(board.peers.sights().len() as u32 + 1);
+        board.take_engines(&view);
         let engines: Vec<_> = view.engines.values().collect();
         for _ in 0..engines.len().min(ASKED_A_ROUND) {
             self.next = (self.next + 1) % engines.len();
--- a/crates/mangowalkd/src/serve/place.rs
+++ b/crates/mangowalkd/src/serve/place.rs
@@ -3,7 +3,7 @@
     crate::board::{Board, Placed},
     mangowalk_core::{
         admission::Fit,
-        config::{EngineRecord, View},
+        config::View,
         edge::{Clock, Edges},
         placement::{Ask, BLOCK_BYTES, Choice, block_chain},
     },
@@ -33,8 +33,10 @@
     pub(super) fn target(&self, view: &View, version: &str, choice: Choice) -> Option<Target> {
         let (name, incarnation) = (choice.engine.clone(), choice.incarnation);
         let placed = Placed::new(self.board.clone(), choice);
-        let open = |e: &&EngineRecord| !e.departing && !view.draining.contains(&e.name);
-        let record = view.engines.get(&name).filter(open)?;
+        let record = view
+            .engines
+            .get(&name)
+            .filter(|e| !e.departing && !view.draining.contains(&e.name))?;
         Some(Target {
             engine: record.clone(),
             incarnation,
--- a/crates/mangowalkd/tests/rollout.rs
+++ b/crates/mangowalkd/tests/rollout.rs
@@ -6,6 +6,7 @@
     std::{
         sync::atomic::{AtomicBool, Ordering},
         thread,
+        time::Duration,
     },
 };
 
@@ -71,18 +72,40 @@
 #[test]
 fn callers_notice_nothing_of_a_rollout() {
     let fleet = fleet(2, true);
+    change_version_under_traffic(&fleet, 4);
+}
+
+/// The same with engines that serve one request at a time, so that requests
+/// wait. Some wait for the old version when its last engine is drained, and
+/// get the new one.
+#[test]
+fn queued_callers_notice_nothing_of_a_rollout() {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        engines: 2,
+        engine: EngineSettings {
+            slots: 1,
+            ..EngineSettings::default()
+        },
+        ..FleetSettings::default()
+    });
+    change_version_under_traffic(&fleet, 6);
+}
+
+fn change_version_under_traffic(fleet: &Fleet, callers: usize) {
+    let routers = fleet.routers.len();
     eventually("the routers serve", || {
-        (0..2).all(|r| fleet.chat(r, "warm", 2, false).status == 200)
+        (0..routers).all(|r| fleet.chat(r, "warm", 2, false).status == 200)
     });
     let over = AtomicBool::new(false);
     thread::scope(|scope| {
-        for caller in 0..4 {
-            let (fleet, over) = (&fleet, &over);
+        for caller in 0..callers {
+            let over = &over;
             scope.spawn(move || {
                 let mut turn = 0;
                 while !over.load(Ordering::SeqCst) {
                     let prompt = format!("caller {caller} turn {turn}");
-                    let answer = fleet.chat(caller % 2, &prompt, 20, true);
+                    let answer = fleet.chat(caller % routers, &prompt, 20, true);
                     let expected = Fleet::expected(&prompt, 20);
                     assert_eq!(answer.streamed_text(), expected, "{}", answer.body);
                     assert!(answer.is_done());
@@ -90,8 +113,8 @@
                 }
             });
         }
-        write_version(&fleet, "v2");
-        eventually_all_serve(&fleet, "v2");
+        write_version(fleet, "v2");
+        eventually_all_serve(fleet, "v2");
         over.store(true, Ordering::SeqCst);
     });
     let plan = fleet.platform.get("rollout", MODEL).expect("a plan").body;
@@ -179,7 +202,7 @@
     eventually("the one that woke up knows the version", || {
         fleet.chat(holder, "awake", 2, false).status == 200
     });
-    thread::sleep(std::time::Duration::from_secs(3));
+    thread::sleep(Duration::from_secs(3));
     assert_no_stale_order(&fleet);
     eventually_all_serve(&fleet, "v3");
 }
@@ -260,10 +283,17 @@
                 == 6
         });
         write_version(fleet, "v2");
+        while !streams.iter().all(|s| s.is_finished()) {
+            for state in fleet.engines.iter().map(|e| e.state()) {
+                assert!(!state.loading || state.load.running == 0, "{state:?}");
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
         for (i, stream) in streams.into_iter().enumerate() {
             let answer = stream.join().expect("a caller");
             let expected = Fleet::expected(&format!("long {i}"), 150);
             assert_eq!(answer.streamed_text(), expected, "{}", answer.body);
+            assert!(answer.is_done());
         }
     });
     let starts = fleet.engines.iter().flat_map(|e| e.prompts());
