--- a/crates/mangowalk/tests/client/fleet.rs
+++ b/crates/mangowalk/tests/client/fleet.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::{Client, client_of, eventually, eventually_in_force, fleet, platform},
-    mangowalk_standins::FleetSettings,
+    mangowalk_standins::{FleetSettings, PlatformFaults},
     serde_json::json,
 };
 
@@ -107,3 +107,62 @@
     ]);
     assert_eq!(run.code, 6, "{run}");
 }
+
+/// One instance writes to the platform what became of each record. A refused
+/// one says why, a mended one that it is in force, and a status of an older
+/// version is not shown, whoever left it there.
+#[test]
+fn a_refused_record_has_a_status_until_it_is_mended() {
+    let fleet = fleet(2, FleetSettings::default());
+    let client = client_of(&fleet);
+    let bad = fleet
+        .platform
+        .put("rate", "gallery", json!({ "schema": 99 }));
+    let show = || client.run(&["show", "rate", "gallery"]);
+    let refused = format!("Version {bad} was refused, version");
+    let run = eventually(show, |run| run.stderr.contains(&refused));
+    assert!(run.stderr.contains("stays in force"), "{run}");
+    assert!(run.stderr.contains("upgrade this instance"), "{run}");
+    let stale = fleet
+        .platform
+        .get("status", "rate.gallery")
+        .expect("the status");
+    let good = json!({ "schema": 1, "tokens_per_s": 9, "burst_tokens": 9 });
+    let good = fleet.platform.put("rate", "gallery", good);
+    let in_force = format!("Version {good} is in force.");
+    eventually(show, |run| run.stderr.contains(&in_force));
+    fleet.platform.put("status", "rate.gallery", stale.body);
+    let run = show();
+    assert_eq!(run.stderr, "", "{run}");
+}
+
+/// The instance answers, but the platform's watch to it is stuck, so that it
+/// has not heard of the write. It must not be counted as having it.
+#[test]
+fn an_instance_that_answers_may_still_be_behind() {
+    let fleet = fleet(1, FleetSettings::default());
+    let client = client_of(&fleet);
+    eventually_in_force(&fleet, 1);
+    fleet.platform.set_faults(PlatformFaults {
+        mute_watches: true,
+        ..PlatformFaults::default()
+    });
+    let set = |priority| {
+        let field = format!("priority={priority}");
+        client.run(&[
+            "set",
+            "team",
+            "gallery",
+            &field,
+            "--wait",
+            "--wait-timeout-ms=1",
+        ])
+    };
+    let late = set(4);
+    assert_eq!(late.code, 6, "{late}");
+    assert!(late.stderr.contains("in force on 0 of 1"), "{late}");
+    fleet.platform.set_faults(PlatformFaults::default());
+    let field = ["set", "team", "gallery", "priority=4", "--wait"];
+    let done = client.run(&field);
+    assert_eq!(done.code, 0, "{done}");
+}
--- a/crates/standins/src/platform/stand_in.rs
+++ b/crates/standins/src/platform/stand_in.rs
@@ -193,9 +193,7 @@
         let (result, lost) = {
             let mut inner = self.lock();
             let result = inner.state.write(key, expect, body);
-            let of = inner.faults.lose_replies_of.as_ref();
-            let lost = inner.faults.lose_replies > 0 && of.is_none_or(|kind| *kind == key.kind);
-            inner.faults.lose_replies -= u32::from(lost);
+            let lost = inner.faults.loses_reply(&key.kind);
             (result, lost)
         };
         self.written.notify_all();
