Let a failed engine go back also when none answered at the start

Cause, found by a_rollout_keeps_capacity_and_ends with 100,000 cases: the version to go back to is what most engines served when the rollout began; if all were down then, it was empty for good, and the engine that met a bad version stayed out.

Change: the plan takes it from the engines when they answer. The property tests follow PROPTEST_CASES, which their own count had hidden.

--- a/crates/core/src/rollout/plan.rs
+++ b/crates/core/src/rollout/plan.rs
@@ -36,7 +36,7 @@
     /// what to go back to.
     pub fn aim(&mut self, target: &str, engines: &[EngineFacts<'_>]) {
         if self.target == target {
-            return;
+            return self.find_good(engines);
         }
         let good = if self.done {
             std::mem::take(&mut self.target)
@@ -54,6 +54,17 @@
         };
     }
 
+    /// Notes what engines served before, if no engine answered when the
+    /// rollout began. Without it a failed engine would have nothing to go
+    /// back to and stay out.
+    fn find_good(&mut self, engines: &[EngineFacts<'_>]) {
+        if self.good.is_empty() {
+            let before = |e: &&EngineFacts<'_>| e.version != Some(self.target.as_str());
+            let before: Vec<_> = engines.iter().filter(before).copied().collect();
+            self.good = most_served(&before);
+        }
+    }
+
     /// Returns the version that an engine which is out shall load.
     pub fn wanted(&self) -> &str {
         if self.failure.is_some() && !self.good.is_empty() {
--- a/crates/core/tests/config_never_reverts.rs
+++ b/crates/core/tests/config_never_reverts.rs
@@ -199,7 +199,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 4_000, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: ProptestConfig::default().cases.max(4_000), ..ProptestConfig::default() })]
 
     /// A caller with a withdrawn key is refused by every instance that once
     /// refused it, and every instance ends with the same records. What
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -95,7 +95,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 4_000, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: ProptestConfig::default().cases.max(4_000), ..ProptestConfig::default() })]
 
     /// An engine that ignores fencing numbers follows whoever orders. Two
     /// holders at once would order it two versions; and a later holder must
--- a/crates/core/tests/rollout.rs
+++ b/crates/core/tests/rollout.rs
@@ -218,7 +218,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 1_000, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: ProptestConfig::default().cases.max(1_000), ..ProptestConfig::default() })]
 
     /// Callers always find the engines that the floor promises, unless
     /// engines crash by themselves; no engine with a version that does not
