--- a/crates/core/src/record/kind.rs
+++ b/crates/core/src/record/kind.rs
@@ -27,6 +27,7 @@
     /// A mark of the system's own: an engine that gets no new work while its
     /// weights change.
     #[display("drain")]
+    #[serde(skip)]
     Drain,
 }
 
--- a/crates/mangowalkd/tests/config.rs
+++ b/crates/mangowalkd/tests/config.rs
@@ -2,9 +2,11 @@
 
 use {
     mangowalk_standins::{
-        Answer, Fleet, FleetSettings, PlatformFaults, RouterProcess, eventually, free_address,
+        Answer, EngineSettings, Fleet, FleetSettings, PlatformFaults, RouterProcess, eventually,
+        free_address,
     },
     serde_json::json,
+    std::{thread, time::Duration},
 };
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_mangowalkd");
@@ -68,6 +70,13 @@
     let router = RouterProcess::start(PROGRAM, free_address(), &[&seeds(&fleet)]);
     router.wait_ready();
     assert_eq!(models(&router).status, 200);
+    let chat = json!({ "model": "drafting", "prompt": "still there?", "max_tokens": 2 });
+    let bearer = format!("Bearer {}", Fleet::KEY);
+    let headers = [("Authorization", bearer.as_str())];
+    eventually("it answers with tokens of its peers", || {
+        let path = "/v1/completions";
+        Answer::post(router.address(), path, &headers, &chat.to_string()).status == 200
+    });
     let old = [("Authorization", "Bearer old")];
     assert_eq!(
         Answer::get(router.address(), "/v1/models", &old).status,
@@ -123,13 +132,57 @@
         ..PlatformFaults::default()
     });
     for _ in 0..50 {
-        std::thread::sleep(std::time::Duration::from_millis(100));
+        thread::sleep(Duration::from_millis(100));
         for router in &fleet.routers {
             assert_eq!(models(router).status, 200);
         }
     }
 }
 
+/// An engine with one place is busy, and a second request waits for it. Its
+/// key is withdrawn meanwhile. The request is refused when its turn comes,
+/// and never reaches the engine; the stream that runs goes on to its end.
+#[test]
+fn a_withdrawn_key_stops_queued_requests() {
+    let fleet = Fleet::start(&FleetSettings {
+        program: PROGRAM.to_owned(),
+        engines: 1,
+        engine: EngineSettings {
+            slots: 1,
+            token_us: 6_000,
+            ..EngineSettings::default()
+        },
+        ..FleetSettings::default()
+    });
+    eventually("the router serves", || {
+        fleet.chat(0, "warm", 1, false).status == 200
+    });
+    thread::scope(|scope| {
+        let running = scope.spawn(|| fleet.chat(0, "running", 180, true));
+        eventually("the first one runs", || {
+            fleet.engines[0].state().load.running == 1
+        });
+        let queued: Vec<_> = (0..3)
+            .map(|i| {
+                scope.spawn({
+                    let fleet = &fleet;
+                    move || fleet.chat(0, &format!("queued {i}"), 5, false)
+                })
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(200));
+        fleet.platform.delete("key", "gallery-1");
+        let running = running.join().expect("a caller");
+        assert_eq!(running.streamed_text(), Fleet::expected("running", 180));
+        for queued in queued {
+            let answer = queued.join().expect("a caller");
+            assert_eq!(answer.status, 401, "{}", answer.body);
+        }
+    });
+    let prompts = fleet.engines[0].prompts();
+    assert!(!prompts.keys().any(|p| p.contains("queued")), "{prompts:?}");
+}
+
 /// A record that can't be read is refused alone: the team keeps the rate that
 /// it had, and the record written after it is in force.
 #[test]
