--- a/crates/mangowalk/src/cli/common.rs
+++ b/crates/mangowalk/src/cli/common.rs
@@ -37,7 +37,9 @@
         .help("Kind of record: team, rate, key, model or upstream")
         .complete(complete_kind)
         .parse(|text| {
-            Kind::from_name(&text).ok_or("no such kind; give team, rate, key, model or upstream")
+            Kind::from_name(&text)
+                .filter(|kind| Kind::ALL.contains(kind))
+                .ok_or("no such kind; give team, rate, key, model or upstream")
         })
 }
 
--- a/crates/mangowalk/tests/client/records.rs
+++ b/crates/mangowalk/tests/client/records.rs
@@ -156,6 +156,10 @@
             "a bad name",
             r#"{"kind":"team","name":"a/b","record":{"schema":1}}"#,
         ),
+        (
+            "a kind of the system's own",
+            r#"{"kind":"drain","name":"a","record":{"schema":1,"model":"a"}}"#,
+        ),
         ("a record twice", team),
     ];
     let platform = platform();
