--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -138,12 +138,22 @@
                         outcome: course.outcome,
                     });
                 }
+                _ if !course.has_begun() && self.is_late(request, started_ms) => break,
                 _ => {}
             }
         }
         Err(course.given_up("No engine can take the request"))
     }
 
+    /// Returns whether the caller no longer waits for a first token. Another
+    /// attempt would be work for nobody.
+    fn is_late(&self, request: &ChatRequest, started_ms: u64) -> bool {
+        let spent_ms = self.edges.clock().now_ms().saturating_sub(started_ms);
+        request
+            .deadline_ms
+            .is_some_and(|deadline_ms| spent_ms >= deadline_ms)
+    }
+
     fn timeouts(&self, request: &ChatRequest, started_ms: u64, now_ms: u64) -> Timeouts {
         let settings = &self.settings;
         let spent_ms = now_ms.saturating_sub(started_ms);
--- a/crates/mangowalkd/tests/outcomes.rs
+++ b/crates/mangowalkd/tests/outcomes.rs
@@ -71,6 +71,36 @@
     assert!(runs(&fleet, "silence") > 0);
 }
 
+/// The caller waits 300 ms for a first token, and no engine has one. It is
+/// told then, and no further engine is given work for nobody.
+#[test]
+fn a_request_past_its_deadline_is_given_up() {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        router_args: ["request", "first-token", "drain"]
+            .map(|name| format!("--{name}-timeout-ms=300000"))
+            .to_vec(),
+        ..FleetSettings::default()
+    });
+    fleet.until_served();
+    for engine in &fleet.engines {
+        engine.set_faults(EngineFaults {
+            freeze_after_tokens: Some(0),
+            ..EngineFaults::default()
+        });
+    }
+    let bearer = format!("Bearer {}", Fleet::KEY);
+    let headers = [
+        ("Authorization", bearer.as_str()),
+        ("x-mangowalk-deadline-ms", "300"),
+    ];
+    let body = r#"{"model":"drafting","prompt":"late","max_tokens":5}"#;
+    let address = fleet.routers[0].address();
+    let answer = Answer::post(address, "/v1/completions", &headers, body);
+    assert_eq!(outcome(&answer), (502, "unknown"), "{}", answer.body);
+    assert_eq!(runs(&fleet, "late"), 1);
+}
+
 /// Tokens came and the rest did not. The request ran.
 #[test]
 fn a_request_that_was_cut_ran() {
--- a/crates/mangowalkd/tests/streams.rs
+++ b/crates/mangowalkd/tests/streams.rs
@@ -37,10 +37,14 @@
 
 /// Sends a request whose stream the test reads byte by byte.
 fn open_stream(fleet: &Fleet, prompt: &str) -> RawCaller {
+    open_stream_of(fleet, prompt, TOKENS)
+}
+
+fn open_stream_of(fleet: &Fleet, prompt: &str, tokens: u32) -> RawCaller {
     let body = json!({
         "model": "drafting",
         "messages": [{ "role": "user", "content": prompt }],
-        "max_tokens": TOKENS,
+        "max_tokens": tokens,
         "stream": true,
         "stream_options": { "include_usage": true },
     })
@@ -246,6 +250,24 @@
     assert!(comes_true(|| fleet.engines[0].state().load.running == 0));
 }
 
+/// The caller stays connected and stops to read, while the engine writes more
+/// than the sockets between hold. It is let go, and the engine is free again;
+/// otherwise it would hold a place of the engine's batch for as long as it
+/// likes.
+#[test]
+fn a_caller_that_stops_reading_frees_its_engine() {
+    let fleet = fleet(1, &["--caller-timeout-ms=400"]);
+    fleet.engines[0].set_faults(EngineFaults {
+        pad_bytes: 200_000,
+        ..EngineFaults::default()
+    });
+    let mut caller = open_stream_of(&fleet, "stopped", 200);
+    assert!(caller.read_until("w0x"));
+    assert!(comes_true(|| fleet.engines[0].state().load.running == 0));
+    fleet.engines[0].set_faults(EngineFaults::default());
+    assert!(!caller.read_to_end().contains("[DONE]"));
+}
+
 /// The engine restarted, and the router still knows its old incarnation. The
 /// engine refuses; the router reads its state again and the caller is served,
 /// unless the router found it down in between, which it says as "not run".
--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -10,6 +10,8 @@
     pub crash_on: Option<String>,
     /// Every attempt stops after this many tokens and says nothing more.
     pub freeze_after_tokens: Option<u64>,
+    /// Each token is longer by so many bytes.
+    pub pad_bytes: usize,
     /// Every attempt says nothing from now on.
     pub stall: bool,
     /// Every attempt ends after this many tokens as if it were complete, with
--- a/crates/standins/src/engine/stand_in.rs
+++ b/crates/standins/src/engine/stand_in.rs
@@ -395,7 +395,7 @@
             }
             let token = GeneratePayload::Token {
                 index,
-                text: answer::token(&self.request.prompt, index),
+                text: answer::token(&self.request.prompt, index) + &"x".repeat(faults.pad_bytes),
             };
             if self.shared.lock().faults.cross_answers {
                 let text = "foreign ".to_owned();
