--- a/crates/standins/src/platform/stand_in.rs
+++ b/crates/standins/src/platform/stand_in.rs
@@ -193,8 +193,7 @@
         let (result, lost) = {
             let mut inner = self.lock();
             let result = inner.state.write(key, expect, body);
-            let lost = inner.faults.lose_replies > 0;
-            inner.faults.lose_replies = inner.faults.lose_replies.saturating_sub(1);
+            let lost = inner.faults.loses_reply(&key.kind);
             (result, lost)
         };
         self.written.notify_all();
