--- a/crates/mangowalkd/tests/outcomes.rs
+++ b/crates/mangowalkd/tests/outcomes.rs
@@ -1,6 +1,9 @@
 //! What a refusal says of the request is true.
 
-use mangowalk_standins::{Answer, EngineFaults, Fleet, FleetSettings};
+use {
+    mangowalk_standins::{Answer, EngineFaults, Fleet, FleetSettings},
+    std::{thread, time::Duration},
+};
 
 fn fleet_with(faults: &EngineFaults) -> Fleet {
     let fleet = Fleet::start(&FleetSettings {
@@ -98,8 +101,11 @@
     let address = fleet.routers[0].address();
     let answer = Answer::post(address, "/v1/completions", &headers, body);
     assert_eq!(outcome(&answer), (502, "unknown"), "{}", answer.body);
-    let log = fleet.routers[0].log();
-    assert!(log.contains("Attempt 1 of") && !log.contains("Attempt 2 of"));
+    let log = || fleet.routers[0].log();
+    while !log().contains("Attempt 1 of") {
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert!(!log().contains("Attempt 2 of"), "{}", log());
 }
 
 /// Tokens came and the rest did not. The request ran.
