--- a/crates/mangowalkd/src/operator/candidates.rs
+++ b/crates/mangowalkd/src/operator/candidates.rs
@@ -133,6 +133,7 @@
             fit: &|name| force || self.board.upstreams.usable(name, self.now_ms),
             force,
             waited_ms: 0,
+            queued: self.board.dispatch.queued(),
         };
         self.board.dispatch.preview(&ask, self.now_ms)
     }
