--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod cache;
 mod faults;
+mod run;
 mod settings;
 mod stand_in;
 
--- /dev/null
+++ b/crates/standins/src/engine/run.rs
@@ -0,0 +1,133 @@
+use {
+    super::{answer, stand_in::Shared},
+    mangowalk_core::{
+        engine::{GenerateEvent, GeneratePayload, GenerateRequest, Usage},
+        placement::{BLOCK_BYTES, TOKEN_BYTES, tokens_of},
+    },
+    std::{io::Write, sync::Arc, thread, time::Duration},
+};
+
+const BLOCK_TOKENS: u64 = (BLOCK_BYTES / TOKEN_BYTES) as u64;
+
+/// Longest answer of a stand-in, whatever `max_tokens` allows.
+const LONGEST_ANSWER_TOKENS: u64 = 200;
+
+/// One attempt that writes its answer.
+pub(super) struct Run<'a> {
+    pub(super) shared: &'a Arc<Shared>,
+    pub(super) request: &'a GenerateRequest,
+    pub(super) incarnation: u64,
+    pub(super) cached_blocks: usize,
+}
+
+impl Run<'_> {
+    pub(super) fn write(&self, writer: &mut impl Write) {
+        let tokens = u64::from(self.request.max_tokens).min(LONGEST_ANSWER_TOKENS);
+        let first = self.request.generated.len() as u64;
+        let faults = self.shared.lock().faults.clone();
+        if let Some(not_run) = faults.fail_not_run {
+            let reason = "made to fail".to_owned();
+            let failed = GeneratePayload::Failed { reason, not_run };
+            let _ = send(writer, &self.event(self.request.attempt, failed));
+            return;
+        }
+        for index in first..tokens {
+            if !self.go_on(index - first) {
+                return;
+            }
+            if faults.cut_after_tokens == Some(index - first) {
+                let _ = writer.write(b"");
+                return;
+            }
+            if faults.skip_token == Some(index) {
+                continue;
+            }
+            let token = GeneratePayload::Token {
+                index,
+                text: answer::token(&self.request.prompt, index) + &"x".repeat(faults.pad_bytes),
+            };
+            if self.shared.lock().faults.cross_answers {
+                let text = "foreign ".to_owned();
+                let foreign = GeneratePayload::Token { index, text };
+                let foreign = self.event(self.request.attempt + 1, foreign);
+                let _ = send(writer, &foreign);
+            }
+            if send(writer, &self.event(self.request.attempt, token)).is_err() {
+                return;
+            }
+        }
+        let done = self.done(tokens.max(first));
+        let _ = send(writer, &self.event(self.request.attempt, done));
+        let _ = writer.write(b"");
+    }
+
+    /// Waits for the time of one token, and tells whether the run goes on.
+    fn go_on(&self, written: u64) -> bool {
+        let (faults, alive) = {
+            let inner = self.shared.lock();
+            let key = (self.request.request_id.clone(), self.request.attempt);
+            let alive = inner.incarnation == self.incarnation && !inner.cancelled.contains(&key);
+            (inner.faults.clone(), alive)
+        };
+        if !alive {
+            return false;
+        }
+        let poison = faults
+            .crash_on
+            .as_ref()
+            .is_some_and(|text| self.request.prompt.contains(text.as_str()));
+        if poison || faults.crash_after_tokens == Some(written) {
+            self.shared.crash();
+            return false;
+        }
+        if faults.stall || faults.freeze_after_tokens == Some(written) {
+            return self.stay_silent();
+        }
+        let slow = faults.slow_factor.max(1);
+        thread::sleep(Duration::from_micros(self.shared.settings.token_us * slow));
+        self.shared.lock().incarnation == self.incarnation
+    }
+
+    /// Says nothing until the attempt is cancelled or the fault is lifted.
+    fn stay_silent(&self) -> bool {
+        loop {
+            thread::sleep(Duration::from_millis(20));
+            let inner = self.shared.lock();
+            let key = (self.request.request_id.clone(), self.request.attempt);
+            if inner.incarnation != self.incarnation || inner.cancelled.contains(&key) {
+                return false;
+            }
+            if !inner.faults.stall && inner.faults.freeze_after_tokens.is_none() {
+                return true;
+            }
+        }
+    }
+
+    fn done(&self, tokens: u64) -> GeneratePayload {
+        let version = self.shared.lock().version.clone();
+        let prompt_tokens = tokens_of(&self.request.prompt);
+        GeneratePayload::Done {
+            finish_reason: "length".to_owned(),
+            version,
+            incarnation: self.incarnation,
+            usage: Usage {
+                prompt_tokens,
+                cached_tokens: (self.cached_blocks as u64 * BLOCK_TOKENS).min(prompt_tokens),
+                completion_tokens: tokens,
+            },
+        }
+    }
+
+    fn event(&self, attempt: u32, payload: GeneratePayload) -> GenerateEvent {
+        GenerateEvent {
+            request_id: self.request.request_id.clone(),
+            attempt,
+            payload,
+        }
+    }
+}
+
+fn send(writer: &mut impl Write, event: &GenerateEvent) -> std::io::Result<()> {
+    let text = serde_json::to_string(event).expect("serializable");
+    writer.write_all(format!("data: {text}\n\n").as_bytes())
+}
--- a/crates/standins/src/engine/stand_in.rs
+++ b/crates/standins/src/engine/stand_in.rs
@@ -1,17 +1,13 @@
 use {
-    super::{EngineFaults, EngineSettings, answer, cache::Cache},
+    super::{EngineFaults, EngineSettings, answer, cache::Cache, run::Run},
     crate::http::{Exchange, Server},
     mangowalk_core::{
-        engine::{
-            CancelRequest, EngineState, GenerateEvent, GeneratePayload, GenerateRequest,
-            LoadReport, Order, OrderReply, Usage,
-        },
-        placement::{BLOCK_BYTES, TOKEN_BYTES, block_chain, tokens_of},
+        engine::{CancelRequest, EngineState, GenerateRequest, LoadReport, Order, OrderReply},
+        placement::block_chain,
     },
     serde_json::json,
     std::{
         collections::{BTreeMap, HashSet},
-        io::Write,
         net::SocketAddr,
         sync::{
             Arc, Condvar, Mutex, MutexGuard,
@@ -22,11 +18,6 @@
     },
 };
 
-const BLOCK_TOKENS: u64 = (BLOCK_BYTES / TOKEN_BYTES) as u64;
-
-/// Longest answer of a stand-in, whatever `max_tokens` allows.
-const LONGEST_ANSWER_TOKENS: u64 = 200;
-
 static NEXT_INCARNATION: AtomicU64 = AtomicU64::new(1);
 
 /// An engine on threads of this process.
@@ -34,25 +25,25 @@
     shared: Arc<Shared>,
 }
 
-struct Shared {
-    settings: EngineSettings,
+pub(super) struct Shared {
+    pub(super) settings: EngineSettings,
     address: Mutex<SocketAddr>,
     server: Mutex<Option<Server>>,
     inner: Mutex<Inner>,
     freed: Condvar,
 }
 
-struct Inner {
-    incarnation: u64,
+pub(super) struct Inner {
+    pub(super) incarnation: u64,
     model: String,
-    version: String,
+    pub(super) version: String,
     loading: bool,
     fencing: u64,
     running: u32,
     waiting: u32,
     cache: Cache,
-    faults: EngineFaults,
-    cancelled: HashSet<(String, u32)>,
+    pub(super) faults: EngineFaults,
+    pub(super) cancelled: HashSet<(String, u32)>,
     prompts: BTreeMap<String, u64>,
     headers: Vec<(String, String)>,
     orders: Vec<Order>,
@@ -154,7 +145,7 @@
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner
             .lock()
             .expect("no handler panics while it holds the state")
@@ -168,7 +159,7 @@
         *self.server.lock().expect("server") = Some(server);
     }
 
-    fn crash(&self) {
+    pub(super) fn crash(&self) {
         {
             let mut inner = self.lock();
             inner.incarnation = 0;
@@ -362,123 +353,3 @@
         self.freed.notify_all();
     }
 }
-
-/// One attempt that writes its answer.
-struct Run<'a> {
-    shared: &'a Arc<Shared>,
-    request: &'a GenerateRequest,
-    incarnation: u64,
-    cached_blocks: usize,
-}
-
-impl Run<'_> {
-    fn write(&self, writer: &mut impl Write) {
-        let tokens = u64::from(self.request.max_tokens).min(LONGEST_ANSWER_TOKENS);
-        let first = self.request.generated.len() as u64;
-        let faults = self.shared.lock().faults.clone();
-        if let Some(not_run) = faults.fail_not_run {
-            let reason = "made to fail".to_owned();
-            let failed = GeneratePayload::Failed { reason, not_run };
-            let _ = send(writer, &self.event(self.request.attempt, failed));
-            return;
-        }
-        for index in first..tokens {
-            if !self.go_on(index - first) {
-                return;
-            }
-            if faults.cut_after_tokens == Some(index - first) {
-                let _ = writer.write(b"");
-                return;
-            }
-            if faults.skip_token == Some(index) {
-                continue;
-            }
-            let token = GeneratePayload::Token {
-                index,
-                text: answer::token(&self.request.prompt, index) + &"x".repeat(faults.pad_bytes),
-            };
-            if self.shared.lock().faults.cross_answers {
-                let text = "foreign ".to_owned();
-                let foreign = GeneratePayload::Token { index, text };
-                let foreign = self.event(self.request.attempt + 1, foreign);
-                let _ = send(writer, &foreign);
-            }
-            if send(writer, &self.event(self.request.attempt, token)).is_err() {
-                return;
-            }
-        }
-        let done = self.done(tokens.max(first));
-        let _ = send(writer, &self.event(self.request.attempt, done));
-        let _ = writer.write(b"");
-    }
-
-    /// Waits for the time of one token, and tells whether the run goes on.
-    fn go_on(&self, written: u64) -> bool {
-        let (faults, alive) = {
-            let inner = self.shared.lock();
-            let key = (self.request.request_id.clone(), self.request.attempt);
-            let alive = inner.incarnation == self.incarnation && !inner.cancelled.contains(&key);
-            (inner.faults.clone(), alive)
-        };
-        if !alive {
-            return false;
-        }
-        let poison = faults
-            .crash_on
-            .as_ref()
-            .is_some_and(|text| self.request.prompt.contains(text.as_str()));
-        if poison || faults.crash_after_tokens == Some(written) {
-            self.shared.crash();
-            return false;
-        }
-        if faults.stall || faults.freeze_after_tokens == Some(written) {
-            return self.stay_silent();
-        }
-        let slow = faults.slow_factor.max(1);
-        thread::sleep(Duration::from_micros(self.shared.settings.token_us * slow));
-        self.shared.lock().incarnation == self.incarnation
-    }
-
-    /// Says nothing until the attempt is cancelled or the fault is lifted.
-    fn stay_silent(&self) -> bool {
-        loop {
-            thread::sleep(Duration::from_millis(20));
-            let inner = self.shared.lock();
-            let key = (self.request.request_id.clone(), self.request.attempt);
-            if inner.incarnation != self.incarnation || inner.cancelled.contains(&key) {
-                return false;
-            }
-            if !inner.faults.stall && inner.faults.freeze_after_tokens.is_none() {
-                return true;
-            }
-        }
-    }
-
-    fn done(&self, tokens: u64) -> GeneratePayload {
-        let version = self.shared.lock().version.clone();
-        let prompt_tokens = tokens_of(&self.request.prompt);
-        GeneratePayload::Done {
-            finish_reason: "length".to_owned(),
-            version,
-            incarnation: self.incarnation,
-            usage: Usage {
-                prompt_tokens,
-                cached_tokens: (self.cached_blocks as u64 * BLOCK_TOKENS).min(prompt_tokens),
-                completion_tokens: tokens,
-            },
-        }
-    }
-
-    fn event(&self, attempt: u32, payload: GeneratePayload) -> GenerateEvent {
-        GenerateEvent {
-            request_id: self.request.request_id.clone(),
-            attempt,
-            payload,
-        }
-    }
-}
-
-fn send(writer: &mut impl Write, event: &GenerateEvent) -> std::io::Result<()> {
-    let text = serde_json::to_string(event).expect("serializable");
-    writer.write_all(format!("data: {text}\n\n").as_bytes())
-}
