--- a/crates/mangowalkd/src/caller/chat.rs
+++ b/crates/mangowalkd/src/caller/chat.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        body::{self, Form},
+        body::{self, Body, Form},
         handler::{Handler, header},
         reply::Head,
         shape::Shape,
@@ -12,7 +12,7 @@
         refusal::Refusal,
     },
     std::io,
-    tiny_http::Request,
+    tiny_http::{HTTPVersion, Request},
 };
 
 /// Longest time to the first token for which the caller will wait.
@@ -30,6 +30,7 @@
     let read = handler
         .body(&mut request)
         .and_then(|bytes| body::read(&bytes, form))
+        .and_then(|body| check_version(&request, body))
         .and_then(|body| Ok((body, deadline_of(&request)?)));
     let (body, deadline_ms) = match read {
         Ok(read) => read,
@@ -61,6 +62,17 @@
     }
 }
 
+/// Refuses a stream to a caller that reads no chunks: HTTP/1.0 has none, and
+/// without them the end of a stream looks like a lost connection.
+fn check_version(request: &Request, body: Body) -> Result<Body, Refusal> {
+    if body.stream && *request.http_version() < HTTPVersion(1, 1) {
+        return Err(body::malformed(
+            "A stream needs HTTP/1.1; use it, or leave `stream` out.".to_owned(),
+        ));
+    }
+    Ok(body)
+}
+
 fn deadline_of(request: &Request) -> Result<Option<u64>, Refusal> {
     let Some(text) = header(request, DEADLINE_HEADER) else {
         return Ok(None);
--- a/crates/mangowalkd/src/caller/server.rs
+++ b/crates/mangowalkd/src/caller/server.rs
@@ -2,7 +2,7 @@
     super::{
         body::malformed, condemned::Condemned, framing, handler::Handler, listener, reply::Head,
     },
-    crate::serve::Router,
+    crate::serve::{Router, spread_ms},
     log::{info, warn},
     mangowalk_core::{edge::Edges, refusal::Refusal},
     std::{
@@ -21,7 +21,7 @@
 /// Stack of a thread that refuses one request.
 const REFUSAL_STACK_BYTES: usize = 64 << 10;
 
-/// When a caller should come back if every thread is taken.
+/// When a caller should come back at the earliest if every thread is taken.
 const FULL_RETRY_MS: u64 = 1_000;
 
 /// Pause between two looks at whether to stop.
@@ -187,7 +187,7 @@
 fn refuse_full(request: Request) {
     let refusal = Refusal::Unavailable {
         reason: "This instance serves as many requests as it may",
-        retry_ms: FULL_RETRY_MS,
+        retry_ms: spread_ms(FULL_RETRY_MS),
     };
     Head::default().refuse(request, &refusal);
 }
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -20,7 +20,8 @@
 /// Engines whose state may turn out to be old, for one request.
 const MOST_STALE: u32 = 8;
 
-/// When a caller should come back if no engine can take its request.
+/// When a caller should come back at the earliest if no engine can take its
+/// request.
 const NO_ENGINE_RETRY_MS: u64 = 1_000;
 
 /// Pause between two looks for an engine that can resume a stream.
@@ -76,7 +77,7 @@
         match self.outcome {
             Outcome::NotRun => Refusal::Unavailable {
                 reason,
-                retry_ms: NO_ENGINE_RETRY_MS,
+                retry_ms: spread_ms(NO_ENGINE_RETRY_MS),
             },
             outcome => Refusal::Lost {
                 remedy: "send it again",
@@ -86,6 +87,12 @@
     }
 }
 
+/// Returns a time up to twice as long, drawn anew. Callers refused together
+/// would otherwise come back together and be refused again.
+pub(crate) fn spread_ms(least_ms: u64) -> u64 {
+    rand::random_range(least_ms..=least_ms * 2)
+}
+
 /// Returns what is known after two attempts: that one ran is known whatever
 /// became of the other, and a doubt is not removed by a refusal elsewhere.
 fn worse(a: Outcome, b: Outcome) -> Outcome {
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -14,6 +14,7 @@
 mod service;
 
 pub(crate) use {
+    attempts::spread_ms,
     place::{cache_salt, version_of},
     reserve::LONGEST_WAIT_MS,
 };
--- a/crates/mangowalkd/tests/bad_input.rs
+++ b/crates/mangowalkd/tests/bad_input.rs
@@ -168,6 +168,26 @@
     serves_on(&fleet);
 }
 
+/// A caller of HTTP/1.0 asks for a stream, which it could not tell from a cut
+/// one. It is refused, and served without a stream.
+#[test]
+fn a_stream_needs_chunks() {
+    let fleet = fleet(&[]);
+    for (stream, status) in [(true, "400"), (false, "200")] {
+        let body = format!(r#"{{"model":"drafting","prompt":"a","stream":{stream}}}"#);
+        let mut caller = RawCaller::connect(fleet.routers[0].address());
+        let head = format!(
+            "POST /v1/completions HTTP/1.0\r\nAuthorization: Bearer {}\r\nContent-Length: {}\r\n\r\n",
+            Fleet::KEY,
+            body.len()
+        );
+        caller.send(head.as_bytes());
+        caller.send(body.as_bytes());
+        let text = caller.read_to_end();
+        assert!(text.contains(&format!(" {status} ")), "{text}");
+    }
+}
+
 /// Callers who stop in the middle of a head or a body. Each is let go, and
 /// none keeps another from being served.
 #[test]
