--- a/crates/mangowalkd/src/caller/server.rs
+++ b/crates/mangowalkd/src/caller/server.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         body::malformed, condemned::Condemned, framing, handler::Handler, listener, reply::Head,
+        request_id,
     },
     crate::serve::{Router, spread_ms},
     log::{info, warn},
@@ -189,5 +190,5 @@
         reason: "This instance serves as many requests as it may",
         retry_ms: spread_ms(FULL_RETRY_MS),
     };
-    Head::default().refuse(request, &refusal);
+    Head::of(&request_id::draw()).refuse(request, &refusal);
 }
--- a/crates/mangowalkd/tests/bad_input.rs
+++ b/crates/mangowalkd/tests/bad_input.rs
@@ -243,6 +243,7 @@
     }
     assert_eq!(answer.status, 503, "{}", answer.body);
     assert_eq!(answer.json()["error"]["outcome"], "not_run");
+    assert!(answer.header("x-request-id").is_some());
     assert!(answer.header("retry-after").is_some());
     assert!(holding.send("}".repeat(1_999).as_bytes()));
     assert!(holding.read_until("HTTP/1.1 400"));
