--- a/crates/mangowalkd/src/cli/args.rs
+++ b/crates/mangowalkd/src/cli/args.rs
@@ -126,6 +126,29 @@
         display_fallback
     )]
     pub compute_block_us: u64,
+
+    /// Time for which a departing instance still takes callers who kept its
+    /// address, in milliseconds.
+    #[bpaf(
+        long,
+        env("MANGOWALK_DEPART_GRACE_MS"),
+        argument("MS"),
+        fallback(12_000),
+        display_fallback
+    )]
+    pub depart_grace_ms: u64,
+
+    /// Time for which an instance that reaches neither the platform nor its
+    /// peers uses the records it holds, in milliseconds.
+    #[bpaf(
+        long,
+        env("MANGOWALK_STALE_CONFIG_MS"),
+        argument("MS"),
+        fallback(900_000),
+        display_fallback
+    )]
+    pub stale_config_ms: u64,
+
     /// Address for operators, as IP number and port: status, health and
     /// explanations. Without it the client can't show this instance.
     #[bpaf(long, env("MANGOWALK_OPERATOR_ADDRESS"), argument("IP:PORT"), optional)]
--- a/crates/mangowalkd/src/cli/settings.rs
+++ b/crates/mangowalkd/src/cli/settings.rs
@@ -3,6 +3,7 @@
     derive_more::{Display, Error},
     mangowalk_core::{
         admission::{AdmissionSettings, Favour},
+        config::Freshness,
         placement::PlacementSettings,
     },
     std::net::SocketAddr,
@@ -39,6 +40,10 @@
     pub favour: Favour,
     /// Time to compute one missed block.
     pub compute_block_us: u64,
+    /// Shortest time for which a departing instance still serves.
+    pub depart_grace_ms: u64,
+    /// Time for which records are used while cut off.
+    pub stale_config_ms: u64,
     /// Address for operators.
     pub operator_address: Option<SocketAddr>,
     /// Address of a statsd daemon.
@@ -63,6 +68,8 @@
             drain_timeout_ms: 150_000,
             favour: Favour::FirstToken,
             compute_block_us: 2_000,
+            depart_grace_ms: 12_000,
+            stale_config_ms: Freshness::LIMIT_MS,
             operator_address: None,
             statsd_address: None,
         }
@@ -154,6 +161,7 @@
         part("--first-token-timeout-ms", args.first_token_timeout_ms)?;
         part("--token-timeout-ms", args.token_timeout_ms)?;
         above_zero("--compute-block-us", args.compute_block_us)?;
+        above_zero("--stale-config-ms", args.stale_config_ms)?;
         Ok(Settings {
             caller_address: args.caller_address,
             peer_address: args.peer_address,
@@ -169,6 +177,8 @@
             drain_timeout_ms: args.drain_timeout_ms,
             favour: args.favour,
             compute_block_us: args.compute_block_us,
+            depart_grace_ms: args.depart_grace_ms,
+            stale_config_ms: args.stale_config_ms,
             operator_address: args.operator_address,
             statsd_address: args.statsd_address,
         })
--- a/crates/mangowalkd/src/controller/crashes.rs
+++ b/crates/mangowalkd/src/controller/crashes.rs
@@ -1,5 +1,6 @@
 use {
     crate::board::Board,
+    log::warn,
     mangowalk_core::{
         edge::{Clock, Edges, Peers},
         peer::{PeerReply, PeerRequest},
@@ -8,14 +9,11 @@
 };
 
 /// Time that a peer has to answer.
-const ANSWER_TIMEOUT_MS: u64 = 100;
+const ANSWER_TIMEOUT_MS: u64 = 400;
 
 /// Peers told at once. The rest hears of it in the usual exchanges.
 const MOST_TOLD: usize = 8;
 
-/// Time since the last heartbeat after which a peer is not told.
-const SILENT_MS: u64 = 5_000;
-
 /// Tells peers of crashes at once.
 ///
 /// The caller of a request that crashes upstreams sends it again within a
@@ -26,15 +24,14 @@
     let request = PeerRequest::Crashes {
         crashes: board.poison.sights(now_ms),
     };
-    let sights = board.peers.sights();
-    let live = sights
-        .iter()
-        .filter(|s| now_ms.saturating_sub(s.heard_ms) < SILENT_MS);
-    for peer in live.take(MOST_TOLD) {
+    for peer in board.peers.sights().iter().take(MOST_TOLD) {
         let address = peer.view.peer_address;
         let reply = edges.peers().ask(address, &request, ANSWER_TIMEOUT_MS);
-        if let Ok(PeerReply::Crashes { crashes }) = reply {
-            board.poison.merge(&crashes, edges.clock().now_ms());
+        match reply {
+            Ok(PeerReply::Crashes { crashes }) => {
+                board.poison.merge(&crashes, edges.clock().now_ms());
+            }
+            _ => warn!("poison: {address} was not told of a crash and hears of it later."),
         }
     }
 }
--- a/crates/mangowalkd/src/controller/engine_poll.rs
+++ b/crates/mangowalkd/src/controller/engine_poll.rs
@@ -1,12 +1,8 @@
 use {
     super::Controller,
     crate::board::Board,
-    mangowalk_core::{
-        config::View,
-        edge::{Clock, Edges, Engines},
-        placement::EngineSpec,
-    },
-    std::{marker::PhantomData, sync::Arc},
+    mangowalk_core::edge::{Clock, Edges, Engines},
+    std::marker::PhantomData,
 };
 
 /// Pause between two rounds.
@@ -19,7 +15,6 @@
 /// Reads what engines serve, a few in each round.
 pub struct EnginePoll<E> {
     next: usize,
-    taken: Option<Arc<View>>,
     edges: PhantomData<fn() -> E>,
 }
 
@@ -27,35 +22,11 @@
     fn default() -> EnginePoll<E> {
         EnginePoll {
             next: 0,
-            taken: None,
             edges: PhantomData,
         }
     }
 }
 
-impl<E> EnginePoll<E> {
-    /// Tells placement of the engines in force, once for each change.
-    fn take_records(&mut self, board: &Board, view: &Arc<View>) {
-        let instances = board.peers.sights().len() as u32 + 1;
-        board.dispatch.set_instances(instances);
-        if self.taken.as_ref().is_some_and(|t| Arc::ptr_eq(t, view)) {
-            return;
-        }
-        let specs: Vec<EngineSpec> = view
-            .engines
-            .values()
-            .map(|e| EngineSpec {
-                name: e.name.clone(),
-                model: e.model.clone(),
-                near: e.failure_domain == board.identity.failure_domain,
-                departing: e.departing,
-            })
-            .collect();
-        board.dispatch.set_engines(&specs);
-        self.taken = Some(view.clone());
-    }
-}
-
 impl<E: Edges> Controller for EnginePoll<E> {
     type Edges = E;
 
@@ -64,7 +35,10 @@
     fn step(&mut self, edges: &E, board: &Board, _now_ms: u64) -> u64 {
         let view = board.config.view();
         board.engines.retain(|name| view.engines.contains_key(name));
-        self.take_records(board, &view);
+        board
+            .dispatch
+            .set_instances(board.peers.sights().len() as u32 + 1);
+        board.take_engines(&view);
         let engines: Vec<_> = view.engines.values().collect();
         for _ in 0..engines.len().min(ASKED_A_ROUND) {
             self.next = (self.next + 1) % engines.len();
--- a/crates/mangowalkd/src/controller/mod.rs
+++ b/crates/mangowalkd/src/controller/mod.rs
@@ -7,6 +7,12 @@
 mod crashes;
 mod engine_poll;
 mod gossip;
+mod lease_keeper;
+mod model_rollout;
+mod probe;
+mod record_status;
+mod registry;
+mod rollout;
 mod run;
 mod slots;
 
@@ -17,6 +23,8 @@
     crashes::tell_crashes,
     engine_poll::EnginePoll,
     gossip::{Gossip, answer},
+    record_status::StatusWriter,
+    rollout::RolloutKeeper,
     run::{Controller, spawn},
     slots::{SlotHolder, release_slots},
 };
--- a/crates/mangowalkd/src/serve/reserve.rs
+++ b/crates/mangowalkd/src/serve/reserve.rs
@@ -1,6 +1,5 @@
 use {
     super::Router,
-    crate::board::PeerSight,
     mangowalk_core::{
         edge::{Clock, Edges, Peers},
         limits::{Grant, HOMES, Reservation, RetryAsk},
@@ -19,10 +18,7 @@
 /// after a pause the tokens belong to a moment long gone.
 const GATHER_MS: u64 = 300;
 
-/// Time since the last heartbeat after which a peer is not asked for tokens.
-const PEER_SILENT_MS: u64 = 5_000;
-
-/// Added to such a wait, so that rounding does not end it too soon.
+/// Added to a wait for tokens, so that rounding does not end it too soon.
 const WAIT_MARGIN_MS: u64 = 2;
 
 /// When a caller should come back to an instance that holds no slot.
@@ -118,7 +114,7 @@
         let missing = tokens - gathered.tokens;
         self.board.limits.draw(gathered, rate, missing, begun_ms);
         let mut left = Vec::new();
-        for peer in self.peers_to_ask(&gathered.team, begun_ms) {
+        for peer in self.peers_to_ask(&gathered.team) {
             let grant = self.ask_peer(peer, gathered, tokens, begun_ms);
             if gathered.tokens == tokens {
                 return 0;
@@ -182,15 +178,9 @@
     /// Returns the peers to ask: those that mint the team's tokens, or any
     /// while they are not known. The order is drawn anew, so that no peer is
     /// emptied by all others.
-    fn peers_to_ask(&self, team: &str, now_ms: u64) -> Vec<SocketAddr> {
+    fn peers_to_ask(&self, team: &str) -> Vec<SocketAddr> {
         let holders = self.board.limits.holders(team);
-        let live: Vec<PeerSight> = self
-            .board
-            .peers
-            .sights()
-            .into_iter()
-            .filter(|peer| now_ms.saturating_sub(peer.heard_ms) < PEER_SILENT_MS)
-            .collect();
+        let live = self.board.peers.sights();
         let minting = live
             .iter()
             .filter(|peer| holders.contains(&peer.view.caller_address));
