--- a/crates/mangowalkd/src/operator/explain.rs
+++ b/crates/mangowalkd/src/operator/explain.rs
@@ -3,7 +3,9 @@
     crate::{board::Board, serve::version_of},
     mangowalk_core::{
         config::View,
+        limits::minting_ms,
         placement::tokens_of,
+        record::Rate,
         refusal::Refusal,
         status::{ExplainReply, ExplainRequest},
     },
@@ -63,11 +65,41 @@
             burst_tokens: rate.burst_tokens,
         });
     }
+    reserve(steps, board, rate, request, tokens, now_ms)
+}
+
+/// Tells whether the request would get its tokens. They are put back at once.
+fn reserve(
+    steps: &mut Vec<String>,
+    board: &Board,
+    rate: &Rate,
+    request: &ExplainRequest,
+    tokens: u64,
+    now_ms: u64,
+) -> Result<(), Refusal> {
+    let (limits, team) = (&board.limits, &request.team);
+    let shares = limits.slots(now_ms);
+    if let Some(reservation) = limits.take(team, rate, tokens, now_ms) {
+        limits.settle(&reservation, 0);
+        steps.push(format!(
+            "This instance holds {shares} slots and has the tokens at hand."
+        ));
+        return Ok(());
+    }
     steps.push(format!(
-        "This instance holds {} shares of every rate, and asks peers for what it lacks.",
-        board.limits.slots(now_ms)
+        "This instance holds {shares} slots and lacks the tokens; it would ask other instances."
     ));
-    Ok(())
+    match limits.scarcity(|s| s.hopeless(team, rate, tokens, now_ms)) {
+        Some(short) => {
+            steps.push(format!(
+                "A look at the other instances a moment ago found {short} tokens too few."
+            ));
+            Err(Refusal::RateLimited {
+                retry_ms: minting_ms(rate, short),
+            })
+        }
+        None => Ok(()),
+    }
 }
 
 /// Weighs the engines as placement does.
