--- a/crates/core/tests/limits/leases.rs
+++ b/crates/core/tests/limits/leases.rs
@@ -129,3 +129,19 @@
     assert_eq!((grant.tokens, own.map(|r| r.tokens)), (100, Some(100)));
     assert_eq!(after.ledger().tokens("gallery", &RATE, 5_000), 800);
 }
+
+/// An instance is killed just after its callers used all of its tokens, and
+/// its successor on the same address takes its slots over at once. It starts
+/// with nothing: started full, each restart would hand the burst out again.
+#[test]
+fn a_successor_starts_with_nothing() {
+    let mut model = Model::new(3, &RATE);
+    TAKE_ALL.iter().for_each(|op| model.apply(op));
+    model.apply(&Op::Crash {
+        at: 0,
+        moves: false,
+    });
+    model.apply(&Op::Sync { at: 0, live: 3 });
+    TAKE_ALL.iter().for_each(|op| model.apply(op));
+    assert_eq!(model.check(), Ok(()));
+}
--- a/crates/core/tests/limits/property.rs
+++ b/crates/core/tests/limits/property.rs
@@ -10,6 +10,15 @@
 const MOST_OPS: usize = 60;
 const INSTANCES: usize = 3;
 
+/// Runs more cases than the default, and as many as PROPTEST_CASES asks for.
+fn config() -> ProptestConfig {
+    let default = ProptestConfig::default();
+    ProptestConfig {
+        cases: default.cases.max(CASES),
+        ..default
+    }
+}
+
 fn instance() -> impl Strategy<Value = usize> {
     0..INSTANCES
 }
@@ -42,7 +51,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: CASES, ..ProptestConfig::default() })]
+    #![proptest_config(config())]
 
     /// What the team's callers receive in any span of time is at most
     /// burst + rate x span, whatever order these come in: writes of slots
