--- a/crates/mangowalkd/src/controller/crashes.rs
+++ b/crates/mangowalkd/src/controller/crashes.rs
@@ -1,5 +1,6 @@
 use {
     crate::board::Board,
+    log::warn,
     mangowalk_core::{
         edge::{Clock, Edges, Peers},
         peer::{PeerReply, PeerRequest},
@@ -51,6 +52,7 @@
             return;
         }
     }
+    warn!("poison: {address} was not told of a crash and hears of it later.");
 }
 
 /// Takes what a peer tells, and answers with what is known here.
--- a/crates/mangowalkd/src/controller/gossip.rs
+++ b/crates/mangowalkd/src/controller/gossip.rs
@@ -236,8 +236,8 @@
             news,
             crashes,
         } => {
-            board.poison.merge(crashes, now_ms);
             hear(board, from, news, now_ms);
+            board.poison.merge(crashes, now_ms);
             PeerReply::Exchange {
                 from: own_view(board),
                 news: board.peers.news(),
--- a/crates/mangowalkd/src/operator/explain.rs
+++ b/crates/mangowalkd/src/operator/explain.rs
@@ -82,12 +82,12 @@
     if let Some(reservation) = limits.take(team, rate, tokens, now_ms) {
         limits.settle(&reservation, 0);
         steps.push(format!(
-            "This instance holds {shares} shares of every rate and has the tokens at hand."
+            "This instance holds {shares} slots and has the tokens at hand."
         ));
         return Ok(());
     }
     steps.push(format!(
-        "This instance holds {shares} shares of every rate and lacks the tokens; it would ask other instances."
+        "This instance holds {shares} slots and lacks the tokens; it would ask other instances."
     ));
     match limits.scarcity(|s| s.hopeless(team, rate, tokens, now_ms)) {
         Some(short) => {
--- a/crates/mangowalkd/src/serve/claim.rs
+++ b/crates/mangowalkd/src/serve/claim.rs
@@ -11,10 +11,6 @@
     },
 };
 
-/// Time since the last heartbeat after which a claim's holder is taken to be
-/// gone.
-const HOLDER_SILENT_MS: u64 = 10_000;
-
 /// Writes of one claim whose replies may be lost before it is given up.
 const MOST_WRITES: u32 = 2;
 
@@ -108,11 +104,8 @@
         if claim.incarnation == identity.incarnation {
             return Holder::Alive;
         }
-        let now_ms = self.edges.clock().now_ms();
         let heard = self.board.peers.sights().iter().any(|peer| {
-            peer.view.caller_address == claim.holder
-                && peer.view.incarnation == claim.incarnation
-                && now_ms.saturating_sub(peer.heard_ms) < HOLDER_SILENT_MS
+            peer.view.caller_address == claim.holder && peer.view.incarnation == claim.incarnation
         });
         if heard { Holder::Alive } else { Holder::Silent }
     }
--- a/crates/mangowalkd/src/serve/reserve.rs
+++ b/crates/mangowalkd/src/serve/reserve.rs
@@ -18,7 +18,7 @@
 /// after a pause the tokens belong to a moment long gone.
 const GATHER_MS: u64 = 300;
 
-/// Added to such a wait, so that rounding does not end it too soon.
+/// Added to a wait for tokens, so that rounding does not end it too soon.
 const WAIT_MARGIN_MS: u64 = 2;
 
 /// When a caller should come back to an instance that holds no slot.
--- a/crates/mangowalkd/tests/poison.rs
+++ b/crates/mangowalkd/tests/poison.rs
@@ -1,7 +1,9 @@
 //! A request that crashes each engine that runs it, sent again and again.
 
 use {
-    mangowalk_standins::{Answer, EngineFaults, EngineSettings, Fleet, FleetSettings},
+    mangowalk_standins::{
+        Answer, EngineFaults, EngineSettings, Fleet, FleetSettings, RouterProcess,
+    },
     std::{thread, time::Duration},
 };
 
@@ -10,7 +12,7 @@
 const ANSWER: u32 = 200;
 const POISON: &str = "a prompt that crashes engines";
 
-/// Time in which routers hear of each other and of every engine.
+/// Time in which routers hear of every engine.
 const SETTLE: Duration = Duration::from_millis(2_500);
 
 fn fleet() -> Fleet {
@@ -28,6 +30,7 @@
         ..FleetSettings::default()
     });
     thread::sleep(SETTLE);
+    wait_for_peers(&fleet);
     for engine in &fleet.engines {
         engine.set_faults(EngineFaults {
             crash_on: Some(POISON.to_owned()),
@@ -37,6 +40,22 @@
     fleet
 }
 
+/// Waits until each router names all of them to callers.
+fn wait_for_peers(fleet: &Fleet) {
+    let knows_all = |router: &RouterProcess| {
+        let named = Answer::get(router.address(), "/v1/addresses", &[]).body;
+        let mut all = fleet.routers.iter();
+        all.all(|other| named.contains(&other.address().to_string()))
+    };
+    for _ in 0..200 {
+        if fleet.routers.iter().all(knows_all) {
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    panic!("the routers do not know each other");
+}
+
 fn crashes(fleet: &Fleet) -> u64 {
     fleet.engines.iter().map(|engine| engine.crashes()).sum()
 }
