--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod peer;
 pub mod placement;
 pub mod platform;
+pub mod poison;
 pub mod record;
 pub mod refusal;
 pub mod rollout;
--- a/crates/mangowalkd/src/caller/chat.rs
+++ b/crates/mangowalkd/src/caller/chat.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        body::{self, Form},
-        handler::{Handler, header},
+        body::{self, Body, Form},
+        handler::{Handler, bearer, header},
         reply::Head,
         shape::Shape,
         stream::StreamSink,
@@ -9,10 +9,11 @@
     crate::serve::{AnswerSink, ChatRequest},
     mangowalk_core::{
         edge::{Clock, Edges},
+        record::digest_of,
         refusal::Refusal,
     },
     std::io,
-    tiny_http::Request,
+    tiny_http::{HTTPVersion, Request},
 };
 
 /// Longest time to the first token for which the caller will wait.
@@ -30,6 +31,7 @@
     let read = handler
         .body(&mut request)
         .and_then(|bytes| body::read(&bytes, form))
+        .and_then(|body| check_version(&request, body))
         .and_then(|body| Ok((body, deadline_of(&request)?)));
     let (body, deadline_ms) = match read {
         Ok(read) => read,
@@ -45,6 +47,7 @@
     let chat = ChatRequest {
         request_id: handler.request_id.clone(),
         team: team.to_owned(),
+        key_digest: digest_of(bearer(&request).unwrap_or_default()),
         model: body.model,
         prompt: body.prompt,
         max_tokens: body.max_tokens,
@@ -61,6 +64,17 @@
     }
 }
 
+/// Refuses a stream to a caller that reads no chunks: HTTP/1.0 has none, and
+/// without them the end of a stream looks like a lost connection.
+fn check_version(request: &Request, body: Body) -> Result<Body, Refusal> {
+    if body.stream && *request.http_version() < HTTPVersion(1, 1) {
+        return Err(body::malformed(
+            "A stream needs HTTP/1.1; use it, or leave `stream` out.".to_owned(),
+        ));
+    }
+    Ok(body)
+}
+
 fn deadline_of(request: &Request) -> Result<Option<u64>, Refusal> {
     let Some(text) = header(request, DEADLINE_HEADER) else {
         return Ok(None);
--- a/crates/mangowalkd/src/caller/handler.rs
+++ b/crates/mangowalkd/src/caller/handler.rs
@@ -229,7 +229,8 @@
         .map(|h| h.value.as_str())
 }
 
-fn bearer(request: &Request) -> Option<&str> {
+/// Returns the key that came with a request.
+pub(super) fn bearer(request: &Request) -> Option<&str> {
     let (scheme, key) = header(request, "Authorization")?.split_once(' ')?;
     scheme.eq_ignore_ascii_case("Bearer").then_some(key.trim())
 }
--- a/crates/mangowalkd/src/controller/registry.rs
+++ b/crates/mangowalkd/src/controller/registry.rs
@@ -50,13 +50,18 @@
 
 impl<E: Edges> Registry<E> {
     /// Registers the instance and reads the list, each when it is due.
+    ///
+    /// Of two instances that start together, the one that registers later then
+    /// finds the other. Were the list read first, neither would, and both
+    /// would serve for seconds as if alone: slots are claimed for one, tokens
+    /// are asked of no one, and crashes told to no one.
     pub(super) fn step(&mut self, edges: &E, board: &Board, now_ms: u64) {
-        if now_ms >= self.next_list_ms {
-            self.read_list(edges, board, now_ms);
-        }
         if !self.registered && now_ms >= self.next_put_ms {
             self.register(edges, board, now_ms);
         }
+        if now_ms >= self.next_list_ms {
+            self.read_list(edges, board, now_ms);
+        }
     }
 
     /// Returns the addresses for peers that the list names.
