Fill an engine's place ahead in the test of waiting

a_request_waits_for_its_prompt_but_not_for_ever failed since each instance may send one request ahead: the engine had room for it. The test fills that place too now, and lets the other engine's events tell that it holds nothing, as the second request makes it a home of the prompt. It asks the same of what comes behind.

--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -182,10 +182,20 @@
     };
     let mut placement = placement(2, settings);
     let chain = chain("gallery");
-    let mut held = choose(&mut placement, &chain, 0);
-    placement.sent(&mut held, &chain, 0);
-    placement.first_token(&mut held, 10);
+    let held = choose(&mut placement, &chain, 0);
+    for _ in 0..=PlacementSettings::default().queue_ahead {
+        let mut sent = held.clone();
+        placement.sent(&mut sent, &chain, 0);
+        placement.first_token(&mut sent, 10);
+    }
     placement.report(&held.engine, Some(&state(1, SLOTS)));
+    // The other engine's events tell that it holds nothing.
+    let other = usize::from(held.engine == "engine-0");
+    let nothing = CacheEvents {
+        incarnation: 1,
+        ..CacheEvents::default()
+    };
+    placement.cache_events(&format!("engine-{other}"), &nothing);
     let mut after = |waited_ms| {
         let ask = Ask {
             model: "drafting",
