--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -2,6 +2,7 @@
 
 use {
     mangowalk_core::admission::{AdmissionSettings, FairQueue, Job},
+    proptest::prelude::*,
     std::collections::HashSet,
 };
 
@@ -103,6 +104,26 @@
     assert!(served_ms.is_some_and(|ms| ms <= 1_500), "{served_ms:?}");
 }
 
+/// Requests wait that would all be served in time. Then the engines stand
+/// still. Who waits in vain must be told so as soon as that shows, with most
+/// of the time that its caller gave still left, and not at the end of it.
+#[test]
+fn who_waits_in_vain_is_told_at_once() {
+    let mut queue = queue();
+    let start_ms = drained(&mut queue);
+    for i in 0..10 {
+        enter(&mut queue, job(i, "gallery", 1_000, start_ms));
+    }
+    assert!(queue.hopeless(start_ms + 100).is_empty());
+    let told_ms = (1..=20)
+        .map(|i| start_ms + i * 100)
+        .find(|now_ms| !queue.hopeless(*now_ms).is_empty());
+    assert!(
+        told_ms.is_some_and(|ms| ms <= start_ms + 1_500),
+        "{told_ms:?}"
+    );
+}
+
 /// A caller comes whose wait would be longer than it is held for. It must be
 /// told so at once, and callers refused together must be told to come back at
 /// different times, or they would find the queue full together again.
@@ -110,7 +131,7 @@
 fn what_cannot_be_served_in_time_is_refused_at_once() {
     let mut queue = queue();
     let now_ms = drained(&mut queue);
-    for i in 0..19 {
+    for i in 0..21 {
         enter(&mut queue, job(i, "gallery", 1_000, now_ms));
     }
     let refused: Vec<_> = (0..30)
@@ -126,3 +147,31 @@
         "{retries:?}"
     );
 }
+
+proptest! {
+    /// Callers of two teams send requests of any lengths, and both always
+    /// wait. Whatever the lengths, neither team's callers may get more than
+    /// one longest request ahead of the other's, and nobody is lost.
+    #[test]
+    fn two_backlogged_teams_stay_together(
+        lengths in prop::collection::vec((1_u64..5_000, 1_u64..5_000), 40),
+    ) {
+        let mut queue = queue();
+        for (i, (a, b)) in lengths.iter().enumerate() {
+            enter(&mut queue, job(i as u64, "a", *a, 0));
+            enter(&mut queue, job(1_000 + i as u64, "b", *b, 0));
+        }
+        let mut served = [0_u64; 2];
+        let mut left = [lengths.len(); 2];
+        while !queue.is_empty() {
+            let taken = next(&mut queue, 0);
+            let team = usize::from(taken.team == "b");
+            served[team] += taken.tokens;
+            left[team] -= 1;
+            if left.iter().all(|n| *n > 0) {
+                prop_assert!(served[0].abs_diff(served[1]) <= 10_000, "{served:?}");
+            }
+        }
+        prop_assert_eq!(left, [0, 0]);
+    }
+}
