--- a/crates/core/src/limits/bucket.rs
+++ b/crates/core/src/limits/bucket.rs
@@ -1,4 +1,4 @@
-use {super::SLOTS, crate::record::Rate, std::collections::BTreeMap};
+use {super::HOMES, crate::record::Rate, std::collections::BTreeMap};
 
 const MICRO: u128 = 1_000_000;
 const MS_PER_S: u128 = 1_000;
@@ -51,7 +51,7 @@
         }
         self.minted_ms = self.minted_ms.max(now_ms);
         let micro_per_ms = u128::from(self.rate.tokens_per_s) * MICRO / MS_PER_S;
-        let minted = micro_per_ms.saturating_mul(elapsed_ms) / u128::from(SLOTS);
+        let minted = micro_per_ms.saturating_mul(elapsed_ms) / HOMES as u128;
         let paid = minted.min(self.debt_micro);
         self.debt_micro -= paid;
         self.level_micro = self.level_micro.saturating_add(minted - paid);
@@ -95,23 +95,6 @@
         drawn
     }
 
-    /// Takes up to so many tokens out for a peer, which alone may put them
-    /// back.
-    pub fn give(&mut self, tokens: u64) -> u64 {
-        let given = tokens.min(self.tokens());
-        self.level_micro -= micro(given);
-        given
-    }
-
-    /// Keeps room in a part for tokens that a peer may send. Without it
-    /// tokens that were under way would come on top of a bucket refilled
-    /// meanwhile.
-    pub fn expect(&mut self, tokens: u64, held_slots: u64, part: u64) {
-        let taken = self.level_micro + self.all_rooms_micro;
-        let free = self.capacity(held_slots).saturating_sub(taken);
-        self.keep_room(micro(tokens).min(free), part);
-    }
-
     /// Ends a part and puts its unused tokens back as far as it still has
     /// room; returns how many did not fit. A reservation that is put back
     /// after a long answer would otherwise stand on top of a full burst.
@@ -154,7 +137,7 @@
     }
 
     fn capacity(&self, slots: u64) -> u128 {
-        micro(self.rate.burst_tokens) * u128::from(slots) / u128::from(SLOTS)
+        micro(self.rate.burst_tokens) * u128::from(slots) / HOMES as u128
     }
 }
 
--- a/crates/core/tests/limits/property.rs
+++ b/crates/core/tests/limits/property.rs
@@ -10,6 +10,15 @@
 const MOST_OPS: usize = 60;
 const INSTANCES: usize = 3;
 
+/// Runs more cases than the default, and as many as PROPTEST_CASES asks for.
+fn config() -> ProptestConfig {
+    let default = ProptestConfig::default();
+    ProptestConfig {
+        cases: default.cases.max(CASES),
+        ..default
+    }
+}
+
 fn instance() -> impl Strategy<Value = usize> {
     0..INSTANCES
 }
@@ -33,15 +42,16 @@
             .prop_map(|(to, from, percent)| Op::Move { to, from, percent }),
         4 => (index.clone(), any::<bool>())
             .prop_map(|(index, lost)| Op::Receive { index, lost }),
-        4 => (index, 0u64..=100)
-            .prop_map(|(index, used_percent)| Op::Settle { index, used_percent }),
+        4 => (index, 0u64..=100, 0u8..3).prop_map(|(index, used_percent, messages)| {
+            Op::Settle { index, used_percent, messages }
+        }),
         1 => (instance(), any::<bool>()).prop_map(|(at, moves)| Op::Crash { at, moves }),
         1 => instance().prop_map(Op::Close),
     ]
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: CASES, ..ProptestConfig::default() })]
+    #![proptest_config(config())]
 
     /// What the team's callers receive in any span of time is at most
     /// burst + rate x span, whatever order these come in: writes of slots
--- a/crates/mangowalkd/src/board/limits.rs
+++ b/crates/mangowalkd/src/board/limits.rs
@@ -3,11 +3,12 @@
     mangowalk_core::{
         edge::PlatformError,
         limits::{
-            Holding, Reservation, RetryAsk, RetryTimes, Scarcity, SlotBody, SlotList, SlotWrite,
+            Grant, Holding, Moved, Reservation, RetryAsk, RetryTimes, Scarcity, SlotBody, SlotList,
+            SlotWrite,
         },
         record::Rate,
     },
-    std::{ops::ControlFlow, sync::Mutex},
+    std::{net::SocketAddr, ops::ControlFlow, sync::Mutex},
 };
 
 /// Tokens of every team that this instance may spend, and the slots from
@@ -114,36 +115,40 @@
         inner.holding.ledger().take(team, rate, tokens, now_ms)
     }
 
-    /// Adds up to so many tokens to a reservation, and keeps room for the
-    /// rest, which peers may send.
+    /// Adds up to so many tokens to a reservation, which asks peers for the
+    /// rest.
     pub fn draw(&self, reservation: &mut Reservation, rate: &Rate, tokens: u64, now_ms: u64) {
         let mut inner = lock(&self.inner);
         let ledger = inner.holding.ledger();
         ledger.draw(reservation, rate, tokens, now_ms);
     }
 
-    /// Takes up to so many tokens out, for a peer that asks.
-    pub fn give(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> u64 {
+    /// Takes tokens out for a peer that asks, all or none.
+    pub fn grant(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> Grant {
         let mut inner = lock(&self.inner);
-        inner.holding.ledger().give(team, rate, tokens, now_ms)
+        inner.holding.ledger().grant(team, rate, tokens, now_ms)
     }
 
-    /// Ends a reservation and puts back what it did not use.
-    pub fn settle(&self, reservation: &Reservation, used_tokens: u64) {
+    /// Returns who else holds a team's homes, as far as the last list tells.
+    pub fn holders(&self, team: &str) -> Vec<SocketAddr> {
+        lock(&self.inner).holding.holders(team)
+    }
+
+    /// Takes unused tokens of a grant back.
+    pub fn take_back(&self, team: &str, part: u64, tokens: u64) {
         let mut inner = lock(&self.inner);
-        inner.holding.ledger().settle(reservation, used_tokens);
+        inner.holding.ledger().take_back(team, part, tokens);
     }
 
-    /// Returns how many tokens are surely missing for a request, if a look at
-    /// every peer a moment ago tells.
-    pub fn short_tokens(&self, team: &str, rate: &Rate, tokens: u64, now_ms: u64) -> Option<u64> {
-        let inner = lock(&self.inner);
-        inner.scarcity.short_tokens(team, rate, tokens, now_ms)
+    /// Ends a reservation, and returns what is to go back to peers.
+    pub fn settle(&self, reservation: &Reservation, used_tokens: u64) -> Vec<Moved> {
+        let mut inner = lock(&self.inner);
+        inner.holding.ledger().settle(reservation, used_tokens)
     }
 
-    /// Notes the tokens that a request found over all instances, too few.
-    pub fn note_scarce(&self, team: &str, tokens: u64, now_ms: u64) {
-        lock(&self.inner).scarcity.note(team, tokens, now_ms);
+    /// Reads or changes what is known of teams that are short of tokens.
+    pub fn scarcity<T>(&self, change: impl FnOnce(&mut Scarcity) -> T) -> T {
+        change(&mut lock(&self.inner).scarcity)
     }
 
     /// Returns when a refused caller's tokens will be there.
--- a/crates/mangowalkd/src/board/whole.rs
+++ b/crates/mangowalkd/src/board/whole.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         BurnBoard, ClaimBoard, ConfigBoard, DispatchBoard, DispatchSettings, EngineBoard, Identity,
-        Life, LimitBoard, PeerBoard, UpstreamBoard,
+        Life, LimitBoard, PeerBoard, PoisonBoard, UpstreamBoard,
     },
     crate::edge::Traffic,
     mangowalk_core::{config::View, placement::EngineSpec},
@@ -19,6 +19,8 @@
     pub identity: Identity,
     /// Claims whose outcome is still to be written.
     pub claims: ClaimBoard,
+    /// Requests that crash upstreams.
+    pub poison: PoisonBoard,
     /// Records in force.
     pub config: ConfigBoard,
     /// Engines as last seen.
@@ -44,6 +46,7 @@
         Board {
             limits: LimitBoard::new(&identity),
             claims: ClaimBoard::default(),
+            poison: PoisonBoard::default(),
             operator_address: None,
             burn: BurnBoard::default(),
             identity,
--- a/crates/mangowalkd/src/caller/chat.rs
+++ b/crates/mangowalkd/src/caller/chat.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         body::{self, Body, Form},
-        handler::{Handler, header},
+        handler::{Handler, bearer, header},
         reply::Head,
         shape::Shape,
         stream::StreamSink,
@@ -9,6 +9,7 @@
     crate::serve::{AnswerSink, ChatRequest},
     mangowalk_core::{
         edge::{Clock, Edges},
+        record::digest_of,
         refusal::Refusal,
     },
     std::io,
@@ -46,6 +47,7 @@
     let chat = ChatRequest {
         request_id: handler.request_id.clone(),
         team: team.to_owned(),
+        key_digest: digest_of(bearer(&request).unwrap_or_default()),
         model: body.model,
         prompt: body.prompt,
         max_tokens: body.max_tokens,
--- /dev/null
+++ b/crates/mangowalkd/src/controller/crashes.rs
@@ -0,0 +1,64 @@
+use {
+    crate::board::Board,
+    log::warn,
+    mangowalk_core::{
+        edge::{Clock, Edges, Peers},
+        peer::{PeerReply, PeerRequest},
+        poison::CrashSight,
+    },
+    std::{net::SocketAddr, thread},
+};
+
+/// Time that a peer has to answer.
+const ANSWER_TIMEOUT_MS: u64 = 250;
+
+/// Times that a peer is told. One that misses the news runs the request once
+/// more.
+const TRIES: usize = 2;
+
+/// Peers told at once. The rest hears of it in the usual exchanges.
+const MOST_TOLD: usize = 8;
+
+/// Tells peers of crashes at once.
+///
+/// The caller of a request that crashes upstreams sends it again within a
+/// second, to another instance. Left to the usual exchanges, that instance
+/// would count the crashes from one again.
+pub fn tell_crashes<E: Edges>(edges: &E, board: &Board) {
+    let request = PeerRequest::Crashes {
+        crashes: board.poison.sights(edges.clock().now_ms()),
+    };
+    let mut peers: Vec<(bool, SocketAddr)> = board.peers.read(|members| {
+        let all = members.all().map(|m| &m.view);
+        all.map(|v| (v.suspected, v.peer_address)).collect()
+    });
+    // One that is only suspected may well serve the next copy.
+    peers.sort_unstable();
+    peers.truncate(MOST_TOLD);
+    // All at once: one that is dead must not keep the news from the others.
+    thread::scope(|scope| {
+        for (_, address) in peers {
+            let request = &request;
+            scope.spawn(move || tell(edges, board, address, request));
+        }
+    });
+}
+
+fn tell<E: Edges>(edges: &E, board: &Board, address: SocketAddr, request: &PeerRequest) {
+    for _ in 0..TRIES {
+        let reply = edges.peers().ask(address, request, ANSWER_TIMEOUT_MS);
+        if let Ok(PeerReply::Crashes { crashes }) = reply {
+            board.poison.merge(&crashes, edges.clock().now_ms());
+            return;
+        }
+    }
+    warn!("poison: {address} was not told of a crash and hears of it later.");
+}
+
+/// Takes what a peer tells, and answers with what is known here.
+pub(super) fn hear_crashes(board: &Board, crashes: &[CrashSight], now_ms: u64) -> PeerReply {
+    board.poison.merge(crashes, now_ms);
+    PeerReply::Crashes {
+        crashes: board.poison.sights(now_ms),
+    }
+}
--- a/crates/mangowalkd/src/controller/gossip.rs
+++ b/crates/mangowalkd/src/controller/gossip.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Controller, registry::Registry},
+    super::{Controller, crashes::hear_crashes, registry::Registry},
     crate::board::Board,
     log::info,
     mangowalk_core::{
@@ -89,15 +89,19 @@
             from: own_view(board),
             digest: board.config.read(|s| s.digest()),
             news: board.peers.news(),
-            crashes: Vec::new(),
+            crashes: board.poison.sights(edges.clock().now_ms()),
         };
         for _ in 0..TRIES {
             let reply = edges.peers().ask(address, &request, ANSWER_TIMEOUT_MS);
             if let Ok(PeerReply::Exchange {
-                from, news, delta, ..
+                from,
+                news,
+                delta,
+                crashes,
             }) = reply
             {
                 self.compared = true;
+                board.poison.merge(&crashes, edges.clock().now_ms());
                 return take(edges, board, &from, &news, &delta);
             }
         }
@@ -227,22 +231,38 @@
     let now_ms = edges.clock().now_ms();
     match request {
         PeerRequest::Exchange {
-            from, digest, news, ..
+            from,
+            digest,
+            news,
+            crashes,
         } => {
             hear(board, from, news, now_ms);
+            board.poison.merge(crashes, now_ms);
             PeerReply::Exchange {
                 from: own_view(board),
                 news: board.peers.news(),
                 delta: board.config.read(|s| s.delta_for(digest)),
-                crashes: Vec::new(),
+                crashes: board.poison.sights(now_ms),
             }
         }
+        PeerRequest::Crashes { crashes } => hear_crashes(board, crashes, now_ms),
         PeerRequest::Grant { team, tokens } => {
             let view = board.config.view();
             let rate = view.rates.get(team);
-            let granted = rate.map(|rate| board.limits.give(team, rate, *tokens, now_ms));
+            let grant = rate.map(|rate| board.limits.grant(team, rate, *tokens, now_ms));
+            let grant = grant.unwrap_or_default();
             PeerReply::Granted {
-                tokens: granted.unwrap_or_default(),
+                tokens: grant.tokens,
+                left_tokens: grant.left_tokens,
+                part: grant.part,
+            }
+        }
+        PeerRequest::GiveBack { team, part, tokens } => {
+            board.limits.take_back(team, *part, *tokens);
+            PeerReply::Granted {
+                tokens: 0,
+                left_tokens: 0,
+                part: *part,
             }
         }
     }
--- a/crates/mangowalkd/src/serve/admit.rs
+++ b/crates/mangowalkd/src/serve/admit.rs
@@ -5,7 +5,7 @@
         admission::{Job, Verdict},
         config::View,
         edge::{Clock, Edges},
-        placement::{block_chain, tokens_of},
+        placement::{Choice, block_chain, tokens_of},
         refusal::Refusal,
     },
     std::{collections::HashSet, time::Duration},
@@ -18,6 +18,9 @@
 /// When a caller should come back if no engine serves the model.
 const NO_ENGINE_RETRY_MS: u64 = 1_000;
 
+/// Versions that a request asks for in turn while weights change.
+const VERSION_TRIES: u32 = 3;
+
 impl<E: Edges> Router<E> {
     /// Waits for a request's turn.
     ///
@@ -25,27 +28,38 @@
     ///
     /// Refuses at once what would not be served in time.
     pub(super) fn admit(&self, request: &ChatRequest) -> Result<Target, Refusal> {
-        let view = self.board.config.view();
-        self.board.take_engines(&view);
-        let version = self.version_for(request).ok_or(Refusal::Unavailable {
+        let mut version = self.version_now(request)?;
+        for _ in 1..VERSION_TRIES {
+            let refusal = match self.wait_for(request, &version) {
+                Err(refusal @ Refusal::Unavailable { .. }) => refusal,
+                other => return other,
+            };
+            // While weights change, the last engine of a version may be
+            // drained under the requests that wait for it. They ask anew for
+            // the other version; refused, they would pay for the rollout.
+            let now = self.version_now(request)?;
+            if now == version {
+                return Err(refusal);
+            }
+            version = now;
+        }
+        self.wait_for(request, &version)
+    }
+
+    /// Returns the weights version for a request that arrives now.
+    fn version_now(&self, request: &ChatRequest) -> Result<String, Refusal> {
+        self.board.take_engines(&self.board.config.view());
+        self.version_for(request).ok_or(Refusal::Unavailable {
             reason: "No engine serves the model now",
             retry_ms: NO_ENGINE_RETRY_MS,
-        })?;
-        let job = self.job(request, &view, &version);
+        })
+    }
+
+    /// Waits for a request's turn on an engine that serves a version.
+    fn wait_for(&self, request: &ChatRequest, version: &str) -> Result<Target, Refusal> {
+        let job = self.job(request, &self.board.config.view(), version);
         match self.wait_turn(job) {
-            Verdict::Send { choice, .. } => {
-                // Read anew: an engine withdrawn meanwhile gets no work, and
-                // the request, whose turn has come, goes to another.
-                let view = self.board.config.view();
-                let gone = HashSet::from([choice.engine.clone()]);
-                let anyone = |_: &str| true;
-                self.target(&view, &version, choice)
-                    .or_else(|| self.place_again(request, &view, None, &gone, &anyone))
-                    .ok_or(Refusal::Unavailable {
-                        reason: "The only engine left is departing",
-                        retry_ms: NO_ENGINE_RETRY_MS,
-                    })
-            }
+            Verdict::Send { choice, .. } => self.dispatch(request, version, choice),
             Verdict::Refuse { full, .. } => {
                 info!(
                     "admission: Refused {} of {}, expected to wait {} ms.",
@@ -59,6 +73,34 @@
         }
     }
 
+    /// Checks what may have changed while the request waited, and returns
+    /// where its first attempt goes.
+    ///
+    /// The key may have been withdrawn, and without this look a long queue
+    /// would serve it for as long as it is. The engine may have been drained;
+    /// another one takes the request then.
+    fn dispatch(
+        &self,
+        request: &ChatRequest,
+        version: &str,
+        choice: Choice,
+    ) -> Result<Target, Refusal> {
+        // Read anew: an engine withdrawn meanwhile gets no work.
+        let view = self.board.config.view();
+        let target = self.target(&view, version, choice);
+        if !self.still_authorized(&request.team, &request.key_digest) {
+            return Err(Refusal::Unauthorized);
+        }
+        let now_ms = self.edges.clock().now_ms();
+        let allowed = |name: &str| self.board.upstreams.allows(name, now_ms);
+        target
+            .or_else(|| self.place_again(request, &view, Some(version), &HashSet::new(), &allowed))
+            .ok_or(Refusal::Unavailable {
+                reason: "The engine chosen is departing",
+                retry_ms: NO_ENGINE_RETRY_MS,
+            })
+    }
+
     fn wait_turn(&self, job: Job) -> Verdict {
         let dispatch = &self.board.dispatch;
         let verdict = dispatch.arrive(job, self.edges.clock().now_ms());
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AnswerSink, ChatRequest, Finished, Router, attempt::Target},
+    super::{AnswerSink, ChatRequest, Finished, Router, attempt::Target, poison::identity_of},
     mangowalk_core::{
         attempt::{End, Ended, Timeouts},
         edge::{Clock, Edges},
@@ -137,6 +137,7 @@
             if let Some(finished) = finished {
                 return Ok(finished);
             }
+            self.refuse_poison(identity_of(request), course.outcome)?;
             match ended.end() {
                 End::OverTime => break,
                 End::CallerGone => {
@@ -222,9 +223,12 @@
         let upstreams = &self.board.upstreams;
         let version = course.sequencer.bound_version();
         let tried = self.still_tried(course);
+        let suspects = self.suspects_apart_from(request);
         let usable = |name: &str| upstreams.usable(name, now_ms);
         let allowed = |name: &str| upstreams.allows(name, now_ms);
-        self.place_again(request, &view, version, &tried, &usable)
+        let apart = |name: &str| usable(name) && !suspects.contains(name);
+        self.place_again(request, &view, version, &tried, &apart)
+            .or_else(|| self.place_again(request, &view, version, &tried, &usable))
             .or_else(|| self.place_again(request, &view, version, &tried, &allowed))
     }
 
--- a/crates/mangowalkd/tests/rollout.rs
+++ b/crates/mangowalkd/tests/rollout.rs
@@ -6,6 +6,7 @@
     std::{
         sync::atomic::{AtomicBool, Ordering},
         thread,
+        time::Duration,
     },
 };
 
@@ -71,18 +72,40 @@
 #[test]
 fn callers_notice_nothing_of_a_rollout() {
     let fleet = fleet(2, true);
+    change_version_under_traffic(&fleet, 4);
+}
+
+/// The same with engines that serve one request at a time, so that requests
+/// wait. Some wait for the old version when its last engine is drained, and
+/// get the new one.
+#[test]
+fn queued_callers_notice_nothing_of_a_rollout() {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        engines: 2,
+        engine: EngineSettings {
+            slots: 1,
+            ..EngineSettings::default()
+        },
+        ..FleetSettings::default()
+    });
+    change_version_under_traffic(&fleet, 6);
+}
+
+fn change_version_under_traffic(fleet: &Fleet, callers: usize) {
+    let routers = fleet.routers.len();
     eventually("the routers serve", || {
-        (0..2).all(|r| fleet.chat(r, "warm", 2, false).status == 200)
+        (0..routers).all(|r| fleet.chat(r, "warm", 2, false).status == 200)
     });
     let over = AtomicBool::new(false);
     thread::scope(|scope| {
-        for caller in 0..4 {
-            let (fleet, over) = (&fleet, &over);
+        for caller in 0..callers {
+            let over = &over;
             scope.spawn(move || {
                 let mut turn = 0;
                 while !over.load(Ordering::SeqCst) {
                     let prompt = format!("caller {caller} turn {turn}");
-                    let answer = fleet.chat(caller % 2, &prompt, 20, true);
+                    let answer = fleet.chat(caller % routers, &prompt, 20, true);
                     let expected = Fleet::expected(&prompt, 20);
                     assert_eq!(answer.streamed_text(), expected, "{}", answer.body);
                     assert!(answer.is_done());
@@ -90,8 +113,8 @@
                 }
             });
         }
-        write_version(&fleet, "v2");
-        eventually_all_serve(&fleet, "v2");
+        write_version(fleet, "v2");
+        eventually_all_serve(fleet, "v2");
         over.store(true, Ordering::SeqCst);
     });
     let plan = fleet.platform.get("rollout", MODEL).expect("a plan").body;
@@ -179,7 +202,7 @@
     eventually("the one that woke up knows the version", || {
         fleet.chat(holder, "awake", 2, false).status == 200
     });
-    thread::sleep(std::time::Duration::from_secs(3));
+    thread::sleep(Duration::from_secs(3));
     assert_no_stale_order(&fleet);
     eventually_all_serve(&fleet, "v3");
 }
@@ -198,3 +221,86 @@
     });
     eventually_all_serve(&fleet, "v2");
 }
+
+/// A holder died after its engine had loaded and before the mark was gone.
+/// Left there, the mark would keep the engine idle for good.
+#[test]
+fn a_mark_that_was_left_behind_goes() {
+    let fleet = fleet(2, true);
+    let mark = json!({ "schema": 1, "model": MODEL });
+    fleet.platform.put("drain", "engine-0", mark);
+    eventually_all_serve(&fleet, "v1");
+    assert!(fleet.engines.iter().all(|e| e.orders().is_empty()));
+}
+
+/// An engine is marked as draining by whoever drains it. A moment later no
+/// instance sends it new requests, and callers are still served.
+#[test]
+fn a_drained_engine_gets_no_new_work() {
+    let fleet = fleet(2, true);
+    let mark = json!({ "schema": 1, "model": "of-another-holder" });
+    fleet.platform.put("drain", "engine-0", mark);
+    let started = || -> u64 { fleet.engines[0].prompts().values().sum() };
+    let all_served = |turn: &str| {
+        (0..16).all(|i| fleet.chat(i % 2, &format!("{turn} {i}"), 2, false).status == 200)
+    };
+    eventually("requests leave engine-0 out", || {
+        let before = started();
+        all_served("until") && started() == before
+    });
+    let before = started();
+    assert!(all_served("after"));
+    assert_eq!(started(), before);
+}
+
+/// Streams of several seconds run while the version changes. Each ends on the
+/// engine where it began: an engine is ordered when its last stream is over.
+#[test]
+fn long_streams_are_not_moved_by_a_rollout() {
+    let fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        engines: 2,
+        engine: EngineSettings {
+            token_us: 40_000,
+            ..EngineSettings::default()
+        },
+        ..FleetSettings::default()
+    });
+    eventually("the router serves", || {
+        fleet.chat(0, "warm", 1, false).status == 200
+    });
+    thread::scope(|scope| {
+        let fleet = &fleet;
+        let streams: Vec<_> = (0..6)
+            .map(|i| scope.spawn(move || fleet.chat(0, &format!("long {i}"), 150, true)))
+            .collect();
+        eventually("the streams run", || {
+            fleet
+                .engines
+                .iter()
+                .map(|e| e.state().load.running)
+                .sum::<u32>()
+                == 6
+        });
+        write_version(fleet, "v2");
+        while !streams.iter().all(|s| s.is_finished()) {
+            for state in fleet.engines.iter().map(|e| e.state()) {
+                assert!(!state.loading || state.load.running == 0, "{state:?}");
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        for (i, stream) in streams.into_iter().enumerate() {
+            let answer = stream.join().expect("a caller");
+            let expected = Fleet::expected(&format!("long {i}"), 150);
+            assert_eq!(answer.streamed_text(), expected, "{}", answer.body);
+            assert!(answer.is_done());
+        }
+    });
+    let starts = fleet.engines.iter().flat_map(|e| e.prompts());
+    let long: u64 = starts
+        .filter(|(p, _)| p.contains("long"))
+        .map(|(_, n)| n)
+        .sum();
+    assert_eq!(long, 6, "each stream was started once");
+    eventually_all_serve(&fleet, "v2");
+}
