Write a rollout's outcome down before the lease goes

Cause, found by reading: when the last engine was put back there was no more work, so the lease was given back and `done` never written. The next rollout took the version before the last as the one to go back to.

Change: the holder keeps on until the plan on the platform says done or why it stopped; a version written back clears a failure.

a_version_that_does_not_answer_goes_back now follows a first rollout, and wants the engine back on that one's version and the failure cleared. It is stricter than before: it counts the orders.

--- a/crates/mangowalkd/src/controller/model_rollout.rs
+++ b/crates/mangowalkd/src/controller/model_rollout.rs
@@ -47,6 +47,15 @@
         }
     }
 
+    /// Returns whether the platform holds the outcome for a version, or this
+    /// instance has none to write.
+    pub(super) fn is_settled(&self, version: &str) -> bool {
+        self.work.as_ref().is_none_or(|work| {
+            let plan = &work.saved;
+            plan.target == version && (plan.done || plan.failure.is_some())
+        })
+    }
+
     /// Gives the lease back. What was done stands on the platform.
     pub(super) fn release(&mut self, edges: &E) {
         self.work = None;
--- a/crates/mangowalkd/src/controller/rollout.rs
+++ b/crates/mangowalkd/src/controller/rollout.rs
@@ -38,8 +38,14 @@
         let view = board.config.view();
         self.models
             .retain(|model, _| view.models.contains_key(model));
-        for model in view.models.keys() {
-            let wanted = has_work(board, &view, model) && is_candidate(board, &lease_name(model));
+        for (model, record) in &view.models {
+            // What came of it is written down before the lease goes: an end
+            // that was not written would leave the next rollout to go back to
+            // the version before the last.
+            let unsettled = |r: &ModelRollout<E>| !r.is_settled(&record.version);
+            let wanted = (has_work(board, &view, model)
+                || self.models.get(model).is_some_and(unsettled))
+                && is_candidate(board, &lease_name(model));
             if wanted && !self.models.contains_key(model) {
                 let rollout = ModelRollout::new(model, edges.clock().now_ms());
                 self.models.insert(model.clone(), rollout);
--- a/crates/mangowalkd/tests/rollout.rs
+++ b/crates/mangowalkd/tests/rollout.rs
@@ -41,6 +41,11 @@
     });
 }
 
+fn plan(fleet: &Fleet) -> serde_json::Value {
+    let object = fleet.platform.get("rollout", MODEL);
+    object.map(|o| o.body).unwrap_or_default()
+}
+
 /// Returns the number of the router that holds the lease.
 fn holder(fleet: &Fleet) -> Option<usize> {
     let lease = fleet.platform.get("lease", &format!("rollout.{MODEL}"))?;
@@ -122,8 +127,7 @@
 }
 
 /// The weights of a version can't be loaded. One engine meets it; the rollout
-/// stops, says why, and every engine serves the old version. Written back by
-/// the operators, the old version is in force without an order.
+/// stops, says why, and every engine serves the old version.
 #[test]
 fn a_version_that_does_not_load_stops_by_itself() {
     let fleet = fleet(2, true);
@@ -135,12 +139,8 @@
     }
     write_version(&fleet, "v9");
     eventually("the rollout says why it stopped", || {
-        let plan = fleet.platform.get("rollout", MODEL);
-        plan.is_some_and(|p| {
-            p.body["failure"]["reason"]
-                .to_string()
-                .contains("no such weights")
-        })
+        let reason = plan(&fleet)["failure"]["reason"].to_string();
+        reason.contains("no such weights")
     });
     eventually_all_serve(&fleet, "v1");
     assert!(fleet.engines.iter().all(|e| e.orders().is_empty()));
@@ -149,29 +149,37 @@
     });
 }
 
-/// The version loads and gives no answers. The probe finds it before any
-/// caller does, and the engine goes back to the old version.
+/// A version was rolled out; the next one loads and gives no answers. The
+/// probe finds it before any caller does, and the engine goes back to the
+/// version before it, not to the one before the last. Written back by the
+/// operators, that version clears the failure.
 #[test]
 fn a_version_that_does_not_answer_goes_back() {
     let fleet = fleet(2, true);
+    write_version(&fleet, "v2");
+    eventually("the first rollout is noted as done", || {
+        plan(&fleet)["done"] == json!(true) && all_serve(&fleet, "v2")
+    });
+    let orders = || -> usize { fleet.engines.iter().map(|e| e.orders().len()).sum() };
+    let before = orders();
     for engine in &fleet.engines {
         engine.set_faults(EngineFaults {
-            crash_on: None,
             freeze_after_tokens: Some(0),
             ..EngineFaults::default()
         });
     }
     write_version(&fleet, "v9");
-    eventually("the rollout stops", || {
-        let plan = fleet.platform.get("rollout", MODEL);
-        plan.is_some_and(|p| !p.body["failure"].is_null())
-    });
+    eventually("the rollout stops", || !plan(&fleet)["failure"].is_null());
     for engine in &fleet.engines {
         engine.set_faults(EngineFaults::default());
     }
-    eventually_all_serve(&fleet, "v1");
-    let met = fleet.engines.iter().filter(|e| !e.orders().is_empty());
-    assert_eq!(met.count(), 1, "one engine met the bad version");
+    eventually_all_serve(&fleet, "v2");
+    assert_eq!(orders() - before, 2, "one engine went there and back");
+    write_version(&fleet, "v2");
+    eventually("the failure is cleared", || {
+        plan(&fleet)["failure"].is_null() && plan(&fleet)["target"] == json!("v2")
+    });
+    assert_eq!(orders() - before, 2);
 }
 
 /// The instance that rolls out is killed while an engine is out. Another one
