--- a/crates/core/src/peer/message.rs
+++ b/crates/core/src/peer/message.rs
@@ -1,5 +1,8 @@
 use {
-    crate::config::{Delta, Digest, Write},
+    crate::{
+        config::{Delta, Digest, Write},
+        poison::CrashSight,
+    },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -15,8 +18,8 @@
         digest: Digest,
         /// News of other instances, a bounded number.
         news: Vec<InstanceView>,
-        /// Crashes seen: identity of the request, and of the crash.
-        crashes: Vec<(u64, u64)>,
+        /// Crashes charged to requests.
+        crashes: Vec<CrashSight>,
     },
     /// Asks for tokens of a team's rate. The answer is
     /// [`PeerReply::Granted`]; the giver has already deducted them.
@@ -26,6 +29,21 @@
         /// Tokens needed.
         tokens: u64,
     },
+    /// Gives unused tokens of a grant back. The answer is
+    /// [`PeerReply::Granted`] with no tokens.
+    GiveBack {
+        /// Team.
+        team: String,
+        /// Number that the grant came with.
+        part: u64,
+        /// Tokens that were not used.
+        tokens: u64,
+    },
+    /// Tells of crashes at once. The answer is [`PeerReply::Crashes`].
+    Crashes {
+        /// Crashes charged to requests.
+        crashes: Vec<CrashSight>,
+    },
 }
 
 /// An answer of a peer.
@@ -39,16 +57,25 @@
         news: Vec<InstanceView>,
         /// Records that the asker may lack.
         delta: Delta,
-        /// Crashes seen: identity of the request, and of the crash.
-        crashes: Vec<(u64, u64)>,
+        /// Crashes charged to requests.
+        crashes: Vec<CrashSight>,
     },
-    /// Tokens granted, as many as were there of those asked for.
+    /// Tokens granted.
     Granted {
-        /// Tokens, to be spent at once.
+        /// Tokens, to be spent at once: all that were asked for, or none.
         tokens: u64,
+        /// Tokens that are left.
+        left_tokens: u64,
+        /// Number under which unused tokens may come back.
+        part: u64,
     },
     /// The request can't be read by this version.
     Unsupported,
+    /// What the peer knows of crashes.
+    Crashes {
+        /// Crashes charged to requests.
+        crashes: Vec<CrashSight>,
+    },
 }
 
 /// A record's state as peers exchange it.
--- a/crates/mangowalkd/src/board/mod.rs
+++ b/crates/mangowalkd/src/board/mod.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod peers;
 mod placed;
+mod poison;
 mod upstreams;
 mod whole;
 
@@ -27,6 +28,7 @@
     limits::LimitBoard,
     peers::{PeerBoard, PeerSight},
     placed::Placed,
+    poison::{PoisonBoard, Running},
     upstreams::{UpstreamBoard, UpstreamRun},
     whole::Board,
 };
--- a/crates/mangowalkd/src/controller/slots.rs
+++ b/crates/mangowalkd/src/controller/slots.rs
@@ -25,9 +25,6 @@
 const LEAST_LIST_MS: u64 = 1_000;
 const MOST_LIST_MS: u64 = 30_000;
 
-/// Time since the last heartbeat after which an instance does not count.
-const SILENT_MS: u64 = 10_000;
-
 /// Pause after a failed call.
 const RETRY_MS: u64 = 2_000;
 
@@ -70,7 +67,7 @@
     /// Lists soon again after the number of instances changed: others give
     /// slots back or lack some.
     fn count_live(&mut self, board: &Board, now_ms: u64) {
-        let live = live_instances(board, now_ms);
+        let live = live_instances(board);
         if live != self.live {
             self.live = live;
             self.list_soon(now_ms);
@@ -191,12 +188,8 @@
     })
 }
 
-fn live_instances(board: &Board, now_ms: u64) -> u32 {
-    let sights = board.peers.sights();
-    let live = sights
-        .iter()
-        .filter(|s| now_ms.saturating_sub(s.heard_ms) < SILENT_MS && !s.view.departing);
-    live.count() as u32 + 1
+fn live_instances(board: &Board) -> u32 {
+    board.peers.live().len() as u32 + 1
 }
 
 /// Returns a pause between three quarters and five quarters of the given one.
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AnswerSink, ChatRequest, Finished, Router, attempt::Target},
+    super::{AnswerSink, ChatRequest, Finished, Router, attempt::Target, poison::identity_of},
     mangowalk_core::{
         attempt::{End, Ended, Timeouts},
         edge::{Clock, Edges},
@@ -20,7 +20,8 @@
 /// Engines whose state may turn out to be old, for one request.
 const MOST_STALE: u32 = 8;
 
-/// When a caller should come back if no engine can take its request.
+/// When a caller should come back at the earliest if no engine can take its
+/// request.
 const NO_ENGINE_RETRY_MS: u64 = 1_000;
 
 /// Pause between two looks for an engine that can resume a stream.
@@ -76,7 +77,7 @@
         match self.outcome {
             Outcome::NotRun => Refusal::Unavailable {
                 reason,
-                retry_ms: NO_ENGINE_RETRY_MS,
+                retry_ms: spread_ms(NO_ENGINE_RETRY_MS),
             },
             outcome => Refusal::Lost {
                 remedy: "send it again",
@@ -86,6 +87,12 @@
     }
 }
 
+/// Returns a time up to twice as long, drawn anew. Callers refused together
+/// would otherwise come back together and be refused again.
+pub(crate) fn spread_ms(least_ms: u64) -> u64 {
+    rand::random_range(least_ms..=least_ms * 2)
+}
+
 /// Returns what is known after two attempts: that one ran is known whatever
 /// became of the other, and a doubt is not removed by a refusal elsewhere.
 fn worse(a: Outcome, b: Outcome) -> Outcome {
@@ -130,6 +137,7 @@
             if let Some(finished) = finished {
                 return Ok(finished);
             }
+            self.refuse_poison(identity_of(request), course.outcome)?;
             match ended.end() {
                 End::OverTime => break,
                 End::CallerGone => {
@@ -138,12 +146,22 @@
                         outcome: course.outcome,
                     });
                 }
+                _ if !course.has_begun() && self.is_late(request, started_ms) => break,
                 _ => {}
             }
         }
         Err(course.given_up("No engine can take the request"))
     }
 
+    /// Returns whether the caller no longer waits for a first token. Another
+    /// attempt would be work for nobody.
+    fn is_late(&self, request: &ChatRequest, started_ms: u64) -> bool {
+        let spent_ms = self.edges.clock().now_ms().saturating_sub(started_ms);
+        request
+            .deadline_ms
+            .is_some_and(|deadline_ms| spent_ms >= deadline_ms)
+    }
+
     fn timeouts(&self, request: &ChatRequest, started_ms: u64, now_ms: u64) -> Timeouts {
         let settings = &self.settings;
         let spent_ms = now_ms.saturating_sub(started_ms);
@@ -205,9 +223,12 @@
         let upstreams = &self.board.upstreams;
         let version = course.sequencer.bound_version();
         let tried = self.still_tried(course);
+        let suspects = self.suspects_apart_from(request);
         let usable = |name: &str| upstreams.usable(name, now_ms);
         let allowed = |name: &str| upstreams.allows(name, now_ms);
-        self.place_again(request, &view, version, &tried, &usable)
+        let apart = |name: &str| usable(name) && !suspects.contains(name);
+        self.place_again(request, &view, version, &tried, &apart)
+            .or_else(|| self.place_again(request, &view, version, &tried, &usable))
             .or_else(|| self.place_again(request, &view, version, &tried, &allowed))
     }
 
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -8,14 +8,15 @@
 mod generate;
 mod observe;
 mod place;
+mod poison;
 mod request;
 mod reserve;
 mod router;
 mod service;
 
 pub(crate) use {
+    attempts::spread_ms,
     place::{cache_salt, version_of},
-    reserve::LONGEST_WAIT_MS,
 };
 
 pub use {
