Prove what callers over their rate are told

Three tests: refused callers that come back when told find their tokens; a hopeless request is refused with no one asked; one behind many that wait is refused. No code changed.

--- a/crates/core/tests/limits/main.rs
+++ b/crates/core/tests/limits/main.rs
@@ -3,3 +3,4 @@
 mod leases;
 mod model;
 mod property;
+mod refusals;
