--- a/crates/core/src/config/view.rs
+++ b/crates/core/src/config/view.rs
@@ -131,6 +131,13 @@
         }
     }
 
+    /// Returns the engines that get no new work.
+    pub fn closed_engines(&self) -> impl Iterator<Item = String> {
+        let departing = self.engines.values().filter(|e| e.departing);
+        let departing = departing.map(|e| e.name.clone());
+        departing.chain(self.draining.iter().cloned())
+    }
+
     /// Returns the team that a key authenticates, if the team exists.
     pub fn team_of_key(&self, key: &str) -> Option<&str> {
         self.team_of_digest(&digest_of(key))
--- a/crates/core/src/poison/ledger.rs
+++ b/crates/core/src/poison/ledger.rs
@@ -1,4 +1,7 @@
-use {super::CrashSight, std::collections::HashMap};
+use {
+    super::CrashSight,
+    std::collections::{HashMap, HashSet},
+};
 
 /// Crashes after which a request is refused. One or two may be the upstream's
 /// own or a neighbour's; three different upstreams or starts are no accident.
@@ -51,12 +54,39 @@
         }
     }
 
-    /// Returns how many different crashes a request is charged with.
+    /// Returns for how many different crashes a request answers: those that it
+    /// is charged with while no other request charged with them is more
+    /// suspect.
+    ///
+    /// Each instance charges what it runs itself, so requests that only stood
+    /// beside the one to blame are charged where that one is not known. Once
+    /// instances have told each other, its higher count clears them.
     pub fn crashes(&self, request: u64, now_ms: u64) -> usize {
+        let own = self.charged(request, now_ms);
+        if own == 0 {
+            return 0;
+        }
+        let more_suspect: HashSet<u64> = self
+            .charges
+            .keys()
+            .filter(|other| self.charged(**other, now_ms) > own)
+            .flat_map(|other| self.live(*other, now_ms))
+            .collect();
+        self.live(request, now_ms)
+            .filter(|crash| !more_suspect.contains(crash))
+            .count()
+    }
+
+    /// Returns how many crashes a request is charged with, whoever else is.
+    fn charged(&self, request: u64, now_ms: u64) -> usize {
+        self.live(request, now_ms).count()
+    }
+
+    fn live(&self, request: u64, now_ms: u64) -> impl Iterator<Item = u64> + '_ {
         let charges = self.charges.get(&request).into_iter().flatten();
         charges
-            .filter(|c| !c.cleared && c.forget_ms > now_ms)
-            .count()
+            .filter(move |c| !c.cleared && c.forget_ms > now_ms)
+            .map(|c| c.crash)
     }
 
     /// Returns what to tell a peer, the latest first.
--- a/crates/core/tests/poison.rs
+++ b/crates/core/tests/poison.rs
@@ -11,8 +11,8 @@
 proptest! {
     /// One request crashes whatever runs it, and others run beside it. Nobody
     /// knows which it is. It is refused after three crashes all the same, and
-    /// neighbours are charged with the first crash at most: from the second on
-    /// it is the most suspect, since other suspects are kept apart from it.
+    /// none of its neighbours answers for any: from the second crash on it is
+    /// the most suspect, and the first is its own too.
     #[test]
     fn only_the_poison_request_is_condemned(
         crashes in prop::collection::vec(prop::collection::btree_set(1u64..20, 0..6), 3..8),
@@ -31,8 +31,7 @@
         }
         prop_assert_eq!(ledger.crashes(POISON, 0), MOST_CRASHES);
         for neighbour in 1..20 {
-            let was_first = crashes[0].contains(&neighbour);
-            prop_assert_eq!(ledger.crashes(neighbour, 0), usize::from(was_first));
+            prop_assert_eq!(ledger.crashes(neighbour, 0), 0);
         }
     }
 
@@ -53,12 +52,21 @@
         a.merge(&one, 0);
         b.merge(&other, 0);
         b.merge(&one, 0);
-        for request in 0..4 {
+        let charged = |request: u64| -> BTreeSet<u64> {
             let of = |cleared: bool| -> BTreeSet<u64> {
                 let sights = one.iter().filter(|s| s.request == request && s.cleared == cleared);
                 sights.map(|s| s.crash).collect()
             };
-            let counted = of(false).difference(&of(true)).count();
+            of(false).difference(&of(true)).copied().collect()
+        };
+        for request in 0..4 {
+            let own = charged(request);
+            let more_suspect: BTreeSet<u64> = (0..4)
+                .map(charged)
+                .filter(|other| other.len() > own.len())
+                .flatten()
+                .collect();
+            let counted = own.difference(&more_suspect).count();
             prop_assert_eq!(a.crashes(request, 0), counted);
             prop_assert_eq!(b.crashes(request, 0), counted);
         }
--- a/crates/mangowalkd/src/board/poison.rs
+++ b/crates/mangowalkd/src/board/poison.rs
@@ -84,18 +84,14 @@
         lock(&self.inner).ledger.sights(now_ms)
     }
 
-    /// Takes what a peer told. A crash that a peer has charged is not charged
-    /// here again: of the requests on the same engine, this instance knows
-    /// only its own, which may all be innocent.
+    /// Takes what a peer told. A crash that a peer has charged is charged here
+    /// too, by what runs here: the peer knows only its own requests on the
+    /// engine, which may all be innocent. Were it not, the one to blame would
+    /// go free whenever a peer was faster. The ledger lets only the most
+    /// suspect of all those charged with a crash answer for it.
     pub fn merge(&self, sights: &[CrashSight], now_ms: u64) {
-        if sights.is_empty() {
-            return;
-        }
-        let mut inner = lock(&self.inner);
-        inner.ledger.merge(sights, now_ms);
-        for sight in sights {
-            let until_ms = now_ms + FORGET_MS;
-            inner.judged.entry(sight.crash).or_insert(until_ms);
+        if !sights.is_empty() {
+            lock(&self.inner).ledger.merge(sights, now_ms);
         }
     }
 }
--- a/crates/mangowalkd/src/serve/mod.rs
+++ b/crates/mangowalkd/src/serve/mod.rs
@@ -14,7 +14,10 @@
 mod router;
 mod service;
 
-pub(crate) use place::{cache_salt, version_of};
+pub(crate) use {
+    attempts::spread_ms,
+    place::{cache_salt, version_of},
+};
 
 pub use {
     answer::{AnswerSink, Finished},
--- a/crates/mangowalkd/src/serve/place.rs
+++ b/crates/mangowalkd/src/serve/place.rs
@@ -29,7 +29,7 @@
 
 impl<E: Edges> Router<E> {
     /// Returns a target of a decision; none where the engine's record is
-    /// gone or departing by now.
+    /// gone, departing or draining by now.
     pub(super) fn target(&self, view: &View, version: &str, choice: Choice) -> Option<Target> {
         let (name, incarnation) = (choice.engine.clone(), choice.incarnation);
         let placed = Placed::new(self.board.clone(), choice);
@@ -61,6 +61,8 @@
         tried: &HashSet<String>,
         fit: &Fit<'_>,
     ) -> Option<Target> {
+        let mut avoid = tried.clone();
+        avoid.extend(view.closed_engines());
         let version = version.map_or_else(|| self.version_for(request), |v| Some(v.to_owned()))?;
         let salt = cache_salt(&request.team, &request.model, &version);
         let chain = block_chain(&salt, &request.prompt);
@@ -69,7 +71,7 @@
             version: &version,
             chain: &chain,
             kept_blocks: 0,
-            avoid: tried,
+            avoid: &avoid,
             fit,
             waited_ms: 0,
             queued: 0,
