--- a/crates/mangowalkd/src/serve/admit.rs
+++ b/crates/mangowalkd/src/serve/admit.rs
@@ -127,7 +127,7 @@
             model: request.model.clone(),
             version: version.to_owned(),
             chain: block_chain(&salt, &request.prompt),
-            avoid: HashSet::new(),
+            avoid: self.suspects_apart_from(request),
             kept_blocks: 0,
         }
     }
