Send nothing ahead to an engine of few slots

Cause: a_withdrawn_key_stops_queued_requests failed since each instance may send one request ahead: on an engine with one slot it waited inside the engine for the whole answer before it, and ran although its key was withdrawn.

Change: one request ahead for each eight slots.

Ruled out: keeping the place ahead for small engines, where it wins nothing that the tests' callers would notice and loses that safeguard.

--- a/crates/core/src/placement/engine.rs
+++ b/crates/core/src/placement/engine.rs
@@ -16,6 +16,11 @@
 /// Most that slowness multiplies.
 const MOST_SLOWNESS: f64 = 50.0;
 
+/// Slots of an engine for each request that may wait inside it. With many
+/// slots one is free soon; with few, the request would wait there for long,
+/// where neither a fairer turn nor a withdrawn key can stop it.
+const SLOTS_FOR_ONE_AHEAD: u32 = 8;
+
 /// Share of used slots below which an engine has slots to spare.
 const SPARE_BELOW: f64 = 0.7;
 
@@ -186,6 +191,7 @@
     /// slots several times over.
     pub(super) fn has_room(&self, instances: u32, ahead: u32) -> bool {
         let share = (self.slots() / instances.max(1)).max(1);
+        let ahead = ahead.min(self.slots() / SLOTS_FOR_ONE_AHEAD);
         if self.in_flight < share + ahead {
             return true;
         }
--- a/crates/core/src/placement/settings.rs
+++ b/crates/core/src/placement/settings.rs
@@ -24,8 +24,8 @@
     pub table_entries: usize,
     /// Most engines whose cache events are read in full; at most 64.
     pub full_events_engines: usize,
-    /// How far this instance's share of an engine's slots may be overdrawn,
-    /// in requests that wait inside the engine.
+    /// Requests of this instance that may wait inside an engine of many slots,
+    /// so that no slot idles from a request's end until the next is there.
     pub queue_ahead: u32,
 }
 
