--- a/crates/mangowalk/src/records/file.rs
+++ b/crates/mangowalk/src/records/file.rs
@@ -45,12 +45,6 @@
     /// Checks name and record as an instance would.
     pub(crate) fn check(&self) -> Result<(), Report<Failure>> {
         check_name(&self.name)?;
-        if !Kind::ALL.contains(&self.kind) {
-            return Err(Report::new(Failure::BadFile {
-                what: format!("{}/{}", self.kind, self.name),
-                detail: "the system writes this kind itself; leave it out".to_owned(),
-            }));
-        }
         parse(self.kind, &self.record).map_err(|error| Failure::BadRecord {
             key: self.key(),
             error,
