--- a/crates/mangowalkd/src/controller/slots.rs
+++ b/crates/mangowalkd/src/controller/slots.rs
@@ -25,6 +25,15 @@
 const LEAST_LIST_MS: u64 = 1_000;
 const MOST_LIST_MS: u64 = 30_000;
 
+/// Instances for which the longest time holds. A list takes about 77 KB, every
+/// 30 s more than half of what an instance may spend on all its control. In a
+/// larger fleet one instance holds less, so that its slots may stay longer
+/// with no one.
+const LIST_INSTANCES: u32 = 32;
+
+/// Most by which a larger fleet lengthens that time.
+const MOST_LIST_FACTOR: u32 = 10;
+
 /// Pause after a failed call.
 const RETRY_MS: u64 = 2_000;
 
@@ -60,7 +69,7 @@
         let seen_ms = edges.clock().now_ms();
         board.limits.see(&list, seen_ms);
         self.next_list_ms = seen_ms + jittered(self.list_pause_ms);
-        self.list_pause_ms = (self.list_pause_ms * 2).min(MOST_LIST_MS);
+        self.list_pause_ms = (self.list_pause_ms * 2).min(most_list_ms(self.live));
         Ok(())
     }
 
@@ -196,3 +205,9 @@
 fn jittered(pause_ms: u64) -> u64 {
     pause_ms * 3 / 4 + rand::random_range(0..=pause_ms / 2)
 }
+
+/// Returns the longest time between two lists in a fleet of a size.
+fn most_list_ms(live: u32) -> u64 {
+    let factor = live.div_ceil(LIST_INSTANCES).clamp(1, MOST_LIST_FACTOR);
+    MOST_LIST_MS * u64::from(factor)
+}
