Probe ports without listening; one prefix cache for both stand-ins

Cause: an_outage_of_the_platform_refuses_no_one failed in one run, since a router found its peer address in use; others had met "did not become ready" without a cause. Tests probed a port by listening on it; a process that another test starts at that moment holds a copy of the socket until it runs its program, and the address stays in use that long.

Change: the probe binds without listening, which a copy does not block. The demo takes its ports the same way, below the outgoing ones.

Ruled out: left processes (none) and ports in use twice (a counter draws them).

Besides: the queue model and the stand-in engine had a prefix cache each; the faster one serves both, tails evicted before heads.

--- a/crates/standins/examples/standin.rs
+++ b/crates/standins/examples/standin.rs
@@ -4,13 +4,10 @@
 //! prints addresses on loopback that no one listens on.
 
 use {
-    mangowalk_standins::{EngineSettings, EngineStandIn, PlatformStandIn, ServiceStandIn},
-    std::{
-        env,
-        net::{SocketAddr, TcpListener},
-        process::exit,
-        thread,
+    mangowalk_standins::{
+        EngineSettings, EngineStandIn, PlatformStandIn, ServiceStandIn, free_address,
     },
+    std::{env, net::SocketAddr, process::exit, thread},
 };
 
 fn main() {
@@ -29,14 +26,11 @@
     }
 }
 
-/// Prints addresses that differ: all are held until the last is found.
+/// Prints addresses that differ.
 fn ports(args: &[String]) {
-    let count = args.get(1).and_then(|a| a.parse().ok()).unwrap_or(1);
-    let listeners: Vec<TcpListener> = (0..count)
-        .filter_map(|_| TcpListener::bind("127.0.0.1:0").ok())
-        .collect();
-    for listener in &listeners {
-        println!("{}", listener.local_addr().expect("a bound listener"));
+    let count: usize = args.get(1).and_then(|a| a.parse().ok()).unwrap_or(1);
+    for _ in 0..count {
+        println!("{}", free_address());
     }
 }
 
--- a/crates/standins/src/queue/cache.rs
+++ b/crates/standins/src/cache/prefix.rs
@@ -7,11 +7,11 @@
 };
 
 /// Changes kept for readers of the events.
-const KEPT_CHANGES: usize = 8_192;
+const KEPT_CHANGES: usize = 65_536;
 
 /// A prefix cache that evicts what was used longest ago, tails before heads.
 #[derive(Debug, Default)]
-pub(super) struct CacheModel {
+pub(crate) struct PrefixCache {
     capacity: usize,
     tick: u64,
     used: HashMap<u64, (u64, usize)>,
@@ -20,20 +20,23 @@
     first_sequence: u64,
 }
 
-impl CacheModel {
-    pub(super) fn new(capacity: usize) -> CacheModel {
-        CacheModel {
+impl PrefixCache {
+    /// Returns an empty cache for so many blocks.
+    pub(crate) fn new(capacity: usize) -> PrefixCache {
+        PrefixCache {
             capacity,
-            ..CacheModel::default()
+            ..PrefixCache::default()
         }
     }
 
-    pub(super) fn hits(&self, chain: &[u64]) -> usize {
+    /// Returns how many blocks at the chain's head are cached.
+    pub(crate) fn hits(&self, chain: &[u64]) -> usize {
         let held = |b: &&u64| self.used.contains_key(b);
         chain.iter().take_while(held).count()
     }
 
-    pub(super) fn store(&mut self, chain: &[u64]) {
+    /// Stores or refreshes every block of the chain.
+    pub(crate) fn store(&mut self, chain: &[u64]) {
         self.tick += 1;
         for (depth, block) in chain.iter().enumerate() {
             match self.used.insert(*block, (self.tick, depth)) {
@@ -53,6 +56,19 @@
         }
     }
 
+    /// Drops every block, as a change of weights does.
+    pub(crate) fn clear(&mut self) {
+        self.used.clear();
+        self.order.clear();
+        self.log(CacheChange::Cleared);
+    }
+
+    /// Loses the next change: its sequence number is used up.
+    pub(crate) fn lose_one(&mut self) {
+        self.first_sequence += self.changes.len() as u64 + 1;
+        self.changes.clear();
+    }
+
     fn log(&mut self, change: CacheChange) {
         self.changes.push_back(change);
         if self.changes.len() > KEPT_CHANGES {
@@ -61,7 +77,8 @@
         }
     }
 
-    pub(super) fn events(&self, incarnation: u64, from: u64) -> CacheEvents {
+    /// Returns the changes from a sequence number on.
+    pub(crate) fn events(&self, incarnation: u64, from: u64) -> CacheEvents {
         let skip = from.saturating_sub(self.first_sequence) as usize;
         CacheEvents {
             incarnation,
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -6,7 +6,6 @@
 //! [`EngineFaults`], `POST /crash` crashes and comes back empty.
 
 mod answer;
-mod cache;
 mod faults;
 mod run;
 mod settings;
--- a/crates/standins/src/engine/stand_in.rs
+++ b/crates/standins/src/engine/stand_in.rs
@@ -1,6 +1,9 @@
 use {
-    super::{EngineFaults, EngineSettings, answer, cache::Cache, run::Run},
-    crate::http::{Exchange, Server},
+    super::{EngineFaults, EngineSettings, answer, run::Run},
+    crate::{
+        cache::PrefixCache,
+        http::{Exchange, Server},
+    },
     mangowalk_core::{
         engine::{CancelRequest, EngineState, GenerateRequest, LoadReport, Order, OrderReply},
         placement::block_chain,
@@ -41,7 +44,7 @@
     fencing: u64,
     running: u32,
     waiting: u32,
-    cache: Cache,
+    cache: PrefixCache,
     pub(super) faults: EngineFaults,
     pub(super) cancelled: HashSet<(String, u32)>,
     prompts: BTreeMap<String, u64>,
@@ -62,7 +65,7 @@
             fencing: 0,
             running: 0,
             waiting: 0,
-            cache: Cache::new(settings.cache_blocks),
+            cache: PrefixCache::new(settings.cache_blocks),
             faults: EngineFaults::default(),
             cancelled: HashSet::new(),
             prompts: BTreeMap::new(),
@@ -179,7 +182,7 @@
             inner.version = self.settings.version.clone();
             inner.loading = false;
             inner.fencing = 0;
-            inner.cache = Cache::new(self.settings.cache_blocks);
+            inner.cache = PrefixCache::new(self.settings.cache_blocks);
         }
         self.listen();
     }
--- a/crates/standins/src/fleet/address.rs
+++ b/crates/standins/src/fleet/address.rs
@@ -1,8 +1,11 @@
-use std::{
-    fs,
-    net::{SocketAddr, TcpListener},
-    process,
-    sync::atomic::{AtomicU32, Ordering},
+use {
+    socket2::{Domain, Socket, Type},
+    std::{
+        fs, io,
+        net::SocketAddr,
+        process,
+        sync::atomic::{AtomicU32, Ordering},
+    },
 };
 
 /// Lowest port that a test uses.
@@ -29,13 +32,24 @@
         let used = USED.fetch_add(1, Ordering::Relaxed);
         let port = LOWEST_PORT + first.wrapping_add(used) % ports;
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() {
+        if can_bind(address).is_ok() {
             return address;
         }
     }
     panic!("no free port on loopback; end processes that listen there")
 }
 
+/// Binds an address for a moment, without listening on it.
+///
+/// A process that another test starts meanwhile holds a copy of every socket
+/// until it runs its program. Were this one to listen, the address would stay in
+/// use for that time, and the router that is to have it would not start.
+fn can_bind(address: SocketAddr) -> io::Result<()> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())
+}
+
 /// Returns the lowest port that the system gives to outgoing connections.
 fn ephemeral_port() -> u32 {
     fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range")
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each runs on threads of the calling process and can be made to fail the
 //! way the real one does. None is part of a shipped program.
 
+mod cache;
 mod engine;
 mod fleet;
 mod http;
--- a/crates/standins/src/queue/engine.rs
+++ b/crates/standins/src/queue/engine.rs
@@ -1,8 +1,6 @@
 use {
-    super::{
-        cache::CacheModel,
-        deployment::{CACHE_BLOCKS, HIT_US, IMPORT_US, MISS_US, SLOTS, TOKEN_US},
-    },
+    super::deployment::{CACHE_BLOCKS, HIT_US, IMPORT_US, MISS_US, SLOTS, TOKEN_US},
+    crate::cache::PrefixCache,
     mangowalk_core::engine::{EngineState, LoadReport},
     std::{collections::VecDeque, sync::Arc},
 };
@@ -30,7 +28,7 @@
     pub(super) incarnation: u64,
     pub(super) up: bool,
     pub(super) slow: u64,
-    pub(super) cache: CacheModel,
+    pub(super) cache: PrefixCache,
     running: u32,
     waiting: VecDeque<Task>,
     prefills: VecDeque<Task>,
@@ -48,7 +46,7 @@
             incarnation,
             up: true,
             slow: 1,
-            cache: CacheModel::new(CACHE_BLOCKS),
+            cache: PrefixCache::new(CACHE_BLOCKS),
             running: 0,
             waiting: VecDeque::new(),
             prefills: VecDeque::new(),
--- a/crates/standins/src/queue/mod.rs
+++ b/crates/standins/src/queue/mod.rs
@@ -5,7 +5,6 @@
 //! batch, one prefill at a time, a prefix cache that evicts, reports and cache
 //! events that lag. Figures for real engines need a measurement of these.
 
-mod cache;
 mod deployment;
 mod engine;
 mod faults;
