Remove what nothing reads, and say twice-written things once

Found by reading the whole change: - The time of an engine's last failure was written and never read; upstreams' free places, limit and breaker's pause had no caller on the board. Gone. - Upstreams whose records are gone were never forgotten: the method stood without a caller. The poll calls it where it forgets their sights. This is the one change that can be seen: an engine withdrawn and written anew starts with a closed breaker. - Both programs printed their usage by the same code; one function serves both. - A call's tokens were worked out by the limit and by the burn report. - The poll, four times a second, and each later attempt copied every engine's sight; they read it in place.

No figure is claimed for the copies. Left: a request's identity is hashed over its prompt three times on the way of a good request.

--- a/crates/mangowalkd/src/board/engines.rs
+++ b/crates/mangowalkd/src/board/engines.rs
@@ -16,8 +16,6 @@
     pub seen_ms: u64,
     /// Attempts that this instance runs on it now.
     pub in_flight: u32,
-    /// When it last failed an attempt.
-    pub failed_ms: Option<u64>,
 }
 
 /// Engines as last seen, by name of record.
@@ -32,6 +30,11 @@
         lock(&self.sights).clone()
     }
 
+    /// Reads the sights without copying them.
+    pub fn read<T>(&self, reader: impl FnOnce(&BTreeMap<String, EngineSight>) -> T) -> T {
+        reader(&lock(&self.sights))
+    }
+
     /// Changes one engine's sight.
     pub fn update(&self, name: &str, writer: impl FnOnce(&mut EngineSight)) {
         let mut sights = lock(&self.sights);
--- a/crates/mangowalkd/src/board/upstreams.rs
+++ b/crates/mangowalkd/src/board/upstreams.rs
@@ -14,9 +14,7 @@
 /// What each upstream can take, judged from this instance's own attempts.
 ///
 /// Placement asks [`UpstreamBoard::usable`] for each engine that it weighs
-/// and leaves out those that are not. Among the rest [`UpstreamBoard::free`]
-/// serves as the weight: a slow upstream has few free places at once and gets
-/// them back one by one. Where nothing is usable, an engine that
+/// and leaves out those that are not. Where nothing is usable, an engine that
 /// [`UpstreamBoard::allows`] an attempt is better than a refusal, unless the
 /// request can wait.
 #[derive(Debug, Clone, Default)]
@@ -48,27 +46,11 @@
         self.read(name, |health| health.allows(now_ms))
     }
 
-    /// Returns how many more attempts may wait at an upstream, its weight
-    /// beside others.
-    pub fn free(&self, name: &str) -> u32 {
-        self.read(name, Health::free)
-    }
-
-    /// Returns how many attempts may wait at an upstream.
-    pub fn limit(&self, name: &str) -> u32 {
-        self.read(name, Health::limit)
-    }
-
     /// Returns whether an upstream has fallen silent to all of its streams.
     pub fn is_stalled(&self, name: &str, now_ms: u64) -> bool {
         self.read(name, |health| health.is_stalled(now_ms))
     }
 
-    /// Returns when an upstream's breaker lets the next attempt through.
-    pub fn wait_ms(&self, name: &str, now_ms: u64) -> u64 {
-        self.read(name, |health| health.wait_ms(now_ms))
-    }
-
     /// Forgets upstreams whose records are gone.
     pub fn retain(&self, keep: impl Fn(&str) -> bool) {
         lock(&self.inner).upstreams.retain(|name, _| keep(name));
--- a/crates/mangowalkd/src/cli/mod.rs
+++ b/crates/mangowalkd/src/cli/mod.rs
@@ -9,5 +9,5 @@
     args::{Args, args},
     run::run,
     settings::{Settings, SettingsError},
-    usage::usage_message,
+    usage::print_usage,
 };
--- a/crates/mangowalkd/src/cli/run.rs
+++ b/crates/mangowalkd/src/cli/run.rs
@@ -1,21 +1,14 @@
 use {
-    super::{Settings, args, usage_message},
+    super::{Settings, args, print_usage, usage::EXIT_USAGE},
     crate::Daemon,
-    bpaf::ParseFailure,
     std::process::ExitCode,
 };
 
-/// Exit code for settings that can't be used.
-const EXIT_SETTINGS: u8 = 2;
-
-/// Width to which help is wrapped.
-const HELP_WIDTH: usize = 90;
-
 /// Runs the program with the arguments of the process.
 pub fn run() -> ExitCode {
     let args = match args().run_inner(bpaf::Args::current_args()) {
         Ok(args) => args,
-        Err(failure) => return usage(&failure),
+        Err(failure) => return print_usage("mangowalkd", &args(), &failure),
     };
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_target(false)
@@ -24,7 +17,7 @@
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("mangowalkd: {error}");
-            return ExitCode::from(EXIT_SETTINGS);
+            return ExitCode::from(EXIT_USAGE);
         }
     };
     if args.check {
@@ -39,20 +32,3 @@
         }
     }
 }
-
-/// Prints help, or why the arguments can't be used.
-fn usage(failure: &ParseFailure) -> ExitCode {
-    let ParseFailure::Stderr(message) = failure else {
-        failure.print_message(HELP_WIDTH);
-        return ExitCode::SUCCESS;
-    };
-    let told = usage_message(
-        &message.monochrome(false),
-        &|given| match args().run_inner(given) {
-            Err(ParseFailure::Stderr(message)) => Some(message.monochrome(false)),
-            _ => None,
-        },
-    );
-    eprintln!("mangowalkd: {told}");
-    ExitCode::from(EXIT_SETTINGS)
-}
--- a/crates/mangowalkd/src/cli/usage.rs
+++ b/crates/mangowalkd/src/cli/usage.rs
@@ -4,18 +4,48 @@
 //! environment variable. Behind ten variables of a unit file that is a long
 //! search, so the flag or variable is found and named here.
 
-use std::env;
+use {
+    bpaf::{OptionParser, ParseFailure},
+    std::{env, process::ExitCode},
+};
+
+/// Exit code for arguments and settings that can't be used.
+pub(super) const EXIT_USAGE: u8 = 2;
+
+/// Width to which help is wrapped.
+const HELP_WIDTH: usize = 90;
 
 const VARIABLE_PREFIX: &str = "MANGOWALK_";
 
 /// How the parser says that it can't read a text.
 const PARSE: &str = "couldn't parse";
 
+/// Prints help or a script, or why the arguments can't be used.
+pub fn print_usage<T>(
+    program: &str,
+    options: &OptionParser<T>,
+    failure: &ParseFailure,
+) -> ExitCode {
+    let ParseFailure::Stderr(message) = failure else {
+        failure.print_message(HELP_WIDTH);
+        return ExitCode::SUCCESS;
+    };
+    let told = usage_message(
+        &message.monochrome(false),
+        &|given| match options.run_inner(given) {
+            Err(ParseFailure::Stderr(message)) => Some(message.monochrome(false)),
+            _ => None,
+        },
+    );
+    eprintln!("{program}: {told}");
+    ExitCode::from(EXIT_USAGE)
+}
+
 /// Returns what to tell of arguments that the parser refused with a message.
 ///
 /// `parse` parses arguments again, and returns the parser's message if it
 /// refuses them.
-pub fn usage_message(message: &str, parse: &dyn Fn(&[String]) -> Option<String>) -> String {
+fn usage_message(message: &str, parse: &dyn Fn(&[String]) -> Option<String>) -> String {
     let given: Vec<String> = env::args().skip(1).collect();
     let Some((name, text)) = culprit(&given, message, parse) else {
         return message.trim().to_owned();
--- a/crates/mangowalkd/src/controller/engine_poll.rs
+++ b/crates/mangowalkd/src/controller/engine_poll.rs
@@ -51,18 +51,19 @@
     fn step(&mut self, edges: &E, board: &Board, _now_ms: u64) -> u64 {
         let view = board.config.view();
         board.engines.retain(|name| view.engines.contains_key(name));
+        board
+            .upstreams
+            .retain(|name| view.engines.contains_key(name));
         board
             .dispatch
             .set_instances(board.peers.sights().len() as u32 + 1);
         board.take_engines(&view);
         let engines: Vec<&EngineRecord> = view.engines.values().collect();
-        let sights = board.engines.sights();
-        let unseen: Vec<&EngineRecord> = engines
-            .iter()
-            .copied()
-            .filter(|e| sights.get(&e.name).is_none_or(|s| s.seen_ms == 0))
-            .take(ASKED_AT_START)
-            .collect();
+        let unseen: Vec<&EngineRecord> = board.engines.read(|sights| {
+            let never = |e: &&EngineRecord| sights.get(&e.name).is_none_or(|s| s.seen_ms == 0);
+            let unseen = engines.iter().copied().filter(never);
+            unseen.take(ASKED_AT_START).collect()
+        });
         if !unseen.is_empty() {
             unseen.iter().for_each(|engine| ask(edges, board, engine));
             return 0;
--- a/crates/mangowalkd/src/serve/attempt.rs
+++ b/crates/mangowalkd/src/serve/attempt.rs
@@ -134,10 +134,6 @@
                 "serve: Attempt {attempt} of {id} on {} failed ({end:?}).",
                 engine.name
             );
-            let now_ms = self.edges.clock().now_ms();
-            self.board
-                .engines
-                .update(&engine.name, |sight| sight.failed_ms = Some(now_ms));
         }
     }
 
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -234,17 +234,18 @@
 
     /// Returns the tried engines that have not restarted since.
     fn still_tried(&self, course: &Course) -> HashSet<String> {
-        let sights = self.board.engines.sights();
-        course
-            .tried
-            .iter()
-            .filter(|(name, incarnation)| {
-                sights
-                    .get(*name)
-                    .and_then(|sight| sight.state.as_ref())
-                    .is_none_or(|state| state.incarnation == **incarnation)
-            })
-            .map(|(name, _)| name.clone())
-            .collect()
+        self.board.engines.read(|sights| {
+            course
+                .tried
+                .iter()
+                .filter(|(name, incarnation)| {
+                    sights
+                        .get(*name)
+                        .and_then(|sight| sight.state.as_ref())
+                        .is_none_or(|state| state.incarnation == **incarnation)
+                })
+                .map(|(name, _)| name.clone())
+                .collect()
+        })
     }
 }
--- a/crates/mangowalkd/src/serve/observe.rs
+++ b/crates/mangowalkd/src/serve/observe.rs
@@ -3,7 +3,7 @@
     mangowalk_core::{
         burn::{End, Observation},
         edge::{Clock, Edges, ServiceReply},
-        placement::{TOKEN_BYTES, tokens_of},
+        placement::tokens_of,
         refusal::Refusal,
     },
     std::io,
@@ -88,7 +88,7 @@
         let seen = Observation {
             first_token_ms: None,
             end,
-            tokens: (request.body.len().div_ceil(TOKEN_BYTES) as u64).max(1),
+            tokens: request.tokens(),
         };
         self.count(&request.team, &seen);
         result
--- a/crates/mangowalkd/src/serve/request.rs
+++ b/crates/mangowalkd/src/serve/request.rs
@@ -1,3 +1,5 @@
+use mangowalk_core::placement::TOKEN_BYTES;
+
 /// A request for generated text, after its edge has read it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ChatRequest {
@@ -41,3 +43,10 @@
     /// Body.
     pub body: Vec<u8>,
 }
+
+impl ServiceRequest {
+    /// Returns the tokens that the call counts as.
+    pub(super) fn tokens(&self) -> u64 {
+        (self.body.len().div_ceil(TOKEN_BYTES) as u64).max(1)
+    }
+}
--- a/crates/mangowalkd/src/serve/service.rs
+++ b/crates/mangowalkd/src/serve/service.rs
@@ -4,7 +4,6 @@
         claim::{Claim, Claimed, ClaimedTooLong, Verdict},
         config::ServiceRecord,
         edge::{Clock, Edges, SendError, ServiceCall, ServiceReply, Services},
-        placement::TOKEN_BYTES,
         refusal::{Outcome, Refusal},
     },
 };
@@ -32,7 +31,7 @@
             });
         };
         self.refuse_poison(identity_of_call(request), Outcome::NotRun)?;
-        let tokens = (request.body.len().div_ceil(TOKEN_BYTES) as u64).max(1);
+        let tokens = request.tokens();
         let reservation = self.reserve(&request.team, tokens)?;
         let result = if first.repeatable && !request.marked_not_repeatable {
             self.call_repeatable(request, &instances)
