--- /dev/null
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -0,0 +1,65 @@
+use {
+    crate::pool::Load,
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// How far the change of one engine's weights is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OrderPhase {
+    /// New work is kept away; the order goes out soon.
+    Planned,
+    /// The order was sent.
+    Sent,
+    /// The engine has the weights.
+    Done,
+}
+
+/// What the instance that orders weights tells of one engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderNote {
+    /// The engine.
+    pub engine: String,
+    /// Model whose weights change.
+    pub model: String,
+    /// Weights that it will have.
+    pub version: u64,
+    /// How far it is.
+    pub phase: OrderPhase,
+    /// Age of the phase when this was told.
+    pub age_ms: u32,
+}
+
+/// What an instance tells its peers, several times a second.
+///
+/// One datagram: a lost one is made up for by the next, and no connection
+/// between instances can fall silent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Name of the instance.
+    pub name: String,
+    /// Grows with each start of the instance.
+    pub incarnation: u64,
+    /// Grows with each heartbeat; an older one that comes late is dropped.
+    pub sequence: u64,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where peers send.
+    pub peer_address: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// Whether callers may be sent here.
+    pub ready: bool,
+    /// Version of the configuration in force there.
+    pub configuration_version: u64,
+    /// Newest weights named, by model.
+    pub versions: Vec<(String, u64)>,
+    /// Work sent to each engine and not done.
+    pub loads: Vec<(String, Load)>,
+    /// Tokens a second asked for, by team.
+    pub demands: Vec<(String, f64)>,
+    /// Orders of the instance that holds the lease.
+    pub orders: Vec<OrderNote>,
+    /// Other instances that it hears, so that a new one is found by all.
+    pub peers: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/crates/core/src/mesh/members.rs
@@ -0,0 +1,128 @@
+use {
+    super::Heartbeat,
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+    },
+};
+
+/// When a peer counts as silent, and when as gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MeshSettings {
+    /// Pause between two heartbeats.
+    pub period_ms: u64,
+    /// Silence after which callers are no longer sent to a peer. Four
+    /// heartbeats: two may be lost on a bad link.
+    pub silent_ms: u64,
+    /// Silence after which a peer's share of rates is given to others. It may
+    /// be serving behind a partition; longer than a window of rates.
+    pub gone_ms: u64,
+    /// Time for which an address is tried that never answered.
+    pub try_ms: u64,
+}
+
+impl Default for MeshSettings {
+    fn default() -> MeshSettings {
+        MeshSettings {
+            period_ms: 200,
+            silent_ms: 900,
+            gone_ms: 12_000,
+            try_ms: 6_000,
+        }
+    }
+}
+
+/// One peer, as it told last.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// Its last heartbeat.
+    pub last: Heartbeat,
+    /// When that came.
+    pub heard_ms: u64,
+}
+
+/// Peers of this instance.
+#[derive(Debug, Default)]
+pub struct MemberTable {
+    members: BTreeMap<String, Member>,
+    tried_since_ms: HashMap<SocketAddr, u64>,
+}
+
+impl MemberTable {
+    /// Adds an address at which a peer may listen.
+    pub fn try_address(&mut self, address: SocketAddr, now_ms: u64) {
+        self.tried_since_ms.entry(address).or_insert(now_ms);
+    }
+
+    /// Takes over a heartbeat. Returns false for one that is out of date.
+    pub fn hear(&mut self, heartbeat: Heartbeat, now_ms: u64) -> bool {
+        for &address in &heartbeat.peers {
+            self.try_address(address, now_ms);
+        }
+        if let Some(member) = self.members.get(&heartbeat.name) {
+            let old = (member.last.incarnation, member.last.sequence);
+            if (heartbeat.incarnation, heartbeat.sequence) <= old {
+                return false;
+            }
+        }
+        let name = heartbeat.name.clone();
+        let member = Member {
+            last: heartbeat,
+            heard_ms: now_ms,
+        };
+        self.members.insert(name, member);
+        true
+    }
+
+    /// Removes peers that are gone, and returns their names.
+    pub fn expire(&mut self, settings: &MeshSettings, now_ms: u64) -> Vec<String> {
+        let gone = |member: &Member| now_ms > member.heard_ms + settings.gone_ms;
+        let names: Vec<String> = self
+            .members
+            .iter()
+            .filter(|(_, member)| gone(member))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &names {
+            self.members.remove(name);
+        }
+        self.tried_since_ms
+            .retain(|_, since_ms| now_ms < *since_ms + 4 * settings.gone_ms);
+        names
+    }
+
+    /// Returns where heartbeats go: peers that are known, and addresses that
+    /// may have one.
+    pub fn targets(&self, settings: &MeshSettings, now_ms: u64) -> Vec<SocketAddr> {
+        let mut targets: Vec<SocketAddr> = self
+            .members
+            .values()
+            .map(|member| member.last.peer_address)
+            .collect();
+        for (&address, &since_ms) in &self.tried_since_ms {
+            if now_ms < since_ms + settings.try_ms && !targets.contains(&address) {
+                targets.push(address);
+            }
+        }
+        targets.sort();
+        targets
+    }
+
+    /// Returns all peers that aren't gone.
+    pub fn iter(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns the peers that were heard just now.
+    pub fn heard(&self, settings: &MeshSettings, now_ms: u64) -> impl Iterator<Item = &Member> {
+        let silent_ms = settings.silent_ms;
+        self.members
+            .values()
+            .filter(move |member| now_ms <= member.heard_ms + silent_ms)
+    }
+
+    /// Returns whether every known peer was heard just now.
+    pub fn hears_all(&self, settings: &MeshSettings, now_ms: u64) -> bool {
+        self.heard(settings, now_ms).count() == self.members.len()
+    }
+}
--- /dev/null
+++ b/crates/core/src/mesh/mod.rs
@@ -0,0 +1,9 @@
+//! What instances tell each other, and which of them are there.
+
+mod heartbeat;
+mod members;
+
+pub use {
+    heartbeat::{Heartbeat, OrderNote, OrderPhase},
+    members::{Member, MemberTable, MeshSettings},
+};
--- /dev/null
+++ b/crates/core/src/pool/belief.rs
@@ -0,0 +1,137 @@
+use {
+    super::{EngineEntry, Health},
+    serde::{Deserialize, Serialize},
+    std::collections::HashMap,
+};
+
+/// Work that was sent to an engine and isn't done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens that they may take in the engine's memory.
+    pub memory_tokens: u32,
+    /// Tokens of prompts that are still to be read.
+    pub prefill_tokens: u32,
+}
+
+impl Load {
+    /// Adds another's work.
+    pub fn add(&mut self, other: Load) {
+        self.requests += other.requests;
+        self.memory_tokens += other.memory_tokens;
+        self.prefill_tokens += other.prefill_tokens;
+    }
+
+    /// Removes work that was added before.
+    pub fn remove(&mut self, other: Load) {
+        self.requests = self.requests.saturating_sub(other.requests);
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+        self.prefill_tokens = self.prefill_tokens.saturating_sub(other.prefill_tokens);
+    }
+}
+
+/// Work that is kept away from an engine whose weights are about to change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Steering {
+    /// Weights that it will have.
+    pub version: u64,
+    /// When the note is no longer believed.
+    pub until_ms: u64,
+}
+
+/// All that this instance believes of one engine.
+#[derive(Debug, Clone)]
+pub struct Belief {
+    /// What the engine said of itself.
+    pub entry: EngineEntry,
+    /// Work sent by this instance.
+    pub own: Load,
+    /// Work sent by others, as they told last.
+    pub others: Load,
+    /// Failures seen.
+    pub health: Health,
+    /// Weights by model, from lists, answers and orders.
+    pub versions: HashMap<String, u64>,
+    /// Set while its weights are changed.
+    pub steering: Option<Steering>,
+    /// Shared parts that it read, and when they were last used.
+    pub parts_ms: HashMap<u64, u64>,
+    /// When it told that it is about to leave, in an answer.
+    pub leaving_since_ms: Option<u64>,
+    /// When its last byte came.
+    pub heard_ms: u64,
+}
+
+/// Parts remembered of one engine. Its memory holds a few dozen shared parts;
+/// more would be remembered in vain.
+const MOST_PARTS: usize = 256;
+
+impl Belief {
+    /// Returns the belief of an engine that was just listed.
+    pub fn new(entry: EngineEntry) -> Belief {
+        let versions = entry
+            .models
+            .iter()
+            .map(|model| (model.model.clone(), model.version))
+            .collect();
+        Belief {
+            entry,
+            own: Load::default(),
+            others: Load::default(),
+            health: Health::default(),
+            versions,
+            steering: None,
+            parts_ms: HashMap::new(),
+            leaving_since_ms: None,
+            heard_ms: 0,
+        }
+    }
+
+    /// Returns the work of all instances.
+    pub fn load(&self) -> Load {
+        let mut load = self.own;
+        load.add(self.others);
+        load
+    }
+
+    /// Returns the weights that the engine has of a model; 0 if unknown.
+    pub fn version(&self, model: &str) -> u64 {
+        self.versions.get(model).copied().unwrap_or(0)
+    }
+
+    /// Notes the weights of a model. New weights empty the engine's cache.
+    pub fn set_version(&mut self, model: &str, version: u64) {
+        let before = self.versions.insert(model.to_owned(), version);
+        if before.is_some_and(|before| before != version) {
+            self.parts_ms.clear();
+        }
+    }
+
+    /// Returns whether work is kept away because weights are changed.
+    pub fn is_steered(&self, now_ms: u64) -> bool {
+        self.steering
+            .is_some_and(|steering| now_ms < steering.until_ms)
+    }
+
+    /// Keeps work away for a short time, after the engine refused some.
+    pub fn refused(&mut self, pause_ms: u64, now_ms: u64) {
+        if !self.is_steered(now_ms) {
+            self.steering = Some(Steering {
+                version: 0,
+                until_ms: now_ms + pause_ms,
+            });
+        }
+    }
+
+    /// Notes that the engine has read a shared part.
+    pub fn note_part(&mut self, part: u64, now_ms: u64) {
+        if self.parts_ms.len() >= MOST_PARTS && !self.parts_ms.contains_key(&part) {
+            let oldest = self.parts_ms.iter().min_by_key(|(_, ms)| **ms);
+            if let Some((&oldest, _)) = oldest {
+                self.parts_ms.remove(&oldest);
+            }
+        }
+        self.parts_ms.insert(part, now_ms);
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/choice.rs
@@ -0,0 +1,140 @@
+use super::{Belief, HealthSettings, Need};
+
+/// Weights of the choice among engines. All are in tokens of prompt, the unit
+/// that an engine's time goes into.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ChoiceSettings {
+    /// Failures and pauses.
+    pub health: HealthSettings,
+    /// Time for which a part that was used is taken to be in the cache.
+    /// Engines evict within seconds when full.
+    pub kept_ms: u64,
+    /// Part of the shared tokens that count as read again on an engine that
+    /// isn't known to hold them, where a store of kept parts brings them.
+    pub fetch_part: f64,
+    /// Tokens that one running request counts: each makes every step of the
+    /// engine a little longer.
+    pub running_tokens: f64,
+    /// Tokens that an engine in another failure domain counts more; the
+    /// request's body and answer cross between domains, which is paid for.
+    pub far_tokens: f64,
+    /// Tokens that one aged failure counts.
+    pub failure_tokens: f64,
+    /// Tokens that an engine with old weights counts more.
+    pub old_tokens: f64,
+    /// Tokens that an engine without room in its memory counts more.
+    pub full_tokens: f64,
+    /// Tokens that an engine counts less if a shared part belongs there by
+    /// its hash; lets all instances agree without speaking.
+    pub home_tokens: f64,
+}
+
+impl Default for ChoiceSettings {
+    fn default() -> ChoiceSettings {
+        ChoiceSettings {
+            health: HealthSettings::default(),
+            kept_ms: 10_000,
+            fetch_part: 0.35,
+            running_tokens: 60.0,
+            far_tokens: 60.0,
+            failure_tokens: 4_000.0,
+            old_tokens: 6_000.0,
+            full_tokens: 30_000.0,
+            home_tokens: 1_000.0,
+        }
+    }
+}
+
+/// Work of one request against the whole of a plain engine, in the same unit.
+const PLAIN_REQUEST_TOKENS: f64 = 1_000.0;
+
+/// Returns the weight of an engine for a part. The engine with the largest is
+/// the part's home; all instances work out the same one.
+pub fn rendezvous(part: u64, engine: &str) -> u64 {
+    let mut hash = part ^ 0x9e37_79b9_7f4a_7c15;
+    for byte in engine.bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash ^= hash >> 29;
+    hash = hash.wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash ^ (hash >> 32)
+}
+
+/// Chooses the engine that runs a request soonest, among those given.
+///
+/// `draw` breaks ties, so that instances that see the same loads don't all
+/// choose the same engine.
+pub fn choose<'a>(
+    engines: impl Iterator<Item = &'a Belief> + Clone,
+    need: &Need,
+    memory_tokens: u64,
+    settings: &ChoiceSettings,
+    draw: u64,
+    now_ms: u64,
+) -> Option<&'a Belief> {
+    let home = need.shared_part().and_then(|part| {
+        engines
+            .clone()
+            .max_by_key(|belief| rendezvous(part, &belief.entry.incarnation.id))
+            .map(|belief| belief.entry.incarnation.id.as_str())
+    });
+    let open = |belief: &&Belief| !belief.health.is_barred(&settings.health, now_ms);
+    let steady = |belief: &&Belief| open(belief) && !belief.is_steered(now_ms);
+    let cheapest = |a: &&Belief, b: &&Belief| {
+        let cost = |belief: &Belief| {
+            cost_tokens(belief, need, memory_tokens, settings, home, now_ms)
+                + jitter(draw, &belief.entry.incarnation.id)
+        };
+        cost(a).total_cmp(&cost(b))
+    };
+    engines
+        .clone()
+        .filter(steady)
+        .min_by(cheapest)
+        .or_else(|| engines.clone().filter(open).min_by(cheapest))
+}
+
+/// Returns up to a few tokens that differ by engine and draw.
+fn jitter(draw: u64, engine: &str) -> f64 {
+    (rendezvous(draw, engine) % 1_000) as f64 / 20.0
+}
+
+fn cost_tokens(
+    belief: &Belief,
+    need: &Need,
+    memory_tokens: u64,
+    settings: &ChoiceSettings,
+    home: Option<&str>,
+    now_ms: u64,
+) -> f64 {
+    let load = belief.load();
+    let mut cost = settings.failure_tokens * belief.health.failures(&settings.health, now_ms);
+    if belief.entry.domain != need.domain {
+        cost += settings.far_tokens;
+    }
+    let Some(model) = &need.model else {
+        let slots = belief.entry.slots.max(1);
+        return cost + PLAIN_REQUEST_TOKENS * f64::from(load.requests) / f64::from(slots);
+    };
+    cost += f64::from(load.prefill_tokens);
+    cost += settings.running_tokens * f64::from(load.requests);
+    if load.requests >= belief.entry.slots
+        || u64::from(load.memory_tokens) + need.memory_tokens > memory_tokens
+    {
+        cost += settings.full_tokens;
+    }
+    if belief.version(model) < need.newest_version {
+        cost += settings.old_tokens;
+    }
+    let kept = need.shared_part().is_some_and(|part| {
+        let used_ms = belief.parts_ms.get(&part);
+        used_ms.is_some_and(|used_ms| now_ms < used_ms + settings.kept_ms)
+    });
+    if !kept {
+        cost += need.shared_tokens() as f64 * settings.fetch_part;
+    }
+    if home == Some(belief.entry.incarnation.id.as_str()) {
+        cost -= settings.home_tokens;
+    }
+    cost
+}
--- /dev/null
+++ b/crates/core/src/pool/health.rs
@@ -0,0 +1,90 @@
+/// How an engine's failures keep work from it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct HealthSettings {
+    /// Time after which half of a failure is forgotten. Some engines fail a
+    /// part of their requests for seconds while their own check is good; a
+    /// second or two keeps most work away and finds out when it is over.
+    pub half_life_ms: f64,
+    /// Failures, aged, from which on an engine gets only single requests.
+    pub suspect_from: f64,
+    /// First pause of an engine that did not answer at all.
+    pub silent_ms: u64,
+    /// Longest pause of an engine that does not answer.
+    pub silent_most_ms: u64,
+}
+
+impl Default for HealthSettings {
+    fn default() -> HealthSettings {
+        HealthSettings {
+            half_life_ms: 2_000.0,
+            suspect_from: 1.5,
+            silent_ms: 800,
+            silent_most_ms: 3_000,
+        }
+    }
+}
+
+/// What was seen of one engine's answers.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Health {
+    failures: f64,
+    updated_ms: u64,
+    silent_in_row: u32,
+    silent_until_ms: u64,
+    probing_since_ms: Option<u64>,
+}
+
+impl Health {
+    /// Notes an answer that is the engine's own and whole.
+    pub fn answered(&mut self, settings: &HealthSettings, now_ms: u64) {
+        self.failures = self.failures(settings, now_ms) * 0.8;
+        self.updated_ms = now_ms;
+        self.silent_in_row = 0;
+        self.silent_until_ms = 0;
+        self.probing_since_ms = None;
+    }
+
+    /// Notes a failed or broken answer.
+    pub fn failed(&mut self, settings: &HealthSettings, now_ms: u64) {
+        self.failures = self.failures(settings, now_ms) + 1.0;
+        self.updated_ms = now_ms;
+        self.probing_since_ms = None;
+    }
+
+    /// Notes that the engine took no connection, or fell silent.
+    pub fn silent(&mut self, settings: &HealthSettings, now_ms: u64) {
+        self.failed(settings, now_ms);
+        let pause_ms = settings.silent_ms << self.silent_in_row.min(4);
+        self.silent_in_row += 1;
+        self.silent_until_ms = now_ms + pause_ms.min(settings.silent_most_ms);
+    }
+
+    /// Notes that a request goes to the engine.
+    pub fn sent(&mut self, settings: &HealthSettings, now_ms: u64) {
+        if self.is_doubtful(settings, now_ms) {
+            self.probing_since_ms = Some(now_ms);
+        }
+    }
+
+    /// Returns the failures, aged.
+    pub fn failures(&self, settings: &HealthSettings, now_ms: u64) -> f64 {
+        let passed = now_ms.saturating_sub(self.updated_ms) as f64;
+        self.failures * (-passed / settings.half_life_ms).exp2()
+    }
+
+    /// Returns whether only single requests should go to the engine.
+    pub fn is_doubtful(&self, settings: &HealthSettings, now_ms: u64) -> bool {
+        self.silent_in_row > 0 || self.failures(settings, now_ms) >= settings.suspect_from
+    }
+
+    /// Returns whether no request should go to the engine now.
+    pub fn is_barred(&self, settings: &HealthSettings, now_ms: u64) -> bool {
+        if now_ms < self.silent_until_ms {
+            return true;
+        }
+        let probing = self
+            .probing_since_ms
+            .is_some_and(|since_ms| now_ms < since_ms + settings.silent_ms);
+        probing && self.is_doubtful(settings, now_ms)
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/mod.rs
@@ -0,0 +1,18 @@
+//! The engines that run requests, what is believed of each, and the choice
+//! among them.
+
+mod belief;
+mod choice;
+mod entry;
+mod health;
+mod need;
+mod table;
+
+pub use {
+    belief::{Belief, Load, Steering},
+    choice::{ChoiceSettings, choose, rendezvous},
+    entry::{EngineEntry, Incarnation, ModelVersion},
+    health::{Health, HealthSettings},
+    need::{Need, PromptPart},
+    table::EngineTable,
+};
--- /dev/null
+++ b/crates/core/src/pool/need.rs
@@ -0,0 +1,47 @@
+/// One part of a prompt, shared with other requests or not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Identity of the part and of all parts before it.
+    pub id: u64,
+    /// Its tokens.
+    pub tokens: u32,
+}
+
+/// What a request wants of an engine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Need {
+    /// Service that runs it.
+    pub service: String,
+    /// Model, for model engines.
+    pub model: Option<String>,
+    /// Newest weights that were named for the model; 0 where none were.
+    pub newest_version: u64,
+    /// Tokens of prompt and longest answer; 0 for plain services.
+    pub memory_tokens: u64,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Parts of the prompt in order; the last is the request's own.
+    pub parts: Vec<PromptPart>,
+    /// Team whose cached parts only it may use, mixed into identities.
+    pub wall: u64,
+    /// Failure domain of this instance.
+    pub domain: String,
+    /// Whether the request may run again if its first run is lost.
+    pub may_run_again: bool,
+}
+
+impl Need {
+    /// Returns the identity of the longest part that other requests share.
+    pub fn shared_part(&self) -> Option<u64> {
+        let shared = self.parts.len().checked_sub(2)?;
+        Some(self.parts[shared].id ^ self.wall)
+    }
+
+    /// Returns the tokens of all parts but the request's own.
+    pub fn shared_tokens(&self) -> u64 {
+        let Some((_, shared)) = self.parts.split_last() else {
+            return 0;
+        };
+        shared.iter().map(|part| u64::from(part.tokens)).sum()
+    }
+}
--- /dev/null
+++ b/crates/core/src/retries/budget.rs
@@ -0,0 +1,64 @@
+use std::collections::VecDeque;
+
+/// Bounds on repeated sends to one service, over all instances together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetrySettings {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beyond the ratio in a window.
+    pub slack: f64,
+    /// Length of a window.
+    pub window_ms: u64,
+    /// Part of both that this instance uses. The rest covers engines' own
+    /// calls, and that instances restart and forget what they have spent.
+    pub part: f64,
+}
+
+impl Default for RetrySettings {
+    fn default() -> RetrySettings {
+        RetrySettings {
+            ratio: 0.2,
+            slack: 50.0,
+            window_ms: 10_000,
+            part: 0.6,
+        }
+    }
+}
+
+/// One instance's repeats to one service.
+#[derive(Debug, Default)]
+pub struct RetryBudget {
+    requests_ms: VecDeque<u64>,
+    repeats_ms: VecDeque<u64>,
+}
+
+impl RetryBudget {
+    /// Counts a request of a caller.
+    pub fn request(&mut self, settings: &RetrySettings, now_ms: u64) {
+        forget(&mut self.requests_ms, settings.window_ms, now_ms);
+        self.requests_ms.push_back(now_ms);
+    }
+
+    /// Takes one repeat, or says that there is none left. The slack is
+    /// divided evenly over the instances.
+    pub fn repeat(&mut self, settings: &RetrySettings, instances: usize, now_ms: u64) -> bool {
+        forget(&mut self.requests_ms, settings.window_ms, now_ms);
+        forget(&mut self.repeats_ms, settings.window_ms, now_ms);
+        let slack = settings.slack / instances.max(1) as f64;
+        let allowed = (self.requests_ms.len() as f64 * settings.ratio + slack) * settings.part;
+        if self.repeats_ms.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        self.repeats_ms.push_back(now_ms);
+        true
+    }
+}
+
+fn forget(times_ms: &mut VecDeque<u64>, window_ms: u64, now_ms: u64) {
+    while times_ms
+        .front()
+        .is_some_and(|&time_ms| time_ms + window_ms <= now_ms)
+    {
+        times_ms.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/core/src/weights/lease.rs
@@ -0,0 +1,139 @@
+/// Times of the lease under which orders are given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseSettings {
+    /// Time for which two instances may not both have given orders.
+    pub apart_ms: u64,
+    /// Time after a renewal was sent within which orders may leave. Short:
+    /// whoever takes over waits it out, and a renewal takes only one call.
+    pub act_ms: u64,
+    /// What an order may be on its way, and clocks may differ in speed.
+    pub margin_ms: u64,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> LeaseSettings {
+        LeaseSettings {
+            apart_ms: 3_000,
+            act_ms: 400,
+            margin_ms: 400,
+        }
+    }
+}
+
+/// The lease is not held here.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Vacant;
+
+/// The lease is held here.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Held {
+    /// Number that goes with each order.
+    pub fence: u64,
+    /// Revision of the record, for the next renewal.
+    pub revision: u64,
+    renewed_ms: u64,
+    first_order_ms: u64,
+}
+
+/// What this instance saw of the record that another holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Seen {
+    /// Revision of the record.
+    pub revision: u64,
+    /// When it was first seen at this revision.
+    pub first_ms: u64,
+}
+
+/// The right to give orders to engines, in one of its states.
+///
+/// Engines don't check who orders, so the record alone doesn't keep two
+/// instances apart: an instance that was frozen, or whose renewal's answer
+/// was lost, may believe that it still holds the lease. Therefore an order
+/// leaves only shortly after a renewal was *sent*, by a clock that counts
+/// while the machine is suspended, and whoever takes over waits until the
+/// holder before can have no order under way.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Lease<S> {
+    settings: LeaseSettings,
+    state: S,
+}
+
+impl Lease<Vacant> {
+    /// Returns a lease that isn't held.
+    pub fn new(settings: LeaseSettings) -> Lease<Vacant> {
+        Lease {
+            settings,
+            state: Vacant,
+        }
+    }
+
+    /// Takes the lease over, once the store has accepted the record.
+    ///
+    /// `sent_ms` is when the write was sent, `answered_ms` when it was
+    /// accepted. `before` is what was seen of another holder's record, `None`
+    /// where there was none or it was this instance's own.
+    pub fn take(
+        self,
+        fence: u64,
+        revision: u64,
+        before: Option<Seen>,
+        sent_ms: u64,
+        answered_ms: u64,
+    ) -> Lease<Held> {
+        let settings = self.settings;
+        let quiet_ms = settings.act_ms + settings.apart_ms + settings.margin_ms;
+        let first_order_ms = match before {
+            None => sent_ms,
+            // The holder before may have renewed just before the record was
+            // seen at this revision, not later.
+            Some(seen) => seen.first_ms.min(answered_ms) + quiet_ms,
+        };
+        Lease {
+            settings,
+            state: Held {
+                fence,
+                revision,
+                renewed_ms: sent_ms,
+                first_order_ms,
+            },
+        }
+    }
+}
+
+impl Lease<Held> {
+    /// Notes a renewal that the store has accepted.
+    pub fn renewed(&mut self, revision: u64, sent_ms: u64) {
+        self.state.revision = revision;
+        self.state.renewed_ms = sent_ms;
+    }
+
+    /// Takes over the revision of a renewal whose answer was lost. It doesn't
+    /// count as a renewal: when it took effect isn't known.
+    pub fn adopt(&mut self, revision: u64) {
+        self.state.revision = revision;
+    }
+
+    /// Returns whether an order may leave now.
+    pub fn may_order(&self, now_ms: u64) -> bool {
+        now_ms >= self.state.first_order_ms
+            && now_ms < self.state.renewed_ms + self.settings.act_ms
+    }
+
+    /// Returns whether orders have to wait for the holder before.
+    pub fn is_waiting(&self, now_ms: u64) -> bool {
+        now_ms < self.state.first_order_ms
+    }
+
+    /// Returns the state, for the next write and for orders.
+    pub fn held(&self) -> &Held {
+        &self.state
+    }
+
+    /// Gives the lease up, after another has taken it.
+    pub fn lose(self) -> Lease<Vacant> {
+        Lease {
+            settings: self.settings,
+            state: Vacant,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/callers/attempt.rs
@@ -0,0 +1,380 @@
+use {
+    super::{request::CallerRequest, work::Work},
+    crate::{
+        clock::now_ms,
+        upstreams::{Answer, SendError, send},
+    },
+    http::{Request, StatusCode},
+    http_body_util::Full,
+    mangowalk_core::pool::{Belief, EngineEntry, Load, choose},
+    mangowalk_platform::{Forward, forward_headers},
+    std::{net::SocketAddr, pin::pin, time::Duration},
+    tokio::time::{sleep, timeout},
+};
+
+/// Time for which an engine that refused a request gets no further one.
+/// Loading weights takes it a few hundred milliseconds.
+const REFUSED_PAUSE_MS: u64 = 150;
+
+/// Shared tokens from which on fetching them is cheaper than reading them.
+/// Setting a transfer up takes about as long as reading a hundred.
+const LEAST_FETCH_TOKENS: u64 = 512;
+
+/// How one try with one engine ended.
+pub(super) enum Outcome {
+    /// The engine's own answer begins.
+    Answer(Box<Answered>),
+    /// The engine did not run the request.
+    NotRun,
+    /// The engine may have run it.
+    Unknown,
+    /// The time is over; the engine may have run it.
+    TimedOut,
+    /// There is no engine to send it to.
+    NoEngine,
+}
+
+/// An answer, with the work that it stands for.
+pub(super) struct Answered {
+    pub(super) answer: Answer,
+    pub(super) work: Work,
+    pub(super) engine: EngineEntry,
+}
+
+/// What one try depends on beside the request.
+#[derive(Default)]
+pub(super) struct Try<'a> {
+    /// Engines that were tried before.
+    pub(super) tried: &'a [String],
+    /// Event behind which a stream goes on.
+    pub(super) last_event_id: Option<&'a str>,
+    /// Silence after which the try is given up, where it may run again.
+    pub(super) give_up_ms: Option<u64>,
+}
+
+/// Chooses an engine, sends the request and waits for the head of the answer.
+pub(super) async fn attempt(request: &CallerRequest, this: &Try<'_>) -> Outcome {
+    let now = now_ms();
+    let Some((engine, plan)) = place(request, this.tried, now) else {
+        return Outcome::NoEngine;
+    };
+    let left_ms = request.left_ms();
+    let Some(headers) = headers(request, this, &engine, &plan, left_ms) else {
+        return Outcome::NotRun;
+    };
+    let work = Work::begin(&request.instance, &engine.incarnation, plan.load);
+    let make = || {
+        let mut message = Request::new(Full::new(request.body.clone()));
+        *message.method_mut() = request.method.clone();
+        *message.uri_mut() = request.uri.clone();
+        *message.headers_mut() = headers.clone();
+        message
+    };
+    log::info!(
+        "event=sent request={} engine={} left_ms={left_ms} cached={} version={} others={} own={}",
+        request.id(),
+        engine.incarnation.id,
+        plan.is_kept,
+        plan.version,
+        plan.seen.others.requests,
+        plan.seen.own.requests,
+    );
+    let sending = send(&request.pool, &engine, &request.instance.settings, make);
+    let waited = timeout(
+        Duration::from_millis(this.give_up_ms.unwrap_or(left_ms).min(left_ms)),
+        watched(request, &engine, sending),
+    );
+    match waited.await {
+        Ok(Ok(answer)) => judge(request, answer, work, engine, &plan),
+        Ok(Err(error)) => failed(request, &engine, &error),
+        Err(_) if this.give_up_ms.is_some_and(|ms| ms < left_ms) => {
+            note(request, &engine, "silent");
+            Outcome::Unknown
+        }
+        Err(_) => {
+            note(request, &engine, "timed_out");
+            Outcome::TimedOut
+        }
+    }
+}
+
+/// What was decided on a send.
+struct Plan {
+    load: Load,
+    seen: Seen,
+    version: u64,
+    is_kept: bool,
+    salt: Option<String>,
+    fetch_from: Option<SocketAddr>,
+    save_to: Option<SocketAddr>,
+}
+
+struct Seen {
+    own: Load,
+    others: Load,
+}
+
+fn place(request: &CallerRequest, tried: &[String], now_ms: u64) -> Option<(EngineEntry, Plan)> {
+    let instance = &request.instance;
+    let need = &request.need;
+    let routes = instance.routes.borrow();
+    let limits = routes.service(&need.service).and_then(|service| service.engine);
+    let memory_tokens = limits.map_or(u64::MAX, |limits| limits.memory_tokens);
+    let mut engines = instance.engines.borrow_mut();
+    let settings = &instance.settings.choice;
+    let chosen = choose(
+        engines
+            .takers(&need.service, now_ms)
+            .filter(|belief| !tried.contains(&belief.entry.incarnation.id)),
+        need,
+        memory_tokens,
+        settings,
+        rand::random(),
+        now_ms,
+    )?;
+    let stores = &routes.configuration().services;
+    let store = stores.iter().find_map(|service| service.kept_store.as_ref());
+    let plan = plan(request, chosen, store.map(|store| store.address), now_ms);
+    let entry = chosen.entry.clone();
+    if let Some(belief) = engines.get_mut(&entry.incarnation.id) {
+        belief.health.sent(&settings.health, now_ms);
+    }
+    Some((entry, plan))
+}
+
+fn plan(
+    request: &CallerRequest,
+    belief: &Belief,
+    store: Option<SocketAddr>,
+    now_ms: u64,
+) -> Plan {
+    let need = &request.need;
+    let version = need.model.as_ref().map_or(0, |model| belief.version(model));
+    let kept_ms = request.instance.settings.choice.kept_ms;
+    let shared = need.shared_part();
+    let is_kept = shared
+        .and_then(|part| belief.parts_ms.get(&part))
+        .is_some_and(|used_ms| now_ms < used_ms + kept_ms);
+    let shared_tokens = need.shared_tokens();
+    let unread = need.prompt_tokens - if is_kept { shared_tokens.min(need.prompt_tokens) } else { 0 };
+    let worth_fetching = version > 0 && shared_tokens >= LEAST_FETCH_TOKENS;
+    Plan {
+        load: Load {
+            requests: 1,
+            memory_tokens: need.memory_tokens as u32,
+            prefill_tokens: unread as u32,
+        },
+        seen: Seen {
+            own: belief.own,
+            others: belief.others,
+        },
+        version,
+        is_kept,
+        salt: need.model.as_ref().map(|_| salt(request, version)),
+        fetch_from: store.filter(|_| worth_fetching && !is_kept),
+        save_to: store.filter(|_| worth_fetching && !is_kept),
+    }
+}
+
+/// Returns the text under which an engine keeps the prompt's parts.
+///
+/// It holds the weights: a store keeps parts beyond a change of weights and
+/// doesn't know under which they were made. It holds the team where the team
+/// is isolated, so that no other finds them.
+fn salt(request: &CallerRequest, version: u64) -> String {
+    let isolated = request.tenant.as_ref().filter(|tenant| tenant.isolated);
+    match isolated {
+        Some(tenant) => format!("w{version}.{}", tenant.name),
+        None => format!("w{version}"),
+    }
+}
+
+fn headers(
+    request: &CallerRequest,
+    this: &Try<'_>,
+    engine: &EngineEntry,
+    plan: &Plan,
+    left_ms: u64,
+) -> Option<http::HeaderMap> {
+    let forward = Forward {
+        engine: &engine.incarnation.id,
+        left_ms,
+        tenant: request.tenant.as_ref().map(|tenant| tenant.name.as_str()),
+        cache_salt: plan.salt.as_deref(),
+        expect_version: (plan.version > 0).then_some(plan.version),
+        urgency: request.need.model.as_ref().map(|_| request.urgency()),
+        fetch_from: plan.fetch_from,
+        save_to: plan.save_to,
+        last_event_id: this.last_event_id,
+    };
+    match forward_headers(&request.headers, &forward) {
+        Ok(headers) => Some(headers),
+        Err(error) => {
+            log::warn!("event=unwritable request={} error=\"{error}\"", request.id());
+            None
+        }
+    }
+}
+
+/// Waits for an answer, and notes an engine that says nothing meanwhile.
+async fn watched(
+    request: &CallerRequest,
+    engine: &EngineEntry,
+    sending: impl Future<Output = Result<Answer, SendError>>,
+) -> Result<Answer, SendError> {
+    let mut sending = pin!(sending);
+    let silent_ms = request.instance.settings.silent_ms;
+    let sent_ms = now_ms();
+    tokio::select! {
+        result = sending.as_mut() => return result,
+        () = sleep(Duration::from_millis(silent_ms)) => {}
+    }
+    let mut engines = request.instance.engines.borrow_mut();
+    if let Some(belief) = engines.get_mut(&engine.incarnation.id) {
+        // Busy engines answer others meanwhile; one that is gone answers none.
+        if belief.heard_ms < sent_ms {
+            let health = &request.instance.settings.choice.health;
+            belief.health.silent(health, now_ms());
+            request.instance.counters.count("engine_silent", "no_answer");
+            log::warn!(
+                "event=engine_silent request={} engine={} silent_ms={silent_ms}",
+                request.id(),
+                engine.incarnation.id,
+            );
+        }
+    }
+    drop(engines);
+    sending.await
+}
+
+/// Decides whether an answer is the engine's own and for this request.
+fn judge(
+    request: &CallerRequest,
+    answer: Answer,
+    work: Work,
+    engine: EngineEntry,
+    plan: &Plan,
+) -> Outcome {
+    let head = &answer.head;
+    let status = answer.parts.status;
+    if head.not_run {
+        return rejected(request, &engine, &answer, plan);
+    }
+    let is_ours = head.request_id.as_deref() == Some(request.id());
+    let promises = matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    );
+    // Without the engine's signature the bytes may be anybody's; and a status
+    // that promises "not run" can't be passed on for a request that has run.
+    if !is_ours || !head.is_signed || head.is_encoded || promises {
+        note(request, &engine, "foreign_answer");
+        return Outcome::Unknown;
+    }
+    let now_ms = now_ms();
+    let mut engines = request.instance.engines.borrow_mut();
+    if let Some(belief) = engines.get_mut(&engine.incarnation.id) {
+        belief.heard_ms = now_ms;
+        if let (Some(model), Some(version)) = (&request.need.model, head.version) {
+            if version > belief.version(model) {
+                belief.set_version(model, version);
+            }
+        }
+        if let (true, Some(part)) = (status.is_success(), request.need.shared_part()) {
+            belief.note_part(part, now_ms);
+        }
+        let health = &request.instance.settings.choice.health;
+        if status.is_server_error() {
+            belief.health.failed(health, now_ms);
+        }
+    }
+    drop(engines);
+    Outcome::Answer(Box::new(Answered {
+        answer,
+        work,
+        engine,
+    }))
+}
+
+fn rejected(request: &CallerRequest, engine: &EngineEntry, answer: &Answer, plan: &Plan) -> Outcome {
+    let now_ms = now_ms();
+    let status = answer.parts.status;
+    let mut engines = request.instance.engines.borrow_mut();
+    let reason = if status == StatusCode::MISDIRECTED_REQUEST {
+        let other = answer.head.engine.as_deref();
+        if other.is_some_and(|other| other != engine.incarnation.id) {
+            "other_engine"
+        } else {
+            "other_weights"
+        }
+    } else {
+        "full"
+    };
+    if let Some(belief) = engines.get_mut(&engine.incarnation.id) {
+        belief.heard_ms = now_ms;
+        match (reason, &request.need.model) {
+            ("other_engine", _) => belief.leaving_since_ms = Some(now_ms),
+            ("other_weights", Some(model)) => {
+                let named = request.newest_version();
+                let version = answer.head.version.unwrap_or(named);
+                if version > plan.version {
+                    belief.set_version(model, version);
+                } else {
+                    belief.refused(REFUSED_PAUSE_MS, now_ms);
+                }
+            }
+            _ => belief.refused(REFUSED_PAUSE_MS, now_ms),
+        }
+    }
+    drop(engines);
+    request.instance.counters.count("engine_rejected", reason);
+    log::info!(
+        "event=rejected request={} engine={} status={} reason={reason} expected_version={} version={:?}",
+        request.id(),
+        engine.incarnation.id,
+        status.as_u16(),
+        plan.version,
+        answer.head.version,
+    );
+    Outcome::NotRun
+}
+
+fn failed(request: &CallerRequest, engine: &EngineEntry, error: &SendError) -> Outcome {
+    log::warn!(
+        "event=send_failed request={} engine={} error=\"{error}\"",
+        request.id(),
+        engine.incarnation.id,
+    );
+    match error {
+        SendError::NotSent { .. } => {
+            note(request, engine, "not_connected");
+            Outcome::NotRun
+        }
+        SendError::Lost { .. } => {
+            note(request, engine, "lost");
+            Outcome::Unknown
+        }
+    }
+}
+
+/// Notes a failure of an engine.
+pub(super) fn note(request: &CallerRequest, engine: &EngineEntry, reason: &'static str) {
+    let now_ms = now_ms();
+    request.instance.counters.count("engine_failed", reason);
+    log::warn!(
+        "event=engine_failed request={} engine={} reason={reason}",
+        request.id(),
+        engine.incarnation.id,
+    );
+    let mut engines = request.instance.engines.borrow_mut();
+    let Some(belief) = engines.get_mut(&engine.incarnation.id) else {
+        return;
+    };
+    let health = &request.instance.settings.choice.health;
+    let answers = now_ms < belief.heard_ms + request.instance.settings.silent_ms;
+    match reason {
+        "not_connected" => belief.health.silent(health, now_ms),
+        "silent" | "timed_out" if !answers => belief.health.silent(health, now_ms),
+        _ => belief.health.failed(health, now_ms),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/callers/directory.rs
@@ -0,0 +1,97 @@
+use {
+    super::AnswerBody,
+    crate::{clock::now_ms, instance::Instance},
+    http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    mangowalk_platform::{DIRECTORY_PATH, READY_PATH, encode_addresses},
+    std::{convert::Infallible, rc::Rc, time::Duration},
+    tokio::{net::TcpListener, task::spawn_local},
+};
+
+/// Addresses told in one answer; callers take no more.
+const MOST_ADDRESSES: usize = 64;
+
+/// Longest time for the head of such a request.
+const HEAD_MS: u64 = 3_000;
+
+type Answerer = fn(&Instance, &Request<Incoming>) -> Response<AnswerBody>;
+
+/// Serves callers who ask where to connect.
+pub async fn serve_directory(instance: Rc<Instance>, listener: TcpListener) {
+    serve(instance, listener, addresses).await;
+}
+
+/// Serves the platform's question whether the instance is ready.
+pub async fn serve_ready(instance: Rc<Instance>, listener: TcpListener) {
+    serve(instance, listener, ready).await;
+}
+
+/// Serves counters and histograms.
+pub async fn serve_metrics(instance: Rc<Instance>, listener: TcpListener) {
+    serve(instance, listener, metrics).await;
+}
+
+async fn serve(instance: Rc<Instance>, listener: TcpListener, answer: Answerer) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            continue;
+        };
+        let instance = instance.clone();
+        spawn_local(async move {
+            let service = service_fn(|request| {
+                let response = answer(&instance, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(Duration::from_millis(HEAD_MS))
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                log::debug!("event=directory_connection_ended error=\"{error}\"");
+            }
+        });
+    }
+}
+
+fn addresses(instance: &Instance, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.uri().path() != DIRECTORY_PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let mut addresses = instance.caller_addresses(now_ms());
+    if addresses.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    addresses.truncate(MOST_ADDRESSES);
+    let keep_s = instance
+        .settings
+        .keep_s
+        .min(instance.machine.directory_keep_s.max(1));
+    let mut response = Response::new(AnswerBody::whole(encode_addresses(&addresses, keep_s)));
+    response.headers_mut().insert(
+        CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+fn ready(instance: &Instance, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.uri().path() != READY_PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    if instance.is_ready() {
+        return status(StatusCode::OK);
+    }
+    status(StatusCode::SERVICE_UNAVAILABLE)
+}
+
+fn metrics(instance: &Instance, _request: &Request<Incoming>) -> Response<AnswerBody> {
+    Response::new(AnswerBody::whole(instance.counters.render()))
+}
+
+fn status(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::whole(""));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/gateway/src/callers/refusal.rs
@@ -0,0 +1,94 @@
+use {
+    super::AnswerBody,
+    derive_more::Display,
+    http::{
+        HeaderValue, Response, StatusCode,
+        header::{CONTENT_TYPE, RETRY_AFTER},
+    },
+};
+
+/// Why a request gets no engine's answer. Each message names the remedy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum Refusal {
+    /// The head can't be read.
+    #[display("The request can't be read; check its id and its numbers.")]
+    BadRequest,
+    /// No known key came.
+    #[display("The key isn't known; present a key of your team.")]
+    BadKey,
+    /// No route fits.
+    #[display("No route fits this host and path; check both.")]
+    NoRoute,
+    /// The body is too long.
+    #[display("The body is too long; send a shorter one.")]
+    TooLong,
+    /// The body did not come in time.
+    #[display("The body did not arrive in time; send the request again.")]
+    TooSlow,
+    /// The team has used up its rate. The request has not run.
+    #[display("Your team's rate is used up; come again after the time given.")]
+    OverRate,
+    /// Configuration or engines aren't known yet. It has not run.
+    #[display("This instance has just started; come again after the time given.")]
+    Starting,
+    /// No engine can run it in time. It has not run.
+    #[display("No engine is free in time; come again after the time given.")]
+    NoEngine,
+    /// An engine may have run it, and its answer is lost.
+    #[display("The engine's answer was lost; the request may have run.")]
+    AnswerLost,
+    /// No answer came in time; an engine may have run it.
+    #[display("No answer came in time; the request may have run.")]
+    TimedOut,
+}
+
+impl Refusal {
+    /// Returns the status that the caller gets.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Refusal::BadRequest => StatusCode::BAD_REQUEST,
+            Refusal::BadKey => StatusCode::UNAUTHORIZED,
+            Refusal::NoRoute => StatusCode::NOT_FOUND,
+            Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::TooSlow => StatusCode::REQUEST_TIMEOUT,
+            Refusal::OverRate => StatusCode::TOO_MANY_REQUESTS,
+            Refusal::Starting | Refusal::NoEngine => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::AnswerLost => StatusCode::BAD_GATEWAY,
+            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns a word for logs and metrics.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Refusal::BadRequest => "bad_request",
+            Refusal::BadKey => "bad_key",
+            Refusal::NoRoute => "no_route",
+            Refusal::TooLong => "too_long",
+            Refusal::TooSlow => "too_slow",
+            Refusal::OverRate => "over_rate",
+            Refusal::Starting => "starting",
+            Refusal::NoEngine => "no_engine",
+            Refusal::AnswerLost => "answer_lost",
+            Refusal::TimedOut => "timed_out",
+        }
+    }
+
+    /// Returns the answer, with when to come again where it has not run.
+    pub fn response(self, retry_after_ms: Option<u64>) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::whole(format!("{self}\n")));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(
+            CONTENT_TYPE,
+            HeaderValue::from_static("text/plain; charset=utf-8"),
+        );
+        if let Some(retry_after_ms) = retry_after_ms {
+            let seconds = format!("{:.2}", retry_after_ms as f64 / 1_000.0);
+            if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+                headers.insert(RETRY_AFTER, seconds);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/callers/request.rs
@@ -0,0 +1,152 @@
+use {
+    super::Refusal,
+    crate::{clock::now_ms, instance::Instance, upstreams::Pool},
+    bytes::Bytes,
+    http::{Method, Uri, request},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::body::Incoming,
+    mangowalk_core::{
+        pool::Need,
+        routing::{Denied, Route, Tenant},
+    },
+    mangowalk_platform::RequestHead,
+    std::{rc::Rc, time::Duration},
+    tokio::time::timeout,
+};
+
+/// Longest wait where a caller names none.
+const DEFAULT_DEADLINE_MS: u64 = 60_000;
+
+/// A request that was read and may be passed on.
+pub(super) struct CallerRequest {
+    pub(super) instance: Rc<Instance>,
+    pub(super) pool: Rc<Pool>,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    pub(super) headers: http::HeaderMap,
+    pub(super) head: RequestHead,
+    pub(super) body: Bytes,
+    pub(super) route: Rc<Route>,
+    pub(super) tenant: Option<Rc<Tenant>>,
+    pub(super) need: Need,
+    pub(super) arrived_ms: u64,
+    /// When the caller leaves, or the operator's limit is reached.
+    pub(super) deadline_ms: u64,
+}
+
+impl CallerRequest {
+    /// Returns the time that is left.
+    pub(super) fn left_ms(&self) -> u64 {
+        self.deadline_ms.saturating_sub(now_ms())
+    }
+
+    /// Returns the request's id, for log lines.
+    pub(super) fn id(&self) -> &str {
+        &self.head.request_id
+    }
+
+    /// Returns what the request takes of its team's rate.
+    pub(super) fn cost(&self) -> u64 {
+        let usage = self.head.usage;
+        let tokens = usage.map(|usage| usage.prompt_tokens + usage.answer_tokens);
+        self.tenant.as_ref().map_or(0, |tenant| tenant.cost(tokens))
+    }
+
+    /// Returns the newest weights named for the request's model.
+    pub(super) fn newest_version(&self) -> u64 {
+        let newest = self.instance.newest.borrow();
+        let model = self.need.model.as_ref();
+        model.and_then(|model| newest.get(model)).copied().unwrap_or(0)
+    }
+
+    /// Returns the rank in an engine's queue; 0 goes first.
+    pub(super) fn urgency(&self) -> u8 {
+        let tenant = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        tenant.unwrap_or(self.route.priority).min(9)
+    }
+}
+
+/// Reads head and body of a request, and finds its route and team.
+///
+/// # Errors
+///
+/// Fails where the request may not be passed on.
+pub(super) async fn read(
+    instance: Rc<Instance>,
+    pool: Rc<Pool>,
+    parts: request::Parts,
+    body: Incoming,
+) -> Result<CallerRequest, (Refusal, Option<u64>)> {
+    let arrived_ms = now_ms();
+    if !instance.is_informed() {
+        return Err((Refusal::Starting, Some(STARTING_RETRY_MS)));
+    }
+    let head = RequestHead::decode(&parts.headers).map_err(|error| {
+        log::warn!("event=request_malformed error=\"{error}\"");
+        (Refusal::BadRequest, None)
+    })?;
+    let routes = instance.routes.borrow().clone();
+    let admitted = routes.admit(&head.host, parts.uri.path(), head.key.as_deref());
+    let (route, tenant) = admitted.map_err(|denied| match denied {
+        Denied::NoRoute => (Refusal::NoRoute, None),
+        Denied::BadKey => (Refusal::BadKey, None),
+    })?;
+    let asked_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+    let deadline_ms = arrived_ms + asked_ms.min(route.timeout_ms);
+    let limits = routes.configuration().limits;
+    let left = Duration::from_millis(deadline_ms - arrived_ms);
+    let body = timeout(left, Limited::new(body, limits.body_bytes).collect())
+        .await
+        .map_err(|_| (Refusal::TooSlow, None))?
+        .map_err(|error| {
+            let too_long = error.downcast_ref::<LengthLimitError>().is_some();
+            let refusal = if too_long { Refusal::TooLong } else { Refusal::BadRequest };
+            (refusal, None)
+        })?
+        .to_bytes();
+    let need = need(&instance, &head, &route, tenant.as_deref());
+    Ok(CallerRequest {
+        instance,
+        pool,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        head,
+        body,
+        route,
+        tenant,
+        need,
+        arrived_ms,
+        deadline_ms,
+    })
+}
+
+/// Time after which an instance that has just started usually knows its
+/// configuration: two calls to the store.
+const STARTING_RETRY_MS: u64 = 300;
+
+fn need(instance: &Instance, head: &RequestHead, route: &Route, tenant: Option<&Tenant>) -> Need {
+    let service = route.service(rand::random()).to_owned();
+    let model = head.usage.and_then(|_| head.model.clone());
+    let newest = instance.newest.borrow();
+    let newest_version = model.as_ref().and_then(|model| newest.get(model));
+    let usage = head.usage;
+    Need {
+        service,
+        newest_version: newest_version.copied().unwrap_or(0),
+        model,
+        memory_tokens: usage.map_or(0, |usage| usage.prompt_tokens + usage.answer_tokens),
+        prompt_tokens: usage.map_or(0, |usage| usage.prompt_tokens),
+        parts: head.parts.clone(),
+        wall: tenant.filter(|tenant| tenant.isolated).map_or(0, wall),
+        domain: instance.machine.domain.clone(),
+        may_run_again: route.repeat.may_run_again(),
+    }
+}
+
+fn wall(tenant: &Tenant) -> u64 {
+    let hash = blake3::hash(tenant.name.as_bytes());
+    let mut first = [0; 8];
+    first.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(first)
+}
--- /dev/null
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -0,0 +1,236 @@
+use {
+    super::{Counters, Drain, GatewaySettings},
+    mangowalk_core::{
+        mesh::{Heartbeat, MemberTable, OrderNote, OrderPhase},
+        pool::{EngineTable, Steering},
+        retries::RetryBudget,
+        routing::{Configuration, RouteTable},
+        share::ShareTable,
+    },
+    mangowalk_platform::MachineSettings,
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        rc::Rc,
+    },
+    tokio::sync::{Notify, watch},
+};
+
+/// Longest time for which a note of a change of weights is believed without
+/// being heard again. Longer than an engine takes to finish what runs and to
+/// load; if the orderer dies, the engine is used again after it.
+const STEERING_MS: u64 = 2_500;
+
+/// Wake-ups from one part to another.
+#[derive(Debug, Default)]
+pub struct Notes {
+    /// A peer has a newer configuration than this instance.
+    pub configuration: Notify,
+    /// A peer knows newer weights than this instance.
+    pub weights: Notify,
+    /// Newer weights were named, or an engine needs them.
+    pub orders: Notify,
+    /// A heartbeat should leave at once.
+    pub heartbeat: Notify,
+}
+
+/// The blackboard of an instance. Parts read and write it; none calls
+/// another.
+#[derive(Debug)]
+pub struct Instance {
+    /// What the platform says of the machine.
+    pub machine: MachineSettings,
+    /// How the instance behaves.
+    pub settings: GatewaySettings,
+    /// Time of day at the start; tells this start from the one before.
+    pub incarnation: u64,
+    /// Configuration in force.
+    pub routes: RefCell<Rc<RouteTable>>,
+    /// Engines and what is believed of them.
+    pub engines: RefCell<EngineTable>,
+    /// Whether the list of engines was read since the start.
+    pub engines_known: Cell<bool>,
+    /// Newest weights by model.
+    pub newest: RefCell<BTreeMap<String, u64>>,
+    /// Parts of teams' rates.
+    pub shares: RefCell<ShareTable>,
+    /// Repeats by service.
+    pub budgets: RefCell<HashMap<String, RetryBudget>>,
+    /// Peers.
+    pub members: RefCell<MemberTable>,
+    /// Orders that this instance gives, for its heartbeats.
+    pub orders: RefCell<Vec<OrderNote>>,
+    /// Counters for operators.
+    pub counters: Counters,
+    /// Requests that were read and not answered in full.
+    pub open_requests: Cell<usize>,
+    /// How far the stop is.
+    pub drain: watch::Receiver<Drain>,
+    /// Wake-ups.
+    pub notes: Notes,
+}
+
+impl Instance {
+    /// Returns the blackboard of an instance that knows nothing yet.
+    pub fn new(
+        machine: MachineSettings,
+        settings: GatewaySettings,
+        incarnation: u64,
+        drain: watch::Receiver<Drain>,
+    ) -> Rc<Instance> {
+        Rc::new(Instance {
+            machine,
+            settings,
+            incarnation,
+            routes: RefCell::default(),
+            engines: RefCell::default(),
+            engines_known: Cell::new(false),
+            newest: RefCell::default(),
+            shares: RefCell::default(),
+            budgets: RefCell::default(),
+            members: RefCell::default(),
+            orders: RefCell::default(),
+            counters: Counters::default(),
+            open_requests: Cell::new(0),
+            drain,
+            notes: Notes::default(),
+        })
+    }
+
+    /// Returns whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.is_informed() && *self.drain.borrow() == Drain::Serving
+    }
+
+    /// Returns whether configuration and engines are known.
+    pub fn is_informed(&self) -> bool {
+        self.routes.borrow().version() > 0 && self.engines_known.get()
+    }
+
+    /// Puts a configuration in force, unless one as new is.
+    ///
+    /// A lagging read or a slow peer may bring an older one; going back would
+    /// let a withdrawn key in again.
+    pub fn apply(&self, configuration: Configuration, source: &'static str, now_ms: u64) {
+        let before = self.routes.borrow().version();
+        if configuration.version <= before {
+            return;
+        }
+        log::info!(
+            "event=configuration version={} before={before} routes={} source={source}",
+            configuration.version,
+            configuration.routes.len(),
+        );
+        self.counters.count("configurations", source);
+        *self.routes.borrow_mut() = Rc::new(RouteTable::new(configuration));
+        self.divide_rates(now_ms);
+        self.notes.heartbeat.notify_one();
+    }
+
+    /// Notes weights that were named. Returns whether they are newer.
+    pub fn name_weights(&self, model: &str, version: u64, source: &'static str) -> bool {
+        let mut newest = self.newest.borrow_mut();
+        let before = newest.get(model).copied().unwrap_or(0);
+        if version <= before {
+            return false;
+        }
+        newest.insert(model.to_owned(), version);
+        log::info!("event=weights_named model={model} version={version} before={before} source={source}");
+        self.notes.orders.notify_one();
+        self.notes.heartbeat.notify_one();
+        true
+    }
+
+    /// Divides teams' rates by what the peers told.
+    pub fn divide_rates(&self, now_ms: u64) {
+        let members = self.members.borrow();
+        let peers: Vec<HashMap<String, f64>> = members
+            .iter()
+            .map(|member| member.last.demands.iter().cloned().collect())
+            .collect();
+        let in_touch = members.hears_all(&self.settings.mesh, now_ms);
+        let routes = self.routes.borrow();
+        let tenants = &routes.configuration().tenants;
+        self.shares
+            .borrow_mut()
+            .divide(tenants, &peers, in_touch, now_ms);
+    }
+
+    /// Returns the instances that may be serving, this one included.
+    pub fn instances(&self) -> usize {
+        self.members.borrow().iter().count() + 1
+    }
+
+    /// Returns where callers may connect: this instance if it is ready, and
+    /// the peers that say so and were heard just now.
+    pub fn caller_addresses(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let members = self.members.borrow();
+        let mut addresses: Vec<SocketAddr> = members
+            .heard(&self.settings.mesh, now_ms)
+            .filter(|member| member.last.ready)
+            .map(|member| member.last.caller_address)
+            .collect();
+        if self.is_ready() {
+            addresses.push(self.machine.caller_address);
+        }
+        addresses.sort();
+        addresses
+    }
+
+    /// Takes over a peer's heartbeat.
+    pub fn hear(&self, heartbeat: Heartbeat, now_ms: u64) {
+        if heartbeat.name == self.machine.name {
+            return;
+        }
+        let name = heartbeat.name.clone();
+        let version = heartbeat.configuration_version;
+        let (loads, versions) = (heartbeat.loads.clone(), heartbeat.versions.clone());
+        let orders = heartbeat.orders.clone();
+        let known = self.members.borrow().iter().any(|m| m.last.name == name);
+        if !self.members.borrow_mut().hear(heartbeat, now_ms) {
+            return;
+        }
+        if !known {
+            log::info!("event=peer_found peer={name}");
+            self.notes.heartbeat.notify_one();
+        }
+        self.engines.borrow_mut().peer_load(&name, &loads);
+        if version > self.routes.borrow().version() {
+            self.notes.configuration.notify_one();
+        }
+        for (model, version) in &versions {
+            if self.name_weights(model, *version, "peer") {
+                self.notes.weights.notify_one();
+            }
+        }
+        for order in &orders {
+            self.note_order(order, now_ms);
+        }
+    }
+
+    /// Believes what the orderer tells of an engine's weights.
+    pub fn note_order(&self, order: &OrderNote, now_ms: u64) {
+        let mut engines = self.engines.borrow_mut();
+        let Some(belief) = engines.get_mut(&order.engine) else {
+            return;
+        };
+        match order.phase {
+            OrderPhase::Planned | OrderPhase::Sent => {
+                let age_ms = u64::from(order.age_ms);
+                if belief.version(&order.model) < order.version && age_ms < STEERING_MS {
+                    belief.steering = Some(Steering {
+                        version: order.version,
+                        until_ms: now_ms + STEERING_MS - age_ms,
+                    });
+                }
+            }
+            OrderPhase::Done => {
+                if belief.version(&order.model) < order.version {
+                    belief.set_version(&order.model, order.version);
+                }
+                belief.steering = None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/instance/settings.rs
@@ -0,0 +1,61 @@
+use mangowalk_core::{
+    mesh::MeshSettings,
+    pool::ChoiceSettings,
+    weights::{LeaseSettings, PlanSettings},
+};
+
+/// How an instance behaves. The platform's own figures are in its settings.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GatewaySettings {
+    /// Heartbeats between instances.
+    pub mesh: MeshSettings,
+    /// Choice among engines.
+    pub choice: ChoiceSettings,
+    /// Pace of new weights.
+    pub plan: PlanSettings,
+    /// The lease under which weights are ordered.
+    pub lease: LeaseSettings,
+    /// Longest time for a new connection within the deployment. Its ends are
+    /// a few milliseconds apart; beyond this the other end is gone.
+    pub connect_ms: u64,
+    /// Silence of an engine with work, after which it gets no more.
+    pub silent_ms: u64,
+    /// Time after which the system gives up unacknowledged bytes. A partition
+    /// gives no reset, so nothing else ends such a connection.
+    pub unacknowledged_ms: u64,
+    /// Longest wait of one call for changes in the store. Each call is paid
+    /// for; a watch that fell silent is noticed this much later.
+    pub watch_ms: u64,
+    /// Pause after changes of the list of engines, in which further changes
+    /// gather. Each answer to a watch costs a call of every instance.
+    pub gather_ms: u64,
+    /// Longest time for any other call to the store.
+    pub store_ms: u64,
+    /// Seconds that callers may keep addresses. Some keep them three times as
+    /// long, which has to fit into the time that a stopping instance has.
+    pub keep_s: u64,
+    /// Time that a stopping instance keeps before it is killed.
+    pub exit_margin_ms: u64,
+    /// Least time left for which a request is still sent to an engine.
+    pub least_left_ms: u64,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> GatewaySettings {
+        GatewaySettings {
+            mesh: MeshSettings::default(),
+            choice: ChoiceSettings::default(),
+            plan: PlanSettings::default(),
+            lease: LeaseSettings::default(),
+            connect_ms: 300,
+            silent_ms: 700,
+            unacknowledged_ms: 2_000,
+            watch_ms: 5_000,
+            gather_ms: 250,
+            store_ms: 1_000,
+            keep_s: 2,
+            exit_margin_ms: 700,
+            least_left_ms: 15,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/logs/mod.rs
@@ -0,0 +1,5 @@
+//! Structured lines on standard output, bounded and never waited for.
+
+mod sink;
+
+pub use sink::{LogSettings, install};
--- /dev/null
+++ b/crates/gateway/src/logs/sink.rs
@@ -0,0 +1,147 @@
+use {
+    crate::clock::wall_ms,
+    flume::{Receiver, Sender, TrySendError},
+    log::{Level, LevelFilter, Log, Metadata, Record},
+    std::{
+        io::{self, Write},
+        sync::atomic::{AtomicU64, Ordering},
+        thread,
+        time::Duration,
+    },
+};
+
+/// How much is logged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Lines that wait for a reader that has stopped reading.
+    pub queue_lines: usize,
+    /// Ordinary lines a second; further ones are counted and dropped. Lines
+    /// on failures go on.
+    pub lines_per_s: u64,
+    /// Pause in which lines gather, so that one write takes many.
+    pub gather_ms: u64,
+}
+
+impl Default for LogSettings {
+    fn default() -> LogSettings {
+        LogSettings {
+            queue_lines: 2_048,
+            lines_per_s: 150,
+            gather_ms: 100,
+        }
+    }
+}
+
+/// Lines on their way to standard output.
+///
+/// Standard output may stop being read. Then a write blocks, so it is done by
+/// a thread of its own, and the lines that no longer fit are dropped and
+/// counted. Failures have a queue of their own, which is written first.
+struct Sink {
+    settings: LogSettings,
+    instance: String,
+    odd: Sender<String>,
+    ordinary: Sender<String>,
+    second: AtomicU64,
+    in_second: AtomicU64,
+    dropped: AtomicU64,
+}
+
+/// Sends the program's log to standard output.
+///
+/// # Errors
+///
+/// Fails where a log is installed already, or there is no thread for it.
+pub fn install(settings: LogSettings, instance: &str) -> io::Result<()> {
+    let (odd, odd_lines) = flume::bounded(settings.queue_lines);
+    let (ordinary, ordinary_lines) = flume::bounded(settings.queue_lines);
+    let sink = Sink {
+        settings,
+        instance: instance.to_owned(),
+        odd,
+        ordinary,
+        second: AtomicU64::new(0),
+        in_second: AtomicU64::new(0),
+        dropped: AtomicU64::new(0),
+    };
+    log::set_boxed_logger(Box::new(sink)).map_err(io::Error::other)?;
+    log::set_max_level(LevelFilter::Info);
+    let gather = Duration::from_millis(settings.gather_ms);
+    thread::Builder::new()
+        .name("log".to_owned())
+        .stack_size(64 * 1024)
+        .spawn(move || write_lines(&odd_lines, &ordinary_lines, gather))?;
+    Ok(())
+}
+
+fn write_lines(odd: &Receiver<String>, ordinary: &Receiver<String>, gather: Duration) {
+    let mut text = String::new();
+    loop {
+        // Waits for the first line of either kind, then takes all there are.
+        let first = flume::Selector::new()
+            .recv(odd, |line| line)
+            .recv(ordinary, |line| line)
+            .wait();
+        let Ok(first) = first else {
+            return;
+        };
+        text.push_str(&first);
+        for line in odd.try_iter().chain(ordinary.try_iter()) {
+            text.push_str(&line);
+        }
+        // A closed standard output must not end the instance.
+        let _ = io::stdout().write_all(text.as_bytes());
+        text.clear();
+        thread::sleep(gather);
+    }
+}
+
+impl Sink {
+    /// Returns whether an ordinary line fits into this second.
+    fn fits(&self, wall_ms: u64) -> bool {
+        let second = wall_ms / 1_000;
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.in_second.store(0, Ordering::Relaxed);
+        }
+        self.in_second.fetch_add(1, Ordering::Relaxed) < self.settings.lines_per_s
+    }
+
+    fn drop_line(&self) {
+        self.dropped.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+impl Log for Sink {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.level() <= Level::Info && metadata.target().starts_with("mangowalk")
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let wall_ms = wall_ms();
+        let odd = record.level() <= Level::Warn;
+        if !odd && !self.fits(wall_ms) {
+            return self.drop_line();
+        }
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        let mut line = format!(
+            "wall_ms={wall_ms} instance={} level={} {}",
+            self.instance,
+            record.level(),
+            record.args()
+        );
+        if dropped > 0 {
+            line.push_str(&format!(" dropped_lines={dropped}"));
+        }
+        line.push('\n');
+        let queue = if odd { &self.odd } else { &self.ordinary };
+        if let Err(TrySendError::Full(_)) = queue.try_send(line) {
+            self.dropped.fetch_add(dropped, Ordering::Relaxed);
+            self.drop_line();
+        }
+    }
+
+    fn flush(&self) {}
+}
--- /dev/null
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -0,0 +1,104 @@
+use {
+    crate::{clock::now_ms, instance::Instance},
+    mangowalk_core::mesh::Heartbeat,
+    std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{net::UdpSocket, time::sleep},
+};
+
+/// Longest heartbeat that is read.
+const MOST_BYTES: usize = 16 * 1024;
+
+/// Peers that get each heartbeat. In larger fleets they take turns, so that
+/// what an instance sends doesn't grow with their number.
+const MOST_TARGETS: usize = 16;
+
+/// Opens the socket on which peers are heard.
+///
+/// # Errors
+///
+/// Fails where the address is in use.
+pub async fn open(address: SocketAddr) -> io::Result<UdpSocket> {
+    UdpSocket::bind(address).await
+}
+
+/// Sends heartbeats and listens to those of peers.
+pub async fn exchange(instance: Rc<Instance>, socket: UdpSocket) {
+    let sequence = Cell::new(0_u64);
+    tokio::join!(
+        send(&instance, &socket, &sequence),
+        listen(&instance, &socket)
+    );
+}
+
+async fn listen(instance: &Instance, socket: &UdpSocket) {
+    let mut buffer = vec![0; MOST_BYTES];
+    loop {
+        let Ok(length) = socket.recv(&mut buffer).await else {
+            // A port without a listener at the other end is told here too.
+            continue;
+        };
+        match postcard::from_bytes::<Heartbeat>(&buffer[..length]) {
+            Ok(heartbeat) => instance.hear(heartbeat, now_ms()),
+            Err(error) => log::warn!("event=heartbeat_refused error=\"{error}\""),
+        }
+    }
+}
+
+async fn send(instance: &Instance, socket: &UdpSocket, sequence: &Cell<u64>) {
+    for &seed in &instance.machine.seeds {
+        if seed != instance.machine.peer_address {
+            instance.members.borrow_mut().try_address(seed, now_ms());
+        }
+    }
+    let period = Duration::from_millis(instance.settings.mesh.period_ms);
+    loop {
+        beat(instance, socket, sequence).await;
+        tokio::select! {
+            () = sleep(period) => {}
+            () = instance.notes.heartbeat.notified() => {}
+        }
+    }
+}
+
+async fn beat(instance: &Instance, socket: &UdpSocket, sequence: &Cell<u64>) {
+    let now_ms = now_ms();
+    let mesh = &instance.settings.mesh;
+    let gone = instance.members.borrow_mut().expire(mesh, now_ms);
+    for peer in &gone {
+        log::info!("event=peer_gone peer={peer}");
+        instance.engines.borrow_mut().forget_peer(peer);
+    }
+    instance.divide_rates(now_ms);
+    sequence.set(sequence.get() + 1);
+    let targets = instance.members.borrow().targets(mesh, now_ms);
+    let Ok(bytes) = postcard::to_allocvec(&heartbeat(instance, sequence.get(), now_ms)) else {
+        return;
+    };
+    let first = (sequence.get() as usize).wrapping_mul(MOST_TARGETS) % targets.len().max(1);
+    let turn = targets.iter().cycle().skip(first);
+    for target in turn.take(targets.len().min(MOST_TARGETS)) {
+        // A peer that is gone can't be reached; silence tells the same.
+        let _ = socket.send_to(&bytes, target).await;
+    }
+}
+
+fn heartbeat(instance: &Instance, sequence: u64, now_ms: u64) -> Heartbeat {
+    let members = instance.members.borrow();
+    let heard = members.heard(&instance.settings.mesh, now_ms);
+    let newest = instance.newest.borrow();
+    Heartbeat {
+        name: instance.machine.name.clone(),
+        incarnation: instance.incarnation,
+        sequence,
+        caller_address: instance.machine.caller_address,
+        peer_address: instance.machine.peer_address,
+        domain: instance.machine.domain.clone(),
+        ready: instance.is_ready(),
+        configuration_version: instance.routes.borrow().version(),
+        versions: newest.iter().map(|(m, v)| (m.clone(), *v)).collect(),
+        loads: instance.engines.borrow().own_loads(),
+        demands: instance.shares.borrow().demands(now_ms),
+        orders: instance.orders.borrow().clone(),
+        peers: heard.map(|m| m.last.peer_address).take(MOST_TARGETS).collect(),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/mesh/mod.rs
@@ -0,0 +1,5 @@
+//! Heartbeats between instances.
+
+mod exchange;
+
+pub use exchange::{exchange, open};
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,213 @@
+use {
+    crate::{
+        callers::{serve_callers, serve_directory, serve_metrics, serve_ready},
+        clock::{now_ms, wall_ms},
+        instance::{Drain, GatewaySettings, Instance},
+        logs::{self, LogSettings},
+        mesh,
+        store::{StoreClient, register, watch_configuration, watch_engines, watch_weights},
+        upstreams::Pool,
+        weights::order_weights,
+    },
+    derive_more::{Display, Error},
+    mangowalk_platform::{MachineSettings, SettingsError, decode_settings},
+    std::{fs, io, net::SocketAddr, path::Path, rc::Rc, time::Duration},
+    tokio::{
+        net::TcpListener,
+        runtime,
+        signal::unix::{Signal, SignalKind, signal},
+        sync::watch,
+        task::{LocalSet, spawn_local},
+        time::sleep,
+    },
+};
+
+/// Pause between two looks while open requests end.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+
+/// Pause between two sweeps of idle connections.
+const SWEEP: Duration = Duration::from_millis(1_000);
+
+/// Connections to the store, at its farthest a few milliseconds away.
+const STORE_CONNECT_MS: u64 = 400;
+
+/// Why an instance did not start. Each message names the remedy.
+#[derive(Debug, Display, Error)]
+pub enum RunError {
+    /// The settings file can't be read.
+    #[display("The settings file {path} can't be read ({source}); check path and rights.")]
+    Unreadable {
+        /// Its path.
+        path: String,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// A field of the settings file can't be used.
+    #[display("{source}")]
+    Settings {
+        /// Which, and what to write.
+        source: SettingsError,
+    },
+    /// An address can't be listened on.
+    #[display("{address} can't be listened on ({source}); check that no other process uses it.")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// The system gives no event loop, signals or thread.
+    #[display("The system gives no {what} ({source}); raise its limits.")]
+    System {
+        /// What is missing.
+        what: &'static str,
+        /// What the system said.
+        source: io::Error,
+    },
+}
+
+/// Reads a settings file.
+///
+/// # Errors
+///
+/// Names the field that can't be used.
+pub fn read_settings(path: &Path) -> Result<MachineSettings, RunError> {
+    let text = fs::read_to_string(path).map_err(|source| RunError::Unreadable {
+        path: path.display().to_string(),
+        source,
+    })?;
+    decode_settings(&text).map_err(|source| RunError::Settings { source })
+}
+
+/// Runs an instance until it is told to stop.
+///
+/// # Errors
+///
+/// Fails where it can't start.
+pub fn run(path: &Path) -> Result<(), RunError> {
+    let machine = read_settings(path)?;
+    logs::install(LogSettings::default(), &machine.name).map_err(|source| RunError::System {
+        what: "thread for the log",
+        source,
+    })?;
+    let event_loop = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| RunError::System {
+            what: "event loop",
+            source,
+        })?;
+    let tasks = LocalSet::new();
+    tasks.block_on(&event_loop, serve(machine, path))
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| RunError::Listen { address, source })
+}
+
+async fn serve(machine: MachineSettings, path: &Path) -> Result<(), RunError> {
+    let lease = mangowalk_core::weights::LeaseSettings {
+        apart_ms: machine.lease_ms,
+        ..Default::default()
+    };
+    let settings = GatewaySettings {
+        lease,
+        ..GatewaySettings::default()
+    };
+    let callers = listen(machine.caller_address).await?;
+    let ready = listen(machine.ready_address).await?;
+    let directory = listen(machine.directory_address).await?;
+    let metrics = listen(machine.metrics_address).await?;
+    let peer_address = machine.peer_address;
+    let peers = mesh::open(peer_address)
+        .await
+        .map_err(|source| RunError::Listen {
+            address: peer_address,
+            source,
+        })?;
+    let (drain_teller, drain) = Drain::channel();
+    let instance = Instance::new(machine, settings, wall_ms(), drain);
+    let store_client = StoreClient::new(instance.machine.store_address, STORE_CONNECT_MS);
+    let (pool, store) = (Rc::new(Pool::default()), Rc::new(store_client));
+    log::info!(
+        "event=started domain={} callers={} incarnation={}",
+        instance.machine.domain,
+        instance.machine.caller_address,
+        instance.incarnation,
+    );
+    spawn_local(mesh::exchange(instance.clone(), peers));
+    spawn_local(watch_configuration(instance.clone(), store.clone()));
+    spawn_local(watch_engines(instance.clone(), store.clone()));
+    spawn_local(watch_weights(instance.clone(), store.clone()));
+    spawn_local(register(instance.clone(), store.clone()));
+    spawn_local(order_weights(instance.clone(), store));
+    spawn_local(serve_ready(instance.clone(), ready));
+    spawn_local(serve_directory(instance.clone(), directory));
+    spawn_local(serve_metrics(instance.clone(), metrics));
+    spawn_local(serve_callers(instance.clone(), pool.clone(), callers));
+    spawn_local(sweep(instance.clone(), pool));
+    spawn_local(reload(instance.clone(), catch(SignalKind::hangup())?, path.to_owned()));
+    let mut terminate = catch(SignalKind::terminate())?;
+    let mut interrupt = catch(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    stop(&instance, &drain_teller).await;
+    Ok(())
+}
+
+fn catch(kind: SignalKind) -> Result<Signal, RunError> {
+    signal(kind).map_err(|source| RunError::System {
+        what: "signals",
+        source,
+    })
+}
+
+async fn sweep(instance: Rc<Instance>, pool: Rc<Pool>) {
+    loop {
+        sleep(SWEEP).await;
+        let engines = instance.engines.borrow();
+        pool.sweep(
+            |one| engines.get(&one.id).is_some_and(|belief| belief.entry.incarnation == *one),
+            now_ms(),
+        );
+    }
+}
+
+/// Reads the settings again at each SIGHUP. Addresses stay as they are until
+/// the next start; a file that can't be used changes nothing.
+async fn reload(instance: Rc<Instance>, mut hangup: Signal, path: std::path::PathBuf) {
+    while hangup.recv().await.is_some() {
+        match read_settings(&path) {
+            Ok(machine) => log::info!(
+                "event=reloaded changed={}",
+                machine != instance.machine
+            ),
+            Err(error) => log::warn!("event=reload_refused error=\"{error}\""),
+        }
+    }
+}
+
+/// Stops: out of the addresses at once, still serving those who keep old
+/// ones, then ending what is open, all within the time before the kill.
+async fn stop(instance: &Instance, drain: &watch::Sender<Drain>) {
+    let began_ms = now_ms();
+    let last_ms = began_ms + instance.machine.grace_ms - instance.settings.exit_margin_ms;
+    // Callers keep addresses up to three times as long as they were told.
+    let kept_ms = 3 * 1_000 * instance.settings.keep_s;
+    let close_ms = (began_ms + kept_ms + 300).min(last_ms.saturating_sub(500));
+    log::info!("event=stopping open={}", instance.open_requests.get());
+    drain.send_replace(Drain::Departing);
+    instance.notes.heartbeat.notify_one();
+    while now_ms() < close_ms {
+        sleep(DRAIN_LOOK).await;
+    }
+    drain.send_replace(Drain::Closing);
+    while now_ms() < last_ms && instance.open_requests.get() > 0 {
+        sleep(DRAIN_LOOK).await;
+    }
+    log::info!("event=stopped open={}", instance.open_requests.get());
+}
--- /dev/null
+++ b/crates/gateway/src/store/mod.rs
@@ -0,0 +1,9 @@
+//! The platform's store: one client, and what is watched there.
+
+mod client;
+mod watch;
+
+pub use {
+    client::{CallError, StoreClient},
+    watch::{register, watch_configuration, watch_engines, watch_weights},
+};
--- /dev/null
+++ b/crates/gateway/src/store/watch.rs
@@ -0,0 +1,323 @@
+use {
+    super::StoreClient,
+    crate::{clock::now_ms, instance::Instance},
+    mangowalk_platform::{
+        Changes, Kind, MemberRecord, Page, Stored, decode_changes, decode_configuration,
+        decode_engine, decode_newest_weights, decode_object, decode_page, encode_create,
+        encode_replace,
+    },
+    std::{net::SocketAddr, rc::Rc, time::Duration},
+    tokio::{sync::Notify, time::sleep},
+};
+
+/// First and longest pause after a call that failed. Spread at random, so
+/// that a herd that starts together doesn't call together.
+const FIRST_PAUSE_MS: u64 = 100;
+const LONGEST_PAUSE_MS: u64 = 800;
+
+/// Time that an answer may take beyond the wait that it was asked for.
+const ANSWER_MS: u64 = 700;
+
+/// Status of a watch whose history is gone; the kind has to be read again.
+const GONE: u16 = 410;
+
+/// What follows one kind of objects.
+trait Follower {
+    const KIND: Kind;
+    /// Pause after changes, in which further ones gather.
+    fn gather_ms(&self) -> u64 {
+        0
+    }
+    /// Takes over the whole list.
+    fn replace(&self, objects: &[Stored]);
+    /// Takes over one change.
+    fn change(&self, name: &str, object: Option<&Stored>);
+    /// Wakes when the list should be read again.
+    fn wake(&self) -> &Notify;
+}
+
+/// Follows a kind: reads it whole, then waits for changes, and reads it
+/// again when the history is gone, a call fails, or a peer knows more.
+async fn follow<F: Follower>(instance: &Instance, store: &StoreClient, follower: F) {
+    let mut pause_ms = FIRST_PAUSE_MS;
+    let mut lost = false;
+    loop {
+        let Some(mut revision) = read(instance, store, &follower).await else {
+            if !lost {
+                lost = true;
+                instance.counters.count("store_lost", "read");
+                log::warn!("event=store_lost kind={}", F::KIND);
+            }
+            sleep(spread(pause_ms)).await;
+            pause_ms = (pause_ms * 2).min(LONGEST_PAUSE_MS);
+            continue;
+        };
+        if lost {
+            lost = false;
+            log::warn!("event=store_regained kind={} revision={revision}", F::KIND);
+        }
+        pause_ms = FIRST_PAUSE_MS;
+        loop {
+            let changes = tokio::select! {
+                changes = wait(instance, store, &follower, revision) => changes,
+                () = follower.wake().notified() => None,
+            };
+            let Some(changes) = changes else {
+                break;
+            };
+            revision = changes.revision;
+            for (name, object) in &changes.changed {
+                follower.change(name, object.as_ref());
+            }
+            if !changes.changed.is_empty() && follower.gather_ms() > 0 {
+                sleep(Duration::from_millis(follower.gather_ms())).await;
+            }
+        }
+    }
+}
+
+fn spread(pause_ms: u64) -> Duration {
+    Duration::from_millis(pause_ms / 2 + rand::random_range(0..pause_ms))
+}
+
+async fn read<F: Follower>(
+    instance: &Instance,
+    store: &StoreClient,
+    follower: &F,
+) -> Option<u64> {
+    let mut objects = Vec::new();
+    let mut revision = None;
+    loop {
+        let after = objects.last().map(|object: &Stored| object.name.clone());
+        let call = Page::call(F::KIND, after.as_deref());
+        let (status, body) = match store.call(&call, instance.settings.store_ms).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::info!("event=store_call_failed kind={} error=\"{error}\"", F::KIND);
+                return None;
+            }
+        };
+        if status != 200 {
+            log::info!("event=store_refused kind={} status={status}", F::KIND);
+            return None;
+        }
+        let page = decode_page(&body).ok()?;
+        // Changes between two pages are seen by the watch from the first on.
+        revision = revision.or(Some(page.revision));
+        let more = page.more && !page.objects.is_empty();
+        objects.extend(page.objects);
+        if !more {
+            follower.replace(&objects);
+            return revision;
+        }
+    }
+}
+
+async fn wait<F: Follower>(
+    instance: &Instance,
+    store: &StoreClient,
+    _follower: &F,
+    revision: u64,
+) -> Option<Changes> {
+    let wait_ms = instance.settings.watch_ms;
+    let call = Changes::call(F::KIND, revision, wait_ms);
+    match store.call(&call, wait_ms + ANSWER_MS).await {
+        Ok((200, body)) => decode_changes(&body).ok(),
+        Ok((GONE, _)) => {
+            log::info!("event=store_history_gone kind={}", F::KIND);
+            None
+        }
+        Ok((status, _)) => {
+            log::info!("event=store_refused kind={} status={status}", F::KIND);
+            None
+        }
+        Err(error) => {
+            log::info!("event=store_watch_lost kind={} error=\"{error}\"", F::KIND);
+            None
+        }
+    }
+}
+
+struct ConfigurationFollower(Rc<Instance>);
+
+impl Follower for ConfigurationFollower {
+    const KIND: Kind = Kind::Configuration;
+
+    fn replace(&self, objects: &[Stored]) {
+        for object in objects {
+            self.change(&object.name, Some(object));
+        }
+    }
+
+    fn change(&self, name: &str, object: Option<&Stored>) {
+        let Some(object) = object else {
+            return;
+        };
+        match decode_configuration(&object.spec) {
+            Ok(configuration) => self.0.apply(configuration, "store", now_ms()),
+            Err(error) => log::warn!("event=configuration_refused name={name} error=\"{error}\""),
+        }
+    }
+
+    fn wake(&self) -> &Notify {
+        &self.0.notes.configuration
+    }
+}
+
+struct WeightsFollower(Rc<Instance>);
+
+impl Follower for WeightsFollower {
+    const KIND: Kind = Kind::Weights;
+
+    fn replace(&self, objects: &[Stored]) {
+        for object in objects {
+            self.change(&object.name, Some(object));
+        }
+    }
+
+    fn change(&self, name: &str, object: Option<&Stored>) {
+        let Some(object) = object else {
+            return;
+        };
+        match decode_newest_weights(&object.spec) {
+            Some(newest) => {
+                self.0.name_weights(&newest.model, newest.version, "store");
+            }
+            None => log::warn!("event=weights_refused name={name}"),
+        }
+    }
+
+    fn wake(&self) -> &Notify {
+        &self.0.notes.weights
+    }
+}
+
+struct EnginesFollower {
+    instance: Rc<Instance>,
+    never: Notify,
+}
+
+impl Follower for EnginesFollower {
+    const KIND: Kind = Kind::Engines;
+
+    fn gather_ms(&self) -> u64 {
+        self.instance.settings.gather_ms
+    }
+
+    fn replace(&self, objects: &[Stored]) {
+        let mut engines = self.instance.engines.borrow_mut();
+        engines.retain(|id| objects.iter().any(|object| object.name == id));
+        drop(engines);
+        for object in objects {
+            self.change(&object.name, Some(object));
+        }
+        if !self.instance.engines_known.replace(true) {
+            log::info!("event=engines_known count={}", objects.len());
+        }
+        self.instance.notes.orders.notify_one();
+    }
+
+    fn change(&self, name: &str, object: Option<&Stored>) {
+        let mut engines = self.instance.engines.borrow_mut();
+        let Some(object) = object else {
+            if engines.unlist(name).is_some() {
+                log::info!("event=engine_gone engine={name}");
+            }
+            return;
+        };
+        match decode_engine(name, &object.spec) {
+            Ok(entry) => {
+                let draining = entry.draining;
+                if engines.list(entry) {
+                    log::info!("event=engine_listed engine={name} draining={draining}");
+                }
+                self.instance.notes.orders.notify_one();
+            }
+            Err(error) => {
+                engines.unlist(name);
+                log::warn!("event=engine_refused engine={name} error=\"{error}\"");
+            }
+        }
+    }
+
+    fn wake(&self) -> &Notify {
+        &self.never
+    }
+}
+
+/// Follows the operators' configuration.
+pub async fn watch_configuration(instance: Rc<Instance>, store: Rc<StoreClient>) {
+    follow(&instance, &store, ConfigurationFollower(instance.clone())).await;
+}
+
+/// Follows the newest weights.
+pub async fn watch_weights(instance: Rc<Instance>, store: Rc<StoreClient>) {
+    follow(&instance, &store, WeightsFollower(instance.clone())).await;
+}
+
+/// Follows the list of engines.
+pub async fn watch_engines(instance: Rc<Instance>, store: Rc<StoreClient>) {
+    let follower = EnginesFollower {
+        instance: instance.clone(),
+        never: Notify::new(),
+    };
+    follow(&instance, &store, follower).await;
+}
+
+/// Tells the store where this instance listens to its peers, and reads where
+/// they do.
+///
+/// Each instance writes before it reads, so of two that start together at
+/// least one finds the other, and its heartbeats make it known.
+pub async fn register(instance: Rc<Instance>, store: Rc<StoreClient>) {
+    let mut pause_ms = FIRST_PAUSE_MS;
+    while !write_and_read(&instance, &store).await {
+        sleep(spread(pause_ms)).await;
+        pause_ms = (pause_ms * 2).min(LONGEST_PAUSE_MS);
+    }
+}
+
+async fn write_and_read(instance: &Instance, store: &StoreClient) -> bool {
+    let name = &instance.machine.name;
+    let within_ms = instance.settings.store_ms;
+    let record = MemberRecord {
+        peer_address: instance.machine.peer_address,
+    };
+    let create = encode_create(Kind::Members, name, &record);
+    match store.call(&create, within_ms).await {
+        Ok((200 | 201, _)) => {}
+        Ok((409, body)) => {
+            if let Ok(before) = decode_object(&body) {
+                let replace = encode_replace(Kind::Members, name, before.revision, &record);
+                if !matches!(store.call(&replace, within_ms).await, Ok((200, _))) {
+                    return false;
+                }
+            }
+        }
+        _ => return false,
+    }
+    let Ok((200, body)) = store.call(&Page::call(Kind::Members, None), within_ms).await else {
+        return false;
+    };
+    let Ok(page) = decode_page(&body) else {
+        return false;
+    };
+    for object in &page.objects {
+        if let Some(address) = peer_address(object) {
+            try_peer(instance, address);
+        }
+    }
+    instance.notes.heartbeat.notify_one();
+    true
+}
+
+fn peer_address(object: &Stored) -> Option<SocketAddr> {
+    let record: MemberRecord = serde_json::from_value(object.spec.clone()).ok()?;
+    Some(record.peer_address)
+}
+
+fn try_peer(instance: &Instance, address: SocketAddr) {
+    if address != instance.machine.peer_address {
+        instance.members.borrow_mut().try_address(address, now_ms());
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -0,0 +1,105 @@
+use {
+    super::{Kept, Pool, connect},
+    crate::{clock::now_ms, instance::GatewaySettings},
+    bytes::Bytes,
+    derive_more::{Display, Error},
+    http::{Request, response},
+    http_body_util::Full,
+    hyper::body::Incoming,
+    mangowalk_core::pool::EngineEntry,
+    mangowalk_platform::AnswerHead,
+    std::rc::Rc,
+};
+
+/// Why an engine gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
+pub enum SendError {
+    /// No byte of the request left; it has not run.
+    #[display("The request was not sent: {reason}")]
+    NotSent {
+        /// What was seen.
+        reason: String,
+    },
+    /// The connection ended behind the request; it may have run.
+    #[display("The request was sent and its connection ended: {reason}")]
+    Lost {
+        /// What was seen.
+        reason: String,
+    },
+}
+
+/// An engine's answer whose body is still to be read.
+pub struct Answer {
+    /// What the engine says in the head.
+    pub head: AnswerHead,
+    /// Status and headers as they came.
+    pub parts: response::Parts,
+    /// The body.
+    pub body: Incoming,
+    /// The connection, to be put back behind the whole body.
+    pub connection: Kept,
+}
+
+/// Sends a request to an engine, on a kept connection or a new one, and waits
+/// for the head of the answer.
+///
+/// `make` builds the request; it is called again if a kept connection turned
+/// out to be closed before a byte was sent.
+///
+/// # Errors
+///
+/// Tells whether the request may have run.
+pub async fn send(
+    pool: &Rc<Pool>,
+    engine: &EngineEntry,
+    settings: &GatewaySettings,
+    make: impl Fn() -> Request<Full<Bytes>>,
+) -> Result<Answer, SendError> {
+    loop {
+        let (connection, is_new) = match pool.take(engine, now_ms()) {
+            Some(kept) => (kept, false),
+            None => {
+                let connected = connect(engine.address, settings).await;
+                let (sender, task) = connected.map_err(|error| SendError::NotSent {
+                    reason: error.to_string(),
+                })?;
+                (pool.adopt(engine, sender, task), true)
+            }
+        };
+        match exchange(connection, make()).await {
+            // The kept connection had been closed; the next one may be good.
+            Err(SendError::NotSent { .. }) if !is_new => {}
+            result => return result,
+        }
+    }
+}
+
+async fn exchange(
+    mut connection: Kept,
+    request: Request<Full<Bytes>>,
+) -> Result<Answer, SendError> {
+    let Some(sender) = connection.sender() else {
+        return Err(SendError::NotSent {
+            reason: "the connection is in use".to_owned(),
+        });
+    };
+    let response = match sender.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut error) => {
+            let reason = error.error().to_string();
+            return Err(match error.take_message() {
+                Some(_) => SendError::NotSent { reason },
+                None => SendError::Lost { reason },
+            });
+        }
+    };
+    let (parts, body) = response.into_parts();
+    let head = AnswerHead::decode(parts.status, &parts.headers);
+    connection.keep_for_s(head.keep_alive_s);
+    Ok(Answer {
+        head,
+        parts,
+        body,
+        connection,
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/weights/mod.rs
@@ -0,0 +1,6 @@
+//! Brings new weights to all engines.
+
+mod orderer;
+mod orders;
+
+pub use orderer::order_weights;
--- /dev/null
+++ b/crates/gateway/src/weights/orders.rs
@@ -0,0 +1,36 @@
+use {
+    crate::store::StoreClient,
+    mangowalk_core::pool::EngineEntry,
+    mangowalk_platform::{
+        EngineReport, OrderAnswer, WeightsOrder, decode_order_answer, decode_report, encode_order,
+    },
+};
+
+/// Longest time for an engine's answer to an order or a question. It answers
+/// at once or, under trouble, seconds later.
+const ENGINE_MS: u64 = 700;
+
+/// Time for a new connection to an engine.
+const CONNECT_MS: u64 = 300;
+
+/// Asks an engine for its state.
+pub(super) async fn ask(engine: &EngineEntry) -> Option<EngineReport> {
+    let client = StoreClient::new(engine.address, CONNECT_MS);
+    let call = EngineReport::call(&engine.incarnation.id);
+    match client.call(&call, ENGINE_MS).await {
+        Ok((200, body)) => decode_report(&body),
+        _ => None,
+    }
+}
+
+/// Sends an order to an engine.
+pub(super) async fn send(engine: &EngineEntry, order: &WeightsOrder<'_>) -> OrderAnswer {
+    let client = StoreClient::new(engine.address, CONNECT_MS);
+    match client.call(&encode_order(order), ENGINE_MS).await {
+        Ok((status, _)) => decode_order_answer(status),
+        Err(error) => {
+            log::warn!("event=order_unanswered engine={} error=\"{error}\"", order.engine);
+            OrderAnswer::Unknown
+        }
+    }
+}
--- a/crates/mangowalkd/src/cli/mod.rs
+++ b/crates/mangowalkd/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! Flags, environment variables and their checks.
 
 mod args;
+mod machine;
 mod run;
 mod settings;
 mod usage;
--- a/crates/mangowalkd/src/cli/run.rs
+++ b/crates/mangowalkd/src/cli/run.rs
@@ -1,11 +1,20 @@
 use {
-    super::{Settings, args, print_usage, usage::EXIT_USAGE},
+    super::{
+        Settings, args,
+        machine::{COMMAND, run_machine},
+        print_usage,
+        usage::EXIT_USAGE,
+    },
     crate::Daemon,
-    std::process::ExitCode,
+    std::{env, process::ExitCode},
 };
 
 /// Runs the program with the arguments of the process.
 pub fn run() -> ExitCode {
+    let given: Vec<_> = env::args_os().skip(1).collect();
+    if given.first().is_some_and(|word| word == COMMAND) {
+        return run_machine(&given[1..]);
+    }
     let args = match args().run_inner(bpaf::Args::current_args()) {
         Ok(args) => args,
         Err(failure) => return print_usage("mangowalkd", &args(), &failure),
