Estimate each team's bucket over all instances instead of dividing it

Cause: a seventh of the burst is two prompts; callers within their rate got 429. Change: each instance keeps one bucket for the whole fleet, subtracts what peers tell that they have spent, and takes only its part while it is under half full.

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -30,6 +30,19 @@
     pub age_ms: u32,
 }
 
+/// What an instance tells of one team's rate.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct TeamNote {
+    /// The team.
+    pub team: String,
+    /// Tokens spent since the instance's start.
+    pub spent: f64,
+    /// Tokens that are left, as the instance estimates.
+    pub level: f32,
+    /// Tokens a second that were asked for.
+    pub demand_per_s: f32,
+}
+
 /// What an instance tells its peers, several times a second.
 ///
 /// One datagram: a lost one is made up for by the next, and no connection
@@ -56,8 +69,8 @@
     pub versions: Vec<(String, u64)>,
     /// Work sent to each engine and not done.
     pub loads: Vec<(String, Load)>,
-    /// Tokens a second asked for, by team.
-    pub demands: Vec<(String, f64)>,
+    /// What was asked for and spent, by team.
+    pub teams: Vec<TeamNote>,
     /// Orders of the instance that holds the lease.
     pub orders: Vec<OrderNote>,
     /// Other instances that it hears, so that a new one is found by all.
--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -26,7 +26,7 @@
         MeshSettings {
             period_ms: 200,
             silent_ms: 900,
-            gone_ms: 12_000,
+            gone_ms: 30_000,
             try_ms: 6_000,
         }
     }
@@ -121,8 +121,9 @@
             .filter(move |member| now_ms <= member.heard_ms + silent_ms)
     }
 
-    /// Returns whether every known peer was heard just now.
-    pub fn hears_all(&self, settings: &MeshSettings, now_ms: u64) -> bool {
-        self.heard(settings, now_ms).count() == self.members.len()
+    /// Returns whether a peer was heard just now; `None` for one that is gone.
+    pub fn is_heard(&self, name: &str, settings: &MeshSettings, now_ms: u64) -> Option<bool> {
+        let member = self.members.get(name)?;
+        Some(now_ms <= member.heard_ms + settings.silent_ms)
     }
 }
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -4,6 +4,6 @@
 mod members;
 
 pub use {
-    heartbeat::{Heartbeat, OrderNote, OrderPhase},
+    heartbeat::{Heartbeat, OrderNote, OrderPhase, TeamNote},
     members::{Member, MemberTable, MeshSettings},
 };
--- a/crates/core/src/share/bucket.rs
+++ b/crates/core/src/share/bucket.rs
@@ -1,93 +1,95 @@
 use crate::routing::TokenRate;
 
-/// How an instance's part of a rate behaves.
+/// Where an instance stands among all that serve.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ShareSettings {
-    /// Part of the rate that is divided evenly, whoever has callers. Without
-    /// it an instance whose first caller comes would have nothing to give
-    /// until its peers have heard of the demand.
-    pub even: f64,
-    /// Seconds of the rate that a new bucket holds. A restart forgets what was
-    /// spent before it, so this much may be spent twice in a window; the
-    /// window's tolerance (a tenth of eight seconds) covers it.
-    pub start_s: f64,
-    /// Part of the burst that a bucket saves up. Below one, as the parts of
-    /// instances whose shares just changed add up to more than the whole.
-    pub burst: f64,
+pub struct Standing {
+    /// Part of the instances that are heard, this one included. What the
+    /// others may spend behind a partition stays set aside for them.
+    pub heard: f64,
+    /// Part of a team's demand that comes to this instance.
+    pub demand: f64,
 }
 
-impl Default for ShareSettings {
-    fn default() -> ShareSettings {
-        ShareSettings {
-            even: 0.4,
-            start_s: 0.5,
-            burst: 0.9,
-        }
-    }
-}
-
-/// One instance's bucket of one team.
+/// One instance's estimate of a team's bucket over all instances.
+///
+/// Spending of others arrives a heartbeat late, and is subtracted then, if
+/// need be below zero: over time no more than the rate is granted, and for a
+/// moment at most what is asked for within a heartbeat.
 #[derive(Debug, Clone, PartialEq)]
-pub struct RateShare {
-    settings: ShareSettings,
+pub struct FleetBucket {
     rate: TokenRate,
-    fraction: f64,
     level: f64,
     filled_ms: u64,
 }
 
-impl RateShare {
-    /// Returns a bucket with its first level.
-    pub fn new(settings: ShareSettings, rate: TokenRate, fraction: f64, now_ms: u64) -> RateShare {
-        RateShare {
-            settings,
+impl FleetBucket {
+    /// Returns a bucket that holds a part of the burst.
+    pub fn new(rate: TokenRate, part: f64, now_ms: u64) -> FleetBucket {
+        FleetBucket {
             rate,
-            fraction,
-            level: rate.per_s * fraction * settings.start_s,
+            level: rate.burst * part,
             filled_ms: now_ms,
         }
     }
 
-    /// Takes over a new rate or fraction; what was saved beyond it is dropped.
-    pub fn adjust(&mut self, rate: TokenRate, fraction: f64, now_ms: u64) {
-        self.fill(now_ms);
+    /// Returns the tokens in the bucket.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Takes over a new rate.
+    pub fn set_rate(&mut self, rate: TokenRate) {
         self.rate = rate;
-        self.fraction = fraction;
-        self.level = self.level.min(self.capacity());
+    }
+
+    /// Lowers the level to what a peer knows better.
+    pub fn lower_to(&mut self, level: f64) {
+        self.level = self.level.min(level);
+    }
+
+    /// Subtracts what others have spent.
+    pub fn spent_elsewhere(&mut self, tokens: f64) {
+        self.level -= tokens;
+    }
+
+    /// Lets time pass.
+    pub fn fill(&mut self, standing: Standing, now_ms: u64) {
+        let passed_s = now_ms.saturating_sub(self.filled_ms) as f64 / 1_000.0;
+        self.filled_ms = self.filled_ms.max(now_ms);
+        let gained = self.rate.per_s * standing.heard * passed_s;
+        self.level = (self.level + gained).min(self.rate.burst * standing.heard);
     }
 
     /// Takes tokens, or says after how many milliseconds they may be there.
     ///
-    /// A request larger than the whole bucket goes when the bucket is full,
-    /// and leaves a debt; else it could never go.
+    /// While the bucket is less than half full, an instance takes only from
+    /// its own part of it. Else all would spend the same few tokens within
+    /// one heartbeat.
+    ///
+    /// A request larger than the bucket goes when the bucket is full, and
+    /// leaves a debt; else it could never go.
     ///
     /// # Errors
     ///
     /// Returns the wait where there isn't enough.
-    pub fn take(&mut self, tokens: f64, now_ms: u64) -> Result<(), u64> {
-        self.fill(now_ms);
-        let needed = tokens.min(self.capacity() * 0.95);
-        if self.level >= needed {
+    pub fn take(&mut self, tokens: f64, standing: Standing, now_ms: u64) -> Result<(), u64> {
+        self.fill(standing, now_ms);
+        let capacity = self.rate.burst * standing.heard;
+        let half = capacity / 2.0;
+        let needed = tokens.min(capacity * 0.95);
+        let part = (2.0 * standing.demand).min(1.0);
+        let free = if self.level >= half { self.level } else { self.level * part };
+        if free >= needed {
             self.level -= tokens;
             return Ok(());
         }
-        let per_ms = (self.rate.per_s * self.fraction / 1000.0).max(1e-9);
-        Err(((needed - self.level) / per_ms).min(60_000.0) as u64)
+        let target = (needed / part.max(0.01)).min(needed.max(half));
+        let per_ms = (self.rate.per_s * standing.heard / 1_000.0).max(1e-9);
+        Err(((target - self.level) / per_ms).clamp(1.0, 60_000.0) as u64)
     }
 
     /// Gives back tokens of a request that did not run.
     pub fn give_back(&mut self, tokens: f64) {
-        self.level = (self.level + tokens).min(self.capacity());
-    }
-
-    fn capacity(&self) -> f64 {
-        self.rate.burst * self.fraction * self.settings.burst
-    }
-
-    fn fill(&mut self, now_ms: u64) {
-        let passed_s = now_ms.saturating_sub(self.filled_ms) as f64 / 1000.0;
-        self.filled_ms = self.filled_ms.max(now_ms);
-        let gained = self.rate.per_s * self.fraction * passed_s;
-        self.level = (self.level + gained).min(self.capacity());
+        self.level = (self.level + tokens).min(self.rate.burst);
     }
 }
--- a/crates/core/src/share/mod.rs
+++ b/crates/core/src/share/mod.rs
@@ -1,9 +1,12 @@
-//! A team's rate over all instances, divided among them by demand.
+//! A team's rate over all instances: one bucket, of which each instance keeps
+//! an estimate by what the others tell that they have spent.
 
 mod bucket;
+mod demand;
 mod table;
 
 pub use {
-    bucket::{RateShare, ShareSettings},
-    table::{Demand, ShareTable},
+    bucket::{FleetBucket, Standing},
+    demand::Demand,
+    table::{PeerSpending, ShareSettings, ShareTable},
 };
--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -1,124 +1,191 @@
 use {
-    super::{RateShare, ShareSettings},
+    super::{Demand, FleetBucket, Standing},
     crate::routing::Tenant,
     std::collections::HashMap,
 };
 
-/// Time over which demand is averaged.
-///
-/// Short, so that shares follow a team whose callers move within a second or
-/// two; long against the period of exchange, so that one large prompt does
-/// not swing them.
-const DEMAND_MS: f64 = 2_000.0;
-
-/// Tokens a second that an instance was asked for by one team.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Demand {
-    per_s: f64,
-    updated_ms: u64,
+/// How rates behave where little is known.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ShareSettings {
+    /// Part of the burst that an instance takes to be there at its start. It
+    /// can't know what was spent before; the whole burst would be handed out
+    /// again at each restart of all instances.
+    pub start: f64,
+    /// Time after the start in which the levels of peers are taken over.
+    pub learn_ms: u64,
+    /// Part of a share that goes evenly to all instances, so that one whose
+    /// first caller comes has something to give.
+    pub even: f64,
 }
 
-impl Demand {
-    /// Counts tokens that were asked for, granted or not.
-    pub fn add(&mut self, tokens: f64, now_ms: u64) {
-        self.per_s = self.at(now_ms) + tokens * 1000.0 / DEMAND_MS;
-        self.updated_ms = now_ms;
+impl Default for ShareSettings {
+    fn default() -> ShareSettings {
+        ShareSettings {
+            start: 0.3,
+            learn_ms: 2_000,
+            even: 0.4,
+        }
     }
+}
 
-    /// Returns the demand at a time.
-    pub fn at(&self, now_ms: u64) -> f64 {
-        let passed = now_ms.saturating_sub(self.updated_ms) as f64;
-        self.per_s * (-passed / DEMAND_MS).exp()
-    }
+/// What a peer tells of one team.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PeerSpending {
+    /// Tokens spent since the peer's start.
+    pub spent: f64,
+    /// Tokens in the bucket, as the peer estimates.
+    pub level: f64,
+    /// Tokens a second asked for there.
+    pub demand_per_s: f64,
 }
 
-/// This instance's share of every team's rate.
+#[derive(Debug, Default)]
+struct Peer {
+    incarnation: u64,
+    is_heard: bool,
+    teams: HashMap<String, PeerSpending>,
+}
+
+#[derive(Debug, Default)]
+struct Own {
+    spent: f64,
+    demand: Demand,
+}
+
+/// Every team's bucket, as this instance estimates it.
 #[derive(Debug, Default)]
 pub struct ShareTable {
     settings: ShareSettings,
-    shares: HashMap<String, RateShare>,
-    demands: HashMap<String, Demand>,
-    fractions: HashMap<String, f64>,
+    buckets: HashMap<String, FleetBucket>,
+    own: HashMap<String, Own>,
+    peers: HashMap<String, Peer>,
+    started_ms: Option<u64>,
 }
 
 impl ShareTable {
-    /// Returns this instance's demand by team, for its peers.
-    pub fn demands(&self, now_ms: u64) -> Vec<(String, f64)> {
+    /// Returns what this instance tells its peers of each team.
+    pub fn spending(&self, now_ms: u64) -> Vec<(String, PeerSpending)> {
         let mut all: Vec<_> = self
-            .demands
+            .own
             .iter()
-            .map(|(team, demand)| (team.clone(), demand.at(now_ms)))
+            .map(|(team, own)| {
+                let level = self.buckets.get(team).map_or(0.0, FleetBucket::level);
+                let told = PeerSpending {
+                    spent: own.spent,
+                    level,
+                    demand_per_s: own.demand.at(now_ms),
+                };
+                (team.clone(), told)
+            })
             .collect();
         all.sort_by(|a, b| a.0.cmp(&b.0));
         all
     }
 
-    /// Divides the rates anew.
-    ///
-    /// `peers` holds the last demand known of each other instance that may be
-    /// serving, also of those that are silent: what a silent one may spend
-    /// stays set aside for it. `in_touch` is false while some peer is silent;
-    /// then this instance's own fractions don't grow, since a peer behind a
-    /// partition may be growing the same way, and together they would pass
-    /// the rate.
-    pub fn divide(
-        &mut self,
-        tenants: &[Tenant],
-        peers: &[HashMap<String, f64>],
-        in_touch: bool,
-        now_ms: u64,
-    ) {
-        let instances = (peers.len() + 1) as f64;
+    /// Takes over teams and rates of a configuration.
+    pub fn configure(&mut self, tenants: &[Tenant], now_ms: u64) {
+        self.started_ms.get_or_insert(now_ms);
+        let start = self.settings.start;
         for tenant in tenants {
+            self.own.entry(tenant.name.clone()).or_default();
             let Some(rate) = tenant.rate else {
-                self.shares.remove(&tenant.name);
+                self.buckets.remove(&tenant.name);
                 continue;
             };
-            let own = self.demands.get(&tenant.name).map_or(0.0, |d| d.at(now_ms));
-            let others: f64 = peers.iter().filter_map(|peer| peer.get(&tenant.name)).sum();
-            let even = 1.0 / instances;
-            let by_demand = if own + others > 1.0 {
-                own / (own + others)
-            } else {
-                even
+            self.buckets
+                .entry(tenant.name.clone())
+                .and_modify(|bucket| bucket.set_rate(rate))
+                .or_insert_with(|| FleetBucket::new(rate, start, now_ms));
+        }
+        let known = |team: &str| tenants.iter().any(|tenant| tenant.name == team);
+        self.buckets.retain(|team, _| known(team));
+        self.own.retain(|team, _| known(team));
+    }
+
+    /// Takes over what a peer tells.
+    pub fn hear(
+        &mut self,
+        peer: &str,
+        incarnation: u64,
+        teams: HashMap<String, PeerSpending>,
+        now_ms: u64,
+    ) {
+        let learning = self
+            .started_ms
+            .is_none_or(|started_ms| now_ms < started_ms + self.settings.learn_ms);
+        let known = self.peers.entry(peer.to_owned()).or_default();
+        let same = known.incarnation == incarnation;
+        for (team, told) in &teams {
+            let Some(bucket) = self.buckets.get_mut(team) else {
+                continue;
             };
-            let mut fraction = self.settings.even * even + (1.0 - self.settings.even) * by_demand;
-            if !in_touch {
-                let before = self.fractions.get(&tenant.name).copied();
-                fraction = fraction.min(before.unwrap_or(even));
+            let before = known.teams.get(team).filter(|_| same);
+            match before {
+                Some(before) => bucket.spent_elsewhere((told.spent - before.spent).max(0.0)),
+                None if learning => bucket.lower_to(told.level),
+                None => bucket.spent_elsewhere(told.spent),
             }
-            self.fractions.insert(tenant.name.clone(), fraction);
-            self.shares
-                .entry(tenant.name.clone())
-                .and_modify(|share| share.adjust(rate, fraction, now_ms))
-                .or_insert_with(|| RateShare::new(self.settings, rate, fraction, now_ms));
         }
+        *known = Peer {
+            incarnation,
+            is_heard: true,
+            teams,
+        };
+    }
+
+    /// Notes which peers are heard, and forgets those that are gone.
+    pub fn peers(&mut self, mut heard: impl FnMut(&str) -> Option<bool>) {
+        self.peers.retain(|name, peer| match heard(name) {
+            Some(is_heard) => {
+                peer.is_heard = is_heard;
+                true
+            }
+            None => false,
+        });
     }
 
-    /// Takes a request's cost of its team's share.
+    /// Takes a request's cost of its team's rate.
     ///
     /// # Errors
     ///
     /// Returns the wait in milliseconds where there isn't enough.
     pub fn take(&mut self, tenant: &Tenant, cost: u64, now_ms: u64) -> Result<(), u64> {
-        self.demands
-            .entry(tenant.name.clone())
-            .or_default()
-            .add(cost as f64, now_ms);
-        let Some(rate) = tenant.rate else {
-            return Ok(());
-        };
-        let fraction = self.fractions.get(&tenant.name).copied().unwrap_or(0.0);
-        self.shares
-            .entry(tenant.name.clone())
-            .or_insert_with(|| RateShare::new(self.settings, rate, fraction, now_ms))
-            .take(cost as f64, now_ms)
+        let cost = cost as f64;
+        let own = self.own.entry(tenant.name.clone()).or_default();
+        own.demand.add(cost, now_ms);
+        let standing = self.standing(&tenant.name, now_ms);
+        if let Some(bucket) = self.buckets.get_mut(&tenant.name) {
+            bucket.take(cost, standing, now_ms)?;
+        }
+        self.own.entry(tenant.name.clone()).or_default().spent += cost;
+        Ok(())
     }
 
     /// Gives back the cost of a request that did not run.
+    ///
+    /// Peers are not told: what they have subtracted comes back by time. A
+    /// count that goes down would look like a restart.
     pub fn give_back(&mut self, tenant: &Tenant, cost: u64) {
-        if let Some(share) = self.shares.get_mut(&tenant.name) {
-            share.give_back(cost as f64);
+        if let Some(bucket) = self.buckets.get_mut(&tenant.name) {
+            bucket.give_back(cost as f64);
+        }
+    }
+
+    fn standing(&self, team: &str, now_ms: u64) -> Standing {
+        let instances = (self.peers.len() + 1) as f64;
+        let heard = self.peers.values().filter(|peer| peer.is_heard).count() + 1;
+        let own = self.own.get(team).map_or(0.0, |own| own.demand.at(now_ms));
+        let others: f64 = self
+            .peers
+            .values()
+            .filter_map(|peer| peer.teams.get(team))
+            .map(|told| told.demand_per_s)
+            .sum();
+        let even = 1.0 / instances;
+        let by_demand = if own + others > 1.0 { own / (own + others) } else { even };
+        Standing {
+            heard: heard as f64 / instances,
+            demand: self.settings.even * even + (1.0 - self.settings.even) * by_demand,
         }
     }
 }
--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -7,17 +7,17 @@
     pub at_once: usize,
     /// Part of a model's engines that may be away at once, one in so many.
     pub one_in: usize,
-    /// Time between keeping new work away and the order. Two heartbeats: by
-    /// then all instances know.
+    /// Time between keeping new work away and the order. A heartbeat leaves at
+    /// once for it; by then all instances know.
     pub steer_ms: u64,
 }
 
 impl Default for PlanSettings {
     fn default() -> PlanSettings {
         PlanSettings {
-            at_once: 4,
-            one_in: 3,
-            steer_ms: 250,
+            at_once: 8,
+            one_in: 2,
+            steer_ms: 100,
         }
     }
 }
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -5,7 +5,7 @@
         pool::{EngineTable, Steering},
         retries::RetryBudget,
         routing::{Configuration, RouteTable},
-        share::ShareTable,
+        share::{PeerSpending, ShareTable},
     },
     mangowalk_platform::MachineSettings,
     std::{
@@ -123,8 +123,10 @@
             configuration.routes.len(),
         );
         self.counters.count("configurations", source);
+        self.shares
+            .borrow_mut()
+            .configure(&configuration.tenants, now_ms);
         *self.routes.borrow_mut() = Rc::new(RouteTable::new(configuration));
-        self.divide_rates(now_ms);
         self.notes.heartbeat.notify_one();
     }
 
@@ -142,19 +144,13 @@
         true
     }
 
-    /// Divides teams' rates by what the peers told.
-    pub fn divide_rates(&self, now_ms: u64) {
+    /// Notes which peers may be spending of teams' rates.
+    pub fn look_at_peers(&self, now_ms: u64) {
         let members = self.members.borrow();
-        let peers: Vec<HashMap<String, f64>> = members
-            .iter()
-            .map(|member| member.last.demands.iter().cloned().collect())
-            .collect();
-        let in_touch = members.hears_all(&self.settings.mesh, now_ms);
-        let routes = self.routes.borrow();
-        let tenants = &routes.configuration().tenants;
+        let mesh = &self.settings.mesh;
         self.shares
             .borrow_mut()
-            .divide(tenants, &peers, in_touch, now_ms);
+            .peers(|name| members.is_heard(name, mesh, now_ms));
     }
 
     /// Returns the instances that may be serving, this one included.
@@ -187,6 +183,7 @@
         let version = heartbeat.configuration_version;
         let (loads, versions) = (heartbeat.loads.clone(), heartbeat.versions.clone());
         let orders = heartbeat.orders.clone();
+        let (incarnation, teams) = (heartbeat.incarnation, spending(&heartbeat));
         let known = self.members.borrow().iter().any(|m| m.last.name == name);
         if !self.members.borrow_mut().hear(heartbeat, now_ms) {
             return;
@@ -196,6 +193,9 @@
             self.notes.heartbeat.notify_one();
         }
         self.engines.borrow_mut().peer_load(&name, &loads);
+        self.shares
+            .borrow_mut()
+            .hear(&name, incarnation, teams, now_ms);
         if version > self.routes.borrow().version() {
             self.notes.configuration.notify_one();
         }
@@ -234,3 +234,15 @@
         }
     }
 }
+
+fn spending(heartbeat: &Heartbeat) -> HashMap<String, PeerSpending> {
+    let teams = heartbeat.teams.iter().map(|note| {
+        let told = PeerSpending {
+            spent: note.spent,
+            level: f64::from(note.level),
+            demand_per_s: f64::from(note.demand_per_s),
+        };
+        (note.team.clone(), told)
+    });
+    teams.collect()
+}
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -1,6 +1,6 @@
 use {
     crate::{clock::now_ms, instance::Instance},
-    mangowalk_core::mesh::Heartbeat,
+    mangowalk_core::mesh::{Heartbeat, TeamNote},
     std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::sleep},
 };
@@ -68,7 +68,7 @@
         log::info!("event=peer_gone peer={peer}");
         instance.engines.borrow_mut().forget_peer(peer);
     }
-    instance.divide_rates(now_ms);
+    instance.look_at_peers(now_ms);
     sequence.set(sequence.get() + 1);
     let targets = instance.members.borrow().targets(mesh, now_ms);
     let Ok(bytes) = postcard::to_allocvec(&heartbeat(instance, sequence.get(), now_ms)) else {
@@ -97,8 +97,19 @@
         configuration_version: instance.routes.borrow().version(),
         versions: newest.iter().map(|(m, v)| (m.clone(), *v)).collect(),
         loads: instance.engines.borrow().own_loads(),
-        demands: instance.shares.borrow().demands(now_ms),
+        teams: teams(instance, now_ms),
         orders: instance.orders.borrow().clone(),
         peers: heard.map(|m| m.last.peer_address).take(MOST_TARGETS).collect(),
     }
 }
+
+fn teams(instance: &Instance, now_ms: u64) -> Vec<TeamNote> {
+    let spending = instance.shares.borrow().spending(now_ms);
+    let notes = spending.into_iter().map(|(team, told)| TeamNote {
+        team,
+        spent: told.spent,
+        level: told.level as f32,
+        demand_per_s: told.demand_per_s as f32,
+    });
+    notes.collect()
+}
--- a/crates/gateway/src/weights/orderer.rs
+++ b/crates/gateway/src/weights/orderer.rs
@@ -38,6 +38,10 @@
 /// Time after which an order without a known end is given again.
 const AGAIN_MS: u64 = 2_500;
 
+/// Time for which an instance that could not renew the lease leaves it to
+/// others.
+const UNABLE_MS: u64 = 3_000;
+
 /// Time for which it is told that an engine's order is done.
 const TELL_DONE_MS: u64 = 1_500;
 
@@ -65,6 +69,8 @@
     /// Orders that each engine has accepted, as far as known.
     accepted: HashMap<Incarnation, u64>,
     lagging_since_ms: Option<u64>,
+    /// Until then this instance leaves the lease to others.
+    unable_until_ms: u64,
 }
 
 /// Gives orders to engines whenever some lack the newest weights.
@@ -77,6 +83,7 @@
         given: HashMap::new(),
         accepted: HashMap::new(),
         lagging_since_ms: None,
+        unable_until_ms: 0,
     };
     loop {
         let lagging = orderer.lagging();
@@ -130,7 +137,7 @@
         let busy = members
             .heard(&self.instance.settings.mesh, now_ms)
             .any(|member| !member.last.orders.is_empty());
-        !busy && now_ms >= since_ms + before * TURN_MS && self.instance.is_ready()
+        now_ms >= self.unable_until_ms && !busy && now_ms >= since_ms + before * TURN_MS && self.instance.is_ready()
     }
 
     /// Holds the lease, or tries to.
@@ -250,6 +257,11 @@
             }
             _ => {
                 log::warn!("event=lease_not_renewed fence={fence}");
+                // Another instance may reach the store; it takes its turn
+                // once this one no longer tells of orders.
+                self.right = Right::Vacant(Lease::new(self.instance.settings.lease));
+                self.given.clear();
+                self.unable_until_ms = now_ms() + UNABLE_MS;
                 false
             }
         }
@@ -265,7 +277,11 @@
             }
         }
         self.instance.notes.heartbeat.notify_one();
-        if due.is_empty() || !self.renew().await {
+        if due.is_empty() {
+            return;
+        }
+        self.learn_accepted(&due).await;
+        if !self.renew().await {
             return;
         }
         let orders = due.iter().map(|one| self.order(one));
@@ -321,10 +337,7 @@
     }
 
     async fn order(&self, (entry, model, version): &Lagging) -> OrderAnswer {
-        let mut accepted = self.accepted.get(&entry.incarnation).copied();
-        if accepted.is_none() {
-            accepted = ask(entry).await.map(|report| report.orders_accepted);
-        }
+        let accepted = self.accepted.get(&entry.incarnation).copied();
         let (Some(accepted_before), Right::Held(lease)) = (accepted, &self.right) else {
             return OrderAnswer::Unknown;
         };
@@ -348,6 +361,22 @@
         answer
     }
 
+    /// Asks engines whose number of accepted orders isn't known.
+    async fn learn_accepted(&mut self, due: &[Lagging]) {
+        let unknown: Vec<&EngineEntry> = due
+            .iter()
+            .map(|(entry, _, _)| entry)
+            .filter(|entry| !self.accepted.contains_key(&entry.incarnation))
+            .collect();
+        let reports = join_all(unknown.iter().map(|entry| ask(entry))).await;
+        for (entry, report) in unknown.into_iter().zip(reports) {
+            if let Some(report) = report {
+                self.accepted
+                    .insert(entry.incarnation.clone(), report.orders_accepted);
+            }
+        }
+    }
+
     fn answered(&mut self, one: &Lagging, answer: OrderAnswer) {
         let incarnation = &one.0.incarnation;
         match answer {
