Load weights on two engines at once, on drained engines, oldest first

Cause: with six loading at once each load took over two seconds, so engines kept weights that had been replaced, and requests there earned little. Ruled out: a lost order (all were accepted), a slow lease (one call). Change: engines are steered free of work first; two load at once; the end of a load is asked for every 70 ms.

--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -38,7 +38,7 @@
             running_tokens: 60.0,
             far_tokens: 60.0,
             failure_tokens: 4_000.0,
-            old_tokens: 6_000.0,
+            old_tokens: 1_500.0,
             full_tokens: 30_000.0,
             home_tokens: 1_000.0,
         }
--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -1,23 +1,27 @@
 /// Pace of a change of weights.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlanSettings {
-    /// Engines of a model that are changed at once. Loading is slower while
-    /// more than two or three load, but an engine first finishes what runs,
-    /// so about half of those that have an order are loading.
-    pub at_once: usize,
+    /// Engines of a model that load at once. Beyond two or three each load
+    /// takes longer, so more at once are done no sooner and away for longer.
+    pub loading: usize,
     /// Part of a model's engines that may be away at once, one in so many.
-    pub one_in: usize,
-    /// Time between keeping new work away and the order. A heartbeat leaves at
-    /// once for it; by then all instances know.
+    /// Those that don't load yet finish what runs there.
+    pub away_one_in: usize,
+    /// Shortest time between keeping new work away and the order. A heartbeat
+    /// leaves at once for it; by then all instances know.
     pub steer_ms: u64,
+    /// Longest time for which an engine may finish what runs before it gets
+    /// its order. It finishes the rest then, and refuses what it has queued.
+    pub finish_ms: u64,
 }
 
 impl Default for PlanSettings {
     fn default() -> PlanSettings {
         PlanSettings {
-            at_once: 8,
-            one_in: 2,
+            loading: 2,
+            away_one_in: 2,
             steer_ms: 100,
+            finish_ms: 900,
         }
     }
 }
@@ -31,6 +35,8 @@
     pub steered_since_ms: Option<u64>,
     /// Whether its order was sent and isn't done.
     pub is_ordered: bool,
+    /// Weights that it has.
+    pub version: u64,
     /// Requests that run there, by all that is known.
     pub requests: u32,
     /// Whether the engine answers.
@@ -48,29 +54,39 @@
 
 /// Returns the next steps for one model.
 ///
-/// Engines with the least running go first: they are done soonest, and what
-/// runs elsewhere meanwhile finishes.
+/// Engines with the oldest weights go first, as requests there are worth the
+/// least; among them those with the least running, which are done soonest.
 pub fn plan(turns: &[Turn], engines: usize, settings: &PlanSettings, now_ms: u64) -> Vec<Step> {
-    let most = (engines / settings.one_in.max(1)).clamp(1, settings.at_once);
     let mut steps = Vec::new();
+    let mut loading = turns.iter().filter(|turn| turn.is_ordered).count();
+    let mut due: Vec<(&Turn, u64)> = turns
+        .iter()
+        .filter(|turn| !turn.is_ordered)
+        .filter_map(|turn| Some((turn, turn.steered_since_ms?)))
+        .filter(|(turn, since_ms)| {
+            let finished = turn.requests == 0 && now_ms >= since_ms + settings.steer_ms;
+            finished || now_ms >= since_ms + settings.finish_ms
+        })
+        .collect();
+    due.sort_by_key(|(turn, since_ms)| (!turn.answers, turn.version, turn.requests, *since_ms));
+    for (turn, _) in due {
+        if loading >= settings.loading {
+            break;
+        }
+        steps.push(Step::Order(turn.engine.clone()));
+        loading += 1;
+    }
+    let most = (engines / settings.away_one_in.max(1)).max(1);
     let mut away = turns
         .iter()
         .filter(|turn| turn.is_ordered || turn.steered_since_ms.is_some())
         .filter(|turn| turn.answers)
         .count();
-    for turn in turns.iter().filter(|turn| !turn.is_ordered) {
-        let Some(since_ms) = turn.steered_since_ms else {
-            continue;
-        };
-        if now_ms >= since_ms + settings.steer_ms || turn.requests == 0 {
-            steps.push(Step::Order(turn.engine.clone()));
-        }
-    }
     let mut next: Vec<&Turn> = turns
         .iter()
         .filter(|turn| !turn.is_ordered && turn.steered_since_ms.is_none())
         .collect();
-    next.sort_by(|a, b| (!a.answers, a.requests, &a.engine).cmp(&(!b.answers, b.requests, &b.engine)));
+    next.sort_by_key(|turn| (!turn.answers, turn.version, turn.requests));
     for turn in next {
         if away >= most {
             break;
--- a/crates/gateway/src/weights/orderer.rs
+++ b/crates/gateway/src/weights/orderer.rs
@@ -19,7 +19,7 @@
 const RECORD: &str = "orders";
 
 /// Pause between two looks while engines lack the newest weights.
-const LOOK: Duration = Duration::from_millis(80);
+const LOOK: Duration = Duration::from_millis(40);
 
 /// Longest pause between two looks while nothing is to be done.
 const REST: Duration = Duration::from_millis(1_000);
@@ -30,13 +30,17 @@
 
 /// Time from an order to the first question whether it is done: an engine
 /// finishes what runs, then loads.
-const FIRST_ASK_MS: u64 = 500;
+const FIRST_ASK_MS: u64 = 330;
 
 /// Pause between two such questions; each is paid for.
-const NEXT_ASK_MS: u64 = 300;
+const NEXT_ASK_MS: u64 = 70;
 
 /// Time after which an order without a known end is given again.
-const AGAIN_MS: u64 = 2_500;
+const AGAIN_MS: u64 = 4_000;
+
+/// Time after which a report tells of an order; reports lie some hundred
+/// milliseconds behind.
+const REPORT_LAG_MS: u64 = 500;
 
 /// Time for which an instance that could not renew the lease leaves it to
 /// others.
@@ -317,7 +321,7 @@
         steps
     }
 
-    fn turn(&self, (entry, _, version): &Lagging, now_ms: u64) -> Turn {
+    fn turn(&self, (entry, model, _): &Lagging, now_ms: u64) -> Turn {
         let engines = self.instance.engines.borrow();
         let belief = engines.get(&entry.incarnation.id);
         let health = &self.instance.settings.choice.health;
@@ -327,10 +331,8 @@
         Turn {
             engine: entry.incarnation.id.clone(),
             steered_since_ms: planned.map(|given| given.since_ms),
-            is_ordered: ordered.is_some_and(|given| {
-                given.version == *version && now_ms < given.since_ms + AGAIN_MS
-                    || now_ms < given.since_ms + FIRST_ASK_MS
-            }),
+            is_ordered: ordered.is_some_and(|given| now_ms < given.since_ms + AGAIN_MS),
+            version: belief.map_or(0, |belief| belief.version(model)),
             requests: belief.map_or(0, |belief| belief.load().requests),
             answers: belief.is_some_and(|belief| !belief.health.is_doubtful(health, now_ms)),
         }
@@ -389,8 +391,13 @@
             OrderAnswer::Holds => {
                 self.note(one, OrderPhase::Done);
             }
-            // The number of accepted orders is asked for again.
-            OrderAnswer::Conflict | OrderAnswer::Unknown | OrderAnswer::Fenced => {
+            // Either an earlier order runs, or the number of accepted orders is
+            // another one; a report tells.
+            OrderAnswer::Conflict => {
+                self.accepted.remove(incarnation);
+                self.note(one, OrderPhase::Sent);
+            }
+            OrderAnswer::Unknown | OrderAnswer::Fenced => {
                 self.accepted.remove(incarnation);
                 self.note(one, OrderPhase::Planned);
             }
@@ -439,8 +446,11 @@
             .models
             .iter()
             .any(|model| model.model == given.model && model.version >= given.version);
+        let one = (entry.clone(), given.model, given.version);
         if has {
-            self.note(&(entry.clone(), given.model, given.version), OrderPhase::Done);
+            self.note(&one, OrderPhase::Done);
+        } else if !report.is_busy && now_ms() >= given.since_ms + REPORT_LAG_MS {
+            self.note(&one, OrderPhase::Planned);
         }
     }
 
