Order weights in tasks of their own, and hand the lease over sooner

Cause: an engine that doesn't answer held up the orders to all others for 0.7 s a call, and a holder cut off from the store kept the lease for two seconds. Change: questions and orders run beside each other; the number that load at once is found by trying; an instance that left the lease tells when it gave its last order; requests no longer begin on weights that are out of bounds.

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -65,12 +65,16 @@
     pub ready: bool,
     /// Version of the configuration in force there.
     pub configuration_version: u64,
-    /// Newest weights named, by model.
-    pub versions: Vec<(String, u64)>,
+    /// Newest weights named by model, and how long ago, in milliseconds.
+    pub versions: Vec<(String, u64, u32)>,
     /// Work sent to each engine and not done.
     pub loads: Vec<(String, Load)>,
     /// What was asked for and spent, by team.
     pub teams: Vec<TeamNote>,
+    /// Whether it holds the lease under which orders are given.
+    pub holds_lease: bool,
+    /// Time since its last order, where it gave one since its start.
+    pub ordered_ago_ms: Option<u32>,
     /// Orders of the instance that holds the lease.
     pub orders: Vec<OrderNote>,
     /// Other instances that it hears, so that a new one is found by all.
--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -1,4 +1,7 @@
-use super::{Belief, HealthSettings, Need};
+use {
+    super::{Belief, HealthSettings, Need},
+    crate::weights::Wanted,
+};
 
 /// Weights of the choice among engines. All are in tokens of prompt, the unit
 /// that an engine's time goes into.
@@ -22,6 +25,9 @@
     pub failure_tokens: f64,
     /// Tokens that an engine with old weights counts more.
     pub old_tokens: f64,
+    /// Tokens that an engine counts more whose weights make answers worth
+    /// less.
+    pub due_tokens: f64,
     /// Tokens that an engine without room in its memory counts more.
     pub full_tokens: f64,
     /// Tokens that an engine counts less if a shared part belongs there by
@@ -38,7 +44,8 @@
             running_tokens: 60.0,
             far_tokens: 60.0,
             failure_tokens: 4_000.0,
-            old_tokens: 1_500.0,
+            old_tokens: 500.0,
+            due_tokens: 4_000.0,
             full_tokens: 30_000.0,
             home_tokens: 1_000.0,
         }
@@ -60,13 +67,15 @@
     hash ^ (hash >> 32)
 }
 
-/// Chooses the engine that runs a request soonest, among those given.
+/// Chooses the engine that runs a request soonest, among those given; never
+/// one whose weights are out of bounds.
 ///
 /// `draw` breaks ties, so that instances that see the same loads don't all
 /// choose the same engine.
 pub fn choose<'a>(
     engines: impl Iterator<Item = &'a Belief> + Clone,
     need: &Need,
+    wanted: Wanted,
     memory_tokens: u64,
     settings: &ChoiceSettings,
     draw: u64,
@@ -78,11 +87,14 @@
             .max_by_key(|belief| rendezvous(part, &belief.entry.incarnation.id))
             .map(|belief| belief.entry.incarnation.id.as_str())
     });
-    let open = |belief: &&Belief| !belief.health.is_barred(&settings.health, now_ms);
+    let version = |belief: &Belief| need.model.as_ref().map_or(0, |model| belief.version(model));
+    let open = |belief: &&Belief| {
+        !belief.health.is_barred(&settings.health, now_ms) && version(belief) >= wanted.least
+    };
     let steady = |belief: &&Belief| open(belief) && !belief.is_steered(now_ms);
     let cheapest = |a: &&Belief, b: &&Belief| {
         let cost = |belief: &Belief| {
-            cost_tokens(belief, need, memory_tokens, settings, home, now_ms)
+            cost_tokens(belief, need, wanted, memory_tokens, settings, home, now_ms)
                 + jitter(draw, &belief.entry.incarnation.id)
         };
         cost(a).total_cmp(&cost(b))
@@ -102,6 +114,7 @@
 fn cost_tokens(
     belief: &Belief,
     need: &Need,
+    wanted: Wanted,
     memory_tokens: u64,
     settings: &ChoiceSettings,
     home: Option<&str>,
@@ -123,9 +136,12 @@
     {
         cost += settings.full_tokens;
     }
-    if belief.version(model) < need.newest_version {
+    if belief.version(model) < wanted.newest {
         cost += settings.old_tokens;
     }
+    if belief.version(model) < wanted.due {
+        cost += settings.due_tokens;
+    }
     let kept = need.shared_part().is_some_and(|part| {
         let used_ms = belief.parts_ms.get(&part);
         used_ms.is_some_and(|used_ms| now_ms < used_ms + settings.kept_ms)
--- a/crates/core/src/pool/need.rs
+++ b/crates/core/src/pool/need.rs
@@ -14,8 +14,6 @@
     pub service: String,
     /// Model, for model engines.
     pub model: Option<String>,
-    /// Newest weights that were named for the model; 0 where none were.
-    pub newest_version: u64,
     /// Tokens of prompt and longest answer; 0 for plain services.
     pub memory_tokens: u64,
     /// Tokens of the prompt.
--- a/crates/core/src/weights/lease.rs
+++ b/crates/core/src/weights/lease.rs
@@ -5,6 +5,7 @@
     pub apart_ms: u64,
     /// Time after a renewal was sent within which orders may leave. Short:
     /// whoever takes over waits it out, and a renewal takes only one call.
+    /// Long enough for a renewal that a slow store takes half a second for.
     pub act_ms: u64,
     /// What an order may be on its way, and clocks may differ in speed.
     pub margin_ms: u64,
@@ -14,7 +15,7 @@
     fn default() -> LeaseSettings {
         LeaseSettings {
             apart_ms: 3_000,
-            act_ms: 400,
+            act_ms: 900,
             margin_ms: 400,
         }
     }
@@ -58,6 +59,15 @@
     state: S,
 }
 
+impl Seen {
+    /// Returns from when on the record's holder can give no order, if the
+    /// record is still as it was seen: it may have renewed just before the
+    /// record was seen at this revision, not later.
+    pub fn quiet_since_ms(&self, settings: &LeaseSettings) -> u64 {
+        self.first_ms + settings.act_ms
+    }
+}
+
 impl Lease<Vacant> {
     /// Returns a lease that isn't held.
     pub fn new(settings: LeaseSettings) -> Lease<Vacant> {
@@ -69,25 +79,20 @@
 
     /// Takes the lease over, once the store has accepted the record.
     ///
-    /// `sent_ms` is when the write was sent, `answered_ms` when it was
-    /// accepted. `before` is what was seen of another holder's record, `None`
-    /// where there was none or it was this instance's own.
+    /// `sent_ms` is when the write was sent. `quiet_since_ms` is from when on
+    /// the holder before gave no order, `None` where there was none or it was
+    /// this instance.
     pub fn take(
         self,
         fence: u64,
         revision: u64,
-        before: Option<Seen>,
+        quiet_since_ms: Option<u64>,
         sent_ms: u64,
-        answered_ms: u64,
     ) -> Lease<Held> {
         let settings = self.settings;
-        let quiet_ms = settings.act_ms + settings.apart_ms + settings.margin_ms;
-        let first_order_ms = match before {
-            None => sent_ms,
-            // The holder before may have renewed just before the record was
-            // seen at this revision, not later.
-            Some(seen) => seen.first_ms.min(answered_ms) + quiet_ms,
-        };
+        let first_order_ms = quiet_since_ms.map_or(sent_ms, |quiet_since_ms| {
+            quiet_since_ms + settings.apart_ms + settings.margin_ms
+        });
         Lease {
             settings,
             state: Held {
--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -1,9 +1,6 @@
 /// Pace of a change of weights.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlanSettings {
-    /// Engines of a model that load at once. Beyond two or three each load
-    /// takes longer, so more at once are done no sooner and away for longer.
-    pub loading: usize,
     /// Part of a model's engines that may be away at once, one in so many.
     /// Those that don't load yet finish what runs there.
     pub away_one_in: usize,
@@ -18,7 +15,6 @@
 impl Default for PlanSettings {
     fn default() -> PlanSettings {
         PlanSettings {
-            loading: 2,
             away_one_in: 2,
             steer_ms: 100,
             finish_ms: 900,
@@ -52,13 +48,23 @@
     Order(String),
 }
 
-/// Returns the next steps for one model.
+/// Returns the next steps for one model, of which so many engines may load at
+/// once.
 ///
 /// Engines with the oldest weights go first, as requests there are worth the
 /// least; among them those with the least running, which are done soonest.
-pub fn plan(turns: &[Turn], engines: usize, settings: &PlanSettings, now_ms: u64) -> Vec<Step> {
+pub fn plan(
+    turns: &[Turn],
+    engines: usize,
+    at_once: usize,
+    settings: &PlanSettings,
+    now_ms: u64,
+) -> Vec<Step> {
     let mut steps = Vec::new();
-    let mut loading = turns.iter().filter(|turn| turn.is_ordered).count();
+    let mut loading = turns
+        .iter()
+        .filter(|turn| turn.is_ordered && turn.answers)
+        .count();
     let mut due: Vec<(&Turn, u64)> = turns
         .iter()
         .filter(|turn| !turn.is_ordered)
@@ -70,11 +76,12 @@
         .collect();
     due.sort_by_key(|(turn, since_ms)| (!turn.answers, turn.version, turn.requests, *since_ms));
     for (turn, _) in due {
-        if loading >= settings.loading {
+        // One that doesn't answer takes no place from those that do.
+        if turn.answers && loading >= at_once {
             break;
         }
         steps.push(Step::Order(turn.engine.clone()));
-        loading += 1;
+        loading += usize::from(turn.answers);
     }
     let most = (engines / settings.away_one_in.max(1)).max(1);
     let mut away = turns
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -127,6 +127,7 @@
             .takers(&need.service, now_ms)
             .filter(|belief| !tried.contains(&belief.entry.incarnation.id)),
         need,
+        request.wanted(now_ms),
         memory_tokens,
         settings,
         rand::random(),
@@ -315,7 +316,7 @@
         match (reason, &request.need.model) {
             ("other_engine", _) => belief.leaving_since_ms = Some(now_ms),
             ("other_weights", Some(model)) => {
-                let named = request.newest_version();
+                let named = request.wanted(now_ms).newest;
                 let version = answer.head.version.unwrap_or(named);
                 if version > plan.version {
                     belief.set_version(model, version);
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -8,6 +8,7 @@
     mangowalk_core::{
         pool::Need,
         routing::{Denied, Route, Tenant},
+        weights::Wanted,
     },
     mangowalk_platform::RequestHead,
     std::{rc::Rc, time::Duration},
@@ -52,11 +53,13 @@
         self.tenant.as_ref().map_or(0, |tenant| tenant.cost(tokens))
     }
 
-    /// Returns the newest weights named for the request's model.
-    pub(super) fn newest_version(&self) -> u64 {
+    /// Returns what weights the request should meet.
+    pub(super) fn wanted(&self, now_ms: u64) -> Wanted {
         let newest = self.instance.newest.borrow();
-        let model = self.need.model.as_ref();
-        model.and_then(|model| newest.get(model)).copied().unwrap_or(0)
+        let named = self.need.model.as_ref().and_then(|model| newest.get(model));
+        named.map_or(Wanted::default(), |named| {
+            named.wanted(&self.instance.settings.weights, now_ms)
+        })
     }
 
     /// Returns the rank in an engine's queue; 0 goes first.
@@ -128,12 +131,9 @@
 fn need(instance: &Instance, head: &RequestHead, route: &Route, tenant: Option<&Tenant>) -> Need {
     let service = route.service(rand::random()).to_owned();
     let model = head.usage.and_then(|_| head.model.clone());
-    let newest = instance.newest.borrow();
-    let newest_version = model.as_ref().and_then(|model| newest.get(model));
     let usage = head.usage;
     Need {
         service,
-        newest_version: newest_version.copied().unwrap_or(0),
         model,
         memory_tokens: usage.map_or(0, |usage| usage.prompt_tokens + usage.answer_tokens),
         prompt_tokens: usage.map_or(0, |usage| usage.prompt_tokens),
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -1,11 +1,13 @@
 use {
     super::{Counters, Drain, GatewaySettings},
+    crate::clock::now_ms,
     mangowalk_core::{
         mesh::{Heartbeat, MemberTable, OrderNote, OrderPhase},
         pool::{EngineTable, Steering},
         retries::RetryBudget,
         routing::{Configuration, RouteTable},
         share::{PeerSpending, ShareTable},
+        weights::NamedWeights,
     },
     mangowalk_platform::MachineSettings,
     std::{
@@ -52,13 +54,17 @@
     /// Whether the list of engines was read since the start.
     pub engines_known: Cell<bool>,
     /// Newest weights by model.
-    pub newest: RefCell<BTreeMap<String, u64>>,
+    pub newest: RefCell<BTreeMap<String, NamedWeights>>,
     /// Parts of teams' rates.
     pub shares: RefCell<ShareTable>,
     /// Repeats by service.
     pub budgets: RefCell<HashMap<String, RetryBudget>>,
     /// Peers.
     pub members: RefCell<MemberTable>,
+    /// Whether this instance holds the lease under which orders are given.
+    pub holds_lease: Cell<bool>,
+    /// When this instance gave its last order.
+    pub ordered_ms: Cell<Option<u64>>,
     /// Orders that this instance gives, for its heartbeats.
     pub orders: RefCell<Vec<OrderNote>>,
     /// Counters for operators.
@@ -90,6 +96,8 @@
             shares: RefCell::default(),
             budgets: RefCell::default(),
             members: RefCell::default(),
+            holds_lease: Cell::new(false),
+            ordered_ms: Cell::new(None),
             orders: RefCell::default(),
             counters: Counters::default(),
             open_requests: Cell::new(0),
@@ -131,13 +139,19 @@
     }
 
     /// Notes weights that were named. Returns whether they are newer.
-    pub fn name_weights(&self, model: &str, version: u64, source: &'static str) -> bool {
+    pub fn name_weights(
+        &self,
+        model: &str,
+        version: u64,
+        age_ms: u64,
+        source: &'static str,
+    ) -> bool {
         let mut newest = self.newest.borrow_mut();
-        let before = newest.get(model).copied().unwrap_or(0);
-        if version <= before {
+        let named = newest.entry(model.to_owned()).or_default();
+        let before = named.newest();
+        if !named.name(version, age_ms, now_ms()) {
             return false;
         }
-        newest.insert(model.to_owned(), version);
         log::info!("event=weights_named model={model} version={version} before={before} source={source}");
         self.notes.orders.notify_one();
         self.notes.heartbeat.notify_one();
@@ -199,8 +213,8 @@
         if version > self.routes.borrow().version() {
             self.notes.configuration.notify_one();
         }
-        for (model, version) in &versions {
-            if self.name_weights(model, *version, "peer") {
+        for (model, version, age_ms) in &versions {
+            if self.name_weights(model, *version, u64::from(*age_ms), "peer") {
                 self.notes.weights.notify_one();
             }
         }
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,7 +1,7 @@
 use mangowalk_core::{
     mesh::MeshSettings,
     pool::ChoiceSettings,
-    weights::{LeaseSettings, PlanSettings},
+    weights::{LeaseSettings, PlanSettings, WeightsSettings},
 };
 
 /// How an instance behaves. The platform's own figures are in its settings.
@@ -11,6 +11,8 @@
     pub mesh: MeshSettings,
     /// Choice among engines.
     pub choice: ChoiceSettings,
+    /// Ages of weights that matter to requests.
+    pub weights: WeightsSettings,
     /// Pace of new weights.
     pub plan: PlanSettings,
     /// The lease under which weights are ordered.
@@ -45,6 +47,10 @@
         GatewaySettings {
             mesh: MeshSettings::default(),
             choice: ChoiceSettings::default(),
+            weights: WeightsSettings {
+                due_ms: 1_300,
+                least_ms: 6_500,
+            },
             plan: PlanSettings::default(),
             lease: LeaseSettings::default(),
             connect_ms: 300,
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -85,7 +85,6 @@
 fn heartbeat(instance: &Instance, sequence: u64, now_ms: u64) -> Heartbeat {
     let members = instance.members.borrow();
     let heard = members.heard(&instance.settings.mesh, now_ms);
-    let newest = instance.newest.borrow();
     Heartbeat {
         name: instance.machine.name.clone(),
         incarnation: instance.incarnation,
@@ -95,7 +94,12 @@
         domain: instance.machine.domain.clone(),
         ready: instance.is_ready(),
         configuration_version: instance.routes.borrow().version(),
-        versions: newest.iter().map(|(m, v)| (m.clone(), *v)).collect(),
+        versions: versions(instance, now_ms),
+        holds_lease: instance.holds_lease.get(),
+        ordered_ago_ms: instance
+            .ordered_ms
+            .get()
+            .map(|ordered_ms| now_ms.saturating_sub(ordered_ms) as u32),
         loads: instance.engines.borrow().own_loads(),
         teams: teams(instance, now_ms),
         orders: instance.orders.borrow().clone(),
@@ -103,6 +107,15 @@
     }
 }
 
+fn versions(instance: &Instance, now_ms: u64) -> Vec<(String, u64, u32)> {
+    let newest = instance.newest.borrow();
+    let named = newest.iter().filter_map(|(model, named)| {
+        let (version, age_ms) = named.newest_age(now_ms)?;
+        Some((model.clone(), version, age_ms as u32))
+    });
+    named.collect()
+}
+
 fn teams(instance: &Instance, now_ms: u64) -> Vec<TeamNote> {
     let spending = instance.shares.borrow().spending(now_ms);
     let notes = spending.into_iter().map(|(team, told)| TeamNote {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -10,6 +10,7 @@
         weights::order_weights,
     },
     derive_more::{Display, Error},
+    mangowalk_core::weights::{LeaseSettings, WeightsSettings},
     mangowalk_platform::{MachineSettings, SettingsError, decode_settings},
     std::{fs, io, net::SocketAddr, path::Path, rc::Rc, time::Duration},
     tokio::{
@@ -28,6 +29,10 @@
 /// Pause between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_millis(1_000);
 
+/// Time for which a request may lie in an engine's queue before it begins.
+/// Weights must not be out of bounds when it does.
+const QUEUED_MS: u64 = 1_200;
+
 /// Connections to the store, at its farthest a few milliseconds away.
 const STORE_CONNECT_MS: u64 = 400;
 
@@ -108,13 +113,19 @@
 }
 
 async fn serve(machine: MachineSettings, path: &Path) -> Result<(), RunError> {
-    let lease = mangowalk_core::weights::LeaseSettings {
+    let lease = LeaseSettings {
         apart_ms: machine.lease_ms,
-        ..Default::default()
+        ..LeaseSettings::default()
+    };
+    let defaults = GatewaySettings::default();
+    let weights = WeightsSettings {
+        least_ms: machine.weights_ms.saturating_sub(QUEUED_MS),
+        ..defaults.weights
     };
     let settings = GatewaySettings {
         lease,
-        ..GatewaySettings::default()
+        weights,
+        ..defaults
     };
     let callers = listen(machine.caller_address).await?;
     let ready = listen(machine.ready_address).await?;
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -181,7 +181,8 @@
         };
         match decode_newest_weights(&object.spec) {
             Some(newest) => {
-                self.0.name_weights(&newest.model, newest.version, "store");
+                self.0
+                    .name_weights(&newest.model, newest.version, 0, "store");
             }
             None => log::warn!("event=weights_refused name={name}"),
         }
--- a/crates/gateway/src/weights/mod.rs
+++ b/crates/gateway/src/weights/mod.rs
@@ -2,5 +2,7 @@
 
 mod orderer;
 mod orders;
+mod progress;
+mod right;
 
 pub use orderer::order_weights;
--- a/crates/gateway/src/weights/orders.rs
+++ b/crates/gateway/src/weights/orders.rs
@@ -10,7 +10,8 @@
 /// at once or, under trouble, seconds later.
 const ENGINE_MS: u64 = 700;
 
-/// Time for a new connection to an engine.
+/// Time for a new connection to an engine; an order is on its way this much
+/// longer after its lease was looked at.
 const CONNECT_MS: u64 = 300;
 
 /// Asks an engine for its state.
@@ -19,7 +20,14 @@
     let call = EngineReport::call(&engine.incarnation.id);
     match client.call(&call, ENGINE_MS).await {
         Ok((200, body)) => decode_report(&body),
-        _ => None,
+        Ok((status, _)) => {
+            log::info!("event=report_refused engine={} status={status}", engine.incarnation.id);
+            None
+        }
+        Err(error) => {
+            log::info!("event=report_missing engine={} error=\"{error}\"", engine.incarnation.id);
+            None
+        }
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/weights/right.rs
@@ -0,0 +1,281 @@
+use {
+    crate::{
+        clock::now_ms,
+        instance::{Drain, Instance},
+        store::StoreClient,
+    },
+    mangowalk_core::weights::{Held, Lease, Seen, Vacant},
+    mangowalk_platform::{
+        Call, Kind, LeaseRecord, Stored, decode_object, encode_create, encode_replace,
+        path_of_object,
+    },
+    std::rc::Rc,
+};
+
+/// Name of the record that says who orders.
+const RECORD: &str = "orders";
+
+/// Time for which each instance waits for the one before it to begin.
+const TURN_MS: u64 = 700;
+
+/// Time for which an instance that could not renew the lease leaves it to
+/// others.
+const UNABLE_MS: u64 = 3_000;
+
+/// Time of failed renewals after which the lease is left to others.
+const FAILING_MS: u64 = 450;
+
+/// Time for which a stopping instance goes on with orders that it has begun.
+const DEPARTING_MS: u64 = 2_500;
+
+enum Hold {
+    Vacant(Lease<Vacant>),
+    Held(Lease<Held>),
+}
+
+/// The right to give orders, and the calls to the store that it takes.
+pub(super) struct Right {
+    instance: Rc<Instance>,
+    store: Rc<StoreClient>,
+    hold: Hold,
+    seen: Option<Seen>,
+    /// Until then this instance leaves the lease to others.
+    unable_until_ms: u64,
+    failing_since_ms: Option<u64>,
+    departing_since_ms: Option<u64>,
+}
+
+impl Right {
+    pub(super) fn new(instance: Rc<Instance>, store: Rc<StoreClient>) -> Right {
+        Right {
+            hold: Hold::Vacant(Lease::new(instance.settings.lease)),
+            instance,
+            store,
+            seen: None,
+            unable_until_ms: 0,
+            failing_since_ms: None,
+            departing_since_ms: None,
+        }
+    }
+
+    /// Returns the lease, where it is held here.
+    pub(super) fn held(&self) -> Option<&Lease<Held>> {
+        match &self.hold {
+            Hold::Held(lease) => Some(lease),
+            Hold::Vacant(_) => None,
+        }
+    }
+
+    /// Leaves the lease to others.
+    fn leave(&mut self, reason: &'static str) {
+        if self.held().is_some() {
+            log::warn!("event=lease_left reason={reason}");
+            self.instance.counters.count("lease_left", reason);
+        }
+        self.hold = Hold::Vacant(Lease::new(self.instance.settings.lease));
+        self.failing_since_ms = None;
+        self.instance.holds_lease.set(false);
+        self.instance.notes.heartbeat.notify_one();
+    }
+
+    /// Leaves the lease when the instance stops: at once if nothing is begun,
+    /// else a little later.
+    pub(super) fn look_at_drain(&mut self, is_busy: bool) {
+        if *self.instance.drain.borrow() == Drain::Serving {
+            return;
+        }
+        let now_ms = now_ms();
+        let since_ms = *self.departing_since_ms.get_or_insert(now_ms);
+        if self.held().is_some() && (!is_busy || now_ms >= since_ms + DEPARTING_MS) {
+            self.leave("stopping");
+        }
+    }
+
+    /// Returns whether it is this instance's turn to take the lease.
+    ///
+    /// Instances take turns by the time of their start, the youngest first:
+    /// while instances are restarted one after the other, the one that has
+    /// just started is the last to be restarted again.
+    fn is_turn(&self, since_ms: u64) -> bool {
+        let now_ms = now_ms();
+        if now_ms < self.unable_until_ms || !self.instance.is_ready() {
+            return false;
+        }
+        let members = self.instance.members.borrow();
+        let heard = || members.heard(&self.instance.settings.mesh, now_ms);
+        if heard().any(|member| member.last.holds_lease) {
+            return false;
+        }
+        let own = (self.instance.incarnation, &self.instance.machine.name);
+        let before = heard()
+            .filter(|member| member.last.ready)
+            .filter(|member| (member.last.incarnation, &member.last.name) > own)
+            .count() as u64;
+        now_ms >= since_ms + before * TURN_MS
+    }
+
+    /// Takes the lease if it is this instance's turn. `since_ms` is when
+    /// engines began to lack weights.
+    pub(super) async fn seek(&mut self, since_ms: u64) {
+        if self.held().is_some() || !self.is_turn(since_ms) {
+            return;
+        }
+        if !self.take().await && self.held().is_none() {
+            // The store may answer others.
+            self.unable_until_ms = now_ms() + TURN_MS;
+        }
+    }
+
+    async fn take(&mut self) -> bool {
+        let within_ms = self.instance.settings.store_ms;
+        let call = Call::get(path_of_object(Kind::Leases, RECORD));
+        let (before, write) = match self.store.call(&call, within_ms).await {
+            Ok((404, _)) => (
+                None,
+                encode_create(Kind::Leases, RECORD, &self.record(1, 1)),
+            ),
+            Ok((200, body)) => {
+                let Ok(stored) = decode_object(&body) else {
+                    log::warn!("event=lease_unreadable record={RECORD}");
+                    return false;
+                };
+                (self.quiet_since_ms(&stored), self.replacement(&stored))
+            }
+            _ => return false,
+        };
+        let sent_ms = now_ms();
+        let Ok((200 | 201, body)) = self.store.call(&write, within_ms).await else {
+            return false;
+        };
+        let Some((stored, record)) = written(&body) else {
+            return false;
+        };
+        if let Hold::Vacant(vacant) = &self.hold {
+            let vacant = vacant.clone();
+            let held = vacant.take(record.fence, stored.revision, before, sent_ms);
+            self.hold = Hold::Held(held);
+        }
+        self.instance.holds_lease.set(true);
+        self.instance.notes.heartbeat.notify_one();
+        log::info!(
+            "event=lease_taken fence={} revision={} waits={}",
+            record.fence,
+            stored.revision,
+            before.is_some(),
+        );
+        true
+    }
+
+    /// Returns from when on the holder of a record gave no order, `None` for
+    /// one's own record.
+    fn quiet_since_ms(&mut self, stored: &Stored) -> Option<u64> {
+        let record: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
+        if let Some(record) = &record {
+            if record.holder == self.instance.machine.name {
+                return None;
+            }
+            if let Some(told_ms) = self.told_quiet_ms(record) {
+                return Some(told_ms);
+            }
+        }
+        let seen = self.seen.filter(|seen| seen.revision == stored.revision);
+        let seen = seen.unwrap_or(Seen {
+            revision: stored.revision,
+            first_ms: now_ms(),
+        });
+        self.seen = Some(seen);
+        Some(seen.quiet_since_ms(&self.instance.settings.lease))
+    }
+
+    /// Returns when the holder of a record gave its last order, if it told so
+    /// after it had left the lease. What an earlier start of it did it can't
+    /// tell.
+    fn told_quiet_ms(&self, record: &LeaseRecord) -> Option<u64> {
+        let members = self.instance.members.borrow();
+        let mut members = members.iter();
+        let holder = members.find(|member| member.last.name == record.holder)?;
+        let last = &holder.last;
+        if last.holds_lease || last.incarnation != record.incarnation {
+            return None;
+        }
+        let ago_ms = u64::from(last.ordered_ago_ms.unwrap_or(0));
+        Some(holder.heard_ms.saturating_sub(ago_ms))
+    }
+
+    fn record(&self, fence: u64, renewals: u64) -> LeaseRecord {
+        LeaseRecord {
+            holder: self.instance.machine.name.clone(),
+            incarnation: self.instance.incarnation,
+            fence,
+            renewals,
+        }
+    }
+
+    fn replacement(&self, stored: &Stored) -> Call {
+        let before: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
+        let (fence, renewals) =
+            before.map_or((1, 1), |record| (record.fence + 1, record.renewals + 1));
+        let record = self.record(fence, renewals);
+        encode_replace(Kind::Leases, RECORD, stored.revision, &record)
+    }
+
+    /// Renews the lease, so that orders may leave for a moment.
+    pub(super) async fn renew(&mut self) -> bool {
+        let Some(lease) = self.held() else {
+            return false;
+        };
+        let (fence, revision) = (lease.held().fence, lease.held().revision);
+        let record = self.record(fence, revision);
+        let call = encode_replace(Kind::Leases, RECORD, revision, &record);
+        let sent_ms = now_ms();
+        match self.store.call(&call, self.instance.settings.store_ms).await {
+            Ok((200, body)) => self.renewed(&body, sent_ms),
+            Ok((404 | 409, body)) => {
+                self.refused(&body, fence);
+                false
+            }
+            _ => {
+                self.failed();
+                false
+            }
+        }
+    }
+
+    fn renewed(&mut self, body: &[u8], sent_ms: u64) -> bool {
+        let (Some((stored, _)), Hold::Held(lease)) = (written(body), &mut self.hold) else {
+            return false;
+        };
+        lease.renewed(stored.revision, sent_ms);
+        self.failing_since_ms = None;
+        true
+    }
+
+    /// Either another has taken the lease, or an earlier renewal took effect
+    /// and its answer was lost.
+    fn refused(&mut self, body: &[u8], fence: u64) {
+        let found = written(body);
+        let own = found.filter(|(_, record)| {
+            record.fence == fence && record.holder == self.instance.machine.name
+        });
+        match (own, &mut self.hold) {
+            (Some((stored, _)), Hold::Held(lease)) => lease.adopt(stored.revision),
+            _ => self.leave("taken"),
+        }
+    }
+
+    fn failed(&mut self) {
+        let now_ms = now_ms();
+        let since_ms = *self.failing_since_ms.get_or_insert(now_ms);
+        log::warn!("event=lease_not_renewed failing_ms={}", now_ms - since_ms);
+        if now_ms >= since_ms + FAILING_MS {
+            self.unable_until_ms = now_ms + UNABLE_MS;
+            self.leave("store_lost");
+        }
+    }
+}
+
+fn written(body: &[u8]) -> Option<(Stored, LeaseRecord)> {
+    let stored = decode_object(body).ok()?;
+    let record = serde_json::from_value(stored.spec.clone()).ok()?;
+    Some((stored, record))
+}
