--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -69,6 +69,8 @@
     pub versions: Vec<(String, u64, u32)>,
     /// Work sent to each engine and not done.
     pub loads: Vec<(String, Load)>,
+    /// Engines that don't answer it.
+    pub silent: Vec<String>,
     /// What was asked for and spent, by team.
     pub teams: Vec<TeamNote>,
     /// Whether it holds the lease under which orders are given.
--- a/crates/core/src/pool/belief.rs
+++ b/crates/core/src/pool/belief.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EngineEntry, Health},
+    super::{EngineEntry, Health, HealthSettings},
     serde::{Deserialize, Serialize},
     std::collections::HashMap,
 };
@@ -59,6 +59,8 @@
     pub parts_ms: HashMap<u64, u64>,
     /// When it told that it is about to leave, in an answer.
     pub leaving_since_ms: Option<u64>,
+    /// Until when a peer's word that it is silent is believed.
+    pub told_silent_until_ms: u64,
     /// When its last byte came.
     pub heard_ms: u64,
 }
@@ -84,6 +86,7 @@
             steering: None,
             parts_ms: HashMap::new(),
             leaving_since_ms: None,
+            told_silent_until_ms: 0,
             heard_ms: 0,
         }
     }
@@ -114,6 +117,27 @@
             .is_some_and(|steering| now_ms < steering.until_ms)
     }
 
+    /// Returns whether no request should go there: it is silent here, or a
+    /// peer says so and nothing came from it since.
+    pub fn is_barred(&self, settings: &HealthSettings, now_ms: u64) -> bool {
+        now_ms < self.told_silent_until_ms || self.health.is_barred(settings, now_ms)
+    }
+
+    /// Takes a peer's word that the engine is silent, unless it spoke here
+    /// just now.
+    pub fn told_silent(&mut self, believe_ms: u64, now_ms: u64) {
+        if now_ms >= self.heard_ms + believe_ms {
+            self.told_silent_until_ms = now_ms + believe_ms;
+        }
+    }
+
+    /// Notes that something came from the engine.
+    pub fn heard(&mut self, now_ms: u64) {
+        self.heard_ms = now_ms;
+        self.told_silent_until_ms = 0;
+        self.health.connected();
+    }
+
     /// Keeps work away for a short time, after the engine refused some.
     pub fn refused(&mut self, pause_ms: u64, now_ms: u64) {
         if !self.is_steered(now_ms) {
--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -89,7 +89,7 @@
     });
     let version = |belief: &Belief| need.model.as_ref().map_or(0, |model| belief.version(model));
     let open = |belief: &&Belief| {
-        !belief.health.is_barred(&settings.health, now_ms) && version(belief) >= wanted.least
+        !belief.is_barred(&settings.health, now_ms) && version(belief) >= wanted.least
     };
     let steady = |belief: &&Belief| open(belief) && !belief.is_steered(now_ms);
     let cheapest = |a: &&Belief, b: &&Belief| {
--- a/crates/core/src/pool/health.rs
+++ b/crates/core/src/pool/health.rs
@@ -7,10 +7,9 @@
     pub half_life_ms: f64,
     /// Failures, aged, from which on an engine gets only single requests.
     pub suspect_from: f64,
-    /// First pause of an engine that did not answer at all.
-    pub silent_ms: u64,
-    /// Longest pause of an engine that does not answer.
-    pub silent_most_ms: u64,
+    /// Time for which a single request may be under way at a doubtful engine
+    /// before a further one is sent.
+    pub probe_ms: u64,
 }
 
 impl Default for HealthSettings {
@@ -18,8 +17,7 @@
         HealthSettings {
             half_life_ms: 2_000.0,
             suspect_from: 1.5,
-            silent_ms: 800,
-            silent_most_ms: 3_000,
+            probe_ms: 800,
         }
     }
 }
@@ -30,7 +28,6 @@
     failures: f64,
     updated_ms: u64,
     silent_in_row: u32,
-    silent_until_ms: u64,
     probing_since_ms: Option<u64>,
 }
 
@@ -40,7 +37,6 @@
         self.failures = self.failures(settings, now_ms) * 0.8;
         self.updated_ms = now_ms;
         self.silent_in_row = 0;
-        self.silent_until_ms = 0;
         self.probing_since_ms = None;
     }
 
@@ -51,12 +47,11 @@
         self.probing_since_ms = None;
     }
 
-    /// Notes that the engine took no connection, or fell silent.
+    /// Notes that the engine took no connection, or fell silent. It gets no
+    /// request until it takes a connection again.
     pub fn silent(&mut self, settings: &HealthSettings, now_ms: u64) {
         self.failed(settings, now_ms);
-        let pause_ms = settings.silent_ms << self.silent_in_row.min(4);
         self.silent_in_row += 1;
-        self.silent_until_ms = now_ms + pause_ms.min(settings.silent_most_ms);
     }
 
     /// Notes that a request goes to the engine.
@@ -66,6 +61,16 @@
         }
     }
 
+    /// Notes that the engine took a connection again.
+    pub fn connected(&mut self) {
+        self.silent_in_row = 0;
+    }
+
+    /// Returns whether the engine did not answer when last tried.
+    pub fn is_silent(&self) -> bool {
+        self.silent_in_row > 0
+    }
+
     /// Returns the failures, aged.
     pub fn failures(&self, settings: &HealthSettings, now_ms: u64) -> f64 {
         let passed = now_ms.saturating_sub(self.updated_ms) as f64;
@@ -79,12 +84,12 @@
 
     /// Returns whether no request should go to the engine now.
     pub fn is_barred(&self, settings: &HealthSettings, now_ms: u64) -> bool {
-        if now_ms < self.silent_until_ms {
+        if self.silent_in_row > 0 {
             return true;
         }
         let probing = self
             .probing_since_ms
-            .is_some_and(|since_ms| now_ms < since_ms + settings.silent_ms);
+            .is_some_and(|since_ms| now_ms < since_ms + settings.probe_ms);
         probing && self.is_doubtful(settings, now_ms)
     }
 }
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -99,6 +99,15 @@
         }
     }
 
+    /// Returns the engines that don't answer this instance.
+    pub fn silent(&self) -> Vec<String> {
+        self.engines
+            .iter()
+            .filter(|(_, belief)| belief.health.is_silent())
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
     /// Returns what this instance has sent to each engine, for its peers.
     pub fn own_loads(&self) -> Vec<(String, Load)> {
         self.engines
--- a/crates/core/src/weights/named.rs
+++ b/crates/core/src/weights/named.rs
@@ -27,8 +27,12 @@
 pub struct WeightsSettings {
     /// Age of a version from which on answers by older ones are worth less.
     pub due_ms: u64,
-    /// Age of a version from which on no older one may begin a request.
+    /// Age of a version from which on no request is sent to older ones. It may
+    /// wait in an engine's queue before it begins.
     pub least_ms: u64,
+    /// Age of a version from which on no request may begin on older ones; one
+    /// that still waits is withdrawn.
+    pub last_ms: u64,
 }
 
 impl NamedWeights {
@@ -62,6 +66,13 @@
         Some((*version, now_ms.saturating_sub(*named_ms)))
     }
 
+    /// Returns when a request may no longer begin on a version, if newer ones
+    /// were named.
+    pub fn bound_ms(&self, version: u64, settings: &WeightsSettings) -> Option<u64> {
+        let mut newer = self.history.iter().filter(|(newer, _)| *newer > version);
+        newer.next().map(|(_, named_ms)| named_ms + settings.last_ms)
+    }
+
     /// Returns what a request should meet now.
     pub fn wanted(&self, settings: &WeightsSettings, now_ms: u64) -> Wanted {
         let older_than = |age_ms: u64| {
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -80,14 +80,26 @@
         plan.seen.own.requests,
     );
     let sending = send(&request.pool, &engine, &request.instance.settings, make);
+    let old_ms = request.may_wait_ms(plan.version, now).unwrap_or(left_ms);
+    let give_up_ms = this.give_up_ms.unwrap_or(left_ms).min(old_ms);
     let waited = timeout(
-        Duration::from_millis(this.give_up_ms.unwrap_or(left_ms).min(left_ms)),
-        watched(request, &engine, sending),
+        Duration::from_millis(give_up_ms.min(left_ms)),
+        watched(request, &engine, this.give_up_ms.is_some(), sending),
     );
     match waited.await {
         Ok(Ok(answer)) => judge(request, answer, work, engine, &plan),
         Ok(Err(error)) => failed(request, &engine, &error),
-        Err(_) if this.give_up_ms.is_some_and(|ms| ms < left_ms) => {
+        Err(_) if old_ms <= give_up_ms && old_ms < left_ms => {
+            request.instance.counters.count("withdrawn", "old_weights");
+            log::warn!(
+                "event=withdrawn request={} engine={} reason=old_weights version={} waited_ms={old_ms}",
+                request.id(),
+                engine.incarnation.id,
+                plan.version,
+            );
+            Outcome::Unknown
+        }
+        Err(_) if give_up_ms < left_ms => {
             note(request, &engine, "silent");
             Outcome::Unknown
         }
@@ -221,6 +233,7 @@
 async fn watched(
     request: &CallerRequest,
     engine: &EngineEntry,
+    may_leave: bool,
     sending: impl Future<Output = Result<Answer, SendError>>,
 ) -> Result<Answer, SendError> {
     let mut sending = pin!(sending);
@@ -237,6 +250,9 @@
             let health = &request.instance.settings.choice.health;
             belief.health.silent(health, now_ms());
             request.instance.counters.count("engine_silent", "no_answer");
+            request.pool.drop_idle(&engine.incarnation);
+            request.instance.notes.silent.notify_one();
+            request.instance.notes.heartbeat.notify_one();
             log::warn!(
                 "event=engine_silent request={} engine={} silent_ms={silent_ms}",
                 request.id(),
@@ -244,7 +260,15 @@
             );
         }
     }
+    let is_silent = engines
+        .get(&engine.incarnation.id)
+        .is_none_or(|belief| belief.health.is_silent());
     drop(engines);
+    if is_silent && may_leave {
+        return Err(SendError::Lost {
+            reason: "the engine is silent".to_owned(),
+        });
+    }
     sending.await
 }
 
@@ -275,7 +299,7 @@
     let now_ms = now_ms();
     let mut engines = request.instance.engines.borrow_mut();
     if let Some(belief) = engines.get_mut(&engine.incarnation.id) {
-        belief.heard_ms = now_ms;
+        belief.heard(now_ms);
         if let (Some(model), Some(version)) = (&request.need.model, head.version) {
             if version > belief.version(model) {
                 belief.set_version(model, version);
@@ -312,7 +336,7 @@
         "full"
     };
     if let Some(belief) = engines.get_mut(&engine.incarnation.id) {
-        belief.heard_ms = now_ms;
+        belief.heard(now_ms);
         match (reason, &request.need.model) {
             ("other_engine", _) => belief.leaving_since_ms = Some(now_ms),
             ("other_weights", Some(model)) => {
@@ -378,4 +402,9 @@
         "silent" | "timed_out" if !answers => belief.health.silent(health, now_ms),
         _ => belief.health.failed(health, now_ms),
     }
+    if belief.health.is_silent() {
+        request.pool.drop_idle(&engine.incarnation);
+        request.instance.notes.silent.notify_one();
+        request.instance.notes.heartbeat.notify_one();
+    }
 }
--- a/crates/gateway/src/callers/refusal.rs
+++ b/crates/gateway/src/callers/refusal.rs
@@ -31,6 +31,9 @@
     /// Configuration or engines aren't known yet. It has not run.
     #[display("This instance has just started; come again after the time given.")]
     Starting,
+    /// The instance is about to end. It has not run.
+    #[display("This instance is stopping; connect to another one.")]
+    Stopping,
     /// No engine can run it in time. It has not run.
     #[display("No engine is free in time; come again after the time given.")]
     NoEngine,
@@ -52,7 +55,7 @@
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Refusal::OverRate => StatusCode::TOO_MANY_REQUESTS,
-            Refusal::Starting | Refusal::NoEngine => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::Starting | Refusal::Stopping | Refusal::NoEngine => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::AnswerLost => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -68,6 +71,7 @@
             Refusal::TooSlow => "too_slow",
             Refusal::OverRate => "over_rate",
             Refusal::Starting => "starting",
+            Refusal::Stopping => "stopping",
             Refusal::NoEngine => "no_engine",
             Refusal::AnswerLost => "answer_lost",
             Refusal::TimedOut => "timed_out",
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -1,6 +1,10 @@
 use {
     super::Refusal,
-    crate::{clock::now_ms, instance::Instance, upstreams::Pool},
+    crate::{
+        clock::now_ms,
+        instance::{Drain, Instance},
+        upstreams::Pool,
+    },
     bytes::Bytes,
     http::{Method, Uri, request},
     http_body_util::{BodyExt, LengthLimitError, Limited},
@@ -62,6 +66,15 @@
         })
     }
 
+    /// Returns how long the request may wait to begin on weights that are
+    /// being replaced.
+    pub(super) fn may_wait_ms(&self, version: u64, now_ms: u64) -> Option<u64> {
+        let newest = self.instance.newest.borrow();
+        let named = newest.get(self.need.model.as_ref()?)?;
+        let bound_ms = named.bound_ms(version, &self.instance.settings.weights)?;
+        Some(bound_ms.saturating_sub(now_ms))
+    }
+
     /// Returns the rank in an engine's queue; 0 goes first.
     pub(super) fn urgency(&self) -> u8 {
         let tenant = self.tenant.as_ref().and_then(|tenant| tenant.priority);
@@ -84,6 +97,9 @@
     if !instance.is_informed() {
         return Err((Refusal::Starting, Some(STARTING_RETRY_MS)));
     }
+    if *instance.drain.borrow() == Drain::Closing {
+        return Err((Refusal::Stopping, Some(STOPPING_RETRY_MS)));
+    }
     let head = RequestHead::decode(&parts.headers).map_err(|error| {
         log::warn!("event=request_malformed error=\"{error}\"");
         (Refusal::BadRequest, None)
@@ -128,6 +144,10 @@
 /// configuration: two calls to the store.
 const STARTING_RETRY_MS: u64 = 300;
 
+/// Time after which a caller of a stopping instance may come back: at once, as
+/// it goes to another one.
+const STOPPING_RETRY_MS: u64 = 20;
+
 fn need(instance: &Instance, head: &RequestHead, route: &Route, tenant: Option<&Tenant>) -> Need {
     let service = route.service(rand::random()).to_owned();
     let model = head.usage.and_then(|_| head.model.clone());
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -334,7 +334,7 @@
         }
         let mut engines = self.request.instance.engines.borrow_mut();
         if let Some(belief) = engines.get_mut(&answered.engine.incarnation.id) {
-            belief.heard_ms = now_ms;
+            belief.heard(now_ms);
         }
     }
 
@@ -389,7 +389,7 @@
     let now_ms = now_ms();
     let mut engines = request.instance.engines.borrow_mut();
     if let Some(belief) = engines.get_mut(engine) {
-        belief.heard_ms = now_ms;
+        belief.heard(now_ms);
         let health = &request.instance.settings.choice.health;
         belief.health.answered(health, now_ms);
     }
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -33,10 +33,16 @@
     pub weights: Notify,
     /// Newer weights were named, or an engine needs them.
     pub orders: Notify,
+    /// An engine fell silent.
+    pub silent: Notify,
     /// A heartbeat should leave at once.
     pub heartbeat: Notify,
 }
 
+/// Time for which a peer's word that an engine is silent is believed: three
+/// heartbeats.
+const TOLD_SILENT_MS: u64 = 600;
+
 /// The blackboard of an instance. Parts read and write it; none calls
 /// another.
 #[derive(Debug)]
@@ -196,7 +202,7 @@
         let name = heartbeat.name.clone();
         let version = heartbeat.configuration_version;
         let (loads, versions) = (heartbeat.loads.clone(), heartbeat.versions.clone());
-        let orders = heartbeat.orders.clone();
+        let (orders, silent) = (heartbeat.orders.clone(), heartbeat.silent.clone());
         let (incarnation, teams) = (heartbeat.incarnation, spending(&heartbeat));
         let known = self.members.borrow().iter().any(|m| m.last.name == name);
         if !self.members.borrow_mut().hear(heartbeat, now_ms) {
@@ -218,6 +224,11 @@
                 self.notes.weights.notify_one();
             }
         }
+        for engine in &silent {
+            if let Some(belief) = self.engines.borrow_mut().get_mut(engine) {
+                belief.told_silent(TOLD_SILENT_MS, now_ms);
+            }
+        }
         for order in &orders {
             self.note_order(order, now_ms);
         }
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -50,6 +50,7 @@
             weights: WeightsSettings {
                 due_ms: 1_300,
                 least_ms: 6_500,
+                last_ms: 7_700,
             },
             plan: PlanSettings::default(),
             lease: LeaseSettings::default(),
@@ -59,8 +60,8 @@
             watch_ms: 5_000,
             gather_ms: 250,
             store_ms: 1_000,
-            keep_s: 2,
-            exit_margin_ms: 700,
+            keep_s: 1,
+            exit_margin_ms: 350,
             least_left_ms: 15,
         }
     }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,7 +6,7 @@
         logs::{self, LogSettings},
         mesh,
         store::{StoreClient, register, watch_configuration, watch_engines, watch_weights},
-        upstreams::Pool,
+        upstreams::{Pool, probe_silent},
         weights::order_weights,
     },
     derive_more::{Display, Error},
@@ -33,6 +33,9 @@
 /// Weights must not be out of bounds when it does.
 const QUEUED_MS: u64 = 1_200;
 
+/// Time that an engine may take to notice that a request is withdrawn.
+const WITHDRAW_MS: u64 = 300;
+
 /// Connections to the store, at its farthest a few milliseconds away.
 const STORE_CONNECT_MS: u64 = 400;
 
@@ -120,6 +123,7 @@
     let defaults = GatewaySettings::default();
     let weights = WeightsSettings {
         least_ms: machine.weights_ms.saturating_sub(QUEUED_MS),
+        last_ms: machine.weights_ms.saturating_sub(WITHDRAW_MS),
         ..defaults.weights
     };
     let settings = GatewaySettings {
@@ -158,7 +162,8 @@
     spawn_local(serve_directory(instance.clone(), directory));
     spawn_local(serve_metrics(instance.clone(), metrics));
     spawn_local(serve_callers(instance.clone(), pool.clone(), callers));
-    spawn_local(sweep(instance.clone(), pool));
+    spawn_local(sweep(instance.clone(), pool.clone()));
+    spawn_local(probe_silent(instance.clone(), pool));
     spawn_local(reload(instance.clone(), catch(SignalKind::hangup())?, path.to_owned()));
     let mut terminate = catch(SignalKind::terminate())?;
     let mut interrupt = catch(SignalKind::interrupt())?;
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -3,9 +3,11 @@
 mod connection;
 mod exchange;
 mod pool;
+mod probe;
 
 pub use {
     connection::{ConnectError, connect},
     exchange::{Answer, SendError, send},
     pool::{Kept, Pool},
+    probe::probe_silent,
 };
--- a/crates/gateway/src/upstreams/pool.rs
+++ b/crates/gateway/src/upstreams/pool.rs
@@ -73,6 +73,15 @@
         }
     }
 
+    /// Closes all idle connections to an engine that fell silent. A request on
+    /// one of them would be lost; on a new one it is known not to be sent.
+    pub fn drop_idle(&self, engine: &Incarnation) {
+        let kept = self.idle.borrow_mut().remove(engine);
+        for one in kept.unwrap_or_default() {
+            one.task.abort();
+        }
+    }
+
     /// Closes connections that are idle for too long, or whose engine is gone.
     pub fn sweep(&self, is_listed: impl Fn(&Incarnation) -> bool, now_ms: u64) {
         self.idle.borrow_mut().retain(|engine, kept| {
