Leave only engines that take no connections; busy ones keep their work

Cause: an engine that read long prompts for 0.7 s counted as silent, its requests were sent again elsewhere, and the rest was overloaded in turn. Change: silence is verified by a connection before it counts; streams are left for another engine only then or after six times their target.

--- a/crates/core/src/pool/belief.rs
+++ b/crates/core/src/pool/belief.rs
@@ -59,6 +59,8 @@
     pub parts_ms: HashMap<u64, u64>,
     /// When it told that it is about to leave, in an answer.
     pub leaving_since_ms: Option<u64>,
+    /// When it was last tried whether it takes connections.
+    pub doubted_ms: u64,
     /// Until when a peer's word that it is silent is believed.
     pub told_silent_until_ms: u64,
     /// When its last byte came.
@@ -86,6 +88,7 @@
             steering: None,
             parts_ms: HashMap::new(),
             leaving_since_ms: None,
+            doubted_ms: 0,
             told_silent_until_ms: 0,
             heard_ms: 0,
         }
@@ -117,6 +120,12 @@
             .is_some_and(|steering| now_ms < steering.until_ms)
     }
 
+    /// Returns whether the engine takes no connections, as seen here or told
+    /// by a peer.
+    pub fn is_silent(&self, now_ms: u64) -> bool {
+        now_ms < self.told_silent_until_ms || self.health.is_silent()
+    }
+
     /// Returns whether no request should go there: it is silent here, or a
     /// peer says so and nothing came from it since.
     pub fn is_barred(&self, settings: &HealthSettings, now_ms: u64) -> bool {
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -2,7 +2,7 @@
     super::{request::CallerRequest, work::Work},
     crate::{
         clock::now_ms,
-        upstreams::{Answer, SendError, send},
+        upstreams::{Answer, SendError, doubt, send},
     },
     http::{Request, StatusCode},
     http_body_util::Full,
@@ -16,6 +16,9 @@
 /// Loading weights takes it a few hundred milliseconds.
 const REFUSED_PAUSE_MS: u64 = 150;
 
+/// Pause between two looks at an engine from which nothing comes.
+const LOOK_MS: u64 = 100;
+
 /// Shared tokens from which on fetching them is cheaper than reading them.
 /// Setting a transfer up takes about as long as reading a hundred.
 const LEAST_FETCH_TOKENS: u64 = 512;
@@ -229,7 +232,9 @@
     }
 }
 
-/// Waits for an answer, and notes an engine that says nothing meanwhile.
+/// Waits for an answer. Where nothing came from the engine meanwhile, it is
+/// tried whether it still takes connections; a request that may run again
+/// leaves one that doesn't.
 async fn watched(
     request: &CallerRequest,
     engine: &EngineEntry,
@@ -237,39 +242,30 @@
     sending: impl Future<Output = Result<Answer, SendError>>,
 ) -> Result<Answer, SendError> {
     let mut sending = pin!(sending);
-    let silent_ms = request.instance.settings.silent_ms;
+    let settings = &request.instance.settings;
     let sent_ms = now_ms();
-    tokio::select! {
-        result = sending.as_mut() => return result,
-        () = sleep(Duration::from_millis(silent_ms)) => {}
-    }
-    let mut engines = request.instance.engines.borrow_mut();
-    if let Some(belief) = engines.get_mut(&engine.incarnation.id) {
-        // Busy engines answer others meanwhile; one that is gone answers none.
-        if belief.heard_ms < sent_ms {
-            let health = &request.instance.settings.choice.health;
-            belief.health.silent(health, now_ms());
-            request.instance.counters.count("engine_silent", "no_answer");
-            request.pool.drop_idle(&engine.incarnation);
-            request.instance.notes.silent.notify_one();
-            request.instance.notes.heartbeat.notify_one();
-            log::warn!(
-                "event=engine_silent request={} engine={} silent_ms={silent_ms}",
-                request.id(),
-                engine.incarnation.id,
-            );
+    let mut pause_ms = settings.silent_ms;
+    loop {
+        tokio::select! {
+            result = sending.as_mut() => return result,
+            () = sleep(Duration::from_millis(pause_ms)) => {}
+        }
+        pause_ms = LOOK_MS;
+        let now_ms = now_ms();
+        let engines = request.instance.engines.borrow();
+        let belief = engines.get(&engine.incarnation.id);
+        let is_silent = belief.is_none_or(|belief| belief.is_silent(now_ms));
+        let is_quiet = belief.is_some_and(|belief| belief.heard_ms < sent_ms);
+        drop(engines);
+        if is_silent && may_leave {
+            return Err(SendError::Lost {
+                reason: "the engine is silent".to_owned(),
+            });
+        }
+        if is_quiet && !is_silent {
+            doubt(&request.instance, &request.pool, engine);
         }
     }
-    let is_silent = engines
-        .get(&engine.incarnation.id)
-        .is_none_or(|belief| belief.health.is_silent());
-    drop(engines);
-    if is_silent && may_leave {
-        return Err(SendError::Lost {
-            reason: "the engine is silent".to_owned(),
-        });
-    }
-    sending.await
 }
 
 /// Decides whether an answer is the engine's own and for this request.
@@ -396,15 +392,9 @@
         return;
     };
     let health = &request.instance.settings.choice.health;
-    let answers = now_ms < belief.heard_ms + request.instance.settings.silent_ms;
-    match reason {
-        "not_connected" => belief.health.silent(health, now_ms),
-        "silent" | "timed_out" if !answers => belief.health.silent(health, now_ms),
-        _ => belief.health.failed(health, now_ms),
-    }
-    if belief.health.is_silent() {
-        request.pool.drop_idle(&engine.incarnation);
-        request.instance.notes.silent.notify_one();
-        request.instance.notes.heartbeat.notify_one();
+    belief.health.failed(health, now_ms);
+    drop(engines);
+    if matches!(reason, "not_connected" | "silent" | "timed_out") {
+        doubt(&request.instance, &request.pool, engine);
     }
 }
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -180,11 +180,13 @@
 
 /// Returns the silence after which a try is given up for another engine.
 ///
-/// Twice the time in which an answer is on time: sooner would run requests
-/// twice on engines that are only busy.
+/// A plain answer takes a few milliseconds, so twice the time in which it is on
+/// time tells enough. A stream may wait its turn on a busy engine; leaving
+/// that would lose its place and read its prompt twice.
 fn give_up_ms(request: &CallerRequest, tries: &Tries) -> Option<u64> {
     let another = tries.run + 1 < request.route.max_attempts;
-    (request.route.repeat.may_run_again() && another).then(|| 2 * request.route.target_ms)
+    let targets = if request.route.repeat.is_stream() { 6 } else { 2 };
+    (request.route.repeat.may_run_again() && another).then(|| targets * request.route.target_ms)
 }
 
 async fn answer(
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -20,7 +20,9 @@
     /// Longest time for a new connection within the deployment. Its ends are
     /// a few milliseconds apart; beyond this the other end is gone.
     pub connect_ms: u64,
-    /// Silence of an engine with work, after which it gets no more.
+    /// Silence of an engine with work, after which it is tried whether it
+    /// still takes connections. A busy engine that reads one long prompt says
+    /// nothing for about as long.
     pub silent_ms: u64,
     /// Time after which the system gives up unacknowledged bytes. A partition
     /// gives no reset, so nothing else ends such a connection.
@@ -55,7 +57,7 @@
             plan: PlanSettings::default(),
             lease: LeaseSettings::default(),
             connect_ms: 300,
-            silent_ms: 700,
+            silent_ms: 400,
             unacknowledged_ms: 2_000,
             watch_ms: 5_000,
             gather_ms: 250,
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -9,5 +9,5 @@
     connection::{ConnectError, connect},
     exchange::{Answer, SendError, send},
     pool::{Kept, Pool},
-    probe::probe_silent,
+    probe::{doubt, probe_silent},
 };
