--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -69,6 +69,9 @@
     pub versions: Vec<(String, u64, u32)>,
     /// Work sent to each engine and not done.
     pub loads: Vec<(String, Load)>,
+    /// Shared parts that engines have read for it just now, and a short hash
+    /// of each engine's name.
+    pub placed: Vec<(u64, u32)>,
     /// Engines that don't answer it.
     pub silent: Vec<String>,
     /// What was asked for and spent, by team.
--- a/crates/core/src/pool/belief.rs
+++ b/crates/core/src/pool/belief.rs
@@ -157,6 +157,12 @@
         }
     }
 
+    /// Returns whether a shared part is taken to be in the engine's cache.
+    pub fn keeps(&self, part: u64, kept_ms: u64, now_ms: u64) -> bool {
+        let used_ms = self.parts_ms.get(&part);
+        used_ms.is_some_and(|used_ms| now_ms < used_ms + kept_ms)
+    }
+
     /// Notes that the engine has read a shared part.
     pub fn note_part(&mut self, part: u64, now_ms: u64) {
         if self.parts_ms.len() >= MOST_PARTS && !self.parts_ms.contains_key(&part) {
--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -9,8 +9,9 @@
 pub struct ChoiceSettings {
     /// Failures and pauses.
     pub health: HealthSettings,
-    /// Time for which a part that was used is taken to be in the cache.
-    /// Engines evict within seconds when full.
+    /// Time for which a part that was used is taken to be in the cache. The
+    /// ends of prompts that nobody else shares push it out: at four long
+    /// prompts a second an engine's memory turns over in about four.
     pub kept_ms: u64,
     /// Part of the shared tokens that count as read again on an engine that
     /// isn't known to hold them, where a store of kept parts brings them.
@@ -39,7 +40,7 @@
     fn default() -> ChoiceSettings {
         ChoiceSettings {
             health: HealthSettings::default(),
-            kept_ms: 10_000,
+            kept_ms: 3_500,
             fetch_part: 0.35,
             running_tokens: 60.0,
             far_tokens: 60.0,
@@ -142,10 +143,9 @@
     if belief.version(model) < wanted.due {
         cost += settings.due_tokens;
     }
-    let kept = need.shared_part().is_some_and(|part| {
-        let used_ms = belief.parts_ms.get(&part);
-        used_ms.is_some_and(|used_ms| now_ms < used_ms + settings.kept_ms)
-    });
+    let kept = need
+        .shared_part()
+        .is_some_and(|part| belief.keeps(part, settings.kept_ms, now_ms));
     if !kept {
         cost += need.shared_tokens() as f64 * settings.fetch_part;
     }
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod entry;
 mod health;
+mod kept;
 mod need;
 mod table;
 
@@ -13,6 +14,7 @@
     choice::{ChoiceSettings, choose, rendezvous},
     entry::{EngineEntry, Incarnation, ModelVersion},
     health::{Health, HealthSettings},
+    kept::{KeptParts, kept_key},
     need::{Need, PromptPart},
-    table::EngineTable,
+    table::{EngineTable, short_hash},
 };
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Belief, EngineEntry, Load},
+    super::{Belief, EngineEntry, Load, rendezvous},
     std::collections::{BTreeMap, HashMap},
 };
 
@@ -7,6 +7,11 @@
 /// the list saying so. Engines also close connections at other times.
 const LEAVING_MS: u64 = 4_000;
 
+/// Returns a short hash of an engine's name, for peers.
+pub fn short_hash(id: &str) -> u32 {
+    rendezvous(0, id) as u32
+}
+
 /// Engines that are listed, and what is believed of each.
 #[derive(Debug, Default)]
 pub struct EngineTable {
@@ -99,6 +104,16 @@
         }
     }
 
+    /// Takes over which shared parts engines have read for a peer.
+    pub fn placed(&mut self, placed: &[(u64, u32)], now_ms: u64) {
+        for &(part, hash) in placed {
+            let mut engines = self.engines.iter_mut();
+            if let Some((_, belief)) = engines.find(|(id, _)| short_hash(id) == hash) {
+                belief.note_part(part, now_ms);
+            }
+        }
+    }
+
     /// Returns the engines that don't answer this instance.
     pub fn silent(&self) -> Vec<String> {
         self.engines
--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -1,9 +1,15 @@
 /// Pace of a change of weights.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PlanSettings {
-    /// Part of a model's engines that may be away at once, one in so many.
-    /// Those that don't load yet finish what runs there.
+    /// Part of a model's engines that may be away at once while they have
+    /// little to do, one in so many. Those that don't load yet finish what
+    /// runs there.
     pub away_one_in: usize,
+    /// Requests an engine up to which it has little to do.
+    pub calm_requests: f64,
+    /// Requests an engine from which on only those that load are away; each
+    /// further one would overload the rest.
+    pub full_requests: f64,
     /// Shortest time between keeping new work away and the order. A heartbeat
     /// leaves at once for it; by then all instances know.
     pub steer_ms: u64,
@@ -16,6 +22,8 @@
     fn default() -> PlanSettings {
         PlanSettings {
             away_one_in: 2,
+            calm_requests: 4.0,
+            full_requests: 9.0,
             steer_ms: 100,
             finish_ms: 900,
         }
@@ -48,14 +56,15 @@
     Order(String),
 }
 
-/// Returns the next steps for one model, of which so many engines may load at
-/// once.
+/// Returns the next steps for one model, of which so many engines answer, with
+/// so many requests, and so many may load at once.
 ///
 /// Engines with the oldest weights go first, as requests there are worth the
 /// least; among them those with the least running, which are done soonest.
 pub fn plan(
     turns: &[Turn],
     engines: usize,
+    requests: u32,
     at_once: usize,
     settings: &PlanSettings,
     now_ms: u64,
@@ -83,7 +92,7 @@
         steps.push(Step::Order(turn.engine.clone()));
         loading += usize::from(turn.answers);
     }
-    let most = (engines / settings.away_one_in.max(1)).max(1);
+    let most = away_most(engines, at_once, requests, settings);
     let mut away = turns
         .iter()
         .filter(|turn| turn.is_ordered || turn.steered_since_ms.is_some())
@@ -103,3 +112,12 @@
     }
     steps
 }
+
+fn away_most(engines: usize, at_once: usize, requests: u32, settings: &PlanSettings) -> usize {
+    let calm = engines / settings.away_one_in.max(1);
+    let mean = f64::from(requests) / engines.max(1) as f64;
+    let range = settings.full_requests - settings.calm_requests;
+    let load = ((mean - settings.calm_requests) / range).clamp(0.0, 1.0);
+    let spare = calm.saturating_sub(at_once) as f64 * (1.0 - load);
+    (at_once.min(calm) + spare as usize).max(1)
+}
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -6,7 +6,7 @@
     },
     http::{Request, StatusCode},
     http_body_util::Full,
-    mangowalk_core::pool::{Belief, EngineEntry, Load, choose},
+    mangowalk_core::pool::{Belief, EngineEntry, Load, choose, kept_key},
     mangowalk_platform::{Forward, forward_headers},
     std::{net::SocketAddr, pin::pin, time::Duration},
     tokio::time::{sleep, timeout},
@@ -150,7 +150,9 @@
     )?;
     let stores = &routes.configuration().services;
     let store = stores.iter().find_map(|service| service.kept_store.as_ref());
-    let plan = plan(request, chosen, store.map(|store| store.address), now_ms);
+    let store = store.map(|store| store.address);
+    let holder = holder(request, chosen, engines.iter(), now_ms);
+    let plan = plan(request, chosen, store, holder, now_ms);
     let entry = chosen.entry.clone();
     if let Some(belief) = engines.get_mut(&entry.incarnation.id) {
         belief.health.sent(&settings.health, now_ms);
@@ -162,18 +164,29 @@
     request: &CallerRequest,
     belief: &Belief,
     store: Option<SocketAddr>,
+    holder: Option<SocketAddr>,
     now_ms: u64,
 ) -> Plan {
     let need = &request.need;
     let version = need.model.as_ref().map_or(0, |model| belief.version(model));
     let kept_ms = request.instance.settings.choice.kept_ms;
-    let shared = need.shared_part();
-    let is_kept = shared
-        .and_then(|part| belief.parts_ms.get(&part))
-        .is_some_and(|used_ms| now_ms < used_ms + kept_ms);
+    let is_kept = need
+        .shared_part()
+        .is_some_and(|part| belief.keeps(part, kept_ms, now_ms));
     let shared_tokens = need.shared_tokens();
     let unread = need.prompt_tokens - if is_kept { shared_tokens.min(need.prompt_tokens) } else { 0 };
     let worth_fetching = version > 0 && shared_tokens >= LEAST_FETCH_TOKENS;
+    let salt = need.model.as_ref().map(|_| salt(request, version));
+    let kept = request.instance.kept.borrow();
+    let store = store.filter(|_| worth_fetching && kept.is_up());
+    let shared = need.parts.iter().rev().nth(1);
+    let is_saved = salt
+        .as_ref()
+        .zip(shared)
+        .is_some_and(|(salt, part)| kept.holds(kept_key(salt, part.id)));
+    // Another engine's link is faster than the store's, but its memory turns
+    // over within seconds.
+    let fetch_from = if is_saved { store } else { holder.filter(|_| worth_fetching && !is_kept).or(store) };
     Plan {
         load: Load {
             requests: 1,
@@ -186,12 +199,32 @@
         },
         version,
         is_kept,
-        salt: need.model.as_ref().map(|_| salt(request, version)),
-        fetch_from: store.filter(|_| worth_fetching && !is_kept),
-        save_to: store.filter(|_| worth_fetching && !is_kept),
+        fetch_from,
+        save_to: store.filter(|_| !is_saved),
+        salt,
     }
 }
 
+/// Returns another engine with the same weights that keeps the shared parts.
+fn holder<'a>(
+    request: &CallerRequest,
+    chosen: &Belief,
+    mut engines: impl Iterator<Item = &'a Belief>,
+    now_ms: u64,
+) -> Option<SocketAddr> {
+    let part = request.need.shared_part()?;
+    let model = request.need.model.as_ref()?;
+    let kept_ms = request.instance.settings.choice.kept_ms;
+    let holder = engines.find(|belief| {
+        belief.entry.incarnation != chosen.entry.incarnation
+            && belief.keeps(part, kept_ms, now_ms)
+            && belief.version(model) == chosen.version(model)
+            && !belief.is_steered(now_ms)
+            && !belief.is_silent(now_ms)
+    });
+    holder.map(|belief| belief.entry.address)
+}
+
 /// Returns the text under which an engine keeps the prompt's parts.
 ///
 /// It holds the weights: a store keeps parts beyond a change of weights and
@@ -301,15 +334,16 @@
                 belief.set_version(model, version);
             }
         }
-        if let (true, Some(part)) = (status.is_success(), request.need.shared_part()) {
-            belief.note_part(part, now_ms);
-        }
         let health = &request.instance.settings.choice.health;
         if status.is_server_error() {
             belief.health.failed(health, now_ms);
         }
     }
     drop(engines);
+    if let (true, Some(part)) = (status.is_success(), request.need.shared_part()) {
+        let id = &engine.incarnation.id;
+        request.instance.note_part(part, id, now_ms);
+    }
     Outcome::Answer(Box::new(Answered {
         answer,
         work,
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -3,7 +3,7 @@
     crate::clock::now_ms,
     mangowalk_core::{
         mesh::{Heartbeat, MemberTable, OrderNote, OrderPhase},
-        pool::{EngineTable, Steering},
+        pool::{EngineTable, KeptParts, Steering, short_hash},
         retries::RetryBudget,
         routing::{Configuration, RouteTable},
         share::{PeerSpending, ShareTable},
@@ -12,7 +12,7 @@
     mangowalk_platform::MachineSettings,
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, VecDeque},
         net::SocketAddr,
         rc::Rc,
     },
@@ -43,6 +43,12 @@
 /// heartbeats.
 const TOLD_SILENT_MS: u64 = 600;
 
+/// Time for which a placement is told: two heartbeats, as one may be lost.
+const PLACED_MS: u64 = 450;
+
+/// Placements told in one heartbeat, so that it fits one datagram.
+const MOST_PLACED: usize = 48;
+
 /// The blackboard of an instance. Parts read and write it; none calls
 /// another.
 #[derive(Debug)]
@@ -53,6 +59,10 @@
     pub settings: GatewaySettings,
     /// Time of day at the start; tells this start from the one before.
     pub incarnation: u64,
+    /// What the store of kept parts holds.
+    pub kept: RefCell<KeptParts>,
+    /// Shared parts that engines have read for this instance, and when.
+    pub placed: RefCell<VecDeque<(u64, u64, u32)>>,
     /// Configuration in force.
     pub routes: RefCell<Rc<RouteTable>>,
     /// Engines and what is believed of them.
@@ -95,6 +105,8 @@
             machine,
             settings,
             incarnation,
+            kept: RefCell::default(),
+            placed: RefCell::default(),
             routes: RefCell::default(),
             engines: RefCell::default(),
             engines_known: Cell::new(false),
@@ -194,6 +206,27 @@
         addresses
     }
 
+    /// Notes that an engine has read a shared part, here and for the peers.
+    pub fn note_part(&self, part: u64, engine: &str, now_ms: u64) {
+        if let Some(belief) = self.engines.borrow_mut().get_mut(engine) {
+            belief.note_part(part, now_ms);
+        }
+        let mut placed = self.placed.borrow_mut();
+        placed.push_back((now_ms, part, short_hash(engine)));
+        while placed.len() > MOST_PLACED {
+            placed.pop_front();
+        }
+    }
+
+    /// Returns the shared parts that peers should hear of.
+    pub fn placed_lately(&self, now_ms: u64) -> Vec<(u64, u32)> {
+        let placed = self.placed.borrow();
+        let lately = placed
+            .iter()
+            .filter(|(placed_ms, _, _)| now_ms < placed_ms + PLACED_MS);
+        lately.map(|(_, part, engine)| (*part, *engine)).collect()
+    }
+
     /// Takes over a peer's heartbeat.
     pub fn hear(&self, heartbeat: Heartbeat, now_ms: u64) {
         if heartbeat.name == self.machine.name {
@@ -202,6 +235,7 @@
         let name = heartbeat.name.clone();
         let version = heartbeat.configuration_version;
         let (loads, versions) = (heartbeat.loads.clone(), heartbeat.versions.clone());
+        let placed = heartbeat.placed.clone();
         let (orders, silent) = (heartbeat.orders.clone(), heartbeat.silent.clone());
         let (incarnation, teams) = (heartbeat.incarnation, spending(&heartbeat));
         let known = self.members.borrow().iter().any(|m| m.last.name == name);
@@ -213,6 +247,7 @@
             self.notes.heartbeat.notify_one();
         }
         self.engines.borrow_mut().peer_load(&name, &loads);
+        self.engines.borrow_mut().placed(&placed, now_ms);
         self.shares
             .borrow_mut()
             .hear(&name, incarnation, teams, now_ms);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,7 +6,7 @@
         logs::{self, LogSettings},
         mesh,
         store::{StoreClient, register, watch_configuration, watch_engines, watch_weights},
-        upstreams::{Pool, probe_silent},
+        upstreams::{Pool, probe_silent, watch_kept},
         weights::order_weights,
     },
     derive_more::{Display, Error},
@@ -162,6 +162,7 @@
     spawn_local(serve_directory(instance.clone(), directory));
     spawn_local(serve_metrics(instance.clone(), metrics));
     spawn_local(serve_callers(instance.clone(), pool.clone(), callers));
+    spawn_local(watch_kept(instance.clone()));
     spawn_local(sweep(instance.clone(), pool.clone()));
     spawn_local(probe_silent(instance.clone(), pool));
     spawn_local(reload(instance.clone(), catch(SignalKind::hangup())?, path.to_owned()));
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -2,12 +2,14 @@
 
 mod connection;
 mod exchange;
+mod kept;
 mod pool;
 mod probe;
 
 pub use {
     connection::{ConnectError, connect},
     exchange::{Answer, SendError, send},
+    kept::watch_kept,
     pool::{Kept, Pool},
     probe::{doubt, probe_silent},
 };
--- a/crates/gateway/src/weights/orderer.rs
+++ b/crates/gateway/src/weights/orderer.rs
@@ -212,9 +212,10 @@
                 .iter()
                 .map(|one| self.progress.turn(one, now_ms))
                 .collect();
-            let engines = self.engines_of(model);
+            let (engines, requests) = self.engines_of(model);
             let at_once = self.progress.at_once();
-            for step in plan(&turns, engines, at_once, &self.instance.settings.plan, now_ms) {
+            let settings = &self.instance.settings.plan;
+            for step in plan(&turns, engines, requests, at_once, settings, now_ms) {
                 let (Step::Steer(engine) | Step::Order(engine)) = &step;
                 let mut of_model = of_model.iter();
                 let one = of_model.find(|one| one.entry.incarnation.id == *engine);
@@ -226,9 +227,16 @@
         steps
     }
 
-    fn engines_of(&self, model: &str) -> usize {
+    /// Returns how many engines of a model answer, and the requests there.
+    fn engines_of(&self, model: &str) -> (usize, u32) {
+        let now_ms = now_ms();
         let engines = self.instance.engines.borrow();
         let serves = |entry: &EngineEntry| entry.models.iter().any(|m| m.model == model);
-        engines.iter().filter(|belief| serves(&belief.entry)).count()
+        let answering = engines
+            .iter()
+            .filter(|belief| serves(&belief.entry) && !belief.is_silent(now_ms))
+            .filter(|belief| !belief.entry.draining);
+        let requests = answering.clone().map(|belief| belief.load().requests).sum();
+        (answering.count(), requests)
     }
 }
