--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -22,10 +22,10 @@
     fn default() -> PlanSettings {
         PlanSettings {
             away_one_in: 2,
-            calm_requests: 4.0,
-            full_requests: 9.0,
+            calm_requests: 2.5,
+            full_requests: 5.0,
             steer_ms: 100,
-            finish_ms: 900,
+            finish_ms: 2_000,
         }
     }
 }
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -22,7 +22,7 @@
 /// Longest time for which a note of a change of weights is believed without
 /// being heard again. Longer than an engine takes to finish what runs and to
 /// load; if the orderer dies, the engine is used again after it.
-const STEERING_MS: u64 = 2_500;
+const STEERING_MS: u64 = 5_000;
 
 /// Wake-ups from one part to another.
 #[derive(Debug, Default)]
