--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -1,6 +1,7 @@
 //! The engines that run requests, what is believed of each, and the choice
 //! among them.
 
+mod admit;
 mod belief;
 mod choice;
 mod entry;
@@ -10,6 +11,7 @@
 mod table;
 
 pub use {
+    admit::{AdmitSettings, ReadRate, refuse},
     belief::{Belief, Load, Steering},
     choice::{ChoiceSettings, choose, rendezvous},
     entry::{EngineEntry, Incarnation, ModelVersion},
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -6,7 +6,7 @@
     },
     http::{Request, StatusCode},
     http_body_util::Full,
-    mangowalk_core::pool::{Belief, EngineEntry, Load, choose, kept_key},
+    mangowalk_core::pool::{Belief, EngineEntry, Load, Need, choose, kept_key, refuse},
     mangowalk_platform::{Forward, forward_headers},
     std::{net::SocketAddr, pin::pin, time::Duration},
     tokio::time::{sleep, timeout},
@@ -35,6 +35,9 @@
     TimedOut,
     /// There is no engine to send it to.
     NoEngine,
+    /// It would wait too long; the caller should come back after so many
+    /// milliseconds.
+    Full(u64),
 }
 
 /// An answer, with the work that it stands for.
@@ -51,6 +54,8 @@
     pub(super) tried: &'a [String],
     /// Event behind which a stream goes on.
     pub(super) last_event_id: Option<&'a str>,
+    /// Whether nothing has run yet, so that the request may be refused.
+    pub(super) may_be_refused: bool,
     /// Silence after which the try is given up, where it may run again.
     pub(super) give_up_ms: Option<u64>,
 }
@@ -58,8 +63,9 @@
 /// Chooses an engine, sends the request and waits for the head of the answer.
 pub(super) async fn attempt(request: &CallerRequest, this: &Try<'_>) -> Outcome {
     let now = now_ms();
-    let Some((engine, plan)) = place(request, this.tried, now) else {
-        return Outcome::NoEngine;
+    let (engine, plan) = match place(request, this, now) {
+        Ok(placed) => placed,
+        Err(outcome) => return outcome,
     };
     let left_ms = request.left_ms();
     let Some(headers) = headers(request, this, &engine, &plan, left_ms) else {
@@ -129,7 +135,11 @@
     others: Load,
 }
 
-fn place(request: &CallerRequest, tried: &[String], now_ms: u64) -> Option<(EngineEntry, Plan)> {
+fn place(
+    request: &CallerRequest,
+    this: &Try<'_>,
+    now_ms: u64,
+) -> Result<(EngineEntry, Plan), Outcome> {
     let instance = &request.instance;
     let need = &request.need;
     let routes = instance.routes.borrow();
@@ -140,14 +150,24 @@
     let chosen = choose(
         engines
             .takers(&need.service, now_ms)
-            .filter(|belief| !tried.contains(&belief.entry.incarnation.id)),
+            .filter(|belief| !this.tried.contains(&belief.entry.incarnation.id)),
         need,
         request.wanted(now_ms),
         memory_tokens,
         settings,
         rand::random(),
         now_ms,
-    )?;
+    )
+    .ok_or(Outcome::NoEngine)?;
+    if need.model.is_some() && this.may_be_refused {
+        let admit = &instance.settings.admit;
+        let rate = instance.read_rate.get();
+        let is_first = request.urgency() == 0;
+        let target_ms = request.route.target_ms;
+        if let Some(return_ms) = refuse(chosen, &rate, admit, target_ms, is_first) {
+            return Err(Outcome::Full(return_ms));
+        }
+    }
     let stores = &routes.configuration().services;
     let store = stores.iter().find_map(|service| service.kept_store.as_ref());
     let store = store.map(|store| store.address);
@@ -157,7 +177,7 @@
     if let Some(belief) = engines.get_mut(&entry.incarnation.id) {
         belief.health.sent(&settings.health, now_ms);
     }
-    Some((entry, plan))
+    Ok((entry, plan))
 }
 
 fn plan(
@@ -174,7 +194,6 @@
         .shared_part()
         .is_some_and(|part| belief.keeps(part, kept_ms, now_ms));
     let shared_tokens = need.shared_tokens();
-    let unread = need.prompt_tokens - if is_kept { shared_tokens.min(need.prompt_tokens) } else { 0 };
     let worth_fetching = version > 0 && shared_tokens >= LEAST_FETCH_TOKENS;
     let salt = need.model.as_ref().map(|_| salt(request, version));
     let kept = request.instance.kept.borrow();
@@ -191,7 +210,7 @@
         load: Load {
             requests: 1,
             memory_tokens: need.memory_tokens as u32,
-            prefill_tokens: unread as u32,
+            prefill_tokens: unread(need, is_kept, is_saved || holder.is_some()) as u32,
         },
         seen: Seen {
             own: belief.own,
@@ -225,6 +244,21 @@
     holder.map(|belief| belief.entry.address)
 }
 
+/// Part of the shared tokens that fetching them takes of an engine's time, as
+/// if they were read.
+const FETCHED: f64 = 0.2;
+
+/// Returns the tokens that an engine has to read, as far as known.
+fn unread(need: &Need, is_kept: bool, is_elsewhere: bool) -> u64 {
+    let shared = need.shared_tokens().min(need.prompt_tokens);
+    let own = need.prompt_tokens - shared;
+    match (is_kept, is_elsewhere) {
+        (true, _) => own,
+        (false, true) => own + (shared as f64 * FETCHED) as u64,
+        (false, false) => need.prompt_tokens,
+    }
+}
+
 /// Returns the text under which an engine keeps the prompt's parts.
 ///
 /// It holds the weights: a store keeps parts beyond a change of weights and
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -86,7 +86,7 @@
                     instance.shares.borrow_mut().give_back(tenant, cost);
                 }
             }
-            refuse(&request, refusal, None)
+            refuse(&request, refusal, tries.return_ms)
         }
     }
 }
@@ -97,6 +97,8 @@
     tried: Vec<String>,
     refused: usize,
     run: u32,
+    /// When the caller should come back, where the engines are full.
+    return_ms: Option<u64>,
 }
 
 /// Sends the request to engines until one answers.
@@ -118,6 +120,7 @@
         }
         let this = Try {
             tried: &tries.tried,
+            may_be_refused: tries.run == 0,
             last_event_id: last_event_id.or(request.head.last_event_id.as_deref()),
             give_up_ms: give_up_ms(request, tries),
         };
@@ -154,6 +157,10 @@
             }
             Outcome::TimedOut => return Err(Refusal::TimedOut),
             Outcome::NoEngine => return Err(given_up),
+            Outcome::Full(return_ms) => {
+                tries.return_ms = Some(return_ms);
+                return Err(Refusal::NoEngine);
+            }
         }
     }
 }
@@ -330,7 +337,7 @@
         let now_ms = now_ms();
         if !self.has_begun {
             self.has_begun = true;
-            answered.work.read();
+            answered.work.read(now_ms);
             let waited_ms = now_ms.saturating_sub(self.request.arrived_ms);
             self.request.instance.counters.observe("first_event", waited_ms);
         }
--- a/crates/gateway/src/callers/work.rs
+++ b/crates/gateway/src/callers/work.rs
@@ -1,5 +1,5 @@
 use {
-    crate::instance::Instance,
+    crate::{clock::now_ms, instance::Instance},
     mangowalk_core::pool::{Incarnation, Load},
     std::rc::Rc,
 };
@@ -25,22 +25,35 @@
     instance: Rc<Instance>,
     engine: Incarnation,
     load: Load,
+    began_ms: u64,
+    /// Whether the engine had nothing else to read.
+    is_alone: bool,
 }
 
 impl Work {
     pub(super) fn begin(instance: &Rc<Instance>, engine: &Incarnation, load: Load) -> Work {
+        let mut is_alone = false;
         if let Some(belief) = instance.engines.borrow_mut().get_mut(&engine.id) {
+            is_alone = belief.load().requests == 0;
             belief.own.add(load);
         }
         Work {
             instance: instance.clone(),
             engine: engine.clone(),
             load,
+            began_ms: now_ms(),
+            is_alone,
         }
     }
 
     /// Notes that the prompt was read.
-    pub(super) fn read(&mut self) {
+    pub(super) fn read(&mut self, now_ms: u64) {
+        if self.is_alone {
+            let took_ms = now_ms.saturating_sub(self.began_ms);
+            let mut rate = self.instance.read_rate.get();
+            rate.sample(self.load.prefill_tokens, took_ms);
+            self.instance.read_rate.set(rate);
+        }
         let prompt = Load {
             prefill_tokens: self.load.prefill_tokens,
             ..Load::default()
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -3,7 +3,7 @@
     crate::clock::now_ms,
     mangowalk_core::{
         mesh::{Heartbeat, MemberTable, OrderNote, OrderPhase},
-        pool::{EngineTable, KeptParts, Steering, short_hash},
+        pool::{EngineTable, KeptParts, ReadRate, Steering, short_hash},
         retries::RetryBudget,
         routing::{Configuration, RouteTable},
         share::{PeerSpending, ShareTable},
@@ -69,6 +69,8 @@
     pub engines: RefCell<EngineTable>,
     /// Whether the list of engines was read since the start.
     pub engines_known: Cell<bool>,
+    /// How fast engines read prompts.
+    pub read_rate: Cell<ReadRate>,
     /// Newest weights by model.
     pub newest: RefCell<BTreeMap<String, NamedWeights>>,
     /// Parts of teams' rates.
@@ -110,6 +112,7 @@
             routes: RefCell::default(),
             engines: RefCell::default(),
             engines_known: Cell::new(false),
+            read_rate: Cell::default(),
             newest: RefCell::default(),
             shares: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,6 +1,6 @@
 use mangowalk_core::{
     mesh::MeshSettings,
-    pool::ChoiceSettings,
+    pool::{AdmitSettings, ChoiceSettings},
     weights::{LeaseSettings, PlanSettings, WeightsSettings},
 };
 
@@ -11,6 +11,8 @@
     pub mesh: MeshSettings,
     /// Choice among engines.
     pub choice: ChoiceSettings,
+    /// Refusal of requests that would wait too long.
+    pub admit: AdmitSettings,
     /// Ages of weights that matter to requests.
     pub weights: WeightsSettings,
     /// Pace of new weights.
@@ -49,6 +51,7 @@
         GatewaySettings {
             mesh: MeshSettings::default(),
             choice: ChoiceSettings::default(),
+            admit: AdmitSettings::default(),
             weights: WeightsSettings {
                 due_ms: 1_300,
                 least_ms: 6_500,
