--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -5,6 +5,10 @@
     /// little to do, one in so many. Those that don't load yet finish what
     /// runs there.
     pub away_one_in: usize,
+    /// Part that is away at once however busy the others are. An engine takes
+    /// about two seconds to finish, load and be seen again, and all have to
+    /// be through within six.
+    pub least_one_in: usize,
     /// Requests an engine up to which it has little to do.
     pub calm_requests: f64,
     /// Requests an engine from which on only those that load are away; each
@@ -22,10 +26,11 @@
     fn default() -> PlanSettings {
         PlanSettings {
             away_one_in: 2,
+            least_one_in: 3,
             calm_requests: 2.5,
             full_requests: 5.0,
             steer_ms: 100,
-            finish_ms: 2_000,
+            finish_ms: 700,
         }
     }
 }
@@ -70,9 +75,10 @@
     now_ms: u64,
 ) -> Vec<Step> {
     let mut steps = Vec::new();
+    // One that still finishes what runs there doesn't load yet.
     let mut loading = turns
         .iter()
-        .filter(|turn| turn.is_ordered && turn.answers)
+        .filter(|turn| turn.is_ordered && turn.answers && turn.requests == 0)
         .count();
     let mut due: Vec<(&Turn, u64)> = turns
         .iter()
@@ -119,5 +125,6 @@
     let range = settings.full_requests - settings.calm_requests;
     let load = ((mean - settings.calm_requests) / range).clamp(0.0, 1.0);
     let spare = calm.saturating_sub(at_once) as f64 * (1.0 - load);
-    (at_once.min(calm) + spare as usize).max(1)
+    let least = engines.div_ceil(settings.least_one_in.max(1));
+    (at_once.min(calm) + spare as usize).max(least).max(1)
 }
--- a/crates/gateway/src/weights/progress.rs
+++ b/crates/gateway/src/weights/progress.rs
@@ -226,6 +226,13 @@
     /// Notes how far an engine's order is, here and for the peers.
     pub(super) fn note(&mut self, one: &Lagging, phase: OrderPhase) {
         let now_ms = now_ms();
+        let before = self.given.get(&one.entry.incarnation);
+        log::info!(
+            "event=weights_step engine={} version={} phase={phase:?} before_ms={:?}",
+            one.entry.incarnation.id,
+            one.version,
+            before.map(|given| now_ms.saturating_sub(given.since_ms)),
+        );
         let given = Given {
             model: one.model.clone(),
             version: one.version,
