Cut resumable streams off for new weights, within the budget of repeats

Cause: an engine finished its streams first, which took up to four seconds, and did nothing else meanwhile. Change: an engine whose remaining runs can all go on elsewhere gets its order at once; they go on behind their last event at another engine.

--- a/crates/core/src/pool/belief.rs
+++ b/crates/core/src/pool/belief.rs
@@ -13,6 +13,8 @@
     pub memory_tokens: u32,
     /// Tokens of prompts that are still to be read.
     pub prefill_tokens: u32,
+    /// Requests that can't go on elsewhere if their run is cut off.
+    pub must_finish: u32,
 }
 
 impl Load {
@@ -21,6 +23,7 @@
         self.requests += other.requests;
         self.memory_tokens += other.memory_tokens;
         self.prefill_tokens += other.prefill_tokens;
+        self.must_finish += other.must_finish;
     }
 
     /// Removes work that was added before.
@@ -28,6 +31,7 @@
         self.requests = self.requests.saturating_sub(other.requests);
         self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
         self.prefill_tokens = self.prefill_tokens.saturating_sub(other.prefill_tokens);
+        self.must_finish = self.must_finish.saturating_sub(other.must_finish);
     }
 }
 
--- a/crates/core/src/retries/budget.rs
+++ b/crates/core/src/retries/budget.rs
@@ -20,7 +20,7 @@
             ratio: 0.2,
             slack: 50.0,
             window_ms: 10_000,
-            part: 0.6,
+            part: 0.8,
         }
     }
 }
@@ -39,6 +39,17 @@
         self.requests_ms.push_back(now_ms);
     }
 
+    /// Returns the repeats that all instances together have left, if they
+    /// have as many requests and repeats as this one.
+    pub fn room(&mut self, settings: &RetrySettings, instances: usize, now_ms: u64) -> u32 {
+        forget(&mut self.requests_ms, settings.window_ms, now_ms);
+        forget(&mut self.repeats_ms, settings.window_ms, now_ms);
+        let requests = (self.requests_ms.len() * instances) as f64;
+        let allowed = (requests * settings.ratio + settings.slack) * settings.part;
+        let taken = (self.repeats_ms.len() * instances) as f64;
+        (allowed - taken).max(0.0) as u32
+    }
+
     /// Takes one repeat, or says that there is none left. The slack is
     /// divided evenly over the instances.
     pub fn repeat(&mut self, settings: &RetrySettings, instances: usize, now_ms: u64) -> bool {
--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -17,8 +17,9 @@
     /// Shortest time between keeping new work away and the order. A heartbeat
     /// leaves at once for it; by then all instances know.
     pub steer_ms: u64,
-    /// Longest time for which an engine may finish what runs before it gets
-    /// its order. It finishes the rest then, and refuses what it has queued.
+    /// Longest time for which an engine may finish what can't go on elsewhere
+    /// before it gets its order. It finishes the rest then, and refuses what
+    /// it has queued.
     pub finish_ms: u64,
 }
 
@@ -48,6 +49,8 @@
     pub version: u64,
     /// Requests that run there, by all that is known.
     pub requests: u32,
+    /// Those of them that can't go on elsewhere.
+    pub must_finish: u32,
     /// Whether the engine answers.
     pub answers: bool,
 }
@@ -57,12 +60,19 @@
 pub enum Step {
     /// Keep new work away.
     Steer(String),
-    /// Send the order.
-    Order(String),
+    /// Send the order. What runs is cut off if it says so, and goes on at
+    /// other engines; else the engine finishes it first.
+    Order {
+        /// The engine.
+        engine: String,
+        /// Whether what runs is cut off.
+        cut: bool,
+    },
 }
 
 /// Returns the next steps for one model, of which so many engines answer, with
-/// so many requests, and so many may load at once.
+/// so many requests, and so many may load at once; so many requests may be cut
+/// off.
 ///
 /// Engines with the oldest weights go first, as requests there are worth the
 /// least; among them those with the least running, which are done soonest.
@@ -71,6 +81,7 @@
     engines: usize,
     requests: u32,
     at_once: usize,
+    mut cuts: u32,
     settings: &PlanSettings,
     now_ms: u64,
 ) -> Vec<Step> {
@@ -85,7 +96,7 @@
         .filter(|turn| !turn.is_ordered)
         .filter_map(|turn| Some((turn, turn.steered_since_ms?)))
         .filter(|(turn, since_ms)| {
-            let finished = turn.requests == 0 && now_ms >= since_ms + settings.steer_ms;
+            let finished = turn.must_finish == 0 && now_ms >= since_ms + settings.steer_ms;
             finished || now_ms >= since_ms + settings.finish_ms
         })
         .collect();
@@ -95,7 +106,12 @@
         if turn.answers && loading >= at_once {
             break;
         }
-        steps.push(Step::Order(turn.engine.clone()));
+        let cut = turn.must_finish == 0 && turn.requests <= cuts;
+        cuts -= if cut { turn.requests } else { 0 };
+        steps.push(Step::Order {
+            engine: turn.engine.clone(),
+            cut,
+        });
         loading += usize::from(turn.answers);
     }
     let most = away_most(engines, at_once, requests, settings);
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -54,6 +54,8 @@
     pub(super) tried: &'a [String],
     /// Event behind which a stream goes on.
     pub(super) last_event_id: Option<&'a str>,
+    /// Whether the request can go on elsewhere if its run is cut off.
+    pub(super) may_go_on: bool,
     /// Whether nothing has run yet, so that the request may be refused.
     pub(super) may_be_refused: bool,
     /// Silence after which the try is given up, where it may run again.
@@ -172,7 +174,7 @@
     let store = stores.iter().find_map(|service| service.kept_store.as_ref());
     let store = store.map(|store| store.address);
     let holder = holder(request, chosen, engines.iter(), now_ms);
-    let plan = plan(request, chosen, store, holder, now_ms);
+    let plan = plan(request, this, chosen, store, holder, now_ms);
     let entry = chosen.entry.clone();
     if let Some(belief) = engines.get_mut(&entry.incarnation.id) {
         belief.health.sent(&settings.health, now_ms);
@@ -182,6 +184,7 @@
 
 fn plan(
     request: &CallerRequest,
+    this: &Try<'_>,
     belief: &Belief,
     store: Option<SocketAddr>,
     holder: Option<SocketAddr>,
@@ -211,6 +214,7 @@
             requests: 1,
             memory_tokens: need.memory_tokens as u32,
             prefill_tokens: unread(need, is_kept, is_saved || holder.is_some()) as u32,
+            must_finish: u32::from(!this.may_go_on),
         },
         seen: Seen {
             own: belief.own,
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -120,6 +120,8 @@
         }
         let this = Try {
             tried: &tries.tried,
+            may_go_on: request.route.repeat == Repeat::ResumableStream
+                && tries.run + 1 < request.route.max_attempts,
             may_be_refused: tries.run == 0,
             last_event_id: last_event_id.or(request.head.last_event_id.as_deref()),
             give_up_ms: give_up_ms(request, tries),
--- a/crates/gateway/src/weights/orderer.rs
+++ b/crates/gateway/src/weights/orderer.rs
@@ -131,12 +131,12 @@
         for (step, one) in self.steps(lagging) {
             match step {
                 Step::Steer(_) => self.progress.note(&one, OrderPhase::Planned),
-                Step::Order(_) => due.push(one),
+                Step::Order { cut, .. } => due.push((one, cut)),
             }
         }
-        due.retain(|one| !self.progress.is_waited_for(&one.entry.incarnation));
+        due.retain(|(one, _)| !self.progress.is_waited_for(&one.entry.incarnation));
         // An order names how many came before it; that has to be known.
-        due.retain(|one| {
+        due.retain(|(one, _)| {
             let known = self.progress.accepted(&one.entry.incarnation).is_some();
             if !known {
                 self.ask(one.entry.clone());
@@ -146,8 +146,8 @@
         if due.is_empty() || !self.right.renew().await {
             return;
         }
-        for one in due {
-            self.order(one);
+        for (one, cut) in due {
+            self.order(one, cut);
         }
     }
 
@@ -163,7 +163,7 @@
         });
     }
 
-    fn order(&mut self, one: Lagging) {
+    fn order(&mut self, one: Lagging, cut: bool) {
         let (Some(lease), Some(accepted_before)) = (
             self.right.held(),
             self.progress.accepted(&one.entry.incarnation),
@@ -182,13 +182,14 @@
                 engine: &one.entry.incarnation.id,
                 model: &one.model,
                 version: one.version,
+                cut,
                 holder: &instance.machine.name,
                 fence,
                 accepted_before,
             };
             let answer = send(&one.entry, &order).await;
             log::info!(
-                "event=ordered engine={} model={} version={} fence={fence} accepted_before={accepted_before} answer={answer:?}",
+                "event=ordered engine={} model={} version={} cut={cut} fence={fence} accepted_before={accepted_before} answer={answer:?}",
                 one.entry.incarnation.id,
                 one.model,
                 one.version,
@@ -215,8 +216,9 @@
             let (engines, requests) = self.engines_of(model);
             let at_once = self.progress.at_once();
             let settings = &self.instance.settings.plan;
-            for step in plan(&turns, engines, requests, at_once, settings, now_ms) {
-                let (Step::Steer(engine) | Step::Order(engine)) = &step;
+            let cuts = self.cuts(model);
+            for step in plan(&turns, engines, requests, at_once, cuts, settings, now_ms) {
+                let (Step::Steer(engine) | Step::Order { engine, .. }) = &step;
                 let mut of_model = of_model.iter();
                 let one = of_model.find(|one| one.entry.incarnation.id == *engine);
                 if let Some(one) = one {
@@ -227,6 +229,22 @@
         steps
     }
 
+    /// Returns how many requests of a model may be cut off: each is sent once
+    /// more, which takes a repeat of its service's budget.
+    fn cuts(&self, model: &str) -> u32 {
+        let now_ms = now_ms();
+        let instances = self.instance.instances();
+        let engines = self.instance.engines.borrow();
+        let mut engines = engines.iter();
+        let serves = |entry: &EngineEntry| entry.models.iter().any(|m| m.model == model);
+        let Some(belief) = engines.find(|belief| serves(&belief.entry)) else {
+            return 0;
+        };
+        let mut budgets = self.instance.budgets.borrow_mut();
+        let budget = budgets.entry(belief.entry.service.clone()).or_default();
+        budget.room(&self.instance.machine.retries, instances, now_ms)
+    }
+
     /// Returns how many engines of a model answer, and the requests there.
     fn engines_of(&self, model: &str) -> (usize, u32) {
         let now_ms = now_ms();
--- a/crates/gateway/src/weights/progress.rs
+++ b/crates/gateway/src/weights/progress.rs
@@ -122,6 +122,7 @@
             is_ordered: ordered.is_some_and(|given| now_ms < given.since_ms + AGAIN_MS),
             version: belief.map_or(0, |belief| belief.version(&one.model)),
             requests: belief.map_or(0, |belief| belief.load().requests),
+            must_finish: belief.map_or(0, |belief| belief.load().must_finish),
             answers: belief.is_some_and(|belief| !belief.health.is_doubtful(health, now_ms)),
         }
     }
