Take the lease by its record first, and bound old weights after a restart

Cause: after all instances lost power, three of them took the lease in turn within 0.2 s, and each waited anew; nobody knew how long ago the newest weights had been named, so old ones were used for too long. Change: the machine in the record takes it at once; others only from a record that has settled, waiting from the holder's restart or last order on; a version of unknown age bounds older ones 2.6 s after the start.

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -53,6 +53,8 @@
     pub name: String,
     /// Grows with each start of the instance.
     pub incarnation: u64,
+    /// Time since the start of the instance.
+    pub up_ms: u32,
     /// Grows with each heartbeat; an older one that comes late is dropped.
     pub sequence: u64,
     /// Where callers connect.
@@ -65,8 +67,8 @@
     pub ready: bool,
     /// Version of the configuration in force there.
     pub configuration_version: u64,
-    /// Newest weights named by model, and how long ago, in milliseconds.
-    pub versions: Vec<(String, u64, u32)>,
+    /// Newest weights named by model, and how many milliseconds ago, if known.
+    pub versions: Vec<(String, u64, Option<u32>)>,
     /// Work sent to each engine and not done.
     pub loads: Vec<(String, Load)>,
     /// Shared parts that engines have read for it just now, and a short hash
--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -7,7 +7,7 @@
 
 pub use {
     lease::{Held, Lease, LeaseSettings, Seen, Vacant},
-    named::{NamedWeights, Wanted, WeightsSettings},
+    named::{NamedAt, NamedWeights, Wanted, WeightsSettings},
     pace::LoadPace,
     plan::{PlanSettings, Step, Turn, plan},
 };
--- a/crates/core/src/weights/named.rs
+++ b/crates/core/src/weights/named.rs
@@ -4,11 +4,27 @@
 /// first is in place everywhere.
 const MOST: usize = 16;
 
+/// When a version was named.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NamedAt {
+    /// So many milliseconds ago; this instance or a peer saw it.
+    Ago(u64),
+    /// Before this instance began to follow the store.
+    Unknown,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct Named {
+    version: u64,
+    named_ms: u64,
+    is_known: bool,
+}
+
 /// When versions of one model's weights were named.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct NamedWeights {
-    /// Rising in both.
-    history: VecDeque<(u64, u64)>,
+    /// Rising by version.
+    history: VecDeque<Named>,
 }
 
 /// What weights a request should meet.
@@ -33,22 +49,41 @@
     /// Age of a version from which on no request may begin on older ones; one
     /// that still waits is withdrawn.
     pub last_ms: u64,
+    /// Time for which older weights are used at most if it isn't known when a
+    /// version was named. All instances may have lost power just after, so
+    /// that nobody knows; it may have been long before.
+    pub unknown_ms: u64,
 }
 
 impl NamedWeights {
-    /// Notes that a version was named some time ago. Returns whether it is
-    /// the newest.
-    pub fn name(&mut self, version: u64, age_ms: u64, now_ms: u64) -> bool {
-        let named_ms = now_ms.saturating_sub(age_ms);
-        if let Some((_, known_ms)) = self.history.iter_mut().find(|(known, _)| *known == version) {
-            // Whoever heard of it first knows its age best.
-            *known_ms = (*known_ms).min(named_ms);
+    /// Notes that a version was named. Returns whether it is the newest.
+    pub fn name(
+        &mut self,
+        version: u64,
+        at: NamedAt,
+        settings: &WeightsSettings,
+        now_ms: u64,
+    ) -> bool {
+        let (named_ms, is_known) = match at {
+            NamedAt::Ago(age_ms) => (now_ms.saturating_sub(age_ms), true),
+            NamedAt::Unknown => {
+                let age_ms = settings.last_ms.saturating_sub(settings.unknown_ms);
+                (now_ms.saturating_sub(age_ms), false)
+            }
+        };
+        let mut history = self.history.iter_mut();
+        if let Some(known) = history.find(|named| named.version == version) {
+            known.learn(named_ms, is_known);
             return false;
         }
         if version <= self.newest() {
             return false;
         }
-        self.history.push_back((version, named_ms));
+        self.history.push_back(Named {
+            version,
+            named_ms,
+            is_known,
+        });
         if self.history.len() > MOST {
             self.history.pop_front();
         }
@@ -57,28 +92,32 @@
 
     /// Returns the newest version; 0 where none was named.
     pub fn newest(&self) -> u64 {
-        self.history.back().map_or(0, |(version, _)| *version)
+        self.history.back().map_or(0, |named| named.version)
     }
 
-    /// Returns the newest version and how long ago it was named.
-    pub fn newest_age(&self, now_ms: u64) -> Option<(u64, u64)> {
-        let (version, named_ms) = self.history.back()?;
-        Some((*version, now_ms.saturating_sub(*named_ms)))
+    /// Returns the newest version and when it was named, for peers.
+    pub fn newest_at(&self, now_ms: u64) -> Option<(u64, NamedAt)> {
+        let named = self.history.back()?;
+        let at = match named.is_known {
+            true => NamedAt::Ago(now_ms.saturating_sub(named.named_ms)),
+            false => NamedAt::Unknown,
+        };
+        Some((named.version, at))
     }
 
     /// Returns when a request may no longer begin on a version, if newer ones
     /// were named.
     pub fn bound_ms(&self, version: u64, settings: &WeightsSettings) -> Option<u64> {
-        let mut newer = self.history.iter().filter(|(newer, _)| *newer > version);
-        newer.next().map(|(_, named_ms)| named_ms + settings.last_ms)
+        let mut newer = self.history.iter().filter(|named| named.version > version);
+        newer.next().map(|named| named.named_ms + settings.last_ms)
     }
 
     /// Returns what a request should meet now.
     pub fn wanted(&self, settings: &WeightsSettings, now_ms: u64) -> Wanted {
         let older_than = |age_ms: u64| {
             let named = self.history.iter().rev();
-            let mut old = named.filter(|(_, named_ms)| now_ms >= named_ms + age_ms);
-            old.next().map_or(0, |(version, _)| *version)
+            let mut old = named.filter(|named| now_ms >= named.named_ms + age_ms);
+            old.next().map_or(0, |named| named.version)
         };
         Wanted {
             newest: self.newest(),
@@ -87,3 +126,17 @@
         }
     }
 }
+
+impl Named {
+    /// Whoever heard of it first knows its age best; a guess knows less.
+    fn learn(&mut self, named_ms: u64, is_known: bool) {
+        match (self.is_known, is_known) {
+            (true, true) => self.named_ms = self.named_ms.min(named_ms),
+            (false, true) => {
+                self.named_ms = named_ms;
+                self.is_known = true;
+            }
+            (_, false) => {}
+        }
+    }
+}
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -7,7 +7,7 @@
         retries::RetryBudget,
         routing::{Configuration, RouteTable},
         share::{PeerSpending, ShareTable},
-        weights::NamedWeights,
+        weights::{NamedAt, NamedWeights},
     },
     mangowalk_platform::MachineSettings,
     std::{
@@ -63,6 +63,8 @@
     pub kept: RefCell<KeptParts>,
     /// Shared parts that engines have read for this instance, and when.
     pub placed: RefCell<VecDeque<(u64, u64, u32)>>,
+    /// When this instance started.
+    pub started_ms: u64,
     /// Configuration in force.
     pub routes: RefCell<Rc<RouteTable>>,
     /// Engines and what is believed of them.
@@ -107,6 +109,7 @@
             machine,
             settings,
             incarnation,
+            started_ms: now_ms(),
             kept: RefCell::default(),
             placed: RefCell::default(),
             routes: RefCell::default(),
@@ -164,13 +167,13 @@
         &self,
         model: &str,
         version: u64,
-        age_ms: u64,
+        at: NamedAt,
         source: &'static str,
     ) -> bool {
         let mut newest = self.newest.borrow_mut();
         let named = newest.entry(model.to_owned()).or_default();
         let before = named.newest();
-        if !named.name(version, age_ms, now_ms()) {
+        if !named.name(version, at, &self.settings.weights, now_ms()) {
             return false;
         }
         log::info!("event=weights_named model={model} version={version} before={before} source={source}");
@@ -258,7 +261,8 @@
             self.notes.configuration.notify_one();
         }
         for (model, version, age_ms) in &versions {
-            if self.name_weights(model, *version, u64::from(*age_ms), "peer") {
+            let at = age_ms.map_or(NamedAt::Unknown, |ms| NamedAt::Ago(u64::from(ms)));
+            if self.name_weights(model, *version, at, "peer") {
                 self.notes.weights.notify_one();
             }
         }
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -56,6 +56,7 @@
                 due_ms: 1_300,
                 least_ms: 6_500,
                 last_ms: 7_700,
+                unknown_ms: 2_600,
             },
             plan: PlanSettings::default(),
             lease: LeaseSettings::default(),
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -1,6 +1,9 @@
 use {
     crate::{clock::now_ms, instance::Instance},
-    mangowalk_core::mesh::{Heartbeat, TeamNote},
+    mangowalk_core::{
+        mesh::{Heartbeat, TeamNote},
+        weights::NamedAt,
+    },
     std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::sleep},
 };
@@ -88,6 +91,7 @@
     Heartbeat {
         name: instance.machine.name.clone(),
         incarnation: instance.incarnation,
+        up_ms: now_ms.saturating_sub(instance.started_ms) as u32,
         sequence,
         caller_address: instance.machine.caller_address,
         peer_address: instance.machine.peer_address,
@@ -109,11 +113,15 @@
     }
 }
 
-fn versions(instance: &Instance, now_ms: u64) -> Vec<(String, u64, u32)> {
+fn versions(instance: &Instance, now_ms: u64) -> Vec<(String, u64, Option<u32>)> {
     let newest = instance.newest.borrow();
     let named = newest.iter().filter_map(|(model, named)| {
-        let (version, age_ms) = named.newest_age(now_ms)?;
-        Some((model.clone(), version, age_ms as u32))
+        let (version, at) = named.newest_at(now_ms)?;
+        let age_ms = match at {
+            NamedAt::Ago(age_ms) => Some(age_ms as u32),
+            NamedAt::Unknown => None,
+        };
+        Some((model.clone(), version, age_ms))
     });
     named.collect()
 }
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -1,12 +1,13 @@
 use {
     super::StoreClient,
     crate::{clock::now_ms, instance::Instance},
+    mangowalk_core::weights::NamedAt,
     mangowalk_platform::{
         Changes, Kind, MemberRecord, Page, Stored, decode_changes, decode_configuration,
         decode_engine, decode_newest_weights, decode_object, decode_page, encode_create,
         encode_replace,
     },
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{sync::Notify, time::sleep},
 };
 
@@ -164,32 +165,46 @@
     }
 }
 
-struct WeightsFollower(Rc<Instance>);
+struct WeightsFollower {
+    instance: Rc<Instance>,
+    /// Whether the kind was read before; what the first read brings may have
+    /// been named at any time.
+    has_read: Cell<bool>,
+}
+
+impl WeightsFollower {
+    fn name(&self, name: &str, object: &Stored, at: NamedAt) {
+        match decode_newest_weights(&object.spec) {
+            Some(newest) => {
+                self.instance
+                    .name_weights(&newest.model, newest.version, at, "store");
+            }
+            None => log::warn!("event=weights_refused name={name}"),
+        }
+    }
+}
 
 impl Follower for WeightsFollower {
     const KIND: Kind = Kind::Weights;
 
     fn replace(&self, objects: &[Stored]) {
+        let at = match self.has_read.replace(true) {
+            true => NamedAt::Ago(0),
+            false => NamedAt::Unknown,
+        };
         for object in objects {
-            self.change(&object.name, Some(object));
+            self.name(&object.name, object, at);
         }
     }
 
     fn change(&self, name: &str, object: Option<&Stored>) {
-        let Some(object) = object else {
-            return;
-        };
-        match decode_newest_weights(&object.spec) {
-            Some(newest) => {
-                self.0
-                    .name_weights(&newest.model, newest.version, 0, "store");
-            }
-            None => log::warn!("event=weights_refused name={name}"),
+        if let Some(object) = object {
+            self.name(name, object, NamedAt::Ago(0));
         }
     }
 
     fn wake(&self) -> &Notify {
-        &self.0.notes.weights
+        &self.instance.notes.weights
     }
 }
 
@@ -253,7 +268,11 @@
 
 /// Follows the newest weights.
 pub async fn watch_weights(instance: Rc<Instance>, store: Rc<StoreClient>) {
-    follow(&instance, &store, WeightsFollower(instance.clone())).await;
+    let follower = WeightsFollower {
+        instance: instance.clone(),
+        has_read: Cell::new(false),
+    };
+    follow(&instance, &store, follower).await;
 }
 
 /// Follows the list of engines.
--- a/crates/gateway/src/weights/right.rs
+++ b/crates/gateway/src/weights/right.rs
@@ -25,6 +25,13 @@
 /// Time of failed renewals after which the lease is left to others.
 const FAILING_MS: u64 = 450;
 
+/// Pause between two looks at the record.
+const LOOK_AGAIN_MS: u64 = 300;
+
+/// Time for which a record must have been as it is before it is taken from
+/// another: whoever has just written it is not yet heard to hold the lease.
+const SETTLE_MS: u64 = 600;
+
 /// Time for which a stopping instance goes on with orders that it has begun.
 const DEPARTING_MS: u64 = 2_500;
 
@@ -33,6 +40,15 @@
     Held(Lease<Held>),
 }
 
+/// Whose a record was that this instance takes over.
+enum Before {
+    /// Its own, from this start or one before. Orders of one machine never
+    /// clash with each other.
+    Own,
+    /// Another's, who gave no order from some time on.
+    Other { seen_ms: u64, quiet_since_ms: u64 },
+}
+
 /// The right to give orders, and the calls to the store that it takes.
 pub(super) struct Right {
     instance: Rc<Instance>,
@@ -42,6 +58,8 @@
     /// Until then this instance leaves the lease to others.
     unable_until_ms: u64,
     failing_since_ms: Option<u64>,
+    /// Episode of lacking weights in which the record was looked at.
+    looked_since_ms: Option<u64>,
     departing_since_ms: Option<u64>,
 }
 
@@ -54,6 +72,7 @@
             seen: None,
             unable_until_ms: 0,
             failing_since_ms: None,
+            looked_since_ms: None,
             departing_since_ms: None,
         }
     }
@@ -91,23 +110,25 @@
         }
     }
 
-    /// Returns whether it is this instance's turn to take the lease.
+    /// Returns whether another instance says that it holds the lease.
+    fn is_held_elsewhere(&self) -> bool {
+        let members = self.instance.members.borrow();
+        let mut heard = members.heard(&self.instance.settings.mesh, now_ms());
+        heard.any(|member| member.last.holds_lease)
+    }
+
+    /// Returns whether it is this instance's turn to take the lease from
+    /// another.
     ///
     /// Instances take turns by the time of their start, the youngest first:
     /// while instances are restarted one after the other, the one that has
     /// just started is the last to be restarted again.
     fn is_turn(&self, since_ms: u64) -> bool {
-        let now_ms = now_ms();
-        if now_ms < self.unable_until_ms || !self.instance.is_ready() {
-            return false;
-        }
         let members = self.instance.members.borrow();
-        let heard = || members.heard(&self.instance.settings.mesh, now_ms);
-        if heard().any(|member| member.last.holds_lease) {
-            return false;
-        }
+        let now_ms = now_ms();
         let own = (self.instance.incarnation, &self.instance.machine.name);
-        let before = heard()
+        let before = members
+            .heard(&self.instance.settings.mesh, now_ms)
             .filter(|member| member.last.ready)
             .filter(|member| (member.last.incarnation, &member.last.name) > own)
             .count() as u64;
@@ -117,88 +138,111 @@
     /// Takes the lease if it is this instance's turn. `since_ms` is when
     /// engines began to lack weights.
     pub(super) async fn seek(&mut self, since_ms: u64) {
-        if self.held().is_some() || !self.is_turn(since_ms) {
+        let now = now_ms();
+        let is_able = now >= self.unable_until_ms && self.instance.is_ready();
+        if self.held().is_some() || !is_able || self.is_held_elsewhere() {
             return;
         }
-        if !self.take().await && self.held().is_none() {
-            // The store may answer others.
-            self.unable_until_ms = now_ms() + TURN_MS;
+        // Only the first look tells whose the record is; further ones are for
+        // those whose turn it is.
+        let looked = self.looked_since_ms == Some(since_ms);
+        if looked && !self.is_turn(since_ms) {
+            return;
         }
+        self.looked_since_ms = Some(since_ms);
+        self.unable_until_ms = now + LOOK_AGAIN_MS;
+        self.try_to_take(since_ms).await;
     }
 
-    async fn take(&mut self) -> bool {
+    async fn try_to_take(&mut self, since_ms: u64) {
         let within_ms = self.instance.settings.store_ms;
         let call = Call::get(path_of_object(Kind::Leases, RECORD));
-        let (before, write) = match self.store.call(&call, within_ms).await {
-            Ok((404, _)) => (
+        let (quiet_since_ms, write) = match self.store.call(&call, within_ms).await {
+            Ok((404, _)) if self.is_turn(since_ms) => (
                 None,
                 encode_create(Kind::Leases, RECORD, &self.record(1, 1)),
             ),
             Ok((200, body)) => {
                 let Ok(stored) = decode_object(&body) else {
                     log::warn!("event=lease_unreadable record={RECORD}");
-                    return false;
+                    return;
                 };
-                (self.quiet_since_ms(&stored), self.replacement(&stored))
+                match self.quiet_since_ms(&stored) {
+                    Before::Own => (None, self.replacement(&stored)),
+                    Before::Other { seen_ms, .. } if now_ms() < seen_ms + SETTLE_MS => return,
+                    Before::Other { .. } if !self.is_turn(since_ms) => return,
+                    Before::Other { quiet_since_ms, .. } => {
+                        (Some(quiet_since_ms), self.replacement(&stored))
+                    }
+                }
             }
-            _ => return false,
+            _ => return,
         };
+        self.write(write, quiet_since_ms).await;
+    }
+
+    async fn write(&mut self, write: Call, quiet_since_ms: Option<u64>) {
         let sent_ms = now_ms();
+        let within_ms = self.instance.settings.store_ms;
         let Ok((200 | 201, body)) = self.store.call(&write, within_ms).await else {
-            return false;
+            return;
         };
         let Some((stored, record)) = written(&body) else {
-            return false;
+            return;
         };
         if let Hold::Vacant(vacant) = &self.hold {
             let vacant = vacant.clone();
-            let held = vacant.take(record.fence, stored.revision, before, sent_ms);
+            let held = vacant.take(record.fence, stored.revision, quiet_since_ms, sent_ms);
             self.hold = Hold::Held(held);
         }
         self.instance.holds_lease.set(true);
         self.instance.notes.heartbeat.notify_one();
+        let waits_ms = quiet_since_ms.map(|quiet_ms| now_ms().saturating_sub(quiet_ms));
         log::info!(
-            "event=lease_taken fence={} revision={} waits={}",
+            "event=lease_taken fence={} revision={} quiet_ms={waits_ms:?}",
             record.fence,
             stored.revision,
-            before.is_some(),
         );
-        true
     }
 
-    /// Returns from when on the holder of a record gave no order, `None` for
-    /// one's own record.
-    fn quiet_since_ms(&mut self, stored: &Stored) -> Option<u64> {
-        let record: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
-        if let Some(record) = &record {
-            if record.holder == self.instance.machine.name {
-                return None;
-            }
-            if let Some(told_ms) = self.told_quiet_ms(record) {
-                return Some(told_ms);
-            }
-        }
+    /// Returns whose a record is, and from when on its holder gave no order.
+    fn quiet_since_ms(&mut self, stored: &Stored) -> Before {
         let seen = self.seen.filter(|seen| seen.revision == stored.revision);
         let seen = seen.unwrap_or(Seen {
             revision: stored.revision,
             first_ms: now_ms(),
         });
         self.seen = Some(seen);
-        Some(seen.quiet_since_ms(&self.instance.settings.lease))
+        let record: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
+        if let Some(record) = &record {
+            if record.holder == self.instance.machine.name {
+                return Before::Own;
+            }
+        }
+        let told_ms = record.and_then(|record| self.told_quiet_ms(&record));
+        let settings = &self.instance.settings.lease;
+        Before::Other {
+            seen_ms: seen.first_ms,
+            quiet_since_ms: told_ms.unwrap_or_else(|| seen.quiet_since_ms(settings)),
+        }
     }
 
-    /// Returns when the holder of a record gave its last order, if it told so
-    /// after it had left the lease. What an earlier start of it did it can't
-    /// tell.
+    /// Returns when the holder of a record gave its last order, if that can be
+    /// told: it has left the lease and says when, or it has started again,
+    /// and what ordered before it did so is gone.
     fn told_quiet_ms(&self, record: &LeaseRecord) -> Option<u64> {
         let members = self.instance.members.borrow();
         let mut members = members.iter();
         let holder = members.find(|member| member.last.name == record.holder)?;
         let last = &holder.last;
-        if last.holds_lease || last.incarnation != record.incarnation {
+        if last.holds_lease {
             return None;
         }
-        let ago_ms = u64::from(last.ordered_ago_ms.unwrap_or(0));
+        let up_ms = u64::from(last.up_ms);
+        let ago_ms = match last.incarnation == record.incarnation {
+            true => last.ordered_ago_ms.map_or(up_ms, u64::from),
+            false => up_ms,
+        };
         Some(holder.heard_ms.saturating_sub(ago_ms))
     }
 
