--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -86,7 +86,11 @@
     target_ms: u64,
     is_first: bool,
 ) -> Option<u64> {
-    let times = if is_first { settings.first_patience } else { settings.patience };
+    let times = if is_first {
+        settings.first_patience
+    } else {
+        settings.patience
+    };
     let patience_ms = times * target_ms as f64;
     let wait_ms = rate.wait_ms(best.load());
     if wait_ms <= patience_ms {
--- a/crates/core/src/share/bucket.rs
+++ b/crates/core/src/share/bucket.rs
@@ -78,7 +78,11 @@
         let half = capacity / 2.0;
         let needed = tokens.min(capacity * 0.95);
         let part = (2.0 * standing.demand).min(1.0);
-        let free = if self.level >= half { self.level } else { self.level * part };
+        let free = if self.level >= half {
+            self.level
+        } else {
+            self.level * part
+        };
         if free >= needed {
             self.level -= tokens;
             return Ok(());
--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -182,7 +182,11 @@
             .map(|told| told.demand_per_s)
             .sum();
         let even = 1.0 / instances;
-        let by_demand = if own + others > 1.0 { own / (own + others) } else { even };
+        let by_demand = if own + others > 1.0 {
+            own / (own + others)
+        } else {
+            even
+        };
         Standing {
             heard: heard as f64 / instances,
             demand: self.settings.even * even + (1.0 - self.settings.even) * by_demand,
--- a/crates/core/src/weights/lease.rs
+++ b/crates/core/src/weights/lease.rs
@@ -120,8 +120,7 @@
 
     /// Returns whether an order may leave now.
     pub fn may_order(&self, now_ms: u64) -> bool {
-        now_ms >= self.state.first_order_ms
-            && now_ms < self.state.renewed_ms + self.settings.act_ms
+        now_ms >= self.state.first_order_ms && now_ms < self.state.renewed_ms + self.settings.act_ms
     }
 
     /// Returns whether orders have to wait for the holder before.
--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -115,7 +115,7 @@
         loading += usize::from(turn.answers);
     }
     let most = away_most(engines, at_once, requests, settings);
-    let mut away = turns
+    let away = turns
         .iter()
         .filter(|turn| turn.is_ordered || turn.steered_since_ms.is_some())
         .filter(|turn| turn.answers)
@@ -125,12 +125,8 @@
         .filter(|turn| !turn.is_ordered && turn.steered_since_ms.is_none())
         .collect();
     next.sort_by_key(|turn| (!turn.answers, turn.version, turn.requests));
-    for turn in next {
-        if away >= most {
-            break;
-        }
+    for turn in next.into_iter().take(most.saturating_sub(away)) {
         steps.push(Step::Steer(turn.engine.clone()));
-        away += 1;
     }
     steps
 }
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -145,7 +145,9 @@
     let instance = &request.instance;
     let need = &request.need;
     let routes = instance.routes.borrow();
-    let limits = routes.service(&need.service).and_then(|service| service.engine);
+    let limits = routes
+        .service(&need.service)
+        .and_then(|service| service.engine);
     let memory_tokens = limits.map_or(u64::MAX, |limits| limits.memory_tokens);
     let mut engines = instance.engines.borrow_mut();
     let settings = &instance.settings.choice;
@@ -171,7 +173,9 @@
         }
     }
     let stores = &routes.configuration().services;
-    let store = stores.iter().find_map(|service| service.kept_store.as_ref());
+    let store = stores
+        .iter()
+        .find_map(|service| service.kept_store.as_ref());
     let store = store.map(|store| store.address);
     let holder = holder(request, chosen, engines.iter(), now_ms);
     let plan = plan(request, this, chosen, store, holder, now_ms);
@@ -208,7 +212,11 @@
         .is_some_and(|(salt, part)| kept.holds(kept_key(salt, part.id)));
     // Another engine's link is faster than the store's, but its memory turns
     // over within seconds.
-    let fetch_from = if is_saved { store } else { holder.filter(|_| worth_fetching && !is_kept).or(store) };
+    let fetch_from = if is_saved {
+        store
+    } else {
+        holder.filter(|_| worth_fetching && !is_kept).or(store)
+    };
     Plan {
         load: Load {
             requests: 1,
@@ -297,7 +305,10 @@
     match forward_headers(&request.headers, &forward) {
         Ok(headers) => Some(headers),
         Err(error) => {
-            log::warn!("event=unwritable request={} error=\"{error}\"", request.id());
+            log::warn!(
+                "event=unwritable request={} error=\"{error}\"",
+                request.id()
+            );
             None
         }
     }
@@ -355,7 +366,9 @@
     let is_ours = head.request_id.as_deref() == Some(request.id());
     let promises = matches!(
         status,
-        StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
     );
     // Without the engine's signature the bytes may be anybody's; and a status
     // that promises "not run" can't be passed on for a request that has run.
@@ -389,7 +402,12 @@
     }))
 }
 
-fn rejected(request: &CallerRequest, engine: &EngineEntry, answer: &Answer, plan: &Plan) -> Outcome {
+fn rejected(
+    request: &CallerRequest,
+    engine: &EngineEntry,
+    answer: &Answer,
+    plan: &Plan,
+) -> Outcome {
     let now_ms = now_ms();
     let status = answer.parts.status;
     let mut engines = request.instance.engines.borrow_mut();
--- a/crates/gateway/src/callers/directory.rs
+++ b/crates/gateway/src/callers/directory.rs
@@ -69,10 +69,9 @@
         .keep_s
         .min(instance.machine.directory_keep_s.max(1));
     let mut response = Response::new(AnswerBody::whole(encode_addresses(&addresses, keep_s)));
-    response.headers_mut().insert(
-        CONTENT_TYPE,
-        HeaderValue::from_static("application/json"),
-    );
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     response
 }
 
--- a/crates/gateway/src/callers/events.rs
+++ b/crates/gateway/src/callers/events.rs
@@ -52,6 +52,9 @@
 
 fn last_id(events: &[u8]) -> Option<String> {
     let text = std::str::from_utf8(events).ok()?;
-    let id = text.lines().rev().find_map(|line| line.strip_prefix("id:"))?;
+    let id = text
+        .lines()
+        .rev()
+        .find_map(|line| line.strip_prefix("id:"))?;
     Some(id.trim().to_owned())
 }
--- a/crates/gateway/src/callers/refusal.rs
+++ b/crates/gateway/src/callers/refusal.rs
@@ -55,7 +55,9 @@
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Refusal::OverRate => StatusCode::TOO_MANY_REQUESTS,
-            Refusal::Starting | Refusal::Stopping | Refusal::NoEngine => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::Starting | Refusal::Stopping | Refusal::NoEngine => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Refusal::AnswerLost => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -119,7 +119,11 @@
         .map_err(|_| (Refusal::TooSlow, None))?
         .map_err(|error| {
             let too_long = error.downcast_ref::<LengthLimitError>().is_some();
-            let refusal = if too_long { Refusal::TooLong } else { Refusal::BadRequest };
+            let refusal = if too_long {
+                Refusal::TooLong
+            } else {
+                Refusal::BadRequest
+            };
             (refusal, None)
         })?
         .to_bytes();
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -110,9 +110,17 @@
     let mut may_have_run = tries.run > 0;
     let least_left_ms = request.instance.settings.least_left_ms;
     loop {
-        let given_up = if may_have_run { Refusal::AnswerLost } else { Refusal::NoEngine };
+        let given_up = if may_have_run {
+            Refusal::AnswerLost
+        } else {
+            Refusal::NoEngine
+        };
         if request.left_ms() < least_left_ms {
-            return Err(if may_have_run { Refusal::TimedOut } else { Refusal::NoEngine });
+            return Err(if may_have_run {
+                Refusal::TimedOut
+            } else {
+                Refusal::NoEngine
+            });
         }
         let first = tries.run == 0 && tries.refused == 0;
         if !first && !take_repeat(request) {
@@ -151,8 +159,8 @@
             Outcome::Unknown => {
                 tries.run += 1;
                 may_have_run = true;
-                let again = request.route.repeat.may_run_again()
-                    && tries.run < request.route.max_attempts;
+                let again =
+                    request.route.repeat.may_run_again() && tries.run < request.route.max_attempts;
                 if !again {
                     return Err(Refusal::AnswerLost);
                 }
@@ -194,7 +202,11 @@
 /// that would lose its place and read its prompt twice.
 fn give_up_ms(request: &CallerRequest, tries: &Tries) -> Option<u64> {
     let another = tries.run + 1 < request.route.max_attempts;
-    let targets = if request.route.repeat.is_stream() { 6 } else { 2 };
+    let targets = if request.route.repeat.is_stream() {
+        6
+    } else {
+        2
+    };
     (request.route.repeat.may_run_again() && another).then(|| targets * request.route.target_ms)
 }
 
@@ -341,7 +353,10 @@
             self.has_begun = true;
             answered.work.read(now_ms);
             let waited_ms = now_ms.saturating_sub(self.request.arrived_ms);
-            self.request.instance.counters.observe("first_event", waited_ms);
+            self.request
+                .instance
+                .counters
+                .observe("first_event", waited_ms);
         }
         let mut engines = self.request.instance.engines.borrow_mut();
         if let Some(belief) = engines.get_mut(&answered.engine.incarnation.id) {
@@ -390,7 +405,10 @@
 
     fn cut(&self, reason: &'static str) -> StreamCut {
         self.request.instance.counters.count("stream_cut", reason);
-        log::warn!("event=stream_cut request={} reason={reason}", self.request.id());
+        log::warn!(
+            "event=stream_cut request={} reason={reason}",
+            self.request.id()
+        );
         StreamCut
     }
 }
@@ -416,11 +434,7 @@
     );
 }
 
-fn refuse(
-    request: &CallerRequest,
-    refusal: Refusal,
-    wait_ms: Option<u64>,
-) -> Response<AnswerBody> {
+fn refuse(request: &CallerRequest, refusal: Refusal, wait_ms: Option<u64>) -> Response<AnswerBody> {
     let promises = matches!(refusal, Refusal::NoEngine | Refusal::OverRate);
     let spread_ms = rand::random_range(0..RETRY_SPREAD_MS);
     let retry_after_ms = promises.then(|| wait_ms.unwrap_or(RETRY_LEAST_MS) + spread_ms);
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -176,7 +176,9 @@
         if !named.name(version, at, &self.settings.weights, now_ms()) {
             return false;
         }
-        log::info!("event=weights_named model={model} version={version} before={before} source={source}");
+        log::info!(
+            "event=weights_named model={model} version={version} before={before} source={source}"
+        );
         self.notes.orders.notify_one();
         self.notes.heartbeat.notify_one();
         true
--- a/crates/gateway/src/instance/counters.rs
+++ b/crates/gateway/src/instance/counters.rs
@@ -42,11 +42,17 @@
         let mut text = String::new();
         for ((name, reason), count) in self.counts.borrow().iter() {
             // Writing to a string can't fail.
-            let _ = writeln!(text, "mangowalk_{name}_total{{reason=\"{reason}\"}} {count}");
+            let _ = writeln!(
+                text,
+                "mangowalk_{name}_total{{reason=\"{reason}\"}} {count}"
+            );
         }
         for (name, histogram) in self.histograms.borrow().iter() {
             for (bound_ms, count) in BOUNDS_MS.iter().zip(histogram.buckets) {
-                let _ = writeln!(text, "mangowalk_{name}_ms_bucket{{le=\"{bound_ms}\"}} {count}");
+                let _ = writeln!(
+                    text,
+                    "mangowalk_{name}_ms_bucket{{le=\"{bound_ms}\"}} {count}"
+                );
             }
             let _ = writeln!(
                 text,
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -109,7 +109,10 @@
         silent: instance.engines.borrow().silent(),
         teams: teams(instance, now_ms),
         orders: instance.orders.borrow().clone(),
-        peers: heard.map(|m| m.last.peer_address).take(MOST_TARGETS).collect(),
+        peers: heard
+            .map(|m| m.last.peer_address)
+            .take(MOST_TARGETS)
+            .collect(),
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -165,7 +165,11 @@
     spawn_local(watch_kept(instance.clone()));
     spawn_local(sweep(instance.clone(), pool.clone()));
     spawn_local(probe_silent(instance.clone(), pool));
-    spawn_local(reload(instance.clone(), catch(SignalKind::hangup())?, path.to_owned()));
+    spawn_local(reload(
+        instance.clone(),
+        catch(SignalKind::hangup())?,
+        path.to_owned(),
+    ));
     let mut terminate = catch(SignalKind::terminate())?;
     let mut interrupt = catch(SignalKind::interrupt())?;
     tokio::select! {
@@ -188,7 +192,11 @@
         sleep(SWEEP).await;
         let engines = instance.engines.borrow();
         pool.sweep(
-            |one| engines.get(&one.id).is_some_and(|belief| belief.entry.incarnation == *one),
+            |one| {
+                engines
+                    .get(&one.id)
+                    .is_some_and(|belief| belief.entry.incarnation == *one)
+            },
             now_ms(),
         );
     }
@@ -199,10 +207,7 @@
 async fn reload(instance: Rc<Instance>, mut hangup: Signal, path: std::path::PathBuf) {
     while hangup.recv().await.is_some() {
         match read_settings(&path) {
-            Ok(machine) => log::info!(
-                "event=reloaded changed={}",
-                machine != instance.machine
-            ),
+            Ok(machine) => log::info!("event=reloaded changed={}", machine != instance.machine),
             Err(error) => log::warn!("event=reload_refused error=\"{error}\""),
         }
     }
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -81,11 +81,7 @@
     Duration::from_millis(pause_ms / 2 + rand::random_range(0..pause_ms))
 }
 
-async fn read<F: Follower>(
-    instance: &Instance,
-    store: &StoreClient,
-    follower: &F,
-) -> Option<u64> {
+async fn read<F: Follower>(instance: &Instance, store: &StoreClient, follower: &F) -> Option<u64> {
     let mut objects = Vec::new();
     let mut revision = None;
     loop {
@@ -316,7 +312,10 @@
         }
         _ => return false,
     }
-    let Ok((200, body)) = store.call(&Page::call(Kind::Members, None), within_ms).await else {
+    let Ok((200, body)) = store
+        .call(&Page::call(Kind::Members, None), within_ms)
+        .await
+    else {
         return false;
     };
     let Ok(page) = decode_page(&body) else {
--- a/crates/gateway/src/weights/orderer.rs
+++ b/crates/gateway/src/weights/orderer.rs
@@ -124,7 +124,11 @@
         for entry in self.progress.to_ask() {
             self.ask(entry);
         }
-        if self.right.held().is_none_or(|lease| lease.is_waiting(now_ms())) {
+        if self
+            .right
+            .held()
+            .is_none_or(|lease| lease.is_waiting(now_ms()))
+        {
             return;
         }
         let mut due = Vec::new();
--- a/crates/gateway/src/weights/orders.rs
+++ b/crates/gateway/src/weights/orders.rs
@@ -21,11 +21,17 @@
     match client.call(&call, ENGINE_MS).await {
         Ok((200, body)) => decode_report(&body),
         Ok((status, _)) => {
-            log::info!("event=report_refused engine={} status={status}", engine.incarnation.id);
+            log::info!(
+                "event=report_refused engine={} status={status}",
+                engine.incarnation.id
+            );
             None
         }
         Err(error) => {
-            log::info!("event=report_missing engine={} error=\"{error}\"", engine.incarnation.id);
+            log::info!(
+                "event=report_missing engine={} error=\"{error}\"",
+                engine.incarnation.id
+            );
             None
         }
     }
@@ -37,7 +43,10 @@
     match client.call(&encode_order(order), ENGINE_MS).await {
         Ok((status, _)) => decode_order_answer(status),
         Err(error) => {
-            log::warn!("event=order_unanswered engine={} error=\"{error}\"", order.engine);
+            log::warn!(
+                "event=order_unanswered engine={} error=\"{error}\"",
+                order.engine
+            );
             OrderAnswer::Unknown
         }
     }
--- a/crates/gateway/src/weights/progress.rs
+++ b/crates/gateway/src/weights/progress.rs
@@ -105,7 +105,9 @@
 
     /// Returns whether an order or question is on its way to an engine.
     pub(super) fn is_waited_for(&self, engine: &Incarnation) -> bool {
-        self.given.get(engine).is_some_and(|given| given.is_waited_for)
+        self.given
+            .get(engine)
+            .is_some_and(|given| given.is_waited_for)
     }
 
     /// Returns what the plan has to know of an engine.
@@ -256,7 +258,9 @@
             given.phase != OrderPhase::Done || now_ms < given.since_ms + TELL_DONE_MS
         });
         let given = self.given.iter();
-        given.map(|(engine, given)| told(engine, given, now_ms)).collect()
+        given
+            .map(|(engine, given)| told(engine, given, now_ms))
+            .collect()
     }
 }
 
--- a/crates/gateway/src/weights/right.rs
+++ b/crates/gateway/src/weights/right.rs
@@ -272,7 +272,11 @@
         let record = self.record(fence, revision);
         let call = encode_replace(Kind::Leases, RECORD, revision, &record);
         let sent_ms = now_ms();
-        match self.store.call(&call, self.instance.settings.store_ms).await {
+        match self
+            .store
+            .call(&call, self.instance.settings.store_ms)
+            .await
+        {
             Ok((200, body)) => self.renewed(&body, sent_ms),
             Ok((404 | 409, body)) => {
                 self.refused(&body, fence);
--- /dev/null
+++ b/crates/mangowalkd/tests/machines/answers.rs
@@ -0,0 +1,309 @@
+//! What callers get, and what engines run for it.
+
+use {
+    super::PROGRAM,
+    mangowalk_platform_standins::{Caller, Deployment, EngineFaults, RouteKind, wait},
+    std::time::{Duration, Instant},
+};
+
+#[test]
+fn every_kind_of_request_is_answered_whole() {
+    let deployment = Deployment::start(PROGRAM, 2, 3);
+    for machine in 0..2 {
+        let caller = deployment.caller(machine);
+        for kind in [RouteKind::Resumable, RouteKind::Stream] {
+            let reply = caller.stream(kind.path(), &Caller::fresh_id());
+            assert!(reply.is_whole_stream(), "{kind:?}: {reply:?}");
+            assert!(reply.header("mangowalk-response-stamp").is_some());
+        }
+        for (kind, method) in [(RouteKind::Idempotent, "GET"), (RouteKind::Once, "POST")] {
+            let id = Caller::fresh_id();
+            let reply = caller.plain(method, kind.path(), &id);
+            assert_eq!((reply.status, reply.body), (200, format!("body of {id}")));
+            assert_eq!(deployment.times_run(&id), 1);
+        }
+    }
+}
+
+/// The caller names a team in a header of its own. The engine must see the
+/// team that the key belongs to, and not the key.
+#[test]
+fn an_engine_sees_the_team_and_not_the_key() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    let mut caller = deployment.caller(0);
+    caller
+        .headers
+        .push(("Mangowalk-Tenant".to_owned(), "walled".to_owned()));
+    caller
+        .headers
+        .push(("Mangowalk-Cache-Salt".to_owned(), "theirs".to_owned()));
+    let id = Caller::fresh_id();
+    assert!(
+        caller
+            .stream(RouteKind::Resumable.path(), &id)
+            .is_whole_stream()
+    );
+    let runs = deployment.engines[0].runs();
+    let run = runs
+        .iter()
+        .find(|run| run.request_id == id)
+        .expect("it ran");
+    assert_eq!(run.tenant.as_deref(), Some("shop"));
+    assert!(!run.saw_key);
+    assert_ne!(run.salt.as_deref(), Some("theirs"));
+    assert!(run.left_ms <= 5_000 && run.left_ms > 4_000, "{run:?}");
+}
+
+/// Two teams send the same prompt, and one of them is isolated. Their parts
+/// must be kept under different texts, or one would use what the other read.
+#[test]
+fn an_isolated_team_shares_no_part() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    let shared = deployment.caller(0);
+    let walled = Caller::new(shared.address, "key-of-walled");
+    for caller in [&shared, &walled] {
+        let reply = caller.stream(RouteKind::Stream.path(), &Caller::fresh_id());
+        assert!(reply.is_whole_stream());
+    }
+    let salts: Vec<_> = deployment.engines[0]
+        .runs()
+        .into_iter()
+        .map(|run| run.salt)
+        .collect();
+    assert_ne!(salts[0], salts[1]);
+}
+
+#[test]
+fn unknown_keys_and_routes_are_told_apart() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    let mut caller = deployment.caller(0);
+    assert_eq!(
+        caller
+            .plain("GET", "/nowhere/1", &Caller::fresh_id())
+            .status,
+        404
+    );
+    caller.key = Some("nobody's".to_owned());
+    let path = RouteKind::Idempotent.path();
+    assert_eq!(caller.plain("GET", path, &Caller::fresh_id()).status, 401);
+    caller.key = None;
+    assert_eq!(caller.plain("GET", path, &Caller::fresh_id()).status, 401);
+}
+
+/// The engine charges the caller, and its answer is lost on the way. The
+/// request must not run again, and the caller must not be told that it did
+/// not run: 502, never 503.
+#[test]
+fn a_lost_answer_is_not_called_a_request_that_did_not_run() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    for service in &deployment.services {
+        service.set_faults(EngineFaults {
+            loses_answers: true,
+            ..EngineFaults::default()
+        });
+    }
+    for _ in 0..4 {
+        let id = Caller::fresh_id();
+        let reply = deployment
+            .caller(0)
+            .plain("POST", RouteKind::Once.path(), &id);
+        assert_eq!(reply.status, 502, "{reply:?}");
+        assert_eq!(deployment.times_run(&id), 1);
+    }
+}
+
+/// One engine fails what it runs. A request that may run again is answered by
+/// the other engine; one that may not gets the engine's own answer.
+#[test]
+fn a_failed_run_is_repeated_only_where_it_may_be() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    deployment.services[0].set_faults(EngineFaults {
+        fails: true,
+        ..EngineFaults::default()
+    });
+    let caller = deployment.caller(0);
+    for _ in 0..6 {
+        let id = Caller::fresh_id();
+        let reply = caller.plain("GET", RouteKind::Idempotent.path(), &id);
+        assert_eq!(reply.status, 200, "{reply:?}");
+    }
+    for _ in 0..6 {
+        let id = Caller::fresh_id();
+        let reply = caller.plain("POST", RouteKind::Once.path(), &id);
+        assert!([200, 500].contains(&reply.status), "{reply:?}");
+        assert_eq!(deployment.times_run(&id), 1);
+    }
+}
+
+/// An answer arrives late, where the next one is due, and names another
+/// request. It must reach nobody.
+#[test]
+fn an_answer_to_another_request_reaches_nobody() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    for service in &deployment.services {
+        service.set_faults(EngineFaults {
+            names_other_request: true,
+            ..EngineFaults::default()
+        });
+    }
+    let id = Caller::fresh_id();
+    let reply = deployment
+        .caller(0)
+        .plain("POST", RouteKind::Once.path(), &id);
+    assert_eq!(reply.status, 502);
+    assert!(!reply.body.contains("body of"), "{reply:?}");
+}
+
+/// An engine refuses, and says that it did not run the request. Even one that
+/// may run only once goes to another engine then; where all refuse, the
+/// caller is told so, and when to come back.
+#[test]
+fn a_request_that_was_refused_goes_elsewhere() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    let shedding = EngineFaults {
+        sheds: true,
+        ..EngineFaults::default()
+    };
+    deployment.services[0].set_faults(shedding.clone());
+    let caller = deployment.caller(0);
+    for _ in 0..4 {
+        let id = Caller::fresh_id();
+        assert_eq!(
+            caller.plain("POST", RouteKind::Once.path(), &id).status,
+            200
+        );
+    }
+    deployment.services[1].set_faults(shedding);
+    let id = Caller::fresh_id();
+    let began = Instant::now();
+    let reply = caller.plain("POST", RouteKind::Once.path(), &id);
+    assert_eq!(reply.status, 503);
+    assert!(
+        reply.retry_after_s().is_some_and(|s| s > 0.0 && s < 3.0),
+        "{reply:?}"
+    );
+    assert!(
+        began.elapsed() < Duration::from_millis(500),
+        "a refusal is not held back"
+    );
+    assert_eq!(deployment.times_run(&id), 0);
+}
+
+/// The engine breaks off in the middle of an event. The caller sees one
+/// stream with each event once: it goes on at the other engine behind the
+/// last whole event, and the half event is thrown away.
+#[test]
+fn a_resumable_stream_outlives_its_engine() {
+    let deployment = Deployment::start(PROGRAM, 1, 2);
+    let cutting = EngineFaults {
+        cut_after_events: Some(4),
+        half_event: true,
+        ..EngineFaults::default()
+    };
+    deployment.engines[0].set_faults(cutting);
+    let caller = deployment.caller(0);
+    let mut resumed = 0;
+    for _ in 0..8 {
+        let id = Caller::fresh_id();
+        let reply = caller.stream(RouteKind::Resumable.path(), &id);
+        assert!(reply.is_whole_stream(), "{reply:?}");
+        resumed += usize::from(deployment.times_run(&id) == 2);
+    }
+    assert!(resumed > 0, "no stream met the engine that breaks off");
+}
+
+/// The engine breaks off a stream that may run only once. What the caller
+/// got must not look whole, and nothing runs a second time.
+#[test]
+fn a_broken_stream_does_not_look_whole() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    deployment.engines[0].set_faults(EngineFaults {
+        cut_after_events: Some(5),
+        ..EngineFaults::default()
+    });
+    let id = Caller::fresh_id();
+    let reply = deployment.caller(0).stream(RouteKind::Stream.path(), &id);
+    assert_eq!(reply.status, 200);
+    assert!(!reply.is_whole, "{reply:?}");
+    assert_eq!(reply.event_ids(), vec![0, 1, 2, 3, 4]);
+    assert_eq!(deployment.times_run(&id), 1);
+}
+
+/// A caller reads a few events and leaves. The engine must be free soon: it
+/// sees its connection close, and the run doesn't come to its end.
+#[test]
+fn a_caller_that_leaves_frees_the_engine() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    deployment.engines[0].set_faults(EngineFaults {
+        event_ms: 150,
+        ..EngineFaults::default()
+    });
+    let id = Caller::fresh_id();
+    deployment
+        .caller(0)
+        .leave_stream(RouteKind::Stream.path(), &id, 200)
+        .expect("the stream begins");
+    std::thread::sleep(Duration::from_millis(2_500));
+    let runs = deployment.engines[0].runs();
+    let run = runs
+        .iter()
+        .find(|run| run.request_id == id)
+        .expect("it ran");
+    assert!(
+        !run.is_whole,
+        "the engine went on for a caller that had left"
+    );
+}
+
+/// An engine is gone without a word. Requests must not be lost to it: a
+/// connection that can't be made is known not to have carried anything.
+#[test]
+fn an_engine_that_takes_no_connection_gets_no_work() {
+    let mut deployment = Deployment::start(PROGRAM, 1, 3);
+    drop(deployment.engines.remove(0));
+    let caller = deployment.caller(0);
+    for _ in 0..12 {
+        let reply = caller.stream(RouteKind::Stream.path(), &Caller::fresh_id());
+        assert!(reply.is_whole_stream(), "{reply:?}");
+    }
+}
+
+/// An engine writes that it is about to leave. Two seconds later it gets no
+/// new work, though it would still take it.
+#[test]
+fn a_draining_engine_gets_no_new_work() {
+    let deployment = Deployment::start(PROGRAM, 2, 2);
+    let leaving = &deployment.engines[0];
+    deployment
+        .store
+        .write("servers", leaving.id(), leaving.entry("draining"));
+    std::thread::sleep(Duration::from_millis(1_000));
+    let before = leaving.runs().len();
+    for machine in 0..2 {
+        for _ in 0..6 {
+            let caller = deployment.caller(machine);
+            let reply = caller.stream(RouteKind::Stream.path(), &Caller::fresh_id());
+            assert!(reply.is_whole_stream());
+        }
+    }
+    assert_eq!(leaving.runs().len(), before);
+}
+
+/// An entry of the list is damaged, and another is forged. They name no
+/// engine; the others go on serving.
+#[test]
+fn a_damaged_entry_hides_no_engine() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    deployment
+        .store
+        .write("servers", "i-torn", serde_json::json!({ "Service": 7 }));
+    let mut forged = deployment.engines[0].entry("ready");
+    forged["State"] = serde_json::json!("excellent");
+    deployment.store.write("servers", "i-forged", forged);
+    wait("requests are served", || {
+        let reply = deployment
+            .caller(0)
+            .stream(RouteKind::Stream.path(), &Caller::fresh_id());
+        reply.is_whole_stream()
+    });
+}
--- /dev/null
+++ b/crates/mangowalkd/tests/machines/input.rs
@@ -0,0 +1,111 @@
+//! Bad input from settings, callers and the command line.
+
+use {
+    super::PROGRAM,
+    mangowalk_platform_standins::{Caller, Deployment, RouteKind},
+    std::{fs, process::Command},
+};
+
+fn check(text: &str) -> (Option<i32>, String) {
+    let path = std::env::temp_dir().join(format!(
+        "mangowalk-check-{}-{}.conf",
+        std::process::id(),
+        text.len()
+    ));
+    fs::write(&path, text).expect("the folder for temporary files is writable");
+    let output = Command::new(PROGRAM)
+        .args(["machine", "--check", "--settings"])
+        .arg(&path)
+        .output()
+        .expect("the program starts");
+    fs::remove_file(&path).expect("the file is there");
+    let text = [output.stdout, output.stderr].concat();
+    (
+        output.status.code(),
+        String::from_utf8_lossy(&text).into_owned(),
+    )
+}
+
+const GOOD: &str = "NodeName=m\nZone=a\nListen.Front=127.0.0.1:1\nListen.Ready=127.0.0.1:2\n\
+                    Listen.Directory=127.0.0.1:3\nInternalPorts=4,9\nProvider.Address=127.0.0.1:5\n";
+
+#[test]
+fn a_settings_file_is_checked_by_field() {
+    assert_eq!(
+        check(GOOD),
+        (Some(0), "The settings can be used.\n".to_owned())
+    );
+    let (code, text) = check(&GOOD.replace("Zone=a\n", ""));
+    assert_eq!(code, Some(2));
+    insta::assert_snapshot!(text, @"mangowalkd machine: The settings file lacks Zone; add a line Zone=VALUE.");
+    let (code, text) = check(&GOOD.replace("127.0.0.1:2", "here"));
+    assert_eq!(code, Some(2));
+    insta::assert_snapshot!(text, @"mangowalkd machine: The settings file has Listen.Ready=here; write an IP number, a colon and a port there.");
+    let (code, _) = check(&format!("{GOOD}Unknown.Field=7\n"));
+    assert_eq!(code, Some(0), "fields that aren't known are passed over");
+}
+
+/// Callers send heads that can't be read, are too long, or name two lengths.
+/// Each gets an answer of its own, and the next caller is served.
+#[test]
+fn bad_requests_harm_nobody() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    let address = deployment.machines[0].callers();
+    let long = format!(
+        "GET / HTTP/1.1\r\nHost: h\r\nX: {}\r\n\r\n",
+        "x".repeat(40_000)
+    );
+    let cases: [(&str, &[u16]); 5] = [
+        ("nonsense\r\n\r\n", &[400]),
+        (
+            "GET /lookup/1 HTTP/1.1\r\nHost: shop.example\r\n\r\n",
+            &[400],
+        ),
+        (
+            "POST /order/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+            &[400],
+        ),
+        (
+            "GET /lookup/1 HTTP/1.1\r\nHost: shop.example\r\nMangowalk-Request-Id: a\r\nMangowalk-Deadline-Ms: soon\r\n\r\n",
+            &[400],
+        ),
+        (&long, &[400, 431]),
+    ];
+    for (text, statuses) in cases {
+        let reply = Caller::raw(address, text.as_bytes());
+        let begin: String = text.chars().take(60).collect();
+        assert!(statuses.contains(&reply.status), "{begin}: {reply:?}");
+    }
+    let reply =
+        deployment
+            .caller(0)
+            .plain("GET", RouteKind::Idempotent.path(), &Caller::fresh_id());
+    assert_eq!(reply.status, 200);
+}
+
+/// A request hides a second one behind its body's length. Only the one that
+/// the caller's framing names may reach an engine.
+#[test]
+fn a_smuggled_request_reaches_no_engine() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    let inner = "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nMangowalk-Request-Id: 5a5a\r\nMangowalk-Key: key-of-shop\r\nContent-Length: 0\r\n\r\n";
+    let text = format!(
+        "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nMangowalk-Request-Id: 7b7b\r\nMangowalk-Key: key-of-shop\r\nContent-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n{inner}",
+        inner.len() + 5,
+    );
+    Caller::raw(deployment.machines[0].callers(), text.as_bytes());
+    assert_eq!(deployment.times_run("5a5a"), 0);
+}
+
+#[test]
+fn a_body_beyond_the_limit_is_refused() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    let body = "x".repeat(150_000);
+    let text = format!(
+        "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nMangowalk-Request-Id: 8c8c\r\nMangowalk-Key: key-of-shop\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        body.len(),
+    );
+    let reply = Caller::raw(deployment.machines[0].callers(), text.as_bytes());
+    assert!([0, 413].contains(&reply.status), "{reply:?}");
+    assert_eq!(deployment.times_run("8c8c"), 0);
+}
--- /dev/null
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -0,0 +1,12 @@
+//! Instances on the users' machines, as real processes against stand-ins.
+
+mod answers;
+mod configuration;
+mod input;
+mod logs;
+mod rates;
+mod stopping;
+mod weights;
+
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mangowalkd");
--- /dev/null
+++ b/crates/mangowalkd/tests/machines/stopping.rs
@@ -0,0 +1,99 @@
+//! Instances that stop, are killed, or come late.
+
+use {
+    super::PROGRAM,
+    mangowalk_platform_standins::{Caller, Deployment, EngineFaults, RouteKind, wait},
+    nix::sys::signal::Signal,
+    std::time::Duration,
+};
+
+/// An instance is told to stop while a stream runs. It is out of the
+/// addresses of all at once and no longer ready, the stream comes to its end,
+/// and the process ends by itself before it would be killed.
+#[test]
+fn a_stopping_instance_finishes_what_it_has() {
+    let mut deployment = Deployment::start(PROGRAM, 2, 1);
+    deployment.engines[0].set_faults(EngineFaults {
+        event_ms: 120,
+        ..EngineFaults::default()
+    });
+    let caller = deployment.caller(0);
+    let stream =
+        std::thread::spawn(move || caller.stream(RouteKind::Stream.path(), &Caller::fresh_id()));
+    std::thread::sleep(Duration::from_millis(300));
+    deployment.machines[0].signal(Signal::SIGTERM);
+    wait("it says that it is not ready", || {
+        Caller::get(deployment.machines[0].ready(), "/api/ready").status == 503
+    });
+    let gone = deployment.machines[0].callers().to_string();
+    wait("the other names it no more", || {
+        !deployment
+            .addresses(&deployment.machines[1])
+            .contains(&gone)
+    });
+    let late = deployment.caller(0);
+    let reply = late.plain("GET", RouteKind::Idempotent.path(), &Caller::fresh_id());
+    assert_eq!(reply.status, 200, "callers with an old address are served");
+    assert_eq!(reply.header("connection"), Some("close"));
+    let reply = stream.join().expect("the caller ends");
+    assert!(reply.is_whole_stream(), "{reply:?}");
+    let code = deployment.machines[0].wait_for_end(Duration::from_secs(5));
+    assert_eq!(code, Some(0));
+}
+
+/// A killed instance leaves the addresses though it could tell nobody, and is
+/// there again once it is back.
+#[test]
+fn a_killed_instance_is_missed_and_comes_back() {
+    let mut deployment = Deployment::start(PROGRAM, 3, 1);
+    let gone = deployment.machines[2].callers().to_string();
+    deployment.machines[2].kill();
+    wait("the others name it no more", || {
+        (0..2).all(|m| {
+            !deployment
+                .addresses(&deployment.machines[m])
+                .contains(&gone)
+        })
+    });
+    deployment.machines[2].start();
+    deployment.wait_until_ready();
+}
+
+/// All instances are killed together, and start together. They find each
+/// other and serve, though each knows only what lies in the store.
+#[test]
+fn all_instances_come_back_together() {
+    let mut deployment = Deployment::start(PROGRAM, 3, 1);
+    for machine in &mut deployment.machines {
+        machine.kill();
+    }
+    for machine in &mut deployment.machines {
+        machine.start();
+    }
+    deployment.wait_until_ready();
+    let reply = deployment
+        .caller(1)
+        .stream(RouteKind::Stream.path(), &Caller::fresh_id());
+    assert!(reply.is_whole_stream());
+}
+
+/// An instance is frozen for a while. The others stop naming it, and once it
+/// goes on it serves again.
+#[test]
+fn a_frozen_instance_is_missed_and_goes_on() {
+    let deployment = Deployment::start(PROGRAM, 2, 1);
+    let frozen = deployment.machines[1].callers().to_string();
+    deployment.machines[1].signal(Signal::SIGSTOP);
+    wait("the other names it no more", || {
+        !deployment
+            .addresses(&deployment.machines[0])
+            .contains(&frozen)
+    });
+    deployment.machines[1].signal(Signal::SIGCONT);
+    deployment.wait_until_ready();
+    let reply =
+        deployment
+            .caller(1)
+            .plain("GET", RouteKind::Idempotent.path(), &Caller::fresh_id());
+    assert_eq!(reply.status, 200);
+}
