--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -380,10 +380,10 @@
     let mut engines = request.instance.engines.borrow_mut();
     if let Some(belief) = engines.get_mut(&engine.incarnation.id) {
         belief.heard(now_ms);
-        if let (Some(model), Some(version)) = (&request.need.model, head.version) {
-            if version > belief.version(model) {
-                belief.set_version(model, version);
-            }
+        if let (Some(model), Some(version)) = (&request.need.model, head.version)
+            && version > belief.version(model)
+        {
+            belief.set_version(model, version);
         }
         let health = &request.instance.settings.choice.health;
         if status.is_server_error() {
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -81,10 +81,10 @@
     match run(&request, &mut tries, None).await {
         Ok(answered) => answer(request, answered, tries, open).await,
         Err(refusal) => {
-            if refusal == Refusal::NoEngine {
-                if let Some(tenant) = &request.tenant {
-                    instance.shares.borrow_mut().give_back(tenant, cost);
-                }
+            if refusal == Refusal::NoEngine
+                && let Some(tenant) = &request.tenant
+            {
+                instance.shares.borrow_mut().give_back(tenant, cost);
             }
             refuse(&request, refusal, tries.return_ms)
         }
--- a/crates/gateway/src/weights/right.rs
+++ b/crates/gateway/src/weights/right.rs
@@ -214,10 +214,9 @@
         });
         self.seen = Some(seen);
         let record: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
-        if let Some(record) = &record {
-            if record.holder == self.instance.machine.name {
-                return Before::Own;
-            }
+        let own = &self.instance.machine.name;
+        if record.as_ref().is_some_and(|record| record.holder == *own) {
+            return Before::Own;
         }
         let told_ms = record.and_then(|record| self.told_quiet_ms(&record));
         let settings = &self.instance.settings.lease;
