--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -108,6 +108,11 @@
         targets
     }
 
+    /// Returns how many peers there may be, heard or not.
+    pub fn expected(&self) -> usize {
+        self.members.len().max(self.tried_since_ms.len())
+    }
+
     /// Returns all peers that aren't gone.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
--- a/crates/core/src/share/bucket.rs
+++ b/crates/core/src/share/bucket.rs
@@ -47,6 +47,11 @@
         self.level = self.level.min(level);
     }
 
+    /// Lowers the level to a part of the burst.
+    pub fn lower_to_part(&mut self, part: f64) {
+        self.lower_to(self.rate.burst * part);
+    }
+
     /// Subtracts what others have spent.
     pub fn spent_elsewhere(&mut self, tokens: f64) {
         self.level -= tokens;
--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -60,6 +60,7 @@
     own: HashMap<String, Own>,
     peers: HashMap<String, Peer>,
     started_ms: Option<u64>,
+    expected: usize,
 }
 
 impl ShareTable {
@@ -110,9 +111,7 @@
         teams: HashMap<String, PeerSpending>,
         now_ms: u64,
     ) {
-        let learning = self
-            .started_ms
-            .is_none_or(|started_ms| now_ms < started_ms + self.settings.learn_ms);
+        let learning = self.is_learning(now_ms);
         let known = self.peers.entry(peer.to_owned()).or_default();
         let same = known.incarnation == incarnation;
         for (team, told) in &teams {
@@ -133,6 +132,13 @@
         };
     }
 
+    /// Notes how many instances there may be, heard or not. A new instance
+    /// that hears none yet must not take itself for the only one: after a loss
+    /// of power all of them would spend the same tokens at once.
+    pub fn expect(&mut self, instances: usize) {
+        self.expected = instances;
+    }
+
     /// Notes which peers are heard, and forgets those that are gone.
     pub fn peers(&mut self, mut heard: impl FnMut(&str) -> Option<bool>) {
         self.peers.retain(|name, peer| match heard(name) {
@@ -154,7 +160,11 @@
         let own = self.own.entry(tenant.name.clone()).or_default();
         own.demand.add(cost, now_ms);
         let standing = self.standing(&tenant.name, now_ms);
+        let is_learning = self.is_learning(now_ms);
         if let Some(bucket) = self.buckets.get_mut(&tenant.name) {
+            if is_learning {
+                bucket.lower_to_part(self.settings.start * standing.heard);
+            }
             bucket.take(cost, standing, now_ms)?;
         }
         self.own.entry(tenant.name.clone()).or_default().spent += cost;
@@ -171,8 +181,19 @@
         }
     }
 
+    /// Returns whether little is known yet of what others spend.
+    fn is_learning(&self, now_ms: u64) -> bool {
+        self.started_ms
+            .is_none_or(|started_ms| now_ms < started_ms + self.settings.learn_ms)
+    }
+
     fn standing(&self, team: &str, now_ms: u64) -> Standing {
-        let instances = (self.peers.len() + 1) as f64;
+        let expected = if self.is_learning(now_ms) {
+            self.expected
+        } else {
+            0
+        };
+        let instances = (self.peers.len() + 1).max(expected) as f64;
         let heard = self.peers.values().filter(|peer| peer.is_heard).count() + 1;
         let own = self.own.get(team).map_or(0.0, |own| own.demand.at(now_ms));
         let others: f64 = self
--- /dev/null
+++ b/crates/core/tests/fleet.rs
@@ -0,0 +1,196 @@
+//! Routes, repeats, and which instances are there.
+
+use {
+    mangowalk_core::{
+        mesh::{Heartbeat, MemberTable, MeshSettings},
+        retries::{RetryBudget, RetrySettings},
+        routing::{Configuration, Denied, Repeat, Route, RouteTable, ServiceShare, Tenant},
+    },
+    proptest::prelude::*,
+};
+
+fn route(name: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "Shop.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        services: vec![
+            ServiceShare {
+                service: "one".to_owned(),
+                weight: 90,
+            },
+            ServiceShare {
+                service: "two".to_owned(),
+                weight: 10,
+            },
+        ],
+        repeat: Repeat::Idempotent,
+        timeout_ms: 1_000,
+        target_ms: 100,
+        target_gap_ms: 100,
+        max_attempts: 2,
+        priority: 1,
+        anonymous: prefix == "/open/",
+    }
+}
+
+fn table() -> RouteTable {
+    RouteTable::new(Configuration {
+        version: 3,
+        routes: vec![
+            route("short", "/a/"),
+            route("long", "/a/b/"),
+            route("open", "/open/"),
+        ],
+        tenants: vec![Tenant {
+            name: "shop".to_owned(),
+            keys: vec!["key".to_owned()],
+            priority: None,
+            rate: None,
+            counts_tokens: true,
+            plain_tokens: 200,
+            isolated: false,
+        }],
+        ..Configuration::default()
+    })
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let table = table();
+    let name = |path| {
+        table
+            .admit("shop.example:80", path, Some("key"))
+            .map(|(route, _)| route.name.clone())
+    };
+    insta::assert_debug_snapshot!((name("/a/x"), name("/a/b/x"), name("/a/bx"), name("/b/")), @r#"
+    (
+        Ok(
+            "short",
+        ),
+        Ok(
+            "long",
+        ),
+        Ok(
+            "short",
+        ),
+        Err(
+            NoRoute,
+        ),
+    )
+    "#);
+}
+
+#[test]
+fn keys_are_wanted_except_on_open_routes() {
+    let table = table();
+    assert_eq!(
+        table.admit("shop.example", "/a/", None).err(),
+        Some(Denied::BadKey)
+    );
+    assert_eq!(
+        table.admit("shop.example", "/a/", Some("KEY")).err(),
+        Some(Denied::BadKey)
+    );
+    assert!(table.admit("shop.example", "/open/", None).is_ok());
+}
+
+#[test]
+fn services_get_their_parts() {
+    let route = route("r", "/a/");
+    let two = (0..1_000)
+        .filter(|draw| route.service(*draw) == "two")
+        .count();
+    assert_eq!(two, 100);
+}
+
+/// Whatever comes, the repeats of all instances in a window stay under what
+/// the service allows, though each knows only its own.
+#[test]
+fn repeats_stay_within_the_budget_of_all() {
+    let settings = RetrySettings::default();
+    proptest!(ProptestConfig::with_cases(64), |(
+        instances in 1_usize..9,
+        wants in prop::collection::vec((0_usize..9, 1_u64..40, any::<bool>()), 50..800),
+    )| {
+        let mut budgets: Vec<RetryBudget> = (0..instances).map(|_| RetryBudget::default()).collect();
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+        let mut now_ms = 0;
+        for (at, passed_ms, is_repeat) in wants {
+            now_ms += passed_ms;
+            let budget = &mut budgets[at % instances];
+            if !is_repeat {
+                budget.request(&settings, now_ms);
+                requests.push(now_ms);
+            } else if budget.repeat(&settings, instances, now_ms) {
+                repeats.push(now_ms);
+            }
+        }
+        for &end_ms in &repeats {
+            let inside = |ms: &&u64| **ms <= end_ms && **ms + settings.window_ms > end_ms;
+            let allowed = requests.iter().filter(inside).count() as f64 * settings.ratio + settings.slack;
+            let taken = repeats.iter().filter(inside).count() as f64;
+            prop_assert!(taken <= allowed, "{taken} of {allowed}");
+        }
+    });
+}
+
+fn heartbeat(name: &str, incarnation: u64, sequence: u64) -> Heartbeat {
+    let address = "127.0.0.1:7600".parse().expect("an address");
+    Heartbeat {
+        name: name.to_owned(),
+        incarnation,
+        up_ms: 0,
+        sequence,
+        caller_address: address,
+        peer_address: address,
+        domain: "a".to_owned(),
+        ready: true,
+        configuration_version: 1,
+        versions: Vec::new(),
+        loads: Vec::new(),
+        placed: Vec::new(),
+        silent: Vec::new(),
+        teams: Vec::new(),
+        holds_lease: false,
+        ordered_ago_ms: None,
+        orders: Vec::new(),
+        peers: vec!["127.0.0.2:7600".parse().expect("an address")],
+    }
+}
+
+#[test]
+fn a_late_heartbeat_is_dropped() {
+    let mut members = MemberTable::default();
+    assert!(members.hear(heartbeat("p", 2, 5), 0));
+    assert!(!members.hear(heartbeat("p", 2, 4), 1));
+    assert!(!members.hear(heartbeat("p", 1, 9), 1));
+    assert!(
+        members.hear(heartbeat("p", 3, 1), 1),
+        "a new start counts anew"
+    );
+}
+
+/// A peer falls silent. It is no longer named to callers within a second, but
+/// what it may spend stays set aside: it may be serving behind a partition.
+#[test]
+fn a_silent_peer_is_not_named_but_counted() {
+    let settings = MeshSettings::default();
+    let mut members = MemberTable::default();
+    members.hear(heartbeat("p", 1, 1), 0);
+    let later_ms = settings.silent_ms + 1;
+    assert_eq!(members.heard(&settings, later_ms).count(), 0);
+    assert_eq!(members.is_heard("p", &settings, later_ms), Some(false));
+    assert!(members.expire(&settings, later_ms).is_empty());
+    assert_eq!(members.expire(&settings, settings.gone_ms + 1), ["p"]);
+    assert_eq!(members.is_heard("p", &settings, settings.gone_ms + 1), None);
+}
+
+#[test]
+fn addresses_that_never_answer_are_tried_for_a_while() {
+    let settings = MeshSettings::default();
+    let mut members = MemberTable::default();
+    members.hear(heartbeat("p", 1, 1), 0);
+    assert_eq!(members.targets(&settings, 10).len(), 2);
+    assert_eq!(members.targets(&settings, settings.try_ms + 1).len(), 1);
+}
--- /dev/null
+++ b/crates/core/tests/share.rs
@@ -0,0 +1,222 @@
+//! A team's rate over all instances, as each estimates it.
+
+use {
+    mangowalk_core::{
+        routing::{Tenant, TokenRate},
+        share::{PeerSpending, ShareTable},
+    },
+    proptest::prelude::*,
+    std::collections::HashMap,
+};
+
+fn tenant(per_s: f64, burst: f64) -> Tenant {
+    Tenant {
+        name: "team".to_owned(),
+        keys: Vec::new(),
+        priority: None,
+        rate: Some(TokenRate { per_s, burst }),
+        counts_tokens: true,
+        plain_tokens: 200,
+        isolated: false,
+    }
+}
+
+/// Instances that exchange what they spent every 200 ms.
+struct Fleet {
+    tables: Vec<ShareTable>,
+    tenant: Tenant,
+    incarnations: Vec<u64>,
+}
+
+impl Fleet {
+    fn new(instances: usize, tenant: Tenant) -> Fleet {
+        let mut fleet = Fleet {
+            tables: Vec::new(),
+            tenant,
+            incarnations: vec![1; instances],
+        };
+        for _ in 0..instances {
+            fleet.tables.push(ShareTable::default());
+        }
+        for table in &mut fleet.tables {
+            table.expect(instances);
+            table.configure(std::slice::from_ref(&fleet.tenant), 0);
+        }
+        fleet
+    }
+
+    /// Exchanges heartbeats; `reaches` says who hears whom.
+    fn exchange(&mut self, now_ms: u64, reaches: impl Fn(usize, usize) -> bool) {
+        let told: Vec<HashMap<String, PeerSpending>> = self
+            .tables
+            .iter()
+            .map(|table| table.spending(now_ms).into_iter().collect())
+            .collect();
+        for (to, table) in self.tables.iter_mut().enumerate() {
+            for (from, told) in told.iter().enumerate() {
+                if from != to && reaches(from, to) {
+                    table.hear(
+                        &from.to_string(),
+                        self.incarnations[from],
+                        told.clone(),
+                        now_ms,
+                    );
+                }
+            }
+            table.peers(|name| {
+                let from: usize = name.parse().expect("names are numbers");
+                Some(reaches(from, to))
+            });
+        }
+    }
+}
+
+/// A prompt with its answer, in tokens; the deployments' largest kind.
+const COST: u64 = 9_200;
+
+/// Most that a window of eight seconds may hold: the rate and burst with a
+/// tenth over, and what the deployments allow beyond.
+fn allowed(tenant: &Tenant) -> f64 {
+    let rate = tenant.rate.expect("the team has one");
+    (rate.per_s * 8.0 + rate.burst) * 1.1 + 72_000.0
+}
+
+fn most_in_window(spent: &[(u64, f64)]) -> f64 {
+    let windows = spent.iter().map(|(begin_ms, _)| {
+        let inside = spent
+            .iter()
+            .filter(|(ms, _)| ms >= begin_ms && ms - begin_ms <= 8_000);
+        inside.map(|(_, tokens)| tokens).sum::<f64>()
+    });
+    windows.fold(0.0, f64::max)
+}
+
+/// A team asks for several times its rate at instances that change, some of
+/// which are cut off from the others for seconds. Over all of them no window
+/// holds more than the rate allows.
+#[test]
+fn no_window_holds_more_than_the_rate_allows() {
+    proptest!(ProptestConfig::with_cases(64), |(
+        instances in 2_usize..8,
+        times in 1.5_f64..8.0,
+        skew in 0_usize..8,
+        cut_at_ms in 0_u64..14_000,
+        cut_size in 0_usize..3,
+    )| {
+        let tenant = tenant(160_000.0, 160_000.0);
+        let mut fleet = Fleet::new(instances, tenant.clone());
+        let mut spent = Vec::new();
+        let per_step = times * 160_000.0 / 1_000.0 * 20.0 / COST as f64;
+        let mut due = 0.0;
+        let mut next = 0;
+        for now_ms in (0..20_000_u64).step_by(20) {
+            if now_ms % 200 == 0 {
+                let is_cut = (cut_at_ms..cut_at_ms + 5_500).contains(&now_ms);
+                let side = |instance: usize| instance < cut_size.min(instances);
+                fleet.exchange(now_ms, |a, b| !is_cut || side(a) == side(b));
+            }
+            due += per_step;
+            while due >= 1.0 {
+                due -= 1.0;
+                next += 1;
+                let at = if skew < instances && next % 3 > 0 { skew } else { next % instances };
+                if fleet.tables[at].take(&tenant, COST, now_ms).is_ok() {
+                    spent.push((now_ms, COST as f64));
+                }
+            }
+        }
+        let most = most_in_window(&spent);
+        prop_assert!(most <= allowed(&tenant), "{most} of {}", allowed(&tenant));
+    });
+}
+
+/// A team stays within its rate, and all its callers come to one instance.
+/// It is hardly ever refused: the rate is one bucket, not a part for each
+/// instance. With a seventh of the burst for each, two prompts would fill it.
+#[test]
+fn a_team_within_its_rate_is_served_wherever_it_comes() {
+    let tenant = tenant(160_000.0, 160_000.0);
+    for instances in [1, 3, 7] {
+        let mut fleet = Fleet::new(instances, tenant.clone());
+        let (mut served, mut refused) = (0, 0);
+        let mut due = 0.0;
+        for now_ms in (0..30_000_u64).step_by(20) {
+            if now_ms % 200 == 0 {
+                fleet.exchange(now_ms, |_, _| true);
+            }
+            if now_ms < 10_000 {
+                continue;
+            }
+            due += 0.6 * 160.0 * 20.0 / COST as f64;
+            while due >= 1.0 {
+                due -= 1.0;
+                match fleet.tables[0].take(&tenant, COST, now_ms) {
+                    Ok(()) => served += 1,
+                    Err(_) => refused += 1,
+                }
+            }
+        }
+        assert!(
+            refused * 50 <= served,
+            "{refused} refused, {served} served of {instances}"
+        );
+    }
+}
+
+/// All instances lose power and come back, twice in ten seconds, while a team
+/// asks for all it can get. What each believes to be left at its start must
+/// not hand the burst out again each time.
+#[test]
+fn restarts_do_not_hand_the_burst_out_again() {
+    let tenant = tenant(160_000.0, 160_000.0);
+    let mut fleet = Fleet::new(7, tenant.clone());
+    let mut spent = Vec::new();
+    for now_ms in (0..20_000_u64).step_by(20) {
+        if now_ms == 9_000 || now_ms == 12_000 {
+            fleet = Fleet::new(7, tenant.clone());
+            for table in &mut fleet.tables {
+                *table = ShareTable::default();
+                table.expect(7);
+                table.configure(std::slice::from_ref(&tenant), now_ms);
+            }
+        }
+        if now_ms % 200 == 0 {
+            fleet.exchange(now_ms, |_, _| true);
+        }
+        for at in 0..7 {
+            if fleet.tables[at].take(&tenant, COST, now_ms).is_ok() {
+                spent.push((now_ms, COST as f64));
+            }
+        }
+    }
+    let most = most_in_window(&spent);
+    assert!(most <= allowed(&tenant), "{most} of {}", allowed(&tenant));
+}
+
+#[test]
+fn a_refusal_tells_when_there_may_be_enough() {
+    let tenant = tenant(1_000.0, 4_000.0);
+    let mut table = ShareTable::default();
+    table.configure(std::slice::from_ref(&tenant), 0);
+    let mut now_ms = 0;
+    let wait_ms = loop {
+        if let Err(wait_ms) = table.take(&tenant, 400, now_ms) {
+            break wait_ms;
+        }
+        now_ms += 1;
+    };
+    assert!((1..5_000).contains(&wait_ms), "{wait_ms}");
+    assert!(table.take(&tenant, 400, now_ms + wait_ms + 1).is_ok());
+}
+
+/// A prompt is larger than the whole burst. It goes when the bucket is full,
+/// and what it took beyond is missing afterwards.
+#[test]
+fn a_prompt_larger_than_the_burst_can_go() {
+    let tenant = tenant(1_000.0, 4_000.0);
+    let mut table = ShareTable::default();
+    table.configure(std::slice::from_ref(&tenant), 0);
+    assert!(table.take(&tenant, 9_000, 10).is_err());
+    assert!(table.take(&tenant, 9_000, 10_000).is_ok());
+    assert!(table.take(&tenant, 100, 12_000).is_err());
+}
--- /dev/null
+++ b/crates/core/tests/weights.rs
@@ -0,0 +1,276 @@
+//! Who may order new weights, and in what pace engines get them.
+
+use {
+    mangowalk_core::weights::{
+        Held, Lease, LeaseSettings, LoadPace, NamedAt, NamedWeights, PlanSettings, Seen, Step,
+        Turn, Vacant, WeightsSettings, plan,
+    },
+    proptest::prelude::*,
+};
+
+const WEIGHTS: WeightsSettings = WeightsSettings {
+    due_ms: 1_300,
+    least_ms: 6_800,
+    last_ms: 7_700,
+    unknown_ms: 2_600,
+};
+
+const INSTANCES: usize = 3;
+
+/// What happens to one instance, one after the other.
+#[derive(Debug, Clone)]
+enum Op {
+    /// Time passes.
+    Pass { ms: u64 },
+    /// It reads the record and tries to take it over.
+    Take { at: usize, answer_is_lost: bool },
+    /// It renews what it believes to hold.
+    Renew {
+        at: usize,
+        answer_is_lost: bool,
+        way_ms: u64,
+    },
+    /// It gives an order if it believes that it may.
+    Order { at: usize },
+    /// It stands still, and goes on with what it believed before.
+    Freeze { at: usize },
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let at = 0..INSTANCES;
+    prop_oneof![
+        4 => (1..1_500_u64).prop_map(|ms| Op::Pass { ms }),
+        2 => (at.clone(), any::<bool>()).prop_map(|(at, answer_is_lost)| Op::Take { at, answer_is_lost }),
+        4 => (at.clone(), any::<bool>(), 0..600_u64)
+            .prop_map(|(at, answer_is_lost, way_ms)| Op::Renew { at, answer_is_lost, way_ms }),
+        6 => at.clone().prop_map(|at| Op::Order { at }),
+        1 => at.prop_map(|at| Op::Freeze { at }),
+    ]
+}
+
+enum Hold {
+    Vacant(Lease<Vacant>),
+    Held(Lease<Held>),
+}
+
+struct Instance {
+    hold: Hold,
+    seen: Option<Seen>,
+}
+
+/// The record, as the store holds it.
+#[derive(Default)]
+struct Record {
+    holder: Option<usize>,
+    fence: u64,
+    revision: u64,
+}
+
+/// Instances take the record from each other, lose answers and stand still.
+/// Whatever the order, two of them never give orders within the time in which
+/// only one may, and the numbers of their leases never go down.
+#[test]
+fn two_holders_never_order_side_by_side() {
+    let settings = LeaseSettings::default();
+    proptest!(|(ops in prop::collection::vec(op(), 1..120))| {
+        let mut now_ms = 10_000_u64;
+        let mut record = Record::default();
+        let mut instances: Vec<Instance> = (0..INSTANCES)
+            .map(|_| Instance { hold: Hold::Vacant(Lease::new(settings)), seen: None })
+            .collect();
+        let mut orders: Vec<(usize, u64, u64)> = Vec::new();
+        for op in ops {
+            match op {
+                Op::Pass { ms } => now_ms += ms,
+                Op::Freeze { .. } => now_ms += 4_000,
+                Op::Take { at, answer_is_lost } => {
+                    let instance = &mut instances[at];
+                    let Hold::Vacant(vacant) = &instance.hold else { continue };
+                    let seen = instance.seen.filter(|seen| seen.revision == record.revision);
+                    let seen = seen.unwrap_or(Seen { revision: record.revision, first_ms: now_ms });
+                    instance.seen = Some(seen);
+                    let other = record.holder.is_some_and(|holder| holder != at);
+                    let quiet_ms = other.then(|| seen.quiet_since_ms(&settings));
+                    record = Record { holder: Some(at), fence: record.fence + 1, revision: record.revision + 1 };
+                    if !answer_is_lost {
+                        let held = vacant.clone().take(record.fence, record.revision, quiet_ms, now_ms);
+                        instance.hold = Hold::Held(held);
+                    }
+                }
+                Op::Renew { at, answer_is_lost, way_ms } => {
+                    let sent_ms = now_ms;
+                    now_ms += way_ms;
+                    let instance = &mut instances[at];
+                    let Hold::Held(lease) = &mut instance.hold else { continue };
+                    let is_own = record.holder == Some(at) && record.fence == lease.held().fence;
+                    if !is_own {
+                        instance.hold = Hold::Vacant(Lease::new(settings));
+                    } else if lease.held().revision != record.revision {
+                        lease.adopt(record.revision);
+                    } else {
+                        record.revision += 1;
+                        if !answer_is_lost {
+                            lease.renewed(record.revision, sent_ms);
+                        }
+                    }
+                }
+                Op::Order { at } => {
+                    if let Hold::Held(lease) = &instances[at].hold
+                        && lease.may_order(now_ms)
+                    {
+                        orders.push((at, lease.held().fence, now_ms));
+                    }
+                }
+            }
+        }
+        for pair in orders.windows(2) {
+            let (before, after) = (pair[0], pair[1]);
+            prop_assert!(before.0 == after.0 || after.2 - before.2 >= settings.apart_ms, "{pair:?}");
+            prop_assert!(before.1 <= after.1, "{pair:?}");
+        }
+    });
+}
+
+#[test]
+fn an_own_record_needs_no_wait() {
+    let lease = Lease::new(LeaseSettings::default()).take(2, 7, None, 1_000);
+    assert!(lease.may_order(1_001));
+    assert!(!lease.may_order(1_900), "a renewal is due");
+}
+
+fn turn(engine: &str, version: u64, requests: u32) -> Turn {
+    Turn {
+        engine: engine.to_owned(),
+        steered_since_ms: None,
+        is_ordered: false,
+        version,
+        requests,
+        must_finish: requests,
+        answers: true,
+    }
+}
+
+#[test]
+fn engines_with_the_oldest_weights_and_the_least_work_go_first() {
+    let turns = [
+        turn("a", 2, 0),
+        turn("b", 1, 5),
+        turn("c", 1, 1),
+        turn("d", 2, 9),
+    ];
+    let steps = plan(&turns, 4, 6, 2, 100, &PlanSettings::default(), 0);
+    insta::assert_debug_snapshot!(steps, @r#"
+    [
+        Steer(
+            "c",
+        ),
+        Steer(
+            "b",
+        ),
+    ]
+    "#);
+}
+
+/// An engine whose remaining runs can all go on elsewhere gets its order at
+/// once, and they are cut off; one with others finishes them first, for a
+/// limited time.
+#[test]
+fn an_order_cuts_off_only_what_can_go_on() {
+    let settings = PlanSettings::default();
+    let mut free = turn("free", 1, 3);
+    free.must_finish = 0;
+    free.steered_since_ms = Some(0);
+    let mut bound = turn("bound", 1, 3);
+    bound.steered_since_ms = Some(0);
+    let turns = [free, bound];
+    let early = plan(&turns, 4, 6, 2, 100, &settings, settings.steer_ms);
+    let late = plan(&turns, 4, 6, 2, 100, &settings, settings.finish_ms);
+    let none_left = plan(&turns, 4, 6, 2, 2, &settings, settings.steer_ms);
+    insta::assert_debug_snapshot!((early, late, none_left));
+}
+
+#[test]
+fn an_engine_that_does_not_answer_holds_up_nobody() {
+    let mut dead = turn("dead", 1, 0);
+    dead.answers = false;
+    dead.is_ordered = true;
+    let mut ready = turn("ready", 1, 0);
+    ready.steered_since_ms = Some(0);
+    let steps = plan(
+        &[dead, ready],
+        2,
+        0,
+        1,
+        100,
+        &PlanSettings::default(),
+        1_000,
+    );
+    assert!(matches!(&steps[..], [Step::Order { engine, .. }] if engine == "ready"));
+}
+
+#[test]
+fn busy_engines_are_left_in_more_places() {
+    let turns: Vec<Turn> = (0..12).map(|n| turn(&format!("e{n:02}"), 1, 1)).collect();
+    let away = |requests| plan(&turns, 12, requests, 2, 100, &PlanSettings::default(), 0).len();
+    insta::assert_debug_snapshot!((away(12), away(45), away(200)), @"
+    (
+        6,
+        4,
+        4,
+    )
+    ");
+}
+
+/// Where only two engines load at full speed, a third one is tried, seen to
+/// be slow and given up; where more do, more are used.
+#[test]
+fn the_number_that_load_at_once_is_found_by_trying() {
+    let mut narrow = LoadPace::default();
+    let mut wide = LoadPace::default();
+    for _ in 0..40 {
+        let loading = narrow.at_once();
+        narrow.loaded(if loading > 2 { 900 } else { 500 }, loading);
+        let loading = wide.at_once();
+        wide.loaded(if loading > 6 { 900 } else { 500 }, loading);
+    }
+    assert_eq!(narrow.at_once(), 2);
+    assert_eq!(wide.at_once(), 6);
+}
+
+#[test]
+fn old_weights_are_bounded_by_the_first_newer_ones() {
+    let mut named = NamedWeights::default();
+    named.name(1, NamedAt::Ago(60_000), &WEIGHTS, 100_000);
+    named.name(2, NamedAt::Ago(0), &WEIGHTS, 100_000);
+    named.name(3, NamedAt::Ago(0), &WEIGHTS, 104_000);
+    assert_eq!(named.wanted(&WEIGHTS, 104_000).newest, 3);
+    assert_eq!(named.wanted(&WEIGHTS, 104_000).due, 2);
+    assert_eq!(named.wanted(&WEIGHTS, 104_000).least, 1);
+    assert_eq!(named.wanted(&WEIGHTS, 106_800).least, 2);
+    assert_eq!(named.bound_ms(1, &WEIGHTS), Some(107_700));
+    assert_eq!(named.bound_ms(2, &WEIGHTS), Some(111_700));
+    assert_eq!(named.bound_ms(3, &WEIGHTS), None);
+}
+
+/// All instances lose power right after new weights were named. None knows
+/// when that was, so old ones are used only for a moment; a peer that saw it
+/// knows better than the guess, and the guess teaches nobody.
+#[test]
+fn a_version_of_unknown_age_counts_as_old() {
+    let mut named = NamedWeights::default();
+    named.name(4, NamedAt::Unknown, &WEIGHTS, 50_000);
+    assert_eq!(named.bound_ms(3, &WEIGHTS), Some(52_600));
+    assert_eq!(named.newest_at(50_000), Some((4, NamedAt::Unknown)));
+    named.name(4, NamedAt::Ago(200), &WEIGHTS, 50_100);
+    assert_eq!(named.bound_ms(3, &WEIGHTS), Some(57_600));
+    named.name(4, NamedAt::Unknown, &WEIGHTS, 50_200);
+    assert_eq!(named.bound_ms(3, &WEIGHTS), Some(57_600));
+}
+
+#[test]
+fn an_older_version_never_replaces_a_newer_one() {
+    let mut named = NamedWeights::default();
+    assert!(named.name(5, NamedAt::Ago(0), &WEIGHTS, 1_000));
+    assert!(!named.name(4, NamedAt::Ago(0), &WEIGHTS, 2_000));
+    assert_eq!(named.newest(), 5);
+}
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -188,9 +188,9 @@
     pub fn look_at_peers(&self, now_ms: u64) {
         let members = self.members.borrow();
         let mesh = &self.settings.mesh;
-        self.shares
-            .borrow_mut()
-            .peers(|name| members.is_heard(name, mesh, now_ms));
+        let mut shares = self.shares.borrow_mut();
+        shares.expect(members.expected() + 1);
+        shares.peers(|name| members.is_heard(name, mesh, now_ms));
     }
 
     /// Returns the instances that may be serving, this one included.
