Wait out another's orders also after a lost answer, and begin rates with nothing

Cause, found by generated interleavings: an instance whose take-over took effect and whose answer was lost found its own name in the record and ordered at once, beside the holder before. And after a loss of power of all, each instance handed a part of the burst out again before it heard of the others. Change: the record says whether its holder has renewed it; until then its own name gives no right to skip the wait.

--- a/crates/core/src/share/bucket.rs
+++ b/crates/core/src/share/bucket.rs
@@ -23,11 +23,11 @@
 }
 
 impl FleetBucket {
-    /// Returns a bucket that holds a part of the burst.
-    pub fn new(rate: TokenRate, part: f64, now_ms: u64) -> FleetBucket {
+    /// Returns a bucket that holds nothing yet.
+    pub fn empty(rate: TokenRate, now_ms: u64) -> FleetBucket {
         FleetBucket {
             rate,
-            level: rate.burst * part,
+            level: 0.0,
             filled_ms: now_ms,
         }
     }
--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -7,10 +7,10 @@
 /// How rates behave where little is known.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ShareSettings {
-    /// Part of the burst that an instance takes to be there at its start. It
-    /// can't know what was spent before; the whole burst would be handed out
-    /// again at each restart of all instances.
-    pub start: f64,
+    /// Part of the burst that an instance believes in at most while it is new.
+    /// It begins with nothing: it can't know what was spent before, and
+    /// whatever it began with would be handed out again at each restart.
+    pub new_most: f64,
     /// Time after the start in which the levels of peers are taken over.
     pub learn_ms: u64,
     /// Part of a share that goes evenly to all instances, so that one whose
@@ -21,7 +21,7 @@
 impl Default for ShareSettings {
     fn default() -> ShareSettings {
         ShareSettings {
-            start: 0.3,
+            new_most: 0.3,
             learn_ms: 2_000,
             even: 0.4,
         }
@@ -86,7 +86,6 @@
     /// Takes over teams and rates of a configuration.
     pub fn configure(&mut self, tenants: &[Tenant], now_ms: u64) {
         self.started_ms.get_or_insert(now_ms);
-        let start = self.settings.start;
         for tenant in tenants {
             self.own.entry(tenant.name.clone()).or_default();
             let Some(rate) = tenant.rate else {
@@ -96,7 +95,7 @@
             self.buckets
                 .entry(tenant.name.clone())
                 .and_modify(|bucket| bucket.set_rate(rate))
-                .or_insert_with(|| FleetBucket::new(rate, start, now_ms));
+                .or_insert_with(|| FleetBucket::empty(rate, now_ms));
         }
         let known = |team: &str| tenants.iter().any(|tenant| tenant.name == team);
         self.buckets.retain(|team, _| known(team));
@@ -163,7 +162,7 @@
         let is_learning = self.is_learning(now_ms);
         if let Some(bucket) = self.buckets.get_mut(&tenant.name) {
             if is_learning {
-                bucket.lower_to_part(self.settings.start * standing.heard);
+                bucket.lower_to_part(self.settings.new_most * standing.heard);
             }
             bucket.take(cost, standing, now_ms)?;
         }
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -64,6 +64,7 @@
     holder: Option<usize>,
     fence: u64,
     revision: u64,
+    is_settled: bool,
 }
 
 /// Instances take the record from each other, lose answers and stand still.
@@ -89,9 +90,15 @@
                     let seen = instance.seen.filter(|seen| seen.revision == record.revision);
                     let seen = seen.unwrap_or(Seen { revision: record.revision, first_ms: now_ms });
                     instance.seen = Some(seen);
-                    let other = record.holder.is_some_and(|holder| holder != at);
-                    let quiet_ms = other.then(|| seen.quiet_since_ms(&settings));
-                    record = Record { holder: Some(at), fence: record.fence + 1, revision: record.revision + 1 };
+                    let is_own = record.holder == Some(at) && record.is_settled;
+                    let is_other = record.holder.is_some() && !is_own;
+                    let quiet_ms = is_other.then(|| seen.quiet_since_ms(&settings));
+                    record = Record {
+                        holder: Some(at),
+                        fence: record.fence + 1,
+                        revision: record.revision + 1,
+                        is_settled: !is_other,
+                    };
                     if !answer_is_lost {
                         let held = vacant.clone().take(record.fence, record.revision, quiet_ms, now_ms);
                         instance.hold = Hold::Held(held);
@@ -105,10 +112,13 @@
                     let is_own = record.holder == Some(at) && record.fence == lease.held().fence;
                     if !is_own {
                         instance.hold = Hold::Vacant(Lease::new(settings));
+                    } else if lease.is_waiting(now_ms) {
+                        // Renewed only when orders may leave.
                     } else if lease.held().revision != record.revision {
                         lease.adopt(record.revision);
                     } else {
                         record.revision += 1;
+                        record.is_settled = true;
                         if !answer_is_lost {
                             lease.renewed(record.revision, sent_ms);
                         }
--- a/crates/gateway/src/weights/right.rs
+++ b/crates/gateway/src/weights/right.rs
@@ -160,7 +160,7 @@
         let (quiet_since_ms, write) = match self.store.call(&call, within_ms).await {
             Ok((404, _)) if self.is_turn(since_ms) => (
                 None,
-                encode_create(Kind::Leases, RECORD, &self.record(1, 1)),
+                encode_create(Kind::Leases, RECORD, &self.record(1, 1, true)),
             ),
             Ok((200, body)) => {
                 let Ok(stored) = decode_object(&body) else {
@@ -168,11 +168,11 @@
                     return;
                 };
                 match self.quiet_since_ms(&stored) {
-                    Before::Own => (None, self.replacement(&stored)),
+                    Before::Own => (None, self.replacement(&stored, true)),
                     Before::Other { seen_ms, .. } if now_ms() < seen_ms + SETTLE_MS => return,
                     Before::Other { .. } if !self.is_turn(since_ms) => return,
                     Before::Other { quiet_since_ms, .. } => {
-                        (Some(quiet_since_ms), self.replacement(&stored))
+                        (Some(quiet_since_ms), self.replacement(&stored, false))
                     }
                 }
             }
@@ -215,10 +215,16 @@
         self.seen = Some(seen);
         let record: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
         let own = &self.instance.machine.name;
-        if record.as_ref().is_some_and(|record| record.holder == *own) {
+        let is_own = record.as_ref().is_some_and(|record| record.holder == *own);
+        // Its own, but taken from another by a write whose answer was lost, or
+        // just before a restart: that other's orders may be too fresh still.
+        let is_settled = record.as_ref().is_some_and(|record| record.is_settled);
+        if is_own && is_settled {
             return Before::Own;
         }
-        let told_ms = record.and_then(|record| self.told_quiet_ms(&record));
+        let told_ms = record
+            .filter(|_| !is_own)
+            .and_then(|record| self.told_quiet_ms(&record));
         let settings = &self.instance.settings.lease;
         Before::Other {
             seen_ms: seen.first_ms,
@@ -245,20 +251,21 @@
         Some(holder.heard_ms.saturating_sub(ago_ms))
     }
 
-    fn record(&self, fence: u64, renewals: u64) -> LeaseRecord {
+    fn record(&self, fence: u64, renewals: u64, is_settled: bool) -> LeaseRecord {
         LeaseRecord {
             holder: self.instance.machine.name.clone(),
             incarnation: self.instance.incarnation,
             fence,
+            is_settled,
             renewals,
         }
     }
 
-    fn replacement(&self, stored: &Stored) -> Call {
+    fn replacement(&self, stored: &Stored, is_own: bool) -> Call {
         let before: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
         let (fence, renewals) =
             before.map_or((1, 1), |record| (record.fence + 1, record.renewals + 1));
-        let record = self.record(fence, renewals);
+        let record = self.record(fence, renewals, is_own);
         encode_replace(Kind::Leases, RECORD, stored.revision, &record)
     }
 
@@ -268,7 +275,7 @@
             return false;
         };
         let (fence, revision) = (lease.held().fence, lease.held().revision);
-        let record = self.record(fence, revision);
+        let record = self.record(fence, revision, true);
         let call = encode_replace(Kind::Leases, RECORD, revision, &record);
         let sent_ms = now_ms();
         match self
