Refuse sooner what would come late

Cause: a queue of 1.2 targets made most of what was admitted late while more came than the engines could read. Conclusion: kept at 0.8 targets.

--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -21,7 +21,7 @@
 impl Default for AdmitSettings {
     fn default() -> AdmitSettings {
         AdmitSettings {
-            patience: 1.2,
+            patience: 0.8,
             first_patience: 3.0,
             return_least_ms: 200,
             return_most_ms: 1_500,
