Tell the story of a request from logs: mangowalk story

On-call has only logs. The command puts a request's lines of all instances in order, adds what happened to the engines it met, and says the cause in a sentence; the inputs of a refusal for want of time are logged with it. Shown by tests on three kinds of failed request.

--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -174,6 +174,15 @@
         let is_first = request.urgency() == 0;
         let target_ms = request.route.target_ms;
         if let Some(return_ms) = refuse(chosen, &rate, admit, target_ms, is_first) {
+            log::warn!(
+                "event=full request={} engine={} wait_ms={:.0} target_ms={target_ms} own={} others={} read_per_ms={:.1}",
+                request.id(),
+                chosen.entry.incarnation.id,
+                rate.wait_ms(chosen.load()),
+                chosen.own.prefill_tokens,
+                chosen.others.prefill_tokens,
+                rate.per_ms(),
+            );
             return Err(Outcome::Full(return_ms));
         }
     }
--- a/crates/mangowalk/src/cli/command.rs
+++ b/crates/mangowalk/src/cli/command.rs
@@ -8,6 +8,7 @@
         fleet::{Fleet, fleet},
         keys::{IssueKey, WithdrawKey, issue_key, withdraw_key},
         records::{Apply, List, Set, Show, Withdraw, apply, list, set, show, withdraw},
+        story::{Story, story},
     },
     bpaf::Bpaf,
     error_stack::Report,
@@ -53,6 +54,9 @@
     /// Send a chat request and print the answer as it streams.
     #[bpaf(command)]
     Ask(#[bpaf(external(ask))] Ask),
+    /// Tell from logs on standard input what became of a request, and why.
+    #[bpaf(command)]
+    Story(#[bpaf(external(story))] Story),
     /// Print the completion script of a shell.
     #[bpaf(command)]
     Completion(#[bpaf(external(completion))] Completion),
@@ -85,6 +89,7 @@
             Command::Explain(args) => args.run(),
             Command::Burn(args) => args.run(),
             Command::Ask(args) => args.run(),
+            Command::Story(args) => args.run(),
             Command::Completion(args) => {
                 args.run();
                 Ok(())
--- a/crates/mangowalk/src/failure/kind.rs
+++ b/crates/mangowalk/src/failure/kind.rs
@@ -20,6 +20,16 @@
         /// The object.
         key: ObjectKey,
     },
+    /// No line of the logs names the request.
+    #[display(
+        "None of {lines} log lines names request {request}; give the logs of all instances around its time. A line that is missing may have been dropped: look for dropped_lines."
+    )]
+    NoStory {
+        /// Its id.
+        request: String,
+        /// Lines that were read.
+        lines: usize,
+    },
     /// The platform refused a call.
     #[display("The platform refused with status {status}; check the request and its limits.")]
     PlatformRefused {
@@ -88,7 +98,9 @@
     /// Returns the exit code, as the help lists them.
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            Failure::PlatformRefused { .. } | Failure::Missing { .. } => 1,
+            Failure::PlatformRefused { .. } | Failure::Missing { .. } | Failure::NoStory { .. } => {
+                1
+            }
             Failure::BadRecord { .. } | Failure::BadFile { .. } => 3,
             Failure::Conflict { .. } | Failure::Differs { .. } => 4,
             Failure::Unreached | Failure::Unknown { .. } => 5,
--- a/crates/mangowalk/src/lib.rs
+++ b/crates/mangowalk/src/lib.rs
@@ -14,3 +14,4 @@
 mod keys;
 mod output;
 mod records;
+mod story;
--- /dev/null
+++ b/crates/mangowalk/src/story/mod.rs
@@ -0,0 +1,8 @@
+//! The story of one request, read back from the logs of several instances.
+
+mod cause;
+mod command;
+mod line;
+mod tell;
+
+pub(crate) use command::{Story, story};
--- a/crates/mangowalk/tests/client/main.rs
+++ b/crates/mangowalk/tests/client/main.rs
@@ -7,5 +7,6 @@
 mod keys;
 mod page;
 mod records;
+mod story;
 mod support;
 mod usage;
--- /dev/null
+++ b/crates/mangowalk/tests/client/story.rs
@@ -0,0 +1,65 @@
+//! The story of a request, told from logs.
+
+use std::{
+    io::Write,
+    process::{Command, Stdio},
+};
+
+fn story(logs: &str, request: &str) -> (Option<i32>, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mangowalk"))
+        .args(["story", request])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut input = child.stdin.take().expect("its input is a pipe");
+    input.write_all(logs.as_bytes()).expect("it reads");
+    drop(input);
+    let output = child.wait_with_output().expect("it ends");
+    let text = [output.stdout, output.stderr].concat();
+    (
+        output.status.code(),
+        String::from_utf8_lossy(&text).into_owned(),
+    )
+}
+
+/// Lines as a collector of logs delivers them: out of order, with text of its
+/// own before each, and those of other requests between them.
+const LOGS: &str = r#"
+  8.02 a-1 wall_ms=1008020 instance=a-1 level=INFO event=sent request=aa engine=e1 left_ms=5980 kept=true version=1
+  8.01 b-1 wall_ms=1008010 instance=b-1 level=INFO event=sent request=bb engine=e2 left_ms=580 kept=false version=0
+  7.60 c-1 wall_ms=1007600 instance=c-1 level=INFO event=weights_step engine=e1 version=2 phase=Sent before_ms=Some(120)
+  8.05 a-1 wall_ms=1008050 instance=a-1 level=INFO event=rejected request=aa engine=e1 status=503 reason=full
+  8.06 a-1 wall_ms=1008060 instance=a-1 level=WARN event=full request=aa engine=e3 wait_ms=1900 target_ms=800 own=100 others=70000
+  8.06 a-1 wall_ms=1008061 instance=a-1 level=WARN event=refused request=aa reason=no_engine route=r after_ms=41 retry_after_ms=Some(900)
+  8.40 b-1 wall_ms=1008400 instance=b-1 level=WARN event=engine_silent engine=e2 error="10.0.0.2:80 takes no connection (time ran out)."
+  8.50 b-1 wall_ms=1008500 instance=b-1 level=WARN event=send_failed request=bb engine=e2 error="The request was sent and its connection ended: connection reset"
+  8.50 b-1 wall_ms=1008501 instance=b-1 level=WARN event=refused request=bb reason=answer_lost route=r after_ms=490 retry_after_ms=None
+  9.00 c-1 wall_ms=1009000 instance=c-1 level=INFO event=sent request=cc engine=e4 left_ms=5000 kept=false version=1
+  9.30 c-1 wall_ms=1009300 instance=c-1 level=INFO event=ordered engine=e4 model=m version=2 cut=true fence=3 accepted_before=1 answer=Accepted
+  9.31 c-1 wall_ms=1009310 instance=c-1 level=WARN event=engine_failed request=cc engine=e4 reason=broken_off
+  9.31 c-1 wall_ms=1009311 instance=c-1 level=WARN event=stream_cut request=cc reason=broken_off
+"#;
+
+#[test]
+fn a_refusal_with_room_elsewhere_is_explained() {
+    insta::assert_snapshot!(story(LOGS, "aa").1);
+}
+
+#[test]
+fn an_unknown_outcome_is_explained() {
+    insta::assert_snapshot!(story(LOGS, "bb").1);
+}
+
+#[test]
+fn a_broken_stream_is_explained() {
+    insta::assert_snapshot!(story(LOGS, "cc").1);
+}
+
+#[test]
+fn a_request_that_no_line_names_says_so() {
+    let (code, text) = story(LOGS, "dd");
+    assert_eq!(code, Some(1));
+    insta::assert_snapshot!(text);
+}
