--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -170,6 +170,11 @@
         Ok(())
     }
 
+    /// Returns the tokens that a team has left, as this instance estimates.
+    pub fn level(&self, team: &str) -> Option<f64> {
+        self.buckets.get(team).map(FleetBucket::level)
+    }
+
     /// Gives back the cost of a request that did not run.
     ///
     /// Peers are not told: what they have subtracted comes back by time. A
