--- a/crates/mangowalkd/tests/docs.rs
+++ b/crates/mangowalkd/tests/docs.rs
@@ -13,10 +13,11 @@
 /// Returns the names of all test functions of the workspace.
 fn test_names() -> BTreeSet<String> {
     let mut names = BTreeSet::new();
-    for package in ["core", "mangowalk", "mangowalkd", "standins"] {
+    for package in ["core", "gateway", "mangowalk", "mangowalkd", "standins"] {
         let tests = root().join("crates").join(package).join("tests");
         collect(&tests, &mut names);
     }
+    collect(&root().join("platform/tests"), &mut names);
     names
 }
 
