Look at a few engines beside those that may keep the prompt

Cause: seven instances hear of each other's work up to 200 ms later and all sent to the engine that was free at the last heartbeat. Ruled out: counting what others have probably sent meanwhile (model: 0.26 on time of 0.24); chance of up to 3,000 tokens an engine (0.23). Model of overload: 0.24 to 0.35 on time.

--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -31,13 +31,13 @@
     pub due_tokens: f64,
     /// Tokens that an engine without room in its memory counts more.
     pub full_tokens: f64,
-    /// Most tokens that an engine counts more by chance. Instances hear of each
-    /// other's work up to a heartbeat later; without it all of them would send
-    /// to the same engine meanwhile.
+    /// Most tokens that an engine counts more by chance, to break ties.
     pub jitter_tokens: f64,
     /// Engines that are looked at beside those that may keep the prompt.
     /// Instances hear of each other's work up to a heartbeat later; if all
-    /// looked at all engines, all would send to the same one meanwhile.
+    /// looked at all engines, all would send to the same one meanwhile. With
+    /// two, 0.35 instead of 0.24 of the requests are on time in a model of
+    /// eight engines that get nearly twice what they can read.
     pub sample: usize,
     /// Tokens that an engine counts less if a shared part belongs there by
     /// its hash; lets all instances agree without speaking.
@@ -58,7 +58,7 @@
             full_tokens: 30_000.0,
             home_tokens: 1_000.0,
             jitter_tokens: 50.0,
-            sample: 3,
+            sample: 2,
         }
     }
 }
--- a/crates/core/tests/full.rs
+++ b/crates/core/tests/full.rs
@@ -53,7 +53,7 @@
 
 /// What callers got, in parts of all that was asked.
 #[derive(Debug, Default)]
-struct Result {
+struct Outcome {
     on_time: f64,
     late: f64,
     refused: f64,
@@ -93,29 +93,15 @@
 }
 
 /// Plays ten seconds with so many requests a second.
-fn play(policy: Policy, per_s: f64, seed: u64) -> Result {
+fn play(policy: Policy, per_s: f64, seed: u64) -> Outcome {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut engines: Vec<Engine> = (0..ENGINES).map(|_| Engine::default()).collect();
     let mut beliefs: Vec<Vec<Belief>> = (0..INSTANCES)
         .map(|_| (0..ENGINES).map(|n| Belief::new(entry(n))).collect())
         .collect();
-    let env = |name: &str, or: f64| {
-        std::env::var(name)
-            .ok()
-            .and_then(|v| v.parse().ok())
-            .unwrap_or(or)
-    };
-    let settings = ChoiceSettings {
-        jitter_tokens: env("JIT", 50.0),
-        sample: env("SAM", 3.0) as usize,
-        ..ChoiceSettings::default()
-    };
-    let admit = AdmitSettings {
-        patience: env("PAT", 0.8),
-        ..AdmitSettings::default()
-    };
+    let (settings, admit) = (ChoiceSettings::default(), AdmitSettings::default());
     let rate = ReadRate::default();
-    let mut result = Result::default();
+    let mut result = Outcome::default();
     let mut asked = 0.0;
     for now_ms in 0..10_000_u64 {
         let now = now_ms as f64;
@@ -179,7 +165,7 @@
         result.on_time += f64::from(u8::from(waited <= TARGET_MS));
         result.late += f64::from(u8::from(waited > TARGET_MS && waited <= DEADLINE_MS));
     }
-    Result {
+    Outcome {
         on_time: result.on_time / asked,
         late: result.late / asked,
         refused: result.refused / asked,
@@ -222,20 +208,22 @@
     }
 }
 
-fn mean(policy: Policy, per_s: f64) -> Result {
-    let all: Vec<Result> = (1..=5).map(|seed| play(policy, per_s, seed)).collect();
-    let mean = |part: fn(&Result) -> f64| all.iter().map(part).sum::<f64>() / all.len() as f64;
-    Result {
+fn mean(policy: Policy, per_s: f64) -> Outcome {
+    let all: Vec<Outcome> = (1..=5).map(|seed| play(policy, per_s, seed)).collect();
+    let mean = |part: fn(&Outcome) -> f64| all.iter().map(part).sum::<f64>() / all.len() as f64;
+    Outcome {
         on_time: mean(|result| result.on_time),
         late: mean(|result| result.late),
         refused: mean(|result| result.refused),
     }
 }
 
-/// Half as much again comes as eight engines can read. Refusing what would
-/// wait too long keeps most of what is admitted on time; without it nearly all
-/// of it comes late. Before: 0.19 on time without refusals, 0.14 with the
-/// fewest requests first; after: 0.45 (means of five seeds).
+/// Nearly twice as much comes as eight engines can read. Refusing what would
+/// wait too long keeps most of what is admitted on time, and looking at a few
+/// engines only keeps instances from all sending to the one that was free at
+/// the last heartbeat. On time, means of five seeds: 0.05 where nothing is
+/// refused, with this choice or with the fewest requests first; 0.24 with
+/// refusals and all engines looked at; 0.35 with both.
 #[test]
 fn callers_are_served_on_time_while_more_comes_than_can_be_read() {
     let (ours, never, least) = (
@@ -243,9 +231,9 @@
         mean(Policy::NeverRefuse, 80.0),
         mean(Policy::LeastLoaded, 80.0),
     );
-    println!("{ours:?} {never:?} {least:?}");
-    assert!(ours.on_time > 1.5 * never.on_time, "{ours:?} {never:?}");
-    assert!(ours.on_time > 1.5 * least.on_time, "{ours:?} {least:?}");
+    assert!(ours.on_time > 0.30, "{ours:?}");
+    assert!(ours.on_time > 4.0 * never.on_time, "{ours:?} {never:?}");
+    assert!(ours.on_time > 4.0 * least.on_time, "{ours:?} {least:?}");
     assert!(ours.late < 0.25, "{ours:?}");
 }
 
@@ -254,7 +242,6 @@
 #[test]
 fn nothing_is_refused_while_there_is_room() {
     let (ours, least) = (mean(Policy::Ours, 20.0), mean(Policy::LeastLoaded, 20.0));
-    println!("{ours:?} {least:?}");
     assert!(ours.refused < 0.005, "{ours:?}");
     assert!(
         ours.on_time > 0.97 && ours.on_time >= least.on_time,
