--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -134,7 +134,7 @@
     /// Notes how many instances there may be, heard or not. A new instance
     /// that hears none yet must not take itself for the only one: after a loss
     /// of power all of them would spend the same tokens at once.
-    pub fn expect(&mut self, instances: usize) {
+    pub fn set_expected(&mut self, instances: usize) {
         self.expected = instances;
     }
 
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -39,7 +39,7 @@
             fleet.tables.push(ShareTable::default());
         }
         for table in &mut fleet.tables {
-            table.expect(instances);
+            table.set_expected(instances);
             table.configure(std::slice::from_ref(&fleet.tenant), 0);
         }
         fleet
@@ -176,7 +176,7 @@
             fleet = Fleet::new(7, tenant.clone());
             for table in &mut fleet.tables {
                 *table = ShareTable::default();
-                table.expect(7);
+                table.set_expected(7);
                 table.configure(std::slice::from_ref(&tenant), now_ms);
             }
         }
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -3,11 +3,17 @@
 mod answer;
 mod attempt;
 mod directory;
+mod end;
 mod events;
+mod judge;
 mod listener;
+mod passing;
+mod plan;
 mod refusal;
 mod request;
 mod serve;
+mod tries;
+mod whole;
 mod work;
 
 pub use {
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -191,7 +191,7 @@
         let members = self.members.borrow();
         let mesh = &self.settings.mesh;
         let mut shares = self.shares.borrow_mut();
-        shares.expect(members.expected() + 1);
+        shares.set_expected(members.expected() + 1);
         shares.peers(|name| members.is_heard(name, mesh, now_ms));
     }
 
