Find the last event's id in any bytes, and log what can't be read

Cause, found by reading: an event whose data is no text hid its id, so a stream that was cut off behind it would have gone on from an older event and repeated some; unreadable answers of the store were passed over without a line. Change: ids are looked for in bytes; the splitter lies in core with a test over any pieces; one line for each answer of the store that can't be read. The client of the store also calls engines, so it is a CallClient now.

--- a/crates/gateway/src/callers/events.rs
+++ b/crates/core/src/stream/event_splitter.rs
@@ -1,31 +1,30 @@
-use bytes::{Bytes, BytesMut};
-
-/// Splits a stream into whole events.
+/// Splits a stream of events into whole events.
 ///
 /// An engine that crashes may stop in the middle of an event. Passed on, the
 /// half event would be joined with the first one of the engine that goes on.
 #[derive(Debug, Default)]
-pub(super) struct EventSplitter {
-    rest: BytesMut,
+pub struct EventSplitter {
+    rest: Vec<u8>,
     last_id: Option<String>,
 }
 
 impl EventSplitter {
     /// Returns a splitter for a stream that goes on behind an event.
-    pub(super) fn behind(last_id: Option<String>) -> EventSplitter {
+    pub fn behind(last_id: Option<String>) -> EventSplitter {
         EventSplitter {
-            rest: BytesMut::new(),
+            rest: Vec::new(),
             last_id,
         }
     }
 
     /// Takes bytes, and returns those up to the end of the last whole event.
-    pub(super) fn push(&mut self, bytes: &[u8]) -> Bytes {
+    pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
         self.rest.extend_from_slice(bytes);
         let Some(end) = end_of_last_event(&self.rest) else {
-            return Bytes::new();
+            return Vec::new();
         };
-        let whole = self.rest.split_to(end).freeze();
+        let rest = self.rest.split_off(end);
+        let whole = std::mem::replace(&mut self.rest, rest);
         if let Some(id) = last_id(&whole) {
             self.last_id = Some(id);
         }
@@ -33,12 +32,12 @@
     }
 
     /// Returns whether part of an event is left.
-    pub(super) fn has_rest(&self) -> bool {
+    pub fn has_rest(&self) -> bool {
         !self.rest.is_empty()
     }
 
     /// Returns the id of the last whole event.
-    pub(super) fn last_id(&self) -> Option<&str> {
+    pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
     }
 }
@@ -50,11 +49,11 @@
     ends.into_iter().flatten().max()
 }
 
+/// Returns the last id among events. Their data may be any bytes; an id that
+/// was overlooked would repeat events when the stream goes on.
 fn last_id(events: &[u8]) -> Option<String> {
-    let text = std::str::from_utf8(events).ok()?;
-    let id = text
-        .lines()
-        .rev()
-        .find_map(|line| line.strip_prefix("id:"))?;
+    let mut lines = events.split(|byte| *byte == b'\n').rev();
+    let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    let id = std::str::from_utf8(id).ok()?;
     Some(id.trim().to_owned())
 }
--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -1,5 +1,9 @@
 //! One answer, put together from the events of its attempts.
 
+mod event_splitter;
 mod sequencer;
 
-pub use sequencer::{Fault, Sequencer, Step};
+pub use {
+    event_splitter::EventSplitter,
+    sequencer::{Fault, Sequencer, Step},
+};
--- a/crates/core/tests/streams.rs
+++ b/crates/core/tests/streams.rs
@@ -175,3 +175,38 @@
         }
     }
 }
+
+/// Events arrive in any pieces, their data holds any bytes, and the last one
+/// may be a half. What is passed on are whole events, and the last id is that
+/// of the last one passed on.
+#[test]
+fn only_whole_events_are_passed_on() {
+    use mangowalk_core::stream::EventSplitter;
+    let mut text = Vec::new();
+    for id in 0..40 {
+        text.extend_from_slice(format!("id: {id}\ndata: ").as_bytes());
+        text.extend_from_slice(&[0xff, 0xfe, b'a', id]);
+        text.extend_from_slice(b"\n\n");
+    }
+    let whole = text.len();
+    text.extend_from_slice(b"id: 40\ndata: ha");
+    proptest!(|(sizes in prop::collection::vec(1_usize..60, 1..200))| {
+        let mut splitter = EventSplitter::default();
+        let (mut passed, mut at) = (Vec::new(), 0);
+        for size in sizes.into_iter().cycle() {
+            if at == text.len() {
+                break;
+            }
+            let end = (at + size).min(text.len());
+            passed.extend(splitter.push(&text[at..end]));
+            at = end;
+            if !passed.is_empty() {
+                let events = passed.windows(4).filter(|four| four == b"id: ").count();
+                let last = (events - 1).to_string();
+                prop_assert_eq!(splitter.last_id(), Some(last.as_str()));
+            }
+        }
+        prop_assert_eq!(&passed, &text[..whole]);
+        prop_assert!(splitter.has_rest());
+    });
+}
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -4,7 +4,6 @@
 mod attempt;
 mod directory;
 mod end;
-mod events;
 mod judge;
 mod listener;
 mod passing;
--- a/crates/gateway/src/callers/passing.rs
+++ b/crates/gateway/src/callers/passing.rs
@@ -4,7 +4,6 @@
         answer::Pieces,
         attempt::Answered,
         end::{done, good},
-        events::EventSplitter,
         judge::note,
         request::CallerRequest,
         tries::{Tries, run},
@@ -15,7 +14,7 @@
     futures_util::stream::unfold,
     http::Response,
     http_body_util::BodyExt,
-    mangowalk_core::routing::Repeat,
+    mangowalk_core::{routing::Repeat, stream::EventSplitter},
     mangowalk_platform::answer_headers,
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
@@ -83,7 +82,7 @@
                     };
                     self.heard();
                     let whole = match &mut self.splitter {
-                        Some(splitter) => splitter.push(&bytes),
+                        Some(splitter) => Bytes::from(splitter.push(&bytes)),
                         None => bytes,
                     };
                     if !whole.is_empty() {
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -74,8 +74,13 @@
     instance.look_at_peers(now_ms);
     sequence.set(sequence.get() + 1);
     let targets = instance.members.borrow().targets(mesh, now_ms);
-    let Ok(bytes) = postcard::to_allocvec(&heartbeat(instance, sequence.get(), now_ms)) else {
-        return;
+    let encoded = postcard::to_allocvec(&heartbeat(instance, sequence.get(), now_ms));
+    let bytes = match encoded {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::warn!("event=heartbeat_unwritable error=\"{error}\"");
+            return;
+        }
     };
     let first = (sequence.get() as usize).wrapping_mul(MOST_TARGETS) % targets.len().max(1);
     let turn = targets.iter().cycle().skip(first);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,7 +5,7 @@
         instance::{Drain, GatewaySettings, Instance},
         logs::{self, LogSettings},
         mesh,
-        store::{StoreClient, register, watch_configuration, watch_engines, watch_weights},
+        store::{CallClient, register, watch_configuration, watch_engines, watch_weights},
         upstreams::{Pool, probe_silent, watch_kept},
         weights::order_weights,
     },
@@ -144,7 +144,7 @@
         })?;
     let (drain_teller, drain) = Drain::channel();
     let instance = Instance::new(machine, settings, wall_ms(), drain);
-    let store_client = StoreClient::new(instance.machine.store_address, STORE_CONNECT_MS);
+    let store_client = CallClient::new(instance.machine.store_address, STORE_CONNECT_MS);
     let (pool, store) = (Rc::new(Pool::default()), Rc::new(store_client));
     log::info!(
         "event=started domain={} callers={} incarnation={}",
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -41,16 +41,16 @@
 
 /// Calls to one address, over kept connections.
 #[derive(Debug)]
-pub struct StoreClient {
+pub struct CallClient {
     address: SocketAddr,
     connect_ms: u64,
     idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
 }
 
-impl StoreClient {
+impl CallClient {
     /// Returns a client without connections.
-    pub fn new(address: SocketAddr, connect_ms: u64) -> StoreClient {
-        StoreClient {
+    pub fn new(address: SocketAddr, connect_ms: u64) -> CallClient {
+        CallClient {
             address,
             connect_ms,
             idle: RefCell::default(),
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -4,6 +4,6 @@
 mod watch;
 
 pub use {
-    client::{CallError, StoreClient},
+    client::{CallClient, CallError},
     watch::{register, watch_configuration, watch_engines, watch_weights},
 };
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -1,11 +1,11 @@
 use {
-    super::StoreClient,
+    super::CallClient,
     crate::{clock::now_ms, instance::Instance},
     mangowalk_core::weights::NamedAt,
     mangowalk_platform::{
-        Changes, Kind, MemberRecord, Page, Stored, decode_changes, decode_configuration,
-        decode_engine, decode_newest_weights, decode_object, decode_page, encode_create,
-        encode_replace,
+        Changes, Kind, MemberRecord, Page, StoreError, Stored, decode_changes,
+        decode_configuration, decode_engine, decode_newest_weights, decode_object, decode_page,
+        encode_create, encode_replace,
     },
     std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{sync::Notify, time::sleep},
@@ -39,7 +39,7 @@
 
 /// Follows a kind: reads it whole, then waits for changes, and reads it
 /// again when the history is gone, a call fails, or a peer knows more.
-async fn follow<F: Follower>(instance: &Instance, store: &StoreClient, follower: F) {
+async fn follow<F: Follower>(instance: &Instance, store: &CallClient, follower: F) {
     let mut pause_ms = FIRST_PAUSE_MS;
     let mut lost = false;
     loop {
@@ -60,7 +60,7 @@
         pause_ms = FIRST_PAUSE_MS;
         loop {
             let changes = tokio::select! {
-                changes = wait(instance, store, &follower, revision) => changes,
+                changes = wait::<F>(instance, store, revision) => changes,
                 () = follower.wake().notified() => None,
             };
             let Some(changes) = changes else {
@@ -81,7 +81,7 @@
     Duration::from_millis(pause_ms / 2 + rand::random_range(0..pause_ms))
 }
 
-async fn read<F: Follower>(instance: &Instance, store: &StoreClient, follower: &F) -> Option<u64> {
+async fn read<F: Follower>(instance: &Instance, store: &CallClient, follower: &F) -> Option<u64> {
     let mut objects = Vec::new();
     let mut revision = None;
     loop {
@@ -98,7 +98,7 @@
             log::info!("event=store_refused kind={} status={status}", F::KIND);
             return None;
         }
-        let page = decode_page(&body).ok()?;
+        let page = decoded::<F, _>(decode_page(&body))?;
         // Changes between two pages are seen by the watch from the first on.
         revision = revision.or(Some(page.revision));
         let more = page.more && !page.objects.is_empty();
@@ -110,16 +110,24 @@
     }
 }
 
+/// Returns what was decoded. What can't be read is logged, and read again.
+fn decoded<F: Follower, T>(result: Result<T, StoreError>) -> Option<T> {
+    result
+        .inspect_err(|error| {
+            log::warn!("event=store_unreadable kind={} error=\"{error}\"", F::KIND)
+        })
+        .ok()
+}
+
 async fn wait<F: Follower>(
     instance: &Instance,
-    store: &StoreClient,
-    _follower: &F,
+    store: &CallClient,
     revision: u64,
 ) -> Option<Changes> {
     let wait_ms = instance.settings.watch_ms;
     let call = Changes::call(F::KIND, revision, wait_ms);
     match store.call(&call, wait_ms + ANSWER_MS).await {
-        Ok((200, body)) => decode_changes(&body).ok(),
+        Ok((200, body)) => decoded::<F, _>(decode_changes(&body)),
         Ok((GONE, _)) => {
             log::info!("event=store_history_gone kind={}", F::KIND);
             None
@@ -258,12 +266,12 @@
 }
 
 /// Follows the operators' configuration.
-pub async fn watch_configuration(instance: Rc<Instance>, store: Rc<StoreClient>) {
+pub async fn watch_configuration(instance: Rc<Instance>, store: Rc<CallClient>) {
     follow(&instance, &store, ConfigurationFollower(instance.clone())).await;
 }
 
 /// Follows the newest weights.
-pub async fn watch_weights(instance: Rc<Instance>, store: Rc<StoreClient>) {
+pub async fn watch_weights(instance: Rc<Instance>, store: Rc<CallClient>) {
     let follower = WeightsFollower {
         instance: instance.clone(),
         has_read: Cell::new(false),
@@ -272,7 +280,7 @@
 }
 
 /// Follows the list of engines.
-pub async fn watch_engines(instance: Rc<Instance>, store: Rc<StoreClient>) {
+pub async fn watch_engines(instance: Rc<Instance>, store: Rc<CallClient>) {
     let follower = EnginesFollower {
         instance: instance.clone(),
         never: Notify::new(),
@@ -285,7 +293,7 @@
 ///
 /// Each instance writes before it reads, so of two that start together at
 /// least one finds the other, and its heartbeats make it known.
-pub async fn register(instance: Rc<Instance>, store: Rc<StoreClient>) {
+pub async fn register(instance: Rc<Instance>, store: Rc<CallClient>) {
     let mut pause_ms = FIRST_PAUSE_MS;
     while !write_and_read(&instance, &store).await {
         sleep(spread(pause_ms)).await;
@@ -293,7 +301,7 @@
     }
 }
 
-async fn write_and_read(instance: &Instance, store: &StoreClient) -> bool {
+async fn write_and_read(instance: &Instance, store: &CallClient) -> bool {
     let name = &instance.machine.name;
     let within_ms = instance.settings.store_ms;
     let record = MemberRecord {
--- a/crates/gateway/src/upstreams/kept.rs
+++ b/crates/gateway/src/upstreams/kept.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{instance::Instance, store::StoreClient},
+    crate::{instance::Instance, store::CallClient},
     mangowalk_core::pool::kept_key,
     mangowalk_platform::KeptChanges,
     std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -53,7 +53,7 @@
 }
 
 async fn follow(instance: &Instance, address: SocketAddr) {
-    let client = StoreClient::new(address, CONNECT_MS);
+    let client = CallClient::new(address, CONNECT_MS);
     let mut since = 0;
     while store_address(instance) == Some(address) && is_follower(instance) {
         let call = KeptChanges::call(since, WAIT_MS);
--- a/crates/gateway/src/weights/orderer.rs
+++ b/crates/gateway/src/weights/orderer.rs
@@ -4,7 +4,7 @@
         progress::{Lagging, Progress},
         right::Right,
     },
-    crate::{clock::now_ms, instance::Instance, store::StoreClient},
+    crate::{clock::now_ms, instance::Instance, store::CallClient},
     mangowalk_core::{
         mesh::OrderPhase,
         pool::EngineEntry,
@@ -44,7 +44,7 @@
 }
 
 /// Gives orders to engines whenever some lack the newest weights.
-pub async fn order_weights(instance: Rc<Instance>, store: Rc<StoreClient>) {
+pub async fn order_weights(instance: Rc<Instance>, store: Rc<CallClient>) {
     let (tell, heard) = unbounded_channel();
     let mut orderer = Orderer {
         right: Right::new(instance.clone(), store),
--- a/crates/gateway/src/weights/orders.rs
+++ b/crates/gateway/src/weights/orders.rs
@@ -1,5 +1,5 @@
 use {
-    crate::store::StoreClient,
+    crate::store::CallClient,
     mangowalk_core::pool::EngineEntry,
     mangowalk_platform::{
         EngineReport, OrderAnswer, WeightsOrder, decode_order_answer, decode_report, encode_order,
@@ -16,7 +16,7 @@
 
 /// Asks an engine for its state.
 pub(super) async fn ask(engine: &EngineEntry) -> Option<EngineReport> {
-    let client = StoreClient::new(engine.address, CONNECT_MS);
+    let client = CallClient::new(engine.address, CONNECT_MS);
     let call = EngineReport::call(&engine.incarnation.id);
     match client.call(&call, ENGINE_MS).await {
         Ok((200, body)) => decode_report(&body),
@@ -39,7 +39,7 @@
 
 /// Sends an order to an engine.
 pub(super) async fn send(engine: &EngineEntry, order: &WeightsOrder<'_>) -> OrderAnswer {
-    let client = StoreClient::new(engine.address, CONNECT_MS);
+    let client = CallClient::new(engine.address, CONNECT_MS);
     match client.call(&encode_order(order), ENGINE_MS).await {
         Ok((status, _)) => decode_order_answer(status),
         Err(error) => {
--- a/crates/gateway/src/weights/right.rs
+++ b/crates/gateway/src/weights/right.rs
@@ -2,7 +2,7 @@
     crate::{
         clock::now_ms,
         instance::{Drain, Instance},
-        store::StoreClient,
+        store::CallClient,
     },
     mangowalk_core::weights::{Held, Lease, Seen, Vacant},
     mangowalk_platform::{
@@ -52,7 +52,7 @@
 /// The right to give orders, and the calls to the store that it takes.
 pub(super) struct Right {
     instance: Rc<Instance>,
-    store: Rc<StoreClient>,
+    store: Rc<CallClient>,
     hold: Hold,
     seen: Option<Seen>,
     /// Until then this instance leaves the lease to others.
@@ -64,7 +64,7 @@
 }
 
 impl Right {
-    pub(super) fn new(instance: Rc<Instance>, store: Rc<StoreClient>) -> Right {
+    pub(super) fn new(instance: Rc<Instance>, store: Rc<CallClient>) -> Right {
         Right {
             hold: Hold::Vacant(Lease::new(instance.settings.lease)),
             instance,
