Serve soon as the last instance of many, and forget peers that stopped

Change: a stopping instance says so in its last heartbeat; instances that are listed and not heard count for 0.8 s.

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -65,6 +65,8 @@
     pub domain: String,
     /// Whether callers may be sent here.
     pub ready: bool,
+    /// Whether this is its last heartbeat: it has stopped and serves nobody.
+    pub stopped: bool,
     /// Version of the configuration in force there.
     pub configuration_version: u64,
     /// Newest weights named by model, and how many milliseconds ago, if known.
--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -66,6 +66,12 @@
             }
         }
         let name = heartbeat.name.clone();
+        if heartbeat.stopped {
+            // What it might still spend or run need not be set aside.
+            self.members.remove(&name);
+            self.tried_since_ms.remove(&heartbeat.peer_address);
+            return true;
+        }
         let member = Member {
             last: heartbeat,
             heard_ms: now_ms,
--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -11,6 +11,10 @@
     /// It begins with nothing: it can't know what was spent before, and
     /// whatever it began with would be handed out again at each restart.
     pub new_most: f64,
+    /// Time after the start in which instances that were listed and are not
+    /// heard yet are counted. Those that live are heard within two heartbeats;
+    /// a lone survivor would go on refusing its callers for those that left.
+    pub expect_ms: u64,
     /// Time after the start in which the levels of peers are taken over.
     pub learn_ms: u64,
     /// Part of a share that goes evenly to all instances, so that one whose
@@ -22,6 +26,7 @@
     fn default() -> ShareSettings {
         ShareSettings {
             new_most: 0.3,
+            expect_ms: 800,
             learn_ms: 2_000,
             even: 0.4,
         }
@@ -192,11 +197,10 @@
     }
 
     fn standing(&self, team: &str, now_ms: u64) -> Standing {
-        let expected = if self.is_learning(now_ms) {
-            self.expected
-        } else {
-            0
-        };
+        let expects = self
+            .started_ms
+            .is_none_or(|started_ms| now_ms < started_ms + self.settings.expect_ms);
+        let expected = if expects { self.expected } else { 0 };
         let instances = (self.peers.len() + 1).max(expected) as f64;
         let heard = self.peers.values().filter(|peer| peer.is_heard).count() + 1;
         let own = self.own.get(team).map_or(0.0, |own| own.demand.at(now_ms));
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -147,6 +147,7 @@
         peer_address: address,
         domain: "a".to_owned(),
         ready: true,
+        stopped: false,
         configuration_version: 1,
         versions: Vec::new(),
         loads: Vec::new(),
@@ -188,6 +189,24 @@
     assert_eq!(members.is_heard("p", &settings, settings.gone_ms + 1), None);
 }
 
+/// Instances are replaced one after the other, each by one of another name. A
+/// team within its rate must not be refused because parts of it are still set
+/// aside for those that have stopped.
+#[test]
+fn a_peer_that_has_stopped_is_forgotten_at_once() {
+    let settings = MeshSettings::default();
+    let mut members = MemberTable::default();
+    members.hear(heartbeat("p", 1, 1), 0);
+    let last = Heartbeat {
+        stopped: true,
+        ready: false,
+        ..heartbeat("p", 1, 2)
+    };
+    assert!(members.hear(last, 10));
+    assert_eq!(members.is_heard("p", &settings, 11), None);
+    assert_eq!(members.iter().count(), 0);
+}
+
 #[test]
 fn addresses_that_never_answer_are_tried_for_a_while() {
     let settings = MeshSettings::default();
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -220,3 +220,21 @@
     assert!(table.take(&tenant, 9_000, 10_000).is_ok());
     assert!(table.take(&tenant, 100, 12_000).is_err());
 }
+
+/// One instance is left of seven, and starts again. A second later it must
+/// serve a team within its rate, though six others are still listed.
+#[test]
+fn a_lone_survivor_serves_soon() {
+    let tenant = tenant(160_000.0, 160_000.0);
+    let mut table = ShareTable::default();
+    table.set_expected(7);
+    table.configure(std::slice::from_ref(&tenant), 0);
+    let (mut served, mut refused) = (0, 0);
+    for now_ms in (1_000..5_000_u64).step_by(100) {
+        match table.take(&tenant, 1_500, now_ms) {
+            Ok(()) => served += 1,
+            Err(_) => refused += 1,
+        }
+    }
+    assert!(refused * 10 <= served, "{refused} refused, {served} served");
+}
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -133,7 +133,7 @@
     if !instance.is_informed() {
         return Err((Refusal::Starting, Some(STARTING_RETRY_MS)));
     }
-    if *instance.drain.borrow() == Drain::Closing {
+    if *instance.drain.borrow() >= Drain::Closing {
         return Err((Refusal::Stopping, Some(STOPPING_RETRY_MS)));
     }
     let head = RequestHead::decode(&parts.headers).map_err(|error| {
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -242,7 +242,7 @@
         if heartbeat.name == self.machine.name {
             return;
         }
-        let name = heartbeat.name.clone();
+        let (name, stopped) = (heartbeat.name.clone(), heartbeat.stopped);
         let version = heartbeat.configuration_version;
         let (loads, versions) = (heartbeat.loads.clone(), heartbeat.versions.clone());
         let placed = heartbeat.placed.clone();
@@ -253,6 +253,11 @@
         if !self.members.borrow_mut().hear(heartbeat, now_ms) {
             return;
         }
+        if stopped {
+            log::info!("event=peer_stopped peer={name}");
+            self.engines.borrow_mut().forget_peer(&name);
+            return self.look_at_peers(now_ms);
+        }
         if !known {
             log::info!("event=peer_found peer={name}");
             self.notes.heartbeat.notify_one();
--- a/crates/gateway/src/instance/drain.rs
+++ b/crates/gateway/src/instance/drain.rs
@@ -10,6 +10,8 @@
     Departing,
     /// Idle connections are closed, open requests end.
     Closing,
+    /// Nothing is open; peers are told, and the process ends.
+    Stopped,
 }
 
 impl Drain {
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -1,5 +1,8 @@
 use {
-    crate::{clock::now_ms, instance::Instance},
+    crate::{
+        clock::now_ms,
+        instance::{Drain, Instance},
+    },
     mangowalk_core::{
         mesh::{Heartbeat, TeamNote},
         weights::NamedAt,
@@ -102,6 +105,7 @@
         peer_address: instance.machine.peer_address,
         domain: instance.machine.domain.clone(),
         ready: instance.is_ready(),
+        stopped: *instance.drain.borrow() == Drain::Stopped,
         configuration_version: instance.routes.borrow().version(),
         versions: versions(instance, now_ms),
         holds_lease: instance.holds_lease.get(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -26,6 +26,9 @@
 /// Pause between two looks while open requests end.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
+/// Time for the last heartbeat and log lines to leave.
+const FAREWELL: Duration = Duration::from_millis(120);
+
 /// Pause between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_millis(1_000);
 
@@ -231,5 +234,8 @@
     while now_ms() < last_ms && instance.open_requests.get() > 0 {
         sleep(DRAIN_LOOK).await;
     }
+    drain.send_replace(Drain::Stopped);
+    instance.notes.heartbeat.notify_one();
     log::info!("event=stopped open={}", instance.open_requests.get());
+    sleep(FAREWELL).await;
 }
