--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -226,7 +226,7 @@
     (
         6,
         4,
-        4,
+        3,
     )
     ");
 }
