--- a/crates/core/src/pool/need.rs
+++ b/crates/core/src/pool/need.rs
@@ -24,8 +24,6 @@
     pub wall: u64,
     /// Failure domain of this instance.
     pub domain: String,
-    /// Whether the request may run again if its first run is lost.
-    pub may_run_again: bool,
 }
 
 impl Need {
--- a/crates/core/src/weights/lease.rs
+++ b/crates/core/src/weights/lease.rs
@@ -132,12 +132,4 @@
     pub fn held(&self) -> &Held {
         &self.state
     }
-
-    /// Gives the lease up, after another has taken it.
-    pub fn lose(self) -> Lease<Vacant> {
-        Lease {
-            settings: self.settings,
-            state: Vacant,
-        }
-    }
 }
--- a/crates/core/tests/full.rs
+++ b/crates/core/tests/full.rs
@@ -88,7 +88,6 @@
         parts: vec![part(session, SHARED), part(own + 1_000_000, OWN)],
         wall: 0,
         domain: "a".to_owned(),
-        may_run_again: false,
     }
 }
 
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -46,7 +46,6 @@
         ],
         wall: 0,
         domain: "a".to_owned(),
-        may_run_again: false,
     }
 }
 
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -112,6 +112,12 @@
         rank.min(LAST_RANK)
     }
 
+    /// Returns whether the request may go to another engine after so many may
+    /// have run it.
+    pub(super) fn may_run_again(&self, run: u32) -> bool {
+        self.route.repeat.may_run_again() && run < self.route.max_attempts
+    }
+
     /// Returns whether the route is of the first rank.
     pub(super) fn is_first(&self) -> bool {
         self.route.priority == 0
@@ -200,7 +206,6 @@
         parts: head.parts.clone(),
         wall: tenant.filter(|tenant| tenant.isolated).map_or(0, wall),
         domain: instance.machine.domain.clone(),
-        may_run_again: route.repeat.may_run_again(),
     }
 }
 
--- a/crates/gateway/src/callers/tries.rs
+++ b/crates/gateway/src/callers/tries.rs
@@ -88,9 +88,7 @@
                 tries.run += 1;
                 tries.tried.push(engine);
                 may_have_run = true;
-                let again =
-                    request.route.repeat.may_run_again() && tries.run < request.route.max_attempts;
-                if !again {
+                if !request.may_run_again(tries.run) {
                     return failure.ok_or(Refusal::AnswerLost);
                 }
             }
@@ -130,11 +128,12 @@
 /// time tells enough. A stream may wait its turn on a busy engine; leaving
 /// that would lose its place and read its prompt twice.
 fn give_up_ms(request: &CallerRequest, tries: &Tries) -> Option<u64> {
-    let another = tries.run + 1 < request.route.max_attempts;
     let targets = if request.route.repeat.is_stream() {
         6
     } else {
         2
     };
-    (request.route.repeat.may_run_again() && another).then(|| targets * request.route.target_ms)
+    request
+        .may_run_again(tries.run + 1)
+        .then(|| targets * request.route.target_ms)
 }
--- a/crates/gateway/src/callers/whole.rs
+++ b/crates/gateway/src/callers/whole.rs
@@ -50,8 +50,7 @@
                 return refuse(&request, Refusal::TimedOut, None);
             }
         }
-        let again = request.route.repeat.may_run_again() && tries.run < request.route.max_attempts;
-        if !again {
+        if !request.may_run_again(tries.run) {
             return refuse(&request, Refusal::AnswerLost, None);
         }
         match run(&request, &mut tries, None).await {
