--- a/crates/mangowalkd/tests/machines/answers.rs
+++ b/crates/mangowalkd/tests/machines/answers.rs
@@ -3,7 +3,12 @@
 use {
     super::PROGRAM,
     mangowalk_platform_standins::{Caller, Deployment, EngineFaults, RouteKind, wait},
-    std::time::{Duration, Instant},
+    std::{
+        io::{Read, Write},
+        net::{TcpListener, TcpStream},
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
 #[test]
@@ -263,6 +268,42 @@
     }
 }
 
+/// An engine is gone, and its address was given to a server that speaks nothing
+/// of this. Whatever it answers is not the engine's: a request that must not run
+/// twice ends as lost, as nobody can know, and never as not run; one that may run
+/// again is answered by another engine.
+#[test]
+fn an_answer_from_a_stranger_at_an_engines_address_is_no_answer() {
+    let mut deployment = Deployment::start(PROGRAM, 1, 2);
+    let address = deployment.engines[0].address();
+    drop(deployment.engines.remove(0));
+    let stranger = TcpListener::bind(address).expect("the address is free again");
+    thread::spawn(move || {
+        for connection in stranger.incoming().flatten() {
+            answer_not_found(connection);
+        }
+    });
+    let caller = deployment.caller(0);
+    let mut statuses = Vec::new();
+    for _ in 0..12 {
+        let id = Caller::fresh_id();
+        let reply = caller.stream(RouteKind::Stream.path(), &id);
+        assert!(reply.is_whole_stream() || reply.status == 502, "{reply:?}");
+        statuses.push(reply.status);
+        let reply = caller.stream(RouteKind::Resumable.path(), &Caller::fresh_id());
+        assert!(reply.is_whole_stream(), "{reply:?}");
+    }
+    assert!(statuses.contains(&502), "the stranger was never asked");
+}
+
+/// Reads what arrives and answers as a server would that knows no such path.
+fn answer_not_found(mut connection: TcpStream) {
+    let mut request = [0; 4_096];
+    // A caller that has left is none of the stranger's business.
+    let _ = connection.read(&mut request);
+    let _ = connection.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+}
+
 /// An engine writes that it is about to leave. Two seconds later it gets no
 /// new work, though it would still take it.
 #[test]
