Send a shared part to the store once at a time

Change: an ask is remembered for 2.5 s, here and from what peers' engines have read; nobody asks again meanwhile.

--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -274,6 +274,18 @@
     assert!(!kept.holds(key));
 }
 
+/// Many requests read the same part at once. One engine is asked to send it to
+/// the store; if it didn't arrive, another is asked once the first must have
+/// given up.
+#[test]
+fn a_part_is_asked_for_once_at_a_time() {
+    let mut kept = KeptParts::default();
+    assert!(kept.ask(5, 1_000));
+    assert!(!kept.ask(5, 1_001) && !kept.ask(5, 3_499));
+    assert!(kept.ask(6, 1_001));
+    assert!(kept.ask(5, 3_500));
+}
+
 /// More comes than the engines can read. A request that would wait longer
 /// than its time is refused at once, with a time to come back; one of the
 /// first rank, which engines let pass the others, waits longer.
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -112,7 +112,7 @@
     let is_near_worth = version > 0 && shared_tokens >= LEAST_NEAR_TOKENS;
     let worth_fetching = version > 0 && shared_tokens >= LEAST_FETCH_TOKENS;
     let salt = need.model.as_ref().map(|_| salt(request, version));
-    let kept = request.instance.kept.borrow();
+    let mut kept = request.instance.kept.borrow_mut();
     let store = store.filter(|_| worth_fetching && kept.is_up());
     let shared = need.parts.iter().rev().nth(1);
     let is_saved = salt
@@ -126,6 +126,11 @@
     } else {
         holder.filter(|_| is_near_worth && !is_kept).or(store)
     };
+    let is_asked = store.is_some()
+        && !is_saved
+        && need
+            .shared_part()
+            .is_some_and(|part| kept.ask(part, now_ms));
     Plan {
         load: Load {
             requests: 1,
@@ -140,7 +145,7 @@
         version,
         is_kept,
         fetch_from,
-        save_to: store.filter(|_| !is_saved),
+        save_to: store.filter(|_| is_asked),
         salt,
     }
 }
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -263,6 +263,10 @@
             self.notes.heartbeat.notify_one();
         }
         self.engines.borrow_mut().peer_load(&name, &loads);
+        for &(part, _) in &placed {
+            // The peer's engine was asked to send it; so none here needs to be.
+            self.kept.borrow_mut().ask(part, now_ms);
+        }
         self.engines.borrow_mut().placed(&placed, now_ms);
         self.shares
             .borrow_mut()
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod configuration;
 mod input;
+mod kept;
 mod logs;
 mod rates;
 mod stopping;
