Show the three kinds of failed request from real processes' logs

Cause: the command that tells a request's story was tested with written lines only; a line that an instance no longer writes, or writes with another name, would not have been noticed.

Change: instances run against stand-ins that refuse, break off and lose answers; their own logs go to the command, which must name engine and cause.

--- a/crates/mangowalk/tests/client/main.rs
+++ b/crates/mangowalk/tests/client/main.rs
@@ -8,5 +8,6 @@
 mod page;
 mod records;
 mod story;
+mod story_of_processes;
 mod support;
 mod usage;
--- a/crates/mangowalk/tests/client/story.rs
+++ b/crates/mangowalk/tests/client/story.rs
@@ -5,7 +5,7 @@
     process::{Command, Stdio},
 };
 
-fn story(logs: &str, request: &str) -> (Option<i32>, String) {
+pub(crate) fn story(logs: &str, request: &str) -> (Option<i32>, String) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_mangowalk"))
         .args(["story", request])
         .stdin(Stdio::piped())
--- /dev/null
+++ b/crates/mangowalk/tests/client/story_of_processes.rs
@@ -0,0 +1,97 @@
+//! The story of a failed request, from the logs of the instances it met.
+
+use {
+    super::{story::story, support::router_program},
+    mangowalk_platform_standins::{Caller, Deployment, EngineFaults, RouteKind},
+    std::{thread, time::Duration},
+};
+
+/// Time after which an instance has written what it logged.
+const WRITTEN: Duration = Duration::from_millis(200);
+
+fn deployment() -> Deployment {
+    Deployment::start(&router_program(), 2, 2)
+}
+
+/// Returns what the command says of a request, from all instances' logs.
+fn told(deployment: &Deployment, request: &str) -> String {
+    thread::sleep(WRITTEN);
+    let logs: Vec<String> = deployment.machines.iter().map(|m| m.log()).collect();
+    let (code, text) = story(&logs.concat(), request);
+    assert_eq!(code, Some(0), "{text}");
+    text
+}
+
+/// The caller gets 503 though no engine is near its limit: each of them refuses
+/// the request as not run. The cause must name the engines and say that it has
+/// not run.
+#[test]
+fn a_refusal_is_explained_from_the_instances_own_logs() {
+    let deployment = deployment();
+    for engine in &deployment.engines {
+        engine.set_faults(EngineFaults {
+            sheds: true,
+            ..EngineFaults::default()
+        });
+    }
+    let id = Caller::fresh_id();
+    let reply = deployment.caller(0).stream(RouteKind::Stream.path(), &id);
+    assert_eq!(reply.status, 503, "{reply:?}");
+    let text = told(&deployment, &id);
+    for part in ["Engines refused it as not run:", "e0 (full)", "e1 (full)"] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+    assert!(text.contains("It has not run."), "{text}");
+}
+
+/// The caller's stream ends in its middle: its engine broke off, and the route
+/// doesn't allow it to go on elsewhere. The cause must name the engine and say
+/// why the stream has no end.
+#[test]
+fn a_stream_that_broke_off_is_explained_from_the_instances_own_logs() {
+    let deployment = deployment();
+    for engine in &deployment.engines {
+        engine.set_faults(EngineFaults {
+            cut_after_events: Some(3),
+            ..EngineFaults::default()
+        });
+    }
+    let id = Caller::fresh_id();
+    let reply = deployment.caller(1).stream(RouteKind::Stream.path(), &id);
+    assert!(reply.status == 200 && !reply.is_whole, "{reply:?}");
+    let text = told(&deployment, &id);
+    let ran = deployment.engines.iter().find(|engine| {
+        let runs = engine.runs();
+        runs.iter().any(|run| run.request_id == id)
+    });
+    let name = ran.expect("an engine ran it").id().to_owned();
+    let cause = format!("Its stream from engine {name} was cut off (broken_off)");
+    assert!(text.contains(&cause), "{text}");
+}
+
+/// A charge was sent to its engine, which ran it and lost the answer. The caller
+/// gets 502. The cause must say that it may have run, and that it was not sent
+/// again for that reason.
+#[test]
+fn an_unknown_outcome_is_explained_from_the_instances_own_logs() {
+    let deployment = deployment();
+    for service in &deployment.services {
+        service.set_faults(EngineFaults {
+            loses_answers: true,
+            ..EngineFaults::default()
+        });
+    }
+    let id = Caller::fresh_id();
+    let reply = deployment
+        .caller(0)
+        .plain("POST", RouteKind::Once.path(), &id);
+    assert_eq!(reply.status, 502, "{reply:?}");
+    let text = told(&deployment, &id);
+    for part in [
+        "no answer came back",
+        "It may have run, so it was not sent again.",
+    ] {
+        assert!(text.contains(part), "{part}: {text}");
+    }
+    assert_eq!(deployment.times_run(&id), 1);
+}
