Take over settings that change while an instance runs

Cause: SIGHUP read and checked the file, logged whether it differed, and changed nothing; a change without a signal was not seen. A lowered budget of repeats would have waited for the next start.

Change: bounds on what requests may do (budget of repeats, time to stop, how long addresses are kept) and the seeds are taken over; addresses, names and the times of the lease wait for the next start, since peers know the instance by them and two holders must count alike. The file is looked at every three seconds. Both kinds of field are named in the log.

--- a/crates/gateway/src/callers/directory.rs
+++ b/crates/gateway/src/callers/directory.rs
@@ -67,7 +67,7 @@
     let keep_s = instance
         .settings
         .keep_s
-        .min(instance.machine.directory_keep_s.max(1));
+        .min(instance.machine().directory_keep_s.max(1));
     let mut response = Response::new(AnswerBody::whole(encode_addresses(&addresses, keep_s)));
     response
         .headers_mut()
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -205,7 +205,7 @@
         prompt_tokens: usage.map_or(0, |usage| usage.prompt_tokens),
         parts: head.parts.clone(),
         wall: tenant.filter(|tenant| tenant.isolated).map_or(0, wall),
-        domain: instance.machine.domain.clone(),
+        domain: instance.machine().domain.clone(),
     }
 }
 
--- a/crates/gateway/src/callers/tries.rs
+++ b/crates/gateway/src/callers/tries.rs
@@ -116,7 +116,7 @@
         .borrow_mut()
         .entry(request.need.service.clone())
         .or_default()
-        .repeat(&instance.machine.retries, instances, now_ms());
+        .repeat(&instance.machine().retries, instances, now_ms());
     let outcome = if granted { "granted" } else { "exhausted" };
     instance.counters.count("repeats", outcome);
     granted
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Counters, Crashes, Drain, GatewaySettings},
+    super::{Counters, Crashes, Drain, GatewaySettings, Reload, reloaded},
     crate::clock::now_ms,
     mangowalk_core::{
         mesh::{Heartbeat, MemberTable, OrderNote, OrderPhase},
@@ -53,7 +53,7 @@
 /// another.
 pub struct Instance {
     /// What the platform says of the machine.
-    pub machine: MachineSettings,
+    machine: RefCell<Rc<MachineSettings>>,
     /// How the instance behaves.
     pub settings: GatewaySettings,
     /// Time of day at the start; tells this start from the one before.
@@ -107,7 +107,7 @@
         drain: watch::Receiver<Drain>,
     ) -> Rc<Instance> {
         Rc::new(Instance {
-            machine,
+            machine: RefCell::new(Rc::new(machine)),
             settings,
             incarnation,
             started_ms: now_ms(),
@@ -132,6 +132,30 @@
         })
     }
 
+    /// Returns what the platform says of the machine.
+    pub fn machine(&self) -> Rc<MachineSettings> {
+        self.machine.borrow().clone()
+    }
+
+    /// Takes over what may change while the instance runs.
+    pub fn reload(&self, fresh: &MachineSettings) -> Reload {
+        let (settings, reload) = reloaded(&self.machine(), fresh);
+        *self.machine.borrow_mut() = Rc::new(settings);
+        self.try_seeds();
+        reload
+    }
+
+    /// Greets the machines at which the platform expects peers.
+    pub fn try_seeds(&self) {
+        let machine = self.machine();
+        let mut members = self.members.borrow_mut();
+        for &seed in &machine.seeds {
+            if seed != machine.peer_address {
+                members.try_address(seed, now_ms());
+            }
+        }
+    }
+
     /// Returns whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         self.is_informed() && *self.drain.borrow() == Drain::Serving
@@ -210,7 +234,7 @@
             .map(|member| member.last.caller_address)
             .collect();
         if self.is_ready() {
-            addresses.push(self.machine.caller_address);
+            addresses.push(self.machine().caller_address);
         }
         addresses.sort();
         addresses
@@ -239,7 +263,7 @@
 
     /// Takes over a peer's heartbeat.
     pub fn hear(&self, heartbeat: Heartbeat, now_ms: u64) {
-        if heartbeat.name == self.machine.name {
+        if heartbeat.name == self.machine().name {
             return;
         }
         let (name, stopped) = (heartbeat.name.clone(), heartbeat.stopped);
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -4,6 +4,7 @@
 mod counters;
 mod crashes;
 mod drain;
+mod reload;
 mod settings;
 
 pub use {
@@ -11,5 +12,6 @@
     counters::Counters,
     crashes::{Crashes, hash},
     drain::Drain,
+    reload::{Reload, reloaded},
     settings::GatewaySettings,
 };
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -51,11 +51,7 @@
 }
 
 async fn send(instance: &Instance, socket: &UdpSocket, sequence: &Cell<u64>) {
-    for &seed in &instance.machine.seeds {
-        if seed != instance.machine.peer_address {
-            instance.members.borrow_mut().try_address(seed, now_ms());
-        }
-    }
+    instance.try_seeds();
     let period = Duration::from_millis(instance.settings.mesh.period_ms);
     loop {
         beat(instance, socket, sequence).await;
@@ -94,16 +90,17 @@
 }
 
 fn heartbeat(instance: &Instance, sequence: u64, now_ms: u64) -> Heartbeat {
+    let machine = instance.machine();
     let members = instance.members.borrow();
     let heard = members.heard(&instance.settings.mesh, now_ms);
     Heartbeat {
-        name: instance.machine.name.clone(),
+        name: machine.name.clone(),
         incarnation: instance.incarnation,
         up_ms: now_ms.saturating_sub(instance.started_ms) as u32,
         sequence,
-        caller_address: instance.machine.caller_address,
-        peer_address: instance.machine.peer_address,
-        domain: instance.machine.domain.clone(),
+        caller_address: machine.caller_address,
+        peer_address: machine.peer_address,
+        domain: machine.domain.clone(),
         ready: instance.is_ready(),
         stopped: *instance.drain.borrow() == Drain::Stopped,
         configuration_version: instance.routes.borrow().version(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -29,6 +29,10 @@
 /// Time for the last heartbeat and log lines to leave.
 const FAREWELL: Duration = Duration::from_millis(120);
 
+/// Time between two looks at the settings file. A change without a signal is
+/// no hurry: what has to hold within seconds comes from the store.
+const SETTINGS_LOOK: Duration = Duration::from_secs(3);
+
 /// Pause between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_millis(1_000);
 
@@ -147,12 +151,12 @@
         })?;
     let (drain_teller, drain) = Drain::channel();
     let instance = Instance::new(machine, settings, wall_ms(), drain);
-    let store_client = CallClient::new(instance.machine.store_address, STORE_CONNECT_MS);
+    let store_client = CallClient::new(instance.machine().store_address, STORE_CONNECT_MS);
     let (pool, store) = (Rc::new(Pool::default()), Rc::new(store_client));
     log::info!(
         "event=started domain={} callers={} incarnation={}",
-        instance.machine.domain,
-        instance.machine.caller_address,
+        instance.machine().domain,
+        instance.machine().caller_address,
         instance.incarnation,
     );
     spawn_local(mesh::exchange(instance.clone(), peers));
@@ -205,14 +209,37 @@
     }
 }
 
-/// Reads the settings again at each SIGHUP. Addresses stay as they are until
-/// the next start; a file that can't be used changes nothing.
+/// Reads the settings again at each SIGHUP, and from time to time without one,
+/// as the file may change without a signal. A file that can't be used changes
+/// nothing.
 async fn reload(instance: Rc<Instance>, mut hangup: Signal, path: std::path::PathBuf) {
-    while hangup.recv().await.is_some() {
-        match read_settings(&path) {
-            Ok(machine) => log::info!("event=reloaded changed={}", machine != instance.machine),
+    let mut last = read_settings(&path);
+    loop {
+        let is_told = tokio::select! {
+            told = hangup.recv() => told.is_some(),
+            () = sleep(SETTINGS_LOOK) => false,
+        };
+        let read = read_settings(&path);
+        let is_new = match (&read, &last) {
+            (Ok(read), Ok(last)) => read != last,
+            (Err(read), Err(last)) => read.to_string() != last.to_string(),
+            _ => true,
+        };
+        if !is_told && !is_new {
+            continue;
+        }
+        match &read {
+            Ok(machine) => {
+                let reload = instance.reload(machine);
+                log::info!(
+                    "event=reloaded taken={} waiting_for_start={}",
+                    reload.taken.join(","),
+                    reload.waiting.join(","),
+                );
+            }
             Err(error) => log::warn!("event=reload_refused error=\"{error}\""),
         }
+        last = read;
     }
 }
 
@@ -220,7 +247,7 @@
 /// ones, then ending what is open, all within the time before the kill.
 async fn stop(instance: &Instance, drain: &watch::Sender<Drain>) {
     let began_ms = now_ms();
-    let last_ms = began_ms + instance.machine.grace_ms - instance.settings.exit_margin_ms;
+    let last_ms = began_ms + instance.machine().grace_ms - instance.settings.exit_margin_ms;
     // Callers keep addresses up to three times as long as they were told.
     let kept_ms = 3 * 1_000 * instance.settings.keep_s;
     let close_ms = (began_ms + kept_ms + 300).min(last_ms.saturating_sub(500));
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -302,10 +302,10 @@
 }
 
 async fn write_and_read(instance: &Instance, store: &CallClient) -> bool {
-    let name = &instance.machine.name;
+    let name = &instance.machine().name;
     let within_ms = instance.settings.store_ms;
     let record = MemberRecord {
-        peer_address: instance.machine.peer_address,
+        peer_address: instance.machine().peer_address,
     };
     let create = encode_create(Kind::Members, name, &record);
     match store.call(&create, within_ms).await {
@@ -344,7 +344,7 @@
 }
 
 fn try_peer(instance: &Instance, address: SocketAddr) {
-    if address != instance.machine.peer_address {
+    if address != instance.machine().peer_address {
         instance.members.borrow_mut().try_address(address, now_ms());
     }
 }
--- a/crates/gateway/src/weights/orderer.rs
+++ b/crates/gateway/src/weights/orderer.rs
@@ -187,7 +187,7 @@
                 model: &one.model,
                 version: one.version,
                 cut,
-                holder: &instance.machine.name,
+                holder: &instance.machine().name,
                 fence,
                 accepted_before,
             };
@@ -246,7 +246,7 @@
         };
         let mut budgets = self.instance.budgets.borrow_mut();
         let budget = budgets.entry(belief.entry.service.clone()).or_default();
-        budget.room(&self.instance.machine.retries, instances, now_ms)
+        budget.room(&self.instance.machine().retries, instances, now_ms)
     }
 
     /// Returns how many engines of a model answer, and the requests there.
--- a/crates/gateway/src/weights/right.rs
+++ b/crates/gateway/src/weights/right.rs
@@ -126,7 +126,7 @@
     fn is_turn(&self, since_ms: u64) -> bool {
         let members = self.instance.members.borrow();
         let now_ms = now_ms();
-        let own = (self.instance.incarnation, &self.instance.machine.name);
+        let own = (self.instance.incarnation, &self.instance.machine().name);
         let before = members
             .heard(&self.instance.settings.mesh, now_ms)
             .filter(|member| member.last.ready)
@@ -214,7 +214,7 @@
         });
         self.seen = Some(seen);
         let record: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
-        let own = &self.instance.machine.name;
+        let own = &self.instance.machine().name;
         let is_own = record.as_ref().is_some_and(|record| record.holder == *own);
         // Its own, but taken from another by a write whose answer was lost, or
         // just before a restart: that other's orders may be too fresh still.
@@ -253,7 +253,7 @@
 
     fn record(&self, fence: u64, renewals: u64, is_settled: bool) -> LeaseRecord {
         LeaseRecord {
-            holder: self.instance.machine.name.clone(),
+            holder: self.instance.machine().name.clone(),
             incarnation: self.instance.incarnation,
             fence,
             is_settled,
@@ -309,7 +309,7 @@
     fn refused(&mut self, body: &[u8], fence: u64) {
         let found = written(body);
         let own = found.filter(|(_, record)| {
-            record.fence == fence && record.holder == self.instance.machine.name
+            record.fence == fence && record.holder == self.instance.machine().name
         });
         match (own, &mut self.hold) {
             (Some((stored, _)), Hold::Held(lease)) => lease.adopt(stored.revision),
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -6,6 +6,7 @@
 mod kept;
 mod logs;
 mod rates;
+mod settings;
 mod stopping;
 mod weights;
 
