Bound the numbers that arrive from outside

Cause: decoders took any number.

Ruled out as ways: checked sums at each use (a dozen places, one forgotten is the same fault), and saturating ones (a request of 2^64 tokens would pass for one of the largest size).

A caller whose head can't be used is told which part and what to send, in place of one sentence for all.

--- a/crates/core/src/pool/belief.rs
+++ b/crates/core/src/pool/belief.rs
@@ -20,10 +20,10 @@
 impl Load {
     /// Adds another's work.
     pub fn add(&mut self, other: Load) {
-        self.requests += other.requests;
-        self.memory_tokens += other.memory_tokens;
-        self.prefill_tokens += other.prefill_tokens;
-        self.must_finish += other.must_finish;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
+        self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
+        self.must_finish = self.must_finish.saturating_add(other.must_finish);
     }
 
     /// Removes work that was added before.
--- a/crates/gateway/src/callers/refusal.rs
+++ b/crates/gateway/src/callers/refusal.rs
@@ -5,14 +5,18 @@
         HeaderValue, Response, StatusCode,
         header::{CONTENT_TYPE, RETRY_AFTER},
     },
+    mangowalk_platform::HeadError,
 };
 
 /// Why a request gets no engine's answer. Each message names the remedy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Refusal {
-    /// The head can't be read.
-    #[display("The request can't be read; check its id and its numbers.")]
-    BadRequest,
+    /// The head can't be used.
+    #[display("{_0}")]
+    BadHead(HeadError),
+    /// The body can't be read.
+    #[display("The body can't be read; check its length or its chunks.")]
+    BadBody,
     /// No known key came.
     #[display("The key isn't known; present a key of your team.")]
     BadKey,
@@ -52,7 +56,7 @@
     /// Returns the status that the caller gets.
     pub fn status(self) -> StatusCode {
         match self {
-            Refusal::BadRequest => StatusCode::BAD_REQUEST,
+            Refusal::BadHead(_) | Refusal::BadBody => StatusCode::BAD_REQUEST,
             Refusal::BadKey => StatusCode::UNAUTHORIZED,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
@@ -69,7 +73,8 @@
     /// Returns a word for logs and metrics.
     pub fn reason(self) -> &'static str {
         match self {
-            Refusal::BadRequest => "bad_request",
+            Refusal::BadHead(_) => "bad_head",
+            Refusal::BadBody => "bad_body",
             Refusal::BadKey => "bad_key",
             Refusal::NoRoute => "no_route",
             Refusal::TooLong => "too_long",
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -144,7 +144,7 @@
     }
     let head = RequestHead::decode(&parts.headers).map_err(|error| {
         log::warn!("event=request_malformed error=\"{error}\"");
-        (Refusal::BadRequest, None)
+        (Refusal::BadHead(error), None)
     })?;
     let routes = instance.routes.borrow().clone();
     let admitted = routes.admit(&head.host, parts.uri.path(), head.key.as_deref());
@@ -164,7 +164,7 @@
             let refusal = if too_long {
                 Refusal::TooLong
             } else {
-                Refusal::BadRequest
+                Refusal::BadBody
             };
             (refusal, None)
         })?
--- a/crates/mangowalkd/tests/machines/input.rs
+++ b/crates/mangowalkd/tests/machines/input.rs
@@ -96,6 +96,23 @@
     assert_eq!(deployment.times_run("5a5a"), 0);
 }
 
+/// A caller declares prompt and answer so large that their sum wraps to a few
+/// tokens. It must not pass for a small request that its team's rate allows; no
+/// engine may get it.
+#[test]
+fn tokens_whose_sum_would_wrap_are_refused() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    let address = deployment.machines[0].callers();
+    let path = RouteKind::Stream.path();
+    let wrapping = Caller::text_with_tokens(path, "9d9d", "key-of-small", u64::MAX, 80);
+    let reply = Caller::raw(address, wrapping.as_bytes());
+    assert_eq!(reply.status, 400, "{reply:?}");
+    assert!(reply.body.contains("tokens"), "{reply:?}");
+    assert_eq!(deployment.times_run("9d9d"), 0);
+    let sound = Caller::text_with_tokens(path, "9e9e", KEY, 1_000, 80);
+    assert_eq!(Caller::raw(address, sound.as_bytes()).status, 200);
+}
+
 #[test]
 fn a_body_beyond_the_limit_is_refused() {
     let deployment = Deployment::start(PROGRAM, 1, 1);
