Don't take the lease on word from before it was taken

Another took the lease; a third had last heard of it before that, took its record for one that was left after 0.6 s, and took the lease too, and so on: seven takers in eleven seconds. Each has to wait until the holder before can have no order under way, so nobody ordered for 17 s and engines fell out of their bounds. Any fleet can do this where instances don't hear each other but reach the store.

Change: what a holder says counts only if it was heard after its record was seen. From a holder that isn't heard the record is taken after 3.9 s without a change instead of 0.6 s; whoever takes it could not order before 4.3 s anyway. The decision moved to core, where it has no clock.

Shown: word_from_before_a_record_was_seen_is_not_believed (written with the change: the decision stood in the gateway before).

--- a/crates/core/src/weights/lease.rs
+++ b/crates/core/src/weights/lease.rs
@@ -9,6 +9,22 @@
     pub act_ms: u64,
     /// What an order may be on its way, and clocks may differ in speed.
     pub margin_ms: u64,
+    /// Time for which a record must have been as it is before it is taken from
+    /// a holder that says that it has left: three heartbeats, within which
+    /// whoever has just written it is heard to hold the lease.
+    pub settle_ms: u64,
+}
+
+impl LeaseSettings {
+    /// Returns the time for which a record must have been as it is before it is
+    /// taken from a holder that isn't heard.
+    ///
+    /// It may live behind a cut, waiting for the holder before it; taking the
+    /// lease from it then would make everybody wait again. No time is lost by
+    /// it: whoever takes over could not order sooner anyway.
+    pub fn unheard_ms(&self) -> u64 {
+        self.act_ms + self.apart_ms
+    }
 }
 
 impl Default for LeaseSettings {
@@ -17,6 +33,7 @@
             apart_ms: 3_000,
             act_ms: 900,
             margin_ms: 400,
+            settle_ms: 600,
         }
     }
 }
@@ -59,6 +76,17 @@
     state: S,
 }
 
+/// What a record's holder says of itself: it doesn't hold the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Told {
+    /// From when on it gave no order.
+    pub quiet_since_ms: u64,
+    /// When that was heard.
+    pub heard_ms: u64,
+    /// Whether it has started again since it wrote the record.
+    pub is_restarted: bool,
+}
+
 impl Seen {
     /// Returns from when on the record's holder can give no order, if the
     /// record is still as it was seen: it may have renewed just before the
@@ -66,6 +94,31 @@
     pub fn quiet_since_ms(&self, settings: &LeaseSettings) -> u64 {
         self.first_ms + settings.act_ms
     }
+
+    /// Returns whether the record may be taken from its holder, and from when
+    /// on that gave no order.
+    ///
+    /// What was heard before the record was seen may be older than the record:
+    /// in a fleet of eighty a heartbeat takes over a second to reach everyone.
+    /// Instances that believed it took the lease from each other as fast as
+    /// they could; each waited for the one before to be quiet, and nobody
+    /// ordered for seventeen seconds.
+    pub fn may_take(
+        &self,
+        told: Option<Told>,
+        settings: &LeaseSettings,
+        now_ms: u64,
+    ) -> Option<u64> {
+        let told = told.filter(|told| told.is_restarted || told.heard_ms >= self.first_ms);
+        let (settled_ms, quiet_since_ms) = match told {
+            Some(told) => (self.first_ms + settings.settle_ms, told.quiet_since_ms),
+            None => (
+                self.first_ms + settings.unheard_ms(),
+                self.quiet_since_ms(settings),
+            ),
+        };
+        (now_ms >= settled_ms).then_some(quiet_since_ms)
+    }
 }
 
 impl Lease<Vacant> {
--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -6,7 +6,7 @@
 mod plan;
 
 pub use {
-    lease::{Held, Lease, LeaseSettings, Seen, Vacant},
+    lease::{Held, Lease, LeaseSettings, Seen, Told, Vacant},
     named::{NamedAt, NamedWeights, Wanted, WeightsSettings},
     pace::LoadPace,
     plan::{PlanSettings, Step, Turn, plan},
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -3,7 +3,7 @@
 use {
     mangowalk_core::weights::{
         Held, Lease, LeaseSettings, LoadPace, NamedAt, NamedWeights, PlanSettings, Seen, Step,
-        Turn, Vacant, WeightsSettings, plan,
+        Told, Turn, Vacant, WeightsSettings, plan,
     },
     proptest::prelude::*,
 };
@@ -284,3 +284,37 @@
     assert!(!named.name(4, NamedAt::Ago(0), &WEIGHTS, 2_000));
     assert_eq!(named.newest(), 5);
 }
+
+/// An instance takes the lease; another last heard of it before that, and reads
+/// its record. What it heard then must not pass for word that the lease was
+/// left: it would take it at once, and the first would have waited in vain.
+#[test]
+fn word_from_before_a_record_was_seen_is_not_believed() {
+    let settings = LeaseSettings::default();
+    let seen = Seen {
+        revision: 7,
+        first_ms: 10_000,
+    };
+    let told = |heard_ms, is_restarted| {
+        Some(Told {
+            quiet_since_ms: 9_000,
+            heard_ms,
+            is_restarted,
+        })
+    };
+    let old = told(9_900, false);
+    assert_eq!(seen.may_take(old, &settings, 10_700), None);
+    assert_eq!(seen.may_take(told(10_200, false), &settings, 10_500), None);
+    assert_eq!(
+        seen.may_take(told(10_200, false), &settings, 10_700),
+        Some(9_000)
+    );
+    assert_eq!(
+        seen.may_take(told(9_900, true), &settings, 10_700),
+        Some(9_000)
+    );
+    // Nothing is heard of the holder: it may wait, behind a cut, for the one
+    // before it. The record is taken when it must have ordered or renewed.
+    assert_eq!(seen.may_take(None, &settings, 13_800), None);
+    assert_eq!(seen.may_take(None, &settings, 13_900), Some(10_900));
+}
--- a/crates/gateway/src/weights/right.rs
+++ b/crates/gateway/src/weights/right.rs
@@ -4,7 +4,7 @@
         instance::{Drain, Instance},
         store::CallClient,
     },
-    mangowalk_core::weights::{Held, Lease, Seen, Vacant},
+    mangowalk_core::weights::{Held, Lease, Seen, Told, Vacant},
     mangowalk_platform::{
         Call, Kind, LeaseRecord, Stored, decode_object, encode_create, encode_replace,
         path_of_object,
@@ -28,10 +28,6 @@
 /// Pause between two looks at the record.
 const LOOK_AGAIN_MS: u64 = 300;
 
-/// Time for which a record must have been as it is before it is taken from
-/// another: whoever has just written it is not yet heard to hold the lease.
-const SETTLE_MS: u64 = 600;
-
 /// Time for which a stopping instance goes on with orders that it has begun.
 const DEPARTING_MS: u64 = 2_500;
 
@@ -45,8 +41,10 @@
     /// Its own, from this start or one before. Orders of one machine never
     /// clash with each other.
     Own,
-    /// Another's, who gave no order from some time on.
-    Other { seen_ms: u64, quiet_since_ms: u64 },
+    /// Another's, who gave no order from this time on.
+    Left(u64),
+    /// Another's, who may hold the lease.
+    Fresh,
 }
 
 /// The right to give orders, and the calls to the store that it takes.
@@ -167,13 +165,12 @@
                     log::warn!("event=lease_unreadable record={RECORD}");
                     return;
                 };
-                match self.quiet_since_ms(&stored) {
+                match self.before(&stored, now_ms()) {
                     Before::Own => (None, self.replacement(&stored, true)),
-                    Before::Other { seen_ms, .. } if now_ms() < seen_ms + SETTLE_MS => return,
-                    Before::Other { .. } if !self.is_turn(since_ms) => return,
-                    Before::Other { quiet_since_ms, .. } => {
+                    Before::Left(quiet_since_ms) if self.is_turn(since_ms) => {
                         (Some(quiet_since_ms), self.replacement(&stored, false))
                     }
+                    Before::Left(_) | Before::Fresh => return,
                 }
             }
             _ => return,
@@ -205,12 +202,12 @@
         );
     }
 
-    /// Returns whose a record is, and from when on its holder gave no order.
-    fn quiet_since_ms(&mut self, stored: &Stored) -> Before {
+    /// Returns whose a record is.
+    fn before(&mut self, stored: &Stored, now_ms: u64) -> Before {
         let seen = self.seen.filter(|seen| seen.revision == stored.revision);
         let seen = seen.unwrap_or(Seen {
             revision: stored.revision,
-            first_ms: now_ms(),
+            first_ms: now_ms,
         });
         self.seen = Some(seen);
         let record: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
@@ -222,20 +219,18 @@
         if is_own && is_settled {
             return Before::Own;
         }
-        let told_ms = record
+        let told = record
             .filter(|_| !is_own)
-            .and_then(|record| self.told_quiet_ms(&record));
+            .and_then(|record| self.told(&record));
         let settings = &self.instance.settings.lease;
-        Before::Other {
-            seen_ms: seen.first_ms,
-            quiet_since_ms: told_ms.unwrap_or_else(|| seen.quiet_since_ms(settings)),
-        }
+        let quiet_since_ms = seen.may_take(told, settings, now_ms);
+        quiet_since_ms.map_or(Before::Fresh, Before::Left)
     }
 
     /// Returns when the holder of a record gave its last order, if that can be
     /// told: it has left the lease and says when, or it has started again,
     /// and what ordered before it did so is gone.
-    fn told_quiet_ms(&self, record: &LeaseRecord) -> Option<u64> {
+    fn told(&self, record: &LeaseRecord) -> Option<Told> {
         let members = self.instance.members.borrow();
         let mut members = members.iter();
         let holder = members.find(|member| member.last.name == record.holder)?;
@@ -244,11 +239,16 @@
             return None;
         }
         let up_ms = u64::from(last.up_ms);
-        let ago_ms = match last.incarnation == record.incarnation {
-            true => last.ordered_ago_ms.map_or(up_ms, u64::from),
-            false => up_ms,
+        let is_restarted = last.incarnation != record.incarnation;
+        let ago_ms = match last.ordered_ago_ms {
+            Some(ago_ms) if !is_restarted => u64::from(ago_ms),
+            _ => up_ms,
         };
-        Some(holder.heard_ms.saturating_sub(ago_ms))
+        Some(Told {
+            quiet_since_ms: holder.heard_ms.saturating_sub(ago_ms),
+            heard_ms: holder.heard_ms,
+            is_restarted,
+        })
     }
 
     fn record(&self, fence: u64, renewals: u64, is_settled: bool) -> LeaseRecord {
