--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -246,24 +246,16 @@
     /// this one. All instances that have heard of the same spending work out the
     /// same order, and each spending changes it.
     fn before(&self, team: &str, own_per_s: f64) -> usize {
-        let told = |peer: &Peer| peer.teams.get(team).cloned();
-        let peers: Vec<(&str, PeerSpending)> = self
-            .peers
-            .iter()
-            .filter_map(|(name, peer)| Some((name.as_str(), told(peer)?)))
-            .collect();
-        let most_per_s = peers
-            .iter()
-            .map(|(_, told)| told.demand_per_s)
-            .fold(own_per_s, f64::max);
+        let peers = self.peers.iter();
+        let told = peers.filter_map(|(name, peer)| Some((name, peer.teams.get(team)?)));
+        let demands = told.clone().map(|(_, told)| told.demand_per_s);
+        let asked_per_s = self.settings.asked * demands.fold(own_per_s, f64::max);
         let own_spent = self.own.get(team).map_or(0.0, |own| own.spent);
-        let spent: f64 = peers.iter().map(|(_, told)| told.spent).sum();
+        let spent: f64 = told.clone().map(|(_, told)| told.spent).sum();
         let seed = rendezvous((own_spent + spent) as u64, team);
         let own_turn = rendezvous(seed, &self.name);
-        let asked = peers
-            .iter()
-            .filter(|(_, told)| told.demand_per_s >= self.settings.asked * most_per_s);
-        let earlier = asked.filter(|(name, _)| rendezvous(seed, name) < own_turn);
-        earlier.count()
+        told.filter(|(_, told)| told.demand_per_s >= asked_per_s)
+            .filter(|(name, _)| rendezvous(seed, name) < own_turn)
+            .count()
     }
 }
