--- a/crates/mangowalkd/tests/machines/answers.rs
+++ b/crates/mangowalkd/tests/machines/answers.rs
@@ -118,7 +118,7 @@
 fn a_failed_run_is_repeated_only_where_it_may_be() {
     let deployment = Deployment::start(PROGRAM, 1, 1);
     deployment.services[0].set_faults(EngineFaults {
-        fails: true,
+        fails_with: Some(500),
         ..EngineFaults::default()
     });
     let caller = deployment.caller(0);
@@ -255,6 +255,55 @@
     );
 }
 
+/// An engine runs a charge and answers with a status that means "not run, come
+/// again" where a router says it. Passed on, it would make the caller send the
+/// charge again; the caller must learn that it may have run.
+#[test]
+fn a_status_that_promises_is_not_passed_on_for_what_has_run() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    for status in [408, 429, 503] {
+        for service in &deployment.services {
+            service.set_faults(EngineFaults {
+                fails_with: Some(status),
+                ..EngineFaults::default()
+            });
+        }
+        let id = Caller::fresh_id();
+        let reply = deployment
+            .caller(0)
+            .plain("POST", RouteKind::Once.path(), &id);
+        assert_eq!(reply.status, 502, "{status}: {reply:?}");
+        assert_eq!(deployment.times_run(&id), 1);
+    }
+}
+
+/// An engine ends its stream cleanly in the middle of an event. To the caller
+/// it would look whole; it must go on at another engine, behind the last event
+/// that came whole.
+#[test]
+fn a_stream_that_ends_within_an_event_goes_on_elsewhere() {
+    let deployment = Deployment::start(PROGRAM, 1, 2);
+    let is_spoiled = |engine: usize, spoiled: bool| {
+        deployment.engines[engine].set_faults(EngineFaults {
+            cut_after_events: spoiled.then_some(4),
+            half_event: spoiled,
+            ends_cleanly: spoiled,
+            ..EngineFaults::default()
+        });
+    };
+    for spoiled in [0, 1] {
+        is_spoiled(spoiled, true);
+        is_spoiled(1 - spoiled, false);
+        for _ in 0..4 {
+            let caller = deployment.caller(0);
+            let reply = caller.stream(RouteKind::Resumable.path(), &Caller::fresh_id());
+            assert!(reply.is_whole_stream(), "{reply:?}");
+        }
+    }
+    let runs = deployment.engines.iter().flat_map(|engine| engine.runs());
+    assert!(runs.filter(|run| run.last_event_id == Some(3)).count() > 0);
+}
+
 /// An engine is gone without a word. Requests must not be lost to it: a
 /// connection that can't be made is known not to have carried anything.
 #[test]
