--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -46,6 +46,10 @@
 /// Time for which a placement is told: two heartbeats, as one may be lost.
 const PLACED_MS: u64 = 450;
 
+/// Part of a team's allowed slack that all instances together may overdraw for a
+/// moment. The rest is for those that don't hear each other.
+const SLACK_AT_ONCE: f64 = 0.5;
+
 /// Placements told in one heartbeat, so that it fits one datagram.
 const MOST_PLACED: usize = 48;
 
@@ -109,7 +113,7 @@
         let shares = ShareTable::new(
             &machine.name,
             ShareSettings {
-                slack_tokens: machine.quota_slack_tokens / 2.0,
+                slack_tokens: machine.quota_slack_tokens * SLACK_AT_ONCE,
                 ..ShareSettings::default()
             },
         );
