Show that an older configuration doesn't bring a withdrawn key back

Change: a process test in which a lagging read brings the version before. Red without the comparison of versions, green with it. Nothing had to be mended.

--- a/crates/mangowalkd/tests/machines/configuration.rs
+++ b/crates/mangowalkd/tests/machines/configuration.rs
@@ -45,6 +45,32 @@
     }
 }
 
+/// A key was withdrawn, and then a lagging read brings the version before, which
+/// still has it. The key must stay out at each instance.
+#[test]
+fn an_older_version_does_not_bring_a_withdrawn_key_back() {
+    let mut deployment = Deployment::start(PROGRAM, 2, 1);
+    let older = deployment.configuration.clone();
+    deployment.configure(|configuration| {
+        configuration["Tenants"][1]["ApiKeys"] = json!([]);
+    });
+    let path = RouteKind::Idempotent.path();
+    let status = |machine: usize| {
+        let mut caller = deployment.caller(machine);
+        caller.key = Some("key-of-walled".to_owned());
+        caller.plain("GET", path, &Caller::fresh_id()).status
+    };
+    wait("the key is out at both", || {
+        (0..2).all(|machine| status(machine) == 401)
+    });
+    deployment.store.write("config", "main", older);
+    let until = Instant::now() + Duration::from_millis(1_200);
+    while Instant::now() < until {
+        assert_eq!((status(0), status(1)), (401, 401));
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
 /// A version that can't be read follows one that can. The one in force stays
 /// in force, and the next readable one replaces it.
 #[test]
