Read the store cheaply where a lagging answer does, and say what can't wait

Cause: every instance watched configuration, engines and weights with current reads.

Ruled out: fewer or longer watches (a watch that fell silent would go unnoticed longer); one reader for all (it may be cut off without knowing).

Change: the first two instances by name that reach the store read currently, with watches of 2.5 s; the others' reads may lag, at a tenth of the price. Peers tell which engines leave, as they told versions; whoever is behind a peer for 150 ms reads anew. An instance that hears nobody before it reads currently.

Entries that lapse while the store is away are used for two seconds after its return. A task without which an instance can't serve ends the process instead of leaving it half alive: a borrow that was held too long had stopped the heartbeats of all instances, and nothing said so.

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -67,6 +67,8 @@
     pub ready: bool,
     /// Whether this is its last heartbeat: it has stopped and serves nobody.
     pub stopped: bool,
+    /// Whether it follows the store just now.
+    pub has_store: bool,
     /// Version of the configuration in force there.
     pub configuration_version: u64,
     /// Newest weights named by model, and how many milliseconds ago, if known.
@@ -78,6 +80,8 @@
     pub placed: Vec<(u64, u32)>,
     /// Engines that don't answer it.
     pub silent: Vec<String>,
+    /// Starts of engines that leave or have left, by a short hash.
+    pub leaving: Vec<u32>,
     /// Crashes of engines, and the requests that answer for them.
     pub crashes: Vec<CrashSight>,
     /// What was asked for and spent, by team.
--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -132,6 +132,20 @@
             .filter(move |member| now_ms <= member.heard_ms + silent_ms)
     }
 
+    /// Returns how many of the peers that were heard just now, and of which
+    /// something holds, go before an instance by their names.
+    pub fn before(
+        &self,
+        own_name: &str,
+        holds: impl Fn(&Heartbeat) -> bool,
+        settings: &MeshSettings,
+        now_ms: u64,
+    ) -> usize {
+        self.heard(settings, now_ms)
+            .filter(|member| member.last.name.as_str() < own_name && holds(&member.last))
+            .count()
+    }
+
     /// Returns whether a peer was heard just now; `None` for one that is gone.
     pub fn is_heard(&self, name: &str, settings: &MeshSettings, now_ms: u64) -> Option<bool> {
         let member = self.members.get(name)?;
--- a/crates/core/src/pool/belief.rs
+++ b/crates/core/src/pool/belief.rs
@@ -63,6 +63,8 @@
     pub parts_ms: HashMap<u64, u64>,
     /// When it told that it is about to leave, in an answer.
     pub leaving_since_ms: Option<u64>,
+    /// Until when it is used although the list lacks it.
+    pub missing_until_ms: Option<u64>,
     /// When it was last tried whether it takes connections.
     pub doubted_ms: u64,
     /// Until when a peer's word that it is silent is believed.
@@ -92,6 +94,7 @@
             steering: None,
             parts_ms: HashMap::new(),
             leaving_since_ms: None,
+            missing_until_ms: None,
             doubted_ms: 0,
             told_silent_until_ms: 0,
             heard_ms: 0,
--- a/crates/core/src/pool/entry.rs
+++ b/crates/core/src/pool/entry.rs
@@ -1,4 +1,4 @@
-use std::net::SocketAddr;
+use {super::rendezvous, std::net::SocketAddr};
 
 /// One start of an engine. An engine may start again under its old name, and
 /// then holds nothing of what it held before.
@@ -10,6 +10,13 @@
     pub born_ms: u64,
 }
 
+impl Incarnation {
+    /// Returns a short hash of this start, for peers.
+    pub fn short_hash(&self) -> u32 {
+        rendezvous(self.born_ms, &self.id) as u32
+    }
+}
+
 /// A model that an engine serves.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ModelVersion {
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -1,21 +1,36 @@
 use {
     super::{Belief, EngineEntry, Load, rendezvous},
-    std::collections::{BTreeMap, HashMap},
+    std::collections::{BTreeMap, HashMap, VecDeque},
 };
 
 /// Longest time for which an answer that told of leaving is believed without
 /// the list saying so. Engines also close connections at other times.
 const LEAVING_MS: u64 = 4_000;
 
+/// Time for which peers are told of an engine that has left the list. Beyond
+/// that their own reading of the list, which may lag by seconds, has it too.
+const TELL_GONE_MS: u64 = 6_000;
+
+/// Starts of engines told of as leaving, so that a heartbeat fits a datagram.
+const MOST_LEAVING: usize = 64;
+
 /// Returns a short hash of an engine's name, for peers.
 pub fn short_hash(id: &str) -> u32 {
     rendezvous(0, id) as u32
 }
 
+/// An engine that has left the list.
+#[derive(Debug)]
+struct Gone {
+    hash: u32,
+    since_ms: u64,
+}
+
 /// Engines that are listed, and what is believed of each.
 #[derive(Debug, Default)]
 pub struct EngineTable {
     engines: BTreeMap<String, Belief>,
+    gone: VecDeque<Gone>,
     peer_loads: HashMap<String, HashMap<String, Load>>,
 }
 
@@ -26,6 +41,8 @@
     /// Returns whether anything but the engine's models changed.
     pub fn list(&mut self, entry: EngineEntry) -> bool {
         let id = entry.incarnation.id.clone();
+        let hash = entry.incarnation.short_hash();
+        self.gone.retain(|gone| gone.hash != hash);
         let Some(belief) = self.engines.get_mut(&id) else {
             self.engines.insert(id, Belief::new(entry));
             return true;
@@ -47,17 +64,78 @@
         }
         let changed = belief.entry.draining != entry.draining;
         belief.entry = entry;
+        belief.missing_until_ms = None;
         changed
     }
 
-    /// Removes an engine that left the list.
-    pub fn unlist(&mut self, id: &str) -> Option<Belief> {
-        self.engines.remove(id)
+    /// Removes an engine that left the list. Returns whether it is gone now.
+    ///
+    /// Entries lapse while the store is away, as engines can't renew them, and
+    /// come back within seconds of its return. Without a grace all engines were
+    /// gone for that time and every request was refused; with `keep_until_ms`
+    /// an engine is used until then, and whether it answers shows itself.
+    pub fn unlist(&mut self, id: &str, keep_until_ms: Option<u64>, now_ms: u64) -> bool {
+        let Some(belief) = self.engines.get_mut(id) else {
+            return false;
+        };
+        if let Some(until_ms) = keep_until_ms.filter(|until_ms| now_ms < *until_ms) {
+            belief.missing_until_ms = Some(until_ms);
+            return false;
+        }
+        let hash = belief.entry.incarnation.short_hash();
+        self.engines.remove(id);
+        self.gone.push_back(Gone {
+            hash,
+            since_ms: now_ms,
+        });
+        if self.gone.len() > MOST_LEAVING {
+            self.gone.pop_front();
+        }
+        true
+    }
+
+    /// Removes an engine whose entry can't be read. It may be another writer's
+    /// doing, so peers aren't told that the engine has left.
+    pub fn refuse(&mut self, id: &str) {
+        self.engines.remove(id);
     }
 
-    /// Keeps only the engines named, after the list was read in full.
-    pub fn retain(&mut self, mut listed: impl FnMut(&str) -> bool) {
-        self.engines.retain(|id, _| listed(id));
+    /// Returns the engines that a whole reading of the list lacks.
+    pub fn unlisted(&self, is_listed: impl Fn(&str) -> bool) -> Vec<String> {
+        let ids = self.engines.keys().filter(|id| !is_listed(id));
+        ids.cloned().collect()
+    }
+
+    /// Returns the engines that the list still lacks when their grace is over.
+    pub fn missing(&self, now_ms: u64) -> Vec<String> {
+        let over = |belief: &Belief| belief.missing_until_ms.is_some_and(|ms| now_ms >= ms);
+        let missing = self.engines.iter().filter(|(_, belief)| over(belief));
+        missing.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Returns the starts of engines that leave or have left, for peers.
+    pub fn leaving(&self, now_ms: u64) -> Vec<u32> {
+        let listed = self.engines.values().filter(|belief| belief.entry.draining);
+        let draining = listed.map(|belief| belief.entry.incarnation.short_hash());
+        let gone = self.gone.iter().rev();
+        let gone = gone.take_while(|gone| now_ms < gone.since_ms + TELL_GONE_MS);
+        gone.map(|gone| gone.hash)
+            .chain(draining)
+            .take(MOST_LEAVING)
+            .collect()
+    }
+
+    /// Takes a peer's word that engines leave. It reads a current list; the one
+    /// read here may lag, and its engines would get work after their time.
+    pub fn told_leaving(&mut self, starts: &[u32], now_ms: u64) {
+        if starts.is_empty() {
+            return;
+        }
+        for belief in self.engines.values_mut() {
+            if starts.contains(&belief.entry.incarnation.short_hash()) {
+                belief.leaving_since_ms = Some(now_ms);
+            }
+        }
     }
 
     /// Returns one engine.
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -259,6 +259,61 @@
     assert_eq!(table.get("e").expect("it is listed").load().requests, 0);
 }
 
+/// A peer that reads the list currently says that engines leave. Their own entry
+/// here may lag; each gets no work from now on, but not one that has started
+/// again under the same name.
+#[test]
+fn engines_that_leave_are_told() {
+    let mut teller = EngineTable::default();
+    for id in ["draining", "removed", "stays"] {
+        teller.list(entry(id, "a"));
+    }
+    let mut hearer = EngineTable::default();
+    for id in ["draining", "removed", "stays"] {
+        hearer.list(entry(id, "a"));
+    }
+    teller.list(EngineEntry {
+        draining: true,
+        ..entry("draining", "a")
+    });
+    assert!(teller.unlist("removed", None, 1_000));
+    hearer.told_leaving(&teller.leaving(1_100), 1_100);
+    let takers = |table: &EngineTable, now_ms| -> Vec<String> {
+        let takers = table.takers("llm", now_ms);
+        takers
+            .map(|belief| belief.entry.incarnation.id.clone())
+            .collect()
+    };
+    assert_eq!(takers(&hearer, 1_200), ["stays"]);
+    let mut again = entry("removed", "a");
+    again.incarnation.born_ms = 2;
+    hearer.list(again.clone());
+    hearer.told_leaving(&teller.leaving(1_300), 1_300);
+    assert_eq!(takers(&hearer, 1_300), ["removed", "stays"]);
+    teller.list(entry("removed", "a"));
+    assert_eq!(teller.leaving(1_400).len(), 1, "it is back on the list");
+}
+
+/// All entries lapsed while the store was away. The engines are used for the
+/// grace; those that are not written again by then are gone.
+#[test]
+fn entries_that_lapsed_are_kept_for_the_grace() {
+    let mut engines = EngineTable::default();
+    for id in ["back", "gone"] {
+        engines.list(entry(id, "a"));
+        assert!(!engines.unlist(id, Some(3_000), 1_000));
+    }
+    assert_eq!(engines.takers("llm", 2_900).count(), 2);
+    assert!(engines.leaving(2_900).is_empty());
+    engines.list(entry("back", "a"));
+    assert_eq!(engines.missing(3_000), ["gone"]);
+    assert!(
+        engines.unlist("gone", Some(3_000), 3_000),
+        "the grace is over"
+    );
+    assert_eq!(engines.leaving(3_000).len(), 1);
+}
+
 /// A store of kept parts restarts. It is empty, so nothing is believed to be
 /// there; while it doesn't answer, nothing is asked of it.
 #[test]
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -9,7 +9,7 @@
         share::{PeerSpending, ShareSettings, ShareTable},
         weights::{NamedAt, NamedWeights},
     },
-    mangowalk_platform::MachineSettings,
+    mangowalk_platform::{Freshness, MachineSettings},
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap, VecDeque},
@@ -29,8 +29,6 @@
 pub struct Notes {
     /// A peer has a newer configuration than this instance.
     pub configuration: Notify,
-    /// A peer knows newer weights than this instance.
-    pub weights: Notify,
     /// Newer weights were named, or an engine needs them.
     pub orders: Notify,
     /// An engine fell silent.
@@ -46,6 +44,9 @@
 /// Time for which a placement is told: two heartbeats, as one may be lost.
 const PLACED_MS: u64 = 450;
 
+/// Kinds of objects that an instance follows: configuration, engines, weights.
+const FOLLOWED_KINDS: usize = 3;
+
 /// Part of a team's allowed slack that all instances together may overdraw for a
 /// moment. The rest is for those that don't hear each other.
 const SLACK_AT_ONCE: f64 = 0.5;
@@ -76,6 +77,12 @@
     pub engines: RefCell<EngineTable>,
     /// Whether the list of engines was read since the start.
     pub engines_known: Cell<bool>,
+    /// Kinds of objects that are followed in the store just now.
+    pub kinds_followed: Cell<usize>,
+    /// Kinds of objects whose last reading failed.
+    kinds_lost: Cell<usize>,
+    /// When a kind could be read again after its reading had failed.
+    store_back_ms: Cell<Option<u64>>,
     /// How fast engines read prompts.
     pub read_rate: Cell<ReadRate>,
     /// Newest weights by model.
@@ -128,6 +135,9 @@
             routes: RefCell::default(),
             engines: RefCell::default(),
             engines_known: Cell::new(false),
+            kinds_followed: Cell::new(0),
+            kinds_lost: Cell::new(0),
+            store_back_ms: Cell::new(None),
             read_rate: Cell::default(),
             newest: RefCell::default(),
             shares: RefCell::new(shares),
@@ -235,6 +245,54 @@
         self.members.borrow().iter().count() + 1
     }
 
+    /// Returns whether all that is followed in the store is.
+    pub fn has_store(&self) -> bool {
+        self.kinds_followed.get() == FOLLOWED_KINDS
+    }
+
+    /// Notes that a kind of objects can't be read.
+    pub fn store_lost(&self) {
+        self.kinds_lost.set(self.kinds_lost.get() + 1);
+    }
+
+    /// Notes that a kind of objects can be read again.
+    pub fn store_back(&self, now_ms: u64) {
+        self.kinds_lost.set(self.kinds_lost.get().saturating_sub(1));
+        self.store_back_ms.set(Some(now_ms));
+    }
+
+    /// Returns until when engines are used that the list lacks from now on:
+    /// their entries may have lapsed while the store was away.
+    pub fn keep_missing_until_ms(&self, now_ms: u64) -> Option<u64> {
+        let lapsed_ms = self.settings.lapsed_ms;
+        if self.kinds_lost.get() > 0 {
+            return Some(now_ms + lapsed_ms);
+        }
+        self.store_back_ms.get().map(|back_ms| back_ms + lapsed_ms)
+    }
+
+    /// Returns how fresh this instance's readings of the store have to be.
+    ///
+    /// An instance that hears no peer before it reads currently, so one that is
+    /// cut off from the others depends on nobody's word.
+    pub fn freshness(&self, now_ms: u64) -> Freshness {
+        let members = self.members.borrow();
+        let own = &self.machine().name;
+        let before = members.before(own, |peer| peer.has_store, &self.settings.mesh, now_ms);
+        match before < self.settings.current_readers {
+            true => Freshness::Current,
+            false => Freshness::MayLag,
+        }
+    }
+
+    /// Returns whether a peer that is heard has a newer configuration.
+    pub fn is_behind(&self, now_ms: u64) -> bool {
+        let own = self.routes.borrow().version();
+        let members = self.members.borrow();
+        let mut heard = members.heard(&self.settings.mesh, now_ms);
+        heard.any(|member| member.last.configuration_version > own)
+    }
+
     /// Returns where callers may connect: this instance if it is ready, and
     /// the peers that say so and were heard just now.
     pub fn caller_addresses(&self, now_ms: u64) -> Vec<SocketAddr> {
@@ -282,6 +340,7 @@
         let (loads, versions) = (heartbeat.loads.clone(), heartbeat.versions.clone());
         let placed = heartbeat.placed.clone();
         let crashes = heartbeat.crashes.clone();
+        let leaving = heartbeat.leaving.clone();
         let (orders, silent) = (heartbeat.orders.clone(), heartbeat.silent.clone());
         let (incarnation, teams) = (heartbeat.incarnation, spending(&heartbeat));
         let known = self.members.borrow().iter().any(|m| m.last.name == name);
@@ -303,6 +362,7 @@
             self.kept.borrow_mut().ask(part, now_ms);
         }
         self.engines.borrow_mut().placed(&placed, now_ms);
+        self.engines.borrow_mut().told_leaving(&leaving, now_ms);
         self.shares
             .borrow_mut()
             .hear(&name, incarnation, teams, now_ms);
@@ -311,9 +371,7 @@
         }
         for (model, version, age_ms) in &versions {
             let at = age_ms.map_or(NamedAt::Unknown, |ms| NamedAt::Ago(u64::from(ms)));
-            if self.name_weights(model, *version, at, "peer") {
-                self.notes.weights.notify_one();
-            }
+            self.name_weights(model, *version, at, "peer");
         }
         self.crashes.borrow_mut().merge(&crashes, now_ms);
         for engine in &silent {
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -32,6 +32,21 @@
     /// Longest wait of one call for changes in the store. Each call is paid
     /// for; a watch that fell silent is noticed this much later.
     pub watch_ms: u64,
+    /// The same for an instance that reads currently for the others. Shorter:
+    /// the others may rely on it, and it is one of few.
+    pub current_watch_ms: u64,
+    /// Instances that read the store currently, the first by their names of
+    /// those that reach it. The others' reading may lag by seconds, at a tenth
+    /// of the price, and peers tell them what can't wait. One may be cut off
+    /// without knowing it yet, so it takes two.
+    pub current_readers: usize,
+    /// Time by which a peer may learn of a change before this instance's own
+    /// watch does. After it the store is asked for what the peer knows more.
+    pub peer_lead_ms: u64,
+    /// Time after the store's return in which engines that the list lacks are
+    /// used: their entries lapsed meanwhile, and are written again in about two
+    /// seconds.
+    pub lapsed_ms: u64,
     /// Pause after changes of the list of engines, in which further changes
     /// gather. Each answer to a watch costs a call of every instance.
     pub gather_ms: u64,
@@ -64,6 +79,10 @@
             silent_ms: 400,
             unacknowledged_ms: 2_000,
             watch_ms: 5_000,
+            current_watch_ms: 2_500,
+            current_readers: 2,
+            peer_lead_ms: 150,
+            lapsed_ms: 2_000,
             gather_ms: 250,
             store_ms: 1_000,
             keep_s: 1,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,8 +14,10 @@
 
 mod clock;
 mod run;
+mod vital;
 
 pub use {
     clock::{now_ms, wall_ms},
     run::{RunError, read_settings, run},
+    vital::VitalTasks,
 };
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -103,6 +103,7 @@
         domain: machine.domain.clone(),
         ready: instance.is_ready(),
         stopped: *instance.drain.borrow() == Drain::Stopped,
+        has_store: instance.has_store(),
         configuration_version: instance.routes.borrow().version(),
         versions: versions(instance, now_ms),
         holds_lease: instance.holds_lease.get(),
@@ -114,6 +115,7 @@
         placed: instance.placed_lately(now_ms),
         crashes: instance.crashes.borrow().sights(now_ms),
         silent: instance.engines.borrow().silent(),
+        leaving: instance.engines.borrow().leaving(now_ms),
         teams: teams(instance, now_ms),
         orders: instance.orders.borrow().clone(),
         peers: heard
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,6 +7,7 @@
         mesh,
         store::{CallClient, register, watch_configuration, watch_engines, watch_weights},
         upstreams::{Pool, probe_silent, watch_kept},
+        vital::VitalTasks,
         weights::order_weights,
     },
     derive_more::{Display, Error},
@@ -71,6 +72,16 @@
         /// What the system said.
         source: io::Error,
     },
+    /// A task without which the instance can't serve has ended.
+    #[display(
+        "A part that the instance can't serve without has ended ({reason}); start it again, \
+         and report the log's last lines."
+    )]
+    TaskEnded {
+        /// Which, and how.
+        #[error(not(source))]
+        reason: String,
+    },
     /// The system gives no event loop, signals or thread.
     #[display("The system gives no {what} ({source}); raise its limits.")]
     System {
@@ -159,29 +170,44 @@
         instance.machine().caller_address,
         instance.incarnation,
     );
-    spawn_local(mesh::exchange(instance.clone(), peers));
-    spawn_local(watch_configuration(instance.clone(), store.clone()));
-    spawn_local(watch_engines(instance.clone(), store.clone()));
-    spawn_local(watch_weights(instance.clone(), store.clone()));
-    spawn_local(register(instance.clone(), store.clone()));
-    spawn_local(order_weights(instance.clone(), store));
-    spawn_local(serve_ready(instance.clone(), ready));
-    spawn_local(serve_directory(instance.clone(), directory));
-    spawn_local(serve_metrics(instance.clone(), metrics));
-    spawn_local(serve_callers(instance.clone(), pool.clone(), callers));
-    spawn_local(watch_kept(instance.clone()));
-    spawn_local(sweep(instance.clone(), pool.clone()));
-    spawn_local(probe_silent(instance.clone(), pool));
-    spawn_local(reload(
-        instance.clone(),
-        catch(SignalKind::hangup())?,
-        path.to_owned(),
-    ));
+    let mut tasks = VitalTasks::default();
+    tasks.start("heartbeats", mesh::exchange(instance.clone(), peers));
+    tasks.start(
+        "configuration",
+        watch_configuration(instance.clone(), store.clone()),
+    );
+    tasks.start("engines", watch_engines(instance.clone(), store.clone()));
+    tasks.start("weights", watch_weights(instance.clone(), store.clone()));
+    tasks.start("orders", order_weights(instance.clone(), store.clone()));
+    tasks.start("readiness", serve_ready(instance.clone(), ready));
+    tasks.start("directory", serve_directory(instance.clone(), directory));
+    tasks.start("metrics", serve_metrics(instance.clone(), metrics));
+    tasks.start(
+        "callers",
+        serve_callers(instance.clone(), pool.clone(), callers),
+    );
+    tasks.start("kept_parts", watch_kept(instance.clone()));
+    tasks.start("sweep", sweep(instance.clone(), pool.clone()));
+    tasks.start("probes", probe_silent(instance.clone(), pool));
+    tasks.start(
+        "settings",
+        reload(
+            instance.clone(),
+            catch(SignalKind::hangup())?,
+            path.to_owned(),
+        ),
+    );
+    spawn_local(register(instance.clone(), store));
     let mut terminate = catch(SignalKind::terminate())?;
     let mut interrupt = catch(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        reason = tasks.first_end() => {
+            log::error!("event=task_ended reason=\"{reason}\"");
+            sleep(FAREWELL).await;
+            return Err(RunError::TaskEnded { reason });
+        }
     }
     stop(&instance, &drain_teller).await;
     Ok(())
@@ -197,6 +223,7 @@
 async fn sweep(instance: Rc<Instance>, pool: Rc<Pool>) {
     loop {
         sleep(SWEEP).await;
+        unlist_missing(&instance);
         let engines = instance.engines.borrow();
         pool.sweep(
             |one| {
@@ -209,6 +236,15 @@
     }
 }
 
+fn unlist_missing(instance: &Instance) {
+    let now_ms = now_ms();
+    let mut engines = instance.engines.borrow_mut();
+    for engine in engines.missing(now_ms) {
+        engines.unlist(&engine, None, now_ms);
+        log::info!("event=engine_gone engine={engine}");
+    }
+}
+
 /// Reads the settings again at each SIGHUP, and from time to time without one,
 /// as the file may change without a signal. A file that can't be used changes
 /// nothing.
--- a/crates/gateway/src/store/watch.rs
+++ b/crates/gateway/src/store/watch.rs
@@ -3,12 +3,12 @@
     crate::{clock::now_ms, instance::Instance},
     mangowalk_core::weights::NamedAt,
     mangowalk_platform::{
-        Changes, Kind, MemberRecord, Page, StoreError, Stored, decode_changes,
+        Changes, Freshness, Kind, MemberRecord, Page, StoreError, Stored, decode_changes,
         decode_configuration, decode_engine, decode_newest_weights, decode_object, decode_page,
         encode_create, encode_replace,
     },
-    std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
-    tokio::{sync::Notify, time::sleep},
+    std::{cell::Cell, future::pending, net::SocketAddr, rc::Rc, time::Duration},
+    tokio::time::sleep,
 };
 
 /// First and longest pause after a call that failed. Spread at random, so
@@ -33,46 +33,82 @@
     fn replace(&self, objects: &[Stored]);
     /// Takes over one change.
     fn change(&self, name: &str, object: Option<&Stored>);
-    /// Wakes when the list should be read again.
-    fn wake(&self) -> &Notify;
+    /// Ends when peers know more than this instance's watch has told.
+    async fn behind(&self) {
+        pending().await
+    }
 }
 
 /// Follows a kind: reads it whole, then waits for changes, and reads it
 /// again when the history is gone, a call fails, or a peer knows more.
 async fn follow<F: Follower>(instance: &Instance, store: &CallClient, follower: F) {
+    loop {
+        let revision = read_until_it_can(instance, store, &follower).await;
+        instance
+            .kinds_followed
+            .set(instance.kinds_followed.get() + 1);
+        watch(instance, store, &follower, revision).await;
+        instance
+            .kinds_followed
+            .set(instance.kinds_followed.get() - 1);
+    }
+}
+
+/// Reads a kind whole, as often as it takes, and returns the revision.
+async fn read_until_it_can<F: Follower>(
+    instance: &Instance,
+    store: &CallClient,
+    follower: &F,
+) -> u64 {
     let mut pause_ms = FIRST_PAUSE_MS;
     let mut lost = false;
     loop {
-        let Some(mut revision) = read(instance, store, &follower).await else {
-            if !lost {
-                lost = true;
-                instance.counters.count("store_lost", "read");
-                log::warn!("event=store_lost kind={}", F::KIND);
+        if let Some(revision) = read(instance, store, follower).await {
+            if lost {
+                instance.store_back(now_ms());
+                log::warn!("event=store_regained kind={} revision={revision}", F::KIND);
             }
-            sleep(spread(pause_ms)).await;
-            pause_ms = (pause_ms * 2).min(LONGEST_PAUSE_MS);
-            continue;
-        };
-        if lost {
-            lost = false;
-            log::warn!("event=store_regained kind={} revision={revision}", F::KIND);
+            return revision;
         }
-        pause_ms = FIRST_PAUSE_MS;
-        loop {
-            let changes = tokio::select! {
-                changes = wait::<F>(instance, store, revision) => changes,
-                () = follower.wake().notified() => None,
-            };
-            let Some(changes) = changes else {
-                break;
-            };
-            revision = changes.revision;
-            for (name, object) in &changes.changed {
+        if !lost {
+            lost = true;
+            instance.store_lost();
+            instance.counters.count("store_lost", "read");
+            log::warn!("event=store_lost kind={}", F::KIND);
+        }
+        sleep(spread(pause_ms)).await;
+        pause_ms = (pause_ms * 2).min(LONGEST_PAUSE_MS);
+    }
+}
+
+/// Takes over changes for as long as the store tells them, and no peer knows
+/// more.
+async fn watch<F: Follower>(
+    instance: &Instance,
+    store: &CallClient,
+    follower: &F,
+    mut revision: u64,
+) {
+    loop {
+        let changes = tokio::select! {
+            changes = wait::<F>(instance, store, revision) => changes,
+            () = follower.behind() => None,
+        };
+        let Some(changes) = changes else {
+            return;
+        };
+        for (name, object) in &changes.changed {
+            // A copy that lags may tell once more what was read before.
+            let is_old = object
+                .as_ref()
+                .is_some_and(|object| object.revision <= revision);
+            if !is_old {
                 follower.change(name, object.as_ref());
             }
-            if !changes.changed.is_empty() && follower.gather_ms() > 0 {
-                sleep(Duration::from_millis(follower.gather_ms())).await;
-            }
+        }
+        revision = revision.max(changes.revision);
+        if !changes.changed.is_empty() && follower.gather_ms() > 0 {
+            sleep(Duration::from_millis(follower.gather_ms())).await;
         }
     }
 }
@@ -124,8 +160,12 @@
     store: &CallClient,
     revision: u64,
 ) -> Option<Changes> {
-    let wait_ms = instance.settings.watch_ms;
-    let call = Changes::call(F::KIND, revision, wait_ms);
+    let freshness = instance.freshness(now_ms());
+    let wait_ms = match freshness {
+        Freshness::Current => instance.settings.current_watch_ms,
+        Freshness::MayLag => instance.settings.watch_ms,
+    };
+    let call = Changes::call(F::KIND, revision, wait_ms, freshness);
     match store.call(&call, wait_ms + ANSWER_MS).await {
         Ok((200, body)) => decoded::<F, _>(decode_changes(&body)),
         Ok((GONE, _)) => {
@@ -164,8 +204,17 @@
         }
     }
 
-    fn wake(&self) -> &Notify {
-        &self.0.notes.configuration
+    async fn behind(&self) {
+        let instance = &self.0;
+        loop {
+            instance.notes.configuration.notified().await;
+            // All learn of it at about the same time; only a watch that has
+            // fallen silent or lags needs a reading of its own.
+            sleep(Duration::from_millis(instance.settings.peer_lead_ms)).await;
+            if instance.is_behind(now_ms()) {
+                return;
+            }
+        }
     }
 }
 
@@ -206,63 +255,70 @@
             self.name(name, object, NamedAt::Ago(0));
         }
     }
-
-    fn wake(&self) -> &Notify {
-        &self.instance.notes.weights
-    }
 }
 
-struct EnginesFollower {
-    instance: Rc<Instance>,
-    never: Notify,
+struct EnginesFollower(Rc<Instance>);
+
+impl EnginesFollower {
+    fn unlist(&self, name: &str) {
+        let now_ms = now_ms();
+        let keep_until_ms = self.0.keep_missing_until_ms(now_ms);
+        if self
+            .0
+            .engines
+            .borrow_mut()
+            .unlist(name, keep_until_ms, now_ms)
+        {
+            log::info!("event=engine_gone engine={name}");
+            self.0.notes.heartbeat.notify_one();
+        }
+    }
 }
 
 impl Follower for EnginesFollower {
     const KIND: Kind = Kind::Engines;
 
     fn gather_ms(&self) -> u64 {
-        self.instance.settings.gather_ms
+        self.0.settings.gather_ms
     }
 
     fn replace(&self, objects: &[Stored]) {
-        let mut engines = self.instance.engines.borrow_mut();
-        engines.retain(|id| objects.iter().any(|object| object.name == id));
-        drop(engines);
+        let is_listed = |id: &str| objects.iter().any(|object| object.name == id);
+        let unlisted = self.0.engines.borrow().unlisted(is_listed);
+        for name in unlisted {
+            self.unlist(&name);
+        }
         for object in objects {
             self.change(&object.name, Some(object));
         }
-        if !self.instance.engines_known.replace(true) {
+        if !self.0.engines_known.replace(true) {
             log::info!("event=engines_known count={}", objects.len());
         }
-        self.instance.notes.orders.notify_one();
+        self.0.notes.orders.notify_one();
     }
 
     fn change(&self, name: &str, object: Option<&Stored>) {
-        let mut engines = self.instance.engines.borrow_mut();
         let Some(object) = object else {
-            if engines.unlist(name).is_some() {
-                log::info!("event=engine_gone engine={name}");
-            }
-            return;
+            return self.unlist(name);
         };
+        let mut engines = self.0.engines.borrow_mut();
         match decode_engine(name, &object.spec) {
             Ok(entry) => {
                 let draining = entry.draining;
                 if engines.list(entry) {
                     log::info!("event=engine_listed engine={name} draining={draining}");
                 }
-                self.instance.notes.orders.notify_one();
+                if draining {
+                    self.0.notes.heartbeat.notify_one();
+                }
+                self.0.notes.orders.notify_one();
             }
             Err(error) => {
-                engines.unlist(name);
+                engines.refuse(name);
                 log::warn!("event=engine_refused engine={name} error=\"{error}\"");
             }
         }
     }
-
-    fn wake(&self) -> &Notify {
-        &self.never
-    }
 }
 
 /// Follows the operators' configuration.
@@ -281,11 +337,7 @@
 
 /// Follows the list of engines.
 pub async fn watch_engines(instance: Rc<Instance>, store: Rc<CallClient>) {
-    let follower = EnginesFollower {
-        instance: instance.clone(),
-        never: Notify::new(),
-    };
-    follow(&instance, &store, follower).await;
+    follow(&instance, &store, EnginesFollower(instance.clone())).await;
 }
 
 /// Tells the store where this instance listens to its peers, and reads where
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod input;
 mod kept;
+mod lagging;
 mod logs;
 mod rates;
 mod settings;
