Fetch the first part of a prompt from an engine that keeps it

Cause: what an engine keeps was noted by the last shared part of a prompt only. After a change of weights each engine read the parts that come before it anew (four prefixes of 2,500 tokens each), though many others had them; the store was asked blindly and its one link was full.

Change: every shared part is noted and told, hot ones once a second; the longest head that another engine with the same weights keeps is fetched, near by first.

--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -8,6 +8,7 @@
 mod health;
 mod kept;
 mod need;
+mod source;
 mod table;
 
 pub use {
@@ -18,5 +19,6 @@
     health::{Health, HealthSettings},
     kept::{KeptParts, kept_key},
     need::{Need, PromptPart},
+    source::{Holder, holder},
     table::{EngineTable, short_hash},
 };
--- a/crates/core/src/pool/need.rs
+++ b/crates/core/src/pool/need.rs
@@ -33,6 +33,17 @@
         Some(self.parts[shared].id ^ self.wall)
     }
 
+    /// Returns the parts that other requests share, the longest first: the
+    /// identity of each and the tokens up to its end.
+    pub fn shared_parts(&self) -> impl Iterator<Item = (u64, u64)> {
+        let shared = self.parts.len().saturating_sub(1);
+        (0..shared).rev().map(|last| {
+            let parts = &self.parts[..=last];
+            let tokens = parts.iter().map(|part| u64::from(part.tokens)).sum();
+            (self.parts[last].id ^ self.wall, tokens)
+        })
+    }
+
     /// Returns the tokens of all parts but the request's own.
     pub fn shared_tokens(&self) -> u64 {
         let Some((_, shared)) = self.parts.split_last() else {
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -5,7 +5,7 @@
         pool::{
             AdmitSettings, Belief, ChoiceSettings, EngineEntry, EngineTable, Health,
             HealthSettings, Incarnation, KeptParts, Load, ModelVersion, Need, PromptPart, ReadRate,
-            choose, kept_key, refuse, short_hash,
+            choose, holder, kept_key, refuse, short_hash,
         },
         weights::Wanted,
     },
@@ -314,6 +314,43 @@
     assert_eq!(engines.leaving(3_000).len(), 1);
 }
 
+/// An engine has just loaded new weights and keeps nothing. The first parts of a
+/// prompt lie on engines with the same weights; it fetches the longest that any
+/// keeps, near by, instead of reading it again.
+#[test]
+fn the_longest_head_that_another_engine_keeps_is_fetched() {
+    let need = need(7);
+    let mut engines: Vec<Belief> = ["loaded", "near", "far", "old"]
+        .iter()
+        .enumerate()
+        .map(|(n, id)| {
+            let domain = if *id == "far" { "b" } else { "a" };
+            let address = format!("127.0.0.1:{n}").parse().expect("an address");
+            Belief::new(EngineEntry {
+                address,
+                ..entry(id, domain)
+            })
+        })
+        .collect();
+    let found = |engines: &[Belief]| {
+        let holder = holder(&engines[0], &need, engines.iter(), 3_500, 5, 1_000);
+        holder.map(|holder| (holder.address.port(), holder.tokens))
+    };
+    assert_eq!(found(&engines), None);
+    engines[3].note_part(7, 900);
+    engines[3].set_version("model", 0);
+    assert_eq!(found(&engines), None, "it has other weights");
+    engines[1].note_part(1, 900);
+    engines[2].note_part(1, 900);
+    assert_eq!(found(&engines), Some((1, 2_500)), "the near one");
+    engines[2].note_part(7, 900);
+    assert_eq!(found(&engines), Some((2, 6_300)), "the longer head");
+    engines[0].note_part(1, 900);
+    assert_eq!(found(&engines), Some((2, 6_300)));
+    engines[0].note_part(7, 900);
+    assert_eq!(found(&engines), None, "it keeps all that is shared itself");
+}
+
 /// A store of kept parts restarts. It is empty, so nothing is believed to be
 /// there; while it doesn't answer, nothing is asked of it.
 #[test]
--- a/crates/gateway/src/callers/judge.rs
+++ b/crates/gateway/src/callers/judge.rs
@@ -58,9 +58,11 @@
         }
     }
     drop(engines);
-    if let (true, Some(part)) = (status.is_success(), request.need.shared_part()) {
-        let id = &engine.incarnation.id;
-        request.instance.note_part(part, id, now_ms);
+    if status.is_success() {
+        for (part, _) in request.need.shared_parts() {
+            let id = &engine.incarnation.id;
+            request.instance.note_part(part, id, now_ms);
+        }
     }
     Outcome::Answer(Box::new(Answered {
         answer,
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -3,7 +3,9 @@
         attempt::{Outcome, Try},
         request::CallerRequest,
     },
-    mangowalk_core::pool::{Belief, EngineEntry, Load, Need, choose, kept_key, refuse},
+    mangowalk_core::pool::{
+        Belief, EngineEntry, Holder, Load, Need, choose, holder, kept_key, refuse,
+    },
     mangowalk_platform::{Forward, forward_headers},
     std::net::SocketAddr,
 };
@@ -85,7 +87,8 @@
         .iter()
         .find_map(|service| service.kept_store.as_ref());
     let store = store.map(|store| store.address);
-    let holder = holder(request, chosen, engines.iter(), now_ms);
+    let draw = rand::random();
+    let holder = holder(chosen, need, engines.iter(), settings.kept_ms, draw, now_ms);
     let plan = plan(request, this, chosen, store, holder, now_ms);
     let entry = chosen.entry.clone();
     if let Some(belief) = engines.get_mut(&entry.incarnation.id) {
@@ -99,7 +102,7 @@
     this: &Try<'_>,
     belief: &Belief,
     store: Option<SocketAddr>,
-    holder: Option<SocketAddr>,
+    holder: Option<Holder>,
     now_ms: u64,
 ) -> Plan {
     let need = &request.need;
@@ -109,8 +112,8 @@
         .shared_part()
         .is_some_and(|part| belief.keeps(part, kept_ms, now_ms));
     let shared_tokens = need.shared_tokens();
-    let is_near_worth = version > 0 && shared_tokens >= LEAST_NEAR_TOKENS;
     let worth_fetching = version > 0 && shared_tokens >= LEAST_FETCH_TOKENS;
+    let holder = holder.filter(|holder| version > 0 && holder.tokens >= LEAST_NEAR_TOKENS);
     let salt = need.model.as_ref().map(|_| salt(request, version));
     let mut kept = request.instance.kept.borrow_mut();
     let store = store.filter(|_| worth_fetching && kept.is_up());
@@ -121,10 +124,10 @@
         .is_some_and(|(salt, part)| kept.holds(kept_key(salt, part.id)));
     // Another engine's link is faster than the store's, but its memory turns
     // over within seconds.
-    let fetch_from = if is_saved {
-        store
-    } else {
-        holder.filter(|_| is_near_worth && !is_kept).or(store)
+    let (fetch_from, fetched_tokens) = match (is_saved, holder) {
+        (true, _) => (store, shared_tokens),
+        (false, Some(holder)) => (Some(holder.address), holder.tokens),
+        (false, None) => (store, 0),
     };
     let is_asked = store.is_some()
         && !is_saved
@@ -135,7 +138,7 @@
         load: Load {
             requests: 1,
             memory_tokens: need.memory_tokens as u32,
-            prefill_tokens: unread(need, is_kept, is_saved || holder.is_some()) as u32,
+            prefill_tokens: unread(need, is_kept, fetched_tokens) as u32,
             must_finish: u32::from(!this.may_go_on),
         },
         seen: Seen {
@@ -150,26 +153,6 @@
     }
 }
 
-/// Returns another engine with the same weights that keeps the shared parts.
-fn holder<'a>(
-    request: &CallerRequest,
-    chosen: &Belief,
-    mut engines: impl Iterator<Item = &'a Belief>,
-    now_ms: u64,
-) -> Option<SocketAddr> {
-    let part = request.need.shared_part()?;
-    let model = request.need.model.as_ref()?;
-    let kept_ms = request.instance.settings.choice.kept_ms;
-    let holder = engines.find(|belief| {
-        belief.entry.incarnation != chosen.entry.incarnation
-            && belief.keeps(part, kept_ms, now_ms)
-            && belief.version(model) == chosen.version(model)
-            && !belief.is_steered(now_ms)
-            && !belief.is_silent(now_ms)
-    });
-    holder.map(|belief| belief.entry.address)
-}
-
 /// Rank of a stream that goes on after a cut. Its caller is reading; a pause
 /// in the queue makes the whole stream late.
 const RESUMED_URGENCY: u8 = 0;
@@ -179,14 +162,14 @@
 const FETCHED: f64 = 0.2;
 
 /// Returns the tokens that an engine has to read, as far as known.
-fn unread(need: &Need, is_kept: bool, is_elsewhere: bool) -> u64 {
+fn unread(need: &Need, is_kept: bool, fetched_tokens: u64) -> u64 {
     let shared = need.shared_tokens().min(need.prompt_tokens);
     let own = need.prompt_tokens - shared;
-    match (is_kept, is_elsewhere) {
-        (true, _) => own,
-        (false, true) => own + (shared as f64 * FETCHED) as u64,
-        (false, false) => need.prompt_tokens,
+    if is_kept {
+        return own;
     }
+    let fetched = fetched_tokens.min(shared);
+    need.prompt_tokens - fetched + (fetched as f64 * FETCHED) as u64
 }
 
 /// Returns the text under which an engine keeps the prompt's parts.
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -51,6 +51,10 @@
 /// moment. The rest is for those that don't hear each other.
 const SLACK_AT_ONCE: f64 = 0.5;
 
+/// Time within which it isn't told again that an engine keeps a part. The first
+/// parts of prompts are used many times a second.
+const TOLD_AGAIN_MS: u64 = 1_000;
+
 /// Placements told in one heartbeat, so that it fits one datagram.
 const MOST_PLACED: usize = 48;
 
@@ -311,8 +315,14 @@
 
     /// Notes that an engine has read a shared part, here and for the peers.
     pub fn note_part(&self, part: u64, engine: &str, now_ms: u64) {
-        if let Some(belief) = self.engines.borrow_mut().get_mut(engine) {
-            belief.note_part(part, now_ms);
+        let mut engines = self.engines.borrow_mut();
+        let Some(belief) = engines.get_mut(engine) else {
+            return;
+        };
+        let is_known = belief.keeps(part, TOLD_AGAIN_MS, now_ms);
+        belief.note_part(part, now_ms);
+        if is_known {
+            return;
         }
         let mut placed = self.placed.borrow_mut();
         placed.push_back((now_ms, part, short_hash(engine)));
