Let an instance stop in time while a request outlasts it, and log that it did

Cause: a connection that closes for the stop held the guard of the channel's value until its request had ended. The next step of the stop writes that value, on the same thread: the process hung until it was killed at the end of its time, wrote no last line and sent no last heartbeat, so that its peers set aside its part of each team's rate for 30 s. Ordinary lines are limited, and `stopping` was among them.

Ruled out: late timers (0.35 s of margin); streams that run on (they are cut off at the end of the time, and the loop never came so far).

Change: the wait for the stop drops the guard; 0.7 s are kept for the last words; lines on the process and its dependencies go with the failures.

Shown by: the new test, red before (no end within nine seconds), and red twice with `stopping` as an ordinary line.

--- a/crates/gateway/src/callers/listener.rs
+++ b/crates/gateway/src/callers/listener.rs
@@ -26,7 +26,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = drain.wait_for(|drain| *drain >= Drain::Closing) => return,
+            () = Drain::closing(&mut drain) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -61,7 +61,7 @@
     );
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
-        _ = drain.wait_for(|drain| *drain >= Drain::Closing) => {
+        () = Drain::closing(&mut drain) => {
             served.as_mut().graceful_shutdown();
             served.await
         }
--- a/crates/gateway/src/instance/drain.rs
+++ b/crates/gateway/src/instance/drain.rs
@@ -19,4 +19,20 @@
     pub fn channel() -> (watch::Sender<Drain>, watch::Receiver<Drain>) {
         watch::channel(Drain::Serving)
     }
+
+    /// Waits until idle connections are to be closed.
+    ///
+    /// The guard that the channel gives on its value is dropped here. Held on,
+    /// while a request ends, it kept the next step of the stop waiting on the one
+    /// thread that could end the request: the process hung until it was killed,
+    /// and its peers went on setting aside its part of each team's rate.
+    pub async fn closing(drain: &mut watch::Receiver<Drain>) {
+        if drain
+            .wait_for(|drain| *drain >= Drain::Closing)
+            .await
+            .is_err()
+        {
+            log::debug!("event=drain_without_teller");
+        }
+    }
 }
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -55,7 +55,10 @@
     /// Seconds that callers may keep addresses. Some keep them three times as
     /// long, which has to fit into the time that a stopping instance has.
     pub keep_s: u64,
-    /// Time that a stopping instance keeps before it is killed.
+    /// Time that a stopping instance keeps before it is killed: for its last
+    /// heartbeat and log lines, and timers that fire a tenth of a second late.
+    /// With half of it some instances were killed, and the log did not say that
+    /// they had stopped.
     pub exit_margin_ms: u64,
     /// Least time left for which a request is still sent to an engine.
     pub least_left_ms: u64,
@@ -86,7 +89,7 @@
             gather_ms: 250,
             store_ms: 1_000,
             keep_s: 1,
-            exit_margin_ms: 350,
+            exit_margin_ms: 700,
             least_left_ms: 15,
         }
     }
--- a/crates/gateway/src/logs/mod.rs
+++ b/crates/gateway/src/logs/mod.rs
@@ -2,4 +2,4 @@
 
 mod sink;
 
-pub use sink::{LogSettings, install};
+pub use sink::{LIFECYCLE, LogSettings, install};
--- a/crates/gateway/src/logs/sink.rs
+++ b/crates/gateway/src/logs/sink.rs
@@ -10,6 +10,11 @@
     },
 };
 
+/// Target of lines on the process itself and what it depends on. There are few
+/// of them, and whoever looks for the end of an instance in its log must find it:
+/// they go with the failures, which are not limited.
+pub const LIFECYCLE: &str = "mangowalk::lifecycle";
+
 /// How much is logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LogSettings {
@@ -121,7 +126,7 @@
             return;
         }
         let wall_ms = wall_ms();
-        let odd = record.level() <= Level::Warn;
+        let odd = record.level() <= Level::Warn || record.target() == LIFECYCLE;
         if !odd && !self.fits(wall_ms) {
             return self.drop_line();
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -3,7 +3,7 @@
         callers::{serve_callers, serve_directory, serve_metrics, serve_ready},
         clock::{now_ms, wall_ms},
         instance::{Drain, GatewaySettings, Instance},
-        logs::{self, LogSettings},
+        logs::{self, LIFECYCLE, LogSettings},
         mesh,
         store::{CallClient, register, watch_configuration, watch_engines, watch_weights},
         upstreams::{Pool, probe_silent, watch_kept},
@@ -27,8 +27,9 @@
 /// Pause between two looks while open requests end.
 const DRAIN_LOOK: Duration = Duration::from_millis(50);
 
-/// Time for the last heartbeat and log lines to leave.
-const FAREWELL: Duration = Duration::from_millis(120);
+/// Time for the last heartbeat and log lines to leave. Lines gather for up to a
+/// tenth of a second before they are written.
+const FAREWELL: Duration = Duration::from_millis(200);
 
 /// Time between two looks at the settings file. A change without a signal is
 /// no hurry: what has to hold within seconds comes from the store.
@@ -165,6 +166,7 @@
     let store_client = CallClient::new(instance.machine().store_address, STORE_CONNECT_MS);
     let (pool, store) = (Rc::new(Pool::default()), Rc::new(store_client));
     log::info!(
+        target: LIFECYCLE,
         "event=started domain={} callers={} incarnation={}",
         instance.machine().domain,
         instance.machine().caller_address,
@@ -268,6 +270,7 @@
             Ok(machine) => {
                 let reload = instance.reload(machine);
                 log::info!(
+                    target: LIFECYCLE,
                     "event=reloaded taken={} waiting_for_start={}",
                     reload.taken.join(","),
                     reload.waiting.join(","),
@@ -287,7 +290,7 @@
     // Callers keep addresses up to three times as long as they were told.
     let kept_ms = 3 * 1_000 * instance.settings.keep_s;
     let close_ms = (began_ms + kept_ms + 300).min(last_ms.saturating_sub(500));
-    log::info!("event=stopping open={}", instance.open_requests.get());
+    log::info!(target: LIFECYCLE, "event=stopping open={}", instance.open_requests.get());
     drain.send_replace(Drain::Departing);
     instance.notes.heartbeat.notify_one();
     while now_ms() < close_ms {
@@ -299,6 +302,6 @@
     }
     drain.send_replace(Drain::Stopped);
     instance.notes.heartbeat.notify_one();
-    log::info!("event=stopped open={}", instance.open_requests.get());
+    log::info!(target: LIFECYCLE, "event=stopped open={}", instance.open_requests.get());
     sleep(FAREWELL).await;
 }
--- a/crates/gateway/src/upstreams/kept.rs
+++ b/crates/gateway/src/upstreams/kept.rs
@@ -1,5 +1,5 @@
 use {
-    crate::{instance::Instance, store::CallClient},
+    crate::{instance::Instance, logs::LIFECYCLE, store::CallClient},
     mangowalk_core::pool::kept_key,
     mangowalk_platform::KeptChanges,
     std::{net::SocketAddr, rc::Rc, time::Duration},
@@ -79,7 +79,7 @@
 fn apply(instance: &Instance, changes: &KeptChanges) {
     let mut kept = instance.kept.borrow_mut();
     if !kept.is_up() {
-        log::info!("event=kept_store_answers epoch={}", changes.epoch);
+        log::info!(target: LIFECYCLE, "event=kept_store_answers epoch={}", changes.epoch);
     }
     kept.answered(changes.epoch, changes.lost);
     for change in &changes.changes {
--- a/crates/mangowalkd/tests/machines/logs.rs
+++ b/crates/mangowalkd/tests/machines/logs.rs
@@ -2,7 +2,12 @@
 
 use {
     super::PROGRAM,
-    mangowalk_platform_standins::{Caller, Deployment, RouteKind},
+    mangowalk_platform_standins::{Caller, Deployment, EngineFaults, RouteKind},
+    nix::sys::signal::Signal,
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
 /// Nobody reads the log, and its pipe fills up. Callers must not notice.
@@ -42,3 +47,40 @@
         "{metrics}"
     );
 }
+
+/// An instance is told to stop under so much load that ordinary lines are dropped,
+/// with a stream that outlasts its time to stop. It must end by itself: a lock held
+/// by the open connection once kept it until it was killed. On-call must see from
+/// the log that it was told to stop, and that it did.
+#[test]
+fn the_end_of_an_instance_is_logged_under_load() {
+    let mut deployment = Deployment::start(PROGRAM, 1, 1);
+    deployment.engines[0].set_faults(EngineFaults {
+        event_ms: 2_000,
+        ..EngineFaults::default()
+    });
+    let caller = deployment.caller(0);
+    let stream =
+        thread::spawn(move || caller.stream(RouteKind::Stream.path(), &Caller::fresh_id()));
+    thread::sleep(Duration::from_millis(200));
+    let crowd = deployment.caller(0);
+    let flood = thread::spawn(move || {
+        let until = Instant::now() + Duration::from_millis(1_500);
+        while Instant::now() < until {
+            crowd.plain("GET", RouteKind::Idempotent.path(), &Caller::fresh_id());
+            thread::sleep(Duration::from_millis(1));
+        }
+    });
+    thread::sleep(Duration::from_millis(300));
+    deployment.machines[0].signal(Signal::SIGTERM);
+    let code = deployment.machines[0].wait_for_end(Duration::from_millis(3_750));
+    assert_eq!(code, Some(0), "it ends well before it would be killed");
+    flood.join().expect("the callers end");
+    stream.join().expect("the caller ends");
+    let log = deployment.machines[0].log();
+    let dropped = log.contains("dropped_lines=");
+    assert!(dropped, "the load was not enough");
+    for line in ["event=started", "event=stopping", "event=stopped"] {
+        assert!(log.contains(line), "{line} is missing");
+    }
+}
