Take levels over once the configuration is known

Cause: an instance that heard a peer before its configuration was read counted as having learned the levels, though there was no bucket yet to take them over: its buckets began with nothing, and without the bound on new ones.

Change: what comes before the configuration is not learned from; the next heartbeat is. The new test is red without it.

--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -178,7 +178,10 @@
     /// instance, and teams within their rate were refused (12 of 429 requests in
     /// the model of its test).
     pub fn hear(&mut self, peer: &str, report: PeerReport, now_ms: u64) {
-        let adopts = report.knows && self.is_learning(now_ms);
+        // Before the configuration is known there are no levels to take over; the
+        // next heartbeat brings them.
+        let is_configured = self.started_ms.is_some();
+        let adopts = is_configured && report.knows && self.is_learning(now_ms);
         self.has_learned |= adopts;
         let until_ms = now_ms + report.counted_for_ms;
         self.hear_count(report.instances, until_ms, now_ms);
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -284,6 +284,35 @@
     });
 }
 
+/// An instance that starts hears a peer before it has read its configuration. It
+/// must still take over that peer's levels with the next heartbeat, else it refuses
+/// teams within their rate until its own buckets have filled.
+#[test]
+fn levels_are_taken_over_once_the_configuration_is_known() {
+    let tenant = tenant(10_000.0, 10_000.0);
+    let mut table = ShareTable::default();
+    let report = PeerReport {
+        incarnation: 1,
+        up_ms: 60_000,
+        instances: 2,
+        counted_for_ms: 8_000,
+        knows: true,
+        teams: [(
+            "team".to_owned(),
+            PeerSpending {
+                spent: 500.0,
+                level: 9_000.0,
+                demand_per_s: 0.0,
+            },
+        )]
+        .into(),
+    };
+    table.hear("peer", report.clone(), 10);
+    table.configure(std::slice::from_ref(&tenant), 20);
+    table.hear("peer", report, 210);
+    assert!(table.take(&tenant, 3_000, 220).is_ok());
+}
+
 /// Two of three instances have counted a third that is gone. Neither keeps
 /// counting it because the other says so, else they would set its part of the
 /// rates aside for ever.
