Work out a prompt's shared part and tokens from its shared parts

The same walk over the parts stood three times once all shared parts were needed; the longest of them gives both.

--- a/crates/core/src/pool/need.rs
+++ b/crates/core/src/pool/need.rs
@@ -29,8 +29,7 @@
 impl Need {
     /// Returns the identity of the longest part that other requests share.
     pub fn shared_part(&self) -> Option<u64> {
-        let shared = self.parts.len().checked_sub(2)?;
-        Some(self.parts[shared].id ^ self.wall)
+        self.shared_parts().next().map(|(part, _)| part)
     }
 
     /// Returns the parts that other requests share, the longest first: the
@@ -46,9 +45,6 @@
 
     /// Returns the tokens of all parts but the request's own.
     pub fn shared_tokens(&self) -> u64 {
-        let Some((_, shared)) = self.parts.split_last() else {
-            return 0;
-        };
-        shared.iter().map(|part| u64::from(part.tokens)).sum()
+        self.shared_parts().next().map_or(0, |(_, tokens)| tokens)
     }
 }
