Tell peers of all weights that bound older ones, not of the newest alone

Cause: an instance that starts after versions 2 and 3 were named read 3 in the store and heard of 3 from its peers. A version older than the newest was dropped, so it took engines with version 1 for replaced when 3 was named, and sent requests to them past the time that counts from 2. Ruled out: the clock (it counts suspension), the guess for versions of unknown age (a peer's word replaces it). Change: heartbeats carry the newest version that is past its time and all after it; a version that is told late takes its place in the history. Test: a_new_instance_learns_when_the_first_newer_weights_were_named, which fails with the old history (the bound of version 1 was that of 3).

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -71,7 +71,8 @@
     pub has_store: bool,
     /// Version of the configuration in force there.
     pub configuration_version: u64,
-    /// Newest weights named by model, and how many milliseconds ago, if known.
+    /// Weights named by model, and how many milliseconds ago, if known; the
+    /// newest and those that bound the use of older ones.
     pub versions: Vec<(String, u64, Option<u32>)>,
     /// Work sent to each engine and not done.
     pub loads: Vec<(String, Load)>,
--- a/crates/core/src/weights/named.rs
+++ b/crates/core/src/weights/named.rs
@@ -76,18 +76,20 @@
             known.learn(named_ms, is_known);
             return false;
         }
-        if version <= self.newest() {
-            return false;
-        }
-        self.history.push_back(Named {
+        let is_newest = version > self.newest();
+        let place = self
+            .history
+            .partition_point(|named| named.version < version);
+        let named = Named {
             version,
             named_ms,
             is_known,
-        });
+        };
+        self.history.insert(place, named);
         if self.history.len() > MOST {
             self.history.pop_front();
         }
-        true
+        is_newest
     }
 
     /// Returns the newest version; 0 where none was named.
@@ -95,14 +97,27 @@
         self.history.back().map_or(0, |named| named.version)
     }
 
-    /// Returns the newest version and when it was named, for peers.
-    pub fn newest_at(&self, now_ms: u64) -> Option<(u64, NamedAt)> {
-        let named = self.history.back()?;
-        let at = match named.is_known {
-            true => NamedAt::Ago(now_ms.saturating_sub(named.named_ms)),
-            false => NamedAt::Unknown,
-        };
-        Some((named.version, at))
+    /// Returns the versions that bound the use of older ones, and when they were
+    /// named, for peers.
+    ///
+    /// The newest alone is not enough. An instance that starts after a second
+    /// version was named would take the first weights for replaced when the
+    /// second was named, and send requests to them long after their time.
+    pub fn told(
+        &self,
+        settings: &WeightsSettings,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (u64, NamedAt)> {
+        // All before the last one that is past its time are out of use anyway.
+        let is_past = |named: &Named| now_ms >= named.named_ms + settings.last_ms;
+        let first = self.history.iter().rposition(is_past).unwrap_or(0);
+        self.history.iter().skip(first).map(move |named| {
+            let at = match named.is_known {
+                true => NamedAt::Ago(now_ms.saturating_sub(named.named_ms)),
+                false => NamedAt::Unknown,
+            };
+            (named.version, at)
+        })
     }
 
     /// Returns when a request may no longer begin on a version, if newer ones
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -270,7 +270,8 @@
     let mut named = NamedWeights::default();
     named.name(4, NamedAt::Unknown, &WEIGHTS, 50_000);
     assert_eq!(named.bound_ms(3, &WEIGHTS), Some(52_600));
-    assert_eq!(named.newest_at(50_000), Some((4, NamedAt::Unknown)));
+    let told: Vec<_> = named.told(&WEIGHTS, 50_000).collect();
+    assert_eq!(told, [(4, NamedAt::Unknown)]);
     named.name(4, NamedAt::Ago(200), &WEIGHTS, 50_100);
     assert_eq!(named.bound_ms(3, &WEIGHTS), Some(57_600));
     named.name(4, NamedAt::Unknown, &WEIGHTS, 50_200);
@@ -318,3 +319,26 @@
     assert_eq!(seen.may_take(None, &settings, 13_800), None);
     assert_eq!(seen.may_take(None, &settings, 13_900), Some(10_900));
 }
+
+/// A caller of an instance that has just started gets an answer made on weights
+/// that were replaced too long ago. Weights 2 and 3 were named while it was
+/// down; a peer tells of both, the newer one first. Engines with weights 1 are
+/// out of bounds when 2 is too old, not when 3 is.
+#[test]
+fn a_new_instance_learns_when_the_first_newer_weights_were_named() {
+    let mut peer = NamedWeights::default();
+    peer.name(1, NamedAt::Ago(60_000), &WEIGHTS, 100_000);
+    peer.name(2, NamedAt::Ago(0), &WEIGHTS, 100_000);
+    peer.name(3, NamedAt::Ago(0), &WEIGHTS, 104_000);
+    let mut new = NamedWeights::default();
+    new.name(3, NamedAt::Unknown, &WEIGHTS, 105_000);
+    for (version, at) in peer.told(&WEIGHTS, 105_000) {
+        assert!(!new.name(version, at, &WEIGHTS, 105_000));
+    }
+    assert_eq!(new.bound_ms(1, &WEIGHTS), Some(107_700));
+    assert_eq!(new.wanted(&WEIGHTS, 106_800).least, 2);
+    assert_eq!(new.newest(), 3);
+    // Once 2 is past its time itself, what came before it need not be told.
+    let later: Vec<_> = peer.told(&WEIGHTS, 108_000).collect();
+    assert_eq!(later, [(2, NamedAt::Ago(8_000)), (3, NamedAt::Ago(4_000))]);
+}
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -168,15 +168,17 @@
 
 fn versions(instance: &Instance, now_ms: u64) -> Vec<(String, u64, Option<u32>)> {
     let newest = instance.newest.borrow();
-    let named = newest.iter().filter_map(|(model, named)| {
-        let (version, at) = named.newest_at(now_ms)?;
-        let age_ms = match at {
-            NamedAt::Ago(age_ms) => Some(age_ms as u32),
-            NamedAt::Unknown => None,
-        };
-        Some((model.clone(), version, age_ms))
-    });
-    named.collect()
+    let mut versions = Vec::new();
+    for (model, named) in newest.iter() {
+        for (version, at) in named.told(&instance.settings.weights, now_ms) {
+            let age_ms = match at {
+                NamedAt::Ago(age_ms) => Some(age_ms as u32),
+                NamedAt::Unknown => None,
+            };
+            versions.push((model.clone(), version, age_ms));
+        }
+    }
+    versions
 }
 
 fn teams(instance: &Instance, now_ms: u64) -> Vec<TeamNote> {
