Keep long prompts together, so that streams elsewhere don't crawl

Long prompts were spread evenly; each step of each engine read a piece of one, 54 ms, and a long answer to a short prompt took over 5 s. Change: a prompt's unread tokens count 0.2 for each request that runs at the engine, as all of them wait while it is read; and a prompt that is shorter than usual looks at more engines, in proportion.

--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -33,12 +33,17 @@
     pub full_tokens: f64,
     /// Most tokens that an engine counts more by chance, to break ties.
     pub jitter_tokens: f64,
-    /// Engines that are looked at beside those that may keep the prompt.
-    /// Instances hear of each other's work up to a heartbeat later; if all
-    /// looked at all engines, all would send to the same one meanwhile. With
-    /// two, 0.35 instead of 0.24 of the requests are on time in a model of
-    /// eight engines that get nearly twice what they can read.
+    /// Engines that are looked at beside those that may keep the prompt, for a
+    /// prompt of the usual length. Instances hear of each other's work up to a
+    /// heartbeat later; if all looked at all engines, all would send to the
+    /// same one meanwhile.
     pub sample: usize,
+    /// Part of a prompt's unread tokens that counts for each request which
+    /// already runs at the engine. All of them wait while it is read: without
+    /// this, long prompts are spread evenly, every step of every engine has a
+    /// piece of one to read, and streams that run there crawl past their
+    /// deadlines.
+    pub delay_part: f64,
     /// Tokens that an engine counts less if a shared part belongs there by
     /// its hash; lets all instances agree without speaking.
     pub home_tokens: f64,
@@ -59,6 +64,7 @@
             home_tokens: 1_000.0,
             jitter_tokens: 50.0,
             sample: 2,
+            delay_part: 0.2,
         }
     }
 }
@@ -176,9 +182,13 @@
     let kept = need
         .shared_part()
         .is_some_and(|part| belief.keeps(part, settings.kept_ms, now_ms));
-    if !kept {
+    let mut unread_tokens = need.prompt_tokens;
+    if kept {
+        unread_tokens = unread_tokens.saturating_sub(need.shared_tokens());
+    } else {
         cost += need.shared_tokens() as f64 * settings.fetch_part;
     }
+    cost += unread_tokens as f64 * f64::from(load.requests) * settings.delay_part;
     if home == Some(belief.entry.incarnation.id.as_str()) {
         cost -= settings.home_tokens;
     }
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -10,6 +10,7 @@
 mod need;
 mod source;
 mod table;
+mod usual;
 
 pub use {
     admit::{AdmitSettings, ReadRate, refuse},
@@ -21,4 +22,5 @@
     need::{Need, PromptPart},
     source::{Holder, holder},
     table::{EngineTable, short_hash},
+    usual::UsualPrompt,
 };
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -4,7 +4,7 @@
         request::CallerRequest,
     },
     mangowalk_core::pool::{
-        Belief, EngineEntry, Holder, Load, Need, choose, holder, kept_key, refuse,
+        Belief, ChoiceSettings, EngineEntry, Holder, Load, Need, choose, holder, kept_key, refuse,
     },
     mangowalk_platform::{Forward, forward_headers},
     std::net::SocketAddr,
@@ -50,7 +50,12 @@
         .and_then(|service| service.engine);
     let memory_tokens = limits.map_or(u64::MAX, |limits| limits.memory_tokens);
     let mut engines = instance.engines.borrow_mut();
-    let settings = &instance.settings.choice;
+    let choice = instance.settings.choice;
+    let usual = instance.usual_prompt.get();
+    let settings = &ChoiceSettings {
+        sample: usual.looks(choice.sample, need.prompt_tokens),
+        ..choice
+    };
     let chosen = choose(
         engines
             .takers(&need.service, now_ms)
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -198,6 +198,11 @@
     let service = route.service(rand::random()).to_owned();
     let model = head.usage.and_then(|_| head.model.clone());
     let usage = head.usage;
+    if let Some(usage) = usage {
+        let mut usual = instance.usual_prompt.get();
+        usual.note(usage.prompt_tokens);
+        instance.usual_prompt.set(usual);
+    }
     Need {
         service,
         model,
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -3,7 +3,7 @@
     crate::clock::now_ms,
     mangowalk_core::{
         mesh::{MemberTable, OrderNote},
-        pool::{EngineTable, KeptParts, ReadRate, short_hash},
+        pool::{EngineTable, KeptParts, ReadRate, UsualPrompt, short_hash},
         retries::RetryBudget,
         routing::{Configuration, RouteTable},
         share::{ShareSettings, ShareTable},
@@ -73,6 +73,8 @@
     pub following: Following,
     /// How fast engines read prompts.
     pub read_rate: Cell<ReadRate>,
+    /// The usual length of prompts.
+    pub usual_prompt: Cell<UsualPrompt>,
     /// Newest weights by model.
     pub newest: RefCell<BTreeMap<String, NamedWeights>>,
     /// Parts of teams' rates.
@@ -125,6 +127,7 @@
             engines_known: Cell::new(false),
             following: Following::default(),
             read_rate: Cell::default(),
+            usual_prompt: Cell::default(),
             newest: RefCell::default(),
             shares: RefCell::new(shares),
             budgets: RefCell::default(),
