Take parts for kept as long as engines' memory lasts, not for a fixed time

Change: the time follows from the told memory of an engine, the tokens that this instance sends a second, the instances and the engines. Test: the_time_that_parts_are_kept_follows_from_memory_and_load, with memory, load and engines four times smaller and larger. The averaged demand moved out of share, as both need it.

--- a/crates/core/src/share/demand.rs
+++ b/crates/core/src/demand.rs
@@ -1,3 +1,5 @@
+//! Tokens a second that are asked for, averaged over a short time.
+
 /// Time over which demand is averaged.
 ///
 /// Short, so that a team whose callers move to other instances finds its rate
@@ -5,7 +7,7 @@
 /// one large prompt does not swing it.
 const DEMAND_MS: f64 = 2_000.0;
 
-/// Tokens a second that an instance was asked for by one team.
+/// Tokens a second that an instance was asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Demand {
     per_s: f64,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod burn;
 pub mod claim;
 pub mod config;
+pub mod demand;
 pub mod edge;
 pub mod engine;
 pub mod limits;
--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -9,9 +9,8 @@
 pub struct ChoiceSettings {
     /// Failures and pauses.
     pub health: HealthSettings,
-    /// Time for which a part that was used is taken to be in the cache. The
-    /// ends of prompts that nobody else shares push it out: at four long
-    /// prompts a second an engine's memory turns over in about four.
+    /// Time for which a part that was used is taken to be in the cache; the ends
+    /// of prompts that nobody else shares push it out.
     pub kept_ms: u64,
     /// Part of the shared tokens that count as read again on an engine that
     /// isn't known to hold them, where a store of kept parts brings them.
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -10,6 +10,7 @@
 mod need;
 mod source;
 mod table;
+mod turnover;
 mod usual;
 
 pub use {
@@ -22,5 +23,6 @@
     need::{Need, PromptPart},
     source::{Holder, holder},
     table::{EngineTable, short_hash},
+    turnover::Turnover,
     usual::UsualPrompt,
 };
--- a/crates/core/src/share/mod.rs
+++ b/crates/core/src/share/mod.rs
@@ -2,11 +2,9 @@
 //! an estimate by what the others tell that they have spent.
 
 mod bucket;
-mod demand;
 mod table;
 
 pub use {
     bucket::{FleetBucket, Standing},
-    demand::Demand,
     table::{PeerReport, PeerSpending, ShareSettings, ShareTable},
 };
--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -1,6 +1,6 @@
 use {
-    super::{Demand, FleetBucket, Standing},
-    crate::{pool::rendezvous, routing::Tenant},
+    super::{FleetBucket, Standing},
+    crate::{demand::Demand, pool::rendezvous, routing::Tenant},
     std::collections::HashMap,
 };
 
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -5,7 +5,7 @@
         pool::{
             AdmitSettings, Belief, ChoiceSettings, EngineEntry, EngineTable, Health,
             HealthSettings, Incarnation, KeptParts, Load, ModelVersion, Need, PromptPart, ReadRate,
-            choose, holder, kept_key, refuse, short_hash,
+            Turnover, choose, holder, kept_key, refuse, short_hash,
         },
         weights::Wanted,
     },
@@ -417,3 +417,38 @@
     }
     assert!((95.0..105.0).contains(&rate.per_ms()), "{}", rate.per_ms());
 }
+
+/// Callers wait while engines read again what they still have, or are sent to
+/// engines that have lost it. How long a part stays follows from the size of the
+/// memory and from what is sent; four times more or less of either moves it by
+/// as much, within bounds.
+#[test]
+fn the_time_that_parts_are_kept_follows_from_memory_and_load() {
+    let kept_ms = |memory_tokens, per_s: u64, engines| {
+        let mut turnover = Turnover::default();
+        for now_ms in (0..10_000).step_by(100) {
+            turnover.sent(per_s / 10, now_ms);
+        }
+        turnover.kept_ms(memory_tokens, engines, 6, 10_000)
+    };
+    let usual = kept_ms(150_000, 30_000, 9);
+    let figures = [
+        ("usual", usual),
+        ("four times the memory", kept_ms(600_000, 30_000, 9)),
+        ("a fourth of the memory", kept_ms(37_500, 30_000, 9)),
+        ("four times as much sent", kept_ms(150_000, 120_000, 9)),
+        ("a fourth as much sent", kept_ms(150_000, 7_500, 9)),
+        ("four times the engines", kept_ms(150_000, 30_000, 36)),
+        ("nothing sent", kept_ms(150_000, 0, 9)),
+    ];
+    let lines = figures.map(|(what, kept_ms)| format!("{what}: {kept_ms} ms"));
+    insta::assert_snapshot!(lines.join("\n"), @"
+    usual: 7742 ms
+    four times the memory: 30000 ms
+    a fourth of the memory: 1935 ms
+    four times as much sent: 1935 ms
+    a fourth as much sent: 30000 ms
+    four times the engines: 30000 ms
+    nothing sent: 30000 ms
+    ");
+}
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -50,12 +50,8 @@
         .and_then(|service| service.engine);
     let memory_tokens = limits.map_or(u64::MAX, |limits| limits.memory_tokens);
     let mut engines = instance.engines.borrow_mut();
-    let choice = instance.settings.choice;
-    let usual = instance.usual_prompt.get();
-    let settings = &ChoiceSettings {
-        sample: usual.looks(choice.sample, need.prompt_tokens),
-        ..choice
-    };
+    let count = engines.takers(&need.service, now_ms).count();
+    let settings = &adapted(request, memory_tokens, count, now_ms);
     let chosen = choose(
         engines
             .takers(&need.service, now_ms)
@@ -94,7 +90,20 @@
     let store = store.map(|store| store.address);
     let draw = rand::random();
     let holder = holder(chosen, need, engines.iter(), settings.kept_ms, draw, now_ms);
-    let plan = plan(request, this, chosen, store, holder, now_ms);
+    let plan = plan(
+        request,
+        this,
+        chosen,
+        store,
+        holder,
+        settings.kept_ms,
+        now_ms,
+    );
+    if need.model.is_some() {
+        let mut turnover = instance.turnover.get();
+        turnover.sent(taken_in(need, plan.is_kept), now_ms);
+        instance.turnover.set(turnover);
+    }
     let entry = chosen.entry.clone();
     if let Some(belief) = engines.get_mut(&entry.incarnation.id) {
         belief.health.sent(&settings.health, now_ms);
@@ -102,17 +111,41 @@
     Ok((entry, plan))
 }
 
+/// Returns the settings of the choice, with what was learned while serving.
+fn adapted(
+    request: &CallerRequest,
+    memory_tokens: u64,
+    engines: usize,
+    now_ms: u64,
+) -> ChoiceSettings {
+    let instance = &request.instance;
+    let choice = instance.settings.choice;
+    let turnover = instance.turnover.get();
+    let usual = instance.usual_prompt.get();
+    ChoiceSettings {
+        sample: usual.looks(choice.sample, request.need.prompt_tokens),
+        kept_ms: turnover.kept_ms(memory_tokens, engines, instance.instances(), now_ms),
+        ..choice
+    }
+}
+
+/// Returns the tokens that an engine has to make room for.
+fn taken_in(need: &Need, is_kept: bool) -> u64 {
+    let kept_tokens = if is_kept { need.shared_tokens() } else { 0 };
+    need.memory_tokens.saturating_sub(kept_tokens)
+}
+
 fn plan(
     request: &CallerRequest,
     this: &Try<'_>,
     belief: &Belief,
     store: Option<SocketAddr>,
     holder: Option<Holder>,
+    kept_ms: u64,
     now_ms: u64,
 ) -> Plan {
     let need = &request.need;
     let version = need.model.as_ref().map_or(0, |model| belief.version(model));
-    let kept_ms = request.instance.settings.choice.kept_ms;
     let is_kept = need
         .shared_part()
         .is_some_and(|part| belief.keeps(part, kept_ms, now_ms));
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -3,7 +3,7 @@
     crate::clock::now_ms,
     mangowalk_core::{
         mesh::{MemberTable, OrderNote},
-        pool::{EngineTable, KeptParts, ReadRate, UsualPrompt, short_hash},
+        pool::{EngineTable, KeptParts, ReadRate, Turnover, UsualPrompt, short_hash},
         retries::RetryBudget,
         routing::{Configuration, RouteTable},
         share::{ShareSettings, ShareTable},
@@ -73,6 +73,8 @@
     pub following: Following,
     /// How fast engines read prompts.
     pub read_rate: Cell<ReadRate>,
+    /// How fast engines' memory fills.
+    pub turnover: Cell<Turnover>,
     /// The usual length of prompts.
     pub usual_prompt: Cell<UsualPrompt>,
     /// Newest weights by model.
@@ -127,6 +129,7 @@
             engines_known: Cell::new(false),
             following: Following::default(),
             read_rate: Cell::default(),
+            turnover: Cell::default(),
             usual_prompt: Cell::default(),
             newest: RefCell::default(),
             shares: RefCell::new(shares),
