Don't take weights for new that were named while the store wasn't heard

Cause, by reading: an instance that reads the store anew, after a cut or a freeze, noted a version it saw for the first time as named just then. Where no peer knew better, old weights would be used too long by as much. Change: after more than a second without word from the store the age counts as unknown, as at a start; a peer that saw it tells better. Test: weights_that_were_named_during_a_gap_are_not_new.

--- a/crates/core/src/weights/named.rs
+++ b/crates/core/src/weights/named.rs
@@ -13,6 +13,25 @@
     Unknown,
 }
 
+/// Time without word from the store up to which a version that is then read
+/// counts as named at its beginning.
+const MOST_GAP_MS: u64 = 1_000;
+
+impl NamedAt {
+    /// Returns when a version was named that a reading of the store shows for
+    /// the first time, so long after the last word from the store.
+    ///
+    /// An instance that was frozen or cut off would take a version that was named
+    /// meanwhile for a new one, and use old weights past their time. After a
+    /// longer gap nothing is known; a peer that saw it tells better.
+    pub fn after_gap(gap_ms: Option<u64>) -> NamedAt {
+        match gap_ms.filter(|gap_ms| *gap_ms <= MOST_GAP_MS) {
+            Some(gap_ms) => NamedAt::Ago(gap_ms),
+            None => NamedAt::Unknown,
+        }
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct Named {
     version: u64,
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -385,3 +385,13 @@
     let settled = pace.at_once(60, 3_000);
     assert!((8..=11).contains(&settled), "{pace:?}");
 }
+
+/// An instance stands still for four seconds, in which new weights are named,
+/// and reads the store when it goes on. It must not take them for new: callers
+/// would get answers on old weights past their time.
+#[test]
+fn weights_that_were_named_during_a_gap_are_not_new() {
+    assert_eq!(NamedAt::after_gap(Some(300)), NamedAt::Ago(300));
+    assert_eq!(NamedAt::after_gap(Some(4_000)), NamedAt::Unknown);
+    assert_eq!(NamedAt::after_gap(None), NamedAt::Unknown);
+}
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -25,6 +25,8 @@
     fn replace(&self, objects: &[Stored]);
     /// Takes over one change.
     fn change(&self, name: &str, object: Option<&Stored>);
+    /// Notes that a watch was answered.
+    fn heard(&self) {}
     /// Ends when peers know more than this instance's watch has told.
     async fn behind(&self) {
         pending().await
@@ -84,6 +86,7 @@
         let Some(changes) = changes else {
             return;
         };
+        follower.heard();
         for (name, object) in &changes.changed {
             // A copy that lags may tell once more what was read before.
             let is_old = object
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -49,9 +49,8 @@
 
 struct WeightsFollower {
     instance: Rc<Instance>,
-    /// Whether the kind was read before; what the first read brings may have
-    /// been named at any time.
-    has_read: Cell<bool>,
+    /// When the store last told something of the kind, or that nothing changed.
+    heard_ms: Cell<Option<u64>>,
 }
 
 impl WeightsFollower {
@@ -70,10 +69,9 @@
     const KIND: Kind = Kind::Weights;
 
     fn replace(&self, objects: &[Stored]) {
-        let at = match self.has_read.replace(true) {
-            true => NamedAt::Ago(0),
-            false => NamedAt::Unknown,
-        };
+        let gap_ms = self.heard_ms.get().map(|heard_ms| now_ms() - heard_ms);
+        let at = NamedAt::after_gap(gap_ms);
+        self.heard();
         for object in objects {
             self.name(&object.name, object, at);
         }
@@ -84,6 +82,10 @@
             self.name(name, object, NamedAt::Ago(0));
         }
     }
+
+    fn heard(&self) {
+        self.heard_ms.set(Some(now_ms()));
+    }
 }
 
 struct EnginesFollower(Rc<Instance>);
@@ -162,7 +164,7 @@
 pub async fn watch_weights(instance: Rc<Instance>, store: Rc<CallClient>) {
     let follower = WeightsFollower {
         instance: instance.clone(),
-        has_read: Cell::new(false),
+        heard_ms: Cell::new(None),
     };
     follow(&instance, &store, follower).await;
 }
