--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -22,8 +22,9 @@
     /// Peers up to which each gets every heartbeat from its sender. With more
     /// of them, one in each other failure domain gets it and passes it on: what
     /// crosses between domains is paid for, and everybody still hears of
-    /// everything within a heartbeat. With turns instead, eighty-two instances
-    /// heard of each other once a second and took each other for silent.
+    /// everything within a heartbeat. In turns, those of
+    /// a large fleet would hear of each other so seldom that they took each other
+    /// for silent.
     pub most_direct: usize,
 }
 
--- a/crates/core/src/placement/decide.rs
+++ b/crates/core/src/placement/decide.rs
@@ -24,9 +24,8 @@
 /// Expectations that differ by less count as equal.
 const GRAIN_MS: f64 = 5.0;
 
-/// Requests that a prefill holds up where none waits. Measured: with 1, a steady
-/// load at Calloway computes twice as many blocks again as with 3, and the
-/// 99th percentile of the time to first token is the same; see docs/policy.md.
+/// Requests that a prefill holds up where none waits. Fewer would compute more
+/// blocks again for the same time to first token; see docs/policy.md.
 const RUNNING_HELD_UP: f64 = 3.0;
 
 const US_PER_MS: f64 = 1_000.0;
--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -7,8 +7,7 @@
     ///
     /// While more comes than the engines can read, a longer queue serves not
     /// one request more: it makes all of them late, and engines that change
-    /// their weights take as long to finish. Played on twelve days, 1.2 and 2
-    /// targets earned less (0.57 and 0.55 of the worth against 0.60).
+    /// their weights take as long to finish.
     pub patience: f64,
     /// The same for a request of the first rank. Engines let it pass the
     /// others, so what is queued there matters less to it.
--- a/crates/core/src/pool/belief.rs
+++ b/crates/core/src/pool/belief.rs
@@ -140,8 +140,8 @@
     /// what peers say.
     ///
     /// Whoever orders weights may have no work at a dead engine and learn of it
-    /// last: while it kept places for three dead ones, the orders to nine others
-    /// stood still for 1.8 s.
+    /// last; while it kept places for dead ones, the orders to the others would
+    /// stand still.
     pub fn answers(&self, settings: &HealthSettings, now_ms: u64) -> bool {
         !self.is_silent(now_ms) && !self.health.is_doubtful(settings, now_ms)
     }
--- a/crates/core/src/pool/kept.rs
+++ b/crates/core/src/pool/kept.rs
@@ -66,9 +66,7 @@
     ///
     /// After a change of weights many requests read the same part before the
     /// store tells that it has it. Each sending the part would take the store's
-    /// one link from those that wait for others: of what is read again on
-    /// twenty full days, a tenth was read for that (0.0435 to 0.0392 of the
-    /// worth, played without processor time).
+    /// one link from those that wait for others.
     pub fn ask(&mut self, part: u64, now_ms: u64) -> bool {
         let asked_ms = self.asked_ms.get(&part);
         if asked_ms.is_some_and(|asked_ms| now_ms < asked_ms + ASKED_MS) {
--- a/crates/core/src/pool/source.rs
+++ b/crates/core/src/pool/source.rs
@@ -18,10 +18,8 @@
 /// Which of several is left to `draw`: an engine's transfers run one after the
 /// other, and all instances that took the first would wait for it.
 ///
-/// After a change of weights each engine read the first part of all prompts
-/// anew, though others had it. Fetched, what is read again costs 0.035 instead
-/// of 0.039 of the worth (sixteen days, played without processor time); ninety
-/// engines read 3.7 instead of 4.1 million tokens again on a calm day.
+/// After a change of weights each engine would else read the first part of all
+/// prompts anew, though others have it.
 pub fn holder<'a>(
     chosen: &Belief,
     need: &Need,
--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -174,9 +174,8 @@
     ///
     /// An instance that is new takes over the levels of the first peer that knows
     /// them: they are the same buckets, and that peer will spend by them too. With
-    /// the lowest of all levels instead, a rolling restart lowered them with each
-    /// instance, and teams within their rate were refused (12 of 429 requests in
-    /// the model of its test).
+    /// the lowest of all levels instead, a rolling restart would lower them with
+    /// each instance, and teams within their rate would be refused.
     pub fn hear(&mut self, peer: &str, report: PeerReport, now_ms: u64) {
         // Before the configuration is known there are no levels to take over; the
         // next heartbeat brings them.
--- a/crates/core/src/weights/lease.rs
+++ b/crates/core/src/weights/lease.rs
@@ -99,10 +99,9 @@
     /// on that gave no order.
     ///
     /// What was heard before the record was seen may be older than the record:
-    /// in a fleet of eighty a heartbeat takes over a second to reach everyone.
-    /// Instances that believed it took the lease from each other as fast as
-    /// they could; each waited for the one before to be quiet, and nobody
-    /// ordered for seventeen seconds.
+    /// in a large fleet a heartbeat takes a second to reach everyone. Instances
+    /// that believed it would take the lease from each other as fast as they
+    /// can; each waits for the one before to be quiet, and nobody orders.
     pub fn may_take(
         &self,
         told: Option<Told>,
