--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -10,7 +10,8 @@
     /// Failures and pauses.
     pub health: HealthSettings,
     /// Time for which a part that was used is taken to be in the cache; the ends
-    /// of prompts that nobody else shares push it out.
+    /// of prompts that nobody else shares push it out. An instance works it out
+    /// while it serves; see [`super::Turnover`].
     pub kept_ms: u64,
     /// Part of the shared tokens that count as read again on an engine that
     /// isn't known to hold them, where a store of kept parts brings them.
@@ -35,7 +36,7 @@
     /// Engines that are looked at beside those that may keep the prompt, for a
     /// prompt of the usual length. Instances hear of each other's work up to a
     /// heartbeat later; if all looked at all engines, all would send to the
-    /// same one meanwhile.
+    /// same one meanwhile. See [`super::UsualPrompt`] for others.
     pub sample: usize,
     /// Part of a prompt's unread tokens that counts for each request which
     /// already runs at the engine. All of them wait while it is read: without
