--- a/crates/gateway/src/weights/progress.rs
+++ b/crates/gateway/src/weights/progress.rs
@@ -220,10 +220,10 @@
             if let (OrderPhase::Sent, Some(loading)) = (given.phase, given.measured) {
                 self.pace.loaded(age_ms, loading);
                 log::info!(
-                    "event=weights_loaded engine={} version={} took_ms={age_ms} loading={loading} pace={:?}",
+                    "event=weights_loaded engine={} version={} took_ms={age_ms} loading={loading} tried_at_once={}",
                     engine.id,
                     given.version,
-                    self.pace,
+                    self.at_once(0),
                 );
             }
             self.note(&one, OrderPhase::Done);
