--- a/crates/core/tests/full.rs
+++ b/crates/core/tests/full.rs
@@ -4,16 +4,18 @@
 //! instances that each choose and refuse by what they have sent themselves and
 //! what the others told up to 200 ms before.
 
+mod support;
+
 use {
     mangowalk_core::{
         pool::{
-            AdmitSettings, Belief, ChoiceSettings, EngineEntry, Incarnation, Load, ModelVersion,
-            Need, PromptPart, ReadRate, choose, refuse,
+            AdmitSettings, Belief, ChoiceSettings, Load, Need, PromptPart, ReadRate, choose, refuse,
         },
         weights::Wanted,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::collections::VecDeque,
+    support::{entry, exchange},
 };
 
 const INSTANCES: usize = 7;
@@ -59,25 +61,6 @@
     refused: f64,
 }
 
-fn entry(number: usize) -> EngineEntry {
-    EngineEntry {
-        incarnation: Incarnation {
-            id: format!("e{number}"),
-            born_ms: 1,
-        },
-        service: "llm".to_owned(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        domain: "a".to_owned(),
-        slots: 96,
-        draining: false,
-        models: vec![ModelVersion {
-            model: "model".to_owned(),
-            version: 1,
-        }],
-        cold_left_ms: 0,
-    }
-}
-
 fn need(session: u64, own: u64) -> Need {
     let part = |id, tokens| PromptPart { id, tokens };
     Need {
@@ -96,7 +79,7 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let mut engines: Vec<Engine> = (0..ENGINES).map(|_| Engine::default()).collect();
     let mut beliefs: Vec<Vec<Belief>> = (0..INSTANCES)
-        .map(|_| (0..ENGINES).map(|n| Belief::new(entry(n))).collect())
+        .map(|_| (0..ENGINES).map(|n| Belief::new(entry(n, 96))).collect())
         .collect();
     let (settings, admit) = (ChoiceSettings::default(), AdmitSettings::default());
     let rate = ReadRate::default();
@@ -192,21 +175,6 @@
     engine.free_ms - now
 }
 
-fn exchange(beliefs: &mut [Vec<Belief>]) {
-    for engine in 0..ENGINES {
-        let own: Vec<Load> = beliefs.iter().map(|belief| belief[engine].own).collect();
-        for (at, belief) in beliefs.iter_mut().enumerate() {
-            let mut others = Load::default();
-            for (other, load) in own.iter().enumerate() {
-                if other != at {
-                    others.add(*load);
-                }
-            }
-            belief[engine].others = others;
-        }
-    }
-}
-
 fn mean(policy: Policy, per_s: f64) -> Outcome {
     let all: Vec<Outcome> = (1..=5).map(|seed| play(policy, per_s, seed)).collect();
     let mean = |part: fn(&Outcome) -> f64| all.iter().map(part).sum::<f64>() / all.len() as f64;
--- a/crates/core/tests/mixed.rs
+++ b/crates/core/tests/mixed.rs
@@ -5,16 +5,19 @@
 //! gets a token only after each piece. Six instances choose by what they have
 //! sent themselves and what the others told up to 200 ms before.
 
+mod support;
+
 use {
     mangowalk_core::{
         pool::{
-            AdmitSettings, Belief, ChoiceSettings, EngineEntry, Incarnation, Load, ModelVersion,
-            Need, PromptPart, ReadRate, UsualPrompt, choose, refuse,
+            AdmitSettings, Belief, ChoiceSettings, Load, Need, PromptPart, ReadRate, UsualPrompt,
+            choose, refuse,
         },
         weights::Wanted,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::collections::VecDeque,
+    support::{entry, exchange},
 };
 
 const INSTANCES: usize = 6;
@@ -96,25 +99,6 @@
     failed: f64,
 }
 
-fn entry(number: usize) -> EngineEntry {
-    EngineEntry {
-        incarnation: Incarnation {
-            id: format!("e{number}"),
-            born_ms: 1,
-        },
-        service: "llm".to_owned(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        domain: "a".to_owned(),
-        slots: 64,
-        draining: false,
-        models: vec![ModelVersion {
-            model: "model".to_owned(),
-            version: 1,
-        }],
-        cold_left_ms: 0,
-    }
-}
-
 fn need(kind: &Kind, session: u64, own: u64) -> Need {
     let part = |id, tokens| PromptPart { id, tokens };
     let prompt_tokens = u64::from(kind.shared_tokens + kind.own_tokens);
@@ -142,7 +126,7 @@
 
 impl Fleet {
     fn new(choice: ChoiceSettings) -> Fleet {
-        let beliefs = || (0..ENGINES).map(|n| Belief::new(entry(n))).collect();
+        let beliefs = || (0..ENGINES).map(|n| Belief::new(entry(n, 64))).collect();
         Fleet {
             engines: (0..ENGINES).map(|_| Engine::default()).collect(),
             beliefs: (0..INSTANCES).map(|_| beliefs()).collect(),
@@ -255,18 +239,6 @@
             }
         }
     }
-
-    fn exchange(&mut self) {
-        for engine in 0..ENGINES {
-            let own: Vec<Load> = self.beliefs.iter().map(|all| all[engine].own).collect();
-            for (at, belief) in self.beliefs.iter_mut().enumerate() {
-                let mut others = Load::default();
-                let theirs = own.iter().enumerate().filter(|(other, _)| *other != at);
-                theirs.for_each(|(_, load)| others.add(*load));
-                belief[engine].others = others;
-            }
-        }
-    }
 }
 
 /// Returns what callers of short and of long prompts got, as parts of what was
@@ -283,7 +255,7 @@
         let mut fleet = Fleet::new(choice);
         for now_ms in 0..PLAYED_MS {
             if now_ms % 200 == 0 {
-                fleet.exchange();
+                exchange(&mut fleet.beliefs);
             }
             (0..ENGINES).for_each(|engine| fleet.step(engine, now_ms as f64));
             for kind in [&LONG, &SHORT] {
