Ask once whether an engine that is waited for is silent

Waiting for an answer's head and passing a stream on each looked whether the engine is silent, quiet, and to be tried. One function does now; when either looks, and what follows, is as it was. The process tests of answers pass.

--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         clock::now_ms,
-        upstreams::{Answer, SendError, doubt, send},
+        upstreams::{Answer, SendError, is_silent, send},
     },
     http::Request,
     http_body_util::Full,
@@ -138,19 +138,11 @@
             () = sleep(Duration::from_millis(pause_ms)) => {}
         }
         pause_ms = LOOK_MS;
-        let now_ms = now_ms();
-        let engines = request.instance.engines.borrow();
-        let belief = engines.get(&engine.incarnation.id);
-        let is_silent = belief.is_none_or(|belief| belief.is_silent(now_ms));
-        let is_quiet = belief.is_some_and(|belief| belief.heard_ms < sent_ms);
-        drop(engines);
+        let is_silent = is_silent(&request.instance, &request.pool, engine, sent_ms, now_ms());
         if is_silent && may_leave {
             return Err(SendError::Lost {
                 reason: "the engine is silent".to_owned(),
             });
         }
-        if is_quiet && !is_silent {
-            doubt(&request.instance, &request.pool, engine);
-        }
     }
 }
--- a/crates/gateway/src/callers/passing.rs
+++ b/crates/gateway/src/callers/passing.rs
@@ -9,7 +9,7 @@
         tries::{Tries, run},
         work::OpenRequest,
     },
-    crate::{clock::now_ms, upstreams::doubt},
+    crate::{clock::now_ms, upstreams::is_silent},
     bytes::Bytes,
     futures_util::stream::unfold,
     http::Response,
@@ -124,15 +124,14 @@
         if now_ms < self.heard_ms + silent_ms {
             return false;
         }
-        let engines = instance.engines.borrow();
-        let belief = engines.get(&answered.engine.incarnation.id);
-        let is_quiet = belief.is_some_and(|belief| now_ms >= belief.heard_ms + silent_ms);
-        let is_silent = belief.is_none_or(|belief| belief.is_silent(now_ms));
-        drop(engines);
-        if is_quiet && !is_silent {
-            doubt(instance, &self.request.pool, &answered.engine);
-        }
-        is_silent
+        let unheard_since_ms = (now_ms + 1).saturating_sub(silent_ms);
+        is_silent(
+            instance,
+            &self.request.pool,
+            &answered.engine,
+            unheard_since_ms,
+            now_ms,
+        )
     }
 
     fn heard(&mut self) {
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -11,5 +11,5 @@
     exchange::{Answer, SendError, send},
     kept::watch_kept,
     pool::{Kept, Pool},
-    probe::{doubt, probe_silent},
+    probe::{doubt, is_silent, probe_silent},
 };
--- a/crates/gateway/src/upstreams/probe.rs
+++ b/crates/gateway/src/upstreams/probe.rs
@@ -43,6 +43,26 @@
     log::warn!("event=engine_answers_again engine={}", entry.incarnation.id);
 }
 
+/// Returns whether an engine that is waited for is silent. One that was heard
+/// by nobody here since a time, and isn't known to be silent, is tried.
+pub fn is_silent(
+    instance: &Rc<Instance>,
+    pool: &Rc<Pool>,
+    entry: &EngineEntry,
+    unheard_since_ms: u64,
+    now_ms: u64,
+) -> bool {
+    let engines = instance.engines.borrow();
+    let belief = engines.get(&entry.incarnation.id);
+    let is_silent = belief.is_none_or(|belief| belief.is_silent(now_ms));
+    let is_quiet = belief.is_some_and(|belief| belief.heard_ms < unheard_since_ms);
+    drop(engines);
+    if is_quiet && !is_silent {
+        doubt(instance, pool, entry);
+    }
+    is_silent
+}
+
 /// Tries whether an engine from which nothing comes still takes connections.
 /// If not, it gets no further requests, and the peers are told.
 ///
