Log why an engine is chosen that may have left

Logs could not part the hypotheses of the incident: nothing told how old the list was when an engine was chosen, at which revision its entry stood, whether the list lacked it, and what a peer had said of it and when.

Added, without a change of logic: entries carry the revision of the store at which they were written; the table notes up to which revision and when the list was heard; lines engine_missing, engine_leaves and uncertain_engine, a counter of the latter, and what mangowalk story makes of them.

--- a/crates/core/src/pool/entry.rs
+++ b/crates/core/src/pool/entry.rs
@@ -31,6 +31,8 @@
 pub struct EngineEntry {
     /// This start of the engine.
     pub incarnation: Incarnation,
+    /// Revision of the store at which this was written.
+    pub revision: u64,
     /// Service whose requests it runs.
     pub service: String,
     /// Where it listens.
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -9,19 +9,21 @@
 mod kept;
 mod need;
 mod source;
+mod standing;
 mod table;
 mod turnover;
 mod usual;
 
 pub use {
     admit::{AdmitSettings, ReadRate, refuse},
-    belief::{Belief, Load, Steering},
+    belief::{Belief, Load, Steering, ToldLeaving},
     choice::{ChoiceSettings, choose, rendezvous},
     entry::{EngineEntry, Incarnation, ModelVersion},
     health::{Health, HealthSettings},
     kept::{KeptParts, kept_key},
     need::{Need, PromptPart},
     source::{Holder, holder},
+    standing::{Doubt, Standing},
     table::{EngineTable, short_hash},
     turnover::Turnover,
     usual::UsualPrompt,
--- /dev/null
+++ b/crates/core/src/pool/standing.rs
@@ -0,0 +1,55 @@
+use derive_more::Display;
+
+/// What the list of engines and the peers say of whether an engine is there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Standing {
+    /// Revision of the store at which the engine's entry was written.
+    pub entry_revision: u64,
+    /// Revision up to which the list is known here.
+    pub list_revision: u64,
+    /// Time since the store last said anything of the list.
+    pub list_age_ms: u64,
+    /// Time since a reading of the list lacked the engine.
+    pub missing_ms: Option<u64>,
+    /// The last peer that said that the engine leaves.
+    pub told_by: Option<String>,
+    /// Time since its word.
+    pub told_ago_ms: Option<u64>,
+}
+
+/// Why an engine that gets work may have left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[display("{}", self.label())]
+pub enum Doubt {
+    /// The list lacks it; its entry may have lapsed.
+    Missing,
+    /// A peer said that it leaves.
+    ToldLeaving,
+    /// The list was not heard of for longer than a watch takes.
+    OldList,
+}
+
+impl Doubt {
+    /// Returns the label under which it is logged and counted.
+    pub fn label(self) -> &'static str {
+        match self {
+            Doubt::Missing => "missing",
+            Doubt::ToldLeaving => "told_leaving",
+            Doubt::OldList => "old_list",
+        }
+    }
+}
+
+impl Standing {
+    /// Returns why the engine may have left, for a list that counts as fresh up
+    /// to an age.
+    pub fn doubt(&self, fresh_ms: u64) -> Option<Doubt> {
+        if self.missing_ms.is_some() {
+            return Some(Doubt::Missing);
+        }
+        if self.told_by.is_some() {
+            return Some(Doubt::ToldLeaving);
+        }
+        (self.list_age_ms > fresh_ms).then_some(Doubt::OldList)
+    }
+}
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Belief, EngineEntry, Load, rendezvous},
+    super::{Belief, EngineEntry, Load, Standing, ToldLeaving, rendezvous},
     std::collections::{BTreeMap, HashMap, VecDeque},
 };
 
@@ -32,9 +32,34 @@
     engines: BTreeMap<String, Belief>,
     gone: VecDeque<Gone>,
     peer_loads: HashMap<String, HashMap<String, Load>>,
+    list_revision: u64,
+    list_heard_ms: u64,
 }
 
 impl EngineTable {
+    /// Notes that the store answered, and that the list is known up to a
+    /// revision.
+    pub fn listed_up_to(&mut self, revision: u64, now_ms: u64) {
+        self.list_revision = self.list_revision.max(revision);
+        self.list_heard_ms = now_ms;
+    }
+
+    /// Returns what list and peers say of whether an engine is there.
+    pub fn standing(&self, id: &str, now_ms: u64) -> Option<Standing> {
+        let belief = self.engines.get(id)?;
+        let told = belief.leaving_told.as_ref();
+        Some(Standing {
+            entry_revision: belief.entry.revision,
+            list_revision: self.list_revision,
+            list_age_ms: now_ms.saturating_sub(self.list_heard_ms),
+            missing_ms: belief
+                .missing_since_ms
+                .map(|since_ms| now_ms.saturating_sub(since_ms)),
+            told_by: told.map(|told| told.peer.clone()),
+            told_ago_ms: told.map(|told| now_ms.saturating_sub(told.at_ms)),
+        })
+    }
+
     /// Takes over an entry. A new start under the same name, or another
     /// address, begins with nothing believed.
     ///
@@ -68,6 +93,7 @@
         }
         let changed = belief.entry.draining != entry.draining;
         belief.entry = entry;
+        belief.missing_since_ms = None;
         belief.missing_until_ms = None;
         changed
     }
@@ -83,6 +109,7 @@
             return false;
         };
         if let Some(until_ms) = keep_until_ms.filter(|until_ms| now_ms < *until_ms) {
+            belief.missing_since_ms.get_or_insert(now_ms);
             belief.missing_until_ms = Some(until_ms);
             return false;
         }
@@ -131,15 +158,27 @@
 
     /// Takes a peer's word that engines leave. It reads a current list; the one
     /// read here may lag, and its engines would get work after their time.
-    pub fn told_leaving(&mut self, starts: &[u32], now_ms: u64) {
+    ///
+    /// Returns the engines of which no peer had said so before.
+    pub fn told_leaving(&mut self, peer: &str, starts: &[u32], now_ms: u64) -> Vec<String> {
+        let mut first_told = Vec::new();
         if starts.is_empty() {
-            return;
+            return first_told;
         }
-        for belief in self.engines.values_mut() {
-            if starts.contains(&belief.entry.incarnation.short_hash()) {
-                belief.leaving_since_ms = Some(now_ms);
+        for (id, belief) in &mut self.engines {
+            if !starts.contains(&belief.entry.incarnation.short_hash()) {
+                continue;
+            }
+            belief.leaving_since_ms = Some(now_ms);
+            let told = ToldLeaving {
+                peer: peer.to_owned(),
+                at_ms: now_ms,
+            };
+            if belief.leaving_told.replace(told).is_none() {
+                first_told.push(id.clone());
             }
         }
+        first_told
     }
 
     /// Returns one engine.
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -19,6 +19,7 @@
             id: id.to_owned(),
             born_ms: 1,
         },
+        revision: 1,
         service: "llm".to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: domain.to_owned(),
@@ -291,7 +292,7 @@
         ..entry("draining", "a")
     });
     assert!(teller.unlist("removed", None, 1_000));
-    hearer.told_leaving(&teller.leaving(1_100), 1_100);
+    hearer.told_leaving("peer", &teller.leaving(1_100), 1_100);
     let takers = |table: &EngineTable, now_ms| -> Vec<String> {
         let takers = table.takers("llm", now_ms);
         takers
@@ -302,7 +303,7 @@
     let mut again = entry("removed", "a");
     again.incarnation.born_ms = 2;
     hearer.list(again.clone());
-    hearer.told_leaving(&teller.leaving(1_300), 1_300);
+    hearer.told_leaving("peer", &teller.leaving(1_300), 1_300);
     assert_eq!(takers(&hearer, 1_300), ["removed", "stays"]);
     teller.list(entry("removed", "a"));
     assert_eq!(teller.leaving(1_400).len(), 1, "it is back on the list");
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -9,6 +9,7 @@
             id: format!("e{number}"),
             born_ms: 1,
         },
+        revision: 1,
         service: "llm".to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
         domain: "a".to_owned(),
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -4,7 +4,8 @@
         request::CallerRequest,
     },
     mangowalk_core::pool::{
-        Belief, ChoiceSettings, EngineEntry, Holder, Load, Need, choose, holder, kept_key, refuse,
+        Belief, ChoiceSettings, EngineEntry, Holder, Load, Need, Standing, choose, holder,
+        kept_key, refuse,
     },
     mangowalk_platform::{Forward, forward_headers},
     std::net::SocketAddr,
@@ -105,12 +106,42 @@
         instance.turnover.set(turnover);
     }
     let entry = chosen.entry.clone();
+    let standing = engines.standing(&entry.incarnation.id, now_ms);
+    log_uncertain(request, &entry, standing);
     if let Some(belief) = engines.get_mut(&entry.incarnation.id) {
         belief.health.sent(&settings.health, now_ms);
     }
     Ok((entry, plan))
 }
 
+/// Logs why an engine was chosen that may have left.
+fn log_uncertain(request: &CallerRequest, entry: &EngineEntry, standing: Option<Standing>) {
+    let instance = &request.instance;
+    let Some(standing) = standing else {
+        return;
+    };
+    let Some(doubt) = standing.doubt(instance.settings.list_fresh_ms()) else {
+        return;
+    };
+    instance.counters.count("uncertain_engine", doubt.label());
+    log::info!(
+        "event=uncertain_engine request={} engine={} reason={doubt} entry_revision={} \
+         list_revision={} list_age_ms={} missing_ms={} told_by={} told_ago_ms={}",
+        request.id(),
+        entry.incarnation.id,
+        standing.entry_revision,
+        standing.list_revision,
+        standing.list_age_ms,
+        or_none(standing.missing_ms),
+        or_none(standing.told_by),
+        or_none(standing.told_ago_ms),
+    );
+}
+
+fn or_none(value: Option<impl ToString>) -> String {
+    value.map_or_else(|| "none".to_owned(), |value| value.to_string())
+}
+
 /// Returns the settings of the choice, with what was learned while serving.
 fn adapted(
     request: &CallerRequest,
--- a/crates/gateway/src/instance/peers_word.rs
+++ b/crates/gateway/src/instance/peers_word.rs
@@ -53,7 +53,12 @@
         let mut engines = self.engines.borrow_mut();
         engines.peer_load(&heartbeat.name, &heartbeat.loads);
         engines.placed(&heartbeat.placed, now_ms);
-        engines.told_leaving(&heartbeat.leaving, now_ms);
+        for engine in engines.told_leaving(&heartbeat.name, &heartbeat.leaving, now_ms) {
+            log::info!(
+                "event=engine_leaves engine={engine} peer={}",
+                heartbeat.name
+            );
+        }
         for engine in &heartbeat.silent {
             if let Some(belief) = engines.get_mut(engine) {
                 belief.told_silent(TOLD_SILENT_MS, now_ms);
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -35,6 +35,9 @@
     /// The same for an instance that reads currently for the others. Shorter:
     /// the others may rely on it, and it is one of few.
     pub current_watch_ms: u64,
+    /// Time that the answer to a watch may take beyond the wait that it was asked
+    /// for.
+    pub answer_ms: u64,
     /// Instances that read the store currently, the first by their names of
     /// those that reach it. The others' reading may lag by seconds, at a tenth
     /// of the price, and peers tell them what can't wait. One may be cut off
@@ -83,6 +86,7 @@
             unacknowledged_ms: 2_000,
             watch_ms: 5_000,
             current_watch_ms: 2_500,
+            answer_ms: 700,
             current_readers: 2,
             peer_lead_ms: 150,
             lapsed_ms: 2_000,
@@ -94,3 +98,11 @@
         }
     }
 }
+
+impl GatewaySettings {
+    /// Returns the age beyond which the list of engines is older than a watch
+    /// that is answered lets it grow.
+    pub fn list_fresh_ms(&self) -> u64 {
+        self.watch_ms + self.answer_ms
+    }
+}
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -8,9 +8,6 @@
     tokio::time::sleep,
 };
 
-/// Time that an answer may take beyond the wait that it was asked for.
-const ANSWER_MS: u64 = 700;
-
 /// Status of a watch whose history is gone; the kind has to be read again.
 const GONE: u16 = 410;
 
@@ -25,8 +22,8 @@
     fn replace(&self, objects: &[Stored]);
     /// Takes over one change.
     fn change(&self, name: &str, object: Option<&Stored>);
-    /// Notes that a watch was answered.
-    fn heard(&self) {}
+    /// Notes that the store answered, and up to which revision the kind is known.
+    fn heard(&self, _revision: u64) {}
     /// Ends when peers know more than this instance's watch has told.
     async fn behind(&self) {
         pending().await
@@ -86,7 +83,6 @@
         let Some(changes) = changes else {
             return;
         };
-        follower.heard();
         for (name, object) in &changes.changed {
             // A copy that lags may tell once more what was read before.
             let is_old = object
@@ -97,6 +93,7 @@
             }
         }
         revision = revision.max(changes.revision);
+        follower.heard(revision);
         if !changes.changed.is_empty() && follower.gather_ms() > 0 {
             sleep(Duration::from_millis(follower.gather_ms())).await;
         }
@@ -127,6 +124,7 @@
         objects.extend(page.objects);
         if !more {
             follower.replace(&objects);
+            follower.heard(revision.unwrap_or_default());
             return revision;
         }
     }
@@ -152,7 +150,10 @@
         Freshness::MayLag => instance.settings.watch_ms,
     };
     let call = Changes::call(F::KIND, revision, wait_ms, freshness);
-    match store.call(&call, wait_ms + ANSWER_MS).await {
+    match store
+        .call(&call, wait_ms + instance.settings.answer_ms)
+        .await
+    {
         Ok((200, body)) => decoded::<F, _>(decode_changes(&body)),
         Ok((GONE, _)) => {
             log::info!("event=store_history_gone kind={}", F::KIND);
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -71,7 +71,6 @@
     fn replace(&self, objects: &[Stored]) {
         let gap_ms = self.heard_ms.get().map(|heard_ms| now_ms() - heard_ms);
         let at = NamedAt::after_gap(gap_ms);
-        self.heard();
         for object in objects {
             self.name(&object.name, object, at);
         }
@@ -83,7 +82,7 @@
         }
     }
 
-    fn heard(&self) {
+    fn heard(&self, _revision: u64) {
         self.heard_ms.set(Some(now_ms()));
     }
 }
@@ -97,14 +96,13 @@
             .0
             .following
             .keep_missing_until_ms(self.0.settings.lapsed_ms, now_ms);
-        if self
-            .0
-            .engines
-            .borrow_mut()
-            .unlist(name, keep_until_ms, now_ms)
-        {
+        let mut engines = self.0.engines.borrow_mut();
+        if engines.unlist(name, keep_until_ms, now_ms) {
             log::info!("event=engine_gone engine={name}");
             self.0.notes.heartbeat.notify_one();
+        } else if engines.get(name).is_some() {
+            let grace_ms = keep_until_ms.unwrap_or(now_ms).saturating_sub(now_ms);
+            log::info!("event=engine_missing engine={name} grace_ms={grace_ms}");
         }
     }
 }
@@ -131,16 +129,24 @@
         self.0.notes.orders.notify_one();
     }
 
+    fn heard(&self, revision: u64) {
+        let mut engines = self.0.engines.borrow_mut();
+        engines.listed_up_to(revision, now_ms());
+    }
+
     fn change(&self, name: &str, object: Option<&Stored>) {
         let Some(object) = object else {
             return self.unlist(name);
         };
         let mut engines = self.0.engines.borrow_mut();
-        match decode_engine(name, &object.spec) {
+        match decode_engine(name, object.revision, &object.spec) {
             Ok(entry) => {
                 let draining = entry.draining;
                 if engines.list(entry) {
-                    log::info!("event=engine_listed engine={name} draining={draining}");
+                    log::info!(
+                        "event=engine_listed engine={name} draining={draining} revision={}",
+                        object.revision,
+                    );
                 }
                 if draining {
                     self.0.notes.heartbeat.notify_one();
--- a/crates/mangowalk/src/story/cause.rs
+++ b/crates/mangowalk/src/story/cause.rs
@@ -5,6 +5,10 @@
 /// `own` holds the lines of the request in order, `around` those on the
 /// engines that it met.
 pub(super) fn cause(own: &[&Line], around: &[&Line]) -> String {
+    format!("{}{}", end(own, around), uncertain(own))
+}
+
+fn end(own: &[&Line], around: &[&Line]) -> String {
     let Some(last) = own.iter().rev().find(|line| is_end(line)) else {
         return "No line tells how it ended: the instance ended, or the caller left first."
             .to_owned();
@@ -30,6 +34,41 @@
     }
 }
 
+/// Says why the engine was chosen, where it may have left by then.
+fn uncertain(own: &[&Line]) -> String {
+    let Some(line) = own
+        .iter()
+        .rev()
+        .find(|line| line.event == "uncertain_engine")
+    else {
+        return String::new();
+    };
+    let engine = line.field("engine");
+    let list = format!(
+        "the list here was {} ms old, read up to revision {}",
+        line.field("list_age_ms"),
+        line.field("list_revision"),
+    );
+    let told = match line.field("told_by") {
+        "none" => "no peer had said that it leaves".to_owned(),
+        peer => format!(
+            "{peer} had said {} ms before that it leaves",
+            line.field("told_ago_ms")
+        ),
+    };
+    let why = match line.field("reason") {
+        "missing" => format!(
+            "the list had lacked it for {} ms, and it was used in case its entry had lapsed",
+            line.field("missing_ms"),
+        ),
+        _ => format!(
+            "its entry of revision {} stood",
+            line.field("entry_revision")
+        ),
+    };
+    format!(" Engine {engine} may have left before: {why}; {list}; {told}.")
+}
+
 fn is_end(line: &Line) -> bool {
     ["answered", "refused", "stream_cut"].contains(&line.event.as_str())
 }
--- a/crates/mangowalk/tests/client/story.rs
+++ b/crates/mangowalk/tests/client/story.rs
@@ -40,6 +40,12 @@
   9.30 c-1 wall_ms=1009300 instance=c-1 level=INFO event=ordered engine=e4 model=m version=2 cut=true fence=3 accepted_before=1 answer=Accepted
   9.31 c-1 wall_ms=1009310 instance=c-1 level=WARN event=engine_failed request=cc engine=e4 reason=broken_off
   9.31 c-1 wall_ms=1009311 instance=c-1 level=WARN event=stream_cut request=cc reason=broken_off
+  8.01 a-2 wall_ms=1008010 instance=a-2 level=INFO event=engine_gone engine=e7
+  8.02 a-1 wall_ms=1008020 instance=a-1 level=INFO event=engine_leaves engine=e7 peer=a-2
+ 17.10 a-1 wall_ms=1017100 instance=a-1 level=INFO event=engine_missing engine=e7 grace_ms=2000
+ 18.10 a-1 wall_ms=1018100 instance=a-1 level=INFO event=uncertain_engine request=ee engine=e7 reason=missing entry_revision=4 list_revision=28 list_age_ms=1000 missing_ms=1000 told_by=a-2 told_ago_ms=4100
+ 18.10 a-1 wall_ms=1018100 instance=a-1 level=INFO event=sent request=ee engine=e7 left_ms=580 cached=false version=0 others=0 own=0
+ 18.13 a-1 wall_ms=1018130 instance=a-1 level=INFO event=answered request=ee engine=e7 status=200 took_ms=30
 "#;
 
 #[test]
@@ -57,6 +63,11 @@
     insta::assert_snapshot!(story(LOGS, "cc").1);
 }
 
+#[test]
+fn work_for_an_engine_that_may_have_left_is_explained() {
+    insta::assert_snapshot!(story(LOGS, "ee").1);
+}
+
 #[test]
 fn a_request_that_no_line_names_says_so() {
     let (code, text) = story(LOGS, "dd");
