--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -453,3 +453,15 @@
     nothing sent: 30000 ms
     ");
 }
+
+/// Guards against using an engine whose entry is gone until the next sweep.
+#[test]
+fn an_engine_that_the_list_lacks_is_not_used_beyond_its_grace() {
+    let mut engines = EngineTable::default();
+    for id in ["gone", "stays"] {
+        engines.list(entry(id, "a"));
+    }
+    assert!(!engines.unlist("gone", Some(3_000), 1_000));
+    let takers = |now_ms| engines.takers("llm", now_ms).count();
+    assert_eq!([takers(2_999), takers(3_000)], [2, 1]);
+}
--- /dev/null
+++ b/crates/mangowalkd/tests/machines/leaving.rs
@@ -0,0 +1,81 @@
+//! Engines that leave while an instance can't read the list of engines.
+
+use {
+    super::PROGRAM,
+    mangowalk_platform_standins::{Caller, Deployment, Engine, RouteKind, StoreGate},
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time in which all peers of an instance know of a change and have told it.
+const TOLD: Duration = Duration::from_millis(1_500);
+
+/// Longer than anything that peers tell is believed without being told anew.
+const LONG: Duration = Duration::from_secs(12);
+
+/// Time after which an instance that reaches the store again has to know the list.
+const KNOWN_AGAIN: Duration = Duration::from_secs(3);
+
+/// The instance nearest to the engine that leaves.
+const NEAREST: usize = 0;
+
+/// Starts a deployment whose nearest instance reaches the store through a gate.
+fn start_behind_gate(instances: usize) -> (Deployment, StoreGate) {
+    let mut deployment = Deployment::prepare(PROGRAM, instances, 1);
+    let gate = StoreGate::to(&deployment.store);
+    deployment.machines[NEAREST].use_gate(&gate);
+    for machine in &mut deployment.machines {
+        machine.start();
+    }
+    deployment.wait_until_ready();
+    (deployment, gate)
+}
+
+/// Sends orders to an instance for a time; each has to be served.
+fn order_for(deployment: &Deployment, machine: usize, time: Duration) {
+    let until = Instant::now() + time;
+    while Instant::now() < until {
+        let caller = deployment.caller(machine);
+        let reply = caller.plain("POST", RouteKind::Once.path(), &Caller::fresh_id());
+        assert_eq!(reply.status, 200, "{reply:?}");
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// Lets an engine leave the list without a word before. It serves on.
+fn leave(deployment: &Deployment, engine: &Engine) {
+    order_for(deployment, NEAREST, Duration::from_millis(300));
+    assert!(!engine.runs().is_empty(), "the engine is used");
+    deployment.store.remove("servers", engine.id());
+    thread::sleep(TOLD);
+}
+
+/// Guards against work for an engine that peers saw leave longer ago than their
+/// word is believed.
+#[test]
+fn an_engine_that_left_gets_no_work_from_an_instance_that_the_store_refuses() {
+    let (deployment, gate) = start_behind_gate(3);
+    let engine = &deployment.services[0];
+    gate.close();
+    leave(&deployment, engine);
+    let before = engine.runs().len();
+    order_for(&deployment, NEAREST, LONG);
+    assert_eq!(engine.runs().len(), before);
+}
+
+/// Guards against taking the entry of an engine that peers saw leave for one that
+/// lapsed with the store away.
+#[test]
+fn an_engine_that_left_gets_no_work_once_the_list_is_read_again() {
+    let (deployment, gate) = start_behind_gate(3);
+    let engine = &deployment.services[0];
+    gate.close();
+    leave(&deployment, engine);
+    thread::sleep(LONG);
+    let before = engine.runs().len();
+    gate.open();
+    order_for(&deployment, NEAREST, KNOWN_AGAIN);
+    assert_eq!(engine.runs().len(), before);
+}
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -5,6 +5,7 @@
 mod input;
 mod kept;
 mod lagging;
+mod leaving;
 mod logs;
 mod rates;
 mod settings;
