Hold what peers told of engines that leave until the own list is as new

What callers saw: an order reached an engine 12 s after it had said that it leaves. Where the engine had ended by then, a failed send and a second try, or a 502 for what may run only once.

Cause: a fact that never turns false was held with a time-out (told for 6 s after the entry was gone, believed for 4 s), beside a list that may be older than the time-out. An instance that the store refuses for nine seconds still has the engine in its list when the word of its peers runs out; and once it reads the list again, the missing entry counts as one that may have lapsed, and is used for 2 to 3 s.

Change: a departure is told with the revision of the store from which on it holds. It holds against every entry that was written before, for as long as the own list is older, or lacks the engine for an unknown reason. An entry that was written later ends it, and so does the own list once it is as new. Heartbeats carry the revision up to which the list is known, and departures are told while a peer's is older, so no time is involved on either side. A list that is read again while a peer was not heard asks for them by the revision of what is missing.

Why it works: revisions are one order for all, so whose knowledge is newer is decided, not guessed from ages.

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -1,5 +1,8 @@
 use {
-    crate::{poison::CrashSight, pool::Load},
+    crate::{
+        poison::CrashSight,
+        pool::{Departure, Load},
+    },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -81,8 +84,11 @@
     pub placed: Vec<(u64, u32)>,
     /// Engines that don't answer it.
     pub silent: Vec<String>,
-    /// Starts of engines that leave or have left, by a short hash.
-    pub leaving: Vec<u32>,
+    /// Revision of the store up to which it knows the list of engines; 0 before
+    /// it has read it.
+    pub engines_revision: u64,
+    /// Engines that leave or have left, as far as peers may not know it.
+    pub departures: Vec<Departure>,
     /// Crashes of engines, and the requests that answer for them.
     pub crashes: Vec<CrashSight>,
     /// Whether it knows what was spent of the teams' rates before its start.
--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -171,6 +171,15 @@
         tried
     }
 
+    /// Returns the revision up to which all peers know the list of engines; those
+    /// that have yet to read it aren't counted.
+    pub fn engines_revision(&self) -> u64 {
+        let members = self.members.values();
+        let revisions = members.map(|member| member.last.engines_revision);
+        let known = revisions.filter(|&revision| revision > 0);
+        known.min().unwrap_or(u64::MAX)
+    }
+
     /// Returns how many peers there may be, heard or not.
     pub fn expected(&self) -> usize {
         self.members.len().max(self.tried_since_ms.len())
--- a/crates/core/src/pool/belief.rs
+++ b/crates/core/src/pool/belief.rs
@@ -44,15 +44,6 @@
     pub until_ms: u64,
 }
 
-/// A peer's word that an engine leaves.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct ToldLeaving {
-    /// Name of the peer.
-    pub peer: String,
-    /// When its last word came.
-    pub at_ms: u64,
-}
-
 /// All that this instance believes of one engine.
 #[derive(Debug, Clone)]
 pub struct Belief {
@@ -74,8 +65,6 @@
     pub parts_ms: HashMap<u64, u64>,
     /// When it told that it is about to leave, in an answer.
     pub leaving_since_ms: Option<u64>,
-    /// The peer that said last that it leaves, and when.
-    pub leaving_told: Option<ToldLeaving>,
     /// Since when the list lacks it.
     pub missing_since_ms: Option<u64>,
     /// Until when it is used although the list lacks it.
@@ -110,7 +99,6 @@
             steering: None,
             parts_ms: HashMap::new(),
             leaving_since_ms: None,
-            leaving_told: None,
             missing_since_ms: None,
             missing_until_ms: None,
             doubted_ms: 0,
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -4,6 +4,7 @@
 mod admit;
 mod belief;
 mod choice;
+mod departures;
 mod entry;
 mod health;
 mod kept;
@@ -16,8 +17,9 @@
 
 pub use {
     admit::{AdmitSettings, ReadRate, refuse},
-    belief::{Belief, Load, Steering, ToldLeaving},
+    belief::{Belief, Load, Steering},
     choice::{ChoiceSettings, choose, rendezvous},
+    departures::Departure,
     entry::{EngineEntry, Incarnation, ModelVersion},
     health::{Health, HealthSettings},
     kept::{KeptParts, kept_key},
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -1,36 +1,22 @@
 use {
-    super::{Belief, EngineEntry, Load, Standing, ToldLeaving, rendezvous},
-    std::collections::{BTreeMap, HashMap, VecDeque},
+    super::{Belief, Departure, EngineEntry, Load, Standing, departures::Departures, rendezvous},
+    std::collections::{BTreeMap, HashMap},
 };
 
 /// Longest time for which an answer that told of leaving is believed without
 /// the list saying so. Engines also close connections at other times.
 const LEAVING_MS: u64 = 4_000;
 
-/// Time for which peers are told of an engine that has left the list. Beyond
-/// that their own reading of the list, which may lag by seconds, has it too.
-const TELL_GONE_MS: u64 = 6_000;
-
-/// Starts of engines told of as leaving, so that a heartbeat fits a datagram.
-const MOST_LEAVING: usize = 64;
-
 /// Returns a short hash of an engine's name, for peers.
 pub fn short_hash(id: &str) -> u32 {
     rendezvous(0, id) as u32
 }
 
-/// An engine that has left the list.
-#[derive(Debug)]
-struct Gone {
-    hash: u32,
-    since_ms: u64,
-}
-
 /// Engines that are listed, and what is believed of each.
 #[derive(Debug, Default)]
 pub struct EngineTable {
     engines: BTreeMap<String, Belief>,
-    gone: VecDeque<Gone>,
+    departures: Departures,
     peer_loads: HashMap<String, HashMap<String, Load>>,
     list_revision: u64,
     list_heard_ms: u64,
@@ -42,12 +28,34 @@
     pub fn listed_up_to(&mut self, revision: u64, now_ms: u64) {
         self.list_revision = self.list_revision.max(revision);
         self.list_heard_ms = now_ms;
+        // Of engines that the list lacks peers may know more: whether their
+        // entries lapsed or they left.
+        let beliefs = self.engines.values();
+        let missing = beliefs.filter(|belief| belief.missing_since_ms.is_some());
+        let missing: Vec<u32> = missing
+            .map(|belief| belief.entry.incarnation.short_hash())
+            .collect();
+        self.departures.forget_up_to(self.list_revision, &missing);
+    }
+
+    /// Returns the revision up to which the list is known; 0 before it was read.
+    pub fn list_revision(&self) -> u64 {
+        self.list_revision
+    }
+
+    /// Returns the revision beyond which peers know more: that of the list, or of
+    /// the entry of an engine that the list lacks for an unknown reason.
+    pub fn known_revision(&self) -> u64 {
+        let beliefs = self.engines.values();
+        let missing = beliefs.filter(|belief| belief.missing_since_ms.is_some());
+        let revisions = missing.map(|belief| belief.entry.revision);
+        revisions.fold(self.list_revision, u64::min)
     }
 
     /// Returns what list and peers say of whether an engine is there.
     pub fn standing(&self, id: &str, now_ms: u64) -> Option<Standing> {
         let belief = self.engines.get(id)?;
-        let told = belief.leaving_told.as_ref();
+        let told = self.departures.told_of(&belief.entry);
         Some(Standing {
             entry_revision: belief.entry.revision,
             list_revision: self.list_revision,
@@ -66,8 +74,7 @@
     /// Returns whether anything but the engine's models changed.
     pub fn list(&mut self, entry: EngineEntry) -> bool {
         let id = entry.incarnation.id.clone();
-        let hash = entry.incarnation.short_hash();
-        self.gone.retain(|gone| gone.hash != hash);
+        self.departures.list(&entry);
         let others = self.sent_by_peers(&id);
         let Some(belief) = self.engines.get_mut(&id) else {
             let mut belief = Belief::new(entry);
@@ -103,8 +110,15 @@
     /// Entries lapse while the store is away, as engines can't renew them, and
     /// come back within seconds of its return. Without a grace all engines were
     /// gone for that time and every request was refused; with `keep_until_ms`
-    /// an engine is used until then, and whether it answers shows itself.
-    pub fn unlist(&mut self, id: &str, keep_until_ms: Option<u64>, now_ms: u64) -> bool {
+    /// an engine is used until then, and whether it answers shows itself. Those
+    /// that peers saw leave are not used.
+    pub fn unlist(
+        &mut self,
+        id: &str,
+        revision: u64,
+        keep_until_ms: Option<u64>,
+        now_ms: u64,
+    ) -> bool {
         let Some(belief) = self.engines.get_mut(id) else {
             return false;
         };
@@ -113,15 +127,9 @@
             belief.missing_until_ms = Some(until_ms);
             return false;
         }
-        let hash = belief.entry.incarnation.short_hash();
+        let departure = Departure::of(&belief.entry, revision);
         self.engines.remove(id);
-        self.gone.push_back(Gone {
-            hash,
-            since_ms: now_ms,
-        });
-        if self.gone.len() > MOST_LEAVING {
-            self.gone.pop_front();
-        }
+        self.departures.see(departure);
         true
     }
 
@@ -144,41 +152,46 @@
         missing.map(|(id, _)| id.clone()).collect()
     }
 
-    /// Returns the starts of engines that leave or have left, for peers.
-    pub fn leaving(&self, now_ms: u64) -> Vec<u32> {
-        let listed = self.engines.values().filter(|belief| belief.entry.draining);
-        let draining = listed.map(|belief| belief.entry.incarnation.short_hash());
-        let gone = self.gone.iter().rev();
-        let gone = gone.take_while(|gone| now_ms < gone.since_ms + TELL_GONE_MS);
-        gone.map(|gone| gone.hash)
-            .chain(draining)
-            .take(MOST_LEAVING)
-            .collect()
+    /// Returns the engines that leave or have left, for peers of which one knows
+    /// the list only up to a revision.
+    pub fn departures(&self, known_revision: u64) -> Vec<Departure> {
+        let listed = self.engines.values().map(|belief| &belief.entry);
+        let draining = listed.filter(|entry| entry.draining);
+        let draining = draining.map(|entry| Departure::of(entry, entry.revision));
+        self.departures.since(known_revision, draining)
     }
 
-    /// Takes a peer's word that engines leave. It reads a current list; the one
-    /// read here may lag, and its engines would get work after their time.
+    /// Takes over which engines a peer saw leave. The list read here may be
+    /// older, and its engines would get work after their time.
     ///
-    /// Returns the engines of which no peer had said so before.
-    pub fn told_leaving(&mut self, peer: &str, starts: &[u32], now_ms: u64) -> Vec<String> {
-        let mut first_told = Vec::new();
-        if starts.is_empty() {
-            return first_told;
-        }
-        for (id, belief) in &mut self.engines {
-            if !starts.contains(&belief.entry.incarnation.short_hash()) {
+    /// Returns the engines of which that is news.
+    pub fn hear_departures(
+        &mut self,
+        peer: &str,
+        departures: &[Departure],
+        now_ms: u64,
+    ) -> Vec<String> {
+        let mut news = Vec::new();
+        for &departure in departures {
+            if departure.revision <= self.list_revision && !self.is_missing(departure.start) {
                 continue;
             }
-            belief.leaving_since_ms = Some(now_ms);
-            let told = ToldLeaving {
-                peer: peer.to_owned(),
-                at_ms: now_ms,
-            };
-            if belief.leaving_told.replace(told).is_none() {
-                first_told.push(id.clone());
+            if self.departures.hear(peer, departure, now_ms) {
+                let id = self.started(departure.start);
+                news.extend(id.map(|belief| belief.entry.incarnation.id.clone()));
             }
         }
-        first_told
+        news
+    }
+
+    fn started(&self, start: u32) -> Option<&Belief> {
+        let mut beliefs = self.engines.values();
+        beliefs.find(|belief| belief.entry.incarnation.short_hash() == start)
+    }
+
+    fn is_missing(&self, start: u32) -> bool {
+        self.started(start)
+            .is_some_and(|belief| belief.missing_since_ms.is_some())
     }
 
     /// Returns one engine.
@@ -205,6 +218,7 @@
         self.engines.values().filter(move |belief| {
             belief.entry.service == service
                 && !belief.entry.draining
+                && self.departures.told_of(&belief.entry).is_none()
                 && belief
                     .leaving_since_ms
                     .is_none_or(|since_ms| now_ms > since_ms + LEAVING_MS)
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -289,10 +289,12 @@
     }
     teller.list(EngineEntry {
         draining: true,
+        revision: 2,
         ..entry("draining", "a")
     });
-    assert!(teller.unlist("removed", None, 1_000));
-    hearer.told_leaving("peer", &teller.leaving(1_100), 1_100);
+    assert!(teller.unlist("removed", 3, None, 1_000));
+    let known = hearer.known_revision();
+    hearer.hear_departures("peer", &teller.departures(known), 1_100);
     let takers = |table: &EngineTable, now_ms| -> Vec<String> {
         let takers = table.takers("llm", now_ms);
         takers
@@ -303,10 +305,13 @@
     let mut again = entry("removed", "a");
     again.incarnation.born_ms = 2;
     hearer.list(again.clone());
-    hearer.told_leaving("peer", &teller.leaving(1_300), 1_300);
+    hearer.hear_departures("peer", &teller.departures(known), 1_300);
     assert_eq!(takers(&hearer, 1_300), ["removed", "stays"]);
-    teller.list(entry("removed", "a"));
-    assert_eq!(teller.leaving(1_400).len(), 1, "it is back on the list");
+    teller.list(EngineEntry {
+        revision: 4,
+        ..entry("removed", "a")
+    });
+    assert_eq!(teller.departures(known).len(), 1, "it is back on the list");
 }
 
 /// All entries lapsed while the store was away. The engines are used for the
@@ -316,17 +321,17 @@
     let mut engines = EngineTable::default();
     for id in ["back", "gone"] {
         engines.list(entry(id, "a"));
-        assert!(!engines.unlist(id, Some(3_000), 1_000));
+        assert!(!engines.unlist(id, 2, Some(3_000), 1_000));
     }
     assert_eq!(engines.takers("llm", 2_900).count(), 2);
-    assert!(engines.leaving(2_900).is_empty());
+    assert!(engines.departures(0).is_empty());
     engines.list(entry("back", "a"));
     assert_eq!(engines.missing(3_000), ["gone"]);
     assert!(
-        engines.unlist("gone", Some(3_000), 3_000),
+        engines.unlist("gone", 2, Some(3_000), 3_000),
         "the grace is over"
     );
-    assert_eq!(engines.leaving(3_000).len(), 1);
+    assert_eq!(engines.departures(0).len(), 1);
 }
 
 /// An engine has just loaded new weights and keeps nothing. The first parts of a
@@ -461,7 +466,7 @@
     for id in ["gone", "stays"] {
         engines.list(entry(id, "a"));
     }
-    assert!(!engines.unlist("gone", Some(3_000), 1_000));
+    assert!(!engines.unlist("gone", 2, Some(3_000), 1_000));
     let takers = |now_ms| engines.takers("llm", now_ms).count();
     assert_eq!([takers(2_999), takers(3_000)], [2, 1]);
 }
--- a/crates/gateway/src/instance/peers_word.rs
+++ b/crates/gateway/src/instance/peers_word.rs
@@ -53,11 +53,9 @@
         let mut engines = self.engines.borrow_mut();
         engines.peer_load(&heartbeat.name, &heartbeat.loads);
         engines.placed(&heartbeat.placed, now_ms);
-        for engine in engines.told_leaving(&heartbeat.name, &heartbeat.leaving, now_ms) {
-            log::info!(
-                "event=engine_leaves engine={engine} peer={}",
-                heartbeat.name
-            );
+        let (peer, departures) = (&heartbeat.name, &heartbeat.departures);
+        for engine in engines.hear_departures(peer, departures, now_ms) {
+            log::info!("event=engine_leaves engine={engine} peer={peer}");
         }
         for engine in &heartbeat.silent {
             if let Some(belief) = engines.get_mut(engine) {
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -151,7 +151,11 @@
         placed: instance.placed_lately(now_ms),
         crashes: instance.crashes.borrow().sights(now_ms),
         silent: instance.engines.borrow().silent(),
-        leaving: instance.engines.borrow().leaving(now_ms),
+        engines_revision: instance.engines.borrow().known_revision(),
+        departures: instance
+            .engines
+            .borrow()
+            .departures(members.engines_revision()),
         knows_rates: instance.shares.borrow().knows(now_ms),
         instances: instances as u32,
         counted_for_ms: counted_for_ms as u32,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -241,9 +241,10 @@
 fn unlist_missing(instance: &Instance) {
     let now_ms = now_ms();
     let mut engines = instance.engines.borrow_mut();
+    let revision = engines.list_revision();
     for engine in engines.missing(now_ms) {
-        engines.unlist(&engine, None, now_ms);
-        log::info!("event=engine_gone engine={engine}");
+        engines.unlist(&engine, revision, None, now_ms);
+        log::info!("event=engine_gone engine={engine} revision={revision}");
     }
 }
 
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -18,12 +18,11 @@
     fn gather_ms(&self) -> u64 {
         0
     }
-    /// Takes over the whole list.
-    fn replace(&self, objects: &[Stored]);
-    /// Takes over one change.
-    fn change(&self, name: &str, object: Option<&Stored>);
-    /// Notes that the store answered, and up to which revision the kind is known.
-    fn heard(&self, _revision: u64) {}
+    /// Takes over the whole kind as it is at a revision.
+    fn replace(&self, objects: &[Stored], revision: u64);
+    /// Takes over changes up to a revision, of which there may be none; an object
+    /// that is gone is `None`.
+    fn change(&self, changes: &[(String, Option<Stored>)], revision: u64);
     /// Ends when peers know more than this instance's watch has told.
     async fn behind(&self) {
         pending().await
@@ -83,18 +82,17 @@
         let Some(changes) = changes else {
             return;
         };
-        for (name, object) in &changes.changed {
-            // A copy that lags may tell once more what was read before.
-            let is_old = object
+        // A copy that lags may tell once more what was read before.
+        let is_new = |object: &Option<Stored>| {
+            object
                 .as_ref()
-                .is_some_and(|object| object.revision <= revision);
-            if !is_old {
-                follower.change(name, object.as_ref());
-            }
-        }
+                .is_none_or(|object| object.revision > revision)
+        };
+        let mut changed = changes.changed;
+        changed.retain(|(_, object)| is_new(object));
         revision = revision.max(changes.revision);
-        follower.heard(revision);
-        if !changes.changed.is_empty() && follower.gather_ms() > 0 {
+        follower.change(&changed, revision);
+        if !changed.is_empty() && follower.gather_ms() > 0 {
             sleep(Duration::from_millis(follower.gather_ms())).await;
         }
     }
@@ -123,8 +121,7 @@
         let more = page.more && !page.objects.is_empty();
         objects.extend(page.objects);
         if !more {
-            follower.replace(&objects);
-            follower.heard(revision.unwrap_or_default());
+            follower.replace(&objects, revision.unwrap_or_default());
             return revision;
         }
     }
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -4,7 +4,7 @@
         follow::{Follower, follow},
     },
     crate::{clock::now_ms, instance::Instance},
-    mangowalk_core::weights::NamedAt,
+    mangowalk_core::{pool::EngineTable, weights::NamedAt},
     mangowalk_platform::{
         Kind, Stored, decode_configuration, decode_engine, decode_newest_weights,
     },
@@ -14,22 +14,30 @@
 
 struct ConfigurationFollower(Rc<Instance>);
 
+impl ConfigurationFollower {
+    fn apply(&self, object: &Stored) {
+        match decode_configuration(&object.spec) {
+            Ok(configuration) => self.0.apply(configuration, "store", now_ms()),
+            Err(error) => log::warn!(
+                "event=configuration_refused name={} error=\"{error}\"",
+                object.name
+            ),
+        }
+    }
+}
+
 impl Follower for ConfigurationFollower {
     const KIND: Kind = Kind::Configuration;
 
-    fn replace(&self, objects: &[Stored]) {
+    fn replace(&self, objects: &[Stored], _revision: u64) {
         for object in objects {
-            self.change(&object.name, Some(object));
+            self.apply(object);
         }
     }
 
-    fn change(&self, name: &str, object: Option<&Stored>) {
-        let Some(object) = object else {
-            return;
-        };
-        match decode_configuration(&object.spec) {
-            Ok(configuration) => self.0.apply(configuration, "store", now_ms()),
-            Err(error) => log::warn!("event=configuration_refused name={name} error=\"{error}\""),
+    fn change(&self, changes: &[(String, Option<Stored>)], _revision: u64) {
+        for object in changes.iter().filter_map(|(_, object)| object.as_ref()) {
+            self.apply(object);
         }
     }
 
@@ -54,13 +62,13 @@
 }
 
 impl WeightsFollower {
-    fn name(&self, name: &str, object: &Stored, at: NamedAt) {
+    fn name(&self, object: &Stored, at: NamedAt) {
         match decode_newest_weights(&object.spec) {
             Some(newest) => {
                 self.instance
                     .name_weights(&newest.model, newest.version, at, "store");
             }
-            None => log::warn!("event=weights_refused name={name}"),
+            None => log::warn!("event=weights_refused name={}", object.name),
         }
     }
 }
@@ -68,41 +76,58 @@
 impl Follower for WeightsFollower {
     const KIND: Kind = Kind::Weights;
 
-    fn replace(&self, objects: &[Stored]) {
+    fn replace(&self, objects: &[Stored], _revision: u64) {
         let gap_ms = self.heard_ms.get().map(|heard_ms| now_ms() - heard_ms);
         let at = NamedAt::after_gap(gap_ms);
+        self.heard_ms.set(Some(now_ms()));
         for object in objects {
-            self.name(&object.name, object, at);
-        }
-    }
-
-    fn change(&self, name: &str, object: Option<&Stored>) {
-        if let Some(object) = object {
-            self.name(name, object, NamedAt::Ago(0));
+            self.name(object, at);
         }
     }
 
-    fn heard(&self, _revision: u64) {
+    fn change(&self, changes: &[(String, Option<Stored>)], _revision: u64) {
         self.heard_ms.set(Some(now_ms()));
+        for object in changes.iter().filter_map(|(_, object)| object.as_ref()) {
+            self.name(object, NamedAt::Ago(0));
+        }
     }
 }
 
 struct EnginesFollower(Rc<Instance>);
 
 impl EnginesFollower {
-    fn unlist(&self, name: &str) {
-        let now_ms = now_ms();
-        let keep_until_ms = self
-            .0
-            .following
-            .keep_missing_until_ms(self.0.settings.lapsed_ms, now_ms);
-        let mut engines = self.0.engines.borrow_mut();
-        if engines.unlist(name, keep_until_ms, now_ms) {
-            log::info!("event=engine_gone engine={name}");
+    fn list(&self, engines: &mut EngineTable, object: &Stored) {
+        let (name, revision) = (&object.name, object.revision);
+        match decode_engine(name, revision, &object.spec) {
+            Ok(entry) => {
+                let draining = entry.draining;
+                if engines.list(entry) {
+                    log::info!(
+                        "event=engine_listed engine={name} draining={draining} revision={revision}"
+                    );
+                }
+                if draining {
+                    self.0.notes.heartbeat.notify_one();
+                }
+            }
+            Err(error) => {
+                engines.refuse(name);
+                log::warn!("event=engine_refused engine={name} error=\"{error}\"");
+            }
+        }
+    }
+
+    fn unlist(&self, engines: &mut EngineTable, name: &str, revision: u64, now_ms: u64) {
+        let lapsed_ms = self.0.settings.lapsed_ms;
+        let keep_until_ms = self.0.following.keep_missing_until_ms(lapsed_ms, now_ms);
+        if engines.unlist(name, revision, keep_until_ms, now_ms) {
+            log::info!("event=engine_gone engine={name} revision={revision}");
             self.0.notes.heartbeat.notify_one();
         } else if engines.get(name).is_some() {
             let grace_ms = keep_until_ms.unwrap_or(now_ms).saturating_sub(now_ms);
-            log::info!("event=engine_missing engine={name} grace_ms={grace_ms}");
+            log::info!(
+                "event=engine_missing engine={name} revision={revision} grace_ms={grace_ms}"
+            );
         }
     }
 }
@@ -114,50 +139,36 @@
         self.0.settings.gather_ms
     }
 
-    fn replace(&self, objects: &[Stored]) {
+    fn replace(&self, objects: &[Stored], revision: u64) {
+        let now_ms = now_ms();
+        let mut engines = self.0.engines.borrow_mut();
         let is_listed = |id: &str| objects.iter().any(|object| object.name == id);
-        let unlisted = self.0.engines.borrow().unlisted(is_listed);
-        for name in unlisted {
-            self.unlist(&name);
+        for name in engines.unlisted(is_listed) {
+            self.unlist(&mut engines, &name, revision, now_ms);
         }
         for object in objects {
-            self.change(&object.name, Some(object));
+            self.list(&mut engines, object);
         }
+        engines.listed_up_to(revision, now_ms);
         if !self.0.engines_known.replace(true) {
             log::info!("event=engines_known count={}", objects.len());
         }
         self.0.notes.orders.notify_one();
     }
 
-    fn heard(&self, revision: u64) {
-        let mut engines = self.0.engines.borrow_mut();
-        engines.listed_up_to(revision, now_ms());
-    }
-
-    fn change(&self, name: &str, object: Option<&Stored>) {
-        let Some(object) = object else {
-            return self.unlist(name);
-        };
+    fn change(&self, changes: &[(String, Option<Stored>)], revision: u64) {
+        let now_ms = now_ms();
         let mut engines = self.0.engines.borrow_mut();
-        match decode_engine(name, object.revision, &object.spec) {
-            Ok(entry) => {
-                let draining = entry.draining;
-                if engines.list(entry) {
-                    log::info!(
-                        "event=engine_listed engine={name} draining={draining} revision={}",
-                        object.revision,
-                    );
-                }
-                if draining {
-                    self.0.notes.heartbeat.notify_one();
-                }
-                self.0.notes.orders.notify_one();
-            }
-            Err(error) => {
-                engines.refuse(name);
-                log::warn!("event=engine_refused engine={name} error=\"{error}\"");
+        for (name, object) in changes {
+            match object {
+                Some(object) => self.list(&mut engines, object),
+                None => self.unlist(&mut engines, name, revision, now_ms),
             }
         }
+        engines.listed_up_to(revision, now_ms);
+        if !changes.is_empty() {
+            self.0.notes.orders.notify_one();
+        }
     }
 }
 
