End the grace for lapsed entries in time

What callers saw: after the store was away for all instances, an engine that had left meanwhile without any instance seeing it could get work for up to 4.2 s after the store's return; it is to be taken as gone about two seconds after it, and by three seconds requests are judged by the newest list.

Cause: the grace counted from the reading that found the entry missing, after a pause of up to 1.2 s; each kind of objects that was read again later moved it; and its end was looked for once a second only.

Change: it counts from the first answer of the store to any reading, is over at the latest settled_ms after the last reading that failed had begun (the store was not back before that), and an engine beyond it gets no work, swept or not. settled_ms comes from the machine's settings.

The tests of lapsed entries pass unchanged.

--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -219,6 +219,9 @@
             belief.entry.service == service
                 && !belief.entry.draining
                 && self.departures.told_of(&belief.entry).is_none()
+                && belief
+                    .missing_until_ms
+                    .is_none_or(|until_ms| now_ms < until_ms)
                 && belief
                     .leaving_since_ms
                     .is_none_or(|since_ms| now_ms > since_ms + LEAVING_MS)
--- a/crates/gateway/src/instance/reload.rs
+++ b/crates/gateway/src/instance/reload.rs
@@ -20,6 +20,7 @@
         retries: fresh.retries,
         grace_ms: fresh.grace_ms,
         directory_keep_s: fresh.directory_keep_s,
+        settled_ms: fresh.settled_ms,
         seeds: fresh.seeds.clone(),
         ..old.clone()
     };
@@ -30,6 +31,7 @@
             "directory_keep_s",
             old.directory_keep_s != fresh.directory_keep_s,
         ),
+        ("settled_ms", old.settled_ms != fresh.settled_ms),
         ("seeds", old.seeds != fresh.seeds),
     ];
     let waiting = [
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -49,16 +49,17 @@
     let mut pauses = Pauses::default();
     let mut lost = false;
     loop {
+        let began_ms = now_ms();
         if let Some(revision) = read(instance, store, follower).await {
+            instance.following.answered(now_ms());
             if lost {
-                instance.following.regained(now_ms());
                 log::warn!("event=store_regained kind={} revision={revision}", F::KIND);
             }
             return revision;
         }
+        instance.following.failed(began_ms);
         if !lost {
             lost = true;
-            instance.following.lost();
             instance.counters.count("store_lost", "read");
             log::warn!("event=store_lost kind={}", F::KIND);
         }
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -118,8 +118,9 @@
     }
 
     fn unlist(&self, engines: &mut EngineTable, name: &str, revision: u64, now_ms: u64) {
-        let lapsed_ms = self.0.settings.lapsed_ms;
-        let keep_until_ms = self.0.following.keep_missing_until_ms(lapsed_ms, now_ms);
+        let (lapsed_ms, settled_ms) = (self.0.settings.lapsed_ms, self.0.machine().settled_ms);
+        let following = &self.0.following;
+        let keep_until_ms = following.keep_missing_until_ms(lapsed_ms, settled_ms, now_ms);
         if engines.unlist(name, revision, keep_until_ms, now_ms) {
             log::info!("event=engine_gone engine={name} revision={revision}");
             self.0.notes.heartbeat.notify_one();
