Tell peers also that an engine is back on the list

What callers would see: engines' entries lapse while the store is away for all; some instances read the list again first, take an engine that is slow to come back for gone and say so. It comes back a moment later, but an instance that the store goes on refusing does without it for as long as that lasts, since what it was told holds until its own list is as new. With all engines of a service slow to come back it would refuse every request of it.

Change: an entry that was written after a departure is told as its end, by the same rule: the newest revision counts. Departures and their ends are kept in one list, which the draining entries go through as well.

--- a/crates/core/src/pool/departures.rs
+++ b/crates/core/src/pool/departures.rs
@@ -7,7 +7,7 @@
 /// Departures told in one heartbeat, so that it fits a datagram.
 const MOST_TOLD: usize = 64;
 
-/// One start of an engine that drains or has left the list.
+/// One start of an engine that drains or has left the list, or is back there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Departure {
     /// Short hash of the start.
@@ -15,6 +15,9 @@
     /// Revision of the store from which on it holds. An entry that was written
     /// later says otherwise.
     pub revision: u64,
+    /// Whether the engine was listed again at that revision: entries lapse while
+    /// the store is away.
+    pub is_over: bool,
 }
 
 impl Departure {
@@ -23,6 +26,7 @@
         Departure {
             start: entry.incarnation.short_hash(),
             revision,
+            is_over: false,
         }
     }
 }
@@ -34,15 +38,16 @@
     pub(super) peer: String,
     /// When that was.
     pub(super) at_ms: u64,
-    /// Revision from which on it holds.
-    pub(super) revision: u64,
+    /// Which one.
+    pub(super) departure: Departure,
 }
 
 /// Engines that have left, as the own list and peers told.
 ///
 /// What peers told holds for as long as the own list is older: an instance that
 /// can't read the store has no end of that in sight, and its list has the engine
-/// all the while. A time-out would send it work again.
+/// all the while. A time-out would send it work again. Only an entry that was
+/// written later ends it, read here or told.
 #[derive(Debug, Default)]
 pub(super) struct Departures {
     seen: VecDeque<Departure>,
@@ -50,65 +55,73 @@
 }
 
 impl Departures {
-    /// Notes that the own list lacks an engine.
-    pub(super) fn see(&mut self, departure: Departure) {
+    /// Notes that the own list lacks an engine from a revision on.
+    pub(super) fn unlist(&mut self, entry: &EngineEntry, revision: u64) {
+        self.see(Departure::of(entry, revision));
+    }
+
+    /// Notes an entry of the own list. One that drains is a departure, any other
+    /// ends those before it.
+    pub(super) fn list(&mut self, entry: &EngineEntry) {
+        let listed = Departure {
+            is_over: !entry.draining,
+            ..Departure::of(entry, entry.revision)
+        };
+        let mut seen = self.seen.iter();
+        let before = seen.find(|seen| seen.start == listed.start);
+        let is_news = before.map_or(entry.draining, |before| before.revision < listed.revision);
+        if is_news {
+            self.see(listed);
+        }
+    }
+
+    fn see(&mut self, departure: Departure) {
+        self.seen.retain(|seen| seen.start != departure.start);
         self.seen.push_back(departure);
         if self.seen.len() > MOST_TOLD {
             self.seen.pop_front();
         }
     }
 
-    /// Notes that an engine is listed, which ends departures before its entry.
-    pub(super) fn list(&mut self, entry: &EngineEntry) {
-        let start = entry.incarnation.short_hash();
-        self.seen
-            .retain(|seen| seen.start != start || seen.revision >= entry.revision);
-    }
-
-    /// Takes over what a peer told. Returns whether it is news.
+    /// Takes over what a peer told. Returns whether it is news that the engine
+    /// leaves.
     pub(super) fn hear(&mut self, peer: &str, departure: Departure, now_ms: u64) -> bool {
-        let known = self.told.get(&departure.start).map(|told| told.revision);
-        if known.is_some_and(|revision| revision > departure.revision) {
+        let known = self.told.get(&departure.start).map(|told| told.departure);
+        if known.is_some_and(|known| known.revision > departure.revision) {
             return false;
         }
         let told = Told {
             peer: peer.to_owned(),
             at_ms: now_ms,
-            revision: departure.revision,
+            departure,
         };
         self.told.insert(departure.start, told);
-        known.is_none()
+        known.is_none_or(|known| known.is_over) && !departure.is_over
     }
 
-    /// Returns what peers told of an engine, if that is as new as its entry.
+    /// Returns what peers told of an engine, if that is as new as its entry and
+    /// says that it leaves.
     pub(super) fn told_of(&self, entry: &EngineEntry) -> Option<&Told> {
         if self.told.is_empty() {
             return None;
         }
         let told = self.told.get(&entry.incarnation.short_hash())?;
-        (told.revision >= entry.revision).then_some(told)
+        let departure = told.departure;
+        (departure.revision >= entry.revision && !departure.is_over).then_some(told)
     }
 
     /// Forgets what the own list tells by itself, but for some starts.
     pub(super) fn forget_up_to(&mut self, revision: u64, but_for: &[u32]) {
         self.told
-            .retain(|start, told| told.revision > revision || but_for.contains(start));
+            .retain(|start, told| told.departure.revision > revision || but_for.contains(start));
     }
 
     /// Returns what those need to hear who know the list up to a revision, the
-    /// newest of what left first, beside the engines that drain.
-    pub(super) fn since(
-        &self,
-        revision: u64,
-        draining: impl Iterator<Item = Departure>,
-    ) -> Vec<Departure> {
-        let told = self.told.iter().map(|(&start, told)| Departure {
-            start,
-            revision: told.revision,
-        });
+    /// newest that was seen first.
+    pub(super) fn since(&self, revision: u64) -> Vec<Departure> {
+        let told = self.told.values().map(|told| told.departure);
         let seen = self.seen.iter().rev().copied();
-        seen.chain(draining)
-            .chain(told)
+        seen.chain(told)
             .filter(|departure| departure.revision > revision)
             .take(MOST_TOLD)
             .collect()
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -127,9 +127,8 @@
             belief.missing_until_ms = Some(until_ms);
             return false;
         }
-        let departure = Departure::of(&belief.entry, revision);
+        self.departures.unlist(&belief.entry, revision);
         self.engines.remove(id);
-        self.departures.see(departure);
         true
     }
 
@@ -155,10 +154,7 @@
     /// Returns the engines that leave or have left, for peers of which one knows
     /// the list only up to a revision.
     pub fn departures(&self, known_revision: u64) -> Vec<Departure> {
-        let listed = self.engines.values().map(|belief| &belief.entry);
-        let draining = listed.filter(|entry| entry.draining);
-        let draining = draining.map(|entry| Departure::of(entry, entry.revision));
-        self.departures.since(known_revision, draining)
+        self.departures.since(known_revision)
     }
 
     /// Takes over which engines a peer saw leave. The list read here may be
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -111,6 +111,22 @@
     }
 }
 
+/// Guards against doing without an engine whose entry lapsed and is back, for as
+/// long as the own list is old.
+#[test]
+fn an_engine_that_is_back_is_used_by_those_who_heard_that_it_left() {
+    let (mut teller, mut hearer) = two_tables();
+    read(&mut teller, "e1", State::Gone, 4);
+    tell(&teller, &mut hearer, 0);
+    assert!(!is_used(&hearer, "e1", 0));
+    read(&mut teller, "e1", State::Ready, 5);
+    tell(&teller, &mut hearer, 0);
+    assert!(is_used(&hearer, "e1", 0));
+    read(&mut teller, "e1", State::Draining, 6);
+    tell(&teller, &mut hearer, 0);
+    assert!(!is_used(&hearer, "e1", LATER_MS));
+}
+
 /// Guards against telling for ever what all have read.
 #[test]
 fn a_departure_is_told_until_it_was_read() {
@@ -196,6 +212,9 @@
                 if told_at > hearer_at {
                     let told = history.state(engine, told_at);
                     prop_assert!(!used || told == State::Ready, "{id} was {told:?}");
+                    let known = history.state(engine, hearer_at);
+                    let is_there = known == State::Ready && told == State::Ready;
+                    prop_assert!(used || !is_there, "{id} is there and not used");
                 } else {
                     prop_assert_eq!(used, history.state(engine, hearer_at) == State::Ready);
                 }
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -311,7 +311,9 @@
         revision: 4,
         ..entry("removed", "a")
     });
-    assert_eq!(teller.departures(known).len(), 1, "it is back on the list");
+    let told = teller.departures(known);
+    let leave = told.iter().filter(|departure| !departure.is_over).count();
+    assert_eq!((leave, told.len()), (1, 2), "one is back on the list");
 }
 
 /// All entries lapsed while the store was away. The engines are used for the
