Don't take a stopped peer for alive by an older heartbeat

An instance that stops says so in its last heartbeat and is forgotten at once, with the number of that heartbeat. One from before it that a relay held up, or other peers that still name its address, then brought it back: callers are told its address for up to 0.9 s, and for 30 s a part of each team's rate is set aside for it, which refuses teams within their rate.

Cause: the fact that a start has stopped was dropped with the state that it ended.

Change: it is kept for as long as a silent peer would be, and what is not newer than the start that stopped is out of date; its address isn't tried by hearsay. A new start under the name, or another instance at the address, ends it.

Evidence: a_peer_that_has_stopped_does_not_come_back_by_older_word failed before (the older heartbeat was taken, and the address was tried).

--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -58,11 +58,23 @@
     pub relays: Vec<SocketAddr>,
 }
 
+/// The last start of a peer that said that it stops.
+#[derive(Debug, Clone, Copy)]
+struct Stopped {
+    incarnation: u64,
+    peer_address: SocketAddr,
+    heard_ms: u64,
+}
+
 /// Peers of this instance.
 #[derive(Debug, Default)]
 pub struct MemberTable {
     members: BTreeMap<String, Member>,
     tried_since_ms: HashMap<SocketAddr, u64>,
+    /// Older heartbeats of theirs may still be under way, and other peers name
+    /// them until they have heard it too. Taken for alive again, such a peer has a
+    /// part of the rates set aside until it counts as gone.
+    stopped: HashMap<String, Stopped>,
 }
 
 impl MemberTable {
@@ -73,8 +85,19 @@
 
     /// Takes over a heartbeat. Returns false for one that is out of date.
     pub fn hear(&mut self, heartbeat: Heartbeat, now_ms: u64) -> bool {
+        let is_out_of_date = |stopped: &Stopped| heartbeat.incarnation <= stopped.incarnation;
+        if self
+            .stopped
+            .get(&heartbeat.name)
+            .is_some_and(is_out_of_date)
+        {
+            return false;
+        }
         for &address in &heartbeat.peers {
-            self.try_address(address, now_ms);
+            let mut stopped = self.stopped.values();
+            if !stopped.any(|stopped| stopped.peer_address == address) {
+                self.try_address(address, now_ms);
+            }
         }
         if let Some(member) = self.members.get(&heartbeat.name) {
             let old = (member.last.incarnation, member.last.sequence);
@@ -87,8 +110,16 @@
             // What it might still spend or run need not be set aside.
             self.members.remove(&name);
             self.tried_since_ms.remove(&heartbeat.peer_address);
+            let stopped = Stopped {
+                incarnation: heartbeat.incarnation,
+                peer_address: heartbeat.peer_address,
+                heard_ms: now_ms,
+            };
+            self.stopped.insert(name, stopped);
             return true;
         }
+        self.stopped
+            .retain(|_, stopped| stopped.peer_address != heartbeat.peer_address);
         let member = Member {
             last: heartbeat,
             heard_ms: now_ms,
@@ -111,6 +142,8 @@
         }
         self.tried_since_ms
             .retain(|_, since_ms| now_ms < *since_ms + 4 * settings.gone_ms);
+        self.stopped
+            .retain(|_, stopped| now_ms <= stopped.heard_ms + settings.gone_ms);
         names
     }
 
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -214,6 +214,35 @@
     assert_eq!(members.iter().count(), 0);
 }
 
+/// Guards against a heartbeat that a relay held up, or a peer's hearsay, that
+/// brings an instance back which has stopped.
+#[test]
+fn a_peer_that_has_stopped_does_not_come_back_by_older_word() {
+    let mut members = MemberTable::default();
+    let settings = MeshSettings::default();
+    let beat = |incarnation, sequence| Heartbeat {
+        peers: Vec::new(),
+        ..heartbeat("p", incarnation, sequence)
+    };
+    members.hear(beat(1, 1), 0);
+    let stopped = Heartbeat {
+        stopped: true,
+        ..beat(1, 3)
+    };
+    assert!(members.hear(stopped, 10));
+    assert!(!members.hear(beat(1, 2), 200));
+    let hearsay = Heartbeat {
+        peer_address: "127.0.0.3:7600".parse().expect("an address"),
+        peers: vec![beat(1, 2).peer_address],
+        ..heartbeat("other", 1, 1)
+    };
+    assert!(members.hear(hearsay, 210));
+    let targets = members.targets("a", 1, &settings, 220);
+    assert_eq!((members.expected(), targets.direct.len()), (1, 1));
+    assert!(members.hear(beat(2, 1), 300), "it started again");
+    assert_eq!(members.iter().count(), 2);
+}
+
 #[test]
 fn addresses_that_never_answer_are_tried_for_a_while() {
     let settings = MeshSettings::default();
