Order weights on the engines that stay, as requests are sent to them

The instance that orders weights went by the list's state alone: it would order an engine that peers had seen leave, or that the list lacks beyond its grace, keep a place for it, and count it among those that answer.

Change: one reading of which engines stay, for requests and orders.

--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -205,19 +205,26 @@
         self.engines.values()
     }
 
+    /// Returns the engines that stay, as far as the list and peers tell.
+    pub fn staying(&self, now_ms: u64) -> impl Iterator<Item = &Belief> + Clone {
+        self.engines.values().filter(move |belief| {
+            let is_gone = belief
+                .missing_until_ms
+                .is_some_and(|until_ms| now_ms >= until_ms);
+            let is_leaving = belief.entry.draining || is_gone;
+            !is_leaving && self.departures.told_of(&belief.entry).is_none()
+        })
+    }
+
     /// Returns the engines of a service that take new work.
     pub fn takers<'a>(
         &'a self,
         service: &'a str,
         now_ms: u64,
     ) -> impl Iterator<Item = &'a Belief> + Clone {
-        self.engines.values().filter(move |belief| {
+        let staying = self.staying(now_ms);
+        staying.filter(move |belief| {
             belief.entry.service == service
-                && !belief.entry.draining
-                && self.departures.told_of(&belief.entry).is_none()
-                && belief
-                    .missing_until_ms
-                    .is_none_or(|until_ms| now_ms < until_ms)
                 && belief
                     .leaving_since_ms
                     .is_none_or(|since_ms| now_ms > since_ms + LEAVING_MS)
