Don't take an instance for alive by news from before it left

What callers would see: the product's own interface names an instance that has ended, until it was asked twice in vain.

An instance that left was forgotten once thirty messages had told of it; one that had been cut off or frozen meanwhile still tells that it is there, and whoever had forgotten takes it for a new one.

Change: those that left are remembered beside the members, for as long as suspected ones are; they are neither told on, asked nor counted. A new start ends it.

Evidence: an_instance_that_left_does_not_come_back_by_older_news failed before. Not seen in a process test.

--- a/crates/core/src/membership/members.rs
+++ b/crates/core/src/membership/members.rs
@@ -40,6 +40,9 @@
 pub struct Members {
     settings: MemberSettings,
     members: BTreeMap<SocketAddr, Member>,
+    /// Those that left and all were told of. One that has not heard it still
+    /// tells that they are there.
+    left: BTreeMap<SocketAddr, Member>,
     next: usize,
 }
 
@@ -47,7 +50,8 @@
     /// Takes what a third instance says of one. What ranks lower than what is
     /// known is older news and dropped. Returns whether it was news.
     pub fn hear(&mut self, view: &InstanceView, now_ms: u64) -> bool {
-        match self.members.get(&view.caller_address) {
+        let known = self.members.get(&view.caller_address);
+        match known.or_else(|| self.left.get(&view.caller_address)) {
             // Told on by those who still remember it, an instance that died
             // would never be forgotten.
             None if view.suspected => return false,
@@ -90,6 +94,7 @@
                 self.settings.first_tells
             },
         };
+        self.left.remove(&view.caller_address);
         self.members.insert(view.caller_address, member);
     }
 
@@ -151,14 +156,24 @@
         (heard.count(), known.count())
     }
 
-    /// Forgets instances that left, and those suspected for long.
+    /// Forgets instances that left, once all were told, and those suspected for
+    /// long.
     pub fn forget(&mut self, now_ms: u64) {
         let forget_ms = self.settings.forget_ms;
-        self.members.retain(|_, m| {
-            let quiet_ms = now_ms.saturating_sub(m.suspected_ms.unwrap_or(now_ms));
-            let left = m.view.departing && m.view.suspected;
-            !(left && m.tells == 0) && quiet_ms < forget_ms
-        });
+        let is_recent = |member: &Member| {
+            let quiet_ms = now_ms.saturating_sub(member.suspected_ms.unwrap_or(now_ms));
+            quiet_ms < forget_ms
+        };
+        self.members.retain(|_, member| is_recent(member));
+        self.left.retain(|_, member| is_recent(member));
+        let has_left =
+            |member: &Member| member.view.departing && member.view.suspected && member.tells == 0;
+        let members = std::mem::take(&mut self.members);
+        let (left, members) = members
+            .into_iter()
+            .partition(|(_, member)| has_left(member));
+        self.members = members;
+        self.left.extend::<BTreeMap<SocketAddr, Member>>(left);
     }
 
     /// Keeps only the members that the filter accepts.
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -247,3 +247,27 @@
     let order: Vec<bool> = named.iter().map(near).collect();
     assert_eq!(order, [true, true, true, true, true, true, true, false]);
 }
+
+/// Guards against an instance that left and is told of as well by one that has not
+/// heard of it for long.
+#[test]
+fn an_instance_that_left_does_not_come_back_by_older_news() {
+    let mut members = Members::default();
+    assert!(members.hear(&view(1), 0));
+    let left = InstanceView {
+        departing: true,
+        suspected: true,
+        ..view(1)
+    };
+    assert!(members.hear(&left, 2_000));
+    while members.all().next().is_some() {
+        members.news();
+        members.forget(60_000);
+    }
+    assert!(!members.hear(&view(1), 61_000));
+    let again = InstanceView {
+        incarnation: view(1).incarnation + 1,
+        ..view(1)
+    };
+    assert!(members.hear(&again, 62_000), "it started again");
+}
