Name reports of departures and silence by the usual words

peers_word, hear_of_engines, told_silent, note_part and their like become heartbeats, apply_engine_reports, report_silent, record_part. A line uncertain_engine gives the revision of the last departure that a peer reported also where the entry is newer, as reports that hold keep the engine from being chosen.

--- a/crates/core/src/pool/belief.rs
+++ b/crates/core/src/pool/belief.rs
@@ -72,7 +72,7 @@
     /// When it was last tried whether it takes connections.
     pub doubted_ms: u64,
     /// Until when a peer's word that it is silent is believed.
-    pub told_silent_until_ms: u64,
+    pub reported_silent_until_ms: u64,
     /// When its last byte came.
     pub heard_ms: u64,
 }
@@ -102,7 +102,7 @@
             missing_since_ms: None,
             missing_until_ms: None,
             doubted_ms: 0,
-            told_silent_until_ms: 0,
+            reported_silent_until_ms: 0,
             heard_ms: 0,
         }
     }
@@ -136,7 +136,7 @@
     /// Returns whether the engine takes no connections, as seen here or told
     /// by a peer.
     pub fn is_silent(&self, now_ms: u64) -> bool {
-        now_ms < self.told_silent_until_ms || self.health.is_silent()
+        now_ms < self.reported_silent_until_ms || self.health.is_silent()
     }
 
     /// Returns whether the engine is taken to answer, by what was seen here and
@@ -152,21 +152,21 @@
     /// Returns whether no request should go there: it is silent here, or a
     /// peer says so and nothing came from it since.
     pub fn is_barred(&self, settings: &HealthSettings, now_ms: u64) -> bool {
-        now_ms < self.told_silent_until_ms || self.health.is_barred(settings, now_ms)
+        now_ms < self.reported_silent_until_ms || self.health.is_barred(settings, now_ms)
     }
 
     /// Takes a peer's word that the engine is silent, unless it spoke here
     /// just now.
-    pub fn told_silent(&mut self, believe_ms: u64, now_ms: u64) {
+    pub fn report_silent(&mut self, believe_ms: u64, now_ms: u64) {
         if now_ms >= self.heard_ms + believe_ms {
-            self.told_silent_until_ms = now_ms + believe_ms;
+            self.reported_silent_until_ms = now_ms + believe_ms;
         }
     }
 
     /// Notes that something came from the engine.
     pub fn heard(&mut self, now_ms: u64) {
         self.heard_ms = now_ms;
-        self.told_silent_until_ms = 0;
+        self.reported_silent_until_ms = 0;
         self.health.connected();
     }
 
@@ -187,7 +187,7 @@
     }
 
     /// Notes that the engine has read a shared part.
-    pub fn note_part(&mut self, part: u64, now_ms: u64) {
+    pub fn record_part(&mut self, part: u64, now_ms: u64) {
         if self.parts_ms.len() >= MOST_PARTS && !self.parts_ms.contains_key(&part) {
             let oldest = self.parts_ms.iter().min_by_key(|(_, ms)| **ms);
             if let Some((&oldest, _)) = oldest {
--- a/crates/core/src/pool/departures.rs
+++ b/crates/core/src/pool/departures.rs
@@ -31,14 +31,11 @@
     }
 }
 
-/// A departure that a peer told.
+/// The last report of a departure or its end by a peer.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) struct Told {
-    /// Name of the peer that told it last.
+pub(super) struct Report {
     pub(super) peer: String,
-    /// When that was.
     pub(super) at_ms: u64,
-    /// Which one.
     pub(super) departure: Departure,
 }
 
@@ -51,7 +48,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Departures {
     seen: VecDeque<Departure>,
-    told: HashMap<u32, Told>,
+    reported: HashMap<u32, Report>,
 }
 
 impl Departures {
@@ -85,43 +82,51 @@
 
     /// Takes over what a peer told. Returns whether it is news that the engine
     /// leaves.
-    pub(super) fn hear(&mut self, peer: &str, departure: Departure, now_ms: u64) -> bool {
-        let known = self.told.get(&departure.start).map(|told| told.departure);
+    pub(super) fn merge(&mut self, peer: &str, departure: Departure, now_ms: u64) -> bool {
+        let known = self.reported.get(&departure.start);
+        let known = known.map(|report| report.departure);
         if known.is_some_and(|known| known.revision > departure.revision) {
             return false;
         }
-        let told = Told {
+        let report = Report {
             peer: peer.to_owned(),
             at_ms: now_ms,
             departure,
         };
-        self.told.insert(departure.start, told);
+        self.reported.insert(departure.start, report);
         known.is_none_or(|known| known.is_over) && !departure.is_over
     }
 
-    /// Returns what peers told of an engine, if that is as new as its entry and
-    /// says that it leaves.
-    pub(super) fn told_of(&self, entry: &EngineEntry) -> Option<&Told> {
-        if self.told.is_empty() {
+    /// Returns whether a peer reported that an engine leaves, later than its entry
+    /// was written.
+    pub(super) fn is_reported(&self, entry: &EngineEntry) -> bool {
+        self.report_of(entry).is_some_and(|report| {
+            let departure = report.departure;
+            departure.revision >= entry.revision && !departure.is_over
+        })
+    }
+
+    /// Returns the last report of an engine's departure or its end.
+    pub(super) fn report_of(&self, entry: &EngineEntry) -> Option<&Report> {
+        if self.reported.is_empty() {
             return None;
         }
-        let told = self.told.get(&entry.incarnation.short_hash())?;
-        let departure = told.departure;
-        (departure.revision >= entry.revision && !departure.is_over).then_some(told)
+        self.reported.get(&entry.incarnation.short_hash())
     }
 
     /// Forgets what the own list tells by itself, but for some starts.
     pub(super) fn forget_up_to(&mut self, revision: u64, but_for: &[u32]) {
-        self.told
-            .retain(|start, told| told.departure.revision > revision || but_for.contains(start));
+        self.reported.retain(|start, report| {
+            report.departure.revision > revision || but_for.contains(start)
+        });
     }
 
     /// Returns what those need to hear who know the list up to a revision, the
     /// newest that was seen first.
     pub(super) fn since(&self, revision: u64) -> Vec<Departure> {
-        let told = self.told.values().map(|told| told.departure);
+        let reported = self.reported.values().map(|report| report.departure);
         let seen = self.seen.iter().rev().copied();
-        seen.chain(told)
+        seen.chain(reported)
             .filter(|departure| departure.revision > revision)
             .take(MOST_TOLD)
             .collect()
--- a/crates/core/src/pool/standing.rs
+++ b/crates/core/src/pool/standing.rs
@@ -1,4 +1,4 @@
-use derive_more::Display;
+use {super::Departure, derive_more::Display};
 
 /// What the list of engines and the peers say of whether an engine is there.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -11,10 +11,12 @@
     pub list_age_ms: u64,
     /// Time since a reading of the list lacked the engine.
     pub missing_ms: Option<u64>,
-    /// The last peer that said that the engine leaves.
-    pub told_by: Option<String>,
-    /// Time since its word.
-    pub told_ago_ms: Option<u64>,
+    /// The departure that a peer reported last, or its end.
+    pub departure: Option<Departure>,
+    /// That peer.
+    pub reported_by: Option<String>,
+    /// Time since its report.
+    pub reported_ago_ms: Option<u64>,
 }
 
 /// Why an engine that gets work may have left.
@@ -23,8 +25,8 @@
 pub enum Doubt {
     /// The list lacks it; its entry may have lapsed.
     Missing,
-    /// A peer said that it leaves.
-    ToldLeaving,
+    /// A peer reported that it leaves, but its entry is newer.
+    ReportedLeaving,
     /// The list was not heard of for longer than a watch takes.
     OldList,
 }
@@ -34,7 +36,7 @@
     pub fn label(self) -> &'static str {
         match self {
             Doubt::Missing => "missing",
-            Doubt::ToldLeaving => "told_leaving",
+            Doubt::ReportedLeaving => "reported_leaving",
             Doubt::OldList => "old_list",
         }
     }
@@ -47,8 +49,8 @@
         if self.missing_ms.is_some() {
             return Some(Doubt::Missing);
         }
-        if self.told_by.is_some() {
-            return Some(Doubt::ToldLeaving);
+        if self.departure.is_some_and(|departure| !departure.is_over) {
+            return Some(Doubt::ReportedLeaving);
         }
         (self.list_age_ms > fresh_ms).then_some(Doubt::OldList)
     }
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -55,7 +55,7 @@
     /// Returns what list and peers say of whether an engine is there.
     pub fn standing(&self, id: &str, now_ms: u64) -> Option<Standing> {
         let belief = self.engines.get(id)?;
-        let told = self.departures.told_of(&belief.entry);
+        let report = self.departures.report_of(&belief.entry);
         Some(Standing {
             entry_revision: belief.entry.revision,
             list_revision: self.list_revision,
@@ -63,8 +63,9 @@
             missing_ms: belief
                 .missing_since_ms
                 .map(|since_ms| now_ms.saturating_sub(since_ms)),
-            told_by: told.map(|told| told.peer.clone()),
-            told_ago_ms: told.map(|told| now_ms.saturating_sub(told.at_ms)),
+            departure: report.map(|report| report.departure),
+            reported_by: report.map(|report| report.peer.clone()),
+            reported_ago_ms: report.map(|report| now_ms.saturating_sub(report.at_ms)),
         })
     }
 
@@ -161,7 +162,7 @@
     /// older, and its engines would get work after their time.
     ///
     /// Returns the engines of which that is news.
-    pub fn hear_departures(
+    pub fn merge_departures(
         &mut self,
         peer: &str,
         departures: &[Departure],
@@ -172,7 +173,7 @@
             if departure.revision <= self.list_revision && !self.is_missing(departure.start) {
                 continue;
             }
-            if self.departures.hear(peer, departure, now_ms) {
+            if self.departures.merge(peer, departure, now_ms) {
                 let id = self.started(departure.start);
                 news.extend(id.map(|belief| belief.entry.incarnation.id.clone()));
             }
@@ -212,7 +213,7 @@
                 .missing_until_ms
                 .is_some_and(|until_ms| now_ms >= until_ms);
             let is_leaving = belief.entry.draining || is_gone;
-            !is_leaving && self.departures.told_of(&belief.entry).is_none()
+            !is_leaving && !self.departures.is_reported(&belief.entry)
         })
     }
 
@@ -257,7 +258,7 @@
         for &(part, hash) in placed {
             let mut engines = self.engines.values_mut();
             if let Some(belief) = engines.find(|belief| belief.name_hash == hash) {
-                belief.note_part(part, now_ms);
+                belief.record_part(part, now_ms);
             }
         }
     }
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -46,7 +46,7 @@
 
 fn tell(teller: &EngineTable, hearer: &mut EngineTable, now_ms: u64) {
     let departures = teller.departures(hearer.known_revision());
-    hearer.hear_departures("teller", &departures, now_ms);
+    hearer.merge_departures("teller", &departures, now_ms);
 }
 
 fn is_used(table: &EngineTable, engine: &str, now_ms: u64) -> bool {
--- a/crates/core/tests/full.rs
+++ b/crates/core/tests/full.rs
@@ -142,7 +142,7 @@
             .2;
         beliefs[at][engine].own.add(load);
         for belief in &mut beliefs {
-            belief[engine].note_part(session, now_ms);
+            belief[engine].record_part(session, now_ms);
         }
         result.on_time += f64::from(u8::from(waited <= TARGET_MS));
         result.late += f64::from(u8::from(waited > TARGET_MS && waited <= DEADLINE_MS));
--- a/crates/core/tests/mixed.rs
+++ b/crates/core/tests/mixed.rs
@@ -173,7 +173,7 @@
         };
         self.beliefs[at][chosen].own.add(load);
         for belief in &mut self.beliefs {
-            belief[chosen].note_part(session, now_ms);
+            belief[chosen].record_part(session, now_ms);
         }
         let engine = &mut self.engines[chosen];
         if is_long {
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -114,7 +114,7 @@
         .iter_mut()
         .find(|belief| belief.entry.incarnation.id != home);
     let other = other.expect("there are four");
-    other.note_part(77, 900);
+    other.record_part(77, 900);
     other.own.prefill_tokens = 800;
     let id = other.entry.incarnation.id.clone();
     assert_eq!(pick(&engines, &need, Wanted::default(), 1), Some(id));
@@ -191,11 +191,11 @@
 fn a_peers_word_counts_less_than_what_was_heard() {
     let settings = HealthSettings::default();
     let mut belief = Belief::new(entry("e", "a"));
-    belief.told_silent(600, 5_000);
+    belief.report_silent(600, 5_000);
     assert!(belief.is_barred(&settings, 5_100));
     assert!(!belief.is_barred(&settings, 5_700));
     belief.heard(6_000);
-    belief.told_silent(600, 6_300);
+    belief.report_silent(600, 6_300);
     assert!(!belief.is_barred(&settings, 6_400));
 }
 
@@ -209,7 +209,7 @@
     let settings = HealthSettings::default();
     let mut belief = Belief::new(entry("e", "a"));
     assert!(belief.answers(&settings, 10_000));
-    belief.told_silent(600, 10_000);
+    belief.report_silent(600, 10_000);
     assert!(!belief.answers(&settings, 10_100));
     belief.heard(10_200);
     assert!(belief.answers(&settings, 10_200));
@@ -220,7 +220,7 @@
     let mut table = EngineTable::default();
     table.list(entry("e", "a"));
     let belief = table.get_mut("e").expect("it is listed");
-    belief.note_part(5, 100);
+    belief.record_part(5, 100);
     belief.set_version("model", 4);
     let mut again = entry("e", "a");
     again.incarnation.born_ms = 2;
@@ -245,7 +245,7 @@
 #[test]
 fn new_weights_empty_the_cache() {
     let mut belief = Belief::new(entry("e", "a"));
-    belief.note_part(5, 100);
+    belief.record_part(5, 100);
     belief.set_version("model", 2);
     assert!(!belief.keeps(5, 10_000, 101));
 }
@@ -294,7 +294,7 @@
     });
     assert!(teller.unlist("removed", 3, None, 1_000));
     let known = hearer.known_revision();
-    hearer.hear_departures("peer", &teller.departures(known), 1_100);
+    hearer.merge_departures("peer", &teller.departures(known), 1_100);
     let takers = |table: &EngineTable, now_ms| -> Vec<String> {
         let takers = table.takers("llm", now_ms);
         takers
@@ -305,7 +305,7 @@
     let mut again = entry("removed", "a");
     again.incarnation.born_ms = 2;
     hearer.list(again.clone());
-    hearer.hear_departures("peer", &teller.departures(known), 1_300);
+    hearer.merge_departures("peer", &teller.departures(known), 1_300);
     assert_eq!(takers(&hearer, 1_300), ["removed", "stays"]);
     teller.list(EngineEntry {
         revision: 4,
@@ -359,17 +359,17 @@
         holder.map(|holder| (holder.address.port(), holder.tokens))
     };
     assert_eq!(found(&engines), None);
-    engines[3].note_part(7, 900);
+    engines[3].record_part(7, 900);
     engines[3].set_version("model", 0);
     assert_eq!(found(&engines), None, "it has other weights");
-    engines[1].note_part(1, 900);
-    engines[2].note_part(1, 900);
+    engines[1].record_part(1, 900);
+    engines[2].record_part(1, 900);
     assert_eq!(found(&engines), Some((1, 2_500)), "the near one");
-    engines[2].note_part(7, 900);
+    engines[2].record_part(7, 900);
     assert_eq!(found(&engines), Some((2, 6_300)), "the longer head");
-    engines[0].note_part(1, 900);
+    engines[0].record_part(1, 900);
     assert_eq!(found(&engines), Some((2, 6_300)));
-    engines[0].note_part(7, 900);
+    engines[0].record_part(7, 900);
     assert_eq!(found(&engines), None, "it keeps all that is shared itself");
 }
 
--- a/crates/gateway/src/callers/judge.rs
+++ b/crates/gateway/src/callers/judge.rs
@@ -61,7 +61,7 @@
     if status.is_success() {
         for (part, _) in request.need.shared_parts() {
             let id = &engine.incarnation.id;
-            request.instance.note_part(part, id, now_ms);
+            request.instance.record_part(part, id, now_ms);
         }
     }
     Outcome::Answer(Box::new(Answered {
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -126,15 +126,17 @@
     instance.counters.count("uncertain_engine", doubt.label());
     log::info!(
         "event=uncertain_engine request={} engine={} reason={doubt} entry_revision={} \
-         list_revision={} list_age_ms={} missing_ms={} told_by={} told_ago_ms={}",
+         list_revision={} list_age_ms={} missing_ms={} departure_revision={} \
+         reported_by={} reported_ago_ms={}",
         request.id(),
         entry.incarnation.id,
         standing.entry_revision,
         standing.list_revision,
         standing.list_age_ms,
         or_none(standing.missing_ms),
-        or_none(standing.told_by),
-        or_none(standing.told_ago_ms),
+        or_none(standing.departure.map(|departure| departure.revision)),
+        or_none(standing.reported_by),
+        or_none(standing.reported_ago_ms),
     );
 }
 
--- a/crates/gateway/src/instance/blackboard.rs
+++ b/crates/gateway/src/instance/blackboard.rs
@@ -276,13 +276,13 @@
     }
 
     /// Notes that an engine has read a shared part, here and for the peers.
-    pub fn note_part(&self, part: u64, engine: &str, now_ms: u64) {
+    pub fn record_part(&self, part: u64, engine: &str, now_ms: u64) {
         let mut engines = self.engines.borrow_mut();
         let Some(belief) = engines.get_mut(engine) else {
             return;
         };
         let is_known = belief.keeps(part, TOLD_AGAIN_MS, now_ms);
-        belief.note_part(part, now_ms);
+        belief.record_part(part, now_ms);
         if is_known {
             return;
         }
--- a/crates/gateway/src/instance/peers_word.rs
+++ b/crates/gateway/src/instance/heartbeats.rs
@@ -15,7 +15,7 @@
 
 /// Time for which a peer's word that an engine is silent is believed: three
 /// heartbeats.
-const TOLD_SILENT_MS: u64 = 600;
+const SILENCE_REPORT_MS: u64 = 600;
 
 impl Instance {
     /// Takes over a peer's heartbeat, unless it is older than one that came.
@@ -36,8 +36,8 @@
             log::info!("event=peer_found peer={}", heartbeat.name);
             self.notes.heartbeat.notify_one();
         }
-        self.hear_of_engines(&heartbeat, now_ms);
-        self.hear_of_versions(&heartbeat);
+        self.apply_engine_reports(&heartbeat, now_ms);
+        self.apply_versions(&heartbeat);
         let report = report(&heartbeat);
         let mut shares = self.shares.borrow_mut();
         shares.hear(&heartbeat.name, report, now_ms);
@@ -45,7 +45,7 @@
         crashes.merge(&heartbeat.crashes, now_ms);
     }
 
-    fn hear_of_engines(&self, heartbeat: &Heartbeat, now_ms: u64) {
+    fn apply_engine_reports(&self, heartbeat: &Heartbeat, now_ms: u64) {
         for &(part, _) in &heartbeat.placed {
             // The peer's engine was asked to send it; so none here needs to be.
             self.kept.borrow_mut().ask(part, now_ms);
@@ -54,21 +54,21 @@
         engines.peer_load(&heartbeat.name, &heartbeat.loads);
         engines.placed(&heartbeat.placed, now_ms);
         let (peer, departures) = (&heartbeat.name, &heartbeat.departures);
-        for engine in engines.hear_departures(peer, departures, now_ms) {
+        for engine in engines.merge_departures(peer, departures, now_ms) {
             log::info!("event=engine_leaves engine={engine} peer={peer}");
         }
         for engine in &heartbeat.silent {
             if let Some(belief) = engines.get_mut(engine) {
-                belief.told_silent(TOLD_SILENT_MS, now_ms);
+                belief.report_silent(SILENCE_REPORT_MS, now_ms);
             }
         }
         drop(engines);
         for order in &heartbeat.orders {
-            self.note_order(order, now_ms);
+            self.apply_order_note(order, now_ms);
         }
     }
 
-    fn hear_of_versions(&self, heartbeat: &Heartbeat) {
+    fn apply_versions(&self, heartbeat: &Heartbeat) {
         if heartbeat.configuration_version > self.routes.borrow().version() {
             self.notes.configuration.notify_one();
         }
@@ -79,7 +79,7 @@
     }
 
     /// Believes what the orderer tells of an engine's weights.
-    pub fn note_order(&self, order: &OrderNote, now_ms: u64) {
+    pub fn apply_order_note(&self, order: &OrderNote, now_ms: u64) {
         let mut engines = self.engines.borrow_mut();
         let Some(belief) = engines.get_mut(&order.engine) else {
             return;
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -5,7 +5,7 @@
 mod crashes;
 mod drain;
 mod following;
-mod peers_word;
+mod heartbeats;
 mod reload;
 mod settings;
 
--- a/crates/gateway/src/weights/progress.rs
+++ b/crates/gateway/src/weights/progress.rs
@@ -253,7 +253,7 @@
         };
         let note = told(&one.entry.incarnation, &given, now_ms);
         self.given.insert(one.entry.incarnation.clone(), given);
-        self.instance.note_order(&note, now_ms);
+        self.instance.apply_order_note(&note, now_ms);
         self.instance.notes.heartbeat.notify_one();
     }
 
--- a/crates/mangowalk/src/story/cause.rs
+++ b/crates/mangowalk/src/story/cause.rs
@@ -49,11 +49,12 @@
         line.field("list_age_ms"),
         line.field("list_revision"),
     );
-    let told = match line.field("told_by") {
+    let report = match line.field("reported_by") {
         "none" => "no peer had said that it leaves".to_owned(),
         peer => format!(
-            "{peer} had said {} ms before that it leaves",
-            line.field("told_ago_ms")
+            "{peer} had said {} ms before that it leaves as of revision {}",
+            line.field("reported_ago_ms"),
+            line.field("departure_revision"),
         ),
     };
     let why = match line.field("reason") {
@@ -66,7 +67,7 @@
             line.field("entry_revision")
         ),
     };
-    format!(" Engine {engine} may have left before: {why}; {list}; {told}.")
+    format!(" Engine {engine} may have left before: {why}; {list}; {report}.")
 }
 
 fn is_end(line: &Line) -> bool {
--- a/crates/mangowalk/tests/client/story.rs
+++ b/crates/mangowalk/tests/client/story.rs
@@ -43,7 +43,7 @@
   8.01 a-2 wall_ms=1008010 instance=a-2 level=INFO event=engine_gone engine=e7
   8.02 a-1 wall_ms=1008020 instance=a-1 level=INFO event=engine_leaves engine=e7 peer=a-2
  17.10 a-1 wall_ms=1017100 instance=a-1 level=INFO event=engine_missing engine=e7 grace_ms=2000
- 18.10 a-1 wall_ms=1018100 instance=a-1 level=INFO event=uncertain_engine request=ee engine=e7 reason=missing entry_revision=4 list_revision=28 list_age_ms=1000 missing_ms=1000 told_by=a-2 told_ago_ms=4100
+ 18.10 a-1 wall_ms=1018100 instance=a-1 level=INFO event=uncertain_engine request=ee engine=e7 reason=missing entry_revision=4 list_revision=28 list_age_ms=1000 missing_ms=1000 departure_revision=3 reported_by=a-2 reported_ago_ms=4100
  18.10 a-1 wall_ms=1018100 instance=a-1 level=INFO event=sent request=ee engine=e7 left_ms=580 cached=false version=0 others=0 own=0
  18.13 a-1 wall_ms=1018130 instance=a-1 level=INFO event=answered request=ee engine=e7 status=200 took_ms=30
 "#;
