Tell peers that a start has been replaced by another

What callers would see: an engine starts again under its name; an instance that the store refuses goes on sending to the start before, at its old address, which takes no connection or answers for another engine.

Cause: only draining entries and missing ones counted as departures, not those that another start's entry replaced.

Evidence: a_start_that_another_one_replaced_gets_no_work failed before.

--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -87,6 +87,9 @@
             && belief.entry.address == entry.address
             && belief.entry.service == entry.service;
         if !same {
+            if belief.entry.incarnation != entry.incarnation {
+                self.departures.unlist(&belief.entry, entry.revision);
+            }
             let own = belief.own;
             *belief = Belief::new(entry);
             belief.own = own;
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -127,6 +127,25 @@
     assert!(!is_used(&hearer, "e1", LATER_MS));
 }
 
+/// Guards against work for the start before, where an engine has started again under
+/// its name and the list is old.
+#[test]
+fn a_start_that_another_one_replaced_gets_no_work() {
+    let (mut teller, mut hearer) = two_tables();
+    let again = EngineEntry {
+        incarnation: Incarnation {
+            id: "e1".to_owned(),
+            born_ms: 2,
+        },
+        ..entry("e1", 4, false)
+    };
+    teller.list(again.clone());
+    tell(&teller, &mut hearer, 0);
+    assert!(!is_used(&hearer, "e1", LATER_MS));
+    hearer.list(again);
+    assert!(is_used(&hearer, "e1", LATER_MS));
+}
+
 /// Guards against telling for ever what all have read.
 #[test]
 fn a_departure_is_told_until_it_was_read() {
