Play instances under faults that overlap, from a seed

A test of real processes: four instances, each behind a gate to the store, stand-ins of engines that serve on after they leave, callers that keep connections until they are closed.

--- /dev/null
+++ b/crates/mangowalkd/tests/soak/main.rs
@@ -0,0 +1,41 @@
+//! Instances as real processes, under faults in series that overlap.
+//!
+//! A seed gives the schedule. `SOAK_SEEDS=FIRST-LAST` plays others than those of
+//! a plain run, `SOAK_S` sets how long faults come.
+
+mod check;
+mod faults;
+mod play;
+mod schedule;
+mod traffic;
+
+use {
+    play::play,
+    std::{env, time::Duration},
+};
+
+/// The program under test.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_mangowalkd");
+
+/// Seeds of a plain run.
+const SEEDS: &str = "7-8";
+
+/// Time for which faults come.
+const FAULTS_S: u64 = 20;
+
+#[test]
+fn promises_are_kept_under_faults_that_overlap() {
+    let seeds = env::var("SOAK_SEEDS").unwrap_or_else(|_| SEEDS.to_owned());
+    let (first, last) = seeds.split_once('-').expect("two numbers");
+    let number = |text: &str| text.parse::<u64>().expect("a number");
+    let seconds = env::var("SOAK_S").map_or(FAULTS_S, |text| number(&text));
+    let mut failed = Vec::new();
+    for seed in number(first)..=number(last) {
+        let broken = play(seed, Duration::from_secs(seconds));
+        if !broken.is_empty() {
+            eprintln!("seed {seed}:\n{}", broken.join("\n"));
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds with a broken promise: {failed:?}");
+}
--- /dev/null
+++ b/crates/mangowalkd/tests/soak/play.rs
@@ -0,0 +1,93 @@
+use {
+    super::{
+        PROGRAM,
+        check::check,
+        faults::Faults,
+        schedule::schedule,
+        traffic::{Asked, ask},
+    },
+    mangowalk_platform_standins::{Deployment, StoreGate},
+    std::{
+        net::SocketAddr,
+        sync::atomic::{AtomicBool, Ordering},
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+const MACHINES: usize = 4;
+const CALLERS: u64 = 6;
+
+/// Time after the last fault in which all has to be well again.
+const RECOVERY: Duration = Duration::from_secs(5);
+
+/// Plays a seed, and returns the promises that were broken.
+pub(crate) fn play(seed: u64, faults_for: Duration) -> Vec<String> {
+    let mut faults = start();
+    let machines = &faults.deployment.machines;
+    let addresses: Vec<SocketAddr> = machines.iter().map(|machine| machine.callers()).collect();
+    let stop = AtomicBool::new(false);
+    let (asked, recovered) = thread::scope(|scope| {
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| {
+                let (addresses, stop) = (&addresses, &stop);
+                scope.spawn(move || ask(seed * CALLERS + caller, addresses, stop))
+            })
+            .collect();
+        run(&mut faults, seed, faults_for);
+        let recovered = Instant::now();
+        thread::sleep(RECOVERY);
+        stop.store(true, Ordering::Relaxed);
+        let asked: Vec<Asked> = callers
+            .into_iter()
+            .flat_map(|caller| caller.join().expect("a caller doesn't fail"))
+            .collect();
+        (asked, recovered)
+    });
+    let broken = check(&faults, &asked, recovered);
+    let kinds = asked.iter().filter(|asked| asked.reply.status == 200);
+    eprintln!(
+        "seed {seed}: {} requests, {} answered with 200, {} engines left, {} promises broken",
+        asked.len(),
+        kinds.count(),
+        faults.left.len(),
+        broken.len(),
+    );
+    if !broken.is_empty() {
+        for machine in &faults.deployment.machines {
+            eprintln!("log of {}:\n{}", machine.name(), machine.log());
+        }
+    }
+    broken
+}
+
+fn start() -> Faults {
+    let mut deployment = Deployment::prepare(PROGRAM, MACHINES, 3);
+    let gates: Vec<StoreGate> = deployment
+        .machines
+        .iter()
+        .map(|_| StoreGate::to(&deployment.store))
+        .collect();
+    for (machine, gate) in deployment.machines.iter_mut().zip(&gates) {
+        machine.use_gate(gate);
+        machine.start();
+    }
+    deployment.wait_until_ready();
+    Faults::new(deployment, gates)
+}
+
+fn run(faults: &mut Faults, seed: u64, faults_for: Duration) {
+    let begin = Instant::now();
+    let mut due = schedule(seed, faults_for.as_millis() as u64, MACHINES).into_iter();
+    let mut next = due.next();
+    while next.is_some() || !faults.is_over() {
+        let now = Instant::now();
+        faults.tick(now);
+        while let Some(one) = next.filter(|one| now >= begin + Duration::from_millis(one.at_ms)) {
+            eprintln!("seed {seed} {:>6} ms  {:?}", one.at_ms, one.fault);
+            faults.begin(one.fault, now);
+            next = due.next();
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+}
