--- a/crates/core/src/pool/departures.rs
+++ b/crates/core/src/pool/departures.rs
@@ -4,7 +4,7 @@
     std::collections::{HashMap, VecDeque},
 };
 
-/// Departures told in one heartbeat, so that it fits a datagram.
+/// Departures kept for peers and told in one heartbeat, so that it fits a datagram.
 const MOST_TOLD: usize = 64;
 
 /// One start of an engine that drains or has left the list, or is back there.
