Look once a heartbeat for engines that the list lacks

Each departure that a peer told was looked up among all engines, by a hash of each name. While one peer of eighty is behind, all others tell up to 64 departures five times a second: by reading, two million hashes a second on an instance with an eighth of a core. Engines that the list lacks are few or none, so they are gathered first.

No change of behaviour; the property test passes 20,000 cases.

--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -28,13 +28,7 @@
     pub fn listed_up_to(&mut self, revision: u64, now_ms: u64) {
         self.list_revision = self.list_revision.max(revision);
         self.list_heard_ms = now_ms;
-        // Of engines that the list lacks peers may know more: whether their
-        // entries lapsed or they left.
-        let beliefs = self.engines.values();
-        let missing = beliefs.filter(|belief| belief.missing_since_ms.is_some());
-        let missing: Vec<u32> = missing
-            .map(|belief| belief.entry.incarnation.short_hash())
-            .collect();
+        let missing = self.missing_starts();
         self.departures.forget_up_to(self.list_revision, &missing);
     }
 
@@ -172,8 +166,9 @@
         now_ms: u64,
     ) -> Vec<String> {
         let mut news = Vec::new();
+        let missing = self.missing_starts();
         for &departure in departures {
-            if departure.revision <= self.list_revision && !self.is_missing(departure.start) {
+            if departure.revision <= self.list_revision && !missing.contains(&departure.start) {
                 continue;
             }
             if self.departures.merge(peer, departure, now_ms) {
@@ -189,9 +184,14 @@
         beliefs.find(|belief| belief.entry.incarnation.short_hash() == start)
     }
 
-    fn is_missing(&self, start: u32) -> bool {
-        self.started(start)
-            .is_some_and(|belief| belief.missing_since_ms.is_some())
+    /// Returns the starts that the list lacks. Peers may know more of them: whether
+    /// their entries lapsed or they left.
+    fn missing_starts(&self) -> Vec<u32> {
+        let beliefs = self.engines.values();
+        let missing = beliefs.filter(|belief| belief.missing_since_ms.is_some());
+        missing
+            .map(|belief| belief.entry.incarnation.short_hash())
+            .collect()
     }
 
     /// Returns one engine.
