Send callers elsewhere before a stopping instance runs out of time

What callers saw: a stream that was taken 3.0 to 3.3 s after SIGTERM ended in its middle 7.5 s after it, at the end of the time to stop (LOST).

Cause: requests were taken for 0.3 s longer than callers may keep an address, and a long stream then outlasts the time.

Change: from 0.2 s before the end of the kept addresses on, which a busy instance may need to handle the signal, requests are refused as not run and idle connections closed. Ruled out: a shorter margin for the exit, which would only move the cut.

Evidence: a_request_after_the_time_of_old_addresses_is_not_run failed before (200, run once).

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -45,6 +45,9 @@
 /// Time that an engine may take to notice that a request is withdrawn.
 const WITHDRAW_MS: u64 = 300;
 
+/// Time that a busy instance may take to handle the signal to stop.
+const SIGNAL_MS: u64 = 200;
+
 /// Connections to the store, at its farthest a few milliseconds away.
 const STORE_CONNECT_MS: u64 = 400;
 
@@ -288,9 +291,10 @@
 async fn stop(instance: &Instance, drain: &watch::Sender<Drain>) {
     let began_ms = now_ms();
     let last_ms = began_ms + instance.machine().grace_ms - instance.settings.exit_margin_ms;
-    // Callers keep addresses up to three times as long as they were told.
+    // Callers keep addresses up to three times as long as they were told. Those who
+    // come later are sent elsewhere at once: a long stream would be cut off.
     let kept_ms = 3 * 1_000 * instance.settings.keep_s;
-    let close_ms = (began_ms + kept_ms + 300).min(last_ms.saturating_sub(500));
+    let close_ms = (began_ms + kept_ms - SIGNAL_MS).min(last_ms.saturating_sub(500));
     log::info!(target: LIFECYCLE, "event=stopping open={}", instance.open_requests.get());
     drain.send_replace(Drain::Departing);
     instance.notes.heartbeat.notify_one();
--- a/crates/mangowalkd/tests/machines/stopping.rs
+++ b/crates/mangowalkd/tests/machines/stopping.rs
@@ -2,7 +2,9 @@
 
 use {
     super::PROGRAM,
-    mangowalk_platform_standins::{Caller, Deployment, EngineFaults, RouteKind, wait},
+    mangowalk_platform_standins::{
+        Caller, Deployment, EngineFaults, KeptConnection, RouteKind, wait,
+    },
     nix::sys::signal::Signal,
     std::time::Duration,
 };
@@ -41,6 +43,33 @@
     assert_eq!(code, Some(0));
 }
 
+/// Guards against taking a request that may outlast the time to stop.
+#[test]
+fn a_request_after_the_time_of_old_addresses_is_not_run() {
+    let deployment = Deployment::start(PROGRAM, 2, 1);
+    let machine = &deployment.machines[0];
+    machine.change_settings(|text| text.replace("GraceS=4", "GraceS=8"));
+    machine.signal(Signal::SIGHUP);
+    wait("the new time is in force", || {
+        machine.log().contains("taken=grace_ms")
+    });
+    let caller = deployment.caller(0);
+    let mut kept = KeptConnection::default();
+    let path = RouteKind::Stream.path();
+    assert!(
+        caller
+            .on_kept(&mut kept, path, &Caller::fresh_id())
+            .is_whole_stream()
+    );
+    machine.signal(Signal::SIGTERM);
+    std::thread::sleep(Duration::from_millis(3_050));
+    let id = Caller::fresh_id();
+    let reply = caller.on_kept(&mut kept, path, &id);
+    // An idle connection is closed; what crosses that is not read.
+    assert!(matches!(reply.status, 0 | 503), "{reply:?}");
+    assert_eq!(deployment.times_run(&id), 0);
+}
+
 /// A killed instance leaves the addresses though it could tell nobody, and is
 /// there again once it is back.
 #[test]
