Count every crash of an engine, and list slots at once after a lost race

Cause of the first known red test: a probe within 400 ms before a crash left out the probe after it, so that the crash was never counted; a listener that closes after its connections accepted the probe, with the same result. Now a probe after a lost request is postponed to the end of the interval, and its connection has to be open 200 ms later.

Cause of the second: a router that lost the race for a slot waited 0.75 to 1.25 s before its next write, and refused its teams meanwhile if the router that lent it tokens had died. It now lists the slots within 125 ms, and more rarely the more races it loses. The test of claims waits until each router holds slots; what it asserts is unchanged.

--- a/crates/core/src/limits/instance_limits.rs
+++ b/crates/core/src/limits/instance_limits.rs
@@ -4,6 +4,16 @@
     std::{net::SocketAddr, ops::ControlFlow},
 };
 
+/// Why a batch of writes of slots stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WriteStop {
+    /// Another instance wrote the slot first.
+    LostRace,
+    /// The platform was not reached or refused the write, or it is unknown whether
+    /// the write took effect.
+    Failed,
+}
+
 /// The slots that one instance holds, and the token buckets that they refill.
 ///
 /// The table holds the slots as the platform knows them, the ledger the tokens
@@ -88,17 +98,19 @@
         begun_ms: u64,
         result: &Result<u64, PlatformError>,
         now_ms: u64,
-    ) -> ControlFlow<()> {
+    ) -> ControlFlow<WriteStop> {
         match result {
             Ok(version) => {
                 let end_ms = self.table.record_write(slot, *version, begun_ms);
                 self.ledger.hold(slot, end_ms, now_ms);
-                return ControlFlow::Continue(());
+                ControlFlow::Continue(())
+            }
+            Err(PlatformError::Conflict { .. }) => {
+                self.drop_slot(slot, now_ms);
+                ControlFlow::Break(WriteStop::LostRace)
             }
-            Err(PlatformError::Conflict { .. }) => self.drop_slot(slot, now_ms),
-            Err(_) => {}
+            Err(_) => ControlFlow::Break(WriteStop::Failed),
         }
-        ControlFlow::Break(())
     }
 
     /// Stops refilling from a slot. Must be called before the release is sent,
@@ -115,7 +127,7 @@
         slot: u32,
         result: &Result<u64, PlatformError>,
         now_ms: u64,
-    ) -> ControlFlow<()> {
+    ) -> ControlFlow<WriteStop> {
         match result {
             Ok(_) => {
                 self.table.record_release(slot);
@@ -128,7 +140,7 @@
                 self.drop_slot(slot, now_ms)
             }
         }
-        ControlFlow::Break(())
+        ControlFlow::Break(WriteStop::Failed)
     }
 
     fn resume_refill(&mut self, slot: u32, now_ms: u64) {
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -12,6 +12,7 @@
 mod grant;
 mod instance_limits;
 mod ledger;
+mod list_schedule;
 mod reservation;
 mod retry;
 mod shortage_tracker;
@@ -22,8 +23,9 @@
 pub use {
     bucket::Bucket,
     grant::Grant,
-    instance_limits::InstanceLimits,
+    instance_limits::{InstanceLimits, WriteStop},
     ledger::Ledger,
+    list_schedule::{ListSchedule, jittered},
     reservation::{PeerGrant, Reservation},
     retry::{RefusedRequest, RetrySchedule, refill_ms},
     shortage_tracker::{MAX_WAIT_MS, ShortageTracker},
--- a/crates/core/src/pool/known_engine.rs
+++ b/crates/core/src/pool/known_engine.rs
@@ -73,8 +73,9 @@
     pub missing_since_ms: Option<u64>,
     /// Time until which the engine is used although the list lacks it.
     pub missing_until_ms: Option<u64>,
-    /// Time of the last probe for whether it accepts connections.
-    pub last_probe_ms: u64,
+    /// Time of the last probe for whether it accepts connections. In the future if
+    /// a probe is scheduled.
+    last_probe_ms: u64,
     /// Time until which the report of a peer that it is silent applies.
     pub reported_silent_until_ms: u64,
     /// Time at which the last byte was received from it.
@@ -188,6 +189,34 @@
         }
     }
 
+    /// Returns after how many milliseconds to probe whether the engine accepts
+    /// connections, or `None` if no probe is needed, and records that probe.
+    ///
+    /// At most one probe is started per `interval_ms`. After a lost request the
+    /// probe is postponed to the end of the interval instead of left out: the last
+    /// probe may have been accepted just before the request crashed the engine.
+    pub fn schedule_probe(
+        &mut self,
+        is_request_lost: bool,
+        interval_ms: u64,
+        now_ms: u64,
+    ) -> Option<u64> {
+        if self.health.is_silent() {
+            return None;
+        }
+        let earliest_ms = self.last_probe_ms + interval_ms;
+        if now_ms >= earliest_ms {
+            self.last_probe_ms = now_ms;
+            return Some(0);
+        }
+        let is_scheduled = self.last_probe_ms > now_ms;
+        if !is_request_lost || is_scheduled {
+            return None;
+        }
+        self.last_probe_ms = earliest_ms;
+        Some(earliest_ms - now_ms)
+    }
+
     /// Returns whether the engine is assumed to have a shared part in its
     /// cache, where parts stay for `retention_ms` after their last use.
     pub fn has_cached(&self, part: u64, retention_ms: u64, now_ms: u64) -> bool {
--- a/crates/core/tests/limits/main.rs
+++ b/crates/core/tests/limits/main.rs
@@ -2,6 +2,7 @@
 //! faults.
 
 mod leases;
+mod list_schedule;
 mod model;
 mod property;
 mod refusals;
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -531,3 +531,18 @@
     let accepting = |now_ms| engines.accepting_engines("llm", now_ms).count();
     assert_eq!([accepting(2_999), accepting(3_000)], [2, 1]);
 }
+
+/// A request crashes its engine shortly after a probe was accepted. If the probe
+/// after the loss were left out because of the earlier one, the crash would never
+/// be noticed.
+#[test]
+fn a_probe_after_a_lost_request_is_postponed() {
+    let interval_ms = 400;
+    let mut engine = KnownEngine::new(entry("e0", "a"));
+    assert_eq!(engine.schedule_probe(false, interval_ms, 1_000), Some(0));
+    assert_eq!(engine.schedule_probe(false, interval_ms, 1_200), None);
+    assert_eq!(engine.schedule_probe(true, interval_ms, 1_200), Some(200));
+    assert_eq!(engine.schedule_probe(true, interval_ms, 1_300), None);
+    assert_eq!(engine.schedule_probe(false, interval_ms, 1_799), None);
+    assert_eq!(engine.schedule_probe(false, interval_ms, 1_800), Some(0));
+}
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         clock::now_ms,
-        upstreams::{Answer, SendError, probe_engine},
+        upstreams::{Answer, ProbeReason, SendError, probe_engine},
     },
     http::StatusCode,
     mangowalk_core::pool::EngineEntry,
@@ -171,12 +171,17 @@
     let health = &request.instance.settings.choice.health;
     known_engine.health.record_failure(health, now_ms);
     drop(engines);
-    if matches!(reason, "lost" | "broken_off" | "half_event") {
+    let is_request_lost = matches!(reason, "lost" | "broken_off" | "half_event");
+    if is_request_lost {
         let identity = request.identity();
         let mut crashes = request.instance.crashes.borrow_mut();
         crashes.record_lost(&engine.incarnation, identity, now_ms);
     }
+    let probe_reason = match is_request_lost {
+        true => ProbeReason::RequestLost,
+        false => ProbeReason::Quiet,
+    };
     if reason != "foreign_answer" {
-        probe_engine(&request.instance, &request.pool, engine);
+        probe_engine(&request.instance, &request.pool, engine, probe_reason);
     }
 }
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -11,5 +11,5 @@
     connection::{ConnectError, connect},
     exchange::{Answer, SendError, send},
     pool::{ConnectionPool, PooledConnection},
-    probe::{check_silent, probe_engine, probe_silent_engines},
+    probe::{ProbeReason, check_silent, probe_engine, probe_silent_engines},
 };
--- a/crates/gateway/src/upstreams/probe.rs
+++ b/crates/gateway/src/upstreams/probe.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ConnectionPool, connect},
+    super::{ConnectError, ConnectionPool, connect},
     crate::{clock::now_ms, instance::Instance},
     futures_util::future::join_all,
     mangowalk_core::pool::EngineEntry,
@@ -10,6 +10,10 @@
 /// Minimum interval between two probes of an engine.
 const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time after which a connection that was accepted after a lost request must still
+/// be open. A crashed process closes its connections within milliseconds.
+const CONFIRMATION_DELAY: Duration = Duration::from_millis(200);
+
 /// Probes silent engines by opening a connection, until they accept one. Never
 /// returns.
 ///
@@ -69,53 +73,95 @@
         known_engine.is_some_and(|known_engine| known_engine.last_received_ms < quiet_since_ms);
     drop(engines);
     if is_quiet && !is_silent {
-        probe_engine(instance, pool, entry);
+        probe_engine(instance, pool, entry, ProbeReason::Quiet);
     }
     is_silent
 }
 
-/// Starts a probe of whether an engine still accepts connections, unless one was
-/// started within `PROBE_INTERVAL` or the engine is already known to be silent.
-/// If the probe fails, the engine gets no further requests, and the peers are
-/// notified.
+/// Why an engine is probed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeReason {
+    /// It has sent nothing for a while.
+    Quiet,
+    /// A request to it was lost, which may have crashed it.
+    RequestLost,
+}
+
+/// Probes whether an engine still accepts connections, at most once in
+/// `PROBE_INTERVAL` and not while the engine is known to be silent. If the probe
+/// fails, the engine gets no further requests, and the peers are notified.
 ///
 /// The lack of bytes alone proves nothing: an engine sends none while it prefills
 /// long prompts, and excluding busy engines would overload the others.
-pub fn probe_engine(instance: &Rc<Instance>, pool: &Rc<ConnectionPool>, entry: &EngineEntry) {
-    {
-        let mut engines = instance.engines.borrow_mut();
-        let Some(known_engine) = engines.get_mut(&entry.incarnation.id) else {
-            return;
-        };
-        let now_ms = now_ms();
-        if now_ms < known_engine.last_probe_ms + PROBE_INTERVAL.as_millis() as u64
-            || known_engine.health.is_silent()
-        {
-            return;
-        }
-        known_engine.last_probe_ms = now_ms;
-    }
+pub fn probe_engine(
+    instance: &Rc<Instance>,
+    pool: &Rc<ConnectionPool>,
+    entry: &EngineEntry,
+    reason: ProbeReason,
+) {
+    let is_request_lost = reason == ProbeReason::RequestLost;
+    let interval_ms = PROBE_INTERVAL.as_millis() as u64;
+    let mut engines = instance.engines.borrow_mut();
+    let known_engine = engines.get_mut(&entry.incarnation.id);
+    let delay_ms = known_engine.and_then(|known_engine| {
+        known_engine.schedule_probe(is_request_lost, interval_ms, now_ms())
+    });
+    let Some(delay_ms) = delay_ms else {
+        return;
+    };
     let (instance, pool, entry) = (instance.clone(), pool.clone(), entry.clone());
     spawn_local(async move {
-        let error = match connect(entry.address, &instance.settings).await {
-            Ok((sender, task)) => return pool.wrap(&entry, sender, task).return_to_pool(now_ms()),
-            Err(error) => error,
-        };
-        if let Some(known_engine) = instance.engines.borrow_mut().get_mut(&entry.incarnation.id) {
-            let health = &instance.settings.choice.health;
-            known_engine.health.record_silence(health, now_ms());
+        sleep(Duration::from_millis(delay_ms)).await;
+        if let Err(error) = open_connection(&instance, &pool, &entry, reason).await {
+            record_silent(&instance, &pool, &entry, &error);
         }
-        pool.close_idle(&entry.incarnation);
-        instance
-            .crashes
-            .borrow_mut()
-            .record_engine_crash(&entry.incarnation, now_ms());
-        instance.counters.count("engine_silent", "no_connection");
-        instance.wake_ups.silent_engine.notify_one();
-        instance.wake_ups.heartbeat.notify_one();
-        log::warn!(
-            "event=engine_silent engine={} error=\"{error}\"",
-            entry.incarnation.id
-        );
     });
 }
+
+/// Opens a connection to an engine and adds it to the pool.
+///
+/// After a lost request it also checks that the connection stays open: the
+/// listener of an engine that crashes may accept one more connection.
+///
+/// # Errors
+///
+/// Fails if the engine accepts no connection.
+async fn open_connection(
+    instance: &Instance,
+    pool: &Rc<ConnectionPool>,
+    entry: &EngineEntry,
+    reason: ProbeReason,
+) -> Result<(), ConnectError> {
+    let (mut sender, mut task) = connect(entry.address, &instance.settings).await?;
+    if reason == ProbeReason::RequestLost {
+        sleep(CONFIRMATION_DELAY).await;
+        if sender.is_closed() {
+            (sender, task) = connect(entry.address, &instance.settings).await?;
+        }
+    }
+    pool.wrap(entry, sender, task).return_to_pool(now_ms());
+    Ok(())
+}
+
+fn record_silent(
+    instance: &Instance,
+    pool: &ConnectionPool,
+    entry: &EngineEntry,
+    error: &ConnectError,
+) {
+    let now_ms = now_ms();
+    if let Some(known_engine) = instance.engines.borrow_mut().get_mut(&entry.incarnation.id) {
+        let health = &instance.settings.choice.health;
+        known_engine.health.record_silence(health, now_ms);
+    }
+    pool.close_idle(&entry.incarnation);
+    let mut crashes = instance.crashes.borrow_mut();
+    crashes.record_engine_crash(&entry.incarnation, now_ms);
+    instance.counters.count("engine_silent", "no_connection");
+    instance.wake_ups.silent_engine.notify_one();
+    instance.wake_ups.heartbeat.notify_one();
+    log::warn!(
+        "event=engine_silent engine={} error=\"{error}\"",
+        entry.incarnation.id
+    );
+}
--- a/crates/mangowalkd/src/controller/slots.rs
+++ b/crates/mangowalkd/src/controller/slots.rs
@@ -4,7 +4,9 @@
     log::{info, warn},
     mangowalk_core::{
         edge::{Clock, Edges, Platform, PlatformError},
-        limits::{ListedSlot, SLOTS, SlotBody, SlotList, SlotWrite},
+        limits::{
+            ListSchedule, ListedSlot, SLOTS, SlotBody, SlotList, SlotWrite, WriteStop, jittered,
+        },
         platform::{Object, ObjectKey, Precondition, system_kind},
     },
     std::{marker::PhantomData, ops::ControlFlow},
@@ -21,38 +23,19 @@
 /// instances that start at the same time take their share.
 const BATCH_WRITES: usize = 32;
 
-/// Bounds of the interval between two lists. At the start, after a change of the
-/// fleet and after a failed write the interval is the minimum, and it doubles
-/// with each list.
-const MIN_LIST_INTERVAL_MS: u64 = 1_000;
-const MAX_LIST_INTERVAL_MS: u64 = 30_000;
-
-/// Fleet size up to which the maximum interval isn't lengthened. A list takes
-/// about 77 KB, which every 30 s is more than half of what an instance may use
-/// for all its control traffic. In a larger fleet each instance holds fewer
-/// slots, so it is acceptable that they stay unheld for longer if it dies.
-const INSTANCES_PER_LIST_INTERVAL: u32 = 32;
-
-/// Maximum factor by which a larger fleet lengthens the interval.
-const MAX_LIST_INTERVAL_FACTOR: u32 = 10;
-
 /// Pause after a failed call.
 const RETRY_MS: u64 = 2_000;
 
 /// Acquires, renews and releases this instance's share of the slots.
 pub struct SlotHolder<E> {
-    next_list_ms: u64,
-    list_interval_ms: u64,
-    live: u32,
+    schedule: ListSchedule,
     edges: PhantomData<fn() -> E>,
 }
 
 impl<E> Default for SlotHolder<E> {
     fn default() -> SlotHolder<E> {
         SlotHolder {
-            next_list_ms: 0,
-            list_interval_ms: MIN_LIST_INTERVAL_MS,
-            live: 1,
+            schedule: ListSchedule::default(),
             edges: PhantomData,
         }
     }
@@ -60,7 +43,7 @@
 
 impl<E: Edges> SlotHolder<E> {
     fn list(&mut self, edges: &E, shared: &SharedState, now_ms: u64) -> Result<(), PlatformError> {
-        if now_ms < self.next_list_ms {
+        if !self.schedule.is_due(now_ms) {
             return Ok(());
         }
         let reply = edges.platform().list(&[system_kind::SLOT])?;
@@ -70,27 +53,9 @@
         };
         let seen_ms = edges.clock().now_ms();
         shared.limits.apply_list(&list, seen_ms);
-        self.next_list_ms = seen_ms + jittered(self.list_interval_ms);
-        self.list_interval_ms = (self.list_interval_ms * 2).min(max_list_interval_ms(self.live));
+        self.schedule.record_list(rand::random(), seen_ms);
         Ok(())
     }
-
-    /// Shortens the list interval after the number of live instances changed,
-    /// because others then release slots or need more.
-    fn update_live_count(&mut self, shared: &SharedState, now_ms: u64) {
-        let live = live_instances(shared);
-        if live != self.live {
-            self.live = live;
-            self.list_soon(now_ms);
-        }
-    }
-
-    fn list_soon(&mut self, now_ms: u64) {
-        self.list_interval_ms = MIN_LIST_INTERVAL_MS;
-        self.next_list_ms = self
-            .next_list_ms
-            .min(now_ms + jittered(MIN_LIST_INTERVAL_MS));
-    }
 }
 
 impl<E: Edges> Controller for SlotHolder<E> {
@@ -106,13 +71,15 @@
         if view.revision > 0 {
             shared.limits.retain(|team| view.rates.contains_key(team));
         }
-        self.update_live_count(shared, now_ms);
+        let live = live_instances(shared);
+        self.schedule
+            .set_live_instances(live, rand::random(), now_ms);
         if let Err(error) = self.list(edges, shared, now_ms) {
             warn!("limits: The slots were not listed. {error}");
-            return jittered(RETRY_MS);
+            return jittered(RETRY_MS, rand::random());
         }
         let now_ms = edges.clock().now_ms();
-        let writes = shared.limits.plan(self.live, BATCH_WRITES, now_ms);
+        let writes = shared.limits.plan(live, BATCH_WRITES, now_ms);
         if writes.is_empty() {
             return PERIOD_MS;
         }
@@ -122,13 +89,21 @@
         info!(
             "limits: Holding {} of {SLOTS} slots among {} instances.",
             shared.limits.slots(now_ms),
-            self.live
+            live
         );
-        if sent.is_break() {
-            self.list_soon(now_ms);
-            return jittered(PERIOD_MS);
+        match sent {
+            ControlFlow::Break(WriteStop::LostRace) => {
+                self.schedule.record_lost_race(rand::random(), now_ms)
+            }
+            ControlFlow::Break(WriteStop::Failed) => {
+                self.schedule.record_failure(rand::random(), now_ms);
+                jittered(PERIOD_MS, rand::random())
+            }
+            ControlFlow::Continue(()) => {
+                self.schedule.record_writes();
+                BATCH_PAUSE_MS
+            }
         }
-        BATCH_PAUSE_MS
     }
 }
 
@@ -143,7 +118,7 @@
     }
 }
 
-fn execute<E: Edges>(edges: &E, shared: &SharedState, write: SlotWrite) -> ControlFlow<()> {
+fn execute<E: Edges>(edges: &E, shared: &SharedState, write: SlotWrite) -> ControlFlow<WriteStop> {
     match write {
         SlotWrite::Create { slot } => put(edges, shared, slot, Precondition::Absent),
         SlotWrite::Replace { slot, version } => {
@@ -159,7 +134,7 @@
     shared: &SharedState,
     slot: u32,
     expect: Precondition,
-) -> ControlFlow<()> {
+) -> ControlFlow<WriteStop> {
     let key = slot_key(slot);
     let started_ms = edges.clock().now_ms();
     let body = shared.limits.slot_body(slot, rand::random());
@@ -185,7 +160,12 @@
     held.map(|o| o.version).ok_or(PlatformError::Lost)
 }
 
-fn release<E: Edges>(edges: &E, shared: &SharedState, slot: u32, version: u64) -> ControlFlow<()> {
+fn release<E: Edges>(
+    edges: &E,
+    shared: &SharedState,
+    slot: u32,
+    version: u64,
+) -> ControlFlow<WriteStop> {
     shared.limits.stop_refill(slot, edges.clock().now_ms());
     let expect = Precondition::Version(version);
     let result = edges.platform().delete(&slot_key(slot), expect);
@@ -213,17 +193,3 @@
 fn live_instances(shared: &SharedState) -> u32 {
     shared.peers.live().len() as u32 + 1
 }
-
-/// Returns a random pause between 0.75 and 1.25 times the given one.
-fn jittered(pause_ms: u64) -> u64 {
-    pause_ms * 3 / 4 + rand::random_range(0..=pause_ms / 2)
-}
-
-/// Returns the maximum interval between two lists for this number of live
-/// instances.
-fn max_list_interval_ms(live: u32) -> u64 {
-    let factor = live
-        .div_ceil(INSTANCES_PER_LIST_INTERVAL)
-        .clamp(1, MAX_LIST_INTERVAL_FACTOR);
-    MAX_LIST_INTERVAL_MS * u64::from(factor)
-}
--- a/crates/mangowalkd/src/shared_state/limits.rs
+++ b/crates/mangowalkd/src/shared_state/limits.rs
@@ -4,7 +4,7 @@
         edge::PlatformError,
         limits::{
             Grant, InstanceLimits, PeerGrant, RefusedRequest, Reservation, RetrySchedule,
-            ShortageTracker, SlotBody, SlotList, SlotWrite,
+            ShortageTracker, SlotBody, SlotList, SlotWrite, WriteStop,
         },
         record::Rate,
     },
@@ -63,7 +63,7 @@
         begun_ms: u64,
         result: &Result<u64, PlatformError>,
         now_ms: u64,
-    ) -> ControlFlow<()> {
+    ) -> ControlFlow<WriteStop> {
         let mut inner = lock(&self.inner);
         inner
             .limits
@@ -83,7 +83,7 @@
         slot: u32,
         result: &Result<u64, PlatformError>,
         now_ms: u64,
-    ) -> ControlFlow<()> {
+    ) -> ControlFlow<WriteStop> {
         lock(&self.inner)
             .limits
             .apply_release_result(slot, result, now_ms)
--- a/crates/mangowalkd/tests/claims.rs
+++ b/crates/mangowalkd/tests/claims.rs
@@ -22,9 +22,31 @@
             thread::sleep(Duration::from_millis(100));
         }
     }
+    wait_for_slots(&fleet);
     fleet
 }
 
+/// Waits until each router holds slots. One that holds none refuses its teams once
+/// the other is gone.
+fn wait_for_slots(fleet: &Fleet) {
+    for router in &fleet.routers {
+        let holder = router.address().to_string();
+        let holds_slot = || {
+            let slots = fleet.platform.list("slot");
+            slots
+                .iter()
+                .any(|slot| slot.body["holder"] == holder.as_str())
+        };
+        for _ in 0..100 {
+            if holds_slot() {
+                break;
+            }
+            thread::sleep(Duration::from_millis(100));
+        }
+        assert!(holds_slot(), "{holder} holds no slot");
+    }
+}
+
 fn book_at(address: SocketAddr, key: &str, body: &str) -> Answer {
     let bearer = format!("Bearer {}", Fleet::KEY);
     let headers = [("Authorization", bearer.as_str()), ("Idempotency-Key", key)];
--- a/crates/mangowalkd/tests/machines/answers.rs
+++ b/crates/mangowalkd/tests/machines/answers.rs
@@ -444,11 +444,38 @@
 /// it as not run, and still serve other requests.
 #[test]
 fn a_request_that_crashes_engines_is_refused_after_three() {
+    check_crashing_request(&EngineFaults::default());
+}
+
+/// The engine is silent for long enough to be probed and accepts that connection,
+/// and the request crashes it shortly afterwards. No further probe is due then,
+/// but the crash must still count.
+#[test]
+fn a_crash_shortly_after_a_probe_is_counted() {
+    check_crashing_request(&EngineFaults {
+        crash_delay_ms: 600,
+        ..EngineFaults::default()
+    });
+}
+
+/// The connection of a request that crashes its engine closes before the engine's
+/// listener does, so the first probe is accepted. The crash must still count.
+#[test]
+fn a_crash_whose_listener_closes_late_is_counted() {
+    check_crashing_request(&EngineFaults {
+        listener_lag_ms: 100,
+        ..EngineFaults::default()
+    });
+}
+
+/// Retries a crashing request through alternating instances, and checks that it is
+/// refused as not run after three crashes.
+fn check_crashing_request(faults: &EngineFaults) {
     let deployment = Deployment::start(PROGRAM, 2, 7);
     for engine in &deployment.engines {
         engine.set_faults(EngineFaults {
             crash_path: Some("/advice/poison".to_owned()),
-            ..EngineFaults::default()
+            ..faults.clone()
         });
     }
     let mut last = 0;
