Know the contents of all KV cache stores at every instance

Change: parts are spread over all stores by rendezvous hash. In fleets beyond eight instances one live instance of each failure domain follows the stores and reports their changes to the others of its domain; one that is behind reads them once. Messages between instances become one enum with the same bytes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod demand;
 pub mod edge;
 pub mod engine;
+pub mod kv_store;
 pub mod limits;
 pub mod membership;
 pub mod mesh;
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -1,28 +1,22 @@
 use {
     super::Heartbeat,
+    crate::kv_store::KvStoreReport,
     serde::{Deserialize, Serialize},
 };
 
-/// How a heartbeat reaches its receiver.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Delivery {
-    /// Sent by its author to this receiver only.
-    Direct,
-    /// Sent by its author to a receiver that relays it within its failure
-    /// domain.
-    #[serde(rename = "ToPassOn")]
-    ToRelay,
-    /// Relayed by another instance of the receiver's failure domain.
-    #[serde(rename = "PassedOn")]
-    Relayed,
-}
-
 /// Content of one datagram between instances.
+///
+/// Instances of an earlier build know the first three variants only and ignore a
+/// datagram that they can't decode.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MeshMessage {
-    /// How the heartbeat reaches its receiver.
-    #[serde(rename = "way")]
-    pub delivery: Delivery,
-    /// State of the instance that wrote the message.
-    pub heartbeat: Heartbeat,
+pub enum PeerMessage {
+    /// A heartbeat from its author to this receiver only.
+    Direct(Box<Heartbeat>),
+    /// A heartbeat from its author to a receiver that relays it within its failure
+    /// domain.
+    ToRelay(Box<Heartbeat>),
+    /// A heartbeat that another instance of the receiver's failure domain relays.
+    Relayed(Box<Heartbeat>),
+    /// A report on a KV cache store.
+    KvStore(KvStoreReport),
 }
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -7,5 +7,5 @@
 pub use {
     heartbeat::{Heartbeat, OrderPhase, OrderReport, TeamReport},
     members::{Member, MemberTable, MeshSettings, Targets},
-    message::{Delivery, MeshMessage},
+    message::PeerMessage,
 };
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -3,7 +3,6 @@
 
 mod admit;
 mod cache_source;
-mod cache_store;
 mod choice;
 mod departures;
 mod entry;
@@ -18,7 +17,6 @@
 pub use {
     admit::{AdmitSettings, PrefillRate, retry_after_ms},
     cache_source::{CacheSource, find_cache_source},
-    cache_store::{CacheStoreContents, cache_store_key},
     choice::{ChoiceSettings, choose, rendezvous},
     departures::Departure,
     entry::{EngineEntry, Incarnation, ModelVersion},
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -3,10 +3,9 @@
 use {
     mangowalk_core::{
         pool::{
-            AdmitSettings, CacheStoreContents, ChoiceSettings, EngineEntry, EngineRequirements,
-            EngineTable, Health, HealthSettings, Incarnation, KnownEngine, Load, ModelVersion,
-            PrefillRate, PromptPart, Turnover, cache_store_key, choose, find_cache_source,
-            retry_after_ms, short_hash,
+            AdmitSettings, ChoiceSettings, EngineEntry, EngineRequirements, EngineTable, Health,
+            HealthSettings, Incarnation, KnownEngine, Load, ModelVersion, PrefillRate, PromptPart,
+            Turnover, choose, find_cache_source, retry_after_ms, short_hash,
         },
         weights::VersionBounds,
     },
@@ -421,33 +420,6 @@
     );
 }
 
-/// A KV cache store that restarts is empty, so no part may count as stored; nor
-/// while it does not answer.
-#[test]
-fn a_kv_store_is_empty_after_a_restart() {
-    let mut cache_store = CacheStoreContents::default();
-    let key = cache_store_key("w1", 5);
-    cache_store.record_answer(10, false);
-    cache_store.apply_change(key, true);
-    assert!(cache_store.holds(key) && !cache_store.holds(cache_store_key("w2", 5)));
-    cache_store.mark_down();
-    assert!(!cache_store.holds(key));
-    cache_store.record_answer(11, false);
-    assert!(!cache_store.holds(key));
-}
-
-/// Many requests read the same part at the same time. Only one engine may be
-/// asked to save it to the store; another is asked once the first must have
-/// given up.
-#[test]
-fn a_part_is_saved_by_one_engine_at_a_time() {
-    let mut cache_store = CacheStoreContents::default();
-    assert!(cache_store.claim_save(5, 1_000));
-    assert!(!cache_store.claim_save(5, 1_001) && !cache_store.claim_save(5, 3_499));
-    assert!(cache_store.claim_save(6, 1_001));
-    assert!(cache_store.claim_save(5, 3_500));
-}
-
 /// Under overload, a request that would wait longer than permitted must be
 /// refused at once, with a time after which to retry. A request of the highest
 /// priority, which engines let overtake the others, may wait longer.
--- a/crates/core/tests/recorded_bytes.rs
+++ b/crates/core/tests/recorded_bytes.rs
@@ -13,7 +13,7 @@
         claim::{ClaimBody, ClaimState, EpochBody, ReplyBody, StoredReply},
         config::{Delta, Digest, Write},
         limits::SlotBody,
-        mesh::{Delivery, Heartbeat, MeshMessage, OrderPhase, OrderReport, TeamReport},
+        mesh::{Heartbeat, OrderPhase, OrderReport, PeerMessage, TeamReport},
         peer::{ConfigEntry, InstanceView, PeerReply, PeerRequest},
         poison::CrashReport,
         pool::{Departure, Load},
@@ -201,10 +201,7 @@
 
 #[test]
 fn a_heartbeat_of_another_build_is_understood() {
-    let message = MeshMessage {
-        delivery: Delivery::Direct,
-        heartbeat: heartbeat(),
-    };
+    let message = PeerMessage::Direct(Box::new(heartbeat()));
     check_message(&message, HEARTBEAT_DIRECT);
 }
 
@@ -213,31 +210,25 @@
 
 #[test]
 fn a_heartbeat_to_relay_of_another_build_is_understood() {
-    let message = MeshMessage {
-        delivery: Delivery::ToRelay,
-        heartbeat: Heartbeat {
-            ready: false,
-            stopped: true,
-            holds_lease: true,
-            ordered_ago_ms: None,
-            ..heartbeat()
-        },
-    };
+    let message = PeerMessage::ToRelay(Box::new(Heartbeat {
+        ready: false,
+        stopped: true,
+        holds_lease: true,
+        ordered_ago_ms: None,
+        ..heartbeat()
+    }));
     check_message(&message, HEARTBEAT_TO_RELAY);
 }
 
 #[test]
 fn a_relayed_heartbeat_of_another_build_is_understood() {
-    let message = MeshMessage {
-        delivery: Delivery::Relayed,
-        heartbeat: Heartbeat {
-            ready: false,
-            has_store: true,
-            knows_rates: false,
-            holds_lease: true,
-            ..heartbeat()
-        },
-    };
+    let message = PeerMessage::Relayed(Box::new(Heartbeat {
+        ready: false,
+        has_store: true,
+        knows_rates: false,
+        holds_lease: true,
+        ..heartbeat()
+    }));
     check_message(&message, HEARTBEAT_RELAYED);
 }
 
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -3,9 +3,12 @@
         attempt::{AttemptContext, Outcome},
         request::CallerRequest,
     },
-    mangowalk_core::pool::{
-        CacheSource, ChoiceSettings, EngineEntry, EngineRequirements, KnownEngine, ListingStatus,
-        Load, cache_store_key, choose, find_cache_source, retry_after_ms,
+    mangowalk_core::{
+        kv_store::kv_store_key,
+        pool::{
+            CacheSource, ChoiceSettings, EngineEntry, EngineRequirements, KnownEngine,
+            ListingStatus, Load, choose, find_cache_source, retry_after_ms,
+        },
     },
     mangowalk_platform::{Forward, forward_headers},
     std::net::SocketAddr,
@@ -112,11 +115,6 @@
             return Err(Outcome::QueueTooLong(retry_ms));
         }
     }
-    let services = &routes.configuration().services;
-    let store = services
-        .iter()
-        .find_map(|service| service.cache_store.as_ref());
-    let store = store.map(|store| store.address);
     let draw = rand::random();
     let source = find_cache_source(
         chosen,
@@ -130,7 +128,6 @@
         request,
         context,
         chosen,
-        store,
         source,
         settings.retention_ms,
         now_ms,
@@ -228,7 +225,6 @@
     request: &CallerRequest,
     context: &AttemptContext<'_>,
     known_engine: &KnownEngine,
-    store: Option<SocketAddr>,
     source: Option<CacheSource>,
     retention_ms: u64,
     now_ms: u64,
@@ -248,25 +244,26 @@
         .model
         .as_ref()
         .map(|_| cache_salt(request, version));
-    let mut cache_store = request.instance.cache_store.borrow_mut();
-    let store = store.filter(|_| is_worth_storing && cache_store.is_up());
+    let mut stores = request.instance.kv_stores.borrow_mut();
     let shared = requirements.parts.iter().rev().nth(1);
-    let is_in_store = cache_salt
+    let shared = shared.filter(|_| is_worth_storing);
+    let home = shared.and_then(|part| stores.home(part.id));
+    let holder = cache_salt
         .as_ref()
         .zip(shared)
-        .is_some_and(|(cache_salt, part)| cache_store.holds(cache_store_key(cache_salt, part.id)));
-    // The KV cache store goes first if it holds the part. Another engine's link
-    // is faster, but its memory turns over within seconds.
-    let (fetch_from, fetched_tokens) = match (is_in_store, source) {
-        (true, _) => (store, shared_tokens),
-        (false, Some(source)) => (Some(source.address), source.tokens),
-        (false, None) => (store, 0),
+        .and_then(|(cache_salt, part)| stores.holder(kv_store_key(cache_salt, part.id)));
+    // A store goes first if it holds the part. Another engine's link is faster,
+    // but its memory turns over within seconds.
+    let (fetch_from, fetched_tokens) = match (holder, source) {
+        (Some(holder), _) => (Some(holder), shared_tokens),
+        (None, Some(source)) => (Some(source.address), source.tokens),
+        (None, None) => (home, 0),
     };
-    let requests_save = store.is_some()
-        && !is_in_store
+    let requests_save = holder.is_none()
+        && home.is_some()
         && requirements
             .shared_part()
-            .is_some_and(|part| cache_store.claim_save(part, now_ms));
+            .is_some_and(|part| stores.claim_save(part, now_ms));
     SendPlan {
         load: Load {
             requests: 1,
@@ -281,7 +278,7 @@
         version,
         is_cached,
         fetch_from,
-        save_to: store.filter(|_| requests_save),
+        save_to: home.filter(|_| requests_save),
         cache_salt,
     }
 }
--- a/crates/gateway/src/instance/heartbeats.rs
+++ b/crates/gateway/src/instance/heartbeats.rs
@@ -48,9 +48,9 @@
 
     fn apply_engine_reports(&self, heartbeat: &Heartbeat, now_ms: u64) {
         for &(part, _) in &heartbeat.placements {
-            // The peer's engine was asked to save the part to the KV cache store, so
+            // The peer's engine was asked to save the part to a KV cache store, so
             // no engine needs to be asked here.
-            self.cache_store.borrow_mut().claim_save(part, now_ms);
+            self.kv_stores.borrow_mut().claim_save(part, now_ms);
         }
         let mut engines = self.engines.borrow_mut();
         engines.set_peer_load(&heartbeat.name, &heartbeat.loads);
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,4 +1,5 @@
 use mangowalk_core::{
+    kv_store::KvStoreSettings,
     mesh::MeshSettings,
     pool::{AdmitSettings, ChoiceSettings},
     weights::{OrderLeaseSettings, PlanSettings, WeightsSettings},
@@ -13,6 +14,8 @@
     pub mesh: MeshSettings,
     /// Choice of an engine for a request.
     pub choice: ChoiceSettings,
+    /// How long reports of KV cache stores hold.
+    pub kv_stores: KvStoreSettings,
     /// Refusal of requests that would wait too long.
     pub admission: AdmitSettings,
     /// Bounds on the age of weights that requests may use.
@@ -74,6 +77,7 @@
         GatewaySettings {
             mesh: MeshSettings::default(),
             choice: ChoiceSettings::default(),
+            kv_stores: KvStoreSettings::default(),
             admission: AdmitSettings::default(),
             weights: WeightsSettings {
                 penalty_after_ms: 1_300,
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -5,10 +5,9 @@
     },
     crate::clock::now_ms,
     mangowalk_core::{
+        kv_store::KvStores,
         mesh::{MemberTable, OrderReport},
-        pool::{
-            CacheStoreContents, EngineTable, MeanPromptLength, PrefillRate, Turnover, short_hash,
-        },
+        pool::{EngineTable, MeanPromptLength, PrefillRate, Turnover, short_hash},
         retries::FleetRetryBudget,
         routing::{Configuration, RouteTable},
         share::{ShareSettings, ShareTable},
@@ -65,8 +64,8 @@
     pub incarnation: u64,
     /// Requests that were running on engines when these crashed.
     pub crashes: RefCell<CrashTracker>,
-    /// Known contents of the KV cache store.
-    pub cache_store: RefCell<CacheStoreContents>,
+    /// KV cache stores and their known contents.
+    pub kv_stores: RefCell<KvStores>,
     /// Shared prompt parts that engines recently cached for this instance, oldest
     /// first: time in milliseconds, part and short hash of the engine's name.
     pub placements: RefCell<VecDeque<(u64, u64, u32)>>,
@@ -135,7 +134,7 @@
             incarnation,
             started_ms: now_ms(),
             crashes: RefCell::default(),
-            cache_store: RefCell::default(),
+            kv_stores: RefCell::default(),
             placements: RefCell::default(),
             routes: RefCell::default(),
             engines: RefCell::default(),
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -4,7 +4,7 @@
         instance::{Drain, Instance},
     },
     mangowalk_core::{
-        mesh::{Delivery, Heartbeat, MeshMessage, TeamReport},
+        mesh::{Heartbeat, PeerMessage, TeamReport},
         weights::PublishedAt,
     },
     std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration},
@@ -28,7 +28,7 @@
 }
 
 /// Sends heartbeats to peers and receives theirs; never returns.
-pub async fn exchange(instance: Rc<Instance>, socket: UdpSocket) {
+pub async fn exchange(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let sequence = Cell::new(0_u64);
     tokio::join!(
         send(&instance, &socket, &sequence),
@@ -43,27 +43,52 @@
             // The socket also reports here that nothing listens at a peer's port.
             continue;
         };
-        match postcard::from_bytes::<MeshMessage>(&buffer[..length]) {
-            Ok(message) => {
-                if message.delivery == Delivery::ToRelay {
-                    relay(instance, socket, &message.heartbeat);
-                }
-                instance.receive_heartbeat(message.heartbeat, now_ms());
-            }
+        match postcard::from_bytes(&buffer[..length]) {
+            Ok(message) => handle(instance, socket, message),
             Err(error) => log::warn!("event=heartbeat_refused error=\"{error}\""),
         }
     }
 }
 
+fn handle(instance: &Instance, socket: &UdpSocket, message: PeerMessage) {
+    match message {
+        PeerMessage::Direct(heartbeat) | PeerMessage::Relayed(heartbeat) => {
+            instance.receive_heartbeat(*heartbeat, now_ms());
+        }
+        PeerMessage::ToRelay(heartbeat) => {
+            relay(instance, socket, &heartbeat);
+            instance.receive_heartbeat(*heartbeat, now_ms());
+        }
+        PeerMessage::KvStore(report) => {
+            let mut stores = instance.kv_stores.borrow_mut();
+            stores.apply_report(&report, now_ms());
+        }
+    }
+}
+
 /// Relays a heartbeat from another failure domain to the peers of the own
 /// domain.
 fn relay(instance: &Instance, socket: &UdpSocket, heartbeat: &Heartbeat) {
-    let Some(bytes) = encode(Delivery::Relayed, heartbeat.clone()) else {
+    let message = PeerMessage::Relayed(Box::new(heartbeat.clone()));
+    let domain = instance.machine().domain.clone();
+    send_to_domains(instance, socket, &message, &[domain.as_str()]);
+}
+
+/// Sends a message to all peers of the given failure domains.
+pub fn send_to_domains(
+    instance: &Instance,
+    socket: &UdpSocket,
+    message: &PeerMessage,
+    domains: &[&str],
+) {
+    let Some(bytes) = encode(message) else {
         return;
     };
-    let domain = instance.machine().domain.clone();
-    for peer in instance.members.borrow().in_domain(&domain) {
-        send_datagram(socket, &bytes, peer);
+    let members = instance.members.borrow();
+    for domain in domains {
+        for peer in members.in_domain(domain) {
+            send_datagram(socket, &bytes, peer);
+        }
     }
 }
 
@@ -75,13 +100,10 @@
     }
 }
 
-fn encode(delivery: Delivery, heartbeat: Heartbeat) -> Option<Vec<u8>> {
-    postcard::to_allocvec(&MeshMessage {
-        delivery,
-        heartbeat,
-    })
-    .inspect_err(|error| log::warn!("event=heartbeat_unwritable error=\"{error}\""))
-    .ok()
+fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
+    postcard::to_allocvec(message)
+        .inspect_err(|error| log::warn!("event=heartbeat_unwritable error=\"{error}\""))
+        .ok()
 }
 
 async fn send(instance: &Instance, socket: &UdpSocket, sequence: &Cell<u64>) {
@@ -112,15 +134,15 @@
         .members
         .borrow()
         .targets(&domain, turn, mesh, now_ms);
-    let heartbeat = heartbeat(instance, turn, now_ms);
+    let heartbeat = Box::new(heartbeat(instance, turn, now_ms));
     if !targets.relays.is_empty()
-        && let Some(bytes) = encode(Delivery::ToRelay, heartbeat.clone())
+        && let Some(bytes) = encode(&PeerMessage::ToRelay(heartbeat.clone()))
     {
         for &relay in &targets.relays {
             send_datagram(socket, &bytes, relay);
         }
     }
-    if let Some(bytes) = encode(Delivery::Direct, heartbeat) {
+    if let Some(bytes) = encode(&PeerMessage::Direct(heartbeat)) {
         for &peer in &targets.direct {
             send_datagram(socket, &bytes, peer);
         }
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -2,4 +2,4 @@
 
 mod exchange;
 
-pub use exchange::{bind, exchange};
+pub use exchange::{bind, exchange, send_to_domains};
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -7,7 +7,7 @@
         logs::{self, LIFECYCLE, LogSettings},
         mesh,
         store::{CallClient, register, watch_configuration, watch_engines, watch_weights},
-        upstreams::{ConnectionPool, probe_silent_engines, watch_cache_store},
+        upstreams::{ConnectionPool, probe_silent_engines, watch_kv_stores},
         weights::run_weights_updater,
     },
     derive_more::{Display, Error},
@@ -168,6 +168,7 @@
             address: peer_address,
             source,
         })?;
+    let peers = Rc::new(peers);
     let (drain_sender, drain) = Drain::channel();
     let instance = Instance::new(machine, settings, wall_ms(), drain);
     let store_client = CallClient::new(instance.machine().store_address, STORE_CONNECT_TIMEOUT_MS);
@@ -180,7 +181,10 @@
         instance.incarnation,
     );
     let mut tasks = CriticalTasks::default();
-    tasks.start("heartbeats", mesh::exchange(instance.clone(), peers));
+    tasks.start(
+        "heartbeats",
+        mesh::exchange(instance.clone(), peers.clone()),
+    );
     tasks.start(
         "configuration",
         watch_configuration(instance.clone(), store.clone()),
@@ -198,7 +202,10 @@
         "callers",
         serve_callers(instance.clone(), pool.clone(), callers),
     );
-    tasks.start("kept_parts", watch_cache_store(instance.clone()));
+    tasks.start(
+        "kept_parts",
+        watch_kv_stores(instance.clone(), peers.clone()),
+    );
     tasks.start("sweep", sweep(instance.clone(), pool.clone()));
     tasks.start("probes", probe_silent_engines(instance.clone(), pool));
     tasks.start(
