--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -119,3 +119,26 @@
     /// discover a new one.
     pub peers: Vec<SocketAddr>,
 }
+
+impl Heartbeat {
+    /// Returns the heartbeat as it would be had it been sent `held_ms` later, after
+    /// another instance has held it for that time. Weights and orders would otherwise
+    /// seem younger than they are.
+    pub fn held_for(&self, held_ms: u32) -> Heartbeat {
+        let mut held = self.clone();
+        for (_, _, age_ms) in &mut held.versions {
+            *age_ms = age_ms.map(|age_ms| age_ms.saturating_add(held_ms));
+        }
+        for order in &mut held.orders {
+            order.age_ms = order.age_ms.saturating_add(held_ms);
+        }
+        for crash in &mut held.crashes {
+            crash.age_ms = crash.age_ms.saturating_add(u64::from(held_ms));
+        }
+        let ordered_ago_ms = held.ordered_ago_ms;
+        held.ordered_ago_ms = ordered_ago_ms.map(|ago_ms| ago_ms.saturating_add(held_ms));
+        held.counted_for_ms = held.counted_for_ms.saturating_sub(held_ms);
+        held.up_ms = held.up_ms.saturating_add(held_ms);
+        held
+    }
+}
--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -1,5 +1,6 @@
 use {
-    super::Heartbeat,
+    super::{EXCHANGE_VERSION, Heartbeat},
+    crate::pool::rendezvous,
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
@@ -30,8 +31,27 @@
     /// large fleet took turns instead, each would receive so few heartbeats that
     /// it took others for silent.
     pub max_direct_peers: usize,
+    /// Maximum number of peers for which each heartbeat is relayed on its own. Above
+    /// it, heartbeats to other failure domains are sent in packs; see
+    /// [`MemberTable::pack`].
+    pub max_relayed_peers: usize,
+    /// Maximum number of heartbeats of one pack.
+    pub max_pack_size: usize,
+    /// Maximum number of heartbeats from other failure domains that an instance
+    /// receives a second, by which the interval of packs grows with the fleet. A
+    /// small machine has a tenth of a core and 20 Mbit/s.
+    pub max_far_heartbeats_per_s: usize,
+    /// Minimum interval between two heartbeats, also when others should hear of
+    /// something at once. When a large fleet starts, each instance hears of a new
+    /// peer hundreds of times within a second, and an answer to each fills the links
+    /// of all for several seconds.
+    pub min_interval_ms: u64,
 }
 
+/// Number of packs that may be lost before the peers in them count as silent, plus a
+/// half for the time between two heartbeats of the instance that sends the next one.
+const SILENT_AFTER_PACKS: f64 = 4.5;
+
 impl Default for MeshSettings {
     fn default() -> MeshSettings {
         MeshSettings {
@@ -40,10 +60,22 @@
             gone_after_ms: 30_000,
             candidate_ms: 6_000,
             max_direct_peers: 16,
+            max_relayed_peers: 100,
+            max_pack_size: 8,
+            max_far_heartbeats_per_s: 600,
+            min_interval_ms: 40,
         }
     }
 }
 
+impl MeshSettings {
+    /// Returns after how many milliseconds a heartbeat that should be sent at once
+    /// may follow one sent at `last_sent_ms`.
+    pub fn wake_delay_ms(&self, last_sent_ms: u64, now_ms: u64) -> u64 {
+        (last_sent_ms + self.min_interval_ms).saturating_sub(now_ms)
+    }
+}
+
 /// A peer and its last heartbeat.
 #[derive(Debug, Clone)]
 pub struct Member {
@@ -51,6 +83,11 @@
     pub last_heartbeat: Heartbeat,
     /// When that heartbeat was received.
     pub received_ms: u64,
+    /// Version of the exchange that the peer understands; see
+    /// [`super::EXCHANGE_VERSION`].
+    pub exchange_version: u8,
+    /// When the peer last said that it sent a pack.
+    packed_ms: Option<u64>,
 }
 
 /// Addresses to which one heartbeat is sent.
@@ -73,6 +110,8 @@
 /// Peers of this instance, by name, and addresses at which a peer may listen.
 #[derive(Debug, Default)]
 pub struct MemberTable {
+    own_name: String,
+    own_domain: String,
     members: BTreeMap<String, Member>,
     candidates_since_ms: HashMap<SocketAddr, u64>,
     /// Peers that have stopped. Heartbeats that they sent before may still be
@@ -83,6 +122,15 @@
 }
 
 impl MemberTable {
+    /// Returns an empty table of the instance `own_name` in a failure domain.
+    pub fn new(own_name: &str, own_domain: &str) -> MemberTable {
+        MemberTable {
+            own_name: own_name.to_owned(),
+            own_domain: own_domain.to_owned(),
+            ..MemberTable::default()
+        }
+    }
+
     /// Adds an address at which a peer may listen.
     pub fn add_candidate(&mut self, address: SocketAddr, now_ms: u64) {
         self.candidates_since_ms.entry(address).or_insert(now_ms);
@@ -132,14 +180,32 @@
         }
         self.stopped
             .retain(|_, stopped| stopped.peer_address != heartbeat.peer_address);
+        let before = self.members.get(&name);
         let member = Member {
             last_heartbeat: heartbeat,
             received_ms: now_ms,
+            exchange_version: before.map_or(0, |member| member.exchange_version),
+            packed_ms: before.and_then(|member| member.packed_ms),
         };
         self.members.insert(name, member);
         true
     }
 
+    /// Records the version of the exchange that a peer understands, as a message
+    /// from itself says.
+    pub fn set_exchange_version(&mut self, name: &str, version: u8) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.exchange_version = version;
+        }
+    }
+
+    /// Records that a peer has sent a pack.
+    pub fn record_pack(&mut self, name: &str, now_ms: u64) {
+        if let Some(member) = self.members.get_mut(name) {
+            member.packed_ms = Some(now_ms);
+        }
+    }
+
     /// Removes peers that were silent for longer than `gone_after_ms` and
     /// returns their names. Also drops old candidate addresses and records of
     /// stopped peers.
@@ -191,10 +257,22 @@
             direct: near
                 .chain(rotate(&candidates, settings.max_direct_peers, turn))
                 .collect(),
-            relays: relays(&far, turn, settings, now_ms),
+            relays: relays(
+                &far,
+                self.relay_turn(turn),
+                &Silence::new(self, settings),
+                now_ms,
+            ),
         }
     }
 
+    /// Returns the turn by which this instance selects relays. Instances that started
+    /// together send their heartbeats in step; without an offset of its own for each,
+    /// all would select the same relay at the same time.
+    fn relay_turn(&self, turn: u64) -> u64 {
+        rendezvous(0, &self.own_name).wrapping_add(turn)
+    }
+
     /// Returns the addresses of the peers in a failure domain, to which
     /// heartbeats from other domains are relayed.
     pub fn in_domain<'a>(&'a self, domain: &'a str) -> impl Iterator<Item = SocketAddr> + 'a {
@@ -245,12 +323,12 @@
     }
 
     /// Returns the live peers: those with a heartbeat within the last
-    /// `silent_after_ms`.
+    /// `silent_after_ms`, or of a few packs for those that are received in packs.
     pub fn live(&self, settings: &MeshSettings, now_ms: u64) -> impl Iterator<Item = &Member> {
-        let silent_after_ms = settings.silent_after_ms;
+        let silence = Silence::new(self, settings);
         self.members
             .values()
-            .filter(move |member| now_ms <= member.received_ms + silent_after_ms)
+            .filter(move |member| silence.is_live(member, now_ms))
     }
 
     /// Returns the incarnation in the last heartbeat of a peer; `None` for an
@@ -279,7 +357,98 @@
     /// expired.
     pub fn is_live(&self, name: &str, settings: &MeshSettings, now_ms: u64) -> Option<bool> {
         let member = self.members.get(name)?;
-        Some(now_ms <= member.received_ms + settings.silent_after_ms)
+        Some(Silence::new(self, settings).is_live(member, now_ms))
+    }
+
+    /// Returns whether all known peers understand a version of the exchange. During
+    /// an upgrade some don't, and all get what the oldest of them understands.
+    pub fn all_understand(&self, version: u8) -> bool {
+        let mut members = self.members.values();
+        members.all(|member| member.exchange_version >= version)
+    }
+
+    /// Returns whether heartbeats to other failure domains are sent in packs.
+    pub fn uses_packs(&self, settings: &MeshSettings) -> bool {
+        self.members.len() > settings.max_relayed_peers && self.all_understand(EXCHANGE_VERSION)
+    }
+
+    /// Returns the interval between two packs of the same heartbeats.
+    pub fn pack_interval_ms(&self, settings: &MeshSettings) -> u64 {
+        let members = self.members.values();
+        let far = members.filter(|member| member.last_heartbeat.domain != self.own_domain);
+        let interval_ms = far.count() * 1_000 / settings.max_far_heartbeats_per_s.max(1);
+        settings.heartbeat_interval_ms.max(interval_ms as u64)
+    }
+
+    /// Returns the peers whose heartbeats this instance should send in one pack with
+    /// its own, or `None` if no pack is due.
+    ///
+    /// The instances of a failure domain form groups by name, which all of them
+    /// compute alike. Whoever of a group sends its heartbeat first after the interval
+    /// sends the pack, and tells the others with that heartbeat; so no instance has
+    /// this task alone, and a lost one is replaced at the next heartbeat.
+    ///
+    /// Only fresh heartbeats are included: an older one would keep a lost peer alive
+    /// for others.
+    pub fn pack(
+        &self,
+        last_own_pack_ms: Option<u64>,
+        settings: &MeshSettings,
+        now_ms: u64,
+    ) -> Option<Vec<&Member>> {
+        let group = self.group(settings);
+        let packed_by_others = group.iter().filter_map(|member| member.packed_ms);
+        let last_pack_ms = packed_by_others.chain(last_own_pack_ms).max();
+        let interval_ms = self.pack_interval_ms(settings);
+        if last_pack_ms.is_some_and(|last_ms| now_ms < last_ms + interval_ms) {
+            return None;
+        }
+        let max_age_ms = 2 * settings.heartbeat_interval_ms + settings.min_interval_ms;
+        let is_fresh = |member: &&Member| now_ms <= member.received_ms + max_age_ms;
+        Some(group.into_iter().filter(is_fresh).collect())
+    }
+
+    /// Returns the other instances of the own group.
+    fn group(&self, settings: &MeshSettings) -> Vec<&Member> {
+        let size = settings.max_pack_size.max(1);
+        let members = self.members.values();
+        let near: Vec<&Member> = members
+            .filter(|member| member.last_heartbeat.domain == self.own_domain)
+            .collect();
+        let is_before = |member: &&&Member| member.last_heartbeat.name < self.own_name;
+        let own_index = near.iter().take_while(is_before).count();
+        // Positions count this instance, which is not among its members.
+        let first = own_index / size * size;
+        let end = (first + size - 1).min(near.len());
+        near[first..end].to_vec()
+    }
+}
+
+/// The silence after which a peer is no longer live.
+struct Silence<'a> {
+    own_domain: &'a str,
+    near_ms: u64,
+    far_ms: u64,
+}
+
+impl Silence<'_> {
+    fn new<'a>(table: &'a MemberTable, settings: &MeshSettings) -> Silence<'a> {
+        let near_ms = settings.silent_after_ms;
+        let far_ms = match table.uses_packs(settings) {
+            true => (table.pack_interval_ms(settings) as f64 * SILENT_AFTER_PACKS) as u64,
+            false => near_ms,
+        };
+        Silence {
+            own_domain: &table.own_domain,
+            near_ms,
+            far_ms: far_ms.max(near_ms),
+        }
+    }
+
+    fn is_live(&self, member: &Member, now_ms: u64) -> bool {
+        let is_near = member.last_heartbeat.domain == self.own_domain;
+        let silent_after_ms = if is_near { self.near_ms } else { self.far_ms };
+        now_ms <= member.received_ms + silent_after_ms
     }
 }
 
@@ -295,7 +464,7 @@
 ///
 /// Only live peers are selected, since a silent one may not relay. If a domain
 /// has no live peer, a silent one is used.
-fn relays(far: &[&Member], turn: u64, settings: &MeshSettings, now_ms: u64) -> Vec<SocketAddr> {
+fn relays(far: &[&Member], turn: u64, silence: &Silence<'_>, now_ms: u64) -> Vec<SocketAddr> {
     let mut domains: BTreeMap<&str, Vec<&Member>> = BTreeMap::new();
     for &member in far {
         let domain = domains
@@ -304,7 +473,7 @@
         domain.push(member);
     }
     let relays = domains.into_values().filter_map(|members| {
-        let is_live = |member: &&&Member| now_ms <= member.received_ms + settings.silent_after_ms;
+        let is_live = |member: &&&Member| silence.is_live(member, now_ms);
         let live: Vec<&Member> = members.iter().filter(is_live).copied().collect();
         let eligible = if live.is_empty() { members } else { live };
         let index = turn as usize % eligible.len().max(1);
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -1,9 +1,25 @@
 use {
     super::Heartbeat,
     crate::kv_store::KvStoreReport,
+    derive_more::{Display, Error, From},
     serde::{Deserialize, Serialize},
 };
 
+/// Version of the exchange between instances that this build understands. It follows
+/// each message as one byte; builds before version 1 send none and ignore it.
+///
+/// Version 1 adds [`PeerMessage::DirectPacked`], [`PeerMessage::PackToRelay`] and
+/// [`PeerMessage::RelayedPack`], and heartbeats that leave out teams whose spending
+/// hasn't changed.
+pub const EXCHANGE_VERSION: u8 = 1;
+
+/// Maximum size of a datagram between instances, which is that of UDP over IPv4.
+pub const MAX_DATAGRAM_BYTES: usize = 65_507;
+
+/// Size of the heartbeats in a pack from which on the pack is sent and another begun.
+/// A relay sends each pack to all peers of its failure domain at once.
+pub const PACK_BYTES: usize = 12 * 1024;
+
 /// Content of one datagram between instances.
 ///
 /// Instances of an earlier build know the first three variants only and ignore a
@@ -19,4 +35,66 @@
     Relayed(Box<Heartbeat>),
     /// A report on a KV cache store.
     KvStore(KvStoreReport),
+    /// A heartbeat like [`PeerMessage::Direct`], whose author has also sent a pack of
+    /// the heartbeats of its group.
+    DirectPacked(Box<Heartbeat>),
+    /// Heartbeats of several instances of another failure domain, to a receiver that
+    /// relays them within its own.
+    PackToRelay(Vec<Heartbeat>),
+    /// Heartbeats that another instance of the receiver's failure domain relays.
+    RelayedPack(Vec<Heartbeat>),
+}
+
+/// Why a datagram could not be decoded or a message not be encoded.
+#[derive(Debug, Display, Error, From)]
+#[display("The message between instances is malformed: {_0}.")]
+pub struct MessageError(postcard::Error);
+
+impl PeerMessage {
+    /// Encodes the message, followed by the exchange version of the author of its
+    /// heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a value can't be encoded.
+    pub fn encode(&self, exchange_version: u8) -> Result<Vec<u8>, MessageError> {
+        let mut bytes = postcard::to_allocvec(self)?;
+        bytes.push(exchange_version);
+        Ok(bytes)
+    }
+
+    /// Decodes a datagram into the message and the exchange version of its author; 0
+    /// for one of an earlier build.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are no message that this build knows.
+    pub fn decode(bytes: &[u8]) -> Result<(PeerMessage, u8), MessageError> {
+        let (message, rest) = postcard::take_from_bytes(bytes)?;
+        Ok((message, rest.first().copied().unwrap_or(0)))
+    }
+}
+
+/// Splits heartbeats into packs of at most `max_bytes` each; a heartbeat that is
+/// larger makes a pack of its own.
+pub fn split_packs(
+    heartbeats: impl IntoIterator<Item = Heartbeat>,
+    max_bytes: usize,
+) -> Vec<Vec<Heartbeat>> {
+    let mut packs: Vec<Vec<Heartbeat>> = Vec::new();
+    let mut pack_bytes = 0;
+    for heartbeat in heartbeats {
+        let bytes = postcard::experimental::serialized_size(&heartbeat).unwrap_or(max_bytes);
+        match packs.last_mut() {
+            Some(pack) if pack_bytes + bytes <= max_bytes => {
+                pack_bytes += bytes;
+                pack.push(heartbeat);
+            }
+            _ => {
+                pack_bytes = bytes;
+                packs.push(vec![heartbeat]);
+            }
+        }
+    }
+    packs
 }
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -7,5 +7,7 @@
 pub use {
     heartbeat::{Heartbeat, OrderPhase, OrderReport, TeamReport},
     members::{Member, MemberTable, MeshSettings, Targets},
-    message::PeerMessage,
+    message::{
+        EXCHANGE_VERSION, MAX_DATAGRAM_BYTES, MessageError, PACK_BYTES, PeerMessage, split_packs,
+    },
 };
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub struct EngineTable {
     engines: BTreeMap<String, KnownEngine>,
+    /// Names of the engines by the short hash that peers use.
+    ids_by_hash: HashMap<u32, String>,
     departures: Departures,
     peer_loads: HashMap<String, HashMap<String, Load>>,
     list_revision: u64,
@@ -80,6 +82,7 @@
         let Some(engine) = self.engines.get_mut(&id) else {
             let mut engine = KnownEngine::new(entry);
             engine.others = others;
+            self.ids_by_hash.insert(engine.name_hash, id.clone());
             self.engines.insert(id, engine);
             return true;
         };
@@ -136,14 +139,20 @@
             return false;
         }
         self.departures.record_removal(&engine.entry, revision);
-        self.engines.remove(id);
+        self.remove(id);
         true
     }
 
     /// Removes an engine whose entry cannot be decoded. Another writer may
     /// have caused it, so no departure is reported to peers.
     pub fn remove_unreadable(&mut self, id: &str) {
-        self.engines.remove(id);
+        self.remove(id);
+    }
+
+    fn remove(&mut self, id: &str) {
+        if let Some(engine) = self.engines.remove(id) {
+            self.ids_by_hash.remove(&engine.name_hash);
+        }
     }
 
     /// Returns the engines that a complete read of the list lacks.
@@ -273,8 +282,8 @@
     /// part and name hash of the engine.
     pub fn record_peer_parts(&mut self, placed: &[(u64, u32)], now_ms: u64) {
         for &(part, hash) in placed {
-            let mut engines = self.engines.values_mut();
-            if let Some(engine) = engines.find(|engine| engine.name_hash == hash) {
+            let id = self.ids_by_hash.get(&hash);
+            if let Some(engine) = id.and_then(|id| self.engines.get_mut(id)) {
                 engine.record_part(part, now_ms);
             }
         }
--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -4,6 +4,13 @@
     std::collections::HashMap,
 };
 
+/// Time after its last request for which a team is in each report to peers. Measured
+/// demand falls to a fifth in it.
+const ACTIVE_TEAM_MS: u64 = 3_500;
+
+/// Number of reports in which each team without requests is included once.
+const IDLE_TEAM_TURNS: u64 = 10;
+
 /// Settings for sharing rates between instances, chiefly for the time after a
 /// start and for partitions.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -92,6 +99,8 @@
     /// Whether the peer knows what was spent: it is past its learning time or
     /// has copied the levels of another instance.
     pub knows_spending: bool,
+    /// Whether `teams` leaves out teams whose spending hasn't changed.
+    pub is_partial: bool,
     /// Spending by team name.
     pub teams: HashMap<String, PeerSpending>,
 }
@@ -107,6 +116,7 @@
 struct OwnSpending {
     spent: f64,
     demand: Demand,
+    requested_ms: Option<u64>,
 }
 
 /// This instance's estimate of every team's bucket.
@@ -163,6 +173,23 @@
         all
     }
 
+    /// Returns what [`ShareTable::spending`] does, but leaves out most teams without
+    /// requests in the last `ACTIVE_TEAM_MS`: with hundreds of teams on hundreds of
+    /// instances they would be most of what instances send each other. Each of them
+    /// is included once in `IDLE_TEAM_TURNS` turns, so that a lost report is made up
+    /// for and falling demand is heard of.
+    pub fn changed_spending(&self, turn: u64, now_ms: u64) -> Vec<(String, PeerSpending)> {
+        let mut spending = self.spending(now_ms);
+        let mut index = 0;
+        spending.retain(|(team, _)| {
+            index += 1;
+            let requested_ms = self.own.get(team).and_then(|own| own.requested_ms);
+            let is_active = requested_ms.is_some_and(|at_ms| now_ms < at_ms + ACTIVE_TEAM_MS);
+            is_active || (index + turn).is_multiple_of(IDLE_TEAM_TURNS)
+        });
+        spending
+    }
+
     /// Applies the teams and rates of a configuration. The first call marks the
     /// start of this instance. Teams without a rate lose their bucket, and teams
     /// that are no longer listed are removed.
@@ -217,11 +244,12 @@
                 None => bucket.subtract_peer_spending(spending.spent),
             }
         }
-        *known = Peer {
-            incarnation: report.incarnation,
-            is_reachable: true,
-            teams: report.teams,
-        };
+        known.incarnation = report.incarnation;
+        known.is_reachable = true;
+        if !(report.is_partial && is_same_process) {
+            known.teams.clear();
+        }
+        known.teams.extend(report.teams);
     }
 
     /// Returns whether the spending of a newly discovered peer is already
@@ -266,6 +294,7 @@
         let cost = cost as f64;
         let own = self.own.entry(tenant.name.clone()).or_default();
         own.demand.add(cost, now_ms);
+        own.requested_ms = Some(now_ms);
         let share = self.instance_share(&tenant.name, now_ms);
         let is_learning = self.is_learning(now_ms);
         if let Some(bucket) = self.buckets.get_mut(&tenant.name) {
--- /dev/null
+++ b/crates/core/tests/mesh_at_scale.rs
@@ -0,0 +1,371 @@
+//! Heartbeats of fleets with hundreds of instances.
+
+use {
+    mangowalk_core::{
+        mesh::{
+            EXCHANGE_VERSION, Heartbeat, MAX_DATAGRAM_BYTES, MemberTable, MeshSettings, OrderPhase,
+            OrderReport, PACK_BYTES, PeerMessage, TeamReport, split_packs,
+        },
+        poison::CrashReport,
+        pool::Load,
+    },
+    std::{collections::HashMap, net::SocketAddr},
+};
+
+fn heartbeat(name: &str, domain: &str, address: SocketAddr, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        name: name.to_owned(),
+        incarnation: 1,
+        up_ms: 10_000,
+        sequence,
+        caller_address: address,
+        peer_address: address,
+        domain: domain.to_owned(),
+        ready: true,
+        stopped: false,
+        has_store: true,
+        configuration_version: 1,
+        versions: Vec::new(),
+        loads: Vec::new(),
+        placements: Vec::new(),
+        engines_revision: 1,
+        departures: Vec::new(),
+        silent_engines: Vec::new(),
+        crashes: Vec::new(),
+        knows_rates: true,
+        instances: 2,
+        counted_for_ms: 8_000,
+        teams: Vec::new(),
+        holds_lease: false,
+        ordered_ago_ms: None,
+        orders: Vec::new(),
+        peers: Vec::new(),
+    }
+}
+
+const DOMAINS: [&str; 6] = ["a", "b", "c", "d", "e", "f"];
+
+/// Time between two steps of a simulated fleet.
+const STEP_MS: u64 = 10;
+
+/// Instances that exchange heartbeats over a network without delay.
+struct Fleet {
+    tables: Vec<MemberTable>,
+    by_address: HashMap<SocketAddr, usize>,
+    pack_ms: Vec<Option<u64>>,
+    sequences: Vec<u64>,
+    /// Whether an instance neither sends nor receives.
+    is_dead: Vec<bool>,
+    /// Datagrams that each instance has sent, relayed ones included.
+    sent: Vec<usize>,
+    /// When each instance last received a heartbeat of each other one.
+    received_ms: Vec<Vec<u64>>,
+    /// Longest time between two heartbeats of another instance that arrived.
+    max_gap_ms: u64,
+    settings: MeshSettings,
+}
+
+impl Fleet {
+    /// Returns a fleet in which all know each other at 0 ms.
+    fn new(instances: usize) -> Fleet {
+        let mut fleet = Fleet {
+            tables: (0..instances)
+                .map(|n| MemberTable::new(&name(n), domain(n)))
+                .collect(),
+            by_address: (0..instances).map(|n| (address(n), n)).collect(),
+            pack_ms: vec![None; instances],
+            sequences: vec![1; instances],
+            is_dead: vec![false; instances],
+            sent: vec![0; instances],
+            received_ms: vec![vec![0; instances]; instances],
+            max_gap_ms: 0,
+            settings: MeshSettings::default(),
+        };
+        for to in 0..instances {
+            for from in (0..instances).filter(|from| *from != to) {
+                fleet.receive(to, &heartbeat_of(from, 1), 0);
+            }
+        }
+        fleet
+    }
+
+    fn receive(&mut self, to: usize, heartbeat: &Heartbeat, now_ms: u64) {
+        if self.is_dead[to] || heartbeat.name == name(to) {
+            return;
+        }
+        let table = &mut self.tables[to];
+        if table.receive(heartbeat.clone(), now_ms) {
+            table.set_exchange_version(&heartbeat.name, EXCHANGE_VERSION);
+            let from = self.by_address[&heartbeat.peer_address];
+            let received_ms = &mut self.received_ms[to][from];
+            self.max_gap_ms = self.max_gap_ms.max(now_ms - *received_ms);
+            *received_ms = now_ms;
+        }
+    }
+
+    /// Sends the heartbeat of one instance, as the gateway does.
+    fn send(&mut self, from: usize, now_ms: u64) {
+        self.sequences[from] += 1;
+        let own = heartbeat_of(from, self.sequences[from]);
+        let table = &self.tables[from];
+        let targets = table.targets(domain(from), self.sequences[from], &self.settings, now_ms);
+        assert!(table.uses_packs(&self.settings));
+        let pack = table.pack(self.pack_ms[from], &self.settings, now_ms);
+        let pack: Option<Vec<Heartbeat>> = pack.map(|group| {
+            let held = group
+                .into_iter()
+                .map(|member| member.last_heartbeat.clone());
+            held.chain([own.clone()]).collect()
+        });
+        self.sent[from] += targets.direct.len();
+        for address in targets.direct {
+            let to = self.by_address[&address];
+            self.receive(to, &own, now_ms);
+            if pack.is_some() {
+                self.tables[to].record_pack(&own.name, now_ms);
+            }
+        }
+        let Some(pack) = pack else {
+            return;
+        };
+        self.pack_ms[from] = Some(now_ms);
+        self.sent[from] += targets.relays.len();
+        for address in targets.relays {
+            let relay = self.by_address[&address];
+            if self.is_dead[relay] {
+                continue;
+            }
+            let near: Vec<SocketAddr> = self.tables[relay].in_domain(domain(relay)).collect();
+            self.sent[relay] += near.len();
+            let receivers: Vec<usize> = near
+                .iter()
+                .map(|address| self.by_address[address])
+                .collect();
+            for to in receivers.into_iter().chain([relay]) {
+                for heartbeat in &pack {
+                    self.receive(to, heartbeat, now_ms);
+                }
+            }
+        }
+    }
+
+    /// Lets all live instances send for a while, each in its own phase.
+    fn run(&mut self, from_ms: u64, until_ms: u64) {
+        for now_ms in (from_ms..until_ms).step_by(STEP_MS as usize) {
+            for instance in 0..self.tables.len() {
+                let phase_ms = (instance as u64 * 70) % self.settings.heartbeat_interval_ms;
+                let is_due =
+                    (now_ms + phase_ms).is_multiple_of(self.settings.heartbeat_interval_ms);
+                if is_due && !self.is_dead[instance] {
+                    self.send(instance, now_ms);
+                }
+            }
+        }
+    }
+}
+
+fn name(instance: usize) -> String {
+    format!("i{instance:03}")
+}
+
+fn domain(instance: usize) -> &'static str {
+    DOMAINS[instance % DOMAINS.len()]
+}
+
+fn address(instance: usize) -> SocketAddr {
+    SocketAddr::from((
+        [10, 0, (instance / 250) as u8, (instance % 250) as u8],
+        7_600,
+    ))
+}
+
+fn heartbeat_of(instance: usize, sequence: u64) -> Heartbeat {
+    heartbeat(
+        &name(instance),
+        domain(instance),
+        address(instance),
+        sequence,
+    )
+}
+
+/// At the size of the fleets to come, a small machine must neither send nor receive
+/// more than it can, and all instances must still count as live.
+#[test]
+fn hundreds_of_instances_hear_each_other_in_few_datagrams() {
+    const INSTANCES: usize = 354;
+    let mut fleet = Fleet::new(INSTANCES);
+    fleet.run(0, 2_000);
+    fleet.sent = vec![0; INSTANCES];
+    fleet.max_gap_ms = 0;
+    fleet.run(2_000, 6_000);
+    let max_sent_per_s = fleet.sent.iter().max().expect("there are instances") / 4;
+    assert!(max_sent_per_s <= 600, "{max_sent_per_s}");
+    let interval_ms = fleet.tables[0].pack_interval_ms(&fleet.settings);
+    assert!(interval_ms <= 500, "{interval_ms}");
+    assert!(fleet.max_gap_ms <= 2 * interval_ms, "{}", fleet.max_gap_ms);
+    for table in &fleet.tables {
+        assert_eq!(table.live(&fleet.settings, 6_000).count(), INSTANCES - 1);
+    }
+}
+
+/// Every tenth instance is lost at once. The packs of its group are sent by the
+/// others, lost relays cost single packs, and no pack keeps a lost instance alive.
+#[test]
+fn lost_instances_are_noticed_and_their_tasks_taken_over() {
+    const INSTANCES: usize = 300;
+    let mut fleet = Fleet::new(INSTANCES);
+    fleet.run(0, 2_000);
+    for instance in (0..INSTANCES).step_by(10) {
+        fleet.is_dead[instance] = true;
+    }
+    fleet.run(2_000, 6_000);
+    let lost = INSTANCES / 10;
+    for instance in (0..INSTANCES).filter(|n| n % 10 != 0) {
+        let live = fleet.tables[instance].live(&fleet.settings, 6_000);
+        let names: Vec<&str> = live
+            .map(|member| member.last_heartbeat.name.as_str())
+            .collect();
+        assert_eq!(names.len(), INSTANCES - lost - 1, "instance {instance}");
+    }
+}
+
+/// Instances that start together send in step. If all of them chose the same relay of
+/// a failure domain, a small machine would relay the heartbeats of the whole fleet at
+/// once, another one at each turn.
+#[test]
+fn instances_in_step_choose_different_relays() {
+    const INSTANCES: usize = 95;
+    let fleet = Fleet::new(INSTANCES);
+    for turn in 1..20 {
+        let mut chosen: HashMap<SocketAddr, usize> = HashMap::new();
+        for (n, table) in fleet.tables.iter().enumerate() {
+            for relay in table.targets(domain(n), turn, &fleet.settings, 0).relays {
+                *chosen.entry(relay).or_default() += 1;
+            }
+        }
+        let max_chosen = chosen.values().max().expect("there are relays");
+        // Evenly spread, each of them would be chosen five times.
+        assert!(*max_chosen <= 20, "{max_chosen} at turn {turn}");
+    }
+}
+
+/// While one instance still runs an earlier build, all must send what it
+/// understands.
+#[test]
+fn packs_wait_for_the_last_instance_of_an_earlier_build() {
+    let mut fleet = Fleet::new(120);
+    let settings = fleet.settings;
+    assert!(fleet.tables[0].uses_packs(&settings));
+    fleet.tables[0].set_exchange_version(&name(7), 0);
+    assert!(!fleet.tables[0].uses_packs(&settings));
+}
+
+/// When a large fleet starts, each instance hears of hundreds of new peers within a
+/// second. Answering each of them at once filled the links for several seconds, so
+/// that instances refused callers for want of reports.
+#[test]
+fn heartbeats_that_are_wanted_at_once_are_gathered() {
+    let settings = MeshSettings::default();
+    let mut sent_ms = Vec::new();
+    let mut last_ms = 1_000;
+    for found_ms in 1_000..2_000_u64 {
+        let delay_ms = settings.wake_delay_ms(last_ms, found_ms);
+        if delay_ms == 0 {
+            last_ms = found_ms;
+            sent_ms.push(found_ms);
+        }
+    }
+    assert_eq!(sent_ms.len(), 24);
+    assert_eq!(
+        settings.wake_delay_ms(1_000, 1_500),
+        0,
+        "one alone isn't delayed"
+    );
+}
+
+/// A relayed heartbeat was held by another instance for a while. If its ages didn't
+/// grow meanwhile, replaced weights would be used for longer than they may be.
+#[test]
+fn ages_grow_while_a_heartbeat_is_held() {
+    let mut sent = heartbeat("i", "a", address(1), 5);
+    sent.versions = vec![
+        ("model".to_owned(), 3, Some(400)),
+        ("model".to_owned(), 2, None),
+    ];
+    sent.orders = vec![OrderReport {
+        engine: "e".to_owned(),
+        model: "model".to_owned(),
+        version: 3,
+        phase: OrderPhase::Sent,
+        age_ms: 100,
+    }];
+    sent.crashes = vec![CrashReport {
+        request: 1,
+        crash: 2,
+        age_ms: 50,
+        cleared: false,
+    }];
+    sent.ordered_ago_ms = Some(70);
+    let held = sent.held_for(300);
+    assert_eq!(
+        held.versions,
+        [
+            ("model".to_owned(), 3, Some(700)),
+            ("model".to_owned(), 2, None)
+        ]
+    );
+    assert_eq!((held.orders[0].age_ms, held.crashes[0].age_ms), (400, 350));
+    assert_eq!(
+        (held.ordered_ago_ms, held.counted_for_ms, held.up_ms),
+        (Some(370), 7_700, 10_300)
+    );
+    assert_eq!(held.sequence, sent.sequence);
+}
+
+/// A heartbeat with work at all engines and hundreds of teams has to fit a datagram:
+/// one that doesn't is lost each time, and the instance counts as silent.
+#[test]
+fn a_full_heartbeat_fits_a_datagram() {
+    let mut sent = heartbeat("edge-south-texas-a-1", "south-texas-a", address(1), 500);
+    let load = Load {
+        requests: 30,
+        memory_tokens: 270_000,
+        prefill_tokens: 90_000,
+        must_finish: 1,
+    };
+    sent.loads = (0..640).map(|n| (format!("i-{n:010x}"), load)).collect();
+    sent.placements = (0..48).map(|n| (u64::MAX - n, u32::MAX)).collect();
+    sent.teams = (0..230)
+        .map(|n| TeamReport {
+            team: format!("team{n:03}"),
+            spent: 1e7,
+            level: 1e5,
+            demand_per_s: 1e5,
+        })
+        .collect();
+    let bytes = PeerMessage::Direct(Box::new(sent.clone()))
+        .encode(EXCHANGE_VERSION)
+        .expect("it is encoded");
+    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+    let packs = split_packs(vec![sent; 8], PACK_BYTES);
+    for pack in packs {
+        let bytes = PeerMessage::PackToRelay(pack).encode(EXCHANGE_VERSION);
+        let length = bytes.expect("it is encoded").len();
+        assert!(length <= MAX_DATAGRAM_BYTES, "{length}");
+    }
+}
+
+/// Messages of an earlier build end without a version, and that build ignores the
+/// version behind the messages of this one.
+#[test]
+fn the_exchange_version_follows_the_message() {
+    let message = PeerMessage::Direct(Box::new(heartbeat("i", "a", address(1), 5)));
+    let bytes = message.encode(EXCHANGE_VERSION).expect("it is encoded");
+    let (decoded, version) = PeerMessage::decode(&bytes).expect("it is decoded");
+    assert_eq!((&decoded, version), (&message, EXCHANGE_VERSION));
+    let earlier = &bytes[..bytes.len() - 1];
+    let (decoded, version) = PeerMessage::decode(earlier).expect("it is decoded");
+    assert_eq!((&decoded, version), (&message, 0));
+    let by_earlier: PeerMessage = postcard::from_bytes(&bytes).expect("the rest is ignored");
+    assert_eq!(by_earlier, message);
+}
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -26,6 +26,10 @@
     tenant: Tenant,
     incarnations: Vec<u64>,
     started_ms: Vec<u64>,
+    /// Whether reports leave out teams whose spending hasn't changed, once all
+    /// instances have been up for two seconds.
+    is_partial: bool,
+    turn: u64,
 }
 
 impl Fleet {
@@ -35,6 +39,8 @@
             tenant,
             incarnations: vec![1; instances],
             started_ms: vec![0; instances],
+            is_partial: false,
+            turn: 0,
         };
         for name in 0..instances {
             let settings = ShareSettings::default();
@@ -62,6 +68,14 @@
     /// Exchanges heartbeats between all pairs for which `is_connected(from, to)`
     /// holds.
     fn exchange(&mut self, now_ms: u64, is_connected: impl Fn(usize, usize) -> bool) {
+        self.turn += 1;
+        let turn = self.turn;
+        let latest_start_ms = self.started_ms.iter().max().copied().unwrap_or(0);
+        let is_partial = self.is_partial && now_ms >= latest_start_ms + 2_000;
+        let spending = |table: &ShareTable| match is_partial {
+            true => table.changed_spending(turn, now_ms),
+            false => table.spending(now_ms),
+        };
         let starts = self.incarnations.iter().zip(&self.started_ms);
         let reports: Vec<PeerReport> = self
             .tables
@@ -73,7 +87,8 @@
                 instances: table.instances(now_ms).0,
                 count_valid_ms: table.instances(now_ms).1,
                 knows_spending: table.knows_spending(now_ms),
-                teams: table.spending(now_ms).into_iter().collect(),
+                is_partial: self.is_partial,
+                teams: spending(table).into_iter().collect(),
             })
             .collect();
         for (to, table) in self.tables.iter_mut().enumerate() {
@@ -295,6 +310,119 @@
     });
 }
 
+/// In large fleets reports leave out teams whose spending hasn't changed, and some are
+/// lost. A team that requests several times its rate now and then must still get no
+/// more than the rate allows, through restarts and partitions.
+#[test]
+fn partial_reports_stay_within_the_rate() {
+    proptest!(ProptestConfig::default(), |(
+        demand_factor in 1.0_f64..8.0,
+        pause_ms in 500_u64..9_000,
+        busy_ms in 500_u64..9_000,
+        lost_one_in in 2_usize..40,
+        restarts in proptest::collection::vec((0_usize..7, 0_u64..1_000), 0..12),
+        partition_at_ms in 0_u64..20_000,
+        partition_size in 0_usize..4,
+    )| {
+        let tenant = tenant(160_000.0, 160_000.0);
+        let mut fleet = Fleet::new(7, tenant.clone());
+        fleet.is_partial = true;
+        let (mut spent, mut due, mut next) = (Vec::new(), 0.0, 0);
+        for now_ms in (0..20_000_u64).step_by(20) {
+            for &(instance, step) in &restarts {
+                if step * 20 == now_ms {
+                    fleet.restart(instance, now_ms);
+                }
+            }
+            if now_ms % 200 == 0 {
+                let is_partitioned = (partition_at_ms..partition_at_ms + 5_500).contains(&now_ms);
+                let beat = (now_ms / 200) as usize;
+                fleet.exchange(now_ms, |a, b| {
+                    let is_lost = (beat * 31 + a * 7 + b * 13).is_multiple_of(lost_one_in);
+                    !is_lost && (!is_partitioned || (a < partition_size) == (b < partition_size))
+                });
+            }
+            if now_ms % (pause_ms + busy_ms) < pause_ms {
+                continue;
+            }
+            due += demand_factor * 160.0 * 20.0 / REQUEST_TOKENS as f64;
+            while due >= 1.0 {
+                due -= 1.0;
+                next += 1;
+                if fleet.tables[next % 7].take(&tenant, REQUEST_TOKENS, now_ms).is_ok() {
+                    spent.push((now_ms, REQUEST_TOKENS as f64));
+                }
+            }
+        }
+        let max_spent = max_in_window(&spent);
+        prop_assert!(max_spent <= max_allowed(&tenant), "{max_spent} of {}", max_allowed(&tenant));
+    });
+}
+
+/// In fleets of hundreds of instances reports arrive twice a second. A team that
+/// requests several times its rate at all of them must get no more than the rate
+/// allows, and one that stays below its rate is hardly ever refused.
+#[test]
+fn hundreds_of_instances_share_a_rate_by_reports_twice_a_second() {
+    const INSTANCES: usize = 150;
+    for (demand_factor, max_refused_share) in [(7.5, 1.0), (0.7, 0.02)] {
+        let tenant = tenant(364_000.0, 364_000.0);
+        let mut fleet = Fleet::new(INSTANCES, tenant.clone());
+        fleet.is_partial = true;
+        let (mut spent, mut refused) = (Vec::new(), 0);
+        let (mut due, mut next) = (0.0, 0_usize);
+        for now_ms in (0..24_000_u64).step_by(20) {
+            if now_ms % 500 == 0 {
+                fleet.exchange(now_ms, |_, _| true);
+            }
+            if now_ms < 8_000 {
+                continue;
+            }
+            due += demand_factor * 364.0 * 20.0 / REQUEST_TOKENS as f64;
+            while due >= 1.0 {
+                due -= 1.0;
+                next += 1;
+                let instance = next * 37 % INSTANCES;
+                match fleet.tables[instance].take(&tenant, REQUEST_TOKENS, now_ms) {
+                    Ok(()) => spent.push((now_ms, REQUEST_TOKENS as f64)),
+                    Err(_) => refused += 1,
+                }
+            }
+        }
+        let max_spent = max_in_window(&spent);
+        assert!(
+            max_spent <= max_allowed(&tenant),
+            "{max_spent} of {}",
+            max_allowed(&tenant)
+        );
+        let refused_share = refused as f64 / (refused + spent.len()) as f64;
+        assert!(refused_share <= max_refused_share, "{refused_share}");
+    }
+}
+
+/// Most of hundreds of teams have no requests at one instance. They must not be in
+/// each of its reports, but each of them in some, as reports may be lost.
+#[test]
+fn teams_without_requests_are_reported_in_turn() {
+    let teams: Vec<Tenant> = (0..230)
+        .map(|n| Tenant {
+            name: format!("team{n}"),
+            ..tenant(1_000.0, 1_000.0)
+        })
+        .collect();
+    let mut table = ShareTable::new("a", ShareSettings::default());
+    table.configure(&teams, 0);
+    let _ = table.take(&teams[7], 10, 10_000);
+    let mut reported = std::collections::HashSet::new();
+    for turn in 0..10 {
+        let report = table.changed_spending(turn, 10_200);
+        assert!(report.len() <= 24, "{}", report.len());
+        assert!(report.iter().any(|(team, _)| team == "team7"));
+        reported.extend(report.into_iter().map(|(team, _)| team));
+    }
+    assert_eq!(reported.len(), teams.len());
+}
+
 /// A new instance receives a peer's report before it has its configuration. It
 /// must still copy the peer's levels from the next report; otherwise it refuses
 /// teams within their rate until its own buckets have filled.
@@ -308,6 +436,7 @@
         instances: 2,
         count_valid_ms: 8_000,
         knows_spending: true,
+        is_partial: false,
         teams: [(
             "team".to_owned(),
             PeerSpending {
@@ -364,6 +493,7 @@
         instances: 2,
         count_valid_ms: 8_000,
         knows_spending: true,
+        is_partial: false,
         teams: [(
             "team".to_owned(),
             PeerSpending {
--- a/crates/gateway/src/instance/heartbeats.rs
+++ b/crates/gateway/src/instance/heartbeats.rs
@@ -1,7 +1,7 @@
 use {
     super::Instance,
     mangowalk_core::{
-        mesh::{Heartbeat, OrderPhase, OrderReport},
+        mesh::{EXCHANGE_VERSION, Heartbeat, OrderPhase, OrderReport},
         pool::WorkPause,
         share::{PeerReport, PeerSpending},
         weights::PublishedAt,
@@ -18,28 +18,41 @@
 /// heartbeats.
 const SILENCE_REPORT_MS: u64 = 600;
 
+/// Time after a new peer was heard for which heartbeats hold the spending of all
+/// teams. It covers the learning time of a peer that has just started, which copies
+/// the levels of teams from the first report that it receives.
+const NEW_PEER_REPORT_MS: u64 = 2_000;
+
 impl Instance {
     /// Applies a peer's heartbeat, unless it is older than one already received.
-    pub fn receive_heartbeat(&self, heartbeat: Heartbeat, now_ms: u64) {
+    /// `exchange_version` is what the peer understands.
+    pub fn receive_heartbeat(&self, heartbeat: Heartbeat, exchange_version: u8, now_ms: u64) {
         if heartbeat.name == self.machine().name {
             return;
         }
-        let is_known = self.members.borrow().incarnation(&heartbeat.name).is_some();
-        if !self.members.borrow_mut().receive(heartbeat.clone(), now_ms) {
-            return;
+        let known_incarnation = self.members.borrow().incarnation(&heartbeat.name);
+        {
+            let mut members = self.members.borrow_mut();
+            if !members.receive(heartbeat.clone(), now_ms) {
+                return;
+            }
+            members.set_exchange_version(&heartbeat.name, exchange_version);
         }
         if heartbeat.stopped {
             log::info!("event=peer_stopped peer={}", heartbeat.name);
             self.engines.borrow_mut().remove_peer(&heartbeat.name);
             return self.update_share_peers(now_ms);
         }
-        if !is_known {
+        if known_incarnation != Some(heartbeat.incarnation) {
+            self.all_teams_until_ms.set(now_ms + NEW_PEER_REPORT_MS);
+        }
+        if known_incarnation.is_none() {
             log::info!("event=peer_found peer={}", heartbeat.name);
             self.wake_ups.heartbeat.notify_one();
         }
         self.apply_engine_reports(&heartbeat, now_ms);
         self.apply_versions(&heartbeat);
-        let report = peer_report(&heartbeat);
+        let report = peer_report(&heartbeat, exchange_version);
         let mut shares = self.shares.borrow_mut();
         shares.receive_report(&heartbeat.name, report, now_ms);
         let mut crashes = self.crashes.borrow_mut();
@@ -109,7 +122,7 @@
     }
 }
 
-fn peer_report(heartbeat: &Heartbeat) -> PeerReport {
+fn peer_report(heartbeat: &Heartbeat, exchange_version: u8) -> PeerReport {
     let teams = heartbeat.teams.iter().map(|report| {
         let spending = PeerSpending {
             spent: report.spent,
@@ -124,6 +137,7 @@
         instances: heartbeat.instances as usize,
         count_valid_ms: u64::from(heartbeat.counted_for_ms),
         knows_spending: heartbeat.knows_rates,
+        is_partial: exchange_version >= EXCHANGE_VERSION,
         teams: teams.collect(),
     }
 }
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -6,7 +6,7 @@
     crate::clock::now_ms,
     mangowalk_core::{
         kv_store::KvStores,
-        mesh::{MemberTable, OrderReport},
+        mesh::{EXCHANGE_VERSION, MemberTable, OrderReport},
         pool::{EngineTable, MeanPromptLength, PrefillRate, Turnover, short_hash},
         retries::FleetRetryBudget,
         routing::{Configuration, RouteTable},
@@ -94,6 +94,9 @@
     pub retry_budgets: RefCell<HashMap<String, FleetRetryBudget>>,
     /// Known peers and their last heartbeats.
     pub members: RefCell<MemberTable>,
+    /// Time until which heartbeats hold the spending of all teams, as there is a new
+    /// peer.
+    pub all_teams_until_ms: Cell<u64>,
     /// Whether this instance holds the lease under which orders are sent.
     pub holds_lease: Cell<bool>,
     /// When this instance sent its last order; `None` if it sent none since its
@@ -121,6 +124,7 @@
         incarnation: u64,
         drain: watch::Receiver<Drain>,
     ) -> Rc<Instance> {
+        let members = MemberTable::new(&machine.name, &machine.domain);
         let shares = ShareTable::new(
             &machine.name,
             ShareSettings {
@@ -146,7 +150,8 @@
             weights_histories: RefCell::default(),
             shares: RefCell::new(shares),
             retry_budgets: RefCell::default(),
-            members: RefCell::default(),
+            members: RefCell::new(members),
+            all_teams_until_ms: Cell::new(0),
             holds_lease: Cell::new(false),
             last_order_ms: Cell::new(None),
             order_reports: RefCell::default(),
@@ -252,6 +257,13 @@
         shares.update_peers(|name| members.is_live(name, mesh, now_ms));
     }
 
+    /// Returns whether heartbeats hold the spending of all teams and not only what
+    /// changed: for new peers, and for those that don't know the shorter form.
+    pub fn reports_all_teams(&self, now_ms: u64) -> bool {
+        now_ms < self.all_teams_until_ms.get()
+            || !self.members.borrow().all_understand(EXCHANGE_VERSION)
+    }
+
     /// Returns the number of instances that may be serving, including this one.
     pub fn instance_count(&self) -> usize {
         self.members.borrow().iter().count() + 1
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -4,16 +4,16 @@
         instance::{Drain, Instance},
     },
     mangowalk_core::{
-        mesh::{Heartbeat, PeerMessage, TeamReport},
+        mesh::{
+            EXCHANGE_VERSION, Heartbeat, MAX_DATAGRAM_BYTES, PACK_BYTES, PeerMessage, TeamReport,
+            split_packs,
+        },
         weights::PublishedAt,
     },
     std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{net::UdpSocket, time::sleep},
 };
 
-/// Maximum size of a datagram that is read.
-const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
-
 /// Peers named in one heartbeat. Each heartbeat names different ones, so that
 /// all instances discover a new peer.
 const PEERS_PER_HEARTBEAT: usize = 4;
@@ -29,11 +29,8 @@
 
 /// Sends heartbeats to peers and receives theirs; never returns.
 pub async fn exchange(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
-    let sequence = Cell::new(0_u64);
-    tokio::join!(
-        send(&instance, &socket, &sequence),
-        receive(&instance, &socket)
-    );
+    let sent = Sent::default();
+    tokio::join!(send(&instance, &socket, &sent), receive(&instance, &socket));
 }
 
 async fn receive(instance: &Instance, socket: &UdpSocket) {
@@ -43,35 +40,66 @@
             // The socket also reports here that nothing listens at a peer's port.
             continue;
         };
-        match postcard::from_bytes(&buffer[..length]) {
-            Ok(message) => handle(instance, socket, message),
+        match PeerMessage::decode(&buffer[..length]) {
+            Ok((message, exchange_version)) => handle(instance, socket, message, exchange_version),
             Err(error) => log::warn!("event=heartbeat_refused error=\"{error}\""),
         }
     }
 }
 
-fn handle(instance: &Instance, socket: &UdpSocket, message: PeerMessage) {
+fn handle(instance: &Instance, socket: &UdpSocket, message: PeerMessage, exchange_version: u8) {
+    let now_ms = now_ms();
     match message {
         PeerMessage::Direct(heartbeat) | PeerMessage::Relayed(heartbeat) => {
-            instance.receive_heartbeat(*heartbeat, now_ms());
+            instance.receive_heartbeat(*heartbeat, exchange_version, now_ms);
         }
         PeerMessage::ToRelay(heartbeat) => {
-            relay(instance, socket, &heartbeat);
-            instance.receive_heartbeat(*heartbeat, now_ms());
+            let relayed = PeerMessage::Relayed(heartbeat.clone());
+            relay(instance, socket, &relayed, exchange_version);
+            instance.receive_heartbeat(*heartbeat, exchange_version, now_ms);
+        }
+        PeerMessage::DirectPacked(heartbeat) => {
+            let name = heartbeat.name.clone();
+            instance.receive_heartbeat(*heartbeat, exchange_version, now_ms);
+            instance.members.borrow_mut().record_pack(&name, now_ms);
+        }
+        PeerMessage::PackToRelay(heartbeats) => {
+            let relayed = PeerMessage::RelayedPack(heartbeats.clone());
+            relay(instance, socket, &relayed, exchange_version);
+            receive_pack(instance, heartbeats, exchange_version, now_ms);
+        }
+        PeerMessage::RelayedPack(heartbeats) => {
+            receive_pack(instance, heartbeats, exchange_version, now_ms);
         }
         PeerMessage::KvStore(report) => {
             let mut stores = instance.kv_stores.borrow_mut();
-            stores.apply_report(&report, now_ms());
+            stores.apply_report(&report, now_ms);
         }
     }
 }
 
-/// Relays a heartbeat from another failure domain to the peers of the own
-/// domain.
-fn relay(instance: &Instance, socket: &UdpSocket, heartbeat: &Heartbeat) {
-    let message = PeerMessage::Relayed(Box::new(heartbeat.clone()));
+/// Applies the heartbeats of a pack. All their authors understand packs, as whoever
+/// sends one makes sure of.
+fn receive_pack(
+    instance: &Instance,
+    heartbeats: Vec<Heartbeat>,
+    exchange_version: u8,
+    now_ms: u64,
+) {
+    for heartbeat in heartbeats {
+        instance.receive_heartbeat(heartbeat, exchange_version, now_ms);
+    }
+}
+
+/// Relays heartbeats from another failure domain to the peers of the own domain.
+fn relay(instance: &Instance, socket: &UdpSocket, message: &PeerMessage, exchange_version: u8) {
+    let Some(bytes) = encode(message, exchange_version) else {
+        return;
+    };
     let domain = instance.machine().domain.clone();
-    send_to_domains(instance, socket, &message, &[domain.as_str()]);
+    for peer in instance.members.borrow().in_domain(&domain) {
+        send_datagram(socket, &bytes, peer);
+    }
 }
 
 /// Sends a message to all peers of the given failure domains.
@@ -81,14 +109,17 @@
     message: &PeerMessage,
     domains: &[&str],
 ) {
-    let Some(bytes) = encode(message) else {
+    let members = instance.members.borrow();
+    let peers = domains.iter().flat_map(|domain| members.in_domain(domain));
+    send_to(socket, message, peers);
+}
+
+fn send_to(socket: &UdpSocket, message: &PeerMessage, peers: impl IntoIterator<Item = SocketAddr>) {
+    let Some(bytes) = encode(message, EXCHANGE_VERSION) else {
         return;
     };
-    let members = instance.members.borrow();
-    for domain in domains {
-        for peer in members.in_domain(domain) {
-            send_datagram(socket, &bytes, peer);
-        }
+    for peer in peers {
+        send_datagram(socket, &bytes, peer);
     }
 }
 
@@ -100,25 +131,45 @@
     }
 }
 
-fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
-    postcard::to_allocvec(message)
+fn encode(message: &PeerMessage, exchange_version: u8) -> Option<Vec<u8>> {
+    message
+        .encode(exchange_version)
         .inspect_err(|error| log::warn!("event=heartbeat_unwritable error=\"{error}\""))
         .ok()
 }
 
-async fn send(instance: &Instance, socket: &UdpSocket, sequence: &Cell<u64>) {
+/// What this instance has sent so far.
+#[derive(Debug, Default)]
+struct Sent {
+    /// Sequence number of the last heartbeat.
+    sequence: Cell<u64>,
+    /// When the last heartbeat was sent.
+    heartbeat_ms: Cell<u64>,
+    /// When the last pack of the group's heartbeats was sent.
+    pack_ms: Cell<Option<u64>>,
+    /// When a heartbeat of this instance was last sent to other failure domains.
+    far_ms: Cell<u64>,
+}
+
+async fn send(instance: &Instance, socket: &UdpSocket, sent: &Sent) {
     instance.add_seed_candidates();
-    let period = Duration::from_millis(instance.settings.mesh.heartbeat_interval_ms);
+    let mesh = &instance.settings.mesh;
+    let period = Duration::from_millis(mesh.heartbeat_interval_ms);
+    let mut is_urgent = false;
     loop {
-        send_heartbeat(instance, socket, sequence);
-        tokio::select! {
-            () = sleep(period) => {}
-            () = instance.wake_ups.heartbeat.notified() => {}
+        send_heartbeat(instance, socket, sent, is_urgent);
+        is_urgent = tokio::select! {
+            () = sleep(period) => false,
+            () = instance.wake_ups.heartbeat.notified() => true,
+        };
+        if is_urgent {
+            let delay_ms = mesh.wake_delay_ms(sent.heartbeat_ms.get(), now_ms());
+            sleep(Duration::from_millis(delay_ms)).await;
         }
     }
 }
 
-fn send_heartbeat(instance: &Instance, socket: &UdpSocket, sequence: &Cell<u64>) {
+fn send_heartbeat(instance: &Instance, socket: &UdpSocket, sent: &Sent, is_urgent: bool) {
     let now_ms = now_ms();
     let mesh = &instance.settings.mesh;
     let gone = instance.members.borrow_mut().expire(mesh, now_ms);
@@ -127,26 +178,44 @@
         instance.engines.borrow_mut().remove_peer(peer);
     }
     instance.update_share_peers(now_ms);
-    sequence.set(sequence.get() + 1);
-    let turn = sequence.get();
+    let turn = sent.sequence.get() + 1;
+    sent.sequence.set(turn);
+    sent.heartbeat_ms.set(now_ms);
     let domain = instance.machine().domain.clone();
-    let targets = instance
-        .members
-        .borrow()
-        .targets(&domain, turn, mesh, now_ms);
     let heartbeat = Box::new(heartbeat(instance, turn, now_ms));
-    if !targets.relays.is_empty()
-        && let Some(bytes) = encode(&PeerMessage::ToRelay(heartbeat.clone()))
-    {
-        for &relay in &targets.relays {
-            send_datagram(socket, &bytes, relay);
+    let members = instance.members.borrow();
+    let targets = members.targets(&domain, turn, mesh, now_ms);
+    if targets.relays.is_empty() || !members.uses_packs(mesh) {
+        if !targets.relays.is_empty() {
+            let to_relay = PeerMessage::ToRelay(heartbeat.clone());
+            send_to(socket, &to_relay, targets.relays);
         }
+        return send_to(socket, &PeerMessage::Direct(heartbeat), targets.direct);
     }
-    if let Some(bytes) = encode(&PeerMessage::Direct(heartbeat)) {
-        for &peer in &targets.direct {
-            send_datagram(socket, &bytes, peer);
+    let Some(group) = members.pack(sent.pack_ms.get(), mesh, now_ms) else {
+        let is_far_allowed = now_ms >= sent.far_ms.get() + mesh.heartbeat_interval_ms;
+        if is_urgent && is_far_allowed {
+            sent.far_ms.set(now_ms);
+            let own = PeerMessage::PackToRelay(vec![(*heartbeat).clone()]);
+            send_to(socket, &own, targets.relays);
         }
+        return send_to(socket, &PeerMessage::Direct(heartbeat), targets.direct);
+    };
+    sent.pack_ms.set(Some(now_ms));
+    sent.far_ms.set(now_ms);
+    let held = group.into_iter().map(|member| {
+        let held_ms = now_ms.saturating_sub(member.received_ms);
+        member.last_heartbeat.held_for(held_ms as u32)
+    });
+    for pack in split_packs(held.chain([(*heartbeat).clone()]), PACK_BYTES) {
+        let message = PeerMessage::PackToRelay(pack);
+        send_to(socket, &message, targets.relays.iter().copied());
     }
+    send_to(
+        socket,
+        &PeerMessage::DirectPacked(heartbeat),
+        targets.direct,
+    );
 }
 
 fn heartbeat(instance: &Instance, sequence: u64, now_ms: u64) -> Heartbeat {
@@ -188,7 +257,7 @@
         knows_rates: instance.shares.borrow().knows_spending(now_ms),
         instances: instances as u32,
         counted_for_ms: counted_for_ms as u32,
-        teams: teams(instance, now_ms),
+        teams: teams(instance, sequence, now_ms),
         orders: instance.order_reports.borrow().clone(),
         peers: peers
             .into_iter()
@@ -214,8 +283,12 @@
     versions
 }
 
-fn teams(instance: &Instance, now_ms: u64) -> Vec<TeamReport> {
-    let teams = instance.shares.borrow().spending(now_ms);
+fn teams(instance: &Instance, turn: u64, now_ms: u64) -> Vec<TeamReport> {
+    let shares = instance.shares.borrow();
+    let teams = match instance.reports_all_teams(now_ms) {
+        true => shares.spending(now_ms),
+        false => shares.changed_spending(turn, now_ms),
+    };
     let reports = teams.into_iter().map(|(team, spending)| TeamReport {
         team,
         spent: spending.spent,
