Serve teams within their rate after a common start, and tell callers all instances

Below half of the burst an instance may use twice its share of the level; among 95 instances that covers hardly a request, and each retry raises the demand by which the shares are cut. Now the whole level may be used where it covers what the team requests everywhere until all hear of it, if reports arrive at least four times a second.

Callers accept 64 addresses and were told the first 64 of 95, so a third of the fleet stayed idle. Each caller now gets its own 64 by rendezvous hash, the same ones from all instances.

A heartbeat no longer walks through all engines to look for departures that it doesn't report, and isn't copied.

--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -4,6 +4,7 @@
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
+        rc::Rc,
     },
 };
 
@@ -80,7 +81,7 @@
 #[derive(Debug, Clone)]
 pub struct Member {
     /// The newest heartbeat that was received from the peer.
-    pub last_heartbeat: Heartbeat,
+    pub last_heartbeat: Rc<Heartbeat>,
     /// When that heartbeat was received.
     pub received_ms: u64,
     /// Version of the exchange that the peer understands; see
@@ -140,7 +141,8 @@
     ///
     /// Returns `false` for a heartbeat that is older than the last one of its
     /// sender or belongs to a start that has stopped.
-    pub fn receive(&mut self, heartbeat: Heartbeat, now_ms: u64) -> bool {
+    pub fn receive(&mut self, heartbeat: impl Into<Rc<Heartbeat>>, now_ms: u64) -> bool {
+        let heartbeat = heartbeat.into();
         let is_out_of_date = |stopped: &Stopped| heartbeat.incarnation <= stopped.incarnation;
         if self
             .stopped
@@ -372,6 +374,14 @@
         self.members.len() > settings.max_relayed_peers && self.all_understand(EXCHANGE_VERSION)
     }
 
+    /// Returns the interval at which heartbeats of all peers arrive.
+    pub fn report_interval_ms(&self, settings: &MeshSettings) -> u64 {
+        match self.uses_packs(settings) {
+            true => self.pack_interval_ms(settings),
+            false => settings.heartbeat_interval_ms,
+        }
+    }
+
     /// Returns the interval between two packs of the same heartbeats.
     pub fn pack_interval_ms(&self, settings: &MeshSettings) -> u64 {
         let members = self.members.values();
@@ -434,10 +444,7 @@
 impl Silence<'_> {
     fn new<'a>(table: &'a MemberTable, settings: &MeshSettings) -> Silence<'a> {
         let near_ms = settings.silent_after_ms;
-        let far_ms = match table.uses_packs(settings) {
-            true => (table.pack_interval_ms(settings) as f64 * SILENT_AFTER_PACKS) as u64,
-            false => near_ms,
-        };
+        let far_ms = (table.report_interval_ms(settings) as f64 * SILENT_AFTER_PACKS) as u64;
         Silence {
             own_domain: &table.own_domain,
             near_ms,
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -186,6 +186,9 @@
         now_ms: u64,
     ) -> Vec<String> {
         let mut newly_departing = Vec::new();
+        if departures.is_empty() {
+            return newly_departing;
+        }
         let missing = self.missing_incarnations();
         for &departure in departures {
             if departure.revision <= self.list_revision && !missing.contains(&departure.start) {
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -1,5 +1,6 @@
 //! The configuration in force, and the selection of a request's route.
 
+mod addresses;
 mod configuration;
 mod retry_policy;
 mod route;
@@ -8,6 +9,7 @@
 mod tenant;
 
 pub use {
+    addresses::addresses_for_caller,
     configuration::{CallerLimits, Configuration},
     retry_policy::RetryPolicy,
     route::{Route, WeightedService},
--- a/crates/core/src/share/bucket.rs
+++ b/crates/core/src/share/bucket.rs
@@ -13,6 +13,9 @@
     /// Number of instances with demand from the team whose turn comes before
     /// this one.
     pub instances_ahead: usize,
+    /// Tokens that the team requests at all instances until they hear of each other's
+    /// spending; infinite if reports arrive too rarely for that to be bounded.
+    pub unreported_tokens: f64,
 }
 
 /// Minimum wait returned to a refused request: one heartbeat period, after
@@ -81,7 +84,12 @@
 
     /// Refills the bucket and takes tokens from it, all or none.
     ///
-    /// While the bucket is less than half full, an instance may use at most
+    /// The whole level is available if it covers what all instances may grant until
+    /// they hear of it; then nothing can be spent twice. Otherwise, among a hundred
+    /// instances, a share of a level that holds dozens of requests covers not one of
+    /// them, and a team within its rate is refused for seconds after a start.
+    ///
+    /// Else, while the bucket is less than half full, an instance may use at most
     /// twice its share of the level; otherwise all instances would spend the
     /// same few tokens within one heartbeat. At half full or more, the whole
     /// level is available to as many instances as level and slack hold requests
@@ -104,7 +112,8 @@
         let available_fraction = (2.0 * share.own_fraction).min(1.0);
         let is_in_turn =
             (share.instances_ahead as f64) < (self.level + self.slack) / required.max(1.0);
-        let available = if self.level >= half && is_in_turn {
+        let covers_all = share.unreported_tokens + required <= self.level;
+        let available = if covers_all || (self.level >= half && is_in_turn) {
             self.level
         } else {
             self.level * available_fraction
--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -55,8 +55,17 @@
     /// halves in about 1.5 s, so an instance without requests drops out of the
     /// order within 5 s.
     pub active_demand_fraction: f64,
+    /// Maximum interval between reports of a peer, in milliseconds, for which the
+    /// whole level may be used if it covers the demand of that time. Measured demand
+    /// lags: a team that suddenly requests eight times its rate overdraws the bucket
+    /// by what it requests in one interval, which must stay within the tolerance of
+    /// a rate window.
+    pub max_report_interval_ms: u64,
 }
 
+/// Interval of reports until another one is set.
+const DEFAULT_REPORT_INTERVAL_MS: u64 = 200;
+
 impl Default for ShareSettings {
     fn default() -> ShareSettings {
         ShareSettings {
@@ -70,6 +79,7 @@
             even_fraction: 0.4,
             slack_tokens: 0.0,
             active_demand_fraction: 0.1,
+            max_report_interval_ms: 250,
         }
     }
 }
@@ -132,6 +142,7 @@
     /// this instance started.
     has_learned: bool,
     expected_instances: usize,
+    report_interval_ms: u64,
     /// Largest instance count that a peer reported, until it expires.
     max_peer_count: Option<PeerCount>,
 }
@@ -149,6 +160,7 @@
         ShareTable {
             name: name.to_owned(),
             settings,
+            report_interval_ms: DEFAULT_REPORT_INTERVAL_MS,
             ..ShareTable::default()
         }
     }
@@ -264,6 +276,11 @@
         is_older || report.up_ms > self.settings.recent_start_ms
     }
 
+    /// Sets the interval at which reports of all peers arrive.
+    pub fn set_report_interval(&mut self, interval_ms: u64) {
+        self.report_interval_ms = interval_ms;
+    }
+
     /// Sets how many instances are listed, reachable or not. A new instance
     /// without heartbeats must not assume that it is the only one: after a power
     /// loss all instances would spend the same tokens at once.
@@ -428,7 +445,18 @@
             own_fraction: self.settings.even_fraction * equal_share
                 + (1.0 - self.settings.even_fraction) * by_demand,
             instances_ahead: self.instances_ahead(team, own),
+            unreported_tokens: self.unreported_tokens(own + others),
+        }
+    }
+
+    /// Returns the tokens that a team with this demand at all instances requests until
+    /// they hear of each other's spending.
+    fn unreported_tokens(&self, demand_per_s: f64) -> f64 {
+        let interval_ms = self.report_interval_ms;
+        if interval_ms > self.settings.max_report_interval_ms {
+            return f64::INFINITY;
         }
+        demand_per_s * interval_ms as f64 / 1_000.0
     }
 
     /// Returns how many instances with demand from a team have their turn before
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -7,6 +7,7 @@
         retries::{FleetRetryBudget, RetrySettings},
         routing::{
             Configuration, RetryPolicy, Route, RouteError, RouteTable, Tenant, WeightedService,
+            addresses_for_caller,
         },
     },
     proptest::prelude::*,
@@ -108,6 +109,46 @@
     assert_eq!(two, 100);
 }
 
+/// Callers accept 64 addresses. If each were told the first 64 of 95 instances, a third
+/// of the fleet would stay idle while the others are full.
+#[test]
+fn all_instances_of_a_large_fleet_are_told_to_callers() {
+    let all: Vec<SocketAddr> = (0..95)
+        .map(|n| SocketAddr::from(([10, 0, 0, n], 8_606)))
+        .collect();
+    let mut told = vec![0; all.len()];
+    for caller in 0..200 {
+        let addresses = addresses_for_caller(all.clone(), caller * 7_919, 64);
+        assert_eq!(addresses.len(), 64);
+        for address in addresses {
+            let index = all.iter().position(|known| *known == address);
+            told[index.expect("it is an instance")] += 1;
+        }
+    }
+    // 135 on average.
+    assert!(
+        told.iter().all(|count| (90..180).contains(count)),
+        "{told:?}"
+    );
+}
+
+/// A caller asks again every second, at any instance. It must keep its connections,
+/// also when an instance has left.
+#[test]
+fn a_caller_keeps_its_addresses() {
+    let all: Vec<SocketAddr> = (0..95)
+        .map(|n| SocketAddr::from(([10, 0, 0, n], 8_606)))
+        .collect();
+    let before = addresses_for_caller(all.clone(), 5, 64);
+    let reversed = all.iter().rev().copied().collect();
+    assert_eq!(before, addresses_for_caller(reversed, 5, 64));
+    let lost = before[10];
+    let remaining = all.into_iter().filter(|address| *address != lost).collect();
+    let after = addresses_for_caller(remaining, 5, 64);
+    let kept = before.iter().filter(|address| after.contains(address));
+    assert_eq!(kept.count(), 63);
+}
+
 /// Whatever the order of requests and retries, the retries of all instances
 /// within a window must stay within the budget of the service, though each
 /// instance knows only its own.
--- a/crates/core/tests/mesh_at_scale.rs
+++ b/crates/core/tests/mesh_at_scale.rs
@@ -114,7 +114,7 @@
         let pack: Option<Vec<Heartbeat>> = pack.map(|group| {
             let held = group
                 .into_iter()
-                .map(|member| member.last_heartbeat.clone());
+                .map(|member| (*member.last_heartbeat).clone());
             held.chain([own.clone()]).collect()
         });
         self.sent[from] += targets.direct.len();
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -400,6 +400,103 @@
     }
 }
 
+/// All of ninety-five instances have lost power and started again. Callers return
+/// through all of them at once, with what they couldn't send meanwhile, and retry twice
+/// when refused: requests of all sizes by a team at seven tenths of its rate. Shares of
+/// the little that has been refilled cover no request, though together they cover them
+/// all.
+#[test]
+fn a_team_within_its_rate_is_served_soon_after_a_common_start() {
+    const INSTANCES: usize = 95;
+    let tenant = tenant(183_000.0, 183_000.0);
+    let mut fleet = Fleet::new(INSTANCES, tenant.clone());
+    let (mut spent, mut refused, mut given_up) = (Vec::new(), 0, 0);
+    let mut next = 0_usize;
+    // Requests still to be sent: when, their cost and the number of tries so far.
+    let mut waiting: Vec<(u64, u64, u32)> = Vec::new();
+    let mut due = 0.0;
+    for now_ms in (0..6_000_u64).step_by(20) {
+        if now_ms % 200 == 0 && now_ms > 0 {
+            fleet.exchange(now_ms, |_, _| true);
+        }
+        due += 0.7 * 183.0 * 20.0;
+        if now_ms == 1_000 {
+            due += 0.7 * 183_000.0;
+        }
+        while now_ms >= 1_000 && due >= 0.0 {
+            let cost = [700, 900, 9_200, 800, 15_000, 1_200][next % 6];
+            due -= cost as f64;
+            next += 1;
+            waiting.push((now_ms, cost, 0));
+        }
+        let (now, later): (Vec<_>, Vec<_>) = waiting
+            .into_iter()
+            .partition(|(at_ms, _, _)| *at_ms <= now_ms);
+        waiting = later;
+        for (n, (_, cost, tries)) in now.into_iter().enumerate() {
+            let instance = (now_ms as usize / 20 * 41 + n * 37) % INSTANCES;
+            match fleet.tables[instance].take(&tenant, cost, now_ms) {
+                Ok(()) => spent.push((now_ms, cost as f64)),
+                Err(wait_ms) if tries < 2 => {
+                    refused += 1;
+                    waiting.push((now_ms + wait_ms, cost, tries + 1));
+                }
+                Err(_) => given_up += 1,
+            }
+        }
+    }
+    let max_spent = max_in_window(&spent);
+    assert!(
+        max_spent <= max_allowed(&tenant),
+        "{max_spent} of {}",
+        max_allowed(&tenant)
+    );
+    assert!(
+        given_up * 50 <= spent.len(),
+        "{given_up} of {}, {refused} refusals",
+        spent.len()
+    );
+}
+
+/// A team suddenly requests eight times its rate at all of ninety-five instances, whose
+/// measure of its demand lags. No window may hold more than the rate allows.
+#[test]
+fn a_sudden_surge_at_all_instances_stays_within_the_rate() {
+    const INSTANCES: usize = 95;
+    for rate in [10_000.0, 183_000.0, 364_000.0] {
+        let tenant = tenant(rate, rate);
+        let mut fleet = Fleet::new(INSTANCES, tenant.clone());
+        let mut spent = Vec::new();
+        let (mut due, mut next) = (0.0, 0_usize);
+        for now_ms in (0..20_000_u64).step_by(20) {
+            if now_ms % 200 == 0 {
+                fleet.exchange(now_ms, |_, _| true);
+            }
+            let factor = if (5_000..9_000).contains(&now_ms) {
+                8.0
+            } else {
+                0.5
+            };
+            due += factor * rate / 1_000.0 * 20.0;
+            while due >= 0.0 {
+                let cost = [700, 900, 9_200, 800, 15_000, 1_200][next % 6];
+                due -= cost as f64;
+                let instance = next * 37 % INSTANCES;
+                next += 1;
+                if fleet.tables[instance].take(&tenant, cost, now_ms).is_ok() {
+                    spent.push((now_ms, cost as f64));
+                }
+            }
+        }
+        let max_spent = max_in_window(&spent);
+        assert!(
+            max_spent <= max_allowed(&tenant),
+            "{max_spent} of {}",
+            max_allowed(&tenant)
+        );
+    }
+}
+
 /// Most of hundreds of teams have no requests at one instance. They must not be in
 /// each of its reports, but each of them in some, as reports may be lost.
 #[test]
--- a/crates/gateway/src/callers/directory.rs
+++ b/crates/gateway/src/callers/directory.rs
@@ -1,11 +1,15 @@
 use {
     super::AnswerBody,
-    crate::{clock::now_ms, instance::Instance},
+    crate::{
+        clock::now_ms,
+        instance::{Instance, hash},
+    },
     http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
+    mangowalk_core::routing::addresses_for_caller,
     mangowalk_platform::{DIRECTORY_PATH, READY_PATH, encode_addresses},
-    std::{convert::Infallible, rc::Rc, time::Duration},
+    std::{convert::Infallible, net::IpAddr, rc::Rc, time::Duration},
     tokio::{net::TcpListener, task::spawn_local},
 };
 
@@ -17,7 +21,7 @@
 const HEADER_TIMEOUT_MS: u64 = 3_000;
 
 /// Computes the response to a request.
-type Handler = fn(&Instance, &Request<Incoming>) -> Response<AnswerBody>;
+type Handler = fn(&Instance, IpAddr, &Request<Incoming>) -> Response<AnswerBody>;
 
 /// Serves the addresses at which callers may connect.
 pub async fn serve_directory(instance: Rc<Instance>, listener: TcpListener) {
@@ -36,13 +40,13 @@
 
 async fn serve(instance: Rc<Instance>, listener: TcpListener, handler: Handler) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, caller)) = listener.accept().await else {
             continue;
         };
         let instance = instance.clone();
         spawn_local(async move {
             let service = service_fn(|request| {
-                let response = handler(&instance, &request);
+                let response = handler(&instance, caller.ip(), &request);
                 async move { Ok::<_, Infallible>(response) }
             });
             let served = http1::Builder::new()
@@ -57,15 +61,25 @@
     }
 }
 
-fn addresses(instance: &Instance, request: &Request<Incoming>) -> Response<AnswerBody> {
+/// Returns a hash of what the directory knows of a caller: its IP address and what it
+/// asked for, which includes its failure domain.
+fn caller_hash(caller: IpAddr, request: &Request<Incoming>) -> u64 {
+    hash(format!("{caller} {}", request.uri()).as_bytes())
+}
+
+fn addresses(
+    instance: &Instance,
+    caller: IpAddr,
+    request: &Request<Incoming>,
+) -> Response<AnswerBody> {
     if request.uri().path() != DIRECTORY_PATH {
         return status(StatusCode::NOT_FOUND);
     }
-    let mut addresses = instance.caller_addresses(now_ms());
+    let addresses = instance.caller_addresses(now_ms());
     if addresses.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
-    addresses.truncate(MAX_ADDRESSES);
+    let addresses = addresses_for_caller(addresses, caller_hash(caller, request), MAX_ADDRESSES);
     let ttl_s = instance
         .settings
         .address_ttl_s
@@ -77,7 +91,7 @@
     response
 }
 
-fn ready(instance: &Instance, request: &Request<Incoming>) -> Response<AnswerBody> {
+fn ready(instance: &Instance, _: IpAddr, request: &Request<Incoming>) -> Response<AnswerBody> {
     if request.uri().path() != READY_PATH {
         return status(StatusCode::NOT_FOUND);
     }
@@ -87,8 +101,12 @@
     status(StatusCode::SERVICE_UNAVAILABLE)
 }
 
-fn metrics(instance: &Instance, _request: &Request<Incoming>) -> Response<AnswerBody> {
-    Response::new(AnswerBody::buffered(instance.counters.render()))
+fn metrics(instance: &Instance, _: IpAddr, _: &Request<Incoming>) -> Response<AnswerBody> {
+    let mut text = instance.counters.render();
+    for (name, count) in instance.mesh_traffic.counts() {
+        text.push_str(&format!("mangowalk_mesh_{name}_total {count}\n"));
+    }
+    Response::new(AnswerBody::buffered(text))
 }
 
 fn status(status: StatusCode) -> Response<AnswerBody> {
--- a/crates/gateway/src/instance/heartbeats.rs
+++ b/crates/gateway/src/instance/heartbeats.rs
@@ -6,6 +6,7 @@
         share::{PeerReport, PeerSpending},
         weights::PublishedAt,
     },
+    std::rc::Rc,
 };
 
 /// Longest pause of new requests to an engine, counted from the start of the phase
@@ -27,6 +28,7 @@
     /// Applies a peer's heartbeat, unless it is older than one already received.
     /// `exchange_version` is what the peer understands.
     pub fn receive_heartbeat(&self, heartbeat: Heartbeat, exchange_version: u8, now_ms: u64) {
+        let heartbeat = Rc::new(heartbeat);
         if heartbeat.name == self.machine().name {
             return;
         }
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -3,7 +3,7 @@
         Counters, CrashTracker, Drain, GatewaySettings, ReloadOutcome, StoreAvailability,
         apply_reloadable,
     },
-    crate::clock::now_ms,
+    crate::{clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
         kv_store::KvStores,
         mesh::{EXCHANGE_VERSION, MemberTable, OrderReport},
@@ -94,6 +94,8 @@
     pub retry_budgets: RefCell<HashMap<String, FleetRetryBudget>>,
     /// Known peers and their last heartbeats.
     pub members: RefCell<MemberTable>,
+    /// Datagrams exchanged with peers.
+    pub mesh_traffic: MeshTraffic,
     /// Time until which heartbeats hold the spending of all teams, as there is a new
     /// peer.
     pub all_teams_until_ms: Cell<u64>,
@@ -151,6 +153,7 @@
             shares: RefCell::new(shares),
             retry_budgets: RefCell::default(),
             members: RefCell::new(members),
+            mesh_traffic: MeshTraffic::default(),
             all_teams_until_ms: Cell::new(0),
             holds_lease: Cell::new(false),
             last_order_ms: Cell::new(None),
@@ -254,6 +257,7 @@
         let mesh = &self.settings.mesh;
         let mut shares = self.shares.borrow_mut();
         shares.set_expected_instances(members.expected() + 1);
+        shares.set_report_interval(members.report_interval_ms(mesh));
         shares.update_peers(|name| members.is_live(name, mesh, now_ms));
     }
 
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -40,6 +40,7 @@
             // The socket also reports here that nothing listens at a peer's port.
             continue;
         };
+        instance.mesh_traffic.count_received(length);
         match PeerMessage::decode(&buffer[..length]) {
             Ok((message, exchange_version)) => handle(instance, socket, message, exchange_version),
             Err(error) => log::warn!("event=heartbeat_refused error=\"{error}\""),
@@ -98,7 +99,7 @@
     };
     let domain = instance.machine().domain.clone();
     for peer in instance.members.borrow().in_domain(&domain) {
-        send_datagram(socket, &bytes, peer);
+        send_datagram(instance, socket, &bytes, peer);
     }
 }
 
@@ -111,21 +112,27 @@
 ) {
     let members = instance.members.borrow();
     let peers = domains.iter().flat_map(|domain| members.in_domain(domain));
-    send_to(socket, message, peers);
+    send_to(instance, socket, message, peers);
 }
 
-fn send_to(socket: &UdpSocket, message: &PeerMessage, peers: impl IntoIterator<Item = SocketAddr>) {
+fn send_to(
+    instance: &Instance,
+    socket: &UdpSocket,
+    message: &PeerMessage,
+    peers: impl IntoIterator<Item = SocketAddr>,
+) {
     let Some(bytes) = encode(message, EXCHANGE_VERSION) else {
         return;
     };
     for peer in peers {
-        send_datagram(socket, &bytes, peer);
+        send_datagram(instance, socket, &bytes, peer);
     }
 }
 
 /// Sends a datagram without waiting. One that does not fit the socket's buffer
 /// is lost like any other, and the next heartbeat makes up for it.
-fn send_datagram(socket: &UdpSocket, bytes: &[u8], peer: SocketAddr) {
+fn send_datagram(instance: &Instance, socket: &UdpSocket, bytes: &[u8], peer: SocketAddr) {
+    instance.mesh_traffic.count_sent(bytes.len());
     if let Err(error) = socket.try_send_to(bytes, peer) {
         log::debug!("event=heartbeat_lost peer={peer} error=\"{error}\"");
     }
@@ -188,18 +195,28 @@
     if targets.relays.is_empty() || !members.uses_packs(mesh) {
         if !targets.relays.is_empty() {
             let to_relay = PeerMessage::ToRelay(heartbeat.clone());
-            send_to(socket, &to_relay, targets.relays);
+            send_to(instance, socket, &to_relay, targets.relays);
         }
-        return send_to(socket, &PeerMessage::Direct(heartbeat), targets.direct);
+        return send_to(
+            instance,
+            socket,
+            &PeerMessage::Direct(heartbeat),
+            targets.direct,
+        );
     }
     let Some(group) = members.pack(sent.pack_ms.get(), mesh, now_ms) else {
         let is_far_allowed = now_ms >= sent.far_ms.get() + mesh.heartbeat_interval_ms;
         if is_urgent && is_far_allowed {
             sent.far_ms.set(now_ms);
             let own = PeerMessage::PackToRelay(vec![(*heartbeat).clone()]);
-            send_to(socket, &own, targets.relays);
+            send_to(instance, socket, &own, targets.relays);
         }
-        return send_to(socket, &PeerMessage::Direct(heartbeat), targets.direct);
+        return send_to(
+            instance,
+            socket,
+            &PeerMessage::Direct(heartbeat),
+            targets.direct,
+        );
     };
     sent.pack_ms.set(Some(now_ms));
     sent.far_ms.set(now_ms);
@@ -209,9 +226,10 @@
     });
     for pack in split_packs(held.chain([(*heartbeat).clone()]), PACK_BYTES) {
         let message = PeerMessage::PackToRelay(pack);
-        send_to(socket, &message, targets.relays.iter().copied());
+        send_to(instance, socket, &message, targets.relays.iter().copied());
     }
     send_to(
+        instance,
         socket,
         &PeerMessage::DirectPacked(heartbeat),
         targets.direct,
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -1,5 +1,9 @@
 //! Heartbeats between instances.
 
 mod exchange;
+mod traffic;
 
-pub use exchange::{bind, exchange, send_to_domains};
+pub use {
+    exchange::{bind, exchange, send_to_domains},
+    traffic::MeshTraffic,
+};
