Reach all groups of a single failure domain, and tell all of a stop

A fleet of more than a hundred instances in one failure domain has no relays, and its heartbeats reached the own group only; the last heartbeat of an instance that stops was left out of its group's packs. Found by reading; the first has a test. Fleets of up to a hundred peers send as before.

--- a/crates/core/tests/mesh_at_scale.rs
+++ b/crates/core/tests/mesh_at_scale.rs
@@ -254,6 +254,21 @@
     }
 }
 
+/// A fleet may have one failure domain only. No relay passes anything on then, and all
+/// instances must still be sent the heartbeats.
+#[test]
+fn a_fleet_of_one_failure_domain_needs_no_relays() {
+    let settings = MeshSettings::default();
+    let mut table = MemberTable::new(&name(0), "a");
+    for other in 1..150 {
+        table.receive(heartbeat(&name(other), "a", address(other), 1), 0);
+        table.set_exchange_version(&name(other), EXCHANGE_VERSION);
+    }
+    let targets = table.targets("a", 1, &settings, 0);
+    assert!(table.uses_packs(&settings) && targets.relays.is_empty());
+    assert_eq!((targets.direct.len(), targets.near.len()), (7, 142));
+}
+
 /// While one instance still runs an earlier build, all must send what it
 /// understands.
 #[test]
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -5,8 +5,8 @@
     },
     mangowalk_core::{
         mesh::{
-            EXCHANGE_VERSION, Heartbeat, MAX_DATAGRAM_BYTES, PACK_BYTES, PeerMessage, Targets,
-            TeamReport, split_packs,
+            EXCHANGE_VERSION, Heartbeat, MAX_DATAGRAM_BYTES, Member, PACK_BYTES, PeerMessage,
+            Targets, TeamReport, split_packs,
         },
         weights::PublishedAt,
     },
@@ -192,42 +192,59 @@
     let heartbeat = Box::new(heartbeat(instance, turn, now_ms));
     let members = instance.members.borrow();
     let targets = members.targets(&domain, turn, mesh, now_ms);
-    if targets.relays.is_empty() || !members.uses_packs(mesh) {
-        if !targets.relays.is_empty() {
-            let to_relay = PeerMessage::ToRelay(heartbeat.clone());
-            send_to(instance, socket, &to_relay, targets.relays);
-        }
-        return send_to(
-            instance,
-            socket,
-            &PeerMessage::Direct(heartbeat),
-            targets.direct,
-        );
-    }
-    let Some(group) = members.pack(sent.pack_ms.get(), mesh, now_ms) else {
-        let is_far_allowed = now_ms >= sent.far_ms.get() + mesh.heartbeat_interval_ms;
-        if is_urgent && is_far_allowed {
+    let pack = members.pack(sent.pack_ms.get(), mesh, now_ms);
+    if !members.uses_packs(mesh) {
+        send_alone(instance, socket, heartbeat, targets);
+    } else if let Some(group) = pack {
+        sent.pack_ms.set(Some(now_ms));
+        sent.far_ms.set(now_ms);
+        send_for_group(instance, socket, heartbeat, &group, targets, now_ms);
+    } else {
+        // The last heartbeat of an instance that stops is in no pack of its group.
+        let is_far_due = now_ms >= sent.far_ms.get() + mesh.heartbeat_interval_ms;
+        if heartbeat.stopped || is_urgent && is_far_due {
             sent.far_ms.set(now_ms);
             send_pack(instance, socket, vec![(*heartbeat).clone()], &targets);
         }
         let direct = PeerMessage::Direct(heartbeat);
-        return send_to(instance, socket, &direct, targets.direct);
-    };
-    sent.pack_ms.set(Some(now_ms));
-    sent.far_ms.set(now_ms);
-    let held = group.into_iter().map(|member| {
+        send_to(instance, socket, &direct, targets.direct);
+    }
+}
+
+/// Sends a heartbeat to the peers of the own failure domain and to a relay of each
+/// other one.
+fn send_alone(
+    instance: &Instance,
+    socket: &UdpSocket,
+    heartbeat: Box<Heartbeat>,
+    targets: Targets,
+) {
+    if !targets.relays.is_empty() {
+        let to_relay = PeerMessage::ToRelay(heartbeat.clone());
+        send_to(instance, socket, &to_relay, targets.relays);
+    }
+    let direct = PeerMessage::Direct(heartbeat);
+    send_to(instance, socket, &direct, targets.direct);
+}
+
+/// Sends the heartbeats of the own group in packs, and the own one to the group.
+fn send_for_group(
+    instance: &Instance,
+    socket: &UdpSocket,
+    heartbeat: Box<Heartbeat>,
+    group: &[&Member],
+    targets: Targets,
+    now_ms: u64,
+) {
+    let held = group.iter().map(|member| {
         let held_ms = now_ms.saturating_sub(member.received_ms);
         member.last_heartbeat.held_for(held_ms as u32)
     });
     for pack in split_packs(held.chain([(*heartbeat).clone()]), PACK_BYTES) {
         send_pack(instance, socket, pack, &targets);
     }
-    send_to(
-        instance,
-        socket,
-        &PeerMessage::DirectPacked(heartbeat),
-        targets.direct,
-    );
+    let direct = PeerMessage::DirectPacked(heartbeat);
+    send_to(instance, socket, &direct, targets.direct);
 }
 
 /// Sends heartbeats to the other failure domains and to the other groups of the own
