--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -287,6 +287,21 @@
             .map(|member| member.last_heartbeat.peer_address)
     }
 
+    /// Returns the addresses of the peers in a failure domain that understand a version
+    /// of the exchange. Others would log each message that they can't decode.
+    pub fn in_domain_with<'a>(
+        &'a self,
+        domain: &'a str,
+        version: u8,
+    ) -> impl Iterator<Item = SocketAddr> + 'a {
+        let members = self.members.values();
+        members
+            .filter(move |member| {
+                member.last_heartbeat.domain == domain && member.exchange_version >= version
+            })
+            .map(|member| member.last_heartbeat.peer_address)
+    }
+
     /// Returns the candidate addresses that are not those of a known peer and
     /// have not timed out.
     fn candidates(&self, settings: &MeshSettings, now_ms: u64) -> Vec<SocketAddr> {
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -8,9 +8,9 @@
 /// Version of the exchange between instances that this build understands. It follows
 /// each message as one byte; builds before version 1 send none and ignore it.
 ///
-/// Version 1 adds [`PeerMessage::DirectPacked`], [`PeerMessage::PackToRelay`] and
-/// [`PeerMessage::RelayedPack`], and heartbeats that leave out teams whose spending
-/// hasn't changed.
+/// Version 1 adds [`PeerMessage::KvStore`], [`PeerMessage::DirectPacked`],
+/// [`PeerMessage::PackToRelay`] and [`PeerMessage::RelayedPack`], and heartbeats that
+/// leave out teams whose spending hasn't changed.
 pub const EXCHANGE_VERSION: u8 = 1;
 
 /// Maximum size of a datagram between instances, which is that of UDP over IPv4.
--- a/crates/core/tests/mesh_at_scale.rs
+++ b/crates/core/tests/mesh_at_scale.rs
@@ -278,6 +278,10 @@
     assert!(fleet.tables[0].uses_packs(&settings));
     fleet.tables[0].set_exchange_version(&name(7), 0);
     assert!(!fleet.tables[0].uses_packs(&settings));
+    let table = &fleet.tables[0];
+    let told: Vec<SocketAddr> = table.in_domain_with(domain(7), EXCHANGE_VERSION).collect();
+    assert_eq!(told.len() + 1, table.in_domain(domain(7)).count());
+    assert!(!told.contains(&address(7)));
 }
 
 /// When a large fleet starts, each instance hears of hundreds of new peers within a
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -103,7 +103,8 @@
     }
 }
 
-/// Sends a message to all peers of the given failure domains.
+/// Sends a message of this build's exchange to the peers of the given failure domains
+/// that understand it.
 pub fn send_to_domains(
     instance: &Instance,
     socket: &UdpSocket,
@@ -111,7 +112,9 @@
     domains: &[&str],
 ) {
     let members = instance.members.borrow();
-    let peers = domains.iter().flat_map(|domain| members.in_domain(domain));
+    let peers = domains
+        .iter()
+        .flat_map(|domain| members.in_domain_with(domain, EXCHANGE_VERSION));
     send_to(instance, socket, message, peers);
 }
 
