Roll a service's software out by a trial, a comparison and a move

Cause: the entries that order a service to be moved to another version of its software weren't read, nor the version of an engine's software. With two versions in the list the new engines at once got their full share of the requests, and a version that may be bad half of the traffic.

Change: core/canary decides, without socket or clock. A version that appears is held back until the orders are known up to its entry. Each instance keeps to the share by its own requests (with a random start, so that rounding evens out); the first two readers of the store add up what all have seen and tell the others how much to send, the least word applies, and none means nothing. Failures and slowness are compared by route with sequential tests; a larger share goes to as large a share of the new engines before all is moved, late, and it is completed once nothing runs at the old engines. gateway/rollouts exchanges and writes the state; the settings say whether such orders exist, and nothing is read where they don't.

Ruled out: slack granted to each instance (each restart would take it again), sums told by all to all (58 times 57 messages), moving early and rolling back (the old engines stop at completion).

Process tests with three and five instances: a good version takes over with no failed request.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod burn;
+pub mod canary;
 pub mod claim;
 pub mod config;
 pub mod demand;
--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EXCHANGE_VERSION, Heartbeat},
+    super::{Heartbeat, PACKS_VERSION},
     crate::pool::rendezvous,
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -376,6 +376,34 @@
             .count()
     }
 
+    /// Returns up to `count` live peers that read the store, the first by name.
+    pub fn first_readers(
+        &self,
+        count: usize,
+        settings: &MeshSettings,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &Member> {
+        self.live(settings, now_ms)
+            .filter(|member| member.last_heartbeat.has_store)
+            .take(count)
+    }
+
+    /// Returns one live peer of each other failure domain that understands a version
+    /// of the exchange, a different one for each turn.
+    pub fn relays(
+        &self,
+        version: u8,
+        turn: u64,
+        settings: &MeshSettings,
+        now_ms: u64,
+    ) -> Vec<SocketAddr> {
+        let far = self.members.values().filter(|member| {
+            member.last_heartbeat.domain != self.own_domain && member.exchange_version >= version
+        });
+        let far: Vec<&Member> = far.collect();
+        relays(&far, turn, &Silence::new(self, settings), now_ms)
+    }
+
     /// Returns whether a peer is live; `None` for a peer that is unknown or has
     /// expired.
     pub fn is_live(&self, name: &str, settings: &MeshSettings, now_ms: u64) -> Option<bool> {
@@ -392,7 +420,7 @@
 
     /// Returns whether heartbeats to other failure domains are sent in packs.
     pub fn uses_packs(&self, settings: &MeshSettings) -> bool {
-        self.members.len() > settings.max_relayed_peers && self.all_understand(EXCHANGE_VERSION)
+        self.members.len() > settings.max_relayed_peers && self.all_understand(PACKS_VERSION)
     }
 
     /// Returns the interval at which heartbeats of all peers arrive.
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -1,6 +1,6 @@
 use {
     super::Heartbeat,
-    crate::kv_store::KvStoreReport,
+    crate::{canary::CanaryMessage, kv_store::KvStoreReport},
     derive_more::{Display, Error, From},
     serde::{Deserialize, Serialize},
 };
@@ -10,8 +10,16 @@
 ///
 /// Version 1 adds [`PeerMessage::KvStore`], [`PeerMessage::DirectPacked`],
 /// [`PeerMessage::PackToRelay`] and [`PeerMessage::RelayedPack`], and heartbeats that
-/// leave out teams whose spending hasn't changed.
-pub const EXCHANGE_VERSION: u8 = 1;
+/// leave out teams whose spending hasn't changed. Version 2 adds
+/// [`PeerMessage::Canary`] and [`PeerMessage::CanaryToRelay`].
+pub const EXCHANGE_VERSION: u8 = 2;
+
+/// Version of the exchange from which on packs, reports on KV cache stores and partial
+/// reports on teams are understood.
+pub const PACKS_VERSION: u8 = 1;
+
+/// Version of the exchange from which on messages about roll-outs are understood.
+pub const CANARY_VERSION: u8 = 2;
 
 /// Maximum size of a datagram between instances, which is that of UDP over IPv4.
 pub const MAX_DATAGRAM_BYTES: usize = 65_507;
@@ -43,6 +51,10 @@
     PackToRelay(Vec<Heartbeat>),
     /// Heartbeats that another instance of the receiver's failure domain relays.
     RelayedPack(Vec<Heartbeat>),
+    /// A message about a roll-out of a service's software.
+    Canary(Box<CanaryMessage>),
+    /// The same, to a receiver that relays it within its failure domain.
+    CanaryToRelay(Box<CanaryMessage>),
 }
 
 /// Why a datagram could not be decoded or a message not be encoded.
--- a/crates/core/src/pool/entry.rs
+++ b/crates/core/src/pool/entry.rs
@@ -35,6 +35,8 @@
     pub revision: u64,
     /// Service whose requests the engine runs.
     pub service: String,
+    /// Version of the software that the engine runs.
+    pub software: String,
     /// Address on which the engine accepts connections.
     pub address: SocketAddr,
     /// Failure domain of the engine.
--- a/crates/core/src/pool/known_engine.rs
+++ b/crates/core/src/pool/known_engine.rs
@@ -1,5 +1,6 @@
 use {
     super::{EngineEntry, Health, HealthSettings, short_hash},
+    crate::canary::SoftwareRole,
     serde::{Deserialize, Serialize},
     std::collections::HashMap,
 };
@@ -51,6 +52,8 @@
 pub struct KnownEngine {
     /// Last entry of the engine in the engine list.
     pub entry: EngineEntry,
+    /// What it may be used for because of its software version.
+    pub software_role: SoftwareRole,
     /// Short hash of its name, by which peers refer to it in heartbeats.
     pub name_hash: u32,
     /// Work sent by this instance.
@@ -97,6 +100,7 @@
         KnownEngine {
             name_hash: short_hash(&entry.incarnation.id),
             entry,
+            software_role: SoftwareRole::default(),
             own: Load::default(),
             others: Load::default(),
             health: Health::default(),
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -3,6 +3,7 @@
         Departure, EngineEntry, KnownEngine, ListingStatus, Load, departures::Departures,
         rendezvous,
     },
+    crate::canary::SoftwareRole,
     std::collections::{BTreeMap, HashMap},
 };
 
@@ -228,6 +229,23 @@
         self.engines.get_mut(id)
     }
 
+    /// Sets what each engine may be used for because of its software version.
+    pub fn assign_software_roles(&mut self, mut role: impl FnMut(&EngineEntry) -> SoftwareRole) {
+        for engine in self.engines.values_mut() {
+            engine.software_role = role(&engine.entry);
+        }
+    }
+
+    /// Returns the requests of this instance that run at engines of a service with
+    /// another software version than `software`.
+    pub fn unfinished_at_others(&self, service: &str, software: &str) -> u32 {
+        let engines = self
+            .engines
+            .values()
+            .filter(|engine| engine.entry.service == service && engine.entry.software != software);
+        engines.map(|engine| engine.own.requests).sum()
+    }
+
     /// Returns all engines, ordered by name.
     pub fn iter(&self) -> impl Iterator<Item = &KnownEngine> + Clone {
         self.engines.values()
--- a/crates/core/tests/departures.rs
+++ b/crates/core/tests/departures.rs
@@ -32,6 +32,7 @@
         draining,
         models: Vec::new(),
         cold_left_ms: 0,
+        software: String::new(),
     }
 }
 
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -30,6 +30,7 @@
             version: 1,
         }],
         cold_left_ms: 0,
+        software: String::new(),
     }
 }
 
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -20,6 +20,7 @@
             version: 1,
         }],
         cold_left_ms: 0,
+        software: String::new(),
     }
 }
 
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -41,6 +41,8 @@
     pub(super) answer: Answer,
     pub(super) load_guard: LoadGuard,
     pub(super) engine: EngineEntry,
+    /// When the request was sent to the engine.
+    pub(super) sent_ms: u64,
 }
 
 /// State of the earlier attempts that one attempt depends on.
@@ -48,6 +50,8 @@
 pub(super) struct AttemptContext<'a> {
     /// IDs of the engines that were tried before; they are skipped.
     pub(super) tried_engines: &'a [String],
+    /// Whether the request is sent for the first time.
+    pub(super) is_first: bool,
     /// Whether this attempt resumes a stream that was cut off.
     pub(super) is_resumed: bool,
     /// ID of the last event that the caller has; the stream resumes after it.
--- a/crates/gateway/src/callers/buffered.rs
+++ b/crates/gateway/src/callers/buffered.rs
@@ -8,9 +8,10 @@
         request::CallerRequest,
         retry::{AttemptHistory, send_with_retries},
     },
-    crate::clock::now_ms,
+    crate::{clock::now_ms, rollouts::record_result},
     http::Response,
     http_body_util::{BodyExt, Limited},
+    mangowalk_core::canary::Sample,
     mangowalk_platform::answer_headers,
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
@@ -37,6 +38,11 @@
                 let status = parts.status;
                 if !status.is_server_error() {
                     record_complete_answer(&request, &answered.engine.incarnation.id);
+                    let took_ms = now_ms().saturating_sub(answered.sent_ms) as f64;
+                    let sample = Sample::Answered {
+                        took_ms: Some(took_ms),
+                    };
+                    record_result(&request.instance, &answered.engine, &request.route, sample);
                 }
                 answered.answer.connection.return_to_pool(now_ms());
                 record_answered_request(&request, &answered.engine.incarnation.id, status.as_u16());
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -7,6 +7,7 @@
     },
     crate::{
         clock::now_ms,
+        rollouts::record_loss,
         upstreams::{Answer, ProbeReason, SendError, probe_engine},
     },
     http::StatusCode,
@@ -67,6 +68,7 @@
         }
     }
     Outcome::Answer(Box::new(EngineAnswer {
+        sent_ms: load_guard.began_ms(),
         answer,
         load_guard,
         engine,
@@ -171,6 +173,9 @@
     let health = &request.instance.settings.choice.health;
     known_engine.health.record_failure(health, now_ms);
     drop(engines);
+    if reason != "not_connected" {
+        record_loss(&request.instance, engine);
+    }
     let is_request_lost = matches!(reason, "lost" | "broken_off" | "half_event");
     if is_request_lost {
         let identity = request.identity();
--- a/crates/gateway/src/callers/guards.rs
+++ b/crates/gateway/src/callers/guards.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Returns when the request was sent.
+    pub(super) fn began_ms(&self) -> u64 {
+        self.began_ms
+    }
+
     /// Records that the engine has prefilled the prompt: removes its tokens from
     /// the load and, if the engine was idle, updates the instance's prefill rate.
     pub(super) fn record_prefill(&mut self, now_ms: u64) {
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -4,9 +4,10 @@
         request::CallerRequest,
     },
     mangowalk_core::{
+        canary::{Lane, SoftwareRole, tried_engines},
         kv_store::kv_store_key,
         pool::{
-            CacheSource, ChoiceSettings, EngineEntry, EngineRequirements, KnownEngine,
+            CacheSource, ChoiceSettings, EngineEntry, EngineRequirements, EngineTable, KnownEngine,
             ListingStatus, Load, choose, find_cache_source, retry_after_ms,
         },
     },
@@ -71,22 +72,27 @@
         .accepting_engines(&requirements.service, now_ms)
         .count();
     let settings = &adapted_choice(request, memory_tokens, count, now_ms);
-    let chosen = choose(
-        engines
-            .accepting_engines(&requirements.service, now_ms)
-            .filter(|known_engine| {
-                !context
-                    .tried_engines
-                    .contains(&known_engine.entry.incarnation.id)
-            }),
-        requirements,
-        request.version_bounds(now_ms),
-        memory_tokens,
-        settings,
-        rand::random(),
-        now_ms,
-    )
-    .ok_or(Outcome::NoEngine)?;
+    let version_bounds = request.version_bounds(now_ms);
+    let draw = rand::random();
+    let choose_among = |usable: &dyn Fn(&KnownEngine) -> bool| {
+        choose(
+            engines
+                .accepting_engines(&requirements.service, now_ms)
+                .filter(|known_engine| {
+                    let id = &known_engine.entry.incarnation.id;
+                    usable(known_engine) && !context.tried_engines.contains(id)
+                }),
+            requirements,
+            version_bounds,
+            memory_tokens,
+            settings,
+            draw,
+            now_ms,
+        )
+    };
+    let lane = software_lane(request, context, now_ms);
+    let (chosen, lane) = choose_in_lane(&engines, &requirements.service, lane, choose_among)
+        .ok_or(Outcome::NoEngine)?;
     if requirements.model.is_some() && context.may_be_refused {
         let admit = &instance.settings.admission;
         let rate = instance.prefill_rate.get();
@@ -116,10 +122,11 @@
         }
     }
     let draw = rand::random();
+    let role = chosen.software_role;
     let source = find_cache_source(
         chosen,
         requirements,
-        engines.iter(),
+        engines.iter().filter(|engine| engine.software_role == role),
         settings.retention_ms,
         draw,
         now_ms,
@@ -137,6 +144,9 @@
         turnover.record_sent(new_memory_tokens(requirements, plan.is_cached), now_ms);
         instance.turnover.set(turnover);
     }
+    let mut software = instance.software.borrow_mut();
+    software.record_sent(&requirements.service, lane, context.is_first, now_ms);
+    drop(software);
     let entry = chosen.entry.clone();
     let listing_status = engines.listing_status(&entry.incarnation.id, now_ms);
     log_uncertain(request, &entry, listing_status);
@@ -146,6 +156,51 @@
     Ok((entry, plan))
 }
 
+/// Returns the engines to which the request may be sent because of their software.
+fn software_lane(request: &CallerRequest, context: &AttemptContext<'_>, now_ms: u64) -> Lane {
+    let software = request.instance.software.borrow();
+    let may_run_again = request.route.retry.may_run_again();
+    let service = &request.requirements.service;
+    software.lane(service, may_run_again, context.is_first, now_ms)
+}
+
+/// Chooses an engine in a lane, and in the next best one if it has none: a request that
+/// isn't tried at a new version goes to the version in use, and one whose version has
+/// been replaced to what is left of it. A version that was withdrawn, or isn't known to
+/// be free of orders, gets nothing.
+fn choose_in_lane<'a>(
+    engines: &'a EngineTable,
+    service: &str,
+    lane: Lane,
+    choose_among: impl Fn(&dyn Fn(&KnownEngine) -> bool) -> Option<&'a KnownEngine>,
+) -> Option<(&'a KnownEngine, Lane)> {
+    let with_role = |role: SoftwareRole| {
+        choose_among(&move |engine: &KnownEngine| engine.software_role == role)
+    };
+    let in_use = || {
+        let chosen = with_role(SoftwareRole::InUse).or_else(|| with_role(SoftwareRole::Outgoing));
+        chosen.map(|engine| (engine, Lane::InUse))
+    };
+    match lane {
+        Lane::InUse => in_use(),
+        Lane::Trial { ratio } => {
+            let new = engines.iter().filter(|engine| {
+                engine.entry.service == service && engine.software_role == SoftwareRole::Candidate
+            });
+            let new = new.map(|engine| engine.entry.incarnation.id.as_str());
+            let tried = tried_engines(new, ratio);
+            let chosen = choose_among(&|engine: &KnownEngine| {
+                tried.contains(&engine.entry.incarnation.id.as_str())
+            });
+            chosen.map(|engine| (engine, lane)).or_else(in_use)
+        }
+        Lane::Shifted => {
+            let chosen = with_role(SoftwareRole::Candidate);
+            chosen.map(|engine| (engine, lane)).or_else(in_use)
+        }
+    }
+}
+
 /// Counts and logs the choice of an engine that may have left, with the reason for
 /// the suspicion. Does nothing if there is no suspicion.
 fn log_uncertain(
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -4,8 +4,8 @@
         attempt::{AttemptContext, EngineAnswer, Outcome, attempt},
         request::CallerRequest,
     },
-    crate::clock::now_ms,
-    mangowalk_core::routing::RetryPolicy,
+    crate::{clock::now_ms, rollouts::record_result},
+    mangowalk_core::{canary::Sample, pool::EngineEntry, routing::RetryPolicy},
 };
 
 /// Maximum number of attempts with engines that reject the request or can't be
@@ -38,6 +38,37 @@
     request: &CallerRequest,
     attempts: &mut AttemptHistory,
     last_event_id: Option<&str>,
+) -> Result<Box<EngineAnswer>, Refusal> {
+    let mut server_errors = Vec::new();
+    let result = try_engines(request, attempts, last_event_id, &mut server_errors).await;
+    record_server_errors(request, &server_errors, &result);
+    result
+}
+
+/// Records the engines that answered with an error, for the comparison of software
+/// versions. An error that two engines give says more of the request than of the
+/// engines.
+fn record_server_errors(
+    request: &CallerRequest,
+    server_errors: &[EngineEntry],
+    result: &Result<Box<EngineAnswer>, Refusal>,
+) {
+    let is_success = result
+        .as_ref()
+        .is_ok_and(|answered| !answered.answer.parts.status.is_server_error());
+    if server_errors.len() > 1 && !is_success {
+        return;
+    }
+    for engine in server_errors {
+        record_result(&request.instance, engine, &request.route, Sample::Failed);
+    }
+}
+
+async fn try_engines(
+    request: &CallerRequest,
+    attempts: &mut AttemptHistory,
+    last_event_id: Option<&str>,
+    server_errors: &mut Vec<EngineEntry>,
 ) -> Result<Box<EngineAnswer>, Refusal> {
     let mut may_have_run = attempts.possible_run_count > 0;
     // A server error of an engine, returned if no other engine answers.
@@ -64,6 +95,7 @@
             tried_engines: &attempts.tried_engines,
             can_resume_elsewhere: request.route.retry == RetryPolicy::ResumableStream
                 && attempts.possible_run_count + 1 < request.route.max_attempts,
+            is_first: is_first_attempt,
             may_be_refused: attempts.possible_run_count == 0,
             is_resumed: last_event_id.is_some(),
             last_event_id: last_event_id.or(request.head.last_event_id.as_deref()),
@@ -76,6 +108,9 @@
                     .tried_engines
                     .push(answered.engine.incarnation.id.clone());
                 let failed = answered.answer.parts.status.is_server_error();
+                if failed {
+                    server_errors.push(answered.engine.clone());
+                }
                 let may_retry = failed
                     && request.route.retry == RetryPolicy::Idempotent
                     && attempts.possible_run_count < request.route.max_attempts;
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -9,12 +9,12 @@
         request::CallerRequest,
         retry::{AttemptHistory, send_with_retries},
     },
-    crate::{clock::now_ms, upstreams::check_silent},
+    crate::{clock::now_ms, rollouts::record_result, upstreams::check_silent},
     bytes::Bytes,
     futures_util::stream::unfold,
     http::Response,
     http_body_util::BodyExt,
-    mangowalk_core::{routing::RetryPolicy, stream::EventSplitter},
+    mangowalk_core::{canary::Sample, routing::RetryPolicy, stream::EventSplitter},
     mangowalk_platform::answer_headers,
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
@@ -34,9 +34,33 @@
     has_begun: bool,
     /// When the last bytes arrived.
     last_received_ms: u64,
+    /// Arrivals of the engine that sends now, by which its software is compared.
+    pace: Pace,
     _open_request: OpenRequestGuard,
 }
 
+/// Arrivals of the events of a stream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Pace {
+    first_ms: Option<u64>,
+    last_ms: u64,
+    arrivals: u32,
+}
+
+impl Pace {
+    fn record(&mut self, now_ms: u64) {
+        self.first_ms.get_or_insert(now_ms);
+        self.last_ms = now_ms;
+        self.arrivals += 1;
+    }
+
+    /// Returns the mean time between two arrivals; `None` if there was only one.
+    fn mean_gap_ms(&self) -> Option<f64> {
+        let took_ms = self.last_ms.saturating_sub(self.first_ms?) as f64;
+        (self.arrivals > 1).then(|| took_ms / f64::from(self.arrivals - 1))
+    }
+}
+
 /// Returns a response whose body is forwarded as it arrives from the engine.
 pub(super) fn forward_stream(
     request: Rc<CallerRequest>,
@@ -55,6 +79,7 @@
         attempts,
         has_begun: false,
         last_received_ms: now_ms(),
+        pace: Pace::default(),
         _open_request: open_request,
     };
     let byte_stream: ByteStream = Box::pin(unfold(Some(forwarder), |forwarder| async move {
@@ -159,6 +184,7 @@
         };
         let now_ms = now_ms();
         self.last_received_ms = now_ms;
+        self.pace.record(now_ms);
         if !self.has_begun {
             self.has_begun = true;
             answered.load_guard.record_prefill(now_ms);
@@ -179,6 +205,15 @@
     fn finish(&mut self) {
         if let Some(answered) = self.answered.take() {
             answered.answer.connection.return_to_pool(now_ms());
+            let sample = Sample::Answered {
+                took_ms: self.pace.mean_gap_ms(),
+            };
+            record_result(
+                &self.request.instance,
+                &answered.engine,
+                &self.request.route,
+                sample,
+            );
             record_complete_answer(&self.request, &answered.engine.incarnation.id);
             record_answered_request(&self.request, &answered.engine.incarnation.id, 200);
         }
@@ -217,6 +252,7 @@
         self.splitter = Some(EventSplitter::resume_after(last_id));
         self.answered = Some(*next);
         self.last_received_ms = now_ms();
+        self.pace = Pace::default();
         Ok(())
     }
 
--- a/crates/gateway/src/instance/heartbeats.rs
+++ b/crates/gateway/src/instance/heartbeats.rs
@@ -1,7 +1,7 @@
 use {
     super::Instance,
     mangowalk_core::{
-        mesh::{EXCHANGE_VERSION, Heartbeat, OrderPhase, OrderReport},
+        mesh::{Heartbeat, OrderPhase, OrderReport, PACKS_VERSION},
         pool::WorkPause,
         share::{PeerReport, PeerSpending},
         weights::PublishedAt,
@@ -139,7 +139,7 @@
         instances: heartbeat.instances as usize,
         count_valid_ms: u64::from(heartbeat.counted_for_ms),
         knows_spending: heartbeat.knows_rates,
-        is_partial: exchange_version >= EXCHANGE_VERSION,
+        is_partial: exchange_version >= PACKS_VERSION,
         teams: teams.collect(),
     }
 }
--- a/crates/gateway/src/instance/reload.rs
+++ b/crates/gateway/src/instance/reload.rs
@@ -54,6 +54,7 @@
         ),
         ("store_address", old.store_address != new.store_address),
         ("descriptors", old.descriptors != new.descriptors),
+        ("exposure", old.exposure != new.exposure),
         (
             "quota_slack_tokens",
             old.quota_slack_tokens != new.quota_slack_tokens,
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -5,8 +5,9 @@
     },
     crate::{clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
+        canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
         kv_store::KvStores,
-        mesh::{EXCHANGE_VERSION, MemberTable, OrderReport},
+        mesh::{MemberTable, OrderReport, PACKS_VERSION},
         pool::{EngineTable, MeanPromptLength, PrefillRate, Turnover, short_hash},
         retries::FleetRetryBudget,
         routing::{Configuration, RouteTable},
@@ -80,6 +81,10 @@
     pub is_engine_list_read: Cell<bool>,
     /// Whether the store can be read, and when its last outage ended.
     pub store_availability: StoreAvailability,
+    /// Software versions of the services, and the orders to replace them.
+    pub software: RefCell<SoftwareTable>,
+    /// What peers have reported on orders that aren't decided.
+    pub canary_reports: RefCell<BTreeMap<OrderId, FleetReports>>,
     /// Estimated speed at which engines prefill prompts.
     pub prefill_rate: Cell<PrefillRate>,
     /// Rate at which this instance fills the engines' memory.
@@ -134,7 +139,10 @@
                 ..ShareSettings::default()
             },
         );
+        let software = SoftwareTable::new(machine.exposure, CanarySettings::default());
         Rc::new(Instance {
+            software: RefCell::new(software),
+            canary_reports: RefCell::default(),
             machine: RefCell::new(Rc::new(machine)),
             settings,
             incarnation,
@@ -196,9 +204,12 @@
         self.is_initialized() && *self.drain.borrow() == Drain::Serving
     }
 
-    /// Returns whether the configuration and the engine list are known.
+    /// Returns whether the configuration, the engine list and the orders to replace
+    /// software are known.
     pub fn is_initialized(&self) -> bool {
-        self.routes.borrow().version() > 0 && self.is_engine_list_read.get()
+        let software = self.software.borrow();
+        let knows_rollouts = software.limits().is_none() || software.view_revision().is_some();
+        self.routes.borrow().version() > 0 && self.is_engine_list_read.get() && knows_rollouts
     }
 
     /// Puts a configuration in force if it is newer than the current one.
@@ -265,7 +276,7 @@
     /// changed: for new peers, and for those that don't know the shorter form.
     pub fn reports_all_teams(&self, now_ms: u64) -> bool {
         now_ms < self.all_teams_until_ms.get()
-            || !self.members.borrow().all_understand(EXCHANGE_VERSION)
+            || !self.members.borrow().all_understand(PACKS_VERSION)
     }
 
     /// Returns the number of instances that may be serving, including this one.
@@ -281,16 +292,20 @@
     /// heartbeats from instances with earlier names counts as the first, so one
     /// that is isolated doesn't depend on reports of peers.
     pub fn freshness(&self, now_ms: u64) -> Freshness {
-        let members = self.members.borrow();
-        let own = &self.machine().name;
-        let readers_before =
-            members.count_live_before(own, |peer| peer.has_store, &self.settings.mesh, now_ms);
-        match readers_before < self.settings.current_readers {
+        match self.readers_before(now_ms) < self.settings.current_readers {
             true => Freshness::Current,
             false => Freshness::MayLag,
         }
     }
 
+    /// Returns the number of live instances with access to the store whose names sort
+    /// before that of this one.
+    pub fn readers_before(&self, now_ms: u64) -> usize {
+        let members = self.members.borrow();
+        let own = &self.machine().name;
+        members.count_live_before(own, |peer| peer.has_store, &self.settings.mesh, now_ms)
+    }
+
     /// Returns whether a live peer has a newer configuration.
     pub fn is_behind(&self, now_ms: u64) -> bool {
         let own = self.routes.borrow().version();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod instance;
 pub mod logs;
 pub mod mesh;
+pub mod rollouts;
 pub mod store;
 pub mod upstreams;
 pub mod weights;
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -4,9 +4,10 @@
         instance::{Drain, Instance},
     },
     mangowalk_core::{
+        canary::CanaryMessage,
         mesh::{
-            EXCHANGE_VERSION, Heartbeat, MAX_DATAGRAM_BYTES, Member, PACK_BYTES, PeerMessage,
-            Targets, TeamReport, split_packs,
+            CANARY_VERSION, EXCHANGE_VERSION, Heartbeat, MAX_DATAGRAM_BYTES, Member, PACK_BYTES,
+            PACKS_VERSION, PeerMessage, Targets, TeamReport, split_packs,
         },
         weights::PublishedAt,
     },
@@ -72,6 +73,12 @@
         PeerMessage::RelayedPack(heartbeats) => {
             receive_pack(instance, heartbeats, exchange_version, now_ms);
         }
+        PeerMessage::Canary(message) => instance.receive_canary(*message, now_ms),
+        PeerMessage::CanaryToRelay(message) => {
+            let relayed = PeerMessage::Canary(message.clone());
+            relay(instance, socket, &relayed, exchange_version);
+            instance.receive_canary(*message, now_ms);
+        }
         PeerMessage::KvStore(report) => {
             let mut stores = instance.kv_stores.borrow_mut();
             stores.apply_report(&report, now_ms);
@@ -114,10 +121,54 @@
     let members = instance.members.borrow();
     let peers = domains
         .iter()
-        .flat_map(|domain| members.in_domain_with(domain, EXCHANGE_VERSION));
+        .flat_map(|domain| members.in_domain_with(domain, PACKS_VERSION));
     send_to(instance, socket, message, peers);
 }
 
+/// Sends a message about a roll-out to all peers: directly within the own failure
+/// domain, and through one instance of each other one. `turn` selects these.
+pub fn send_canary_to_all(
+    instance: &Instance,
+    socket: &UdpSocket,
+    message: CanaryMessage,
+    turn: u64,
+) {
+    let members = instance.members.borrow();
+    let mesh = &instance.settings.mesh;
+    let message = Box::new(message);
+    let domain = instance.machine().domain.clone();
+    let near = members.in_domain_with(&domain, CANARY_VERSION);
+    send_to(
+        instance,
+        socket,
+        &PeerMessage::Canary(message.clone()),
+        near,
+    );
+    let relays = members.relays(CANARY_VERSION, turn, mesh, now_ms());
+    send_to(
+        instance,
+        socket,
+        &PeerMessage::CanaryToRelay(message),
+        relays,
+    );
+}
+
+/// Sends a message about a roll-out to the first `count` instances that read the
+/// store.
+pub fn send_canary_to_readers(
+    instance: &Instance,
+    socket: &UdpSocket,
+    message: CanaryMessage,
+    count: usize,
+) {
+    let members = instance.members.borrow();
+    let readers = members.first_readers(count, &instance.settings.mesh, now_ms());
+    let readers = readers.filter(|member| member.exchange_version >= CANARY_VERSION);
+    let readers = readers.map(|member| member.last_heartbeat.peer_address);
+    let message = PeerMessage::Canary(Box::new(message));
+    send_to(instance, socket, &message, readers);
+}
+
 fn send_to(
     instance: &Instance,
     socket: &UdpSocket,
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -4,6 +4,6 @@
 mod traffic;
 
 pub use {
-    exchange::{bind, exchange, send_to_domains},
+    exchange::{bind, exchange, send_canary_to_all, send_canary_to_readers, send_to_domains},
     traffic::MeshTraffic,
 };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,7 +6,10 @@
         instance::{Drain, GatewaySettings, Instance},
         logs::{self, LIFECYCLE, LogSettings},
         mesh,
-        store::{CallClient, register, watch_configuration, watch_engines, watch_weights},
+        rollouts::run_rollouts,
+        store::{
+            CallClient, register, watch_configuration, watch_engines, watch_rollouts, watch_weights,
+        },
         upstreams::{ConnectionPool, probe_silent_engines, watch_kv_stores},
         weights::run_weights_updater,
     },
@@ -190,6 +193,14 @@
         watch_configuration(instance.clone(), store.clone()),
     );
     tasks.start("engines", watch_engines(instance.clone(), store.clone()));
+    tasks.start(
+        "rollout_orders",
+        watch_rollouts(instance.clone(), store.clone()),
+    );
+    tasks.start(
+        "rollouts",
+        run_rollouts(instance.clone(), store.clone(), peers.clone()),
+    );
     tasks.start("weights", watch_weights(instance.clone(), store.clone()));
     tasks.start(
         "orders",
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -12,6 +12,9 @@
 /// to be read again in full.
 const GONE: u16 = 410;
 
+/// Interval at which a kind that isn't followed is checked for whether it is needed.
+const DEMAND_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Receives the objects of one kind and their changes.
 pub(super) trait Follower {
     const KIND: ObjectKind;
@@ -24,6 +27,10 @@
     /// Applies changes up to a revision; there may be none. An object that no
     /// longer exists is `None`.
     fn apply_changes(&self, changes: &[(String, Option<StoredObject>)], revision: u64);
+    /// Returns whether changes still have to be followed.
+    fn is_needed(&self) -> bool {
+        true
+    }
     /// Completes when peers know a newer state than this instance's watch has
     /// reported.
     async fn wait_until_behind(&self) {
@@ -43,6 +50,28 @@
     }
 }
 
+/// Follows one kind of objects like [`follow`], but only while its follower needs them.
+pub(super) async fn follow_on_demand<F: Follower>(
+    instance: &Instance,
+    store: &CallClient,
+    follower: F,
+) {
+    let mut backoff = Backoff::default();
+    loop {
+        while !follower.is_needed() {
+            sleep(DEMAND_CHECK_INTERVAL).await;
+        }
+        let Some(revision) = read(instance, store, &follower).await else {
+            backoff.wait().await;
+            continue;
+        };
+        backoff = Backoff::default();
+        if follower.is_needed() {
+            watch(instance, store, &follower, revision).await;
+        }
+    }
+}
+
 /// Reads all objects of a kind, with retries until it succeeds, and returns the
 /// revision.
 async fn read_with_retries<F: Follower>(
@@ -97,6 +126,9 @@
         changed.retain(|(_, object)| is_new(object));
         revision = revision.max(changes.revision);
         follower.apply_changes(&changed, revision);
+        if !follower.is_needed() {
+            return;
+        }
         if !changed.is_empty() && follower.batch_ms() > 0 {
             sleep(Duration::from_millis(follower.batch_ms())).await;
         }
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -1,12 +1,13 @@
 use {
     super::{
         CallClient,
-        follow::{Follower, follow},
+        follow::{Follower, follow, follow_on_demand},
     },
     crate::{clock::now_ms, instance::Instance},
-    mangowalk_core::{pool::EngineTable, weights::PublishedAt},
+    mangowalk_core::{canary::CanaryOrder, pool::EngineTable, weights::PublishedAt},
     mangowalk_platform::{
-        ObjectKind, StoredObject, decode_configuration, decode_engine, decode_newest_weights,
+        Freshness, ObjectKind, StoredObject, decode_configuration, decode_engine,
+        decode_newest_weights, decode_rollout,
     },
     std::{cell::Cell, rc::Rc, time::Duration},
     tokio::time::sleep,
@@ -162,6 +163,8 @@
             self.apply_entry(&mut engines, object);
         }
         engines.set_list_revision(revision, now_ms);
+        drop(engines);
+        self.0.assign_software_roles(now_ms);
         if !self.0.is_engine_list_read.replace(true) {
             log::info!("event=engines_known count={}", objects.len());
         }
@@ -178,12 +181,80 @@
             }
         }
         engines.set_list_revision(revision, now_ms);
+        drop(engines);
         if !changes.is_empty() {
+            self.0.assign_software_roles(now_ms);
             self.0.wake_ups.orders.notify_one();
         }
     }
 }
 
+/// Time for which an engine may be held back, or an order have no word of a decider,
+/// before this instance reads the orders itself.
+const UNKNOWN_ROLLOUT_MS: u64 = 800;
+
+struct RolloutsFollower(Rc<Instance>);
+
+impl RolloutsFollower {
+    fn decode(&self, object: &StoredObject) -> Option<CanaryOrder> {
+        let (name, revision) = (&object.name, object.revision);
+        let order = decode_rollout(object).inspect_err(|error| {
+            log::warn!("event=rollout_refused name={name} revision={revision} error=\"{error}\"")
+        });
+        let order = order.ok()?;
+        log::info!(
+            "event=rollout order={} name={name} revision={revision} duration_ms={:?} started={} \
+             outcome={:?}",
+            order.id,
+            order.duration_ms,
+            order.is_started,
+            order.outcome,
+        );
+        Some(order)
+    }
+}
+
+impl Follower for RolloutsFollower {
+    const KIND: ObjectKind = ObjectKind::Rollouts;
+
+    fn replace_all(&self, objects: &[StoredObject], revision: u64) {
+        let orders = objects.iter().filter_map(|object| self.decode(object));
+        let orders: Vec<CanaryOrder> = orders.collect();
+        self.0.replace_rollouts(&orders, revision, now_ms());
+    }
+
+    fn apply_changes(&self, changes: &[(String, Option<StoredObject>)], revision: u64) {
+        let now_ms = now_ms();
+        for (name, object) in changes {
+            match object {
+                Some(object) => {
+                    if let Some(order) = self.decode(object) {
+                        self.0.update_rollout(&order, now_ms);
+                    }
+                }
+                None => self.0.withdraw_rollout(name, revision, now_ms),
+            }
+        }
+        self.0.confirm_rollouts(revision, now_ms);
+    }
+
+    /// The deciders always follow the orders. Others hear of them from these, and read
+    /// them at their start and when they don't.
+    fn is_needed(&self) -> bool {
+        let now_ms = now_ms();
+        let software = self.0.software.borrow();
+        software.limits().is_some()
+            && (software.view_revision().is_none()
+                || self.0.freshness(now_ms) == Freshness::Current
+                || software.needs_view(UNKNOWN_ROLLOUT_MS, now_ms))
+    }
+}
+
+/// Follows operators' orders to replace a service's software; never returns.
+pub async fn watch_rollouts(instance: Rc<Instance>, store: Rc<CallClient>) {
+    follow_on_demand(&instance, &store, RolloutsFollower(instance.clone())).await;
+}
+
 /// Follows the operators' configuration; never returns.
 pub async fn watch_configuration(instance: Rc<Instance>, store: Rc<CallClient>) {
     follow(&instance, &store, ConfigurationFollower(instance.clone())).await;
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -8,6 +8,6 @@
 
 pub use {
     client::{CallClient, CallError},
-    followers::{watch_configuration, watch_engines, watch_weights},
+    followers::{watch_configuration, watch_engines, watch_rollouts, watch_weights},
     register::register,
 };
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod logs;
 mod rates;
+mod rollouts;
 mod settings;
 mod sizes;
 mod stopping;
