Compress packs of heartbeats and bound their rate by bytes; count bytes by kind

Change: packs are compressed for peers that understand it, and the interval of packs grows with the measured size of their heartbeats, so that they take at most 200 kB a second. Bytes by kind of message are among the metrics, and streams whose events pause longer than their route allows are logged with what their engine had to do.

--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -9,7 +9,7 @@
 };
 
 /// Timeouts and bounds of the heartbeats between instances.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct MeshSettings {
     /// Interval between two heartbeats.
     pub heartbeat_interval_ms: u64,
@@ -44,6 +44,12 @@
     /// receives a second, by which the interval of packs grows with the fleet. A
     /// small machine has a tenth of a core and 20 Mbit/s.
     pub max_far_heartbeats_per_s: usize,
+    /// Maximum rate at which the heartbeats of all instances arrive at each, by which
+    /// the interval of packs grows with their size. An instance relays about as many
+    /// bytes as it receives, and a small machine has a link of 10 Mbit/s: together they
+    /// take a third of it, and what must arrive in time (the configuration, weights,
+    /// engines that leave) has the rest.
+    pub max_heartbeat_bytes_per_s: f64,
     /// Minimum interval between two heartbeats, also when others should hear of
     /// something at once. When a large fleet starts, each instance hears of a new
     /// peer hundreds of times within a second, and an answer to each fills the links
@@ -51,6 +57,10 @@
     pub min_interval_ms: u64,
 }
 
+/// Weight of one pack in the mean size of heartbeats. At three hundred instances about
+/// a hundred packs arrive a second.
+const PACK_SIZE_WEIGHT: f64 = 0.01;
+
 /// Number of packs that may be lost before the peers in them count as silent, plus a
 /// half for the time between two heartbeats of the instance that sends the next one.
 const SILENT_AFTER_PACKS: f64 = 4.5;
@@ -66,6 +76,7 @@
             max_relayed_peers: 100,
             max_pack_size: 8,
             max_far_heartbeats_per_s: 600,
+            max_heartbeat_bytes_per_s: 200_000.0,
             min_interval_ms: 40,
         }
     }
@@ -125,6 +136,8 @@
     /// stop. A stopped peer that was added again would have a part of the rates
     /// reserved until it expires.
     stopped: HashMap<String, Stopped>,
+    /// Mean size of the heartbeats in packs that were received lately.
+    mean_packed_bytes: f64,
 }
 
 impl MemberTable {
@@ -206,6 +219,15 @@
         }
     }
 
+    /// Records the size of a pack that was received.
+    pub fn record_pack_size(&mut self, bytes: usize, heartbeats: usize) {
+        let mean = bytes as f64 / heartbeats.max(1) as f64;
+        if self.mean_packed_bytes == 0.0 {
+            self.mean_packed_bytes = mean;
+        }
+        self.mean_packed_bytes += (mean - self.mean_packed_bytes) * PACK_SIZE_WEIGHT;
+    }
+
     /// Records that a peer has sent a pack.
     pub fn record_pack(&mut self, name: &str, now_ms: u64) {
         if let Some(member) = self.members.get_mut(name) {
@@ -435,8 +457,11 @@
     pub fn pack_interval_ms(&self, settings: &MeshSettings) -> u64 {
         let members = self.members.values();
         let far = members.filter(|member| member.last_heartbeat.domain != self.own_domain);
-        let interval_ms = far.count() * 1_000 / settings.max_far_heartbeats_per_s.max(1);
-        settings.heartbeat_interval_ms.max(interval_ms as u64)
+        let by_count_ms = far.count() * 1_000 / settings.max_far_heartbeats_per_s.max(1);
+        let all_bytes = self.mean_packed_bytes * (self.members.len() + 1) as f64;
+        let by_bytes_ms = all_bytes * 1_000.0 / settings.max_heartbeat_bytes_per_s;
+        let interval_ms = (by_count_ms as u64).max(by_bytes_ms as u64);
+        interval_ms.max(settings.heartbeat_interval_ms)
     }
 
     /// Returns the peers whose heartbeats this instance should send in one pack with
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -11,7 +11,8 @@
 /// Version 1 adds [`PeerMessage::KvStore`], [`PeerMessage::DirectPacked`],
 /// [`PeerMessage::PackToRelay`] and [`PeerMessage::RelayedPack`], and heartbeats that
 /// leave out teams whose spending hasn't changed. Version 2 adds
-/// [`PeerMessage::Canary`] and [`PeerMessage::CanaryToRelay`].
+/// [`PeerMessage::Canary`], [`PeerMessage::CanaryToRelay`] and
+/// [`PeerMessage::Compressed`].
 pub const EXCHANGE_VERSION: u8 = 2;
 
 /// Version of the exchange from which on packs, reports on KV cache stores and partial
@@ -21,6 +22,13 @@
 /// Version of the exchange from which on messages about roll-outs are understood.
 pub const CANARY_VERSION: u8 = 2;
 
+/// Version of the exchange from which on compressed messages are understood.
+pub const COMPRESSION_VERSION: u8 = 2;
+
+/// Maximum size of a message before its compression: twice a datagram. The size that a
+/// datagram names is not trusted beyond it.
+const MAX_MESSAGE_BYTES: usize = 2 * MAX_DATAGRAM_BYTES;
+
 /// Maximum size of a datagram between instances, which is that of UDP over IPv4.
 pub const MAX_DATAGRAM_BYTES: usize = 65_507;
 
@@ -55,14 +63,65 @@
     Canary(Box<CanaryMessage>),
     /// The same, to a receiver that relays it within its failure domain.
     CanaryToRelay(Box<CanaryMessage>),
+    /// Another message, compressed, behind its size. The heartbeats of a pack name the
+    /// same teams, models and failure domains.
+    Compressed(Vec<u8>),
 }
 
 /// Why a datagram could not be decoded or a message not be encoded.
 #[derive(Debug, Display, Error, From)]
-#[display("The message between instances is malformed: {_0}.")]
-pub struct MessageError(postcard::Error);
+pub enum MessageError {
+    /// A value can't be encoded or decoded.
+    #[display("The message between instances is malformed: {_0}.")]
+    Encoding(postcard::Error),
+    /// The bytes can't be decompressed.
+    #[display("The compressed message between instances is malformed: {_0}.")]
+    Compression(lz4_flex::block::DecompressError),
+    /// The size of a compressed message is missing or too large, or it holds another
+    /// compressed one.
+    #[display("The compressed message between instances is too large or nested.")]
+    #[from(skip)]
+    Nested,
+}
 
 impl PeerMessage {
+    /// Returns the kind of the message, by which its bytes are counted.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            PeerMessage::Direct(_) | PeerMessage::DirectPacked(_) => "heartbeat",
+            PeerMessage::ToRelay(_) => "heartbeat_to_relay",
+            PeerMessage::Relayed(_) => "relayed_heartbeat",
+            PeerMessage::PackToRelay(_) => "pack_to_relay",
+            PeerMessage::RelayedPack(_) => "relayed_pack",
+            PeerMessage::KvStore(_) => "kv_store",
+            PeerMessage::Canary(_) | PeerMessage::CanaryToRelay(_) => "canary",
+            PeerMessage::Compressed(_) => "compressed",
+        }
+    }
+
+    /// Returns the message in compressed form.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a value can't be encoded.
+    pub fn compress(&self) -> Result<PeerMessage, MessageError> {
+        let bytes = postcard::to_allocvec(self)?;
+        let compressed = lz4_flex::compress_prepend_size(&bytes);
+        Ok(PeerMessage::Compressed(compressed))
+    }
+
+    fn decompress(bytes: &[u8]) -> Result<PeerMessage, MessageError> {
+        let (length, compressed) = lz4_flex::block::uncompressed_size(bytes)?;
+        if length > MAX_MESSAGE_BYTES {
+            return Err(MessageError::Nested);
+        }
+        let bytes = lz4_flex::decompress(compressed, length)?;
+        match postcard::from_bytes(&bytes)? {
+            PeerMessage::Compressed(_) => Err(MessageError::Nested),
+            message => Ok(message),
+        }
+    }
+
     /// Encodes the message, followed by the exchange version of the author of its
     /// heartbeat.
     ///
@@ -83,6 +142,10 @@
     /// Fails if the bytes are no message that this build knows.
     pub fn decode(bytes: &[u8]) -> Result<(PeerMessage, u8), MessageError> {
         let (message, rest) = postcard::take_from_bytes(bytes)?;
+        let message = match message {
+            PeerMessage::Compressed(bytes) => PeerMessage::decompress(&bytes)?,
+            message => message,
+        };
         Ok((message, rest.first().copied().unwrap_or(0)))
     }
 }
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -8,7 +8,7 @@
     heartbeat::{Heartbeat, OrderPhase, OrderReport, TeamReport},
     members::{Member, MemberTable, MeshSettings, Targets},
     message::{
-        CANARY_VERSION, EXCHANGE_VERSION, MAX_DATAGRAM_BYTES, MessageError, PACK_BYTES,
-        PACKS_VERSION, PeerMessage, split_packs,
+        CANARY_VERSION, COMPRESSION_VERSION, EXCHANGE_VERSION, MAX_DATAGRAM_BYTES, MessageError,
+        PACK_BYTES, PACKS_VERSION, PeerMessage, split_packs,
     },
 };
--- a/crates/core/tests/mesh_at_scale.rs
+++ b/crates/core/tests/mesh_at_scale.rs
@@ -414,3 +414,96 @@
     let by_earlier: PeerMessage = postcard::from_bytes(&bytes).expect("the rest is ignored");
     assert_eq!(by_earlier, message);
 }
+
+/// Returns the heartbeat of an instance that serves eight requests a second: engines
+/// with work, parts that were read, and teams that spent.
+fn loaded_heartbeat(instance: usize) -> Heartbeat {
+    let number = |index: usize| instance * 37 + index * 101;
+    let load = |index: usize| Load {
+        requests: 1 + (index % 2) as u32,
+        memory_tokens: 900 + 700 * index as u32,
+        prefill_tokens: 800 * (index % 3) as u32,
+        must_finish: (index % 2) as u32,
+    };
+    let part = |index: usize| (number(index) as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    Heartbeat {
+        versions: vec![("daka510000".to_owned(), 3, Some(400))],
+        loads: (0..8)
+            .map(|index| (format!("i-{:010x}", part(index) >> 24), load(index)))
+            .collect(),
+        placements: (0..12)
+            .map(|index| (part(index), (part(index + 50) >> 32) as u32))
+            .collect(),
+        teams: (0..10)
+            .map(|team| TeamReport {
+                team: format!("team{:03}", team),
+                spent: number(team) as f64 * 917.0,
+                level: 3_000.0 * team as f32,
+                demand_per_s: 700.0 * team as f32,
+            })
+            .collect(),
+        ..heartbeat_of(instance, 400)
+    }
+}
+
+/// The heartbeats of three hundred busy instances filled the links of the small ones, of
+/// 10 Mbit/s, and a new configuration came seconds too late. They must leave most of
+/// the link to what has to arrive in time, and still come often enough to place by.
+#[test]
+fn heartbeats_of_a_busy_large_fleet_leave_most_of_a_small_link() {
+    const INSTANCES: usize = 298;
+    const LINK_BYTES_PER_S: usize = 10_000_000 / 8;
+    let settings = MeshSettings::default();
+    let mut table = MemberTable::new(&name(0), domain(0));
+    for other in 1..INSTANCES {
+        table.receive(loaded_heartbeat(other), 0);
+        table.set_exchange_version(&name(other), EXCHANGE_VERSION);
+    }
+    let packs = split_packs((0..INSTANCES).map(loaded_heartbeat), PACK_BYTES);
+    let mut bytes = 0;
+    for pack in &packs {
+        let message = PeerMessage::RelayedPack(pack.clone());
+        let message = message.compress().expect("it is compressed");
+        let datagram = message.encode(EXCHANGE_VERSION).expect("it is encoded");
+        assert!(datagram.len() <= MAX_DATAGRAM_BYTES);
+        bytes += datagram.len();
+        for _ in 0..20 {
+            table.record_pack_size(datagram.len(), pack.len());
+        }
+    }
+    let interval_ms = table.pack_interval_ms(&settings);
+    let bytes_per_s = bytes * 1_000 / interval_ms as usize;
+    assert!(
+        bytes_per_s <= LINK_BYTES_PER_S / 5,
+        "{bytes_per_s} bytes a second"
+    );
+    assert!(interval_ms <= 1_200, "{interval_ms} ms");
+}
+
+/// Packs arrive as they were sent. A datagram of another author may name any size, or
+/// hold a message that unpacks again and again, and must cost neither memory nor time.
+#[test]
+fn compressed_messages_are_bounded() {
+    let pack = PeerMessage::PackToRelay((0..8).map(loaded_heartbeat).collect());
+    let compressed = pack.compress().expect("it is compressed");
+    let bytes = compressed.encode(EXCHANGE_VERSION).expect("it is encoded");
+    let plain = pack.encode(EXCHANGE_VERSION).expect("it is encoded");
+    assert!(
+        bytes.len() < plain.len(),
+        "{} of {}",
+        bytes.len(),
+        plain.len()
+    );
+    let decoded = PeerMessage::decode(&bytes).expect("it is decoded");
+    assert_eq!(decoded, (pack, EXCHANGE_VERSION));
+    let nested = compressed.compress().expect("it is compressed");
+    let nested = nested.encode(EXCHANGE_VERSION).expect("it is encoded");
+    assert!(PeerMessage::decode(&nested).is_err());
+    for size in [u32::MAX, 1_000_000, 5] {
+        let mut bytes = size.to_le_bytes().to_vec();
+        bytes.extend([0xff; 40]);
+        let forged = PeerMessage::Compressed(bytes);
+        let forged = forged.encode(EXCHANGE_VERSION).expect("it is encoded");
+        assert!(PeerMessage::decode(&forged).is_err());
+    }
+}
--- a/crates/gateway/src/callers/directory.rs
+++ b/crates/gateway/src/callers/directory.rs
@@ -103,9 +103,7 @@
 
 fn metrics(instance: &Instance, _: IpAddr, _: &Request<Incoming>) -> Response<AnswerBody> {
     let mut text = instance.counters.render();
-    for (name, count) in instance.mesh_traffic.counts() {
-        text.push_str(&format!("mangowalk_mesh_{name}_total {count}\n"));
-    }
+    text.push_str(&instance.mesh_traffic.render());
     Response::new(AnswerBody::buffered(text))
 }
 
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -14,7 +14,9 @@
     futures_util::stream::unfold,
     http::Response,
     http_body_util::BodyExt,
-    mangowalk_core::{canary::Sample, routing::RetryPolicy, stream::EventSplitter},
+    mangowalk_core::{
+        canary::Sample, pool::EngineEntry, routing::RetryPolicy, stream::EventSplitter,
+    },
     mangowalk_platform::answer_headers,
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
@@ -45,11 +47,17 @@
     first_ms: Option<u64>,
     last_ms: u64,
     arrivals: u32,
+    longest_gap_ms: u64,
 }
 
 impl Pace {
     fn record(&mut self, now_ms: u64) {
-        self.first_ms.get_or_insert(now_ms);
+        if self.first_ms.is_none() {
+            self.first_ms = Some(now_ms);
+            self.last_ms = now_ms;
+        }
+        let gap_ms = now_ms.saturating_sub(self.last_ms);
+        self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
         self.last_ms = now_ms;
         self.arrivals += 1;
     }
@@ -215,10 +223,38 @@
                 sample,
             );
             record_complete_answer(&self.request, &answered.engine.incarnation.id);
+            self.record_pauses(&answered.engine);
             record_answered_request(&self.request, &answered.engine.incarnation.id, 200);
         }
     }
 
+    /// Counts and logs a stream whose events came with a longer pause than the route
+    /// allows, with what the engine had to do at its end.
+    fn record_pauses(&self, engine: &EngineEntry) {
+        let instance = &self.request.instance;
+        let gap_ms = self.pace.longest_gap_ms;
+        instance.counters.observe("longest_gap", gap_ms);
+        if gap_ms <= self.request.route.target_gap_ms {
+            return;
+        }
+        let engines = instance.engines.borrow();
+        let Some(known_engine) = engines.get(&engine.incarnation.id) else {
+            return;
+        };
+        instance.counters.count("stream_paused", "engine");
+        let load = known_engine.load();
+        log::info!(
+            "event=paused request={} engine={} longest_gap_ms={gap_ms} events={} \
+             engine_requests={} engine_prefill_tokens={} engine_changes_weights={}",
+            self.request.id(),
+            engine.incarnation.id,
+            self.pace.arrivals,
+            load.requests,
+            load.prefill_tokens,
+            known_engine.is_paused(now_ms()),
+        );
+    }
+
     /// Resumes the stream at another engine, after the last event that the
     /// caller has. `reason` says why it was cut off.
     ///
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -2,12 +2,13 @@
     crate::{
         clock::now_ms,
         instance::{Drain, Instance},
+        mesh::Direction,
     },
     mangowalk_core::{
         canary::CanaryMessage,
         mesh::{
-            CANARY_VERSION, EXCHANGE_VERSION, Heartbeat, MAX_DATAGRAM_BYTES, Member, PACK_BYTES,
-            PACKS_VERSION, PeerMessage, Targets, TeamReport, split_packs,
+            CANARY_VERSION, COMPRESSION_VERSION, EXCHANGE_VERSION, Heartbeat, MAX_DATAGRAM_BYTES,
+            Member, PACK_BYTES, PACKS_VERSION, PeerMessage, Targets, TeamReport, split_packs,
         },
         weights::PublishedAt,
     },
@@ -41,10 +42,20 @@
             // The socket also reports here that nothing listens at a peer's port.
             continue;
         };
-        instance.mesh_traffic.count_received(length);
+        let traffic = &instance.mesh_traffic;
         match PeerMessage::decode(&buffer[..length]) {
-            Ok((message, exchange_version)) => handle(instance, socket, message, exchange_version),
-            Err(error) => log::warn!("event=heartbeat_refused error=\"{error}\""),
+            Ok((message, exchange_version)) => {
+                traffic.count(Direction::Received, message.kind(), length);
+                if let PeerMessage::PackToRelay(pack) | PeerMessage::RelayedPack(pack) = &message {
+                    let mut members = instance.members.borrow_mut();
+                    members.record_pack_size(length, pack.len());
+                }
+                handle(instance, socket, message, exchange_version);
+            }
+            Err(error) => {
+                traffic.count(Direction::Received, "refused", length);
+                log::warn!("event=heartbeat_refused error=\"{error}\"");
+            }
         }
     }
 }
@@ -83,6 +94,8 @@
             let mut stores = instance.kv_stores.borrow_mut();
             stores.apply_report(&report, now_ms);
         }
+        // The message was decompressed when it was decoded.
+        PeerMessage::Compressed(_) => {}
     }
 }
 
@@ -101,12 +114,12 @@
 
 /// Relays heartbeats from another failure domain to the peers of the own domain.
 fn relay(instance: &Instance, socket: &UdpSocket, message: &PeerMessage, exchange_version: u8) {
-    let Some(bytes) = encode(message, exchange_version) else {
+    let Some(bytes) = encode_smallest(instance, message, exchange_version) else {
         return;
     };
     let domain = instance.machine().domain.clone();
     for peer in instance.members.borrow().in_domain(&domain) {
-        send_datagram(instance, socket, &bytes, peer);
+        send_datagram(instance, socket, message.kind(), &bytes, peer);
     }
 }
 
@@ -175,23 +188,55 @@
     message: &PeerMessage,
     peers: impl IntoIterator<Item = SocketAddr>,
 ) {
-    let Some(bytes) = encode(message, EXCHANGE_VERSION) else {
+    let Some(bytes) = encode_smallest(instance, message, EXCHANGE_VERSION) else {
         return;
     };
     for peer in peers {
-        send_datagram(instance, socket, &bytes, peer);
+        send_datagram(instance, socket, message.kind(), &bytes, peer);
     }
 }
 
 /// Sends a datagram without waiting. One that does not fit the socket's buffer
 /// is lost like any other, and the next heartbeat makes up for it.
-fn send_datagram(instance: &Instance, socket: &UdpSocket, bytes: &[u8], peer: SocketAddr) {
-    instance.mesh_traffic.count_sent(bytes.len());
+fn send_datagram(
+    instance: &Instance,
+    socket: &UdpSocket,
+    kind: &'static str,
+    bytes: &[u8],
+    peer: SocketAddr,
+) {
+    let traffic = &instance.mesh_traffic;
+    traffic.count(Direction::Sent, kind, bytes.len());
     if let Err(error) = socket.try_send_to(bytes, peer) {
         log::debug!("event=heartbeat_lost peer={peer} error=\"{error}\"");
     }
 }
 
+/// Encodes a message, and compresses it if it is a pack that all peers can decompress.
+fn encode_smallest(
+    instance: &Instance,
+    message: &PeerMessage,
+    exchange_version: u8,
+) -> Option<Vec<u8>> {
+    let is_pack = matches!(
+        message,
+        PeerMessage::PackToRelay(_) | PeerMessage::RelayedPack(_)
+    );
+    if is_pack
+        && instance
+            .members
+            .borrow()
+            .all_understand(COMPRESSION_VERSION)
+    {
+        let compressed = message.compress();
+        let compressed = compressed.inspect_err(|error| {
+            log::warn!("event=heartbeat_unwritable error=\"{error}\"");
+        });
+        return encode(&compressed.ok()?, exchange_version);
+    }
+    encode(message, exchange_version)
+}
+
 fn encode(message: &PeerMessage, exchange_version: u8) -> Option<Vec<u8>> {
     message
         .encode(exchange_version)
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -5,5 +5,5 @@
 
 pub use {
     exchange::{bind, exchange, send_canary_to_all, send_canary_to_readers, send_to_domains},
-    traffic::MeshTraffic,
+    traffic::{Direction, MeshTraffic},
 };
