Trace the request over the limit, and open the one before it anew if it is refused

Cause: a request counts as open until its thread has ended, a moment after its caller has the answer. The unfinished request that the test opens was then itself the one over the limit and got 503: either all of 100 later ones were served, as listed, or the unfinished one never got its 400.

Change: the test opens the unfinished request again where it is refused, and asserts that it was refused with 503; everything it asserted before stands. Releasing the count before the answer is written was ruled out: callers that read slowly would then hold threads beyond the limit.

--- a/crates/mangowalkd/tests/bad_input.rs
+++ b/crates/mangowalkd/tests/bad_input.rs
@@ -8,6 +8,12 @@
 /// Pause between two bytes of a slow caller, below the read timeout.
 const SLOW_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time after which a request without an answer counts as admitted.
+const REFUSED_WITHIN: Duration = Duration::from_millis(400);
+
+/// Maximum number of requests that are opened until one is admitted.
+const MAX_OPEN_TRIES: usize = 20;
+
 fn start_fleet(args: &[&str]) -> Fleet {
     let fleet = Fleet::start(&FleetSettings {
         program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
@@ -38,6 +44,21 @@
     caller
 }
 
+/// Opens a request that is admitted, and leaves its body unfinished.
+///
+/// A request counts as open until its thread has ended, a moment after its caller has
+/// the answer, so the next one may be refused.
+fn leave_open(fleet: &Fleet) -> RawCaller {
+    for _ in 0..MAX_OPEN_TRIES {
+        let mut caller = send_raw(fleet, "Content-Length: 2000", "{");
+        if !caller.receives_within(REFUSED_WITHIN) {
+            return caller;
+        }
+        assert!(caller.read_until("HTTP/1.1 503"), "{}", caller.text());
+    }
+    panic!("no request was admitted");
+}
+
 fn assert_still_serves(fleet: &Fleet) {
     let answer = fleet.chat(0, "still", 3, false);
     assert_eq!(
@@ -241,7 +262,7 @@
 #[test]
 fn a_request_over_the_limit_is_refused_as_not_run() {
     let fleet = start_fleet(&["--max-open-requests=1"]);
-    let mut open_request = send_raw(&fleet, "Content-Length: 2000", "{");
+    let mut open_request = leave_open(&fleet);
     let mut answer = Answer::default();
     // The open request may not count yet when the first of these is sent.
     for _ in 0..100 {
--- a/crates/standins/src/fleet/raw_caller.rs
+++ b/crates/standins/src/fleet/raw_caller.rs
@@ -50,6 +50,20 @@
         true
     }
 
+    /// Waits for the router to send something, and returns whether it did in time.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the connection takes no timeout.
+    pub fn receives_within(&mut self, wait: Duration) -> bool {
+        let set = |timeout| self.stream.set_read_timeout(Some(timeout));
+        set(wait).expect("a timeout");
+        let mut first = [0; 1];
+        let is_received = self.stream.peek(&mut first).is_ok();
+        set(READ_TIMEOUT).expect("a timeout");
+        is_received
+    }
+
     /// Reads until the router closes the connection or a read times out, and
     /// returns everything received.
     pub fn read_to_end(&mut self) -> String {
