--- a/crates/core/src/canary/settings.rs
+++ b/crates/core/src/canary/settings.rs
@@ -32,6 +32,9 @@
     pub ramp_ratio: f64,
     /// Duration of that step, as a fraction of the time that the operator allows.
     pub ramp_fraction: f64,
+    /// Maximum duration of that step. A longer one would use up what is allowed before all
+    /// requests are moved, and leave too little to see them by.
+    pub max_ramp_ms: u64,
     /// Time before the deadline at which all requests are moved, as a fraction of the
     /// time that the operator allows. Late, so that what has been seen speaks for the
     /// version; early enough for the runs at the replaced engines to end.
@@ -86,6 +89,7 @@
             trial_fraction: 0.5,
             ramp_ratio: 0.25,
             ramp_fraction: 0.15,
+            max_ramp_ms: 1_800,
             shift_fraction: 0.2,
             min_shift_ms: 1_500,
             max_shift_ms: 4_000,
@@ -116,6 +120,7 @@
 
     /// Returns how long before the deadline the larger share begins.
     pub fn ramp_ms(&self, duration_ms: u64) -> u64 {
-        self.shift_ms(duration_ms) + (duration_ms as f64 * self.ramp_fraction) as u64
+        let ramp_ms = (duration_ms as f64 * self.ramp_fraction) as u64;
+        self.shift_ms(duration_ms) + ramp_ms.min(self.max_ramp_ms)
     }
 }
--- a/crates/core/tests/canary/versions.rs
+++ b/crates/core/tests/canary/versions.rs
@@ -25,6 +25,16 @@
     }
 }
 
+/// A service both routes of which fail as seldom as the first.
+fn with_few_failures() -> FleetModel {
+    let mut model = FleetModel::default();
+    let failing = model.routes[0].failing;
+    for route in &mut model.routes {
+        route.failing = failing;
+    }
+    model
+}
+
 fn with_troubles(troubles: Troubles) -> FleetModel {
     FleetModel {
         troubles,
@@ -43,6 +53,7 @@
 pub(crate) fn good() -> Vec<(&'static str, FleetModel)> {
     vec![
         ("good", FleetModel::default()),
+        ("good, few failures", with_few_failures()),
         ("good, model engines", model_engines()),
         (
             "good, 3 instances",
