Refuse no request because of a trial, and count refusals of full engines

Cause: a request that was to be tried at a full engine of the new version was refused though engines of the version in use had room; and a version that answers part of its requests with "not run" raised no alarm.

Admission and its log line are functions of their own.

--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -11,6 +11,7 @@
 mod listing_status;
 mod prompt_length;
 mod requirements;
+mod software_lane;
 mod table;
 mod turnover;
 
@@ -25,6 +26,7 @@
     listing_status::{DepartureSuspicion, ListingStatus},
     prompt_length::MeanPromptLength,
     requirements::{EngineRequirements, PromptPart},
+    software_lane::choose_in_lane,
     table::{EngineTable, short_hash},
     turnover::Turnover,
 };
--- a/crates/core/tests/canary/main.rs
+++ b/crates/core/tests/canary/main.rs
@@ -2,6 +2,7 @@
 //! and how it is judged.
 
 mod fleet;
+mod lanes;
 mod orders;
 mod outcomes;
 mod versions;
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -113,6 +113,9 @@
         }
     }
     drop(engines);
+    if reason == "full" {
+        record_loss(&request.instance, engine);
+    }
     request.instance.counters.count("engine_rejected", reason);
     log::info!(
         "event=rejected request={} engine={} status={} reason={reason} expected_version={} version={:?}",
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -14,6 +14,7 @@
 mod request;
 mod retry;
 mod serve;
+mod software_lane;
 mod stream;
 
 pub use {
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -2,13 +2,13 @@
     super::{
         attempt::{AttemptContext, Outcome},
         request::CallerRequest,
+        software_lane::{new_engines, software_lane},
     },
     mangowalk_core::{
-        canary::{Lane, SoftwareRole, tried_engines},
         kv_store::kv_store_key,
         pool::{
-            CacheSource, ChoiceSettings, EngineEntry, EngineRequirements, EngineTable, KnownEngine,
-            ListingStatus, Load, choose, find_cache_source, retry_after_ms,
+            CacheSource, ChoiceSettings, EngineEntry, EngineRequirements, KnownEngine,
+            ListingStatus, Load, choose, choose_in_lane, find_cache_source, retry_after_ms,
         },
     },
     mangowalk_platform::{Forward, forward_headers},
@@ -91,35 +91,13 @@
         )
     };
     let lane = software_lane(request, context, now_ms);
-    let (chosen, lane) = choose_in_lane(&engines, &requirements.service, lane, choose_among)
-        .ok_or(Outcome::NoEngine)?;
-    if requirements.model.is_some() && context.may_be_refused {
-        let admit = &instance.settings.admission;
-        let rate = instance.prefill_rate.get();
-        let has_first_priority = request.has_first_priority();
-        let target_ms = request.route.target_ms;
-        let own_tokens = requirements
-            .prompt_tokens
-            .saturating_sub(requirements.shared_tokens());
-        if let Some(retry_ms) = retry_after_ms(
-            chosen,
-            &rate,
-            admit,
-            own_tokens,
-            target_ms,
-            has_first_priority,
-        ) {
-            log::warn!(
-                "event=full request={} engine={} wait_ms={:.0} target_ms={target_ms} own={} others={} read_per_ms={:.1}",
-                request.id(),
-                chosen.entry.incarnation.id,
-                rate.prefill_ms(f64::from(chosen.load().prefill_tokens)),
-                chosen.own.prefill_tokens,
-                chosen.others.prefill_tokens,
-                rate.tokens_per_ms(),
-            );
-            return Err(Outcome::QueueTooLong(retry_ms));
-        }
+    let admits = |engine: &KnownEngine| queue_retry_ms(request, context, engine).is_none();
+    let new_engines = new_engines(&engines, &requirements.service);
+    let (chosen, lane) =
+        choose_in_lane(lane, &new_engines, choose_among, admits).ok_or(Outcome::NoEngine)?;
+    if let Some(retry_ms) = queue_retry_ms(request, context, chosen) {
+        log_full(request, chosen);
+        return Err(Outcome::QueueTooLong(retry_ms));
     }
     let draw = rand::random();
     let role = chosen.software_role;
@@ -156,49 +134,43 @@
     Ok((entry, plan))
 }
 
-/// Returns the engines to which the request may be sent because of their software.
-fn software_lane(request: &CallerRequest, context: &AttemptContext<'_>, now_ms: u64) -> Lane {
-    let software = request.instance.software.borrow();
-    let may_run_again = request.route.retry.may_run_again();
-    let service = &request.requirements.service;
-    software.lane(service, may_run_again, context.is_first, now_ms)
+/// Returns the time after which the caller should retry if the request would wait too
+/// long at an engine, or `None` if it is admitted there.
+fn queue_retry_ms(
+    request: &CallerRequest,
+    context: &AttemptContext<'_>,
+    engine: &KnownEngine,
+) -> Option<u64> {
+    let requirements = &request.requirements;
+    if requirements.model.is_none() || !context.may_be_refused {
+        return None;
+    }
+    let instance = &request.instance;
+    retry_after_ms(
+        engine,
+        &instance.prefill_rate.get(),
+        &instance.settings.admission,
+        requirements
+            .prompt_tokens
+            .saturating_sub(requirements.shared_tokens()),
+        request.route.target_ms,
+        request.has_first_priority(),
+    )
 }
 
-/// Chooses an engine in a lane, and in the next best one if it has none: a request that
-/// isn't tried at a new version goes to the version in use, and one whose version has
-/// been replaced to what is left of it. A version that was withdrawn, or isn't known to
-/// be free of orders, gets nothing.
-fn choose_in_lane<'a>(
-    engines: &'a EngineTable,
-    service: &str,
-    lane: Lane,
-    choose_among: impl Fn(&dyn Fn(&KnownEngine) -> bool) -> Option<&'a KnownEngine>,
-) -> Option<(&'a KnownEngine, Lane)> {
-    let with_role = |role: SoftwareRole| {
-        choose_among(&move |engine: &KnownEngine| engine.software_role == role)
-    };
-    let in_use = || {
-        let chosen = with_role(SoftwareRole::InUse).or_else(|| with_role(SoftwareRole::Outgoing));
-        chosen.map(|engine| (engine, Lane::InUse))
-    };
-    match lane {
-        Lane::InUse => in_use(),
-        Lane::Trial { ratio } => {
-            let new = engines.iter().filter(|engine| {
-                engine.entry.service == service && engine.software_role == SoftwareRole::Candidate
-            });
-            let new = new.map(|engine| engine.entry.incarnation.id.as_str());
-            let tried = tried_engines(new, ratio);
-            let chosen = choose_among(&|engine: &KnownEngine| {
-                tried.contains(&engine.entry.incarnation.id.as_str())
-            });
-            chosen.map(|engine| (engine, lane)).or_else(in_use)
-        }
-        Lane::Shifted => {
-            let chosen = with_role(SoftwareRole::Candidate);
-            chosen.map(|engine| (engine, lane)).or_else(in_use)
-        }
-    }
+/// Logs that a request would wait too long at the best engine.
+fn log_full(request: &CallerRequest, engine: &KnownEngine) {
+    let rate = request.instance.prefill_rate.get();
+    log::warn!(
+        "event=full request={} engine={} wait_ms={:.0} target_ms={} own={} others={} read_per_ms={:.1}",
+        request.id(),
+        engine.entry.incarnation.id,
+        rate.prefill_ms(f64::from(engine.load().prefill_tokens)),
+        request.route.target_ms,
+        engine.own.prefill_tokens,
+        engine.others.prefill_tokens,
+        rate.tokens_per_ms(),
+    );
 }
 
 /// Counts and logs the choice of an engine that may have left, with the reason for
