Use a version at a start that some engine had before the orders were read

Cause: a starting instance that reads the orders before a list in which the first entry has just changed held back all engines of the version, and refused callers until it read the orders again, 0.8 s later.

Change: the oldest entry of a version counts, and a service none of whose versions is known to be in use has its orders read at once.

--- a/crates/core/src/canary/table.rs
+++ b/crates/core/src/canary/table.rs
@@ -221,6 +221,11 @@
 
     /// Returns what an engine of a version may be used for. `revision` is that of its
     /// entry in the list.
+    ///
+    /// The oldest entry of a version counts: one that was listed before the orders were
+    /// read shows that none of them is about its version, though the entries of other
+    /// engines have changed since. So the result for one engine may follow from another
+    /// one, and all have to be looked at before the first is used.
     pub fn role(
         &mut self,
         service: &str,
@@ -240,11 +245,17 @@
     }
 
     /// Returns whether a version has been held back for longer than `min_ms`, or an
-    /// undecided order has no word of a decider for as long.
+    /// undecided order has no word of a decider for as long. A service none of whose
+    /// versions is known to be in use serves nobody, so its orders are needed at once.
     pub fn needs_view(&self, min_ms: u64, now_ms: u64) -> bool {
         self.services.values().any(|software| {
             let mut held = software.held.values();
-            let is_held = held.any(|held| now_ms >= held.since_ms + min_ms);
+            let min_held_ms = if software.in_use.is_empty() {
+                0
+            } else {
+                min_ms
+            };
+            let is_held = held.any(|held| now_ms >= held.since_ms + min_held_ms);
             let is_unheard = software.open.as_ref().is_some_and(|open| {
                 let heard = open.directives.values().map(|(_, heard_ms)| *heard_ms);
                 now_ms >= heard.fold(open.opened_ms, u64::max) + min_ms
@@ -525,6 +536,7 @@
             first_revision: revision,
             since_ms: now_ms,
         });
+        held.first_revision = held.first_revision.min(revision);
         let first_revision = held.first_revision;
         if view_revision.is_none_or(|view_revision| view_revision < first_revision) {
             return SoftwareRole::Held;
--- a/crates/core/tests/canary/orders.rs
+++ b/crates/core/tests/canary/orders.rs
@@ -98,6 +98,20 @@
     assert_eq!(table.role(SERVICE, "v2", 130, 20), SoftwareRole::InUse);
 }
 
+/// An instance that starts reads the orders and then a list in which most entries have
+/// just changed, such as after new weights. If the first of them counted, all engines
+/// would be held back, and its callers be refused.
+#[test]
+fn the_oldest_entry_shows_that_a_version_was_there_before_the_orders_were_read() {
+    let limits = Some(ExposureLimits::default());
+    let mut table = SoftwareTable::new(limits, CanarySettings::default());
+    table.replace_orders(&[], 200, |_| 0, 0.5, 0);
+    assert_eq!(table.role(SERVICE, "v1", 230, 0), SoftwareRole::Held);
+    assert!(table.needs_view(800, 0));
+    assert_eq!(table.role(SERVICE, "v1", 180, 0), SoftwareRole::InUse);
+    assert_eq!(table.role(SERVICE, "v1", 230, 0), SoftwareRole::InUse);
+}
+
 /// Where the platform has no such orders, versions don't matter.
 #[test]
 fn without_limits_all_versions_are_used() {
--- a/crates/gateway/src/rollouts/roles.rs
+++ b/crates/gateway/src/rollouts/roles.rs
@@ -1,6 +1,9 @@
 use {
     crate::{clock::wall_ms, instance::Instance},
-    mangowalk_core::canary::{CanaryMessage, CanaryOrder, OrderId},
+    mangowalk_core::{
+        canary::{CanaryMessage, CanaryOrder, OrderId},
+        pool::EngineEntry,
+    },
 };
 
 impl Instance {
@@ -11,9 +14,15 @@
         if software.limits().is_none() {
             return;
         }
-        self.engines.borrow_mut().assign_software_roles(|entry| {
+        let mut role = |entry: &EngineEntry| {
             software.role(&entry.service, &entry.software, entry.revision, now_ms)
-        });
+        };
+        let mut engines = self.engines.borrow_mut();
+        // The oldest entry of a version counts, and it may be any of them.
+        for engine in engines.iter() {
+            role(&engine.entry);
+        }
+        engines.assign_software_roles(role);
     }
 
     /// Applies all orders that the store has at a revision.
