--- a/crates/core/src/canary/budget.rs
+++ b/crates/core/src/canary/budget.rs
@@ -1,7 +1,7 @@
 /// Share of an instance's own requests that may go to a new software version.
 ///
 /// Each instance keeps to the share by its own requests, so the share holds over all
-/// instances without a word between them, across restarts and partitions. A random
+/// instances without communication, across restarts and partitions. A random
 /// start makes up for rounding: otherwise an instance with few requests would never
 /// send one, or all would send one at once.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/core/src/canary/message.rs
+++ b/crates/core/src/canary/message.rs
@@ -71,6 +71,6 @@
 pub enum CanaryMessage {
     /// Results, to deciders.
     Report(CanaryReport),
-    /// Word of a decider, to all.
+    /// Directive of a decider, to all.
     Directive(CanaryDirective),
 }
--- a/crates/core/src/canary/open_order.rs
+++ b/crates/core/src/canary/open_order.rs
@@ -84,7 +84,7 @@
 
     /// Returns the share of requests for the new version, in thousandths, and whether
     /// only those that may run again are tried. It is the least that a decider has said
-    /// lately, and nothing without their word.
+    /// lately, and nothing without a directive.
     pub(super) fn share(&self, settings: &CanarySettings, now_ms: u64) -> (u16, bool) {
         let fresh = self
             .directives
--- a/crates/core/src/canary/settings.rs
+++ b/crates/core/src/canary/settings.rs
@@ -52,7 +52,7 @@
     /// Time before the deadline at which a version that isn't cleared is withdrawn, so
     /// that the store has it in time.
     pub decision_margin_ms: u64,
-    /// Age up to which the word of a decider applies. Without word, nothing is sent to
+    /// Age up to which the directive of a decider applies. Without one, nothing is sent to
     /// the new version.
     pub directive_valid_ms: u64,
     /// Logarithm of the likelihood ratio at which a version counts as failing.
--- a/crates/core/src/canary/table.rs
+++ b/crates/core/src/canary/table.rs
@@ -72,7 +72,7 @@
         &self.settings
     }
 
-    /// Sets the age up to which the word of a decider applies. In a large fleet deciders
+    /// Sets the age up to which the directive of a decider applies. In a large fleet deciders
     /// speak less often.
     pub fn set_directive_valid_ms(&mut self, valid_ms: u64) {
         self.settings.directive_valid_ms = valid_ms;
@@ -142,7 +142,7 @@
         software.open(order, age_ms, draw, now_ms);
     }
 
-    /// Takes in the word of a decider. Returns whether this instance hears of the
+    /// Applies the directive of a decider. Returns whether this instance hears of the
     /// order or of its result for the first time.
     pub fn apply_directive(&mut self, directive: &CanaryDirective, draw: f64, now_ms: u64) -> bool {
         if self.limits.is_none() {
@@ -198,7 +198,7 @@
     }
 
     /// Returns whether a version has been held back for longer than `min_ms`, or an
-    /// undecided order has no word of a decider for as long. A service none of whose
+    /// undecided order has no directive for as long. A service none of whose
     /// versions is known to be in use serves nobody, so its orders are needed at once.
     pub fn needs_view(&self, min_ms: u64, now_ms: u64) -> bool {
         self.services.values().any(|software| {
--- a/crates/core/tests/canary/lanes.rs
+++ b/crates/core/tests/canary/lanes.rs
@@ -55,7 +55,7 @@
     }
 }
 
-/// Without a word that it may be tried, a new version gets nothing, also where no other
+/// Without a directive, a new version gets nothing, also where no other
 /// engine is left.
 #[test]
 fn a_new_version_is_used_only_in_its_lanes() {
--- a/crates/core/tests/canary/orders.rs
+++ b/crates/core/tests/canary/orders.rs
@@ -37,7 +37,7 @@
     }
 }
 
-fn word(order: &CanaryOrder, share_permille: u16) -> CanaryDirective {
+fn directive(order: &CanaryOrder, share_permille: u16) -> CanaryDirective {
     CanaryDirective {
         decider: "i0".to_owned(),
         order: order.id.clone(),
@@ -117,7 +117,7 @@
 fn without_limits_all_versions_are_used() {
     let mut table = SoftwareTable::default();
     assert_eq!(table.role(SERVICE, "v2", 101, 0), SoftwareRole::InUse);
-    let directive = word(&order("v2", 100), 1_000);
+    let directive = directive(&order("v2", 100), 1_000);
     assert!(!table.apply_directive(&directive, 0.5, 0));
     assert_eq!(table.lane(SERVICE, true, true, 0), Lane::InUse);
 }
@@ -125,12 +125,12 @@
 /// An instance that no longer hears a decider can't know that the version has turned
 /// out to be bad.
 #[test]
-fn without_the_word_of_a_decider_nothing_is_tried() {
+fn without_a_directive_nothing_is_tried() {
     let mut table = table();
     let order = order("v2", 100);
     table.replace_orders(std::slice::from_ref(&order), 110, |_| 0, 0.5, 0);
     assert_eq!(tried(&mut table, 1_000, 0), 0);
-    table.apply_directive(&word(&order, 100), 0.5, 0);
+    table.apply_directive(&directive(&order, 100), 0.5, 0);
     assert_eq!(tried(&mut table, 1_000, 1_000), 100);
     assert_eq!(tried(&mut table, 1_000, 1_501), 0);
 }
@@ -141,11 +141,11 @@
 fn the_least_share_of_the_deciders_applies() {
     let mut table = table();
     let order = order("v2", 100);
-    table.apply_directive(&word(&order, 1_000), 0.5, 0);
+    table.apply_directive(&directive(&order, 1_000), 0.5, 0);
     assert_eq!(table.lane(SERVICE, true, true, 0), Lane::Shifted);
     let other = CanaryDirective {
         decider: "i1".to_owned(),
-        ..word(&order, 50)
+        ..directive(&order, 50)
     };
     table.apply_directive(&other, 0.5, 0);
     assert_eq!(tried(&mut table, 100, 0), 5);
@@ -159,7 +159,7 @@
     let order = order("v2", 100);
     let cautious = CanaryDirective {
         only_repeatable: true,
-        ..word(&order, 900)
+        ..directive(&order, 900)
     };
     table.apply_directive(&cautious, 0.99, 0);
     for _ in 0..5 {
@@ -217,14 +217,14 @@
 }
 
 /// A second order while one is under way: the version of the first gets nothing more,
-/// and late word of its decider doesn't bring it back.
+/// and a late directive doesn't bring it back.
 #[test]
 fn a_new_order_replaces_the_one_under_way() {
     let mut table = table();
     let (first, second) = (order("v2", 100), order("v3", 120));
-    table.apply_directive(&word(&first, 100), 0.5, 0);
+    table.apply_directive(&directive(&first, 100), 0.5, 0);
     table.replace_orders(std::slice::from_ref(&second), 130, |_| 0, 0.5, 10);
-    table.apply_directive(&word(&first, 1_000), 0.5, 20);
+    table.apply_directive(&directive(&first, 1_000), 0.5, 20);
     assert_eq!(table.role(SERVICE, "v2", 101, 20), SoftwareRole::Withdrawn);
     assert_eq!(table.role(SERVICE, "v3", 121, 20), SoftwareRole::Candidate);
     assert_eq!(table.lane(SERVICE, true, true, 20), Lane::InUse);
@@ -266,7 +266,7 @@
 #[derive(Debug, Clone)]
 enum Step {
     Requests(u32),
-    Word { share_permille: u16, decider: u8 },
+    Directive { share_permille: u16, decider: u8 },
     Read,
     Restart,
     Result { is_completed: bool, is_stored: bool },
@@ -276,7 +276,7 @@
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
         (1..40_u32).prop_map(Step::Requests),
-        (0..=250_u16, 0..2_u8).prop_map(|(share_permille, decider)| Step::Word {
+        (0..=250_u16, 0..2_u8).prop_map(|(share_permille, decider)| Step::Directive {
             share_permille,
             decider
         }),
@@ -312,10 +312,10 @@
                     sent += count;
                     exposed += new;
                 }
-                Step::Word { share_permille, decider } => {
+                Step::Directive { share_permille, decider } => {
                     let directive = CanaryDirective {
                         decider: format!("i{decider}"),
-                        ..word(&given, share_permille)
+                        ..directive(&given, share_permille)
                     };
                     table.apply_directive(&directive, draw, now_ms);
                 }
@@ -341,7 +341,7 @@
                         let directive = CanaryDirective {
                             outcome: Some(outcome),
                             is_stored: in_store.outcome == Some(outcome),
-                            ..word(&given, 0)
+                            ..directive(&given, 0)
                         };
                         table.apply_directive(&directive, draw, now_ms);
                     }
--- a/crates/gateway/src/rollouts/conductor.rs
+++ b/crates/gateway/src/rollouts/controller.rs
@@ -14,7 +14,7 @@
     tokio::{net::UdpSocket, task::spawn_local, time::sleep},
 };
 
-/// Minimum interval between two reports, and between two words of a decider.
+/// Minimum interval between two reports, and between two directives of a decider.
 const MIN_INTERVAL_MS: u64 = 200;
 
 /// Share of the interval for each instance. A decider receives the reports of all, and
@@ -28,13 +28,13 @@
 /// takes over where one of them is lost.
 const REPORT_RECEIVERS: usize = 3;
 
-/// Number of reports or words that may be lost before an instance counts as not heard.
+/// Number of reports or directives that may be lost before an instance counts as not heard.
 const MAX_LOST_REPORTS: u64 = 4;
 
 /// Time for which a result is told to the peers.
 const RESULT_TOLD_MS: u64 = 30_000;
 
-/// Number of turns between two words of a decider about a result.
+/// Number of turns between two directives of a decider about a result.
 const TURNS_PER_RESULT: u64 = 4;
 
 /// Pause before a write of a state that failed is tried again, and by which each
@@ -42,21 +42,21 @@
 const WRITE_INTERVAL_MS: u64 = 600;
 
 /// What a decider keeps of one order.
-struct Deciding {
+struct OpenDecision {
     state: CanaryState,
     share_permille: u16,
     is_unusable_logged: bool,
 }
 
-impl Deciding {
-    fn begin(state: CanaryState, order: &CanaryOrder, elapsed_ms: u64) -> Deciding {
+impl OpenDecision {
+    fn begin(state: CanaryState, order: &CanaryOrder, elapsed_ms: u64) -> OpenDecision {
         log::info!(
             "event=rollout_deciding order={} revision={} elapsed_ms={elapsed_ms} duration_ms={:?}",
             order.id,
             order.revision,
             order.duration_ms,
         );
-        Deciding {
+        OpenDecision {
             state,
             share_permille: 0,
             is_unusable_logged: false,
@@ -95,11 +95,11 @@
 
 /// Carries out the orders that this instance knows: reports, and decides where it is
 /// one of the deciders.
-struct Conductor {
+struct RolloutController {
     instance: Rc<Instance>,
     store: Rc<CallClient>,
     socket: Rc<UdpSocket>,
-    deciding: BTreeMap<OrderId, Deciding>,
+    open_decisions: BTreeMap<OrderId, OpenDecision>,
     turn: u64,
     /// Earliest time of the next write of a state.
     next_write_ms: u64,
@@ -111,28 +111,28 @@
     if instance.machine().exposure.is_none() {
         return pending().await;
     }
-    let mut conductor = Conductor {
+    let mut controller = RolloutController {
         instance,
         store,
         socket,
-        deciding: BTreeMap::new(),
+        open_decisions: BTreeMap::new(),
         turn: rand::random_range(0..1_000),
         next_write_ms: 0,
         is_writing: Rc::default(),
     };
     loop {
-        let pause = conductor.poll(now_ms());
+        let pause = controller.poll(now_ms());
         sleep(pause).await;
     }
 }
 
-impl Conductor {
+impl RolloutController {
     fn interval_ms(&self) -> u64 {
         let instances = self.instance.instance_count() as u64;
         MIN_INTERVAL_MS.max(INTERVAL_MS_PER_INSTANCE * instances)
     }
 
-    /// Returns the age up to which a report or the word of a decider applies.
+    /// Returns the age up to which a report or a directive applies.
     fn valid_ms(&self) -> u64 {
         let defaults = CanarySettings::default();
         defaults
@@ -152,7 +152,7 @@
             let software = self.instance.software.borrow();
             software.finished_orders(RESULT_TOLD_MS, now_ms)
         };
-        self.deciding
+        self.open_decisions
             .retain(|id, _| open.iter().any(|(order, _)| order.id == *id));
         let mut fleets = self.instance.canary_reports.borrow_mut();
         fleets.retain(|id, _| open.iter().any(|(order, _)| order.id == *id));
@@ -217,13 +217,13 @@
             };
             (fleet.sums(), self.have_all_shifted(fleet, since_ms, now_ms))
         };
-        let deciding = self.deciding.entry(order.id.clone());
-        let deciding = deciding.or_insert_with(|| {
+        let open_decision = self.open_decisions.entry(order.id.clone());
+        let open_decision = open_decision.or_insert_with(|| {
             let state = CanaryState::new(settings, limits);
-            Deciding::begin(state, order, elapsed_ms)
+            OpenDecision::begin(state, order, elapsed_ms)
         });
         let Some(duration_ms) = order.duration_ms else {
-            return deciding.log_unusable(order);
+            return open_decision.log_unusable(order);
         };
         let inputs = CanaryInputs {
             results: &results,
@@ -231,13 +231,13 @@
             elapsed_ms,
             duration_ms,
         };
-        deciding.step(order, &inputs, now_ms);
+        open_decision.step(order, &inputs, now_ms);
         let directive = CanaryDirective {
-            only_repeatable: deciding.state.is_cautious(&inputs),
-            share_permille: deciding.share_permille,
+            only_repeatable: open_decision.state.is_cautious(&inputs),
+            share_permille: open_decision.share_permille,
             ..directive(&instance, order, elapsed_ms)
         };
-        if let Some(decided) = deciding.state.decision().copied() {
+        if let Some(decided) = open_decision.state.decision().copied() {
             return self.announce(order, decided, elapsed_ms, now_ms);
         }
         if !order.is_started {
@@ -331,7 +331,8 @@
     }
 }
 
-/// Returns the word of this instance about an order that nothing of is to be tried.
+/// Returns the directive of this instance on an order, with nothing to be sent to the new
+/// version.
 fn directive(instance: &Instance, order: &CanaryOrder, elapsed_ms: u64) -> CanaryDirective {
     let saturated = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
     CanaryDirective {
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -2,9 +2,9 @@
 //! seen, and decides where this instance is a decider. The decisions themselves are in
 //! [`mangowalk_core::canary`].
 
-mod conductor;
+mod controller;
 mod results;
 mod roles;
 
-pub use conductor::run_rollouts;
+pub use controller::run_rollouts;
 pub(crate) use results::{record_loss, record_result};
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -189,7 +189,7 @@
     }
 }
 
-/// Time for which an engine may be held back, or an order have no word of a decider,
+/// Time for which an engine may be held back, or an order have no directive,
 /// before this instance reads the orders itself.
 const UNKNOWN_ROLLOUT_MS: u64 = 800;
 
