--- a/crates/core/src/canary/decider.rs
+++ b/crates/core/src/canary/decider.rs
@@ -40,9 +40,6 @@
     /// Too little was seen of the new version before the deadline.
     #[display("not_enough_seen")]
     NotEnoughSeen,
-    /// Another decider, or an earlier one, has decided.
-    #[display("decided_elsewhere")]
-    Elsewhere,
 }
 
 /// What a decider knows when it decides.
@@ -257,16 +254,6 @@
         }
     }
 
-    /// Adopts a decision that another instance took.
-    pub fn adopt(self, outcome: Outcome) -> CanaryState {
-        let reason = Reason::Elsewhere;
-        match self {
-            CanaryState::Trial(trial) => trial.decide(outcome, reason).into(),
-            CanaryState::Shifting(shifting) => shifting.decide(outcome, reason).into(),
-            CanaryState::Decided(decided) => decided.decide(outcome, reason).into(),
-        }
-    }
-
     /// Returns the share of requests for the new version.
     pub fn share(&self, inputs: &CanaryInputs<'_>) -> f64 {
         match self {
--- a/crates/core/src/canary/samples.rs
+++ b/crates/core/src/canary/samples.rs
@@ -54,15 +54,15 @@
 
     /// Adds the results of another instance.
     pub fn add(&mut self, other: &Samples) {
-        self.failed += other.failed;
-        self.untimed += other.untimed;
+        self.failed = self.failed.saturating_add(other.failed);
+        self.untimed = self.untimed.saturating_add(other.untimed);
         // What a peer sends may be longer than what this build writes.
         let other = &other.timed[..other.timed.len().min(BUCKETS)];
         if self.timed.len() < other.len() {
             self.timed.resize(other.len(), 0);
         }
         for (own, other) in self.timed.iter_mut().zip(other) {
-            *own += other;
+            *own = own.saturating_add(*other);
         }
     }
 
