Write a result that another decider has told

Cause: the first decider heard the result of an order from the second one in a directive, which doesn't hold the name of the entry, and could not write it; the second waited 0.6 s for the first. The result was decided at 7.66 s of 8 and in the store at 8.06.

Change: the name of the open order is kept with its result, and a result is written by whoever has it; the store takes the first. The new test fails without the name.

--- a/crates/core/src/canary/service.rs
+++ b/crates/core/src/canary/service.rs
@@ -101,6 +101,11 @@
                 return;
             }
         }
+        let mut order = order.clone();
+        if let Some(open) = self.open_order(&order.id) {
+            // A directive doesn't hold the name, without which the result can't be written.
+            order.name.clone_from(&open.order.name);
+        }
         self.open = None;
         let to = order.id.to.clone();
         self.held.remove(&to);
@@ -117,7 +122,7 @@
             }
         }
         self.finished = Some(FinishedOrder {
-            order: order.clone(),
+            order,
             outcome,
             is_stored,
             since_ms: now_ms,
--- a/crates/core/tests/canary/orders.rs
+++ b/crates/core/tests/canary/orders.rs
@@ -190,6 +190,22 @@
     assert_eq!(table.role(SERVICE, "v2", 101, 30), SoftwareRole::InUse);
 }
 
+/// The first decider may hear the result from the second one, and has to write it. It
+/// couldn't without the name of the entry, and the result came after the deadline.
+#[test]
+fn a_result_from_a_peer_can_be_written() {
+    let mut table = table();
+    let order = order("v2", 100);
+    table.update_order(&order, 0, 0.5, 0);
+    let result = CanaryDirective {
+        outcome: Some(Outcome::Completed),
+        ..directive(&order, 1_000)
+    };
+    table.apply_directive(&result, 0.5, 10);
+    let finished = table.finished_orders(1_000, 10);
+    assert_eq!(finished[0].0.name, order.name);
+}
+
 /// An instance that starts after the result must use the new version and leave alone
 /// the one that was withdrawn.
 #[test]
--- a/crates/gateway/src/rollouts/controller.rs
+++ b/crates/gateway/src/rollouts/controller.rs
@@ -309,14 +309,15 @@
         fleet.have_shifted(live.chain([own]), since_ms)
     }
 
-    /// Writes the state of an order under the revision that was read. The first decider
-    /// by name writes at once, the next one only where it fails to.
+    /// Writes the state of an order under the revision that was read. That it has begun is
+    /// written by the first decider by name, and by the next one only where it fails to;
+    /// a result by whoever has it, as the deadline is near.
     fn write_state(&mut self, order: &CanaryOrder, outcome: Option<Outcome>, now_ms: u64) {
         let readers_before = self.instance.readers_before(now_ms) as u64;
         if order.name.is_empty() || self.is_writing.get() || now_ms < self.next_write_ms {
             return;
         }
-        if self.next_write_ms == 0 && readers_before > 0 {
+        if outcome.is_none() && self.next_write_ms == 0 && readers_before > 0 {
             self.next_write_ms = now_ms + readers_before * WRITE_INTERVAL_MS;
             return;
         }
