Pass heartbeats of the largest fleets on by groups, and keep them short

Cause: what an instance is sent grew with the fleet in five ways. Each pack was passed on to every peer by itself (300 datagrams a second for each of 987 instances); each heartbeat told of all teams, and of all levels whenever a peer was new, which at the start of a fleet is always; an instance answered each peer that it found at once, and had its own heartbeats relayed one by one until it knew a hundred peers; every instance told all others at once what all had just heard from the store; and whether a peer is live was worked out from all peers for each of them.

Change: packs go to one instance of each group, in turn, which gathers them for 150 ms and passes them on to its group in one datagram (exchange version 3; while an earlier build is among the peers, packs are sent as before). Packs leave out teams with nothing to report; all levels are told directly, to peers that say that they lack them, and only a report with all levels ends the learning. A fleet that starts sends to few at a time; relaying has a budget. News of the store is told at once by those who read its current state. Liveness is worked out once.

teams_without_requests_are_reported_in_turn: its teams have now asked for something before they fall idle, as those that never did are in no report; what it asserts is unchanged. a_fleet_of_one_failure_domain_needs_no_relays checks groups besides, and what it checked before with peers of the earlier build.

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -121,6 +121,17 @@
 }
 
 impl Heartbeat {
+    /// Returns the heartbeat as it is sent in a pack after another instance has held it
+    /// for `held_ms`. Teams of which the author has nothing to report are left out:
+    /// only the levels would be news, which an instance that has just started gets
+    /// directly.
+    pub fn packed(&self, held_ms: u32) -> Heartbeat {
+        let mut packed = self.held_for(held_ms);
+        let is_news = |team: &TeamReport| team.spent != 0.0 || team.demand_per_s != 0.0;
+        packed.teams.retain(is_news);
+        packed
+    }
+
     /// Returns the heartbeat as it would be had it been sent `held_ms` later, after
     /// another instance has held it for that time. Weights and orders would otherwise
     /// seem younger than they are.
--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Heartbeat, PACKS_VERSION},
+    super::{GROUPS_VERSION, Heartbeat, PACKS_VERSION},
     crate::pool::rendezvous,
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -55,12 +55,19 @@
     /// peer hundreds of times within a second, and an answer to each fills the links
     /// of all for several seconds.
     pub min_interval_ms: u64,
+    /// Maximum number of datagrams that an instance relays a second, and at once. It is
+    /// more than twice of what any fleet needs that is complete, so it only applies
+    /// while one starts and its instances disagree on who sends packs.
+    pub max_relayed_per_s: f64,
 }
 
 /// Weight of one pack in the mean size of heartbeats. At three hundred instances about
 /// a hundred packs arrive a second.
 const PACK_SIZE_WEIGHT: f64 = 0.01;
 
+/// Number of heartbeats within a group for each pack that it sends.
+const HEARTBEATS_PER_PACK: u64 = 3;
+
 /// Number of packs that may be lost before the peers in them count as silent, plus a
 /// half for the time between two heartbeats of the instance that sends the next one.
 const SILENT_AFTER_PACKS: f64 = 4.5;
@@ -78,6 +85,7 @@
             max_far_heartbeats_per_s: 600,
             max_heartbeat_bytes_per_s: 200_000.0,
             min_interval_ms: 40,
+            max_relayed_per_s: 1_000.0,
         }
     }
 }
@@ -114,6 +122,9 @@
     /// Peers of the own failure domain that receive the packs of this instance's group
     /// only.
     pub near: Vec<SocketAddr>,
+    /// Peers of the own failure domain that pass these packs on to their groups, if
+    /// they are passed on so.
+    pub group_relays: Vec<SocketAddr>,
 }
 
 /// The start of a peer that announced its stop.
@@ -258,22 +269,28 @@
 
     /// Returns where to send a heartbeat: to known peers and to candidate
     /// addresses. `turn` grows with each heartbeat and selects the relays and,
-    /// in a large fleet, the candidate addresses.
+    /// in a large fleet, the candidate addresses; `group_turn` selects those who pass
+    /// packs on to their groups.
     pub fn targets(
         &self,
         own_domain: &str,
         turn: u64,
+        group_turn: u64,
         settings: &MeshSettings,
         now_ms: u64,
     ) -> Targets {
         let candidates = self.candidates(settings, now_ms);
+        if self.is_discovering(candidates.len(), settings) {
+            let mut known = candidates;
+            known.extend(self.addresses());
+            return Targets {
+                direct: rotate(&known, settings.max_direct_peers, turn).collect(),
+                ..Targets::default()
+            };
+        }
         if self.members.len() + candidates.len() <= settings.max_direct_peers {
-            let known = self
-                .members
-                .values()
-                .map(|member| member.last_heartbeat.peer_address);
             return Targets {
-                direct: known.chain(candidates).collect(),
+                direct: self.addresses().chain(candidates).collect(),
                 ..Targets::default()
             };
         }
@@ -287,15 +304,33 @@
             .partition(|member| silence.group.is_none() || silence.is_near(member));
         let address = |member: &Member| member.last_heartbeat.peer_address;
         let direct = direct.into_iter().map(address);
+        let (near, group_relays) = match self.uses_groups(settings) {
+            true => (Vec::new(), self.group_relays(group_turn, settings, now_ms)),
+            false => (near, Vec::new()),
+        };
         Targets {
             direct: direct
                 .chain(rotate(&candidates, settings.max_direct_peers, turn))
                 .collect(),
             relays: relays(&far, self.relay_turn(turn), &silence, now_ms),
             near: near.into_iter().map(address).collect(),
+            group_relays,
         }
     }
 
+    /// Returns whether most peers of a large fleet are still unknown. If all instances
+    /// of a fleet that starts had their heartbeats relayed before they know enough peers
+    /// to send them in packs, each would receive thousands of datagrams a second.
+    fn is_discovering(&self, candidates: usize, settings: &MeshSettings) -> bool {
+        let known = self.members.len();
+        known <= settings.max_relayed_peers && known + candidates > settings.max_relayed_peers
+    }
+
+    fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
+        let members = self.members.values();
+        members.map(|member| member.last_heartbeat.peer_address)
+    }
+
     /// Returns the turn by which this instance selects relays. Instances that started
     /// together send their heartbeats in step; without an offset of its own for each,
     /// all would select the same relay at the same time.
@@ -427,10 +462,41 @@
     }
 
     /// Returns whether a peer is live; `None` for a peer that is unknown or has
-    /// expired.
+    /// expired. [`MemberTable::liveness`] costs less for many peers.
     pub fn is_live(&self, name: &str, settings: &MeshSettings, now_ms: u64) -> Option<bool> {
-        let member = self.members.get(name)?;
-        Some(Silence::new(self, settings).is_live(member, now_ms))
+        self.liveness(settings, now_ms).of(name)
+    }
+
+    /// Returns which peers are live at this time.
+    pub fn liveness(&self, settings: &MeshSettings, now_ms: u64) -> Liveness<'_> {
+        Liveness {
+            members: &self.members,
+            silence: Silence::new(self, settings),
+            now_ms,
+        }
+    }
+
+    /// Returns the live peers that receive each heartbeat of this instance; in a large
+    /// fleet those of the own group only.
+    pub fn direct_receivers(
+        &self,
+        settings: &MeshSettings,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &Member> {
+        let silence = Silence::new(self, settings);
+        let group = silence.group.clone();
+        let is_direct = move |member: &&Member| {
+            let name = member.last_heartbeat.name.as_str();
+            group.as_ref().is_none_or(|names| names.contains(&name))
+        };
+        let live = move |member: &&Member| silence.is_live(member, now_ms);
+        self.members.values().filter(is_direct).filter(live)
+    }
+
+    /// Returns whether a new peer is answered at once. A large fleet that starts would
+    /// otherwise send a heartbeat to all for each peer that any of them finds.
+    pub fn answers_new_peers(&self, settings: &MeshSettings) -> bool {
+        self.members.len() <= settings.max_relayed_peers
     }
 
     /// Returns whether all known peers understand a version of the exchange. During
@@ -453,12 +519,16 @@
         }
     }
 
-    /// Returns the interval between two packs of the same heartbeats.
+    /// Returns the interval between two packs of the same heartbeats. It counts peers
+    /// that are only listed, too, so that packs are no more frequent while a fleet
+    /// starts.
     pub fn pack_interval_ms(&self, settings: &MeshSettings) -> u64 {
         let members = self.members.values();
         let far = members.filter(|member| member.last_heartbeat.domain != self.own_domain);
-        let by_count_ms = far.count() * 1_000 / settings.max_far_heartbeats_per_s.max(1);
-        let all_bytes = self.mean_packed_bytes * (self.members.len() + 1) as f64;
+        let expected = self.expected();
+        let expected_far = far.count() * expected / self.members.len().max(1);
+        let by_count_ms = expected_far * 1_000 / settings.max_far_heartbeats_per_s.max(1);
+        let all_bytes = self.mean_packed_bytes * (expected + 1) as f64;
         let by_bytes_ms = all_bytes * 1_000.0 / settings.max_heartbeat_bytes_per_s;
         let interval_ms = (by_count_ms as u64).max(by_bytes_ms as u64);
         interval_ms.max(settings.heartbeat_interval_ms)
@@ -487,7 +557,7 @@
         if last_pack_ms.is_some_and(|last_ms| now_ms < last_ms + interval_ms) {
             return None;
         }
-        let max_age_ms = 2 * settings.heartbeat_interval_ms + settings.min_interval_ms;
+        let max_age_ms = 2 * self.heartbeat_interval_ms(settings) + settings.min_interval_ms;
         let is_fresh = |member: &&Member| now_ms <= member.received_ms + max_age_ms;
         Some(group.into_iter().filter(is_fresh).collect())
     }
@@ -495,16 +565,92 @@
     /// Returns the other instances of the own group.
     fn group(&self, settings: &MeshSettings) -> Vec<&Member> {
         let size = settings.max_pack_size.max(1);
+        let near = self.near();
+        let first = self.own_index(&near) / size * size;
+        let end = (first + size - 1).min(near.len());
+        near[first..end].to_vec()
+    }
+
+    fn near(&self) -> Vec<&Member> {
         let members = self.members.values();
-        let near: Vec<&Member> = members
+        members
             .filter(|member| member.last_heartbeat.domain == self.own_domain)
-            .collect();
+            .collect()
+    }
+
+    /// Returns the position of this instance, which is not among its members, in its
+    /// failure domain.
+    fn own_index(&self, near: &[&Member]) -> usize {
         let is_before = |member: &&&Member| member.last_heartbeat.name < self.own_name;
-        let own_index = near.iter().take_while(is_before).count();
-        // Positions count this instance, which is not among its members.
-        let first = own_index / size * size;
-        let end = (first + size - 1).min(near.len());
-        near[first..end].to_vec()
+        near.iter().take_while(is_before).count()
+    }
+
+    /// Returns the addresses of the own group, to which the heartbeats of others are
+    /// passed on.
+    pub fn group_addresses(&self, settings: &MeshSettings) -> Vec<SocketAddr> {
+        let group = self.group(settings).into_iter();
+        group
+            .map(|member| member.last_heartbeat.peer_address)
+            .collect()
+    }
+
+    /// Returns one instance of each other group of the own failure domain, which
+    /// passes packs on to its group. All who ask at the same turn choose the same ones,
+    /// so that these pass on many packs at once.
+    pub fn group_relays(&self, turn: u64, settings: &MeshSettings, now_ms: u64) -> Vec<SocketAddr> {
+        let size = settings.max_pack_size.max(1);
+        let near = self.near();
+        let own_index = self.own_index(&near);
+        let mut groups: BTreeMap<usize, Vec<&Member>> = BTreeMap::new();
+        for (index, member) in near.into_iter().enumerate() {
+            let position = index + usize::from(index >= own_index);
+            groups.entry(position / size).or_default().push(member);
+        }
+        groups.remove(&(own_index / size));
+        let silence = Silence::new(self, settings);
+        let relays = groups.into_values().filter_map(|members| {
+            let is_live = |member: &&&Member| silence.is_live(member, now_ms);
+            let live: Vec<&Member> = members.iter().filter(is_live).copied().collect();
+            // Two groups that take each other for silent would remain so.
+            let eligible = if live.is_empty() { members } else { live };
+            let by_turn = |member: &&Member| rendezvous(turn, &member.last_heartbeat.name);
+            let relay = eligible.into_iter().max_by_key(by_turn);
+            relay.map(|member| member.last_heartbeat.peer_address)
+        });
+        relays.collect()
+    }
+
+    /// Returns whether packs are passed on by groups.
+    pub fn uses_groups(&self, settings: &MeshSettings) -> bool {
+        self.uses_packs(settings) && self.all_understand(GROUPS_VERSION)
+    }
+
+    /// Returns the interval between two heartbeats of this instance. Those of a fleet
+    /// so large that packs are rare needn't be more frequent than what its group makes
+    /// of them.
+    pub fn heartbeat_interval_ms(&self, settings: &MeshSettings) -> u64 {
+        let by_packs_ms = match self.uses_groups(settings) {
+            true => self.pack_interval_ms(settings) / HEARTBEATS_PER_PACK,
+            false => 0,
+        };
+        by_packs_ms.max(settings.heartbeat_interval_ms)
+    }
+}
+
+/// Which peers are live at one moment. The intervals at which their heartbeats arrive
+/// depend on all peers, so they are computed once for many questions.
+pub struct Liveness<'a> {
+    members: &'a BTreeMap<String, Member>,
+    silence: Silence<'a>,
+    now_ms: u64,
+}
+
+impl Liveness<'_> {
+    /// Returns whether a peer is live; `None` for a peer that is unknown or has
+    /// expired.
+    pub fn of(&self, name: &str) -> Option<bool> {
+        let member = self.members.get(name)?;
+        Some(self.silence.is_live(member, self.now_ms))
     }
 }
 
@@ -520,7 +666,8 @@
 
 impl Silence<'_> {
     fn new<'a>(table: &'a MemberTable, settings: &MeshSettings) -> Silence<'a> {
-        let near_ms = settings.silent_after_ms;
+        let by_heartbeats_ms = table.heartbeat_interval_ms(settings) as f64 * SILENT_AFTER_PACKS;
+        let near_ms = settings.silent_after_ms.max(by_heartbeats_ms as u64);
         let far_ms = (table.report_interval_ms(settings) as f64 * SILENT_AFTER_PACKS) as u64;
         let group = table.uses_packs(settings).then(|| {
             let group = table.group(settings).into_iter();
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -12,8 +12,8 @@
 /// [`PeerMessage::PackToRelay`] and [`PeerMessage::RelayedPack`], and heartbeats that
 /// leave out teams whose spending hasn't changed. Version 2 adds
 /// [`PeerMessage::Canary`], [`PeerMessage::CanaryToRelay`] and
-/// [`PeerMessage::Compressed`].
-pub const EXCHANGE_VERSION: u8 = 2;
+/// [`PeerMessage::Compressed`]. Version 3 adds [`PeerMessage::PackToGroup`].
+pub const EXCHANGE_VERSION: u8 = 3;
 
 /// Version of the exchange from which on packs, reports on KV cache stores and partial
 /// reports on teams are understood.
@@ -25,6 +25,9 @@
 /// Version of the exchange from which on compressed messages are understood.
 pub const COMPRESSION_VERSION: u8 = 2;
 
+/// Version of the exchange from which on packs are passed on by groups.
+pub const GROUPS_VERSION: u8 = 3;
+
 /// Maximum size of a message before its compression: twice a datagram. The size that a
 /// datagram names is not trusted beyond it.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_DATAGRAM_BYTES;
@@ -36,6 +39,10 @@
 /// A relay sends each pack to all peers of its failure domain at once.
 pub const PACK_BYTES: usize = 12 * 1024;
 
+/// Size of the heartbeats that an instance passes on to its group in one datagram. They
+/// are those of many packs, and the group is small.
+pub const BUNDLE_BYTES: usize = 40 * 1024;
+
 /// Content of one datagram between instances.
 ///
 /// Instances of an earlier build know the first three variants only and ignore a
@@ -66,6 +73,9 @@
     /// Another message, compressed, behind its size. The heartbeats of a pack name the
     /// same teams, models and failure domains.
     Compressed(Vec<u8>),
+    /// Heartbeats to a receiver that passes them on to the instances of its group,
+    /// together with others.
+    PackToGroup(Vec<Heartbeat>),
 }
 
 /// Why a datagram could not be decoded or a message not be encoded.
@@ -93,6 +103,7 @@
             PeerMessage::Relayed(_) => "relayed_heartbeat",
             PeerMessage::PackToRelay(_) => "pack_to_relay",
             PeerMessage::RelayedPack(_) => "relayed_pack",
+            PeerMessage::PackToGroup(_) => "pack_to_group",
             PeerMessage::KvStore(_) => "kv_store",
             PeerMessage::Canary(_) | PeerMessage::CanaryToRelay(_) => "canary",
             PeerMessage::Compressed(_) => "compressed",
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -1,14 +1,18 @@
 //! Heartbeats between instances, and the table of live peers.
 
+mod bundle;
 mod heartbeat;
 mod members;
 mod message;
+mod relay_budget;
 
 pub use {
+    bundle::Bundle,
     heartbeat::{Heartbeat, OrderPhase, OrderReport, TeamReport},
-    members::{Member, MemberTable, MeshSettings, Targets},
+    members::{Liveness, Member, MemberTable, MeshSettings, Targets},
     message::{
-        CANARY_VERSION, COMPRESSION_VERSION, EXCHANGE_VERSION, MAX_DATAGRAM_BYTES, MessageError,
-        PACK_BYTES, PACKS_VERSION, PeerMessage, split_packs,
+        BUNDLE_BYTES, CANARY_VERSION, COMPRESSION_VERSION, EXCHANGE_VERSION, GROUPS_VERSION,
+        MAX_DATAGRAM_BYTES, MessageError, PACK_BYTES, PACKS_VERSION, PeerMessage, split_packs,
     },
+    relay_budget::RelayBudget,
 };
--- a/crates/core/src/share/table.rs
+++ b/crates/core/src/share/table.rs
@@ -95,6 +95,13 @@
     pub demand_per_s: f64,
 }
 
+impl PeerSpending {
+    /// Returns whether the team has neither spent nor requested anything lately.
+    fn is_nothing(&self) -> bool {
+        self.spent == 0.0 && self.demand_per_s == 0.0
+    }
+}
+
 /// Spending of all teams at a peer, as its heartbeat reports it.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct PeerReport {
@@ -189,10 +196,12 @@
     /// requests in the last `ACTIVE_TEAM_MS`: with hundreds of teams on hundreds of
     /// instances they would be most of what instances send each other. Each of them
     /// is included once in `IDLE_TEAM_TURNS` turns, so that a lost report is made up
-    /// for and falling demand is heard of.
+    /// for and falling demand is heard of. Teams that never sent a request to this
+    /// instance are left out altogether: peers have nothing of them to count.
     pub fn changed_spending(&self, turn: u64, now_ms: u64) -> Vec<(String, PeerSpending)> {
         let mut spending = self.spending(now_ms);
         let mut index = 0;
+        spending.retain(|(_, spending)| !spending.is_nothing());
         spending.retain(|(team, _)| {
             index += 1;
             let requested_ms = self.own.get(team).and_then(|own| own.requested_ms);
@@ -233,9 +242,11 @@
     /// rate.
     pub fn receive_report(&mut self, peer: &str, report: PeerReport, now_ms: u64) {
         // Before the first configuration there are no buckets to copy levels
-        // into; the next heartbeat brings the levels again.
+        // into; the next heartbeat brings the levels again. A report that leaves out
+        // teams would end the learning with the levels of a few.
         let is_configured = self.started_ms.is_some();
-        let copies_levels = is_configured && report.knows_spending && self.is_learning(now_ms);
+        let is_taught = is_configured && report.knows_spending && self.is_learning(now_ms);
+        let copies_levels = is_taught && self.is_complete(&report);
         self.has_learned |= copies_levels;
         let until_ms = now_ms + report.count_valid_ms;
         self.record_peer_count(report.instances, until_ms, now_ms);
@@ -264,6 +275,12 @@
         known.teams.extend(report.teams);
     }
 
+    /// Returns whether a report holds the level of each bucket.
+    fn is_complete(&self, report: &PeerReport) -> bool {
+        let mut teams = self.buckets.keys();
+        teams.all(|team| report.teams.contains_key(team))
+    }
+
     /// Returns whether the spending of a newly discovered peer is already
     /// reflected in the levels: the peer started before this instance, or so long
     /// ago that the bucket has filled since. Otherwise, if the heartbeats of a
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -285,7 +285,7 @@
         ..heartbeat("other", 1, 1)
     };
     assert!(members.receive(indirect_report, 210));
-    let targets = members.targets("a", 1, &settings, 220);
+    let targets = members.targets("a", 1, 0, &settings, 220);
     assert_eq!((members.expected(), targets.direct.len()), (1, 1));
     assert!(
         members.receive(heartbeat_of(2, 1), 300),
@@ -299,7 +299,7 @@
     let settings = MeshSettings::default();
     let mut members = MemberTable::default();
     members.receive(heartbeat("p", 1, 1), 0);
-    let targets = |now_ms| members.targets("a", 1, &settings, now_ms);
+    let targets = |now_ms| members.targets("a", 1, 0, &settings, now_ms);
     assert_eq!(targets(10).direct.len(), 2);
     assert_eq!(targets(settings.candidate_ms + 1).direct.len(), 1);
     assert!(targets(10).relays.is_empty());
@@ -331,7 +331,7 @@
     for sequence in 2..4 {
         let now_ms = 1_000 * sequence;
         for from in (0..80).filter(|n| !is_dead(*n)) {
-            let targets = tables[from].targets(domain(from), sequence, &settings, 0);
+            let targets = tables[from].targets(domain(from), sequence, 0, &settings, 0);
             max_sent = max_sent.max(targets.direct.len() + targets.relays.len());
             let mut receivers: Vec<SocketAddr> = targets.direct;
             for relay in targets.relays {
--- a/crates/core/tests/mesh_at_scale.rs
+++ b/crates/core/tests/mesh_at_scale.rs
@@ -3,13 +3,18 @@
 use {
     mangowalk_core::{
         mesh::{
-            EXCHANGE_VERSION, Heartbeat, MAX_DATAGRAM_BYTES, MemberTable, MeshSettings, OrderPhase,
-            OrderReport, PACK_BYTES, PeerMessage, TeamReport, split_packs,
+            Bundle, EXCHANGE_VERSION, Heartbeat, MAX_DATAGRAM_BYTES, MemberTable, MeshSettings,
+            OrderPhase, OrderReport, PACK_BYTES, PACKS_VERSION, PeerMessage, TeamReport,
+            split_packs,
         },
         poison::CrashReport,
         pool::Load,
     },
-    std::{collections::HashMap, net::SocketAddr},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
 };
 
 fn heartbeat(name: &str, domain: &str, address: SocketAddr, sequence: u64) -> Heartbeat {
@@ -48,6 +53,9 @@
 /// Time between two steps of a simulated fleet.
 const STEP_MS: u64 = 10;
 
+/// Time for which heartbeats are gathered for a group.
+const GATHER_MS: u64 = 150;
+
 /// Instances that exchange heartbeats over a network without delay.
 struct Fleet {
     tables: Vec<MemberTable>,
@@ -58,6 +66,12 @@
     is_dead: Vec<bool>,
     /// Datagrams that each instance has sent, relayed ones included.
     sent: Vec<usize>,
+    /// Datagrams that each instance has received.
+    received: Vec<usize>,
+    /// When each instance sends its next heartbeat.
+    next_ms: Vec<Option<u64>>,
+    /// Heartbeats that each instance will pass on to its group, and when.
+    bundles: Vec<(Bundle, Option<u64>)>,
     /// When each instance last received a heartbeat of each other one.
     received_ms: Vec<Vec<u64>>,
     /// Longest time between two heartbeats of another instance that arrived.
@@ -77,6 +91,9 @@
             sequences: vec![1; instances],
             is_dead: vec![false; instances],
             sent: vec![0; instances],
+            received: vec![0; instances],
+            next_ms: vec![None; instances],
+            bundles: (0..instances).map(|_| Default::default()).collect(),
             received_ms: vec![vec![0; instances]; instances],
             max_gap_ms: 0,
             settings: MeshSettings::default(),
@@ -108,7 +125,13 @@
         self.sequences[from] += 1;
         let own = heartbeat_of(from, self.sequences[from]);
         let table = &self.tables[from];
-        let targets = table.targets(domain(from), self.sequences[from], &self.settings, now_ms);
+        let targets = table.targets(
+            domain(from),
+            self.sequences[from],
+            now_ms / 1_000,
+            &self.settings,
+            now_ms,
+        );
         assert!(table.uses_packs(&self.settings));
         let pack = table.pack(self.pack_ms[from], &self.settings, now_ms);
         let pack: Option<Vec<Heartbeat>> = pack.map(|group| {
@@ -117,10 +140,8 @@
                 .map(|member| (*member.last_heartbeat).clone());
             held.chain([own.clone()]).collect()
         });
-        self.sent[from] += targets.direct.len();
         for address in targets.direct {
-            let to = self.by_address[&address];
-            self.receive(to, &own, now_ms);
+            let to = self.transfer(from, address, std::slice::from_ref(&own), now_ms);
             if pack.is_some() {
                 self.tables[to].record_pack(&own.name, now_ms);
             }
@@ -129,28 +150,78 @@
             return;
         };
         self.pack_ms[from] = Some(now_ms);
-        self.sent[from] += targets.relays.len() + targets.near.len();
         for address in targets.near {
-            for heartbeat in &pack {
-                self.receive(self.by_address[&address], heartbeat, now_ms);
-            }
+            self.transfer(from, address, &pack, now_ms);
+        }
+        for address in targets.group_relays {
+            self.send_to_group_relay(from, address, &pack, now_ms);
         }
         for address in targets.relays {
-            let relay = self.by_address[&address];
+            let relay = self.transfer(from, address, &pack, now_ms);
             if self.is_dead[relay] {
                 continue;
             }
-            let near: Vec<SocketAddr> = self.tables[relay].in_domain(domain(relay)).collect();
-            self.sent[relay] += near.len();
-            let receivers: Vec<usize> = near
-                .iter()
-                .map(|address| self.by_address[address])
-                .collect();
-            for to in receivers.into_iter().chain([relay]) {
-                for heartbeat in &pack {
-                    self.receive(to, heartbeat, now_ms);
+            if !self.tables[relay].uses_groups(&self.settings) {
+                let near: Vec<SocketAddr> = self.tables[relay].in_domain(domain(relay)).collect();
+                for address in near {
+                    self.transfer(relay, address, &pack, now_ms);
                 }
+                continue;
             }
+            self.gather(relay, &pack, now_ms);
+            let table = &self.tables[relay];
+            let group_relays = table.group_relays(now_ms / 1_000, &self.settings, now_ms);
+            for address in group_relays {
+                self.send_to_group_relay(relay, address, &pack, now_ms);
+            }
+        }
+    }
+
+    /// Sends one datagram, and returns who receives it.
+    fn transfer(
+        &mut self,
+        from: usize,
+        address: SocketAddr,
+        pack: &[Heartbeat],
+        now_ms: u64,
+    ) -> usize {
+        let to = self.by_address[&address];
+        self.sent[from] += 1;
+        self.received[to] += 1;
+        for heartbeat in pack {
+            self.receive(to, heartbeat, now_ms);
+        }
+        to
+    }
+
+    fn send_to_group_relay(
+        &mut self,
+        from: usize,
+        address: SocketAddr,
+        pack: &[Heartbeat],
+        now_ms: u64,
+    ) {
+        let to = self.transfer(from, address, pack, now_ms);
+        self.gather(to, pack, now_ms);
+    }
+
+    fn gather(&mut self, instance: usize, pack: &[Heartbeat], now_ms: u64) {
+        let (bundle, due_ms) = &mut self.bundles[instance];
+        if bundle.add(pack, now_ms) {
+            *due_ms = Some(now_ms + GATHER_MS);
+        }
+    }
+
+    /// Passes on what an instance has gathered for its group.
+    fn send_bundle(&mut self, from: usize, now_ms: u64) {
+        self.bundles[from].1 = None;
+        let packs = self.bundles[from].0.take(now_ms);
+        let group = self.tables[from].group_addresses(&self.settings);
+        for (pack, &address) in packs
+            .iter()
+            .flat_map(|pack| group.iter().map(move |to| (pack, to)))
+        {
+            self.transfer(from, address, pack, now_ms);
         }
     }
 
@@ -159,10 +230,21 @@
         for now_ms in (from_ms..until_ms).step_by(STEP_MS as usize) {
             for instance in 0..self.tables.len() {
                 let phase_ms = (instance as u64 * 70) % self.settings.heartbeat_interval_ms;
-                let is_due =
-                    (now_ms + phase_ms).is_multiple_of(self.settings.heartbeat_interval_ms);
-                if is_due && !self.is_dead[instance] {
+                if self.is_dead[instance] {
+                    continue;
+                }
+                let next_ms = self.next_ms[instance].unwrap_or(from_ms + phase_ms);
+                if now_ms >= next_ms {
                     self.send(instance, now_ms);
+                    let table = &self.tables[instance];
+                    let interval_ms = table.heartbeat_interval_ms(&self.settings);
+                    self.next_ms[instance] = Some(next_ms + interval_ms);
+                }
+                if self.bundles[instance]
+                    .1
+                    .is_some_and(|due_ms| now_ms >= due_ms)
+                {
+                    self.send_bundle(instance, now_ms);
                 }
             }
         }
@@ -213,6 +295,33 @@
     }
 }
 
+/// Each datagram wakes a small machine. At 987 instances, packs that were passed on one
+/// by one were 300 a second for each.
+#[test]
+fn instances_of_the_largest_fleets_receive_few_datagrams() {
+    for instances in [480, 987] {
+        let mut fleet = Fleet::new(instances);
+        fleet.run(0, 3_000);
+        fleet.received = vec![0; instances];
+        fleet.sent = vec![0; instances];
+        fleet.max_gap_ms = 0;
+        fleet.run(3_000, 9_000);
+        let mean_received_per_s = fleet.received.iter().sum::<usize>() / instances / 6;
+        let max_sent_per_s = fleet.sent.iter().max().expect("there are instances") / 6;
+        let interval_ms = fleet.tables[0].pack_interval_ms(&fleet.settings);
+        assert!(
+            mean_received_per_s <= 60,
+            "{mean_received_per_s} at {instances}"
+        );
+        assert!(max_sent_per_s <= 300, "{max_sent_per_s} at {instances}");
+        assert!(interval_ms <= 1_500, "{interval_ms}");
+        assert!(fleet.max_gap_ms <= 3 * interval_ms, "{}", fleet.max_gap_ms);
+        for table in &fleet.tables {
+            assert_eq!(table.live(&fleet.settings, 9_000).count(), instances - 1);
+        }
+    }
+}
+
 /// Every tenth instance is lost at once. The packs of its group are sent by the
 /// others, lost relays cost single packs, and no pack keeps a lost instance alive.
 #[test]
@@ -244,7 +353,7 @@
     for turn in 1..20 {
         let mut chosen: HashMap<SocketAddr, usize> = HashMap::new();
         for (n, table) in fleet.tables.iter().enumerate() {
-            for relay in table.targets(domain(n), turn, &fleet.settings, 0).relays {
+            for relay in table.targets(domain(n), turn, 0, &fleet.settings, 0).relays {
                 *chosen.entry(relay).or_default() += 1;
             }
         }
@@ -285,9 +394,18 @@
         table.receive(heartbeat(&name(other), "a", address(other), 1), 0);
         table.set_exchange_version(&name(other), EXCHANGE_VERSION);
     }
-    let targets = table.targets("a", 1, &settings, 0);
+    let targets = table.targets("a", 1, 0, &settings, 0);
+    assert!(table.uses_packs(&settings) && targets.relays.is_empty());
+    assert_eq!((targets.direct.len(), targets.near.len()), (7, 0));
+    // Eighteen groups besides the own one have the other 142.
+    assert_eq!(targets.group_relays.len(), 18);
+    for other in 1..150 {
+        table.set_exchange_version(&name(other), PACKS_VERSION);
+    }
+    let targets = table.targets("a", 1, 0, &settings, 0);
     assert!(table.uses_packs(&settings) && targets.relays.is_empty());
     assert_eq!((targets.direct.len(), targets.near.len()), (7, 142));
+    assert!(targets.group_relays.is_empty());
 }
 
 /// While one instance still runs an earlier build, all must send what it
@@ -507,3 +625,78 @@
         assert!(PeerMessage::decode(&forged).is_err());
     }
 }
+
+/// At half a request a second for each instance, most of hundreds of teams never send
+/// to it. Their reports made a heartbeat kilobytes long, and with it the time until a
+/// thousand instances hear of anything.
+#[test]
+fn heartbeats_in_packs_leave_out_teams_without_requests() {
+    const INSTANCES: usize = 987;
+    let idle_teams = (0..333).map(|n| TeamReport {
+        team: format!("team{n:03}"),
+        spent: 0.0,
+        level: 1e5,
+        demand_per_s: 0.0,
+    });
+    let sent: Vec<Heartbeat> = (0..8)
+        .map(|n| {
+            let mut sent = heartbeat_of(n, 5);
+            sent.teams = idle_teams.clone().collect();
+            sent.teams[n * 7].spent = 9_190.0;
+            sent.peers = (0..4).map(|peer| address(peer * 9 + n)).collect();
+            sent
+        })
+        .collect();
+    let pack: Vec<Heartbeat> = sent.iter().map(|sent| sent.packed(100)).collect();
+    assert!(pack.iter().all(|packed| packed.teams.len() == 1));
+    let message = PeerMessage::RelayedPack(pack).compress();
+    let datagram = message.expect("it is compressed").encode(EXCHANGE_VERSION);
+    let bytes = datagram.expect("it is encoded").len() * INSTANCES / 8;
+    let settings = MeshSettings::default();
+    // All heartbeats of the fleet take less than a second of their part of the link.
+    assert!(
+        (bytes as f64) < settings.max_heartbeat_bytes_per_s,
+        "{bytes}"
+    );
+}
+
+/// A large fleet that starts finds hundreds of peers within a second. If each finding
+/// were answered at once, all would send to all several times within it.
+#[test]
+fn only_small_fleets_answer_new_peers_at_once() {
+    let settings = MeshSettings::default();
+    assert!(Fleet::new(20).tables[0].answers_new_peers(&settings));
+    assert!(!Fleet::new(150).tables[0].answers_new_peers(&settings));
+}
+
+/// An instance asks for each of its peers whether it is live, five times a second. The
+/// answer depends on all peers; worked out for each of a thousand, it took most of a
+/// small machine's processor.
+#[test]
+fn the_liveness_of_all_peers_costs_in_proportion_to_their_number() {
+    let mut fleets = [120, 960].map(|instances| {
+        let mut table = MemberTable::new(&name(0), domain(0));
+        for other in 1..instances {
+            table.receive(heartbeat_of(other, 1), 0);
+            table.set_exchange_version(&name(other), EXCHANGE_VERSION);
+        }
+        (table, Duration::MAX)
+    });
+    let settings = MeshSettings::default();
+    for _ in 0..20 {
+        for (table, best) in &mut fleets {
+            let started = Instant::now();
+            let liveness = table.liveness(&settings, 100);
+            let names = table
+                .iter()
+                .map(|member| member.last_heartbeat.name.as_str());
+            let live = names.filter(|name| liveness.of(name) == Some(true)).count();
+            assert_eq!(live, table.iter().count());
+            *best = started.elapsed().min(*best);
+        }
+    }
+    // Eight times as many, with some more for lookups in a larger table; their square
+    // would be 64 times as many.
+    let [(_, small), (_, large)] = fleets;
+    assert!(large < small * 24, "{small:?} and {large:?}");
+}
--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -500,8 +500,8 @@
     }
 }
 
-/// Most of hundreds of teams have no requests at one instance. They must not be in
-/// each of its reports, but each of them in some, as reports may be lost.
+/// Most of hundreds of teams have had no requests at one instance for a while. They must
+/// not be in each of its reports, but each of them in some, as reports may be lost.
 #[test]
 fn teams_without_requests_are_reported_in_turn() {
     let teams: Vec<Tenant> = (0..230)
@@ -512,6 +512,9 @@
         .collect();
     let mut table = ShareTable::new("a", ShareSettings::default());
     table.configure(&teams, 0);
+    for team in &teams {
+        let _ = table.take(team, 10, 0);
+    }
     let _ = table.take(&teams[7], 10, 10_000);
     let mut reported = std::collections::HashSet::new();
     for turn in 0..10 {
@@ -523,6 +526,58 @@
     assert_eq!(reported.len(), teams.len());
 }
 
+/// In a large fleet most reports hold only the teams that the peer has to tell of. Such
+/// a report came first at an instance that had just started, which took its few levels
+/// for all: the buckets of the other teams stayed empty, and they were refused.
+#[test]
+fn a_report_without_some_teams_does_not_end_the_learning() {
+    let teams = ["busy", "quiet"].map(|name| Tenant {
+        name: name.to_owned(),
+        ..tenant(1_000.0, 10_000.0)
+    });
+    let mut table = ShareTable::new("new", ShareSettings::default());
+    table.configure(&teams, 0);
+    let spending = PeerSpending {
+        spent: 5_000.0,
+        level: 8_000.0,
+        demand_per_s: 0.0,
+    };
+    let report = |names: &[&str]| PeerReport {
+        incarnation: 1,
+        up_ms: 60_000,
+        instances: 2,
+        count_valid_ms: 8_000,
+        knows_spending: true,
+        is_partial: true,
+        teams: names
+            .iter()
+            .map(|name| (name.to_string(), spending.clone()))
+            .collect(),
+    };
+    table.receive_report("far", report(&["busy"]), 100);
+    assert!(!table.knows_spending(100));
+    table.receive_report("near", report(&["busy", "quiet"]), 200);
+    assert!(table.knows_spending(200));
+    assert_eq!(table.level("quiet"), Some(8_000.0));
+}
+
+/// Teams that never sent a request to an instance are none of its news.
+#[test]
+fn teams_that_never_asked_are_not_reported() {
+    let teams = ["asked", "never"].map(|name| Tenant {
+        name: name.to_owned(),
+        ..tenant(1_000.0, 10_000.0)
+    });
+    let mut table = ShareTable::new("one", ShareSettings::default());
+    table.configure(&teams, 0);
+    let _ = table.take(&teams[0], 100, 5_000);
+    for turn in 0..20 {
+        let reported = table.changed_spending(turn, 5_100);
+        let names: Vec<&str> = reported.iter().map(|(name, _)| name.as_str()).collect();
+        assert_eq!(names, ["asked"]);
+    }
+}
+
 /// A new instance receives a peer's report before it has its configuration. It
 /// must still copy the peer's levels from the next report; otherwise it refuses
 /// teams within their rate until its own buckets have filled.
--- a/crates/gateway/src/instance/heartbeats.rs
+++ b/crates/gateway/src/instance/heartbeats.rs
@@ -19,11 +19,6 @@
 /// heartbeats.
 const SILENCE_REPORT_MS: u64 = 600;
 
-/// Time after a new peer was heard for which heartbeats hold the spending of all
-/// teams. It covers the learning time of a peer that has just started, which copies
-/// the levels of teams from the first report that it receives.
-const NEW_PEER_REPORT_MS: u64 = 2_000;
-
 impl Instance {
     /// Applies a peer's heartbeat, unless it is older than one already received.
     /// `exchange_version` is what the peer understands.
@@ -45,13 +40,13 @@
             self.engines.borrow_mut().remove_peer(&heartbeat.name);
             return self.update_share_peers(now_ms);
         }
-        if known_incarnation != Some(heartbeat.incarnation) {
-            self.all_teams_until_ms.set(now_ms + NEW_PEER_REPORT_MS);
-        }
-        if known_incarnation.is_none() {
+        // The start of a large fleet would be a million lines.
+        let members = self.members.borrow();
+        if known_incarnation.is_none() && members.answers_new_peers(&self.settings.mesh) {
             log::info!("event=peer_found peer={}", heartbeat.name);
             self.wake_ups.heartbeat.notify_one();
         }
+        drop(members);
         self.apply_engine_reports(&heartbeat, now_ms);
         self.apply_versions(&heartbeat);
         let report = peer_report(&heartbeat, exchange_version);
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -7,7 +7,7 @@
     mangowalk_core::{
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
         kv_store::KvStores,
-        mesh::{MemberTable, OrderReport, PACKS_VERSION},
+        mesh::{Bundle, MemberTable, OrderReport, PACKS_VERSION, RelayBudget},
         pool::{EngineTable, MeanPromptLength, PrefillRate, Turnover, short_hash},
         retries::FleetRetryBudget,
         routing::{Configuration, RouteTable},
@@ -36,6 +36,8 @@
     pub silent_engine: Notify,
     /// Sent when a heartbeat should be sent at once.
     pub heartbeat: Notify,
+    /// Sent when heartbeats were gathered to be passed on to the own group.
+    pub bundle: Notify,
 }
 
 /// Time for which a placement is reported to peers: two heartbeats, as one may be
@@ -101,9 +103,10 @@
     pub members: RefCell<MemberTable>,
     /// Datagrams exchanged with peers.
     pub mesh_traffic: MeshTraffic,
-    /// Time until which heartbeats hold the spending of all teams, as there is a new
-    /// peer.
-    pub all_teams_until_ms: Cell<u64>,
+    /// Heartbeats that are to be passed on to the own group.
+    pub bundle: RefCell<Bundle>,
+    /// Datagrams that may still be relayed for peers.
+    pub relay_budget: Cell<RelayBudget>,
     /// Whether this instance holds the lease under which orders are sent.
     pub holds_lease: Cell<bool>,
     /// When this instance sent its last order; `None` if it sent none since its
@@ -139,6 +142,7 @@
                 ..ShareSettings::default()
             },
         );
+        let relay_budget = RelayBudget::new(settings.mesh.max_relayed_per_s, now_ms());
         let software = SoftwareTable::new(machine.exposure, CanarySettings::default());
         Rc::new(Instance {
             software: RefCell::new(software),
@@ -162,7 +166,8 @@
             retry_budgets: RefCell::default(),
             members: RefCell::new(members),
             mesh_traffic: MeshTraffic::default(),
-            all_teams_until_ms: Cell::new(0),
+            bundle: RefCell::default(),
+            relay_budget: Cell::new(relay_budget),
             holds_lease: Cell::new(false),
             last_order_ms: Cell::new(None),
             order_reports: RefCell::default(),
@@ -236,7 +241,7 @@
             .borrow_mut()
             .configure(&configuration.tenants, now_ms);
         *self.routes.borrow_mut() = Rc::new(RouteTable::new(configuration));
-        self.wake_ups.heartbeat.notify_one();
+        self.announce_store_news(now_ms);
     }
 
     /// Records a published version of weights. Returns whether it is newer than
@@ -258,10 +263,20 @@
             "event=weights_named model={model} version={version} before={before} source={source}"
         );
         self.wake_ups.orders.notify_one();
-        self.wake_ups.heartbeat.notify_one();
+        self.announce_store_news(now_ms());
         true
     }
 
+    /// Sends a heartbeat at once because the store has reported a change. In a large
+    /// fleet only the instances that read current state do: all others hear of the
+    /// change at about the same time, and would tell it to each other.
+    pub fn announce_store_news(&self, now_ms: u64) {
+        let is_large = self.members.borrow().uses_packs(&self.settings.mesh);
+        if !is_large || self.freshness(now_ms) == Freshness::Current {
+            self.wake_ups.heartbeat.notify_one();
+        }
+    }
+
     /// Updates which peers and how many instances may spend from teams' rates.
     pub fn update_share_peers(&self, now_ms: u64) {
         let members = self.members.borrow();
@@ -269,14 +284,23 @@
         let mut shares = self.shares.borrow_mut();
         shares.set_expected_instances(members.expected() + 1);
         shares.set_report_interval(members.report_interval_ms(mesh));
-        shares.update_peers(|name| members.is_live(name, mesh, now_ms));
+        let liveness = members.liveness(mesh, now_ms);
+        shares.update_peers(|name| liveness.of(name));
     }
 
     /// Returns whether heartbeats hold the spending of all teams and not only what
-    /// changed: for new peers, and for those that don't know the shorter form.
+    /// changed: for a peer that has just started and can't know it, and for those that
+    /// don't know the shorter form. An instance that doesn't know the levels itself has
+    /// nothing to tell.
     pub fn reports_all_teams(&self, now_ms: u64) -> bool {
-        now_ms < self.all_teams_until_ms.get()
-            || !self.members.borrow().all_understand(PACKS_VERSION)
+        let members = self.members.borrow();
+        if !members.all_understand(PACKS_VERSION) {
+            return true;
+        }
+        let mesh = &self.settings.mesh;
+        let mut receivers = members.direct_receivers(mesh, now_ms);
+        let is_wanted = receivers.any(|member| !member.last_heartbeat.knows_rates);
+        is_wanted && self.shares.borrow().knows_spending(now_ms)
     }
 
     /// Returns the number of instances that may be serving, including this one.
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        clock::now_ms,
+        clock::{now_ms, wall_ms},
         instance::{Drain, Instance},
         mesh::Direction,
     },
@@ -20,6 +20,13 @@
 /// all instances discover a new peer.
 const PEERS_PER_HEARTBEAT: usize = 4;
 
+/// Time for which an instance passes packs on to its group before another one of the
+/// group does.
+const GROUP_TURN_MS: u64 = 1_000;
+
+/// Time for which an instance gathers the packs that it passes on.
+const GATHER_TIME: Duration = Duration::from_millis(150);
+
 /// Binds the socket on which heartbeats are received.
 ///
 /// # Errors
@@ -32,7 +39,11 @@
 /// Sends heartbeats to peers and receives theirs; never returns.
 pub async fn exchange(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let sent = Sent::default();
-    tokio::join!(send(&instance, &socket, &sent), receive(&instance, &socket));
+    tokio::join!(
+        send(&instance, &socket, &sent),
+        receive(&instance, &socket),
+        send_bundles(&instance, &socket),
+    );
 }
 
 async fn receive(instance: &Instance, socket: &UdpSocket) {
@@ -46,7 +57,10 @@
         match PeerMessage::decode(&buffer[..length]) {
             Ok((message, exchange_version)) => {
                 traffic.count(Direction::Received, message.kind(), length);
-                if let PeerMessage::PackToRelay(pack) | PeerMessage::RelayedPack(pack) = &message {
+                if let PeerMessage::PackToRelay(pack)
+                | PeerMessage::RelayedPack(pack)
+                | PeerMessage::PackToGroup(pack) = &message
+                {
                     let mut members = instance.members.borrow_mut();
                     members.record_pack_size(length, pack.len());
                 }
@@ -77,8 +91,11 @@
             instance.members.borrow_mut().record_pack(&name, now_ms);
         }
         PeerMessage::PackToRelay(heartbeats) => {
-            let relayed = PeerMessage::RelayedPack(heartbeats.clone());
-            relay(instance, socket, &relayed, exchange_version);
+            relay_pack(instance, socket, &heartbeats, exchange_version);
+            receive_pack(instance, heartbeats, exchange_version, now_ms);
+        }
+        PeerMessage::PackToGroup(heartbeats) => {
+            gather(instance, &heartbeats, now_ms);
             receive_pack(instance, heartbeats, exchange_version, now_ms);
         }
         PeerMessage::RelayedPack(heartbeats) => {
@@ -112,13 +129,77 @@
     }
 }
 
+/// Passes a pack from another failure domain on to the peers of the own domain.
+fn relay_pack(instance: &Instance, socket: &UdpSocket, pack: &[Heartbeat], exchange_version: u8) {
+    let now_ms = now_ms();
+    let members = instance.members.borrow();
+    let mesh = &instance.settings.mesh;
+    if !members.uses_groups(mesh) {
+        let relayed = PeerMessage::RelayedPack(pack.to_vec());
+        return relay(instance, socket, &relayed, exchange_version);
+    }
+    gather(instance, pack, now_ms);
+    let relays = members.group_relays(group_turn(), mesh, now_ms);
+    let message = PeerMessage::PackToGroup(pack.to_vec());
+    send_relayed(instance, socket, &message, exchange_version, &relays);
+}
+
+/// Returns the turn by which the instances of each group take over from each other,
+/// about the same one at all instances.
+fn group_turn() -> u64 {
+    wall_ms() / GROUP_TURN_MS
+}
+
+/// Keeps heartbeats for a moment to pass them on to the own group.
+fn gather(instance: &Instance, pack: &[Heartbeat], now_ms: u64) {
+    if instance.bundle.borrow_mut().add(pack, now_ms) {
+        instance.wake_ups.bundle.notify_one();
+    }
+}
+
+/// Passes gathered heartbeats on to the own group; never returns.
+async fn send_bundles(instance: &Instance, socket: &UdpSocket) {
+    loop {
+        instance.wake_ups.bundle.notified().await;
+        sleep(GATHER_TIME).await;
+        let packs = instance.bundle.borrow_mut().take(now_ms());
+        let group = instance
+            .members
+            .borrow()
+            .group_addresses(&instance.settings.mesh);
+        for pack in packs {
+            let message = PeerMessage::RelayedPack(pack);
+            send_to(instance, socket, &message, group.iter().copied());
+        }
+    }
+}
+
 /// Relays heartbeats from another failure domain to the peers of the own domain.
 fn relay(instance: &Instance, socket: &UdpSocket, message: &PeerMessage, exchange_version: u8) {
+    let domain = instance.machine().domain.clone();
+    let members = instance.members.borrow();
+    let peers: Vec<SocketAddr> = members.in_domain(&domain).collect();
+    send_relayed(instance, socket, message, exchange_version, &peers);
+}
+
+/// Sends what another instance has written to peers, within the budget for that.
+fn send_relayed(
+    instance: &Instance,
+    socket: &UdpSocket,
+    message: &PeerMessage,
+    exchange_version: u8,
+    peers: &[SocketAddr],
+) {
+    let mut budget = instance.relay_budget.get();
+    let is_covered = budget.take(peers.len(), now_ms());
+    instance.relay_budget.set(budget);
+    if !is_covered {
+        return instance.counters.count("not_relayed", message.kind());
+    }
     let Some(bytes) = encode_smallest(instance, message, exchange_version) else {
         return;
     };
-    let domain = instance.machine().domain.clone();
-    for peer in instance.members.borrow().in_domain(&domain) {
+    for &peer in peers {
         send_datagram(instance, socket, message.kind(), &bytes, peer);
     }
 }
@@ -220,7 +301,7 @@
 ) -> Option<Vec<u8>> {
     let is_pack = matches!(
         message,
-        PeerMessage::PackToRelay(_) | PeerMessage::RelayedPack(_)
+        PeerMessage::PackToRelay(_) | PeerMessage::RelayedPack(_) | PeerMessage::PackToGroup(_)
     );
     if is_pack
         && instance
@@ -260,10 +341,11 @@
 async fn send(instance: &Instance, socket: &UdpSocket, sent: &Sent) {
     instance.add_seed_candidates();
     let mesh = &instance.settings.mesh;
-    let period = Duration::from_millis(mesh.heartbeat_interval_ms);
     let mut is_urgent = false;
     loop {
         send_heartbeat(instance, socket, sent, is_urgent);
+        let interval_ms = instance.members.borrow().heartbeat_interval_ms(mesh);
+        let period = Duration::from_millis(interval_ms);
         is_urgent = tokio::select! {
             () = sleep(period) => false,
             () = instance.wake_ups.heartbeat.notified() => true,
@@ -290,7 +372,7 @@
     let domain = instance.machine().domain.clone();
     let heartbeat = Box::new(heartbeat(instance, turn, now_ms));
     let members = instance.members.borrow();
-    let targets = members.targets(&domain, turn, mesh, now_ms);
+    let targets = members.targets(&domain, turn, group_turn(), mesh, now_ms);
     let pack = members.pack(sent.pack_ms.get(), mesh, now_ms);
     if !members.uses_packs(mesh) {
         send_alone(instance, socket, heartbeat, targets);
@@ -303,7 +385,7 @@
         let is_far_due = now_ms >= sent.far_ms.get() + mesh.heartbeat_interval_ms;
         if heartbeat.stopped || is_urgent && is_far_due {
             sent.far_ms.set(now_ms);
-            send_pack(instance, socket, vec![(*heartbeat).clone()], &targets);
+            send_pack(instance, socket, vec![heartbeat.packed(0)], &targets);
         }
         let direct = PeerMessage::Direct(heartbeat);
         send_to(instance, socket, &direct, targets.direct);
@@ -337,9 +419,9 @@
 ) {
     let held = group.iter().map(|member| {
         let held_ms = now_ms.saturating_sub(member.received_ms);
-        member.last_heartbeat.held_for(held_ms as u32)
+        member.last_heartbeat.packed(held_ms as u32)
     });
-    for pack in split_packs(held.chain([(*heartbeat).clone()]), PACK_BYTES) {
+    for pack in split_packs(held.chain([heartbeat.packed(0)]), PACK_BYTES) {
         send_pack(instance, socket, pack, &targets);
     }
     let direct = PeerMessage::DirectPacked(heartbeat);
@@ -351,6 +433,9 @@
 fn send_pack(instance: &Instance, socket: &UdpSocket, pack: Vec<Heartbeat>, targets: &Targets) {
     let near = PeerMessage::RelayedPack(pack.clone());
     send_to(instance, socket, &near, targets.near.iter().copied());
+    let groups = PeerMessage::PackToGroup(pack.clone());
+    let group_relays = targets.group_relays.iter().copied();
+    send_to(instance, socket, &groups, group_relays);
     let far = PeerMessage::PackToRelay(pack);
     send_to(instance, socket, &far, targets.relays.iter().copied());
 }
