Let an instance of a large fleet know a part of the engine list

Cause: each instance read the whole list: 10,000 entries of 350 bytes, 3.5 MB, in 50 pages. At a common start 987 instances read 3.4 GB over a store's link of 125 MB a second, 27 s, and again whenever the store had dropped its history; a page that took longer than a second was given up and begun again. Comparing a new reading with the table took the product of both. All instances waited at the store for each change of any engine.

Those that read current state, and the holder of the lease for orders, read all. Changes are asked for every two seconds; departures come from those who read current state. A body of the store's answers counts as lost when it comes to a halt.

--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -8,7 +8,9 @@
 mod entry;
 mod health;
 mod known_engine;
+mod list_part;
 mod listing_status;
+mod name_form;
 mod prompt_length;
 mod requirements;
 mod software_lane;
@@ -23,7 +25,9 @@
     entry::{EngineEntry, Incarnation, ModelVersion},
     health::{Health, HealthSettings},
     known_engine::{KnownEngine, Load, WorkPause},
+    list_part::{ListPart, ListPartSettings},
     listing_status::{DepartureSuspicion, ListingStatus},
+    name_form::NameForm,
     prompt_length::MeanPromptLength,
     requirements::{EngineRequirements, PromptPart},
     software_lane::choose_in_lane,
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -1,10 +1,10 @@
 use {
     super::{
-        Departure, EngineEntry, KnownEngine, ListingStatus, Load, departures::Departures,
+        Departure, EngineEntry, KnownEngine, ListPart, ListingStatus, Load, departures::Departures,
         rendezvous,
     },
     crate::canary::SoftwareRole,
-    std::collections::{BTreeMap, HashMap},
+    std::collections::{BTreeMap, HashMap, HashSet},
 };
 
 /// Maximum time for which an answer that announced a departure applies without
@@ -156,10 +156,21 @@
         }
     }
 
-    /// Returns the engines that a complete read of the list lacks.
-    pub fn missing_from(&self, is_listed: impl Fn(&str) -> bool) -> Vec<String> {
-        let ids = self.engines.keys().filter(|id| !is_listed(id));
-        ids.cloned().collect()
+    /// Returns the engines that a reading of a part of the list lacks.
+    pub fn missing_from(&self, part: &ListPart, listed: &HashSet<&str>) -> Vec<String> {
+        let ids = self.engines.keys().map(String::as_str);
+        let missing = ids.filter(|id| part.contains(id) && !listed.contains(id));
+        missing.map(str::to_owned).collect()
+    }
+
+    /// Removes the engines that don't belong to a part of the list. They haven't left,
+    /// so peers aren't told.
+    pub fn retain_part(&mut self, part: &ListPart) {
+        let ids = self.engines.keys().filter(|id| !part.contains(id));
+        let outside: Vec<String> = ids.cloned().collect();
+        for id in outside {
+            self.remove(&id);
+        }
     }
 
     /// Returns the engines that the list still lacks at the end of their grace
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,7 +1,7 @@
 use mangowalk_core::{
     kv_store::KvStoreSettings,
     mesh::MeshSettings,
-    pool::{AdmitSettings, ChoiceSettings},
+    pool::{AdmitSettings, ChoiceSettings, ListPartSettings},
     weights::{OrderLeaseSettings, PlanSettings, WeightsSettings},
 };
 
@@ -14,6 +14,8 @@
     pub mesh: MeshSettings,
     /// Choice of an engine for a request.
     pub choice: ChoiceSettings,
+    /// Part of the engine list that an instance of a large fleet reads.
+    pub list_part: ListPartSettings,
     /// How long reports of KV cache stores hold.
     pub kv_stores: KvStoreSettings,
     /// Refusal of requests that would wait too long.
@@ -77,6 +79,7 @@
         GatewaySettings {
             mesh: MeshSettings::default(),
             choice: ChoiceSettings::default(),
+            list_part: ListPartSettings::default(),
             kv_stores: KvStoreSettings::default(),
             admission: AdmitSettings::default(),
             weights: WeightsSettings {
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -17,7 +17,7 @@
     mangowalk_platform::{Freshness, MachineSettings},
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, HashMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         net::SocketAddr,
         rc::Rc,
     },
@@ -55,6 +55,18 @@
 /// Maximum number of placements in one heartbeat, so that it fits one datagram.
 const MAX_PLACEMENTS: usize = 48;
 
+/// Time after the start in which an instance hears of its peers, and of those of a large
+/// fleet.
+const SETTLING_MS: u64 = 1_000;
+const LARGE_FLEET_SETTLING_MS: u64 = 3_000;
+
+/// Interval at which an instance asks for changes of the engine list, for each instance
+/// of a large fleet: all together make 500 calls a second.
+const POLL_MS_PER_INSTANCE: u64 = 2;
+
+/// Maximum of that interval. New engines get no work for as long.
+const MAX_POLL_INTERVAL_MS: u64 = 2_000;
+
 /// The state that the tasks of an instance share. Tasks read and write it, and
 /// don't call each other.
 pub struct Instance {
@@ -322,6 +334,53 @@
         }
     }
 
+    /// Returns the time until this instance knows which peers read current state.
+    pub fn settles_in_ms(&self, now_ms: u64) -> u64 {
+        let settling_ms = match self.is_large_fleet() {
+            true => LARGE_FLEET_SETTLING_MS,
+            false => SETTLING_MS,
+        };
+        (self.started_ms + settling_ms).saturating_sub(now_ms)
+    }
+
+    /// Returns whether the fleet is so large that its instances know a part of the
+    /// engines each, and of most peers what packs of heartbeats tell.
+    pub fn is_large_fleet(&self) -> bool {
+        let members = self.members.borrow();
+        members.iter().count() > self.settings.mesh.max_relayed_peers
+    }
+
+    /// Returns the time after a peer's news of a configuration in which this
+    /// instance's own watch is expected to report it. In a large fleet it is spread:
+    /// a reading of all instances at once fills the store's link.
+    pub fn configuration_lead_ms(&self) -> u64 {
+        let lead_ms = self.settings.peer_lead_ms;
+        match self.is_large_fleet() {
+            true => lead_ms + rand::random_range(0..self.instance_count() as u64),
+            false => lead_ms,
+        }
+    }
+
+    /// Returns the interval at which this instance asks for changes of the engine list;
+    /// `None` if it waits for each at the store. If all instances of a large fleet did,
+    /// each change would be answered to a thousand waiting calls. Those that read
+    /// current state report departures to the others.
+    pub fn engine_poll_interval_ms(&self, now_ms: u64) -> Option<u64> {
+        if !self.is_large_fleet() || self.freshness(now_ms) == Freshness::Current {
+            return None;
+        }
+        let by_count_ms = self.instance_count() as u64 * POLL_MS_PER_INSTANCE;
+        Some(by_count_ms.clamp(self.settings.batch_ms, MAX_POLL_INTERVAL_MS))
+    }
+
+    /// Returns the names of the services to which requests are routed.
+    pub fn routed_services(&self) -> BTreeSet<String> {
+        let routes = self.routes.borrow();
+        let routes = routes.configuration().routes.iter();
+        let shares = routes.flat_map(|route| &route.services);
+        shares.map(|share| share.service.clone()).collect()
+    }
+
     /// Returns the number of live instances with access to the store whose names sort
     /// before that of this one.
     pub fn readers_before(&self, now_ms: u64) -> usize {
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -24,6 +24,9 @@
 /// group does.
 const GROUP_TURN_MS: u64 = 1_000;
 
+/// Time between two receptions of datagrams in a large fleet.
+const RECEIVE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time for which an instance gathers the packs that it passes on.
 const GATHER_TIME: Duration = Duration::from_millis(150);
 
@@ -49,9 +52,19 @@
 async fn receive(instance: &Instance, socket: &UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok(length) = socket.recv(&mut buffer).await else {
+        let length = match socket.try_recv(&mut buffer) {
+            Ok(length) => length,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                // A large fleet's datagrams are received many at a time: each wakes a
+                // small machine, and none is so urgent.
+                if instance.is_large_fleet() {
+                    sleep(RECEIVE_INTERVAL).await;
+                }
+                let _ = socket.readable().await;
+                continue;
+            }
             // The socket also reports here that nothing listens at a peer's port.
-            continue;
+            Err(_) => continue,
         };
         let traffic = &instance.mesh_traffic;
         match PeerMessage::decode(&buffer[..length]) {
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -1,8 +1,12 @@
 use {
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
+    http::Response,
     http_body_util::{BodyExt, Full, Limited},
-    hyper::client::conn::http1::{self, SendRequest},
+    hyper::{
+        body::Incoming,
+        client::conn::http1::{self, SendRequest},
+    },
     hyper_util::rt::TokioIo,
     mangowalk_platform::Call,
     std::{cell::RefCell, io, net::SocketAddr, time::Duration},
@@ -16,6 +20,14 @@
 /// Maximum number of idle connections kept for further calls.
 const MAX_IDLE_CONNECTIONS: usize = 2;
 
+/// Time without a byte of a response's body after which it counts as lost. While all
+/// instances of a large fleet read at once, the store's link gives each a small part,
+/// and a complete page takes seconds.
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Maximum time for a whole body.
+const MAX_BODY_TIME: Duration = Duration::from_secs(10);
+
 /// Reason why a call got no response.
 #[derive(Debug, Display, Error)]
 pub enum CallError {
@@ -64,30 +76,48 @@
     /// # Errors
     ///
     /// Fails if no connection could be established, the call could not be
-    /// encoded or no complete response arrived within `timeout_ms`.
+    /// encoded, no response began within `timeout_ms` or its body came to a halt.
     pub async fn call(&self, call: &Call, timeout_ms: u64) -> Result<(u16, Bytes), CallError> {
-        let answer = timeout(Duration::from_millis(timeout_ms), self.exchange(call)).await;
-        answer.unwrap_or_else(|_| Err(self.no_answer(&"timed out")))
+        let timed_out = |_| self.no_answer(&"timed out");
+        let limit = Duration::from_millis(timeout_ms);
+        let (sender, response) = timeout(limit, self.send(call)).await.map_err(timed_out)??;
+        let status = response.status().as_u16();
+        let body = timeout(MAX_BODY_TIME, self.read_body(response.into_body()));
+        let body = body.await.map_err(timed_out)??;
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MAX_IDLE_CONNECTIONS {
+            idle.push(sender);
+        }
+        Ok((status, body))
     }
 
-    async fn exchange(&self, call: &Call) -> Result<(u16, Bytes), CallError> {
+    async fn send(
+        &self,
+        call: &Call,
+    ) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), CallError> {
         let mut sender = self.connection().await?;
         let request = call
             .to_request(self.address, |body| Full::new(Bytes::from(body)))
             .map_err(|_| CallError::Unwritable)?;
         let response = sender.send_request(request).await;
         let response = response.map_err(|error| self.no_answer(&error))?;
-        let status = response.status().as_u16();
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-            .collect()
-            .await
-            .map_err(|error| self.no_answer(&error))?
-            .to_bytes();
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(sender);
+        Ok((sender, response))
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, CallError> {
+        let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+        let mut bytes = BytesMut::new();
+        loop {
+            let frame = timeout(BODY_IDLE_TIMEOUT, body.frame()).await;
+            let frame = frame.map_err(|_| self.no_answer(&"its body came to a halt"))?;
+            let Some(frame) = frame else {
+                return Ok(bytes.freeze());
+            };
+            let frame = frame.map_err(|error| self.no_answer(&error))?;
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
         }
-        Ok((status, body))
     }
 
     async fn connection(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -1,5 +1,9 @@
 use {
-    super::{CallClient, backoff::Backoff},
+    super::{
+        CallClient,
+        backoff::Backoff,
+        reading::{Listing, Reading},
+    },
     crate::{clock::now_ms, instance::Instance},
     mangowalk_platform::{
         Changes, Freshness, ObjectKind, Page, StoreError, StoredObject, decode_changes, decode_page,
@@ -15,6 +19,9 @@
 /// Interval at which a kind that isn't followed is checked for whether it is needed.
 const DEMAND_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Wait of a call that asks for the changes there are.
+const MIN_WAIT_MS: u64 = 1;
+
 /// Receives the objects of one kind and their changes.
 pub(super) trait Follower {
     const KIND: ObjectKind;
@@ -22,8 +29,26 @@
     fn batch_ms(&self) -> u64 {
         0
     }
-    /// Applies a full reading of the kind at a revision.
-    fn replace_all(&self, objects: &[StoredObject], revision: u64);
+    /// Returns the name after which a reading begins that ends when
+    /// [`Follower::is_enough`] holds; `None` to read the whole list.
+    fn start(&self) -> Option<String> {
+        None
+    }
+    /// Returns whether the objects that were read from the start on are enough.
+    fn is_enough(&self, _objects: &[StoredObject]) -> bool {
+        false
+    }
+    /// Returns how fresh a full reading has to be.
+    fn reading_freshness(&self) -> Freshness {
+        Freshness::Current
+    }
+    /// Returns the interval at which changes are asked for, where that is better than to
+    /// wait for them at the store.
+    fn poll_interval_ms(&self) -> Option<u64> {
+        None
+    }
+    /// Applies a reading of the kind.
+    fn replace_all(&self, listing: &Listing);
     /// Applies changes up to a revision; there may be none. An object that no
     /// longer exists is `None`.
     fn apply_changes(&self, changes: &[(String, Option<StoredObject>)], revision: u64);
@@ -109,7 +134,7 @@
 ) {
     loop {
         let changes = tokio::select! {
-            changes = poll_changes::<F>(instance, store, revision) => changes,
+            changes = next_changes(instance, store, follower, revision) => changes,
             () = follower.wait_until_behind() => None,
         };
         let Some(changes) = changes else {
@@ -136,38 +161,48 @@
 }
 
 async fn read<F: Follower>(instance: &Instance, store: &CallClient, follower: &F) -> Option<u64> {
-    let mut objects = Vec::new();
-    let mut revision = None;
+    let mut reading = Reading::new(follower.start());
+    let freshness = follower.reading_freshness();
     loop {
-        let after = objects
-            .last()
-            .map(|object: &StoredObject| object.name.clone());
-        let call = Page::call(F::KIND, after.as_deref());
-        let (status, body) = match store
-            .call(&call, instance.settings.store_call_timeout_ms)
-            .await
-        {
-            Ok(answer) => answer,
-            Err(error) => {
-                log::info!("event=store_call_failed kind={} error=\"{error}\"", F::KIND);
-                return None;
+        let page = read_page::<F>(instance, store, reading.after(), freshness).await?;
+        // The list turns out to be long. By now a large fleet may be known as such.
+        if page.has_more && !reading.is_partial() && reading.after().is_none() {
+            let start = follower.start();
+            if start.is_some() {
+                reading = Reading::new(start);
+                continue;
             }
-        };
-        if status != 200 {
-            log::info!("event=store_refused kind={} status={status}", F::KIND);
-            return None;
         }
-        let page = decoded_or_logged::<F, _>(decode_page(&body))?;
-        // The watch starts at the revision of the first page, so it reports
-        // changes that happened between two pages.
-        revision = revision.or(Some(page.revision));
-        let more = page.has_more && !page.objects.is_empty();
-        objects.extend(page.objects);
-        if !more {
-            follower.replace_all(&objects, revision.unwrap_or_default());
-            return revision;
+        match reading.add(page, |objects| follower.is_enough(objects)) {
+            Ok(listing) => {
+                follower.replace_all(&listing);
+                return Some(listing.revision);
+            }
+            Err(unfinished) => reading = unfinished,
+        }
+    }
+}
+
+async fn read_page<F: Follower>(
+    instance: &Instance,
+    store: &CallClient,
+    after: Option<&str>,
+    freshness: Freshness,
+) -> Option<Page> {
+    let call = Page::call(F::KIND, after, freshness);
+    let timeout_ms = instance.settings.store_call_timeout_ms;
+    let (status, body) = match store.call(&call, timeout_ms).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            log::info!("event=store_call_failed kind={} error=\"{error}\"", F::KIND);
+            return None;
         }
+    };
+    if status != 200 {
+        log::info!("event=store_refused kind={} status={status}", F::KIND);
+        return None;
     }
+    decoded_or_logged::<F, _>(decode_page(&body))
 }
 
 /// Returns the decoded value. An answer that cannot be decoded is logged, and
@@ -180,9 +215,12 @@
         .ok()
 }
 
-async fn poll_changes<F: Follower>(
+/// Returns the next changes: as soon as there are some, or what there is after the
+/// follower's interval.
+async fn next_changes<F: Follower>(
     instance: &Instance,
     store: &CallClient,
+    follower: &F,
     revision: u64,
 ) -> Option<Changes> {
     let freshness = instance.freshness(now_ms());
@@ -190,6 +228,20 @@
         Freshness::Current => instance.settings.max_current_watch_ms,
         Freshness::MayLag => instance.settings.max_watch_ms,
     };
+    let Some(interval_ms) = follower.poll_interval_ms() else {
+        return read_changes::<F>(instance, store, revision, wait_ms, freshness).await;
+    };
+    sleep(Duration::from_millis(interval_ms)).await;
+    read_changes::<F>(instance, store, revision, MIN_WAIT_MS, freshness).await
+}
+
+async fn read_changes<F: Follower>(
+    instance: &Instance,
+    store: &CallClient,
+    revision: u64,
+    wait_ms: u64,
+    freshness: Freshness,
+) -> Option<Changes> {
     let call = Changes::call(F::KIND, revision, wait_ms, freshness);
     match store
         .call(&call, wait_ms + instance.settings.watch_answer_margin_ms)
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -2,14 +2,28 @@
     super::{
         CallClient,
         follow::{Follower, follow, follow_on_demand},
+        reading::Listing,
+    },
+    crate::{
+        clock::now_ms,
+        instance::{Instance, hash},
+    },
+    mangowalk_core::{
+        canary::CanaryOrder,
+        pool::{EngineEntry, EngineTable, ListPart, NameForm},
+        weights::PublishedAt,
     },
-    crate::{clock::now_ms, instance::Instance},
-    mangowalk_core::{canary::CanaryOrder, pool::EngineTable, weights::PublishedAt},
     mangowalk_platform::{
-        Freshness, ObjectKind, StoredObject, decode_configuration, decode_engine,
-        decode_newest_weights, decode_rollout,
+        ENGINE_NAME_SAMPLE, Freshness, ObjectKind, StoredObject, decode_configuration,
+        decode_engine, decode_newest_weights, decode_rollout,
+    },
+    std::{
+        cell::{Cell, RefCell},
+        collections::HashSet,
+        future::pending,
+        rc::Rc,
+        time::Duration,
     },
-    std::{cell::Cell, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
@@ -30,8 +44,8 @@
 impl Follower for ConfigurationFollower {
     const KIND: ObjectKind = ObjectKind::Configuration;
 
-    fn replace_all(&self, objects: &[StoredObject], _revision: u64) {
-        for object in objects {
+    fn replace_all(&self, listing: &Listing) {
+        for object in &listing.objects {
             self.apply(object);
         }
     }
@@ -48,7 +62,7 @@
             instance.wake_ups.configuration.notified().await;
             // All instances receive a change at about the same time. Only an
             // instance whose watch has stalled or lags has to read again.
-            sleep(Duration::from_millis(instance.settings.peer_lead_ms)).await;
+            sleep(Duration::from_millis(instance.configuration_lead_ms())).await;
             if instance.is_behind(now_ms()) {
                 return;
             }
@@ -78,14 +92,14 @@
 impl Follower for WeightsFollower {
     const KIND: ObjectKind = ObjectKind::Weights;
 
-    fn replace_all(&self, objects: &[StoredObject], _revision: u64) {
+    fn replace_all(&self, listing: &Listing) {
         let gap_ms = self
             .last_answer_ms
             .get()
             .map(|last_answer_ms| now_ms() - last_answer_ms);
         let at = PublishedAt::after_gap(gap_ms);
         self.last_answer_ms.set(Some(now_ms()));
-        for object in objects {
+        for object in &listing.objects {
             self.record_version(object, at);
         }
     }
@@ -98,50 +112,120 @@
     }
 }
 
-struct EnginesFollower(Rc<Instance>);
+/// Interval at which the first reading of the engines waits for the configuration.
+const CONFIGURATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Interval at which an instance checks whether it knows enough engines.
+const PART_CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
+
+struct EnginesFollower {
+    instance: Rc<Instance>,
+    /// Part of the list that was read last.
+    part: RefCell<ListPart>,
+    /// Form of the names, from which the start of a part is drawn.
+    name_form: RefCell<NameForm>,
+}
 
 impl EnginesFollower {
-    fn apply_entry(&self, engines: &mut EngineTable, object: &StoredObject) {
+    fn new(instance: Rc<Instance>) -> EnginesFollower {
+        EnginesFollower {
+            instance,
+            part: RefCell::default(),
+            name_form: RefCell::new(NameForm::of(ENGINE_NAME_SAMPLE)),
+        }
+    }
+
+    /// Applies an entry, and returns whether the engine is leaving.
+    fn apply_entry(&self, engines: &mut EngineTable, object: &StoredObject) -> bool {
         let (name, revision) = (&object.name, object.revision);
         match decode_engine(name, revision, &object.spec) {
             Ok(entry) => {
                 let draining = entry.draining;
-                if engines.apply_entry(entry) {
+                // The first reading is one line, not thousands.
+                if engines.apply_entry(entry) && self.instance.is_engine_list_read.get() {
                     log::info!(
                         "event=engine_listed engine={name} draining={draining} revision={revision}"
                     );
                 }
-                if draining {
-                    self.0.wake_ups.heartbeat.notify_one();
-                }
+                draining
             }
             Err(error) => {
                 engines.remove_unreadable(name);
                 log::warn!("event=engine_refused engine={name} error=\"{error}\"");
+                false
             }
         }
     }
 
-    fn remove_entry(&self, engines: &mut EngineTable, name: &str, revision: u64, now_ms: u64) {
+    /// Removes an engine whose entry is gone, and returns whether it was removed now.
+    fn remove_entry(
+        &self,
+        engines: &mut EngineTable,
+        name: &str,
+        revision: u64,
+        now_ms: u64,
+    ) -> bool {
         let (expired_entry_grace_ms, settled_ms) = (
-            self.0.settings.expired_entry_grace_ms,
-            self.0.machine().settled_ms,
+            self.instance.settings.expired_entry_grace_ms,
+            self.instance.machine().settled_ms,
         );
-        let store_availability = &self.0.store_availability;
+        let store_availability = &self.instance.store_availability;
         let keep_until_ms = store_availability.missing_entries_usable_until_ms(
             expired_entry_grace_ms,
             settled_ms,
             now_ms,
         );
-        if engines.remove_entry(name, revision, keep_until_ms, now_ms) {
+        let is_removed = engines.remove_entry(name, revision, keep_until_ms, now_ms);
+        if is_removed {
             log::info!("event=engine_gone engine={name} revision={revision}");
-            self.0.wake_ups.heartbeat.notify_one();
         } else if engines.get(name).is_some() {
             let grace_ms = keep_until_ms.unwrap_or(now_ms).saturating_sub(now_ms);
             log::info!(
                 "event=engine_missing engine={name} revision={revision} grace_ms={grace_ms}"
             );
         }
+        is_removed
+    }
+
+    /// Passes on what a change of the list means for others.
+    fn apply_news(&self, is_leaving: bool, now_ms: u64) {
+        let instance = &self.instance;
+        instance.assign_software_roles(now_ms);
+        instance.wake_ups.orders.notify_one();
+        if is_leaving {
+            instance.announce_store_news(now_ms);
+        }
+    }
+
+    /// Returns whether this instance has to know all engines: others rely on what it
+    /// reads, or it brings new weights to all of them.
+    fn needs_all(&self) -> bool {
+        let instance = &self.instance;
+        instance.holds_lease.get() || instance.freshness(now_ms()) == Freshness::Current
+    }
+
+    /// Returns whether the part that was read doesn't suffice any more.
+    fn needs_more(&self) -> bool {
+        let part = self.part.borrow();
+        if part.is_all() {
+            return false;
+        }
+        let instance = &self.instance;
+        let engines = instance.engines.borrow();
+        let staying = engines.staying_engines(now_ms());
+        let entries = staying.map(|engine| &engine.entry);
+        let services = instance.routed_services();
+        let settings = &instance.settings.list_part;
+        self.needs_all() || settings.is_depleted(entries, &services)
+    }
+
+    /// Learns the form of the names if it isn't the expected one.
+    fn learn_name_form(&self, listing: &Listing) {
+        let names = listing.objects.iter().map(|object| object.name.as_str());
+        let mut form = self.name_form.borrow_mut();
+        if !form.fits(names.clone()) {
+            *form = NameForm::of(names);
+        }
     }
 }
 
@@ -149,42 +233,87 @@
     const KIND: ObjectKind = ObjectKind::Engines;
 
     fn batch_ms(&self) -> u64 {
-        self.0.settings.batch_ms
+        self.instance.settings.batch_ms
     }
 
-    fn replace_all(&self, objects: &[StoredObject], revision: u64) {
+    fn poll_interval_ms(&self) -> Option<u64> {
+        self.instance.engine_poll_interval_ms(now_ms())
+    }
+
+    fn start(&self) -> Option<String> {
+        let instance = &self.instance;
+        let is_partial = instance.is_large_fleet() && !self.needs_all();
+        let seed = hash(instance.machine().name.as_bytes());
+        is_partial.then(|| self.name_form.borrow().draw(seed))
+    }
+
+    fn is_enough(&self, objects: &[StoredObject]) -> bool {
+        let instance = &self.instance;
+        let entries = objects.iter();
+        let entries = entries.map(|object| decode_engine(&object.name, 0, &object.spec));
+        let entries: Vec<EngineEntry> = entries.flatten().collect();
+        let services = instance.routed_services();
+        let instances = instance.members.borrow().expected() + 1;
+        let settings = &instance.settings.list_part;
+        settings.is_enough(&entries, &services, instances)
+    }
+
+    fn reading_freshness(&self) -> Freshness {
+        match self.instance.is_large_fleet() {
+            true => self.instance.freshness(now_ms()),
+            false => Freshness::Current,
+        }
+    }
+
+    fn replace_all(&self, listing: &Listing) {
         let now_ms = now_ms();
-        let mut engines = self.0.engines.borrow_mut();
-        let is_listed = |id: &str| objects.iter().any(|object| object.name == id);
-        for name in engines.missing_from(is_listed) {
-            self.remove_entry(&mut engines, &name, revision, now_ms);
+        let instance = &self.instance;
+        self.learn_name_form(listing);
+        let mut engines = instance.engines.borrow_mut();
+        let names = listing.objects.iter().map(|object| object.name.as_str());
+        let listed: HashSet<&str> = names.collect();
+        let mut is_news = false;
+        for name in engines.missing_from(&listing.part, &listed) {
+            is_news |= self.remove_entry(&mut engines, &name, listing.revision, now_ms);
         }
-        for object in objects {
-            self.apply_entry(&mut engines, object);
+        engines.retain_part(&listing.part);
+        for object in &listing.objects {
+            is_news |= self.apply_entry(&mut engines, object);
         }
-        engines.set_list_revision(revision, now_ms);
+        engines.set_list_revision(listing.revision, now_ms);
         drop(engines);
-        self.0.assign_software_roles(now_ms);
-        if !self.0.is_engine_list_read.replace(true) {
-            log::info!("event=engines_known count={}", objects.len());
+        *self.part.borrow_mut() = listing.part.clone();
+        self.apply_news(is_news, now_ms);
+        if !instance.is_engine_list_read.replace(true) {
+            let (count, is_all) = (listing.objects.len(), listing.part.is_all());
+            log::info!("event=engines_known count={count} all={is_all}");
         }
-        self.0.wake_ups.orders.notify_one();
     }
 
     fn apply_changes(&self, changes: &[(String, Option<StoredObject>)], revision: u64) {
         let now_ms = now_ms();
-        let mut engines = self.0.engines.borrow_mut();
-        for (name, object) in changes {
-            match object {
+        let part = self.part.borrow();
+        let mut engines = self.instance.engines.borrow_mut();
+        let mut is_news = false;
+        for (name, object) in changes.iter().filter(|(name, _)| part.contains(name)) {
+            is_news |= match object {
                 Some(object) => self.apply_entry(&mut engines, object),
                 None => self.remove_entry(&mut engines, name, revision, now_ms),
-            }
+            };
         }
         engines.set_list_revision(revision, now_ms);
         drop(engines);
         if !changes.is_empty() {
-            self.0.assign_software_roles(now_ms);
-            self.0.wake_ups.orders.notify_one();
+            self.apply_news(is_news, now_ms);
+        }
+    }
+
+    async fn wait_until_behind(&self) {
+        loop {
+            sleep(PART_CHECK_INTERVAL).await;
+            if self.needs_more() {
+                return;
+            }
         }
     }
 }
@@ -217,10 +346,10 @@
 impl Follower for RolloutsFollower {
     const KIND: ObjectKind = ObjectKind::Rollouts;
 
-    fn replace_all(&self, objects: &[StoredObject], revision: u64) {
-        let orders = objects.iter().filter_map(|object| self.decode(object));
-        let orders: Vec<CanaryOrder> = orders.collect();
-        self.0.replace_rollouts(&orders, revision, now_ms());
+    fn replace_all(&self, listing: &Listing) {
+        let objects = listing.objects.iter();
+        let orders: Vec<CanaryOrder> = objects.filter_map(|object| self.decode(object)).collect();
+        self.0.replace_rollouts(&orders, listing.revision, now_ms());
     }
 
     fn apply_changes(&self, changes: &[(String, Option<StoredObject>)], revision: u64) {
@@ -252,6 +381,9 @@
 
 /// Follows operators' orders to replace a service's software; never returns.
 pub async fn watch_rollouts(instance: Rc<Instance>, store: Rc<CallClient>) {
+    if instance.machine().exposure.is_none() {
+        return pending().await;
+    }
     follow_on_demand(&instance, &store, RolloutsFollower(instance.clone())).await;
 }
 
@@ -269,7 +401,12 @@
     follow(&instance, &store, follower).await;
 }
 
-/// Follows the engine list; never returns.
+/// Follows the engine list; never returns. Which part of a long list is enough depends
+/// on the services of the configuration.
 pub async fn watch_engines(instance: Rc<Instance>, store: Rc<CallClient>) {
-    follow(&instance, &store, EnginesFollower(instance.clone())).await;
+    while instance.routes.borrow().version() == 0 {
+        sleep(CONFIGURATION_CHECK_INTERVAL).await;
+    }
+    let follower = EnginesFollower::new(instance.clone());
+    follow(&instance, &store, follower).await;
 }
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -4,10 +4,12 @@
 mod client;
 mod follow;
 mod followers;
+mod reading;
 mod register;
 
 pub use {
     client::{CallClient, CallError},
     followers::{watch_configuration, watch_engines, watch_rollouts, watch_weights},
+    reading::{Listing, Reading},
     register::register,
 };
