--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -327,8 +327,13 @@
     /// the store, by name, read current state. An instance that receives no
     /// heartbeats from instances with earlier names counts as the first, so one
     /// that is isolated doesn't depend on reports of peers.
+    ///
+    /// An instance that has just started doesn't know yet who these are. If all read
+    /// current state until they hear of each other, the calls would cost as much as those
+    /// of the readers for the rest of the day.
     pub fn freshness(&self, now_ms: u64) -> Freshness {
-        match self.readers_before(now_ms) < self.settings.current_readers {
+        let is_reader = self.readers_before(now_ms) < self.settings.current_readers;
+        match is_reader && self.settles_in_ms(now_ms) == 0 {
             true => Freshness::Current,
             false => Freshness::MayLag,
         }
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -223,10 +223,12 @@
     follower: &F,
     revision: u64,
 ) -> Option<Changes> {
-    let freshness = instance.freshness(now_ms());
-    let wait_ms = match freshness {
-        Freshness::Current => instance.settings.max_current_watch_ms,
-        Freshness::MayLag => instance.settings.max_watch_ms,
+    let now_ms = now_ms();
+    let freshness = instance.freshness(now_ms);
+    let wait_ms = match (freshness, instance.settles_in_ms(now_ms)) {
+        (Freshness::Current, _) => instance.settings.max_current_watch_ms,
+        (Freshness::MayLag, 0) => instance.settings.max_watch_ms,
+        (Freshness::MayLag, settles_in_ms) => settles_in_ms,
     };
     let Some(interval_ms) = follower.poll_interval_ms() else {
         return read_changes::<F>(instance, store, revision, wait_ms, freshness).await;
