--- a/crates/core/tests/mesh_at_scale.rs
+++ b/crates/core/tests/mesh_at_scale.rs
@@ -4,7 +4,7 @@
     mangowalk_core::{
         mesh::{
             Bundle, EXCHANGE_VERSION, Heartbeat, MAX_DATAGRAM_BYTES, MemberTable, MeshSettings,
-            OrderPhase, OrderReport, PACK_BYTES, PACKS_VERSION, PeerMessage, TeamReport,
+            OrderPhase, OrderReport, PACK_BYTES, PACKS_VERSION, PeerMessage, Targets, TeamReport,
             split_packs,
         },
         poison::CrashReport,
@@ -53,6 +53,12 @@
 /// Time between two steps of a simulated fleet.
 const STEP_MS: u64 = 10;
 
+/// Addresses that each instance reads from the platform's list at its start.
+const LISTED: usize = 150;
+
+/// Peers named in one heartbeat.
+const NAMED: usize = 4;
+
 /// Time for which heartbeats are gathered for a group.
 const GATHER_MS: u64 = 150;
 
@@ -82,7 +88,30 @@
 impl Fleet {
     /// Returns a fleet in which all know each other at 0 ms.
     fn new(instances: usize) -> Fleet {
-        let mut fleet = Fleet {
+        let mut fleet = Fleet::unknown(instances);
+        for to in 0..instances {
+            for from in (0..instances).filter(|from| *from != to) {
+                fleet.receive(to, &heartbeat_of(from, 1), 0);
+            }
+        }
+        fleet
+    }
+
+    /// Returns a fleet that starts at 0 ms: each instance has the addresses of three
+    /// seeds, and of those that follow it in the platform's list.
+    fn starting(instances: usize) -> Fleet {
+        let mut fleet = Fleet::unknown(instances);
+        for (n, table) in fleet.tables.iter_mut().enumerate() {
+            let listed = (n + 1..n + 1 + LISTED).map(|other| other % instances);
+            for other in listed.chain(0..3).filter(|other| *other != n) {
+                table.add_candidate(address(other), 0);
+            }
+        }
+        fleet
+    }
+
+    fn unknown(instances: usize) -> Fleet {
+        Fleet {
             tables: (0..instances)
                 .map(|n| MemberTable::new(&name(n), domain(n)))
                 .collect(),
@@ -97,13 +126,7 @@
             received_ms: vec![vec![0; instances]; instances],
             max_gap_ms: 0,
             settings: MeshSettings::default(),
-        };
-        for to in 0..instances {
-            for from in (0..instances).filter(|from| *from != to) {
-                fleet.receive(to, &heartbeat_of(from, 1), 0);
-            }
         }
-        fleet
     }
 
     fn receive(&mut self, to: usize, heartbeat: &Heartbeat, now_ms: u64) {
@@ -123,8 +146,14 @@
     /// Sends the heartbeat of one instance, as the gateway does.
     fn send(&mut self, from: usize, now_ms: u64) {
         self.sequences[from] += 1;
-        let own = heartbeat_of(from, self.sequences[from]);
+        let mut own = heartbeat_of(from, self.sequences[from]);
         let table = &self.tables[from];
+        let known = table.live(&self.settings, now_ms);
+        let known = known.map(|member| member.last_heartbeat.peer_address);
+        let known: Vec<SocketAddr> = known.collect();
+        let first = self.sequences[from] as usize * NAMED;
+        let named = (0..known.len().min(NAMED)).map(|n| known[(first + n) % known.len()]);
+        own.peers = named.collect();
         let targets = table.targets(
             domain(from),
             self.sequences[from],
@@ -132,7 +161,9 @@
             &self.settings,
             now_ms,
         );
-        assert!(table.uses_packs(&self.settings));
+        if !table.uses_packs(&self.settings) {
+            return self.send_alone(from, &own, targets, now_ms);
+        }
         let pack = table.pack(self.pack_ms[from], &self.settings, now_ms);
         let pack: Option<Vec<Heartbeat>> = pack.map(|group| {
             let held = group
@@ -177,6 +208,21 @@
         }
     }
 
+    /// Sends a heartbeat that is relayed by itself.
+    fn send_alone(&mut self, from: usize, own: &Heartbeat, targets: Targets, now_ms: u64) {
+        let pack = std::slice::from_ref(own);
+        for address in targets.direct {
+            self.transfer(from, address, pack, now_ms);
+        }
+        for address in targets.relays {
+            let relay = self.transfer(from, address, pack, now_ms);
+            let near: Vec<SocketAddr> = self.tables[relay].in_domain(domain(relay)).collect();
+            for address in near {
+                self.transfer(relay, address, pack, now_ms);
+            }
+        }
+    }
+
     /// Sends one datagram, and returns who receives it.
     fn transfer(
         &mut self,
@@ -322,6 +368,21 @@
     }
 }
 
+/// Guards against instances of a fleet that starts at once which miss some of each
+/// other, or send more while they find each other than a small machine can receive.
+#[test]
+fn a_large_fleet_knows_itself_soon_after_its_start() {
+    const INSTANCES: usize = 300;
+    let mut fleet = Fleet::starting(INSTANCES);
+    fleet.run(0, 3_000);
+    let received = fleet.received.iter().sum::<usize>() / INSTANCES / 3;
+    assert!(received <= 500, "{received} a second");
+    for (n, table) in fleet.tables.iter().enumerate() {
+        let live = table.live(&fleet.settings, 3_000).count();
+        assert_eq!(live, INSTANCES - 1, "instance {n}");
+    }
+}
+
 /// Every tenth instance is lost at once. The packs of its group are sent by the
 /// others, lost relays cost single packs, and no pack keeps a lost instance alive.
 #[test]
