--- /dev/null
+++ b/crates/mangowalkd/tests/machines/endings.rs
@@ -0,0 +1,164 @@
+//! Ends of answers: what callers see when an engine breaks one off.
+
+use {
+    super::PROGRAM,
+    mangowalk_platform_standins::{Caller, Deployment, EngineFaults, RouteKind, wait_until},
+};
+
+/// An engine breaks off a stream after some events.
+fn broken_off(events: usize) -> EngineFaults {
+    EngineFaults {
+        cut_after_events: Some(events),
+        ..EngineFaults::default()
+    }
+}
+
+/// Returns what a caller sees of each way to break off a stream of a route, one line
+/// each. All engines of the deployment break it off.
+fn outcomes(kind: RouteKind, http_version: &'static str) -> String {
+    let unframed = EngineFaults {
+        is_unframed: true,
+        ..broken_off(4)
+    };
+    let faults = [
+        (
+            "chunks, cut inside an event",
+            EngineFaults {
+                sends_half_event: true,
+                ..broken_off(4)
+            },
+        ),
+        (
+            "chunks, ended inside an event",
+            EngineFaults {
+                sends_half_event: true,
+                ends_cleanly: true,
+                ..broken_off(4)
+            },
+        ),
+        (
+            "unframed, closed inside an event",
+            EngineFaults {
+                sends_half_event: true,
+                ends_cleanly: true,
+                ..unframed.clone()
+            },
+        ),
+        (
+            "unframed, closed before any event",
+            EngineFaults {
+                ends_cleanly: true,
+                cut_after_events: Some(0),
+                ..unframed.clone()
+            },
+        ),
+        (
+            "unframed, reset",
+            EngineFaults {
+                resets_connection: true,
+                ..unframed
+            },
+        ),
+    ];
+    let deployment = Deployment::start(PROGRAM, 1, 2);
+    let mut caller = deployment.caller(0);
+    caller.http_version = http_version;
+    let lines = faults.map(|(name, faults)| {
+        for engine in &deployment.engines {
+            engine.set_faults(faults.clone());
+        }
+        let reply = caller.stream(kind.path(), &Caller::new_request_id());
+        format!(
+            "{name}: {}, {} events, looks complete: {}",
+            reply.status,
+            reply.event_ids().len(),
+            reply.is_complete
+        )
+    });
+    lines.join("\n")
+}
+
+/// Guards against a stream that its engine broke off reaching the caller as complete.
+#[test]
+fn a_broken_stream_never_looks_complete() {
+    for kind in [RouteKind::Stream, RouteKind::Resumable] {
+        let outcomes = outcomes(kind, "HTTP/1.1");
+        assert!(
+            !outcomes.contains("looks complete: true"),
+            "{kind:?}:\n{outcomes}"
+        );
+    }
+}
+
+/// Guards against the end of the connection, which is the end of an answer to HTTP/1.0,
+/// hiding that a stream was broken off.
+#[test]
+fn an_http_1_0_caller_is_told_of_a_broken_stream() {
+    for kind in [RouteKind::Stream, RouteKind::Resumable] {
+        let outcomes = outcomes(kind, "HTTP/1.0");
+        assert!(
+            !outcomes.contains("looks complete: true"),
+            "{kind:?}:\n{outcomes}"
+        );
+    }
+}
+
+/// Guards against answers without a length being refused, or their connection being
+/// used again.
+#[test]
+fn answers_that_end_with_their_connection_are_served() {
+    let deployment = Deployment::start(PROGRAM, 1, 2);
+    for engine in deployment.engines.iter().chain(&deployment.services) {
+        engine.set_faults(EngineFaults {
+            is_unframed: true,
+            ..EngineFaults::default()
+        });
+    }
+    let caller = deployment.caller(0);
+    for _ in 0..6 {
+        for kind in [RouteKind::Stream, RouteKind::Resumable] {
+            let reply = caller.stream(kind.path(), &Caller::new_request_id());
+            assert!(reply.is_complete_stream(), "{kind:?}: {reply:?}");
+        }
+        for (kind, method) in [(RouteKind::Idempotent, "GET"), (RouteKind::Once, "POST")] {
+            let id = Caller::new_request_id();
+            let reply = caller.plain(method, kind.path(), &id);
+            assert_eq!((reply.status, reply.body), (200, format!("body of {id}")));
+            assert_eq!(deployment.times_run(&id), 1);
+        }
+    }
+    let log = deployment.machines[0].log();
+    assert!(!log.contains("event=engine_failed"), "{log}");
+}
+
+/// Guards against a stream that may be resumed ending early, or with half an event,
+/// when an engine closes its connection inside an event or before the first one.
+#[test]
+fn an_unframed_stream_that_breaks_off_resumes_at_another_engine() {
+    for (events, reason) in [(4, "half_event"), (0, "no_event")] {
+        let log: String = [0, 1]
+            .map(|engine| log_of_a_stream_beside_a_broken_engine(engine, events))
+            .concat();
+        assert!(log.contains(&format!("reason={reason}")), "{reason}: {log}");
+    }
+}
+
+/// Asks for a stream where one of two engines breaks all off after some events, and
+/// returns the log.
+fn log_of_a_stream_beside_a_broken_engine(engine: usize, events: usize) -> String {
+    let deployment = Deployment::start(PROGRAM, 1, 2);
+    deployment.engines[engine].set_faults(EngineFaults {
+        is_unframed: true,
+        sends_half_event: events > 0,
+        ends_cleanly: true,
+        ..broken_off(events)
+    });
+    let caller = deployment.caller(0);
+    let reply = caller.stream(RouteKind::Resumable.path(), &Caller::new_request_id());
+    assert!(reply.is_complete_stream(), "{reply:?}");
+    let machine = &deployment.machines[0];
+    wait_until("the answer is logged", || {
+        machine.log().contains("event=answered")
+    });
+    machine.log()
+}
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod configuration;
+mod endings;
 mod input;
 mod kept;
 mod lagging;
