Log how an engine's answer ended

Whether an answer ended with its length, its last chunk or its connection could not be told from logs or metrics, so a complete answer looked like one whose engine had crashed and closed its connection in order. `answered` has the framing, and the counter `answer_end` counts the answers by it.

--- a/crates/gateway/src/callers/buffered.rs
+++ b/crates/gateway/src/callers/buffered.rs
@@ -45,7 +45,12 @@
                     record_result(&request.instance, &answered.engine, &request.route, sample);
                 }
                 answered.answer.connection.return_to_pool(now_ms());
-                record_answered_request(&request, &answered.engine.incarnation.id, status.as_u16());
+                record_answered_request(
+                    &request,
+                    &answered.engine.incarnation.id,
+                    status,
+                    answered.answer.head.framing,
+                );
                 let mut response = Response::new(AnswerBody::buffered(body.to_bytes()));
                 *response.status_mut() = status;
                 *response.headers_mut() = answer_headers(&parts.headers);
--- a/crates/gateway/src/callers/completion.rs
+++ b/crates/gateway/src/callers/completion.rs
@@ -1,7 +1,8 @@
 use {
     super::{AnswerBody, Refusal, request::CallerRequest},
     crate::clock::now_ms,
-    http::Response,
+    http::{Response, StatusCode},
+    mangowalk_platform::BodyFraming,
 };
 
 /// Time after which a refused caller should retry if no wait is given, without
@@ -24,7 +25,12 @@
 }
 
 /// Records, counts and logs the end of a request that an engine answered.
-pub(super) fn record_answered_request(request: &CallerRequest, engine: &str, status: u16) {
+pub(super) fn record_answered_request(
+    request: &CallerRequest,
+    engine: &str,
+    status: StatusCode,
+    framing: BodyFraming,
+) {
     let took_ms = now_ms().saturating_sub(request.arrived_ms);
     let mut crashes = request.instance.crashes.borrow_mut();
     if !crashes.is_empty() {
@@ -33,9 +39,12 @@
     drop(crashes);
     request.instance.counters.observe("request", took_ms);
     request.instance.counters.count("answered", "engine");
+    let framing = framing.label();
+    request.instance.counters.count("answer_end", framing);
     log::info!(
-        "event=answered request={} engine={engine} status={status} took_ms={took_ms}",
+        "event=answered request={} engine={engine} status={} took_ms={took_ms} framing={framing}",
         request.id(),
+        status.as_u16(),
     );
 }
 
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -12,7 +12,7 @@
     crate::{clock::now_ms, rollouts::record_result, upstreams::check_silent},
     bytes::Bytes,
     futures_util::stream::unfold,
-    http::Response,
+    http::{Response, StatusCode},
     http_body_util::BodyExt,
     mangowalk_core::{
         canary::Sample, pool::EngineEntry, routing::RetryPolicy, stream::EventSplitter,
@@ -224,7 +224,12 @@
             );
             record_complete_answer(&self.request, &answered.engine.incarnation.id);
             self.record_pauses(&answered.engine);
-            record_answered_request(&self.request, &answered.engine.incarnation.id, 200);
+            record_answered_request(
+                &self.request,
+                &answered.engine.incarnation.id,
+                StatusCode::OK,
+                answered.answer.head.framing,
+            );
         }
     }
 
