Take the end of a stream for complete only between events

What callers saw: 200 with an engine's stamp, framed as complete, the last events missing. Cause: the engine's answer had neither a length nor chunks, and its crash closed the connection in order, which HTTP can't tell from the end of the answer. Only streams that may be resumed were checked for half an event; all others were passed on unread, and the end of the connection was written on as the last chunk.

The end of every stream of events is now judged by its events: inside one it was broken off, and so it was where only the end of the connection ends it and no event came. Such an end counts as a crash for engine and request, and resumes the stream where that is allowed. Line ends `\r` and `\r\n` are read as the standard has them, split anywhere; a lone comment no longer holds a stream's end back. A connection that ends with its answer never returns to the pool.

--- a/crates/core/src/stream/event_splitter.rs
+++ b/crates/core/src/stream/event_splitter.rs
@@ -1,3 +1,5 @@
+use super::EventScanner;
+
 /// Splits a byte stream of server-sent events at event boundaries.
 ///
 /// An engine that crashes may stop in the middle of an event. If the partial
@@ -5,6 +7,7 @@
 /// that resumes the stream.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
+    scanner: EventScanner,
     partial: Vec<u8>,
     last_id: Option<String>,
 }
@@ -14,19 +17,20 @@
     /// id; `None` for a stream from the start.
     pub fn resume_after(last_id: Option<String>) -> EventSplitter {
         EventSplitter {
-            partial: Vec::new(),
             last_id,
+            ..EventSplitter::default()
         }
     }
 
     /// Adds received bytes, and returns all bytes up to the end of the last
     /// complete event.
     pub fn push(&mut self, bytes: &[u8]) -> Vec<u8> {
+        let received_before = self.partial.len();
         self.partial.extend_from_slice(bytes);
-        let Some(end) = end_of_last_event(&self.partial) else {
+        let Some(end) = self.scanner.scan(bytes) else {
             return Vec::new();
         };
-        let partial = self.partial.split_off(end);
+        let partial = self.partial.split_off(received_before + end);
         let whole = std::mem::replace(&mut self.partial, partial);
         if let Some(id) = last_id(&whole) {
             self.last_id = Some(id);
@@ -39,6 +43,11 @@
         !self.partial.is_empty()
     }
 
+    /// Returns the scanner, which knows whether events have arrived.
+    pub fn scanner(&self) -> &EventScanner {
+        &self.scanner
+    }
+
     /// Returns the last event id among the complete events, or the id that the
     /// stream resumed after.
     pub fn last_id(&self) -> Option<&str> {
@@ -46,18 +55,11 @@
     }
 }
 
-fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
-    let line_feeds = bytes.windows(2).rposition(|pair| pair == b"\n\n");
-    let returns = bytes.windows(4).rposition(|four| four == b"\r\n\r\n");
-    let ends = [line_feeds.map(|at| at + 2), returns.map(|at| at + 4)];
-    ends.into_iter().flatten().max()
-}
-
 /// Returns the last id among the events. It searches bytes, since the data need
 /// not be UTF-8: with a missed id, events would be repeated when the stream
 /// resumes.
 fn last_id(events: &[u8]) -> Option<String> {
-    let mut lines = events.split(|byte| *byte == b'\n').rev();
+    let mut lines = events.split(|byte| matches!(byte, b'\n' | b'\r')).rev();
     let id = lines.find_map(|line| line.strip_prefix(b"id:"))?;
     let id = std::str::from_utf8(id).ok()?;
     Some(id.trim().to_owned())
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -155,7 +155,7 @@
 /// Counts and logs a failure of an engine and records it in the engine's health.
 ///
 /// If the answer was lost before its head arrived, or a stream broke off or ended
-/// within an event, the request is also recorded as a possible cause of a crash. The
+/// within or before its events, the request is also recorded as a possible cause of a crash. The
 /// engine is probed, except after an answer that isn't its own.
 pub(super) fn record_engine_failure(
     request: &CallerRequest,
@@ -179,7 +179,7 @@
     if reason != "not_connected" {
         record_loss(&request.instance, engine);
     }
-    let is_request_lost = matches!(reason, "lost" | "broken_off" | "half_event");
+    let is_request_lost = matches!(reason, "lost" | "broken_off" | "half_event" | "no_event");
     if is_request_lost {
         let identity = request.identity();
         let mut crashes = request.instance.crashes.borrow_mut();
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -15,9 +15,12 @@
     http::{Response, StatusCode},
     http_body_util::BodyExt,
     mangowalk_core::{
-        canary::Sample, pool::EngineEntry, routing::RetryPolicy, stream::EventSplitter,
+        canary::Sample,
+        pool::EngineEntry,
+        routing::RetryPolicy,
+        stream::{EventScanner, EventSplitter, StreamEnd},
     },
-    mangowalk_platform::answer_headers,
+    mangowalk_platform::{AnswerHead, BodyFraming, answer_headers},
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
 };
@@ -29,9 +32,7 @@
     /// The answer being forwarded. `None` once it has ended or was cut off.
     answered: Option<EngineAnswer>,
     attempts: AttemptHistory,
-    /// Splits the stream into complete events. `None` if the route's streams
-    /// can't be resumed.
-    splitter: Option<EventSplitter>,
+    events: ForwardedEvents,
     /// Whether any bytes have arrived.
     has_begun: bool,
     /// When the last bytes arrived.
@@ -41,6 +42,64 @@
     _open_request: OpenRequestGuard,
 }
 
+/// The events of a stream, as far as they have arrived.
+enum ForwardedEvents {
+    /// Forwarded in complete events, as the stream may be resumed behind each.
+    Resumable(EventSplitter),
+    /// Forwarded as they arrive.
+    AsReceived(EventScanner),
+    /// The body doesn't consist of events.
+    Opaque,
+}
+
+impl ForwardedEvents {
+    fn of(request: &CallerRequest, head: &AnswerHead) -> ForwardedEvents {
+        if request.route.retry == RetryPolicy::ResumableStream {
+            let last_id = request.head.last_event_id.clone();
+            return ForwardedEvents::Resumable(EventSplitter::resume_after(last_id));
+        }
+        match head.is_event_stream {
+            true => ForwardedEvents::AsReceived(EventScanner::default()),
+            false => ForwardedEvents::Opaque,
+        }
+    }
+
+    /// Adds received bytes and returns those to forward.
+    fn push(&mut self, bytes: Bytes) -> Bytes {
+        match self {
+            ForwardedEvents::Resumable(splitter) => Bytes::from(splitter.push(&bytes)),
+            ForwardedEvents::AsReceived(scanner) => {
+                scanner.scan(&bytes);
+                bytes
+            }
+            ForwardedEvents::Opaque => bytes,
+        }
+    }
+
+    /// Returns the splitter of a stream that may be resumed.
+    fn splitter(&self) -> Option<&EventSplitter> {
+        match self {
+            ForwardedEvents::Resumable(splitter) => Some(splitter),
+            _ => None,
+        }
+    }
+
+    /// Returns why a stream that ends now was broken off, or `None` if it is complete.
+    fn break_reason(&self, framing: BodyFraming, is_resumed: bool) -> Option<&'static str> {
+        let scanner = match self {
+            ForwardedEvents::Resumable(splitter) => splitter.scanner(),
+            ForwardedEvents::AsReceived(scanner) => scanner,
+            ForwardedEvents::Opaque => return None,
+        };
+        let ends_with_connection = framing == BodyFraming::Connection;
+        match StreamEnd::of(scanner, ends_with_connection, is_resumed) {
+            StreamEnd::Complete => None,
+            StreamEnd::InsideEvent => Some("half_event"),
+            StreamEnd::NoEvent => Some("no_event"),
+        }
+    }
+}
+
 /// Arrivals of the events of a stream.
 #[derive(Debug, Clone, Copy, Default)]
 struct Pace {
@@ -78,10 +137,8 @@
 ) -> Response<AnswerBody> {
     let headers = answer_headers(&answered.answer.parts.headers);
     let status = answered.answer.parts.status;
-    let resumable = request.route.retry == RetryPolicy::ResumableStream;
-    let last_id = request.head.last_event_id.clone();
     let forwarder = StreamForwarder {
-        splitter: resumable.then(|| EventSplitter::resume_after(last_id)),
+        events: ForwardedEvents::of(&request, &answered.answer.head),
         request,
         answered: Some(answered),
         attempts,
@@ -117,6 +174,7 @@
             let Some(answered) = &mut self.answered else {
                 return Ok(None);
             };
+            let framing = answered.answer.head.framing;
             let left_ms = self.request.left_ms();
             let check_interval = Duration::from_millis(left_ms.min(SILENCE_CHECK_INTERVAL_MS));
             match timeout(check_interval, answered.answer.body.frame()).await {
@@ -131,31 +189,30 @@
                         continue;
                     };
                     self.record_received();
-                    let complete_events = match &mut self.splitter {
-                        Some(splitter) => Bytes::from(splitter.push(&bytes)),
-                        None => bytes,
-                    };
-                    if !complete_events.is_empty() {
-                        return Ok(Some(complete_events));
+                    let forwarded = self.events.push(bytes);
+                    if !forwarded.is_empty() {
+                        return Ok(Some(forwarded));
                     }
                 }
                 Ok(Some(Err(_))) => self.resume("broken_off").await?,
-                Ok(None)
-                    if self
-                        .splitter
-                        .as_ref()
-                        .is_some_and(EventSplitter::has_partial_event) =>
-                {
-                    self.resume("half_event").await?;
-                }
                 Ok(None) => {
-                    self.finish();
-                    return Ok(None);
+                    let Some(reason) = self.events.break_reason(framing, self.is_resumed()) else {
+                        self.finish();
+                        return Ok(None);
+                    };
+                    self.resume(reason).await?;
                 }
             }
         }
     }
 
+    /// Returns whether the engine was asked to go on behind events that the caller has.
+    fn is_resumed(&self) -> bool {
+        let splitter = self.events.splitter();
+        let behind = splitter.and_then(EventSplitter::last_id);
+        behind.is_some() || self.request.head.last_event_id.is_some()
+    }
+
     /// Returns whether the engine is silent and the stream can be resumed
     /// elsewhere. Probes an engine that has sent nothing for the time
     /// `probe_after_ms` of the settings.
@@ -166,7 +223,7 @@
     /// whether it accepts a connection. A stream that can't be resumed stays at
     /// its engine: no other engine can finish it, and the engine may send again.
     fn is_stalled(&self) -> bool {
-        let (Some(answered), Some(_)) = (&self.answered, &self.splitter) else {
+        let (Some(answered), Some(_)) = (&self.answered, self.events.splitter()) else {
             return false;
         };
         let instance = &self.request.instance;
@@ -273,7 +330,7 @@
         record_engine_failure(&self.request, &answered.engine, reason);
         drop(answered);
         let may_retry = self.attempts.possible_run_count < self.request.route.max_attempts;
-        let Some(splitter) = self.splitter.as_ref().filter(|_| may_retry) else {
+        let Some(splitter) = self.events.splitter().filter(|_| may_retry) else {
             return Err(self.record_cut(reason));
         };
         let last_id = splitter.last_id().map(str::to_owned);
@@ -290,7 +347,7 @@
             self.request.id(),
             next.engine.incarnation.id,
         );
-        self.splitter = Some(EventSplitter::resume_after(last_id));
+        self.events = ForwardedEvents::Resumable(EventSplitter::resume_after(last_id));
         self.answered = Some(*next);
         self.last_received_ms = now_ms();
         self.pace = Pace::default();
--- a/crates/gateway/src/upstreams/exchange.rs
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -7,7 +7,7 @@
     http_body_util::Full,
     hyper::body::Incoming,
     mangowalk_core::pool::EngineEntry,
-    mangowalk_platform::AnswerHead,
+    mangowalk_platform::{AnswerHead, BodyFraming},
     std::rc::Rc,
 };
 
@@ -97,6 +97,9 @@
     let (parts, body) = response.into_parts();
     let head = AnswerHead::decode(parts.status, &parts.headers);
     connection.set_keep_alive_s(head.keep_alive_s);
+    if head.closes_connection || head.framing == BodyFraming::Connection {
+        connection.set_closing();
+    }
     Ok(Answer {
         head,
         parts,
--- a/crates/gateway/src/upstreams/pool.rs
+++ b/crates/gateway/src/upstreams/pool.rs
@@ -61,6 +61,7 @@
             sender: Some(connection.sender),
             task: connection.task,
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
+            is_closing: false,
         })
     }
 
@@ -77,6 +78,7 @@
             sender: Some(sender),
             task,
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
+            is_closing: false,
         }
     }
 
@@ -118,6 +120,8 @@
     sender: Option<SendRequest<Full<Bytes>>>,
     task: AbortHandle,
     idle_timeout_ms: u64,
+    /// Whether the connection ends with the answer.
+    is_closing: bool,
 }
 
 impl PooledConnection {
@@ -134,6 +138,11 @@
         }
     }
 
+    /// Records that the connection ends with the answer, so that it isn't used again.
+    pub fn set_closing(&mut self) {
+        self.is_closing = true;
+    }
+
     /// Returns the connection to the pool, once its answer was read in full. Closes
     /// it instead if it is no longer usable or the engine has enough idle ones.
     pub fn return_to_pool(mut self, now_ms: u64) {
@@ -141,7 +150,7 @@
             return;
         };
         let expires_ms = now_ms + self.idle_timeout_ms.saturating_sub(IDLE_TIMEOUT_MARGIN_MS);
-        if sender.is_closed() || expires_ms <= now_ms {
+        if self.is_closing || sender.is_closed() || expires_ms <= now_ms {
             self.task.abort();
             return;
         }
