Reset the connection of an HTTP/1.0 caller whose answer broke off

What callers saw: over HTTP/1.0 every stream that was broken off looked complete. Cause: such an answer ends with its connection, and a cut stream closed it in order. It is reset now, which a caller can tell from an end. HTTP/1.1 callers, whose chunks show the break, are closed as before, so that all events that were ready reach them.

--- a/crates/gateway/src/callers/listener.rs
+++ b/crates/gateway/src/callers/listener.rs
@@ -4,9 +4,11 @@
         instance::{Drain, Instance},
         upstreams::ConnectionPool,
     },
-    hyper::{server::conn::http1, service::service_fn},
+    http::{Request, Version},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{convert::Infallible, pin::pin, rc::Rc, time::Duration},
+    socket2::SockRef,
+    std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         task::spawn_local,
@@ -54,26 +56,39 @@
     }
     let limits = instance.routes.borrow().configuration().limits;
     let mut drain = instance.drain.clone();
-    let service = service_fn(|request| {
+    let ends_answers = Cell::new(false);
+    let service = service_fn(|request: Request<Incoming>| {
+        ends_answers.set(request.version() == Version::HTTP_10);
         let (instance, pool) = (instance.clone(), pool.clone());
         async move { Ok::<_, Infallible>(serve(instance, pool, request).await) }
     });
     let idle = Duration::from_millis(limits.idle_timeout_ms + IDLE_MARGIN_MS);
-    let mut served = pin!(
-        http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(idle)
-            .max_buf_size(limits.max_header_bytes.max(8_192))
-            .serve_connection(TokioIo::new(stream), service)
-    );
+    let mut served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(limits.max_header_bytes.max(8_192))
+        .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
-        ended = served.as_mut() => ended,
+        ended = &mut served => ended,
         () = Drain::wait_for_closing(&mut drain) => {
-            served.as_mut().graceful_shutdown();
-            served.await
+            std::pin::Pin::new(&mut served).graceful_shutdown();
+            (&mut served).await
         }
     };
-    if let Err(error) = ended {
-        log::debug!("event=caller_connection_ended error=\"{error}\"");
+    let Err(error) = ended else {
+        return;
+    };
+    log::debug!("event=caller_connection_ended error=\"{error}\"");
+    if ends_answers.get() {
+        reset(&served.into_parts().io.into_inner());
+    }
+}
+
+/// Makes the connection end with a reset once it is dropped. An answer that was broken
+/// off would look complete to a caller of HTTP/1.0, to whom the end of the connection is
+/// the end of the answer.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!("event=caller_not_reset error=\"{error}\"");
     }
 }
