--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -14,6 +14,7 @@
 mod settings;
 mod sizes;
 mod stopping;
+mod unreachable;
 mod weights;
 
 /// The program under test.
