--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod limits;
 pub mod membership;
 pub mod mesh;
+pub mod path;
 pub mod peer;
 pub mod placement;
 pub mod platform;
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -1,6 +1,6 @@
 use {
     super::Heartbeat,
-    crate::{canary::CanaryMessage, kv_store::KvStoreReport},
+    crate::{canary::CanaryMessage, kv_store::KvStoreReport, path::PathReport},
     derive_more::{Display, Error, From},
     serde::{Deserialize, Serialize},
 };
@@ -12,8 +12,9 @@
 /// [`PeerMessage::PackToRelay`] and [`PeerMessage::RelayedPack`], and heartbeats that
 /// leave out teams whose spending hasn't changed. Version 2 adds
 /// [`PeerMessage::Canary`], [`PeerMessage::CanaryToRelay`] and
-/// [`PeerMessage::Compressed`]. Version 3 adds [`PeerMessage::PackToGroup`].
-pub const EXCHANGE_VERSION: u8 = 3;
+/// [`PeerMessage::Compressed`]. Version 3 adds [`PeerMessage::PackToGroup`]. Version 4
+/// adds [`PeerMessage::Path`]; instances from it on take requests of their peers.
+pub const EXCHANGE_VERSION: u8 = 4;
 
 /// Version of the exchange from which on packs, reports on KV cache stores and partial
 /// reports on teams are understood.
@@ -28,6 +29,10 @@
 /// Version of the exchange from which on packs are passed on by groups.
 pub const GROUPS_VERSION: u8 = 3;
 
+/// Version of the exchange from which on instances report their path to the engines and
+/// take requests of their peers.
+pub const PASSING_VERSION: u8 = 4;
+
 /// Maximum size of a message before its compression: twice a datagram. The size that a
 /// datagram names is not trusted beyond it.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_DATAGRAM_BYTES;
@@ -76,6 +81,8 @@
     /// Heartbeats to a receiver that passes them on to the instances of its group,
     /// together with others.
     PackToGroup(Vec<Heartbeat>),
+    /// Whether the author reaches the engines.
+    Path(Box<PathReport>),
 }
 
 /// Why a datagram could not be decoded or a message not be encoded.
@@ -106,6 +113,7 @@
             PeerMessage::PackToGroup(_) => "pack_to_group",
             PeerMessage::KvStore(_) => "kv_store",
             PeerMessage::Canary(_) | PeerMessage::CanaryToRelay(_) => "canary",
+            PeerMessage::Path(_) => "path",
             PeerMessage::Compressed(_) => "compressed",
         }
     }
--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -90,7 +90,7 @@
 /// Returns the engine that can run a request soonest among the given ones, or
 /// `None` if no engine is usable. Engines with weights older than
 /// `version_bounds` permits are never chosen; paused ones only if no other is
-/// available.
+/// available, and those that only peers report as silent if there is none at all.
 ///
 /// `memory_tokens` is the memory of one engine. `draw` is a random number that
 /// selects the sampled engines and breaks ties, so that instances with the same
@@ -116,9 +116,11 @@
             .as_ref()
             .map_or(0, |model| engine.version(model))
     };
-    let usable = |engine: &&KnownEngine| {
-        !engine.is_excluded(&settings.health, now_ms)
-            && version(engine) >= version_bounds.min_allowed
+    let is_allowed = |engine: &&KnownEngine| version(engine) >= version_bounds.min_allowed;
+    let usable =
+        |engine: &&KnownEngine| !engine.is_excluded(&settings.health, now_ms) && is_allowed(engine);
+    let reported_only = |engine: &&KnownEngine| {
+        engine.is_excluded_by_report_only(&settings.health, now_ms) && is_allowed(engine)
     };
     let available = |engine: &&KnownEngine| usable(engine) && !engine.is_paused(now_ms);
     let cheapest = |a: &&KnownEngine, b: &&KnownEngine| {
@@ -157,6 +159,7 @@
         .filter(is_candidate)
         .min_by(cheapest)
         .or_else(|| engines.clone().filter(usable).min_by(cheapest))
+        .or_else(|| engines.clone().filter(reported_only).min_by(cheapest))
 }
 
 /// Returns the names of `count` engines, different ones for each draw.
--- a/crates/core/src/pool/health.rs
+++ b/crates/core/src/pool/health.rs
@@ -69,6 +69,13 @@
         self.silent_attempts = 0;
     }
 
+    /// Forgets all failures. An engine that accepted no connection gets no request until
+    /// it accepts one.
+    pub fn forget_failures(&mut self) {
+        self.failures = 0.0;
+        self.probing_since_ms = None;
+    }
+
     /// Returns whether the engine did not answer at the last attempt.
     pub fn is_silent(&self) -> bool {
         self.silent_attempts > 0
--- a/crates/core/src/pool/known_engine.rs
+++ b/crates/core/src/pool/known_engine.rs
@@ -166,6 +166,12 @@
         now_ms < self.reported_silent_until_ms || self.health.is_excluded(settings, now_ms)
     }
 
+    /// Returns whether only the word of a peer keeps requests from the engine. The peer
+    /// may have lost its own path to it.
+    pub fn is_excluded_by_report_only(&self, settings: &HealthSettings, now_ms: u64) -> bool {
+        now_ms < self.reported_silent_until_ms && !self.health.is_excluded(settings, now_ms)
+    }
+
     /// Applies the report of a peer that the engine is silent, for `valid_ms`.
     /// Ignored if something was received from the engine within the last
     /// `valid_ms`.
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -321,13 +321,29 @@
         }
     }
 
+    /// Returns whether more than half of the engines of a service do not answer this
+    /// instance.
+    pub fn is_mostly_silent(&self, service: &str, now_ms: u64) -> bool {
+        let engines = self.accepting_engines(service, now_ms);
+        let (all, silent) = engines.fold((0, 0), |(all, silent), engine| {
+            (all + 1, silent + usize::from(engine.health.is_silent()))
+        });
+        silent * 2 > all
+    }
+
     /// Returns the engines that do not answer this instance.
-    pub fn silent_engines(&self) -> Vec<String> {
-        self.engines
-            .iter()
-            .filter(|(_, engine)| engine.health.is_silent())
-            .map(|(id, _)| id.clone())
-            .collect()
+    pub fn silent_engines(&self) -> impl Iterator<Item = &KnownEngine> {
+        let engines = self.engines.values();
+        engines.filter(|engine| engine.health.is_silent())
+    }
+
+    /// Forgets the failures of a service's engines that this instance has seen. They say
+    /// nothing of the engines if the path to them was lost.
+    pub fn forget_failures(&mut self, service: &str) {
+        let engines = self.engines.values_mut();
+        for engine in engines.filter(|engine| engine.entry.service == service) {
+            engine.health.forget_failures();
+        }
     }
 
     /// Returns the work that this instance has sent to each engine.
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -2,12 +2,14 @@
     super::{
         classify::{classify_answer, classify_send_error, record_engine_failure},
         guards::LoadGuard,
+        pass_on::{pass_on, record_peer_failure},
         plan::{choose_engine, headers},
-        request::CallerRequest,
+        request::{CallerRequest, Origin},
     },
     crate::{
         clock::now_ms,
-        upstreams::{Answer, SendError, check_silent, send},
+        instance::OpenPassGuard,
+        upstreams::{Answer, Destination, SendError, check_silent, send},
     },
     http::Request,
     http_body_util::Full,
@@ -23,10 +25,18 @@
 pub(super) enum Outcome {
     /// The engine answered; the body is still to be read.
     Answer(Box<EngineAnswer>),
-    /// The engine with this ID did not run the request.
+    /// The engine with this ID, or peer with this name, did not run the request.
     NotRun(String),
-    /// The engine with this ID may have run the request.
+    /// The engine with this ID, or an engine behind the peer with this name, may have
+    /// run the request.
     MayHaveRun(String),
+    /// A peer refused the request, which has not run.
+    PeerRefused {
+        /// Name of the peer.
+        peer: String,
+        /// Time in milliseconds after which the caller should retry.
+        retry_after_ms: Option<u64>,
+    },
     /// The request's deadline passed; the engine may have run it.
     TimedOut,
     /// No engine can take the request.
@@ -36,15 +46,55 @@
     QueueTooLong(u64),
 }
 
-/// An engine's answer, with the guard that counts the request's load.
+/// An engine's answer.
 pub(super) struct EngineAnswer {
     pub(super) answer: Answer,
-    pub(super) load_guard: LoadGuard,
-    pub(super) engine: EngineEntry,
-    /// When the request was sent to the engine.
+    pub(super) source: AnswerSource,
+    /// When the request was sent.
     pub(super) sent_ms: u64,
 }
 
+/// From where an engine's answer comes.
+pub(super) enum AnswerSource {
+    /// The engine itself.
+    Engine {
+        entry: Box<EngineEntry>,
+        /// Counts the load of the request.
+        load_guard: LoadGuard,
+    },
+    /// A peer that sent the request to the engine.
+    Peer {
+        name: String,
+        _open_guard: OpenPassGuard,
+    },
+}
+
+impl EngineAnswer {
+    /// Returns the engine, unless a peer sent the request to it.
+    pub(super) fn engine(&self) -> Option<&EngineEntry> {
+        match &self.source {
+            AnswerSource::Engine { entry, .. } => Some(entry),
+            AnswerSource::Peer { .. } => None,
+        }
+    }
+
+    /// Returns the ID of the engine or the name of the peer.
+    pub(super) fn responder(&self) -> &str {
+        match &self.source {
+            AnswerSource::Engine { entry, .. } => &entry.incarnation.id,
+            AnswerSource::Peer { name, .. } => name,
+        }
+    }
+
+    /// Records that the answer broke off or didn't come in time.
+    pub(super) fn record_failure(&self, request: &CallerRequest, reason: &'static str) {
+        match &self.source {
+            AnswerSource::Engine { entry, .. } => record_engine_failure(request, entry, reason),
+            AnswerSource::Peer { name, .. } => record_peer_failure(request, name, reason),
+        }
+    }
+}
+
 /// State of the earlier attempts that one attempt depends on.
 #[derive(Default)]
 pub(super) struct AttemptContext<'a> {
@@ -65,14 +115,22 @@
     pub(super) give_up_ms: Option<u64>,
 }
 
-/// Chooses an engine, sends the request and waits for the head of the answer.
+/// Chooses an engine, sends the request and waits for the head of the answer. Passes the
+/// request on to a peer instead if this instance can't reach the engines.
 ///
 /// Records a failed attempt in the state of the engine.
 pub(super) async fn attempt(request: &CallerRequest, context: &AttemptContext<'_>) -> Outcome {
     let now = now_ms();
+    if request.has_no_path() {
+        return match request.origin {
+            Origin::Caller => pass_on(request, context, now).await,
+            // A request is passed on only once.
+            Origin::Peer => Outcome::NoEngine,
+        };
+    }
     let (engine, plan) = match choose_engine(request, context, now) {
         Ok(chosen) => chosen,
-        Err(outcome) => return outcome,
+        Err(outcome) => return pass_on_refused(request, context, outcome, now).await,
     };
     let left_ms = request.left_ms();
     let Some(headers) = headers(request, context, &engine, &plan, left_ms) else {
@@ -96,9 +154,9 @@
         plan.load_at_choice.own.requests,
     );
     let sending = send(
+        &request.instance,
         &request.pool,
-        &engine,
-        &request.instance.settings,
+        Destination::Engine(&engine),
         build_message,
     );
     let old_weights_wait_ms = request
@@ -136,6 +194,24 @@
     }
 }
 
+/// Passes on a request that the reachable engines can't take, if this instance is cut off
+/// from most of the service. Returns `outcome` otherwise, or if no peer takes it.
+async fn pass_on_refused(
+    request: &CallerRequest,
+    context: &AttemptContext<'_>,
+    outcome: Outcome,
+    now_ms: u64,
+) -> Outcome {
+    let service = &request.requirements.service;
+    if request.origin == Origin::Peer || !request.instance.is_cut_off(service, now_ms) {
+        return outcome;
+    }
+    match pass_on(request, context, now_ms).await {
+        Outcome::NoEngine => outcome,
+        passed_on => passed_on,
+    }
+}
+
 /// Waits for an answer. If the engine sends nothing meanwhile, it is probed with
 /// a new connection.
 ///
--- a/crates/gateway/src/callers/buffered.rs
+++ b/crates/gateway/src/callers/buffered.rs
@@ -2,13 +2,13 @@
     super::{
         AnswerBody, Refusal,
         attempt::EngineAnswer,
-        classify::record_engine_failure,
         completion::{record_answered_request, record_complete_answer, refuse},
         guards::OpenRequestGuard,
         request::CallerRequest,
         retry::{AttemptHistory, send_with_retries},
     },
     crate::{clock::now_ms, rollouts::record_result},
+    bytes::Bytes,
     http::Response,
     http_body_util::{BodyExt, Limited},
     mangowalk_core::canary::Sample,
@@ -30,35 +30,15 @@
     _open_request: OpenRequestGuard,
 ) -> Response<AnswerBody> {
     loop {
-        let parts = answered.answer.parts;
-        let body = Limited::new(answered.answer.body, MAX_ANSWER_BYTES).collect();
+        let body = Limited::new(&mut answered.answer.body, MAX_ANSWER_BYTES).collect();
         let left = Duration::from_millis(request.left_ms());
         match timeout(left, body).await {
             Ok(Ok(body)) => {
-                let status = parts.status;
-                if !status.is_server_error() {
-                    record_complete_answer(&request, &answered.engine.incarnation.id);
-                    let took_ms = now_ms().saturating_sub(answered.sent_ms) as f64;
-                    let sample = Sample::Answered {
-                        took_ms: Some(took_ms),
-                    };
-                    record_result(&request.instance, &answered.engine, &request.route, sample);
-                }
-                answered.answer.connection.return_to_pool(now_ms());
-                record_answered_request(
-                    &request,
-                    &answered.engine.incarnation.id,
-                    status,
-                    answered.answer.head.framing,
-                );
-                let mut response = Response::new(AnswerBody::buffered(body.to_bytes()));
-                *response.status_mut() = status;
-                *response.headers_mut() = answer_headers(&parts.headers);
-                return response;
+                return finish(&request, answered, body.to_bytes());
             }
-            Ok(Err(_)) => record_engine_failure(&request, &answered.engine, "broken_answer"),
+            Ok(Err(_)) => answered.record_failure(&request, "broken_answer"),
             Err(_) => {
-                record_engine_failure(&request, &answered.engine, "timed_out");
+                answered.record_failure(&request, "timed_out");
                 return refuse(&request, Refusal::TimedOut, None);
             }
         }
@@ -71,3 +51,26 @@
         }
     }
 }
+
+/// Records a complete answer, returns its connection to the pool, and returns the
+/// response for the caller.
+fn finish(request: &CallerRequest, answered: EngineAnswer, body: Bytes) -> Response<AnswerBody> {
+    let status = answered.answer.parts.status;
+    if let Some(engine) = answered.engine()
+        && !status.is_server_error()
+    {
+        record_complete_answer(request, &engine.incarnation.id);
+        let took_ms = now_ms().saturating_sub(answered.sent_ms) as f64;
+        let sample = Sample::Answered {
+            took_ms: Some(took_ms),
+        };
+        record_result(&request.instance, engine, &request.route, sample);
+    }
+    let framing = answered.answer.head.framing;
+    record_answered_request(request, answered.responder(), status, framing);
+    answered.answer.connection.return_to_pool(now_ms());
+    let mut response = Response::new(AnswerBody::buffered(body));
+    *response.status_mut() = status;
+    *response.headers_mut() = answer_headers(&answered.answer.parts.headers);
+    response
+}
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        attempt::{EngineAnswer, Outcome},
+        attempt::{AnswerSource, EngineAnswer, Outcome},
         guards::LoadGuard,
         plan::SendPlan,
         request::CallerRequest,
@@ -70,8 +70,10 @@
     Outcome::Answer(Box::new(EngineAnswer {
         sent_ms: load_guard.began_ms(),
         answer,
-        load_guard,
-        engine,
+        source: AnswerSource::Engine {
+            entry: Box::new(engine),
+            load_guard,
+        },
     }))
 }
 
@@ -156,7 +158,9 @@
 ///
 /// If the answer was lost before its head arrived, or a stream broke off or ended
 /// within or before its events, the request is also recorded as a possible cause of a crash. The
-/// engine is probed, except after an answer that isn't its own.
+/// engine is probed, except after an answer that isn't its own. While this instance
+/// reaches no engine of the service, a failure says nothing of the engine and is only
+/// logged.
 pub(super) fn record_engine_failure(
     request: &CallerRequest,
     engine: &EngineEntry,
@@ -169,6 +173,11 @@
         request.id(),
         engine.incarnation.id,
     );
+    let paths = request.instance.service_paths.borrow();
+    if paths.is_lost(&engine.service) {
+        return;
+    }
+    drop(paths);
     let mut engines = request.instance.engines.borrow_mut();
     let Some(known_engine) = engines.get_mut(&engine.incarnation.id) else {
         return;
--- a/crates/gateway/src/callers/listener.rs
+++ b/crates/gateway/src/callers/listener.rs
@@ -1,5 +1,5 @@
 use {
-    super::serve::serve,
+    super::{request::Origin, serve::serve},
     crate::{
         instance::{Drain, Instance},
         upstreams::ConnectionPool,
@@ -8,7 +8,7 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     socket2::SockRef,
-    std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration},
+    std::{cell::Cell, convert::Infallible, net::IpAddr, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         task::spawn_local,
@@ -28,6 +28,28 @@
     instance: Rc<Instance>,
     pool: Rc<ConnectionPool>,
     listener: TcpListener,
+) {
+    accept(instance, pool, listener, Origin::Caller).await;
+}
+
+/// Accepts connections of peers that pass requests on, like those of callers. Only
+/// addresses of known instances are served: a caller that could connect here would get
+/// around its team's rate.
+pub async fn serve_peers(instance: Rc<Instance>, pool: Rc<ConnectionPool>, listener: TcpListener) {
+    accept(instance, pool, listener, Origin::Peer).await;
+}
+
+fn is_of_instance(instance: &Instance, address: IpAddr) -> bool {
+    let members = instance.members.borrow();
+    let mut peers = members.iter();
+    peers.any(|member| member.last_heartbeat.peer_address.ip() == address)
+}
+
+async fn accept(
+    instance: Rc<Instance>,
+    pool: Rc<ConnectionPool>,
+    listener: TcpListener,
+    origin: Origin,
 ) {
     let mut drain = instance.drain.clone();
     loop {
@@ -36,8 +58,14 @@
             () = Drain::wait_for_closing(&mut drain) => return,
         };
         match accepted {
+            Ok((_, address))
+                if origin == Origin::Peer && !is_of_instance(&instance, address.ip()) =>
+            {
+                log::warn!("event=stranger_refused address={address}");
+            }
             Ok((stream, _)) => {
-                spawn_local(serve_connection(instance.clone(), pool.clone(), stream));
+                let (instance, pool) = (instance.clone(), pool.clone());
+                spawn_local(serve_connection(instance, pool, stream, origin));
             }
             Err(error) => {
                 log::warn!("event=accept_failed error=\"{error}\"");
@@ -49,7 +77,12 @@
 
 /// Serves the requests of one connection. When the instance closes, requests
 /// in progress are finished first.
-async fn serve_connection(instance: Rc<Instance>, pool: Rc<ConnectionPool>, stream: TcpStream) {
+async fn serve_connection(
+    instance: Rc<Instance>,
+    pool: Rc<ConnectionPool>,
+    stream: TcpStream,
+    origin: Origin,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("event=caller_connection_ended error=\"{error}\"");
         return;
@@ -60,7 +93,7 @@
     let service = service_fn(|request: Request<Incoming>| {
         ends_answers.set(request.version() == Version::HTTP_10);
         let (instance, pool) = (instance.clone(), pool.clone());
-        async move { Ok::<_, Infallible>(serve(instance, pool, request).await) }
+        async move { Ok::<_, Infallible>(serve(instance, pool, request, origin).await) }
     });
     let idle = Duration::from_millis(limits.idle_timeout_ms + IDLE_MARGIN_MS);
     let mut served = http1::Builder::new()
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod guards;
 mod listener;
+mod pass_on;
 mod plan;
 mod refusal;
 mod request;
@@ -20,6 +21,6 @@
 pub use {
     answer::{AnswerBody, StreamCut},
     directory::{serve_directory, serve_metrics, serve_ready},
-    listener::serve_callers,
+    listener::{serve_callers, serve_peers},
     refusal::Refusal,
 };
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -28,8 +28,19 @@
 /// Maximum rank; it goes last in an engine's queue.
 const MAX_RANK: u8 = 9;
 
+/// Who sent a request to this instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// A caller.
+    Caller,
+    /// A peer that reaches no engine and passes a caller's request on. It has charged
+    /// the team's rate, and retries the request itself.
+    Peer,
+}
+
 /// A request that was read in full and matched to a route.
 pub(super) struct CallerRequest {
+    pub(super) origin: Origin,
     pub(super) instance: Rc<Instance>,
     pub(super) pool: Rc<ConnectionPool>,
     pub(super) method: Method,
@@ -124,7 +135,22 @@
     /// Returns whether the request may be sent to another engine after
     /// `possible_run_count` engines may have run it.
     pub(super) fn may_run_again(&self, possible_run_count: u32) -> bool {
-        self.route.retry.may_run_again() && possible_run_count < self.route.max_attempts
+        self.route.retry.may_run_again() && possible_run_count < self.max_attempts()
+    }
+
+    /// Returns the maximum number of engines that may run the request. For a peer's
+    /// request it is one, as the peer counts the attempts.
+    pub(super) fn max_attempts(&self) -> u32 {
+        match self.origin {
+            Origin::Caller => self.route.max_attempts,
+            Origin::Peer => 1,
+        }
+    }
+
+    /// Returns whether this instance reaches no engine that may run the request.
+    pub(super) fn has_no_path(&self) -> bool {
+        let paths = self.instance.service_paths.borrow();
+        paths.is_lost(&self.requirements.service)
     }
 
     /// Returns whether the route has the first priority.
@@ -144,6 +170,7 @@
     pool: Rc<ConnectionPool>,
     parts: request::Parts,
     body: Incoming,
+    origin: Origin,
 ) -> Result<CallerRequest, (Refusal, Option<u64>)> {
     let arrived_ms = now_ms();
     if !instance.is_initialized() {
@@ -181,6 +208,7 @@
         .to_bytes();
     let requirements = requirements(&instance, &head, &route, tenant.as_deref());
     Ok(CallerRequest {
+        origin,
         instance,
         pool,
         method: parts.method,
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -16,7 +16,7 @@
 /// The attempts made so far for one request.
 #[derive(Default)]
 pub(super) struct AttemptHistory {
-    /// IDs of the engines that were tried.
+    /// IDs of the engines and names of the peers that were tried.
     tried_engines: Vec<String>,
     /// Number of attempts that did not run the request.
     not_run_count: usize,
@@ -88,13 +88,16 @@
             });
         }
         let is_first_attempt = attempts.possible_run_count == 0 && attempts.not_run_count == 0;
-        if !is_first_attempt && !take_retry(request) {
+        // No engine has seen a request that found the path lost, so its first send by a
+        // peer is no retry.
+        let has_no_path = attempts.possible_run_count == 0 && request.has_no_path();
+        if !is_first_attempt && !has_no_path && !take_retry(request) {
             return failed_answer.ok_or(refusal);
         }
         let context = AttemptContext {
             tried_engines: &attempts.tried_engines,
             can_resume_elsewhere: request.route.retry == RetryPolicy::ResumableStream
-                && attempts.possible_run_count + 1 < request.route.max_attempts,
+                && attempts.possible_run_count + 1 < request.max_attempts(),
             is_first: is_first_attempt,
             may_be_refused: attempts.possible_run_count == 0,
             is_resumed: last_event_id.is_some(),
@@ -104,16 +107,14 @@
         match attempt(request, &context).await {
             Outcome::Answer(answered) => {
                 attempts.possible_run_count += 1;
-                attempts
-                    .tried_engines
-                    .push(answered.engine.incarnation.id.clone());
+                attempts.tried_engines.push(answered.responder().to_owned());
                 let failed = answered.answer.parts.status.is_server_error();
                 if failed {
-                    server_errors.push(answered.engine.clone());
+                    server_errors.extend(answered.engine().cloned());
                 }
                 let may_retry = failed
                     && request.route.retry == RetryPolicy::Idempotent
-                    && attempts.possible_run_count < request.route.max_attempts;
+                    && attempts.possible_run_count < request.max_attempts();
                 if !may_retry {
                     return Ok(answered);
                 }
@@ -138,6 +139,17 @@
                     return failed_answer.ok_or(Refusal::AnswerLost);
                 }
             }
+            Outcome::PeerRefused {
+                peer,
+                retry_after_ms,
+            } => {
+                attempts.not_run_count += 1;
+                attempts.tried_engines.push(peer);
+                attempts.retry_after_ms = retry_after_ms.or(attempts.retry_after_ms);
+                if attempts.not_run_count >= MAX_NOT_RUN_ATTEMPTS {
+                    return failed_answer.ok_or(refusal);
+                }
+            }
             Outcome::TimedOut => return failed_answer.ok_or(Refusal::TimedOut),
             Outcome::NoEngine => return failed_answer.ok_or(refusal),
             Outcome::QueueTooLong(retry_after_ms) => {
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -5,7 +5,7 @@
         buffered::forward_buffered,
         completion::refuse,
         guards::OpenRequestGuard,
-        request::{CallerRequest, read_request},
+        request::{CallerRequest, Origin, read_request},
         retry::{AttemptHistory, send_with_retries},
         stream::forward_stream,
     },
@@ -29,10 +29,11 @@
     instance: Rc<Instance>,
     pool: Rc<ConnectionPool>,
     request: Request<Incoming>,
+    origin: Origin,
 ) -> Response<AnswerBody> {
     let open_request = OpenRequestGuard::new(&instance);
     let (parts, body) = request.into_parts();
-    let mut response = match read_request(instance.clone(), pool, parts, body).await {
+    let mut response = match read_request(instance.clone(), pool, parts, body, origin).await {
         Ok(request) => handle_request(Rc::new(request), open_request).await,
         Err((refusal, retry_after_ms)) => {
             instance.counters.count("refused", refusal.reason());
@@ -50,15 +51,17 @@
     response
 }
 
-/// Charges the team's rate, sends the request to engines and forwards the
-/// answer. Refunds the rate if no engine could take the request.
+/// Charges the team's rate, unless a peer has done so, sends the request to engines and
+/// forwards the answer. Refunds the rate if no engine could take the request.
 async fn handle_request(
     request: Rc<CallerRequest>,
     open_request: OpenRequestGuard,
 ) -> Response<AnswerBody> {
     let instance = &request.instance;
     let cost = request.cost();
-    if let Some(tenant) = &request.tenant {
+    let charged = request.tenant.as_ref();
+    let charged = charged.filter(|_| request.origin == Origin::Caller);
+    if let Some(tenant) = charged {
         let taken = instance.shares.borrow_mut().take(tenant, cost, now_ms());
         if let Err(wait_ms) = taken {
             let rate = tenant.rate.unwrap_or_default();
@@ -77,19 +80,18 @@
     if request.is_poison() {
         return refuse(&request, Refusal::Poison, Some(POISON_RETRY_MS));
     }
-    let service = request.requirements.service.clone();
-    instance
-        .retry_budgets
-        .borrow_mut()
-        .entry(service)
-        .or_default()
-        .record_request(&instance.machine().retries, now_ms());
+    if !request.has_no_path() {
+        let service = request.requirements.service.clone();
+        let mut budgets = instance.retry_budgets.borrow_mut();
+        let budget = budgets.entry(service).or_default();
+        budget.record_request(&instance.machine().retries, now_ms());
+    }
     let mut attempts = AttemptHistory::default();
     match send_with_retries(&request, &mut attempts, None).await {
         Ok(answered) => forward_answer(request, answered, attempts, open_request).await,
         Err(refusal) => {
             if refusal == Refusal::NoEngine
-                && let Some(tenant) = &request.tenant
+                && let Some(tenant) = charged
             {
                 instance.shares.borrow_mut().refund(tenant, cost);
             }
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -2,8 +2,7 @@
     super::{
         AnswerBody, StreamCut,
         answer::ByteStream,
-        attempt::{EngineAnswer, SILENCE_CHECK_INTERVAL_MS},
-        classify::record_engine_failure,
+        attempt::{AnswerSource, EngineAnswer, SILENCE_CHECK_INTERVAL_MS},
         completion::{record_answered_request, record_complete_answer},
         guards::OpenRequestGuard,
         request::CallerRequest,
@@ -179,7 +178,7 @@
             let check_interval = Duration::from_millis(left_ms.min(SILENCE_CHECK_INTERVAL_MS));
             match timeout(check_interval, answered.answer.body.frame()).await {
                 Err(_) if left_ms <= SILENCE_CHECK_INTERVAL_MS => {
-                    record_engine_failure(&self.request, &answered.engine, "timed_out");
+                    answered.record_failure(&self.request, "timed_out");
                     return Err(self.record_cut("timed_out"));
                 }
                 Err(_) if self.is_stalled() => self.resume("silent").await?,
@@ -223,7 +222,8 @@
     /// whether it accepts a connection. A stream that can't be resumed stays at
     /// its engine: no other engine can finish it, and the engine may send again.
     fn is_stalled(&self) -> bool {
-        let (Some(answered), Some(_)) = (&self.answered, self.events.splitter()) else {
+        let engine = self.answered.as_ref().and_then(EngineAnswer::engine);
+        let (Some(engine), Some(_)) = (engine, self.events.splitter()) else {
             return false;
         };
         let instance = &self.request.instance;
@@ -235,7 +235,7 @@
         check_silent(
             instance,
             &self.request.pool,
-            &answered.engine,
+            engine,
             silent_since_ms,
             now_ms,
         )
@@ -252,7 +252,9 @@
         self.pace.record(now_ms);
         if !self.has_begun {
             self.has_begun = true;
-            answered.load_guard.record_prefill(now_ms);
+            if let AnswerSource::Engine { load_guard, .. } = &mut answered.source {
+                load_guard.record_prefill(now_ms);
+            }
             let waited_ms = now_ms.saturating_sub(self.request.arrived_ms);
             self.request
                 .instance
@@ -260,7 +262,7 @@
                 .observe("first_event", waited_ms);
         }
         let mut engines = self.request.instance.engines.borrow_mut();
-        if let Some(known_engine) = engines.get_mut(&answered.engine.incarnation.id) {
+        if let Some(known_engine) = engines.get_mut(answered.responder()) {
             known_engine.record_received(now_ms);
         }
     }
@@ -268,26 +270,20 @@
     /// Records the end of a complete stream and returns its connection to the
     /// pool.
     fn finish(&mut self) {
-        if let Some(answered) = self.answered.take() {
-            answered.answer.connection.return_to_pool(now_ms());
+        let Some(answered) = self.answered.take() else {
+            return;
+        };
+        if let Some(engine) = answered.engine() {
             let sample = Sample::Answered {
                 took_ms: self.pace.mean_gap_ms(),
             };
-            record_result(
-                &self.request.instance,
-                &answered.engine,
-                &self.request.route,
-                sample,
-            );
-            record_complete_answer(&self.request, &answered.engine.incarnation.id);
-            self.record_pauses(&answered.engine);
-            record_answered_request(
-                &self.request,
-                &answered.engine.incarnation.id,
-                StatusCode::OK,
-                answered.answer.head.framing,
-            );
+            record_result(&self.request.instance, engine, &self.request.route, sample);
+            record_complete_answer(&self.request, &engine.incarnation.id);
+            self.record_pauses(engine);
         }
+        let framing = answered.answer.head.framing;
+        record_answered_request(&self.request, answered.responder(), StatusCode::OK, framing);
+        answered.answer.connection.return_to_pool(now_ms());
     }
 
     /// Counts and logs a stream whose events came with a longer pause than the route
@@ -327,9 +323,9 @@
         let Some(answered) = self.answered.take() else {
             return Err(self.record_cut(reason));
         };
-        record_engine_failure(&self.request, &answered.engine, reason);
+        answered.record_failure(&self.request, reason);
         drop(answered);
-        let may_retry = self.attempts.possible_run_count < self.request.route.max_attempts;
+        let may_retry = self.attempts.possible_run_count < self.request.max_attempts();
         let Some(splitter) = self.events.splitter().filter(|_| may_retry) else {
             return Err(self.record_cut(reason));
         };
@@ -345,7 +341,7 @@
         log::warn!(
             "event=resumed request={} engine={} behind={last_id:?} reason={reason}",
             self.request.id(),
-            next.engine.incarnation.id,
+            next.responder(),
         );
         self.events = ForwardedEvents::Resumable(EventSplitter::resume_after(last_id));
         self.answered = Some(*next);
--- a/crates/gateway/src/instance/crashes.rs
+++ b/crates/gateway/src/instance/crashes.rs
@@ -47,6 +47,11 @@
         }
     }
 
+    /// Forgets the answers that were lost, as their engines are known not to be gone.
+    pub fn forget_lost(&mut self) {
+        self.lost.clear();
+    }
+
     /// Records that an engine is gone, and attributes the crash to the most suspect
     /// of the requests that it lost within `CRASH_WINDOW_MS`.
     pub fn record_engine_crash(&mut self, engine: &Incarnation, now_ms: u64) {
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod drain;
 mod heartbeats;
+mod passed_on;
 mod reload;
 mod settings;
 mod shared_state;
@@ -13,6 +14,7 @@
     counters::Counters,
     crashes::{CrashTracker, hash},
     drain::Drain,
+    passed_on::{OpenPassGuard, PassedOn},
     reload::{ReloadOutcome, apply_reloadable},
     settings::GatewaySettings,
     shared_state::{Instance, WakeUps},
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,6 +1,7 @@
 use mangowalk_core::{
     kv_store::KvStoreSettings,
     mesh::MeshSettings,
+    path::PathSettings,
     pool::{AdmitSettings, ChoiceSettings, ListPartSettings},
     weights::{OrderLeaseSettings, PlanSettings, WeightsSettings},
 };
@@ -20,6 +21,8 @@
     pub kv_stores: KvStoreSettings,
     /// Refusal of requests that would wait too long.
     pub admission: AdmitSettings,
+    /// Loss of the path to the engines, and requests that are passed on to peers then.
+    pub path: PathSettings,
     /// Bounds on the age of weights that requests may use.
     pub weights: WeightsSettings,
     /// Pace of a rollout of new weights.
@@ -82,6 +85,7 @@
             list_part: ListPartSettings::default(),
             kv_stores: KvStoreSettings::default(),
             admission: AdmitSettings::default(),
+            path: PathSettings::default(),
             weights: WeightsSettings {
                 penalty_after_ms: 1_300,
                 dispatch_until_ms: 6_500,
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -1,6 +1,6 @@
 use {
     super::{
-        Counters, CrashTracker, Drain, GatewaySettings, ReloadOutcome, StoreAvailability,
+        Counters, CrashTracker, Drain, GatewaySettings, PassedOn, ReloadOutcome, StoreAvailability,
         apply_reloadable,
     },
     crate::{clock::now_ms, mesh::MeshTraffic},
@@ -8,6 +8,7 @@
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
         kv_store::KvStores,
         mesh::{Bundle, MemberTable, OrderReport, PACKS_VERSION, RelayBudget},
+        path::{PeerPaths, ServicePaths},
         pool::{EngineTable, MeanPromptLength, PrefillRate, Turnover, short_hash},
         retries::FleetRetryBudget,
         routing::{Configuration, RouteTable},
@@ -21,7 +22,7 @@
         net::SocketAddr,
         rc::Rc,
     },
-    tokio::sync::{Notify, watch},
+    tokio::sync::{Mutex, Notify, watch},
 };
 
 /// Notifications between the tasks of an instance.
@@ -38,6 +39,8 @@
     pub heartbeat: Notify,
     /// Sent when heartbeats were gathered to be passed on to the own group.
     pub bundle: Notify,
+    /// Sent when the path to the engines was lost or is back.
+    pub path: Notify,
 }
 
 /// Time for which a placement is reported to peers: two heartbeats, as one may be
@@ -91,6 +94,14 @@
     /// Engines and their known state. Includes those whose entry is missing while
     /// their grace period lasts.
     pub engines: RefCell<EngineTable>,
+    /// The paths of this instance to the engines of each service.
+    pub service_paths: RefCell<ServicePaths>,
+    /// Locks by service, each held while it is checked whether the path is lost.
+    pub path_checks: RefCell<HashMap<String, Rc<Mutex<()>>>>,
+    /// Paths of the peers to the engines, as they report them.
+    pub peer_paths: RefCell<PeerPaths>,
+    /// Requests that were passed on to peers.
+    pub passed_on: PassedOn,
     /// Whether the engine list was read since the start.
     pub is_engine_list_read: Cell<bool>,
     /// Whether the store can be read, and when its last outage ended.
@@ -168,6 +179,10 @@
             placements: RefCell::default(),
             routes: RefCell::default(),
             engines: RefCell::default(),
+            service_paths: RefCell::default(),
+            path_checks: RefCell::default(),
+            peer_paths: RefCell::default(),
+            passed_on: PassedOn::default(),
             is_engine_list_read: Cell::new(false),
             store_availability: StoreAvailability::default(),
             prefill_rate: Cell::default(),
@@ -404,20 +419,70 @@
 
     /// Returns the sorted addresses at which callers may connect: those of live
     /// peers that report to be ready, and of this instance if it is ready.
+    ///
+    /// Instances that are cut off from all services are left out, unless all are.
     pub fn caller_addresses(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let services = self.routed_services();
         let members = self.members.borrow();
-        let mut addresses: Vec<SocketAddr> = members
+        let peer_paths = self.peer_paths.borrow();
+        let mut ready: Vec<(SocketAddr, bool)> = members
             .live(&self.settings.mesh, now_ms)
-            .filter(|member| member.last_heartbeat.ready)
-            .map(|member| member.last_heartbeat.caller_address)
+            .map(|member| &member.last_heartbeat)
+            .filter(|heartbeat| heartbeat.ready)
+            .map(|heartbeat| {
+                let name = &heartbeat.name;
+                let mut services = services.iter();
+                let is_cut = services.all(|service| peer_paths.is_cut(name, service, now_ms));
+                (heartbeat.caller_address, is_cut)
+            })
             .collect();
         if self.is_ready() {
-            addresses.push(self.machine().caller_address);
+            let is_cut = self.cut_services(now_ms).len() == services.len();
+            ready.push((self.machine().caller_address, is_cut));
         }
+        let are_all_cut = ready.iter().all(|(_, is_cut)| *is_cut);
+        let listed = ready
+            .into_iter()
+            .filter(|(_, is_cut)| are_all_cut || !is_cut);
+        let mut addresses: Vec<SocketAddr> = listed.map(|(address, _)| address).collect();
         addresses.sort();
         addresses
     }
 
+    /// Returns whether the path to the engines of all routed services is lost.
+    pub fn reaches_no_engine(&self) -> bool {
+        let paths = self.service_paths.borrow();
+        let services = self.routed_services();
+        !services.is_empty() && services.iter().all(|service| paths.is_lost(service))
+    }
+
+    /// Returns whether this instance reaches none or less than half of the engines of a
+    /// service.
+    pub fn is_cut_off(&self, service: &str, now_ms: u64) -> bool {
+        let is_lost = self.service_paths.borrow().is_lost(service);
+        is_lost || self.engines.borrow().is_mostly_silent(service, now_ms)
+    }
+
+    /// Returns the routed services of whose engines this instance reaches none or less
+    /// than half.
+    pub fn cut_services(&self, now_ms: u64) -> Vec<String> {
+        let mut services = self.routed_services();
+        services.retain(|service| self.is_cut_off(service, now_ms));
+        services.into_iter().collect()
+    }
+
+    /// Returns the engines that peers should take for silent. Those of services from
+    /// which this instance is cut off may be well.
+    pub fn reported_silent_engines(&self, now_ms: u64) -> Vec<String> {
+        let cut_services = self.cut_services(now_ms);
+        let engines = self.engines.borrow();
+        let silent = engines
+            .silent_engines()
+            .map(|engine| &engine.entry)
+            .filter(|entry| !cut_services.contains(&entry.service));
+        silent.map(|entry| entry.incarnation.id.clone()).collect()
+    }
+
     /// Records that an engine has cached a shared part, and queues the placement
     /// for the peers unless it was reported recently.
     pub fn record_part(&self, part: u64, engine: &str, now_ms: u64) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        callers::{serve_callers, serve_directory, serve_metrics, serve_ready},
+        callers::{serve_callers, serve_directory, serve_metrics, serve_peers, serve_ready},
         clock::{now_ms, wall_ms},
         critical_tasks::CriticalTasks,
         instance::{Drain, GatewaySettings, Instance},
@@ -10,7 +10,7 @@
         store::{
             CallClient, register, watch_configuration, watch_engines, watch_rollouts, watch_weights,
         },
-        upstreams::{ConnectionPool, probe_silent_engines, watch_kv_stores},
+        upstreams::{ConnectionPool, probe_silent_engines, watch_kv_stores, watch_paths},
         weights::run_weights_updater,
     },
     derive_more::{Display, Error},
@@ -164,6 +164,7 @@
     let ready = listen(machine.ready_address).await?;
     let directory = listen(machine.directory_address).await?;
     let metrics = listen(machine.metrics_address).await?;
+    let passed_on = listen(machine.passing_address(machine.peer_address.ip())).await?;
     let peer_address = machine.peer_address;
     let peers = mesh::bind(peer_address)
         .await
@@ -213,12 +214,20 @@
         "callers",
         serve_callers(instance.clone(), pool.clone(), callers),
     );
+    tasks.start(
+        "passed_on",
+        serve_peers(instance.clone(), pool.clone(), passed_on),
+    );
     tasks.start(
         "kept_parts",
         watch_kv_stores(instance.clone(), peers.clone()),
     );
     tasks.start("sweep", sweep(instance.clone(), pool.clone()));
-    tasks.start("probes", probe_silent_engines(instance.clone(), pool));
+    tasks.start(
+        "probes",
+        probe_silent_engines(instance.clone(), pool.clone()),
+    );
+    tasks.start("paths", watch_paths(instance.clone(), pool));
     tasks.start(
         "settings",
         reload_settings(
@@ -257,11 +266,12 @@
         sleep(SWEEP_INTERVAL).await;
         remove_expired_entries(&instance);
         let engines = instance.engines.borrow();
+        let members = instance.members.borrow();
         pool.sweep(
             |incarnation| {
-                engines
-                    .get(&incarnation.id)
-                    .is_some_and(|known_engine| known_engine.entry.incarnation == *incarnation)
+                let engine = engines.get(&incarnation.id);
+                engine.is_some_and(|engine| engine.entry.incarnation == *incarnation)
+                    || members.incarnation(&incarnation.id) == Some(incarnation.born_ms)
             },
             now_ms(),
         );
--- a/crates/gateway/src/upstreams/connection.rs
+++ b/crates/gateway/src/upstreams/connection.rs
@@ -1,13 +1,22 @@
 use {
-    crate::instance::GatewaySettings,
+    super::path::record_accepted,
+    crate::{
+        clock::now_ms,
+        instance::{GatewaySettings, Instance},
+    },
     bytes::Bytes,
     derive_more::{Display, Error},
     http_body_util::Full,
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
+    mangowalk_core::pool::EngineEntry,
     socket2::{SockRef, TcpKeepalive},
     std::{io, net::SocketAddr, time::Duration},
-    tokio::{net::TcpStream, task::AbortHandle, time::timeout},
+    tokio::{
+        net::{TcpSocket, TcpStream},
+        task::AbortHandle,
+        time::timeout,
+    },
 };
 
 /// Time without traffic after which TCP keepalive probes an idle connection, and
@@ -18,20 +27,49 @@
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 #[display("{address} takes no connection ({reason}).")]
 pub struct ConnectError {
-    /// Address of the engine.
+    /// Address of the engine or peer.
     pub address: SocketAddr,
     /// Error from the operating system or the HTTP client.
     pub reason: String,
 }
 
-/// Opens an HTTP/1.1 connection to an engine. Returns its sender and a handle that
-/// closes it.
+/// Opens a connection to an engine, and records that its service can be reached.
 ///
 /// # Errors
 ///
-/// Fails if the engine doesn't accept the connection within
+/// Fails like [`connect`].
+pub async fn connect_to_engine(
+    instance: &Instance,
+    engine: &EngineEntry,
+) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), ConnectError> {
+    let began_ms = now_ms();
+    let connected = connect(TcpSocket::new_v4(), engine.address, &instance.settings).await?;
+    record_accepted(instance, &engine.service, began_ms);
+    Ok(connected)
+}
+
+/// Opens a connection to a peer from the address by which it knows this instance.
+///
+/// # Errors
+///
+/// Fails like [`connect`].
+pub async fn connect_to_peer(
+    instance: &Instance,
+    address: SocketAddr,
+) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), ConnectError> {
+    let own = SocketAddr::new(instance.machine().peer_address.ip(), 0);
+    let socket = TcpSocket::new_v4().and_then(|socket| socket.bind(own).map(|()| socket));
+    connect(socket, address, &instance.settings).await
+}
+
+/// Opens an HTTP/1.1 connection. Returns its sender and a handle that closes it.
+///
+/// # Errors
+///
+/// Fails if the other side doesn't accept the connection within
 /// [`GatewaySettings::connect_timeout_ms`].
-pub async fn connect(
+async fn connect(
+    socket: io::Result<TcpSocket>,
     address: SocketAddr,
     settings: &GatewaySettings,
 ) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), ConnectError> {
@@ -40,7 +78,8 @@
         reason: reason.to_string(),
     };
     let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
-    let stream = timeout(connect_timeout, TcpStream::connect(address))
+    let socket = socket.map_err(|error| connect_error(&error))?;
+    let stream = timeout(connect_timeout, socket.connect(address))
         .await
         .map_err(|_| connect_error(&"time ran out"))?
         .map_err(|error| connect_error(&error))?;
--- a/crates/gateway/src/upstreams/exchange.rs
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -1,14 +1,14 @@
 use {
-    super::{ConnectionPool, PooledConnection, connect},
-    crate::{clock::now_ms, instance::GatewaySettings},
+    super::{ConnectionPool, PooledConnection, connect_to_engine, connect_to_peer},
+    crate::{clock::now_ms, instance::Instance},
     bytes::Bytes,
     derive_more::{Display, Error},
     http::{Request, response},
     http_body_util::Full,
     hyper::body::Incoming,
-    mangowalk_core::pool::EngineEntry,
+    mangowalk_core::pool::{EngineEntry, Incarnation},
     mangowalk_platform::{AnswerHead, BodyFraming},
-    std::rc::Rc,
+    std::{net::SocketAddr, rc::Rc},
 };
 
 /// Why a request got no answer from an engine.
@@ -40,8 +40,31 @@
     pub connection: PooledConnection,
 }
 
-/// Sends a request to an engine, on a pooled connection or a new one, and waits for
-/// the head of the answer.
+/// Where a request is sent.
+#[derive(Debug, Clone, Copy)]
+pub enum Destination<'a> {
+    /// An engine.
+    Engine(&'a EngineEntry),
+    /// A peer that sends the request to an engine.
+    Peer {
+        /// Name and start of the peer.
+        incarnation: &'a Incarnation,
+        /// Address at which it takes requests of its peers.
+        address: SocketAddr,
+    },
+}
+
+impl Destination<'_> {
+    fn incarnation(&self) -> &Incarnation {
+        match self {
+            Destination::Engine(engine) => &engine.incarnation,
+            Destination::Peer { incarnation, .. } => incarnation,
+        }
+    }
+}
+
+/// Sends a request to an engine or a peer, on a pooled connection or a new one, and
+/// waits for the head of the answer.
 ///
 /// `build_request` is called again if a pooled connection turns out to be closed
 /// before a byte was sent.
@@ -51,28 +74,27 @@
 /// Fails if no connection can be opened or the connection ends before the head
 /// arrives. The error says whether the request may have run.
 pub async fn send(
+    instance: &Instance,
     pool: &Rc<ConnectionPool>,
-    engine: &EngineEntry,
-    settings: &GatewaySettings,
+    destination: Destination<'_>,
     build_request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<Answer, SendError> {
-    loop {
-        let (connection, is_new) = match pool.take(engine, now_ms()) {
-            Some(pooled) => (pooled, false),
-            None => {
-                let connected = connect(engine.address, settings).await;
-                let (sender, task) = connected.map_err(|error| SendError::NotSent {
-                    reason: error.to_string(),
-                })?;
-                (pool.wrap(engine, sender, task), true)
-            }
-        };
-        match send_on(connection, build_request()).await {
+    let incarnation = destination.incarnation();
+    while let Some(pooled) = pool.take(incarnation, now_ms()) {
+        match send_on(pooled, build_request()).await {
             // The pooled connection was already closed; the next one may be open.
-            Err(SendError::NotSent { .. }) if !is_new => {}
+            Err(SendError::NotSent { .. }) => {}
             result => return result,
         }
     }
+    let connected = match destination {
+        Destination::Engine(engine) => connect_to_engine(instance, engine).await,
+        Destination::Peer { address, .. } => connect_to_peer(instance, address).await,
+    };
+    let (sender, task) = connected.map_err(|error| SendError::NotSent {
+        reason: error.to_string(),
+    })?;
+    send_on(pool.wrap(incarnation, sender, task), build_request()).await
 }
 
 async fn send_on(
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -3,13 +3,15 @@
 mod connection;
 mod exchange;
 mod kv_stores;
+mod path;
 mod pool;
 mod probe;
 
 pub use {
-    connection::{ConnectError, connect},
-    exchange::{Answer, SendError, send},
+    connection::{ConnectError, connect_to_engine, connect_to_peer},
+    exchange::{Answer, Destination, SendError, send},
     kv_stores::watch_kv_stores,
+    path::watch_paths,
     pool::{ConnectionPool, PooledConnection},
     probe::{ProbeReason, check_silent, probe_engine, probe_silent_engines},
 };
--- a/crates/gateway/src/upstreams/pool.rs
+++ b/crates/gateway/src/upstreams/pool.rs
@@ -2,7 +2,7 @@
     bytes::Bytes,
     http_body_util::Full,
     hyper::client::conn::http1::SendRequest,
-    mangowalk_core::pool::{EngineEntry, Incarnation},
+    mangowalk_core::pool::Incarnation,
     std::{
         cell::RefCell,
         collections::HashMap,
@@ -28,7 +28,7 @@
     expires_ms: u64,
 }
 
-/// Idle connections to engines, by the engine's incarnation.
+/// Idle connections to engines and peers, by their incarnation.
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: RefCell<HashMap<Incarnation, Vec<IdleConnection>>>,
@@ -39,11 +39,11 @@
     /// those that have expired. Returns `None` if there is none.
     pub fn take(
         self: &Rc<ConnectionPool>,
-        engine: &EngineEntry,
+        engine: &Incarnation,
         now_ms: u64,
     ) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&engine.incarnation)?;
+        let connections = idle.get_mut(engine)?;
         connections.retain(|connection| {
             let is_usable = !connection.sender.is_closed() && now_ms < connection.expires_ms;
             if !is_usable {
@@ -57,7 +57,7 @@
         let connection = connections.remove(index);
         Some(PooledConnection {
             pool: Rc::downgrade(self),
-            engine: engine.incarnation.clone(),
+            engine: engine.clone(),
             sender: Some(connection.sender),
             task: connection.task,
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
@@ -68,13 +68,13 @@
     /// Wraps a new connection, so that it can be returned to this pool.
     pub fn wrap(
         self: &Rc<ConnectionPool>,
-        engine: &EngineEntry,
+        engine: &Incarnation,
         sender: SendRequest<Full<Bytes>>,
         task: AbortHandle,
     ) -> PooledConnection {
         PooledConnection {
             pool: Rc::downgrade(self),
-            engine: engine.incarnation.clone(),
+            engine: engine.clone(),
             sender: Some(sender),
             task,
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
--- a/crates/gateway/src/upstreams/probe.rs
+++ b/crates/gateway/src/upstreams/probe.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ConnectError, ConnectionPool, connect},
+    super::{ConnectError, ConnectionPool, connect_to_engine, path::confirm_path},
     crate::{clock::now_ms, instance::Instance},
     futures_util::future::join_all,
     mangowalk_core::pool::EngineEntry,
@@ -25,7 +25,6 @@
         let silent: Vec<EngineEntry> = {
             let engines = instance.engines.borrow();
             let silent = engines.silent_engines();
-            let silent = silent.iter().filter_map(|id| engines.get(id));
             silent
                 .map(|known_engine| known_engine.entry.clone())
                 .collect()
@@ -44,11 +43,12 @@
 }
 
 async fn reconnect(instance: &Instance, pool: &Rc<ConnectionPool>, entry: &EngineEntry) {
-    let Ok((sender, task)) = connect(entry.address, &instance.settings).await else {
+    let Ok((sender, task)) = connect_to_engine(instance, entry).await else {
         return;
     };
     let now_ms = now_ms();
-    pool.wrap(entry, sender, task).return_to_pool(now_ms);
+    pool.wrap(&entry.incarnation, sender, task)
+        .return_to_pool(now_ms);
     if let Some(known_engine) = instance.engines.borrow_mut().get_mut(&entry.incarnation.id) {
         known_engine.health.record_connection();
     }
@@ -89,7 +89,8 @@
 
 /// Probes whether an engine still accepts connections, at most once in
 /// `PROBE_INTERVAL` and not while the engine is known to be silent. If the probe
-/// fails, the engine gets no further requests, and the peers are notified.
+/// fails and other engines accept connections, the engine gets no further requests, and
+/// the peers are notified.
 ///
 /// The lack of bytes alone proves nothing: an engine sends none while it prefills
 /// long prompts, and excluding busy engines would overload the others.
@@ -112,7 +113,10 @@
     let (instance, pool, entry) = (instance.clone(), pool.clone(), entry.clone());
     spawn_local(async move {
         sleep(Duration::from_millis(delay_ms)).await;
-        if let Err(error) = open_connection(&instance, &pool, &entry, reason).await {
+        let began_ms = now_ms();
+        if let Err(error) = open_connection(&instance, &pool, &entry, reason).await
+            && confirm_path(&instance, &pool, &entry, began_ms).await
+        {
             record_silent(&instance, &pool, &entry, &error);
         }
     });
@@ -132,14 +136,15 @@
     entry: &EngineEntry,
     reason: ProbeReason,
 ) -> Result<(), ConnectError> {
-    let (mut sender, mut task) = connect(entry.address, &instance.settings).await?;
+    let (mut sender, mut task) = connect_to_engine(instance, entry).await?;
     if reason == ProbeReason::RequestLost {
         sleep(CONFIRMATION_DELAY).await;
         if sender.is_closed() {
-            (sender, task) = connect(entry.address, &instance.settings).await?;
+            (sender, task) = connect_to_engine(instance, entry).await?;
         }
     }
-    pool.wrap(entry, sender, task).return_to_pool(now_ms());
+    pool.wrap(&entry.incarnation, sender, task)
+        .return_to_pool(now_ms());
     Ok(())
 }
 
@@ -159,6 +164,7 @@
     crashes.record_engine_crash(&entry.incarnation, now_ms);
     instance.counters.count("engine_silent", "no_connection");
     instance.wake_ups.silent_engine.notify_one();
+    instance.wake_ups.path.notify_waiters();
     instance.wake_ups.heartbeat.notify_one();
     log::warn!(
         "event=engine_silent engine={} error=\"{error}\"",
--- a/crates/gateway/src/weights/lease.rs
+++ b/crates/gateway/src/weights/lease.rs
@@ -113,6 +113,14 @@
         }
     }
 
+    /// Releases the lease when no engine can be reached: the orders of an instance that
+    /// is cut off arrive nowhere, while its peers could send them.
+    pub(super) fn release_without_path(&mut self) {
+        if self.held().is_some() && self.instance.reaches_no_engine() {
+            self.release("path_lost");
+        }
+    }
+
     /// Returns whether another instance reports that it holds the lease.
     fn is_held_elsewhere(&self) -> bool {
         let members = self.instance.members.borrow();
@@ -128,11 +136,18 @@
     /// restarted again.
     fn is_own_turn(&self, since_ms: u64) -> bool {
         let members = self.instance.members.borrow();
+        let peer_paths = self.instance.peer_paths.borrow();
+        let services = self.instance.routed_services();
         let now_ms = now_ms();
         let own = (self.instance.incarnation, &self.instance.machine().name);
         let instances_ahead = members
             .live(&self.instance.settings.mesh, now_ms)
             .filter(|member| member.last_heartbeat.ready)
+            .filter(|member| {
+                let name = &member.last_heartbeat.name;
+                let mut services = services.iter();
+                services.any(|service| !peer_paths.is_cut(name, service, now_ms))
+            })
             .filter(|member| {
                 (
                     member.last_heartbeat.incarnation,
@@ -147,7 +162,8 @@
     /// the time since which engines are outdated.
     pub(super) async fn acquire_if_due(&mut self, since_ms: u64) {
         let now = now_ms();
-        let may_try = now >= self.next_attempt_ms && self.instance.is_ready();
+        let reaches_engines = !self.instance.reaches_no_engine();
+        let may_try = now >= self.next_attempt_ms && self.instance.is_ready() && reaches_engines;
         if self.held().is_some() || !may_try || self.is_held_elsewhere() {
             return;
         }
--- a/crates/gateway/src/weights/updater.rs
+++ b/crates/gateway/src/weights/updater.rs
@@ -74,6 +74,7 @@
         let pending = self.pending_updates();
         self.order_lease
             .release_when_draining(self.progress.is_busy());
+        self.order_lease.release_without_path();
         if pending.is_empty() {
             self.outdated_since_ms = None;
         } else {
--- a/crates/mangowalkd/tests/machines/unreachable.rs
+++ b/crates/mangowalkd/tests/machines/unreachable.rs
@@ -144,3 +144,38 @@
     let (sent, served) = count_served(&deployment, 0, 4);
     assert!(served * 10 >= sent * 9, "{served} of {sent}");
 }
+
+/// Guards against callers that get around their team's rate where instances pass requests
+/// on to each other.
+#[test]
+fn only_instances_may_pass_requests_on() {
+    let (deployment, _paths, _gates) = Deployment::start_with_paths(PROGRAM, 2, 2);
+    let mut caller = deployment.caller(0);
+    caller.address = deployment.machines[0].passing_address();
+    let id = Caller::new_request_id();
+    let reply = caller.plain("GET", RouteKind::Idempotent.path(), &id);
+    assert_eq!(reply.status, 0, "{reply:?}");
+    assert_eq!(deployment.times_run(&id), 0);
+}
+
+/// Guards against a team paying twice for requests that two instances handle.
+#[test]
+fn a_request_that_is_passed_on_is_charged_once() {
+    let (deployment, paths, _gates) = Deployment::start_with_paths(PROGRAM, 2, 3);
+    served_while_cut(&deployment, &paths, &[0], PathState::Reset);
+    let served = |machine: usize| {
+        let caller = Caller::new(
+            deployment.machines[machine].caller_address(),
+            "key-of-small",
+        );
+        let replies = (0..8).map(|_| {
+            let id = Caller::new_request_id();
+            caller.plain("GET", RouteKind::Idempotent.path(), &id)
+        });
+        replies.filter(|reply| reply.status == 200).count()
+    };
+    // The burst holds twenty requests.
+    let behind_the_cut = served(0);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!((behind_the_cut, served(1)), (8, 8));
+}
