Show that a stream is moved when its engine is silent for a second

The paths of the stand-ins can hold bytes up and go on without loss. A stream that may be resumed then runs at two engines, because it is moved as soon as one new connection isn't accepted.

--- a/crates/mangowalkd/tests/machines/endings.rs
+++ b/crates/mangowalkd/tests/machines/endings.rs
@@ -1,8 +1,11 @@
-//! Ends of answers: what callers see when an engine breaks one off.
+//! Ends of answers: what callers see when an engine breaks one off or falls silent.
 
 use {
     super::PROGRAM,
-    mangowalk_platform_standins::{Caller, Deployment, EngineFaults, RouteKind, wait_until},
+    mangowalk_platform_standins::{
+        Caller, Deployment, EngineFaults, PathState, RouteKind, wait_until,
+    },
+    std::{thread, time::Duration},
 };
 
 /// An engine breaks off a stream after some events.
@@ -162,3 +165,33 @@
     });
     machine.log()
 }
+
+/// Guards against work being done twice, or being moved away, because an engine is silent
+/// for a second and goes on.
+#[test]
+fn a_stream_stays_at_an_engine_that_is_silent_for_a_second() {
+    for kind in [RouteKind::Resumable, RouteKind::Stream] {
+        let (deployment, paths, _gates) = Deployment::start_with_paths(PROGRAM, 1, 2);
+        for engine in &deployment.engines {
+            engine.set_faults(EngineFaults {
+                event_interval_ms: 100,
+                ..EngineFaults::default()
+            });
+        }
+        let id = Caller::new_request_id();
+        let caller = deployment.caller(0);
+        let reply = thread::scope(|scope| {
+            let stream = scope.spawn(|| caller.stream(kind.path(), &id));
+            thread::sleep(Duration::from_millis(400));
+            let runs = |engine: &mangowalk_platform_standins::Engine| !engine.runs().is_empty();
+            let engine = deployment.engines.iter().find(|engine| runs(engine));
+            let address = engine.expect("the stream runs").address();
+            paths[0].set_for(address, PathState::Paused);
+            thread::sleep(Duration::from_millis(1_000));
+            paths[0].set_for(address, PathState::Open);
+            stream.join().expect("the caller doesn't panic")
+        });
+        assert!(reply.is_complete_stream(), "{reply:?}");
+        assert_eq!(deployment.times_run(&id), 1, "{kind:?}");
+    }
+}
