Keep a stream for a second and a half at an engine that is silent

What callers saw: a stream whose engine was silent for a second was read again elsewhere, while the first engine went on with it. Cause: one connection that wasn't accepted moved every stream at once. A stream that has begun now stays until nothing has come for 1.5 s; the engine still gets no new work meanwhile. Streams of engines that are gone resume that much later; their pause is beyond every route's bound either way.

The next fault's test is in here, too: a stream of an instance that is cut off should go on through a peer.

--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -219,8 +219,9 @@
     /// An engine whose machine is gone doesn't reset its connections, so its
     /// callers would wait on a stalled stream until they disconnect. An engine
     /// that prefills long prompts sends nothing either, so the probe checks
-    /// whether it accepts a connection. A stream that can't be resumed stays at
-    /// its engine: no other engine can finish it, and the engine may send again.
+    /// whether it accepts a connection. A stream that has begun stays for a while:
+    /// sound engines are silent at times. One that can't be resumed stays at its
+    /// engine: no other engine can finish it, and the engine may send again.
     fn is_stalled(&self) -> bool {
         let engine = self.answered.as_ref().and_then(EngineAnswer::engine);
         let (Some(engine), Some(_)) = (engine, self.events.splitter()) else {
@@ -232,13 +233,15 @@
             return false;
         }
         let silent_since_ms = (now_ms + 1).saturating_sub(silent_ms);
-        check_silent(
+        let is_silent = check_silent(
             instance,
             &self.request.pool,
             engine,
             silent_since_ms,
             now_ms,
-        )
+        );
+        let has_waited = now_ms >= self.last_received_ms + instance.settings.stall_after_ms;
+        is_silent && (has_waited || !self.has_begun)
     }
 
     /// Records that bytes arrived from the engine. The first ones end the
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -36,6 +36,10 @@
     /// whether it still accepts connections. A busy engine that prefills one long
     /// prompt sends nothing for about as long.
     pub probe_after_ms: u64,
+    /// Time without a byte after which a stream that has begun is moved away from an
+    /// engine that accepts no connection. Sound engines may be silent for about a second
+    /// and go on, and what they have read of the prompt would be read again elsewhere.
+    pub stall_after_ms: u64,
     /// Value of `TCP_USER_TIMEOUT`, after which unacknowledged bytes end a
     /// connection. A partition sends no reset, so nothing else would end it.
     pub tcp_user_timeout_ms: u64,
@@ -96,6 +100,7 @@
             lease: OrderLeaseSettings::default(),
             connect_timeout_ms: 300,
             probe_after_ms: 400,
+            stall_after_ms: 1_500,
             tcp_user_timeout_ms: 2_000,
             max_watch_ms: 5_000,
             max_current_watch_ms: 2_500,
--- a/crates/mangowalkd/tests/machines/unreachable.rs
+++ b/crates/mangowalkd/tests/machines/unreachable.rs
@@ -2,7 +2,9 @@
 
 use {
     super::PROGRAM,
-    mangowalk_platform_standins::{Caller, Deployment, EnginePaths, PathState, RouteKind},
+    mangowalk_platform_standins::{
+        Caller, Deployment, EngineFaults, EnginePaths, PathState, RouteKind,
+    },
     std::{
         sync::Arc,
         thread,
@@ -179,3 +181,26 @@
     thread::sleep(Duration::from_millis(500));
     assert_eq!((behind_the_cut, served(1)), (8, 8));
 }
+
+/// Guards against a stream that hangs for good because its instance is cut off from the
+/// engine, though a peer could go on with it.
+#[test]
+fn an_open_stream_goes_on_through_a_peer() {
+    let (deployment, paths, _gates) = Deployment::start_with_paths(PROGRAM, 2, 2);
+    for engine in &deployment.engines {
+        engine.set_faults(EngineFaults {
+            event_interval_ms: 100,
+            ..EngineFaults::default()
+        });
+    }
+    let id = Caller::new_request_id();
+    let caller = deployment.caller(0);
+    let reply = thread::scope(|scope| {
+        let stream = scope.spawn(|| caller.stream(RouteKind::Resumable.path(), &id));
+        thread::sleep(Duration::from_millis(400));
+        paths[0].set(PathState::Silent);
+        stream.join().expect("the caller doesn't panic")
+    });
+    assert!(reply.is_complete_stream(), "{reply:?}");
+    assert_eq!(deployment.times_run(&id), 2);
+}
