Move quiet streams to a peer once the path to their service is lost

What callers saw: a stream that was open when its instance was cut off hung until its caller's deadline, though it may be resumed. Cause: streams are moved when their engine is known to be silent, and engines behind a lost path no longer are. A quiet one counts as stalled now, too, and its request goes on through a peer.

--- a/crates/gateway/src/upstreams/probe.rs
+++ b/crates/gateway/src/upstreams/probe.rs
@@ -55,7 +55,8 @@
     log::warn!("event=engine_answers_again engine={}", entry.incarnation.id);
 }
 
-/// Returns whether an engine with an open request is silent or no longer known.
+/// Returns whether an engine with an open request is silent or no longer known, or has
+/// sent nothing since `quiet_since_ms` and the path to its service is lost.
 ///
 /// Starts a probe if the engine isn't known to be silent and this instance has
 /// received nothing from it since `quiet_since_ms`.
@@ -75,7 +76,7 @@
     if is_quiet && !is_silent {
         probe_engine(instance, pool, entry, ProbeReason::Quiet);
     }
-    is_silent
+    is_silent || is_quiet && instance.service_paths.borrow().is_lost(&entry.service)
 }
 
 /// Why an engine is probed.
