Soak instances that are cut off from engines and answers without a length

The soak's machines reach the engines on paths of their own. Every other seed adds a second schedule to its own, which is unchanged: machines cut off silently, by reset, for new connections only or for a pause, and engines whose answers have no length and end inside an event, before the first one, or by reset.

--- a/crates/mangowalkd/tests/soak/faults.rs
+++ b/crates/mangowalkd/tests/soak/faults.rs
@@ -1,9 +1,14 @@
 use {
     super::schedule::Fault,
-    mangowalk_platform_standins::{Deployment, Engine, EngineFaults, StoreFault, StoreGate},
+    mangowalk_platform_standins::{
+        Deployment, Engine, EngineFaults, EnginePaths, PathState, StoreFault, StoreGate,
+    },
     nix::sys::signal::Signal,
     serde_json::json,
-    std::time::{Duration, Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// A scheduled later step of a fault. Machines are given by index, engines by ID.
@@ -20,6 +25,7 @@
     RewriteEntries,
     RestoreEngine(String),
     RestoreKey,
+    RestorePaths(usize),
 }
 
 /// Departure of an engine, at the time of the write that sets it to draining or removes
@@ -50,6 +56,9 @@
 pub(crate) struct Faults {
     pub(crate) deployment: Deployment,
     gates: Vec<StoreGate>,
+    paths: Vec<Arc<EnginePaths>>,
+    /// Number of current `Fault::CutOff` per machine. They can overlap.
+    cuts: Vec<usize>,
     /// Later steps of faults, with the time at which they are due.
     pending: Vec<(Instant, Action)>,
     /// IDs of the engines on the list. Engines that have left it keep serving.
@@ -70,15 +79,21 @@
 }
 
 impl Faults {
-    pub(crate) fn new(deployment: Deployment, gates: Vec<StoreGate>) -> Faults {
+    pub(crate) fn new(
+        deployment: Deployment,
+        gates: Vec<StoreGate>,
+        paths: Vec<Arc<EnginePaths>>,
+    ) -> Faults {
         let engines = deployment.engines.iter().chain(&deployment.services);
         Faults {
             listed: engines.map(|engine| engine.id().to_owned()).collect(),
             disturbed: deployment.machines.iter().map(|_| Vec::new()).collect(),
             stopped: deployment.machines.iter().map(|_| Vec::new()).collect(),
             refusals: deployment.machines.iter().map(|_| 0).collect(),
+            cuts: paths.iter().map(|_| 0).collect(),
             deployment,
             gates,
+            paths,
             pending: Vec::new(),
             departures: Vec::new(),
             store_disturbed: Vec::new(),
@@ -213,6 +228,35 @@
                 };
                 self.set_engine_faults(true, faults, for_ms, now);
             }
+            Fault::CutOff {
+                machine,
+                state,
+                for_ms,
+            } => {
+                self.paths[machine].set(state);
+                self.cuts[machine] += 1;
+                self.mark_disturbed(machine, now, for_ms);
+                self.schedule(now, for_ms, Action::RestorePaths(machine));
+            }
+            Fault::EndUnframed { events, for_ms } => {
+                let faults = EngineFaults {
+                    is_unframed: true,
+                    ends_cleanly: true,
+                    sends_half_event: events > 0,
+                    cut_after_events: Some(events),
+                    ..EngineFaults::default()
+                };
+                self.set_engine_faults(true, faults, for_ms, now);
+            }
+            Fault::ResetUnframed { for_ms } => {
+                let faults = EngineFaults {
+                    is_unframed: true,
+                    resets_connection: true,
+                    cut_after_events: Some(4),
+                    ..EngineFaults::default()
+                };
+                self.set_engine_faults(true, faults, for_ms, now);
+            }
             Fault::NameWeights => {
                 self.weights += 1;
                 self.deployment.publish_weights(self.weights);
@@ -240,6 +284,12 @@
                     self.gates[machine].open();
                 }
             }
+            Action::RestorePaths(machine) => {
+                self.cuts[machine] -= 1;
+                if self.cuts[machine] == 0 {
+                    self.paths[machine].set(PathState::Open);
+                }
+            }
             Action::Unfreeze(machine) => machines[machine].signal(Signal::SIGCONT),
             Action::StartInstance(machine) => {
                 machines[machine].kill();
--- a/crates/mangowalkd/tests/soak/play.rs
+++ b/crates/mangowalkd/tests/soak/play.rs
@@ -6,7 +6,7 @@
         schedule::schedule,
         traffic::{SentRequest, send_requests},
     },
-    mangowalk_platform_standins::{Deployment, StoreGate},
+    mangowalk_platform_standins::Deployment,
     std::{
         net::SocketAddr,
         sync::atomic::{AtomicBool, Ordering},
@@ -68,18 +68,8 @@
 }
 
 fn start() -> Faults {
-    let mut deployment = Deployment::prepare(PROGRAM, MACHINES, 3);
-    let gates: Vec<StoreGate> = deployment
-        .machines
-        .iter()
-        .map(|_| StoreGate::new(&deployment.store))
-        .collect();
-    for (machine, gate) in deployment.machines.iter_mut().zip(&gates) {
-        machine.use_gate(gate);
-        machine.start();
-    }
-    deployment.wait_until_ready();
-    Faults::new(deployment, gates)
+    let (deployment, paths, gates) = Deployment::start_with_paths(PROGRAM, MACHINES, 3);
+    Faults::new(deployment, gates, paths)
 }
 
 fn run_faults(faults: &mut Faults, seed: u64, faults_for: Duration) {
--- a/crates/mangowalkd/tests/soak/schedule.rs
+++ b/crates/mangowalkd/tests/soak/schedule.rs
@@ -1,4 +1,7 @@
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use {
+    mangowalk_platform_standins::PathState,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+};
 
 /// One fault. Machines are given by index, engines by whether they serve a model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,6 +34,17 @@
     NameWeights,
     /// A key is withdrawn and restored after the time.
     Withdraw { for_ms: u64 },
+    /// A machine is cut off from all engines.
+    CutOff {
+        machine: usize,
+        state: PathState,
+        for_ms: u64,
+    },
+    /// An engine answers without a length and closes its streams inside an event or
+    /// before the first one.
+    EndUnframed { events: usize, for_ms: u64 },
+    /// An engine answers without a length and resets its streams.
+    ResetUnframed { for_ms: u64 },
 }
 
 /// A fault and its start, in milliseconds from the start of the run.
@@ -49,11 +63,63 @@
 /// Number of kinds of faults, which `fault` numbers from 0.
 const FAULT_KINDS: u32 = 14;
 
-/// Returns the schedule of faults for a seed, in order of time.
+/// Kinds of faults on the paths to engines and the ends of their answers, with a
+/// schedule of their own.
+const PATH_FAULT_KINDS: u32 = 4;
+
+/// Bounds of the pauses between two of them, in milliseconds.
+const PATH_FAULT_PAUSE_MS: std::ops::Range<u64> = 600..4_000;
+
+/// Makes the second schedule of a seed differ from the first.
+const PATH_FAULT_SEED: u64 = 0x5eed;
+
+/// Returns both schedules of a seed, in order of time.
+pub(crate) fn schedule(seed: u64, faults_ms: u64, machines: usize) -> Vec<ScheduledFault> {
+    let mut scheduled = first_schedule(seed, faults_ms, machines);
+    scheduled.extend(path_schedule(seed, faults_ms, machines));
+    scheduled.sort_by_key(|scheduled| scheduled.at_ms);
+    scheduled
+}
+
+/// Returns faults on paths and ends of answers; every other seed has none.
+fn path_schedule(seed: u64, faults_ms: u64, machines: usize) -> Vec<ScheduledFault> {
+    let mut random = SmallRng::seed_from_u64(seed ^ PATH_FAULT_SEED);
+    let mut scheduled = Vec::new();
+    let mut at_ms = random.random_range(PATH_FAULT_PAUSE_MS);
+    while seed.is_multiple_of(2) && at_ms < faults_ms {
+        let fault = path_fault(&mut random, machines);
+        scheduled.push(ScheduledFault { at_ms, fault });
+        at_ms += random.random_range(PATH_FAULT_PAUSE_MS);
+    }
+    scheduled
+}
+
+fn path_fault(random: &mut SmallRng, machines: usize) -> Fault {
+    let for_ms = random.random_range(300..4_000);
+    match random.random_range(0..PATH_FAULT_KINDS) {
+        0 | 1 => Fault::CutOff {
+            machine: random.random_range(0..machines),
+            state: match random.random_range(0..4) {
+                0 => PathState::Silent,
+                1 => PathState::Reset,
+                2 => PathState::RefusesNew,
+                _ => PathState::Paused,
+            },
+            for_ms,
+        },
+        2 => Fault::EndUnframed {
+            events: random.random_range(0..6),
+            for_ms,
+        },
+        _ => Fault::ResetUnframed { for_ms },
+    }
+}
+
+/// Returns the schedule of the other faults, in order of time.
 ///
 /// Each seed uses about half of the kinds, chosen at random. With all kinds in each
 /// schedule, one fault would soon hide the effects of another one.
-pub(crate) fn schedule(seed: u64, faults_ms: u64, machines: usize) -> Vec<ScheduledFault> {
+fn first_schedule(seed: u64, faults_ms: u64, machines: usize) -> Vec<ScheduledFault> {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut kinds: Vec<u32> = (0..FAULT_KINDS)
         .filter(|_| random.random_bool(0.5))
