Spare engines that fall over when they have to reject too much

The users' engines may say that they are brittle: one that rejects more than N requests in a second falls over. Until now an instance sent up to three engines what it could not know to have room, and all instances did so at once.

While a service is brittle, each instance has places of its own at each engine, by its rank in an order of all instances that depends on the engine; together they are the engine's slots. A rejection keeps the instance from that engine until its share of what the engine bears has made up for it, and what has no place is refused at once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod brittle;
 pub mod burn;
 pub mod canary;
 pub mod claim;
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -29,6 +29,11 @@
 ) -> Outcome {
     let head = &answer.head;
     let status = answer.parts.status;
+    if let Some(rejections_per_s) = head.brittle_rejections_per_s {
+        let mut brittle = request.instance.brittle.borrow_mut();
+        let settings = &request.instance.settings.brittle;
+        brittle.record_warning(&engine.service, rejections_per_s, settings, now_ms());
+    }
     if head.not_run {
         return classify_rejection(request, &engine, &answer, plan);
     }
@@ -100,6 +105,15 @@
     };
     if let Some(known_engine) = engines.get_mut(&engine.incarnation.id) {
         known_engine.record_received(now_ms);
+        if reason == "full" {
+            let instance = &request.instance;
+            instance.brittle.borrow_mut().record_rejection(
+                known_engine,
+                instance.instance_count(),
+                &instance.settings.brittle,
+                now_ms,
+            );
+        }
         match (reason, &request.requirements.model) {
             ("other_engine", _) => known_engine.leaving_since_ms = Some(now_ms),
             ("other_weights", Some(model)) => {
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -80,7 +80,9 @@
                 .accepting_engines(&requirements.service, now_ms)
                 .filter(|known_engine| {
                     let id = &known_engine.entry.incarnation.id;
-                    usable(known_engine) && !context.tried_engines.contains(id)
+                    usable(known_engine)
+                        && !context.tried_engines.contains(id)
+                        && spares_brittle(request, known_engine, memory_tokens, now_ms)
                 }),
             requirements,
             version_bounds,
@@ -134,6 +136,31 @@
     Ok((entry, plan))
 }
 
+/// Returns whether a request may be sent to an engine without the risk that the engine
+/// falls over because it has to reject too much. True for engines that don't.
+fn spares_brittle(
+    request: &CallerRequest,
+    engine: &KnownEngine,
+    memory_tokens: u64,
+    now_ms: u64,
+) -> bool {
+    let instance = &request.instance;
+    let mut brittle = instance.brittle.borrow_mut();
+    if !brittle.is_brittle(&engine.entry.service, now_ms) {
+        return true;
+    }
+    let needed = u64::from(engine.load().memory_tokens) + request.requirements.memory_tokens;
+    let rank = || instance.rank_at(&engine.entry.incarnation.id, now_ms);
+    needed <= memory_tokens
+        && brittle.admits(
+            engine,
+            instance.instance_count(),
+            &instance.settings.brittle,
+            rank,
+            now_ms,
+        )
+}
+
 /// Returns the time after which the caller should retry if the request would wait too
 /// long at an engine, or `None` if it is admitted there.
 fn queue_retry_ms(
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,4 +1,5 @@
 use mangowalk_core::{
+    brittle::BrittleSettings,
     kv_store::KvStoreSettings,
     mesh::MeshSettings,
     path::PathSettings,
@@ -21,6 +22,8 @@
     pub kv_stores: KvStoreSettings,
     /// Refusal of requests that would wait too long.
     pub admission: AdmitSettings,
+    /// Sparing of engines that fall over when they reject too much.
+    pub brittle: BrittleSettings,
     /// Loss of the path to the engines, and requests that are passed on to peers then.
     pub path: PathSettings,
     /// Bounds on the age of weights that requests may use.
@@ -89,6 +92,7 @@
             list_part: ListPartSettings::default(),
             kv_stores: KvStoreSettings::default(),
             admission: AdmitSettings::default(),
+            brittle: BrittleSettings::default(),
             path: PathSettings::default(),
             weights: WeightsSettings {
                 penalty_after_ms: 1_300,
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -5,11 +5,12 @@
     },
     crate::{clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
+        brittle::BrittleEngines,
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
         kv_store::KvStores,
         mesh::{Bundle, MemberTable, OrderReport, PACKS_VERSION, RelayBudget},
         path::{PeerPaths, ServicePaths},
-        pool::{EngineTable, MeanPromptLength, PrefillRate, Turnover, short_hash},
+        pool::{EngineTable, MeanPromptLength, PrefillRate, Turnover, rendezvous, short_hash},
         retries::FleetRetryBudget,
         routing::{Configuration, RouteTable},
         share::{ShareSettings, ShareTable},
@@ -94,6 +95,8 @@
     /// Engines and their known state. Includes those whose entry is missing while
     /// their grace period lasts.
     pub engines: RefCell<EngineTable>,
+    /// Engines that fall over when they reject too much.
+    pub brittle: RefCell<BrittleEngines>,
     /// The paths of this instance to the engines of each service.
     pub service_paths: RefCell<ServicePaths>,
     /// Locks by service, each held while it is checked whether the path is lost.
@@ -179,6 +182,7 @@
             placements: RefCell::default(),
             routes: RefCell::default(),
             engines: RefCell::default(),
+            brittle: RefCell::default(),
             service_paths: RefCell::default(),
             path_checks: RefCell::default(),
             peer_paths: RefCell::default(),
@@ -335,6 +339,17 @@
         self.members.borrow().iter().count() + 1
     }
 
+    /// Returns the place of this instance in an order of all live ones that depends on the
+    /// engine only, so that all compute the same one.
+    pub fn rank_at(&self, engine: &str, now_ms: u64) -> usize {
+        let members = self.members.borrow();
+        let engine = u64::from(short_hash(engine));
+        let own = rendezvous(engine, &self.machine().name);
+        let live = members.live(&self.settings.mesh, now_ms);
+        live.filter(|member| rendezvous(engine, &member.last_heartbeat.name) > own)
+            .count()
+    }
+
     /// Returns the freshness that this instance requires of its reads of the
     /// store.
     ///
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -265,6 +265,7 @@
     loop {
         sleep(SWEEP_INTERVAL).await;
         remove_expired_entries(&instance);
+        instance.brittle.borrow_mut().expire(now_ms());
         let engines = instance.engines.borrow();
         let members = instance.members.borrow();
         pool.sweep(
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -2,6 +2,7 @@
 //! of the platform.
 
 mod answers;
+mod brittle;
 mod configuration;
 mod endings;
 mod input;
--- a/crates/mangowalkd/tests/soak/faults.rs
+++ b/crates/mangowalkd/tests/soak/faults.rs
@@ -257,6 +257,15 @@
                 };
                 self.set_engine_faults(true, faults, for_ms, now);
             }
+            Fault::Crowd { for_ms } => {
+                let faults = EngineFaults {
+                    max_running: Some(1),
+                    brittle_rejections_per_s: Some(6),
+                    plain_duration_ms: 20,
+                    ..EngineFaults::default()
+                };
+                self.set_engine_faults(false, faults, for_ms, now);
+            }
             Fault::NameWeights => {
                 self.weights += 1;
                 self.deployment.publish_weights(self.weights);
--- a/crates/mangowalkd/tests/soak/schedule.rs
+++ b/crates/mangowalkd/tests/soak/schedule.rs
@@ -45,6 +45,9 @@
     EndUnframed { events: usize, for_ms: u64 },
     /// An engine answers without a length and resets its streams.
     ResetUnframed { for_ms: u64 },
+    /// An engine of the plain service runs one request at a time, rejects all others and
+    /// says that it is brittle.
+    Crowd { for_ms: u64 },
 }
 
 /// A fault and its start, in milliseconds from the start of the run.
@@ -65,7 +68,7 @@
 
 /// Kinds of faults on the paths to engines and the ends of their answers, with a
 /// schedule of their own.
-const PATH_FAULT_KINDS: u32 = 4;
+const PATH_FAULT_KINDS: u32 = 5;
 
 /// Bounds of the pauses between two of them, in milliseconds.
 const PATH_FAULT_PAUSE_MS: std::ops::Range<u64> = 600..4_000;
@@ -111,7 +114,8 @@
             events: random.random_range(0..6),
             for_ms,
         },
-        _ => Fault::ResetUnframed { for_ms },
+        3 => Fault::ResetUnframed { for_ms },
+        _ => Fault::Crowd { for_ms },
     }
 }
 
