Take a service's answer that breaks off in its chunks for lost

What callers of the product's own stack saw: an answer of a plain service without its end, passed on as complete. Cause: minreq takes the end of the connection for the last chunk, and gives its user no way to tell. Services are called with hyper now, which the machines' router uses already; the calls whose answers are parsed stay with minreq, and the type says why. Complete answers by length, chunks and connection are taken as before.

--- a/crates/mangowalkd/src/edge/engines.rs
+++ b/crates/mangowalkd/src/edge/engines.rs
@@ -44,7 +44,7 @@
     }
 
     fn call<T: DeserializeOwned>(&self, request: minreq::Request) -> Result<T, SendError> {
-        let (status, _, body) = exchange(request, CALL_TIMEOUT_MS)?;
+        let (status, body) = exchange(request, CALL_TIMEOUT_MS)?;
         self.traffic.count_engine_call(body.len());
         if status != 200 {
             return Err(SendError::Refused { status });
--- a/crates/mangowalkd/src/edge/http.rs
+++ b/crates/mangowalkd/src/edge/http.rs
@@ -35,8 +35,10 @@
     }
 }
 
-/// Sends a request and reads the whole answer. Returns its status, content type
-/// and body.
+/// Sends a request and reads the whole answer. Returns its status and body.
+///
+/// A body in chunks that breaks off can't be told from a complete one, so callers have to
+/// parse it.
 ///
 /// # Errors
 ///
@@ -46,13 +48,12 @@
 pub(super) fn exchange(
     request: minreq::Request,
     timeout_ms: u64,
-) -> Result<(u16, String, Vec<u8>), SendError> {
+) -> Result<(u16, Vec<u8>), SendError> {
     let response = prepare(request, timeout_ms)
         .send_lazy()
         .map_err(|e| send_error(&e))?;
     check_answered(&response)?;
     let status = response.status_code;
-    let content_type = header(&response, "content-type").unwrap_or_default();
     let expected = header(&response, "content-length").and_then(|v| v.parse::<usize>().ok());
     let mut body = Vec::new();
     response
@@ -62,7 +63,7 @@
     if expected.is_some_and(|length| length != body.len()) {
         return Err(SendError::Lost);
     }
-    Ok((status, content_type, body))
+    Ok((status, body))
 }
 
 /// Reason phrase that `minreq` reports, with status 503, if the connection closed
--- a/crates/mangowalkd/src/edge/platform.rs
+++ b/crates/mangowalkd/src/edge/platform.rs
@@ -61,7 +61,7 @@
     }
 
     fn write(&self, request: minreq::Request) -> Result<u64, PlatformError> {
-        let (status, _, body) = exchange(request, self.call_timeout_ms).map_err(|e| match e {
+        let (status, body) = exchange(request, self.call_timeout_ms).map_err(|e| match e {
             SendError::NotConnected => PlatformError::Unreached,
             _ => PlatformError::Lost,
         })?;
@@ -80,7 +80,7 @@
     }
 
     fn read<T: DeserializeOwned>(&self, url: String, timeout_ms: u64) -> Result<T, PlatformError> {
-        let (status, _, body) =
+        let (status, body) =
             exchange(minreq::get(url), timeout_ms).map_err(|_| PlatformError::Unreached)?;
         self.traffic.count_platform_call(body.len());
         if status != 200 {
--- a/crates/mangowalkd/src/edge/services.rs
+++ b/crates/mangowalkd/src/edge/services.rs
@@ -1,10 +1,27 @@
 use {
-    super::http::exchange,
+    http::{
+        HeaderValue, Request,
+        header::{CONNECTION, CONTENT_TYPE, HOST},
+    },
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{body::Bytes, client::conn::http1},
+    hyper_util::rt::TokioIo,
     mangowalk_core::edge::{SendError, ServiceCall, ServiceReply, Services},
-    std::net::SocketAddr,
+    std::{
+        io::{self, ErrorKind},
+        net::SocketAddr,
+        time::Duration,
+    },
+    tokio::{net::TcpStream, runtime, time::timeout},
 };
 
+/// Maximum number of bytes of an answer's body; a longer answer counts as lost.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// HTTP client of plain services.
+///
+/// Unlike the client of the other edges it tells an answer that breaks off in its chunks
+/// from a complete one. Their answers are parsed, and a service's is passed on as it is.
 #[derive(Debug, Default)]
 pub struct HttpServices;
 
@@ -15,23 +32,65 @@
         call: &ServiceCall<'_>,
         timeout_ms: u64,
     ) -> Result<ServiceReply, SendError> {
-        let method = match call.method {
-            "GET" => minreq::Method::Get,
-            _ => minreq::Method::Post,
-        };
-        let mut request = minreq::Request::new(method, format!("http://{address}{}", call.path))
-            .with_header("Content-Type", call.content_type)
-            .with_header("X-Mangowalk-Team", call.team)
-            .with_header("X-Request-Id", call.request_id)
-            .with_body(call.body);
-        if let Some(key) = call.idempotency_key {
-            request = request.with_header("Idempotency-Key", key);
-        }
-        let (status, content_type, body) = exchange(request, timeout_ms)?;
-        Ok(ServiceReply {
-            status,
-            content_type,
-            body,
+        let request = to_request(address, call).map_err(|_| SendError::NotConnected)?;
+        let event_loop = runtime::Builder::new_current_thread().enable_all().build();
+        let event_loop = event_loop.map_err(|_| SendError::NotConnected)?;
+        event_loop.block_on(async {
+            let sent = send(address, request);
+            let limit = Duration::from_millis(timeout_ms);
+            timeout(limit, sent)
+                .await
+                .unwrap_or(Err(SendError::TimedOut))
         })
     }
 }
+
+fn to_request(address: SocketAddr, call: &ServiceCall<'_>) -> http::Result<Request<Full<Bytes>>> {
+    let host = HeaderValue::from_str(&address.to_string());
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(HOST, host?)
+        .header(CONNECTION, "close")
+        .header(CONTENT_TYPE, call.content_type)
+        .header("X-Mangowalk-Team", call.team)
+        .header("X-Request-Id", call.request_id);
+    if let Some(key) = call.idempotency_key {
+        request = request.header("Idempotency-Key", key);
+    }
+    request.body(Full::new(Bytes::copy_from_slice(call.body)))
+}
+
+/// Sends a request on a new connection, which ends with the answer.
+async fn send(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<ServiceReply, SendError> {
+    let stream = TcpStream::connect(address).await;
+    let stream = stream.map_err(|error| connect_error(&error))?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(|_| SendError::NotConnected)?;
+    // The answer reports the end of the connection.
+    tokio::spawn(connection);
+    let response = sender.send_request(request).await;
+    let (parts, body) = response.map_err(|_| SendError::Lost)?.into_parts();
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    let content_type = parts.headers.get(CONTENT_TYPE);
+    Ok(ServiceReply {
+        status: parts.status.as_u16(),
+        content_type: content_type
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned(),
+        body: body.map_err(|_| SendError::Lost)?.to_bytes().to_vec(),
+    })
+}
+
+/// Only a refused connection shows that no byte of a request was sent.
+fn connect_error(error: &io::Error) -> SendError {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => SendError::NotConnected,
+        ErrorKind::TimedOut => SendError::TimedOut,
+        _ => SendError::Lost,
+    }
+}
