Probe idle callers each second once their timeout has passed

As on Linux, a TCP user timeout also decides when keepalive gives up, but only when a probe is due. The product's own listener left the interval at the system's 75 seconds, so a caller whose machine was gone kept its idle connection that much longer than the timeout. Both places that set the two say now what decides. Not shown by a test: on loopback nothing loses an acknowledgement.

--- a/crates/gateway/src/upstreams/connection.rs
+++ b/crates/gateway/src/upstreams/connection.rs
@@ -96,6 +96,12 @@
 }
 
 /// Sets the TCP timeouts that end a connection whose peer is gone without a reset.
+///
+/// The user timeout ends one with unacknowledged bytes. On an idle one it also decides
+/// when keepalive gives up, whatever the number of probes: at the first interval after an
+/// unanswered probe by which nothing has come for the user timeout, about twice
+/// [`KEEPALIVE_INTERVAL_S`] after the last byte. Engines that are silent for a second
+/// keep their connections.
 fn set_timeouts(stream: &TcpStream, settings: &GatewaySettings) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/crates/mangowalkd/src/caller/listener.rs
+++ b/crates/mangowalkd/src/caller/listener.rs
@@ -10,7 +10,7 @@
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: i32 = 1_024;
 
-/// Minimum TCP keepalive time that the operating system accepts.
+/// Minimum TCP keepalive time and interval that the operating system accepts.
 const MIN_KEEPALIVE: Duration = Duration::from_secs(1);
 
 /// Timeout of the connection that wakes `accept`.
@@ -25,8 +25,10 @@
 /// - The read timeout closes a connection that receives nothing, within a head,
 ///   within a body or between two requests.
 /// - The write timeout ends a stream whose caller stopped reading.
-/// - The user timeout and keepalive close a connection whose peer machine is
-///   gone.
+/// - The user timeout closes a connection whose peer machine is gone while bytes are
+///   unacknowledged. It also decides when keepalive gives up on an idle one, whatever
+///   the number of probes: at the first interval after an unanswered probe, as the
+///   first probe is sent only after that time. The default interval is over a minute.
 /// - `TCP_NODELAY`: a token must not wait for the acknowledgement of the
 ///   previous one.
 ///
@@ -41,7 +43,9 @@
     socket.set_read_timeout(Some(timeout))?;
     socket.set_write_timeout(Some(timeout))?;
     socket.set_tcp_user_timeout(Some(timeout))?;
-    let keepalive = TcpKeepalive::new().with_time(timeout.max(MIN_KEEPALIVE));
+    let keepalive = TcpKeepalive::new()
+        .with_time(timeout.max(MIN_KEEPALIVE))
+        .with_interval(MIN_KEEPALIVE);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_nodelay(true)?;
     socket.bind(&address.into())?;
