--- a/crates/gateway/src/callers/buffered.rs
+++ b/crates/gateway/src/callers/buffered.rs
@@ -66,8 +66,7 @@
         };
         record_result(&request.instance, engine, &request.route, sample);
     }
-    let framing = answered.answer.head.framing;
-    record_answered_request(request, answered.responder(), status, framing);
+    record_answered_request(request, &answered);
     answered.answer.connection.return_to_pool(now_ms());
     let mut response = Response::new(AnswerBody::buffered(body));
     *response.status_mut() = status;
--- a/crates/gateway/src/callers/completion.rs
+++ b/crates/gateway/src/callers/completion.rs
@@ -1,8 +1,7 @@
 use {
-    super::{AnswerBody, Refusal, request::CallerRequest},
+    super::{AnswerBody, Refusal, attempt::EngineAnswer, request::CallerRequest},
     crate::clock::now_ms,
-    http::{Response, StatusCode},
-    mangowalk_platform::BodyFraming,
+    http::Response,
 };
 
 /// Time after which a refused caller should retry if no wait is given, without
@@ -25,12 +24,7 @@
 }
 
 /// Records, counts and logs the end of a request that an engine answered.
-pub(super) fn record_answered_request(
-    request: &CallerRequest,
-    engine: &str,
-    status: StatusCode,
-    framing: BodyFraming,
-) {
+pub(super) fn record_answered_request(request: &CallerRequest, answered: &EngineAnswer) {
     let took_ms = now_ms().saturating_sub(request.arrived_ms);
     let mut crashes = request.instance.crashes.borrow_mut();
     if !crashes.is_empty() {
@@ -39,12 +33,16 @@
     drop(crashes);
     request.instance.counters.observe("request", took_ms);
     request.instance.counters.count("answered", "engine");
-    let framing = framing.label();
+    let framing = answered.answer.head.framing.label();
     request.instance.counters.count("answer_end", framing);
+    let responder = match answered.engine() {
+        Some(engine) => format!("engine={}", engine.incarnation.id),
+        None => format!("peer={}", answered.responder()),
+    };
     log::info!(
-        "event=answered request={} engine={engine} status={} took_ms={took_ms} framing={framing}",
+        "event=answered request={} {responder} status={} took_ms={took_ms} framing={framing}",
         request.id(),
-        status.as_u16(),
+        answered.answer.parts.status.as_u16(),
     );
 }
 
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -11,7 +11,7 @@
     crate::{clock::now_ms, rollouts::record_result, upstreams::check_silent},
     bytes::Bytes,
     futures_util::stream::unfold,
-    http::{Response, StatusCode},
+    http::Response,
     http_body_util::BodyExt,
     mangowalk_core::{
         canary::Sample,
@@ -284,8 +284,7 @@
             record_complete_answer(&self.request, &engine.incarnation.id);
             self.record_pauses(engine);
         }
-        let framing = answered.answer.head.framing;
-        record_answered_request(&self.request, answered.responder(), StatusCode::OK, framing);
+        record_answered_request(&self.request, &answered);
         answered.answer.connection.return_to_pool(now_ms());
     }
 
--- a/crates/mangowalk/src/story/cause.rs
+++ b/crates/mangowalk/src/story/cause.rs
@@ -19,6 +19,13 @@
             .to_owned();
     };
     match (last.event.as_str(), last.field("reason")) {
+        ("answered", _) if !last.field("peer").is_empty() => format!(
+            "Instance {} answered it with status {} after {} ms, to which it was passed on{}.",
+            last.field("peer"),
+            last.field("status"),
+            last.field("took_ms"),
+            failed_attempts(request_lines),
+        ),
         ("answered", _) => format!(
             "Engine {} answered it with status {} after {} ms{}.",
             last.field("engine"),
