--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -81,7 +81,7 @@
     /// Heartbeats to a receiver that passes them on to the instances of its group,
     /// together with others.
     PackToGroup(Vec<Heartbeat>),
-    /// Whether the author reaches the engines.
+    /// From which services the author is cut off.
     Path(Box<PathReport>),
 }
 
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -171,10 +171,10 @@
 /// Counts and logs a failure of an engine and records it in the engine's health.
 ///
 /// If the answer was lost before its head arrived, or a stream broke off or ended
-/// within or before its events, the request is also recorded as a possible cause of a crash. The
-/// engine is probed, except after an answer that isn't its own. While this instance
-/// reaches no engine of the service, a failure says nothing of the engine and is only
-/// logged.
+/// within or before its events, the request is also recorded as a possible cause of a
+/// crash. The engine is probed, except after an answer that isn't its own. While this
+/// instance reaches no engine of the service, a failure says nothing of the engine and is
+/// only logged.
 pub(super) fn record_engine_failure(
     request: &CallerRequest,
     engine: &EngineEntry,
--- a/crates/gateway/src/callers/listener.rs
+++ b/crates/gateway/src/callers/listener.rs
@@ -89,9 +89,9 @@
     }
     let limits = instance.routes.borrow().configuration().limits;
     let mut drain = instance.drain.clone();
-    let ends_answers = Cell::new(false);
+    let is_http_1_0 = Cell::new(false);
     let service = service_fn(|request: Request<Incoming>| {
-        ends_answers.set(request.version() == Version::HTTP_10);
+        is_http_1_0.set(request.version() == Version::HTTP_10);
         let (instance, pool) = (instance.clone(), pool.clone());
         async move { Ok::<_, Infallible>(serve(instance, pool, request, origin).await) }
     });
@@ -112,7 +112,7 @@
         return;
     };
     log::debug!("event=caller_connection_ended error=\"{error}\"");
-    if ends_answers.get() {
+    if is_http_1_0.get() {
         reset(&served.into_parts().io.into_inner());
     }
 }
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -40,7 +40,8 @@
     pub heartbeat: Notify,
     /// Sent when heartbeats were gathered to be passed on to the own group.
     pub bundle: Notify,
-    /// Sent when the path to the engines was lost or is back.
+    /// Sent when the path to the engines of a service was lost or is back, or an engine
+    /// was found to be silent.
     pub path: Notify,
 }
 
--- a/crates/gateway/src/upstreams/connection.rs
+++ b/crates/gateway/src/upstreams/connection.rs
@@ -37,7 +37,7 @@
 ///
 /// # Errors
 ///
-/// Fails like [`connect`].
+/// Fails if the engine doesn't accept it within [`GatewaySettings::connect_timeout_ms`].
 pub async fn connect_to_engine(
     instance: &Instance,
     engine: &EngineEntry,
@@ -52,7 +52,7 @@
 ///
 /// # Errors
 ///
-/// Fails like [`connect`].
+/// Fails if the peer doesn't accept it within [`GatewaySettings::connect_timeout_ms`].
 pub async fn connect_to_peer(
     instance: &Instance,
     address: SocketAddr,
