--- a/crates/core/src/path/sample.rs
+++ b/crates/core/src/path/sample.rs
@@ -6,7 +6,7 @@
 /// Returns up to `count` engines, from as many services and failure domains as there
 /// are. `draw` selects them, so that instances try different ones.
 ///
-/// Engines that peers report as silent go last: they more likely are.
+/// Engines that peers report as silent go last, as they probably are.
 pub fn sample_engines<'a>(
     engines: impl Iterator<Item = &'a KnownEngine>,
     count: usize,
--- a/crates/core/src/path/service_paths.rs
+++ b/crates/core/src/path/service_paths.rs
@@ -28,7 +28,7 @@
             return None;
         };
         path.last_accepted_start_ms = path.last_accepted_start_ms.max(Some(began_ms));
-        // An attempt from before the loss may have been accepted just then.
+        // An attempt that began before the loss may be accepted after it was recorded.
         let is_back = path
             .lost_since_ms
             .is_some_and(|lost_ms| began_ms >= lost_ms);
--- a/crates/core/src/path/settings.rs
+++ b/crates/core/src/path/settings.rs
@@ -7,8 +7,8 @@
     /// Engines that are tried if none of these accepts a connection. The path counts as
     /// lost only if all of them fail, so that a crash of most engines isn't taken for it.
     pub full_sample: usize,
-    /// Engines of the service that are tried at a time while the path is lost. More would burden the
-    /// engines with the connections of all instances that are cut off together.
+    /// Engines of the service that are tried at a time while the path is lost. More would
+    /// burden the engines when many instances are cut off together.
     pub return_sample: usize,
     /// Interval of these attempts.
     pub return_interval_ms: u64,
@@ -19,7 +19,8 @@
     pub max_reports_per_s: u64,
     /// Time for which a peer that failed gets no further requests.
     pub peer_pause_ms: u64,
-    /// Maximum number of open requests that an instance has passed on to one peer.
+    /// Maximum number of open requests that an instance has passed on to one peer. Each
+    /// takes a descriptor and a buffer at both.
     pub max_open_per_peer: u32,
 }
 
