Log the software of engines, and streams that callers take up again

No line named an engine's software, and a request that takes a stream up again looked like any other, so the logs could not tell streams that instances move from those that callers take up. engine_listed, sent and resumed name the software version; sent tells the event behind which a stream goes on; taken_up names the request that the caller says began the stream. Nothing decides by it yet.

--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -145,13 +145,15 @@
         message
     };
     log::info!(
-        "event=sent request={} engine={} left_ms={left_ms} cached={} version={} others={} own={}",
+        "event=sent request={} engine={} software={} left_ms={left_ms} cached={} version={} others={} own={} behind={:?}",
         request.id(),
         engine.incarnation.id,
+        engine.software,
         plan.is_cached,
         plan.version,
         plan.load_at_choice.others.requests,
         plan.load_at_choice.own.requests,
+        context.last_event_id,
     );
     let sending = send(
         &request.instance,
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -70,6 +70,12 @@
         &self.head.request_id
     }
 
+    /// Returns whether the caller takes up a stream of which it has events already.
+    pub(super) fn takes_up_stream(&self) -> bool {
+        let has_events = self.head.last_event_id.is_some() || self.head.resumes.is_some();
+        self.route.retry.is_stream() && has_events
+    }
+
     /// Returns a hash that stays the same when a caller retries the request: of
     /// its method, path, team and body.
     pub(super) fn identity(&self) -> u64 {
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -58,6 +58,16 @@
     open_request: OpenRequestGuard,
 ) -> Response<AnswerBody> {
     let instance = &request.instance;
+    if request.takes_up_stream() {
+        instance.counters.count("taken_up", "received");
+        log::info!(
+            "event=taken_up request={} resumes={:?} behind={:?} origin={:?}",
+            request.id(),
+            request.head.resumes,
+            request.head.last_event_id,
+            request.origin,
+        );
+    }
     let cost = request.cost();
     let charged = request.tenant.as_ref();
     let charged = charged.filter(|_| request.origin == Origin::Caller);
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -341,9 +341,11 @@
         }
         self.request.instance.counters.count("resumed", reason);
         log::warn!(
-            "event=resumed request={} engine={} behind={last_id:?} reason={reason}",
+            "event=resumed request={} engine={} software={} behind={last_id:?} reason={reason}",
             self.request.id(),
             next.responder(),
+            next.engine()
+                .map_or("unknown", |engine| engine.software.as_str()),
         );
         self.events = ForwardedEvents::Resumable(EventSplitter::resume_after(last_id));
         self.answered = Some(*next);
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -140,11 +140,11 @@
         let (name, revision) = (&object.name, object.revision);
         match decode_engine(name, revision, &object.spec) {
             Ok(entry) => {
-                let draining = entry.draining;
+                let (draining, software) = (entry.draining, entry.software.clone());
                 // The first reading is one line, not thousands.
                 if engines.apply_entry(entry) && self.instance.is_engine_list_read.get() {
                     log::info!(
-                        "event=engine_listed engine={name} draining={draining} revision={revision}"
+                        "event=engine_listed engine={name} software={software} draining={draining} revision={revision}"
                     );
                 }
                 draining
