Show that streams go on at another software version

Stand-in engines write their version into each event, and a stream counts as complete only if one version wrote all of it. A seventh test guards the other side and passes before: where a service has had one version only, such a stream goes on.

--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -16,6 +16,7 @@
 mod sizes;
 mod stopping;
 mod unreachable;
+mod versions;
 mod weights;
 
 /// The program under test.
--- /dev/null
+++ b/crates/mangowalkd/tests/machines/versions.rs
@@ -0,0 +1,194 @@
+//! Streams of a service whose engines have several software versions.
+
+use {
+    super::PROGRAM,
+    mangowalk_platform_standins::{Caller, Deployment, EngineFaults, PathState, Reply, wait_until},
+    std::{thread, time::Duration},
+};
+
+/// Fewer engines have the one version, so streams that are moved to any engine are likely
+/// to get to the other one.
+const MIXED: [&str; 6] = ["v1", "v1", "v2", "v2", "v2", "v2"];
+
+const STREAMS: usize = 8;
+
+/// Returns the path of a stream. Streams that crash engines must not look like one request
+/// that crashes all of them.
+fn path(stream: usize) -> String {
+    format!("/reply/{stream}")
+}
+
+fn set_faults(deployment: &Deployment, faults: &EngineFaults) {
+    for engine in &deployment.engines {
+        engine.set_faults(faults.clone());
+    }
+}
+
+/// Starts streams at one machine, and calls `disturb` while they run. Returns the request
+/// IDs and what arrived.
+fn streams_during(
+    deployment: &mut Deployment,
+    machine: usize,
+    disturb: impl FnOnce(&mut Deployment),
+) -> Vec<(String, Reply)> {
+    let faults = EngineFaults {
+        event_interval_ms: 100,
+        ..EngineFaults::default()
+    };
+    set_faults(deployment, &faults);
+    let caller = deployment.caller(machine);
+    thread::scope(|scope| {
+        let streams: Vec<_> = (0..STREAMS)
+            .map(|stream| {
+                let caller = caller.clone();
+                scope.spawn(move || {
+                    let id = Caller::new_request_id();
+                    let reply = caller.stream(&path(stream), &id);
+                    (id, reply)
+                })
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(500));
+        disturb(deployment);
+        let streams = streams.into_iter();
+        streams
+            .map(|stream| stream.join().expect("the caller ends"))
+            .collect()
+    })
+}
+
+/// Takes streams up at a machine, and returns those that are complete then.
+fn complete_streams(deployment: &Deployment, machine: usize, streams: &[(String, Reply)]) -> usize {
+    let caller = deployment.caller(machine);
+    let joined = streams
+        .iter()
+        .enumerate()
+        .map(|(stream, (first_id, begun))| {
+            let id = Caller::new_request_id();
+            let next = caller.take_up(&path(stream), &id, first_id, begun);
+            begun.followed_by(&next)
+        });
+    joined.filter(Reply::is_complete_stream).count()
+}
+
+/// Guards against an answer that an instance continues at another software version.
+#[test]
+fn a_stream_goes_on_at_its_version_within_an_answer() {
+    let deployment = Deployment::start_versions(PROGRAM, 1, &MIXED);
+    let faults = EngineFaults {
+        cut_after_events: Some(7),
+        ..EngineFaults::default()
+    };
+    set_faults(&deployment, &faults);
+    let caller = deployment.caller(0);
+    for stream in 0..STREAMS {
+        let reply = caller.stream(&path(stream), &Caller::new_request_id());
+        assert!(reply.is_complete_stream(), "{reply:?}");
+    }
+}
+
+/// Guards against an answer that a peer continues at another software version.
+#[test]
+fn a_stream_goes_on_at_its_version_through_a_peer() {
+    let prepared = Deployment::prepare_versions(PROGRAM, 2, &MIXED);
+    let (mut deployment, paths, _gates) = prepared.start_on_paths();
+    let streams = streams_during(&mut deployment, 0, |_| paths[0].set(PathState::Silent));
+    for (id, reply) in &streams {
+        assert!(reply.is_complete_stream(), "{reply:?}");
+        assert_eq!(deployment.times_run(id), 2);
+    }
+}
+
+/// Guards against a stream that its caller takes up at another instance and that goes on
+/// there at another software version, or isn't taken up.
+#[test]
+fn a_stream_goes_on_at_its_version_at_another_instance() {
+    let deployment = Deployment::start_versions(PROGRAM, 2, &MIXED);
+    let faults = EngineFaults {
+        cut_after_events: Some(3),
+        ..EngineFaults::default()
+    };
+    set_faults(&deployment, &faults);
+    let caller = deployment.caller(0);
+    let begun: Vec<(String, Reply)> = (0..STREAMS)
+        .map(|stream| {
+            let id = Caller::new_request_id();
+            let reply = caller.stream(&path(stream), &id);
+            (id, reply)
+        })
+        .collect();
+    assert!(begun.iter().all(|(_, reply)| !reply.is_complete));
+    set_faults(&deployment, &EngineFaults::default());
+    assert_eq!(complete_streams(&deployment, 1, &begun), STREAMS);
+}
+
+/// Guards against streams that go on at another software version, or are lost, after the
+/// instance that served them was killed.
+#[test]
+fn streams_of_a_killed_instance_go_on_at_their_versions() {
+    let mut deployment = Deployment::start_versions(PROGRAM, 3, &MIXED);
+    let begun = streams_during(&mut deployment, 0, |deployment| {
+        deployment.machines[0].kill();
+    });
+    assert!(begun.iter().all(|(_, reply)| !reply.is_complete));
+    assert!(begun.iter().all(|(_, reply)| !reply.body.is_empty()));
+    assert_eq!(complete_streams(&deployment, 1, &begun), STREAMS);
+}
+
+/// Guards against a stream of unknown origin that goes on at any software version.
+#[test]
+fn a_stream_of_unknown_origin_is_refused_and_not_run() {
+    let deployment = Deployment::start_versions(PROGRAM, 2, &MIXED);
+    let begun = Reply {
+        body: "id: 3\n".to_owned(),
+        ..Reply::default()
+    };
+    let caller = deployment.caller(0);
+    for stream in 0..STREAMS {
+        let id = Caller::new_request_id();
+        let reply = caller.take_up(&path(stream), &id, "no-such-request", &begun);
+        assert_eq!((reply.status, deployment.times_run(&id)), (503, 0));
+    }
+}
+
+/// Guards against a caller that binds its stream by the record of another team's.
+#[test]
+fn a_stream_of_another_team_is_of_unknown_origin() {
+    let deployment = Deployment::start_versions(PROGRAM, 2, &MIXED);
+    let first_id = Caller::new_request_id();
+    let begun = deployment.caller(0).stream(&path(0), &first_id);
+    assert!(begun.is_complete_stream(), "{begun:?}");
+    let mut caller = deployment.caller(0);
+    caller.key = Some("key-of-walled".to_owned());
+    let id = Caller::new_request_id();
+    let reply = caller.take_up(&path(0), &id, &first_id, &begun);
+    assert_eq!((reply.status, deployment.times_run(&id)), (503, 0));
+}
+
+/// Guards against refusing streams of unknown origin where the service has had one
+/// software version only, so that they can't have begun at another one.
+#[test]
+fn a_stream_of_unknown_origin_goes_on_where_there_is_one_version_only() {
+    let mut deployment = Deployment::start(PROGRAM, 3, 3);
+    let begun = Reply {
+        body: "id: 3\n".to_owned(),
+        ..Reply::default()
+    };
+    let goes_on = |deployment: &Deployment, machine: usize| {
+        let id = Caller::new_request_id();
+        let caller = deployment.caller(machine);
+        let reply = caller.take_up(&path(machine), &id, "no-such-request", &begun);
+        reply.status == 200 && reply.event_ids() == (4..12).collect::<Vec<_>>()
+    };
+    assert!(goes_on(&deployment, 2));
+    // An instance that has just started relies on its peers.
+    deployment.machines[2].kill();
+    deployment.machines[2].start();
+    wait_until("the instance is ready", || {
+        deployment.machines[2].is_ready()
+    });
+    wait_until("the instance knows its peers", || {
+        deployment.addresses(&deployment.machines[2]).len() == 3
+    });
+    assert!(goes_on(&deployment, 2));
+}
