Split the state of an instance by what it is about

Paths to the engines, reads of the store, placements and notifications have files of their own now; nothing else changed.

--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -5,10 +5,14 @@
 mod drain;
 mod heartbeats;
 mod passed_on;
+mod paths;
+mod placements;
 mod reload;
 mod settings;
 mod shared_state;
 mod store_availability;
+mod store_reads;
+mod wake_ups;
 
 pub use {
     counters::Counters,
@@ -17,6 +21,7 @@
     passed_on::{OpenPassGuard, PassedOn},
     reload::{ReloadOutcome, apply_reloadable},
     settings::GatewaySettings,
-    shared_state::{Instance, WakeUps},
+    shared_state::Instance,
     store_availability::StoreAvailability,
+    wake_ups::WakeUps,
 };
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Counters, CrashTracker, Drain, GatewaySettings, PassedOn, ReloadOutcome, StoreAvailability,
-        apply_reloadable,
+        WakeUps, apply_reloadable,
     },
     crate::{clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
@@ -19,59 +19,16 @@
     mangowalk_platform::{Freshness, MachineSettings},
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
-        net::SocketAddr,
+        collections::{BTreeMap, HashMap, VecDeque},
         rc::Rc,
     },
-    tokio::sync::{Mutex, Notify, watch},
+    tokio::sync::{Mutex, watch},
 };
 
-/// Notifications between the tasks of an instance.
-#[derive(Debug, Default)]
-pub struct WakeUps {
-    /// Sent when a peer has a newer configuration than this instance.
-    pub configuration: Notify,
-    /// Sent when newer weights were published, the engine list changed, or an
-    /// engine's answer to a report call or an order arrived.
-    pub orders: Notify,
-    /// Sent when an engine was found to be silent.
-    pub silent_engine: Notify,
-    /// Sent when a heartbeat should be sent at once.
-    pub heartbeat: Notify,
-    /// Sent when heartbeats were gathered to be passed on to the own group.
-    pub bundle: Notify,
-    /// Sent when the path to the engines of a service was lost or is back, or an engine
-    /// was found to be silent.
-    pub path: Notify,
-}
-
-/// Time for which a placement is reported to peers: two heartbeats, as one may be
-/// lost.
-const PLACEMENT_REPORT_MS: u64 = 450;
-
 /// Fraction of a team's permitted overdraft that all instances together may use
 /// for a moment. The rest is left for instances that can't reach each other.
 const SHARED_SLACK_FRACTION: f64 = 0.5;
 
-/// Time within which a part at an engine isn't reported again. The first parts of
-/// prompts are used many times a second.
-const PLACEMENT_REPEAT_MS: u64 = 1_000;
-
-/// Maximum number of placements in one heartbeat, so that it fits one datagram.
-const MAX_PLACEMENTS: usize = 48;
-
-/// Time after the start in which an instance hears of its peers, and of those of a large
-/// fleet.
-const SETTLING_MS: u64 = 1_000;
-const LARGE_FLEET_SETTLING_MS: u64 = 3_000;
-
-/// Interval at which an instance asks for changes of the engine list, for each instance
-/// of a large fleet: all together make 500 calls a second.
-const POLL_MS_PER_INSTANCE: u64 = 2;
-
-/// Maximum of that interval. New engines get no work for as long.
-const MAX_POLL_INTERVAL_MS: u64 = 2_000;
-
 /// The state that the tasks of an instance share. Tasks read and write it, and
 /// don't call each other.
 pub struct Instance {
@@ -351,80 +308,6 @@
             .count()
     }
 
-    /// Returns the freshness that this instance requires of its reads of the
-    /// store.
-    ///
-    /// The first [`GatewaySettings::current_readers`] live instances with access to
-    /// the store, by name, read current state. An instance that receives no
-    /// heartbeats from instances with earlier names counts as the first, so one
-    /// that is isolated doesn't depend on reports of peers.
-    ///
-    /// An instance that has just started doesn't know yet who these are. If all read
-    /// current state until they hear of each other, the calls would cost as much as those
-    /// of the readers for the rest of the day.
-    pub fn freshness(&self, now_ms: u64) -> Freshness {
-        let is_reader = self.readers_before(now_ms) < self.settings.current_readers;
-        match is_reader && self.settles_in_ms(now_ms) == 0 {
-            true => Freshness::Current,
-            false => Freshness::MayLag,
-        }
-    }
-
-    /// Returns the time until this instance knows which peers read current state.
-    pub fn settles_in_ms(&self, now_ms: u64) -> u64 {
-        let settling_ms = match self.is_large_fleet() {
-            true => LARGE_FLEET_SETTLING_MS,
-            false => SETTLING_MS,
-        };
-        (self.started_ms + settling_ms).saturating_sub(now_ms)
-    }
-
-    /// Returns whether the fleet is so large that its instances know a part of the
-    /// engines each, and of most peers what packs of heartbeats tell.
-    pub fn is_large_fleet(&self) -> bool {
-        let members = self.members.borrow();
-        members.iter().count() > self.settings.mesh.max_relayed_peers
-    }
-
-    /// Returns the time after a peer's news of a configuration in which this
-    /// instance's own watch is expected to report it. In a large fleet it is spread:
-    /// a reading of all instances at once fills the store's link.
-    pub fn configuration_lead_ms(&self) -> u64 {
-        let lead_ms = self.settings.peer_lead_ms;
-        match self.is_large_fleet() {
-            true => lead_ms + rand::random_range(0..self.instance_count() as u64),
-            false => lead_ms,
-        }
-    }
-
-    /// Returns the interval at which this instance asks for changes of the engine list;
-    /// `None` if it waits for each at the store. If all instances of a large fleet did,
-    /// each change would be answered to a thousand waiting calls. Those that read
-    /// current state report departures to the others.
-    pub fn engine_poll_interval_ms(&self, now_ms: u64) -> Option<u64> {
-        if !self.is_large_fleet() || self.freshness(now_ms) == Freshness::Current {
-            return None;
-        }
-        let by_count_ms = self.instance_count() as u64 * POLL_MS_PER_INSTANCE;
-        Some(by_count_ms.clamp(self.settings.batch_ms, MAX_POLL_INTERVAL_MS))
-    }
-
-    /// Returns the names of the services to which requests are routed.
-    pub fn routed_services(&self) -> BTreeSet<String> {
-        let routes = self.routes.borrow();
-        let routes = routes.configuration().routes.iter();
-        let shares = routes.flat_map(|route| &route.services);
-        shares.map(|share| share.service.clone()).collect()
-    }
-
-    /// Returns the number of live instances with access to the store whose names sort
-    /// before that of this one.
-    pub fn readers_before(&self, now_ms: u64) -> usize {
-        let members = self.members.borrow();
-        let own = &self.machine().name;
-        members.count_live_before(own, |peer| peer.has_store, &self.settings.mesh, now_ms)
-    }
-
     /// Returns whether a live peer has a newer configuration.
     pub fn is_behind(&self, now_ms: u64) -> bool {
         let own = self.routes.borrow().version();
@@ -432,99 +315,4 @@
         let mut live = members.live(&self.settings.mesh, now_ms);
         live.any(|member| member.last_heartbeat.configuration_version > own)
     }
-
-    /// Returns the sorted addresses at which callers may connect: those of live
-    /// peers that report to be ready, and of this instance if it is ready.
-    ///
-    /// Instances that are cut off from all services are left out, unless all are.
-    pub fn caller_addresses(&self, now_ms: u64) -> Vec<SocketAddr> {
-        let services = self.routed_services();
-        let members = self.members.borrow();
-        let peer_paths = self.peer_paths.borrow();
-        let mut ready: Vec<(SocketAddr, bool)> = members
-            .live(&self.settings.mesh, now_ms)
-            .map(|member| &member.last_heartbeat)
-            .filter(|heartbeat| heartbeat.ready)
-            .map(|heartbeat| {
-                let name = &heartbeat.name;
-                let mut services = services.iter();
-                let is_cut = services.all(|service| peer_paths.is_cut(name, service, now_ms));
-                (heartbeat.caller_address, is_cut)
-            })
-            .collect();
-        if self.is_ready() {
-            let is_cut = self.cut_services(now_ms).len() == services.len();
-            ready.push((self.machine().caller_address, is_cut));
-        }
-        let are_all_cut = ready.iter().all(|(_, is_cut)| *is_cut);
-        let listed = ready
-            .into_iter()
-            .filter(|(_, is_cut)| are_all_cut || !is_cut);
-        let mut addresses: Vec<SocketAddr> = listed.map(|(address, _)| address).collect();
-        addresses.sort();
-        addresses
-    }
-
-    /// Returns whether the path to the engines of all routed services is lost.
-    pub fn reaches_no_engine(&self) -> bool {
-        let paths = self.service_paths.borrow();
-        let services = self.routed_services();
-        !services.is_empty() && services.iter().all(|service| paths.is_lost(service))
-    }
-
-    /// Returns whether this instance reaches none or less than half of the engines of a
-    /// service.
-    pub fn is_cut_off(&self, service: &str, now_ms: u64) -> bool {
-        let is_lost = self.service_paths.borrow().is_lost(service);
-        is_lost || self.engines.borrow().is_mostly_silent(service, now_ms)
-    }
-
-    /// Returns the routed services of whose engines this instance reaches none or less
-    /// than half.
-    pub fn cut_services(&self, now_ms: u64) -> Vec<String> {
-        let mut services = self.routed_services();
-        services.retain(|service| self.is_cut_off(service, now_ms));
-        services.into_iter().collect()
-    }
-
-    /// Returns the engines that peers should take for silent. Those of services from
-    /// which this instance is cut off may be well.
-    pub fn reported_silent_engines(&self, now_ms: u64) -> Vec<String> {
-        let cut_services = self.cut_services(now_ms);
-        let engines = self.engines.borrow();
-        let silent = engines
-            .silent_engines()
-            .map(|engine| &engine.entry)
-            .filter(|entry| !cut_services.contains(&entry.service));
-        silent.map(|entry| entry.incarnation.id.clone()).collect()
-    }
-
-    /// Records that an engine has cached a shared part, and queues the placement
-    /// for the peers unless it was reported recently.
-    pub fn record_part(&self, part: u64, engine: &str, now_ms: u64) {
-        let mut engines = self.engines.borrow_mut();
-        let Some(known_engine) = engines.get_mut(engine) else {
-            return;
-        };
-        let was_reported = known_engine.has_cached(part, PLACEMENT_REPEAT_MS, now_ms);
-        known_engine.record_part(part, now_ms);
-        if was_reported {
-            return;
-        }
-        let mut placements = self.placements.borrow_mut();
-        placements.push_back((now_ms, part, short_hash(engine)));
-        while placements.len() > MAX_PLACEMENTS {
-            placements.pop_front();
-        }
-    }
-
-    /// Returns the shared parts to report to peers, each with the short hash of its
-    /// engine's name.
-    pub fn recent_placements(&self, now_ms: u64) -> Vec<(u64, u32)> {
-        let placements = self.placements.borrow();
-        let recent = placements
-            .iter()
-            .filter(|(recorded_ms, _, _)| now_ms < recorded_ms + PLACEMENT_REPORT_MS);
-        recent.map(|(_, part, engine)| (*part, *engine)).collect()
-    }
 }
--- /dev/null
+++ b/crates/gateway/src/instance/wake_ups.rs
@@ -0,0 +1,20 @@
+use tokio::sync::Notify;
+
+/// Notifications between the tasks of an instance.
+#[derive(Debug, Default)]
+pub struct WakeUps {
+    /// Sent when a peer has a newer configuration than this instance.
+    pub configuration: Notify,
+    /// Sent when newer weights were published, the engine list changed, or an
+    /// engine's answer to a report call or an order arrived.
+    pub orders: Notify,
+    /// Sent when an engine was found to be silent.
+    pub silent_engine: Notify,
+    /// Sent when a heartbeat should be sent at once.
+    pub heartbeat: Notify,
+    /// Sent when heartbeats were gathered to be passed on to the own group.
+    pub bundle: Notify,
+    /// Sent when the path to the engines of a service was lost or is back, or an engine
+    /// was found to be silent.
+    pub path: Notify,
+}
