Decide where streams began, without a network

A stream may only go on at the software version that began it, and its caller may take it up at any instance, also after the one that served it was killed. Records of streams are kept by three peers, found by rendezvous hashing of team and request; without a record the version is known only where the service has had a single one since the stream can have begun, as an instance says that reads current state. Anything else counts as another version.

Weighed and left: the store (a write for each stream; 60 a second on the smallest deployment, 7,000 at the size to come, at 3,200 a second), and asking the serving instance on demand (it may be the killed one).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod limits;
 pub mod membership;
 pub mod mesh;
+pub mod origin;
 pub mod path;
 pub mod peer;
 pub mod placement;
--- /dev/null
+++ b/crates/core/src/origin/listed_builds.rs
@@ -0,0 +1,96 @@
+use {
+    super::{EngineBuild, OriginSettings},
+    crate::pool::{EngineEntry, EngineTable},
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// The builds of a service since the last stream began that may still be taken up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ServiceBuilds {
+    /// It has had this one only.
+    Single(EngineBuild),
+    /// It has had more than one, or engines that name none.
+    Several,
+    /// The engine list wasn't followed for long enough, or isn't known in whole.
+    Unknown,
+}
+
+/// The builds of each service in the engine list, those of engines that have left
+/// included, and since when the list has been followed without a gap.
+#[derive(Debug, Clone, Default)]
+pub struct ListedBuilds {
+    /// `None` while the list isn't followed, or only a part of it.
+    followed_since_ms: Option<u64>,
+    confirmed_ms: u64,
+    /// When each build was last listed. The build of an entry that names no software
+    /// version is `None`.
+    listed_ms: BTreeMap<String, BTreeMap<Option<EngineBuild>, u64>>,
+}
+
+impl ListedBuilds {
+    /// Returns the state of an instance of a fleet that starts for the first time: no
+    /// stream began before.
+    pub fn of_first_start() -> ListedBuilds {
+        ListedBuilds {
+            followed_since_ms: Some(0),
+            ..ListedBuilds::default()
+        }
+    }
+
+    /// Records that the list was read anew. What came and left since the last answer of
+    /// the store isn't known then.
+    pub fn begin_reading(&mut self, is_whole: bool, settings: &OriginSettings, now_ms: u64) {
+        let gap_ms = now_ms.saturating_sub(self.confirmed_ms);
+        let is_first = self.confirmed_ms == 0;
+        let goes_on = is_first || gap_ms <= settings.max_list_gap_ms;
+        let before = self.followed_since_ms.filter(|_| goes_on);
+        self.followed_since_ms = is_whole.then_some(before.unwrap_or(now_ms));
+    }
+
+    /// Records the builds of the listed engines. Called after and before each change, so
+    /// that those of engines that leave are known.
+    pub fn record(&mut self, engines: &EngineTable, settings: &OriginSettings, now_ms: u64) {
+        self.confirmed_ms = now_ms;
+        for engine in engines.iter() {
+            self.record_entry(&engine.entry, engine.build, now_ms);
+        }
+        for listed_ms in self.listed_ms.values_mut() {
+            listed_ms.retain(|_, last_ms| now_ms < *last_ms + settings.single_build_ms);
+        }
+    }
+
+    fn record_entry(&mut self, entry: &EngineEntry, build: Option<EngineBuild>, now_ms: u64) {
+        if let Some(listed_ms) = self.listed_ms.get_mut(&entry.service) {
+            listed_ms.insert(build, now_ms);
+            return;
+        }
+        let listed_ms = BTreeMap::from([(build, now_ms)]);
+        self.listed_ms.insert(entry.service.clone(), listed_ms);
+    }
+
+    /// Returns the builds that a service has had since the last stream began that may still
+    /// be taken up. The list of an instance that hasn't heard of the store for
+    /// `max_list_age_ms` may lack one.
+    pub fn of_service(
+        &self,
+        service: &str,
+        settings: &OriginSettings,
+        max_list_age_ms: u64,
+        now_ms: u64,
+    ) -> ServiceBuilds {
+        let Some(listed_ms) = self.listed_ms.get(service) else {
+            return ServiceBuilds::Unknown;
+        };
+        let is_followed = self
+            .followed_since_ms
+            .is_some_and(|since_ms| since_ms == 0 || now_ms >= since_ms + settings.single_build_ms);
+        let is_current = now_ms <= self.confirmed_ms + max_list_age_ms;
+        let mut builds = listed_ms.keys();
+        match (builds.next(), builds.next()) {
+            (Some(_), Some(_)) => ServiceBuilds::Several,
+            (Some(Some(build)), None) if is_followed && is_current => ServiceBuilds::Single(*build),
+            _ => ServiceBuilds::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/origin/mod.rs
@@ -0,0 +1,31 @@
+//! Which software began a stream, so that it goes on at that software only.
+//!
+//! Engines of several software versions may serve a service side by side, and what two
+//! versions write doesn't fit together. Within one answer the instance knows where the
+//! stream began. A caller that takes the stream up again may reach any instance, also
+//! after the first one was killed, so each stream's build is told to a few peers before
+//! its first event is passed on. These are found by rendezvous hashing of the stream's
+//! key, so what an instance sends and keeps depends on its own streams and not on the
+//! size of the fleet.
+//!
+//! A build that isn't known counts as another one: the stream isn't resumed.
+
+mod build;
+mod listed_builds;
+mod message;
+mod owners;
+mod records;
+mod settings;
+mod stream_key;
+mod verdict;
+
+pub use {
+    build::EngineBuild,
+    listed_builds::{ListedBuilds, ServiceBuilds},
+    message::{OriginAnswer, OriginMessage, OriginQuestion},
+    owners::owners,
+    records::{Origin, OriginRecords},
+    settings::OriginSettings,
+    stream_key::StreamKey,
+    verdict::Verdict,
+};
--- a/crates/core/src/pool/known_engine.rs
+++ b/crates/core/src/pool/known_engine.rs
@@ -1,6 +1,6 @@
 use {
     super::{EngineEntry, Health, HealthSettings, short_hash},
-    crate::canary::SoftwareRole,
+    crate::{canary::SoftwareRole, origin::EngineBuild},
     serde::{Deserialize, Serialize},
     std::collections::HashMap,
 };
@@ -52,6 +52,8 @@
 pub struct KnownEngine {
     /// Last entry of the engine in the engine list.
     pub entry: EngineEntry,
+    /// Its service and software version; `None` if its entry names no version.
+    pub build: Option<EngineBuild>,
     /// What it may be used for because of its software version.
     pub software_role: SoftwareRole,
     /// Short hash of its name, by which peers refer to it in heartbeats.
@@ -99,6 +101,7 @@
             .collect();
         KnownEngine {
             name_hash: short_hash(&entry.incarnation.id),
+            build: EngineBuild::of(&entry),
             entry,
             software_role: SoftwareRole::default(),
             own: Load::default(),
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -30,7 +30,7 @@
     name_form::NameForm,
     prompt_length::MeanPromptLength,
     requirements::{EngineRequirements, PromptPart},
-    software_lane::choose_in_lane,
+    software_lane::{choose_for_begun, choose_in_lane},
     table::{EngineTable, short_hash},
     turnover::Turnover,
 };
--- a/crates/core/src/pool/software_lane.rs
+++ b/crates/core/src/pool/software_lane.rs
@@ -40,3 +40,21 @@
         }
     }
 }
+
+/// Chooses an engine for a stream that has begun, among those of its software version.
+///
+/// It goes on at a version whose order isn't decided, too, and counts against what that
+/// version may get. A version that was withdrawn gets nothing, begun streams included.
+pub fn choose_for_begun<'a>(
+    choose_among: impl Fn(&dyn Fn(&KnownEngine) -> bool) -> Option<&'a KnownEngine>,
+) -> Option<(&'a KnownEngine, Lane)> {
+    let chosen = choose_among(&|engine: &KnownEngine| {
+        let role = engine.software_role;
+        !matches!(role, SoftwareRole::Held | SoftwareRole::Withdrawn)
+    })?;
+    let lane = match chosen.software_role {
+        SoftwareRole::Candidate => Lane::Trial { ratio: 0.0 },
+        _ => Lane::InUse,
+    };
+    Some((chosen, lane))
+}
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -71,11 +71,11 @@
         })
     }
 
-    /// Applies an entry of the list. A new incarnation, address or service
-    /// resets the known state of the engine, except for the work sent to it.
+    /// Applies an entry of the list. A new incarnation, address, service or software
+    /// version resets the known state of the engine, except for the work sent to it.
     ///
-    /// Returns whether the engine is new, or its incarnation, address, service
-    /// or draining state changed.
+    /// Returns whether the engine is new, or one of these or its draining state
+    /// changed.
     pub fn apply_entry(&mut self, entry: EngineEntry) -> bool {
         let id = entry.incarnation.id.clone();
         self.departures.record_entry(&entry);
@@ -89,7 +89,8 @@
         };
         let same = engine.entry.incarnation == entry.incarnation
             && engine.entry.address == entry.address
-            && engine.entry.service == entry.service;
+            && engine.entry.service == entry.service
+            && engine.entry.software == entry.software;
         if !same {
             if engine.entry.incarnation != entry.incarnation {
                 self.departures
