Keep streams at the software version that began them

A resumed stream chose among all engines of its service like any request, a peer wasn't told where it began, and a caller's next try was a new request to whichever instance got it. The class of fault is one name, the service, taken for one thing.

A stream is bound by the first event that is passed on to the caller. Within an answer the instance resumes it at engines of that build only, and tells a peer which one that is; the peer tells the build of its engine back, and an answer that doesn't confirm the build is dropped. The header for that is taken from peers only and never passed on. Before the first event leaves, three peers are told of it, and a request that takes a stream up is bound by these records. It is refused at once and not run (503) if the version isn't known or no engine has it. Taken-up streams go first at the engine and aren't refused for its queue. A begun stream goes on at a version under trial, counting against what that may get, and never at a withdrawn one. An engine that starts again between request and first event makes the version unknown.

--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -8,12 +8,12 @@
     },
     crate::{
         clock::now_ms,
-        instance::OpenPassGuard,
+        instance::{Instance, OpenPassGuard},
         upstreams::{Answer, Destination, SendError, check_silent, send},
     },
     http::Request,
     http_body_util::Full,
-    mangowalk_core::pool::EngineEntry,
+    mangowalk_core::{origin::EngineBuild, pool::EngineEntry},
     std::{pin::pin, time::Duration},
     tokio::time::{sleep, timeout},
 };
@@ -65,6 +65,8 @@
     /// A peer that sent the request to the engine.
     Peer {
         name: String,
+        /// Build of that engine, if the peer tells it.
+        build: Option<EngineBuild>,
         _open_guard: OpenPassGuard,
     },
 }
@@ -86,6 +88,21 @@
         }
     }
 
+    /// Returns the build of the engine; `None` if it isn't known, as the engine may have
+    /// started again with other software since the request was sent.
+    pub(super) fn build(&self, instance: &Instance) -> Option<EngineBuild> {
+        match &self.source {
+            AnswerSource::Engine { entry, .. } => {
+                let engines = instance.engines.borrow();
+                let known = engines.get(&entry.incarnation.id);
+                let has_restarted =
+                    known.is_some_and(|known| known.entry.incarnation != entry.incarnation);
+                EngineBuild::of(entry).filter(|_| !has_restarted)
+            }
+            AnswerSource::Peer { build, .. } => *build,
+        }
+    }
+
     /// Records that the answer broke off or didn't come in time.
     pub(super) fn record_failure(&self, request: &CallerRequest, reason: &'static str) {
         match &self.source {
@@ -106,6 +123,8 @@
     pub(super) is_resumed: bool,
     /// ID of the last event that the caller has; the stream resumes after it.
     pub(super) last_event_id: Option<&'a str>,
+    /// Build at which the stream has begun and has to go on.
+    pub(super) build: Option<EngineBuild>,
     /// Whether the stream can be resumed at another engine if it is cut off.
     pub(super) can_resume_elsewhere: bool,
     /// Whether no engine has run the request, so that it may still be refused.
--- a/crates/gateway/src/callers/buffered.rs
+++ b/crates/gateway/src/callers/buffered.rs
@@ -5,7 +5,7 @@
         completion::{record_answered_request, record_complete_answer, refuse},
         guards::OpenRequestGuard,
         request::CallerRequest,
-        retry::{AttemptHistory, send_with_retries},
+        retry::{AttemptHistory, ResumePoint, send_with_retries},
     },
     crate::{clock::now_ms, rollouts::record_result},
     bytes::Bytes,
@@ -45,7 +45,7 @@
         if !request.may_run_again(attempts.possible_run_count) {
             return refuse(&request, Refusal::AnswerLost, None);
         }
-        match send_with_retries(&request, &mut attempts, None).await {
+        match send_with_retries(&request, &mut attempts, ResumePoint::default()).await {
             Ok(next) => answered = *next,
             Err(refusal) => return refuse(&request, refusal, None),
         }
--- a/crates/gateway/src/callers/listener.rs
+++ b/crates/gateway/src/callers/listener.rs
@@ -8,7 +8,7 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     socket2::SockRef,
-    std::{cell::Cell, convert::Infallible, net::IpAddr, rc::Rc, time::Duration},
+    std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         task::spawn_local,
@@ -39,12 +39,6 @@
     accept(instance, pool, listener, Origin::Peer).await;
 }
 
-fn is_of_instance(instance: &Instance, address: IpAddr) -> bool {
-    let members = instance.members.borrow();
-    let mut peers = members.iter();
-    peers.any(|member| member.last_heartbeat.peer_address.ip() == address)
-}
-
 async fn accept(
     instance: Rc<Instance>,
     pool: Rc<ConnectionPool>,
@@ -59,7 +53,7 @@
         };
         match accepted {
             Ok((_, address))
-                if origin == Origin::Peer && !is_of_instance(&instance, address.ip()) =>
+                if origin == Origin::Peer && !instance.is_peer_address(address.ip()) =>
             {
                 log::warn!("event=stranger_refused address={address}");
             }
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -17,6 +17,7 @@
 mod serve;
 mod software_lane;
 mod stream;
+mod taken_up;
 
 pub use {
     answer::{AnswerBody, StreamCut},
--- a/crates/gateway/src/callers/pass_on.rs
+++ b/crates/gateway/src/callers/pass_on.rs
@@ -11,7 +11,7 @@
     http::{Request, StatusCode},
     http_body_util::Full,
     mangowalk_core::{
-        mesh::PASSING_VERSION,
+        mesh::{ORIGINS_VERSION, PASSING_VERSION},
         path::{PeerCandidate, choose_peer},
         pool::Incarnation,
     },
@@ -38,7 +38,12 @@
     };
     let name = peer.incarnation.id.as_str();
     let left_ms = request.left_ms();
-    let headers = passed_on_headers(&request.headers, left_ms, context.last_event_id);
+    let headers = passed_on_headers(
+        &request.headers,
+        left_ms,
+        context.last_event_id,
+        context.build,
+    );
     let headers = match headers {
         Ok(headers) => headers,
         Err(error) => {
@@ -68,7 +73,10 @@
     let sending = send(&request.instance, &request.pool, destination, build_message);
     let give_up_ms = context.give_up_ms.unwrap_or(left_ms).min(left_ms);
     match timeout(Duration::from_millis(give_up_ms), sending).await {
-        Ok(Ok(answer)) => classify(request, answer, peer.incarnation.id, open_guard, now_ms),
+        Ok(Ok(answer)) => {
+            let peer = peer.incarnation.id;
+            classify(request, context, answer, peer, open_guard, now_ms)
+        }
         Ok(Err(SendError::NotSent { .. })) => {
             record_peer_failure(request, name, "not_connected");
             Outcome::NotRun(peer.incarnation.id)
@@ -97,9 +105,13 @@
     let peer_paths = instance.peer_paths.borrow();
     let machine = instance.machine();
     let settings = &instance.settings.path;
+    let min_version = match context.build {
+        Some(_) => ORIGINS_VERSION,
+        None => PASSING_VERSION,
+    };
     let able = members
         .live(&instance.settings.mesh, now_ms)
-        .filter(|member| member.exchange_version >= PASSING_VERSION)
+        .filter(|member| member.exchange_version >= min_version)
         .map(|member| &*member.last_heartbeat)
         .filter(|heartbeat| {
             let name = &heartbeat.name;
@@ -128,6 +140,7 @@
 /// Tells an engine's answer that a peer forwards from one of the peer's own.
 fn classify(
     request: &CallerRequest,
+    context: &AttemptContext<'_>,
     answer: Answer,
     peer: String,
     open_guard: OpenPassGuard,
@@ -136,11 +149,17 @@
     let head = &answer.head;
     let status = answer.parts.status;
     if head.is_signed && head.request_id.as_deref() == Some(request.id()) {
+        let build = head.build;
+        if context.build.is_some() && build != context.build {
+            record_peer_failure(request, &peer, "other_software");
+            return Outcome::MayHaveRun(peer);
+        }
         request.instance.counters.count("passed_on", "answered");
         return Outcome::Answer(Box::new(EngineAnswer {
             answer,
             source: AnswerSource::Peer {
                 name: peer,
+                build,
                 _open_guard: open_guard,
             },
             sent_ms,
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -8,7 +8,8 @@
         kv_store::kv_store_key,
         pool::{
             CacheSource, ChoiceSettings, EngineEntry, EngineRequirements, KnownEngine,
-            ListingStatus, Load, choose, choose_in_lane, find_cache_source, retry_after_ms,
+            ListingStatus, Load, choose, choose_for_begun, choose_in_lane, find_cache_source,
+            retry_after_ms,
         },
     },
     mangowalk_platform::{Forward, forward_headers},
@@ -81,6 +82,9 @@
                 .filter(|known_engine| {
                     let id = &known_engine.entry.incarnation.id;
                     usable(known_engine)
+                        && context
+                            .build
+                            .is_none_or(|build| known_engine.build == Some(build))
                         && !context.tried_engines.contains(id)
                         && spares_brittle(request, known_engine, memory_tokens, now_ms)
                 }),
@@ -95,8 +99,11 @@
     let lane = software_lane(request, context, now_ms);
     let admits = |engine: &KnownEngine| queue_retry_ms(request, context, engine).is_none();
     let new_engines = new_engines(&engines, &requirements.service);
-    let (chosen, lane) =
-        choose_in_lane(lane, &new_engines, choose_among, admits).ok_or(Outcome::NoEngine)?;
+    let chosen = match context.build {
+        Some(_) => choose_for_begun(choose_among),
+        None => choose_in_lane(lane, &new_engines, choose_among, admits),
+    };
+    let (chosen, lane) = chosen.ok_or(Outcome::NoEngine)?;
     if let Some(retry_ms) = queue_retry_ms(request, context, chosen) {
         log_full(request, chosen);
         return Err(Outcome::QueueTooLong(retry_ms));
--- a/crates/gateway/src/callers/refusal.rs
+++ b/crates/gateway/src/callers/refusal.rs
@@ -43,6 +43,10 @@
     /// The request has crashed several engines. This time it has not run.
     #[display("This request has crashed several engines; change it before you send it again.")]
     Poison,
+    /// It isn't known at which software version the stream began, or no engine has that
+    /// version. The request has not run.
+    #[display("The stream can't go on at the software version that began it; request it anew.")]
+    UnknownOrigin,
     /// No engine can run the request in time. It has not run.
     #[display("No engine is free in time; come again after the time given.")]
     NoEngine,
@@ -64,9 +68,11 @@
             Refusal::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Refusal::OverRate => StatusCode::TOO_MANY_REQUESTS,
-            Refusal::Starting | Refusal::Stopping | Refusal::Poison | Refusal::NoEngine => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Refusal::Starting
+            | Refusal::Stopping
+            | Refusal::Poison
+            | Refusal::UnknownOrigin
+            | Refusal::NoEngine => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::AnswerLost => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -85,6 +91,7 @@
             Refusal::Starting => "starting",
             Refusal::Stopping => "stopping",
             Refusal::Poison => "poison",
+            Refusal::UnknownOrigin => "unknown_origin",
             Refusal::NoEngine => "no_engine",
             Refusal::AnswerLost => "answer_lost",
             Refusal::TimedOut => "timed_out",
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -10,6 +10,7 @@
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
     mangowalk_core::{
+        origin::{EngineBuild, StreamKey},
         pool::EngineRequirements,
         routing::{Route, RouteError, Tenant},
         weights::VersionBounds,
@@ -53,6 +54,8 @@
     /// configured.
     pub(super) tenant: Option<Rc<Tenant>>,
     pub(super) requirements: EngineRequirements,
+    /// Build at which the request has to run, as it takes up a stream that began there.
+    pub(super) build: Option<EngineBuild>,
     pub(super) arrived_ms: u64,
     /// When the caller gives up or the route's timeout is reached, whichever is
     /// earlier.
@@ -70,6 +73,20 @@
         &self.head.request_id
     }
 
+    /// Returns the name of the caller's team; empty if it has none.
+    pub(super) fn team(&self) -> &str {
+        let tenant = self.tenant.as_ref();
+        tenant.map_or("", |tenant| tenant.name.as_str())
+    }
+
+    /// Returns the keys by which the caller may name the stream when it takes it up: that
+    /// of the request that brought the first event, and of this one.
+    pub(super) fn stream_keys(&self) -> impl Iterator<Item = StreamKey> {
+        let named = self.head.resumes.as_deref();
+        let ids = named.into_iter().chain([self.id()]);
+        ids.map(|id| StreamKey::new(self.team(), id))
+    }
+
     /// Returns whether the caller takes up a stream of which it has events already.
     pub(super) fn takes_up_stream(&self) -> bool {
         let has_events = self.head.last_event_id.is_some() || self.head.resumes.is_some();
@@ -79,10 +96,7 @@
     /// Returns a hash that stays the same when a caller retries the request: of
     /// its method, path, team and body.
     pub(super) fn identity(&self) -> u64 {
-        let team = self
-            .tenant
-            .as_ref()
-            .map_or("", |tenant| tenant.name.as_str());
+        let team = self.team();
         let path = self.uri.path_and_query().map_or("", |path| path.as_str());
         let mut bytes = format!("{} {path} {team} ", self.method).into_bytes();
         bytes.extend_from_slice(&self.body);
@@ -225,6 +239,7 @@
         route,
         tenant,
         requirements,
+        build: None,
         arrived_ms,
         deadline_ms,
     })
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -5,7 +5,9 @@
         request::CallerRequest,
     },
     crate::{clock::now_ms, rollouts::record_result},
-    mangowalk_core::{canary::Sample, pool::EngineEntry, routing::RetryPolicy},
+    mangowalk_core::{
+        canary::Sample, origin::EngineBuild, pool::EngineEntry, routing::RetryPolicy,
+    },
 };
 
 /// Maximum number of attempts with engines that reject the request or can't be
@@ -27,6 +29,15 @@
     pub(super) retry_after_ms: Option<u64>,
 }
 
+/// Where a stream that an instance moves to another engine goes on.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ResumePoint<'a> {
+    /// ID of the last event that was passed on to the caller.
+    pub(super) last_event_id: Option<&'a str>,
+    /// Build of the engines that wrote its events.
+    pub(super) build: Option<EngineBuild>,
+}
+
 /// Sends the request to engines, one after another, until one answers. Adds each
 /// attempt to `attempts`.
 ///
@@ -37,10 +48,10 @@
 pub(super) async fn send_with_retries(
     request: &CallerRequest,
     attempts: &mut AttemptHistory,
-    last_event_id: Option<&str>,
+    resume_point: ResumePoint<'_>,
 ) -> Result<Box<EngineAnswer>, Refusal> {
     let mut server_errors = Vec::new();
-    let result = try_engines(request, attempts, last_event_id, &mut server_errors).await;
+    let result = try_engines(request, attempts, resume_point, &mut server_errors).await;
     record_server_errors(request, &server_errors, &result);
     result
 }
@@ -67,7 +78,7 @@
 async fn try_engines(
     request: &CallerRequest,
     attempts: &mut AttemptHistory,
-    last_event_id: Option<&str>,
+    resume_point: ResumePoint<'_>,
     server_errors: &mut Vec<EngineEntry>,
 ) -> Result<Box<EngineAnswer>, Refusal> {
     let mut may_have_run = attempts.possible_run_count > 0;
@@ -99,9 +110,13 @@
             can_resume_elsewhere: request.route.retry == RetryPolicy::ResumableStream
                 && attempts.possible_run_count + 1 < request.max_attempts(),
             is_first: is_first_attempt,
-            may_be_refused: attempts.possible_run_count == 0,
-            is_resumed: last_event_id.is_some(),
-            last_event_id: last_event_id.or(request.head.last_event_id.as_deref()),
+            // A caller that takes a stream up has waited for it once already.
+            may_be_refused: attempts.possible_run_count == 0 && request.build.is_none(),
+            is_resumed: resume_point.last_event_id.is_some() || request.build.is_some(),
+            last_event_id: resume_point
+                .last_event_id
+                .or(request.head.last_event_id.as_deref()),
+            build: resume_point.build.or(request.build),
             give_up_ms: give_up_ms(request, attempts),
         };
         match attempt(request, &context).await {
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -6,8 +6,9 @@
         completion::refuse,
         guards::OpenRequestGuard,
         request::{CallerRequest, Origin, read_request},
-        retry::{AttemptHistory, send_with_retries},
+        retry::{AttemptHistory, ResumePoint, send_with_retries},
         stream::forward_stream,
+        taken_up::bind_taken_up,
     },
     crate::{
         clock::now_ms,
@@ -34,7 +35,7 @@
     let open_request = OpenRequestGuard::new(&instance);
     let (parts, body) = request.into_parts();
     let mut response = match read_request(instance.clone(), pool, parts, body, origin).await {
-        Ok(request) => handle_request(Rc::new(request), open_request).await,
+        Ok(request) => handle_request(request, open_request).await,
         Err((refusal, retry_after_ms)) => {
             instance.counters.count("refused", refusal.reason());
             log::info!("event=refused reason={}", refusal.reason());
@@ -54,10 +55,10 @@
 /// Charges the team's rate, unless a peer has done so, sends the request to engines and
 /// forwards the answer. Refunds the rate if no engine could take the request.
 async fn handle_request(
-    request: Rc<CallerRequest>,
+    mut request: CallerRequest,
     open_request: OpenRequestGuard,
 ) -> Response<AnswerBody> {
-    let instance = &request.instance;
+    let instance = request.instance.clone();
     if request.takes_up_stream() {
         instance.counters.count("taken_up", "received");
         log::info!(
@@ -69,9 +70,9 @@
         );
     }
     let cost = request.cost();
-    let charged = request.tenant.as_ref();
+    let charged = request.tenant.clone();
     let charged = charged.filter(|_| request.origin == Origin::Caller);
-    if let Some(tenant) = charged {
+    if let Some(tenant) = &charged {
         let taken = instance.shares.borrow_mut().take(tenant, cost, now_ms());
         if let Err(wait_ms) = taken {
             let rate = tenant.rate.unwrap_or_default();
@@ -90,6 +91,15 @@
     if request.is_poison() {
         return refuse(&request, Refusal::Poison, Some(POISON_RETRY_MS));
     }
+    let refund = || {
+        if let Some(tenant) = &charged {
+            instance.shares.borrow_mut().refund(tenant, cost);
+        }
+    };
+    if let Err(refusal) = bind_taken_up(&mut request).await {
+        refund();
+        return refuse(&request, refusal, None);
+    }
     if !request.has_no_path() {
         let service = request.requirements.service.clone();
         let mut budgets = instance.retry_budgets.borrow_mut();
@@ -97,13 +107,12 @@
         budget.record_request(&instance.machine().retries, now_ms());
     }
     let mut attempts = AttemptHistory::default();
-    match send_with_retries(&request, &mut attempts, None).await {
-        Ok(answered) => forward_answer(request, answered, attempts, open_request).await,
+    let first = ResumePoint::default();
+    match send_with_retries(&request, &mut attempts, first).await {
+        Ok(answered) => forward_answer(Rc::new(request), answered, attempts, open_request).await,
         Err(refusal) => {
-            if refusal == Refusal::NoEngine
-                && let Some(tenant) = charged
-            {
-                instance.shares.borrow_mut().refund(tenant, cost);
+            if refusal == Refusal::NoEngine {
+                refund();
             }
             refuse(&request, refusal, attempts.retry_after_ms)
         }
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -5,21 +5,22 @@
         attempt::{AnswerSource, EngineAnswer, SILENCE_CHECK_INTERVAL_MS},
         completion::{record_answered_request, record_complete_answer},
         guards::OpenRequestGuard,
-        request::CallerRequest,
-        retry::{AttemptHistory, send_with_retries},
+        request::{CallerRequest, Origin},
+        retry::{AttemptHistory, ResumePoint, send_with_retries},
     },
-    crate::{clock::now_ms, rollouts::record_result, upstreams::check_silent},
+    crate::{clock::now_ms, mesh::tell_origin, rollouts::record_result, upstreams::check_silent},
     bytes::Bytes,
     futures_util::stream::unfold,
     http::Response,
     http_body_util::BodyExt,
     mangowalk_core::{
         canary::Sample,
+        origin::EngineBuild,
         pool::EngineEntry,
         routing::RetryPolicy,
         stream::{EventScanner, EventSplitter, StreamEnd},
     },
-    mangowalk_platform::{AnswerHead, BodyFraming, answer_headers},
+    mangowalk_platform::{AnswerHead, BodyFraming, answer_headers, insert_build},
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
 };
@@ -32,6 +33,8 @@
     answered: Option<EngineAnswer>,
     attempts: AttemptHistory,
     events: ForwardedEvents,
+    begun_at: BegunAt,
+    is_origin_recorded: bool,
     /// Whether any bytes have arrived.
     has_begun: bool,
     /// When the last bytes arrived.
@@ -41,6 +44,17 @@
     _open_request: OpenRequestGuard,
 }
 
+/// Where the events that the caller has were written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BegunAt {
+    /// The caller has no event, so any software version may write the stream.
+    Nowhere,
+    /// At engines of this build.
+    Build(EngineBuild),
+    /// At engines of a software version that isn't known.
+    Unknown,
+}
+
 /// The events of a stream, as far as they have arrived.
 enum ForwardedEvents {
     /// Forwarded in complete events, as the stream may be resumed behind each.
@@ -134,13 +148,20 @@
     attempts: AttemptHistory,
     open_request: OpenRequestGuard,
 ) -> Response<AnswerBody> {
-    let headers = answer_headers(&answered.answer.parts.headers);
+    let mut headers = answer_headers(&answered.answer.parts.headers);
+    if request.origin == Origin::Peer
+        && let Some(build) = answered.build(&request.instance)
+    {
+        insert_build(&mut headers, build);
+    }
     let status = answered.answer.parts.status;
     let forwarder = StreamForwarder {
         events: ForwardedEvents::of(&request, &answered.answer.head),
+        begun_at: request.build.map_or(BegunAt::Nowhere, BegunAt::Build),
         request,
         answered: Some(answered),
         attempts,
+        is_origin_recorded: false,
         has_begun: false,
         last_received_ms: now_ms(),
         pace: Pace::default(),
@@ -190,6 +211,7 @@
                     self.record_received();
                     let forwarded = self.events.push(bytes);
                     if !forwarded.is_empty() {
+                        self.record_origin();
                         return Ok(Some(forwarded));
                     }
                 }
@@ -270,6 +292,31 @@
         }
     }
 
+    /// Records where the stream began, before the caller gets its first event: it may take
+    /// the stream up at any instance from then on, also if this one is killed.
+    fn record_origin(&mut self) {
+        if self.is_origin_recorded || self.events.splitter().is_none() {
+            return;
+        }
+        self.is_origin_recorded = true;
+        let instance = &self.request.instance;
+        if self.begun_at == BegunAt::Nowhere {
+            let answered = self.answered.as_ref();
+            let build = answered.and_then(|answered| answered.build(instance));
+            self.begun_at = build.map_or(BegunAt::Unknown, BegunAt::Build);
+        }
+        let BegunAt::Build(build) = self.begun_at else {
+            instance.counters.count("stream_origin", "unknown");
+            return;
+        };
+        // The instance that passed the request on records where its stream began.
+        if self.request.origin == Origin::Caller {
+            for key in self.request.stream_keys() {
+                tell_origin(instance, key, build, now_ms());
+            }
+        }
+    }
+
     /// Records the end of a complete stream and returns its connection to the
     /// pool.
     fn finish(&mut self) {
@@ -331,8 +378,17 @@
         let Some(splitter) = self.events.splitter().filter(|_| may_retry) else {
             return Err(self.record_cut(reason));
         };
+        let build = match self.begun_at {
+            BegunAt::Nowhere => None,
+            BegunAt::Build(build) => Some(build),
+            BegunAt::Unknown => return Err(self.record_cut("unknown_origin")),
+        };
         let last_id = splitter.last_id().map(str::to_owned);
-        let next = send_with_retries(&self.request, &mut self.attempts, last_id.as_deref()).await;
+        let resume_point = ResumePoint {
+            last_event_id: last_id.as_deref(),
+            build,
+        };
+        let next = send_with_retries(&self.request, &mut self.attempts, resume_point).await;
         let Ok(next) = next else {
             return Err(self.record_cut(reason));
         };
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -12,6 +12,7 @@
 mod shared_state;
 mod store_availability;
 mod store_reads;
+mod stream_origins;
 mod wake_ups;
 
 pub use {
@@ -23,5 +24,6 @@
     settings::GatewaySettings,
     shared_state::Instance,
     store_availability::StoreAvailability,
+    stream_origins::{OpenQuestion, StreamOrigins},
     wake_ups::WakeUps,
 };
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -2,6 +2,7 @@
     brittle::BrittleSettings,
     kv_store::KvStoreSettings,
     mesh::MeshSettings,
+    origin::OriginSettings,
     path::PathSettings,
     pool::{AdmitSettings, ChoiceSettings, ListPartSettings},
     weights::{OrderLeaseSettings, PlanSettings, WeightsSettings},
@@ -26,6 +27,8 @@
     pub brittle: BrittleSettings,
     /// Loss of the path to the engines, and requests that are passed on to peers then.
     pub path: PathSettings,
+    /// How long and where it is known where streams began.
+    pub origins: OriginSettings,
     /// Bounds on the age of weights that requests may use.
     pub weights: WeightsSettings,
     /// Pace of a rollout of new weights.
@@ -94,6 +97,7 @@
             admission: AdmitSettings::default(),
             brittle: BrittleSettings::default(),
             path: PathSettings::default(),
+            origins: OriginSettings::default(),
             weights: WeightsSettings {
                 penalty_after_ms: 1_300,
                 dispatch_until_ms: 6_500,
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Counters, CrashTracker, Drain, GatewaySettings, PassedOn, ReloadOutcome, StoreAvailability,
-        WakeUps, apply_reloadable,
+        StreamOrigins, WakeUps, apply_reloadable,
     },
     crate::{clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
@@ -63,6 +63,8 @@
     pub peer_paths: RefCell<PeerPaths>,
     /// Requests that were passed on to peers.
     pub passed_on: PassedOn,
+    /// Where streams began.
+    pub origins: StreamOrigins,
     /// Whether the engine list was read since the start.
     pub is_engine_list_read: Cell<bool>,
     /// Whether the store can be read, and when its last outage ended.
@@ -128,7 +130,9 @@
         );
         let relay_budget = RelayBudget::new(settings.mesh.max_relayed_per_s, now_ms());
         let software = SoftwareTable::new(machine.exposure, CanarySettings::default());
+        let origins = StreamOrigins::new(machine.is_first_start);
         Rc::new(Instance {
+            origins,
             software: RefCell::new(software),
             canary_reports: RefCell::default(),
             machine: RefCell::new(Rc::new(machine)),
--- /dev/null
+++ b/crates/gateway/src/instance/stream_origins.rs
@@ -0,0 +1,156 @@
+use {
+    super::Instance,
+    mangowalk_core::origin::{
+        EngineBuild, ListedBuilds, Origin, OriginAnswer, OriginQuestion, OriginRecords,
+        OriginSettings, StreamKey,
+    },
+    mangowalk_platform::Freshness,
+    std::{
+        cell::{Cell, OnceCell, RefCell},
+        collections::HashMap,
+        net::{IpAddr, SocketAddr},
+        rc::Rc,
+    },
+    tokio::{
+        net::UdpSocket,
+        sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    },
+};
+
+/// An answer of a peer and the address from which it came.
+type ReceivedAnswer = (SocketAddr, OriginAnswer);
+
+type OpenQuestions = Rc<RefCell<HashMap<u64, UnboundedSender<ReceivedAnswer>>>>;
+
+/// Where streams began, as far as this instance knows, and its questions to peers.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    /// Records of the instance's own streams and of those that peers told it of.
+    pub records: RefCell<OriginRecords>,
+    /// Builds in the engine list.
+    pub listed_builds: RefCell<ListedBuilds>,
+    socket: OnceCell<Rc<UdpSocket>>,
+    last_number: Cell<u64>,
+    open_questions: OpenQuestions,
+}
+
+impl StreamOrigins {
+    /// Returns the state of an instance that starts; `is_first_start` tells whether the
+    /// whole fleet starts for the first time.
+    pub fn new(is_first_start: bool) -> StreamOrigins {
+        let listed_builds = match is_first_start {
+            true => ListedBuilds::of_first_start(),
+            false => ListedBuilds::default(),
+        };
+        StreamOrigins {
+            listed_builds: RefCell::new(listed_builds),
+            ..StreamOrigins::default()
+        }
+    }
+
+    /// Sets the socket on which peers are told and asked.
+    pub fn use_socket(&self, socket: Rc<UdpSocket>) {
+        // It is set once, before the instance serves.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Returns the socket on which peers are told and asked; `None` before the start.
+    pub fn socket(&self) -> Option<&UdpSocket> {
+        self.socket.get().map(Rc::as_ref)
+    }
+
+    /// Records where a stream began.
+    pub fn record(
+        &self,
+        key: StreamKey,
+        build: EngineBuild,
+        settings: &OriginSettings,
+        now_ms: u64,
+    ) {
+        let mut records = self.records.borrow_mut();
+        records.record(key, Origin::Build(build), settings, now_ms);
+    }
+
+    fn answer(
+        &self,
+        question: &OriginQuestion,
+        settings: &OriginSettings,
+        reads_current: bool,
+        max_list_age_ms: u64,
+        now_ms: u64,
+    ) -> OriginAnswer {
+        let records = self.records.borrow();
+        let origin = question
+            .key
+            .and_then(|key| records.origin(key, settings, now_ms));
+        let listed_builds = self.listed_builds.borrow();
+        OriginAnswer {
+            number: question.number,
+            origin,
+            service_builds: listed_builds.of_service(
+                &question.service,
+                settings,
+                max_list_age_ms,
+                now_ms,
+            ),
+            reads_current,
+        }
+    }
+
+    /// Opens a question to peers; its answers arrive until it is dropped.
+    pub fn open_question(&self) -> OpenQuestion {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        let (sender, answers) = unbounded_channel();
+        self.open_questions.borrow_mut().insert(number, sender);
+        OpenQuestion {
+            number,
+            answers,
+            open_questions: self.open_questions.clone(),
+        }
+    }
+
+    /// Passes an answer of a peer on to whoever waits for it.
+    pub fn receive_answer(&self, from: SocketAddr, answer: OriginAnswer) {
+        let open_questions = self.open_questions.borrow();
+        if let Some(sender) = open_questions.get(&answer.number) {
+            // The one who asked has stopped waiting.
+            let _ = sender.send((from, answer));
+        }
+    }
+}
+
+/// A question to peers.
+#[derive(Debug)]
+pub struct OpenQuestion {
+    /// Number that the answers carry.
+    pub number: u64,
+    /// Answers as they arrive.
+    pub answers: UnboundedReceiver<ReceivedAnswer>,
+    open_questions: OpenQuestions,
+}
+
+impl Drop for OpenQuestion {
+    fn drop(&mut self) {
+        self.open_questions.borrow_mut().remove(&self.number);
+    }
+}
+
+impl Instance {
+    /// Returns what this instance knows of a stream.
+    pub fn answer_origin(&self, question: &OriginQuestion, now_ms: u64) -> OriginAnswer {
+        let settings = &self.settings;
+        let reads_current = self.freshness(now_ms) == Freshness::Current;
+        let max_list_age_ms = settings.max_list_age_ms();
+        let origins = &settings.origins;
+        self.origins
+            .answer(question, origins, reads_current, max_list_age_ms, now_ms)
+    }
+
+    /// Returns whether a peer has this address.
+    pub fn is_peer_address(&self, address: IpAddr) -> bool {
+        let members = self.members.borrow();
+        let mut peers = members.iter();
+        peers.any(|member| member.last_heartbeat.peer_address.ip() == address)
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -173,6 +173,13 @@
             source,
         })?;
     let peers = Rc::new(peers);
+    let origins_address = machine.origins_address(peer_address.ip());
+    let origins = mesh::bind(origins_address)
+        .await
+        .map_err(|source| RunError::Listen {
+            address: origins_address,
+            source,
+        })?;
     let (drain_sender, drain) = Drain::channel();
     let instance = Instance::new(machine, settings, wall_ms(), drain);
     let store_client = CallClient::new(instance.machine().store_address, STORE_CONNECT_TIMEOUT_MS);
@@ -189,6 +196,10 @@
         "heartbeats",
         mesh::exchange(instance.clone(), peers.clone()),
     );
+    tasks.start(
+        "origins",
+        mesh::exchange_origins(instance.clone(), Rc::new(origins)),
+    );
     tasks.start(
         "configuration",
         watch_configuration(instance.clone(), store.clone()),
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -219,6 +219,23 @@
         self.needs_all() || settings.is_depleted(entries, &services)
     }
 
+    fn begin_builds(&self, part: &ListPart, now_ms: u64) {
+        let instance = &self.instance;
+        let mut builds = instance.origins.listed_builds.borrow_mut();
+        let settings = &instance.settings.origins;
+        builds.begin_reading(part.is_all(), settings, now_ms);
+        builds.record(&instance.engines.borrow(), settings, now_ms);
+    }
+
+    /// Records the builds of the listed engines, before and after each change: those of
+    /// engines that leave are still of interest.
+    fn record_builds(&self, now_ms: u64) {
+        let instance = &self.instance;
+        let mut builds = instance.origins.listed_builds.borrow_mut();
+        let engines = instance.engines.borrow();
+        builds.record(&engines, &instance.settings.origins, now_ms);
+    }
+
     /// Learns the form of the names if it isn't the expected one.
     fn learn_name_form(&self, listing: &Listing) {
         let names = listing.objects.iter().map(|object| object.name.as_str());
@@ -269,6 +286,7 @@
         let now_ms = now_ms();
         let instance = &self.instance;
         self.learn_name_form(listing);
+        self.begin_builds(&listing.part, now_ms);
         let mut engines = instance.engines.borrow_mut();
         let names = listing.objects.iter().map(|object| object.name.as_str());
         let listed: HashSet<&str> = names.collect();
@@ -282,6 +300,7 @@
         }
         engines.set_list_revision(listing.revision, now_ms);
         drop(engines);
+        self.record_builds(now_ms);
         *self.part.borrow_mut() = listing.part.clone();
         self.apply_news(is_news, now_ms);
         if !instance.is_engine_list_read.replace(true) {
@@ -293,6 +312,7 @@
     fn apply_changes(&self, changes: &[(String, Option<StoredObject>)], revision: u64) {
         let now_ms = now_ms();
         let part = self.part.borrow();
+        self.record_builds(now_ms);
         let mut engines = self.instance.engines.borrow_mut();
         let mut is_news = false;
         for (name, object) in changes.iter().filter(|(name, _)| part.contains(name)) {
@@ -303,6 +323,7 @@
         }
         engines.set_list_revision(revision, now_ms);
         drop(engines);
+        self.record_builds(now_ms);
         if !changes.is_empty() {
             self.apply_news(is_news, now_ms);
         }
--- a/crates/mangowalkd/tests/machines/versions.rs
+++ b/crates/mangowalkd/tests/machines/versions.rs
@@ -180,6 +180,8 @@
         let reply = caller.take_up(&path(machine), &id, "no-such-request", &begun);
         reply.status == 200 && reply.event_ids() == (4..12).collect::<Vec<_>>()
     };
+    // No instance reads current state from the store in its first second.
+    thread::sleep(Duration::from_millis(1_500));
     assert!(goes_on(&deployment, 2));
     // An instance that has just started relies on its peers.
     deployment.machines[2].kill();
