Resume streams of the product's own engines at their software version only

Engines tell the version in GET /state now, the first written token binds it, and a stream of an engine that doesn't tell it isn't resumed.

--- a/crates/core/src/engine/load.rs
+++ b/crates/core/src/engine/load.rs
@@ -20,6 +20,9 @@
     pub model: String,
     /// Loaded weights version.
     pub version: String,
+    /// Version of the engine's own program; empty if it doesn't tell it.
+    #[serde(default)]
+    pub software: String,
     /// Whether weights are being loaded; no request is served meanwhile.
     pub loading: bool,
     /// Highest fencing number received, 0 if the engine does not check it.
--- a/crates/mangowalkd/src/serve/attempt.rs
+++ b/crates/mangowalkd/src/serve/attempt.rs
@@ -27,6 +27,8 @@
     pub(super) engine: EngineRecord,
     pub(super) incarnation: u64,
     pub(super) version: String,
+    /// Version of its program; empty if it isn't known.
+    pub(super) software: String,
     pub(super) placed: PlacedAttempt,
 }
 
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -42,6 +42,9 @@
     /// one ended because its engine stalled.
     is_retry_charged: bool,
     outcome: Outcome,
+    /// Software of the last engine, which is that of all tokens once one was written.
+    /// Empty if the engine doesn't tell it.
+    software: String,
 }
 
 impl AttemptHistory {
@@ -53,6 +56,7 @@
             stale_refusals: 0,
             is_retry_charged: false,
             outcome: Outcome::NotRun,
+            software: String::new(),
         }
     }
 
@@ -60,6 +64,14 @@
         self.sequencer.bound_version().is_some()
     }
 
+    /// Expects the answer of an engine's weights and software, unless a token was written.
+    fn rebind(&mut self, target: &Target) {
+        if !self.has_begun() {
+            self.software = target.software.clone();
+        }
+        self.sequencer.rebind(&target.version);
+    }
+
     fn record(&mut self, target: &Target, ended: &EndedAttempt) {
         let name = target.engine.name.clone();
         self.tried.insert(name, target.incarnation);
@@ -136,7 +148,7 @@
                 history.tried.insert(name.clone(), target.incarnation);
                 continue;
             };
-            history.sequencer.rebind(&target.version);
+            history.rebind(&target);
             let timeouts = self.timeouts(request, started_ms, now_ms);
             let (ended, finished) = self.attempt(
                 request,
@@ -243,7 +255,10 @@
         let now_ms = self.edges.clock().now_ms();
         let upstreams = &self.shared.upstreams;
         let version = history.sequencer.bound_version();
-        let tried = self.tried_engines(history);
+        let mut tried = self.tried_engines(history);
+        if history.has_begun() {
+            tried.extend(self.engines_with_other_software(&history.software));
+        }
         let suspects = self.upstreams_with_other_suspects(request);
         let usable = |name: &str| upstreams.usable(name, now_ms);
         let allowed = |name: &str| upstreams.allows(name, now_ms);
@@ -253,6 +268,19 @@
             .or_else(|| self.place_retry(request, &view, version, &tried, &allowed))
     }
 
+    /// Returns the engines that aren't known to run this version of their software. What
+    /// two versions write doesn't fit together.
+    fn engines_with_other_software(&self, software: &str) -> Vec<String> {
+        self.shared.engines.read(|engines| {
+            let others = engines.iter().filter(|(_, known)| {
+                let state = known.state.as_ref();
+                let is_same = state.is_some_and(|state| state.software == software);
+                software.is_empty() || !is_same
+            });
+            others.map(|(name, _)| name.clone()).collect()
+        })
+    }
+
     /// Returns the tried engines that are not known to have restarted since.
     fn tried_engines(&self, history: &AttemptHistory) -> HashSet<String> {
         self.shared.engines.read(|engines| {
--- a/crates/mangowalkd/src/serve/place.rs
+++ b/crates/mangowalkd/src/serve/place.rs
@@ -45,9 +45,15 @@
             .engines
             .get(&name)
             .filter(|e| !e.departing && !view.draining.contains(&e.name))?;
+        let software = self.shared.engines.read(|engines| {
+            let state = engines.get(&name).and_then(|known| known.state.as_ref());
+            let state = state.filter(|state| state.incarnation == incarnation);
+            state.map(|state| state.software.clone())
+        });
         Some(Target {
             engine: record.clone(),
             incarnation,
+            software: software.unwrap_or_default(),
             version: version.to_owned(),
             placed,
         })
--- a/crates/mangowalkd/tests/streams.rs
+++ b/crates/mangowalkd/tests/streams.rs
@@ -113,6 +113,25 @@
     assert!(becomes_true(|| fleet.engines[0].state().load.running == 0));
 }
 
+/// Guards against an answer whose parts engines with two versions of their program wrote.
+#[test]
+fn a_stream_resumes_only_at_the_software_version_that_began_it() {
+    let fleet = fleet(2, &["--token-timeout-ms=300"]);
+    fleet.engines[1].restart_with("2");
+    fleet.wait_until_served();
+    // The router polls the state of engines several times a second.
+    thread::sleep(Duration::from_millis(1_500));
+    fleet.engines[0].set_faults(EngineFaults {
+        freeze_after_tokens: Some(3),
+        ..EngineFaults::default()
+    });
+    for n in 0..6 {
+        fleet.chat(0, &format!("order {n}"), TOKENS, true);
+    }
+    assert!(fleet.engines[0].attempts() > 0);
+    assert_eq!(fleet.engines[1].resumed(), 0);
+}
+
 /// An engine accepts requests and writes nothing. The first token has its own
 /// timeout, which by default is longer than the one between tokens.
 #[test]
--- a/crates/standins/src/engine/settings.rs
+++ b/crates/standins/src/engine/settings.rs
@@ -5,6 +5,8 @@
     pub model: String,
     /// Weights version served after a start.
     pub version: String,
+    /// Version of its program.
+    pub software: String,
     /// Maximum number of requests that run concurrently.
     pub slots: u32,
     /// Capacity of the prefix cache, in blocks.
@@ -25,6 +27,7 @@
         EngineSettings {
             model: "drafting".to_owned(),
             version: "v1".to_owned(),
+            software: "1".to_owned(),
             slots: 8,
             cache_blocks: 4_096,
             miss_us: 2_000,
--- a/crates/standins/src/engine/stand_in.rs
+++ b/crates/standins/src/engine/stand_in.rs
@@ -58,6 +58,8 @@
     orders: Vec<Order>,
     crashes: u64,
     attempts: u64,
+    software: String,
+    resumed: u64,
 }
 
 impl EngineStandIn {
@@ -79,6 +81,8 @@
             orders: Vec::new(),
             crashes: 0,
             attempts: 0,
+            software: settings.software.clone(),
+            resumed: 0,
         };
         let shared = Arc::new(Shared {
             settings,
@@ -112,6 +116,18 @@
         self.shared.clone().restart();
     }
 
+    /// Restarts the engine with another version of its program.
+    pub fn restart_with(&self, software: &str) {
+        self.shared.crash();
+        self.shared.lock().software = software.to_owned();
+        self.shared.clone().restart();
+    }
+
+    /// Returns the number of attempts that went on with a stream.
+    pub fn resumed(&self) -> u64 {
+        self.shared.lock().resumed
+    }
+
     /// Returns the response body of `GET /state`.
     pub fn state(&self) -> EngineState {
         self.shared.state()
@@ -202,6 +218,7 @@
             incarnation: inner.incarnation,
             model: inner.model.clone(),
             version: inner.version.clone(),
+            software: inner.software.clone(),
             loading: inner.loading,
             fencing: inner.fencing,
             load: LoadReport {
@@ -303,6 +320,7 @@
             let mut inner = self.lock();
             inner.headers.extend(exchange.headers.clone());
             inner.attempts += 1;
+            inner.resumed += u64::from(!request.generated.is_empty());
             if let Some(status) = inner.faults.refuse_status {
                 drop(inner);
                 return exchange.json(status, &json!({}));
