Keep KV cache of different software versions apart

Parts are fetched from engines of the same build only, and the salt under which parts are cached names the build. Where a service has one version, it is the same for all engines, as before.

Both new tests failed before: a part was fetched from an engine with v2, and engines with v1 and v2 cached under the salt w1. The test of kept parts names the salt in its new form; it passes with either, as it tells by the store's address only. The line of a start tells whether the fleet starts for the first time.

--- a/crates/core/src/pool/cache_source.rs
+++ b/crates/core/src/pool/cache_source.rs
@@ -12,8 +12,8 @@
     pub tokens: u64,
 }
 
-/// Returns an engine with the same weights that has a longer prefix of the
-/// prompt cached than the chosen one. Without such transfers, each engine would
+/// Returns an engine with the same weights and software that has a longer prefix of
+/// the prompt cached than the chosen one. Without such transfers, each engine would
 /// read the shared start of all prompts again after a change of weights.
 ///
 /// Of several engines with the longest prefix, one in the failure domain of the
@@ -33,6 +33,8 @@
     let others = engines.filter(|engine| {
         engine.entry.incarnation != chosen.entry.incarnation
             && engine.version(model) == version
+            && engine.build.is_some()
+            && engine.build == chosen.build
             && !engine.is_paused(now_ms)
             && !engine.is_silent(now_ms)
     });
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -30,7 +30,7 @@
             version: 1,
         }],
         cold_left_ms: 0,
-        software: String::new(),
+        software: "v1".to_owned(),
     }
 }
 
@@ -421,6 +421,26 @@
     );
 }
 
+/// Guards against an engine that reads KV cache which another software version wrote.
+#[test]
+fn parts_are_fetched_from_engines_with_the_same_software_only() {
+    let requirements = requirements(7);
+    let part = requirements.shared_part().expect("it has a shared part");
+    let source_with = |software: &str| {
+        let mut engines = engines(2);
+        let entry = EngineEntry {
+            software: software.to_owned(),
+            ..engines[1].entry.clone()
+        };
+        engines[1] = KnownEngine::new(entry);
+        engines[1].record_part(part, 1_000);
+        find_cache_source(&engines[0], &requirements, engines.iter(), 3_500, 5, 1_000)
+    };
+    assert!(source_with("v1").is_some());
+    assert_eq!(source_with("v2"), None);
+    assert_eq!(source_with(""), None);
+}
+
 /// Under overload, a request that would wait longer than permitted must be
 /// refused at once, with a time after which to retry. A request of the highest
 /// priority, which engines let overtake the others, may wait longer.
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -109,11 +109,10 @@
         return Err(Outcome::QueueTooLong(retry_ms));
     }
     let draw = rand::random();
-    let role = chosen.software_role;
     let source = find_cache_source(
         chosen,
         requirements,
-        engines.iter().filter(|engine| engine.software_role == role),
+        engines.iter(),
         settings.retention_ms,
         draw,
         now_ms,
@@ -304,7 +303,7 @@
     let cache_salt = requirements
         .model
         .as_ref()
-        .map(|_| cache_salt(request, version));
+        .map(|_| cache_salt(request, known_engine, version));
     let mut stores = request.instance.kv_stores.borrow_mut();
     let shared = requirements.parts.iter().rev().nth(1);
     let shared = shared.filter(|_| is_worth_storing);
@@ -369,15 +368,20 @@
 
 /// Returns the salt under which an engine caches the parts of the prompt.
 ///
-/// It contains the version of the weights, because the KV cache store keeps parts
-/// across a change of weights and doesn't know with which version they were
-/// computed. It contains the team's name if the team is isolated, so that no
-/// other team's requests find its parts.
-fn cache_salt(request: &CallerRequest, version: u64) -> String {
+/// It contains the version of the weights and the build of the engine's software, because
+/// the KV cache store keeps parts across changes of both and doesn't know with which they
+/// were computed; an engine whose software isn't known shares with no other one. It
+/// contains the team's name if the team is isolated, so that no other team's requests find
+/// its parts.
+fn cache_salt(request: &CallerRequest, engine: &KnownEngine, version: u64) -> String {
+    let software = match engine.build {
+        Some(build) => build.to_string(),
+        None => engine.entry.incarnation.id.clone(),
+    };
     let isolated = request.tenant.as_ref().filter(|tenant| tenant.isolated);
     match isolated {
-        Some(tenant) => format!("w{version}.{}", tenant.name),
-        None => format!("w{version}"),
+        Some(tenant) => format!("w{version}.{software}.{}", tenant.name),
+        None => format!("w{version}.{software}"),
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -186,10 +186,11 @@
     let (pool, store) = (Rc::new(ConnectionPool::default()), Rc::new(store_client));
     log::info!(
         target: LIFECYCLE,
-        "event=started domain={} callers={} incarnation={}",
+        "event=started domain={} callers={} incarnation={} first_start={}",
         instance.machine().domain,
         instance.machine().caller_address,
         instance.incarnation,
+        instance.machine().is_first_start,
     );
     let mut tasks = CriticalTasks::default();
     tasks.start(
--- a/crates/mangowalkd/tests/machines/kept.rs
+++ b/crates/mangowalkd/tests/machines/kept.rs
@@ -2,6 +2,7 @@
 
 use {
     super::PROGRAM,
+    mangowalk_core::origin::EngineBuild,
     mangowalk_platform_standins::{CacheStore, Caller, Deployment, RouteKind, Run, wait_until},
     serde_json::json,
 };
@@ -10,8 +11,11 @@
 /// includes all parts before it.
 const SHARED_PART: &str = "91bd3f06";
 
-/// Cache salt under which engines store it.
-const SALT: &str = "w1";
+/// Returns the cache salt under which engines with a software version store it.
+fn salt(software: &str) -> String {
+    let build = EngineBuild::new("llm", software).expect("the version is named");
+    format!("w1.{build}")
+}
 
 /// Starts a deployment with a KV cache store, and waits until all instances reach it.
 fn start(machines: usize) -> (Deployment, CacheStore) {
@@ -72,7 +76,7 @@
 #[test]
 fn a_part_that_the_store_holds_is_fetched_from_it() {
     let (deployment, store) = start(1);
-    store.add_part(SALT, SHARED_PART);
+    store.add_part(&salt("v1"), SHARED_PART);
     wait_until("a request fetches what the store holds", || {
         let run = send_stream(&deployment, 0);
         run.fetches_from == Some(store.address().to_string()) && run.sends_to.is_none()
--- a/crates/mangowalkd/tests/machines/versions.rs
+++ b/crates/mangowalkd/tests/machines/versions.rs
@@ -3,7 +3,7 @@
 use {
     super::PROGRAM,
     mangowalk_platform_standins::{Caller, Deployment, EngineFaults, PathState, Reply, wait_until},
-    std::{thread, time::Duration},
+    std::{collections::BTreeSet, thread, time::Duration},
 };
 
 /// Fewer engines have the one version, so streams that are moved to any engine are likely
@@ -194,3 +194,30 @@
     });
     assert!(goes_on(&deployment, 2));
 }
+
+/// Guards against KV cache that one software version wrote and another one reads, also by
+/// way of a KV cache store.
+#[test]
+fn versions_cache_parts_under_salts_of_their_own() {
+    let deployment = Deployment::start_versions(PROGRAM, 1, &["v1", "v2"]);
+    let caller = deployment.caller(0);
+    let salts = || -> Vec<BTreeSet<Option<String>>> {
+        let engines = deployment.engines.iter();
+        let salts = engines.map(|engine| engine.runs().into_iter().map(|run| run.salt).collect());
+        salts.collect()
+    };
+    wait_until("both engines have run a stream", || {
+        let id = Caller::new_request_id();
+        let streams = (0..STREAMS).map(|stream| {
+            let (caller, id) = (caller.clone(), format!("{id}{stream}"));
+            thread::spawn(move || caller.stream(&path(stream), &id))
+        });
+        let streams: Vec<_> = streams.collect();
+        for stream in streams {
+            stream.join().expect("the caller ends");
+        }
+        salts().iter().all(|salts| !salts.is_empty())
+    });
+    let salts = salts();
+    assert!(salts[0].is_disjoint(&salts[1]), "{salts:?}");
+}
