Take a service's single version for known after its readers were killed

What an instance that has followed the list for long says counts together with what a reader that has just started lists. Where the caller names the request, a list that may lag is enough: a version that has just appeared has records.

--- a/crates/core/src/origin/listed_builds.rs
+++ b/crates/core/src/origin/listed_builds.rs
@@ -10,9 +10,11 @@
 pub enum ServiceBuilds {
     /// It has had this one only.
     Single(EngineBuild),
+    /// It has had this one only since the engine list is followed, which isn't long.
+    SingleLately(EngineBuild),
     /// It has had more than one, or engines that name none.
     Several,
-    /// The engine list wasn't followed for long enough, or isn't known in whole.
+    /// The engine list isn't known in whole, or is old.
     Unknown,
 }
 
@@ -82,15 +84,20 @@
         let Some(listed_ms) = self.listed_ms.get(service) else {
             return ServiceBuilds::Unknown;
         };
-        let is_followed = self
-            .followed_since_ms
-            .is_some_and(|since_ms| since_ms == 0 || now_ms >= since_ms + settings.single_build_ms);
-        let is_current = now_ms <= self.confirmed_ms + max_list_age_ms;
         let mut builds = listed_ms.keys();
-        match (builds.next(), builds.next()) {
-            (Some(_), Some(_)) => ServiceBuilds::Several,
-            (Some(Some(build)), None) if is_followed && is_current => ServiceBuilds::Single(*build),
-            _ => ServiceBuilds::Unknown,
+        let build = match (builds.next(), builds.next()) {
+            (Some(_), Some(_)) => return ServiceBuilds::Several,
+            (Some(Some(build)), None) => *build,
+            _ => return ServiceBuilds::Unknown,
+        };
+        let since_ms = self.followed_since_ms;
+        let Some(since_ms) = since_ms.filter(|_| now_ms <= self.confirmed_ms + max_list_age_ms)
+        else {
+            return ServiceBuilds::Unknown;
+        };
+        match since_ms == 0 || now_ms >= since_ms + settings.single_build_ms {
+            true => ServiceBuilds::Single(build),
+            false => ServiceBuilds::SingleLately(build),
         }
     }
 }
--- a/crates/core/src/origin/verdict.rs
+++ b/crates/core/src/origin/verdict.rs
@@ -3,36 +3,51 @@
 /// Where a stream began, by the answers that have arrived so far.
 ///
 /// A record tells it. Without one, it is known only if the service has had a single build
-/// since the stream can have begun. An instance that reads current state from the store
-/// has to say so, as the lists of others lag.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+/// since the stream can have begun. Where the caller names no request, there is no record
+/// of a build that has just appeared either, so an instance that reads current state from
+/// the store has to confirm it: the lists of others lag.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Verdict {
+    is_named: bool,
     origin: Option<Origin>,
-    /// The single build, as an instance that reads current state says.
-    current: Option<EngineBuild>,
-    /// The single build, as an instance whose list may lag says.
-    lagging: Option<EngineBuild>,
+    /// The first build that an instance lists.
+    listed: Option<EngineBuild>,
     has_several: bool,
+    /// Whether an instance has followed its list for long enough.
+    is_long_known: bool,
+    /// Whether an instance that reads current state has confirmed it.
+    is_current: bool,
 }
 
 impl Verdict {
+    /// Returns a verdict without answers. `is_named` tells whether the caller names the
+    /// request that began the stream.
+    pub fn new(is_named: bool) -> Verdict {
+        Verdict {
+            is_named,
+            origin: None,
+            listed: None,
+            has_several: false,
+            is_long_known: false,
+            is_current: false,
+        }
+    }
+
     /// Adds what one instance knows.
     pub fn add(&mut self, answer: &OriginAnswer) {
         if let Some(origin) = answer.origin {
             let merged = self.origin.map_or(origin, |known| known.merge(origin));
             self.origin = Some(merged);
         }
-        let known = match answer.reads_current {
-            true => &mut self.current,
-            false => &mut self.lagging,
+        let (build, is_long_known) = match answer.service_builds {
+            ServiceBuilds::Single(build) => (build, true),
+            ServiceBuilds::SingleLately(build) => (build, false),
+            ServiceBuilds::Several => return self.has_several = true,
+            ServiceBuilds::Unknown => return,
         };
-        match answer.service_builds {
-            ServiceBuilds::Single(build) => {
-                self.has_several |= *known.get_or_insert(build) != build
-            }
-            ServiceBuilds::Several => self.has_several = true,
-            ServiceBuilds::Unknown => {}
-        }
+        self.has_several |= *self.listed.get_or_insert(build) != build;
+        self.is_long_known |= is_long_known;
+        self.is_current |= answer.reads_current;
     }
 
     /// Returns whether a record tells the origin.
@@ -45,9 +60,9 @@
         match self.origin {
             Some(Origin::Build(build)) => Some(build),
             Some(Origin::Ambiguous) => None,
-            None => self.current.filter(|build| {
-                let is_agreed = self.lagging.is_none_or(|lagging| lagging == *build);
-                is_agreed && !self.has_several
+            None => self.listed.filter(|_| {
+                let is_confirmed = self.is_named || self.is_current;
+                self.is_long_known && is_confirmed && !self.has_several
             }),
         }
     }
--- a/crates/gateway/src/mesh/origins.rs
+++ b/crates/gateway/src/mesh/origins.rs
@@ -87,7 +87,7 @@
         key,
         service: service.to_owned(),
     };
-    let mut verdict = Verdict::default();
+    let mut verdict = Verdict::new(key.is_some());
     verdict.add(&instance.answer_origin(&question, now_ms()));
     if let Some(key) = key.filter(|_| !verdict.is_recorded()) {
         let asked_peers = instance.settings.origins.asked_peers;
