Keep in the store which software versions services have had lately

The two instances that read current state write the builds of all services to one object, when one appears and when one is no longer needed; each instance reads it once at its start. That is two writes a release and a read a start, whatever the size of the fleet. Streams of a service with several versions are still refused then, as their records are gone with the instances. Two tests show both.

--- a/crates/core/src/origin/listed_builds.rs
+++ b/crates/core/src/origin/listed_builds.rs
@@ -2,7 +2,7 @@
     super::{EngineBuild, OriginSettings},
     crate::pool::{EngineEntry, EngineTable},
     serde::{Deserialize, Serialize},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// The builds of a service since the last stream began that may still be taken up.
@@ -18,6 +18,9 @@
     Unknown,
 }
 
+/// Builds of each service; `None` stands for those of engines that name none.
+pub type BuildsByService = BTreeMap<String, BTreeSet<Option<EngineBuild>>>;
+
 /// The builds of each service in the engine list, those of engines that have left
 /// included, and since when the list has been followed without a gap.
 #[derive(Debug, Clone, Default)]
@@ -40,6 +43,50 @@
         }
     }
 
+    /// Adds the builds that were listed up to now, as an instance wrote that knew all of
+    /// them.
+    pub fn add_past(&mut self, past: &BuildsByService, now_ms: u64) {
+        for (service, builds) in past {
+            let listed_ms = self.listed_ms.entry(service.clone()).or_default();
+            listed_ms.extend(builds.iter().map(|build| (*build, now_ms)));
+        }
+        let is_unread = self.confirmed_ms == 0;
+        if is_unread || self.followed_since_ms.is_some() {
+            self.followed_since_ms = Some(0);
+        }
+    }
+
+    /// Returns all builds since the last stream began that may still be taken up; `None` if
+    /// some may be missing.
+    pub fn known(
+        &self,
+        settings: &OriginSettings,
+        max_list_age_ms: u64,
+        now_ms: u64,
+    ) -> Option<BuildsByService> {
+        if !self.is_long_followed(settings, now_ms) || !self.is_current(max_list_age_ms, now_ms) {
+            return None;
+        }
+        let builds = self.listed_ms.iter().map(|(service, listed_ms)| {
+            let builds = listed_ms.keys().copied().collect();
+            (service.clone(), builds)
+        });
+        Some(
+            builds
+                .filter(|(_, builds): &(_, BTreeSet<_>)| !builds.is_empty())
+                .collect(),
+        )
+    }
+
+    fn is_long_followed(&self, settings: &OriginSettings, now_ms: u64) -> bool {
+        self.followed_since_ms
+            .is_some_and(|since_ms| since_ms == 0 || now_ms >= since_ms + settings.single_build_ms)
+    }
+
+    fn is_current(&self, max_list_age_ms: u64, now_ms: u64) -> bool {
+        self.confirmed_ms > 0 && now_ms <= self.confirmed_ms + max_list_age_ms
+    }
+
     /// Records that the list was read anew. What came and left since the last answer of
     /// the store isn't known then.
     pub fn begin_reading(&mut self, is_whole: bool, settings: &OriginSettings, now_ms: u64) {
@@ -90,12 +137,10 @@
             (Some(Some(build)), None) => *build,
             _ => return ServiceBuilds::Unknown,
         };
-        let since_ms = self.followed_since_ms;
-        let Some(since_ms) = since_ms.filter(|_| now_ms <= self.confirmed_ms + max_list_age_ms)
-        else {
+        if self.followed_since_ms.is_none() || !self.is_current(max_list_age_ms, now_ms) {
             return ServiceBuilds::Unknown;
-        };
-        match since_ms == 0 || now_ms >= since_ms + settings.single_build_ms {
+        }
+        match self.is_long_followed(settings, now_ms) {
             true => ServiceBuilds::Single(build),
             false => ServiceBuilds::SingleLately(build),
         }
--- a/crates/core/src/origin/mod.rs
+++ b/crates/core/src/origin/mod.rs
@@ -21,7 +21,7 @@
 
 pub use {
     build::EngineBuild,
-    listed_builds::{ListedBuilds, ServiceBuilds},
+    listed_builds::{BuildsByService, ListedBuilds, ServiceBuilds},
     message::{OriginAnswer, OriginMessage, OriginQuestion},
     owners::owners,
     records::{Origin, OriginRecords},
--- a/crates/core/tests/origins/knowledge.rs
+++ b/crates/core/tests/origins/knowledge.rs
@@ -4,8 +4,8 @@
     super::build,
     mangowalk_core::{
         origin::{
-            ListedBuilds, Origin, OriginAnswer, OriginRecords, OriginSettings, ServiceBuilds,
-            StreamKey, Verdict,
+            BuildsByService, EngineBuild, ListedBuilds, Origin, OriginAnswer, OriginRecords,
+            OriginSettings, ServiceBuilds, StreamKey, Verdict,
         },
         pool::{EngineEntry, EngineTable, Incarnation},
     },
@@ -102,6 +102,38 @@
     assert_eq!(builds_at(&followed, after_gap_ms), lately);
 }
 
+/// Guards against forgetting with all instances which builds a service has had.
+#[test]
+fn what_was_written_of_the_past_counts_like_a_long_followed_list() {
+    let settings = OriginSettings::default();
+    let past = |software: &[&str]| -> BuildsByService {
+        let builds = software
+            .iter()
+            .map(|software| EngineBuild::new("llm", software));
+        [("llm".to_owned(), builds.collect())].into()
+    };
+    let started = |software: &[&str], is_whole: bool| {
+        let mut builds = ListedBuilds::default();
+        builds.add_past(&past(software), 900);
+        follow(builds, is_whole, &[&[("e1", "v1")]])
+    };
+    let alike = started(&["v1"], true);
+    assert_eq!(builds_at(&alike, 1_000), ServiceBuilds::Single(build("v1")));
+    assert_eq!(
+        alike.known(&settings, MAX_LIST_AGE_MS, 1_000),
+        Some(past(&["v1"]))
+    );
+    for other in [&["v2"][..], &["v1", "v2"], &[""]] {
+        let mixed = started(other, true);
+        assert_eq!(builds_at(&mixed, 1_000), ServiceBuilds::Several);
+    }
+    let partial = started(&["v1"], false);
+    assert_eq!(builds_at(&partial, 1_000), ServiceBuilds::Unknown);
+    assert_eq!(partial.known(&settings, MAX_LIST_AGE_MS, 1_000), None);
+    let young = follow(ListedBuilds::default(), true, &[&[("e1", "v1")]]);
+    assert_eq!(young.known(&settings, MAX_LIST_AGE_MS, 1_000), None);
+}
+
 /// Guards against going on at either version where one request ID names two streams.
 #[test]
 fn one_id_for_streams_of_two_builds_names_none() {
--- a/crates/gateway/src/instance/stream_origins.rs
+++ b/crates/gateway/src/instance/stream_origins.rs
@@ -1,8 +1,8 @@
 use {
     super::Instance,
     mangowalk_core::origin::{
-        EngineBuild, ListedBuilds, Origin, OriginAnswer, OriginQuestion, OriginRecords,
-        OriginSettings, StreamKey,
+        BuildsByService, EngineBuild, ListedBuilds, Origin, OriginAnswer, OriginQuestion,
+        OriginRecords, OriginSettings, StreamKey,
     },
     mangowalk_platform::Freshness,
     std::{
@@ -147,6 +147,13 @@
             .answer(question, origins, reads_current, max_list_age_ms, now_ms)
     }
 
+    /// Returns the builds that each service has had lately; `None` if some may be missing.
+    pub fn known_builds(&self, now_ms: u64) -> Option<BuildsByService> {
+        let builds = self.origins.listed_builds.borrow();
+        let settings = &self.settings;
+        builds.known(&settings.origins, settings.max_list_age_ms(), now_ms)
+    }
+
     /// Returns whether a peer has this address.
     pub fn is_peer_address(&self, address: IpAddr) -> bool {
         let members = self.members.borrow();
--- a/crates/gateway/src/instance/wake_ups.rs
+++ b/crates/gateway/src/instance/wake_ups.rs
@@ -12,6 +12,8 @@
     pub silent_engine: Notify,
     /// Sent when a heartbeat should be sent at once.
     pub heartbeat: Notify,
+    /// Sent when the engine list has changed, so that a build may have appeared.
+    pub builds: Notify,
     /// Sent when heartbeats were gathered to be passed on to the own group.
     pub bundle: Notify,
     /// Sent when the path to the engines of a service was lost or is back, or an engine
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,7 +8,8 @@
         mesh,
         rollouts::run_rollouts,
         store::{
-            CallClient, register, watch_configuration, watch_engines, watch_rollouts, watch_weights,
+            CallClient, keep_builds, register, watch_configuration, watch_engines, watch_rollouts,
+            watch_weights,
         },
         upstreams::{ConnectionPool, probe_silent_engines, watch_kv_stores, watch_paths},
         weights::run_weights_updater,
@@ -248,6 +249,7 @@
             path.to_owned(),
         ),
     );
+    tasks.start("builds", keep_builds(instance.clone(), store.clone()));
     spawn_local(register(instance.clone(), store));
     let mut terminate = listen_for(SignalKind::terminate())?;
     let mut interrupt = listen_for(SignalKind::interrupt())?;
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -192,6 +192,7 @@
         let instance = &self.instance;
         instance.assign_software_roles(now_ms);
         instance.wake_ups.orders.notify_one();
+        instance.wake_ups.builds.notify_one();
         if is_leaving {
             instance.announce_store_news(now_ms);
         }
--- a/crates/mangowalkd/tests/machines/versions.rs
+++ b/crates/mangowalkd/tests/machines/versions.rs
@@ -195,6 +195,46 @@
     assert!(goes_on(&deployment, 2));
 }
 
+/// Kills all instances at once and starts them again.
+fn restart_all(deployment: &mut Deployment) {
+    for machine in &mut deployment.machines {
+        machine.kill();
+    }
+    for machine in &mut deployment.machines {
+        machine.start();
+    }
+    deployment.wait_until_ready();
+}
+
+/// Guards against streams that are lost with all instances though their service has had
+/// one software version only.
+#[test]
+fn a_single_version_is_still_known_after_all_instances_were_killed() {
+    let mut deployment = Deployment::start(PROGRAM, 3, 3);
+    wait_until("the builds are kept in the store", || {
+        deployment.store.read("builds", "listed").is_some()
+    });
+    let begun = streams_during(&mut deployment, 0, restart_all);
+    assert!(begun.iter().all(|(_, reply)| !reply.body.is_empty()));
+    assert_eq!(complete_streams(&deployment, 1, &begun), STREAMS);
+}
+
+/// Guards against streams that go on at any version once all their records are lost.
+#[test]
+fn streams_without_records_are_refused_after_all_instances_were_killed() {
+    let mut deployment = Deployment::start_versions(PROGRAM, 3, &MIXED);
+    wait_until("the builds are kept in the store", || {
+        deployment.store.read("builds", "listed").is_some()
+    });
+    let begun = streams_during(&mut deployment, 0, restart_all);
+    let caller = deployment.caller(1);
+    for (stream, (first_id, reply)) in begun.iter().enumerate() {
+        let id = Caller::new_request_id();
+        let next = caller.take_up(&path(stream), &id, first_id, reply);
+        assert_eq!((next.status, deployment.times_run(&id)), (503, 0));
+    }
+}
+
 /// Guards against KV cache that one software version wrote and another one reads, also by
 /// way of a KV cache store.
 #[test]
