--- a/crates/core/src/origin/listed_builds.rs
+++ b/crates/core/src/origin/listed_builds.rs
@@ -28,6 +28,8 @@
     /// `None` while the list isn't followed, or only a part of it.
     followed_since_ms: Option<u64>,
     confirmed_ms: u64,
+    /// When it was last read which builds the services had before.
+    past_read_ms: Option<u64>,
     /// When each build was last listed. The build of an entry that names no software
     /// version is `None`.
     listed_ms: BTreeMap<String, BTreeMap<Option<EngineBuild>, u64>>,
@@ -50,6 +52,7 @@
             let listed_ms = self.listed_ms.entry(service.clone()).or_default();
             listed_ms.extend(builds.iter().map(|build| (*build, now_ms)));
         }
+        self.past_read_ms = Some(now_ms);
         let is_unread = self.confirmed_ms == 0;
         if is_unread || self.followed_since_ms.is_some() {
             self.followed_since_ms = Some(0);
@@ -78,6 +81,13 @@
         )
     }
 
+    /// Returns whether the past was read so lately that no other build can have been used
+    /// since, as it is written as soon as one is listed.
+    pub fn is_past_fresh(&self, settings: &OriginSettings, now_ms: u64) -> bool {
+        self.past_read_ms
+            .is_some_and(|read_ms| now_ms < read_ms + settings.past_fresh_ms)
+    }
+
     fn is_long_followed(&self, settings: &OriginSettings, now_ms: u64) -> bool {
         self.followed_since_ms
             .is_some_and(|since_ms| since_ms == 0 || now_ms >= since_ms + settings.single_build_ms)
--- a/crates/core/src/origin/message.rs
+++ b/crates/core/src/origin/message.rs
@@ -39,7 +39,8 @@
     pub origin: Option<Origin>,
     /// Builds of the service since the stream can have begun.
     pub service_builds: ServiceBuilds,
-    /// Whether the instance reads current state from the store.
+    /// Whether the instance reads current state from the store, or has just read the builds
+    /// that are kept there.
     pub reads_current: bool,
 }
 
--- a/crates/core/src/origin/settings.rs
+++ b/crates/core/src/origin/settings.rs
@@ -17,6 +17,9 @@
     /// Longest time without an answer of the store after which the engine list may have
     /// missed engines that came and left.
     pub max_list_gap_ms: u64,
+    /// Time for which what was read of the past counts as current: until an instance that
+    /// has just started knows which ones read current state.
+    pub past_fresh_ms: u64,
     /// Time after which a question is repeated, as datagrams may be lost.
     pub ask_again_ms: u64,
     /// Time after which peers that haven't answered are no longer waited for.
@@ -32,6 +35,7 @@
             max_records: 16_384,
             single_build_ms: 30_000,
             max_list_gap_ms: 3_000,
+            past_fresh_ms: 2_000,
             ask_again_ms: 40,
             ask_timeout_ms: 150,
         }
--- a/crates/core/tests/origins/knowledge.rs
+++ b/crates/core/tests/origins/knowledge.rs
@@ -123,6 +123,8 @@
         alike.known(&settings, MAX_LIST_AGE_MS, 1_000),
         Some(past(&["v1"]))
     );
+    assert!(alike.is_past_fresh(&settings, 1_000));
+    assert!(!alike.is_past_fresh(&settings, 900 + settings.past_fresh_ms));
     for other in [&["v2"][..], &["v1", "v2"], &[""]] {
         let mixed = started(other, true);
         assert_eq!(builds_at(&mixed, 1_000), ServiceBuilds::Several);
--- a/crates/gateway/src/instance/stream_origins.rs
+++ b/crates/gateway/src/instance/stream_origins.rs
@@ -140,7 +140,10 @@
     /// Returns what this instance knows of a stream.
     pub fn answer_origin(&self, question: &OriginQuestion, now_ms: u64) -> OriginAnswer {
         let settings = &self.settings;
-        let reads_current = self.freshness(now_ms) == Freshness::Current;
+        let builds = self.origins.listed_builds.borrow();
+        let reads_current = self.freshness(now_ms) == Freshness::Current
+            || builds.is_past_fresh(&settings.origins, now_ms);
+        drop(builds);
         let max_list_age_ms = settings.max_list_age_ms();
         let origins = &settings.origins;
         self.origins
