Don't take answers of a few milliseconds for slow in a roll-out

The stand-ins answer at once, times are measured in whole milliseconds, and an answer counts as slow from twice the usual time on: of one millisecond, two are slow. Whether a version is cleared then depends on the machine's noise.

Answers are compared with 5 ms at least, so that those below 10 ms are never slow; no caller notices them. Engines that take 30 ms instead of 10 are told as before.

--- a/crates/core/src/canary/evidence.rs
+++ b/crates/core/src/canary/evidence.rs
@@ -128,7 +128,7 @@
         if results.current.timed() < MIN_TIMED {
             return None;
         }
-        let usual = results.current.median_bucket();
+        let usual = results.current.usual_bucket();
         let new = results.candidate.since(&self.timed);
         self.timed = results.candidate.clone();
         let slow = new.twice_as_slow(usual);
--- a/crates/core/src/canary/samples.rs
+++ b/crates/core/src/canary/samples.rs
@@ -6,6 +6,10 @@
 /// Buckets for each doubling of the duration.
 const BUCKETS_PER_DOUBLING: f64 = 4.0;
 
+/// Shortest duration that others are compared with. Times are measured in whole
+/// milliseconds, and on a busy machine answers of one take a few more at any version.
+const MIN_USUAL_MS: f64 = 5.0;
+
 /// Result of one request at one engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Sample {
@@ -94,8 +98,12 @@
         self.failed + self.untimed + self.timed()
     }
 
-    /// Returns the bucket of the median duration.
-    pub fn median_bucket(&self) -> usize {
+    /// Returns the bucket of the median duration, or of 5 ms if that is longer.
+    pub fn usual_bucket(&self) -> usize {
+        self.median_bucket().max(bucket(MIN_USUAL_MS))
+    }
+
+    fn median_bucket(&self) -> usize {
         let half = self.timed().div_ceil(2);
         let mut seen = 0;
         let reaches_half = |count: &u32| {
--- a/crates/core/tests/canary/main.rs
+++ b/crates/core/tests/canary/main.rs
@@ -5,4 +5,5 @@
 mod lanes;
 mod orders;
 mod outcomes;
+mod slowness;
 mod versions;
