Give rate charges a file of their own and clear up names

Serving a request had grown to charge, log and refund in one function. StreamOrigin tells a stream's origin from that of a request, sockets are bound in one place, and the tests of origins share their engine entry.

--- a/crates/core/src/origin/message.rs
+++ b/crates/core/src/origin/message.rs
@@ -1,5 +1,5 @@
 use {
-    super::{EngineBuild, Origin, ServiceBuilds, StreamKey},
+    super::{EngineBuild, ServiceBuilds, StreamKey, StreamOrigin},
     serde::{Deserialize, Serialize},
 };
 
@@ -36,7 +36,7 @@
     /// Number of the question.
     pub number: u64,
     /// Where the stream began, if there is a record.
-    pub origin: Option<Origin>,
+    pub origin: Option<StreamOrigin>,
     /// Builds of the service since the stream can have begun.
     pub service_builds: ServiceBuilds,
     /// Whether the instance reads current state from the store, or has just read the builds
--- a/crates/core/src/origin/mod.rs
+++ b/crates/core/src/origin/mod.rs
@@ -24,7 +24,7 @@
     listed_builds::{BuildsByService, ListedBuilds, ServiceBuilds},
     message::{OriginAnswer, OriginMessage, OriginQuestion},
     owners::owners,
-    records::{Origin, OriginRecords},
+    records::{OriginRecords, StreamOrigin},
     settings::OriginSettings,
     stream_key::StreamKey,
     verdict::Verdict,
--- a/crates/core/src/origin/records.rs
+++ b/crates/core/src/origin/records.rs
@@ -6,26 +6,26 @@
 
 /// Where a stream began.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Origin {
+pub enum StreamOrigin {
     /// At engines of this build.
     Build(EngineBuild),
     /// At different builds, as one request ID was used for two streams.
     Ambiguous,
 }
 
-impl Origin {
+impl StreamOrigin {
     /// Returns what holds if both are said of one stream.
-    pub fn merge(self, other: Origin) -> Origin {
+    pub fn merge(self, other: StreamOrigin) -> StreamOrigin {
         match self == other {
             true => self,
-            false => Origin::Ambiguous,
+            false => StreamOrigin::Ambiguous,
         }
     }
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Record {
-    origin: Origin,
+    origin: StreamOrigin,
     recorded_ms: u64,
 }
 
@@ -43,7 +43,7 @@
     pub fn record(
         &mut self,
         key: StreamKey,
-        origin: Origin,
+        origin: StreamOrigin,
         settings: &OriginSettings,
         now_ms: u64,
     ) {
@@ -61,7 +61,12 @@
     }
 
     /// Returns where a stream began, if that is known.
-    pub fn origin(&self, key: StreamKey, settings: &OriginSettings, now_ms: u64) -> Option<Origin> {
+    pub fn origin(
+        &self,
+        key: StreamKey,
+        settings: &OriginSettings,
+        now_ms: u64,
+    ) -> Option<StreamOrigin> {
         let record = self.records.get(&key)?;
         (now_ms < record.recorded_ms + settings.keep_ms).then_some(record.origin)
     }
--- a/crates/core/src/origin/verdict.rs
+++ b/crates/core/src/origin/verdict.rs
@@ -1,4 +1,4 @@
-use super::{EngineBuild, Origin, OriginAnswer, ServiceBuilds};
+use super::{EngineBuild, OriginAnswer, ServiceBuilds, StreamOrigin};
 
 /// Where a stream began, by the answers that have arrived so far.
 ///
@@ -9,7 +9,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Verdict {
     is_named: bool,
-    origin: Option<Origin>,
+    origin: Option<StreamOrigin>,
     /// The first build that an instance lists.
     listed: Option<EngineBuild>,
     has_several: bool,
@@ -58,8 +58,8 @@
     /// Returns the build at which the stream may go on; `None` if it isn't known.
     pub fn build(&self) -> Option<EngineBuild> {
         match self.origin {
-            Some(Origin::Build(build)) => Some(build),
-            Some(Origin::Ambiguous) => None,
+            Some(StreamOrigin::Build(build)) => Some(build),
+            Some(StreamOrigin::Ambiguous) => None,
             None => self.listed.filter(|_| {
                 let is_confirmed = self.is_named || self.is_current;
                 self.is_long_known && is_confirmed && !self.has_several
--- a/crates/core/tests/origins/fleet.rs
+++ b/crates/core/tests/origins/fleet.rs
@@ -3,7 +3,7 @@
 use {
     super::build,
     mangowalk_core::origin::{
-        EngineBuild, Origin, OriginMessage, OriginRecords, OriginSettings, StreamKey, owners,
+        EngineBuild, OriginMessage, OriginRecords, OriginSettings, StreamKey, StreamOrigin, owners,
     },
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom},
     std::{collections::BTreeSet, fmt::Write},
@@ -69,7 +69,7 @@
                 continue;
             }
             let records = &mut self.instances[number].records;
-            records.record(key, Origin::Build(build), &self.settings, 0);
+            records.record(key, StreamOrigin::Build(build), &self.settings, 0);
         }
     }
 
@@ -80,7 +80,7 @@
             records.origin(key, &self.settings, 1)
         });
         match known.next() {
-            Some(Origin::Build(build)) => Some(build),
+            Some(StreamOrigin::Build(build)) => Some(build),
             _ => None,
         }
     }
@@ -211,7 +211,7 @@
     let mut records = OriginRecords::default();
     let key = |number: u64| StreamKey::new("team", &number.to_string());
     for number in 0..40_000 {
-        let origin = Origin::Build(build("v1"));
+        let origin = StreamOrigin::Build(build("v1"));
         records.record(key(number), origin, &settings, number / 100);
     }
     assert_eq!(records.len(), settings.max_records);
@@ -219,6 +219,6 @@
     assert!(records.origin(key(39_999), &settings, 400).is_some());
     let late_ms = 400 + settings.keep_ms;
     assert_eq!(records.origin(key(39_999), &settings, late_ms), None);
-    records.record(key(1), Origin::Build(build("v1")), &settings, late_ms);
+    records.record(key(1), StreamOrigin::Build(build("v1")), &settings, late_ms);
     assert_eq!(records.len(), 1);
 }
--- a/crates/core/tests/origins/knowledge.rs
+++ b/crates/core/tests/origins/knowledge.rs
@@ -1,37 +1,19 @@
 //! What records and the engine list say of a stream.
 
 use {
-    super::build,
+    super::{build, entry},
     mangowalk_core::{
         origin::{
-            BuildsByService, EngineBuild, ListedBuilds, Origin, OriginAnswer, OriginRecords,
-            OriginSettings, ServiceBuilds, StreamKey, Verdict,
+            BuildsByService, EngineBuild, ListedBuilds, OriginAnswer, OriginRecords,
+            OriginSettings, ServiceBuilds, StreamKey, StreamOrigin, Verdict,
         },
-        pool::{EngineEntry, EngineTable, Incarnation},
+        pool::EngineTable,
     },
     std::fmt::Write,
 };
 
 const MAX_LIST_AGE_MS: u64 = 5_700;
 
-fn entry(id: &str, software: &str) -> EngineEntry {
-    EngineEntry {
-        incarnation: Incarnation {
-            id: id.to_owned(),
-            born_ms: 1,
-        },
-        revision: 1,
-        service: "llm".to_owned(),
-        software: software.to_owned(),
-        address: "127.0.0.1:1".parse().expect("it is an address"),
-        domain: "a".to_owned(),
-        slots: 8,
-        draining: false,
-        models: Vec::new(),
-        cold_left_ms: 0,
-    }
-}
-
 fn table(engines: &[(&str, &str)]) -> EngineTable {
     let mut table = EngineTable::default();
     for (id, software) in engines {
@@ -143,9 +125,12 @@
     let mut records = OriginRecords::default();
     let key = StreamKey::new("team", "1");
     for software in ["v1", "v1", "v2"] {
-        records.record(key, Origin::Build(build(software)), &settings, 1);
+        records.record(key, StreamOrigin::Build(build(software)), &settings, 1);
     }
-    assert_eq!(records.origin(key, &settings, 1), Some(Origin::Ambiguous));
+    assert_eq!(
+        records.origin(key, &settings, 1),
+        Some(StreamOrigin::Ambiguous)
+    );
 }
 
 /// Guards against records that one team's requests find under another team's names.
@@ -162,7 +147,7 @@
 }
 
 fn answer(
-    origin: Option<Origin>,
+    origin: Option<StreamOrigin>,
     service_builds: ServiceBuilds,
     reads_current: bool,
 ) -> OriginAnswer {
@@ -178,7 +163,7 @@
 /// state.
 type Case<'a> = (
     &'a str,
-    &'a [Option<Origin>],
+    &'a [Option<StreamOrigin>],
     &'a [ServiceBuilds],
     &'a [ServiceBuilds],
 );
@@ -187,12 +172,12 @@
 #[test]
 fn a_build_is_known_by_a_record_or_as_the_only_one() {
     let (v1, v2) = (build("v1"), build("v2"));
-    let (at_v1, at_v2) = (Some(Origin::Build(v1)), Some(Origin::Build(v2)));
+    let (at_v1, at_v2) = (Some(StreamOrigin::Build(v1)), Some(StreamOrigin::Build(v2)));
     let single = ServiceBuilds::Single(v1);
     let lately = ServiceBuilds::SingleLately(v1);
     let (several, unknown) = (ServiceBuilds::Several, ServiceBuilds::Unknown);
     let other = ServiceBuilds::SingleLately(v2);
-    let ambiguous = Some(Origin::Ambiguous);
+    let ambiguous = Some(StreamOrigin::Ambiguous);
     let cases: [Case<'_>; 14] = [
         ("nothing known", &[], &[unknown], &[unknown]),
         ("a record", &[at_v2], &[several], &[several]),
--- a/crates/core/tests/origins/lanes.rs
+++ b/crates/core/tests/origins/lanes.rs
@@ -1,26 +1,15 @@
 //! Streams that have begun, beside orders to replace a service's software.
 
-use mangowalk_core::{
-    canary::{Lane, SoftwareRole},
-    pool::{EngineEntry, Incarnation, KnownEngine, choose_for_begun},
+use {
+    super::entry,
+    mangowalk_core::{
+        canary::{Lane, SoftwareRole},
+        pool::{KnownEngine, choose_for_begun},
+    },
 };
 
 fn engine(role: SoftwareRole) -> KnownEngine {
-    let mut engine = KnownEngine::new(EngineEntry {
-        incarnation: Incarnation {
-            id: "e1".to_owned(),
-            born_ms: 1,
-        },
-        revision: 1,
-        service: "llm".to_owned(),
-        software: "v2".to_owned(),
-        address: "127.0.0.1:1".parse().expect("it is an address"),
-        domain: "a".to_owned(),
-        slots: 8,
-        draining: false,
-        models: Vec::new(),
-        cold_left_ms: 0,
-    });
+    let mut engine = KnownEngine::new(entry("e1", "v2"));
     engine.software_role = role;
     engine
 }
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -11,6 +11,7 @@
 mod listener;
 mod pass_on;
 mod plan;
+mod rate_charge;
 mod refusal;
 mod request;
 mod retry;
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -5,6 +5,7 @@
         buffered::forward_buffered,
         completion::refuse,
         guards::OpenRequestGuard,
+        rate_charge::RateCharge,
         request::{CallerRequest, Origin, read_request},
         retry::{AttemptHistory, ResumePoint, send_with_retries},
         stream::forward_stream,
@@ -52,56 +53,29 @@
     response
 }
 
-/// Charges the team's rate, unless a peer has done so, sends the request to engines and
-/// forwards the answer. Refunds the rate if no engine could take the request.
+/// Charges the team's rate, sends the request to engines and forwards the answer. Refunds
+/// the rate if no engine could take the request.
 async fn handle_request(
     mut request: CallerRequest,
     open_request: OpenRequestGuard,
 ) -> Response<AnswerBody> {
-    let instance = request.instance.clone();
     if request.takes_up_stream() {
-        instance.counters.count("taken_up", "received");
-        log::info!(
-            "event=taken_up request={} resumes={:?} behind={:?} origin={:?}",
-            request.id(),
-            request.head.resumes,
-            request.head.last_event_id,
-            request.origin,
-        );
-    }
-    let cost = request.cost();
-    let charged = request.tenant.clone();
-    let charged = charged.filter(|_| request.origin == Origin::Caller);
-    if let Some(tenant) = &charged {
-        let taken = instance.shares.borrow_mut().take(tenant, cost, now_ms());
-        if let Err(wait_ms) = taken {
-            let rate = tenant.rate.unwrap_or_default();
-            let level = instance.shares.borrow().level(&tenant.name);
-            log::warn!(
-                "event=over_rate request={} team={} cost_tokens={cost} level_tokens={:.0} rate_tokens_per_s={} burst_tokens={} wait_ms={wait_ms}",
-                request.id(),
-                tenant.name,
-                level.unwrap_or_default(),
-                rate.per_s,
-                rate.burst,
-            );
-            return refuse(&request, Refusal::OverRate, Some(wait_ms));
-        }
+        record_taken_up(&request);
     }
+    let charge = match RateCharge::take(&request) {
+        Ok(charge) => charge,
+        Err(wait_ms) => return refuse(&request, Refusal::OverRate, Some(wait_ms)),
+    };
     if request.is_poison() {
         return refuse(&request, Refusal::Poison, Some(POISON_RETRY_MS));
     }
-    let refund = || {
-        if let Some(tenant) = &charged {
-            instance.shares.borrow_mut().refund(tenant, cost);
-        }
-    };
     if let Err(refusal) = bind_taken_up(&mut request).await {
-        refund();
+        charge.refund();
         return refuse(&request, refusal, None);
     }
     if !request.has_no_path() {
         let service = request.requirements.service.clone();
+        let instance = &request.instance;
         let mut budgets = instance.retry_budgets.borrow_mut();
         let budget = budgets.entry(service).or_default();
         budget.record_request(&instance.machine().retries, now_ms());
@@ -112,13 +86,25 @@
         Ok(answered) => forward_answer(Rc::new(request), answered, attempts, open_request).await,
         Err(refusal) => {
             if refusal == Refusal::NoEngine {
-                refund();
+                charge.refund();
             }
             refuse(&request, refusal, attempts.retry_after_ms)
         }
     }
 }
 
+/// Counts and logs that a caller takes up a stream.
+fn record_taken_up(request: &CallerRequest) {
+    request.instance.counters.count("taken_up", "received");
+    log::info!(
+        "event=taken_up request={} resumes={:?} behind={:?} origin={:?}",
+        request.id(),
+        request.head.resumes,
+        request.head.last_event_id,
+        request.origin,
+    );
+}
+
 /// Forwards a successful answer of a streaming route as it arrives, and any
 /// other answer once it is complete.
 async fn forward_answer(
--- a/crates/gateway/src/instance/stream_origins.rs
+++ b/crates/gateway/src/instance/stream_origins.rs
@@ -1,8 +1,8 @@
 use {
     super::Instance,
     mangowalk_core::origin::{
-        BuildsByService, EngineBuild, ListedBuilds, Origin, OriginAnswer, OriginQuestion,
-        OriginRecords, OriginSettings, StreamKey,
+        BuildsByService, EngineBuild, ListedBuilds, OriginAnswer, OriginQuestion, OriginRecords,
+        OriginSettings, StreamKey, StreamOrigin,
     },
     mangowalk_platform::Freshness,
     std::{
@@ -68,7 +68,7 @@
         now_ms: u64,
     ) {
         let mut records = self.records.borrow_mut();
-        records.record(key, Origin::Build(build), settings, now_ms);
+        records.record(key, StreamOrigin::Build(build), settings, now_ms);
     }
 
     fn answer(
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -35,15 +35,6 @@
 /// Time for which an instance gathers the packs that it passes on.
 const GATHER_TIME: Duration = Duration::from_millis(150);
 
-/// Binds the socket on which heartbeats are received.
-///
-/// # Errors
-///
-/// Fails if the address is in use.
-pub async fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
-    UdpSocket::bind(address).await
-}
-
 /// Sends heartbeats to peers and receives theirs; never returns.
 pub async fn exchange(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let sent = Sent::default();
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -5,7 +5,7 @@
 mod traffic;
 
 pub use {
-    exchange::{bind, exchange, send_canary_to_all, send_canary_to_readers, send_to_domains},
+    exchange::{exchange, send_canary_to_all, send_canary_to_readers, send_to_domains},
     origins::{exchange_origins, find_origin, tell_origin},
     traffic::{Direction, MeshTraffic},
 };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -19,7 +19,7 @@
     mangowalk_platform::{MachineSettings, SettingsError, decode_settings},
     std::{fs, io, net::SocketAddr, path::Path, rc::Rc, time::Duration},
     tokio::{
-        net::TcpListener,
+        net::{TcpListener, UdpSocket},
         runtime,
         signal::unix::{Signal, SignalKind, signal},
         sync::watch,
@@ -145,6 +145,12 @@
         .map_err(|source| RunError::Listen { address, source })
 }
 
+async fn bind(address: SocketAddr) -> Result<UdpSocket, RunError> {
+    UdpSocket::bind(address)
+        .await
+        .map_err(|source| RunError::Listen { address, source })
+}
+
 async fn serve(machine: MachineSettings, path: &Path) -> Result<(), RunError> {
     let lease = OrderLeaseSettings {
         exclusion_ms: machine.lease_ms,
@@ -166,21 +172,8 @@
     let directory = listen(machine.directory_address).await?;
     let metrics = listen(machine.metrics_address).await?;
     let passed_on = listen(machine.passing_address(machine.peer_address.ip())).await?;
-    let peer_address = machine.peer_address;
-    let peers = mesh::bind(peer_address)
-        .await
-        .map_err(|source| RunError::Listen {
-            address: peer_address,
-            source,
-        })?;
-    let peers = Rc::new(peers);
-    let origins_address = machine.origins_address(peer_address.ip());
-    let origins = mesh::bind(origins_address)
-        .await
-        .map_err(|source| RunError::Listen {
-            address: origins_address,
-            source,
-        })?;
+    let peers = Rc::new(bind(machine.peer_address).await?);
+    let origins = bind(machine.origins_address(machine.peer_address.ip())).await?;
     let (drain_sender, drain) = Drain::channel();
     let instance = Instance::new(machine, settings, wall_ms(), drain);
     let store_client = CallClient::new(instance.machine().store_address, STORE_CONNECT_TIMEOUT_MS);
