Record each build of the engine list once

The builds of all listed engines were looked up by service before and after each change of the list, for thousands of engines on the instances that know all. One engine of each build is enough. The tests of origins pass; no other behaviour changes.

--- a/crates/core/src/origin/listed_builds.rs
+++ b/crates/core/src/origin/listed_builds.rs
@@ -111,8 +111,13 @@
     /// that those of engines that leave are known.
     pub fn record(&mut self, engines: &EngineTable, settings: &OriginSettings, now_ms: u64) {
         self.confirmed_ms = now_ms;
+        // A build tells its service, so one engine of each is enough: there may be
+        // thousands.
+        let mut recorded = BTreeSet::new();
         for engine in engines.iter() {
-            self.record_entry(&engine.entry, engine.build, now_ms);
+            if engine.build.is_none() || recorded.insert(engine.build) {
+                self.record_entry(&engine.entry, engine.build, now_ms);
+            }
         }
         for listed_ms in self.listed_ms.values_mut() {
             listed_ms.retain(|_, last_ms| now_ms < *last_ms + settings.single_build_ms);
