Soak streams of several software versions that callers take up again

Callers take a broken stream up at a random instance, twice at most, and name its first request. All that a caller has of a stream must come from one version, whether it is complete or not, and be whole if the last answer is complete.

--- a/crates/mangowalkd/tests/soak/check.rs
+++ b/crates/mangowalkd/tests/soak/check.rs
@@ -44,6 +44,7 @@
             check_runs_at_most_once(request, ran),
             check_refused_not_run(request, ran),
             check_response(request),
+            check_software(request),
             check_team(request, ran),
             check_departed_engine(faults, request, ran),
             check_withdrawn_key(faults, request),
@@ -81,13 +82,21 @@
         return None;
     }
     let is_own = match request.kind {
-        RouteKind::Stream | RouteKind::Resumable => reply.is_complete_stream(),
+        RouteKind::Stream | RouteKind::Resumable => request.stream().is_complete_stream(),
         RouteKind::Once | RouteKind::Idempotent => reply.body == format!("body of {}", request.id),
     };
     (!is_own || !reply.has_response_stamp())
         .then_some("the response isn't the complete response to this request")
 }
 
+/// Checks that all events that a caller has of a stream, over all its tries, come from
+/// engines with one software version.
+fn check_software(request: &SentRequest) -> Option<&'static str> {
+    let stream = request.stream();
+    (stream.software_versions().len() > 1)
+        .then_some("its stream has events of two software versions")
+}
+
 fn check_team(request: &SentRequest, ran: &[(&str, Run)]) -> Option<&'static str> {
     let team = if request.uses_withdrawn_key {
         "walled"
--- a/crates/mangowalkd/tests/soak/faults.rs
+++ b/crates/mangowalkd/tests/soak/faults.rs
@@ -73,6 +73,8 @@
     pub(crate) store_disturbed: Vec<Span>,
     pub(crate) withdrawn: Vec<Span>,
     weights: u64,
+    /// Whether the engines have different software versions.
+    is_mixed: bool,
     added_engines: usize,
     /// Whether entries have expired and must not be rewritten yet.
     entries_expired: bool,
@@ -83,6 +85,7 @@
         deployment: Deployment,
         gates: Vec<StoreGate>,
         paths: Vec<Arc<EnginePaths>>,
+        is_mixed: bool,
     ) -> Faults {
         let engines = deployment.engines.iter().chain(&deployment.services);
         Faults {
@@ -99,6 +102,7 @@
             store_disturbed: Vec::new(),
             withdrawn: Vec::new(),
             weights: 1,
+            is_mixed,
             added_engines: 0,
             entries_expired: false,
         }
@@ -353,12 +357,24 @@
         Some(id)
     }
 
+    /// Returns the software version of the next engine that joins: two of each version.
+    fn joining_software(&self) -> String {
+        let version = match self.is_mixed {
+            true => 2 + self.added_engines / 2,
+            false => 1,
+        };
+        format!("v{version}")
+    }
+
     fn add_engine(&mut self, is_model: bool) {
         self.added_engines += 1;
         let number = 100 + self.added_engines;
         let domain = ["a", "b", "c"][number % 3];
         let engine = match is_model {
-            true => Engine::start(&format!("e{number}"), "llm", Some("model"), domain),
+            true => {
+                let engine = Engine::start(&format!("e{number}"), "llm", Some("model"), domain);
+                engine.with_software(&self.joining_software())
+            }
             false => Engine::start(&format!("s{number}"), "desk", None, domain),
         };
         let id = engine.id().to_owned();
--- a/crates/mangowalkd/tests/soak/play.rs
+++ b/crates/mangowalkd/tests/soak/play.rs
@@ -24,7 +24,7 @@
 
 /// Runs the schedule of a seed under traffic and returns the violated guarantees.
 pub(crate) fn run_seed(seed: u64, faults_for: Duration) -> Vec<String> {
-    let mut faults = start();
+    let mut faults = start(seed);
     let machines = &faults.deployment.machines;
     let addresses: Vec<SocketAddr> = machines
         .iter()
@@ -52,10 +52,17 @@
     let answered = requests
         .iter()
         .filter(|request| request.reply.status == 200);
+    let taken_up = requests.iter().filter(|request| request.begun.is_some());
+    let goes_on = taken_up
+        .clone()
+        .filter(|request| request.reply.status == 200);
     eprintln!(
-        "seed {seed}: {} requests, {} answered with 200, {} engines left, {} promises broken",
+        "seed {seed}: {} requests, {} answered with 200, {} streams taken up, {} went on, \
+         {} engines left, {} promises broken",
         requests.len(),
         answered.count(),
+        taken_up.count(),
+        goes_on.count(),
         faults.departures.len(),
         violations.len(),
     );
@@ -67,9 +74,17 @@
     violations
 }
 
-fn start() -> Faults {
-    let (deployment, paths, gates) = Deployment::start_with_paths(PROGRAM, MACHINES, 3);
-    Faults::new(deployment, gates, paths)
+/// Starts a deployment. Every other pair of seeds has engines with two software versions,
+/// and engines that join have newer ones.
+fn start(seed: u64) -> Faults {
+    let is_mixed = seed / 2 % 2 == 1;
+    let versions: &[&str] = match is_mixed {
+        true => &["v1", "v1", "v2", "v2"],
+        false => &["v1"; 3],
+    };
+    let prepared = Deployment::prepare_versions(PROGRAM, MACHINES, versions);
+    let (deployment, paths, gates) = prepared.start_on_paths();
+    Faults::new(deployment, gates, paths, is_mixed)
 }
 
 fn run_faults(faults: &mut Faults, seed: u64, faults_for: Duration) {
--- a/crates/mangowalkd/tests/soak/traffic.rs
+++ b/crates/mangowalkd/tests/soak/traffic.rs
@@ -22,11 +22,34 @@
     pub(crate) sent: Instant,
     pub(crate) ended: Instant,
     pub(crate) reply: Reply,
+    /// What earlier tries of the caller brought of a stream that it takes up.
+    pub(crate) begun: Option<Reply>,
+}
+
+impl SentRequest {
+    /// Returns all that the caller has of the stream.
+    pub(crate) fn stream(&self) -> Reply {
+        match &self.begun {
+            Some(begun) => begun.followed_by(&self.reply),
+            None => self.reply.clone(),
+        }
+    }
+
+    /// Returns whether the caller has events of the stream and not its end.
+    fn is_broken_stream(&self) -> bool {
+        let stream = self.stream();
+        self.kind == RouteKind::Resumable
+            && !(self.reply.status == 200 && self.reply.is_complete)
+            && !stream.event_ids().is_empty()
+    }
 }
 
 /// Deadline of the requests, in milliseconds.
 const DEADLINE_MS: u64 = 3_000;
 
+/// Number of times that a caller takes a broken stream up.
+const MAX_TRIES: usize = 2;
+
 /// Sends random requests of one caller to random machines until `stop` is set, and
 /// returns them. The caller reuses a connection to each machine until the machine
 /// closes it.
@@ -60,15 +83,40 @@
         let id = Caller::new_request_id();
         let sent = Instant::now();
         let reply = caller.send_on(&mut connections[machine], kind.path(), &id);
-        requests.push(SentRequest {
-            id,
+        let mut request = SentRequest {
+            id: id.clone(),
             machine,
             kind,
             uses_withdrawn_key,
             sent,
             ended: Instant::now(),
             reply,
-        });
+            begun: None,
+        };
+        for _ in 0..MAX_TRIES {
+            if !request.is_broken_stream() {
+                break;
+            }
+            let begun = request.stream();
+            requests.push(request);
+            let machine = random.random_range(0..machines.len());
+            let mut caller = caller.taking_up(&id, &begun);
+            caller.address = machines[machine];
+            let next_id = Caller::new_request_id();
+            let sent = Instant::now();
+            let reply = caller.send_on(&mut connections[machine], kind.path(), &next_id);
+            request = SentRequest {
+                id: next_id,
+                machine,
+                kind,
+                uses_withdrawn_key,
+                sent,
+                ended: Instant::now(),
+                reply,
+                begun: Some(begun),
+            };
+        }
+        requests.push(request);
         thread::sleep(Duration::from_millis(random.random_range(5..60)));
     }
     requests
