Pass an engine's error on though a peer doesn't confirm its software

A peer tells the build of the engine with streams only. An engine's error to a begun stream was dropped for want of it, and the caller got 502 in its place. An error holds no event, so only successes have to be confirmed.

--- a/crates/gateway/src/callers/pass_on.rs
+++ b/crates/gateway/src/callers/pass_on.rs
@@ -150,7 +150,8 @@
     let status = answer.parts.status;
     if head.is_signed && head.request_id.as_deref() == Some(request.id()) {
         let build = head.build;
-        if context.build.is_some() && build != context.build {
+        let is_confirmed = context.build.is_none() || build == context.build;
+        if status.is_success() && !is_confirmed {
             record_peer_failure(request, &peer, "other_software");
             return Outcome::MayHaveRun(peer);
         }
