--- a/crates/mangowalkd/tests/soak/main.rs
+++ b/crates/mangowalkd/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //!
 //! A seed determines the schedule of faults. `SOAK_SEEDS=FIRST-LAST` selects other
 //! seeds than the default ones. `SOAK_S` sets the time for which faults are injected,
-//! in seconds.
+//! in seconds, and `SOAK_MACHINES` the number of instances.
 
 mod check;
 mod faults;
@@ -25,15 +25,19 @@
 /// Time for which faults are injected without `SOAK_S`, in seconds.
 const FAULTS_S: u64 = 20;
 
+/// Number of instances without `SOAK_MACHINES`.
+const MACHINES: usize = 4;
+
 #[test]
 fn guarantees_hold_under_overlapping_faults() {
     let seeds = env::var("SOAK_SEEDS").unwrap_or_else(|_| SEEDS.to_owned());
     let (first, last) = seeds.split_once('-').expect("two numbers");
     let number = |text: &str| text.parse::<u64>().expect("a number");
     let seconds = env::var("SOAK_S").map_or(FAULTS_S, |text| number(&text));
+    let machines = env::var("SOAK_MACHINES").map_or(MACHINES, |text| number(&text) as usize);
     let mut failed = Vec::new();
     for seed in number(first)..=number(last) {
-        let violations = run_seed(seed, Duration::from_secs(seconds));
+        let violations = run_seed(seed, Duration::from_secs(seconds), machines);
         if !violations.is_empty() {
             eprintln!("seed {seed}:\n{}", violations.join("\n"));
             failed.push(seed);
--- a/crates/mangowalkd/tests/soak/play.rs
+++ b/crates/mangowalkd/tests/soak/play.rs
@@ -15,7 +15,6 @@
     },
 };
 
-const MACHINES: usize = 4;
 const CALLERS: u64 = 6;
 
 /// Time after the end of the last fault for which callers keep sending requests. All
@@ -23,8 +22,8 @@
 const RECOVERY: Duration = Duration::from_secs(5);
 
 /// Runs the schedule of a seed under traffic and returns the violated guarantees.
-pub(crate) fn run_seed(seed: u64, faults_for: Duration) -> Vec<String> {
-    let mut faults = start(seed);
+pub(crate) fn run_seed(seed: u64, faults_for: Duration, machines: usize) -> Vec<String> {
+    let mut faults = start(seed, machines);
     let machines = &faults.deployment.machines;
     let addresses: Vec<SocketAddr> = machines
         .iter()
@@ -76,20 +75,21 @@
 
 /// Starts a deployment. Every other pair of seeds has engines with two software versions,
 /// and engines that join have newer ones.
-fn start(seed: u64) -> Faults {
+fn start(seed: u64, machines: usize) -> Faults {
     let is_mixed = seed / 2 % 2 == 1;
     let versions: &[&str] = match is_mixed {
         true => &["v1", "v1", "v2", "v2"],
         false => &["v1"; 3],
     };
-    let prepared = Deployment::prepare_versions(PROGRAM, MACHINES, versions);
+    let prepared = Deployment::prepare_versions(PROGRAM, machines, versions);
     let (deployment, paths, gates) = prepared.start_on_paths();
     Faults::new(deployment, gates, paths, is_mixed)
 }
 
 fn run_faults(faults: &mut Faults, seed: u64, faults_for: Duration) {
     let begin = Instant::now();
-    let mut scheduled = schedule(seed, faults_for.as_millis() as u64, MACHINES).into_iter();
+    let machines = faults.deployment.machines.len();
+    let mut scheduled = schedule(seed, faults_for.as_millis() as u64, machines).into_iter();
     let mut next = scheduled.next();
     while next.is_some() || !faults.is_finished() {
         let now = Instant::now();
