--- a/crates/core/src/origin/settings.rs
+++ b/crates/core/src/origin/settings.rs
@@ -1,8 +1,8 @@
 /// How long and where records of streams are kept.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OriginSettings {
-    /// Number of peers that are told where a stream began. With three, seven of eight
-    /// streams of killed instances are still known when half of all are killed at once.
+    /// Number of peers that are told where a stream began, which bounds how many instances
+    /// may be killed at once without its being forgotten.
     pub told_peers: usize,
     /// Number of peers that are asked for a record. More than are told, as instances that
     /// have started since may rank before those.
