Log what attempts cost of the retry budget, and the budget itself

Change: origin and charge in sent lines; a retry_budget line, at most one a second and service, with requests, retries and the bound.

--- a/crates/core/src/retries/budget.rs
+++ b/crates/core/src/retries/budget.rs
@@ -1,4 +1,7 @@
-use std::collections::VecDeque;
+use {derive_more::Display, std::collections::VecDeque};
+
+/// Interval between two reports of a budget.
+const REPORT_INTERVAL_MS: u64 = 1_000;
 
 /// Bounds on the retries to one service by all instances together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -26,11 +29,24 @@
     }
 }
 
+/// State of a budget for a log line.
+#[derive(Debug, Clone, Copy, PartialEq, Display)]
+#[display("requests={requests} retries={retries} allowed={allowed:.1}")]
+pub struct RetryReport {
+    /// Requests of this instance within the window.
+    pub requests: usize,
+    /// Retries of this instance within the window.
+    pub retries: usize,
+    /// Retries that this instance may send within the window.
+    pub allowed: f64,
+}
+
 /// Requests and retries of one instance to one service within the window.
 #[derive(Debug, Default)]
 pub struct FleetRetryBudget {
     requests_ms: VecDeque<u64>,
     retries_ms: VecDeque<u64>,
+    reported_ms: Option<u64>,
 }
 
 impl FleetRetryBudget {
@@ -56,15 +72,37 @@
     pub fn try_retry(&mut self, settings: &RetrySettings, instances: usize, now_ms: u64) -> bool {
         remove_expired(&mut self.requests_ms, settings.window_ms, now_ms);
         remove_expired(&mut self.retries_ms, settings.window_ms, now_ms);
-        let slack = settings.slack / instances.max(1) as f64;
-        let allowed =
-            (self.requests_ms.len() as f64 * settings.ratio + slack) * settings.usable_fraction;
-        if self.retries_ms.len() as f64 + 1.0 > allowed {
+        if self.retries_ms.len() as f64 + 1.0 > self.allowed(settings, instances) {
             return false;
         }
         self.retries_ms.push_back(now_ms);
         true
     }
+
+    fn allowed(&self, settings: &RetrySettings, instances: usize) -> f64 {
+        let slack = settings.slack / instances.max(1) as f64;
+        (self.requests_ms.len() as f64 * settings.ratio + slack) * settings.usable_fraction
+    }
+
+    /// Returns the state for a log line; `None` if the last one is less than a second
+    /// old.
+    pub fn report(
+        &mut self,
+        settings: &RetrySettings,
+        instances: usize,
+        now_ms: u64,
+    ) -> Option<RetryReport> {
+        let is_due = |reported_ms: u64| now_ms >= reported_ms + REPORT_INTERVAL_MS;
+        if !self.reported_ms.is_none_or(is_due) {
+            return None;
+        }
+        self.reported_ms = Some(now_ms);
+        Some(RetryReport {
+            requests: self.requests_ms.len(),
+            retries: self.retries_ms.len(),
+            allowed: self.allowed(settings, instances),
+        })
+    }
 }
 
 fn remove_expired(times_ms: &mut VecDeque<u64>, window_ms: u64, now_ms: u64) {
--- a/crates/core/src/retries/mod.rs
+++ b/crates/core/src/retries/mod.rs
@@ -3,4 +3,4 @@
 
 mod budget;
 
-pub use budget::{FleetRetryBudget, RetrySettings};
+pub use budget::{FleetRetryBudget, RetryReport, RetrySettings};
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -11,6 +11,7 @@
         instance::{Instance, OpenPassGuard},
         upstreams::{Answer, Destination, SendError, check_silent, send},
     },
+    derive_more::Display,
     http::Request,
     http_body_util::Full,
     mangowalk_core::{origin::EngineBuild, pool::EngineEntry},
@@ -112,6 +113,18 @@
     }
 }
 
+/// What an attempt cost of its service's retry budget.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Display)]
+pub(super) enum RetryCharge {
+    /// Nothing: the request has reached no engine before.
+    #[default]
+    #[display("none")]
+    None,
+    /// One retry.
+    #[display("retry")]
+    Retry,
+}
+
 /// State of the earlier attempts that one attempt depends on.
 #[derive(Default)]
 pub(super) struct AttemptContext<'a> {
@@ -119,6 +132,8 @@
     pub(super) tried_engines: &'a [String],
     /// Whether the request is sent for the first time.
     pub(super) is_first: bool,
+    /// What the attempt cost of the service's retry budget.
+    pub(super) charge: RetryCharge,
     /// Whether this attempt resumes a stream that was cut off.
     pub(super) is_resumed: bool,
     /// ID of the last event that the caller has; the stream resumes after it.
@@ -164,7 +179,7 @@
         message
     };
     log::info!(
-        "event=sent request={} engine={} software={} left_ms={left_ms} cached={} version={} others={} own={} behind={:?}",
+        "event=sent request={} engine={} software={} left_ms={left_ms} cached={} version={} others={} own={} behind={:?} origin={:?} charge={}",
         request.id(),
         engine.incarnation.id,
         engine.software,
@@ -173,6 +188,8 @@
         plan.load_at_choice.others.requests,
         plan.load_at_choice.own.requests,
         context.last_event_id,
+        request.origin,
+        context.charge,
     );
     let sending = send(
         &request.instance,
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Refusal,
-        attempt::{AttemptContext, EngineAnswer, Outcome, attempt},
+        attempt::{AttemptContext, EngineAnswer, Outcome, RetryCharge, attempt},
         request::CallerRequest,
     },
     crate::{clock::now_ms, rollouts::record_result},
@@ -102,7 +102,11 @@
         // No engine has seen a request that found the path lost, so its first send by a
         // peer is no retry.
         let has_no_path = attempts.possible_run_count == 0 && request.has_no_path();
-        if !is_first_attempt && !has_no_path && !take_retry(request) {
+        let charge = match is_first_attempt || has_no_path {
+            true => RetryCharge::None,
+            false => RetryCharge::Retry,
+        };
+        if charge == RetryCharge::Retry && !take_retry(request) {
             return failed_answer.ok_or(refusal);
         }
         let context = AttemptContext {
@@ -110,6 +114,7 @@
             can_resume_elsewhere: request.route.retry == RetryPolicy::ResumableStream
                 && attempts.possible_run_count + 1 < request.max_attempts(),
             is_first: is_first_attempt,
+            charge,
             // A caller that takes a stream up has waited for it once already.
             may_be_refused: attempts.possible_run_count == 0 && request.build.is_none(),
             is_resumed: resume_point.last_event_id.is_some() || request.build.is_some(),
@@ -189,14 +194,17 @@
 fn take_retry(request: &CallerRequest) -> bool {
     let instance = &request.instance;
     let instances = instance.instance_count();
-    let granted = instance
-        .retry_budgets
-        .borrow_mut()
-        .entry(request.requirements.service.clone())
-        .or_default()
-        .try_retry(&instance.machine().retries, instances, now_ms());
+    let now_ms = now_ms();
+    let settings = instance.machine().retries;
+    let service = &request.requirements.service;
+    let mut budgets = instance.retry_budgets.borrow_mut();
+    let budget = budgets.entry(service.clone()).or_default();
+    let granted = budget.try_retry(&settings, instances, now_ms);
     let outcome = if granted { "granted" } else { "exhausted" };
     instance.counters.count("repeats", outcome);
+    if let Some(report) = budget.report(&settings, instances, now_ms) {
+        log::info!("event=retry_budget service={service} instances={instances} {report}");
+    }
     granted
 }
 
