Show that restarts of all instances renew the retry budget

Callers see nothing of it; engines in trouble get more retries than all instances together may send. Each start of a process begins with its whole share of the slack and with no retries counted. The test kills and starts three instances four times while all engines of a service reject, and counts arrivals at the engines.

--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -11,6 +11,7 @@
 mod leaving;
 mod logs;
 mod rates;
+mod retries;
 mod rollouts;
 mod settings;
 mod sizes;
--- /dev/null
+++ b/crates/mangowalkd/tests/machines/retries.rs
@@ -0,0 +1,101 @@
+//! Retries of all instances together, as the engines count them.
+
+use {
+    super::PROGRAM,
+    mangowalk_platform_standins::{Arrival, Caller, Deployment, Engine, EngineFaults, RouteKind},
+    std::{
+        collections::HashSet,
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Bounds in the machines' settings files.
+const RETRY_RATIO: f64 = 0.2;
+const RETRY_SLACK: f64 = 50.0;
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+
+fn rejecting() -> EngineFaults {
+    EngineFaults {
+        refuses_as_not_run: true,
+        ..EngineFaults::default()
+    }
+}
+
+/// Sends requests to a machine, one after the other, and returns when each was sent.
+fn send(deployment: &Deployment, machine: usize, requests: usize) -> Vec<Instant> {
+    let caller = deployment.caller(machine);
+    let send = |_| {
+        let sent_at = Instant::now();
+        let id = Caller::new_request_id();
+        caller.plain("GET", RouteKind::Idempotent.path(), &id);
+        sent_at
+    };
+    (0..requests).map(send).collect()
+}
+
+/// Sends requests to all machines at once and returns when each was sent.
+fn send_to_all(deployment: &Deployment, requests_each: usize) -> Vec<Instant> {
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..deployment.machines.len())
+            .map(|machine| scope.spawn(move || send(deployment, machine, requests_each)))
+            .collect();
+        let sent = callers.into_iter().map(|caller| caller.join());
+        sent.flat_map(|sent| sent.expect("a caller doesn't panic"))
+            .collect()
+    })
+}
+
+fn restart_all(deployment: &mut Deployment) {
+    for machine in &mut deployment.machines {
+        machine.kill();
+    }
+    for machine in &mut deployment.machines {
+        machine.start();
+    }
+    deployment.wait_until_ready();
+}
+
+/// Returns when requests arrived that had arrived at an engine before, in order.
+fn repeated_at(engines: &[Engine]) -> Vec<Instant> {
+    let mut arrivals: Vec<Arrival> = engines.iter().flat_map(Engine::arrivals).collect();
+    arrivals.sort_by_key(|arrival| arrival.arrived_at);
+    let mut seen = HashSet::new();
+    arrivals.retain(|arrival| !seen.insert(arrival.request_id.clone()));
+    arrivals.iter().map(|arrival| arrival.arrived_at).collect()
+}
+
+/// Asserts that no window holds more repeated arrivals than its requests allow; counted
+/// are those of the window itself or of the one before, whichever are more.
+fn assert_within_budget(engines: &[Engine], sent_at: &[Instant]) {
+    let repeated_at = repeated_at(engines);
+    let count = |times: &[Instant], from: Instant, to: Instant| {
+        times.iter().filter(|at| (from..to).contains(at)).count()
+    };
+    for &from in &repeated_at {
+        let to = from + RETRY_WINDOW;
+        let repeats = count(&repeated_at, from, to);
+        let before = from.checked_sub(RETRY_WINDOW).unwrap_or(from);
+        let requests = count(sent_at, from, to).max(count(sent_at, before, from));
+        let allowed = RETRY_RATIO * requests as f64 + RETRY_SLACK;
+        assert!(
+            repeats as f64 <= allowed,
+            "{repeats} repeats for {requests} requests, {allowed} allowed"
+        );
+    }
+}
+
+/// Guards against each start of the instances renewing what they may send again.
+#[test]
+fn restarts_of_all_instances_keep_retries_within_the_budget() {
+    let mut deployment = Deployment::start(PROGRAM, 3, 1);
+    for service in &deployment.services {
+        service.set_faults(rejecting());
+    }
+    let mut sent_at = send_to_all(&deployment, 25);
+    for _ in 0..4 {
+        restart_all(&mut deployment);
+        sent_at.extend(send_to_all(&deployment, 25));
+    }
+    assert_within_budget(&deployment.services, &sent_at);
+}
