Keep what an instance may retry after its start to what it has seen itself

Cause: the retry budget counts in the process, and a new process began with its whole share of the slack and nothing counted as spent. Each kill of all instances granted 0.8 times the slack anew. Class: state lost at a restart and taken for nothing spent. Change: in the first window after its start an instance uses 0.15 of both bounds, and of the slack only what grows with time, which adds up to no more than one share however often it starts; those that know what they spent use 0.8, as before. The slack is divided among all that may be serving: also peers given up after a silence, and nobody's for an instance that knows nobody. At the first start of the fleet nothing was spent before; readiness waits there until the other instances are known. Counts are sums of fifty slots instead of one entry a request. Why it holds: within a window a machine has at most one process that knows, and the times of the others add up to a window at most.

--- a/crates/core/src/retries/mod.rs
+++ b/crates/core/src/retries/mod.rs
@@ -1,6 +1,14 @@
-//! Bounds on the retries to a service by all instances together. Each instance
-//! applies its part and counts only its own requests and retries.
+//! Bounds on the retries to a service by all instances together. Each instance has a part
+//! of its own, which it keeps to by counting only its own requests and retries: so the
+//! bounds hold though instances are cut off from each other or have just started.
 
 mod budget;
+mod settings;
+mod share;
+mod sliding_sum;
 
-pub use budget::{FleetRetryBudget, RetryReport, RetrySettings};
+pub use {
+    budget::{FleetRetryBudget, RetryReport},
+    settings::RetrySettings,
+    share::{BudgetShare, SlackSharers},
+};
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -4,7 +4,7 @@
     mangowalk_core::{
         mesh::{Heartbeat, MemberTable, MeshSettings, TeamReport},
         pool::Load,
-        retries::{FleetRetryBudget, RetrySettings},
+        retries::{BudgetShare, FleetRetryBudget, RetrySettings},
         routing::{
             Configuration, RetryPolicy, Route, RouteError, RouteTable, Tenant, WeightedService,
             addresses_for_caller,
@@ -159,6 +159,10 @@
         instances in 1_usize..9,
         wants in prop::collection::vec((0_usize..9, 1_u64..40, any::<bool>()), 50..800),
     )| {
+        let share = BudgetShare {
+            slack_fraction: 1.0 / instances as f64,
+            up_ms: None,
+        };
         let mut budgets: Vec<FleetRetryBudget> = (0..instances).map(|_| FleetRetryBudget::default()).collect();
         let (mut requests, mut repeats) = (Vec::new(), Vec::new());
         let mut now_ms = 0;
@@ -168,7 +172,7 @@
             if !is_repeat {
                 budget.record_request(&settings, now_ms);
                 requests.push(now_ms);
-            } else if budget.try_retry(&settings, instances, now_ms) {
+            } else if budget.try_retry(&settings, share, now_ms) {
                 repeats.push(now_ms);
             }
         }
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -106,7 +106,8 @@
             true => RetryCharge::None,
             false => RetryCharge::Retry,
         };
-        if charge == RetryCharge::Retry && !take_retry(request) {
+        let service = &request.requirements.service;
+        if charge == RetryCharge::Retry && !request.instance.try_retry(service, now_ms()) {
             return failed_answer.ok_or(refusal);
         }
         let context = AttemptContext {
@@ -189,25 +190,6 @@
         > 1
 }
 
-/// Takes one retry from the service's retry budget. Returns whether it was
-/// granted.
-fn take_retry(request: &CallerRequest) -> bool {
-    let instance = &request.instance;
-    let instances = instance.instance_count();
-    let now_ms = now_ms();
-    let settings = instance.machine().retries;
-    let service = &request.requirements.service;
-    let mut budgets = instance.retry_budgets.borrow_mut();
-    let budget = budgets.entry(service.clone()).or_default();
-    let granted = budget.try_retry(&settings, instances, now_ms);
-    let outcome = if granted { "granted" } else { "exhausted" };
-    instance.counters.count("repeats", outcome);
-    if let Some(report) = budget.report(&settings, instances, now_ms) {
-        log::info!("event=retry_budget service={service} instances={instances} {report}");
-    }
-    granted
-}
-
 /// Returns the time without an answer after which an attempt is abandoned for
 /// another engine, or `None` if the request may not run again.
 ///
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -74,11 +74,8 @@
         return refuse(&request, refusal, None);
     }
     if !request.has_no_path() {
-        let service = request.requirements.service.clone();
-        let instance = &request.instance;
-        let mut budgets = instance.retry_budgets.borrow_mut();
-        let budget = budgets.entry(service).or_default();
-        budget.record_request(&instance.machine().retries, now_ms());
+        let service = &request.requirements.service;
+        request.instance.record_request(service, now_ms());
     }
     let mut attempts = AttemptHistory::default();
     let first = ResumePoint::default();
--- a/crates/gateway/src/instance/heartbeats.rs
+++ b/crates/gateway/src/instance/heartbeats.rs
@@ -35,6 +35,9 @@
             }
             members.set_exchange_version(&heartbeat.name, exchange_version);
         }
+        let mut sharers = self.retry_budgets.sharers.borrow_mut();
+        sharers.record_heard(&heartbeat.name);
+        drop(sharers);
         if heartbeat.stopped {
             log::info!("event=peer_stopped peer={}", heartbeat.name);
             self.engines.borrow_mut().remove_peer(&heartbeat.name);
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -8,6 +8,7 @@
 mod paths;
 mod placements;
 mod reload;
+mod retry_budgets;
 mod settings;
 mod shared_state;
 mod store_availability;
@@ -21,6 +22,7 @@
     drain::Drain,
     passed_on::{OpenPassGuard, PassedOn},
     reload::{ReloadOutcome, apply_reloadable},
+    retry_budgets::RetryBudgets,
     settings::GatewaySettings,
     shared_state::Instance,
     store_availability::StoreAvailability,
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        Counters, CrashTracker, Drain, GatewaySettings, PassedOn, ReloadOutcome, StoreAvailability,
-        StreamOrigins, WakeUps, apply_reloadable,
+        Counters, CrashTracker, Drain, GatewaySettings, PassedOn, ReloadOutcome, RetryBudgets,
+        StoreAvailability, StreamOrigins, WakeUps, apply_reloadable,
     },
     crate::{clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
@@ -11,7 +11,6 @@
         mesh::{Bundle, MemberTable, OrderReport, PACKS_VERSION, RelayBudget},
         path::{PeerPaths, ServicePaths},
         pool::{EngineTable, MeanPromptLength, PrefillRate, Turnover, rendezvous, short_hash},
-        retries::FleetRetryBudget,
         routing::{Configuration, RouteTable},
         share::{ShareSettings, ShareTable},
         weights::{PublishedAt, WeightsHistory},
@@ -84,7 +83,7 @@
     /// This instance's share of each team's rate.
     pub shares: RefCell<ShareTable>,
     /// Retry budgets by service.
-    pub retry_budgets: RefCell<HashMap<String, FleetRetryBudget>>,
+    pub retry_budgets: RetryBudgets,
     /// Known peers and their last heartbeats.
     pub members: RefCell<MemberTable>,
     /// Datagrams exchanged with peers.
@@ -156,7 +155,7 @@
             mean_prompt_length: Cell::default(),
             weights_histories: RefCell::default(),
             shares: RefCell::new(shares),
-            retry_budgets: RefCell::default(),
+            retry_budgets: RetryBudgets::default(),
             members: RefCell::new(members),
             mesh_traffic: MeshTraffic::default(),
             bundle: RefCell::default(),
@@ -203,11 +202,17 @@
     }
 
     /// Returns whether the configuration, the engine list and the orders to replace
-    /// software are known.
+    /// software are known; at the first start of the fleet, when no caller waits yet, its
+    /// other instances as well, so that retries can be divided among all.
     pub fn is_initialized(&self) -> bool {
         let software = self.software.borrow();
         let knows_rollouts = software.limits().is_none() || software.view_revision().is_some();
-        self.routes.borrow().version() > 0 && self.is_engine_list_read.get() && knows_rollouts
+        let knows_sharers =
+            !self.machine().is_first_start || self.retry_budgets.sharers.borrow().is_fleet_known();
+        self.routes.borrow().version() > 0
+            && self.is_engine_list_read.get()
+            && knows_rollouts
+            && knows_sharers
     }
 
     /// Puts a configuration in force if it is newer than the current one.
--- a/crates/gateway/src/store/register.rs
+++ b/crates/gateway/src/store/register.rs
@@ -65,6 +65,10 @@
             .await
             .is_some();
     instance.wake_ups.heartbeat.notify_one();
+    if is_read {
+        let mut sharers = instance.retry_budgets.sharers.borrow_mut();
+        sharers.record_fleet_known();
+    }
     is_read
 }
 
--- a/crates/gateway/src/weights/updater.rs
+++ b/crates/gateway/src/weights/updater.rs
@@ -271,16 +271,14 @@
     /// which uses one retry of its service's budget.
     fn max_cut_requests(&self, model: &str) -> u32 {
         let now_ms = now_ms();
-        let instances = self.instance.instance_count();
         let engines = self.instance.engines.borrow();
         let mut engines = engines.iter();
         let serves = |entry: &EngineEntry| entry.models.iter().any(|m| m.model == model);
         let Some(engine) = engines.find(|engine| serves(&engine.entry)) else {
             return 0;
         };
-        let mut budgets = self.instance.retry_budgets.borrow_mut();
-        let budget = budgets.entry(engine.entry.service.clone()).or_default();
-        budget.remaining(&self.instance.machine().retries, instances, now_ms)
+        self.instance
+            .remaining_retries(&engine.entry.service, now_ms)
     }
 
     /// Returns the number of responsive engines of a model, and the number of
