Show that requests which are passed on get retries at no charge

An instance without a path passes a request on to up to three peers, and charges none of these sends as long as no engine has run it; but engines behind the first peer may have rejected it, and each peer's first send is free as well.

--- a/crates/mangowalkd/tests/machines/retries.rs
+++ b/crates/mangowalkd/tests/machines/retries.rs
@@ -2,7 +2,9 @@
 
 use {
     super::PROGRAM,
-    mangowalk_platform_standins::{Arrival, Caller, Deployment, Engine, EngineFaults, RouteKind},
+    mangowalk_platform_standins::{
+        Arrival, Caller, Deployment, Engine, EngineFaults, PathState, RouteKind,
+    },
     std::{
         collections::HashSet,
         thread,
@@ -99,3 +101,17 @@
     }
     assert_within_budget(&deployment.services, &sent_at);
 }
+
+/// Guards against requests that engines have rejected being passed on to further peers at
+/// no charge.
+#[test]
+fn requests_that_are_passed_on_keep_retries_within_the_budget() {
+    let (deployment, paths, _gates) = Deployment::start_with_paths(PROGRAM, 4, 1);
+    paths[0].set(PathState::Reset);
+    let mut sent_at = send(&deployment, 0, 20);
+    for service in &deployment.services {
+        service.set_faults(rejecting());
+    }
+    sent_at.extend(send(&deployment, 0, 150));
+    assert_within_budget(&deployment.services, &sent_at);
+}
