Charge a retry for each send of a request that may have reached an engine

Callers saw nothing; engines beside instances without a path got more retries than the budget allows. Cause: sends were charged by whether an engine may have run the request, but rejected arrivals count as well, and a peer that refuses may have had it rejected before. Class: an effect counted by its outcome instead of its occurrence. Change: an attempt says whether the request may have arrived; only then the next one costs a retry. A send that found no connection reached nobody and makes the next one no retry, which was charged before.

--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -26,7 +26,9 @@
 pub(super) enum Outcome {
     /// The engine answered; the body is still to be read.
     Answer(Box<EngineAnswer>),
-    /// The engine with this ID, or peer with this name, did not run the request.
+    /// The request was not sent to the engine with this ID or the peer with this name.
+    NotSent(String),
+    /// The engine with this ID rejected the request and has not run it.
     NotRun(String),
     /// The engine with this ID, or an engine behind the peer with this name, may have
     /// run the request.
@@ -47,6 +49,21 @@
     QueueTooLong(u64),
 }
 
+impl Outcome {
+    /// Returns whether the request may have reached an engine. A peer that refuses it may
+    /// have sent it to engines that rejected it.
+    pub(super) fn may_have_arrived(&self) -> bool {
+        match self {
+            Outcome::NotSent(_) | Outcome::NoEngine | Outcome::QueueTooLong(_) => false,
+            Outcome::Answer(_)
+            | Outcome::NotRun(_)
+            | Outcome::MayHaveRun(_)
+            | Outcome::PeerRefused { .. }
+            | Outcome::TimedOut => true,
+        }
+    }
+}
+
 /// An engine's answer.
 pub(super) struct EngineAnswer {
     pub(super) answer: Answer,
@@ -168,7 +185,7 @@
     };
     let left_ms = request.left_ms();
     let Some(headers) = headers(request, context, &engine, &plan, left_ms) else {
-        return Outcome::NotRun(engine.incarnation.id);
+        return Outcome::NotSent(engine.incarnation.id);
     };
     let load_guard = LoadGuard::begin(&request.instance, &engine.incarnation, plan.load);
     let build_message = || {
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -144,7 +144,7 @@
     Outcome::NotRun(engine.incarnation.id.clone())
 }
 
-/// Records a send that got no answer. Returns [`Outcome::NotRun`] or
+/// Records a send that got no answer. Returns [`Outcome::NotSent`] or
 /// [`Outcome::MayHaveRun`], depending on whether the request may have run.
 pub(super) fn classify_send_error(
     request: &CallerRequest,
@@ -159,7 +159,7 @@
     match error {
         SendError::NotSent { .. } => {
             record_engine_failure(request, engine, "not_connected");
-            Outcome::NotRun(engine.incarnation.id.clone())
+            Outcome::NotSent(engine.incarnation.id.clone())
         }
         SendError::Lost { .. } => {
             record_engine_failure(request, engine, "lost");
--- a/crates/gateway/src/callers/pass_on.rs
+++ b/crates/gateway/src/callers/pass_on.rs
@@ -51,7 +51,7 @@
                 "event=unwritable request={} error=\"{error}\"",
                 request.id()
             );
-            return Outcome::NotRun(peer.incarnation.id);
+            return Outcome::NotSent(peer.incarnation.id);
         }
     };
     let open_guard = request.instance.passed_on.begin(name);
@@ -79,7 +79,7 @@
         }
         Ok(Err(SendError::NotSent { .. })) => {
             record_peer_failure(request, name, "not_connected");
-            Outcome::NotRun(peer.incarnation.id)
+            Outcome::NotSent(peer.incarnation.id)
         }
         Ok(Err(SendError::Lost { .. })) => {
             record_peer_failure(request, name, "lost");
@@ -182,7 +182,7 @@
             }
         }
         // The peer's configuration is another one.
-        status if status.is_client_error() => Outcome::NotRun(peer),
+        status if status.is_client_error() => Outcome::NotSent(peer),
         _ => Outcome::MayHaveRun(peer),
     }
 }
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -22,6 +22,8 @@
     tried_engines: Vec<String>,
     /// Number of attempts that did not run the request.
     not_run_count: usize,
+    /// Whether the request may have reached an engine, which may have rejected it.
+    may_have_arrived: bool,
     /// Number of attempts that may have run the request.
     pub(super) possible_run_count: u32,
     /// Time after which the caller should retry. `None` unless the engines are
@@ -99,12 +101,10 @@
             });
         }
         let is_first_attempt = attempts.possible_run_count == 0 && attempts.not_run_count == 0;
-        // No engine has seen a request that found the path lost, so its first send by a
-        // peer is no retry.
-        let has_no_path = attempts.possible_run_count == 0 && request.has_no_path();
-        let charge = match is_first_attempt || has_no_path {
-            true => RetryCharge::None,
-            false => RetryCharge::Retry,
+        // A rejected arrival counts as well; a connection that was refused doesn't.
+        let charge = match attempts.may_have_arrived {
+            true => RetryCharge::Retry,
+            false => RetryCharge::None,
         };
         let service = &request.requirements.service;
         if charge == RetryCharge::Retry && !request.instance.try_retry(service, now_ms()) {
@@ -125,7 +125,9 @@
             build: resume_point.build.or(request.build),
             give_up_ms: give_up_ms(request, attempts),
         };
-        match attempt(request, &context).await {
+        let outcome = attempt(request, &context).await;
+        attempts.may_have_arrived |= outcome.may_have_arrived();
+        match outcome {
             Outcome::Answer(answered) => {
                 attempts.possible_run_count += 1;
                 attempts.tried_engines.push(answered.responder().to_owned());
@@ -145,9 +147,9 @@
                 }
                 failed_answer = Some(answered);
             }
-            Outcome::NotRun(engine) => {
+            Outcome::NotSent(name) | Outcome::NotRun(name) => {
                 attempts.not_run_count += 1;
-                attempts.tried_engines.push(engine);
+                attempts.tried_engines.push(name);
                 if attempts.not_run_count >= MAX_NOT_RUN_ATTEMPTS {
                     return failed_answer.ok_or(refusal);
                 }
