Let instances lend each other the retries they don't use

Callers of one instance were refused retries that the fleet had left. Cause: the budget was only split. Callers are uneven, an instance that has just started may spend little, and in large fleets with few requests each part is less than one retry, so that none was ever sent. Change: an instance whose part is used up asks three peers, drawn anew each time (up to eight where the parts of three are less than a retry), and waits up to 40 ms. A lender takes half of what it has left out of its own part, for the window and the second within which the loan has to be used, so that a bound on each part still bounds the sum: through starts, partitions and lost answers. Instances that don't know what they spent lend none. Peers without retries are asked every 400 ms at most; traffic doesn't grow with the fleet. An own address among the candidates no longer counts as a peer. MeshSettings gets a file of its own.

--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -15,8 +15,9 @@
 /// [`PeerMessage::Compressed`]. Version 3 adds [`PeerMessage::PackToGroup`]. Version 4
 /// adds [`PeerMessage::Path`]; instances from it on take requests of their peers. From
 /// version 5 on they tell and ask each other where streams began, on a port of their own,
-/// and keep streams that are passed on at their software version.
-pub const EXCHANGE_VERSION: u8 = 5;
+/// and keep streams that are passed on at their software version. From version 6 on they
+/// lend each other retries, on a port of their own.
+pub const EXCHANGE_VERSION: u8 = 6;
 
 /// Version of the exchange from which on packs, reports on KV cache stores and partial
 /// reports on teams are understood.
@@ -38,6 +39,9 @@
 /// Version of the exchange from which on instances know where streams began.
 pub const ORIGINS_VERSION: u8 = 5;
 
+/// Version of the exchange from which on instances lend each other retries.
+pub const LOANS_VERSION: u8 = 6;
+
 /// Maximum size of a message before its compression: twice a datagram. The size that a
 /// datagram names is not trusted beyond it.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_DATAGRAM_BYTES;
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -5,15 +5,17 @@
 mod members;
 mod message;
 mod relay_budget;
+mod settings;
 
 pub use {
     bundle::Bundle,
     heartbeat::{Heartbeat, OrderPhase, OrderReport, TeamReport},
-    members::{Liveness, Member, MemberTable, MeshSettings, Targets},
+    members::{Liveness, Member, MemberTable, Targets},
     message::{
         BUNDLE_BYTES, CANARY_VERSION, COMPRESSION_VERSION, EXCHANGE_VERSION, GROUPS_VERSION,
-        MAX_DATAGRAM_BYTES, MessageError, ORIGINS_VERSION, PACK_BYTES, PACKS_VERSION,
-        PASSING_VERSION, PeerMessage, split_packs,
+        LOANS_VERSION, MAX_DATAGRAM_BYTES, MessageError, ORIGINS_VERSION, PACK_BYTES,
+        PACKS_VERSION, PASSING_VERSION, PeerMessage, split_packs,
     },
     relay_budget::RelayBudget,
+    settings::MeshSettings,
 };
--- a/crates/core/src/retries/settings.rs
+++ b/crates/core/src/retries/settings.rs
@@ -16,6 +16,19 @@
     /// Time for which a peer that was lost, and may be serving behind a network
     /// partition, still has its part of the slack.
     pub lost_peer_ms: u64,
+    /// Number of peers that are asked at a time to lend retries.
+    pub lenders: usize,
+    /// Number of peers that are asked in a fleet so large that the parts of a few are less
+    /// than one retry.
+    pub max_lenders: usize,
+    /// Minimum time between two requests for loans while peers lend.
+    pub loan_interval_ms: u64,
+    /// Time after which peers are asked again that had nothing to lend.
+    pub loan_pause_ms: u64,
+    /// Longest time that a retry waits for a loan.
+    pub loan_answer_ms: u64,
+    /// Time after the request within which lent retries have to be used.
+    pub loan_valid_ms: u64,
 }
 
 impl Default for RetrySettings {
@@ -27,6 +40,12 @@
             usable_fraction: 0.8,
             restart_fraction: 0.15,
             lost_peer_ms: 600_000,
+            lenders: 3,
+            max_lenders: 8,
+            loan_interval_ms: 50,
+            loan_pause_ms: 400,
+            loan_answer_ms: 40,
+            loan_valid_ms: 1_000,
         }
     }
 }
--- a/crates/core/src/retries/share.rs
+++ b/crates/core/src/retries/share.rs
@@ -17,6 +17,15 @@
         self.up_ms.is_none_or(|up_ms| up_ms >= settings.window_ms)
     }
 
+    /// Returns how many peers to ask for a loan: so many that their parts of the slack are
+    /// one retry, within bounds.
+    pub fn lenders(&self, settings: &RetrySettings) -> usize {
+        let part = settings.usable_fraction * settings.slack * self.slack_fraction;
+        // The cast saturates where the part is zero.
+        let needed = (1.0 / part).ceil() as usize;
+        needed.clamp(settings.lenders, settings.max_lenders.max(settings.lenders))
+    }
+
     /// Returns how many retries the instance may send in a window with this many requests.
     ///
     /// Without knowledge of what was spent before, the slack grows with time: the parts of
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -4,7 +4,7 @@
         attempt::{AttemptContext, EngineAnswer, Outcome, RetryCharge, attempt},
         request::CallerRequest,
     },
-    crate::{clock::now_ms, rollouts::record_result},
+    crate::{clock::now_ms, mesh::take_retry, rollouts::record_result},
     mangowalk_core::{
         canary::Sample, origin::EngineBuild, pool::EngineEntry, routing::RetryPolicy,
     },
@@ -107,7 +107,7 @@
             false => RetryCharge::None,
         };
         let service = &request.requirements.service;
-        if charge == RetryCharge::Retry && !request.instance.try_retry(service, now_ms()) {
+        if charge == RetryCharge::Retry && !take_retry(&request.instance, service).await {
             return failed_answer.ok_or(refusal);
         }
         let context = AttemptContext {
--- a/crates/gateway/src/instance/heartbeats.rs
+++ b/crates/gateway/src/instance/heartbeats.rs
@@ -59,6 +59,17 @@
         crashes.merge(&heartbeat.crashes, now_ms);
     }
 
+    /// Forgets a peer that has been silent for long. It may still be serving behind a
+    /// network partition, so its part of the retries remains reserved.
+    pub fn forget_peer(&self, peer: &str, now_ms: u64) {
+        log::info!("event=peer_gone peer={peer}");
+        let mut sharers = self.retry_budgets.sharers.borrow_mut();
+        sharers.record_lost(peer, now_ms);
+        self.engines.borrow_mut().remove_peer(peer);
+        self.peer_paths.borrow_mut().retain(|name| name != peer);
+        self.passed_on.retain(|name| name != peer);
+    }
+
     fn apply_engine_reports(&self, heartbeat: &Heartbeat, now_ms: u64) {
         for &(part, _) in &heartbeat.placements {
             // The peer's engine was asked to save the part to a KV cache store, so
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod drain;
 mod heartbeats;
+mod loans;
 mod passed_on;
 mod paths;
 mod placements;
@@ -20,6 +21,7 @@
     counters::Counters,
     crashes::{CrashTracker, hash},
     drain::Drain,
+    loans::{Loans, OpenLoan},
     passed_on::{OpenPassGuard, PassedOn},
     reload::{ReloadOutcome, apply_reloadable},
     retry_budgets::RetryBudgets,
--- a/crates/gateway/src/instance/retry_budgets.rs
+++ b/crates/gateway/src/instance/retry_budgets.rs
@@ -1,5 +1,5 @@
 use {
-    super::Instance,
+    super::{Instance, Loans},
     mangowalk_core::retries::{BudgetShare, FleetRetryBudget, SlackSharers},
     std::{cell::RefCell, collections::HashMap},
 };
@@ -10,6 +10,8 @@
     budgets: RefCell<HashMap<String, FleetRetryBudget>>,
     /// The instances among which the slack is divided.
     pub sharers: RefCell<SlackSharers>,
+    /// Retries that peers lend.
+    pub loans: Loans,
 }
 
 impl RetryBudgets {
@@ -26,7 +28,8 @@
     /// Returns the part of the retries that this instance may send by itself.
     fn budget_share(&self, now_ms: u64) -> BudgetShare {
         let machine = self.machine();
-        let peers = self.members.borrow().expected();
+        let members = self.members.borrow();
+        let peers = members.expected_besides(machine.peer_address);
         let mut sharers = self.retry_budgets.sharers.borrow_mut();
         let up_ms = now_ms.saturating_sub(self.started_ms);
         BudgetShare {
@@ -42,7 +45,8 @@
             .with(service, |budget| budget.record_request(&settings, now_ms));
     }
 
-    /// Takes one retry from the budget of a service. Returns whether it was granted.
+    /// Takes one retry from the budget of a service and what peers have lent. Returns
+    /// whether it was granted.
     pub fn try_retry(&self, service: &str, now_ms: u64) -> bool {
         let settings = self.machine().retries;
         let share = self.budget_share(now_ms);
@@ -50,8 +54,9 @@
             let granted = budget.try_retry(&settings, share, now_ms);
             (granted, budget.report(&settings, share, now_ms))
         });
-        let outcome = if granted { "granted" } else { "exhausted" };
-        self.counters.count("repeats", outcome);
+        if granted {
+            self.counters.count("repeats", "granted");
+        }
         if let Some(report) = report {
             let slack = share.slack_fraction;
             log::info!("event=retry_budget service={service} slack_fraction={slack:.3} {report}");
@@ -59,6 +64,57 @@
         granted
     }
 
+    /// Returns how many peers to ask for a loan.
+    pub fn lenders(&self, now_ms: u64) -> usize {
+        self.budget_share(now_ms).lenders(&self.machine().retries)
+    }
+
+    /// Returns how many retries each of `peers` peers should be asked to lend; `None` if
+    /// they shouldn't be asked now.
+    pub fn plan_loan(&self, service: &str, peers: usize, now_ms: u64) -> Option<f64> {
+        let settings = self.machine().retries;
+        self.retry_budgets.with(service, |budget| {
+            budget.ask_for_loan(peers, &settings, now_ms)
+        })
+    }
+
+    /// Returns until when retries that peers were asked for may arrive; `None` if none are
+    /// awaited.
+    pub fn awaits_loan_until(&self, service: &str, now_ms: u64) -> Option<u64> {
+        let settings = self.machine().retries;
+        self.retry_budgets.with(service, |budget| {
+            budget.awaits_loan_until(&settings, now_ms)
+        })
+    }
+
+    /// Adds what a peer has lent of what it was asked for at `asked_ms`.
+    pub fn receive_loan(&self, service: &str, retries: f64, asked_ms: u64) {
+        let settings = self.machine().retries;
+        let outcome = if retries > 0.0 {
+            "borrowed"
+        } else {
+            "not_lent"
+        };
+        self.counters.count("retry_loans", outcome);
+        self.retry_budgets.with(service, |budget| {
+            budget.receive_loan(retries, &settings, asked_ms);
+        });
+    }
+
+    /// Takes up to this many retries out of the budget of a service for a peer, and returns
+    /// how many.
+    pub fn lend_retries(&self, service: &str, wanted: f64, now_ms: u64) -> f64 {
+        let settings = self.machine().retries;
+        let share = self.budget_share(now_ms);
+        // A peer's configuration may name services that this instance doesn't know.
+        if self.routes.borrow().service(service).is_none() {
+            return 0.0;
+        }
+        self.retry_budgets.with(service, |budget| {
+            budget.lend(wanted, &settings, share, now_ms)
+        })
+    }
+
     /// Returns the number of retries to a service that all instances together have left,
     /// assuming that each has as many requests and retries as this one.
     pub fn remaining_retries(&self, service: &str, now_ms: u64) -> u32 {
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -425,12 +425,7 @@
     let mesh = &instance.settings.mesh;
     let gone = instance.members.borrow_mut().expire(mesh, now_ms);
     for peer in &gone {
-        log::info!("event=peer_gone peer={peer}");
-        let mut sharers = instance.retry_budgets.sharers.borrow_mut();
-        sharers.record_lost(peer, now_ms);
-        instance.engines.borrow_mut().remove_peer(peer);
-        instance.peer_paths.borrow_mut().retain(|name| name != peer);
-        instance.passed_on.retain(|name| name != peer);
+        instance.forget_peer(peer, now_ms);
     }
     instance.update_share_peers(now_ms);
     let turn = sent.sequence.get() + 1;
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -1,11 +1,13 @@
 //! Heartbeats between instances.
 
 mod exchange;
+mod loans;
 mod origins;
 mod traffic;
 
 pub use {
     exchange::{exchange, send_canary_to_all, send_canary_to_readers, send_to_domains},
+    loans::{exchange_loans, take_retry},
     origins::{exchange_origins, find_origin, tell_origin},
     traffic::{Direction, MeshTraffic},
 };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -174,6 +174,7 @@
     let passed_on = listen(machine.passing_address(machine.peer_address.ip())).await?;
     let peers = Rc::new(bind(machine.peer_address).await?);
     let origins = bind(machine.origins_address(machine.peer_address.ip())).await?;
+    let loans = bind(machine.loans_address(machine.peer_address.ip())).await?;
     let (drain_sender, drain) = Drain::channel();
     let instance = Instance::new(machine, settings, wall_ms(), drain);
     let store_client = CallClient::new(instance.machine().store_address, STORE_CONNECT_TIMEOUT_MS);
@@ -195,6 +196,10 @@
         "origins",
         mesh::exchange_origins(instance.clone(), Rc::new(origins)),
     );
+    tasks.start(
+        "loans",
+        mesh::exchange_loans(instance.clone(), Rc::new(loans)),
+    );
     tasks.start(
         "configuration",
         watch_configuration(instance.clone(), store.clone()),
--- a/crates/mangowalkd/tests/machines/retries.rs
+++ b/crates/mangowalkd/tests/machines/retries.rs
@@ -115,3 +115,27 @@
     sent_at.extend(send(&deployment, 0, 150));
     assert_within_budget(&deployment.services, &sent_at);
 }
+
+/// Guards against an instance that refuses retries which its peers have left.
+#[test]
+fn an_instance_borrows_retries_that_its_peers_do_not_use() {
+    let mut deployment = Deployment::prepare(PROGRAM, 3, 1);
+    for machine in &mut deployment.machines {
+        machine.change_settings(|text| text.replace("RetryBudget=0.2", "RetryBudget=0"));
+        machine.start();
+    }
+    deployment.wait_until_ready();
+    for service in &deployment.services {
+        service.set_faults(rejecting());
+    }
+    let mut sent_at = Vec::new();
+    // An engine that has rejected a request is spared for a moment.
+    for _ in 0..40 {
+        sent_at.extend(send(&deployment, 0, 3));
+        thread::sleep(Duration::from_millis(160));
+    }
+    let repeats = repeated_at(&deployment.services).len();
+    // Its own part, a third of the usable slack, is 13.
+    assert!(repeats >= 20, "{repeats} repeats");
+    assert_within_budget(&deployment.services, &sent_at);
+}
