Show that a request which is passed on earns retries several times

Each instance that handles a request counts it for the retries that it earns: the one that passes it on after its path is lost, and each peer that it is sent to. A metric counts them.

--- a/crates/gateway/src/instance/retry_budgets.rs
+++ b/crates/gateway/src/instance/retry_budgets.rs
@@ -41,6 +41,7 @@
     /// Records a caller's request in the retry budget of its service.
     pub fn record_request(&self, service: &str, now_ms: u64) {
         let settings = self.machine().retries;
+        self.counters.count("retry_requests", "counted");
         self.retry_budgets
             .with(service, |budget| budget.record_request(&settings, now_ms));
     }
--- a/crates/mangowalkd/tests/machines/retries.rs
+++ b/crates/mangowalkd/tests/machines/retries.rs
@@ -139,3 +139,27 @@
     assert!(repeats >= 20, "{repeats} repeats");
     assert_within_budget(&deployment.services, &sent_at);
 }
+
+/// Returns how many requests all instances have counted for the retries they earn.
+fn counted_requests(deployment: &Deployment) -> usize {
+    let counted = deployment.machines.iter().map(|machine| {
+        let metrics = Caller::get(machine.metrics_address(), "/metrics").body;
+        let name = "mangowalk_retry_requests_total{reason=\"counted\"} ";
+        let value = metrics.lines().find_map(|line| line.strip_prefix(name));
+        value.map_or(0, |value| value.parse().expect("it is a number"))
+    });
+    counted.sum()
+}
+
+/// Guards against a request that earns retries at each instance that handles it.
+#[test]
+fn a_request_that_is_passed_on_earns_retries_once() {
+    let (deployment, paths, _gates) = Deployment::start_with_paths(PROGRAM, 4, 1);
+    paths[0].set(PathState::Reset);
+    let mut sent_at = send(&deployment, 0, 20);
+    for service in &deployment.services {
+        service.set_faults(rejecting());
+    }
+    sent_at.extend(send(&deployment, 0, 40));
+    assert_eq!(counted_requests(&deployment), sent_at.len());
+}
