Count a request for retries only where its caller sent it

Cause: the instance that passes a request on and each peer that gets it counted the request, so the budget grew with the hops. Class: one event counted by all that see it. Change: only the instance that took the request from its caller counts it. Peers charge their own retries as before and borrow where they earn too little.

--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -73,7 +73,8 @@
         charge.refund();
         return refuse(&request, refusal, None);
     }
-    if !request.has_no_path() {
+    // The instance that passed it on has counted it.
+    if request.origin == Origin::Caller {
         let service = &request.requirements.service;
         request.instance.record_request(service, now_ms());
     }
