--- a/crates/core/tests/upstreams.rs
+++ b/crates/core/tests/upstreams.rs
@@ -129,6 +129,24 @@
     assert!((100..=120).contains(&retries), "{retries}");
 }
 
+/// Guards against an instance that starts again and again and gets all saved retries anew
+/// each time.
+#[test]
+fn starts_do_not_renew_the_saved_retries() {
+    let retries: usize = (0..10)
+        .map(|_| {
+            let mut budget = InstanceRetryBudget::default();
+            let wanted = (0..20).map(|_| {
+                budget.record_first_attempt();
+                budget.try_retry()
+            });
+            wanted.filter(|granted| *granted).count()
+        })
+        .sum();
+    // A tenth of 200 requests, and the capacity once.
+    assert!(retries <= 40, "{retries}");
+}
+
 /// A long queue does not interrupt running streams, a stall does. One stream
 /// that was read for a second without a token indicates a stall, until any
 /// stream receives one.
