Log the limits on requests that engines name

Cause: engines name in their answers how many requests a second they take from all instances; nothing reads it, so that no log line or metric shows it. Change: the limit is decoded (a number that is finite and not negative), kept by the engine's start, and logged and counted when it is named, changed or withdrawn. Nothing acts on it yet. Measured: nothing; no behaviour changes.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod demand;
 pub mod edge;
 pub mod engine;
+pub mod engine_limit;
 pub mod kv_store;
 pub mod limits;
 pub mod membership;
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -34,6 +34,11 @@
         let settings = &request.instance.settings.brittle;
         brittle.record_warning(&engine.service, rejections_per_s, settings, now_ms());
     }
+    let (incarnation, sent_ms) = (&engine.incarnation, load_guard.began_ms());
+    if head.is_signed || head.not_run {
+        let instance = &request.instance;
+        instance.record_engine_limit(incarnation, head.limit_per_s, sent_ms, now_ms());
+    }
     if head.not_run {
         return classify_rejection(request, &engine, &answer, plan);
     }
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -3,6 +3,7 @@
 mod counters;
 mod crashes;
 mod drain;
+mod engine_limits;
 mod heartbeats;
 mod loans;
 mod passed_on;
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -7,6 +7,7 @@
     mangowalk_core::{
         brittle::BrittleEngines,
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
+        engine_limit::EngineLimits,
         kv_store::KvStores,
         mesh::{Bundle, MemberTable, OrderReport, PACKS_VERSION, RelayBudget},
         path::{PeerPaths, ServicePaths},
@@ -54,6 +55,8 @@
     pub engines: RefCell<EngineTable>,
     /// Engines that fall over when they reject too much.
     pub brittle: RefCell<BrittleEngines>,
+    /// Limits that engines name on the requests of all instances.
+    pub engine_limits: RefCell<EngineLimits>,
     /// The paths of this instance to the engines of each service.
     pub service_paths: RefCell<ServicePaths>,
     /// Locks by service, each held while it is checked whether the path is lost.
@@ -144,6 +147,7 @@
             routes: RefCell::default(),
             engines: RefCell::default(),
             brittle: RefCell::default(),
+            engine_limits: RefCell::default(),
             service_paths: RefCell::default(),
             path_checks: RefCell::default(),
             peer_paths: RefCell::default(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -15,7 +15,10 @@
         weights::run_weights_updater,
     },
     derive_more::{Display, Error},
-    mangowalk_core::weights::{OrderLeaseSettings, WeightsSettings},
+    mangowalk_core::{
+        pool::Incarnation,
+        weights::{OrderLeaseSettings, WeightsSettings},
+    },
     mangowalk_platform::{MachineSettings, SettingsError, decode_settings},
     std::{fs, io, net::SocketAddr, path::Path, rc::Rc, time::Duration},
     tokio::{
@@ -279,11 +282,15 @@
         remove_expired_entries(&instance);
         instance.brittle.borrow_mut().expire(now_ms());
         let engines = instance.engines.borrow();
+        let is_known = |incarnation: &Incarnation| {
+            let engine = engines.get(&incarnation.id);
+            engine.is_some_and(|engine| engine.entry.incarnation == *incarnation)
+        };
+        instance.engine_limits.borrow_mut().retain(is_known);
         let members = instance.members.borrow();
         pool.sweep(
             |incarnation| {
-                let engine = engines.get(&incarnation.id);
-                engine.is_some_and(|engine| engine.entry.incarnation == *incarnation)
+                is_known(incarnation)
                     || members.incarnation(&incarnation.id) == Some(incarnation.born_ms)
             },
             now_ms(),
