Show that engines get more than the limit they name

Callers see nothing; an engine in need gets as many requests as before it named its limit, since nothing acts on it.

--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -5,6 +5,7 @@
 mod brittle;
 mod configuration;
 mod endings;
+mod engine_limits;
 mod input;
 mod kept;
 mod lagging;
