Keep to the limits that engines name, over all instances together

Callers saw nothing; engines in need got about three times the requests that they named as what they take from all instances. Cause: nothing read the limit, and the choice of an engine went by load alone. Class: a word of the other side that is passed on and not acted on; and, were it kept by each instance alone, a bound on all that each takes for its own. Change: only the first instances of an order of all send to a limited engine, another order for each engine and the same at all instances; so few that each has a request within two seconds. Each has its part of the rate, begins with nothing and saves up one request at most, so that a start, a change of members or a partition adds little. Silent peers keep their place. An instance that doesn't know the others uses a thousandth. Requests go to other engines meanwhile. Instances tell each other a limit that is named, changed or withdrawn, at most every 200 ms an engine, and the first of the order repeats it every five seconds. A limit belongs to one start of an engine; without a repetition it is forgotten after 30 s.

--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -1,6 +1,9 @@
 use {
     super::Heartbeat,
-    crate::{canary::CanaryMessage, kv_store::KvStoreReport, path::PathReport},
+    crate::{
+        canary::CanaryMessage, engine_limit::EngineLimitReport, kv_store::KvStoreReport,
+        path::PathReport,
+    },
     derive_more::{Display, Error, From},
     serde::{Deserialize, Serialize},
 };
@@ -16,8 +19,9 @@
 /// adds [`PeerMessage::Path`]; instances from it on take requests of their peers. From
 /// version 5 on they tell and ask each other where streams began, on a port of their own,
 /// and keep streams that are passed on at their software version. From version 6 on they
-/// lend each other retries, on a port of their own.
-pub const EXCHANGE_VERSION: u8 = 6;
+/// lend each other retries, on a port of their own. Version 7 adds
+/// [`PeerMessage::EngineLimits`].
+pub const EXCHANGE_VERSION: u8 = 7;
 
 /// Version of the exchange from which on packs, reports on KV cache stores and partial
 /// reports on teams are understood.
@@ -42,6 +46,10 @@
 /// Version of the exchange from which on instances lend each other retries.
 pub const LOANS_VERSION: u8 = 6;
 
+/// Version of the exchange from which on instances tell each other the limits that engines
+/// name.
+pub const LIMITS_VERSION: u8 = 7;
+
 /// Maximum size of a message before its compression: twice a datagram. The size that a
 /// datagram names is not trusted beyond it.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_DATAGRAM_BYTES;
@@ -92,6 +100,8 @@
     PackToGroup(Vec<Heartbeat>),
     /// From which services the author is cut off.
     Path(Box<PathReport>),
+    /// Limits that engines name on the requests of all instances.
+    EngineLimits(Vec<EngineLimitReport>),
 }
 
 /// Why a datagram could not be decoded or a message not be encoded.
@@ -123,6 +133,7 @@
             PeerMessage::KvStore(_) => "kv_store",
             PeerMessage::Canary(_) | PeerMessage::CanaryToRelay(_) => "canary",
             PeerMessage::Path(_) => "path",
+            PeerMessage::EngineLimits(_) => "engine_limits",
             PeerMessage::Compressed(_) => "compressed",
         }
     }
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -87,6 +87,7 @@
                             .is_none_or(|build| known_engine.build == Some(build))
                         && !context.tried_engines.contains(id)
                         && spares_brittle(request, known_engine, memory_tokens, now_ms)
+                        && instance.is_within_limit(known_engine, now_ms)
                 }),
             requirements,
             version_bounds,
@@ -134,6 +135,9 @@
     software.record_sent(&requirements.service, lane, context.is_first, now_ms);
     drop(software);
     let entry = chosen.entry.clone();
+    let mut engine_limits = instance.engine_limits.borrow_mut();
+    engine_limits.record_sent(&entry.incarnation);
+    drop(engine_limits);
     let listing_status = engines.listing_status(&entry.incarnation.id, now_ms);
     log_uncertain(request, &entry, listing_status);
     if let Some(known_engine) = engines.get_mut(&entry.incarnation.id) {
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,5 +1,6 @@
 use mangowalk_core::{
     brittle::BrittleSettings,
+    engine_limit::EngineLimitSettings,
     kv_store::KvStoreSettings,
     mesh::MeshSettings,
     origin::OriginSettings,
@@ -25,6 +26,8 @@
     pub admission: AdmitSettings,
     /// Sparing of engines that fall over when they reject too much.
     pub brittle: BrittleSettings,
+    /// Keeping to the limits on requests that engines name.
+    pub engine_limits: EngineLimitSettings,
     /// Loss of the path to the engines, and requests that are passed on to peers then.
     pub path: PathSettings,
     /// How long and where it is known where streams began.
@@ -96,6 +99,7 @@
             kv_stores: KvStoreSettings::default(),
             admission: AdmitSettings::default(),
             brittle: BrittleSettings::default(),
+            engine_limits: EngineLimitSettings::default(),
             path: PathSettings::default(),
             origins: OriginSettings::default(),
             weights: WeightsSettings {
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -7,7 +7,7 @@
     mangowalk_core::{
         brittle::BrittleEngines,
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
-        engine_limit::EngineLimits,
+        engine_limit::{EngineLimitReport, EngineLimits},
         kv_store::KvStores,
         mesh::{Bundle, MemberTable, OrderReport, PACKS_VERSION, RelayBudget},
         path::{PeerPaths, ServicePaths},
@@ -57,6 +57,8 @@
     pub brittle: RefCell<BrittleEngines>,
     /// Limits that engines name on the requests of all instances.
     pub engine_limits: RefCell<EngineLimits>,
+    /// Limits of engines that peers are still to be told.
+    pub limit_reports: RefCell<Vec<EngineLimitReport>>,
     /// The paths of this instance to the engines of each service.
     pub service_paths: RefCell<ServicePaths>,
     /// Locks by service, each held while it is checked whether the path is lost.
@@ -148,6 +150,7 @@
             engines: RefCell::default(),
             brittle: RefCell::default(),
             engine_limits: RefCell::default(),
+            limit_reports: RefCell::default(),
             service_paths: RefCell::default(),
             path_checks: RefCell::default(),
             peer_paths: RefCell::default(),
--- a/crates/gateway/src/instance/wake_ups.rs
+++ b/crates/gateway/src/instance/wake_ups.rs
@@ -19,4 +19,6 @@
     /// Sent when the path to the engines of a service was lost or is back, or an engine
     /// was found to be silent.
     pub path: Notify,
+    /// Sent when peers are to be told a limit that an engine has named.
+    pub limits: Notify,
 }
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -125,6 +125,11 @@
             let mut peer_paths = instance.peer_paths.borrow_mut();
             peer_paths.apply(*report, now_ms);
         }
+        PeerMessage::EngineLimits(reports) => {
+            for report in &reports {
+                instance.receive_limit_report(report, now_ms);
+            }
+        }
         // The message was decompressed when it was decoded.
         PeerMessage::Compressed(_) => {}
     }
@@ -277,7 +282,7 @@
     send_to(instance, socket, &message, readers);
 }
 
-fn send_to(
+pub(super) fn send_to(
     instance: &Instance,
     socket: &UdpSocket,
     message: &PeerMessage,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -203,6 +203,10 @@
         "loans",
         mesh::exchange_loans(instance.clone(), Rc::new(loans)),
     );
+    tasks.start(
+        "engine_limits",
+        mesh::report_limits(instance.clone(), peers.clone()),
+    );
     tasks.start(
         "configuration",
         watch_configuration(instance.clone(), store.clone()),
@@ -286,7 +290,10 @@
             let engine = engines.get(&incarnation.id);
             engine.is_some_and(|engine| engine.entry.incarnation == *incarnation)
         };
-        instance.engine_limits.borrow_mut().retain(is_known);
+        let limit_settings = &instance.settings.engine_limits;
+        let mut limits = instance.engine_limits.borrow_mut();
+        limits.retain(is_known, limit_settings, now_ms());
+        drop(limits);
         let members = instance.members.borrow();
         pool.sweep(
             |incarnation| {
--- a/crates/mangowalkd/tests/machines/engine_limits.rs
+++ b/crates/mangowalkd/tests/machines/engine_limits.rs
@@ -91,3 +91,55 @@
     assert!(most >= 2, "{most} arrivals: the limit isn't used");
     assert!(served * 100 >= sent * 99, "{served} of {sent} served");
 }
+
+/// Guards against a limit that is kept after the engine has withdrawn it.
+#[test]
+fn an_engine_that_withdraws_its_limit_is_used_again() {
+    let deployment = Deployment::start(PROGRAM, 3, 1);
+    let limited = &deployment.services[0];
+    name_limit(limited, Some("2"));
+    send_to_all(&deployment, Duration::from_millis(500));
+    name_limit(limited, None);
+    send_to_all(&deployment, SETTLING_TIME);
+    let before = limited.arrivals().len();
+    let (sent, _) = send_to_all(&deployment, Duration::from_secs(2));
+    let arrivals = limited.arrivals().len() - before;
+    // Two engines share what is sent.
+    assert!(arrivals * 5 >= sent, "{arrivals} arrivals of {sent}");
+}
+
+/// Guards against instances that start together and all take the first requests of an
+/// engine with a limit.
+#[test]
+fn a_limit_holds_after_a_start_of_all_instances() {
+    let mut deployment = Deployment::start(PROGRAM, 4, 1);
+    name_limit(&deployment.services[0], Some("1"));
+    send_to_all(&deployment, Duration::from_secs(1));
+    for machine in &mut deployment.machines {
+        machine.kill();
+    }
+    for machine in &mut deployment.machines {
+        machine.start();
+    }
+    deployment.wait_until_ready();
+    let started_at = Instant::now();
+    let (sent, served) = send_to_all(&deployment, SETTLING_TIME + WINDOW);
+    let limited = &deployment.services[0];
+    let most = most_arrivals(limited, started_at + SETTLING_TIME);
+    assert!(most <= allowed(1.0), "{most} arrivals");
+    assert!(served * 100 >= sent * 99, "{served} of {sent} served");
+}
+
+/// Guards against values of a limit that no engine should name, and that stop an instance
+/// or starve a service.
+#[test]
+fn odd_limits_stop_no_instance() {
+    let deployment = Deployment::start(PROGRAM, 2, 1);
+    for limit in ["-1", "nan", "inf", "1e9", "1e400", "", "two", "1,2"] {
+        for service in &deployment.services {
+            name_limit(service, Some(limit));
+        }
+        let (sent, served) = send_to_all(&deployment, Duration::from_millis(300));
+        assert_eq!(served, sent, "a limit of {limit:?}");
+    }
+}
