Soak rejecting engines, kills of all instances and limits that engines name

Checked over the whole run: repeated arrivals of a service in any ten seconds against the budget in the settings, and requests in any four seconds to an engine that names a limit, from machines that weren't disturbed.

--- a/crates/mangowalkd/tests/soak/check.rs
+++ b/crates/mangowalkd/tests/soak/check.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        check_load::check_load,
         faults::{Departure, Faults, Span},
         traffic::SentRequest,
     },
@@ -59,6 +60,7 @@
     }
     violations.extend(check_recovery(faults, requests, recovered));
     violations.extend(check_descriptors(faults));
+    violations.extend(check_load(faults, requests));
     violations
 }
 
--- a/crates/mangowalkd/tests/soak/faults.rs
+++ b/crates/mangowalkd/tests/soak/faults.rs
@@ -43,6 +43,17 @@
     pub(crate) to: Instant,
 }
 
+/// A limit that an engine names for a time.
+#[derive(Debug, Clone)]
+pub(crate) struct NamedLimit {
+    pub(crate) engine: String,
+    pub(crate) per_s: f64,
+    pub(crate) span: Span,
+}
+
+/// Time for which a killed instance is down before it is restarted, in milliseconds.
+const KILL_MS: u64 = 300;
+
 /// Time from SIGTERM to the restart of an instance, in milliseconds. It has four
 /// seconds to exit.
 const STOP_MS: u64 = 4_600;
@@ -72,6 +83,7 @@
     refusals: Vec<usize>,
     pub(crate) store_disturbed: Vec<Span>,
     pub(crate) withdrawn: Vec<Span>,
+    pub(crate) limits: Vec<NamedLimit>,
     weights: u64,
     /// Whether the engines have different software versions.
     is_mixed: bool,
@@ -101,6 +113,7 @@
             departures: Vec::new(),
             store_disturbed: Vec::new(),
             withdrawn: Vec::new(),
+            limits: Vec::new(),
             weights: 1,
             is_mixed,
             added_engines: 0,
@@ -271,6 +284,17 @@
                 };
                 self.set_engine_faults(false, faults, for_ms, now);
             }
+            Fault::RejectAll { for_ms } => self.reject_all(for_ms, now),
+            Fault::KillAll => {
+                for machine in 0..self.deployment.machines.len() {
+                    let for_ms = KILL_MS;
+                    self.begin(Fault::Kill { machine, for_ms }, now);
+                }
+            }
+            Fault::Limit {
+                tenths_per_s,
+                for_ms,
+            } => self.name_limit(f64::from(tenths_per_s) / 10.0, for_ms, now),
             Fault::NameWeights => {
                 self.weights += 1;
                 self.deployment.publish_weights(self.weights);
@@ -326,6 +350,7 @@
                 if let Some(engine) = self.engine(&id) {
                     engine.set_faults(EngineFaults::default());
                 }
+                self.end_limits(&id, now);
             }
             Action::RestoreKey => self.deployment.configure(|configuration| {
                 configuration["Tenants"][1]["ApiKeys"] = json!([super::traffic::WITHDRAWN_KEY]);
@@ -388,6 +413,48 @@
         }
     }
 
+    /// Makes all listed engines of the plain service reject requests, but those that name a
+    /// limit.
+    fn reject_all(&mut self, for_ms: u64, now: Instant) {
+        let services = self.listed.iter().filter(|id| id.starts_with('s'));
+        let ids: Vec<String> = services.cloned().collect();
+        for id in ids {
+            let has_limit = |limit: &NamedLimit| limit.engine == id && limit.span.to >= now;
+            if self.limits.iter().any(has_limit) {
+                continue;
+            }
+            if let Some(engine) = self.engine(&id) {
+                engine.set_faults(EngineFaults {
+                    refuses_as_not_run: true,
+                    ..EngineFaults::default()
+                });
+            }
+            self.schedule(now, for_ms, Action::RestoreEngine(id));
+        }
+    }
+
+    /// Lets the first engine of the plain service name a limit, unless one has named one.
+    fn name_limit(&mut self, per_s: f64, for_ms: u64, now: Instant) {
+        let first = self.listed.iter().find(|id| id.starts_with('s'));
+        let is_busy = self.limits.iter().any(|limit| limit.span.to >= now);
+        let Some(id) = first.filter(|_| !is_busy).cloned() else {
+            return;
+        };
+        if let Some(engine) = self.engine(&id) {
+            engine.set_faults(EngineFaults {
+                limit_per_s: Some(per_s.to_string()),
+                ..EngineFaults::default()
+            });
+        }
+        let to = now + Duration::from_millis(for_ms);
+        self.limits.push(NamedLimit {
+            engine: id.clone(),
+            per_s,
+            span: Span { from: now, to },
+        });
+        self.schedule(now, for_ms, Action::RestoreEngine(id));
+    }
+
     fn set_engine_faults(
         &mut self,
         is_model: bool,
@@ -403,6 +470,16 @@
         if let Some(engine) = self.engine(&id) {
             engine.set_faults(faults);
         }
+        self.end_limits(&id, now);
         self.schedule(now, for_ms, Action::RestoreEngine(id));
     }
+
+    /// Records that an engine names no limit any more.
+    fn end_limits(&mut self, id: &str, now: Instant) {
+        for limit in &mut self.limits {
+            if limit.engine == id {
+                limit.span.to = limit.span.to.min(now);
+            }
+        }
+    }
 }
--- a/crates/mangowalkd/tests/soak/main.rs
+++ b/crates/mangowalkd/tests/soak/main.rs
@@ -6,6 +6,7 @@
 //! in seconds, and `SOAK_MACHINES` the number of instances.
 
 mod check;
+mod check_load;
 mod faults;
 mod play;
 mod schedule;
--- a/crates/mangowalkd/tests/soak/schedule.rs
+++ b/crates/mangowalkd/tests/soak/schedule.rs
@@ -48,6 +48,12 @@
     /// An engine of the plain service runs one request at a time, rejects all others and
     /// says that it is brittle.
     Crowd { for_ms: u64 },
+    /// All engines of the plain service reject what arrives.
+    RejectAll { for_ms: u64 },
+    /// All instances are killed and restarted.
+    KillAll,
+    /// An engine of the plain service names a limit in tenths of a request a second.
+    Limit { tenths_per_s: u32, for_ms: u64 },
 }
 
 /// A fault and its start, in milliseconds from the start of the run.
@@ -76,14 +82,45 @@
 /// Makes the second schedule of a seed differ from the first.
 const PATH_FAULT_SEED: u64 = 0x5eed;
 
-/// Returns both schedules of a seed, in order of time.
+/// Bounds of the pauses between faults that engines and instances have under load, in
+/// milliseconds.
+const LOAD_FAULT_PAUSE_MS: std::ops::Range<u64> = 800..4_000;
+
+/// Makes the third schedule of a seed differ from the others.
+const LOAD_FAULT_SEED: u64 = 0x10ad;
+
+/// Returns all schedules of a seed, in order of time.
 pub(crate) fn schedule(seed: u64, faults_ms: u64, machines: usize) -> Vec<ScheduledFault> {
     let mut scheduled = first_schedule(seed, faults_ms, machines);
     scheduled.extend(path_schedule(seed, faults_ms, machines));
+    scheduled.extend(load_schedule(seed, faults_ms));
     scheduled.sort_by_key(|scheduled| scheduled.at_ms);
     scheduled
 }
 
+/// Returns faults that make instances send requests again, and limits of engines; every
+/// third seed has some.
+fn load_schedule(seed: u64, faults_ms: u64) -> Vec<ScheduledFault> {
+    let mut random = SmallRng::seed_from_u64(seed ^ LOAD_FAULT_SEED);
+    let mut scheduled = Vec::new();
+    let mut at_ms = random.random_range(LOAD_FAULT_PAUSE_MS);
+    while seed % 3 == 1 && at_ms < faults_ms {
+        let fault = match random.random_range(0..4) {
+            0 | 1 => Fault::RejectAll {
+                for_ms: random.random_range(1_000..6_000),
+            },
+            2 => Fault::KillAll,
+            _ => Fault::Limit {
+                tenths_per_s: random.random_range(5..40),
+                for_ms: random.random_range(8_000..14_000),
+            },
+        };
+        scheduled.push(ScheduledFault { at_ms, fault });
+        at_ms += random.random_range(LOAD_FAULT_PAUSE_MS);
+    }
+    scheduled
+}
+
 /// Returns faults on paths and ends of answers; every other seed has none.
 fn path_schedule(seed: u64, faults_ms: u64, machines: usize) -> Vec<ScheduledFault> {
     let mut random = SmallRng::seed_from_u64(seed ^ PATH_FAULT_SEED);
