Write results of roll-outs under the newest revision of their order

Operators saw an order without its result, while all instances had put it in force: a version was rolled back and the store didn't say so. Cause: an instance that hears of a result from a peer takes over the peer's revision of the order, though it may know a newer one itself; reading the order again, also in the answer to a refused write, didn't update an order that is decided. Each write was then refused with 409. Change: the newest known revision is kept in both cases. Evidence: a_result_is_written_under_the_newest_known_revision failed before (100 instead of 103) and passes now.

--- a/crates/core/src/canary/service.rs
+++ b/crates/core/src/canary/service.rs
@@ -57,11 +57,15 @@
                 return;
             }
         }
-        let finished = self.finished.as_ref().map(|finished| &finished.order);
-        if finished
-            .is_some_and(|finished| finished.id == order.id || finished.revision >= order.revision)
-        {
-            return;
+        let finished = self.finished.as_mut().map(|finished| &mut finished.order);
+        if let Some(finished) = finished {
+            if finished.id == order.id {
+                // The result may still have to be written under the revision read.
+                return finished.update(order);
+            }
+            if finished.revision >= order.revision {
+                return;
+            }
         }
         let is_void = self.in_use.len() == 1 && self.in_use.contains(&order.id.to);
         if let Some(open) = self.open.take() {
@@ -103,8 +107,10 @@
         }
         let mut order = order.clone();
         if let Some(open) = self.open_order(&order.id) {
-            // A directive doesn't hold the name, without which the result can't be written.
+            // A directive doesn't hold the name, and maybe an old revision; the result can't
+            // be written without the name and the newest one.
             order.name.clone_from(&open.order.name);
+            order.update(&open.order);
         }
         self.open = None;
         let to = order.id.to.clone();
--- a/crates/core/tests/canary/orders.rs
+++ b/crates/core/tests/canary/orders.rs
@@ -206,6 +206,33 @@
     assert_eq!(finished[0].0.name, order.name);
 }
 
+/// Guards against a result that is never written, because its order is read again or heard
+/// of from a peer that knows an older revision, and each write is refused.
+#[test]
+fn a_result_is_written_under_the_newest_known_revision() {
+    let begun = CanaryOrder {
+        revision: 103,
+        is_started: true,
+        ..order("v2", 100)
+    };
+    let result = CanaryDirective {
+        outcome: Some(Outcome::RolledBack),
+        ..directive(&order("v2", 100), 0)
+    };
+    let mut heard_later = table();
+    heard_later.update_order(&begun, 0, 0.5, 0);
+    heard_later.apply_directive(&result, 0.5, 10);
+    let mut read_later = table();
+    read_later.update_order(&order("v2", 100), 0, 0.5, 0);
+    read_later.apply_directive(&result, 0.5, 10);
+    read_later.update_order(&begun, 0, 0.5, 20);
+    for table in [heard_later, read_later] {
+        let finished = table.finished_orders(1_000, 30);
+        let revisions: Vec<u64> = finished.iter().map(|(order, _)| order.revision).collect();
+        assert_eq!(revisions, [103]);
+    }
+}
+
 /// An instance that starts after the result must use the new version and leave alone
 /// the one that was withdrawn.
 #[test]
