Ask peers for loans only once for each retry that is refused

Cause: a retry that waits for a loan counted as refused at each answer, so that more was asked for than wanted, and peers were drawn for each refused retry also when it was too early to ask. Change: a refused retry is recorded once, and peers are drawn when they are asked.

--- a/crates/core/src/retries/budget.rs
+++ b/crates/core/src/retries/budget.rs
@@ -80,7 +80,6 @@
         self.loans.retain(|loan| now_ms < loan.until_ms);
         let borrowed: f64 = self.loans.iter().map(|loan| loan.retries).sum();
         if borrowed + self.available(settings, share, now_ms) < 1.0 - TOLERANCE {
-            self.borrowing.record_refused();
             return false;
         }
         let own = 1.0 - self.take_borrowed(1.0);
@@ -121,15 +120,16 @@
         lent
     }
 
-    /// Returns how many retries each of `peers` peers should be asked to lend; `None` if
-    /// they shouldn't be asked now.
-    pub fn ask_for_loan(
-        &mut self,
-        peers: usize,
-        settings: &RetrySettings,
-        now_ms: u64,
-    ) -> Option<f64> {
-        self.borrowing.ask(peers, settings, now_ms)
+    /// Records that a retry is wanted for which none is left. Returns whether peers may be
+    /// asked for a loan now.
+    pub fn record_refused(&mut self, settings: &RetrySettings, now_ms: u64) -> bool {
+        self.borrowing.record_refused(settings, now_ms)
+    }
+
+    /// Records that this many peers are asked for a loan, and returns for how many retries
+    /// each.
+    pub fn ask_for_loan(&mut self, peers: usize, now_ms: u64) -> f64 {
+        self.borrowing.ask(peers, now_ms)
     }
 
     /// Adds what a peer has lent of what it was asked for at `asked_ms`.
--- a/crates/core/src/retries/loan.rs
+++ b/crates/core/src/retries/loan.rs
@@ -67,32 +67,27 @@
 }
 
 impl Borrowing {
-    pub(super) fn record_refused(&mut self) {
+    /// Records that a retry is wanted for which none is left, and returns whether peers may
+    /// be asked now.
+    pub(super) fn record_refused(&mut self, settings: &RetrySettings, now_ms: u64) -> bool {
         self.refused = self.refused.saturating_add(1);
-    }
-
-    /// Returns how many retries each of `peers` peers should be asked for; `None` if it is
-    /// too early to ask.
-    pub(super) fn ask(
-        &mut self,
-        peers: usize,
-        settings: &RetrySettings,
-        now_ms: u64,
-    ) -> Option<f64> {
         let pause_ms = match self.has_got_any {
             true => settings.loan_interval_ms,
             false => settings.loan_pause_ms,
         };
-        if peers == 0 || self.asked_ms.is_some_and(|at_ms| now_ms < at_ms + pause_ms) {
-            return None;
-        }
-        let wanted = f64::from(self.refused.max(1)) * LOAN_MARGIN / peers as f64;
+        self.asked_ms
+            .is_none_or(|asked_ms| now_ms >= asked_ms + pause_ms)
+    }
+
+    /// Records that this many peers are asked, and returns for how many retries each.
+    pub(super) fn ask(&mut self, peers: usize, now_ms: u64) -> f64 {
+        let wanted = f64::from(self.refused.max(1)) * LOAN_MARGIN / peers.max(1) as f64;
         *self = Borrowing {
             asked_ms: Some(now_ms),
             unanswered: peers,
             ..Borrowing::default()
         };
-        Some(wanted)
+        wanted
     }
 
     pub(super) fn record_answer(&mut self, retries: f64) {
--- a/crates/core/src/retries/share.rs
+++ b/crates/core/src/retries/share.rs
@@ -73,14 +73,19 @@
         self.lost_ms.remove(peer);
     }
 
+    /// Returns whether this instance, with this many known peers, has never heard of others
+    /// and doesn't know that it is the only one.
+    pub fn knows_nobody(&self, peers: usize) -> bool {
+        peers + self.lost_ms.len() == 0 && !self.is_fleet_known
+    }
+
     /// Returns the fraction of the slack for one instance with this many known peers.
     pub fn fraction(&mut self, peers: usize, settings: &RetrySettings, now_ms: u64) -> f64 {
         self.lost_ms
             .retain(|_, lost_ms| now_ms < *lost_ms + settings.lost_peer_ms);
-        let others = peers + self.lost_ms.len();
-        if others == 0 && !self.is_fleet_known {
-            return 0.0;
+        match self.knows_nobody(peers) {
+            true => 0.0,
+            false => 1.0 / (peers + self.lost_ms.len() + 1) as f64,
         }
-        1.0 / (others + 1) as f64
     }
 }
--- a/crates/gateway/src/instance/engine_limits.rs
+++ b/crates/gateway/src/instance/engine_limits.rs
@@ -68,10 +68,10 @@
     fn position_at(&self, engine: &str, now_ms: u64) -> Option<Position> {
         let machine = self.machine();
         let members = self.members.borrow();
-        let mut sharers = self.retry_budgets.sharers.borrow_mut();
+        let sharers = self.retry_budgets.sharers.borrow();
         let peers = members.expected_besides(machine.peer_address);
         let is_new = now_ms < self.started_ms + self.settings.engine_limits.learning_ms;
-        if is_new || sharers.fraction(peers, &machine.retries, now_ms) == 0.0 {
+        if is_new || sharers.knows_nobody(peers) {
             return None;
         }
         let engine = u64::from(short_hash(engine));
--- a/crates/gateway/src/instance/retry_budgets.rs
+++ b/crates/gateway/src/instance/retry_budgets.rs
@@ -70,13 +70,19 @@
         self.budget_share(now_ms).lenders(&self.machine().retries)
     }
 
-    /// Returns how many retries each of `peers` peers should be asked to lend; `None` if
-    /// they shouldn't be asked now.
-    pub fn plan_loan(&self, service: &str, peers: usize, now_ms: u64) -> Option<f64> {
+    /// Records that a retry is wanted for which none is left. Returns whether peers may be
+    /// asked for a loan now.
+    pub fn record_refused_retry(&self, service: &str, now_ms: u64) -> bool {
         let settings = self.machine().retries;
-        self.retry_budgets.with(service, |budget| {
-            budget.ask_for_loan(peers, &settings, now_ms)
-        })
+        self.retry_budgets
+            .with(service, |budget| budget.record_refused(&settings, now_ms))
+    }
+
+    /// Records that this many peers are asked for a loan, and returns for how many retries
+    /// each.
+    pub fn plan_loan(&self, service: &str, peers: usize, now_ms: u64) -> f64 {
+        self.retry_budgets
+            .with(service, |budget| budget.ask_for_loan(peers, now_ms))
     }
 
     /// Returns until when retries that peers were asked for may arrive; `None` if none are
--- a/crates/gateway/src/mesh/loans.rs
+++ b/crates/gateway/src/mesh/loans.rs
@@ -68,7 +68,9 @@
     if instance.try_retry(service, now_ms()) {
         return true;
     }
-    ask(instance, service, now_ms());
+    if instance.record_refused_retry(service, now_ms()) {
+        ask(instance, service, now_ms());
+    }
     loop {
         let arrived = instance.retry_budgets.loans.arrived.notified();
         let now = now_ms();
@@ -88,9 +90,7 @@
 /// Asks a few peers, others each time, to lend retries.
 fn ask(instance: &Instance, service: &str, now_ms: u64) {
     let lenders = lenders(instance, now_ms);
-    let Some(wanted) = instance.plan_loan(service, lenders.len(), now_ms) else {
-        return;
-    };
+    let wanted = instance.plan_loan(service, lenders.len(), now_ms);
     let milli_retries = (wanted * MILLI) as u32;
     for peer in lenders {
         let loans = &instance.retry_budgets.loans;
