--- a/crates/core/src/upstream/retry_budget.rs
+++ b/crates/core/src/upstream/retry_budget.rs
@@ -12,10 +12,6 @@
 /// and a retry storm uses it up within one second.
 const MAX_SAVED_HUNDREDTHS: u64 = 2_000;
 
-/// Retries saved at the start, in hundredths of a retry: one, for the first request. An
-/// instance that crashes again and again would get a larger amount anew each time.
-const INITIAL_HUNDREDTHS: u64 = RETRY_HUNDREDTHS;
-
 /// Token bucket of the retries that an instance may send.
 ///
 /// It limits the load when many engines fail or time out at once, most often
@@ -38,7 +34,7 @@
 impl Default for InstanceRetryBudget {
     fn default() -> InstanceRetryBudget {
         InstanceRetryBudget {
-            saved_hundredths: INITIAL_HUNDREDTHS,
+            saved_hundredths: MAX_SAVED_HUNDREDTHS,
         }
     }
 }
