Log the shared parts of a prompt with a failure of its engine

Change: engine_failed lines name the last eight shared parts and for how long the answer had been written. Behaviour is unchanged.

--- a/crates/core/src/pool/requirements.rs
+++ b/crates/core/src/pool/requirements.rs
@@ -49,6 +49,12 @@
         })
     }
 
+    /// Returns the IDs of all parts but the last, in order, as the caller sent them.
+    pub fn shared_part_ids(&self) -> impl DoubleEndedIterator<Item = u64> + ExactSizeIterator {
+        let shared_count = self.parts.len().saturating_sub(1);
+        self.parts[..shared_count].iter().map(|part| part.id)
+    }
+
     /// Returns the tokens of all parts but the last.
     pub fn shared_tokens(&self) -> u64 {
         self.shared_parts().next().map_or(0, |(_, tokens)| tokens)
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -70,6 +70,8 @@
     pub(super) source: AnswerSource,
     /// When the request was sent.
     pub(super) sent_ms: u64,
+    /// When the first bytes of the body arrived.
+    pub(super) body_began_ms: Option<u64>,
 }
 
 /// From where an engine's answer comes.
@@ -124,7 +126,9 @@
     /// Records that the answer broke off or didn't come in time.
     pub(super) fn record_failure(&self, request: &CallerRequest, reason: &'static str) {
         match &self.source {
-            AnswerSource::Engine { entry, .. } => record_engine_failure(request, entry, reason),
+            AnswerSource::Engine { entry, .. } => {
+                record_engine_failure(request, entry, reason, self.body_began_ms);
+            }
             AnswerSource::Peer { name, .. } => record_peer_failure(request, name, reason),
         }
     }
@@ -239,11 +243,11 @@
             Outcome::MayHaveRun(engine.incarnation.id)
         }
         Err(_) if give_up_ms < left_ms => {
-            record_engine_failure(request, &engine, "silent");
+            record_engine_failure(request, &engine, "silent", None);
             Outcome::MayHaveRun(engine.incarnation.id)
         }
         Err(_) => {
-            record_engine_failure(request, &engine, "timed_out");
+            record_engine_failure(request, &engine, "timed_out", None);
             Outcome::TimedOut
         }
     }
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -53,7 +53,7 @@
     // means "not run" to callers can't be forwarded for a request that may have
     // run.
     if !is_for_request || !head.is_signed || head.is_encoded || implies_not_run {
-        record_engine_failure(request, &engine, "foreign_answer");
+        record_engine_failure(request, &engine, "foreign_answer", None);
         return Outcome::MayHaveRun(engine.incarnation.id);
     }
     let now_ms = now_ms();
@@ -79,6 +79,7 @@
     }
     Outcome::Answer(Box::new(EngineAnswer {
         sent_ms: load_guard.began_ms(),
+        body_began_ms: None,
         answer,
         source: AnswerSource::Engine {
             entry: Box::new(engine),
@@ -163,34 +164,48 @@
     );
     match error {
         SendError::NotSent { .. } => {
-            record_engine_failure(request, engine, "not_connected");
+            record_engine_failure(request, engine, "not_connected", None);
             Outcome::NotSent(engine.incarnation.id.clone())
         }
         SendError::Lost { .. } => {
-            record_engine_failure(request, engine, "lost");
+            record_engine_failure(request, engine, "lost", None);
             Outcome::MayHaveRun(engine.incarnation.id.clone())
         }
     }
 }
 
+/// Maximum number of parts of a prompt in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
+/// Returns the last parts of the prompt that other requests may share, for a log line.
+fn part_names(request: &CallerRequest) -> String {
+    let parts = request.requirements.shared_part_ids();
+    let skipped = parts.len().saturating_sub(MAX_LOGGED_PARTS);
+    let names: Vec<String> = parts.skip(skipped).map(|id| format!("{id:x}")).collect();
+    names.join(",")
+}
+
 /// Counts and logs a failure of an engine and records it in the engine's health.
 ///
 /// If the answer was lost before its head arrived, or a stream broke off or ended
 /// within or before its events, the request is also recorded as a possible cause of a
 /// crash. The engine is probed, except after an answer that isn't its own. While this
 /// instance reaches no engine of the service, a failure says nothing of the engine and is
-/// only logged.
+/// only logged. `body_began_ms` is when the body of the answer began, if it did.
 pub(super) fn record_engine_failure(
     request: &CallerRequest,
     engine: &EngineEntry,
     reason: &'static str,
+    body_began_ms: Option<u64>,
 ) {
     let now_ms = now_ms();
     request.instance.counters.count("engine_failed", reason);
     log::warn!(
-        "event=engine_failed request={} engine={} reason={reason}",
+        "event=engine_failed request={} engine={} reason={reason} wrote_for_ms={:?} shared_parts={}",
         request.id(),
         engine.incarnation.id,
+        body_began_ms.map(|began_ms| now_ms.saturating_sub(began_ms)),
+        part_names(request),
     );
     let paths = request.instance.service_paths.borrow();
     if paths.is_lost(&engine.service) {
--- a/crates/gateway/src/callers/pass_on.rs
+++ b/crates/gateway/src/callers/pass_on.rs
@@ -164,6 +164,7 @@
                 _open_guard: open_guard,
             },
             sent_ms,
+            body_began_ms: None,
         }));
     }
     let retry_after_ms = head.retry_after_ms;
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -275,6 +275,7 @@
         let now_ms = now_ms();
         self.last_received_ms = now_ms;
         self.pace.record(now_ms);
+        answered.body_began_ms.get_or_insert(now_ms);
         if !self.has_begun {
             self.has_begun = true;
             if let AnswerSource::Engine { load_guard, .. } = &mut answered.source {
