Show that a part of a prompt crashes engine after engine

Callers lose their streams on every engine that such a request reaches. The test sends 40 requests that differ in path, body and last part and share one part, to four instances in turn, beside sound streams with the same first part. Cause: crashes are counted by a hash of the whole request. Change: tests, and stand-ins whose engines crash on a part.

--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod brittle;
 mod configuration;
+mod crashing_parts;
 mod endings;
 mod engine_limits;
 mod input;
