--- a/crates/gateway/src/mesh/limits.rs
+++ b/crates/gateway/src/mesh/limits.rs
@@ -1,7 +1,7 @@
 //! Limits of engines that instances tell each other.
 
 use {
-    super::exchange::send_to,
+    super::sending::send_to,
     crate::instance::Instance,
     mangowalk_core::mesh::{LIMITS_VERSION, PeerMessage},
     std::{rc::Rc, time::Duration},
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -5,12 +5,14 @@
 mod loans;
 mod origins;
 mod paths;
+mod sending;
 mod traffic;
 
 pub use {
-    exchange::{exchange, send_canary_to_all, send_canary_to_readers, send_to_domains},
+    exchange::exchange,
     limits::report_limits,
     loans::{exchange_loans, take_retry},
     origins::{exchange_origins, find_origin, tell_origin},
+    sending::{send_canary_to_all, send_canary_to_readers, send_to_domains},
     traffic::{Direction, MeshTraffic},
 };
--- a/crates/gateway/src/mesh/paths.rs
+++ b/crates/gateway/src/mesh/paths.rs
@@ -1,7 +1,7 @@
 //! Reports on the services from which this instance is cut off.
 
 use {
-    super::exchange::send_to,
+    super::sending::send_to,
     crate::{clock::now_ms, instance::Instance},
     mangowalk_core::{
         mesh::{PASSING_VERSION, PeerMessage},
