Reject parts of prompts that crash engines, over all instances

Cause: crashes were charged to a hash of the whole request, so that requests which share only a part of their prompts never added up. Change: instances report the shared parts on a crashed engine to three arbiters of the service. A part on two is watched: whoever completes an answer on it tells the arbiter, which clears it. A part on three, not completed meanwhile while other requests were, is rejected everywhere; requests on their way to an engine are withdrawn, and a second engine waits for the decision. Engines that end together count once. Rejected parts are repeated to peers and kept in one object of the store; after ten minutes one instance tries again. The keeping of such objects is shared with that of software versions. Why it works: a part that crashes each engine never completes, all others do.

--- /dev/null
+++ b/crates/core/src/crash_part/settings.rs
@@ -0,0 +1,56 @@
+/// How parts of prompts that crash engines are detected, and for how long they are
+/// rejected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashPartSettings {
+    /// Crashes with a part on the engine from which on its completions are watched.
+    pub watched_crashes: usize,
+    /// Crashes with a part on the engine, and no completion, from which on it is rejected.
+    /// One or two may be the engine's own or a neighbour's fault.
+    pub rejected_crashes: usize,
+    /// Crashes that are closer to each other count as one: engines that end together have
+    /// one cause, such as their rack.
+    pub same_cause_ms: u64,
+    /// Time of writing after which a request hasn't crashed its engine.
+    pub written_ms: u64,
+    /// Time for which a crash counts.
+    pub retention_ms: u64,
+    /// Time for which a part has to be watched before it is rejected, so that completed
+    /// answers can be heard of.
+    pub min_watch_ms: u64,
+    /// Time for which instances watch a part.
+    pub watch_ms: u64,
+    /// Answers without the part that an arbiter has to complete meanwhile. If nothing
+    /// completes, the service is down, and no part is to blame.
+    pub min_other_answers: usize,
+    /// Longest wait of a request for the decision on a watched part, before it is sent to
+    /// another engine.
+    pub decision_wait_ms: u64,
+    /// Time for which a part is rejected first.
+    pub term_ms: u64,
+    /// Longest time for which it is rejected after it has crashed an engine in a trial.
+    pub max_term_ms: u64,
+    /// Minimum time between two trials of a part whose term has ended.
+    pub trial_interval_ms: u64,
+    /// Instances that decide on the parts of a service.
+    pub arbiters: usize,
+}
+
+impl Default for CrashPartSettings {
+    fn default() -> CrashPartSettings {
+        CrashPartSettings {
+            watched_crashes: 2,
+            rejected_crashes: 3,
+            same_cause_ms: 50,
+            written_ms: 1_000,
+            retention_ms: 120_000,
+            min_watch_ms: 150,
+            watch_ms: 20_000,
+            min_other_answers: 3,
+            decision_wait_ms: 300,
+            term_ms: 600_000,
+            max_term_ms: 4_800_000,
+            trial_interval_ms: 60_000,
+            arbiters: 3,
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod canary;
 pub mod claim;
 pub mod config;
+pub mod crash_part;
 pub mod demand;
 pub mod edge;
 pub mod engine;
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -1,8 +1,8 @@
 use {
     super::Heartbeat,
     crate::{
-        canary::CanaryMessage, engine_limit::EngineLimitReport, kv_store::KvStoreReport,
-        path::PathReport,
+        canary::CanaryMessage, crash_part::PartMessage, engine_limit::EngineLimitReport,
+        kv_store::KvStoreReport, path::PathReport,
     },
     derive_more::{Display, Error, From},
     serde::{Deserialize, Serialize},
@@ -20,8 +20,9 @@
 /// version 5 on they tell and ask each other where streams began, on a port of their own,
 /// and keep streams that are passed on at their software version. From version 6 on they
 /// lend each other retries, on a port of their own. Version 7 adds
-/// [`PeerMessage::EngineLimits`].
-pub const EXCHANGE_VERSION: u8 = 7;
+/// [`PeerMessage::EngineLimits`], and version 8 [`PeerMessage::Part`] and
+/// [`PeerMessage::PartToRelay`].
+pub const EXCHANGE_VERSION: u8 = 8;
 
 /// Version of the exchange from which on packs, reports on KV cache stores and partial
 /// reports on teams are understood.
@@ -50,6 +51,10 @@
 /// name.
 pub const LIMITS_VERSION: u8 = 7;
 
+/// Version of the exchange from which on instances tell each other of parts of prompts that
+/// crash engines.
+pub const PARTS_VERSION: u8 = 8;
+
 /// Maximum size of a message before its compression: twice a datagram. The size that a
 /// datagram names is not trusted beyond it.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_DATAGRAM_BYTES;
@@ -102,6 +107,10 @@
     Path(Box<PathReport>),
     /// Limits that engines name on the requests of all instances.
     EngineLimits(Vec<EngineLimitReport>),
+    /// A message about parts of prompts that may crash engines.
+    Part(Box<PartMessage>),
+    /// The same, to a receiver that relays it within its failure domain.
+    PartToRelay(Box<PartMessage>),
 }
 
 /// Why a datagram could not be decoded or a message not be encoded.
@@ -134,6 +143,7 @@
             PeerMessage::Canary(_) | PeerMessage::CanaryToRelay(_) => "canary",
             PeerMessage::Path(_) => "path",
             PeerMessage::EngineLimits(_) => "engine_limits",
+            PeerMessage::Part(_) | PeerMessage::PartToRelay(_) => "part",
             PeerMessage::Compressed(_) => "compressed",
         }
     }
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -14,7 +14,7 @@
     message::{
         BUNDLE_BYTES, CANARY_VERSION, COMPRESSION_VERSION, EXCHANGE_VERSION, GROUPS_VERSION,
         LIMITS_VERSION, LOANS_VERSION, MAX_DATAGRAM_BYTES, MessageError, ORIGINS_VERSION,
-        PACK_BYTES, PACKS_VERSION, PASSING_VERSION, PeerMessage, split_packs,
+        PACK_BYTES, PACKS_VERSION, PARTS_VERSION, PASSING_VERSION, PeerMessage, split_packs,
     },
     relay_budget::RelayBudget,
     settings::MeshSettings,
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -229,7 +229,11 @@
         Duration::from_millis(give_up_ms.min(left_ms)),
         await_answer(request, &engine, context.give_up_ms.is_some(), sending),
     );
-    match waited.await {
+    let waited = tokio::select! {
+        waited = waited => waited,
+        () = request.withdrawal() => return withdraw(request, &engine),
+    };
+    match waited {
         Ok(Ok(answer)) => classify_answer(request, answer, load_guard, engine, &plan),
         Ok(Err(error)) => classify_send_error(request, &engine, &error),
         Err(_) if old_weights_wait_ms <= give_up_ms && old_weights_wait_ms < left_ms => {
@@ -253,6 +257,18 @@
     }
 }
 
+/// Records that a request was withdrawn from an engine before its answer began, as a part of
+/// its prompt crashes engines.
+fn withdraw(request: &CallerRequest, engine: &EngineEntry) -> Outcome {
+    request.instance.counters.count("withdrawn", "poison_part");
+    log::warn!(
+        "event=withdrawn request={} engine={} reason=poison_part",
+        request.id(),
+        engine.incarnation.id,
+    );
+    Outcome::MayHaveRun(engine.incarnation.id.clone())
+}
+
 /// Passes on a request that the reachable engines can't take, if this instance is cut off
 /// from most of the service. Returns `outcome` otherwise, or if no peer takes it.
 async fn pass_on_refused(
@@ -276,7 +292,7 @@
 ///
 /// # Errors
 ///
-/// Returns the error of the send, or [`SendError::Lost`] if the engine accepts no
+/// Returns the error of the send, or [`SendError::Silent`] if the engine accepts no
 /// connections and the request may be retried.
 async fn await_answer(
     request: &CallerRequest,
@@ -296,9 +312,7 @@
         pause_ms = SILENCE_CHECK_INTERVAL_MS;
         let is_silent = check_silent(&request.instance, &request.pool, engine, sent_ms, now_ms());
         if is_silent && may_retry {
-            return Err(SendError::Lost {
-                reason: "the engine is silent".to_owned(),
-            });
+            return Err(SendError::Silent);
         }
     }
 }
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -7,11 +7,12 @@
     },
     crate::{
         clock::now_ms,
+        instance::LostRequest,
         rollouts::record_loss,
         upstreams::{Answer, ProbeReason, SendError, probe_engine},
     },
     http::StatusCode,
-    mangowalk_core::pool::EngineEntry,
+    mangowalk_core::{crash_part::shared_parts, pool::EngineEntry},
 };
 
 /// Pause of new requests to an engine that rejected one. Loading weights takes
@@ -171,6 +172,10 @@
             record_engine_failure(request, engine, "lost", None);
             Outcome::MayHaveRun(engine.incarnation.id.clone())
         }
+        SendError::Silent => {
+            record_engine_failure(request, engine, "fell_silent", None);
+            Outcome::MayHaveRun(engine.incarnation.id.clone())
+        }
     }
 }
 
@@ -222,11 +227,26 @@
     if reason != "not_connected" {
         record_loss(&request.instance, engine);
     }
-    let is_request_lost = matches!(reason, "lost" | "broken_off" | "half_event" | "no_event");
+    let is_connection_lost = matches!(reason, "lost" | "broken_off" | "half_event" | "no_event");
+    let is_request_lost = is_connection_lost || reason == "fell_silent";
     if is_request_lost {
-        let identity = request.identity();
-        let mut crashes = request.instance.crashes.borrow_mut();
-        crashes.record_lost(&engine.incarnation, identity, now_ms);
+        let written_ms = request.instance.settings.crash_parts.written_ms;
+        let has_written = body_began_ms.is_some_and(|began_ms| now_ms >= began_ms + written_ms);
+        let is_suspect = is_connection_lost && !has_written;
+        let suspect_parts = match is_suspect {
+            true => shared_parts(&request.requirements),
+            false => Vec::new(),
+        };
+        request
+            .instance
+            .crashes
+            .borrow_mut()
+            .record_lost(LostRequest {
+                engine: engine.incarnation.clone(),
+                identity: request.identity(),
+                suspect_parts,
+                lost_ms: now_ms,
+            });
     }
     let probe_reason = match is_request_lost {
         true => ProbeReason::RequestLost,
--- a/crates/gateway/src/callers/completion.rs
+++ b/crates/gateway/src/callers/completion.rs
@@ -31,6 +31,9 @@
         crashes.record_completed(request.identity());
     }
     drop(crashes);
+    if answered.engine().is_some() && answered.answer.parts.status.is_success() {
+        request.record_completed_parts();
+    }
     request.instance.counters.observe("request", took_ms);
     request.instance.counters.count("answered", "engine");
     let framing = answered.answer.head.framing.label();
@@ -59,7 +62,7 @@
 ) -> Response<AnswerBody> {
     let sends_retry_time = matches!(
         refusal,
-        Refusal::NoEngine | Refusal::OverRate | Refusal::Poison
+        Refusal::NoEngine | Refusal::OverRate | Refusal::Poison | Refusal::PoisonPart
     );
     let jitter_ms = rand::random_range(0..RETRY_JITTER_MS);
     let retry_after_ms = sends_retry_time.then(|| wait_ms.unwrap_or(DEFAULT_RETRY_MS) + jitter_ms);
--- a/crates/gateway/src/callers/pass_on.rs
+++ b/crates/gateway/src/callers/pass_on.rs
@@ -81,7 +81,7 @@
             record_peer_failure(request, name, "not_connected");
             Outcome::NotSent(peer.incarnation.id)
         }
-        Ok(Err(SendError::Lost { .. })) => {
+        Ok(Err(SendError::Lost { .. } | SendError::Silent)) => {
             record_peer_failure(request, name, "lost");
             Outcome::MayHaveRun(peer.incarnation.id)
         }
--- a/crates/gateway/src/callers/refusal.rs
+++ b/crates/gateway/src/callers/refusal.rs
@@ -43,6 +43,9 @@
     /// The request has crashed several engines. This time it has not run.
     #[display("This request has crashed several engines; change it before you send it again.")]
     Poison,
+    /// A part of the prompt has crashed several engines. The request has not run.
+    #[display("A part of this prompt has crashed several engines; send the request without it.")]
+    PoisonPart,
     /// It isn't known at which software version the stream began, or no engine has that
     /// version. The request has not run.
     #[display("The stream can't go on at the software version that began it; request it anew.")]
@@ -71,6 +74,7 @@
             Refusal::Starting
             | Refusal::Stopping
             | Refusal::Poison
+            | Refusal::PoisonPart
             | Refusal::UnknownOrigin
             | Refusal::NoEngine => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::AnswerLost => StatusCode::BAD_GATEWAY,
@@ -91,6 +95,7 @@
             Refusal::Starting => "starting",
             Refusal::Stopping => "stopping",
             Refusal::Poison => "poison",
+            Refusal::PoisonPart => "poison_part",
             Refusal::UnknownOrigin => "unknown_origin",
             Refusal::NoEngine => "no_engine",
             Refusal::AnswerLost => "answer_lost",
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -10,6 +10,7 @@
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
     mangowalk_core::{
+        crash_part::shared_parts,
         origin::{EngineBuild, StreamKey},
         pool::EngineRequirements,
         routing::{Route, RouteError, Tenant},
@@ -110,6 +111,55 @@
         !crashes.is_empty() && crashes.is_poison(self.identity(), now_ms())
     }
 
+    /// Returns whether a part of the prompt crashes engines, so that the request must not be
+    /// sent to any.
+    pub(super) fn holds_rejected_part(&self) -> bool {
+        self.instance.crash_parts.is_any_rejected()
+            && self
+                .instance
+                .rejects_parts(&shared_parts(&self.requirements), now_ms())
+    }
+
+    /// Returns whether a part of the prompt was rejected while the request was on its way.
+    pub(super) fn is_withdrawn(&self) -> bool {
+        let parts = &self.instance.crash_parts;
+        parts.is_any_rejected() && parts.withdraws(&shared_parts(&self.requirements), now_ms())
+    }
+
+    /// Returns once a part of the prompt is rejected.
+    pub(super) async fn withdrawal(&self) {
+        loop {
+            let changed = self.instance.wake_ups.rejected_parts.notified();
+            if self.is_withdrawn() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits while it is to be decided whether a part of the prompt crashes engines, for a
+    /// short time at most.
+    pub(super) async fn await_part_decision(&self) {
+        let parts = shared_parts(&self.requirements);
+        let until_ms = now_ms() + self.instance.settings.crash_parts.decision_wait_ms;
+        while now_ms() < until_ms && self.instance.crash_parts.watches(&parts, now_ms()) {
+            let left = Duration::from_millis(until_ms.saturating_sub(now_ms()));
+            // Times out if nothing is decided.
+            let _ = timeout(left, self.instance.wake_ups.rejected_parts.notified()).await;
+        }
+    }
+
+    /// Records that an answer was written to its end, which clears the parts of its prompt.
+    pub(super) fn record_completed_parts(&self) {
+        if self.instance.crash_parts.is_idle() {
+            return;
+        }
+        let parts = shared_parts(&self.requirements);
+        let service = &self.requirements.service;
+        self.instance
+            .record_completed_parts(service, &parts, now_ms());
+    }
+
     /// Returns what the request takes from its team's rate, in the unit of that
     /// rate.
     pub(super) fn cost(&self) -> u64 {
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -100,6 +100,15 @@
                 Refusal::NoEngine
             });
         }
+        if may_have_run && resume_point.last_event_id.is_none() {
+            request.await_part_decision().await;
+        }
+        if request.is_withdrawn() {
+            return Err(match may_have_run {
+                true => Refusal::AnswerLost,
+                false => Refusal::PoisonPart,
+            });
+        }
         let is_first_attempt = attempts.possible_run_count == 0 && attempts.not_run_count == 0;
         // A rejected arrival counts as well; a connection that was refused doesn't.
         let charge = match attempts.may_have_arrived {
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -62,6 +62,9 @@
     if request.takes_up_stream() {
         record_taken_up(&request);
     }
+    if request.holds_rejected_part() {
+        return refuse(&request, Refusal::PoisonPart, Some(POISON_RETRY_MS));
+    }
     let charge = match RateCharge::take(&request) {
         Ok(charge) => charge,
         Err(wait_ms) => return refuse(&request, Refusal::OverRate, Some(wait_ms)),
--- a/crates/gateway/src/instance/crashes.rs
+++ b/crates/gateway/src/instance/crashes.rs
@@ -1,9 +1,10 @@
 use {
     mangowalk_core::{
+        crash_part::EngineCrash,
         poison::{CrashReport, MAX_CRASHES, PoisonLedger, most_suspect},
-        pool::Incarnation,
+        pool::{EngineEntry, Incarnation},
     },
-    std::collections::VecDeque,
+    std::collections::{BTreeSet, VecDeque},
 };
 
 /// Time after an engine lost a request within which the engine must be found to be
@@ -17,10 +18,16 @@
 /// Maximum number of crashes in one heartbeat, so that it fits one datagram.
 const MAX_REPORTS: usize = 12;
 
-struct LostRequest {
-    engine: Incarnation,
-    identity: u64,
-    lost_ms: u64,
+/// A request whose answer an engine has lost.
+pub struct LostRequest {
+    /// The engine.
+    pub engine: Incarnation,
+    /// Hash by which the request is known when its caller sends it again.
+    pub identity: u64,
+    /// The parts of its prompt that may have crashed the engine.
+    pub suspect_parts: Vec<u64>,
+    /// When the answer was lost.
+    pub lost_ms: u64,
 }
 
 /// Attributes crashes of engines to the requests that were running on them.
@@ -36,12 +43,8 @@
 
 impl CrashTracker {
     /// Records that an engine's answer to a request was lost.
-    pub fn record_lost(&mut self, engine: &Incarnation, request: u64, now_ms: u64) {
-        self.lost.push_back(LostRequest {
-            engine: engine.clone(),
-            identity: request,
-            lost_ms: now_ms,
-        });
+    pub fn record_lost(&mut self, lost: LostRequest) {
+        self.lost.push_back(lost);
         if self.lost.len() > MAX_LOST_REQUESTS {
             self.lost.pop_front();
         }
@@ -53,16 +56,32 @@
     }
 
     /// Records that an engine is gone, and attributes the crash to the most suspect
-    /// of the requests that it lost within `CRASH_WINDOW_MS`.
-    pub fn record_engine_crash(&mut self, engine: &Incarnation, now_ms: u64) {
-        let on_engine: Vec<(u64, usize)> = self
-            .lost
+    /// of the requests that it lost within `CRASH_WINDOW_MS`. Returns the crash with the
+    /// parts of their prompts, if it lost any.
+    pub fn record_engine_crash(&mut self, entry: &EngineEntry, now_ms: u64) -> Option<EngineCrash> {
+        let engine = &entry.incarnation;
+        let lost = self.lost.iter();
+        let lost =
+            lost.filter(|lost| lost.engine == *engine && now_ms < lost.lost_ms + CRASH_WINDOW_MS);
+        let lost: Vec<&LostRequest> = lost.collect();
+        let on_engine: Vec<(u64, usize)> = lost
             .iter()
-            .filter(|lost| lost.engine == *engine && now_ms < lost.lost_ms + CRASH_WINDOW_MS)
             .map(|lost| (lost.identity, self.ledger.crashes(lost.identity, now_ms)))
             .collect();
-        self.lost.retain(|lost| lost.engine != *engine);
         let crash = hash(format!("{} {}", engine.id, engine.born_ms).as_bytes());
+        let first_lost_ms = lost.iter().map(|lost| lost.lost_ms).min();
+        let mut engine_crash = first_lost_ms.map(|lost_ms| EngineCrash {
+            service: entry.service.clone(),
+            crash,
+            age_ms: now_ms.saturating_sub(lost_ms),
+            prompts: BTreeSet::new(),
+        });
+        if let Some(crash) = &mut engine_crash {
+            for lost in &lost {
+                crash.add_prompt(&lost.suspect_parts);
+            }
+        }
+        self.lost.retain(|lost| lost.engine != *engine);
         for request in most_suspect(&on_engine) {
             self.ledger.record_crash(request, crash, now_ms);
             log::warn!(
@@ -71,6 +90,7 @@
                 self.ledger.crashes(request, now_ms),
             );
         }
+        engine_crash
     }
 
     /// Returns whether no crash is recorded, so that callers needn't compute the
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of an instance share, and its settings.
 
 mod counters;
+mod crash_parts;
 mod crashes;
 mod drain;
 mod engine_limits;
@@ -20,7 +21,8 @@
 
 pub use {
     counters::Counters,
-    crashes::{CrashTracker, hash},
+    crash_parts::{CrashParts, OutgoingPartMessage, PartRecipients},
+    crashes::{CrashTracker, LostRequest, hash},
     drain::Drain,
     loans::{Loans, OpenLoan},
     passed_on::{OpenPassGuard, PassedOn},
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,5 +1,6 @@
 use mangowalk_core::{
     brittle::BrittleSettings,
+    crash_part::CrashPartSettings,
     engine_limit::EngineLimitSettings,
     kv_store::KvStoreSettings,
     mesh::MeshSettings,
@@ -26,6 +27,8 @@
     pub admission: AdmitSettings,
     /// Sparing of engines that fall over when they reject too much.
     pub brittle: BrittleSettings,
+    /// Rejection of parts of prompts that crash engines.
+    pub crash_parts: CrashPartSettings,
     /// Keeping to the limits on requests that engines name.
     pub engine_limits: EngineLimitSettings,
     /// Loss of the path to the engines, and requests that are passed on to peers then.
@@ -99,6 +102,7 @@
             kv_stores: KvStoreSettings::default(),
             admission: AdmitSettings::default(),
             brittle: BrittleSettings::default(),
+            crash_parts: CrashPartSettings::default(),
             engine_limits: EngineLimitSettings::default(),
             path: PathSettings::default(),
             origins: OriginSettings::default(),
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        Counters, CrashTracker, Drain, GatewaySettings, PassedOn, ReloadOutcome, RetryBudgets,
-        StoreAvailability, StreamOrigins, WakeUps, apply_reloadable,
+        Counters, CrashParts, CrashTracker, Drain, GatewaySettings, PassedOn, ReloadOutcome,
+        RetryBudgets, StoreAvailability, StreamOrigins, WakeUps, apply_reloadable,
     },
     crate::{clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
@@ -41,6 +41,8 @@
     pub incarnation: u64,
     /// Requests that were running on engines when these crashed.
     pub crashes: RefCell<CrashTracker>,
+    /// Parts of prompts that crash engines.
+    pub crash_parts: CrashParts,
     /// KV cache stores and their known contents.
     pub kv_stores: RefCell<KvStores>,
     /// Shared prompt parts that engines recently cached for this instance, oldest
@@ -144,6 +146,7 @@
             incarnation,
             started_ms: now_ms(),
             crashes: RefCell::default(),
+            crash_parts: CrashParts::default(),
             kv_stores: RefCell::default(),
             placements: RefCell::default(),
             routes: RefCell::default(),
--- a/crates/gateway/src/instance/wake_ups.rs
+++ b/crates/gateway/src/instance/wake_ups.rs
@@ -19,6 +19,12 @@
     /// Sent when the path to the engines of a service was lost or is back, or an engine
     /// was found to be silent.
     pub path: Notify,
+    /// Sent when peers are to be told of parts of prompts that may crash engines.
+    pub part_messages: Notify,
+    /// Sent when a part of prompts was rejected, or may be used again.
+    pub rejected_parts: Notify,
+    /// Sent when the rejected parts are to be written to the store.
+    pub kept_parts: Notify,
     /// Sent when peers are to be told a limit that an engine has named.
     pub limits: Notify,
 }
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -128,6 +128,12 @@
                 instance.receive_limit_report(report, now_ms);
             }
         }
+        PeerMessage::Part(message) => instance.receive_part_message(&message, now_ms),
+        PeerMessage::PartToRelay(message) => {
+            let relayed = PeerMessage::Part(message.clone());
+            relay(instance, socket, &relayed, exchange_version);
+            instance.receive_part_message(&message, now_ms);
+        }
         // The message was decompressed when it was decoded.
         PeerMessage::Compressed(_) => {}
     }
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod loans;
 mod origins;
+mod parts;
 mod paths;
 mod sending;
 mod traffic;
@@ -13,6 +14,7 @@
     limits::report_limits,
     loans::{exchange_loans, take_retry},
     origins::{exchange_origins, find_origin, tell_origin},
+    parts::exchange_parts,
     sending::{send_canary_to_all, send_canary_to_readers, send_to_domains},
     traffic::{Direction, MeshTraffic},
 };
--- a/crates/gateway/src/mesh/sending.rs
+++ b/crates/gateway/src/mesh/sending.rs
@@ -61,32 +61,36 @@
     send_to(instance, socket, message, peers);
 }
 
-/// Sends a message about a roll-out to all peers: directly within the own failure
-/// domain, and through one instance of each other one. `turn` selects these.
+/// Sends a message about a roll-out to all peers. `turn` selects those that relay it.
 pub fn send_canary_to_all(
     instance: &Instance,
     socket: &UdpSocket,
     message: CanaryMessage,
     turn: u64,
 ) {
-    let members = instance.members.borrow();
-    let mesh = &instance.settings.mesh;
     let message = Box::new(message);
+    let direct = PeerMessage::Canary(message.clone());
+    let to_relay = PeerMessage::CanaryToRelay(message);
+    send_to_all(instance, socket, [&direct, &to_relay], CANARY_VERSION, turn);
+}
+
+/// Sends a message to all peers that understand a version of the exchange: directly within
+/// the own failure domain, and through one instance of each other one. `messages` are the
+/// one to send directly and the one to relay; `turn` selects those that relay it.
+pub(super) fn send_to_all(
+    instance: &Instance,
+    socket: &UdpSocket,
+    messages: [&PeerMessage; 2],
+    version: u8,
+    turn: u64,
+) {
+    let [direct, to_relay] = messages;
+    let members = instance.members.borrow();
     let domain = instance.machine().domain.clone();
-    let near = members.in_domain_with(&domain, CANARY_VERSION);
-    send_to(
-        instance,
-        socket,
-        &PeerMessage::Canary(message.clone()),
-        near,
-    );
-    let relays = members.relays(CANARY_VERSION, turn, mesh, now_ms());
-    send_to(
-        instance,
-        socket,
-        &PeerMessage::CanaryToRelay(message),
-        relays,
-    );
+    let near = members.in_domain_with(&domain, version);
+    send_to(instance, socket, direct, near);
+    let relays = members.relays(version, turn, &instance.settings.mesh, now_ms());
+    send_to(instance, socket, to_relay, relays);
 }
 
 /// Sends a message about a roll-out to the first `count` instances that read the
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,8 +8,8 @@
         mesh,
         rollouts::run_rollouts,
         store::{
-            CallClient, keep_builds, register, watch_configuration, watch_engines, watch_rollouts,
-            watch_weights,
+            CallClient, keep_builds, keep_rejected_parts, register, watch_configuration,
+            watch_engines, watch_rollouts, watch_weights,
         },
         upstreams::{ConnectionPool, probe_silent_engines, watch_kv_stores, watch_paths},
         weights::run_weights_updater,
@@ -207,6 +207,10 @@
         "engine_limits",
         mesh::report_limits(instance.clone(), peers.clone()),
     );
+    tasks.start(
+        "crash_parts",
+        mesh::exchange_parts(instance.clone(), peers.clone()),
+    );
     tasks.start(
         "configuration",
         watch_configuration(instance.clone(), store.clone()),
@@ -255,6 +259,10 @@
         ),
     );
     tasks.start("builds", keep_builds(instance.clone(), store.clone()));
+    tasks.start(
+        "rejected_parts",
+        keep_rejected_parts(instance.clone(), store.clone()),
+    );
     spawn_local(register(instance.clone(), store));
     let mut terminate = listen_for(SignalKind::terminate())?;
     let mut interrupt = listen_for(SignalKind::interrupt())?;
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -5,8 +5,10 @@
 mod client;
 mod follow;
 mod followers;
+mod kept;
 mod reading;
 mod register;
+mod rejected_parts;
 
 pub use {
     builds::keep_builds,
@@ -14,4 +16,5 @@
     followers::{watch_configuration, watch_engines, watch_rollouts, watch_weights},
     reading::{Listing, Reading},
     register::register,
+    rejected_parts::keep_rejected_parts,
 };
--- a/crates/gateway/src/upstreams/exchange.rs
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -26,6 +26,9 @@
         /// Error of the connection.
         reason: String,
     },
+    /// The engine accepts no connections and has sent nothing. It may have run the request.
+    #[display("The request was sent and the engine is silent.")]
+    Silent,
 }
 
 /// An engine's answer whose body has not been read yet.
--- a/crates/gateway/src/upstreams/probe.rs
+++ b/crates/gateway/src/upstreams/probe.rs
@@ -162,7 +162,11 @@
     }
     pool.close_idle(&entry.incarnation);
     let mut crashes = instance.crashes.borrow_mut();
-    crashes.record_engine_crash(&entry.incarnation, now_ms);
+    let crash = crashes.record_engine_crash(entry, now_ms);
+    drop(crashes);
+    if let Some(crash) = crash {
+        instance.report_engine_crash(crash, now_ms);
+    }
     instance.counters.count("engine_silent", "no_connection");
     instance.wake_ups.silent_engine.notify_one();
     instance.wake_ups.path.notify_waiters();
--- a/crates/mangowalkd/tests/machines/crashing_parts.rs
+++ b/crates/mangowalkd/tests/machines/crashing_parts.rs
@@ -159,6 +159,9 @@
             engine.stop();
         }
     });
+    for engine in &deployment.engines {
+        engine.set_faults(EngineFaults::default());
+    }
     let began_at = Instant::now();
     for number in 0..40 {
         let caller = deployment.caller(number % 4);
