Soak a part of prompts that crashes engines

Cause: no schedule of the soak had engines that crash; the proxies of its paths accepted connections for engines that are gone, so that no instance ever found one crashed. Change: in every third seed (2, 5, 8) engines crash on a part, eight to begin with; each is taken off the list and replaced, and requests with the part come to all instances. The check is the users' bound: three late requests from undisturbed instances.

--- a/crates/mangowalkd/tests/soak/check.rs
+++ b/crates/mangowalkd/tests/soak/check.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         check_load::check_load,
+        crashing_part::{CrashingRequest, check_crashing_part},
         faults::{Departure, Faults, Span},
         traffic::SentRequest,
     },
@@ -29,7 +30,12 @@
 
 /// Checks all requests and the state of the instances. Returns a message for each
 /// violated guarantee.
-pub(crate) fn check(faults: &Faults, requests: &[SentRequest], recovered: Instant) -> Vec<String> {
+pub(crate) fn check(
+    faults: &Faults,
+    requests: &[SentRequest],
+    crashing: &[CrashingRequest],
+    recovered: Instant,
+) -> Vec<String> {
     let deployment = &faults.deployment;
     let mut runs: Runs<'_> = HashMap::new();
     for engine in deployment.engines.iter().chain(&deployment.services) {
@@ -61,6 +67,7 @@
     violations.extend(check_recovery(faults, requests, recovered));
     violations.extend(check_descriptors(faults));
     violations.extend(check_load(faults, requests));
+    violations.extend(check_crashing_part(faults, crashing));
     violations
 }
 
@@ -119,7 +126,7 @@
 
 /// Returns whether neither the machine nor the store was disturbed in an interval or
 /// shortly before it.
-fn is_undisturbed(faults: &Faults, machine: usize, from: Instant, to: Instant) -> bool {
+pub(crate) fn is_undisturbed(faults: &Faults, machine: usize, from: Instant, to: Instant) -> bool {
     let own = &faults.disturbed[machine];
     let mut all = own.iter().chain(&faults.store_disturbed);
     all.all(|span| is_outside(span, from, to))
--- a/crates/mangowalkd/tests/soak/faults.rs
+++ b/crates/mangowalkd/tests/soak/faults.rs
@@ -1,5 +1,5 @@
 use {
-    super::schedule::Fault,
+    super::{crashing_part::with_crashing_part, schedule::Fault},
     mangowalk_platform_standins::{
         Deployment, Engine, EngineFaults, EnginePaths, PathState, StoreFault, StoreGate,
     },
@@ -88,6 +88,10 @@
     /// Whether the engines have different software versions.
     is_mixed: bool,
     added_engines: usize,
+    /// Whether model engines crash on a part of prompts.
+    has_crashing_part: bool,
+    /// When model engines crashed.
+    pub(crate) crashes: Vec<Instant>,
     /// Whether entries have expired and must not be rewritten yet.
     entries_expired: bool,
 }
@@ -98,9 +102,10 @@
         gates: Vec<StoreGate>,
         paths: Vec<Arc<EnginePaths>>,
         is_mixed: bool,
+        has_crashing_part: bool,
     ) -> Faults {
         let engines = deployment.engines.iter().chain(&deployment.services);
-        Faults {
+        let faults = Faults {
             listed: engines.map(|engine| engine.id().to_owned()).collect(),
             disturbed: deployment.machines.iter().map(|_| Vec::new()).collect(),
             stopped: deployment.machines.iter().map(|_| Vec::new()).collect(),
@@ -117,7 +122,35 @@
             weights: 1,
             is_mixed,
             added_engines: 0,
+            has_crashing_part,
+            crashes: Vec::new(),
             entries_expired: false,
+        };
+        for engine in &faults.deployment.engines {
+            faults.set_faults(engine, EngineFaults::default());
+        }
+        faults
+    }
+
+    /// Replaces an engine's faults, but that model engines crash on the part.
+    fn set_faults(&self, engine: &Engine, faults: EngineFaults) {
+        let is_model = engine.id().starts_with('e');
+        engine.set_faults(match self.has_crashing_part && is_model {
+            true => with_crashing_part(faults),
+            false => faults,
+        });
+    }
+
+    /// Takes crashed engines off the list; others come in their place.
+    fn replace_crashed(&mut self, now: Instant) {
+        let listed = self.listed.iter().filter(|id| id.starts_with('e'));
+        let crashed = listed.filter(|id| self.engine(id).is_some_and(Engine::has_crashed));
+        let crashed: Vec<String> = crashed.cloned().collect();
+        for id in crashed {
+            self.crashes.push(now);
+            self.listed.retain(|listed| *listed != id);
+            self.deployment.store.remove("servers", &id);
+            self.schedule(now, 1_500, Action::AddEngine { is_model: true });
         }
     }
 
@@ -128,6 +161,7 @@
         for (_, action) in due {
             self.run_action(action, now);
         }
+        self.replace_crashed(now);
         if !self.entries_expired {
             self.write_entries();
         }
@@ -348,7 +382,7 @@
             Action::RewriteEntries => self.entries_expired = false,
             Action::RestoreEngine(id) => {
                 if let Some(engine) = self.engine(&id) {
-                    engine.set_faults(EngineFaults::default());
+                    self.set_faults(engine, EngineFaults::default());
                 }
                 self.end_limits(&id, now);
             }
@@ -402,6 +436,7 @@
             }
             false => Engine::start(&format!("s{number}"), "desk", None, domain),
         };
+        self.set_faults(&engine, EngineFaults::default());
         let id = engine.id().to_owned();
         self.deployment
             .store
@@ -468,7 +503,7 @@
             return;
         };
         if let Some(engine) = self.engine(&id) {
-            engine.set_faults(faults);
+            self.set_faults(engine, faults);
         }
         self.end_limits(&id, now);
         self.schedule(now, for_ms, Action::RestoreEngine(id));
--- a/crates/mangowalkd/tests/soak/main.rs
+++ b/crates/mangowalkd/tests/soak/main.rs
@@ -7,6 +7,7 @@
 
 mod check;
 mod check_load;
+mod crashing_part;
 mod faults;
 mod play;
 mod schedule;
--- a/crates/mangowalkd/tests/soak/play.rs
+++ b/crates/mangowalkd/tests/soak/play.rs
@@ -2,6 +2,7 @@
     super::{
         PROGRAM,
         check::check,
+        crashing_part::{has_crashing_part, send_crashing_requests},
         faults::Faults,
         schedule::schedule,
         traffic::{SentRequest, send_requests},
@@ -30,13 +31,17 @@
         .map(|machine| machine.caller_address())
         .collect();
     let stop = AtomicBool::new(false);
-    let (requests, recovered) = thread::scope(|scope| {
+    let (requests, crashing, recovered) = thread::scope(|scope| {
         let callers: Vec<_> = (0..CALLERS)
             .map(|caller| {
                 let (addresses, stop) = (&addresses, &stop);
                 scope.spawn(move || send_requests(seed * CALLERS + caller, addresses, stop))
             })
             .collect();
+        let crashing = {
+            let (addresses, stop) = (&addresses, &stop);
+            scope.spawn(move || send_crashing_requests(seed, addresses, stop))
+        };
         run_faults(&mut faults, seed, faults_for);
         let recovered = Instant::now();
         thread::sleep(RECOVERY);
@@ -45,9 +50,10 @@
             .into_iter()
             .flat_map(|caller| caller.join().expect("a caller doesn't panic"))
             .collect();
-        (requests, recovered)
+        let crashing = crashing.join().expect("a caller doesn't panic");
+        (requests, crashing, recovered)
     });
-    let violations = check(&faults, &requests, recovered);
+    let violations = check(&faults, &requests, &crashing, recovered);
     let answered = requests
         .iter()
         .filter(|request| request.reply.status == 200);
@@ -57,12 +63,14 @@
         .filter(|request| request.reply.status == 200);
     eprintln!(
         "seed {seed}: {} requests, {} answered with 200, {} streams taken up, {} went on, \
-         {} engines left, {} promises broken",
+         {} engines left, {} crashed of {} requests, {} promises broken",
         requests.len(),
         answered.count(),
         taken_up.count(),
         goes_on.count(),
         faults.departures.len(),
+        faults.crashes.len(),
+        crashing.len(),
         violations.len(),
     );
     if !violations.is_empty() {
@@ -77,13 +85,16 @@
 /// and engines that join have newer ones.
 fn start(seed: u64, machines: usize) -> Faults {
     let is_mixed = seed / 2 % 2 == 1;
-    let versions: &[&str] = match is_mixed {
-        true => &["v1", "v1", "v2", "v2"],
-        false => &["v1"; 3],
+    let crashes = has_crashing_part(seed);
+    let versions: &[&str] = match (is_mixed, crashes) {
+        (true, false) => &["v1", "v1", "v2", "v2"],
+        (false, false) => &["v1"; 3],
+        (true, true) => &["v1", "v1", "v1", "v1", "v2", "v2", "v2", "v2"],
+        (false, true) => &["v1"; 8],
     };
     let prepared = Deployment::prepare_versions(PROGRAM, machines, versions);
     let (deployment, paths, gates) = prepared.start_on_paths();
-    Faults::new(deployment, gates, paths, is_mixed)
+    Faults::new(deployment, gates, paths, is_mixed, crashes)
 }
 
 fn run_faults(faults: &mut Faults, seed: u64, faults_for: Duration) {
