Check all shared parts of long prompts, and report their first and last ones

Cause: only the last sixteen shared parts of a prompt were compared with the rejected ones and reported, so a part at the beginning of a long prompt was never found. Change: all shared parts are compared; of more than sixteen the first and last eight are reported with a crash. Measured: unit tests; the model also finds the part with one and with three instances alone.

--- a/crates/core/src/crash_part/engine_crash.rs
+++ b/crates/core/src/crash_part/engine_crash.rs
@@ -32,10 +32,12 @@
     }
 }
 
-/// Returns the IDs of the shared parts of a prompt, in order; of a long one the last ones,
-/// which few other requests share.
-pub fn shared_parts(requirements: &EngineRequirements) -> Vec<u64> {
-    let parts = requirements.shared_part_ids();
-    let skipped = parts.len().saturating_sub(MAX_PARTS);
-    parts.skip(skipped).collect()
+/// Returns the shared parts of a prompt that are reported with a crash, in order: of a long
+/// one the first, which many requests share, and the last, which few do.
+pub fn reported_parts(requirements: &EngineRequirements) -> Vec<u64> {
+    let mut parts: Vec<u64> = requirements.shared_part_ids().collect();
+    let excess = parts.len().saturating_sub(MAX_PARTS);
+    let from = (MAX_PARTS / 2).min(parts.len());
+    parts.drain(from..from + excess);
+    parts
 }
--- a/crates/core/src/crash_part/mod.rs
+++ b/crates/core/src/crash_part/mod.rs
@@ -17,7 +17,7 @@
 
 pub use {
     arbiters::{arbiters, is_trial_instance},
-    engine_crash::{EngineCrash, shared_parts},
+    engine_crash::{EngineCrash, reported_parts},
     evidence::CrashEvidence,
     message::PartMessage,
     rejected_parts::{RejectedPart, RejectedParts},
--- a/crates/core/tests/crash_parts.rs
+++ b/crates/core/tests/crash_parts.rs
@@ -1,9 +1,12 @@
 //! Parts of prompts that crash engines.
 
 use {
-    mangowalk_core::crash_part::{
-        CrashEvidence, CrashPartSettings, EngineCrash, PartDecision, RejectedPart, RejectedParts,
-        arbiters, is_trial_instance,
+    mangowalk_core::{
+        crash_part::{
+            CrashEvidence, CrashPartSettings, EngineCrash, PartDecision, RejectedPart,
+            RejectedParts, arbiters, is_trial_instance, reported_parts,
+        },
+        pool::{EngineRequirements, PromptPart},
     },
     std::collections::BTreeSet,
 };
@@ -314,3 +317,30 @@
     let after = of(before[0]);
     assert_eq!(after[..2], before[1..]);
 }
+
+/// Guards against a prompt of many parts whose first one isn't reported, or whose own last
+/// part is.
+#[test]
+fn the_first_and_last_shared_parts_of_a_long_prompt_are_reported() {
+    let prompt = |count: u64| EngineRequirements {
+        service: "llm".to_owned(),
+        model: Some("model".to_owned()),
+        memory_tokens: 0,
+        prompt_tokens: 0,
+        parts: (0..count).map(|id| PromptPart { id, tokens: 1 }).collect(),
+        isolation_salt: 7,
+        domain: "a".to_owned(),
+    };
+    let reported = |count: u64| reported_parts(&prompt(count));
+    insta::assert_debug_snapshot!(
+        [reported(0), reported(1), reported(3), reported(500)].map(|parts| format!("{parts:?}")),
+        @r#"
+    [
+        "[]",
+        "[]",
+        "[0, 1]",
+        "[0, 1, 2, 3, 4, 5, 6, 7, 491, 492, 493, 494, 495, 496, 497, 498]",
+    ]
+    "#
+    );
+}
--- a/crates/core/tests/crash_parts_at_scale.rs
+++ b/crates/core/tests/crash_parts_at_scale.rs
@@ -543,3 +543,20 @@
         assert!(fleet.known_after_ms(0).is_some(), "seed {seed}");
     }
 }
+
+/// Guards against an instance that is alone, and against one half of a partition, which has
+/// to find the part without the others.
+#[test]
+fn few_instances_find_a_crashing_part_alone() {
+    for (instances, seed) in [(1, 1), (1, 2), (3, 3), (3, 4)] {
+        let load = Load {
+            instances,
+            sound_per_s: 70.0 / instances as f64,
+            ..SMALL
+        };
+        let mut fleet = Fleet::new(load, seed);
+        fleet.play(10_000);
+        assert!(fleet.late_requests() <= LATE_REQUESTS, "seed {seed}");
+        assert!(fleet.known_after_ms(0).is_some(), "seed {seed}");
+    }
+}
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -12,7 +12,7 @@
         upstreams::{Answer, ProbeReason, SendError, probe_engine},
     },
     http::StatusCode,
-    mangowalk_core::{crash_part::shared_parts, pool::EngineEntry},
+    mangowalk_core::{crash_part::reported_parts, pool::EngineEntry},
 };
 
 /// Pause of new requests to an engine that rejected one. Loading weights takes
@@ -234,7 +234,7 @@
         let has_written = body_began_ms.is_some_and(|began_ms| now_ms >= began_ms + written_ms);
         let is_suspect = is_connection_lost && !has_written;
         let suspect_parts = match is_suspect {
-            true => shared_parts(&request.requirements),
+            true => reported_parts(&request.requirements),
             false => Vec::new(),
         };
         request
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -10,7 +10,6 @@
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
     mangowalk_core::{
-        crash_part::shared_parts,
         origin::{EngineBuild, StreamKey},
         pool::EngineRequirements,
         routing::{Route, RouteError, Tenant},
@@ -111,19 +110,21 @@
         !crashes.is_empty() && crashes.is_poison(self.identity(), now_ms())
     }
 
+    fn shared_parts(&self) -> Vec<u64> {
+        self.requirements.shared_part_ids().collect()
+    }
+
     /// Returns whether a part of the prompt crashes engines, so that the request must not be
     /// sent to any.
     pub(super) fn holds_rejected_part(&self) -> bool {
         self.instance.crash_parts.is_any_rejected()
-            && self
-                .instance
-                .rejects_parts(&shared_parts(&self.requirements), now_ms())
+            && self.instance.rejects_parts(&self.shared_parts(), now_ms())
     }
 
     /// Returns whether a part of the prompt was rejected while the request was on its way.
     pub(super) fn is_withdrawn(&self) -> bool {
         let parts = &self.instance.crash_parts;
-        parts.is_any_rejected() && parts.withdraws(&shared_parts(&self.requirements), now_ms())
+        parts.is_any_rejected() && parts.withdraws(&self.shared_parts(), now_ms())
     }
 
     /// Returns once a part of the prompt is rejected.
@@ -140,7 +141,7 @@
     /// Waits while it is to be decided whether a part of the prompt crashes engines, for a
     /// short time at most.
     pub(super) async fn await_part_decision(&self) {
-        let parts = shared_parts(&self.requirements);
+        let parts = self.shared_parts();
         let until_ms = now_ms() + self.instance.settings.crash_parts.decision_wait_ms;
         while now_ms() < until_ms && self.instance.crash_parts.watches(&parts, now_ms()) {
             let left = Duration::from_millis(until_ms.saturating_sub(now_ms()));
@@ -154,7 +155,7 @@
         if self.instance.crash_parts.is_idle() {
             return;
         }
-        let parts = shared_parts(&self.requirements);
+        let parts = self.shared_parts();
         let service = &self.requirements.service;
         self.instance
             .record_completed_parts(service, &parts, now_ms());
