Count answers between two crashes, also those completed before a part is watched

Cause: completed answers were only heard of from the moment a part was watched. Change: each instance remembers when it last completed an answer on each of at most 4,096 parts, and tells an arbiter that asks; requests whose answer had been written for 400 ms aren't suspects; a request waits for a decision only where this instance has completed nothing on the part for a second.

--- a/crates/core/src/crash_part/evidence.rs
+++ b/crates/core/src/crash_part/evidence.rs
@@ -1,5 +1,8 @@
 use {
-    super::{CrashPartSettings, EngineCrash, PartDecision, service_evidence::ServiceEvidence},
+    super::{
+        CompletedPart, CrashPartSettings, EngineCrash, PartDecision,
+        service_evidence::ServiceEvidence,
+    },
     std::collections::BTreeMap,
 };
 
@@ -29,10 +32,11 @@
     }
 
     /// Records that a peer has completed answers on parts.
-    pub fn record_completed(&mut self, parts: &[u64], now_ms: u64) {
+    pub fn record_completed(&mut self, parts: &[CompletedPart], now_ms: u64) {
         for service in self.services.values_mut() {
-            for part in parts {
-                service.record_completed(*part, now_ms);
+            for completed in parts {
+                let completed_ms = now_ms.saturating_sub(completed.age_ms);
+                service.record_completed(completed.part, completed_ms);
             }
         }
     }
--- a/crates/core/src/crash_part/message.rs
+++ b/crates/core/src/crash_part/message.rs
@@ -4,6 +4,15 @@
     std::net::SocketAddr,
 };
 
+/// A part on which an answer was written to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CompletedPart {
+    /// ID of the part.
+    pub part: u64,
+    /// Time since the end of the last such answer, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// What instances tell each other of parts of prompts that may crash engines.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PartMessage {
@@ -17,7 +26,7 @@
         parts: Vec<u64>,
     },
     /// To the author of a watch: answers on these parts were written to their end.
-    Completed(Vec<u64>),
+    Completed(Vec<CompletedPart>),
     /// Parts that are rejected, or no longer are.
     Rejected(Vec<RejectedPart>),
 }
--- a/crates/core/src/crash_part/mod.rs
+++ b/crates/core/src/crash_part/mod.rs
@@ -10,6 +10,7 @@
 mod engine_crash;
 mod evidence;
 mod message;
+mod recent_answers;
 mod rejected_parts;
 mod service_evidence;
 mod settings;
@@ -19,7 +20,8 @@
     arbiters::{arbiters, is_trial_instance},
     engine_crash::{EngineCrash, reported_parts},
     evidence::CrashEvidence,
-    message::PartMessage,
+    message::{CompletedPart, PartMessage},
+    recent_answers::RecentAnswers,
     rejected_parts::{RejectedPart, RejectedParts},
     service_evidence::PartDecision,
     settings::CrashPartSettings,
--- a/crates/core/src/crash_part/service_evidence.rs
+++ b/crates/core/src/crash_part/service_evidence.rs
@@ -88,14 +88,15 @@
         }
     }
 
-    /// Records a completed answer of another instance on a part.
-    pub(super) fn record_completed(&mut self, part: u64, now_ms: u64) {
-        if self.crashes.iter().any(|crash| crash.holds(part)) {
-            self.completed_ms.insert(part, now_ms);
+    /// Records that an answer on a part was completed, which clears it of earlier crashes.
+    pub(super) fn record_completed(&mut self, part: u64, completed_ms: u64) {
+        let known_ms = self.completed_ms.get(&part).copied();
+        let is_news = known_ms.is_none_or(|known_ms| known_ms < completed_ms);
+        let mut cleared = self.crashes.iter().filter(|crash| crash.holds(part));
+        if is_news && cleared.any(|crash| crash.at_ms <= completed_ms) {
+            self.completed_ms.insert(part, completed_ms);
             self.watched_ms.remove(&part);
-            if let Some(counts) = &mut self.counts {
-                counts.remove(&part);
-            }
+            self.counts = None;
         }
     }
 
--- a/crates/core/src/crash_part/settings.rs
+++ b/crates/core/src/crash_part/settings.rs
@@ -30,6 +30,9 @@
     /// Longest wait of a request for the decision on a watched part, before it is sent to
     /// another engine.
     pub decision_wait_ms: u64,
+    /// Time since an answer of the instance itself on a watched part within which requests
+    /// don't wait for the decision on it.
+    pub recent_answer_ms: u64,
     /// Time for which a part is rejected first.
     pub term_ms: u64,
     /// Longest time for which it is rejected after it has crashed an engine in a trial.
@@ -48,12 +51,13 @@
             other_crashes: 5,
             max_rejected_crashes: 5,
             same_cause_ms: 50,
-            written_ms: 1_000,
+            written_ms: 400,
             retention_ms: 60_000,
-            min_watch_ms: 150,
+            min_watch_ms: 200,
             watch_ms: 20_000,
             min_other_answers: 3,
             decision_wait_ms: 300,
+            recent_answer_ms: 1_000,
             term_ms: 60_000,
             max_term_ms: 4_800_000,
             trial_interval_ms: 60_000,
--- a/crates/core/tests/crash_parts.rs
+++ b/crates/core/tests/crash_parts.rs
@@ -3,8 +3,9 @@
 use {
     mangowalk_core::{
         crash_part::{
-            CrashEvidence, CrashPartSettings, EngineCrash, PartDecision, RejectedPart,
-            RejectedParts, arbiters, is_trial_instance, reported_parts,
+            CompletedPart, CrashEvidence, CrashPartSettings, EngineCrash, PartDecision,
+            RecentAnswers, RejectedPart, RejectedParts, arbiters, is_trial_instance,
+            reported_parts,
         },
         pool::{EngineRequirements, PromptPart},
     },
@@ -138,12 +139,41 @@
         let now_ms = 1_000 + 300 * number;
         arbiter.crash(number, &[&[COMMON, CRASHING]], now_ms);
         arbiter.answer(3, &[SOUND], now_ms + 10);
-        arbiter.evidence.record_completed(&[CRASHING], now_ms + 20);
-        arbiter.evidence.record_completed(&[COMMON], now_ms + 20);
+        let completed = [CRASHING, COMMON].map(|part| CompletedPart { part, age_ms: 5 });
+        arbiter.evidence.record_completed(&completed, now_ms + 20);
     }
     assert_eq!(arbiter.rejected, BTreeSet::new());
 }
 
+/// Guards against answers between two crashes that don't count as they were completed before
+/// the part was watched.
+#[test]
+fn answers_before_a_part_is_watched_clear_it_of_earlier_crashes() {
+    let mut arbiter = Arbiter::default();
+    for number in 0..3 {
+        let now_ms = 1_000 + 1_000 * number;
+        arbiter.crash(number, &[&[COMMON, CRASHING]], now_ms);
+        arbiter.answer(3, &[SOUND], now_ms + 1);
+        // What an instance answers to the watch: its last answers were before this crash.
+        let completed = [CRASHING, COMMON].map(|part| CompletedPart { part, age_ms: 200 });
+        arbiter.evidence.record_completed(&completed, now_ms + 10);
+        arbiter.decide(now_ms + 300);
+    }
+    assert_eq!(arbiter.rejected, BTreeSet::new());
+}
+
+/// Guards against memory of answers that grows with the parts that callers invent.
+#[test]
+fn recent_answers_are_bounded_and_keep_the_latest() {
+    let mut answers = RecentAnswers::default();
+    for part in 0..100_000 {
+        answers.record(&[part, COMMON], part);
+    }
+    assert!(answers.len() <= 4_096, "{} kept", answers.len());
+    assert_eq!(answers.last_ms(COMMON), Some(99_999));
+    assert_eq!(answers.last_ms(99_000), Some(99_000));
+}
+
 /// Guards against a wide part that is rejected with the narrow one that crashes engines, and
 /// against a culprit that is hidden behind a narrower part.
 #[test]
--- a/crates/core/tests/crash_parts_at_scale.rs
+++ b/crates/core/tests/crash_parts_at_scale.rs
@@ -4,8 +4,8 @@
 use {
     mangowalk_core::{
         crash_part::{
-            CrashEvidence, CrashPartSettings, EngineCrash, PartDecision, PartMessage,
-            RejectedParts, WatchedParts, arbiters,
+            CompletedPart, CrashEvidence, CrashPartSettings, EngineCrash, PartDecision,
+            PartMessage, RecentAnswers, RejectedParts, WatchedParts, arbiters,
         },
         mesh::{EXCHANGE_VERSION, PeerMessage},
     },
@@ -23,6 +23,9 @@
 /// Sessions of sound requests, each with a part of its own.
 const SESSIONS: u64 = 2_000;
 
+/// Sessions that half of the sound requests belong to.
+const POPULAR_SESSIONS: u64 = 40;
+
 const DOMAINS: usize = 6;
 
 /// Time from the send of a request to the first event of its answer.
@@ -69,6 +72,7 @@
 struct Instance {
     evidence: CrashEvidence,
     watched: WatchedParts,
+    recent: RecentAnswers,
     rejected: RejectedParts,
     known_ms: Option<u64>,
     sent_bytes: usize,
@@ -370,13 +374,18 @@
     fn complete(&mut self, run: &Run) {
         let now_ms = self.now_ms;
         let instance = &mut self.instances[run.instance];
+        instance.recent.record(&run.parts, now_ms);
         instance.evidence.record_answer("llm", &run.parts, now_ms);
         for part in &run.parts {
             for author in self.instances[run.instance].watched.take(*part) {
                 let author = instance_of(author);
                 if author != run.instance {
-                    let completed = PartMessage::Completed(vec![*part]);
-                    self.deliver(run.instance, author, &completed, true);
+                    let completed = CompletedPart {
+                        part: *part,
+                        age_ms: 0,
+                    };
+                    let message = PartMessage::Completed(vec![completed]);
+                    self.deliver(run.instance, author, &message, true);
                 }
             }
         }
@@ -393,7 +402,11 @@
         }
         for instance in 0..self.load.instances {
             if self.random.random_bool(self.load.sound_per_s / 1_000.0) {
-                let session = 1_000 + self.random.random_range(0..SESSIONS);
+                let sessions = match self.random.random_bool(0.5) {
+                    true => POPULAR_SESSIONS,
+                    false => SESSIONS,
+                };
+                let session = 1_000 + self.random.random_range(0..sessions);
                 self.send_request(instance, vec![COMMON, session], 1);
             }
             if (self.now_ms + instance as u64).is_multiple_of(INTERVAL_MS) {
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -142,8 +142,10 @@
     /// short time at most.
     pub(super) async fn await_part_decision(&self) {
         let parts = self.shared_parts();
-        let until_ms = now_ms() + self.instance.settings.crash_parts.decision_wait_ms;
-        while now_ms() < until_ms && self.instance.crash_parts.watches(&parts, now_ms()) {
+        let settings = &self.instance.settings.crash_parts;
+        let known = &self.instance.crash_parts;
+        let until_ms = now_ms() + settings.decision_wait_ms;
+        while now_ms() < until_ms && known.is_suspect(&parts, settings, now_ms()) {
             let left = Duration::from_millis(until_ms.saturating_sub(now_ms()));
             // Times out if nothing is decided.
             let _ = timeout(left, self.instance.wake_ups.rejected_parts.notified()).await;
@@ -152,9 +154,6 @@
 
     /// Records that an answer was written to its end, which clears the parts of its prompt.
     pub(super) fn record_completed_parts(&self) {
-        if self.instance.crash_parts.is_idle() {
-            return;
-        }
         let parts = self.shared_parts();
         let service = &self.requirements.service;
         self.instance
--- a/crates/gateway/src/instance/crash_parts.rs
+++ b/crates/gateway/src/instance/crash_parts.rs
@@ -1,8 +1,8 @@
 use {
     super::Instance,
     mangowalk_core::crash_part::{
-        CrashEvidence, EngineCrash, PartDecision, PartMessage, RejectedPart, RejectedParts,
-        WatchedParts, is_trial_instance,
+        CompletedPart, CrashEvidence, CrashPartSettings, EngineCrash, PartDecision, PartMessage,
+        RecentAnswers, RejectedPart, RejectedParts, WatchedParts, is_trial_instance,
     },
     std::{cell::RefCell, net::SocketAddr},
 };
@@ -36,11 +36,12 @@
     evidence: RefCell<CrashEvidence>,
     watched: RefCell<WatchedParts>,
     rejected: RefCell<RejectedParts>,
+    recent_answers: RefCell<RecentAnswers>,
     outgoing: RefCell<Vec<OutgoingPartMessage>>,
 }
 
 impl CrashParts {
-    /// Returns whether completed answers tell nothing about any part.
+    /// Returns whether nothing is to be decided, told or heard of.
     pub fn is_idle(&self) -> bool {
         !self.is_any_rejected() && self.watched.borrow().is_empty() && !self.has_evidence()
     }
@@ -61,9 +62,16 @@
         parts.iter().any(|part| rejected.is_in_term(*part, now_ms))
     }
 
-    /// Returns whether an arbiter is deciding on one of the parts.
-    pub fn watches(&self, parts: &[u64], now_ms: u64) -> bool {
-        self.watched.borrow().holds_any(parts, now_ms)
+    /// Returns whether an arbiter is deciding on one of the parts, and this instance has
+    /// completed no answer on it lately.
+    pub fn is_suspect(&self, parts: &[u64], settings: &CrashPartSettings, now_ms: u64) -> bool {
+        let watched = self.watched.borrow();
+        let recent = self.recent_answers.borrow();
+        let mut suspects = parts.iter().filter(|part| {
+            let last_ms = recent.last_ms(**part);
+            last_ms.is_none_or(|last_ms| now_ms >= last_ms + settings.recent_answer_ms)
+        });
+        suspects.any(|part| watched.holds_any(&[*part], now_ms))
     }
 
     /// Returns all parts that are rejected or were lately.
@@ -116,17 +124,34 @@
                 let settings = &self.settings.crash_parts;
                 let mut known = parts.watched.borrow_mut();
                 known.watch(watched, *author, settings, now_ms);
+                drop(known);
+                self.tell_recent_answers(watched, *author, now_ms);
             }
             PartMessage::Completed(completed) => {
                 let mut evidence = parts.evidence.borrow_mut();
                 evidence.record_completed(completed, now_ms);
-                drop(evidence);
-                self.accept_parts(completed, now_ms);
             }
             PartMessage::Rejected(told) => self.merge_rejected_parts(told, "peer", now_ms),
         }
     }
 
+    /// Tells an arbiter when answers on parts were last completed here.
+    fn tell_recent_answers(&self, parts: &[u64], author: SocketAddr, now_ms: u64) {
+        let recent = self.crash_parts.recent_answers.borrow();
+        let completed = parts.iter().filter_map(|part| {
+            let last_ms = recent.last_ms(*part)?;
+            Some(CompletedPart {
+                part: *part,
+                age_ms: now_ms.saturating_sub(last_ms),
+            })
+        });
+        let completed: Vec<CompletedPart> = completed.collect();
+        if !completed.is_empty() {
+            let message = PartMessage::Completed(completed);
+            self.send_part_message(PartRecipients::One(author), message);
+        }
+    }
+
     /// Applies what a peer or the store tells of rejected parts.
     pub fn merge_rejected_parts(&self, told: &[RejectedPart], source: &'static str, now_ms: u64) {
         let rejected = self.crash_parts.rejected.borrow_mut().merge(told, now_ms);
@@ -182,6 +207,10 @@
     /// Records that this instance has completed an answer on parts of a prompt.
     pub fn record_completed_parts(&self, service: &str, parts: &[u64], now_ms: u64) {
         let known = &self.crash_parts;
+        known.recent_answers.borrow_mut().record(parts, now_ms);
+        if known.is_idle() {
+            return;
+        }
         let mut evidence = known.evidence.borrow_mut();
         evidence.record_answer(service, parts, now_ms);
         drop(evidence);
@@ -189,8 +218,12 @@
         for part in parts {
             let authors = known.watched.borrow_mut().take(*part);
             for author in authors.into_iter().filter(|author| *author != own) {
-                let completed = PartMessage::Completed(vec![*part]);
-                self.send_part_message(PartRecipients::One(author), completed);
+                let completed = CompletedPart {
+                    part: *part,
+                    age_ms: 0,
+                };
+                let message = PartMessage::Completed(vec![completed]);
+                self.send_part_message(PartRecipients::One(author), message);
             }
         }
         self.accept_parts(parts, now_ms);
--- a/crates/mangowalkd/tests/poison.rs
+++ b/crates/mangowalkd/tests/poison.rs
@@ -134,3 +134,25 @@
         assert_eq!(fleet.chat(i % ROUTERS, prompt, 20, false).status, 200);
     }
 }
+
+/// Guards against prompts that differ at their ends and share a beginning which crashes
+/// engines: crashes are counted by request, so they never add up.
+#[test]
+fn prompts_with_a_beginning_that_crashes_engines_are_refused() {
+    const CRASHES_TO_KNOW: u64 = 5;
+    const LATE_REQUESTS: u64 = 3;
+    let fleet = fleet();
+    let beginning = format!("{CRASHING_PROMPT} {}", "and is shared ".repeat(60));
+    let statuses: Vec<u16> = (0..16)
+        .map(|i| {
+            thread::sleep(Duration::from_millis(100));
+            let prompt = format!("{beginning}{i}");
+            fleet.chat(i % ROUTERS, &prompt, 20, false).status
+        })
+        .collect();
+    let crashes = crashes(&fleet);
+    assert!(
+        crashes <= CRASHES_TO_KNOW + LATE_REQUESTS,
+        "{crashes} crashes; {statuses:?}"
+    );
+}
