Look for decisions on parts only while one is watched

Cause: an arbiter woke twenty times a second for a minute after each crash. Change: it does so only while a part is watched; the loop that sends messages about parts is split into functions. Decisions are the same: a crash wakes it. Measured: process tests of crashing parts pass.

--- a/crates/core/src/crash_part/evidence.rs
+++ b/crates/core/src/crash_part/evidence.rs
@@ -21,6 +21,11 @@
         self.services.is_empty()
     }
 
+    /// Returns whether a part is watched, so that a decision on it may be due at any time.
+    pub fn is_deciding(&self) -> bool {
+        self.services.values().any(ServiceEvidence::is_deciding)
+    }
+
     /// Records a crash that this instance or a peer has seen.
     pub fn record_crash(&mut self, crash: &EngineCrash, now_ms: u64) {
         let is_known = self.services.contains_key(&crash.service);
--- a/crates/core/src/crash_part/service_evidence.rs
+++ b/crates/core/src/crash_part/service_evidence.rs
@@ -62,6 +62,10 @@
         self.crashes.is_empty()
     }
 
+    pub(super) fn is_deciding(&self) -> bool {
+        !self.watched_ms.is_empty()
+    }
+
     /// Adds a crash, or what another instance knows of it.
     pub(super) fn record_crash(&mut self, crash: &EngineCrash, now_ms: u64) {
         self.counts = None;
--- a/crates/gateway/src/instance/crash_parts.rs
+++ b/crates/gateway/src/instance/crash_parts.rs
@@ -43,12 +43,13 @@
 impl CrashParts {
     /// Returns whether nothing is to be decided, told or heard of.
     pub fn is_idle(&self) -> bool {
-        !self.is_any_rejected() && self.watched.borrow().is_empty() && !self.has_evidence()
+        let has_evidence = !self.evidence.borrow().is_empty();
+        !self.is_any_rejected() && self.watched.borrow().is_empty() && !has_evidence
     }
 
-    /// Returns whether crashes are known that are to be decided on.
-    pub fn has_evidence(&self) -> bool {
-        !self.evidence.borrow().is_empty()
+    /// Returns whether a decision on a part may be due at any time.
+    pub fn is_deciding(&self) -> bool {
+        self.evidence.borrow().is_deciding()
     }
 
     /// Returns whether any part is rejected, so that callers needn't look at each.
@@ -108,7 +109,6 @@
         for part in tried {
             self.reject_part(part, now_ms);
         }
-        // What is to be decided is looked at in short intervals from now on.
         self.wake_ups.part_messages.notify_one();
     }
 
--- a/crates/gateway/src/mesh/parts.rs
+++ b/crates/gateway/src/mesh/parts.rs
@@ -20,6 +20,9 @@
 /// Interval at which it is looked whether the known crashes suffice for a decision.
 const DECISION_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which reports of one crash are gathered, as they arrive together.
+const GATHER_TIME: Duration = Duration::from_millis(2);
+
 /// Interval at which rejected parts are told to one more peer, for those that a message
 /// didn't reach and those that have started since.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -31,49 +34,55 @@
 /// Maximum number of rejected parts in a message that is repeated.
 const MAX_REPEATED: usize = 64;
 
+/// Messages to all instances that are to be sent a second time, with the time for that.
+type Resends = Vec<(u64, OutgoingPartMessage)>;
+
 /// Sends what peers are to be told, and decides on the parts of known crashes; never
 /// returns.
 pub async fn exchange_parts(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
-    let mut resent = Vec::new();
+    let mut resends = Resends::new();
     let mut repeated_ms = now_ms();
     loop {
         let now_ms = now_ms();
         instance.decide_on_parts(now_ms);
-        for outgoing in instance.crash_parts.take_outgoing() {
-            send(&instance, &socket, &outgoing, now_ms);
-            if outgoing.to == PartRecipients::All {
-                resent.push((now_ms + RESEND_DELAY_MS, outgoing));
-            }
-        }
-        resent.retain(|(due_ms, outgoing)| {
-            let is_due = now_ms >= *due_ms;
-            if is_due {
-                send(&instance, &socket, outgoing, now_ms);
-            }
-            !is_due
-        });
+        send_outgoing(&instance, &socket, &mut resends, now_ms);
+        resend_due(&instance, &socket, &mut resends, now_ms);
         if now_ms >= repeated_ms + REPEAT_INTERVAL.as_millis() as u64 {
             repeated_ms = now_ms;
             repeat_rejected(&instance, &socket, now_ms);
         }
-        let is_deciding = instance.crash_parts.has_evidence() || !resent.is_empty();
-        let interval = match is_deciding {
-            true => DECISION_INTERVAL,
-            false => REPEAT_INTERVAL,
-        };
-        if instance.crash_parts.is_idle() && resent.is_empty() {
-            instance.wake_ups.part_messages.notified().await;
-            continue;
+        let more = instance.wake_ups.part_messages.notified();
+        if instance.crash_parts.is_deciding() || !resends.is_empty() {
+            // Times out unless there is more to send.
+            let _ = timeout(DECISION_INTERVAL, more).await;
+            sleep(GATHER_TIME).await;
+        } else if instance.crash_parts.is_idle() {
+            more.await;
+        } else {
+            let _ = timeout(REPEAT_INTERVAL, more).await;
         }
-        // Times out unless there is more to send.
-        let _ = timeout(interval, instance.wake_ups.part_messages.notified()).await;
-        if is_deciding {
-            // Reports of one crash arrive together.
-            sleep(Duration::from_millis(2)).await;
+    }
+}
+
+fn send_outgoing(instance: &Instance, socket: &UdpSocket, resends: &mut Resends, now_ms: u64) {
+    for outgoing in instance.crash_parts.take_outgoing() {
+        send(instance, socket, &outgoing, now_ms);
+        if outgoing.to == PartRecipients::All {
+            resends.push((now_ms + RESEND_DELAY_MS, outgoing));
         }
     }
 }
 
+fn resend_due(instance: &Instance, socket: &UdpSocket, resends: &mut Resends, now_ms: u64) {
+    resends.retain(|(due_ms, outgoing)| {
+        let is_due = now_ms >= *due_ms;
+        if is_due {
+            send(instance, socket, outgoing, now_ms);
+        }
+        !is_due
+    });
+}
+
 fn send(instance: &Instance, socket: &UdpSocket, outgoing: &OutgoingPartMessage, now_ms: u64) {
     let message = Box::new(outgoing.message.clone());
     let direct = PeerMessage::Part(message.clone());
