Show that nobody hears of the end of a limit while its sender prefers another engine

Cause: of three instances the first of the engine's order alone may send to it. It is in another failure domain, where another engine costs it less, so that it asks the limited one only when a heartbeat happens to report load at its own. The others may not ask at all.

--- a/crates/mangowalkd/tests/machines/engine_limits.rs
+++ b/crates/mangowalkd/tests/machines/engine_limits.rs
@@ -109,6 +109,38 @@
     assert!(arrivals * 5 >= sent, "{arrivals} arrivals of {sent}");
 }
 
+/// Sends plain requests to one machine, one after the other. Returns how many were sent.
+fn send_to_one(deployment: &Deployment, machine: usize, within: Duration) -> usize {
+    let until = Instant::now() + within;
+    let caller = deployment.caller(machine);
+    let mut sent = 0;
+    while Instant::now() < until {
+        let id = Caller::new_request_id();
+        caller.plain("GET", RouteKind::Idempotent.path(), &id);
+        sent += 1;
+        thread::sleep(Duration::from_millis(20));
+    }
+    sent
+}
+
+/// Guards against the end of a limit that nobody hears of, as the instance that may send to
+/// the engine prefers one in its own failure domain.
+#[test]
+fn the_end_of_a_limit_is_heard_of_in_the_domain_of_its_engine() {
+    let deployment = Deployment::start(PROGRAM, 3, 1);
+    for (machine, limited) in deployment.services.iter().enumerate() {
+        name_limit(limited, Some("0.5"));
+        send_to_one(&deployment, machine, Duration::from_millis(500));
+        name_limit(limited, None);
+        send_to_one(&deployment, machine, 2 * SETTLING_TIME);
+        let before = limited.arrivals().len();
+        let sent = send_to_one(&deployment, machine, Duration::from_secs(2));
+        let arrivals = limited.arrivals().len() - before;
+        let id = limited.id();
+        assert!(arrivals * 5 >= sent, "{id}: {arrivals} arrivals of {sent}");
+    }
+}
+
 /// Guards against instances that start together and all take the first requests of an
 /// engine with a limit.
 #[test]
