Let instances in an engine's failure domain send to it first under its limit

Callers: an engine that withdraws its limit got nothing from most instances for up to 30 s. Cause: the order of the instances that may send was by a hash alone, while each prefers engines in its own failure domain. Change: instances in the engine's domain come first in the order. While builds with both orders run, an engine may get two parts of its limit.

--- a/crates/gateway/src/instance/engine_limits.rs
+++ b/crates/gateway/src/instance/engine_limits.rs
@@ -2,7 +2,7 @@
     super::Instance,
     mangowalk_core::{
         engine_limit::{EngineLimitReport, LimitChange, Position},
-        pool::{Incarnation, KnownEngine, rendezvous, short_hash},
+        pool::{EngineEntry, Incarnation, KnownEngine, rendezvous, short_hash},
     },
 };
 
@@ -55,7 +55,7 @@
     pub fn is_within_limit(&self, engine: &KnownEngine, now_ms: u64) -> bool {
         let incarnation = &engine.entry.incarnation;
         let settings = &self.settings.engine_limits;
-        let locate = || self.position_at(&incarnation.id, now_ms);
+        let locate = || self.position_at(&engine.entry, now_ms);
         self.engine_limits
             .borrow_mut()
             .admits(incarnation, settings, locate, now_ms)
@@ -64,8 +64,10 @@
     /// Returns the position of this instance in an order of all known ones that depends on
     /// the engine only; `None` while it doesn't know the others.
     ///
-    /// Silent peers count: they may be sending behind a network partition.
-    fn position_at(&self, engine: &str, now_ms: u64) -> Option<Position> {
+    /// Those in the engine's failure domain come first: others prefer engines of their own
+    /// domains, so a limit would stay unused, and its end unheard of. Silent peers count:
+    /// they may be sending behind a network partition.
+    fn position_at(&self, engine: &EngineEntry, now_ms: u64) -> Option<Position> {
         let machine = self.machine();
         let members = self.members.borrow();
         let sharers = self.retry_budgets.sharers.borrow();
@@ -74,11 +76,11 @@
         if is_new || sharers.knows_nobody(peers) {
             return None;
         }
-        let engine = u64::from(short_hash(engine));
-        let own = rendezvous(engine, &machine.name);
-        let before = members
-            .iter()
-            .filter(|member| rendezvous(engine, &member.last_heartbeat.name) > own);
+        let hash = u64::from(short_hash(&engine.incarnation.id));
+        let order = |domain: &str, name: &str| (domain == engine.domain, rendezvous(hash, name));
+        let own = order(&machine.domain, &machine.name);
+        let heartbeats = members.iter().map(|member| &member.last_heartbeat);
+        let before = heartbeats.filter(|peer| order(&peer.domain, &peer.name) > own);
         Some(Position {
             rank: before.count(),
             instances: members.iter().count() + 1,
