--- a/crates/core/src/crash_part/service_evidence.rs
+++ b/crates/core/src/crash_part/service_evidence.rs
@@ -136,8 +136,8 @@
         let unknown: Vec<(u64, usize)> = unknown.map(|(part, count)| (*part, *count)).collect();
         self.counts = Some(counts);
         let mut decisions = Vec::new();
-        for (part, _) in &unknown {
-            if !self.watched_ms.contains_key(part) {
+        for (part, count) in &unknown {
+            if self.needs_watch(*part, *count, settings, now_ms) {
                 self.watched_ms.insert(*part, now_ms);
                 decisions.push(PartDecision::Watch(*part));
             }
@@ -219,9 +219,26 @@
         2 * with >= all.count()
     }
 
+    /// Returns whether the instances have to be asked for completed answers on a part: for
+    /// the first time, or again as they no longer watch it and a decision may be due.
+    fn needs_watch(
+        &self,
+        part: u64,
+        count: usize,
+        settings: &CrashPartSettings,
+        now_ms: u64,
+    ) -> bool {
+        let Some(&since_ms) = self.watched_ms.get(&part) else {
+            return true;
+        };
+        now_ms >= since_ms + settings.watch_ms && count >= settings.rejected_crashes
+    }
+
     fn is_watched_enough(&self, part: u64, settings: &CrashPartSettings, now_ms: u64) -> bool {
         let since_ms = self.watched_ms.get(&part);
-        since_ms.is_some_and(|since_ms| now_ms >= since_ms + settings.min_watch_ms)
+        since_ms.is_some_and(|since_ms| {
+            (since_ms + settings.min_watch_ms..since_ms + settings.watch_ms).contains(&now_ms)
+        })
     }
 
     /// Returns how many crashes have to speak against a part. Where many engines crash
--- a/crates/core/tests/crash_parts.rs
+++ b/crates/core/tests/crash_parts.rs
@@ -162,6 +162,29 @@
     assert_eq!(arbiter.rejected, BTreeSet::new());
 }
 
+/// Guards against a decision long after the instances were asked, as they no longer tell of
+/// answers then.
+#[test]
+fn instances_are_asked_again_before_a_late_decision() {
+    let mut arbiter = Arbiter::default();
+    for now_ms in [1_000, 5_000, 45_000] {
+        arbiter.crash(now_ms, &[&[CRASHING]], now_ms);
+        arbiter.answer(5, &[SOUND], now_ms + 100);
+    }
+    let completed = CompletedPart {
+        part: CRASHING,
+        age_ms: 10_000,
+    };
+    arbiter.evidence.record_completed(&[completed], 45_110);
+    arbiter.decide(45_400);
+    insta::assert_debug_snapshot!(arbiter.decided, @r#"
+    [
+        "5000 Watch(2)",
+        "45000 Watch(2)",
+    ]
+    "#);
+}
+
 /// Guards against memory of answers that grows with the parts that callers invent.
 #[test]
 fn recent_answers_are_bounded_and_keep_the_latest() {
