--- a/crates/gateway/src/mesh/parts.rs
+++ b/crates/gateway/src/mesh/parts.rs
@@ -17,24 +17,23 @@
     },
 };
 
-/// Interval at which it is looked whether the known crashes suffice for a decision.
+/// Interval at which pending decisions are checked.
 const DECISION_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time for which reports of one crash are gathered, as they arrive together.
 const GATHER_TIME: Duration = Duration::from_millis(2);
 
-/// Interval at which rejected parts are told to one more peer, for those that a message
-/// didn't reach and those that have started since.
+/// Interval at which rejected parts are sent to one more peer: messages get lost, and
+/// instances start.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(1_000);
 
-/// Time after which a message to all instances is sent a second time, as datagrams get
-/// lost.
+/// Time after which a message to all instances is sent again, as datagrams get lost.
 const RESEND_DELAY_MS: u64 = 100;
 
 /// Maximum number of rejected parts in a message that is repeated.
 const MAX_REPEATED: usize = 64;
 
-/// Messages to all instances that are to be sent a second time, with the time for that.
+/// Messages to all instances that are to be sent again, with the time for that.
 type Resends = Vec<(u64, OutgoingPartMessage)>;
 
 /// Sends what peers are to be told, and decides on the parts of known crashes; never
