--- a/crates/core/src/crash_part/settings.rs
+++ b/crates/core/src/crash_part/settings.rs
@@ -2,20 +2,22 @@
 /// rejected.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CrashPartSettings {
-    /// Crashes with a part on the engine from which on its completions are watched.
+    /// Number of crashed engines that ran a part from which on the part is watched.
     pub watched_crashes: usize,
-    /// Crashes with a part on the engine, and no completion, from which on it is rejected.
-    /// One or two may be the engine's own or a neighbour's fault.
+    /// Number of crashed engines that ran a part, without an answer on it completed since,
+    /// from which on the part is rejected. One or two crashes may be the engine's own or a
+    /// neighbour's fault.
     pub rejected_crashes: usize,
-    /// Crashes without the part for which one more with it is needed, and the square of
-    /// which for which two more are.
+    /// Factor of crashes without the part at which one more with it is needed: with 5, one
+    /// more from 5 other crashes on and two more from 25 on.
     pub other_crashes: usize,
-    /// Most crashes that are needed.
+    /// Maximum number of crashes that are needed to reject a part.
     pub max_rejected_crashes: usize,
     /// Crashes that are closer to each other count as one: engines that end together have
     /// one cause, such as their rack.
     pub same_cause_ms: u64,
-    /// Time of writing after which a request hasn't crashed its engine.
+    /// Time for which an engine has written an answer after which that answer's request is no
+    /// longer suspected of its crash.
     pub written_ms: u64,
     /// Time for which a crash counts.
     pub retention_ms: u64,
--- a/crates/gateway/src/instance/crash_parts.rs
+++ b/crates/gateway/src/instance/crash_parts.rs
@@ -41,7 +41,7 @@
 }
 
 impl CrashParts {
-    /// Returns whether nothing is to be decided, told or heard of.
+    /// Returns whether no crash, watched or rejected part is known.
     pub fn is_idle(&self) -> bool {
         let has_evidence = !self.evidence.borrow().is_empty();
         !self.is_any_rejected() && self.watched.borrow().is_empty() && !has_evidence
@@ -247,7 +247,7 @@
         self.announce_rejection(part, "crashes");
     }
 
-    /// Uses rejected parts again on which an answer was completed.
+    /// Ends the rejection of parts on which an answer was completed, and tells all instances.
     fn accept_parts(&self, parts: &[u64], now_ms: u64) {
         let mut rejected = self.crash_parts.rejected.borrow_mut();
         for part in parts {
