Log the rest that an engine asks for, and engines that say they leave

`rejected` now has asks_rest_ms, `sent` has paused, and `engine_leaving` is a line and a counter of its own. No decision changes.

--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -200,11 +200,12 @@
         message
     };
     log::info!(
-        "event=sent request={} engine={} software={} left_ms={left_ms} cached={} version={} others={} own={} behind={:?} origin={:?} charge={}",
+        "event=sent request={} engine={} software={} left_ms={left_ms} cached={} paused={} version={} others={} own={} behind={:?} origin={:?} charge={}",
         request.id(),
         engine.incarnation.id,
         engine.software,
         plan.is_cached,
+        plan.is_paused,
         plan.version,
         plan.load_at_choice.others.requests,
         plan.load_at_choice.own.requests,
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -40,6 +40,15 @@
         let instance = &request.instance;
         instance.record_engine_limit(incarnation, head.limit_per_s, sent_ms, now_ms());
     }
+    if head.is_leaving {
+        request.instance.counters.count("engine_leaving", "answer");
+        log::info!(
+            "event=engine_leaving request={} engine={} status={}",
+            request.id(),
+            engine.incarnation.id,
+            status.as_u16(),
+        );
+    }
     if head.not_run {
         return classify_rejection(request, &engine, &answer, plan);
     }
@@ -141,10 +150,11 @@
     }
     request.instance.counters.count("engine_rejected", reason);
     log::info!(
-        "event=rejected request={} engine={} status={} reason={reason} expected_version={} version={:?}",
+        "event=rejected request={} engine={} status={} reason={reason} asks_rest_ms={:?} expected_version={} version={:?}",
         request.id(),
         engine.incarnation.id,
         status.as_u16(),
+        answer.head.retry_after_ms,
         plan.version,
         answer.head.version,
     );
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -31,6 +31,8 @@
     /// Load that the request adds to the engine.
     pub(super) load: Load,
     pub(super) load_at_choice: LoadAtChoice,
+    /// Whether new requests to the engine were paused when it was chosen.
+    pub(super) is_paused: bool,
     /// Weights version that the engine is expected to have; 0 if none is.
     pub(super) version: u64,
     /// Whether the engine is expected to have the shared part in its cache.
@@ -339,6 +341,7 @@
             own: known_engine.own,
             others: known_engine.others,
         },
+        is_paused: known_engine.is_paused(now_ms),
         version,
         is_cached,
         fetch_from,
