--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod logs;
 mod rates;
+mod rest;
 mod retries;
 mod rollouts;
 mod settings;
