Show that engines which say they leave get requests all the same

Engines of the stand-ins answer with `Server-Leaving: 1` and stay ready in the list: 8 to 274 requests of one instance that callers sent two seconds and more after its first such answer reach the engine, where none may; also after its entry expired and came back, and at an instance that was told through a peer and reaches the engines again. Peers aren't told.

--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -11,6 +11,7 @@
 mod kept;
 mod lagging;
 mod leaving;
+mod leaving_told;
 mod logs;
 mod rates;
 mod rest;
