Send no request to an engine within the rest that it asks for

Callers were refused though engines had room, and engines that had asked for rest got 5 to 13 requests of each instance in it.

Cause: `Retry-After` of an engine was decoded and dropped. A rejection paused its engine for 150 ms whatever it asked for; the pause is a preference, which gives way where no other engine is left, isn't made longer while it lasts, and is replaced or cleared by an order of weights. Class: what an upstream says of itself, kept as a preference in a place that other knowledge overwrites.

Change: what engines say of themselves has a place of its own, by their starts, apart from health, weights and the list. A rest is a bound: it is recorded by the one function that sends requests, from any 503 or 429 whether marked as not run or not, and asked by it again right before the bytes leave, on a pooled connection as on a new one. The choice leaves resting engines out. While all rest, a request is refused at once with its own reason and the end of the first rest. A rest isn't capped or shortened; it outlasts its engine's entry, and for ten seconds another start of the engine, of which the list tells late. `Retry-After` may be a date now; of several values the longest counts.

--- /dev/null
+++ b/crates/core/src/engine_notice/barrier.rs
@@ -0,0 +1,28 @@
+use derive_more::Display;
+
+/// Why a request must not be sent to an engine now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum SendBarrier {
+    /// The engine has asked this instance to send nothing for a while.
+    #[display("The engine asked for rest, of which {left_ms} ms are left.")]
+    Resting {
+        /// Time until the end of the rest.
+        left_ms: u64,
+    },
+    /// The engine has said that it leaves, too long before the request arrived.
+    #[display("The engine said {ago_ms} ms ago that it leaves.")]
+    Leaving {
+        /// Time since the engine said so.
+        ago_ms: u64,
+    },
+}
+
+impl SendBarrier {
+    /// Returns the name of the barrier in logs and metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            SendBarrier::Resting { .. } => "resting",
+            SendBarrier::Leaving { .. } => "leaving",
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod edge;
 pub mod engine;
 pub mod engine_limit;
+pub mod engine_notice;
 pub mod kv_store;
 pub mod limits;
 pub mod membership;
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -44,6 +44,9 @@
     TimedOut,
     /// No engine can take the request.
     NoEngine,
+    /// All engines that could take the request have asked for rest. Holds the time in
+    /// milliseconds until the first rest ends.
+    EnginesRest(u64),
     /// The request would wait too long in an engine's queue. Holds the time in
     /// milliseconds after which the caller should retry.
     QueueTooLong(u64),
@@ -54,7 +57,10 @@
     /// have sent it to engines that rejected it.
     pub(super) fn may_have_arrived(&self) -> bool {
         match self {
-            Outcome::NotSent(_) | Outcome::NoEngine | Outcome::QueueTooLong(_) => false,
+            Outcome::NotSent(_)
+            | Outcome::NoEngine
+            | Outcome::EnginesRest(_)
+            | Outcome::QueueTooLong(_) => false,
             Outcome::Answer(_)
             | Outcome::NotRun(_)
             | Outcome::MayHaveRun(_)
@@ -216,7 +222,10 @@
     let sending = send(
         &request.instance,
         &request.pool,
-        Destination::Engine(&engine),
+        Destination::Engine {
+            entry: &engine,
+            request_arrived_ms: request.arrived_ms,
+        },
         build_message,
     );
     let old_weights_wait_ms = request
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -141,6 +141,11 @@
                     known_engine.pause_after_refusal(REFUSED_PAUSE_MS, now_ms);
                 }
             }
+            // The rest that it has asked for takes the place of a pause.
+            _ if answer
+                .head
+                .retry_after_ms
+                .is_some_and(|rest_ms| rest_ms > 0) => {}
             _ => known_engine.pause_after_refusal(REFUSED_PAUSE_MS, now_ms),
         }
     }
@@ -182,6 +187,11 @@
             record_engine_failure(request, engine, "lost", None);
             Outcome::MayHaveRun(engine.incarnation.id.clone())
         }
+        SendError::Barred(barrier) => {
+            let instance = &request.instance;
+            instance.counters.count("engine_barred", barrier.label());
+            Outcome::NotSent(engine.incarnation.id.clone())
+        }
         SendError::Silent => {
             record_engine_failure(request, engine, "fell_silent", None);
             Outcome::MayHaveRun(engine.incarnation.id.clone())
--- a/crates/gateway/src/callers/completion.rs
+++ b/crates/gateway/src/callers/completion.rs
@@ -62,7 +62,11 @@
 ) -> Response<AnswerBody> {
     let sends_retry_time = matches!(
         refusal,
-        Refusal::NoEngine | Refusal::OverRate | Refusal::Poison | Refusal::PoisonPart
+        Refusal::NoEngine
+            | Refusal::EnginesRest
+            | Refusal::OverRate
+            | Refusal::Poison
+            | Refusal::PoisonPart
     );
     let jitter_ms = rand::random_range(0..RETRY_JITTER_MS);
     let retry_after_ms = sends_retry_time.then(|| wait_ms.unwrap_or(DEFAULT_RETRY_MS) + jitter_ms);
--- a/crates/gateway/src/callers/directory.rs
+++ b/crates/gateway/src/callers/directory.rs
@@ -104,6 +104,7 @@
 fn metrics(instance: &Instance, _: IpAddr, _: &Request<Incoming>) -> Response<AnswerBody> {
     let mut text = instance.counters.render();
     text.push_str(&instance.mesh_traffic.render());
+    text.push_str(&instance.render_notices(now_ms()));
     Response::new(AnswerBody::buffered(text))
 }
 
--- a/crates/gateway/src/callers/pass_on.rs
+++ b/crates/gateway/src/callers/pass_on.rs
@@ -77,7 +77,7 @@
             let peer = peer.incarnation.id;
             classify(request, context, answer, peer, open_guard, now_ms)
         }
-        Ok(Err(SendError::NotSent { .. })) => {
+        Ok(Err(SendError::NotSent { .. } | SendError::Barred(_))) => {
             record_peer_failure(request, name, "not_connected");
             Outcome::NotSent(peer.incarnation.id)
         }
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -6,8 +6,9 @@
     },
     mangowalk_core::{
         kv_store::kv_store_key,
+        origin::EngineBuild,
         pool::{
-            CacheSource, ChoiceSettings, EngineEntry, EngineRequirements, KnownEngine,
+            CacheSource, ChoiceSettings, EngineEntry, EngineRequirements, EngineTable, KnownEngine,
             ListingStatus, Load, choose, choose_for_begun, choose_in_lane, find_cache_source,
             retry_after_ms,
         },
@@ -90,6 +91,7 @@
                         && !context.tried_engines.contains(id)
                         && spares_brittle(request, known_engine, memory_tokens, now_ms)
                         && instance.is_within_limit(known_engine, now_ms)
+                        && !is_barred(request, &engines, known_engine, now_ms)
                 }),
             requirements,
             version_bounds,
@@ -106,7 +108,9 @@
         Some(_) => choose_for_begun(choose_among),
         None => choose_in_lane(lane, &new_engines, choose_among, admits),
     };
-    let (chosen, lane) = chosen.ok_or(Outcome::NoEngine)?;
+    let Some((chosen, lane)) = chosen else {
+        return Err(lack_of_engines(request, context.build, &engines, now_ms));
+    };
     if let Some(retry_ms) = queue_retry_ms(request, context, chosen) {
         log_full(request, chosen);
         return Err(Outcome::QueueTooLong(retry_ms));
@@ -148,6 +152,39 @@
     Ok((entry, plan))
 }
 
+/// Returns whether an engine wants no such request now. Unlike a pause, this is no preference:
+/// the request is refused if no other engine takes it.
+fn is_barred(
+    request: &CallerRequest,
+    engines: &EngineTable,
+    engine: &KnownEngine,
+    now_ms: u64,
+) -> bool {
+    let notices = engines.notices();
+    let settings = &request.instance.settings.notices;
+    let incarnation = &engine.entry.incarnation;
+    let barrier = notices.barrier(incarnation, request.arrived_ms, settings, now_ms);
+    barrier.is_some()
+}
+
+/// Returns why no engine takes a request: all that would, at the build where its stream goes
+/// on if there is one, have asked for rest, or there is none.
+pub(super) fn lack_of_engines(
+    request: &CallerRequest,
+    build: Option<EngineBuild>,
+    engines: &EngineTable,
+    now_ms: u64,
+) -> Outcome {
+    let settings = &request.instance.settings;
+    let is_usable = |engine: &KnownEngine| {
+        !engine.is_excluded(&settings.choice.health, now_ms)
+            && build.is_none_or(|build| engine.build == Some(build))
+    };
+    let service = &request.requirements.service;
+    let rest_ms = engines.all_rest_for_ms(service, is_usable, &settings.notices, now_ms);
+    rest_ms.map_or(Outcome::NoEngine, Outcome::EnginesRest)
+}
+
 /// Returns whether a request may be sent to an engine without the risk that the engine
 /// falls over because it has to reject too much. True for engines that don't.
 fn spares_brittle(
--- a/crates/gateway/src/callers/refusal.rs
+++ b/crates/gateway/src/callers/refusal.rs
@@ -53,6 +53,9 @@
     /// No engine can run the request in time. It has not run.
     #[display("No engine is free in time; come again after the time given.")]
     NoEngine,
+    /// All engines have asked for rest. The request has not run.
+    #[display("All engines are recovering from overload; come again after the time given.")]
+    EnginesRest,
     /// The engine's answer was lost. The request may have run.
     #[display("The engine's answer was lost; the request may have run.")]
     AnswerLost,
@@ -76,7 +79,8 @@
             | Refusal::Poison
             | Refusal::PoisonPart
             | Refusal::UnknownOrigin
-            | Refusal::NoEngine => StatusCode::SERVICE_UNAVAILABLE,
+            | Refusal::NoEngine
+            | Refusal::EnginesRest => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::AnswerLost => StatusCode::BAD_GATEWAY,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -98,6 +102,7 @@
             Refusal::PoisonPart => "poison_part",
             Refusal::UnknownOrigin => "unknown_origin",
             Refusal::NoEngine => "no_engine",
+            Refusal::EnginesRest => "engines_rest",
             Refusal::AnswerLost => "answer_lost",
             Refusal::TimedOut => "timed_out",
         }
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -2,6 +2,7 @@
     super::{
         Refusal,
         attempt::{AttemptContext, EngineAnswer, Outcome, RetryCharge, attempt},
+        plan::lack_of_engines,
         request::CallerRequest,
     },
     crate::{clock::now_ms, mesh::take_retry, rollouts::record_result},
@@ -31,6 +32,28 @@
     pub(super) retry_after_ms: Option<u64>,
 }
 
+/// Longest time after which a caller is told to come back while engines rest. Others may join
+/// before.
+const MAX_REST_RETRY_MS: u64 = 60_000;
+
+impl AttemptHistory {
+    /// Returns the refusal for a request that no engine takes, and sets when its caller should
+    /// retry. `refusal` applies if the request may have run, or for want of another reason.
+    fn refuse(&mut self, lack: Outcome, refusal: Refusal) -> Refusal {
+        match (lack, refusal) {
+            (Outcome::QueueTooLong(retry_after_ms), _) => {
+                self.retry_after_ms = Some(retry_after_ms);
+                Refusal::NoEngine
+            }
+            (Outcome::EnginesRest(rest_ms), Refusal::NoEngine) => {
+                self.retry_after_ms = Some(rest_ms.min(MAX_REST_RETRY_MS));
+                Refusal::EnginesRest
+            }
+            _ => refusal,
+        }
+    }
+}
+
 /// Where a stream that an instance moves to another engine goes on.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct ResumePoint<'a> {
@@ -119,6 +142,7 @@
         if charge == RetryCharge::Retry && !take_retry(&request.instance, service).await {
             return failed_answer.ok_or(refusal);
         }
+        let build = resume_point.build.or(request.build);
         let context = AttemptContext {
             tried_engines: &attempts.tried_engines,
             can_resume_elsewhere: request.route.retry == RetryPolicy::ResumableStream
@@ -131,7 +155,7 @@
             last_event_id: resume_point
                 .last_event_id
                 .or(request.head.last_event_id.as_deref()),
-            build: resume_point.build.or(request.build),
+            build,
             give_up_ms: give_up_ms(request, attempts),
         };
         let outcome = attempt(request, &context).await;
@@ -160,7 +184,8 @@
                 attempts.not_run_count += 1;
                 attempts.tried_engines.push(name);
                 if attempts.not_run_count >= MAX_NOT_RUN_ATTEMPTS {
-                    return failed_answer.ok_or(refusal);
+                    let lack = current_lack_of_engines(request, build);
+                    return failed_answer.ok_or_else(|| attempts.refuse(lack, refusal));
                 }
             }
             Outcome::MayHaveRun(engine) => {
@@ -183,15 +208,19 @@
                 }
             }
             Outcome::TimedOut => return failed_answer.ok_or(Refusal::TimedOut),
-            Outcome::NoEngine => return failed_answer.ok_or(refusal),
-            Outcome::QueueTooLong(retry_after_ms) => {
-                attempts.retry_after_ms = Some(retry_after_ms);
-                return failed_answer.ok_or(Refusal::NoEngine);
+            lack @ (Outcome::NoEngine | Outcome::EnginesRest(_) | Outcome::QueueTooLong(_)) => {
+                return failed_answer.ok_or_else(|| attempts.refuse(lack, refusal));
             }
         }
     }
 }
 
+/// Returns why no engine takes the request now, if none does.
+fn current_lack_of_engines(request: &CallerRequest, build: Option<EngineBuild>) -> Outcome {
+    let engines = request.instance.engines.borrow();
+    lack_of_engines(request, build, &engines, now_ms())
+}
+
 /// Returns whether more than one engine of the service accepts requests.
 fn has_other_engine(request: &CallerRequest) -> bool {
     let engines = request.instance.engines.borrow();
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod drain;
 mod engine_limits;
+mod engine_notices;
 mod heartbeats;
 mod loans;
 mod passed_on;
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -2,6 +2,7 @@
     brittle::BrittleSettings,
     crash_part::CrashPartSettings,
     engine_limit::EngineLimitSettings,
+    engine_notice::NoticeSettings,
     kv_store::KvStoreSettings,
     mesh::MeshSettings,
     origin::OriginSettings,
@@ -31,6 +32,8 @@
     pub crash_parts: CrashPartSettings,
     /// Keeping to the limits on requests that engines name.
     pub engine_limits: EngineLimitSettings,
+    /// How long what engines say of themselves holds.
+    pub notices: NoticeSettings,
     /// Loss of the path to the engines, and requests that are passed on to peers then.
     pub path: PathSettings,
     /// How long and where it is known where streams began.
@@ -104,6 +107,7 @@
             brittle: BrittleSettings::default(),
             crash_parts: CrashPartSettings::default(),
             engine_limits: EngineLimitSettings::default(),
+            notices: NoticeSettings::default(),
             path: PathSettings::default(),
             origins: OriginSettings::default(),
             weights: WeightsSettings {
--- a/crates/gateway/src/upstreams/exchange.rs
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -1,12 +1,18 @@
 use {
     super::{ConnectionPool, PooledConnection, connect_to_engine, connect_to_peer},
-    crate::{clock::now_ms, instance::Instance},
+    crate::{
+        clock::{now_ms, wall_ms},
+        instance::Instance,
+    },
     bytes::Bytes,
     derive_more::{Display, Error},
     http::{Request, response},
     http_body_util::Full,
     hyper::body::Incoming,
-    mangowalk_core::pool::{EngineEntry, Incarnation},
+    mangowalk_core::{
+        engine_notice::SendBarrier,
+        pool::{EngineEntry, Incarnation},
+    },
     mangowalk_platform::{AnswerHead, BodyFraming},
     std::{net::SocketAddr, rc::Rc},
 };
@@ -29,6 +35,10 @@
     /// The engine accepts no connections and has sent nothing. It may have run the request.
     #[display("The request was sent and the engine is silent.")]
     Silent,
+    /// No byte of the request was sent, as the engine wants none.
+    #[display("The request was not sent: {_0}")]
+    #[error(ignore)]
+    Barred(#[error(not(source))] SendBarrier),
 }
 
 /// An engine's answer whose body has not been read yet.
@@ -47,7 +57,12 @@
 #[derive(Debug, Clone, Copy)]
 pub enum Destination<'a> {
     /// An engine.
-    Engine(&'a EngineEntry),
+    Engine {
+        /// Entry of the engine in the list.
+        entry: &'a EngineEntry,
+        /// When the request arrived at this instance.
+        request_arrived_ms: u64,
+    },
     /// A peer that sends the request to an engine.
     Peer {
         /// Name and start of the peer.
@@ -60,44 +75,82 @@
 impl Destination<'_> {
     fn incarnation(&self) -> &Incarnation {
         match self {
-            Destination::Engine(engine) => &engine.incarnation,
+            Destination::Engine { entry, .. } => &entry.incarnation,
             Destination::Peer { incarnation, .. } => incarnation,
         }
     }
+
+    /// Returns an error if the engine wants no such request now. It may have said so since it
+    /// was chosen, to another request.
+    fn check_barrier(&self, instance: &Instance, now_ms: u64) -> Result<(), SendError> {
+        let Destination::Engine {
+            entry,
+            request_arrived_ms,
+        } = self
+        else {
+            return Ok(());
+        };
+        let barrier = instance.send_barrier(&entry.incarnation, *request_arrived_ms, now_ms);
+        barrier.map_or(Ok(()), |barrier| Err(SendError::Barred(barrier)))
+    }
 }
 
 /// Sends a request to an engine or a peer, on a pooled connection or a new one, and
 /// waits for the head of the answer.
 ///
 /// `build_request` is called again if a pooled connection turns out to be closed
-/// before a byte was sent.
+/// before a byte was sent. What an engine says of itself in its answer is recorded.
 ///
 /// # Errors
 ///
-/// Fails if no connection can be opened or the connection ends before the head
-/// arrives. The error says whether the request may have run.
+/// Fails if the engine wants no request now, no connection can be opened or the
+/// connection ends before the head arrives. The error says whether the request may have run.
 pub async fn send(
     instance: &Instance,
     pool: &Rc<ConnectionPool>,
     destination: Destination<'_>,
     build_request: impl Fn() -> Request<Full<Bytes>>,
+) -> Result<Answer, SendError> {
+    let answer = send_once(instance, pool, destination, build_request).await?;
+    if let Destination::Engine { entry, .. } = destination {
+        instance.record_notices(entry, answer.parts.status, &answer.head, now_ms());
+    }
+    Ok(answer)
+}
+
+async fn send_once(
+    instance: &Instance,
+    pool: &Rc<ConnectionPool>,
+    destination: Destination<'_>,
+    build_request: impl Fn() -> Request<Full<Bytes>>,
 ) -> Result<Answer, SendError> {
     let incarnation = destination.incarnation();
     while let Some(pooled) = pool.take(incarnation, now_ms()) {
+        if let Err(barred) = destination.check_barrier(instance, now_ms()) {
+            pooled.return_to_pool(now_ms());
+            return Err(barred);
+        }
         match send_on(pooled, build_request()).await {
             // The pooled connection was already closed; the next one may be open.
             Err(SendError::NotSent { .. }) => {}
             result => return result,
         }
     }
+    destination.check_barrier(instance, now_ms())?;
     let connected = match destination {
-        Destination::Engine(engine) => connect_to_engine(instance, engine).await,
+        Destination::Engine { entry, .. } => connect_to_engine(instance, entry).await,
         Destination::Peer { address, .. } => connect_to_peer(instance, address).await,
     };
     let (sender, task) = connected.map_err(|error| SendError::NotSent {
         reason: error.to_string(),
     })?;
-    send_on(pool.wrap(incarnation, sender, task), build_request()).await
+    let connection = pool.wrap(incarnation, sender, task);
+    // The engine may have said so while the connection was opened.
+    if let Err(barred) = destination.check_barrier(instance, now_ms()) {
+        connection.return_to_pool(now_ms());
+        return Err(barred);
+    }
+    send_on(connection, build_request()).await
 }
 
 async fn send_on(
@@ -120,7 +173,7 @@
         }
     };
     let (parts, body) = response.into_parts();
-    let head = AnswerHead::decode(parts.status, &parts.headers);
+    let head = AnswerHead::decode(parts.status, &parts.headers, wall_ms());
     connection.set_keep_alive_s(head.keep_alive_s);
     if head.closes_connection || head.framing == BodyFraming::Connection {
         connection.set_closing();
