Send nothing to an engine that has said that it leaves

Cause: `Server-Leaving` was read nowhere. What an instance knew of departures came from the list, and the word of an engine that another has its address expires after four seconds. Class: as with rests, what an upstream says of itself isn't kept, or is kept where it expires.

Change: it is kept by the engine's start, as long as its entry may come back. The engine gets no new work from then on, and is barred, right before the send, from requests that arrive after half of the time for which it serves; until then it takes what no other engine can, such as a stream of its software version. It gets no orders of weights, and no engine fetches parts from it or from a resting one. A peer that serves a request for an instance without a path tells that instance which engine it was. Peers are told once; in a fleet of 300 that is about a datagram each, and one for each failure domain to relay.

--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -2,7 +2,7 @@
     super::Heartbeat,
     crate::{
         canary::CanaryMessage, crash_part::PartMessage, engine_limit::EngineLimitReport,
-        kv_store::KvStoreReport, path::PathReport,
+        engine_notice::LeavingReport, kv_store::KvStoreReport, path::PathReport,
     },
     derive_more::{Display, Error, From},
     serde::{Deserialize, Serialize},
@@ -20,9 +20,10 @@
 /// version 5 on they tell and ask each other where streams began, on a port of their own,
 /// and keep streams that are passed on at their software version. From version 6 on they
 /// lend each other retries, on a port of their own. Version 7 adds
-/// [`PeerMessage::EngineLimits`], and version 8 [`PeerMessage::Part`] and
-/// [`PeerMessage::PartToRelay`].
-pub const EXCHANGE_VERSION: u8 = 8;
+/// [`PeerMessage::EngineLimits`], version 8 [`PeerMessage::Part`] and
+/// [`PeerMessage::PartToRelay`], and version 9 [`PeerMessage::LeavingEngines`] and
+/// [`PeerMessage::LeavingEnginesToRelay`].
+pub const EXCHANGE_VERSION: u8 = 9;
 
 /// Version of the exchange from which on packs, reports on KV cache stores and partial
 /// reports on teams are understood.
@@ -55,6 +56,9 @@
 /// crash engines.
 pub const PARTS_VERSION: u8 = 8;
 
+/// Version of the exchange from which on instances tell each other of engines that leave.
+pub const LEAVING_VERSION: u8 = 9;
+
 /// Maximum size of a message before its compression: twice a datagram. The size that a
 /// datagram names is not trusted beyond it.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_DATAGRAM_BYTES;
@@ -111,6 +115,10 @@
     Part(Box<PartMessage>),
     /// The same, to a receiver that relays it within its failure domain.
     PartToRelay(Box<PartMessage>),
+    /// Engines that have told the author that they leave.
+    LeavingEngines(Vec<LeavingReport>),
+    /// The same, to a receiver that relays it within its failure domain.
+    LeavingEnginesToRelay(Vec<LeavingReport>),
 }
 
 /// Why a datagram could not be decoded or a message not be encoded.
@@ -144,6 +152,9 @@
             PeerMessage::Path(_) => "path",
             PeerMessage::EngineLimits(_) => "engine_limits",
             PeerMessage::Part(_) | PeerMessage::PartToRelay(_) => "part",
+            PeerMessage::LeavingEngines(_) | PeerMessage::LeavingEnginesToRelay(_) => {
+                "leaving_engines"
+            }
             PeerMessage::Compressed(_) => "compressed",
         }
     }
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -13,8 +13,9 @@
     members::{Liveness, Member, MemberTable, Targets},
     message::{
         BUNDLE_BYTES, CANARY_VERSION, COMPRESSION_VERSION, EXCHANGE_VERSION, GROUPS_VERSION,
-        LIMITS_VERSION, LOANS_VERSION, MAX_DATAGRAM_BYTES, MessageError, ORIGINS_VERSION,
-        PACK_BYTES, PACKS_VERSION, PARTS_VERSION, PASSING_VERSION, PeerMessage, split_packs,
+        LEAVING_VERSION, LIMITS_VERSION, LOANS_VERSION, MAX_DATAGRAM_BYTES, MessageError,
+        ORIGINS_VERSION, PACK_BYTES, PACKS_VERSION, PARTS_VERSION, PASSING_VERSION, PeerMessage,
+        split_packs,
     },
     relay_budget::RelayBudget,
     settings::MeshSettings,
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -15,6 +15,7 @@
 mod requirements;
 mod software_lane;
 mod table;
+mod table_notices;
 mod turnover;
 
 pub use {
@@ -31,6 +32,6 @@
     prompt_length::MeanPromptLength,
     requirements::{EngineRequirements, PromptPart},
     software_lane::{choose_for_begun, choose_in_lane},
-    table::{EngineTable, short_hash},
+    table::{EngineTable, Standing, short_hash},
     turnover::Turnover,
 };
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -1,12 +1,9 @@
 use {
     super::{
-        Departure, EngineEntry, Incarnation, KnownEngine, ListPart, ListingStatus, Load,
-        departures::Departures, rendezvous,
-    },
-    crate::{
-        canary::SoftwareRole,
-        engine_notice::{EngineNotices, LeavingReport, NoticeSettings},
+        Departure, EngineEntry, KnownEngine, ListPart, ListingStatus, Load, departures::Departures,
+        rendezvous,
     },
+    crate::{canary::SoftwareRole, engine_notice::EngineNotices},
     std::collections::{BTreeMap, HashMap, HashSet},
 };
 
@@ -14,6 +11,15 @@
 /// confirmation by the list. Engines also close connections for other reasons.
 const LEAVING_REPORT_MS: u64 = 4_000;
 
+/// What an engine that is listed and serves has said of its own future.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing.
+    Staying,
+    /// That it leaves. It serves for a while.
+    Departing,
+}
+
 /// Returns a short hash of the name of an engine, which peers exchange.
 pub fn short_hash(id: &str) -> u32 {
     rendezvous(0, id) as u32
@@ -22,11 +28,11 @@
 /// The listed engines and the known state of each.
 #[derive(Debug, Default)]
 pub struct EngineTable {
-    engines: BTreeMap<String, KnownEngine>,
+    pub(super) engines: BTreeMap<String, KnownEngine>,
     /// Names of the engines by the short hash that peers use.
     ids_by_hash: HashMap<u32, String>,
     departures: Departures,
-    notices: EngineNotices,
+    pub(super) notices: EngineNotices,
     peer_loads: HashMap<String, HashMap<String, Load>>,
     list_revision: u64,
     list_received_ms: u64,
@@ -267,125 +273,51 @@
         self.engines.values()
     }
 
-    /// Returns what the engines have said of themselves.
-    pub fn notices(&self) -> &EngineNotices {
-        &self.notices
-    }
-
-    /// Records that an engine wants no requests of this instance for `rest_ms`. Returns whether
-    /// its rest ends later than before.
-    pub fn record_rest(
-        &mut self,
-        engine: &Incarnation,
-        rest_ms: u64,
-        settings: &NoticeSettings,
-        now_ms: u64,
-    ) -> bool {
-        let is_later = self.notices.record_rest(engine, rest_ms, settings, now_ms);
-        self.prune_notices(settings, now_ms);
-        is_later
-    }
-
-    /// Records that an engine has said that it leaves. Returns whether this is news.
-    pub fn record_leaving(
-        &mut self,
-        engine: &Incarnation,
-        settings: &NoticeSettings,
-        now_ms: u64,
-    ) -> bool {
-        let is_news = self.notices.record_leaving(engine, settings, now_ms);
-        self.prune_notices(settings, now_ms);
-        is_news
-    }
-
-    /// Records that a peer has heard from an engine that it leaves. Returns whether this is
-    /// news. A report on another start of the engine than the listed one is ignored, as the
-    /// engine may have started again since.
-    pub fn apply_leaving_report(
-        &mut self,
-        report: &LeavingReport,
-        settings: &NoticeSettings,
-        now_ms: u64,
-    ) -> bool {
-        let incarnation = report.incarnation();
-        let listed = self.engines.get(&report.engine);
-        if listed.is_some_and(|engine| engine.entry.incarnation != incarnation) {
-            return false;
-        }
-        let is_news = self.notices.apply_report(report, settings, now_ms);
-        self.prune_notices(settings, now_ms);
-        is_news
-    }
-
-    fn prune_notices(&mut self, settings: &NoticeSettings, now_ms: u64) {
-        if self.notices.len() > self.engines.len() + settings.max_unlisted {
-            let engines = &self.engines;
-            let is_listed = |id: &str| engines.contains_key(id);
-            self.notices.prune(is_listed, settings, now_ms);
-        }
-    }
-
-    /// Returns the time until the first engine of a service that would be used otherwise ends
-    /// its rest; `None` unless all of them rest. `is_usable` tells which would be used.
-    pub fn all_rest_for_ms(
-        &self,
-        service: &str,
-        is_usable: impl Fn(&KnownEngine) -> bool,
-        settings: &NoticeSettings,
-        now_ms: u64,
-    ) -> Option<u64> {
-        let usable = self
-            .accepting_engines(service, now_ms)
-            .filter(|engine| is_usable(engine));
-        let rests = usable.map(|engine| {
-            let incarnation = &engine.entry.incarnation;
-            self.notices.rest_left_ms(incarnation, settings, now_ms)
-        });
-        let rests: Option<Vec<u64>> = rests.collect();
-        rests?.into_iter().min()
-    }
-
     /// Returns the engines that neither the list, nor a peer, nor the engine itself reports as
     /// leaving or gone.
     pub fn staying_engines(&self, now_ms: u64) -> impl Iterator<Item = &KnownEngine> + Clone {
-        self.engines.values().filter(move |engine| {
-            let is_gone = engine
-                .missing_until_ms
-                .is_some_and(|until_ms| now_ms >= until_ms);
-            let is_leaving = engine.entry.draining || is_gone;
-            let has_said_so = self.notices.leaving_since_ms(&engine.entry.incarnation);
-            !is_leaving && has_said_so.is_none() && !self.departures.is_reported(&engine.entry)
-        })
+        let engines = self.engines.values();
+        engines.filter(move |engine| self.standing(engine, now_ms) == Some(Standing::Staying))
     }
 
-    /// Returns the engines of a service that have said that they leave and still serve, as far
-    /// as the list and peers tell.
-    pub fn departing_engines<'a>(
+    /// Returns the engines of a service that accept new work.
+    pub fn accepting_engines<'a>(
         &'a self,
         service: &'a str,
+        now_ms: u64,
     ) -> impl Iterator<Item = &'a KnownEngine> + Clone {
-        self.engines.values().filter(move |engine| {
-            let has_said_so = self.notices.leaving_since_ms(&engine.entry.incarnation);
-            engine.entry.service == service
-                && has_said_so.is_some()
-                && !engine.entry.draining
-                && engine.missing_since_ms.is_none()
-                && !self.departures.is_reported(&engine.entry)
-        })
+        self.serving_engines(service, Standing::Staying, now_ms)
     }
 
-    /// Returns the engines of a service that accept new work.
-    pub fn accepting_engines<'a>(
+    /// Returns the engines of a service with a standing that aren't suspected to be gone.
+    pub fn serving_engines<'a>(
         &'a self,
         service: &'a str,
+        standing: Standing,
         now_ms: u64,
     ) -> impl Iterator<Item = &'a KnownEngine> + Clone {
-        let staying_engines = self.staying_engines(now_ms);
-        staying_engines.filter(move |engine| {
+        self.engines.values().filter(move |engine| {
             engine.entry.service == service
                 && engine
                     .leaving_since_ms
                     .is_none_or(|since_ms| now_ms > since_ms + LEAVING_REPORT_MS)
+                && self.standing(engine, now_ms) == Some(standing)
+        })
+    }
+
+    /// Returns the standing of an engine; `None` if the list or a peer reports it as leaving or
+    /// gone.
+    fn standing(&self, engine: &KnownEngine, now_ms: u64) -> Option<Standing> {
+        let is_gone = engine
+            .missing_until_ms
+            .is_some_and(|until_ms| now_ms >= until_ms);
+        if engine.entry.draining || is_gone || self.departures.is_reported(&engine.entry) {
+            return None;
+        }
+        let incarnation = &engine.entry.incarnation;
+        Some(match self.notices.leaving_since_ms(incarnation) {
+            None => Standing::Staying,
+            Some(_) => Standing::Departing,
         })
     }
 
--- a/crates/gateway/src/callers/buffered.rs
+++ b/crates/gateway/src/callers/buffered.rs
@@ -3,6 +3,7 @@
         AnswerBody, Refusal,
         attempt::EngineAnswer,
         completion::{record_answered_request, record_complete_answer, refuse},
+        forwarded_headers::forwarded_headers,
         guards::OpenRequestGuard,
         request::CallerRequest,
         retry::{AttemptHistory, ResumePoint, send_with_retries},
@@ -12,7 +13,6 @@
     http::Response,
     http_body_util::{BodyExt, Limited},
     mangowalk_core::canary::Sample,
-    mangowalk_platform::answer_headers,
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
 };
@@ -67,9 +67,10 @@
         record_result(&request.instance, engine, &request.route, sample);
     }
     record_answered_request(request, &answered);
+    let headers = forwarded_headers(request, &answered);
     answered.answer.connection.return_to_pool(now_ms());
     let mut response = Response::new(AnswerBody::buffered(body));
     *response.status_mut() = status;
-    *response.headers_mut() = answer_headers(&answered.answer.parts.headers);
+    *response.headers_mut() = headers;
     response
 }
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -40,15 +40,6 @@
         let instance = &request.instance;
         instance.record_engine_limit(incarnation, head.limit_per_s, sent_ms, now_ms());
     }
-    if head.is_leaving {
-        request.instance.counters.count("engine_leaving", "answer");
-        log::info!(
-            "event=engine_leaving request={} engine={} status={}",
-            request.id(),
-            engine.incarnation.id,
-            status.as_u16(),
-        );
-    }
     if head.not_run {
         return classify_rejection(request, &engine, &answer, plan);
     }
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -7,6 +7,7 @@
 mod classify;
 mod completion;
 mod directory;
+mod forwarded_headers;
 mod guards;
 mod listener;
 mod pass_on;
--- a/crates/gateway/src/callers/pass_on.rs
+++ b/crates/gateway/src/callers/pass_on.rs
@@ -148,6 +148,9 @@
 ) -> Outcome {
     let head = &answer.head;
     let status = answer.parts.status;
+    if let Some(engine) = &head.leaving_engine {
+        request.instance.record_leaving(engine, head, now_ms());
+    }
     if head.is_signed && head.request_id.as_deref() == Some(request.id()) {
         let build = head.build;
         let is_confirmed = context.build.is_none() || build == context.build;
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -9,8 +9,8 @@
         origin::EngineBuild,
         pool::{
             CacheSource, ChoiceSettings, EngineEntry, EngineRequirements, EngineTable, KnownEngine,
-            ListingStatus, Load, choose, choose_for_begun, choose_in_lane, find_cache_source,
-            retry_after_ms,
+            ListingStatus, Load, Standing, choose, choose_for_begun, choose_in_lane,
+            find_cache_source, retry_after_ms,
         },
     },
     mangowalk_platform::{Forward, forward_headers},
@@ -78,10 +78,10 @@
     let settings = &adapted_choice(request, memory_tokens, count, now_ms);
     let version_bounds = request.version_bounds(now_ms);
     let draw = rand::random();
-    let choose_among = |usable: &dyn Fn(&KnownEngine) -> bool| {
+    let choose_with = |standing: Standing, usable: &dyn Fn(&KnownEngine) -> bool| {
         choose(
             engines
-                .accepting_engines(&requirements.service, now_ms)
+                .serving_engines(&requirements.service, standing, now_ms)
                 .filter(|known_engine| {
                     let id = &known_engine.entry.incarnation.id;
                     usable(known_engine)
@@ -101,6 +101,10 @@
             now_ms,
         )
     };
+    // An engine that leaves gets only what no other one can take.
+    let choose_among = |usable: &dyn Fn(&KnownEngine) -> bool| {
+        choose_with(Standing::Staying, usable).or_else(|| choose_with(Standing::Departing, usable))
+    };
     let lane = software_lane(request, context, now_ms);
     let admits = |engine: &KnownEngine| queue_retry_ms(request, context, engine).is_none();
     let new_engines = new_engines(&engines, &requirements.service);
@@ -119,7 +123,9 @@
     let source = find_cache_source(
         chosen,
         requirements,
-        engines.iter(),
+        engines
+            .staying_engines(now_ms)
+            .filter(|source| !is_barred(request, &engines, source, now_ms)),
         settings.retention_ms,
         draw,
         now_ms,
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -4,6 +4,7 @@
         answer::ByteStream,
         attempt::{AnswerSource, EngineAnswer, SILENCE_CHECK_INTERVAL_MS},
         completion::{record_answered_request, record_complete_answer},
+        forwarded_headers::forwarded_headers,
         guards::OpenRequestGuard,
         request::{CallerRequest, Origin},
         retry::{AttemptHistory, ResumePoint, send_with_retries},
@@ -20,7 +21,7 @@
         routing::RetryPolicy,
         stream::{EventScanner, EventSplitter, StreamEnd},
     },
-    mangowalk_platform::{AnswerHead, BodyFraming, answer_headers, insert_build},
+    mangowalk_platform::{AnswerHead, BodyFraming},
     std::{rc::Rc, time::Duration},
     tokio::time::timeout,
 };
@@ -148,12 +149,7 @@
     attempts: AttemptHistory,
     open_request: OpenRequestGuard,
 ) -> Response<AnswerBody> {
-    let mut headers = answer_headers(&answered.answer.parts.headers);
-    if request.origin == Origin::Peer
-        && let Some(build) = answered.build(&request.instance)
-    {
-        insert_build(&mut headers, build);
-    }
+    let headers = forwarded_headers(&request, &answered);
     let status = answered.answer.parts.status;
     let forwarder = StreamForwarder {
         events: ForwardedEvents::of(&request, &answered.answer.head),
--- a/crates/gateway/src/instance/engine_notices.rs
+++ b/crates/gateway/src/instance/engine_notices.rs
@@ -2,7 +2,7 @@
     super::Instance,
     http::StatusCode,
     mangowalk_core::{
-        engine_notice::SendBarrier,
+        engine_notice::{LeavingReport, SendBarrier},
         pool::{EngineEntry, Incarnation},
     },
     mangowalk_platform::AnswerHead,
@@ -22,6 +22,9 @@
         if is_other {
             return;
         }
+        if head.is_leaving {
+            self.record_leaving(&engine.incarnation, head, now_ms);
+        }
         let asks_for_rest = matches!(
             status,
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
@@ -31,6 +34,39 @@
         }
     }
 
+    /// Records that an engine says in its answer that it leaves, and tells peers.
+    pub fn record_leaving(&self, engine: &Incarnation, head: &AnswerHead, now_ms: u64) {
+        let settings = &self.settings.notices;
+        let mut engines = self.engines.borrow_mut();
+        if !engines.record_leaving(engine, settings, now_ms) {
+            return;
+        }
+        drop(engines);
+        let report = LeavingReport {
+            engine: engine.id.clone(),
+            born_ms: engine.born_ms,
+            age_ms: 0,
+        };
+        self.leaving_reports.borrow_mut().push(report);
+        self.wake_ups.leaving_engines.notify_one();
+        self.counters.count("engine_leaving", "answer");
+        log::info!(
+            "event=engine_leaving request={} engine={} source=answer",
+            head.request_id.as_deref().unwrap_or("none"),
+            engine.id,
+        );
+    }
+
+    /// Applies what a peer tells of an engine that leaves.
+    pub fn receive_leaving_report(&self, report: &LeavingReport, now_ms: u64) {
+        let settings = &self.settings.notices;
+        let mut engines = self.engines.borrow_mut();
+        if engines.apply_leaving_report(report, settings, now_ms) {
+            self.counters.count("engine_leaving", "peer");
+            log::info!("event=engine_leaving engine={} source=peer", report.engine);
+        }
+    }
+
     fn record_rest(&self, engine: &Incarnation, rest_ms: u64, head: &AnswerHead, now_ms: u64) {
         let settings = &self.settings.notices;
         let mut engines = self.engines.borrow_mut();
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -8,6 +8,7 @@
         brittle::BrittleEngines,
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
         engine_limit::{EngineLimitReport, EngineLimits},
+        engine_notice::LeavingReport,
         kv_store::KvStores,
         mesh::{Bundle, MemberTable, OrderReport, PACKS_VERSION, RelayBudget},
         path::{PeerPaths, ServicePaths},
@@ -61,6 +62,8 @@
     pub engine_limits: RefCell<EngineLimits>,
     /// Limits of engines that peers are still to be told.
     pub limit_reports: RefCell<Vec<EngineLimitReport>>,
+    /// Engines that leave, of which peers are still to be told.
+    pub leaving_reports: RefCell<Vec<LeavingReport>>,
     /// The paths of this instance to the engines of each service.
     pub service_paths: RefCell<ServicePaths>,
     /// Locks by service, each held while it is checked whether the path is lost.
@@ -154,6 +157,7 @@
             brittle: RefCell::default(),
             engine_limits: RefCell::default(),
             limit_reports: RefCell::default(),
+            leaving_reports: RefCell::default(),
             service_paths: RefCell::default(),
             path_checks: RefCell::default(),
             peer_paths: RefCell::default(),
--- a/crates/gateway/src/instance/wake_ups.rs
+++ b/crates/gateway/src/instance/wake_ups.rs
@@ -27,4 +27,6 @@
     pub kept_parts: Notify,
     /// Sent when peers are to be told a limit that an engine has named.
     pub limits: Notify,
+    /// Sent when peers are to be told of an engine that leaves.
+    pub leaving_engines: Notify,
 }
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -9,6 +9,7 @@
         mesh::Direction,
     },
     mangowalk_core::{
+        engine_notice::LeavingReport,
         mesh::{
             Heartbeat, MAX_DATAGRAM_BYTES, Member, PACK_BYTES, PeerMessage, Targets, TeamReport,
             split_packs,
@@ -128,6 +129,12 @@
                 instance.receive_limit_report(report, now_ms);
             }
         }
+        PeerMessage::LeavingEngines(reports) => receive_leaving(instance, &reports, now_ms),
+        PeerMessage::LeavingEnginesToRelay(reports) => {
+            let relayed = PeerMessage::LeavingEngines(reports.clone());
+            relay(instance, socket, &relayed, exchange_version);
+            receive_leaving(instance, &reports, now_ms);
+        }
         PeerMessage::Part(message) => instance.receive_part_message(&message, now_ms),
         PeerMessage::PartToRelay(message) => {
             let relayed = PeerMessage::Part(message.clone());
@@ -139,6 +146,12 @@
     }
 }
 
+fn receive_leaving(instance: &Instance, reports: &[LeavingReport], now_ms: u64) {
+    for report in reports {
+        instance.receive_leaving_report(report, now_ms);
+    }
+}
+
 /// Applies the heartbeats of a pack. All their authors understand packs, as whoever
 /// sends one makes sure of.
 fn receive_pack(
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -1,6 +1,7 @@
 //! Heartbeats between instances.
 
 mod exchange;
+mod leaving;
 mod limits;
 mod loans;
 mod origins;
@@ -11,6 +12,7 @@
 
 pub use {
     exchange::exchange,
+    leaving::report_leaving_engines,
     limits::report_limits,
     loans::{exchange_loans, take_retry},
     origins::{exchange_origins, find_origin, tell_origin},
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,6 +16,7 @@
     },
     derive_more::{Display, Error},
     mangowalk_core::{
+        engine_notice::NoticeSettings,
         pool::Incarnation,
         weights::{OrderLeaseSettings, WeightsSettings},
     },
@@ -165,9 +166,14 @@
         start_until_ms: machine.weights_ms.saturating_sub(MAX_CANCEL_MS),
         ..defaults.weights
     };
+    let notices = NoticeSettings {
+        last_use_ms: machine.drain_ms / 2,
+        ..defaults.notices
+    };
     let settings = GatewaySettings {
         lease,
         weights,
+        notices,
         ..defaults
     };
     let callers = listen(machine.caller_address).await?;
@@ -207,6 +213,10 @@
         "engine_limits",
         mesh::report_limits(instance.clone(), peers.clone()),
     );
+    tasks.start(
+        "leaving_engines",
+        mesh::report_leaving_engines(instance.clone(), peers.clone()),
+    );
     tasks.start(
         "crash_parts",
         mesh::exchange_parts(instance.clone(), peers.clone()),
--- a/crates/mangowalkd/tests/machines/leaving_told.rs
+++ b/crates/mangowalkd/tests/machines/leaving_told.rs
@@ -167,6 +167,10 @@
     );
     assert!(!leaving.answers_leaving().is_empty(), "the engine is used");
     thread::sleep(DRAIN_TIME);
+    // No other engine is left for it.
+    deployment
+        .store
+        .remove("servers", deployment.services[0].id());
     paths[0].set(PathState::Open);
     let later = send_to(
         &deployment,
@@ -195,6 +199,67 @@
     assert_eq!(leaving.arrivals().len(), before);
 }
 
+/// Guards against a stream that is broken off although the only other engine with its software
+/// version, which leaves, still serves; and against one that goes on there when that is over.
+#[test]
+fn a_stream_goes_on_at_an_engine_that_leaves_only_while_that_serves() {
+    let deployment = Deployment::start_versions(PROGRAM, 1, &["v1", "v1", "v2"]);
+    let [cut, leaving, other] = &deployment.engines[..] else {
+        panic!("three engines");
+    };
+    let refuses = EngineFaults {
+        refuses_as_not_run: true,
+        ..EngineFaults::default()
+    };
+    cut.set_faults(refuses.clone());
+    other.set_faults(refuses);
+    leaving.set_faults(EngineFaults::leaves());
+    let send_stream = || {
+        let id = Caller::new_request_id();
+        send(&deployment.caller(0), RouteKind::Resumable, &id)
+    };
+    wait_until("the engine has said that it leaves", || {
+        send_stream();
+        !leaving.answers_leaving().is_empty()
+    });
+    cut.set_faults(EngineFaults {
+        cut_after_events: Some(4),
+        ..EngineFaults::default()
+    });
+    let early = send_stream();
+    assert!(early.is_complete_stream(), "{early:?}");
+    thread::sleep(DRAIN_TIME);
+    let before = leaving.arrivals().len();
+    let late = send_stream();
+    assert!(!late.is_complete_stream());
+    assert_eq!(leaving.arrivals().len(), before);
+}
+
+/// Guards against weights that an engine loads which is about to be gone, and against others
+/// that wait for it.
+#[test]
+fn an_engine_that_leaves_gets_no_order() {
+    let deployment = Deployment::start(PROGRAM, 2, 3);
+    let leaving = &deployment.engines[0];
+    leaving.set_faults(EngineFaults::leaves());
+    wait_until("the engine has said that it leaves", || {
+        send_to_all(
+            &deployment,
+            RouteKind::Resumable,
+            Duration::from_millis(200),
+        );
+        !leaving.answers_leaving().is_empty()
+    });
+    deployment.publish_weights(2);
+    wait_until("the others have the new weights", || {
+        deployment.engines[1..]
+            .iter()
+            .all(|engine| engine.version() == 2)
+    });
+    thread::sleep(Duration::from_millis(500));
+    assert!(leaving.orders().is_empty());
+}
+
 /// Guards against values of the header that don't say that an engine leaves.
 #[test]
 fn odd_values_send_no_engine_away() {
