Soak engines that ask for rest and engines that say they leave

Each machine and engine is checked for what arrives within a rest, and for requests sent two seconds after the first answer that told; restarts and freezes excuse both, and a cut the rest, as peers send a cut machine's requests.

--- a/crates/mangowalkd/tests/soak/check.rs
+++ b/crates/mangowalkd/tests/soak/check.rs
@@ -3,6 +3,7 @@
         check_load::check_load,
         crashing_part::{CrashingRequest, check_crashing_part},
         faults::{Departure, Faults, Span},
+        notices::check_notices,
         traffic::SentRequest,
     },
     mangowalk_platform_standins::{RouteKind, Run},
@@ -67,6 +68,7 @@
     violations.extend(check_recovery(faults, requests, recovered));
     violations.extend(check_descriptors(faults));
     violations.extend(check_load(faults, requests));
+    violations.extend(check_notices(faults, requests));
     violations.extend(check_crashing_part(faults, crashing));
     violations
 }
--- a/crates/mangowalkd/tests/soak/faults.rs
+++ b/crates/mangowalkd/tests/soak/faults.rs
@@ -26,6 +26,7 @@
     RestoreEngine(String),
     RestoreKey,
     RestorePaths(usize),
+    Leave(String),
 }
 
 /// Departure of an engine, at the time of the write that sets it to draining or removes
@@ -62,6 +63,11 @@
 /// milliseconds.
 const DRAIN_MS: u64 = 2_200;
 
+/// Returns tenths of a second as seconds.
+fn seconds(tenths_s: u32) -> String {
+    format!("{}.{}", tenths_s / 10, tenths_s % 10)
+}
+
 /// Injects faults and records the intervals in which they affect machines, the store
 /// and the key.
 pub(crate) struct Faults {
@@ -79,6 +85,8 @@
     pub(crate) disturbed: Vec<Vec<Span>>,
     /// Intervals in which a machine's process was not running, by machine.
     pub(crate) stopped: Vec<Vec<Span>>,
+    /// Intervals in which a machine was cut off from the engines, by machine.
+    pub(crate) cut: Vec<Vec<Span>>,
     /// Number of current `Fault::Refuse` per machine. They can overlap.
     refusals: Vec<usize>,
     pub(crate) store_disturbed: Vec<Span>,
@@ -109,6 +117,7 @@
             listed: engines.map(|engine| engine.id().to_owned()).collect(),
             disturbed: deployment.machines.iter().map(|_| Vec::new()).collect(),
             stopped: deployment.machines.iter().map(|_| Vec::new()).collect(),
+            cut: deployment.machines.iter().map(|_| Vec::new()).collect(),
             refusals: deployment.machines.iter().map(|_| 0).collect(),
             cuts: paths.iter().map(|_| 0).collect(),
             deployment,
@@ -286,6 +295,8 @@
             } => {
                 self.paths[machine].set(state);
                 self.cuts[machine] += 1;
+                let to = now + Duration::from_millis(for_ms);
+                self.cut[machine].push(Span { from: now, to });
                 self.mark_disturbed(machine, now, for_ms);
                 self.schedule(now, for_ms, Action::RestorePaths(machine));
             }
@@ -329,6 +340,20 @@
                 tenths_per_s,
                 for_ms,
             } => self.name_limit(f64::from(tenths_per_s) / 10.0, for_ms, now),
+            Fault::AskRest {
+                is_model,
+                tenths_s,
+                for_ms,
+            } => {
+                let faults = EngineFaults::asks_for_rest(&seconds(tenths_s));
+                self.set_engine_faults(is_model, faults, for_ms, now);
+            }
+            Fault::AllAskRest {
+                is_model,
+                tenths_s,
+                for_ms,
+            } => self.all_ask_for_rest(is_model, &seconds(tenths_s), for_ms, now),
+            Fault::SayLeaving { is_model, for_ms } => self.say_leaving(is_model, for_ms, now),
             Fault::NameWeights => {
                 self.weights += 1;
                 self.deployment.publish_weights(self.weights);
@@ -372,6 +397,7 @@
             Action::RestoreStore => self.deployment.store.set_fault(StoreFault::None),
             Action::EndReadLag => self.deployment.store.set_lagging(false),
             Action::RemoveEntry(id) => self.deployment.store.remove("servers", &id),
+            Action::Leave(id) => self.leave(&id, now),
             Action::AddEngine { is_model } => self.add_engine(is_model),
             Action::ExpireEntries => {
                 self.entries_expired = true;
@@ -416,6 +442,21 @@
         Some(id)
     }
 
+    /// Takes an engine that has said that it leaves off the list, unless another fault did.
+    fn leave(&mut self, id: &str, now: Instant) {
+        let Some(index) = self.listed.iter().position(|listed| listed == id) else {
+            return;
+        };
+        self.listed.remove(index);
+        self.departures.push(Departure {
+            engine: id.to_owned(),
+            at: now,
+        });
+        self.deployment.store.remove("servers", id);
+        let is_model = id.starts_with('e');
+        self.schedule(now, 500, Action::AddEngine { is_model });
+    }
+
     /// Returns the software version of the next engine that joins: two of each version.
     fn joining_software(&self) -> String {
         let version = match self.is_mixed {
@@ -468,6 +509,38 @@
         }
     }
 
+    /// Makes all listed engines of a kind refuse requests and ask for rest, but those that name
+    /// a limit.
+    fn all_ask_for_rest(&mut self, is_model: bool, seconds: &str, for_ms: u64, now: Instant) {
+        let prefix = if is_model { 'e' } else { 's' };
+        let of_kind = self.listed.iter().filter(|id| id.starts_with(prefix));
+        let has_limit = |id: &str| {
+            let mut limits = self.limits.iter();
+            limits.any(|limit| limit.engine == id && limit.span.to >= now)
+        };
+        let ids: Vec<String> = of_kind.filter(|id| !has_limit(id)).cloned().collect();
+        for id in ids {
+            if let Some(engine) = self.engine(&id) {
+                self.set_faults(engine, EngineFaults::asks_for_rest(seconds));
+            }
+            self.schedule(now, for_ms, Action::RestoreEngine(id));
+        }
+    }
+
+    /// Lets the first engine of a kind say that it leaves, unless it is the last one.
+    fn say_leaving(&mut self, is_model: bool, for_ms: u64, now: Instant) {
+        let prefix = if is_model { 'e' } else { 's' };
+        let mut of_kind = self.listed.iter().filter(|id| id.starts_with(prefix));
+        let (Some(id), Some(_)) = (of_kind.next().cloned(), of_kind.next()) else {
+            return;
+        };
+        if let Some(engine) = self.engine(&id) {
+            self.set_faults(engine, EngineFaults::leaves());
+        }
+        self.end_limits(&id, now);
+        self.schedule(now, DRAIN_MS + for_ms, Action::Leave(id));
+    }
+
     /// Lets the first engine of the plain service name a limit, unless one has named one.
     fn name_limit(&mut self, per_s: f64, for_ms: u64, now: Instant) {
         let first = self.listed.iter().find(|id| id.starts_with('s'));
--- a/crates/mangowalkd/tests/soak/main.rs
+++ b/crates/mangowalkd/tests/soak/main.rs
@@ -9,6 +9,7 @@
 mod check_load;
 mod crashing_part;
 mod faults;
+mod notices;
 mod play;
 mod schedule;
 mod traffic;
--- a/crates/mangowalkd/tests/soak/schedule.rs
+++ b/crates/mangowalkd/tests/soak/schedule.rs
@@ -1,4 +1,5 @@
 use {
+    super::notices::notice_schedule,
     mangowalk_platform_standins::PathState,
     rand::{Rng, SeedableRng, rngs::SmallRng},
 };
@@ -52,6 +53,21 @@
     RejectAll { for_ms: u64 },
     /// All instances are killed and restarted.
     KillAll,
+    /// An engine refuses requests and asks for rest.
+    AskRest {
+        is_model: bool,
+        tenths_s: u32,
+        for_ms: u64,
+    },
+    /// All engines of a kind do so.
+    AllAskRest {
+        is_model: bool,
+        tenths_s: u32,
+        for_ms: u64,
+    },
+    /// An engine says in its answers that it leaves, and does so after the time. Its entry
+    /// stays as it is until then. Another one joins.
+    SayLeaving { is_model: bool, for_ms: u64 },
     /// An engine of the plain service names a limit in tenths of a request a second.
     Limit { tenths_per_s: u32, for_ms: u64 },
 }
@@ -94,6 +110,7 @@
     let mut scheduled = first_schedule(seed, faults_ms, machines);
     scheduled.extend(path_schedule(seed, faults_ms, machines));
     scheduled.extend(load_schedule(seed, faults_ms));
+    scheduled.extend(notice_schedule(seed, faults_ms));
     scheduled.sort_by_key(|scheduled| scheduled.at_ms);
     scheduled
 }
