Keep the rest that an engine asks the product's own stack for

The same cause elsewhere: `mangowalkd`'s client of engines read no `Retry-After`, so an engine that had asked for rest got the attempts that its circuit breaker let through. One parser serves both stacks.

--- a/crates/core/src/attempt/ended.rs
+++ b/crates/core/src/attempt/ended.rs
@@ -69,7 +69,7 @@
             AttemptEnd::Complete
                 | AttemptEnd::CallerGone
                 | AttemptEnd::OverTime
-                | AttemptEnd::Send(SendError::Refused { status: 409 })
+                | AttemptEnd::Send(SendError::Refused { status: 409, .. })
                 | AttemptEnd::Stream(Fault::NotRun)
         )
     }
@@ -79,7 +79,7 @@
     pub fn is_stale(&self) -> bool {
         matches!(
             self.end,
-            AttemptEnd::Send(SendError::Refused { status: 409 })
+            AttemptEnd::Send(SendError::Refused { status: 409, .. })
                 | AttemptEnd::Stream(Fault::OtherWeights)
         )
     }
--- a/crates/core/src/edge/engines.rs
+++ b/crates/core/src/edge/engines.rs
@@ -26,6 +26,8 @@
     Refused {
         /// HTTP status.
         status: u16,
+        /// Time for which the upstream wants no requests of this instance; 0 if it doesn't say.
+        rest_ms: u64,
     },
 }
 
--- a/crates/core/src/engine_notice/mod.rs
+++ b/crates/core/src/engine_notice/mod.rs
@@ -5,11 +5,13 @@
 mod engine_notices;
 mod leaving_report;
 mod notice;
+mod retry_after;
 mod settings;
 
 pub use {
     barrier::SendBarrier,
     engine_notices::{EngineNotices, NoticeSummary},
     leaving_report::LeavingReport,
+    retry_after::retry_after_ms,
     settings::NoticeSettings,
 };
--- a/crates/core/src/upstream/health.rs
+++ b/crates/core/src/upstream/health.rs
@@ -1,6 +1,9 @@
 use {
     super::{Breaker, BreakerSettings, ConcurrencyLimit, LimitSettings, StallDetector},
-    crate::attempt::{AttemptEnd, EndedAttempt},
+    crate::{
+        attempt::{AttemptEnd, EndedAttempt},
+        edge::SendError,
+    },
 };
 
 /// State of one upstream as one instance observes it through its own attempts.
@@ -16,6 +19,8 @@
     breaker: Breaker,
     stall_detector: StallDetector,
     waiting: u32,
+    /// End of the rest that the upstream has asked for.
+    rests_until_ms: u64,
 }
 
 impl Default for Health {
@@ -25,6 +30,7 @@
             breaker: Breaker::new(BreakerSettings::default()),
             stall_detector: StallDetector::default(),
             waiting: 0,
+            rests_until_ms: 0,
         }
     }
 }
@@ -33,7 +39,7 @@
     /// Returns whether one more attempt may be sent: the breaker allows it, the
     /// limit is not reached and the upstream is not stalled.
     pub fn usable(&self, now_ms: u64) -> bool {
-        self.breaker.allows(now_ms)
+        self.allows(now_ms)
             && self.waiting < self.limit.attempts()
             && !self.stall_detector.is_stalled(now_ms)
     }
@@ -53,15 +59,29 @@
         self.stall_detector.record_silence(now_ms);
     }
 
-    /// Returns whether the breaker would let an attempt through.
+    /// Returns whether the breaker would let an attempt through, and the upstream doesn't
+    /// rest.
     pub fn allows(&self, now_ms: u64) -> bool {
-        self.breaker.allows(now_ms)
+        !self.rests(now_ms) && self.breaker.allows(now_ms)
     }
 
-    /// Returns the time until the breaker lets the next attempt through, in
-    /// milliseconds; 0 if it allows one now.
+    /// Returns the time until the next attempt is let through, in milliseconds; 0 if one is
+    /// allowed now.
     pub fn wait_ms(&self, now_ms: u64) -> u64 {
-        self.breaker.wait_ms(now_ms)
+        let rest_ms = self.rests_until_ms.saturating_sub(now_ms);
+        self.breaker.wait_ms(now_ms).max(rest_ms)
+    }
+
+    /// Records that the upstream wants no attempts of this instance for a while. A rest that
+    /// ends later stays.
+    pub fn record_rest(&mut self, rest_ms: u64, now_ms: u64) {
+        let until_ms = now_ms.saturating_add(rest_ms);
+        self.rests_until_ms = self.rests_until_ms.max(until_ms);
+    }
+
+    /// Returns whether the upstream has asked for rest that isn't over.
+    pub fn rests(&self, now_ms: u64) -> bool {
+        now_ms < self.rests_until_ms
     }
 
     /// Returns how many more attempts may wait for their first token.
@@ -82,9 +102,9 @@
     }
 
     /// Counts a waiting attempt and returns true, or returns false if the
-    /// breaker holds it back.
+    /// breaker holds it back or the upstream rests.
     pub fn start(&mut self, now_ms: u64) -> bool {
-        if !self.breaker.try_enter(now_ms) {
+        if self.rests(now_ms) || !self.breaker.try_enter(now_ms) {
             return false;
         }
         self.waiting += 1;
@@ -112,6 +132,9 @@
         if ended.first_token_ms().is_none() {
             self.waiting = self.waiting.saturating_sub(1);
         }
+        if let AttemptEnd::Send(SendError::Refused { rest_ms, .. }) = ended.end() {
+            self.record_rest(rest_ms, now_ms);
+        }
         if ended.is_failure() {
             self.breaker.record_failure(now_ms);
             self.limit.failed(now_ms);
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -14,7 +14,10 @@
     let ends = [
         (AttemptEnd::Send(SendError::NotConnected), Outcome::NotRun),
         (
-            AttemptEnd::Send(SendError::Refused { status: 503 }),
+            AttemptEnd::Send(SendError::Refused {
+                status: 503,
+                rest_ms: 0,
+            }),
             Outcome::NotRun,
         ),
         (AttemptEnd::Stream(Fault::NotRun), Outcome::NotRun),
@@ -53,7 +56,10 @@
 /// previous incarnation or weights. This must not count as an engine failure.
 #[test]
 fn a_refusal_for_stale_engine_data_is_not_a_failure() {
-    let end = AttemptEnd::Send(SendError::Refused { status: 409 });
+    let end = AttemptEnd::Send(SendError::Refused {
+        status: 409,
+        rest_ms: 0,
+    });
     let ended = Attempt::plan(1).send(0).end(end);
     assert!(ended.is_stale() && !ended.is_failure() && !ended.needs_cancel());
 }
--- a/crates/mangowalkd/src/edge/engines.rs
+++ b/crates/mangowalkd/src/edge/engines.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Traffic,
-        http::{check_answered, exchange, prepare, send_error},
+        http::{asked_rest_ms, check_answered, exchange, prepare, send_error},
     },
     flume::{Receiver, RecvTimeoutError, Sender},
     mangowalk_core::{
@@ -47,7 +47,7 @@
         let (status, body) = exchange(request, CALL_TIMEOUT_MS)?;
         self.traffic.count_engine_call(body.len());
         if status != 200 {
-            return Err(SendError::Refused { status });
+            return Err(SendError::Refused { status, rest_ms: 0 });
         }
         serde_json::from_slice(&body).map_err(|_| SendError::Unreadable)
     }
@@ -139,7 +139,8 @@
     }
     let status = response.status_code;
     if status != 200 {
-        let _ = sender.send(Err(SendError::Refused { status }));
+        let rest_ms = asked_rest_ms(&response);
+        let _ = sender.send(Err(SendError::Refused { status, rest_ms }));
         return;
     }
     for line in BufReader::new(response).lines() {
--- a/crates/mangowalkd/src/edge/http.rs
+++ b/crates/mangowalkd/src/edge/http.rs
@@ -1,7 +1,11 @@
 //! Functions that all HTTP client edges share.
 
 use {
-    mangowalk_core::edge::SendError,
+    super::MonotonicClock,
+    mangowalk_core::{
+        edge::{Clock, SendError},
+        engine_notice::retry_after_ms,
+    },
     std::io::{ErrorKind, Read},
 };
 
@@ -80,6 +84,16 @@
     Ok(())
 }
 
+/// Returns the time in milliseconds for which an upstream that refuses a request wants no
+/// others; 0 if it doesn't say.
+pub(super) fn asked_rest_ms(response: &minreq::ResponseLazy) -> u64 {
+    let asks_for_rest = matches!(response.status_code, 429 | 503);
+    let retry_after = header(response, "retry-after").filter(|_| asks_for_rest);
+    let answered = header(response, "date");
+    let wall_ms = MonotonicClock::default().wall_ms();
+    retry_after_ms(retry_after.as_deref(), answered.as_deref(), wall_ms).unwrap_or(0)
+}
+
 fn header(response: &minreq::ResponseLazy, name: &str) -> Option<String> {
     response
         .headers
--- a/crates/mangowalkd/tests/upstreams.rs
+++ b/crates/mangowalkd/tests/upstreams.rs
@@ -2,7 +2,10 @@
 
 use {
     mangowalk_standins::{EngineFaults, EngineSettings, Fleet, FleetSettings},
-    std::{thread, time::Duration},
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
 const REQUESTS: u64 = 30;
@@ -36,6 +39,38 @@
     assert!((3..REQUESTS / 2).contains(&sent), "{sent}");
 }
 
+/// Guards against attempts at an engine that has asked for rest, as the breaker still allows
+/// some and the only other engine is busy or gone.
+#[test]
+fn an_engine_that_asks_for_rest_gets_no_attempts_until_its_end() {
+    let fleet = fleet(1);
+    let engine = &fleet.engines[0];
+    engine.set_faults(EngineFaults {
+        refuse_status: Some(503),
+        retry_after: Some("3".to_owned()),
+        ..EngineFaults::default()
+    });
+    let before = engine.attempts();
+    let began = Instant::now();
+    thread::scope(|scope| {
+        for caller in 0..3 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                while began.elapsed() < Duration::from_millis(2_500) {
+                    fleet.chat(0, &format!("order of {caller}"), 5, false);
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        // The first one asks for the rest; two others may be on their way.
+        thread::sleep(Duration::from_millis(2_700));
+        let attempts = engine.attempts() - before;
+        assert!((1..=3).contains(&attempts), "{attempts} attempts");
+    });
+    engine.set_faults(EngineFaults::default());
+    fleet.wait_until_served();
+}
+
 /// One of two engines stalls while it runs streams: it sends no token and no
 /// error. Requests sent there before that is detected move to the other engine
 /// within seconds, and later ones are not sent there. Otherwise each would wait
--- a/crates/standins/src/engine/faults.rs
+++ b/crates/standins/src/engine/faults.rs
@@ -24,6 +24,8 @@
     pub skip_token: Option<u64>,
     /// HTTP status with which every attempt is refused before it runs.
     pub refuse_status: Option<u16>,
+    /// Value of `Retry-After` in these refusals.
+    pub retry_after: Option<String>,
     /// Each token is preceded by one of the same position that carries the
     /// number of another attempt.
     pub cross_answers: bool,
--- a/crates/standins/src/engine/stand_in.rs
+++ b/crates/standins/src/engine/stand_in.rs
@@ -322,8 +322,9 @@
             inner.attempts += 1;
             inner.resumed += u64::from(!request.generated.is_empty());
             if let Some(status) = inner.faults.refuse_status {
+                let retry_after = inner.faults.retry_after.clone();
                 drop(inner);
-                return exchange.json(status, &json!({}));
+                return exchange.refuse(status, retry_after.as_deref());
             }
             let is_mismatch = inner.loading
                 || inner.model != request.model
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -130,6 +130,15 @@
         let _ = self.request.respond(response);
     }
 
+    /// Refuses the request, with a value of `Retry-After` if there is one.
+    pub(crate) fn refuse(self, status: u16, retry_after: Option<&str>) {
+        let mut response = Response::from_string("{}").with_status_code(status);
+        if let Some(value) = retry_after {
+            response.add_header(Header::from_bytes("Retry-After", value).expect("a header"));
+        }
+        let _ = self.request.respond(response);
+    }
+
     /// Closes the connection without a response. The client must have sent
     /// `Connection: close`.
     pub(crate) fn close_without_response(self) {
