Charge what was seen of one start of an engine to that start only

An engine that had just started again under its ID got no requests for some seconds: the lost requests and the refused connection of its earlier start counted against it, as they were recorded by its ID after the list had told the new start. Crashes are still counted for the start that was lost.

--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        Departure, EngineEntry, KnownEngine, ListPart, ListingStatus, Load, departures::Departures,
-        rendezvous,
+        Departure, EngineEntry, Incarnation, KnownEngine, ListPart, ListingStatus, Load,
+        departures::Departures, rendezvous,
     },
     crate::{canary::SoftwareRole, engine_notice::EngineNotices},
     std::collections::{BTreeMap, HashMap, HashSet},
@@ -251,6 +251,13 @@
         self.engines.get_mut(id)
     }
 
+    /// Returns the known state of a start of an engine; `None` if the engine has started again
+    /// since. What was seen of one start says nothing of the next.
+    pub fn get_start_mut(&mut self, start: &Incarnation) -> Option<&mut KnownEngine> {
+        let engine = self.engines.get_mut(&start.id);
+        engine.filter(|engine| engine.entry.incarnation == *start)
+    }
+
     /// Sets what each engine may be used for because of its software version.
     pub fn assign_software_roles(&mut self, mut role: impl FnMut(&EngineEntry) -> SoftwareRole) {
         for engine in self.engines.values_mut() {
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -59,7 +59,7 @@
     }
     let now_ms = now_ms();
     let mut engines = request.instance.engines.borrow_mut();
-    if let Some(known_engine) = engines.get_mut(&engine.incarnation.id) {
+    if let Some(known_engine) = engines.get_start_mut(&engine.incarnation) {
         known_engine.record_received(now_ms);
         if let (Some(model), Some(version)) = (&request.requirements.model, head.version)
             && version > known_engine.version(model)
@@ -110,7 +110,7 @@
     } else {
         "full"
     };
-    if let Some(known_engine) = engines.get_mut(&engine.incarnation.id) {
+    if let Some(known_engine) = engines.get_start_mut(&engine.incarnation) {
         known_engine.record_received(now_ms);
         if reason == "full" {
             let instance = &request.instance;
@@ -229,11 +229,13 @@
     }
     drop(paths);
     let mut engines = request.instance.engines.borrow_mut();
-    let Some(known_engine) = engines.get_mut(&engine.incarnation.id) else {
+    if engines.get(&engine.incarnation.id).is_none() {
         return;
-    };
-    let health = &request.instance.settings.choice.health;
-    known_engine.health.record_failure(health, now_ms);
+    }
+    if let Some(known_engine) = engines.get_start_mut(&engine.incarnation) {
+        let health = &request.instance.settings.choice.health;
+        known_engine.health.record_failure(health, now_ms);
+    }
     drop(engines);
     if reason != "not_connected" {
         record_loss(&request.instance, engine);
--- a/crates/gateway/src/upstreams/probe.rs
+++ b/crates/gateway/src/upstreams/probe.rs
@@ -49,7 +49,11 @@
     let now_ms = now_ms();
     pool.wrap(&entry.incarnation, sender, task)
         .return_to_pool(now_ms);
-    if let Some(known_engine) = instance.engines.borrow_mut().get_mut(&entry.incarnation.id) {
+    if let Some(known_engine) = instance
+        .engines
+        .borrow_mut()
+        .get_start_mut(&entry.incarnation)
+    {
         known_engine.health.record_connection();
     }
     log::warn!("event=engine_answers_again engine={}", entry.incarnation.id);
@@ -156,7 +160,11 @@
     error: &ConnectError,
 ) {
     let now_ms = now_ms();
-    if let Some(known_engine) = instance.engines.borrow_mut().get_mut(&entry.incarnation.id) {
+    if let Some(known_engine) = instance
+        .engines
+        .borrow_mut()
+        .get_start_mut(&entry.incarnation)
+    {
         let health = &instance.settings.choice.health;
         known_engine.health.record_silence(health, now_ms);
     }
--- a/crates/mangowalkd/tests/machines/leaving_told.rs
+++ b/crates/mangowalkd/tests/machines/leaving_told.rs
@@ -141,8 +141,7 @@
     deployment
         .store
         .write("servers", leaving.id(), started_again.entry("ready"));
-    // Failures at its end keep requests away for a few seconds.
-    send_to_all(&deployment, RouteKind::Once, Duration::from_secs(8));
+    send_to_all(&deployment, RouteKind::Once, Duration::from_millis(1_500));
     assert!(!started_again.runs().is_empty());
 }
 
