--- a/crates/mangowalk/src/story/cause.rs
+++ b/crates/mangowalk/src/story/cause.rs
@@ -35,6 +35,7 @@
         ),
         ("stream_cut", reason) => explain_cut_stream(request_lines, engine_lines, reason),
         (_, "over_rate") => "It was refused at once: its team's rate was used up over all instances. It has not run.".to_owned(),
+        (_, "engines_rest") => explain_rest(last),
         (_, "no_engine") => explain_no_engine(request_lines, engine_lines),
         (_, "answer_lost") => explain_lost_answer(request_lines, engine_lines),
         (_, "timed_out") => format!(
@@ -114,6 +115,15 @@
 }
 
 /// Explains a request that no engine accepted.
+/// Explains a refusal while all engines rest, by its line.
+fn explain_rest(refused: &LogLine) -> String {
+    let wait = refused.field("retry_after_ms");
+    let wait_ms = wait.trim_start_matches("Some(").trim_end_matches(')');
+    format!(
+        "It was refused at once: all engines of its service had asked this instance for rest. The caller was told to come back after {wait_ms} ms. It has not run."
+    )
+}
+
 fn explain_no_engine(request_lines: &[&LogLine], engine_lines: &[&LogLine]) -> String {
     if let Some(full_line) = request_lines.iter().find(|line| line.event == "full") {
         return format!(
