Name the suspicion about an engine's address for what it is

An engine at whose address another one answers was kept under a name that now has another meaning, leaving since; the pause and its comment are named for what they do.

--- a/crates/core/src/pool/known_engine.rs
+++ b/crates/core/src/pool/known_engine.rs
@@ -71,9 +71,8 @@
     /// Shared prompt parts that the engine has read, with the time of their
     /// last use.
     pub cached_parts_ms: HashMap<u64, u64>,
-    /// Time at which an answer of the engine announced that it is about to
-    /// leave.
-    pub leaving_since_ms: Option<u64>,
+    /// Time at which another engine answered at its address.
+    pub misdirected_ms: Option<u64>,
     /// Time since which the engine list lacks the engine.
     pub missing_since_ms: Option<u64>,
     /// Time until which the engine is used although the list lacks it.
@@ -110,7 +109,7 @@
             versions,
             pause: None,
             cached_parts_ms: HashMap::new(),
-            leaving_since_ms: None,
+            misdirected_ms: None,
             missing_since_ms: None,
             missing_until_ms: None,
             last_probe_ms: 0,
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -7,16 +7,16 @@
     std::collections::{BTreeMap, HashMap, HashSet},
 };
 
-/// Maximum time for which an answer that announced a departure applies without
-/// confirmation by the list. Engines also close connections for other reasons.
-const LEAVING_REPORT_MS: u64 = 4_000;
+/// Time for which an engine at whose address another one answered gets no requests. It has
+/// left, or the list tells its new address meanwhile.
+const MISDIRECTED_PAUSE_MS: u64 = 4_000;
 
-/// What an engine that is listed and serves has said of its own future.
+/// Whether an engine that is listed and serves has said that it leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
-    /// Nothing.
+    /// It hasn't.
     Staying,
-    /// That it leaves. It serves for a while.
+    /// It has, and serves for a while.
     Departing,
 }
 
@@ -306,8 +306,8 @@
         self.engines.values().filter(move |engine| {
             engine.entry.service == service
                 && engine
-                    .leaving_since_ms
-                    .is_none_or(|since_ms| now_ms > since_ms + LEAVING_REPORT_MS)
+                    .misdirected_ms
+                    .is_none_or(|since_ms| now_ms > since_ms + MISDIRECTED_PAUSE_MS)
                 && self.standing(engine, now_ms) == Some(standing)
         })
     }
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -122,7 +122,7 @@
             );
         }
         match (reason, &request.requirements.model) {
-            ("other_engine", _) => known_engine.leaving_since_ms = Some(now_ms),
+            ("other_engine", _) => known_engine.misdirected_ms = Some(now_ms),
             ("other_weights", Some(model)) => {
                 let newest = request.version_bounds(now_ms).newest;
                 let version = answer.head.version.unwrap_or(newest);
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -124,7 +124,7 @@
         chosen,
         requirements,
         engines
-            .staying_engines(now_ms)
+            .iter()
             .filter(|source| !is_barred(request, &engines, source, now_ms)),
         settings.retention_ms,
         draw,
