Decode the pace of engines, and add messages on paces and replaced engines

Engines' load reports carry a fourth figure, which was dropped; the settings file says where engines crash beyond their memory.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod brittle;
 pub mod burn;
 pub mod canary;
+pub mod capacity;
 pub mod claim;
 pub mod config;
 pub mod crash_part;
--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -1,8 +1,9 @@
 use {
     super::Heartbeat,
     crate::{
-        canary::CanaryMessage, crash_part::PartMessage, engine_limit::EngineLimitReport,
-        engine_notice::LeavingReport, kv_store::KvStoreReport, path::PathReport,
+        canary::CanaryMessage, capacity::PaceReport, crash_part::PartMessage,
+        engine_limit::EngineLimitReport, engine_notice::LeavingReport, kv_store::KvStoreReport,
+        path::PathReport, pool::ReplacedEngine,
     },
     derive_more::{Display, Error, From},
     serde::{Deserialize, Serialize},
@@ -21,9 +22,11 @@
 /// and keep streams that are passed on at their software version. From version 6 on they
 /// lend each other retries, on a port of their own. Version 7 adds
 /// [`PeerMessage::EngineLimits`], version 8 [`PeerMessage::Part`] and
-/// [`PeerMessage::PartToRelay`], and version 9 [`PeerMessage::LeavingEngines`] and
-/// [`PeerMessage::LeavingEnginesToRelay`].
-pub const EXCHANGE_VERSION: u8 = 9;
+/// [`PeerMessage::PartToRelay`], version 9 [`PeerMessage::LeavingEngines`] and
+/// [`PeerMessage::LeavingEnginesToRelay`], and version 10 [`PeerMessage::EnginePaces`],
+/// [`PeerMessage::EnginePacesToRelay`], [`PeerMessage::ReplacedEngines`] and
+/// [`PeerMessage::ReplacedEnginesToRelay`].
+pub const EXCHANGE_VERSION: u8 = 10;
 
 /// Version of the exchange from which on packs, reports on KV cache stores and partial
 /// reports on teams are understood.
@@ -59,6 +62,10 @@
 /// Version of the exchange from which on instances tell each other of engines that leave.
 pub const LEAVING_VERSION: u8 = 9;
 
+/// Version of the exchange from which on instances tell each other of the pace of engines and
+/// of engines that were replaced.
+pub const CAPACITY_VERSION: u8 = 10;
+
 /// Maximum size of a message before its compression: twice a datagram. The size that a
 /// datagram names is not trusted beyond it.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_DATAGRAM_BYTES;
@@ -119,6 +126,14 @@
     LeavingEngines(Vec<LeavingReport>),
     /// The same, to a receiver that relays it within its failure domain.
     LeavingEnginesToRelay(Vec<LeavingReport>),
+    /// Engines that work slower or faster than the receivers were told.
+    EnginePaces(Vec<PaceReport>),
+    /// The same, to a receiver that relays it within its failure domain.
+    EnginePacesToRelay(Vec<PaceReport>),
+    /// Engines at whose addresses others listen.
+    ReplacedEngines(Vec<ReplacedEngine>),
+    /// The same, to a receiver that relays it within its failure domain.
+    ReplacedEnginesToRelay(Vec<ReplacedEngine>),
 }
 
 /// Why a datagram could not be decoded or a message not be encoded.
@@ -155,6 +170,10 @@
             PeerMessage::LeavingEngines(_) | PeerMessage::LeavingEnginesToRelay(_) => {
                 "leaving_engines"
             }
+            PeerMessage::EnginePaces(_) | PeerMessage::EnginePacesToRelay(_) => "engine_paces",
+            PeerMessage::ReplacedEngines(_) | PeerMessage::ReplacedEnginesToRelay(_) => {
+                "replaced_engines"
+            }
             PeerMessage::Compressed(_) => "compressed",
         }
     }
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -12,6 +12,7 @@
 mod listing_status;
 mod name_form;
 mod prompt_length;
+mod replaced_engine;
 mod requirements;
 mod software_lane;
 mod table;
@@ -30,6 +31,7 @@
     listing_status::{DepartureSuspicion, ListingStatus},
     name_form::NameForm,
     prompt_length::MeanPromptLength,
+    replaced_engine::ReplacedEngine,
     requirements::{EngineRequirements, PromptPart},
     software_lane::{choose_for_begun, choose_in_lane},
     table::{EngineTable, Standing, short_hash},
--- /dev/null
+++ b/crates/core/src/pool/replaced_engine.rs
@@ -0,0 +1,24 @@
+use {
+    super::Incarnation,
+    serde::{Deserialize, Serialize},
+};
+
+/// What an instance tells its peers of a start of an engine at whose address another engine
+/// listens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplacedEngine {
+    /// ID of the engine that is gone.
+    pub engine: String,
+    /// When it started, in milliseconds of its clock.
+    pub born_ms: u64,
+}
+
+impl ReplacedEngine {
+    /// Returns the start of the engine that the report is about.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.engine.clone(),
+            born_ms: self.born_ms,
+        }
+    }
+}
--- a/crates/gateway/src/instance/reload.rs
+++ b/crates/gateway/src/instance/reload.rs
@@ -54,6 +54,10 @@
         ),
         ("store_address", old.store_address != new.store_address),
         ("descriptors", old.descriptors != new.descriptors),
+        (
+            "limits_engine_memory",
+            old.limits_engine_memory != new.limits_engine_memory,
+        ),
         ("exposure", old.exposure != new.exposure),
         (
             "quota_slack_tokens",
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -135,6 +135,18 @@
             relay(instance, socket, &relayed, exchange_version);
             receive_leaving(instance, &reports, now_ms);
         }
+        PeerMessage::EnginePaces(reports) => instance.receive_paces(&reports, now_ms),
+        PeerMessage::EnginePacesToRelay(reports) => {
+            let relayed = PeerMessage::EnginePaces(reports.clone());
+            relay(instance, socket, &relayed, exchange_version);
+            instance.receive_paces(&reports, now_ms);
+        }
+        PeerMessage::ReplacedEngines(reports) => instance.receive_replaced(&reports, now_ms),
+        PeerMessage::ReplacedEnginesToRelay(reports) => {
+            let relayed = PeerMessage::ReplacedEngines(reports.clone());
+            relay(instance, socket, &relayed, exchange_version);
+            instance.receive_replaced(&reports, now_ms);
+        }
         PeerMessage::Part(message) => instance.receive_part_message(&message, now_ms),
         PeerMessage::PartToRelay(message) => {
             let relayed = PeerMessage::Part(message.clone());
