Leave a request in a busy engine's queue while all engines are busy

Where engines are loaded up to their memory, the request stays unless half of the other engines would answer in time and a retry is left.

--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -1,6 +1,7 @@
 //! The engines that run requests, the known state of each, and the choice among
 //! them.
 
+mod abandon;
 mod admit;
 mod cache_source;
 mod choice;
@@ -20,6 +21,7 @@
 mod turnover;
 
 pub use {
+    abandon::is_worth_abandoning,
     admit::{AdmitSettings, PrefillRate, retry_after_ms},
     cache_source::{CacheSource, find_cache_source},
     choice::{ChoiceSettings, choose, rendezvous},
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -5,7 +5,7 @@
         pool::{
             AdmitSettings, ChoiceSettings, EngineEntry, EngineRequirements, EngineTable, Health,
             HealthSettings, Incarnation, KnownEngine, Load, ModelVersion, PrefillRate, PromptPart,
-            Turnover, choose, find_cache_source, retry_after_ms, short_hash,
+            Turnover, choose, find_cache_source, is_worth_abandoning, retry_after_ms, short_hash,
         },
         weights::VersionBounds,
     },
@@ -539,3 +539,28 @@
     assert_eq!(engine.schedule_probe(false, interval_ms, 1_799), None);
     assert_eq!(engine.schedule_probe(false, interval_ms, 1_800), Some(0));
 }
+
+/// Guards against requests that leave the queue of one busy engine for that of another, while
+/// all are busy or no retry is left.
+#[test]
+fn a_request_leaves_a_queue_only_if_others_would_answer_in_time() {
+    let decide = |busy: usize, remaining_retries: u32| {
+        let mut engines = engines(4);
+        for engine in &mut engines[..busy] {
+            engine.own.prefill_tokens = 100_000;
+        }
+        let rate = PrefillRate::default();
+        is_worth_abandoning(engines.iter(), &rate, 800, 250, remaining_retries)
+    };
+    let decisions: Vec<bool> = (0..=4).map(|busy| decide(busy, 1)).collect();
+    assert_eq!(decisions, [true, true, true, false, false]);
+    assert!(!decide(0, 0), "without a retry");
+    let nobody = std::iter::empty();
+    assert!(!is_worth_abandoning(
+        nobody,
+        &PrefillRate::default(),
+        800,
+        250,
+        1
+    ));
+}
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -14,7 +14,10 @@
     derive_more::Display,
     http::Request,
     http_body_util::Full,
-    mangowalk_core::{origin::EngineBuild, pool::EngineEntry},
+    mangowalk_core::{
+        origin::EngineBuild,
+        pool::{EngineEntry, is_worth_abandoning},
+    },
     std::{pin::pin, time::Duration},
     tokio::time::{sleep, timeout},
 };
@@ -235,9 +238,15 @@
         .give_up_ms
         .unwrap_or(left_ms)
         .min(old_weights_wait_ms);
-    let waited = timeout(
-        Duration::from_millis(give_up_ms.min(left_ms)),
-        await_answer(request, &engine, context.give_up_ms.is_some(), sending),
+    let may_retry = context.give_up_ms.is_some();
+    let answer = await_answer(request, &engine, may_retry, sending);
+    let waited = await_in_time(
+        request,
+        context,
+        &engine,
+        give_up_ms.min(left_ms),
+        old_weights_wait_ms.min(left_ms),
+        answer,
     );
     let waited = tokio::select! {
         waited = waited => waited,
@@ -246,7 +255,7 @@
     match waited {
         Ok(Ok(answer)) => classify_answer(request, answer, load_guard, engine, &plan),
         Ok(Err(error)) => classify_send_error(request, &engine, &error),
-        Err(_) if old_weights_wait_ms <= give_up_ms && old_weights_wait_ms < left_ms => {
+        Err(waited_ms) if old_weights_wait_ms <= waited_ms && old_weights_wait_ms < left_ms => {
             request.instance.counters.count("withdrawn", "old_weights");
             log::warn!(
                 "event=withdrawn request={} engine={} reason=old_weights version={} waited_ms={old_weights_wait_ms}",
@@ -256,7 +265,7 @@
             );
             Outcome::MayHaveRun(engine.incarnation.id)
         }
-        Err(_) if give_up_ms < left_ms => {
+        Err(waited_ms) if waited_ms < left_ms => {
             record_engine_failure(request, &engine, "silent", None);
             Outcome::MayHaveRun(engine.incarnation.id)
         }
@@ -267,6 +276,70 @@
     }
 }
 
+/// Waits for an answer for `give_up_ms`, and on until `max_wait_ms` as long as no other engine
+/// would answer sooner. Engines that are known to crash beyond their memory are loaded up to
+/// it, so that a long wait says nothing of the engine there.
+///
+/// # Errors
+///
+/// Returns the time in milliseconds after which the wait ended without an answer.
+async fn await_in_time(
+    request: &CallerRequest,
+    context: &AttemptContext<'_>,
+    engine: &EngineEntry,
+    give_up_ms: u64,
+    max_wait_ms: u64,
+    answer: impl Future<Output = Result<Answer, SendError>>,
+) -> Result<Result<Answer, SendError>, u64> {
+    let mut answer = pin!(answer);
+    let mut waited_ms = 0;
+    let mut wait_ms = give_up_ms;
+    loop {
+        let step = Duration::from_millis(wait_ms - waited_ms);
+        if let Ok(result) = timeout(step, answer.as_mut()).await {
+            return Ok(result);
+        }
+        waited_ms = wait_ms;
+        if waited_ms >= max_wait_ms || !stays_in_queue(request, context, engine) {
+            return Err(waited_ms);
+        }
+        request.instance.counters.count("answer_awaited", "longer");
+        wait_ms = (waited_ms + request.route.target_ms.max(1)).min(max_wait_ms);
+    }
+}
+
+/// Returns whether a request is left at an engine that hasn't begun its answer in time.
+fn stays_in_queue(
+    request: &CallerRequest,
+    context: &AttemptContext<'_>,
+    engine: &EngineEntry,
+) -> bool {
+    let instance = &request.instance;
+    let requirements = &request.requirements;
+    if !instance.machine().limits_engine_memory || requirements.model.is_none() {
+        return false;
+    }
+    let now_ms = now_ms();
+    let remaining_retries = instance.remaining_retries(&requirements.service, now_ms);
+    let engines = instance.engines.borrow();
+    let others = engines
+        .accepting_engines(&requirements.service, now_ms)
+        .filter(|other| {
+            let id = &other.entry.incarnation.id;
+            *id != engine.incarnation.id
+                && !context.tried_engines.contains(id)
+                && !other.is_paused(now_ms)
+                && !other.is_excluded(&instance.settings.choice.health, now_ms)
+        });
+    !is_worth_abandoning(
+        others,
+        &instance.prefill_rate.get(),
+        requirements.prompt_tokens,
+        request.route.target_ms,
+        remaining_retries,
+    )
+}
+
 /// Records that a request was withdrawn from an engine before its answer began, as a part of
 /// its prompt crashes engines.
 fn withdraw(request: &CallerRequest, engine: &EngineEntry) -> Outcome {
