Bound the backlog of lower priorities at engines

An engine reads prompts in pieces between the tokens of running requests, so long prompts that it took earlier delay a short one although it admits the short one first. In a burst of long prompts, short ones were late or refused.

A request that is not among the most urgent of its service now goes only to an engine that can read all its prompts, this one included, within the target of the most urgent route, or that has no prompt to read.

--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -6,6 +6,7 @@
 //! moved to an engine that becomes free earlier. A request that can't be served
 //! in time is refused at once and has not run. See docs/admission.md.
 
+mod backlog;
 mod dispatcher;
 mod drain_rate;
 mod fair_queue;
@@ -14,6 +15,7 @@
 mod team_queue;
 
 pub use {
+    backlog::{Backlog, BacklogBound, BacklogSettings},
     dispatcher::{Decision, Dispatcher, EngineFilter},
     fair_queue::{FairQueue, QueueRefusal},
     job::Job,
--- a/crates/core/src/routing/mod.rs
+++ b/crates/core/src/routing/mod.rs
@@ -7,6 +7,7 @@
 mod service;
 mod table;
 mod tenant;
+mod urgency;
 
 pub use {
     addresses::addresses_for_caller,
@@ -16,4 +17,5 @@
     service::{CacheStore, EngineLimits, Service},
     table::{RouteError, RouteTable},
     tenant::{Tenant, TokenRate},
+    urgency::{MostUrgent, urgency},
 };
--- a/crates/core/src/routing/table.rs
+++ b/crates/core/src/routing/table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Configuration, Route, Service, Tenant},
+    super::{Configuration, MostUrgent, Route, Service, Tenant, urgency},
     std::{collections::HashMap, rc::Rc},
 };
 
@@ -19,6 +19,7 @@
     /// Routes by lowercase host, the longest path prefix first.
     by_host: HashMap<String, Vec<Rc<Route>>>,
     by_key: HashMap<String, Rc<Tenant>>,
+    most_urgent: HashMap<String, MostUrgent>,
 }
 
 impl RouteTable {
@@ -42,6 +43,7 @@
             }
         }
         RouteTable {
+            most_urgent: most_urgent(&configuration),
             configuration,
             by_host,
             by_key,
@@ -66,6 +68,11 @@
             .find(|service| service.name == name)
     }
 
+    /// Returns the most urgent requests that a service may get; `None` if no route leads to it.
+    pub fn most_urgent(&self, service: &str) -> Option<MostUrgent> {
+        self.most_urgent.get(service).copied()
+    }
+
     /// Returns the route and team of a request. The team is `None` if the route
     /// is anonymous or there are no teams. The host may include a port.
     ///
@@ -94,3 +101,23 @@
         Ok((route.clone(), Some(tenant.clone())))
     }
 }
+
+fn most_urgent(configuration: &Configuration) -> HashMap<String, MostUrgent> {
+    let mut by_service: HashMap<String, MostUrgent> = HashMap::new();
+    for route in &configuration.routes {
+        let has_no_team = route.anonymous || configuration.tenants.is_empty();
+        let teams = configuration.tenants.iter().filter(|_| !has_no_team);
+        let without_team = has_no_team.then(|| urgency(None, route.priority));
+        let ranks = teams.map(|team| urgency(team.priority, route.priority));
+        let Some(urgency) = ranks.chain(without_team).min() else {
+            continue;
+        };
+        let target_ms = route.target_ms;
+        let own = MostUrgent { urgency, target_ms };
+        for share in &route.services {
+            let known = by_service.entry(share.service.clone()).or_insert(own);
+            *known = own.min(*known);
+        }
+    }
+    by_service
+}
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -3,6 +3,7 @@
 
 mod answer;
 mod attempt;
+mod backlog;
 mod buffered;
 mod classify;
 mod completion;
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         attempt::{AttemptContext, Outcome},
+        backlog::UrgentProtection,
         request::CallerRequest,
         software_lane::{new_engines, software_lane},
     },
@@ -78,20 +79,33 @@
     let settings = &adapted_choice(request, memory_tokens, count, now_ms);
     let version_bounds = request.version_bounds(now_ms);
     let draw = rand::random();
+    let is_open = |known_engine: &KnownEngine| {
+        context
+            .build
+            .is_none_or(|build| known_engine.build == Some(build))
+            && !context
+                .tried_engines
+                .contains(&known_engine.entry.incarnation.id)
+            && spares_brittle(request, known_engine, memory_tokens, now_ms)
+            && instance.is_within_limit(known_engine, now_ms)
+            && !is_barred(request, &engines, known_engine, now_ms)
+    };
+    let open_engines = engines
+        .accepting_engines(&requirements.service, now_ms)
+        .filter(|known_engine| is_open(known_engine));
+    let protection = UrgentProtection::new(
+        request,
+        context,
+        open_engines,
+        settings.retention_ms,
+        now_ms,
+    );
     let choose_with = |standing: Standing, usable: &dyn Fn(&KnownEngine) -> bool| {
         choose(
             engines
                 .serving_engines(&requirements.service, standing, now_ms)
                 .filter(|known_engine| {
-                    let id = &known_engine.entry.incarnation.id;
-                    usable(known_engine)
-                        && context
-                            .build
-                            .is_none_or(|build| known_engine.build == Some(build))
-                        && !context.tried_engines.contains(id)
-                        && spares_brittle(request, known_engine, memory_tokens, now_ms)
-                        && instance.is_within_limit(known_engine, now_ms)
-                        && !is_barred(request, &engines, known_engine, now_ms)
+                    usable(known_engine) && is_open(known_engine) && protection.admits(known_engine)
                 }),
             requirements,
             version_bounds,
@@ -113,6 +127,9 @@
         None => choose_in_lane(lane, &new_engines, choose_among, admits),
     };
     let Some((chosen, lane)) = chosen else {
+        if let Some(retry_ms) = protection.retry_ms() {
+            return Err(Outcome::QueueTooLong(retry_ms));
+        }
         return Err(lack_of_engines(request, context.build, &engines, now_ms));
     };
     if let Some(retry_ms) = queue_retry_ms(request, context, chosen) {
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -12,7 +12,7 @@
     mangowalk_core::{
         origin::{EngineBuild, StreamKey},
         pool::EngineRequirements,
-        routing::{Route, RouteError, Tenant},
+        routing::{Route, RouteError, Tenant, urgency},
         weights::VersionBounds,
     },
     mangowalk_platform::RequestHead,
@@ -23,12 +23,6 @@
 /// Deadline of a request whose caller sends none.
 const DEFAULT_DEADLINE_MS: u64 = 60_000;
 
-/// Number of route priorities that are distinguished within one team priority.
-const ROUTE_RANKS: u8 = 2;
-
-/// Maximum rank; it goes last in an engine's queue.
-const MAX_RANK: u8 = 9;
-
 /// Who sent a request to this instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Origin {
@@ -194,12 +188,8 @@
     /// comes first, and the route's decides between requests of equal team
     /// priority.
     pub(super) fn urgency(&self) -> u8 {
-        let route = self.route.priority;
         let team = self.tenant.as_ref().and_then(|tenant| tenant.priority);
-        let rank = team.map_or(route, |team| {
-            team.saturating_mul(ROUTE_RANKS) + route.min(ROUTE_RANKS - 1)
-        });
-        rank.min(MAX_RANK)
+        urgency(team, self.route.priority)
     }
 
     /// Returns whether the request may be sent to another engine after
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,4 +1,5 @@
 use mangowalk_core::{
+    admission::BacklogSettings,
     brittle::BrittleSettings,
     crash_part::CrashPartSettings,
     engine_limit::EngineLimitSettings,
@@ -26,6 +27,8 @@
     pub kv_stores: KvStoreSettings,
     /// Refusal of requests that would wait too long.
     pub admission: AdmitSettings,
+    /// Protection of urgent requests from the backlog of others.
+    pub backlog: BacklogSettings,
     /// Sparing of engines that fall over when they reject too much.
     pub brittle: BrittleSettings,
     /// Rejection of parts of prompts that crash engines.
@@ -104,6 +107,7 @@
             list_part: ListPartSettings::default(),
             kv_stores: KvStoreSettings::default(),
             admission: AdmitSettings::default(),
+            backlog: BacklogSettings::default(),
             brittle: BrittleSettings::default(),
             crash_parts: CrashPartSettings::default(),
             engine_limits: EngineLimitSettings::default(),
