Send nothing to an engine at whose address another one listens

An engine that crashed is back within a second at its address under a new ID. Each instance went on sending to the former ID, was answered 421, which uses a retry, and paused that engine for 4 s by itself.

An entry with a later start and a later revision at the address of another entry replaces that one at once. A report names the revision of the entry that it is about: an entry written later, another start and an own answer of the engine end it, and it isn't extended, so that no wrong report costs an engine more than that time. A later entry whose engine doesn't answer at its address replaces none. What was chosen before is held back right before the send (barrier "replaced").

--- a/crates/core/src/engine_notice/barrier.rs
+++ b/crates/core/src/engine_notice/barrier.rs
@@ -15,6 +15,9 @@
         /// Time since the engine said so.
         ago_ms: u64,
     },
+    /// Another engine listens at its address.
+    #[display("Another engine listens at its address.")]
+    Replaced,
 }
 
 impl SendBarrier {
@@ -23,6 +26,7 @@
         match self {
             SendBarrier::Resting { .. } => "resting",
             SendBarrier::Leaving { .. } => "leaving",
+            SendBarrier::Replaced => "replaced",
         }
     }
 }
--- a/crates/core/src/pool/known_engine.rs
+++ b/crates/core/src/pool/known_engine.rs
@@ -71,8 +71,6 @@
     /// Shared prompt parts that the engine has read, with the time of their
     /// last use.
     pub cached_parts_ms: HashMap<u64, u64>,
-    /// Time at which another engine answered at its address.
-    pub misdirected_ms: Option<u64>,
     /// Time since which the engine list lacks the engine.
     pub missing_since_ms: Option<u64>,
     /// Time until which the engine is used although the list lacks it.
@@ -109,7 +107,6 @@
             versions,
             pause: None,
             cached_parts_ms: HashMap::new(),
-            misdirected_ms: None,
             missing_since_ms: None,
             missing_until_ms: None,
             last_probe_ms: 0,
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -13,10 +13,12 @@
 mod name_form;
 mod prompt_length;
 mod replaced_engine;
+mod replacements;
 mod requirements;
 mod software_lane;
 mod table;
 mod table_notices;
+mod table_replacements;
 mod turnover;
 
 pub use {
--- a/crates/core/src/pool/replaced_engine.rs
+++ b/crates/core/src/pool/replaced_engine.rs
@@ -1,5 +1,5 @@
 use {
-    super::Incarnation,
+    super::{EngineEntry, Incarnation},
     serde::{Deserialize, Serialize},
 };
 
@@ -11,9 +11,21 @@
     pub engine: String,
     /// When it started, in milliseconds of its clock.
     pub born_ms: u64,
+    /// Revision of the entry that named the address. An entry written later supersedes the
+    /// report.
+    pub revision: u64,
 }
 
 impl ReplacedEngine {
+    /// Returns the report that another engine listens at the address of an entry.
+    pub fn of(entry: &EngineEntry) -> ReplacedEngine {
+        ReplacedEngine {
+            engine: entry.incarnation.id.clone(),
+            born_ms: entry.incarnation.born_ms,
+            revision: entry.revision,
+        }
+    }
+
     /// Returns the start of the engine that the report is about.
     pub fn incarnation(&self) -> Incarnation {
         Incarnation {
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -1,16 +1,12 @@
 use {
     super::{
         Departure, EngineEntry, Incarnation, KnownEngine, ListPart, ListingStatus, Load,
-        departures::Departures, rendezvous,
+        departures::Departures, rendezvous, replacements::Replacements,
     },
     crate::{canary::SoftwareRole, engine_notice::EngineNotices},
     std::collections::{BTreeMap, HashMap, HashSet},
 };
 
-/// Time for which an engine at whose address another one answered gets no requests. It has
-/// left, or the list tells its new address meanwhile.
-const MISDIRECTED_PAUSE_MS: u64 = 4_000;
-
 /// Whether an engine that is listed and serves has said that it leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -33,6 +29,7 @@
     ids_by_hash: HashMap<u32, String>,
     departures: Departures,
     pub(super) notices: EngineNotices,
+    pub(super) replacements: Replacements,
     peer_loads: HashMap<String, HashMap<String, Load>>,
     list_revision: u64,
     list_received_ms: u64,
@@ -87,6 +84,18 @@
     /// Returns whether the engine is new, or one of these or its draining state
     /// changed.
     pub fn apply_entry(&mut self, entry: EngineEntry) -> bool {
+        let (id, address) = (entry.incarnation.id.clone(), entry.address);
+        let before = self.engines.get(&id).map(|engine| engine.entry.address);
+        let has_changed = self.update_entry(entry);
+        let (replacements, engines) = (&mut self.replacements, &self.engines);
+        if let Some(before) = before.filter(|before| *before != address) {
+            replacements.set_listed(&id, before, false, engines);
+        }
+        replacements.set_listed(&id, address, true, engines);
+        has_changed
+    }
+
+    fn update_entry(&mut self, entry: EngineEntry) -> bool {
         let id = entry.incarnation.id.clone();
         self.departures.record_entry(&entry);
         let others = self.peer_load(&id);
@@ -164,6 +173,8 @@
     fn remove(&mut self, id: &str) {
         if let Some(engine) = self.engines.remove(id) {
             self.ids_by_hash.remove(&engine.name_hash);
+            let address = engine.entry.address;
+            (self.replacements).set_listed(id, address, false, &self.engines);
         }
     }
 
@@ -281,7 +292,7 @@
     }
 
     /// Returns the engines that neither the list, nor a peer, nor the engine itself reports as
-    /// leaving or gone.
+    /// leaving or gone, and at whose addresses no other one listens.
     pub fn staying_engines(&self, now_ms: u64) -> impl Iterator<Item = &KnownEngine> + Clone {
         let engines = self.engines.values();
         engines.filter(move |engine| self.standing(engine, now_ms) == Some(Standing::Staying))
@@ -304,21 +315,21 @@
         now_ms: u64,
     ) -> impl Iterator<Item = &'a KnownEngine> + Clone {
         self.engines.values().filter(move |engine| {
-            engine.entry.service == service
-                && engine
-                    .misdirected_ms
-                    .is_none_or(|since_ms| now_ms > since_ms + MISDIRECTED_PAUSE_MS)
-                && self.standing(engine, now_ms) == Some(standing)
+            engine.entry.service == service && self.standing(engine, now_ms) == Some(standing)
         })
     }
 
     /// Returns the standing of an engine; `None` if the list or a peer reports it as leaving or
-    /// gone.
+    /// gone, or another one listens at its address.
     fn standing(&self, engine: &KnownEngine, now_ms: u64) -> Option<Standing> {
         let is_gone = engine
             .missing_until_ms
             .is_some_and(|until_ms| now_ms >= until_ms);
-        if engine.entry.draining || is_gone || self.departures.is_reported(&engine.entry) {
+        if engine.entry.draining
+            || is_gone
+            || self.departures.is_reported(&engine.entry)
+            || self.is_replaced(engine, now_ms)
+        {
             return None;
         }
         let incarnation = &engine.entry.incarnation;
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -59,6 +59,9 @@
     }
     let now_ms = now_ms();
     let mut engines = request.instance.engines.borrow_mut();
+    if head.engine.as_ref() == Some(&engine.incarnation.id) {
+        engines.record_own_answer(&engine.incarnation);
+    }
     if let Some(known_engine) = engines.get_start_mut(&engine.incarnation) {
         known_engine.record_received(now_ms);
         if let (Some(model), Some(version)) = (&request.requirements.model, head.version)
@@ -122,7 +125,8 @@
             );
         }
         match (reason, &request.requirements.model) {
-            ("other_engine", _) => known_engine.misdirected_ms = Some(now_ms),
+            // It isn't the engine that answered.
+            ("other_engine", _) => {}
             ("other_weights", Some(model)) => {
                 let newest = request.version_bounds(now_ms).newest;
                 let version = answer.head.version.unwrap_or(newest);
@@ -141,6 +145,9 @@
         }
     }
     drop(engines);
+    if reason == "other_engine" {
+        request.instance.record_replaced(engine, now_ms);
+    }
     if reason == "full" {
         record_loss(&request.instance, engine);
     }
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -125,6 +125,7 @@
         requirements,
         engines
             .iter()
+            .filter(|source| !engines.is_replaced(source, now_ms))
             .filter(|source| !is_barred(request, &engines, source, now_ms)),
         settings.retention_ms,
         draw,
--- a/crates/gateway/src/instance/engine_notices.rs
+++ b/crates/gateway/src/instance/engine_notices.rs
@@ -85,11 +85,15 @@
     /// Returns metrics of the engines that have said something of themselves, in the
     /// Prometheus text format.
     pub fn render_notices(&self, now_ms: u64) -> String {
-        let summary = self.engines.borrow().notices().summary(now_ms);
+        let engines = self.engines.borrow();
+        let summary = engines.notices().summary(now_ms);
         format!(
             "mangowalk_engines_resting {}\nmangowalk_longest_rest_ms {}\n\
-             mangowalk_engines_leaving {}\n",
-            summary.resting, summary.longest_rest_ms, summary.leaving,
+             mangowalk_engines_leaving {}\nmangowalk_engines_replaced {}\n",
+            summary.resting,
+            summary.longest_rest_ms,
+            summary.leaving,
+            engines.replaced_count(now_ms),
         )
     }
 
@@ -102,6 +106,9 @@
         now_ms: u64,
     ) -> Option<SendBarrier> {
         let engines = self.engines.borrow();
+        if engines.is_start_replaced(engine, now_ms) {
+            return Some(SendBarrier::Replaced);
+        }
         let notices = engines.notices();
         notices.barrier(engine, arrived_ms, &self.settings.notices, now_ms)
     }
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -12,7 +12,10 @@
         kv_store::KvStores,
         mesh::{Bundle, MemberTable, OrderReport, PACKS_VERSION, RelayBudget},
         path::{PeerPaths, ServicePaths},
-        pool::{EngineTable, MeanPromptLength, PrefillRate, Turnover, rendezvous, short_hash},
+        pool::{
+            EngineTable, MeanPromptLength, PrefillRate, ReplacedEngine, Turnover, rendezvous,
+            short_hash,
+        },
         routing::{Configuration, RouteTable},
         share::{ShareSettings, ShareTable},
         weights::{PublishedAt, WeightsHistory},
@@ -64,6 +67,8 @@
     pub limit_reports: RefCell<Vec<EngineLimitReport>>,
     /// Engines that leave, of which peers are still to be told.
     pub leaving_reports: RefCell<Vec<LeavingReport>>,
+    /// Engines at whose addresses others listen, of which peers are still to be told.
+    pub replaced_reports: RefCell<Vec<ReplacedEngine>>,
     /// The paths of this instance to the engines of each service.
     pub service_paths: RefCell<ServicePaths>,
     /// Locks by service, each held while it is checked whether the path is lost.
@@ -158,6 +163,7 @@
             engine_limits: RefCell::default(),
             limit_reports: RefCell::default(),
             leaving_reports: RefCell::default(),
+            replaced_reports: RefCell::default(),
             service_paths: RefCell::default(),
             path_checks: RefCell::default(),
             peer_paths: RefCell::default(),
--- a/crates/gateway/src/instance/wake_ups.rs
+++ b/crates/gateway/src/instance/wake_ups.rs
@@ -29,4 +29,6 @@
     pub limits: Notify,
     /// Sent when peers are to be told of an engine that leaves.
     pub leaving_engines: Notify,
+    /// Sent when peers are to be told of an engine at whose address another one listens.
+    pub replaced_engines: Notify,
 }
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -7,6 +7,7 @@
 mod origins;
 mod parts;
 mod paths;
+mod replaced;
 mod sending;
 mod traffic;
 
@@ -17,6 +18,7 @@
     loans::{exchange_loans, take_retry},
     origins::{exchange_origins, find_origin, tell_origin},
     parts::exchange_parts,
+    replaced::report_replaced_engines,
     sending::{send_canary_to_all, send_canary_to_readers, send_to_domains},
     traffic::{Direction, MeshTraffic},
 };
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -14,6 +14,7 @@
 mod leaving_told;
 mod logs;
 mod rates;
+mod replaced;
 mod rest;
 mod retries;
 mod rollouts;
