--- a/crates/gateway/src/callers/backlog.rs
+++ b/crates/gateway/src/callers/backlog.rs
@@ -18,6 +18,9 @@
     /// `None` if the request is not bounded.
     bound: Option<BacklogBound>,
     rate: PrefillRate,
+    /// Whether some engine is not paused. The choice falls back to paused engines where the
+    /// bound leaves no other, and an engine that loads weights rejects what it gets.
+    passes_over_paused: bool,
     /// Whether only engines that have cached the shared part may take the request.
     waits_for_cache: bool,
     retention_ms: u64,
@@ -32,7 +35,7 @@
     pub(super) fn new(
         request: &'a CallerRequest,
         context: &AttemptContext<'_>,
-        open_engines: impl Iterator<Item = &'a KnownEngine>,
+        open_engines: impl Iterator<Item = &'a KnownEngine> + Clone,
         retention_ms: u64,
         now_ms: u64,
     ) -> UrgentProtection<'a> {
@@ -40,6 +43,7 @@
         let mut protection = UrgentProtection {
             request,
             bound,
+            passes_over_paused: open_engines.clone().any(|engine| !engine.is_paused(now_ms)),
             waits_for_cache: false,
             rate: request.instance.prefill_rate.get(),
             retention_ms,
@@ -91,7 +95,8 @@
             slowdown: USUAL_PACE,
         };
         let wait_ms = bound.wait_ms(backlog, self.own_tokens(engine), &self.rate);
-        let is_passed_over = self.waits_for_cache && !self.has_cached(engine);
+        let is_passed_over = self.waits_for_cache && !self.has_cached(engine)
+            || self.passes_over_paused && engine.is_paused(self.now_ms);
         if wait_ms <= 0.0 && !is_passed_over {
             return true;
         }
