Plan changes of weights with long loads from the known work

At Laurentides and Catania a load takes 1.8 to 1.9 s, longer than answers on replaced weights keep their full value. The plan paused up to half of the engines whatever capacity the work needed, tried one more concurrent load after four fast ones, and reused a loading place only after a report and a write to the store.

Loads are long if they take longer than answers on older weights keep their value, by VersionMs before four loads were measured and by the measured time afterwards. In this case the number of available engines follows from the known work, outdated engines that aren't needed are paused once the first engines have newer weights and resumed when work grows, and a place is given away when its load should have ended. The limit of loads follows the median of several. Short loads are planned as before.

--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -2,14 +2,20 @@
 //! orders, how many engines load concurrently, and which versions requests may
 //! still use meanwhile.
 
+mod change_progress;
 mod history;
 mod lease;
 mod load_concurrency;
+mod loading_places;
 mod plan;
+mod rolling_plan;
 
 pub use {
+    change_progress::ChangeProgress,
     history::{PublishedAt, VersionBounds, WeightsHistory, WeightsSettings},
     lease::{HolderReport, ObservedRecord, OrderLease, OrderLeaseHeld, OrderLeaseSettings, Vacant},
     load_concurrency::LoadConcurrency,
+    loading_places::{FinishedLoad, LoadingPlaces},
     plan::{OutdatedEngine, PlanSettings, Step, plan},
+    rolling_plan::{LoadBounds, ModelLoad, RollingSettings, plan_rolling},
 };
--- a/crates/core/src/weights/plan.rs
+++ b/crates/core/src/weights/plan.rs
@@ -53,6 +53,8 @@
     pub paused_since_ms: Option<u64>,
     /// Whether an order was sent and is not completed yet.
     pub has_pending_order: bool,
+    /// When the engine accepted the order, in milliseconds; `None` without one.
+    pub ordered_ms: Option<u64>,
     /// Version of the weights that it serves.
     pub version: u64,
     /// Requests at the engine, as estimated by this instance.
@@ -68,6 +70,8 @@
 pub enum Step {
     /// Pause new requests to the engine with this ID.
     Pause(String),
+    /// Send new requests to the engine with this ID again, which was paused.
+    Resume(String),
     /// Send the order to load the newest weights.
     Order {
         /// ID of the engine.
@@ -78,6 +82,15 @@
     },
 }
 
+impl Step {
+    /// Returns the ID of the engine that the step is about.
+    pub fn engine(&self) -> &str {
+        match self {
+            Step::Pause(engine) | Step::Resume(engine) | Step::Order { engine, .. } => engine,
+        }
+    }
+}
+
 /// Returns the next steps to update a model's engines.
 ///
 /// `engine_count` is the number of the model's responsive engines, `requests`
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -158,6 +158,7 @@
         id: engine.to_owned(),
         paused_since_ms: None,
         has_pending_order: false,
+        ordered_ms: None,
         version,
         requests,
         must_finish: requests,
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -21,6 +21,7 @@
 mod store_reads;
 mod stream_origins;
 mod wake_ups;
+mod weights_changes;
 
 pub use {
     counters::Counters,
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -8,7 +8,7 @@
     origin::OriginSettings,
     path::PathSettings,
     pool::{AdmitSettings, ChoiceSettings, ListPartSettings},
-    weights::{OrderLeaseSettings, PlanSettings, WeightsSettings},
+    weights::{OrderLeaseSettings, PlanSettings, RollingSettings, WeightsSettings},
 };
 
 /// Settings of the router's behavior. The exclusion time of the lease and the bounds
@@ -42,6 +42,8 @@
     pub weights: WeightsSettings,
     /// Pace of a rollout of new weights.
     pub plan: PlanSettings,
+    /// Limits for changes of weights whose loads take long.
+    pub rolling: RollingSettings,
     /// The lease under which orders are sent to engines.
     pub lease: OrderLeaseSettings,
     /// Timeout for a new connection to an engine. Machines of a deployment are a
@@ -117,6 +119,7 @@
                 unknown_age_grace_ms: 2_600,
             },
             plan: PlanSettings::default(),
+            rolling: RollingSettings::default(),
             lease: OrderLeaseSettings::default(),
             connect_timeout_ms: 300,
             probe_after_ms: 400,
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -15,7 +15,7 @@
         pool::{EngineTable, MeanPromptLength, PrefillRate, Turnover, rendezvous, short_hash},
         routing::{Configuration, RouteTable},
         share::{ShareSettings, ShareTable},
-        weights::{PublishedAt, WeightsHistory},
+        weights::{ChangeProgress, PublishedAt, WeightsHistory},
     },
     mangowalk_platform::{Freshness, MachineSettings},
     std::{
@@ -110,6 +110,9 @@
     /// Orders of this instance that are planned, sent or just completed, as reported
     /// in heartbeats. Empty without the lease.
     pub order_reports: RefCell<Vec<OrderReport>>,
+    /// Progress of the changes of weights that this instance orders, by model. Empty
+    /// without the lease.
+    pub weights_changes: RefCell<BTreeMap<String, ChangeProgress>>,
     /// Metrics for operators.
     pub counters: Counters,
     /// Number of requests that were received and not yet answered in full.
@@ -177,6 +180,7 @@
             holds_lease: Cell::new(false),
             last_order_ms: Cell::new(None),
             order_reports: RefCell::default(),
+            weights_changes: RefCell::default(),
             counters: Counters::default(),
             open_requests: Cell::new(0),
             drain,
--- a/crates/gateway/src/weights/updater.rs
+++ b/crates/gateway/src/weights/updater.rs
@@ -8,10 +8,14 @@
     mangowalk_core::{
         mesh::OrderPhase,
         pool::EngineEntry,
-        weights::{OutdatedEngine, Step, plan},
+        weights::{ModelLoad, OutdatedEngine, Step, plan, plan_rolling},
     },
     mangowalk_platform::{EngineReport, OrderAnswer, WeightsOrder},
-    std::{rc::Rc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
         task::spawn_local,
@@ -30,9 +34,17 @@
 /// Poll interval while nothing is to be done; a notification ends it early.
 const IDLE_POLL_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Validity that the lease must have left for orders without a renewal, in
+/// milliseconds: the time in which a group of orders is sent.
+const MIN_LEASE_LEFT_MS: u64 = 300;
+
+/// Interval of log lines on a change under way, in milliseconds.
+const CHANGE_LOG_INTERVAL_MS: u64 = 1_000;
+
 /// Result of a call to an engine.
 enum EngineResponse {
-    Answer(PendingUpdate, OrderAnswer),
+    /// Answer to an order, and whether the order cut off running requests.
+    Answer(PendingUpdate, bool, OrderAnswer),
     Report(EngineEntry, Option<EngineReport>),
 }
 
@@ -44,6 +56,7 @@
     responses_tx: UnboundedSender<EngineResponse>,
     responses_rx: UnboundedReceiver<EngineResponse>,
     outdated_since_ms: Option<u64>,
+    last_change_log_ms: u64,
 }
 
 /// Sends orders to engines whenever some lack the newest weights. Runs until the
@@ -57,6 +70,7 @@
         responses_tx,
         responses_rx,
         outdated_since_ms: None,
+        last_change_log_ms: 0,
     };
     loop {
         let pause = updater.poll().await;
@@ -67,6 +81,11 @@
     }
 }
 
+/// Returns the models of pending updates, each once.
+fn pending_models(pending: &[PendingUpdate]) -> BTreeSet<&str> {
+    pending.iter().map(|update| update.model.as_str()).collect()
+}
+
 impl WeightsUpdater {
     /// Performs the steps that are due, and returns the time until the next poll.
     async fn poll(&mut self) -> Duration {
@@ -86,12 +105,14 @@
                 self.progress.clear();
             }
             self.instance.order_reports.borrow_mut().clear();
+            self.instance.weights_changes.borrow_mut().clear();
             return if pending.is_empty() {
                 IDLE_POLL_INTERVAL
             } else {
                 STANDBY_POLL_INTERVAL
             };
         }
+        self.report_changes(&pending);
         if !pending.is_empty() {
             self.advance(&pending).await;
         }
@@ -105,8 +126,8 @@
     fn apply_responses(&mut self) {
         while let Ok(response) = self.responses_rx.try_recv() {
             match response {
-                EngineResponse::Answer(update, answer) => {
-                    self.progress.apply_answer(&update, answer)
+                EngineResponse::Answer(update, cut, answer) => {
+                    self.progress.apply_answer(&update, cut, answer)
                 }
                 EngineResponse::Report(entry, report) => {
                     self.progress.apply_report(&entry, report.as_ref())
@@ -153,7 +174,11 @@
         let mut ready = Vec::new();
         for (step, update) in self.plan_steps(pending) {
             match step {
-                Step::Pause(_) => self.progress.set_phase(&update, OrderPhase::Planned),
+                Step::Pause(_) => {
+                    self.instance.counters.count("weights_pause", "paused");
+                    self.progress.set_phase(&update, OrderPhase::Planned);
+                }
+                Step::Resume(_) => self.progress.resume(&update),
                 Step::Order { cut, .. } => ready.push((update, cut)),
             }
         }
@@ -170,11 +195,38 @@
             }
             is_known
         });
-        if ready.is_empty() || !self.order_lease.renew().await {
+        if ready.is_empty() || !self.renew_if_due().await {
             return;
         }
         for (update, cut) in ready {
-            self.send_order(update, cut);
+            self.send_order(self.with_newest_version(update), cut);
+        }
+    }
+
+    /// Renews the lease before a group of orders. Returns whether orders may be sent.
+    ///
+    /// With long loads, places come free one after the other, and a write to the store
+    /// before each order would leave them unused meanwhile; a recent renewal serves
+    /// for several orders.
+    async fn renew_if_due(&mut self) -> bool {
+        let is_recent = self
+            .order_lease
+            .held()
+            .is_some_and(|lease| lease.may_order(now_ms() + MIN_LEASE_LEFT_MS));
+        if is_recent && self.progress.has_long_loads() {
+            return true;
+        }
+        self.order_lease.renew().await
+    }
+
+    /// Returns an update with the newest version, which may have been published while
+    /// the lease was renewed.
+    fn with_newest_version(&self, update: PendingUpdate) -> PendingUpdate {
+        let histories = self.instance.weights_histories.borrow();
+        let newest = histories.get(&update.model).map(|history| history.newest());
+        PendingUpdate {
+            version: newest.unwrap_or(0).max(update.version),
+            ..update
         }
     }
 
@@ -222,43 +274,53 @@
                 update.version,
             );
             // Can't fail: the receiver lives as long as the process.
-            let _ = responses_tx.send(EngineResponse::Answer(update, answer));
+            let _ = responses_tx.send(EngineResponse::Answer(update, cut, answer));
             instance.wake_ups.orders.notify_one();
         });
     }
 
+    /// Reports the progress of all changes to operators.
+    fn report_changes(&mut self, pending: &[PendingUpdate]) {
+        let now_ms = now_ms();
+        let mut changes = BTreeMap::new();
+        for model in pending_models(pending) {
+            let updates = pending.iter().filter(|update| update.model == model);
+            let outdated: Vec<OutdatedEngine> = updates
+                .map(|update| self.progress.outdated_engine(update, now_ms))
+                .collect();
+            let engines = self.model_load(model).engines;
+            let change = self.progress.change_progress(&outdated, engines);
+            changes.insert(model.to_owned(), change);
+        }
+        if !changes.is_empty() && now_ms >= self.last_change_log_ms + CHANGE_LOG_INTERVAL_MS {
+            self.last_change_log_ms = now_ms;
+            let has_long_loads = self.progress.has_long_loads();
+            for (model, change) in &changes {
+                log::info!(
+                    "event=weights_change model={model} {change} long_loads={has_long_loads}"
+                );
+            }
+        }
+        *self.instance.weights_changes.borrow_mut() = changes;
+    }
+
     /// Returns the next steps of all models with pending updates.
     fn plan_steps(&self, pending: &[PendingUpdate]) -> Vec<(Step, PendingUpdate)> {
         let mut steps = Vec::new();
-        let mut models: Vec<&String> = pending.iter().map(|update| &update.model).collect();
-        models.sort();
-        models.dedup();
         let now_ms = now_ms();
-        for model in models {
+        for model in pending_models(pending) {
             let model_updates: Vec<&PendingUpdate> = pending
                 .iter()
-                .filter(|update| update.model == *model)
+                .filter(|update| update.model == model)
                 .collect();
             let outdated: Vec<OutdatedEngine> = model_updates
                 .iter()
                 .map(|update| self.progress.outdated_engine(update, now_ms))
                 .collect();
-            let (engines, requests) = self.responsive_engines(model);
-            let load_limit = self.progress.load_limit(engines);
-            let settings = &self.instance.settings.plan;
-            let max_cut_requests = self.max_cut_requests(model);
-            for step in plan(
-                &outdated,
-                engines,
-                requests,
-                load_limit,
-                max_cut_requests,
-                settings,
-                now_ms,
-            ) {
-                let (Step::Pause(engine) | Step::Order { engine, .. }) = &step;
+            for step in self.model_steps(model, &outdated, now_ms) {
                 let mut model_updates = model_updates.iter();
-                let update = model_updates.find(|update| update.entry.incarnation.id == *engine);
+                let update =
+                    model_updates.find(|update| update.entry.incarnation.id == step.engine());
                 if let Some(update) = update {
                     steps.push((step.clone(), (*update).clone()));
                 }
@@ -267,6 +329,34 @@
         steps
     }
 
+    /// Returns the next steps of one model, with the plan for the duration of its loads.
+    fn model_steps(&self, model: &str, outdated: &[OutdatedEngine], now_ms: u64) -> Vec<Step> {
+        let load = self.model_load(model);
+        let max_cut_requests = self.max_cut_requests(model);
+        let settings = &self.instance.settings;
+        if !self.progress.has_long_loads() {
+            let load_limit = self.progress.load_limit(load.engines);
+            return plan(
+                outdated,
+                load.engines,
+                load.requests,
+                load_limit,
+                max_cut_requests,
+                &settings.plan,
+                now_ms,
+            );
+        }
+        let bounds = self.progress.load_bounds(load.engines);
+        plan_rolling(
+            outdated,
+            &load,
+            &bounds,
+            max_cut_requests,
+            &settings.rolling,
+            now_ms,
+        )
+    }
+
     /// Returns how many requests of a model may be cut off. Each is sent again,
     /// which uses one retry of its service's budget.
     fn max_cut_requests(&self, model: &str) -> u32 {
@@ -281,16 +371,25 @@
             .remaining_retries(&engine.entry.service, now_ms)
     }
 
-    /// Returns the number of responsive engines of a model, and the number of
-    /// requests at them.
-    fn responsive_engines(&self, model: &str) -> (usize, u32) {
+    /// Returns the known work at the responsive engines of a model.
+    fn model_load(&self, model: &str) -> ModelLoad {
         let now_ms = now_ms();
         let engines = self.instance.engines.borrow();
         let serves = |entry: &EngineEntry| entry.models.iter().any(|m| m.model == model);
         let answering = engines
             .staying_engines(now_ms)
             .filter(|engine| serves(&engine.entry) && !engine.is_silent(now_ms));
-        let requests = answering.clone().map(|engine| engine.load().requests).sum();
-        (answering.count(), requests)
+        let loads = answering.clone().map(|engine| engine.load());
+        let unread_tokens: f64 = loads
+            .clone()
+            .map(|load| f64::from(load.prefill_tokens))
+            .sum();
+        let slots = answering.clone().map(|engine| engine.entry.slots).min();
+        ModelLoad {
+            engines: answering.count(),
+            slots: slots.unwrap_or(0),
+            requests: loads.map(|load| load.requests).sum(),
+            unread_ms: unread_tokens / self.instance.prefill_rate.get().tokens_per_ms(),
+        }
     }
 }
