--- a/crates/core/src/admission/fair_queue.rs
+++ b/crates/core/src/admission/fair_queue.rs
@@ -79,10 +79,21 @@
         if wait_ms > self.max_wait_ms(&job) || self.queued >= self.settings.max_queued {
             return Err(self.refusal(wait_ms));
         }
+        self.append(job, now_ms);
+        Ok(())
+    }
+
+    /// Appends a request to its team's queue without a prediction of its wait.
+    pub fn append(&mut self, job: Job, now_ms: u64) {
         self.drain_rate.record_backlog(now_ms);
         self.queued += 1;
         self.teams.entry(job.team.clone()).or_default().push(job);
-        Ok(())
+    }
+
+    /// Returns the measured rate at which requests leave the queue, in tokens per millisecond;
+    /// `None` before enough was measured.
+    pub fn drain_tokens_per_ms(&self, now_ms: u64) -> Option<f64> {
+        self.drain_rate.tokens_per_ms(now_ms)
     }
 
     fn max_wait_ms(&self, job: &Job) -> u64 {
@@ -151,17 +162,8 @@
         max_teams: usize,
         mut send: impl FnMut(&Job) -> Option<T>,
     ) -> Option<(Job, T)> {
-        let mut order: Vec<(u64, f64, &String)> = self
-            .teams
-            .iter()
-            .filter(|(_, team)| !team.jobs.is_empty())
-            .map(|(name, team)| {
-                let start = team.finish_tag.max(self.virtual_time);
-                (team.effective_priority(&self.settings, now_ms), start, name)
-            })
-            .collect();
-        order.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
-        let (name, index, sent) = order.into_iter().take(max_teams).find_map(|(_, _, name)| {
+        let order = self.team_order(now_ms);
+        let (name, index, sent) = order.into_iter().take(max_teams).find_map(|name| {
             let team = self.teams.get(name)?;
             let order = team.serving_order(&self.settings, now_ms);
             order.into_iter().take(MAX_JOBS_TRIED).find_map(|index| {
@@ -170,10 +172,60 @@
             })
         })?;
         let job = self.take(&name, index)?;
-        self.charge(&job);
+        self.record_served(&job, now_ms);
+        Some((job, sent))
+    }
+
+    /// Removes and returns a request that is served, and charges its team. Returns `None` if it
+    /// is not queued.
+    pub fn take_served(&mut self, id: u64, now_ms: u64) -> Option<Job> {
+        let job = self.remove(id)?;
+        self.record_served(&job, now_ms);
+        Some(job)
+    }
+
+    fn record_served(&mut self, job: &Job, now_ms: u64) {
+        self.charge(job);
         self.drain_rate
             .record_sent(job.tokens, self.queued > 0, now_ms);
-        Some((job, sent))
+    }
+
+    /// Returns all queued requests in the order in which they should be served if engines had
+    /// capacity for one after another. A more urgent request precedes all others, also those of
+    /// teams with a lower position.
+    pub fn serving_order(&self, now_ms: u64) -> Vec<u64> {
+        let mut order: Vec<(u64, f64, u64)> = Vec::with_capacity(self.queued);
+        for team in self.teams.values() {
+            let mut start = team.finish_tag.max(self.virtual_time);
+            let mut jobs: Vec<(u64, &Job)> = team
+                .serving_order(&self.settings, now_ms)
+                .into_iter()
+                .map(|index| &team.jobs[index])
+                .map(|job| (self.settings.effective_priority(job, now_ms), job))
+                .collect();
+            jobs.sort_by_key(|(priority, _)| *priority);
+            for (priority, job) in jobs {
+                order.push((priority, start, job.id));
+                start += job.tokens as f64 / job.weight.max(f64::MIN_POSITIVE);
+            }
+        }
+        order.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        order.into_iter().map(|(_, _, id)| id).collect()
+    }
+
+    /// Returns the teams with queued requests in the order in which they should be served.
+    fn team_order(&self, now_ms: u64) -> Vec<&String> {
+        let mut order: Vec<(u64, f64, &String)> = self
+            .teams
+            .iter()
+            .filter(|(_, team)| !team.jobs.is_empty())
+            .map(|(name, team)| {
+                let start = team.finish_tag.max(self.virtual_time);
+                (team.effective_priority(&self.settings, now_ms), start, name)
+            })
+            .collect();
+        order.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(b.2)));
+        order.into_iter().map(|(_, _, name)| name).collect()
     }
 
     /// Advances a team's position in virtual time for a request that is served.
@@ -233,7 +285,7 @@
             return Vec::new();
         };
         let team_tokens_per_ms = tokens_per_ms.map(|rate| rate * self.share(name, weight));
-        let settings = self.settings.clone();
+        let settings = self.settings;
         let overserved = self
             .teams
             .get(name)
--- /dev/null
+++ b/crates/core/src/admission/fleet_capacity.rs
@@ -0,0 +1,57 @@
+use {super::Backlog, crate::pool::PrefillRate};
+
+/// How soon the engines that may take a request can read it.
+///
+/// The load it addresses is an overload that lasts: a request that can't be served before its
+/// deadline is refused when it arrives, and not after it has waited for nothing.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FleetCapacity {
+    /// Sum of the engines' speeds; 1 for an engine at its usual pace.
+    speed: f64,
+    /// Shortest time in which an engine reads the prompts that it holds; infinite without
+    /// engines.
+    shortest_backlog_ms: f64,
+}
+
+impl FleetCapacity {
+    /// Returns the capacity of engines with these backlogs.
+    pub fn new(backlogs: impl Iterator<Item = Backlog>, rate: &PrefillRate) -> FleetCapacity {
+        let none = FleetCapacity {
+            speed: 0.0,
+            shortest_backlog_ms: f64::INFINITY,
+        };
+        backlogs.fold(none, |capacity, backlog| {
+            let backlog_ms = rate.prefill_ms(backlog.unread_tokens as f64) * backlog.slowdown;
+            FleetCapacity {
+                speed: capacity.speed + 1.0 / backlog.slowdown.max(f64::MIN_POSITIVE),
+                shortest_backlog_ms: capacity.shortest_backlog_ms.min(backlog_ms),
+            }
+        })
+    }
+
+    /// Returns the rate at which one of `instances` can pass work on to the engines, in tokens
+    /// per ms: the measured one, or its part of what all engines read if that is more, as
+    /// others may have no work.
+    pub fn drain_tokens_per_ms(
+        &self,
+        measured: Option<f64>,
+        instances: usize,
+        rate: &PrefillRate,
+    ) -> f64 {
+        let part = self.speed * rate.tokens_per_ms() / instances.max(1) as f64;
+        measured.unwrap_or_default().max(part)
+    }
+
+    /// Returns the time until the prompt of a request is read that waits behind `ahead_tokens`
+    /// in its instance.
+    pub fn read_ms(
+        &self,
+        ahead_tokens: u64,
+        own_tokens: u64,
+        drain_tokens_per_ms: f64,
+        rate: &PrefillRate,
+    ) -> f64 {
+        let ahead_ms = ahead_tokens as f64 / drain_tokens_per_ms.max(f64::MIN_POSITIVE);
+        self.shortest_backlog_ms + ahead_ms + rate.prefill_ms(own_tokens as f64)
+    }
+}
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -10,14 +10,22 @@
 mod dispatcher;
 mod drain_rate;
 mod fair_queue;
+mod fleet_capacity;
 mod job;
+mod retry_schedule;
 mod settings;
 mod team_queue;
+mod waiting_room;
+mod waiting_settings;
 
 pub use {
     backlog::{Backlog, BacklogBound, BacklogSettings},
     dispatcher::{Decision, Dispatcher, EngineFilter},
     fair_queue::{FairQueue, QueueRefusal},
+    fleet_capacity::FleetCapacity,
     job::Job,
+    retry_schedule::{RefusedWork, RetrySchedule, RetrySettings},
     settings::{AdmissionProfile, AdmissionSettings},
+    waiting_room::{RoomFull, WaitingRoom},
+    waiting_settings::WaitingSettings,
 };
--- a/crates/core/src/admission/settings.rs
+++ b/crates/core/src/admission/settings.rs
@@ -1,4 +1,7 @@
-use derive_more::{Display, Error};
+use {
+    super::Job,
+    derive_more::{Display, Error},
+};
 
 /// What a deployment gives priority when all engines are full.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Display)]
@@ -32,7 +35,7 @@
 }
 
 /// How an instance queues and refuses requests when all engines are full.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AdmissionSettings {
     /// Maximum time in milliseconds that a request waits for an engine.
     pub max_wait_ms: u64,
@@ -48,6 +51,12 @@
 }
 
 impl AdmissionSettings {
+    /// Returns the priority of a request, raised by its waiting time.
+    pub(super) fn effective_priority(&self, job: &Job, now_ms: u64) -> u64 {
+        let waited_ms = now_ms.saturating_sub(job.arrived_ms);
+        u64::from(job.priority).saturating_sub(waited_ms / self.priority_step_ms.max(1))
+    }
+
     /// Returns the settings of a profile.
     pub fn for_profile(profile: AdmissionProfile) -> AdmissionSettings {
         match profile {
--- a/crates/core/src/admission/team_queue.rs
+++ b/crates/core/src/admission/team_queue.rs
@@ -51,13 +51,9 @@
     /// Returns the most urgent priority of the team's requests, each raised by
     /// its waiting time; `u64::MAX` if none is queued.
     pub(super) fn effective_priority(&self, settings: &AdmissionSettings, now_ms: u64) -> u64 {
-        let effective_priority = |job: &Job| {
-            let waited_ms = now_ms.saturating_sub(job.arrived_ms);
-            u64::from(job.priority).saturating_sub(waited_ms / settings.priority_step_ms.max(1))
-        };
         self.jobs
             .iter()
-            .map(effective_priority)
+            .map(|job| settings.effective_priority(job, now_ms))
             .min()
             .unwrap_or(u64::MAX)
     }
