Use the pace of engines in the choice and the predicted wait

Engines whose machine is slow for seconds got as much work as others, and what waited there was late. Instances smooth the pace that engines name in answers, tell peers of changes by a quarter or more, and let it fade within two seconds. The choice samples engines by their speed and multiplies the cost of work, and so does the predicted wait. Engines of services without a model are drawn by their free speed instead of being the least loaded of a list that is up to a heartbeat old.

--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -88,7 +88,8 @@
 /// wait too long at the best engine, or `None` if the request is admitted.
 ///
 /// `own_tokens` are the prompt tokens that no other request shares;
-/// `has_first_priority` marks a request of the highest priority.
+/// `has_first_priority` marks a request of the highest priority. The time is that at the engine's
+/// present pace.
 pub fn retry_after_ms(
     best: &KnownEngine,
     rate: &PrefillRate,
@@ -96,6 +97,7 @@
     own_tokens: u64,
     target_ms: u64,
     has_first_priority: bool,
+    now_ms: u64,
 ) -> Option<u64> {
     let factor = if has_first_priority {
         settings.first_priority_max_wait_factor
@@ -103,7 +105,8 @@
         settings.max_wait_factor
     };
     let max_wait_ms = factor * target_ms as f64;
-    let wait_ms = rate.prefill_ms(f64::from(best.load().prefill_tokens) + own_tokens as f64);
+    let tokens = f64::from(best.load().prefill_tokens) + own_tokens as f64;
+    let wait_ms = rate.prefill_ms(tokens) * best.slowdown(now_ms);
     if wait_ms <= max_wait_ms {
         return None;
     }
--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -1,5 +1,8 @@
 use {
-    super::{EngineRequirements, HealthSettings, KnownEngine},
+    super::{
+        EngineRequirements, HealthSettings, KnownEngine,
+        pace_choice::{draw_by_free_speed, sample_by_speed},
+    },
     crate::weights::VersionBounds,
 };
 
@@ -123,25 +126,34 @@
         engine.is_excluded_by_report_only(&settings.health, now_ms) && is_allowed(engine)
     };
     let available = |engine: &&KnownEngine| usable(engine) && !engine.is_paused(now_ms);
+    let cost = |engine: &KnownEngine| {
+        cost_tokens(
+            engine,
+            requirements,
+            version_bounds,
+            memory_tokens,
+            settings,
+            home,
+            now_ms,
+        )
+    };
     let cheapest = |a: &&KnownEngine, b: &&KnownEngine| {
-        let cost = |engine: &KnownEngine| {
-            cost_tokens(
-                engine,
-                requirements,
-                version_bounds,
-                memory_tokens,
-                settings,
-                home,
-                now_ms,
-            ) + jitter(draw, &engine.entry.incarnation.id) * settings.jitter_tokens
+        let jittered = |engine: &KnownEngine| {
+            cost(engine) + jitter(draw, &engine.entry.incarnation.id) * settings.jitter_tokens
         };
-        cost(a).total_cmp(&cost(b))
+        jittered(a).total_cmp(&jittered(b))
+    };
+    let is_paced = engines.clone().any(|engine| engine.pace.is_told());
+    let sampled = if is_paced {
+        let available = engines.clone().filter(available);
+        sample_by_speed(available, settings.sampled_engines, draw, now_ms)
+    } else {
+        sample(
+            engines.clone().filter(available),
+            settings.sampled_engines,
+            draw,
+        )
     };
-    let sampled = sample(
-        engines.clone().filter(available),
-        settings.sampled_engines,
-        draw,
-    );
     let has_cached = |engine: &&KnownEngine| {
         let part = requirements.shared_part();
         part.is_some_and(|part| engine.has_cached(part, settings.retention_ms, now_ms))
@@ -153,6 +165,15 @@
             || sampled.contains(&id)
             || has_cached(engine)
     };
+    if is_paced && requirements.model.is_none() {
+        let available = engines.clone().filter(available);
+        let other_cost =
+            |engine: &KnownEngine| other_cost_tokens(engine, requirements, settings, now_ms);
+        let drawn = draw_by_free_speed(available, other_cost, draw, now_ms);
+        if drawn.is_some() {
+            return drawn;
+        }
+    }
     engines
         .clone()
         .filter(available)
@@ -181,6 +202,26 @@
     (rendezvous(draw, engine) % 1_000) as f64 / 1_000.0
 }
 
+/// Returns the cost of an engine apart from its work.
+fn other_cost_tokens(
+    engine: &KnownEngine,
+    requirements: &EngineRequirements,
+    settings: &ChoiceSettings,
+    now_ms: u64,
+) -> f64 {
+    let cost = settings.failure_tokens * engine.health.failures(&settings.health, now_ms);
+    if engine.entry.domain == requirements.domain {
+        return cost;
+    }
+    cost + settings.other_domain_tokens
+}
+
+/// Returns the prompt tokens that no other request shares, which every engine has to read.
+fn own_tokens(requirements: &EngineRequirements) -> f64 {
+    let shared_tokens = requirements.shared_tokens();
+    requirements.prompt_tokens.saturating_sub(shared_tokens) as f64
+}
+
 fn cost_tokens(
     engine: &KnownEngine,
     requirements: &EngineRequirements,
@@ -191,13 +232,11 @@
     now_ms: u64,
 ) -> f64 {
     let load = engine.load();
-    let mut cost = settings.failure_tokens * engine.health.failures(&settings.health, now_ms);
-    if engine.entry.domain != requirements.domain {
-        cost += settings.other_domain_tokens;
-    }
+    let mut cost = other_cost_tokens(engine, requirements, settings, now_ms);
     let Some(model) = &requirements.model else {
         let slots = engine.entry.slots.max(1);
-        return cost + REQUEST_TOKENS_WITHOUT_MODEL * f64::from(load.requests) / f64::from(slots);
+        let requests = f64::from(load.requests) / f64::from(slots);
+        return cost + REQUEST_TOKENS_WITHOUT_MODEL * requests;
     };
     cost += f64::from(load.prefill_tokens);
     cost += settings.running_tokens * f64::from(load.requests);
@@ -216,12 +255,23 @@
         .shared_part()
         .is_some_and(|part| engine.has_cached(part, settings.retention_ms, now_ms));
     let mut unread_tokens = requirements.prompt_tokens;
+    let mut fetch_tokens = 0.0;
     if is_cached {
         unread_tokens = unread_tokens.saturating_sub(requirements.shared_tokens());
     } else {
-        cost += requirements.shared_tokens() as f64 * settings.fetch_cost_ratio;
+        fetch_tokens = requirements.shared_tokens() as f64 * settings.fetch_cost_ratio;
+        cost += fetch_tokens;
     }
-    cost += unread_tokens as f64 * f64::from(load.requests) * settings.delay_ratio;
+    let delay_tokens = unread_tokens as f64 * f64::from(load.requests) * settings.delay_ratio;
+    cost += delay_tokens;
+    // All work takes longer at a slow engine, also that of the request itself, which otherwise
+    // costs the same everywhere.
+    let work_tokens = f64::from(load.prefill_tokens)
+        + settings.running_tokens * f64::from(load.requests)
+        + fetch_tokens
+        + delay_tokens
+        + own_tokens(requirements);
+    cost += work_tokens * (engine.slowdown(now_ms) - 1.0);
     if home == Some(engine.entry.incarnation.id.as_str()) {
         cost -= settings.home_tokens;
     }
--- a/crates/core/src/pool/known_engine.rs
+++ b/crates/core/src/pool/known_engine.rs
@@ -1,6 +1,6 @@
 use {
     super::{EngineEntry, Health, HealthSettings, short_hash},
-    crate::{canary::SoftwareRole, origin::EngineBuild},
+    crate::{canary::SoftwareRole, capacity::EnginePace, origin::EngineBuild},
     serde::{Deserialize, Serialize},
     std::collections::HashMap,
 };
@@ -64,6 +64,8 @@
     pub others: Load,
     /// Failures seen by this instance.
     pub health: Health,
+    /// Pace at which it works.
+    pub pace: EnginePace,
     /// Weights version per model, from list entries, answers and orders.
     pub versions: HashMap<String, u64>,
     /// Set while new requests to the engine are paused.
@@ -106,6 +108,7 @@
             own: Load::default(),
             others: Load::default(),
             health: Health::default(),
+            pace: EnginePace::default(),
             versions,
             pause: None,
             cached_parts_ms: HashMap::new(),
@@ -125,6 +128,12 @@
         load
     }
 
+    /// Returns by how much longer work takes at the engine than usual: 1.0 as usual, or if no
+    /// pace was named lately, and 3.0 at a third of the speed.
+    pub fn slowdown(&self, now_ms: u64) -> f64 {
+        self.pace.slowdown(now_ms)
+    }
+
     /// Returns the weights version of a model at the engine; 0 if unknown.
     pub fn version(&self, model: &str) -> u64 {
         self.versions.get(model).copied().unwrap_or(0)
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -11,12 +11,14 @@
 mod list_part;
 mod listing_status;
 mod name_form;
+mod pace_choice;
 mod prompt_length;
 mod replaced_engine;
 mod requirements;
 mod software_lane;
 mod table;
 mod table_notices;
+mod table_paces;
 mod turnover;
 
 pub use {
--- a/crates/core/tests/full.rs
+++ b/crates/core/tests/full.rs
@@ -133,8 +133,9 @@
                     draw,
                     now_ms,
                 );
-                let refused =
-                    best.and_then(|best| retry_after_ms(best, &rate, &admit, 2_900, 800, false));
+                let refused = best.and_then(|best| {
+                    retry_after_ms(best, &rate, &admit, 2_900, 800, false, now_ms)
+                });
                 if policy == Policy::ChooseAndRefuse && refused.is_some() {
                     result.refused += 1.0;
                     continue;
--- a/crates/core/tests/mixed.rs
+++ b/crates/core/tests/mixed.rs
@@ -171,7 +171,17 @@
         let (rate, admit) = (PrefillRate::default(), AdmitSettings::default());
         let own_tokens = u64::from(kind.own_tokens);
         let target_ms = kind.target_ms as u64;
-        if retry_after_ms(best, &rate, &admit, own_tokens, target_ms, kind.is_first).is_some() {
+        if retry_after_ms(
+            best,
+            &rate,
+            &admit,
+            own_tokens,
+            target_ms,
+            kind.is_first,
+            now_ms,
+        )
+        .is_some()
+        {
             outcome.refused += 1.0;
             return;
         }
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -451,14 +451,15 @@
     let rate = PrefillRate::default();
     engine.own.prefill_tokens = 20_000;
     assert_eq!(
-        retry_after_ms(&engine, &rate, &settings, 0, 800, false),
+        retry_after_ms(&engine, &rate, &settings, 0, 800, false, 1_000),
         None
     );
     engine.own.prefill_tokens = 60_000;
-    let retry_ms = retry_after_ms(&engine, &rate, &settings, 0, 800, false).expect("it is refused");
+    let retry_ms =
+        retry_after_ms(&engine, &rate, &settings, 0, 800, false, 1_000).expect("it is refused");
     assert!((settings.min_retry_ms..=settings.max_retry_ms).contains(&retry_ms));
     assert_eq!(
-        retry_after_ms(&engine, &rate, &settings, 0, 800, true),
+        retry_after_ms(&engine, &rate, &settings, 0, 800, true, 1_000),
         None
     );
 }
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -106,7 +106,7 @@
         choose_with(Standing::Staying, usable).or_else(|| choose_with(Standing::Departing, usable))
     };
     let lane = software_lane(request, context, now_ms);
-    let admits = |engine: &KnownEngine| queue_retry_ms(request, context, engine).is_none();
+    let admits = |engine: &KnownEngine| queue_retry_ms(request, context, engine, now_ms).is_none();
     let new_engines = new_engines(&engines, &requirements.service);
     let chosen = match context.build {
         Some(_) => choose_for_begun(choose_among),
@@ -115,8 +115,8 @@
     let Some((chosen, lane)) = chosen else {
         return Err(lack_of_engines(request, context.build, &engines, now_ms));
     };
-    if let Some(retry_ms) = queue_retry_ms(request, context, chosen) {
-        log_full(request, chosen);
+    if let Some(retry_ms) = queue_retry_ms(request, context, chosen, now_ms) {
+        log_full(request, chosen, now_ms);
         return Err(Outcome::QueueTooLong(retry_ms));
     }
     let draw = rand::random();
@@ -222,6 +222,7 @@
     request: &CallerRequest,
     context: &AttemptContext<'_>,
     engine: &KnownEngine,
+    now_ms: u64,
 ) -> Option<u64> {
     let requirements = &request.requirements;
     if requirements.model.is_none() || !context.may_be_refused {
@@ -237,17 +238,19 @@
             .saturating_sub(requirements.shared_tokens()),
         request.route.target_ms,
         request.has_first_priority(),
+        now_ms,
     )
 }
 
 /// Logs that a request would wait too long at the best engine.
-fn log_full(request: &CallerRequest, engine: &KnownEngine) {
+fn log_full(request: &CallerRequest, engine: &KnownEngine, now_ms: u64) {
     let rate = request.instance.prefill_rate.get();
+    let slowdown = engine.slowdown(now_ms);
     log::warn!(
-        "event=full request={} engine={} wait_ms={:.0} target_ms={} own={} others={} read_per_ms={:.1}",
+        "event=full request={} engine={} wait_ms={:.0} target_ms={} own={} others={} read_per_ms={:.1} slowdown={slowdown:.2}",
         request.id(),
         engine.entry.incarnation.id,
-        rate.prefill_ms(f64::from(engine.load().prefill_tokens)),
+        rate.prefill_ms(f64::from(engine.load().prefill_tokens)) * slowdown,
         request.route.target_ms,
         engine.own.prefill_tokens,
         engine.others.prefill_tokens,
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,5 +1,6 @@
 use mangowalk_core::{
     brittle::BrittleSettings,
+    capacity::PaceSettings,
     crash_part::CrashPartSettings,
     engine_limit::EngineLimitSettings,
     engine_notice::NoticeSettings,
@@ -34,6 +35,8 @@
     pub engine_limits: EngineLimitSettings,
     /// How long what engines say of themselves holds.
     pub notices: NoticeSettings,
+    /// How the pace of engines is smoothed, told and forgotten.
+    pub paces: PaceSettings,
     /// Loss of the path to the engines, and requests that are passed on to peers then.
     pub path: PathSettings,
     /// How long and where it is known where streams began.
@@ -108,6 +111,7 @@
             crash_parts: CrashPartSettings::default(),
             engine_limits: EngineLimitSettings::default(),
             notices: NoticeSettings::default(),
+            paces: PaceSettings::default(),
             path: PathSettings::default(),
             origins: OriginSettings::default(),
             weights: WeightsSettings {
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -7,6 +7,7 @@
     mangowalk_core::{
         brittle::BrittleEngines,
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
+        capacity::PaceReport,
         engine_limit::{EngineLimitReport, EngineLimits},
         engine_notice::LeavingReport,
         kv_store::KvStores,
@@ -64,6 +65,8 @@
     pub limit_reports: RefCell<Vec<EngineLimitReport>>,
     /// Engines that leave, of which peers are still to be told.
     pub leaving_reports: RefCell<Vec<LeavingReport>>,
+    /// Paces of engines that peers are still to be told.
+    pub pace_reports: RefCell<Vec<PaceReport>>,
     /// The paths of this instance to the engines of each service.
     pub service_paths: RefCell<ServicePaths>,
     /// Locks by service, each held while it is checked whether the path is lost.
@@ -158,6 +161,7 @@
             engine_limits: RefCell::default(),
             limit_reports: RefCell::default(),
             leaving_reports: RefCell::default(),
+            pace_reports: RefCell::default(),
             service_paths: RefCell::default(),
             path_checks: RefCell::default(),
             peer_paths: RefCell::default(),
--- a/crates/gateway/src/instance/wake_ups.rs
+++ b/crates/gateway/src/instance/wake_ups.rs
@@ -29,4 +29,6 @@
     pub limits: Notify,
     /// Sent when peers are to be told of an engine that leaves.
     pub leaving_engines: Notify,
+    /// Sent when peers are to be told the pace of an engine.
+    pub engine_paces: Notify,
 }
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod loans;
 mod origins;
+mod paces;
 mod parts;
 mod paths;
 mod sending;
@@ -16,6 +17,7 @@
     limits::report_limits,
     loans::{exchange_loans, take_retry},
     origins::{exchange_origins, find_origin, tell_origin},
+    paces::report_engine_paces,
     parts::exchange_parts,
     sending::{send_canary_to_all, send_canary_to_readers, send_to_domains},
     traffic::{Direction, MeshTraffic},
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -217,6 +217,10 @@
         "leaving_engines",
         mesh::report_leaving_engines(instance.clone(), peers.clone()),
     );
+    tasks.start(
+        "engine_paces",
+        mesh::report_engine_paces(instance.clone(), peers.clone()),
+    );
     tasks.start(
         "crash_parts",
         mesh::exchange_parts(instance.clone(), peers.clone()),
--- a/crates/gateway/src/upstreams/exchange.rs
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -114,6 +114,7 @@
     let answer = send_once(instance, pool, destination, build_request).await?;
     if let Destination::Engine { entry, .. } = destination {
         instance.record_notices(entry, answer.parts.status, &answer.head, now_ms());
+        instance.record_pace(entry, &answer.head, now_ms());
     }
     Ok(answer)
 }
