--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -12,6 +12,7 @@
 mod list_part;
 mod listing_status;
 mod name_form;
+mod pace_choice;
 mod prompt_length;
 mod replaced_engine;
 mod replacements;
@@ -19,6 +20,7 @@
 mod software_lane;
 mod table;
 mod table_notices;
+mod table_paces;
 mod table_replacements;
 mod turnover;
 
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,6 +1,7 @@
 use mangowalk_core::{
     admission::BacklogSettings,
     brittle::BrittleSettings,
+    capacity::PaceSettings,
     crash_part::CrashPartSettings,
     engine_limit::EngineLimitSettings,
     engine_notice::NoticeSettings,
@@ -37,6 +38,8 @@
     pub engine_limits: EngineLimitSettings,
     /// How long what engines say of themselves holds.
     pub notices: NoticeSettings,
+    /// How the pace of engines is smoothed, told and forgotten.
+    pub paces: PaceSettings,
     /// Loss of the path to the engines, and requests that are passed on to peers then.
     pub path: PathSettings,
     /// How long and where it is known where streams began.
@@ -114,6 +117,7 @@
             crash_parts: CrashPartSettings::default(),
             engine_limits: EngineLimitSettings::default(),
             notices: NoticeSettings::default(),
+            paces: PaceSettings::default(),
             path: PathSettings::default(),
             origins: OriginSettings::default(),
             weights: WeightsSettings {
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -7,6 +7,7 @@
     mangowalk_core::{
         brittle::BrittleEngines,
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
+        capacity::PaceReport,
         engine_limit::{EngineLimitReport, EngineLimits},
         engine_notice::LeavingReport,
         kv_store::KvStores,
@@ -69,6 +70,8 @@
     pub leaving_reports: RefCell<Vec<LeavingReport>>,
     /// Engines at whose addresses others listen, of which peers are still to be told.
     pub replaced_reports: RefCell<Vec<ReplacedEngine>>,
+    /// Paces of engines that peers are still to be told.
+    pub pace_reports: RefCell<Vec<PaceReport>>,
     /// The paths of this instance to the engines of each service.
     pub service_paths: RefCell<ServicePaths>,
     /// Locks by service, each held while it is checked whether the path is lost.
@@ -167,6 +170,7 @@
             limit_reports: RefCell::default(),
             leaving_reports: RefCell::default(),
             replaced_reports: RefCell::default(),
+            pace_reports: RefCell::default(),
             service_paths: RefCell::default(),
             path_checks: RefCell::default(),
             peer_paths: RefCell::default(),
--- a/crates/gateway/src/instance/wake_ups.rs
+++ b/crates/gateway/src/instance/wake_ups.rs
@@ -31,4 +31,6 @@
     pub leaving_engines: Notify,
     /// Sent when peers are to be told of an engine at whose address another one listens.
     pub replaced_engines: Notify,
+    /// Sent when peers are to be told the pace of an engine.
+    pub engine_paces: Notify,
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -221,6 +221,10 @@
         "replaced_engines",
         mesh::report_replaced_engines(instance.clone(), peers.clone()),
     );
+    tasks.start(
+        "engine_paces",
+        mesh::report_engine_paces(instance.clone(), peers.clone()),
+    );
     tasks.start(
         "crash_parts",
         mesh::exchange_parts(instance.clone(), peers.clone()),
