--- a/crates/core/tests/hard_load/fleet.rs
+++ b/crates/core/tests/hard_load/fleet.rs
@@ -284,6 +284,7 @@
             u64::from(kind.own_tokens),
             kind.target_ms,
             kind.is_first,
+            now_ms,
         );
         if let Some(retry_ms) = refusal {
             return Err(retry_ms);
--- a/crates/gateway/src/callers/backlog.rs
+++ b/crates/gateway/src/callers/backlog.rs
@@ -92,7 +92,7 @@
         };
         let backlog = Backlog {
             unread_tokens: u64::from(engine.load().prefill_tokens),
-            slowdown: USUAL_PACE,
+            slowdown: engine.slowdown(self.now_ms),
         };
         let wait_ms = bound.wait_ms(backlog, self.own_tokens(engine), &self.rate);
         let is_passed_over = self.waits_for_cache && !self.has_cached(engine)
@@ -126,9 +126,6 @@
     }
 }
 
-/// Slowdown of an engine whose pace is not known.
-const USUAL_PACE: f64 = 1.0;
-
 /// Returns the bound for a request; `None` if it is among the most urgent of its service, or
 /// the deployment has no bounds on what engines hold.
 fn bound(request: &CallerRequest) -> Option<BacklogBound> {
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -3,7 +3,7 @@
         Counters, CrashParts, CrashTracker, Drain, GatewaySettings, PassedOn, ReloadOutcome,
         RetryBudgets, StoreAvailability, StreamOrigins, WakeUps, apply_reloadable,
     },
-    crate::{clock::now_ms, mesh::MeshTraffic},
+    crate::{bounded::HeldBytes, clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
         brittle::BrittleEngines,
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
@@ -26,6 +26,7 @@
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap, VecDeque},
         rc::Rc,
+        sync::Arc,
     },
     tokio::sync::{Mutex, watch},
 };
@@ -121,6 +122,8 @@
     /// Progress of the changes of weights that this instance orders, by model. Empty
     /// without the lease.
     pub weights_changes: RefCell<BTreeMap<String, ChangeProgress>>,
+    /// Bytes that are held for callers and engines.
+    pub held: Arc<HeldBytes>,
     /// Metrics for operators.
     pub counters: Counters,
     /// Number of requests that were received and not yet answered in full.
@@ -191,6 +194,7 @@
             last_order_ms: Cell::new(None),
             order_reports: RefCell::default(),
             weights_changes: RefCell::default(),
+            held: Arc::default(),
             counters: Counters::default(),
             open_requests: Cell::new(0),
             drain,
