Tell refused callers to come back when they find room

A refused caller was told to come back after 200 to 1,500 ms, however much stood before it, and most were refused again.

The delay is now the time in which what waits before the request is read, at the measured rate at which requests leave the instance, or the age of what waits there if that is more; each refusal moves the next caller's time. A request is refused on arrival by the same prediction. In a large fleet an instance has few requests, and their age says more than their number.

--- a/crates/core/src/admission/fleet_capacity.rs
+++ b/crates/core/src/admission/fleet_capacity.rs
@@ -1,5 +1,15 @@
 use {super::Backlog, crate::pool::PrefillRate};
 
+/// The requests that wait in an instance and are served before another one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WorkAhead {
+    /// Tokens of their prompts.
+    pub tokens: u64,
+    /// Time for which the first of them has waited. In a large fleet an instance has few
+    /// requests, and their age says more of the work of all instances than their number.
+    pub longest_wait_ms: u64,
+}
+
 /// How soon the engines that may take a request can read it.
 ///
 /// The load it addresses is an overload that lasts: a request that can't be served before its
@@ -30,28 +40,27 @@
     }
 
     /// Returns the rate at which one of `instances` can pass work on to the engines, in tokens
-    /// per ms: the measured one, or its part of what all engines read if that is more, as
-    /// others may have no work.
+    /// per ms: the measured one, or its part of what all engines read before any was measured.
     pub fn drain_tokens_per_ms(
         &self,
         measured: Option<f64>,
         instances: usize,
         rate: &PrefillRate,
     ) -> f64 {
-        let part = self.speed * rate.tokens_per_ms() / instances.max(1) as f64;
-        measured.unwrap_or_default().max(part)
+        measured.unwrap_or_else(|| self.speed * rate.tokens_per_ms() / instances.max(1) as f64)
     }
 
-    /// Returns the time until the prompt of a request is read that waits behind `ahead_tokens`
-    /// in its instance.
+    /// Returns the time until the prompt of a request is read that waits in its instance behind
+    /// `ahead`.
     pub fn read_ms(
         &self,
-        ahead_tokens: u64,
+        ahead: WorkAhead,
         own_tokens: u64,
         drain_tokens_per_ms: f64,
         rate: &PrefillRate,
     ) -> f64 {
-        let ahead_ms = ahead_tokens as f64 / drain_tokens_per_ms.max(f64::MIN_POSITIVE);
-        self.shortest_backlog_ms + ahead_ms + rate.prefill_ms(own_tokens as f64)
+        let drained_ms = ahead.tokens as f64 / drain_tokens_per_ms.max(f64::MIN_POSITIVE);
+        let wait_ms = drained_ms.max(ahead.longest_wait_ms as f64);
+        self.shortest_backlog_ms + wait_ms + rate.prefill_ms(own_tokens as f64)
     }
 }
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -22,7 +22,7 @@
     backlog::{Backlog, BacklogBound, BacklogSettings},
     dispatcher::{Decision, Dispatcher, EngineFilter},
     fair_queue::{FairQueue, QueueRefusal},
-    fleet_capacity::FleetCapacity,
+    fleet_capacity::{FleetCapacity, WorkAhead},
     job::Job,
     retry_schedule::{RefusedWork, RetrySchedule, RetrySettings},
     settings::{AdmissionProfile, AdmissionSettings},
--- a/crates/core/src/admission/retry_schedule.rs
+++ b/crates/core/src/admission/retry_schedule.rs
@@ -1,3 +1,5 @@
+use super::WorkAhead;
+
 /// When refused callers are asked to come back.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetrySettings {
@@ -8,7 +10,7 @@
     /// Part of the measured drain that is given to callers that come back. New callers take the
     /// rest.
     pub drain_ratio: f64,
-    /// Part of the backlog that is to be gone when the first caller comes back.
+    /// Part of the requests that wait which is to be gone when the first caller comes back.
     pub drained_ratio: f64,
 }
 
@@ -18,7 +20,7 @@
             min_delay_ms: 200,
             max_delay_ms: 10_000,
             drain_ratio: 0.25,
-            drained_ratio: 0.5,
+            drained_ratio: 1.0,
         }
     }
 }
@@ -26,8 +28,8 @@
 /// The work that stands before a refused caller.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RefusedWork {
-    /// Tokens that wait in the instance.
-    pub backlog_tokens: u64,
+    /// The requests that wait in the instance and are served before it.
+    pub ahead: WorkAhead,
     /// Tokens of the refused request.
     pub own_tokens: u64,
     /// Rate at which requests leave the instance for engines.
@@ -47,7 +49,8 @@
     /// Returns the delay in milliseconds for one more refused caller.
     pub fn delay_ms(&mut self, work: RefusedWork, settings: &RetrySettings, now_ms: u64) -> u64 {
         let drain = work.drain_tokens_per_ms.max(f64::MIN_POSITIVE);
-        let drained_ms = work.backlog_tokens as f64 * settings.drained_ratio / drain;
+        let drained_ms = (work.ahead.tokens as f64 / drain).max(work.ahead.longest_wait_ms as f64)
+            * settings.drained_ratio;
         let latest_ms = now_ms as f64 + settings.max_delay_ms as f64;
         let at_ms = self.next_ms.max(now_ms as f64 + drained_ms);
         self.next_ms =
--- a/crates/core/src/admission/waiting_room.rs
+++ b/crates/core/src/admission/waiting_room.rs
@@ -1,5 +1,5 @@
 use {
-    super::{FairQueue, Job, RefusedWork, RetrySchedule, WaitingSettings},
+    super::{FairQueue, Job, RefusedWork, RetrySchedule, WaitingSettings, WorkAhead},
     std::collections::{HashMap, VecDeque},
 };
 
@@ -78,12 +78,16 @@
         waiters.any(|waiter| waiter.priority <= priority)
     }
 
-    /// Returns the tokens of the requests that wait and are served before a new one of this
-    /// priority.
-    pub fn tokens_ahead(&self, priority: u8) -> u64 {
+    /// Returns the requests that are served before a new one of this priority.
+    pub fn work_ahead(&self, priority: u8, now_ms: u64) -> WorkAhead {
         let waiters = self.waiters.values();
         let ahead = waiters.filter(|waiter| waiter.priority <= priority);
-        ahead.map(|waiter| waiter.tokens).sum()
+        ahead.fold(WorkAhead::default(), |ahead, waiter| WorkAhead {
+            tokens: ahead.tokens + waiter.tokens,
+            longest_wait_ms: ahead
+                .longest_wait_ms
+                .max(now_ms.saturating_sub(waiter.since_ms)),
+        })
     }
 
     /// Returns the rate at which requests leave for engines in tokens per ms; `None` before it
@@ -97,11 +101,12 @@
     pub fn retry_delay_ms(
         &mut self,
         own_tokens: u64,
+        priority: u8,
         drain_tokens_per_ms: f64,
         now_ms: u64,
     ) -> u64 {
         let work = RefusedWork {
-            backlog_tokens: self.waiters.values().map(|waiter| waiter.tokens).sum(),
+            ahead: self.work_ahead(priority, now_ms),
             own_tokens,
             drain_tokens_per_ms,
         };
@@ -133,6 +138,11 @@
         Ok(())
     }
 
+    /// Charges a team for a request that was sent without a wait.
+    pub fn charge(&mut self, job: &Job) {
+        self.queue.charge(job);
+    }
+
     /// Removes a request that was sent to an engine, and charges its team. Returns the next
     /// request that has the turn.
     pub fn place(&mut self, id: u64, now_ms: u64) -> Option<u64> {
@@ -213,10 +223,4 @@
     pub fn has_turn(&self, id: u64) -> bool {
         self.walk.turn == Some(id)
     }
-
-    /// Returns the time for which the request that came first has waited; 0 if nobody waits.
-    pub fn longest_wait_ms(&self, now_ms: u64) -> u64 {
-        let since = self.waiters.values().map(|waiter| waiter.since_ms).min();
-        since.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
-    }
 }
--- a/crates/core/src/admission/waiting_settings.rs
+++ b/crates/core/src/admission/waiting_settings.rs
@@ -16,7 +16,8 @@
     pub tries_per_walk: usize,
     /// Time after which a walk whose current request does not answer is given up.
     pub max_walk_ms: u64,
-    /// Time kept for the answer of a request after its prompt is read.
+    /// Time kept for the answer of a request after its prompt is read. With 300 ms, more requests
+    /// reached their deadlines at engines that were still writing.
     pub answer_reserve_ms: u64,
     /// When refused callers are asked to come back.
     pub retry: RetrySettings,
@@ -36,7 +37,7 @@
             min_walk_interval_ms: 5,
             tries_per_walk: 4,
             max_walk_ms: 100,
-            answer_reserve_ms: 300,
+            answer_reserve_ms: 800,
             retry: RetrySettings::default(),
         }
     }
--- a/crates/core/tests/hard_load/engine.rs
+++ b/crates/core/tests/hard_load/engine.rs
@@ -21,6 +21,8 @@
     pub(crate) kind: Kind,
     pub(crate) session: u64,
     pub(crate) arrived_ms: f64,
+    /// Whether its caller was refused and came back.
+    pub(crate) has_returned: bool,
     pub(crate) load: Load,
     pub(crate) unread: u32,
     pub(crate) answer_left: u32,
--- a/crates/core/tests/hard_load/fleet.rs
+++ b/crates/core/tests/hard_load/fleet.rs
@@ -5,7 +5,10 @@
         kind::{Kind, LONG, SHORT},
     },
     mangowalk_core::{
-        admission::{Backlog, BacklogBound, BacklogSettings, Job, WaitingRoom, WaitingSettings},
+        admission::{
+            Backlog, BacklogBound, BacklogSettings, FleetCapacity, Job, WaitingRoom,
+            WaitingSettings,
+        },
         pool::{
             AdmitSettings, ChoiceSettings, EngineEntry, Incarnation, KnownEngine, Load,
             MeanPromptLength, ModelVersion, PrefillRate, choose, retry_after_ms,
@@ -33,6 +36,7 @@
     pub(crate) burst_from_ms: u64,
     pub(crate) burst_until_ms: u64,
     pub(crate) until_ms: u64,
+    pub(crate) seeds: u64,
 }
 
 impl Default for Play {
@@ -47,6 +51,7 @@
             burst_from_ms: 3_000,
             burst_until_ms: 9_000,
             until_ms: 12_000,
+            seeds: 3,
         }
     }
 }
@@ -71,6 +76,26 @@
         self.0.entry(kind.name).or_default()
     }
 
+    /// Describes what callers got who were refused and came back.
+    pub(crate) fn describe_returned(&self, kind: Kind) -> String {
+        let counts = self.0.get(kind.name).copied().unwrap_or_default();
+        format!(
+            "{}; {} came back, of these served {:.3}",
+            self.describe(kind),
+            counts.returned,
+            self.returned_served(kind),
+        )
+    }
+
+    /// Returns the part of the callers that came back who were served; 1 if none did.
+    pub(crate) fn returned_served(&self, kind: Kind) -> f64 {
+        let counts = self.0.get(kind.name).copied().unwrap_or_default();
+        match counts.returned > 0.0 {
+            true => counts.returned_served / counts.returned,
+            false => 1.0,
+        }
+    }
+
     pub(crate) fn describe(&self, kind: Kind) -> String {
         let counts = self.0.get(kind.name).copied().unwrap_or_default();
         let part = |count: f64| count / counts.callers;
@@ -198,6 +223,9 @@
                 Err(_) => {}
             }
         }
+        if !self.is_in_time(at, request, now_ms) {
+            return self.refuse_late(at, request, now_ms);
+        }
         self.next_id += 1;
         let id = self.next_id;
         let job = Job {
@@ -216,11 +244,44 @@
         };
         let instance = &mut self.instances[at];
         if instance.room.enter(job, 4_000, now_ms).is_err() {
-            return self.refuse(request, 1_500, now_ms);
+            return self.refuse_late(at, request, now_ms);
         }
         instance.waiting.insert(id, request);
     }
 
+    fn drain(&self, at: usize, now_ms: u64) -> (FleetCapacity, f64) {
+        let instance = &self.instances[at];
+        let backlogs = instance.engines.iter().map(|engine| Backlog {
+            unread_tokens: u64::from(engine.load().prefill_tokens),
+            slowdown: 1.0,
+        });
+        let capacity = FleetCapacity::new(backlogs, &self.rate);
+        let measured = instance.room.drain_tokens_per_ms(now_ms);
+        let drain = capacity.drain_tokens_per_ms(measured, self.instances.len(), &self.rate);
+        (capacity, drain)
+    }
+
+    /// Returns whether a request that an instance received can be served before its deadline.
+    fn is_in_time(&self, at: usize, request: Request, now_ms: u64) -> bool {
+        let (capacity, drain) = self.drain(at, now_ms);
+        let room = &self.instances[at].room;
+        let ahead = room.work_ahead(request.kind.urgency(), now_ms);
+        let own_tokens = u64::from(request.kind.own_tokens);
+        let read_ms = capacity.read_ms(ahead, own_tokens, drain, &self.rate);
+        let reserve_ms = WaitingSettings::default().answer_reserve_ms;
+        read_ms + reserve_ms as f64 <= request.left_ms(now_ms) as f64
+    }
+
+    /// Refuses a request that can't be served before its deadline.
+    fn refuse_late(&mut self, at: usize, request: Request, now_ms: u64) {
+        let (_, drain) = self.drain(at, now_ms);
+        let own_tokens = u64::from(request.kind.own_tokens);
+        let urgency = request.kind.urgency();
+        let room = &mut self.instances[at].room;
+        let delay_ms = room.retry_delay_ms(own_tokens, urgency, drain, now_ms);
+        self.refuse(request, delay_ms, now_ms);
+    }
+
     fn refuse(&mut self, request: Request, retry_ms: u64, now_ms: u64) {
         if request.has_returned || retry_ms > request.left_ms(now_ms) / 3 {
             self.results.of(request.kind).refused += 1.0;
@@ -305,14 +366,12 @@
             kind,
             session: request.session,
             arrived_ms: request.arrived_ms as f64,
+            has_returned: request.has_returned,
             load,
             unread: 0,
             answer_left: kind.answer_tokens,
             first_token_ms: None,
         });
-        if request.has_returned {
-            self.results.of(kind).returned_served += 1.0;
-        }
         Ok(())
     }
 
@@ -355,6 +414,7 @@
         let is_served = run.answer_left == 0;
         let first_ms = run.first_token_ms.unwrap_or(f64::MAX) - run.arrived_ms;
         counts.served += f64::from(is_served);
+        counts.returned_served += f64::from(is_served && run.has_returned);
         counts.in_time += f64::from(is_served && first_ms <= run.kind.target_ms as f64);
     }
 
@@ -385,7 +445,7 @@
             let late: Vec<_> = instance.waiting.extract_if(is_late).collect();
             for (id, request) in late {
                 self.instances[at].room.leave(id);
-                self.refuse(request, 1_500, now_ms);
+                self.refuse_late(at, request, now_ms);
             }
         }
     }
@@ -394,7 +454,7 @@
 /// Plays a load with three seeds.
 pub(crate) fn play(decisions: Decisions, play: &Play) -> Results {
     let mut results = Results::default();
-    for seed in 1..=3 {
+    for seed in 1..=play.seeds {
         let mut fleet = Fleet::new(decisions, play, seed);
         for now_ms in 0..play.until_ms + LONG.deadline_ms {
             if now_ms % HEARTBEAT_MS == 0 {
@@ -415,8 +475,12 @@
                 play.long_per_s
             };
             for (kind, per_s) in [(SHORT, play.short_per_s), (LONG, long_per_s)] {
-                if fleet.random.random_bool(per_s * play.scale / 1_000.0) {
-                    fleet.arrive(kind, now_ms);
+                let mut expected = per_s * play.scale / 1_000.0;
+                while expected > 0.0 {
+                    if fleet.random.random_bool(expected.min(1.0)) {
+                        fleet.arrive(kind, now_ms);
+                    }
+                    expected -= 1.0;
                 }
             }
         }
--- a/crates/core/tests/hard_load/main.rs
+++ b/crates/core/tests/hard_load/main.rs
@@ -35,3 +35,29 @@
     }
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Guards against a fleet of another size in which the decisions serve less, at 1.5 times the
+/// load of long prompts that the engines can take.
+#[test]
+fn an_overload_is_served_as_well_at_any_size() {
+    let mut lines = Vec::new();
+    for (instances, engines) in [(7, 4), (100, 50), (300, 50)] {
+        let overload = Play {
+            instances,
+            engines,
+            scale: engines as f64 / 42.0,
+            burst_per_s: 900.0,
+            seeds: 1,
+            ..Play::default()
+        };
+        lines.push(format!("{instances} instances, {engines} engines"));
+        for decisions in [Decisions::Before, Decisions::Waiting] {
+            let results = play(decisions, &overload);
+            for kind in [SHORT, LONG] {
+                let line = results.describe_returned(kind);
+                lines.push(format!("{decisions:?} {line}"));
+            }
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -5,6 +5,7 @@
         pass_on::{pass_on, record_peer_failure},
         plan::{choose_engine, headers},
         request::{CallerRequest, Origin},
+        waiting::WaitingPlace,
     },
     crate::{
         clock::now_ms,
@@ -174,6 +175,8 @@
     /// Time without an answer after which the attempt is abandoned. `None` if
     /// the request may not run again.
     pub(super) give_up_ms: Option<u64>,
+    /// Place of the request in the waiting room, if it waits for an engine.
+    pub(super) place: Option<&'a WaitingPlace>,
 }
 
 /// Chooses an engine, sends the request and waits for the head of the answer. Passes the
@@ -193,6 +196,9 @@
         Ok(chosen) => chosen,
         Err(outcome) => return pass_on_refused(request, context, outcome, now).await,
     };
+    if let Some(place) = context.place {
+        place.record_placed();
+    }
     let left_ms = request.left_ms();
     let Some(headers) = headers(request, context, &engine, &plan, left_ms) else {
         return Outcome::NotSent(engine.incarnation.id);
--- a/crates/gateway/src/callers/backlog.rs
+++ b/crates/gateway/src/callers/backlog.rs
@@ -100,6 +100,13 @@
         false
     }
 
+    /// Returns whether the request may be sent to an engine however long its prompt takes there:
+    /// the engine has no other prompt to read, or the bound holds, which is the stricter one.
+    pub(super) fn replaces_max_wait(&self, engine: &KnownEngine) -> bool {
+        let is_idle = engine.load().prefill_tokens == 0;
+        self.bound.is_some() || is_idle && is_active(self.request)
+    }
+
     /// Returns the time after which an engine may take the request, if none was free to take it
     /// only because of the bound; `None` if the bound kept it from no engine.
     pub(super) fn retry_ms(&self) -> Option<u64> {
@@ -128,13 +135,17 @@
 /// the deployment has no bounds on what engines hold.
 fn bound(request: &CallerRequest) -> Option<BacklogBound> {
     let instance = &request.instance;
-    let is_active = instance.machine().limits_engine_memory && request.requirements.model.is_some();
     let routes = instance.routes.borrow();
     let most_urgent = routes
         .most_urgent(&request.requirements.service)
-        .filter(|most_urgent| is_active && request.urgency() > most_urgent.urgency)?;
+        .filter(|most_urgent| is_active(request) && request.urgency() > most_urgent.urgency)?;
     Some(BacklogBound::new(
         most_urgent.target_ms,
         &instance.settings.backlog,
     ))
 }
+
+/// Returns whether the engines that run the request have a memory that bounds what they hold.
+pub(super) fn is_active(request: &CallerRequest) -> bool {
+    request.requirements.model.is_some() && request.instance.machine().limits_engine_memory
+}
--- a/crates/gateway/src/callers/completion.rs
+++ b/crates/gateway/src/callers/completion.rs
@@ -65,6 +65,7 @@
         Refusal::NoEngine
             | Refusal::EnginesRest
             | Refusal::OverRate
+            | Refusal::Stopping
             | Refusal::Poison
             | Refusal::PoisonPart
     );
--- a/crates/gateway/src/callers/guards.rs
+++ b/crates/gateway/src/callers/guards.rs
@@ -77,6 +77,7 @@
         if let Some(known_engine) = self.instance.engines.borrow_mut().get_mut(&self.engine.id) {
             known_engine.own.remove(load);
         }
+        self.instance.waiting.wake(now_ms());
     }
 }
 
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -21,6 +21,7 @@
 mod software_lane;
 mod stream;
 mod taken_up;
+mod waiting;
 
 pub use {
     answer::{AnswerBody, StreamCut},
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -120,7 +120,11 @@
         choose_with(Standing::Staying, usable).or_else(|| choose_with(Standing::Departing, usable))
     };
     let lane = software_lane(request, context, now_ms);
-    let admits = |engine: &KnownEngine| queue_retry_ms(request, context, engine).is_none();
+    let queue_retry_ms = |engine: &KnownEngine| match protection.replaces_max_wait(engine) {
+        true => None,
+        false => queue_retry_ms(request, context, engine),
+    };
+    let admits = |engine: &KnownEngine| queue_retry_ms(engine).is_none();
     let new_engines = new_engines(&engines, &requirements.service);
     let chosen = match context.build {
         Some(_) => choose_for_begun(choose_among),
@@ -132,8 +136,10 @@
         }
         return Err(lack_of_engines(request, context.build, &engines, now_ms));
     };
-    if let Some(retry_ms) = queue_retry_ms(request, context, chosen) {
-        log_full(request, chosen);
+    if let Some(retry_ms) = queue_retry_ms(chosen) {
+        if context.place.is_none() {
+            log_full(request, chosen);
+        }
         return Err(Outcome::QueueTooLong(retry_ms));
     }
     let draw = rand::random();
--- a/crates/gateway/src/callers/refusal.rs
+++ b/crates/gateway/src/callers/refusal.rs
@@ -5,6 +5,7 @@
         HeaderValue, Response, StatusCode,
         header::{CONTENT_TYPE, RETRY_AFTER},
     },
+    mangowalk_core::routing::RouteError,
     mangowalk_platform::HeadError,
 };
 
@@ -64,6 +65,15 @@
     TimedOut,
 }
 
+impl From<RouteError> for Refusal {
+    fn from(error: RouteError) -> Refusal {
+        match error {
+            RouteError::NoRoute => Refusal::NoRoute,
+            RouteError::BadKey => Refusal::BadKey,
+        }
+    }
+}
+
 impl Refusal {
     /// Returns the HTTP status for the caller.
     pub fn status(self) -> StatusCode {
@@ -86,6 +96,19 @@
         }
     }
 
+    /// Returns whether a request that was charged to its team's rate is refused although it
+    /// could have run, so that the charge is refunded.
+    pub(super) fn refunds_rate(self) -> bool {
+        matches!(
+            self,
+            Refusal::NoEngine
+                | Refusal::EnginesRest
+                | Refusal::Stopping
+                | Refusal::BadKey
+                | Refusal::NoRoute
+        )
+    }
+
     /// Returns the reason as it is written to logs and metrics.
     pub fn reason(self) -> &'static str {
         match self {
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -12,7 +12,7 @@
     mangowalk_core::{
         origin::{EngineBuild, StreamKey},
         pool::EngineRequirements,
-        routing::{Route, RouteError, Tenant, urgency},
+        routing::{Route, Tenant, urgency},
         weights::VersionBounds,
     },
     mangowalk_platform::RequestHead,
@@ -245,10 +245,7 @@
     })?;
     let routes = instance.routes.borrow().clone();
     let admitted = routes.admit(&head.host, parts.uri.path(), head.key.as_deref());
-    let (route, tenant) = admitted.map_err(|error| match error {
-        RouteError::NoRoute => (Refusal::NoRoute, None),
-        RouteError::BadKey => (Refusal::BadKey, None),
-    })?;
+    let (route, tenant) = admitted.map_err(|error| (Refusal::from(error), None))?;
     let asked_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let deadline_ms = arrived_ms + asked_ms.min(route.timeout_ms);
     let limits = routes.configuration().limits;
@@ -291,7 +288,7 @@
 
 /// Time after which a caller of a stopping instance may retry. It is short, as
 /// the caller connects to another instance.
-const STOPPING_RETRY_MS: u64 = 20;
+pub(super) const STOPPING_RETRY_MS: u64 = 20;
 
 /// Returns what the request requires of an engine, with a service drawn by the
 /// route's weights. Records the prompt length of the request in the instance's
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -4,6 +4,10 @@
         attempt::{AttemptContext, EngineAnswer, Outcome, RetryCharge, attempt},
         plan::lack_of_engines,
         request::CallerRequest,
+        waiting::{
+            WaitRefusal, WaitingPlace, is_want_of_room, may_wait, must_let_others_go_first,
+            wait_for_turn,
+        },
     },
     crate::{clock::now_ms, mesh::take_retry, rollouts::record_result},
     mangowalk_core::{
@@ -52,6 +56,12 @@
             _ => refusal,
         }
     }
+
+    /// Sets when the caller of a request that waited should retry, and returns the refusal.
+    fn refuse_waiting(&mut self, ended: WaitRefusal) -> Refusal {
+        self.retry_after_ms = ended.retry_after_ms;
+        ended.refusal
+    }
 }
 
 /// Where a stream that an instance moves to another engine goes on.
@@ -76,7 +86,18 @@
     resume_point: ResumePoint<'_>,
 ) -> Result<Box<EngineAnswer>, Refusal> {
     let mut server_errors = Vec::new();
-    let result = try_engines(request, attempts, resume_point, &mut server_errors).await;
+    let mut place = None;
+    let tried = try_engines(
+        request,
+        attempts,
+        resume_point,
+        &mut server_errors,
+        &mut place,
+    );
+    let result = tried.await;
+    if let Some(place) = place {
+        place.record_refused();
+    }
     record_server_errors(request, &server_errors, &result);
     result
 }
@@ -105,11 +126,14 @@
     attempts: &mut AttemptHistory,
     resume_point: ResumePoint<'_>,
     server_errors: &mut Vec<EngineEntry>,
+    place: &mut Option<WaitingPlace>,
 ) -> Result<Box<EngineAnswer>, Refusal> {
     let mut may_have_run = attempts.possible_run_count > 0;
     // A server error of an engine, returned if no other engine answers.
     let mut failed_answer = None;
     let min_remaining_ms = request.instance.settings.min_remaining_ms;
+    // Whether the attempt for which a retry was taken has found no engine yet.
+    let mut holds_retry = false;
     loop {
         let refusal = if may_have_run {
             Refusal::AnswerLost
@@ -139,26 +163,48 @@
             false => RetryCharge::None,
         };
         let service = &request.requirements.service;
-        if charge == RetryCharge::Retry && !take_retry(&request.instance, service).await {
+        let needs_retry = charge == RetryCharge::Retry && !holds_retry;
+        if needs_retry && !take_retry(&request.instance, service).await {
             return failed_answer.ok_or(refusal);
         }
         let build = resume_point.build.or(request.build);
+        // A caller that takes a stream up has waited for it once already.
+        let may_be_refused = attempts.possible_run_count == 0 && request.build.is_none();
+        let may_wait = may_wait(request, may_be_refused);
+        if may_wait && place.is_none() && must_let_others_go_first(request) {
+            request.instance.waiting.wake(now_ms());
+            let turn = wait_for_turn(request, place).await;
+            turn.map_err(|ended| attempts.refuse_waiting(ended))?;
+        }
         let context = AttemptContext {
             tried_engines: &attempts.tried_engines,
             can_resume_elsewhere: request.route.retry == RetryPolicy::ResumableStream
                 && attempts.possible_run_count + 1 < request.max_attempts(),
             is_first: is_first_attempt,
             charge,
-            // A caller that takes a stream up has waited for it once already.
-            may_be_refused: attempts.possible_run_count == 0 && request.build.is_none(),
+            may_be_refused,
             is_resumed: resume_point.last_event_id.is_some() || request.build.is_some(),
             last_event_id: resume_point
                 .last_event_id
                 .or(request.head.last_event_id.as_deref()),
             build,
             give_up_ms: give_up_ms(request, attempts),
+            place: place.as_ref(),
         };
         let outcome = attempt(request, &context).await;
+        if may_wait && is_want_of_room(&outcome) {
+            holds_retry = charge == RetryCharge::Retry;
+            let turn = wait_for_turn(request, place).await;
+            turn.map_err(|ended| attempts.refuse_waiting(ended))?;
+            continue;
+        }
+        holds_retry = false;
+        if !matches!(outcome, Outcome::NoEngine | Outcome::EnginesRest(_))
+            && let Some(place) = place.take()
+        {
+            // It was sent, to a peer if not to an engine.
+            place.record_placed();
+        }
         attempts.may_have_arrived |= outcome.may_have_arrived();
         match outcome {
             Outcome::Answer(answered) => {
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -86,7 +86,7 @@
     match send_with_retries(&request, &mut attempts, first).await {
         Ok(answered) => forward_answer(Rc::new(request), answered, attempts, open_request).await,
         Err(refusal) => {
-            if matches!(refusal, Refusal::NoEngine | Refusal::EnginesRest) {
+            if refusal.refunds_rate() {
                 charge.refund();
             }
             refuse(&request, refusal, attempts.retry_after_ms)
--- a/crates/gateway/src/instance/heartbeats.rs
+++ b/crates/gateway/src/instance/heartbeats.rs
@@ -92,6 +92,7 @@
         for order in &heartbeat.orders {
             self.apply_order_report(order, now_ms);
         }
+        self.waiting.wake(now_ms);
     }
 
     fn apply_versions(&self, heartbeat: &Heartbeat) {
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -20,6 +20,7 @@
 mod store_availability;
 mod store_reads;
 mod stream_origins;
+mod waiting_room;
 mod wake_ups;
 
 pub use {
@@ -35,5 +36,6 @@
     shared_state::Instance,
     store_availability::StoreAvailability,
     stream_origins::{OpenQuestion, StreamOrigins},
+    waiting_room::{Arrival, WaitingRooms},
     wake_ups::WakeUps,
 };
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -1,5 +1,5 @@
 use mangowalk_core::{
-    admission::BacklogSettings,
+    admission::{BacklogSettings, WaitingSettings},
     brittle::BrittleSettings,
     crash_part::CrashPartSettings,
     engine_limit::EngineLimitSettings,
@@ -29,6 +29,8 @@
     pub admission: AdmitSettings,
     /// Protection of urgent requests from the backlog of others.
     pub backlog: BacklogSettings,
+    /// Requests that wait for engines.
+    pub waiting: WaitingSettings,
     /// Sparing of engines that fall over when they reject too much.
     pub brittle: BrittleSettings,
     /// Rejection of parts of prompts that crash engines.
@@ -108,6 +110,7 @@
             kv_stores: KvStoreSettings::default(),
             admission: AdmitSettings::default(),
             backlog: BacklogSettings::default(),
+            waiting: WaitingSettings::default(),
             brittle: BrittleSettings::default(),
             crash_parts: CrashPartSettings::default(),
             engine_limits: EngineLimitSettings::default(),
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Counters, CrashParts, CrashTracker, Drain, GatewaySettings, PassedOn, ReloadOutcome,
-        RetryBudgets, StoreAvailability, StreamOrigins, WakeUps, apply_reloadable,
+        RetryBudgets, StoreAvailability, StreamOrigins, WaitingRooms, WakeUps, apply_reloadable,
     },
     crate::{clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
@@ -118,6 +118,8 @@
     pub drain: watch::Receiver<Drain>,
     /// Notifications between tasks.
     pub wake_ups: WakeUps,
+    /// Requests that wait for engines.
+    pub waiting: WaitingRooms,
 }
 
 impl Instance {
@@ -181,6 +183,7 @@
             open_requests: Cell::new(0),
             drain,
             wake_ups: WakeUps::default(),
+            waiting: WaitingRooms::default(),
         })
     }
 
@@ -253,6 +256,7 @@
             .borrow_mut()
             .configure(&configuration.tenants, now_ms);
         *self.routes.borrow_mut() = Rc::new(RouteTable::new(configuration));
+        self.wake_ups.routes.notify_waiters();
         self.announce_store_news(now_ms);
     }
 
--- a/crates/gateway/src/instance/wake_ups.rs
+++ b/crates/gateway/src/instance/wake_ups.rs
@@ -29,4 +29,6 @@
     pub limits: Notify,
     /// Sent when peers are to be told of an engine that leaves.
     pub leaving_engines: Notify,
+    /// Sent to the requests that wait when another configuration is in force.
+    pub routes: Notify,
 }
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -193,6 +193,7 @@
         instance.assign_software_roles(now_ms);
         instance.wake_ups.orders.notify_one();
         instance.wake_ups.builds.notify_one();
+        instance.waiting.wake(now_ms);
         if is_leaving {
             instance.announce_store_news(now_ms);
         }
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -22,6 +22,7 @@
 mod stopping;
 mod unreachable;
 mod versions;
+mod waiting;
 mod weights;
 
 /// The program under test.
