--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -5,7 +5,7 @@
         pass_on::{pass_on, record_peer_failure},
         plan::{choose_engine, headers},
         request::{CallerRequest, Origin},
-        waiting::WaitingPlace,
+        waiting::{WaitingPlace, charge_unless_waited},
     },
     crate::{
         clock::now_ms,
@@ -196,8 +196,9 @@
         Ok(chosen) => chosen,
         Err(outcome) => return pass_on_refused(request, context, outcome, now).await,
     };
-    if let Some(place) = context.place {
-        place.record_placed();
+    match context.place {
+        Some(place) => place.record_placed(),
+        None => charge_unless_waited(request, context),
     }
     let left_ms = request.left_ms();
     let Some(headers) = headers(request, context, &engine, &plan, left_ms) else {
--- a/crates/gateway/src/callers/waiting.rs
+++ b/crates/gateway/src/callers/waiting.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         Refusal,
-        attempt::Outcome,
+        attempt::{AttemptContext, Outcome},
         backlog::is_active,
         request::{CallerRequest, Origin, STOPPING_RETRY_MS},
     },
@@ -11,7 +11,7 @@
     },
     derive_more::Display,
     mangowalk_core::{
-        admission::{Backlog, FleetCapacity, Job, WaitingSettings},
+        admission::{Backlog, FleetCapacity, Job, WaitingRoom, WaitingSettings, WorkAhead},
         pool::PrefillRate,
     },
     std::{cell::Cell, collections::HashSet, rc::Rc, time::Duration},
@@ -121,6 +121,18 @@
     matches!(outcome, Outcome::QueueTooLong(_))
 }
 
+/// Charges the team of a request that is sent without a wait for its place in the order.
+pub(super) fn charge_unless_waited(request: &CallerRequest, context: &AttemptContext<'_>) {
+    if !context.is_first || !is_active(request) {
+        return;
+    }
+    let instance = &request.instance;
+    let service = &request.requirements.service;
+    let settings = &instance.settings.waiting;
+    let charge = |room: &mut WaitingRoom| room.charge(&job(request));
+    instance.waiting.with_room(service, settings, charge);
+}
+
 /// Waits until the request may look for an engine. Its place in the room is in `place`; it
 /// enters the room first if it has none.
 ///
@@ -152,7 +164,7 @@
     let changed = loop {
         let routes = instance.wake_ups.routes.notified();
         let ended = tokio::select! {
-            () = place.turn.notified() => Some(None),
+            () = place.turn.notified() => Some(admission_error(request)),
             () = request.withdrawal() => Some(Some(without_retry(Refusal::PoisonPart))),
             () = Drain::wait_for_closing(&mut drain) => Some(Some(WaitRefusal {
                 refusal: Refusal::Stopping,
@@ -219,7 +231,7 @@
     fleet: FleetCapacity,
     rate: PrefillRate,
     drain_tokens_per_ms: f64,
-    ahead_tokens: u64,
+    ahead: WorkAhead,
 }
 
 fn capacity(request: &CallerRequest) -> Capacity {
@@ -235,15 +247,15 @@
         });
     let fleet = FleetCapacity::new(backlogs, &rate);
     let settings = &instance.settings.waiting;
-    let (measured, ahead_tokens) = instance.waiting.with_room(service, settings, |room| {
+    let (measured, ahead) = instance.waiting.with_room(service, settings, |room| {
         let measured = room.drain_tokens_per_ms(now_ms());
-        (measured, room.tokens_ahead(request.urgency()))
+        (measured, room.work_ahead(request.urgency(), now_ms()))
     });
     Capacity {
         fleet,
         rate,
         drain_tokens_per_ms: fleet.drain_tokens_per_ms(measured, instance.instance_count(), &rate),
-        ahead_tokens,
+        ahead,
     }
 }
 
@@ -251,9 +263,12 @@
 /// room is before some of those that wait, so only the engines' backlogs count.
 fn is_in_time(request: &CallerRequest, has_place: bool) -> bool {
     let capacity = capacity(request);
-    let ahead_tokens = if has_place { 0 } else { capacity.ahead_tokens };
+    let ahead = match has_place {
+        true => WorkAhead::default(),
+        false => capacity.ahead,
+    };
     let read_ms = capacity.fleet.read_ms(
-        ahead_tokens,
+        ahead,
         own_tokens(request),
         capacity.drain_tokens_per_ms,
         &capacity.rate,
@@ -274,7 +289,12 @@
     let delay_ms = instance
         .waiting
         .with_room(service, &instance.settings.waiting, |room| {
-            room.retry_delay_ms(own_tokens(request), drain_tokens_per_ms, now_ms())
+            room.retry_delay_ms(
+                own_tokens(request),
+                request.urgency(),
+                drain_tokens_per_ms,
+                now_ms(),
+            )
         });
     WaitRefusal {
         refusal: Refusal::NoEngine,
