--- a/crates/gateway/src/callers/directory.rs
+++ b/crates/gateway/src/callers/directory.rs
@@ -112,6 +112,7 @@
     text.push_str(&instance.render_weights_changes());
     text.push_str(&instance.render_paces(now_ms()));
     text.push_str(&instance.render_held());
+    text.push_str(&instance.waiting.render(now_ms()));
     Response::new(AnswerBody::buffered(text))
 }
 
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -21,6 +21,7 @@
 mod store_availability;
 mod store_reads;
 mod stream_origins;
+mod waiting_room;
 mod wake_ups;
 mod weights_changes;
 
@@ -37,5 +38,6 @@
     shared_state::Instance,
     store_availability::StoreAvailability,
     stream_origins::{OpenQuestion, StreamOrigins},
+    waiting_room::{Arrival, WaitingRooms},
     wake_ups::WakeUps,
 };
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -23,6 +23,7 @@
 mod stopping;
 mod unreachable;
 mod versions;
+mod waiting;
 mod weights;
 
 /// The program under test.
