--- a/crates/mangowalkd/tests/machines/weights.rs
+++ b/crates/mangowalkd/tests/machines/weights.rs
@@ -240,6 +240,39 @@
     assert!(logs.iter().flat_map(|log| log.lines()).any(tells_progress));
 }
 
+/// Guards against interrupted requests: engines are paused and resumed by the known work
+/// while streams run on resumable and other routes. Each caller must get a complete stream.
+#[test]
+fn streams_complete_during_a_change_with_long_loads() {
+    let deployment = start_with_long_loads(2, 6);
+    for engine in &deployment.engines {
+        engine.set_faults(EngineFaults {
+            event_interval_ms: 25,
+            weights_load_ms: LONG_LOAD_MS,
+            ..EngineFaults::default()
+        });
+    }
+    let callers: Vec<_> = (0..48)
+        .map(|number| {
+            let caller = deployment.caller(number % 2);
+            let kind = [RouteKind::Resumable, RouteKind::Stream][number / 2 % 2];
+            std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_millis(100 * number as u64));
+                caller.stream(kind.path(), &Caller::new_request_id())
+            })
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(300));
+    deployment.publish_weights(2);
+    for caller in callers {
+        let reply = caller.join().expect("the caller ends");
+        assert!(reply.is_complete_stream(), "{reply:?}");
+    }
+    wait_until("all engines have version 2", || {
+        all_engines_have(&deployment, 2)
+    });
+}
+
 /// Guards against engines that stay without new work, or without new weights, when the
 /// lease holder is killed while engines load and others wait for a place. The machines
 /// left must serve during the exclusion time, and another one must finish the change.
