Look at engines once for a request that waits in vain

A request that waits asks for an engine up to 100 times a second, and each choice passed over all engines about twenty times before it found none.

A bounded request is now checked in one pass first, and a walk begins every 10 ms at most. An instance's drain counts as no less than a quarter of its part of what all engines read, as requests that wait for a cache make it low.

--- a/crates/core/src/admission/fleet_capacity.rs
+++ b/crates/core/src/admission/fleet_capacity.rs
@@ -10,6 +10,10 @@
     pub longest_wait_ms: u64,
 }
 
+/// Least part of what an instance could pass on if all were as busy, for which the measured rate
+/// counts. Requests that wait for the caches of a few engines make it lower than that of others.
+const MIN_PART_RATIO: f64 = 0.25;
+
 /// How soon the engines that may take a request can read it.
 ///
 /// The load it addresses is an overload that lasts: a request that can't be served before its
@@ -47,7 +51,8 @@
         instances: usize,
         rate: &PrefillRate,
     ) -> f64 {
-        measured.unwrap_or_else(|| self.speed * rate.tokens_per_ms() / instances.max(1) as f64)
+        let part = self.speed * rate.tokens_per_ms() / instances.max(1) as f64;
+        measured.map_or(part, |measured| measured.max(part * MIN_PART_RATIO))
     }
 
     /// Returns the time until the prompt of a request is read that waits in its instance behind
--- a/crates/core/src/admission/waiting_settings.rs
+++ b/crates/core/src/admission/waiting_settings.rs
@@ -34,7 +34,7 @@
             },
             max_bytes: 8_000_000,
             walk_interval_ms: 20,
-            min_walk_interval_ms: 5,
+            min_walk_interval_ms: 10,
             tries_per_walk: 4,
             max_walk_ms: 100,
             answer_reserve_ms: 800,
--- a/crates/core/tests/hard_load/fleet.rs
+++ b/crates/core/tests/hard_load/fleet.rs
@@ -51,7 +51,7 @@
             burst_from_ms: 3_000,
             burst_until_ms: 9_000,
             until_ms: 12_000,
-            seeds: 3,
+            seeds: 10,
         }
     }
 }
@@ -451,7 +451,7 @@
     }
 }
 
-/// Plays a load with three seeds.
+/// Plays a load with several seeds.
 pub(crate) fn play(decisions: Decisions, play: &Play) -> Results {
     let mut results = Results::default();
     for seed in 1..=play.seeds {
--- a/crates/core/tests/waiting.rs
+++ b/crates/core/tests/waiting.rs
@@ -1,7 +1,12 @@
 //! Tests of the requests that wait in an instance, without network.
 
 use {
-    mangowalk_core::admission::{Job, RoomFull, WaitingRoom, WaitingSettings},
+    mangowalk_core::{
+        admission::{
+            Backlog, FleetCapacity, Job, RoomFull, WaitingRoom, WaitingSettings, WorkAhead,
+        },
+        pool::PrefillRate,
+    },
     std::collections::HashSet,
 };
 
@@ -118,3 +123,36 @@
     let refused = room.enter(job(999, "team", 2, 1, 0), 1, 0);
     assert_eq!(refused, Err(RoomFull::Number));
 }
+
+/// Guards against a request that waits for engines which can't read it in time, and one that is
+/// refused by an earlier measurement although engines are free.
+#[test]
+fn the_capacity_counts_backlogs_work_ahead_and_its_age() {
+    // 40 tokens per ms for each engine.
+    let rate = PrefillRate::default();
+    let backlog = |unread_tokens, slowdown| Backlog {
+        unread_tokens,
+        slowdown,
+    };
+    let engines = [backlog(8_000, 1.0), backlog(4_000, 3.0)];
+    let fleet = FleetCapacity::new(engines.into_iter(), &rate);
+    let drain = fleet.drain_tokens_per_ms(None, 2, &rate);
+    assert!((drain - 40.0 * (1.0 + 1.0 / 3.0) / 2.0).abs() < 0.001);
+    let least = fleet.drain_tokens_per_ms(Some(0.1), 2, &rate);
+    assert!((least - drain / 4.0).abs() < 0.001);
+    let read_ms = |tokens, longest_wait_ms| {
+        let ahead = WorkAhead {
+            tokens,
+            longest_wait_ms,
+        };
+        fleet.read_ms(ahead, 2_000, 10.0, &rate) as u64
+    };
+    assert_eq!(read_ms(0, 0), 250);
+    assert_eq!(read_ms(10_000, 400), 1_250);
+    assert_eq!(read_ms(1_000, 400), 650);
+    let none = FleetCapacity::new([].into_iter(), &rate);
+    assert!(
+        none.read_ms(WorkAhead::default(), 1, 10.0, &rate)
+            .is_infinite()
+    );
+}
--- a/crates/gateway/src/callers/backlog.rs
+++ b/crates/gateway/src/callers/backlog.rs
@@ -81,16 +81,17 @@
             .is_some_and(|part| engine.has_cached(part, self.retention_ms, self.now_ms))
     }
 
+    /// Returns whether engines' backlogs are bounded for the request.
+    pub(super) fn is_bounded(&self) -> bool {
+        self.bound.is_some()
+    }
+
     /// Returns whether an engine may take the request.
     pub(super) fn admits(&self, engine: &KnownEngine) -> bool {
         let Some(bound) = self.bound else {
             return true;
         };
-        let backlog = Backlog {
-            unread_tokens: u64::from(engine.load().prefill_tokens),
-            slowdown: USUAL_PACE,
-        };
-        let wait_ms = bound.wait_ms(backlog, self.own_tokens(engine), &self.rate);
+        let wait_ms = bound.wait_ms(backlog(engine), self.own_tokens(engine), &self.rate);
         let is_passed_over = self.waits_for_cache && !self.has_cached(engine);
         if wait_ms <= 0.0 && !is_passed_over {
             return true;
@@ -131,6 +132,14 @@
 /// Slowdown of an engine whose pace is not known.
 const USUAL_PACE: f64 = 1.0;
 
+/// Returns what an engine has yet to read.
+pub(super) fn backlog(engine: &KnownEngine) -> Backlog {
+    Backlog {
+        unread_tokens: u64::from(engine.load().prefill_tokens),
+        slowdown: USUAL_PACE,
+    }
+}
+
 /// Returns the bound for a request; `None` if it is among the most urgent of its service, or
 /// the deployment has no bounds on what engines hold.
 fn bound(request: &CallerRequest) -> Option<BacklogBound> {
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -100,6 +100,15 @@
         settings.retention_ms,
         now_ms,
     );
+    if protection.is_bounded() {
+        // One pass over the engines: requests that wait ask often, and mostly in vain.
+        let mut accepting = engines.accepting_engines(&requirements.service, now_ms);
+        let is_free = |engine: &KnownEngine| is_open(engine) && protection.admits(engine);
+        let has_free = accepting.any(is_free);
+        if let Some(retry_ms) = protection.retry_ms().filter(|_| !has_free) {
+            return Err(Outcome::QueueTooLong(retry_ms));
+        }
+    }
     let choose_with = |standing: Standing, usable: &dyn Fn(&KnownEngine) -> bool| {
         choose(
             engines
--- a/crates/gateway/src/callers/waiting.rs
+++ b/crates/gateway/src/callers/waiting.rs
@@ -2,7 +2,7 @@
     super::{
         Refusal,
         attempt::{AttemptContext, Outcome},
-        backlog::is_active,
+        backlog::{backlog, is_active},
         request::{CallerRequest, Origin, STOPPING_RETRY_MS},
     },
     crate::{
@@ -11,7 +11,7 @@
     },
     derive_more::Display,
     mangowalk_core::{
-        admission::{Backlog, FleetCapacity, Job, WaitingRoom, WaitingSettings, WorkAhead},
+        admission::{FleetCapacity, Job, WaitingRoom, WaitingSettings, WorkAhead},
         pool::PrefillRate,
     },
     std::{cell::Cell, collections::HashSet, rc::Rc, time::Duration},
@@ -239,12 +239,7 @@
     let service = &request.requirements.service;
     let rate = instance.prefill_rate.get();
     let engines = instance.engines.borrow();
-    let backlogs = engines
-        .accepting_engines(service, now_ms())
-        .map(|engine| Backlog {
-            unread_tokens: u64::from(engine.load().prefill_tokens),
-            slowdown: 1.0,
-        });
+    let backlogs = engines.accepting_engines(service, now_ms()).map(backlog);
     let fleet = FleetCapacity::new(backlogs, &rate);
     let settings = &instance.settings.waiting;
     let (measured, ahead) = instance.waiting.with_room(service, settings, |room| {
