--- a/crates/gateway/src/callers/backlog.rs
+++ b/crates/gateway/src/callers/backlog.rs
@@ -85,15 +85,17 @@
             .is_some_and(|part| engine.has_cached(part, self.retention_ms, self.now_ms))
     }
 
+    /// Returns whether engines' backlogs are bounded for the request.
+    pub(super) fn is_bounded(&self) -> bool {
+        self.bound.is_some()
+    }
+
     /// Returns whether an engine may take the request.
     pub(super) fn admits(&self, engine: &KnownEngine) -> bool {
         let Some(bound) = self.bound else {
             return true;
         };
-        let backlog = Backlog {
-            unread_tokens: u64::from(engine.load().prefill_tokens),
-            slowdown: engine.slowdown(self.now_ms),
-        };
+        let backlog = backlog(engine, self.now_ms);
         let wait_ms = bound.wait_ms(backlog, self.own_tokens(engine), &self.rate);
         let is_passed_over = self.waits_for_cache && !self.has_cached(engine)
             || self.passes_over_paused && engine.is_paused(self.now_ms);
@@ -133,6 +135,14 @@
     }
 }
 
+/// Returns what an engine has yet to read.
+pub(super) fn backlog(engine: &KnownEngine, now_ms: u64) -> Backlog {
+    Backlog {
+        unread_tokens: u64::from(engine.load().prefill_tokens),
+        slowdown: engine.slowdown(now_ms),
+    }
+}
+
 /// Returns the bound for a request; `None` if it is among the most urgent of its service, or
 /// the deployment has no bounds on what engines hold.
 fn bound(request: &CallerRequest) -> Option<BacklogBound> {
