Learn the prefill rate soon, and prefer engines with weights in force

An instance of a large fleet corrected its prefill rate only at idle engines and by a tenth for each sample, so it kept the assumed 40 tokens per ms for a minute. Where engines name their pace, it also takes samples from engines with a free slot and nothing to read, at the usual pace, the first ones with more weight. In the model of tests/engine_pace.rs, with a quarter of the samples behind unknown prompts, the median of 89 instances after five samples is 63 at a real rate of 74.8, and 90 at 112.

A request prefers an engine whose weights aren't replaced while that one is predicted to answer within the target; at most twice the share that these engines have in the speed of all do, as peers learn of the work 200 ms late.

--- a/crates/core/src/pool/admit.rs
+++ b/crates/core/src/pool/admit.rs
@@ -44,17 +44,37 @@
 /// long as a single step of the engine and do not show its rate.
 const MIN_SAMPLE_TOKENS: u32 = 1_500;
 
+/// Weight of a sample that is slower than assumed, as a share of that of others: a prompt that
+/// this instance doesn't know of may have been read before.
+const SLOWER_SAMPLE_RATIO: f64 = 0.5;
+
+/// Number of samples that the initial rate counts for.
+const INITIAL_SAMPLES: f64 = 0.5;
+
+/// How long an engine that tells its pace took to read a prompt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PrefillSample {
+    /// Prompt tokens that the engine had to read.
+    pub tokens: u32,
+    /// Time until the first event.
+    pub took_ms: u64,
+    /// By how much longer work took than usual.
+    pub slowdown: f64,
+}
+
 /// Moving average of the rate at which engines read prompts, measured by the
 /// time to the first event.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PrefillRate {
     tokens_per_ms: f64,
+    paced_samples: u32,
 }
 
 impl Default for PrefillRate {
     fn default() -> PrefillRate {
         PrefillRate {
             tokens_per_ms: INITIAL_TOKENS_PER_MS,
+            paced_samples: 0,
         }
     }
 }
@@ -78,6 +98,27 @@
             self.tokens_per_ms * (1.0 - SAMPLE_WEIGHT) + tokens_per_ms * SAMPLE_WEIGHT;
     }
 
+    /// Records the prefill time of a prompt at an engine that tells its pace and had a free slot
+    /// and, as far as is known, no other prompt to read. It may have run other requests, as
+    /// engines of a large fleet are rarely idle and an instance sees few samples.
+    ///
+    /// The first samples weigh the more, the fewer there are, so that a few seconds after its
+    /// start an instance knows the rate.
+    pub fn record_paced(&mut self, sample: PrefillSample) {
+        if sample.tokens < MIN_SAMPLE_TOKENS || sample.took_ms == 0 {
+            return;
+        }
+        let tokens_per_ms = f64::from(sample.tokens) * sample.slowdown / sample.took_ms as f64;
+        let tokens_per_ms = tokens_per_ms.clamp(MIN_TOKENS_PER_MS, MAX_TOKENS_PER_MS);
+        self.paced_samples = self.paced_samples.saturating_add(1);
+        let equal_weight = 1.0 / (f64::from(self.paced_samples) + INITIAL_SAMPLES);
+        let mut weight = equal_weight.max(SAMPLE_WEIGHT);
+        if tokens_per_ms < self.tokens_per_ms {
+            weight *= SLOWER_SAMPLE_RATIO;
+        }
+        self.tokens_per_ms += (tokens_per_ms - self.tokens_per_ms) * weight;
+    }
+
     /// Returns the time that an engine takes to read a number of prompt tokens.
     pub fn prefill_ms(&self, tokens: f64) -> f64 {
         tokens / self.tokens_per_ms
--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         EngineRequirements, HealthSettings, KnownEngine,
-        pace_choice::{draw_by_free_speed, sample_by_speed},
+        pace_choice::{draw_by_free_speed, sample_by_speed, speed_share, uniform},
     },
     crate::weights::VersionBounds,
 };
@@ -32,6 +32,14 @@
     /// Additional cost of an engine whose weights are so old that its answers
     /// are worth less.
     pub overdue_weights_tokens: f64,
+    /// Work until the first event, in tokens at the usual pace, up to which engines whose weights
+    /// aren't replaced are preferred to others, where engines tell their pace; 0 for no such
+    /// preference. Follows from the target of the request.
+    pub newest_within_tokens: f64,
+    /// Maximum ratio of the share of requests that prefer such engines to the share that these
+    /// have in the speed of all. While few engines have new weights, all instances would send
+    /// them what they can't take before peers learn of it.
+    pub newest_share_factor: f64,
     /// Additional cost of an engine without a free slot or without memory for
     /// the request.
     pub full_tokens: f64,
@@ -65,6 +73,8 @@
             failure_tokens: 4_000.0,
             old_weights_tokens: 500.0,
             overdue_weights_tokens: 4_000.0,
+            newest_within_tokens: 0.0,
+            newest_share_factor: 2.0,
             full_tokens: 30_000.0,
             home_tokens: 1_000.0,
             jitter_tokens: 50.0,
@@ -144,26 +154,25 @@
         jittered(a).total_cmp(&jittered(b))
     };
     let is_paced = engines.clone().any(|engine| engine.pace.is_told());
-    let sampled = if is_paced {
-        let available = engines.clone().filter(available);
-        sample_by_speed(available, settings.sampled_engines, draw, now_ms)
-    } else {
-        sample(
-            engines.clone().filter(available),
-            settings.sampled_engines,
-            draw,
-        )
-    };
     let has_cached = |engine: &&KnownEngine| {
         let part = requirements.shared_part();
         part.is_some_and(|part| engine.has_cached(part, settings.retention_ms, now_ms))
     };
-    let is_candidate = |engine: &&KnownEngine| {
-        let id = engine.entry.incarnation.id.as_str();
-        requirements.model.is_none()
-            || home == Some(id)
-            || sampled.contains(&id)
-            || has_cached(engine)
+    let cheapest_candidate = |is_permitted: &dyn Fn(&&'a KnownEngine) -> bool| {
+        let permitted = engines.clone().filter(is_permitted);
+        let sampled = if is_paced {
+            sample_by_speed(permitted.clone(), settings.sampled_engines, draw, now_ms)
+        } else {
+            sample(permitted.clone(), settings.sampled_engines, draw)
+        };
+        let is_candidate = |engine: &&KnownEngine| {
+            let id = engine.entry.incarnation.id.as_str();
+            requirements.model.is_none()
+                || home == Some(id)
+                || sampled.contains(&id)
+                || has_cached(engine)
+        };
+        permitted.filter(is_candidate).min_by(cheapest)
     };
     if is_paced && requirements.model.is_none() {
         let available = engines.clone().filter(available);
@@ -174,11 +183,25 @@
             return drawn;
         }
     }
-    engines
-        .clone()
-        .filter(available)
-        .filter(is_candidate)
-        .min_by(cheapest)
+    if is_paced && settings.newest_within_tokens > 0.0 {
+        let is_newest = |engine: &KnownEngine| version(engine) >= version_bounds.min_preferred;
+        let available = |engine: &&KnownEngine| available(engine);
+        let share = speed_share(engines.clone().filter(available), is_newest, now_ms);
+        let answers_in_time = |engine: &KnownEngine| {
+            !is_full(engine, requirements, memory_tokens)
+                && tokens_until_first_event(engine, requirements, settings, now_ms)
+                    <= settings.newest_within_tokens
+        };
+        if share < 1.0 && uniform(draw) < share * settings.newest_share_factor {
+            let newest = cheapest_candidate(&|engine| {
+                available(engine) && is_newest(engine) && answers_in_time(engine)
+            });
+            if newest.is_some() {
+                return newest;
+            }
+        }
+    }
+    cheapest_candidate(&|engine| available(engine))
         .or_else(|| engines.clone().filter(usable).min_by(cheapest))
         .or_else(|| engines.clone().filter(reported_only).min_by(cheapest))
 }
@@ -216,6 +239,33 @@
     cost + settings.other_domain_tokens
 }
 
+/// Returns whether an engine has no free slot or no memory for a request.
+fn is_full(engine: &KnownEngine, requirements: &EngineRequirements, memory_tokens: u64) -> bool {
+    let load = engine.load();
+    load.requests >= engine.entry.slots
+        || u64::from(load.memory_tokens) + requirements.memory_tokens > memory_tokens
+}
+
+/// Returns the prompt tokens that an engine reads until the first event of a request, as if at its
+/// usual pace.
+fn tokens_until_first_event(
+    engine: &KnownEngine,
+    requirements: &EngineRequirements,
+    settings: &ChoiceSettings,
+    now_ms: u64,
+) -> f64 {
+    let is_cached = requirements
+        .shared_part()
+        .is_some_and(|part| engine.has_cached(part, settings.retention_ms, now_ms));
+    let fetch_tokens = if is_cached {
+        0.0
+    } else {
+        requirements.shared_tokens() as f64 * settings.fetch_cost_ratio
+    };
+    let tokens = f64::from(engine.load().prefill_tokens) + fetch_tokens + own_tokens(requirements);
+    tokens * engine.slowdown(now_ms)
+}
+
 /// Returns the prompt tokens that no other request shares, which every engine has to read.
 fn own_tokens(requirements: &EngineRequirements) -> f64 {
     let shared_tokens = requirements.shared_tokens();
@@ -240,9 +290,7 @@
     };
     cost += f64::from(load.prefill_tokens);
     cost += settings.running_tokens * f64::from(load.requests);
-    if load.requests >= engine.entry.slots
-        || u64::from(load.memory_tokens) + requirements.memory_tokens > memory_tokens
-    {
+    if is_full(engine, requirements, memory_tokens) {
         cost += settings.full_tokens;
     }
     if engine.version(model) < version_bounds.newest {
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -22,7 +22,7 @@
 mod turnover;
 
 pub use {
-    admit::{AdmitSettings, PrefillRate, retry_after_ms},
+    admit::{AdmitSettings, PrefillRate, PrefillSample, retry_after_ms},
     cache_source::{CacheSource, find_cache_source},
     choice::{ChoiceSettings, choose, rendezvous},
     departures::Departure,
--- a/crates/core/src/pool/pace_choice.rs
+++ b/crates/core/src/pool/pace_choice.rs
@@ -21,6 +21,25 @@
     (-uniform.min(1.0 - f64::EPSILON).ln()).ln()
 }
 
+/// Returns a pseudo-random value from 0 to 1 that depends on the draw alone.
+pub(super) fn uniform(draw: u64) -> f64 {
+    rendezvous(draw, "") as f64 / u64::MAX as f64
+}
+
+/// Returns the share that some engines have in the speed of all; 1 if there are no engines.
+pub(super) fn speed_share<'a>(
+    engines: impl Iterator<Item = &'a KnownEngine>,
+    is_counted: impl Fn(&KnownEngine) -> bool,
+    now_ms: u64,
+) -> f64 {
+    let (counted, all) = engines.fold((0.0, 0.0), |(counted, all), engine| {
+        let speed = 1.0 / engine.slowdown(now_ms);
+        let counted_speed = if is_counted(engine) { speed } else { 0.0 };
+        (counted + counted_speed, all + speed)
+    });
+    if all > 0.0 { counted / all } else { 1.0 }
+}
+
 /// Returns the names of `count` engines, drawn with probabilities in proportion to their speed.
 pub(super) fn sample_by_speed<'a>(
     engines: impl Iterator<Item = &'a KnownEngine>,
@@ -44,8 +63,8 @@
 ///
 /// Addresses many instances that know each other's work one heartbeat late: all would choose the
 /// least loaded engine of an old list until it rejects their requests. The larger the share of
-/// this instance in the known work is, the more the draw prefers the best engine: a single
-/// instance always chooses it. `other_cost_tokens` is the cost of an engine apart from its work.
+/// this instance in the known work is, the more the draw prefers the engine that would complete the
+/// request first. `other_cost_tokens` is the cost of an engine apart from its work.
 pub(super) fn draw_by_free_speed<'a>(
     engines: impl Iterator<Item = &'a KnownEngine> + Clone,
     other_cost_tokens: impl Fn(&KnownEngine) -> f64,
--- a/crates/core/tests/choice_without_pace.rs
+++ b/crates/core/tests/choice_without_pace.rs
@@ -100,7 +100,10 @@
                     .map(|number| engine(number, &mut random))
                     .collect();
                 let requirements = requirements(with_model, &mut random);
-                let settings = ChoiceSettings::default();
+                let settings = ChoiceSettings {
+                    newest_within_tokens: 1_000_000.0,
+                    ..ChoiceSettings::default()
+                };
                 let draw = random.random();
                 let best = choose(
                     engines.iter(),
--- a/crates/core/tests/engine_pace.rs
+++ b/crates/core/tests/engine_pace.rs
@@ -5,12 +5,13 @@
         capacity::{EnginePace, PaceReport, PaceSettings},
         pool::{
             AdmitSettings, ChoiceSettings, EngineEntry, EngineRequirements, EngineTable,
-            Incarnation, KnownEngine, ModelVersion, PrefillRate, PromptPart, choose,
+            Incarnation, KnownEngine, ModelVersion, PrefillRate, PrefillSample, PromptPart, choose,
             retry_after_ms,
         },
         weights::VersionBounds,
     },
-    std::collections::HashMap,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{collections::HashMap, fmt::Write},
 };
 
 fn entry(number: usize, born_ms: u64) -> EngineEntry {
@@ -246,3 +247,146 @@
     assert_eq!(wait(200), None);
     assert_eq!(wait(300), Some(430));
 }
+
+/// Returns engines of which every second has the newest weights, idle and at their usual pace.
+fn half_updated(count: usize) -> Vec<KnownEngine> {
+    let mut engines: Vec<KnownEngine> =
+        (0..count).map(|number| paced(number, 100, 1_000)).collect();
+    for engine in engines.iter_mut().step_by(2) {
+        engine.set_version("model", 2);
+    }
+    engines
+}
+
+/// Returns the share of requests that go to engines with the newest weights, which have been
+/// published long enough that answers of older ones are worth less.
+fn share_of_newest(engines: &[KnownEngine], newest_within_tokens: f64) -> f64 {
+    let settings = ChoiceSettings {
+        newest_within_tokens,
+        ..ChoiceSettings::default()
+    };
+    let bounds = VersionBounds {
+        newest: 2,
+        min_preferred: 2,
+        min_allowed: 1,
+    };
+    let draws = 2_000_u64;
+    let newest = (0..draws).filter(|draw| {
+        let draw = draw.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let requirements = requirements();
+        let best = choose(
+            engines.iter(),
+            &requirements,
+            bounds,
+            110_000,
+            &settings,
+            draw,
+            1_000,
+        );
+        best.is_some_and(|best| best.version("model") == 2)
+    });
+    newest.count() as f64 / draws as f64
+}
+
+/// Guards against answers of replaced weights while an engine with newer ones would answer within
+/// the target.
+#[test]
+fn engines_with_the_newest_weights_are_preferred_within_the_target() {
+    let mut engines = half_updated(20);
+    for engine in engines.iter_mut().step_by(2) {
+        engine.own.prefill_tokens = 10_000;
+    }
+    let (target_tokens, short_target_tokens) = (15_000.0, 5_000.0);
+    assert!((share_of_newest(&engines, target_tokens) - 1.0).abs() < 1e-9);
+    assert!(share_of_newest(&engines, short_target_tokens) < 0.5);
+    // At a third of the pace, they would be late.
+    for engine in engines.iter_mut().step_by(2) {
+        let told = report(&engine.entry.incarnation, 300, 0);
+        engine
+            .pace
+            .apply_report(&told, &PaceSettings::default(), 1_000);
+    }
+    assert!(share_of_newest(&engines, target_tokens) < 0.5);
+}
+
+/// Guards against all instances that send everything to the first engine with new weights before
+/// they learn of each other's work.
+#[test]
+fn the_first_engine_with_new_weights_is_not_overrun() {
+    let mut engines: Vec<KnownEngine> = (0..60).map(|number| paced(number, 100, 1_000)).collect();
+    engines[3].set_version("model", 2);
+    let share = share_of_newest(&engines, 15_000.0);
+    // Twice its share of the speed, and its part of the other requests.
+    assert!((1.0 / 60.0..5.0 / 60.0).contains(&share), "{share}");
+}
+
+/// Returns the rate that an instance assumes after some samples, of which a quarter were behind a
+/// prompt that it doesn't know of.
+fn learned(samples: usize, real_tokens_per_ms: f64, seed: u64) -> f64 {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut rate = PrefillRate::default();
+    for _ in 0..samples {
+        let slowdown = if random.random_bool(0.1) { 3.0 } else { 1.0 };
+        let hidden = if random.random_bool(0.25) {
+            2_890.0 * random.random::<f64>()
+        } else {
+            0.0
+        };
+        let took_ms = 4.0 + slowdown * (2_890.0 + hidden) / real_tokens_per_ms;
+        rate.record_paced(PrefillSample {
+            tokens: 2_890,
+            took_ms: took_ms as u64,
+            slowdown,
+        });
+    }
+    rate.tokens_per_ms()
+}
+
+/// Guards against instances that assume a wrong prefill rate for a minute after their start, as
+/// each sees few samples: at 89 instances, 1.5 a second.
+#[test]
+fn an_instance_learns_the_prefill_rate_within_seconds() {
+    let mut table = String::new();
+    for real in [40.0, 74.8, 112.0] {
+        for samples in [1, 3, 5, 15, 60] {
+            let mut rates: Vec<f64> = (0..89).map(|seed| learned(samples, real, seed)).collect();
+            rates.sort_by(f64::total_cmp);
+            let (low, median, high) = (rates[8], rates[44], rates[80]);
+            let _ = writeln!(
+                table,
+                "{real:5} {samples:2}: {low:3.0} {median:3.0} {high:3.0}"
+            );
+            assert!(samples < 5 || median > 0.8 * real, "{table}");
+            assert!(high < 1.1 * real, "{table}");
+        }
+    }
+    insta::assert_snapshot!(table, @r"
+       40  1:  35  39  39
+       40  3:  35  38  39
+       40  5:  35  37  39
+       40 15:  36  37  38
+       40 60:  35  37  37
+     74.8  1:  44  59  59
+     74.8  3:  56  62  65
+     74.8  5:  59  63  66
+     74.8 15:  63  65  67
+     74.8 60:  64  66  68
+      112  1:  58  80  80
+      112  3:  78  87  91
+      112  5:  83  90  94
+      112 15:  91  94  97
+      112 60:  93  96  99
+    ");
+}
+
+/// Guards against another rate where engines tell no pace.
+#[test]
+fn the_prefill_rate_without_paces_is_learned_as_before() {
+    let mut rate = PrefillRate::default();
+    let mut expected = 40.0;
+    for took_ms in [30, 60, 90, 20, 45] {
+        rate.record(2_890, took_ms);
+        expected = expected * 0.9 + 2_890.0 / took_ms as f64 * 0.1;
+        assert!((rate.tokens_per_ms() - expected).abs() < 1e-9);
+    }
+}
--- a/crates/gateway/src/callers/guards.rs
+++ b/crates/gateway/src/callers/guards.rs
@@ -1,6 +1,6 @@
 use {
     crate::{clock::now_ms, instance::Instance},
-    mangowalk_core::pool::{Incarnation, Load},
+    mangowalk_core::pool::{Incarnation, Load, PrefillSample},
     std::rc::Rc,
 };
 
@@ -31,15 +31,21 @@
     /// Whether the engine had no other request when this one was sent. Only
     /// then does the time to the first bytes show the prefill rate.
     engine_was_idle: bool,
+    /// Whether the engine had a free slot and no other prompt to read, as far as was known. The
+    /// same, for engines that tell their pace.
+    engine_could_read: bool,
 }
 
 impl LoadGuard {
     /// Adds the load to what this instance has at the engine, until the guard is
     /// dropped.
     pub(super) fn begin(instance: &Rc<Instance>, engine: &Incarnation, load: Load) -> LoadGuard {
-        let mut engine_was_idle = false;
+        let (mut engine_was_idle, mut engine_could_read) = (false, false);
         if let Some(known_engine) = instance.engines.borrow_mut().get_mut(&engine.id) {
-            engine_was_idle = known_engine.load().requests == 0;
+            let before = known_engine.load();
+            engine_was_idle = before.requests == 0;
+            engine_could_read =
+                before.prefill_tokens == 0 && before.requests < known_engine.entry.slots;
             known_engine.own.add(load);
         }
         LoadGuard {
@@ -48,6 +54,7 @@
             load,
             began_ms: now_ms(),
             engine_was_idle,
+            engine_could_read,
         }
     }
 
@@ -57,14 +64,9 @@
     }
 
     /// Records that the engine has prefilled the prompt: removes its tokens from
-    /// the load and, if the engine was idle, updates the instance's prefill rate.
+    /// the load and, if the time shows it, updates the instance's prefill rate.
     pub(super) fn record_prefill(&mut self, now_ms: u64) {
-        if self.engine_was_idle {
-            let took_ms = now_ms.saturating_sub(self.began_ms);
-            let mut rate = self.instance.prefill_rate.get();
-            rate.record(self.load.prefill_tokens, took_ms);
-            self.instance.prefill_rate.set(rate);
-        }
+        self.record_rate(now_ms);
         let prompt = Load {
             prefill_tokens: self.load.prefill_tokens,
             ..Load::default()
@@ -73,6 +75,25 @@
         self.remove(prompt);
     }
 
+    fn record_rate(&self, now_ms: u64) {
+        let took_ms = now_ms.saturating_sub(self.began_ms);
+        let tokens = self.load.prefill_tokens;
+        let engines = self.instance.engines.borrow();
+        let known_engine = engines.get(&self.engine.id);
+        let paced = known_engine.filter(|known_engine| known_engine.pace.is_told());
+        let mut rate = self.instance.prefill_rate.get();
+        match paced {
+            Some(paced) if self.engine_could_read => rate.record_paced(PrefillSample {
+                tokens,
+                took_ms,
+                slowdown: paced.slowdown(now_ms),
+            }),
+            None if self.engine_was_idle => rate.record(tokens, took_ms),
+            _ => {}
+        }
+        self.instance.prefill_rate.set(rate);
+    }
+
     fn remove(&self, load: Load) {
         if let Some(known_engine) = self.instance.engines.borrow_mut().get_mut(&self.engine.id) {
             known_engine.own.remove(load);
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -317,10 +317,20 @@
             instance.instance_count(),
             now_ms,
         ),
+        newest_within_tokens: newest_within_tokens(request),
         ..choice
     }
 }
 
+/// Returns the work until the first event up to which a request prefers engines whose weights
+/// aren't replaced: it is answered within its target and not refused.
+fn newest_within_tokens(request: &CallerRequest) -> f64 {
+    let instance = &request.instance;
+    let target_ms = request.route.target_ms as f64;
+    let factor = instance.settings.admission.max_wait_factor.min(1.0);
+    instance.prefill_rate.get().tokens_per_ms() * target_ms * factor
+}
+
 /// Returns the tokens that an engine has to take into its memory.
 fn new_memory_tokens(requirements: &EngineRequirements, is_cached: bool) -> u64 {
     let cached_tokens = if is_cached {
