Send requests for new weights to no engine that is suspect

A request preferred an engine whose weights aren't replaced also after failures there that the regular choice avoids. Such an engine is no longer preferred; engines_with_the_newest_weights_are_preferred_within_the_target tests it.

--- a/crates/core/src/pool/choice.rs
+++ b/crates/core/src/pool/choice.rs
@@ -189,6 +189,7 @@
         let share = speed_share(engines.clone().filter(available), is_newest, now_ms);
         let answers_in_time = |engine: &KnownEngine| {
             !is_full(engine, requirements, memory_tokens)
+                && !engine.health.is_suspect(&settings.health, now_ms)
                 && tokens_until_first_event(engine, requirements, settings, now_ms)
                     <= settings.newest_within_tokens
         };
--- a/crates/core/tests/engine_pace.rs
+++ b/crates/core/tests/engine_pace.rs
@@ -289,7 +289,7 @@
 }
 
 /// Guards against answers of replaced weights while an engine with newer ones would answer within
-/// the target.
+/// the target, and against requests that are late or fail because of the preference.
 #[test]
 fn engines_with_the_newest_weights_are_preferred_within_the_target() {
     let mut engines = half_updated(20);
@@ -299,6 +299,15 @@
     let (target_tokens, short_target_tokens) = (15_000.0, 5_000.0);
     assert!((share_of_newest(&engines, target_tokens) - 1.0).abs() < 1e-9);
     assert!(share_of_newest(&engines, short_target_tokens) < 0.5);
+    let mut failing = engines.clone();
+    for engine in failing.iter_mut().step_by(2) {
+        for _ in 0..3 {
+            engine
+                .health
+                .record_failure(&ChoiceSettings::default().health, 1_000);
+        }
+    }
+    assert!(share_of_newest(&failing, target_tokens) < 0.5);
     // At a third of the pace, they would be late.
     for engine in engines.iter_mut().step_by(2) {
         let told = report(&engine.entry.incarnation, 300, 0);
