Model cold caches in changes of weights, and report progress once a second

The model left out that engines fetch shared parts anew under new weights, which is where most work arrives when older weights are paused. The lease holder gathered the progress of changes at each poll, 25 times a second.

Each of 40 shared parts costs 0.35 of its reading on an engine with new weights.

--- a/crates/core/tests/weights_under_load/day.rs
+++ b/crates/core/tests/weights_under_load/day.rs
@@ -22,6 +22,16 @@
 /// Share of the shared tokens of long prompts that is read again.
 const REREAD_SHARE: f64 = 0.1;
 
+/// Tokens of the shared part of a long prompt.
+const SHARED_TOKENS: f64 = 6_300.0;
+
+/// Cost of a shared part that the engine doesn't hold, as a share of reading it: it is
+/// fetched from the cache store or another engine.
+const FETCH_SHARE: f64 = 0.35;
+
+/// Number of shared parts in use.
+const PARTS: u32 = 40;
+
 /// Exponent of the slowdown of loads beyond the full-speed number: six loads where two
 /// run at full speed took five times as long.
 const SLOWDOWN_EXPONENT: f64 = 1.5;
@@ -123,6 +133,7 @@
 impl Day {
     pub(super) fn run(&self, planner: Planner) -> Outcome {
         let engine = Engine {
+            parts: u64::MAX,
             version: 1,
             known_version: 1,
             ..Engine::default()
@@ -225,7 +236,7 @@
                 engine.load_left_ms -= TICK_MS as f64 * speed;
                 engine.concurrent = engine.concurrent.map(|most| most.max(loading));
                 if engine.load_left_ms <= 0.0 {
-                    engine.version = version;
+                    (engine.version, engine.parts) = (version, 0);
                     let lag_ms = self.random.random_range(7..27) * TICK_MS;
                     engine.reported_ms = Some(now_ms + lag_ms);
                 }
@@ -297,7 +308,7 @@
             for _ in 0..parts {
                 if self.random.random_bool((mean / f64::from(parts)).min(1.0)) {
                     let tokens = if is_long {
-                        2_890.0 + 6_300.0 * REREAD_SHARE
+                        2_890.0 + SHARED_TOKENS * REREAD_SHARE
                     } else {
                         700.0
                     };
@@ -348,8 +359,17 @@
 
     fn run_at(&mut self, index: usize, is_long: bool, tokens: f64, credit: f64, now_ms: u64) {
         let day = self.day;
+        let part = 1 << self.random.random_range(0..PARTS);
         let engine = &mut self.engines[index];
-        let read_ms = tokens / day.tokens_per_ms;
+        let is_unread = is_long && engine.parts & part == 0;
+        engine.parts |= if is_long { part } else { 0 };
+        let unread_tokens = tokens
+            + if is_unread {
+                SHARED_TOKENS * FETCH_SHARE
+            } else {
+                0.0
+            };
+        let read_ms = unread_tokens / day.tokens_per_ms;
         let starts_ms = engine.reads_until_ms.max(now_ms as f64);
         engine.reads_until_ms = starts_ms + read_ms;
         let (target_ms, events) = match is_long {
--- a/crates/core/tests/weights_under_load/engine.rs
+++ b/crates/core/tests/weights_under_load/engine.rs
@@ -18,6 +18,8 @@
     pub(super) version: u64,
     pub(super) is_lost: bool,
     pub(super) runs: Vec<Run>,
+    /// Shared parts of prompts that it has read under its weights, a bit each.
+    pub(super) parts: u64,
     /// Time until which it reads the prompts that it has.
     pub(super) reads_until_ms: f64,
     pub(super) paused_since_ms: Option<u64>,
--- a/crates/gateway/src/weights/updater.rs
+++ b/crates/gateway/src/weights/updater.rs
@@ -279,9 +279,14 @@
         });
     }
 
-    /// Reports the progress of all changes to operators.
+    /// Reports the progress of all changes to operators, once per
+    /// [`CHANGE_LOG_INTERVAL_MS`] and when the last one ends.
     fn report_changes(&mut self, pending: &[PendingUpdate]) {
         let now_ms = now_ms();
+        let is_due = now_ms >= self.last_change_log_ms + CHANGE_LOG_INTERVAL_MS;
+        if !pending.is_empty() && !is_due {
+            return;
+        }
         let mut changes = BTreeMap::new();
         for model in pending_models(pending) {
             let updates = pending.iter().filter(|update| update.model == model);
@@ -292,14 +297,10 @@
             let change = self.progress.change_progress(&outdated, engines);
             changes.insert(model.to_owned(), change);
         }
-        if !changes.is_empty() && now_ms >= self.last_change_log_ms + CHANGE_LOG_INTERVAL_MS {
+        let has_long_loads = self.progress.has_long_loads();
+        for (model, change) in &changes {
+            log::info!("event=weights_change model={model} {change} long_loads={has_long_loads}");
             self.last_change_log_ms = now_ms;
-            let has_long_loads = self.progress.has_long_loads();
-            for (model, change) in &changes {
-                log::info!(
-                    "event=weights_change model={model} {change} long_loads={has_long_loads}"
-                );
-            }
         }
         *self.instance.weights_changes.borrow_mut() = changes;
     }
