Divide the room of an engine among the instances that see it

A request may now use the room with the probability at which as many as have room are expected to use it, by the requests that wait and arrive at this instance and the number of instances.

--- a/crates/core/src/admission/backlog.rs
+++ b/crates/core/src/admission/backlog.rs
@@ -16,7 +16,7 @@
 impl Default for BacklogSettings {
     fn default() -> BacklogSettings {
         BacklogSettings {
-            urgent_target_ratio: 1.0,
+            urgent_target_ratio: 0.5,
             cache_wait_ratio: 0.7,
         }
     }
@@ -65,6 +65,18 @@
         self.wait_ms(backlog, own_tokens, rate) <= 0.0
     }
 
+    /// Returns how many such requests an engine may take at once; one at least if it has no
+    /// unread prompts.
+    pub fn free_requests(&self, backlog: Backlog, own_tokens: u64, rate: &PrefillRate) -> f64 {
+        let read_ms = |tokens: u64| rate.prefill_ms(tokens as f64) * backlog.slowdown;
+        let left_ms = self.max_read_ms - read_ms(backlog.unread_tokens);
+        let free = (left_ms / read_ms(own_tokens.max(1))).max(0.0);
+        match backlog.unread_tokens {
+            0 => free.max(1.0),
+            _ => free,
+        }
+    }
+
     /// Returns the time until an engine that gets no further work may take such a request; 0 if
     /// it may take it now.
     pub fn wait_ms(&self, backlog: Backlog, own_tokens: u64, rate: &PrefillRate) -> f64 {
--- a/crates/core/src/admission/mod.rs
+++ b/crates/core/src/admission/mod.rs
@@ -13,6 +13,7 @@
 mod fleet_capacity;
 mod job;
 mod retry_schedule;
+mod room_share;
 mod settings;
 mod team_queue;
 mod waiting_room;
@@ -25,6 +26,7 @@
     fleet_capacity::{FleetCapacity, WorkAhead},
     job::Job,
     retry_schedule::{RefusedWork, RetrySchedule, RetrySettings},
+    room_share::{ArrivalRate, Competition},
     settings::{AdmissionProfile, AdmissionSettings},
     waiting_room::{RoomFull, WaitingRoom},
     waiting_settings::WaitingSettings,
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -27,7 +27,6 @@
 pub use {
     abandon::is_worth_abandoning,
     admit::{AdmitSettings, PrefillRate, PrefillSample, retry_after_ms},
-    admit::{AdmitSettings, PrefillRate, retry_after_ms},
     cache_source::{CacheSource, find_cache_source},
     choice::{ChoiceSettings, choose, rendezvous},
     departures::Departure,
--- a/crates/gateway/src/callers/backlog.rs
+++ b/crates/gateway/src/callers/backlog.rs
@@ -3,8 +3,9 @@
         attempt::AttemptContext,
         request::{CallerRequest, Origin},
     },
+    crate::instance::hash,
     mangowalk_core::{
-        admission::{Backlog, BacklogBound},
+        admission::{Backlog, BacklogBound, Competition},
         canary::SoftwareRole,
         pool::{KnownEngine, PrefillRate},
     },
@@ -23,6 +24,9 @@
     passes_over_paused: bool,
     /// Whether only engines that have cached the shared part may take the request.
     waits_for_cache: bool,
+    /// Requests that may use the same room.
+    competition: Competition,
+    identity: u64,
     retention_ms: u64,
     now_ms: u64,
     /// Shortest wait at the engines that did not admit the request; infinite if all did.
@@ -40,7 +44,12 @@
         now_ms: u64,
     ) -> UrgentProtection<'a> {
         let bound = context.may_be_refused.then(|| bound(request)).flatten();
+        if bound.is_some() && context.is_first && context.place.is_none() {
+            request.instance.record_bounded_arrival(now_ms);
+        }
         let mut protection = UrgentProtection {
+            competition: request.instance.competition(now_ms),
+            identity: hash(request.id().as_bytes()),
             request,
             bound,
             passes_over_paused: open_engines.clone().any(|engine| !engine.is_paused(now_ms)),
@@ -100,8 +109,15 @@
         let is_passed_over = self.waits_for_cache && !self.has_cached(engine)
             || self.passes_over_paused && engine.is_paused(self.now_ms);
         if wait_ms <= 0.0 && !is_passed_over {
-            return true;
+            let own_tokens = self.own_tokens(engine);
+            let free_requests = bound.free_requests(backlog, own_tokens, &self.rate);
+            let id = &engine.entry.incarnation.id;
+            let competition = &self.competition;
+            if competition.admits(self.identity, id, free_requests, self.now_ms) {
+                return true;
+            }
         }
+        let wait_ms = wait_ms.max(self.competition.interval_ms as f64);
         self.shortest_wait_ms
             .set(self.shortest_wait_ms.get().min(wait_ms));
         false
--- a/crates/gateway/src/callers/waiting.rs
+++ b/crates/gateway/src/callers/waiting.rs
@@ -239,12 +239,15 @@
     let service = &request.requirements.service;
     let rate = instance.prefill_rate.get();
     let engines = instance.engines.borrow();
-    let backlogs = engines.accepting_engines(service, now_ms()).map(backlog);
+    let now_ms = now_ms();
+    let backlogs = engines
+        .accepting_engines(service, now_ms)
+        .map(|engine| backlog(engine, now_ms));
     let fleet = FleetCapacity::new(backlogs, &rate);
     let settings = &instance.settings.waiting;
     let (measured, ahead) = instance.waiting.with_room(service, settings, |room| {
-        let measured = room.drain_tokens_per_ms(now_ms());
-        (measured, room.work_ahead(request.urgency(), now_ms()))
+        let measured = room.drain_tokens_per_ms(now_ms);
+        (measured, room.work_ahead(request.urgency(), now_ms))
     });
     Capacity {
         fleet,
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -5,6 +5,7 @@
     },
     crate::{bounded::HeldBytes, clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
+        admission::ArrivalRate,
         brittle::BrittleEngines,
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
         capacity::PaceReport,
@@ -61,6 +62,8 @@
     /// Engines and their known state. Includes those whose entry is missing while
     /// their grace period lasts.
     pub engines: RefCell<EngineTable>,
+    /// Arrivals of requests that are sent only within bounds on the engines' work.
+    pub bounded_arrivals: Cell<ArrivalRate>,
     /// Engines that fall over when they reject too much.
     pub brittle: RefCell<BrittleEngines>,
     /// Limits that engines name on the requests of all instances.
@@ -170,6 +173,7 @@
             placements: RefCell::default(),
             routes: RefCell::default(),
             engines: RefCell::default(),
+            bounded_arrivals: Cell::default(),
             brittle: RefCell::default(),
             engine_limits: RefCell::default(),
             limit_reports: RefCell::default(),
--- a/crates/gateway/src/instance/waiting_room.rs
+++ b/crates/gateway/src/instance/waiting_room.rs
@@ -1,5 +1,6 @@
 use {
-    mangowalk_core::admission::{Job, RoomFull, WaitingRoom, WaitingSettings},
+    super::Instance,
+    mangowalk_core::admission::{Competition, Job, RoomFull, WaitingRoom, WaitingSettings},
     std::{
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap},
@@ -58,6 +59,11 @@
 }
 
 impl WaitingRooms {
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.get()
+    }
+
     /// Returns whether no request waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.get() == 0
@@ -181,3 +187,27 @@
         text
     }
 }
+
+impl Instance {
+    /// Records that a request arrived which is sent only within bounds on the engines' work.
+    pub fn record_bounded_arrival(&self, now_ms: u64) {
+        let mut arrivals = self.bounded_arrivals.get();
+        arrivals.record(now_ms);
+        self.bounded_arrivals.set(arrivals);
+    }
+
+    /// Returns how many such requests of all instances look for engines at the same time.
+    pub fn competition(&self, now_ms: u64) -> Competition {
+        let interval_ms = self
+            .members
+            .borrow()
+            .report_interval_ms(&self.settings.mesh);
+        Competition::new(
+            self.instance_count(),
+            self.waiting.waiting(),
+            self.bounded_arrivals.get(),
+            interval_ms,
+            now_ms,
+        )
+    }
+}
