Say when the bytes of a stream are no event and go on

An engine may send bytes that never end a line or an event, or nothing but comments. The splitter buffered them without a bound, and nothing told such a stream from one whose events are yet to come.

The splitter bounds what it holds also where line ends are mixed so that events can't be told apart.

--- a/crates/core/src/stream/event_scanner.rs
+++ b/crates/core/src/stream/event_scanner.rs
@@ -12,6 +12,8 @@
     /// of a line.
     has_line_pairs: bool,
     has_events: bool,
+    unfinished_bytes: usize,
+    unfinished_lines: usize,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -31,6 +33,7 @@
     pub fn scan(&mut self, bytes: &[u8]) -> Option<usize> {
         let mut boundary = None;
         for (index, byte) in bytes.iter().enumerate() {
+            self.unfinished_bytes += 1;
             self.read(*byte);
             if self.is_between_events() {
                 boundary = Some(index + 1);
@@ -50,6 +53,22 @@
         }
     }
 
+    /// Returns whether a line of an event has begun whose end hasn't arrived.
+    pub fn is_in_event(&self) -> bool {
+        self.is_in_event && !self.is_between_events()
+    }
+
+    /// Returns the number of bytes of the event that has begun, or of what stands behind the
+    /// last one.
+    pub fn unfinished_bytes(&self) -> usize {
+        self.unfinished_bytes
+    }
+
+    /// Returns the number of complete lines among [`Self::unfinished_bytes`].
+    pub fn unfinished_lines(&self) -> usize {
+        self.unfinished_lines
+    }
+
     /// Returns whether at least one event has arrived in full.
     pub fn has_events(&self) -> bool {
         self.has_events || self.is_in_event && self.is_between_events()
@@ -69,7 +88,11 @@
             b'\r' => self.position = Position::AfterReturn { is_line_empty },
             b':' if is_line_empty => self.position = Position::InLine,
             _ => {
-                self.is_in_event |= is_line_empty;
+                if is_line_empty && !self.is_in_event {
+                    self.is_in_event = true;
+                    self.unfinished_bytes = 1;
+                    self.unfinished_lines = 0;
+                }
                 self.position = Position::InLine;
             }
         }
@@ -77,9 +100,15 @@
 
     fn end_line(&mut self, is_line_empty: bool) {
         self.position = Position::LineStart;
-        if is_line_empty {
-            self.has_events |= self.is_in_event;
-            self.is_in_event = false;
+        self.unfinished_lines += 1;
+        if !is_line_empty {
+            return;
+        }
+        if self.is_in_event {
+            self.has_events = true;
+            self.unfinished_bytes = 0;
+            self.unfinished_lines = 0;
         }
+        self.is_in_event = false;
     }
 }
--- a/crates/core/src/stream/event_splitter.rs
+++ b/crates/core/src/stream/event_splitter.rs
@@ -1,4 +1,4 @@
-use super::EventScanner;
+use super::{EventBounds, EventScanner, Excess};
 
 /// Splits a byte stream of server-sent events at event boundaries.
 ///
@@ -43,6 +43,28 @@
         !self.partial.is_empty()
     }
 
+    /// Returns the size of the incomplete event that is buffered.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
+    /// Returns why the stream counts as endless, or `None`, like [`EventBounds::excess`].
+    ///
+    /// Events whose lines end in different ways are buffered together where it isn't clear
+    /// whether the last line has ended, so that the buffer is bounded as well.
+    pub fn excess(
+        &self,
+        bounds: &EventBounds,
+        unfinished_since_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Option<Excess> {
+        let max_bytes = bounds.max_event_bytes + bounds.max_comment_bytes;
+        let is_full = self.partial.len() > max_bytes;
+        bounds
+            .excess(&self.scanner, unfinished_since_ms, now_ms)
+            .or_else(|| is_full.then_some(Excess::Event))
+    }
+
     /// Returns the scanner, which knows whether events have arrived.
     pub fn scanner(&self) -> &EventScanner {
         &self.scanner
