--- /dev/null
+++ b/crates/gateway/src/bounded/caller_stream.rs
@@ -0,0 +1,120 @@
+use {
+    super::CallerWrites,
+    std::{
+        io,
+        pin::Pin,
+        rc::Rc,
+        task::{Context, Poll, ready},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+        time::{Sleep, sleep},
+    },
+};
+
+/// Times after which a connection is closed whose caller takes no byte.
+#[derive(Debug, Clone, Copy)]
+pub struct StallLimits {
+    /// While an engine waits until the rest of its stream is taken.
+    pub stream: Duration,
+    /// While the answer is complete.
+    pub answer: Duration,
+}
+
+/// A connection to a caller, which ends if the caller doesn't read.
+pub struct CallerStream {
+    stream: TcpStream,
+    writes: Rc<CallerWrites>,
+    limits: StallLimits,
+    /// Set while the caller takes no byte.
+    stall: Option<Pin<Box<Sleep>>>,
+}
+
+impl CallerStream {
+    /// Returns a connection whose unsent bytes are counted in `writes`.
+    pub fn new(stream: TcpStream, writes: Rc<CallerWrites>, limits: StallLimits) -> CallerStream {
+        CallerStream {
+            stream,
+            writes,
+            limits,
+            stall: None,
+        }
+    }
+
+    /// Returns the connection itself.
+    pub fn into_inner(self) -> TcpStream {
+        self.stream
+    }
+
+    /// Records the result of a write. A write that has waited for too long fails.
+    fn after_write(
+        &mut self,
+        written: Poll<io::Result<usize>>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(result) = written {
+            self.stall = None;
+            self.writes
+                .unsent
+                .remove(result.as_ref().map_or(0, |bytes| *bytes));
+            return Poll::Ready(result);
+        }
+        let limit = match self.writes.is_stream_open() {
+            true => self.limits.stream,
+            false => self.limits.answer,
+        };
+        let stall = self.stall.get_or_insert_with(|| Box::pin(sleep(limit)));
+        ready!(stall.as_mut().poll(context));
+        self.writes.record_too_slow();
+        Poll::Ready(Err(io::Error::new(
+            io::ErrorKind::TimedOut,
+            "the caller doesn't read",
+        )))
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.after_write(written, context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.after_write(written, context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// Is called once all queued bytes are written.
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.writes.unsent.set(0);
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/gateway/src/callers/answer.rs
+++ b/crates/gateway/src/callers/answer.rs
@@ -20,6 +20,10 @@
 /// Chunks of a streamed answer in the order of their arrival.
 pub(super) type ByteStream = Pin<Box<dyn Stream<Item = Result<Bytes, StreamCut>>>>;
 
+/// ID of the request to which a response belongs, kept with it for log lines.
+#[derive(Debug, Clone)]
+pub(super) struct AnsweredId(pub(super) String);
+
 /// Body of an answer to a caller.
 pub enum AnswerBody {
     /// A body that is in memory in full.
@@ -29,6 +33,11 @@
 }
 
 impl AnswerBody {
+    /// Returns whether the body is forwarded as it arrives.
+    pub(super) fn is_stream(&self) -> bool {
+        matches!(self, AnswerBody::Stream(_))
+    }
+
     /// Returns a body that is in memory in full.
     pub fn buffered(bytes: impl Into<Bytes>) -> AnswerBody {
         AnswerBody::Buffered(Full::new(bytes.into()))
--- a/crates/gateway/src/callers/buffered.rs
+++ b/crates/gateway/src/callers/buffered.rs
@@ -8,19 +8,26 @@
         request::CallerRequest,
         retry::{AttemptHistory, ResumePoint, send_with_retries},
     },
-    crate::{clock::now_ms, rollouts::record_result},
-    bytes::Bytes,
+    crate::{
+        bounded::{HeldKind, Hold, MeteredBody},
+        clock::now_ms,
+        rollouts::record_result,
+    },
+    bytes::{Bytes, BytesMut},
     http::Response,
-    http_body_util::{BodyExt, Limited},
+    http_body_util::BodyExt,
     mangowalk_core::canary::Sample,
     std::{rc::Rc, time::Duration},
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
 /// Maximum length of an answer that is buffered. A longer one counts as broken: if
 /// the request can't be retried, it ends with [`Refusal::AnswerLost`].
 const MAX_ANSWER_BYTES: usize = 2 * 1024 * 1024;
 
+/// Interval between checks of whether the instance still holds too much.
+const FULL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Buffers an answer in full before its first byte is sent, so that a broken one
 /// can be replaced by the answer of another engine.
 pub(super) async fn forward_buffered(
@@ -30,13 +37,18 @@
     _open_request: OpenRequestGuard,
 ) -> Response<AnswerBody> {
     loop {
-        let body = Limited::new(&mut answered.answer.body, MAX_ANSWER_BYTES).collect();
+        let held = request.instance.held.hold(HeldKind::Answers);
+        let body = read_answer(&request, &mut answered.answer.body, &held);
         let left = Duration::from_millis(request.left_ms());
         match timeout(left, body).await {
-            Ok(Ok(body)) => {
-                return finish(&request, answered, body.to_bytes());
+            Ok(Ok(body)) => return finish(&request, answered, body),
+            Ok(Err(BrokenAnswer::BrokenOff)) => {
+                answered.record_failure(&request, "broken_answer");
+            }
+            Ok(Err(BrokenAnswer::TooLong)) => {
+                request.instance.counters.count("answer_cut", "too_long");
+                answered.record_failure(&request, "too_long");
             }
-            Ok(Err(_)) => answered.record_failure(&request, "broken_answer"),
             Err(_) => {
                 answered.record_failure(&request, "timed_out");
                 return refuse(&request, Refusal::TimedOut, None);
@@ -52,6 +64,45 @@
     }
 }
 
+/// Why an answer can't be forwarded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BrokenAnswer {
+    /// Its connection ended or its framing is invalid.
+    BrokenOff,
+    /// It exceeds [`MAX_ANSWER_BYTES`].
+    TooLong,
+}
+
+/// Reads the body of an answer. While the instance holds too much, the engine has to wait.
+///
+/// The parts are copied, as small ones would each keep the buffer into which they were read.
+///
+/// # Errors
+///
+/// Fails if the body breaks off or is too long.
+async fn read_answer(
+    request: &CallerRequest,
+    body: &mut MeteredBody,
+    held: &Hold,
+) -> Result<Bytes, BrokenAnswer> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BrokenAnswer::BrokenOff)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > MAX_ANSWER_BYTES {
+            return Err(BrokenAnswer::TooLong);
+        }
+        bytes.extend_from_slice(&data);
+        held.set(bytes.capacity());
+        while request.instance.holds_too_much() {
+            sleep(FULL_CHECK_INTERVAL).await;
+        }
+    }
+    Ok(bytes.freeze())
+}
+
 /// Records a complete answer, returns its connection to the pool, and returns the
 /// response for the caller.
 fn finish(request: &CallerRequest, answered: EngineAnswer, body: Bytes) -> Response<AnswerBody> {
--- a/crates/gateway/src/callers/directory.rs
+++ b/crates/gateway/src/callers/directory.rs
@@ -20,6 +20,9 @@
 /// address.
 const HEADER_TIMEOUT_MS: u64 = 3_000;
 
+/// Maximum size of the head of such a request.
+const MAX_HEADER_BYTES: usize = 16_384;
+
 /// Computes the response to a request.
 type Handler = fn(&Instance, IpAddr, &Request<Incoming>) -> Response<AnswerBody>;
 
@@ -52,6 +55,7 @@
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(Duration::from_millis(HEADER_TIMEOUT_MS))
+                .max_buf_size(MAX_HEADER_BYTES)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
             if let Err(error) = served {
@@ -105,6 +109,7 @@
     let mut text = instance.counters.render();
     text.push_str(&instance.mesh_traffic.render());
     text.push_str(&instance.render_notices(now_ms()));
+    text.push_str(&instance.render_held());
     Response::new(AnswerBody::buffered(text))
 }
 
--- a/crates/gateway/src/callers/listener.rs
+++ b/crates/gateway/src/callers/listener.rs
@@ -1,14 +1,15 @@
 use {
-    super::{request::Origin, serve::serve},
+    super::{AnswerBody, answer::AnsweredId, request::Origin, serve::serve},
     crate::{
+        bounded::{CallerStream, CallerWrites, CountedBody, HeldKind, StallLimits},
         instance::{Drain, Instance},
         upstreams::ConnectionPool,
     },
-    http::{Request, Version},
+    http::{Request, Response, Version},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     socket2::SockRef,
-    std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration},
+    std::{cell::Cell, convert::Infallible, io, rc::Rc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         task::spawn_local,
@@ -22,6 +23,11 @@
 /// Pause after `accept` failed, as it does when no descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Size of the operating system's buffer for what is sent to a caller, which it doubles. A
+/// larger one would hold more for a slow caller, and is of no use on a network whose machines
+/// are a few milliseconds apart.
+const SEND_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Accepts callers' connections until the instance closes, and serves each in a
 /// task of its own.
 pub async fn serve_callers(
@@ -77,17 +83,27 @@
     stream: TcpStream,
     origin: Origin,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
+    if let Err(error) = set_options(&stream) {
         log::debug!("event=caller_connection_ended error=\"{error}\"");
         return;
     }
     let limits = instance.routes.borrow().configuration().limits;
     let mut drain = instance.drain.clone();
+    let settings = &instance.settings;
+    let stall_limits = StallLimits {
+        stream: Duration::from_millis(settings.slow_stream_ms),
+        answer: Duration::from_millis(settings.unread_answer_ms),
+    };
+    let writes = Rc::new(CallerWrites::new(instance.held.hold(HeldKind::Unsent)));
+    let stream = CallerStream::new(stream, writes.clone(), stall_limits);
     let is_http_1_0 = Cell::new(false);
     let service = service_fn(|request: Request<Incoming>| {
         is_http_1_0.set(request.version() == Version::HTTP_10);
-        let (instance, pool) = (instance.clone(), pool.clone());
-        async move { Ok::<_, Infallible>(serve(instance, pool, request, origin).await) }
+        let (instance, pool, writes) = (instance.clone(), pool.clone(), writes.clone());
+        async move {
+            let response = serve(instance, pool, request, origin).await;
+            Ok::<_, Infallible>(counted(response, writes))
+        }
     });
     let idle = Duration::from_millis(limits.idle_timeout_ms + IDLE_MARGIN_MS);
     let mut served = http1::Builder::new()
@@ -106,11 +122,45 @@
         return;
     };
     log::debug!("event=caller_connection_ended error=\"{error}\"");
+    if writes.is_too_slow() {
+        record_slow_caller(&instance, &writes);
+    }
     if is_http_1_0.get() {
-        reset(&served.into_parts().io.into_inner());
+        reset(&served.into_parts().io.into_inner().into_inner());
     }
 }
 
+fn set_options(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_send_buffer_size(SEND_BUFFER_BYTES)
+}
+
+/// Counts the bytes of an answer in what its connection has yet to write.
+fn counted(
+    response: Response<AnswerBody>,
+    writes: Rc<CallerWrites>,
+) -> Response<CountedBody<AnswerBody>> {
+    let id = response.extensions().get::<AnsweredId>();
+    let id = id.map_or("", |AnsweredId(id)| id.as_str());
+    writes.begin_answer(id, response.body().is_stream());
+    response.map(|body| CountedBody::new(body, writes))
+}
+
+/// Counts and logs a connection that was closed as its caller doesn't read.
+fn record_slow_caller(instance: &Instance, writes: &CallerWrites) {
+    let reason = match writes.is_stream_open() {
+        true => "stream",
+        false => "answer",
+    };
+    instance.counters.count("slow_reader_closed", reason);
+    log::warn!(
+        "event=slow_reader_closed request={} reason={reason} unsent_bytes={} held_bytes={}",
+        writes.request_id(),
+        writes.unsent_bytes(),
+        instance.held.total(),
+    );
+}
+
 /// Makes the connection end with a reset once it is dropped. An answer that was broken
 /// off would look complete to a caller of HTTP/1.0, to whom the end of the connection is
 /// the end of the answer.
--- a/crates/gateway/src/callers/refusal.rs
+++ b/crates/gateway/src/callers/refusal.rs
@@ -40,6 +40,9 @@
     /// The instance is stopping. The request has not run.
     #[display("This instance is stopping; connect to another one.")]
     Stopping,
+    /// The instance holds too many bytes for slow readers. The request has not run.
+    #[display("This instance holds too much for slow readers; come again after the time given.")]
+    HoldsTooMuch,
     /// The request has crashed several engines. This time it has not run.
     #[display("This request has crashed several engines; change it before you send it again.")]
     Poison,
@@ -76,6 +79,7 @@
             Refusal::OverRate => StatusCode::TOO_MANY_REQUESTS,
             Refusal::Starting
             | Refusal::Stopping
+            | Refusal::HoldsTooMuch
             | Refusal::Poison
             | Refusal::PoisonPart
             | Refusal::UnknownOrigin
@@ -98,6 +102,7 @@
             Refusal::OverRate => "over_rate",
             Refusal::Starting => "starting",
             Refusal::Stopping => "stopping",
+            Refusal::HoldsTooMuch => "holds_too_much",
             Refusal::Poison => "poison",
             Refusal::PoisonPart => "poison_part",
             Refusal::UnknownOrigin => "unknown_origin",
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -1,11 +1,12 @@
 use {
     super::Refusal,
     crate::{
+        bounded::{HeldKind, Hold},
         clock::now_ms,
         instance::{Drain, Instance, hash},
         upstreams::ConnectionPool,
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http::{Method, Uri, request},
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
@@ -49,6 +50,8 @@
     pub(super) headers: http::HeaderMap,
     pub(super) head: RequestHead,
     pub(super) body: Bytes,
+    /// The body, as long as the request is open.
+    pub(super) _held: Hold,
     pub(super) route: Rc<Route>,
     /// Team of the caller's key. `None` if the route is anonymous or no teams are
     /// configured.
@@ -263,19 +266,11 @@
     let deadline_ms = arrived_ms + asked_ms.min(route.timeout_ms);
     let limits = routes.configuration().limits;
     let left = Duration::from_millis(deadline_ms - arrived_ms);
-    let body = timeout(left, Limited::new(body, limits.max_body_bytes).collect())
+    let held = instance.held.hold(HeldKind::Requests);
+    let body = read_body(&instance, body, limits.max_body_bytes, &held);
+    let body = timeout(left, body)
         .await
-        .map_err(|_| (Refusal::TooSlow, None))?
-        .map_err(|error| {
-            let too_long = error.downcast_ref::<LengthLimitError>().is_some();
-            let refusal = if too_long {
-                Refusal::TooLong
-            } else {
-                Refusal::BadBody
-            };
-            (refusal, None)
-        })?
-        .to_bytes();
+        .map_err(|_| (Refusal::TooSlow, None))??;
     let requirements = requirements(&instance, &head, &route, tenant.as_deref());
     Ok(CallerRequest {
         origin,
@@ -286,6 +281,7 @@
         headers: parts.headers,
         head,
         body,
+        _held: held,
         route,
         tenant,
         requirements,
@@ -295,6 +291,47 @@
     })
 }
 
+/// Reads the body of a request.
+///
+/// # Errors
+///
+/// Returns the refusal for the caller if the body is too long or breaks off, or the instance
+/// holds too much.
+async fn read_body(
+    instance: &Instance,
+    body: Incoming,
+    max_bytes: usize,
+    held: &Hold,
+) -> Result<Bytes, (Refusal, Option<u64>)> {
+    let mut body = Limited::new(body, max_bytes);
+    let mut bytes = BytesMut::new();
+    loop {
+        if instance.holds_too_much() {
+            return Err((Refusal::HoldsTooMuch, Some(HELD_RETRY_MS)));
+        }
+        let Some(frame) = body.frame().await else {
+            return Ok(bytes.freeze());
+        };
+        let frame = frame.map_err(|error| {
+            let too_long = error.downcast_ref::<LengthLimitError>().is_some();
+            let refusal = if too_long {
+                Refusal::TooLong
+            } else {
+                Refusal::BadBody
+            };
+            (refusal, None)
+        })?;
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+            held.set(bytes.capacity());
+        }
+    }
+}
+
+/// Time after which a caller may retry if the instance holds too much. Connections of callers
+/// that don't read are closed within twice that time.
+const HELD_RETRY_MS: u64 = 1_000;
+
 /// Time after which an instance that has just started usually has its
 /// configuration: two calls to the store.
 const STARTING_RETRY_MS: u64 = 300;
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         AnswerBody, Refusal,
+        answer::AnsweredId,
         attempt::EngineAnswer,
         buffered::forward_buffered,
         completion::refuse,
@@ -36,7 +37,12 @@
     let open_request = OpenRequestGuard::new(&instance);
     let (parts, body) = request.into_parts();
     let mut response = match read_request(instance.clone(), pool, parts, body, origin).await {
-        Ok(request) => handle_request(request, open_request).await,
+        Ok(request) => {
+            let id = AnsweredId(request.id().to_owned());
+            let mut response = handle_request(request, open_request).await;
+            response.extensions_mut().insert(id);
+            response
+        }
         Err((refusal, retry_after_ms)) => {
             instance.counters.count("refused", refusal.reason());
             log::info!("event=refused reason={}", refusal.reason());
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -9,7 +9,13 @@
         request::{CallerRequest, Origin},
         retry::{AttemptHistory, ResumePoint, send_with_retries},
     },
-    crate::{clock::now_ms, mesh::tell_origin, rollouts::record_result, upstreams::check_silent},
+    crate::{
+        bounded::{HeldKind, Hold},
+        clock::now_ms,
+        mesh::tell_origin,
+        rollouts::record_result,
+        upstreams::check_silent,
+    },
     bytes::Bytes,
     futures_util::stream::unfold,
     http::Response,
@@ -19,11 +25,11 @@
         origin::EngineBuild,
         pool::EngineEntry,
         routing::RetryPolicy,
-        stream::{EventScanner, EventSplitter, StreamEnd},
+        stream::{EventScanner, EventSplitter, Excess, StreamEnd},
     },
     mangowalk_platform::{AnswerHead, BodyFraming},
     std::{rc::Rc, time::Duration},
-    tokio::time::timeout,
+    tokio::{task::yield_now, time::timeout},
 };
 
 /// Forwards a streamed answer to the caller and resumes it at another engine if
@@ -34,6 +40,12 @@
     answered: Option<EngineAnswer>,
     attempts: AttemptHistory,
     events: ForwardedEvents,
+    /// Why the answer counts as endless.
+    excess: Option<Excess>,
+    /// When the first bytes of an unfinished event arrived.
+    unfinished_since_ms: Option<u64>,
+    /// The incomplete event.
+    partial_event: Hold,
     begun_at: BegunAt,
     is_origin_recorded: bool,
     /// Whether any bytes have arrived.
@@ -90,6 +102,15 @@
         }
     }
 
+    /// Returns the scanner of a body that consists of events.
+    fn scanner(&self) -> Option<&EventScanner> {
+        match self {
+            ForwardedEvents::Resumable(splitter) => Some(splitter.scanner()),
+            ForwardedEvents::AsReceived(scanner) => Some(scanner),
+            ForwardedEvents::Opaque => None,
+        }
+    }
+
     /// Returns the splitter of a stream that may be resumed.
     fn splitter(&self) -> Option<&EventSplitter> {
         match self {
@@ -100,11 +121,7 @@
 
     /// Returns why a stream that ends now was broken off, or `None` if it is complete.
     fn break_reason(&self, framing: BodyFraming, is_resumed: bool) -> Option<&'static str> {
-        let scanner = match self {
-            ForwardedEvents::Resumable(splitter) => splitter.scanner(),
-            ForwardedEvents::AsReceived(scanner) => scanner,
-            ForwardedEvents::Opaque => return None,
-        };
+        let scanner = self.scanner()?;
         let ends_with_connection = framing == BodyFraming::Connection;
         match StreamEnd::of(scanner, ends_with_connection, is_resumed) {
             StreamEnd::Complete => None,
@@ -153,6 +170,9 @@
     let status = answered.answer.parts.status;
     let forwarder = StreamForwarder {
         events: ForwardedEvents::of(&request, &answered.answer.head),
+        excess: None,
+        unfinished_since_ms: None,
+        partial_event: request.instance.held.hold(HeldKind::Events),
         begun_at: request.build.map_or(BegunAt::Nowhere, BegunAt::Build),
         request,
         answered: Some(answered),
@@ -168,7 +188,11 @@
         match forwarder.next().await {
             Ok(Some(bytes)) => Some((Ok(bytes), Some(forwarder))),
             Ok(None) => None,
-            Err(cut) => Some((Err(cut), None)),
+            Err(cut) => {
+                // Lets what was received before be written.
+                yield_now().await;
+                Some((Err(cut), None))
+            }
         }
     }));
     let mut response = Response::new(AnswerBody::Stream(byte_stream));
@@ -192,6 +216,19 @@
             };
             let framing = answered.answer.head.framing;
             let left_ms = self.request.left_ms();
+            // An engine that always has more bytes lets no timeout pass.
+            if left_ms == 0 {
+                answered.record_failure(&self.request, "timed_out");
+                return Err(self.record_cut("timed_out"));
+            }
+            if let Some(excess) = self.excess.take() {
+                self.request
+                    .instance
+                    .counters
+                    .count("answer_cut", excess.reason());
+                self.resume(excess.reason()).await?;
+                continue;
+            }
             let check_interval = Duration::from_millis(left_ms.min(SILENCE_CHECK_INTERVAL_MS));
             match timeout(check_interval, answered.answer.body.frame()).await {
                 Err(_) if left_ms <= SILENCE_CHECK_INTERVAL_MS => {
@@ -206,6 +243,7 @@
                     };
                     self.record_received();
                     let forwarded = self.events.push(bytes);
+                    self.check_bounds(!forwarded.is_empty());
                     if !forwarded.is_empty() {
                         self.record_origin();
                         return Ok(Some(forwarded));
@@ -223,6 +261,26 @@
         }
     }
 
+    /// Checks the bounds on bytes that are no event. What was received up to them is forwarded
+    /// first, as the stream is resumed behind it.
+    fn check_bounds(&mut self, has_boundary: bool) {
+        let now_ms = now_ms();
+        if let Some(splitter) = self.events.splitter() {
+            self.partial_event.set(splitter.partial_bytes());
+            let is_in_event = splitter.scanner().is_in_event();
+            let since_ms = self.unfinished_since_ms.filter(|_| !has_boundary);
+            self.unfinished_since_ms = is_in_event.then(|| since_ms.unwrap_or(now_ms));
+        }
+        let bounds = &self.request.instance.settings.event_bounds;
+        self.excess = match &self.events {
+            ForwardedEvents::Resumable(splitter) => {
+                splitter.excess(bounds, self.unfinished_since_ms, now_ms)
+            }
+            ForwardedEvents::AsReceived(scanner) => bounds.excess(scanner, None, now_ms),
+            ForwardedEvents::Opaque => None,
+        };
+    }
+
     /// Returns whether the engine was asked to go on behind events that the caller has.
     fn is_resumed(&self) -> bool {
         let splitter = self.events.splitter();
@@ -401,6 +459,8 @@
                 .map_or("unknown", |engine| engine.software.as_str()),
         );
         self.events = ForwardedEvents::Resumable(EventSplitter::resume_after(last_id));
+        self.unfinished_since_ms = None;
+        self.partial_event.set(0);
         self.answered = Some(*next);
         self.last_received_ms = now_ms();
         self.pace = Pace::default();
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -8,6 +8,7 @@
 mod engine_notices;
 mod engine_paces;
 mod heartbeats;
+mod held_limit;
 mod loans;
 mod passed_on;
 mod paths;
--- a/crates/gateway/src/instance/reload.rs
+++ b/crates/gateway/src/instance/reload.rs
@@ -21,6 +21,7 @@
     new: &MachineSettings,
 ) -> (MachineSettings, ReloadOutcome) {
     let settings = MachineSettings {
+        memory_bytes: new.memory_bytes,
         retries: new.retries,
         grace_ms: new.grace_ms,
         directory_keep_s: new.directory_keep_s,
@@ -29,6 +30,7 @@
         ..old.clone()
     };
     let applied = [
+        ("memory_bytes", old.memory_bytes != new.memory_bytes),
         ("retries", old.retries != new.retries),
         ("grace_ms", old.grace_ms != new.grace_ms),
         (
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -8,6 +8,7 @@
     origin::OriginSettings,
     path::PathSettings,
     pool::{AdmitSettings, ChoiceSettings, ListPartSettings},
+    stream::EventBounds,
     weights::{OrderLeaseSettings, PlanSettings, WeightsSettings},
 };
 
@@ -92,6 +93,16 @@
     /// heartbeat and log lines and for timers that fire 100 ms late. With half of
     /// it some instances were killed before they logged that they had stopped.
     pub exit_margin_ms: u64,
+    /// Bounds on bytes of a stream that are no event.
+    pub event_bounds: EventBounds,
+    /// Time without a byte taken by the caller of a stream after which its connection is
+    /// closed. Engines abort an answer that stays unread for some seconds, and begin to count
+    /// only once the buffers of this instance are full as well.
+    pub slow_stream_ms: u64,
+    /// Time without a byte taken by the caller of a complete answer after which its connection
+    /// is closed. No engine waits, so that the caller may take as long as for an idle
+    /// connection.
+    pub unread_answer_ms: u64,
     /// Minimum time left until a request's deadline for it to be sent to an engine.
     pub min_remaining_ms: u64,
 }
@@ -132,6 +143,9 @@
             store_call_timeout_ms: 1_000,
             address_ttl_s: 1,
             exit_margin_ms: 700,
+            event_bounds: EventBounds::default(),
+            slow_stream_ms: 2_000,
+            unread_answer_ms: 10_000,
             min_remaining_ms: 15,
         }
     }
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -3,7 +3,7 @@
         Counters, CrashParts, CrashTracker, Drain, GatewaySettings, PassedOn, ReloadOutcome,
         RetryBudgets, StoreAvailability, StreamOrigins, WakeUps, apply_reloadable,
     },
-    crate::{clock::now_ms, mesh::MeshTraffic},
+    crate::{bounded::HeldBytes, clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
         brittle::BrittleEngines,
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
@@ -22,6 +22,7 @@
         cell::{Cell, RefCell},
         collections::{BTreeMap, HashMap, VecDeque},
         rc::Rc,
+        sync::Arc,
     },
     tokio::sync::{Mutex, watch},
 };
@@ -110,6 +111,8 @@
     /// Orders of this instance that are planned, sent or just completed, as reported
     /// in heartbeats. Empty without the lease.
     pub order_reports: RefCell<Vec<OrderReport>>,
+    /// Bytes that are held for callers and engines.
+    pub held: Arc<HeldBytes>,
     /// Metrics for operators.
     pub counters: Counters,
     /// Number of requests that were received and not yet answered in full.
@@ -177,6 +180,7 @@
             holds_lease: Cell::new(false),
             last_order_ms: Cell::new(None),
             order_reports: RefCell::default(),
+            held: Arc::default(),
             counters: Counters::default(),
             open_requests: Cell::new(0),
             drain,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`instance::Instance`] without locks. Each task reads and writes it; no
 //! borrow of it may be held across an await.
 
+pub mod bounded;
 pub mod callers;
 pub mod instance;
 pub mod logs;
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -1,15 +1,14 @@
 use {
+    crate::{
+        bounded::MeteredBody,
+        upstreams::{Connection, handshake},
+    },
     bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
     http::Response,
     http_body_util::{BodyExt, Full, Limited},
-    hyper::{
-        body::Incoming,
-        client::conn::http1::{self, SendRequest},
-    },
-    hyper_util::rt::TokioIo,
     mangowalk_platform::Call,
-    std::{cell::RefCell, io, net::SocketAddr, time::Duration},
+    std::{cell::RefCell, io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpStream, time::timeout},
 };
 
@@ -52,12 +51,20 @@
     Unwritable,
 }
 
+/// A connection that is closed once it is dropped.
+struct CallConnection(Connection);
+
+impl Drop for CallConnection {
+    fn drop(&mut self) {
+        self.0.task.abort();
+    }
+}
+
 /// HTTP client for one address, with a pool of idle connections.
-#[derive(Debug)]
 pub struct CallClient {
     address: SocketAddr,
     connect_timeout_ms: u64,
-    idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+    idle: RefCell<Vec<CallConnection>>,
 }
 
 impl CallClient {
@@ -80,13 +87,13 @@
     pub async fn call(&self, call: &Call, timeout_ms: u64) -> Result<(u16, Bytes), CallError> {
         let timed_out = |_| self.no_answer(&"timed out");
         let limit = Duration::from_millis(timeout_ms);
-        let (sender, response) = timeout(limit, self.send(call)).await.map_err(timed_out)??;
+        let (connection, response) = timeout(limit, self.send(call)).await.map_err(timed_out)??;
         let status = response.status().as_u16();
         let body = timeout(MAX_BODY_TIME, self.read_body(response.into_body()));
         let body = body.await.map_err(timed_out)??;
         let mut idle = self.idle.borrow_mut();
         if idle.len() < MAX_IDLE_CONNECTIONS {
-            idle.push(sender);
+            idle.push(connection);
         }
         Ok((status, body))
     }
@@ -94,17 +101,22 @@
     async fn send(
         &self,
         call: &Call,
-    ) -> Result<(SendRequest<Full<Bytes>>, Response<Incoming>), CallError> {
-        let mut sender = self.connection().await?;
+    ) -> Result<(CallConnection, Response<MeteredBody>), CallError> {
+        let mut connection = self.connection().await?;
         let request = call
             .to_request(self.address, |body| Full::new(Bytes::from(body)))
             .map_err(|_| CallError::Unwritable)?;
-        let response = sender.send_request(request).await;
+        let meter = connection.0.meter.clone();
+        meter.begin_answer();
+        let response = connection.0.sender.send_request(request).await;
         let response = response.map_err(|error| self.no_answer(&error))?;
-        Ok((sender, response))
+        Ok((
+            connection,
+            response.map(|body| MeteredBody::new(body, meter)),
+        ))
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, CallError> {
+    async fn read_body(&self, body: MeteredBody) -> Result<Bytes, CallError> {
         let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
         let mut bytes = BytesMut::new();
         loop {
@@ -120,18 +132,18 @@
         }
     }
 
-    async fn connection(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
+    async fn connection(&self) -> Result<CallConnection, CallError> {
         loop {
             let idle = self.idle.borrow_mut().pop();
             match idle {
-                Some(sender) if sender.is_ready() => return Ok(sender),
+                Some(connection) if connection.0.sender.is_ready() => return Ok(connection),
                 Some(_) => {}
                 None => return self.connect().await,
             }
         }
     }
 
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
+    async fn connect(&self) -> Result<CallConnection, CallError> {
         let limit = Duration::from_millis(self.connect_timeout_ms);
         let stream = timeout(limit, TcpStream::connect(self.address)).await;
         let stream = stream
@@ -140,15 +152,9 @@
         stream
             .set_nodelay(true)
             .map_err(|error| self.not_connected(&error))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| self.not_connected(&error))?;
-        tokio::spawn(async move {
-            // The request's sender reports the end of the connection to the
-            // task that waits for the response.
-            let _ = connection.await;
-        });
-        Ok(sender)
+        let connection = handshake(stream, &Arc::default()).await;
+        let connection = connection.map_err(|error| self.not_connected(&error))?;
+        Ok(CallConnection(connection))
     }
 
     fn not_connected(&self, reason: &dyn std::fmt::Display) -> CallError {
--- a/crates/gateway/src/upstreams/connection.rs
+++ b/crates/gateway/src/upstreams/connection.rs
@@ -1,6 +1,7 @@
 use {
     super::path::record_accepted,
     crate::{
+        bounded::{HeldBytes, HeldKind, MAX_READ_BUFFER_BYTES, MeteredStream, ReadMeter},
         clock::now_ms,
         instance::{GatewaySettings, Instance},
     },
@@ -11,7 +12,7 @@
     hyper_util::rt::TokioIo,
     mangowalk_core::pool::EngineEntry,
     socket2::{SockRef, TcpKeepalive},
-    std::{io, net::SocketAddr, time::Duration},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpSocket, TcpStream},
         task::AbortHandle,
@@ -23,6 +24,21 @@
 /// the interval between its probes.
 const KEEPALIVE_INTERVAL_S: u64 = 2;
 
+/// Size of the operating system's buffer for what engines and peers send, which it doubles.
+/// A larger one would hold more for a slow caller, and is of no use on a network whose
+/// machines are a few milliseconds apart.
+const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+
+/// An HTTP connection to an engine or a peer.
+pub struct Connection {
+    /// Sends requests on the connection.
+    pub sender: SendRequest<Full<Bytes>>,
+    /// Closes the connection.
+    pub task: AbortHandle,
+    /// Counts the bytes of its answers.
+    pub meter: Arc<ReadMeter>,
+}
+
 /// Why a connection could not be opened. No byte of a request was sent.
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 #[display("{address} takes no connection ({reason}).")]
@@ -41,9 +57,9 @@
 pub async fn connect_to_engine(
     instance: &Instance,
     engine: &EngineEntry,
-) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), ConnectError> {
+) -> Result<Connection, ConnectError> {
     let began_ms = now_ms();
-    let connected = connect(TcpSocket::new_v4(), engine.address, &instance.settings).await?;
+    let connected = connect(TcpSocket::new_v4(), engine.address, instance).await?;
     record_accepted(instance, &engine.service, began_ms);
     Ok(connected)
 }
@@ -56,13 +72,13 @@
 pub async fn connect_to_peer(
     instance: &Instance,
     address: SocketAddr,
-) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), ConnectError> {
+) -> Result<Connection, ConnectError> {
     let own = SocketAddr::new(instance.machine().peer_address.ip(), 0);
     let socket = TcpSocket::new_v4().and_then(|socket| socket.bind(own).map(|()| socket));
-    connect(socket, address, &instance.settings).await
+    connect(socket, address, instance).await
 }
 
-/// Opens an HTTP/1.1 connection. Returns its sender and a handle that closes it.
+/// Opens an HTTP/1.1 connection.
 ///
 /// # Errors
 ///
@@ -71,28 +87,48 @@
 async fn connect(
     socket: io::Result<TcpSocket>,
     address: SocketAddr,
-    settings: &GatewaySettings,
-) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), ConnectError> {
+    instance: &Instance,
+) -> Result<Connection, ConnectError> {
     let connect_error = |reason: &dyn std::fmt::Display| ConnectError {
         address,
         reason: reason.to_string(),
     };
+    let settings = &instance.settings;
     let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
     let socket = socket.map_err(|error| connect_error(&error))?;
+    SockRef::from(&socket)
+        .set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+        .map_err(|error| connect_error(&error))?;
     let stream = timeout(connect_timeout, socket.connect(address))
         .await
         .map_err(|_| connect_error(&"time ran out"))?
         .map_err(|error| connect_error(&error))?;
     set_timeouts(&stream, settings).map_err(|error| connect_error(&error))?;
+    let connection = handshake(stream, &instance.held).await;
+    connection.map_err(|error| connect_error(&error))
+}
+
+/// Begins to speak HTTP on a connection, whose answers are bounded and counted.
+///
+/// # Errors
+///
+/// Fails if the connection has ended.
+pub async fn handshake(stream: TcpStream, held: &Arc<HeldBytes>) -> hyper::Result<Connection> {
+    let meter = Arc::new(ReadMeter::new(held.hold(HeldKind::Received)));
+    let stream = MeteredStream::new(stream, meter.clone());
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| connect_error(&error))?;
+        .await?;
     let task = tokio::spawn(async move {
         // The sender reports the end of the connection to whoever awaits an answer.
         let _ = connection.await;
     });
-    Ok((sender, task.abort_handle()))
+    Ok(Connection {
+        sender,
+        task: task.abort_handle(),
+        meter,
+    })
 }
 
 /// Sets the TCP timeouts that end a connection whose peer is gone without a reset.
--- a/crates/gateway/src/upstreams/exchange.rs
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -1,6 +1,7 @@
 use {
     super::{ConnectionPool, PooledConnection, connect_to_engine, connect_to_peer},
     crate::{
+        bounded::MeteredBody,
         clock::{now_ms, wall_ms},
         instance::Instance,
     },
@@ -8,7 +9,6 @@
     derive_more::{Display, Error},
     http::{Request, response},
     http_body_util::Full,
-    hyper::body::Incoming,
     mangowalk_core::{
         engine_notice::SendBarrier,
         pool::{EngineEntry, Incarnation},
@@ -48,7 +48,7 @@
     /// Status and headers as received.
     pub parts: response::Parts,
     /// Body of the response, as a stream.
-    pub body: Incoming,
+    pub body: MeteredBody,
     /// The connection, to be returned to the pool once the body is read in full.
     pub connection: PooledConnection,
 }
@@ -141,10 +141,10 @@
         Destination::Engine { entry, .. } => connect_to_engine(instance, entry).await,
         Destination::Peer { address, .. } => connect_to_peer(instance, address).await,
     };
-    let (sender, task) = connected.map_err(|error| SendError::NotSent {
+    let connected = connected.map_err(|error| SendError::NotSent {
         reason: error.to_string(),
     })?;
-    let connection = pool.wrap(incarnation, sender, task);
+    let connection = pool.wrap(incarnation, connected);
     // The engine may have said so while the connection was opened.
     if let Err(barred) = destination.check_barrier(instance, now_ms()) {
         connection.return_to_pool(now_ms());
@@ -157,14 +157,16 @@
     mut connection: PooledConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<Answer, SendError> {
-    let Some(sender) = connection.sender() else {
+    let (Some(meter), Some(sender)) = (connection.meter(), connection.sender()) else {
         return Err(SendError::NotSent {
             reason: "the connection is in use".to_owned(),
         });
     };
+    meter.begin_answer();
     let response = match sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
+            meter.record_error(error.error());
             let reason = error.error().to_string();
             return Err(match error.take_message() {
                 Some(_) => SendError::NotSent { reason },
@@ -181,7 +183,7 @@
     Ok(Answer {
         head,
         parts,
-        body,
+        body: MeteredBody::new(body, meter),
         connection,
     })
 }
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -8,7 +8,7 @@
 mod probe;
 
 pub use {
-    connection::{ConnectError, connect_to_engine, connect_to_peer},
+    connection::{ConnectError, Connection, connect_to_engine, connect_to_peer, handshake},
     exchange::{Answer, Destination, SendError, send},
     kv_stores::watch_kv_stores,
     path::watch_paths,
--- a/crates/gateway/src/upstreams/path.rs
+++ b/crates/gateway/src/upstreams/path.rs
@@ -119,8 +119,8 @@
 ) -> bool {
     let attempts = engines.iter().map(async |engine| {
         let connected = connect_to_engine(instance, engine).await;
-        connected.is_ok_and(|(sender, task)| {
-            let connection = pool.wrap(&engine.incarnation, sender, task);
+        connected.is_ok_and(|connected| {
+            let connection = pool.wrap(&engine.incarnation, connected);
             connection.return_to_pool(now_ms());
             true
         })
--- a/crates/gateway/src/upstreams/pool.rs
+++ b/crates/gateway/src/upstreams/pool.rs
@@ -1,4 +1,6 @@
 use {
+    super::Connection,
+    crate::bounded::ReadMeter,
     bytes::Bytes,
     http_body_util::Full,
     hyper::client::conn::http1::SendRequest,
@@ -7,8 +9,8 @@
         cell::RefCell,
         collections::HashMap,
         rc::{Rc, Weak},
+        sync::Arc,
     },
-    tokio::task::AbortHandle,
 };
 
 /// Idle timeout of a connection if the engine's answer doesn't name one.
@@ -23,11 +25,22 @@
 const MAX_IDLE_PER_ENGINE: usize = 24;
 
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
-    task: AbortHandle,
+    connection: Connection,
     expires_ms: u64,
 }
 
+impl IdleConnection {
+    /// Returns whether the connection may be used. Closes it otherwise.
+    fn retain(&self, is_listed: bool, now_ms: u64) -> bool {
+        let is_usable =
+            is_listed && !self.connection.sender.is_closed() && now_ms < self.expires_ms;
+        if !is_usable {
+            self.connection.task.abort();
+        }
+        is_usable
+    }
+}
+
 /// Idle connections to engines and peers, by their incarnation.
 #[derive(Default)]
 pub struct ConnectionPool {
@@ -44,39 +57,24 @@
     ) -> Option<PooledConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(engine)?;
-        connections.retain(|connection| {
-            let is_usable = !connection.sender.is_closed() && now_ms < connection.expires_ms;
-            if !is_usable {
-                connection.task.abort();
-            }
-            is_usable
-        });
+        connections.retain(|idle| idle.retain(true, now_ms));
         let index = connections
             .iter()
-            .rposition(|connection| connection.sender.is_ready())?;
-        let connection = connections.remove(index);
-        Some(PooledConnection {
-            pool: Rc::downgrade(self),
-            engine: engine.clone(),
-            sender: Some(connection.sender),
-            task: connection.task,
-            idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
-            is_closing: false,
-        })
+            .rposition(|idle| idle.connection.sender.is_ready())?;
+        let idle = connections.remove(index);
+        Some(self.wrap(engine, idle.connection))
     }
 
     /// Wraps a new connection, so that it can be returned to this pool.
     pub fn wrap(
         self: &Rc<ConnectionPool>,
         engine: &Incarnation,
-        sender: SendRequest<Full<Bytes>>,
-        task: AbortHandle,
+        connection: Connection,
     ) -> PooledConnection {
         PooledConnection {
             pool: Rc::downgrade(self),
             engine: engine.clone(),
-            sender: Some(sender),
-            task,
+            connection: Some(connection),
             idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
             is_closing: false,
         }
@@ -87,8 +85,8 @@
     /// shows that the request was not sent.
     pub fn close_idle(&self, engine: &Incarnation) {
         let connections = self.idle.borrow_mut().remove(engine);
-        for connection in connections.unwrap_or_default() {
-            connection.task.abort();
+        for idle in connections.unwrap_or_default() {
+            idle.connection.task.abort();
         }
     }
 
@@ -97,14 +95,7 @@
     pub fn sweep(&self, is_listed: impl Fn(&Incarnation) -> bool, now_ms: u64) {
         self.idle.borrow_mut().retain(|engine, connections| {
             let has_entry = is_listed(engine);
-            connections.retain(|connection| {
-                let is_usable =
-                    has_entry && !connection.sender.is_closed() && now_ms < connection.expires_ms;
-                if !is_usable {
-                    connection.task.abort();
-                }
-                is_usable
-            });
+            connections.retain(|idle| idle.retain(has_entry, now_ms));
             !connections.is_empty()
         });
     }
@@ -117,8 +108,7 @@
 pub struct PooledConnection {
     pool: Weak<ConnectionPool>,
     engine: Incarnation,
-    sender: Option<SendRequest<Full<Bytes>>>,
-    task: AbortHandle,
+    connection: Option<Connection>,
     idle_timeout_ms: u64,
     /// Whether the connection ends with the answer.
     is_closing: bool,
@@ -128,7 +118,14 @@
     /// Returns the sender of the connection, or `None` once it was returned to the
     /// pool.
     pub fn sender(&mut self) -> Option<&mut SendRequest<Full<Bytes>>> {
-        self.sender.as_mut()
+        let connection = self.connection.as_mut();
+        connection.map(|connection| &mut connection.sender)
+    }
+
+    /// Returns the meter of the connection, or `None` once it was returned to the pool.
+    pub fn meter(&self) -> Option<Arc<ReadMeter>> {
+        let connection = self.connection.as_ref();
+        connection.map(|connection| connection.meter.clone())
     }
 
     /// Sets the idle timeout that the engine named; `None` leaves it unchanged.
@@ -146,23 +143,22 @@
     /// Returns the connection to the pool, once its answer was read in full. Closes
     /// it instead if it is no longer usable or the engine has enough idle ones.
     pub fn return_to_pool(mut self, now_ms: u64) {
-        let (Some(sender), Some(pool)) = (self.sender.take(), self.pool.upgrade()) else {
+        let (Some(connection), Some(pool)) = (self.connection.take(), self.pool.upgrade()) else {
             return;
         };
         let expires_ms = now_ms + self.idle_timeout_ms.saturating_sub(IDLE_TIMEOUT_MARGIN_MS);
-        if self.is_closing || sender.is_closed() || expires_ms <= now_ms {
-            self.task.abort();
+        if self.is_closing || connection.sender.is_closed() || expires_ms <= now_ms {
+            connection.task.abort();
             return;
         }
         let mut idle = pool.idle.borrow_mut();
         let connections = idle.entry(self.engine.clone()).or_default();
         if connections.len() >= MAX_IDLE_PER_ENGINE {
-            self.task.abort();
+            connection.task.abort();
             return;
         }
         connections.push(IdleConnection {
-            sender,
-            task: self.task.clone(),
+            connection,
             expires_ms,
         });
     }
@@ -170,8 +166,8 @@
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
-        if self.sender.is_some() {
-            self.task.abort();
+        if let Some(connection) = &self.connection {
+            connection.task.abort();
         }
     }
 }
--- a/crates/gateway/src/upstreams/probe.rs
+++ b/crates/gateway/src/upstreams/probe.rs
@@ -43,11 +43,11 @@
 }
 
 async fn reconnect(instance: &Instance, pool: &Rc<ConnectionPool>, entry: &EngineEntry) {
-    let Ok((sender, task)) = connect_to_engine(instance, entry).await else {
+    let Ok(connection) = connect_to_engine(instance, entry).await else {
         return;
     };
     let now_ms = now_ms();
-    pool.wrap(&entry.incarnation, sender, task)
+    pool.wrap(&entry.incarnation, connection)
         .return_to_pool(now_ms);
     if let Some(known_engine) = instance
         .engines
@@ -141,14 +141,14 @@
     entry: &EngineEntry,
     reason: ProbeReason,
 ) -> Result<(), ConnectError> {
-    let (mut sender, mut task) = connect_to_engine(instance, entry).await?;
+    let mut connection = connect_to_engine(instance, entry).await?;
     if reason == ProbeReason::RequestLost {
         sleep(CONFIRMATION_DELAY).await;
-        if sender.is_closed() {
-            (sender, task) = connect_to_engine(instance, entry).await?;
+        if connection.sender.is_closed() {
+            connection = connect_to_engine(instance, entry).await?;
         }
     }
-    pool.wrap(&entry.incarnation, sender, task)
+    pool.wrap(&entry.incarnation, connection)
         .return_to_pool(now_ms());
     Ok(())
 }
--- a/crates/gateway/tests/barriers.rs
+++ b/crates/gateway/tests/barriers.rs
@@ -102,8 +102,8 @@
     with_engine(async |_listener, entry| {
         let (instance, pool) = (instance(), Rc::new(ConnectionPool::default()));
         let connected = connect_to_engine(&instance, &entry).await;
-        let (sender, task) = connected.expect("the engine accepts it");
-        let connection = pool.wrap(&entry.incarnation, sender, task);
+        let connected = connected.expect("the engine accepts it");
+        let connection = pool.wrap(&entry.incarnation, connected);
         connection.return_to_pool(now_ms());
         // The task of the connection has to run before the connection is ready.
         yield_now().await;
--- /dev/null
+++ b/crates/gateway/tests/bounded_bytes/gateway.rs
@@ -0,0 +1,192 @@
+use {
+    mangowalk_core::{
+        pool::{EngineEntry, Incarnation},
+        routing::{Configuration, RetryPolicy, Route, RouteTable, Service, WeightedService},
+    },
+    mangowalk_gateway::{
+        callers::serve_callers,
+        instance::{Drain, GatewaySettings, Instance},
+        now_ms,
+        upstreams::ConnectionPool,
+    },
+    mangowalk_platform::decode_settings,
+    std::{
+        net::SocketAddr,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        runtime,
+        sync::watch,
+        task::{LocalSet, spawn_local},
+        time::{sleep, timeout},
+    },
+};
+
+const SETTINGS: &str = "NodeName=m\nIp=127.0.0.1\nZone=a\nRegion=r\n\
+    Listen.Front=127.0.0.1:1\nListen.Ready=127.0.0.1:2\nListen.Directory=127.0.0.1:3\n\
+    InternalPorts=7600,7615\nLimits.MaxFds=1000\nProvider.Address=127.0.0.1:4\n\
+    Bounds.RetryBudget=1\nBounds.RetrySlack=50\n";
+
+/// Deadline of all requests.
+pub(super) const DEADLINE: Duration = Duration::from_millis(2_500);
+
+/// Time after which a caller stops reading.
+const MAX_READING: Duration = Duration::from_secs(6);
+
+/// Bytes after which a caller stops reading.
+const MAX_READ_BYTES: usize = 80 << 20;
+
+/// A gateway that serves callers on the loopback interface.
+pub(super) struct Gateway {
+    pub(super) instance: Rc<Instance>,
+    pub(super) address: SocketAddr,
+    _drain: watch::Sender<Drain>,
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub(super) struct Reply {
+    pub(super) bytes: Vec<u8>,
+    pub(super) took: Duration,
+    /// Whether the connection ended in time.
+    pub(super) has_ended: bool,
+}
+
+impl Reply {
+    /// Returns the status; 0 if there is none.
+    pub(super) fn status(&self) -> u16 {
+        let line = self.bytes.get(9..12).unwrap_or_default();
+        let status = std::str::from_utf8(line).ok();
+        status.and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
+    /// Returns whether a body in chunks has its end.
+    pub(super) fn has_last_chunk(&self) -> bool {
+        self.bytes.ends_with(b"0\r\n\r\n")
+    }
+}
+
+impl Gateway {
+    /// Starts a gateway with one route of a service, and engines at these addresses.
+    pub(super) async fn start(
+        retry: RetryPolicy,
+        engines: &[SocketAddr],
+        settings: GatewaySettings,
+    ) -> Gateway {
+        let machine = decode_settings(SETTINGS).expect("the settings are complete");
+        let (sender, drain) = Drain::channel();
+        let instance = Instance::new(machine, settings, 1, drain);
+        *instance.routes.borrow_mut() = Rc::new(RouteTable::new(configuration(retry)));
+        for (index, address) in engines.iter().enumerate() {
+            let mut known = instance.engines.borrow_mut();
+            known.apply_entry(entry(index, *address));
+        }
+        instance.is_engine_list_read.set(true);
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("it is bound");
+        let pool = Rc::new(ConnectionPool::default());
+        spawn_local(serve_callers(instance.clone(), pool, listener));
+        spawn_local(lend_retries(instance.clone()));
+        Gateway {
+            instance,
+            address,
+            _drain: sender,
+        }
+    }
+
+    /// Connects and sends a request.
+    pub(super) async fn send(&self, id: &str) -> TcpStream {
+        let mut stream = TcpStream::connect(self.address)
+            .await
+            .expect("the gateway listens");
+        let request = format!(
+            "GET /a/1 HTTP/1.1\r\nHost: shop.example\r\nMangowalk-Request-Id: {id}\r\n\
+             Mangowalk-Deadline-Ms: {}\r\nConnection: close\r\n\r\n",
+            DEADLINE.as_millis(),
+        );
+        stream
+            .write_all(request.as_bytes())
+            .await
+            .expect("the gateway reads");
+        stream
+    }
+
+    /// Sends a request and reads the answer to the end of its connection.
+    pub(super) async fn ask(&self, id: &str) -> Reply {
+        let began = Instant::now();
+        let mut stream = self.send(id).await;
+        let mut bytes = Vec::new();
+        let mut limited = (&mut stream).take(MAX_READ_BYTES as u64);
+        let read = timeout(MAX_READING, limited.read_to_end(&mut bytes)).await;
+        Reply {
+            took: began.elapsed(),
+            has_ended: read.is_ok(),
+            bytes,
+        }
+    }
+}
+
+/// Lends retries, as an instance that has just started has none of its own.
+async fn lend_retries(instance: Rc<Instance>) {
+    loop {
+        instance.receive_loan("desk", 5.0, now_ms());
+        sleep(Duration::from_millis(200)).await;
+    }
+}
+
+fn configuration(retry: RetryPolicy) -> Configuration {
+    Configuration {
+        version: 1,
+        routes: vec![Route {
+            name: "a".to_owned(),
+            host: "shop.example".to_owned(),
+            path_prefix: "/a/".to_owned(),
+            services: vec![WeightedService {
+                service: "desk".to_owned(),
+                weight: 1,
+            }],
+            retry,
+            timeout_ms: 10_000,
+            target_ms: 500,
+            target_gap_ms: 500,
+            max_attempts: 2,
+            priority: 0,
+            anonymous: true,
+        }],
+        services: vec![Service {
+            name: "desk".to_owned(),
+            max_connections: 100,
+            engine: None,
+            cache_store: None,
+        }],
+        ..Configuration::default()
+    }
+}
+
+fn entry(index: usize, address: SocketAddr) -> EngineEntry {
+    EngineEntry {
+        incarnation: Incarnation {
+            id: format!("e{index}"),
+            born_ms: 1,
+        },
+        revision: 1,
+        service: "desk".to_owned(),
+        software: "v1".to_owned(),
+        address,
+        domain: "a".to_owned(),
+        slots: 8,
+        draining: false,
+        models: Vec::new(),
+        cold_left_ms: 0,
+    }
+}
+
+/// Runs a test on an event loop of its own.
+pub(super) fn run(test: impl AsyncFnOnce()) {
+    let event_loop = runtime::Builder::new_current_thread().enable_all().build();
+    let event_loop = event_loop.expect("the runtime starts");
+    LocalSet::new().block_on(&event_loop, test());
+}
--- /dev/null
+++ b/crates/gateway/tests/bounded_bytes/main.rs
@@ -0,0 +1,8 @@
+//! Answers of engines whose bytes never end, and callers that don't read theirs.
+
+mod endless_answers;
+mod endless_calls;
+mod endless_requests;
+mod fake_engine;
+mod gateway;
+mod sound_answers;
