Bound the lines that mangowalkd reads of an engine's stream

A line without an end was read until the memory was full or 300 s were over. `EventLines` applies the bounds on events and comments. The client of plain services takes over the connection of the gateway, which ends endless answers with status 1xx.

Before, the client of plain services read 64 MiB of 1xx heads.

--- a/crates/mangowalkd/src/edge/engines.rs
+++ b/crates/mangowalkd/src/edge/engines.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         Traffic,
+        event_lines::EventLines,
         http::{asked_rest_ms, check_answered, exchange, prepare, send_error},
     },
     flume::{Receiver, RecvTimeoutError, Sender},
@@ -12,13 +13,7 @@
         },
     },
     serde::{Serialize, de::DeserializeOwned},
-    std::{
-        io::{BufRead, BufReader},
-        net::SocketAddr,
-        sync::Arc,
-        thread,
-        time::Duration,
-    },
+    std::{io::BufReader, net::SocketAddr, sync::Arc, thread, time::Duration},
 };
 
 /// Timeout of a call other than a generation.
@@ -143,20 +138,16 @@
         let _ = sender.send(Err(SendError::Refused { status, rest_ms }));
         return;
     }
-    for line in BufReader::new(response).lines() {
-        let event = match line {
-            Ok(line) => parse_event(&line),
-            Err(_) => Some(Err(SendError::Lost)),
+    let mut lines = EventLines::new(BufReader::new(response));
+    loop {
+        let event = match lines.next_data() {
+            Ok(Some(data)) => serde_json::from_str(data).map_err(|_| SendError::Unreadable),
+            Ok(None) => return,
+            Err(error) => Err(error),
         };
-        let Some(event) = event else { continue };
         let last = event.is_err();
         if sender.send(event).is_err() || last {
             return;
         }
     }
 }
-
-fn parse_event(line: &str) -> Option<Result<GenerateEvent, SendError>> {
-    let data = line.strip_prefix("data:")?;
-    Some(serde_json::from_str(data).map_err(|_| SendError::Unreadable))
-}
--- a/crates/mangowalkd/src/edge/mod.rs
+++ b/crates/mangowalkd/src/edge/mod.rs
@@ -3,6 +3,7 @@
 
 mod clock;
 mod engines;
+mod event_lines;
 mod http;
 mod live;
 mod peers;
--- a/crates/mangowalkd/src/edge/services.rs
+++ b/crates/mangowalkd/src/edge/services.rs
@@ -4,12 +4,13 @@
         header::{CONNECTION, CONTENT_TYPE, HOST},
     },
     http_body_util::{BodyExt, Full, Limited},
-    hyper::{body::Bytes, client::conn::http1},
-    hyper_util::rt::TokioIo,
+    hyper::body::Bytes,
     mangowalk_core::edge::{SendError, ServiceCall, ServiceReply, Services},
+    mangowalk_gateway::{bounded::MeteredBody, upstreams::handshake},
     std::{
         io::{self, ErrorKind},
         net::SocketAddr,
+        sync::Arc,
         time::Duration,
     },
     tokio::{net::TcpStream, runtime, time::timeout},
@@ -68,12 +69,11 @@
 ) -> Result<ServiceReply, SendError> {
     let stream = TcpStream::connect(address).await;
     let stream = stream.map_err(|error| connect_error(&error))?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (mut sender, connection) = handshake.map_err(|_| SendError::NotConnected)?;
-    // The answer reports the end of the connection.
-    tokio::spawn(connection);
-    let response = sender.send_request(request).await;
+    let handshake = handshake(stream, &Arc::default()).await;
+    let mut connection = handshake.map_err(|_| SendError::NotConnected)?;
+    let response = connection.sender.send_request(request).await;
     let (parts, body) = response.map_err(|_| SendError::Lost)?.into_parts();
+    let body = MeteredBody::new(body, connection.meter);
     let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
     let content_type = parts.headers.get(CONTENT_TYPE);
     Ok(ServiceReply {
