Bound what mangowalkd and the client read where lines end oddly

minreq counts two bytes for each line end of a head, so that lines which end with a line feed alone take its count below zero. In a debug build it panicked in the thread of the call, which may be a controller's; in a release build it read on without a bound, for 2 s in calls and 300 s in attempts. It is built with overflow checks in the release profile too, and its panic counts as a lost answer.

tiny_http bounds no head of a caller and can't be told to: 16 MiB of one request line are read.

--- a/crates/mangowalk/src/ask/send.rs
+++ b/crates/mangowalk/src/ask/send.rs
@@ -12,6 +12,12 @@
 /// Timeout of a chat request, in seconds.
 const TIMEOUT_S: u64 = 300;
 
+/// Maximum number of bytes that are read of an answer: far more than that of any model.
+const MAX_ANSWER_BYTES: u64 = 64 << 20;
+
+/// Maximum number of bytes that are read of a refusal, which holds a sentence.
+const MAX_REFUSAL_BYTES: u64 = 1 << 20;
+
 /// Data of the event that ends a complete stream.
 const STREAM_END: &str = "[DONE]";
 
@@ -78,7 +84,7 @@
         request_id: header(&response, "x-request-id"),
         ..Answer::default()
     };
-    for line in BufReader::new(response).lines() {
+    for line in BufReader::new(response.take(MAX_ANSWER_BYTES)).lines() {
         let Ok(line) = line else { break };
         if let Some(data) = line.strip_prefix("data:") {
             apply_event(&mut answer, data.trim(), started, request.print);
@@ -120,12 +126,12 @@
 
 /// Reads a refusal. The request may be retried only if the instance states that
 /// it did not run and after which time to retry.
-fn classify_refusal(mut response: minreq::ResponseLazy) -> Result<Attempt, Report<Failure>> {
+fn classify_refusal(response: minreq::ResponseLazy) -> Result<Attempt, Report<Failure>> {
     let status = response.status_code;
     let outcome = header(&response, "x-mangowalk-outcome");
     let retry_ms = header(&response, "retry-after-ms").parse::<u64>().ok();
     let mut body = String::new();
-    let _ = response.read_to_string(&mut body);
+    let _ = response.take(MAX_REFUSAL_BYTES).read_to_string(&mut body);
     let body: Value = serde_json::from_str(&body).unwrap_or_default();
     let message = body["error"]["message"]
         .as_str()
--- a/crates/mangowalkd/src/edge/http.rs
+++ b/crates/mangowalkd/src/edge/http.rs
@@ -6,7 +6,10 @@
         edge::{Clock, SendError},
         engine_notice::retry_after_ms,
     },
-    std::io::{ErrorKind, Read},
+    std::{
+        io::{ErrorKind, Read},
+        panic::{AssertUnwindSafe, catch_unwind},
+    },
 };
 
 const MS_PER_S: u64 = 1_000;
@@ -46,13 +49,20 @@
 ///
 /// # Errors
 ///
-/// Returns [`SendError::Lost`] if the connection closed without an answer, or if
-/// the body can't be read or hasn't the declared length. Returns the error of
+/// Returns [`SendError::Lost`] if the connection closed without an answer, the answer makes the
+/// HTTP library panic, or the body can't be read or hasn't the declared length. Returns the error of
 /// [`send_error`] if the call failed.
 pub(super) fn exchange(
     request: minreq::Request,
     timeout_ms: u64,
 ) -> Result<(u16, Vec<u8>), SendError> {
+    // The HTTP library panics on some malformed answers: its count of the bytes of a head
+    // wraps where lines end with a line feed alone.
+    let exchanged = catch_unwind(AssertUnwindSafe(|| exchange_once(request, timeout_ms)));
+    exchanged.unwrap_or(Err(SendError::Lost))
+}
+
+fn exchange_once(request: minreq::Request, timeout_ms: u64) -> Result<(u16, Vec<u8>), SendError> {
     let response = prepare(request, timeout_ms)
         .send_lazy()
         .map_err(|e| send_error(&e))?;
--- a/crates/mangowalkd/tests/bad_input.rs
+++ b/crates/mangowalkd/tests/bad_input.rs
@@ -2,7 +2,7 @@
 
 use {
     mangowalk_standins::{Answer, Fleet, FleetSettings, RawCaller},
-    std::{fmt::Write, thread, time::Duration},
+    std::{fmt::Write, io::Write as _, net::TcpStream, thread, time::Duration},
 };
 
 /// Pause between two bytes of a slow caller, below the read timeout.
@@ -14,6 +14,10 @@
 /// Maximum number of requests that are opened until one is admitted.
 const MAX_OPEN_TRIES: usize = 20;
 
+/// Bytes by which a head without an end has to be refused, with the buffers of the operating
+/// system.
+const MAX_HEAD_BYTES: usize = 16 << 20;
+
 fn start_fleet(args: &[&str]) -> Fleet {
     let fleet = Fleet::start(&FleetSettings {
         program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
@@ -305,3 +309,21 @@
     }
     assert_eq!(status, 401);
 }
+
+/// Guards against a caller that fills the memory with a request line that doesn't end.
+#[test]
+fn an_endless_request_line_is_refused() {
+    let fleet = start_fleet(&[]);
+    let stream = TcpStream::connect(fleet.routers[0].address());
+    let mut stream = stream.expect("the router listens");
+    let timeout = stream.set_write_timeout(Some(Duration::from_millis(500)));
+    timeout.expect("the connection is open");
+    let mut sent = stream.write(b"GET /").unwrap_or(0);
+    while sent < MAX_HEAD_BYTES {
+        match stream.write(&[b'x'; 16_384]) {
+            Ok(written) => sent += written,
+            Err(_) => return,
+        }
+    }
+    panic!("{sent} bytes of a request line were read");
+}
--- a/crates/mangowalkd/tests/endless_upstreams.rs
+++ b/crates/mangowalkd/tests/endless_upstreams.rs
@@ -179,3 +179,18 @@
     row(&mut table, "body", (&format!("{head}\r\n"), b"x"), call);
     insta::assert_snapshot!(table);
 }
+
+/// Guards against heads whose lines end with a line feed alone, which the HTTP library counts
+/// wrongly, being read on without a bound or ending the thread that made the call.
+#[test]
+fn endless_header_lines_with_line_feeds_end_in_time() {
+    let (address, sending) = start("HTTP/1.1 200 OK\n", b"x\n");
+    let call = thread::spawn(move || {
+        let platform = HttpPlatform::new(address, Arc::<Traffic>::default());
+        platform.list(&["config"]).is_err()
+    });
+    let failed = call.join();
+    let sent = sending.join().expect("the upstream doesn't panic");
+    assert!(failed.expect("the call doesn't panic"));
+    assert!(sent < MAX_SENT_BYTES);
+}
