Bound what is held for callers and engines, and close unread streams

A caller that took nothing held its stream or answer for as long as its connection lasted, with buffers of 400 KiB and megabytes in the operating system; a blocked stream wasn't checked against its deadline either.

Requests are bounded like answers where a chunk's size doesn't end.

--- a/crates/gateway/src/bounded/caller_stream.rs
+++ b/crates/gateway/src/bounded/caller_stream.rs
@@ -1,9 +1,10 @@
 use {
-    super::CallerWrites,
+    super::{CallerWrites, ReadMeter},
     std::{
         io,
         pin::Pin,
         rc::Rc,
+        sync::Arc,
         task::{Context, Poll, ready},
         time::Duration,
     },
@@ -23,9 +24,11 @@
     pub answer: Duration,
 }
 
-/// A connection to a caller, which ends if the caller doesn't read.
+/// A connection to a caller, which ends if the caller doesn't read, or sends bytes that are
+/// neither a head nor a body.
 pub struct CallerStream {
     stream: TcpStream,
+    meter: Arc<ReadMeter>,
     writes: Rc<CallerWrites>,
     limits: StallLimits,
     /// Set while the caller takes no byte.
@@ -33,10 +36,17 @@
 }
 
 impl CallerStream {
-    /// Returns a connection whose unsent bytes are counted in `writes`.
-    pub fn new(stream: TcpStream, writes: Rc<CallerWrites>, limits: StallLimits) -> CallerStream {
+    /// Returns a connection whose received bytes are counted by `meter`, and unsent ones in
+    /// `writes`.
+    pub fn new(
+        stream: TcpStream,
+        meter: Arc<ReadMeter>,
+        writes: Rc<CallerWrites>,
+        limits: StallLimits,
+    ) -> CallerStream {
         CallerStream {
             stream,
+            meter,
             writes,
             limits,
             stall: None,
@@ -81,7 +91,14 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if polled.is_pending() {
+            self.meter.record_empty();
+        }
+        ready!(polled)?;
+        let read = buffer.filled().len() - before;
+        Poll::Ready(self.meter.record_read(read))
     }
 }
 
--- a/crates/gateway/src/bounded/cut_reason.rs
+++ b/crates/gateway/src/bounded/cut_reason.rs
@@ -1,6 +1,6 @@
 use std::{error::Error, io};
 
-/// Why an answer was cut off at a bound on its bytes.
+/// Why an answer or a request was cut off at a bound on its bytes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CutReason {
     /// The head is too long.
--- a/crates/gateway/src/bounded/held_bytes.rs
+++ b/crates/gateway/src/bounded/held_bytes.rs
@@ -13,7 +13,7 @@
     Requests,
     /// Plain answers, which are forwarded once they are complete.
     Answers,
-    /// Received of engines and not yet taken by the task that forwards it.
+    /// Read from connections and not yet handed on by the HTTP library.
     Received,
     /// Incomplete events of streams.
     Events,
@@ -48,7 +48,7 @@
 #[derive(Debug, Default)]
 pub struct HeldBytes {
     by_kind: [AtomicUsize; HeldKind::ALL.len()],
-    /// Answers that were cut off at a bound, by reason.
+    /// Answers and requests that were cut off at a bound, by reason.
     cuts: [AtomicUsize; CutReason::ALL.len()],
 }
 
@@ -68,12 +68,12 @@
         HeldKind::ALL.into_iter().map(|kind| self.of(kind)).sum()
     }
 
-    /// Counts an answer that was cut off at a bound.
+    /// Counts an answer or a request that was cut off at a bound.
     pub fn record_cut(&self, reason: CutReason) {
         self.cuts[reason as usize].fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Returns the number of answers that were cut off at a bound.
+    /// Returns the number of those that were cut off at a bound.
     pub fn cuts(&self, reason: CutReason) -> usize {
         self.cuts[reason as usize].load(Ordering::Relaxed)
     }
@@ -86,7 +86,7 @@
         });
         let cuts = CutReason::ALL.into_iter().map(|reason| {
             let (label, count) = (reason.label(), self.cuts(reason));
-            format!("mangowalk_answers_cut_total{{reason=\"{label}\"}} {count}\n")
+            format!("mangowalk_messages_cut_total{{reason=\"{label}\"}} {count}\n")
         });
         lines.chain(cuts).collect()
     }
--- a/crates/gateway/src/bounded/metered_body.rs
+++ b/crates/gateway/src/bounded/metered_body.rs
@@ -10,7 +10,7 @@
     },
 };
 
-/// Body of an answer, whose taken bytes are counted.
+/// Body of an answer or a request, whose taken bytes are counted.
 #[derive(Debug)]
 pub struct MeteredBody {
     body: Incoming,
@@ -42,8 +42,8 @@
                 self.meter.record_error(error);
                 self.meter.record_empty();
             }
-            // The client hands on all that it has read before a body has to wait.
-            Poll::Pending | Poll::Ready(None) => self.meter.record_empty(),
+            Poll::Ready(None) => self.meter.record_empty(),
+            Poll::Pending => {}
         }
         polled
     }
--- a/crates/gateway/src/bounded/metered_stream.rs
+++ b/crates/gateway/src/bounded/metered_stream.rs
@@ -26,6 +26,13 @@
     }
 }
 
+impl Drop for MeteredStream {
+    /// The client's buffer ends with its connection, and the meter may be kept for longer.
+    fn drop(&mut self) {
+        self.meter.record_empty();
+    }
+}
+
 impl AsyncRead for MeteredStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -33,7 +40,11 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if polled.is_pending() {
+            self.meter.record_empty();
+        }
+        ready!(polled)?;
         let read = buffer.filled().len() - before;
         Poll::Ready(self.meter.record_read(read))
     }
--- a/crates/gateway/src/callers/buffered.rs
+++ b/crates/gateway/src/callers/buffered.rs
@@ -15,6 +15,7 @@
     },
     bytes::{Bytes, BytesMut},
     http::Response,
+    http_body::Body,
     http_body_util::BodyExt,
     mangowalk_core::canary::Sample,
     std::{rc::Rc, time::Duration},
@@ -85,7 +86,9 @@
     body: &mut MeteredBody,
     held: &Hold,
 ) -> Result<Bytes, BrokenAnswer> {
-    let mut bytes = BytesMut::new();
+    let expected = body.size_hint().exact().unwrap_or(0);
+    let expected = usize::try_from(expected).unwrap_or(MAX_ANSWER_BYTES);
+    let mut bytes = BytesMut::with_capacity(expected.min(MAX_ANSWER_BYTES));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BrokenAnswer::BrokenOff)?;
         let Ok(data) = frame.into_data() else {
@@ -95,7 +98,7 @@
             return Err(BrokenAnswer::TooLong);
         }
         bytes.extend_from_slice(&data);
-        held.set(bytes.capacity());
+        held.set(bytes.len());
         while request.instance.holds_too_much() {
             sleep(FULL_CHECK_INTERVAL).await;
         }
--- a/crates/gateway/src/callers/listener.rs
+++ b/crates/gateway/src/callers/listener.rs
@@ -1,7 +1,9 @@
 use {
     super::{AnswerBody, answer::AnsweredId, request::Origin, serve::serve},
     crate::{
-        bounded::{CallerStream, CallerWrites, CountedBody, HeldKind, StallLimits},
+        bounded::{
+            CallerStream, CallerWrites, CountedBody, HeldKind, MeteredBody, ReadMeter, StallLimits,
+        },
         instance::{Drain, Instance},
         upstreams::ConnectionPool,
     },
@@ -9,7 +11,7 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     socket2::SockRef,
-    std::{cell::Cell, convert::Infallible, io, rc::Rc, time::Duration},
+    std::{cell::Cell, convert::Infallible, io, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         task::spawn_local,
@@ -23,6 +25,9 @@
 /// Pause after `accept` failed, as it does when no descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Minimum size of the buffer into which requests are read, which the HTTP library prescribes.
+const MIN_READ_BUFFER_BYTES: usize = 8_192;
+
 /// Size of the operating system's buffer for what is sent to a caller, which it doubles. A
 /// larger one would hold more for a slow caller, and is of no use on a network whose machines
 /// are a few milliseconds apart.
@@ -95,10 +100,15 @@
         answer: Duration::from_millis(settings.unread_answer_ms),
     };
     let writes = Rc::new(CallerWrites::new(instance.held.hold(HeldKind::Unsent)));
-    let stream = CallerStream::new(stream, writes.clone(), stall_limits);
+    let buffer_bytes = limits.max_header_bytes.max(MIN_READ_BUFFER_BYTES);
+    let received = instance.held.hold(HeldKind::Received);
+    let meter = Arc::new(ReadMeter::new(received, buffer_bytes));
+    let stream = CallerStream::new(stream, meter.clone(), writes.clone(), stall_limits);
     let is_http_1_0 = Cell::new(false);
     let service = service_fn(|request: Request<Incoming>| {
         is_http_1_0.set(request.version() == Version::HTTP_10);
+        meter.begin_message();
+        let request = request.map(|body| MeteredBody::new(body, meter.clone()));
         let (instance, pool, writes) = (instance.clone(), pool.clone(), writes.clone());
         async move {
             let response = serve(instance, pool, request, origin).await;
@@ -109,7 +119,7 @@
     let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .max_buf_size(limits.max_header_bytes.max(8_192))
+        .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let ended = tokio::select! {
         ended = &mut served => ended,
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -1,7 +1,7 @@
 use {
     super::Refusal,
     crate::{
-        bounded::{HeldKind, Hold},
+        bounded::{HeldKind, Hold, MeteredBody},
         clock::now_ms,
         instance::{Drain, Instance, hash},
         upstreams::ConnectionPool,
@@ -9,7 +9,6 @@
     bytes::{Bytes, BytesMut},
     http::{Method, Uri, request},
     http_body_util::{BodyExt, LengthLimitError, Limited},
-    hyper::body::Incoming,
     mangowalk_core::{
         origin::{EngineBuild, StreamKey},
         pool::EngineRequirements,
@@ -242,7 +241,7 @@
     instance: Rc<Instance>,
     pool: Rc<ConnectionPool>,
     parts: request::Parts,
-    body: Incoming,
+    body: MeteredBody,
     origin: Origin,
 ) -> Result<CallerRequest, (Refusal, Option<u64>)> {
     let arrived_ms = now_ms();
@@ -299,7 +298,7 @@
 /// holds too much.
 async fn read_body(
     instance: &Instance,
-    body: Incoming,
+    body: MeteredBody,
     max_bytes: usize,
     held: &Hold,
 ) -> Result<Bytes, (Refusal, Option<u64>)> {
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -13,12 +13,12 @@
         taken_up::bind_taken_up,
     },
     crate::{
+        bounded::MeteredBody,
         clock::now_ms,
         instance::{Drain, Instance},
         upstreams::ConnectionPool,
     },
     http::{HeaderValue, Request, Response, header::CONNECTION},
-    hyper::body::Incoming,
     std::rc::Rc,
 };
 
@@ -31,7 +31,7 @@
 pub(super) async fn serve(
     instance: Rc<Instance>,
     pool: Rc<ConnectionPool>,
-    request: Request<Incoming>,
+    request: Request<MeteredBody>,
     origin: Origin,
 ) -> Response<AnswerBody> {
     let open_request = OpenRequestGuard::new(&instance);
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -107,7 +107,7 @@
             .to_request(self.address, |body| Full::new(Bytes::from(body)))
             .map_err(|_| CallError::Unwritable)?;
         let meter = connection.0.meter.clone();
-        meter.begin_answer();
+        meter.begin_message();
         let response = connection.0.sender.send_request(request).await;
         let response = response.map_err(|error| self.no_answer(&error))?;
         Ok((
--- a/crates/gateway/src/upstreams/connection.rs
+++ b/crates/gateway/src/upstreams/connection.rs
@@ -114,7 +114,10 @@
 ///
 /// Fails if the connection has ended.
 pub async fn handshake(stream: TcpStream, held: &Arc<HeldBytes>) -> hyper::Result<Connection> {
-    let meter = Arc::new(ReadMeter::new(held.hold(HeldKind::Received)));
+    let meter = Arc::new(ReadMeter::new(
+        held.hold(HeldKind::Received),
+        MAX_READ_BUFFER_BYTES,
+    ));
     let stream = MeteredStream::new(stream, meter.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
--- a/crates/gateway/src/upstreams/exchange.rs
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -162,7 +162,7 @@
             reason: "the connection is in use".to_owned(),
         });
     };
-    meter.begin_answer();
+    meter.begin_message();
     let response = match sender.try_send_request(request).await {
         Ok(response) => response,
         Err(mut error) => {
--- a/crates/gateway/tests/bounded_bytes/gateway.rs
+++ b/crates/gateway/tests/bounded_bytes/gateway.rs
@@ -17,7 +17,7 @@
     },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
+        net::{TcpListener, TcpSocket, TcpStream},
         runtime,
         sync::watch,
         task::{LocalSet, spawn_local},
@@ -28,11 +28,14 @@
 const SETTINGS: &str = "NodeName=m\nIp=127.0.0.1\nZone=a\nRegion=r\n\
     Listen.Front=127.0.0.1:1\nListen.Ready=127.0.0.1:2\nListen.Directory=127.0.0.1:3\n\
     InternalPorts=7600,7615\nLimits.MaxFds=1000\nProvider.Address=127.0.0.1:4\n\
-    Bounds.RetryBudget=1\nBounds.RetrySlack=50\n";
+    Bounds.RetryBudget=1\nBounds.RetrySlack=50\nLimits.MemoryMb=88\n";
 
 /// Deadline of all requests.
 pub(super) const DEADLINE: Duration = Duration::from_millis(2_500);
 
+/// Size of the operating system's buffer of a caller that reads slowly.
+const SLOW_BUFFER_BYTES: u32 = 8 * 1024;
+
 /// Time after which a caller stops reading.
 const MAX_READING: Duration = Duration::from_secs(6);
 
@@ -97,11 +100,16 @@
         }
     }
 
-    /// Connects and sends a request.
-    pub(super) async fn send(&self, id: &str) -> TcpStream {
-        let mut stream = TcpStream::connect(self.address)
-            .await
-            .expect("the gateway listens");
+    /// Connects with a small buffer for what is received, and sends a request.
+    pub(super) async fn send_slowly(&self, id: &str) -> TcpStream {
+        let socket = TcpSocket::new_v4().expect("a socket is free");
+        let sized = socket.set_recv_buffer_size(SLOW_BUFFER_BYTES);
+        sized.expect("the size is valid");
+        let connected = socket.connect(self.address).await;
+        self.send(connected.expect("the gateway listens"), id).await
+    }
+
+    async fn send(&self, mut stream: TcpStream, id: &str) -> TcpStream {
         let request = format!(
             "GET /a/1 HTTP/1.1\r\nHost: shop.example\r\nMangowalk-Request-Id: {id}\r\n\
              Mangowalk-Deadline-Ms: {}\r\nConnection: close\r\n\r\n",
@@ -117,7 +125,8 @@
     /// Sends a request and reads the answer to the end of its connection.
     pub(super) async fn ask(&self, id: &str) -> Reply {
         let began = Instant::now();
-        let mut stream = self.send(id).await;
+        let connected = TcpStream::connect(self.address).await;
+        let mut stream = self.send(connected.expect("the gateway listens"), id).await;
         let mut bytes = Vec::new();
         let mut limited = (&mut stream).take(MAX_READ_BYTES as u64);
         let read = timeout(MAX_READING, limited.read_to_end(&mut bytes)).await;
--- a/crates/gateway/tests/bounded_bytes/main.rs
+++ b/crates/gateway/tests/bounded_bytes/main.rs
@@ -5,4 +5,5 @@
 mod endless_requests;
 mod fake_engine;
 mod gateway;
+mod slow_callers;
 mod sound_answers;
--- /dev/null
+++ b/crates/gateway/tests/bounded_bytes/slow_callers.rs
@@ -0,0 +1,255 @@
+use {
+    super::{
+        fake_engine::{Script, Seen, start_engine},
+        gateway::{Gateway, run},
+    },
+    mangowalk_core::routing::RetryPolicy,
+    mangowalk_gateway::{bounded::HeldKind, instance::GatewaySettings},
+    std::{
+        fs,
+        rc::Rc,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::AsyncReadExt,
+        net::TcpStream,
+        time::{sleep, timeout},
+    },
+};
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nMangowalk-Request-Id: {id}\r\n\
+    Mangowalk-Instance-Id: e\r\nMangowalk-Response-Stamp: s\r\n";
+
+/// An event of a stream of 128 bytes, as one chunk.
+const EVENT: &[u8] = b"80\r\ndata: 0123456789abcdef0123456789abcdef0123456789abcdef0123456789ab\
+    cdef0123456789abcdef0123456789abcdef0123456789abcdef01234567\n\n\r\n";
+
+/// Times of a test in which nobody waits for seconds.
+const SETTINGS_MS: (u64, u64) = (600, 900);
+
+fn settings() -> GatewaySettings {
+    GatewaySettings {
+        slow_stream_ms: SETTINGS_MS.0,
+        unread_answer_ms: SETTINGS_MS.1,
+        ..GatewaySettings::default()
+    }
+}
+
+/// Returns the script of an engine whose first streams go on for ever, and whose others are
+/// complete.
+fn streams(endless: usize) -> Script {
+    let head =
+        format!("{HEAD}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let event = String::from_utf8_lossy(EVENT);
+    Script {
+        begin: head.clone(),
+        repeated: EVENT,
+        pause: Duration::ZERO,
+        faulty_requests: endless,
+        sound: format!("{head}{event}0\r\n\r\n"),
+    }
+}
+
+/// Returns the script of an engine with plain answers of a megabyte.
+fn large_answers() -> Script {
+    Script {
+        begin: format!("{HEAD}Content-Length: {}\r\n\r\n", 1 << 20),
+        repeated: b"x",
+        pause: Duration::ZERO,
+        faulty_requests: usize::MAX,
+        sound: String::new(),
+    }
+}
+
+async fn read_to_end(stream: &mut TcpStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    // A reset ends it as well.
+    let _ = timeout(Duration::from_secs(3), stream.read_to_end(&mut bytes)).await;
+    bytes
+}
+
+/// Waits until nothing is held and returns how long that took.
+async fn wait_until_released(gateway: &Gateway) -> Duration {
+    let began = Instant::now();
+    while gateway.instance.held.total() > 0 && began.elapsed() < Duration::from_secs(8) {
+        sleep(Duration::from_millis(10)).await;
+    }
+    began.elapsed()
+}
+
+/// Guards against a caller that reads nothing and makes the instance hold its stream, the engine
+/// abort it, or other streams wait; and against a stream that is closed for it and looks
+/// complete.
+#[test]
+fn a_stream_that_isnt_read_is_closed() {
+    run(async || {
+        let seen = Rc::new(Seen::default());
+        let engine = start_engine(streams(1), seen.clone()).await;
+        let retry = RetryPolicy::ResumableStream;
+        let gateway = Gateway::start(retry, &[engine], settings()).await;
+        let mut slow = gateway.send_slowly("7a").await;
+        sleep(Duration::from_millis(300)).await;
+        let sent_bytes = seen.sent_bytes.get();
+        let held_bytes = gateway.instance.held.total();
+        assert!(gateway.ask("7b").await.has_last_chunk());
+        let waited = wait_until_released(&gateway).await;
+        assert_eq!(gateway.instance.held.total(), 0);
+        assert!(waited < Duration::from_millis(SETTINGS_MS.0), "{waited:?}");
+        sleep(Duration::from_millis(50)).await;
+        assert!(
+            seen.closed_after.get().is_some(),
+            "the engine's connection is closed"
+        );
+        assert_eq!(
+            seen.requests.get(),
+            2,
+            "the stream isn't sent to an engine again"
+        );
+        let bytes = read_to_end(&mut slow).await;
+        assert!(!bytes.ends_with(b"0\r\n\r\n"), "the answer looks complete");
+        assert!(held_bytes < 256 << 10, "{held_bytes} held");
+        // It grows by the buffers of the operating system, of which the caller's is the largest.
+        assert!(sent_bytes < 8 << 20, "the engine could send {sent_bytes}");
+        let metrics = gateway.instance.counters.render();
+        assert!(
+            metrics.contains("slow_reader_closed_total{reason=\"stream\"} 1"),
+            "{metrics}"
+        );
+    });
+}
+
+/// Guards against a caller that reads slowly and steadily being taken for one that doesn't read.
+#[test]
+fn a_stream_that_is_read_slowly_goes_on() {
+    run(async || {
+        let seen = Rc::new(Seen::default());
+        let engine = start_engine(streams(1), seen.clone()).await;
+        let retry = RetryPolicy::ResumableStream;
+        let gateway = Gateway::start(retry, &[engine], settings()).await;
+        let mut slow = gateway.send_slowly("7a").await;
+        let began = Instant::now();
+        let mut part = vec![0; 64 << 10];
+        while began.elapsed() < Duration::from_millis(3 * SETTINGS_MS.0) {
+            sleep(Duration::from_millis(20)).await;
+            let read = slow.read(&mut part).await;
+            assert!(read.is_ok_and(|read| read > 0), "it was closed");
+        }
+        assert!(seen.closed_after.get().is_none());
+    });
+}
+
+/// Guards against complete answers that are never read and are held until the process ends.
+#[test]
+fn an_answer_that_isnt_read_is_dropped() {
+    run(async || {
+        let seen = Rc::new(Seen::default());
+        let engine = start_engine(large_answers(), seen).await;
+        let retry = RetryPolicy::Idempotent;
+        let gateway = Gateway::start(retry, &[engine], settings()).await;
+        let mut slow = Vec::new();
+        for number in 0..8 {
+            slow.push(gateway.send_slowly(&format!("7a{number}")).await);
+        }
+        sleep(Duration::from_millis(400)).await;
+        let unsent = gateway.instance.held.of(HeldKind::Unsent);
+        assert!(unsent > 0, "it fits the buffers of the operating system");
+        wait_until_released(&gateway).await;
+        assert_eq!(gateway.instance.held.total(), 0);
+        let bytes = read_to_end(&mut slow[0]).await;
+        assert!(bytes.len() < 1 << 20, "the answer looks complete");
+        let metrics = gateway.instance.counters.render();
+        assert!(
+            metrics.contains("slow_reader_closed_total{reason=\"answer\"}"),
+            "{metrics}"
+        );
+    });
+}
+
+/// Guards against requests that are accepted or run while the instance holds more than it may.
+#[test]
+fn requests_are_refused_while_too_much_is_held() {
+    run(async || {
+        let seen = Rc::new(Seen::default());
+        let engine = start_engine(large_answers(), seen.clone()).await;
+        let retry = RetryPolicy::Idempotent;
+        let gateway = Gateway::start(retry, &[engine], settings()).await;
+        let held = gateway.instance.held.hold(HeldKind::Unsent);
+        held.set(gateway.instance.max_held_bytes() + 1);
+        let reply = gateway.ask("7a").await;
+        assert_eq!(reply.status(), 503);
+        let text = String::from_utf8_lossy(&reply.bytes).to_ascii_lowercase();
+        assert!(text.contains("retry-after: 1."), "{text}");
+        assert_eq!(seen.requests.get(), 0);
+        drop(held);
+        assert_eq!(gateway.ask("7b").await.status(), 200);
+    });
+}
+
+/// Memory of this process and of all connections of the machine, in bytes.
+#[derive(Debug, Clone, Copy)]
+struct Memory {
+    process: usize,
+    connections: usize,
+}
+
+const PAGE_BYTES: usize = 4_096;
+
+fn number(text: Option<&str>) -> usize {
+    text.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+fn memory() -> Memory {
+    let process = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let sockets = fs::read_to_string("/proc/net/sockstat").unwrap_or_default();
+    let tcp = sockets.lines().find(|line| line.starts_with("TCP:"));
+    Memory {
+        process: PAGE_BYTES * number(process.split(' ').nth(1)),
+        connections: PAGE_BYTES * number(tcp.and_then(|line| line.split(' ').next_back())),
+    }
+}
+
+/// Guards against slow callers that fill the memory of an instance of 88 MB. Prints the table of
+/// the design note on bounded bytes.
+#[test]
+fn memory_at_200_slow_callers_is_bounded() {
+    for (name, retry, script) in [
+        ("streams", RetryPolicy::ResumableStream, streams(usize::MAX)),
+        ("plain answers", RetryPolicy::Idempotent, large_answers()),
+    ] {
+        run(async || {
+            let engine = start_engine(script, Rc::new(Seen::default())).await;
+            let settings = GatewaySettings {
+                slow_stream_ms: 3_000,
+                unread_answer_ms: 3_000,
+                ..GatewaySettings::default()
+            };
+            let gateway = Gateway::start(retry, &[engine], settings).await;
+            let before = memory();
+            let mut slow = Vec::new();
+            for number in 0..200 {
+                slow.push(gateway.send_slowly(&format!("{number:x}")).await);
+            }
+            sleep(Duration::from_millis(2_300)).await;
+            let during = memory();
+            let held = gateway.instance.held.total();
+            wait_until_released(&gateway).await;
+            let after = memory();
+            let kib = |bytes: usize, base: usize| bytes.saturating_sub(base) >> 10;
+            println!(
+                "{name}: process +{} KiB, connections +{} KiB, held {} KiB; after closing +{} KiB, \
+                 +{} KiB, held {} KiB",
+                kib(during.process, before.process),
+                kib(during.connections, before.connections),
+                held >> 10,
+                kib(after.process, before.process),
+                kib(after.connections, before.connections),
+                gateway.instance.held.total() >> 10,
+            );
+            assert!(
+                held < gateway.instance.max_held_bytes() + (8 << 20),
+                "{held} held"
+            );
+            assert_eq!(gateway.instance.held.total(), 0);
+        });
+    }
+}
