--- a/crates/gateway/src/callers/backlog.rs
+++ b/crates/gateway/src/callers/backlog.rs
@@ -160,13 +160,18 @@
 }
 
 /// Returns the bound for a request; `None` if it is among the most urgent of its service, or
-/// the deployment has no bounds on what engines hold.
+/// the deployment has no bounds on what engines hold. A request whose target is as short isn't
+/// bounded either, whatever its team's priority: a wait in the instance would make it late.
 fn bound(request: &CallerRequest) -> Option<BacklogBound> {
     let instance = &request.instance;
     let routes = instance.routes.borrow();
     let most_urgent = routes
         .most_urgent(&request.requirements.service)
-        .filter(|most_urgent| is_active(request) && request.urgency() > most_urgent.urgency)?;
+        .filter(|most_urgent| {
+            is_active(request)
+                && request.urgency() > most_urgent.urgency
+                && request.route.target_ms > most_urgent.target_ms
+        })?;
     Some(BacklogBound::new(
         most_urgent.target_ms,
         &instance.settings.backlog,
