Bound the samples of short prompts, and leave slots to urgent requests

Where engines are loaded up to their memory, the sample is bounded by what arrives until loads are heard of, a home by the tokens that it saves, and requests of a lower priority leave 0.15 of the slots free.

--- a/crates/core/src/admission/backlog.rs
+++ b/crates/core/src/admission/backlog.rs
@@ -11,18 +11,29 @@
     /// Part of a request's time to its deadline for which it waits for an engine that has
     /// cached the shared part of its prompt, before one that has to read it may take it.
     pub cache_wait_ratio: f64,
+    /// Part of an engine's slots that such requests leave to urgent ones. Those hold a slot for
+    /// seconds, and one that finds none waits for a whole answer.
+    pub urgent_slot_ratio: f64,
 }
 
 impl Default for BacklogSettings {
     fn default() -> BacklogSettings {
         BacklogSettings {
-            urgent_target_ratio: 0.5,
+            urgent_target_ratio: 1.0,
             cache_wait_ratio: 0.7,
+            urgent_slot_ratio: 0.15,
         }
     }
 }
 
 impl BacklogSettings {
+    /// Returns how many slots of an engine with `requests` known ones are free for a request of
+    /// a lower priority.
+    pub fn free_slots(&self, requests: u32, slots: u32) -> f64 {
+        let usable = f64::from(slots) * (1.0 - self.urgent_slot_ratio);
+        (usable - f64::from(requests)).max(0.0)
+    }
+
     /// Returns whether a request still waits for an engine that has cached its shared part.
     ///
     /// The load it addresses is a burst of long prompts with shared parts: an engine that has
--- a/crates/core/src/pool/mod.rs
+++ b/crates/core/src/pool/mod.rs
@@ -17,6 +17,7 @@
 mod replaced_engine;
 mod replacements;
 mod requirements;
+mod sample_bound;
 mod software_lane;
 mod table;
 mod table_notices;
@@ -39,6 +40,7 @@
     prompt_length::MeanPromptLength,
     replaced_engine::ReplacedEngine,
     requirements::{EngineRequirements, PromptPart},
+    sample_bound::max_sample,
     software_lane::{choose_for_begun, choose_in_lane},
     table::{EngineTable, Standing, short_hash},
     turnover::Turnover,
--- a/crates/gateway/src/callers/backlog.rs
+++ b/crates/gateway/src/callers/backlog.rs
@@ -110,10 +110,15 @@
             || self.passes_over_paused && engine.is_paused(self.now_ms);
         if wait_ms <= 0.0 && !is_passed_over {
             let own_tokens = self.own_tokens(engine);
+            let settings = &self.request.instance.settings.backlog;
+            let free_slots = settings.free_slots(engine.load().requests, engine.entry.slots);
             let free_requests = bound.free_requests(backlog, own_tokens, &self.rate);
+            let free_requests = free_requests.min(free_slots);
             let id = &engine.entry.incarnation.id;
             let competition = &self.competition;
-            if competition.admits(self.identity, id, free_requests, self.now_ms) {
+            if free_slots >= 1.0
+                && competition.admits(self.identity, id, free_requests, self.now_ms)
+            {
                 return true;
             }
         }
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -1,7 +1,7 @@
 use {
     super::{
         attempt::{AttemptContext, Outcome},
-        backlog::UrgentProtection,
+        backlog::{UrgentProtection, is_active},
         request::CallerRequest,
         software_lane::{new_engines, software_lane},
     },
@@ -11,7 +11,7 @@
         pool::{
             CacheSource, ChoiceSettings, EngineEntry, EngineRequirements, EngineTable, KnownEngine,
             ListingStatus, Load, Standing, choose, choose_for_begun, choose_in_lane,
-            find_cache_source, retry_after_ms,
+            find_cache_source, max_sample, retry_after_ms,
         },
     },
     mangowalk_platform::{Forward, forward_headers},
@@ -76,6 +76,9 @@
     let count = engines
         .accepting_engines(&requirements.service, now_ms)
         .count();
+    if context.is_first && context.place.is_none() && is_active(request) {
+        instance.record_arrival(now_ms);
+    }
     let settings = &adapted_choice(request, memory_tokens, count, now_ms);
     let version_bounds = request.version_bounds(now_ms);
     let draw = rand::random();
@@ -341,9 +344,23 @@
     let choice = instance.settings.choice;
     let turnover = instance.turnover.get();
     let mean_prompt = instance.mean_prompt_length.get();
+    let requirements = &request.requirements;
+    let mut sampled_engines =
+        mean_prompt.sample_size(choice.sampled_engines, requirements.prompt_tokens);
+    let mut home_tokens = choice.home_tokens;
+    if is_active(request) {
+        let arrivals = instance.arrivals_per_interval(now_ms) / engines.max(1) as f64;
+        let routes = instance.routes.borrow();
+        let service = routes.service(&requirements.service);
+        let engine = service.and_then(|service| service.engine);
+        let slots = engine.map_or(u32::MAX, |engine| engine.slots);
+        sampled_engines = sampled_engines.min(max_sample(arrivals, slots));
+        // A home saves no more than the reading of the shared part.
+        home_tokens = home_tokens.min(requirements.shared_tokens() as f64);
+    }
     ChoiceSettings {
-        sampled_engines: mean_prompt
-            .sample_size(choice.sampled_engines, request.requirements.prompt_tokens),
+        sampled_engines,
+        home_tokens,
         retention_ms: turnover.retention_ms(
             memory_tokens,
             engines,
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -62,7 +62,9 @@
     /// Engines and their known state. Includes those whose entry is missing while
     /// their grace period lasts.
     pub engines: RefCell<EngineTable>,
-    /// Arrivals of requests that are sent only within bounds on the engines' work.
+    /// Arrivals of requests for engines whose memory bounds what they hold.
+    pub arrivals: Cell<ArrivalRate>,
+    /// Arrivals of those that are sent only within bounds on the engines' work.
     pub bounded_arrivals: Cell<ArrivalRate>,
     /// Engines that fall over when they reject too much.
     pub brittle: RefCell<BrittleEngines>,
@@ -173,6 +175,7 @@
             placements: RefCell::default(),
             routes: RefCell::default(),
             engines: RefCell::default(),
+            arrivals: Cell::default(),
             bounded_arrivals: Cell::default(),
             brittle: RefCell::default(),
             engine_limits: RefCell::default(),
--- a/crates/gateway/src/instance/waiting_room.rs
+++ b/crates/gateway/src/instance/waiting_room.rs
@@ -196,6 +196,22 @@
         self.bounded_arrivals.set(arrivals);
     }
 
+    /// Records that a request arrived for engines whose memory bounds what they hold.
+    pub fn record_arrival(&self, now_ms: u64) {
+        let mut arrivals = self.arrivals.get();
+        arrivals.record(now_ms);
+        self.arrivals.set(arrivals);
+    }
+
+    /// Returns how many requests arrive at all instances until they hear of each other's work,
+    /// if as many do as here.
+    pub fn arrivals_per_interval(&self, now_ms: u64) -> f64 {
+        let mesh = &self.settings.mesh;
+        let interval_ms = self.members.borrow().report_interval_ms(mesh);
+        let own = self.arrivals.get().per_ms(now_ms) * interval_ms as f64;
+        own * self.instance_count() as f64
+    }
+
     /// Returns how many such requests of all instances look for engines at the same time.
     pub fn competition(&self, now_ms: u64) -> Competition {
         let interval_ms = self
