--- a/crates/gateway/src/instance/waiting_room.rs
+++ b/crates/gateway/src/instance/waiting_room.rs
@@ -220,7 +220,10 @@
             .report_interval_ms(&self.settings.mesh);
         Competition::new(
             self.instance_count(),
-            self.waiting.waiting(),
+            // Those behind them in the order aren't tried.
+            self.waiting
+                .waiting()
+                .min(self.settings.waiting.tries_per_walk),
             self.bounded_arrivals.get(),
             interval_ms,
             now_ms,
