Bound the work of engines that name their pace, too

Engines that share their machines are as easily overloaded by a burst of long prompts as those that crash beyond their memory. Deployments whose engines name no pace are served as before.

--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        backlog::is_active,
         classify::{classify_answer, classify_send_error, record_engine_failure},
         guards::LoadGuard,
         pass_on::{pass_on, record_peer_failure},
@@ -323,7 +324,7 @@
 ) -> bool {
     let instance = &request.instance;
     let requirements = &request.requirements;
-    if !instance.machine().limits_engine_memory || requirements.model.is_none() {
+    if !is_active(request) {
         return false;
     }
     let now_ms = now_ms();
