Ignore implausibly short loads in the expected duration of a load

An engine that restarts with the new weights during its load seems to have loaded them in a fraction of the time. The shortest duration of all loads then made the plan for short loads apply from there on. Durations below 0.6 of the median of the last eight loads no longer count.

--- a/crates/core/src/weights/loading_places.rs
+++ b/crates/core/src/weights/loading_places.rs
@@ -1,4 +1,4 @@
-use super::WeightsSettings;
+use {super::WeightsSettings, std::collections::VecDeque};
 
 /// Assumed share of the time for which requests are sent to older weights that
 /// one load takes. The bound is chosen for the loads of a deployment: 6,800 ms
@@ -17,6 +17,14 @@
 /// long loads take.
 const MIN_MEASURED: u32 = 4;
 
+/// Number of last loads whose median tells which durations are plausible.
+const RECENT: usize = 8;
+
+/// Share of the median of the recent loads below which a duration is implausible.
+/// An engine that restarts with the new weights during its load seems to have
+/// loaded them in a fraction of the time.
+const MIN_PLAUSIBLE_SHARE: f64 = 0.6;
+
 /// Number of loads at the limit whose median duration decides on a new limit.
 /// One load alone may be slow because of its engine's machine.
 const WINDOW: usize = 5;
@@ -65,6 +73,8 @@
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct LoadingPlaces {
     fastest_ms: Option<f64>,
+    /// Durations of the last loads, the oldest first.
+    recent_ms: VecDeque<u64>,
     measured: u32,
     limit: Option<usize>,
     /// Lowest limit at which loads were slow.
@@ -163,14 +173,38 @@
     }
 
     fn record_fastest(&mut self, load: &FinishedLoad, limit: usize) {
-        let took_ms = load.ended_ms.saturating_sub(load.ordered_ms) as f64;
-        let fastest_ms = self.fastest_ms.unwrap_or(took_ms);
+        let took_ms = load.ended_ms.saturating_sub(load.ordered_ms);
+        if self.recent_ms.len() == RECENT {
+            self.recent_ms.pop_front();
+        }
+        self.recent_ms.push_back(took_ms);
+        let took_ms = took_ms as f64;
+        let min_plausible_ms = self.min_plausible_ms();
+        // The first loads may themselves turn out to be implausible.
+        let known_ms = self.fastest_ms.filter(|_| self.measured > MIN_MEASURED);
+        let Some(fastest_ms) = known_ms else {
+            let recent_ms = self.recent_ms.iter().map(|took_ms| *took_ms as f64);
+            self.fastest_ms = recent_ms
+                .filter(|took_ms| *took_ms >= min_plausible_ms)
+                .min_by(f64::total_cmp);
+            return;
+        };
+        if took_ms < min_plausible_ms {
+            return;
+        }
         let tells_rise = 2 * load.concurrent <= limit && took_ms <= fastest_ms * MAX_RISE_FACTOR;
         let rise = if tells_rise { FASTEST_RISE } else { 0.0 };
         let risen_ms = fastest_ms + (took_ms - fastest_ms) * rise;
         self.fastest_ms = Some(took_ms.min(risen_ms));
     }
 
+    fn min_plausible_ms(&self) -> f64 {
+        let mut sorted_ms: Vec<u64> = self.recent_ms.iter().copied().collect();
+        sorted_ms.sort_unstable();
+        let median_ms = sorted_ms.get(sorted_ms.len() / 2).copied();
+        median_ms.unwrap_or_default() as f64 * MIN_PLAUSIBLE_SHARE
+    }
+
     fn lowered(&mut self, limit: usize, concurrent: usize, factor: f64) -> usize {
         self.slow_limit = Some(limit.max(MIN_PLACES + 1));
         self.held_back = 0;
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -782,3 +782,62 @@
     )
     ");
 }
+
+/// Guards against the plan for short loads, and a limit for them, after engines restarted
+/// with the new weights during their loads: such loads seem to take a fraction of the time.
+#[test]
+fn loads_far_below_the_others_do_not_shorten_the_expected_load() {
+    let expected_after = |short_ones: &[usize]| {
+        let mut places = LoadingPlaces::default();
+        for index in 0..24 {
+            let took_ms = if short_ones.contains(&index) {
+                356
+            } else {
+                2_000
+            };
+            let ordered_ms = index as u64 * 100;
+            let load = FinishedLoad {
+                ordered_ms,
+                ended_ms: ordered_ms + took_ms,
+                concurrent: 12,
+            };
+            places.record_load(&load, 90, 11_280, &LONG_WEIGHTS);
+            let expected_ms = places.expected_load_ms(&LONG_WEIGHTS);
+            assert!(
+                places.is_long(&LONG_WEIGHTS),
+                "{expected_ms} ms after {index}"
+            );
+        }
+        places.expected_load_ms(&LONG_WEIGHTS)
+    };
+    for short_ones in [
+        &[0][..],
+        &[1],
+        &[3],
+        &[10],
+        &[0, 1],
+        &[10, 11],
+        &[6, 14, 22],
+    ] {
+        assert_eq!(expected_after(short_ones), 2_000, "{short_ones:?}");
+    }
+}
+
+/// Guards against an expected duration that never follows weights that load faster.
+#[test]
+fn the_expected_load_follows_faster_loads() {
+    for faster_ms in [1_500, 500] {
+        let mut places = LoadingPlaces::default();
+        for index in 0..20 {
+            let ordered_ms = index * 100;
+            let took_ms = if index < 12 { 2_000 } else { faster_ms };
+            let load = FinishedLoad {
+                ordered_ms,
+                ended_ms: ordered_ms + took_ms,
+                concurrent: 12,
+            };
+            places.record_load(&load, 90, 11_280, &LONG_WEIGHTS);
+        }
+        assert_eq!(places.expected_load_ms(&LONG_WEIGHTS), faster_ms);
+    }
+}
