--- a/crates/core/src/weights/loading_places.rs
+++ b/crates/core/src/weights/loading_places.rs
@@ -1,8 +1,8 @@
 use {super::WeightsSettings, std::collections::VecDeque};
 
 /// Assumed share of the time for which requests are sent to older weights that
-/// one load takes. The bound is chosen for the loads of a deployment: 6,800 ms
-/// stand beside loads of 400 to 500 ms, and 18,800 ms beside 1,800 ms.
+/// one load takes. All engines have to load within that time, a limited number
+/// at once, so longer loads need a longer time.
 const ASSUMED_LOAD_SHARE: f64 = 0.0735;
 
 /// Share of a model's engines that load concurrently before a load was measured.
@@ -69,7 +69,7 @@
 /// Addresses changes of 60 to 90 engines at 1.8 s a load, where the storage serves
 /// an unknown number of 12 to 18 engines at full speed. Unlike
 /// [`super::LoadConcurrency`] it begins with a share of the engines and decides on
-/// the mean of several loads, so that one slow engine doesn't lower the limit.
+/// the median of several loads, so that one slow engine doesn't lower the limit.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct LoadingPlaces {
     fastest_ms: Option<f64>,
