Correct the expected load after short first loads

The shortest of the first loads stayed the expected one where most of the first four were those of restarted engines. It is now final after eight.

--- a/crates/core/src/weights/loading_places.rs
+++ b/crates/core/src/weights/loading_places.rs
@@ -181,7 +181,7 @@
         let took_ms = took_ms as f64;
         let min_plausible_ms = self.min_plausible_ms();
         // The first loads may themselves turn out to be implausible.
-        let known_ms = self.fastest_ms.filter(|_| self.measured > MIN_MEASURED);
+        let known_ms = self.fastest_ms.filter(|_| self.measured > RECENT as u32);
         let Some(fastest_ms) = known_ms else {
             let recent_ms = self.recent_ms.iter().map(|took_ms| *took_ms as f64);
             self.fastest_ms = recent_ms
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -817,12 +817,30 @@
         &[10],
         &[0, 1],
         &[10, 11],
+        &[9, 10, 11],
         &[6, 14, 22],
     ] {
         assert_eq!(expected_after(short_ones), 2_000, "{short_ones:?}");
     }
 }
 
+/// Guards against a plan for short loads that stays, if most of the first loads were those of
+/// engines that restarted with the new weights.
+#[test]
+fn the_expected_load_recovers_from_short_first_loads() {
+    let mut places = LoadingPlaces::default();
+    for index in 0..16 {
+        let ordered_ms = index * 100;
+        let load = FinishedLoad {
+            ordered_ms,
+            ended_ms: ordered_ms + if index < 3 { 356 } else { 2_000 },
+            concurrent: 12,
+        };
+        places.record_load(&load, 90, 11_280, &LONG_WEIGHTS);
+    }
+    assert_eq!(places.expected_load_ms(&LONG_WEIGHTS), 2_000);
+}
+
 /// Guards against an expected duration that never follows weights that load faster.
 #[test]
 fn the_expected_load_follows_faster_loads() {
