Don't measure loads of engines that restarted meanwhile

An engine that restarts under its ID with the new weights ends its order early. Its report counts fewer orders than it had accepted, so the duration until then isn't a load's.

--- a/crates/gateway/src/weights/progress.rs
+++ b/crates/gateway/src/weights/progress.rs
@@ -68,6 +68,8 @@
     is_cut: bool,
     /// Whether a report has shown that the engine carries out the order.
     is_seen_busy: bool,
+    /// Number of orders that the engine had accepted with this one, if known.
+    order_number: Option<u64>,
 }
 
 impl EngineOrder {
@@ -83,6 +85,7 @@
             is_idle: false,
             is_cut: false,
             is_seen_busy: false,
+            order_number: None,
         }
     }
 }
@@ -313,6 +316,7 @@
         for (other, order) in &mut self.orders {
             if other == engine {
                 (order.is_idle, order.is_cut) = (is_idle, cut);
+                order.order_number = self.accepted_orders.get(engine).copied();
             }
             order.max_concurrent_loads = loading.max(order.max_concurrent_loads);
         }
@@ -343,8 +347,13 @@
         let has_version = models.any(|m| m.model == order.model && m.version >= order.version);
         let age_ms = now_ms().saturating_sub(order.since_ms);
         if has_version {
-            if order.phase == OrderPhase::Sent {
+            let is_same_start = order
+                .order_number
+                .is_none_or(|number| report.includes_order(number));
+            if order.phase == OrderPhase::Sent && is_same_start {
                 self.record_load(engine, &order, age_ms);
+            } else if order.phase == OrderPhase::Sent {
+                self.instance.counters.count("weights_load", "restarted");
             }
             self.set_phase(&update, OrderPhase::Done);
         } else if order.phase == OrderPhase::Sent && !report.is_busy && age_ms >= REPORT_LAG_MS {
