--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -1,6 +1,5 @@
 use {
     super::{
-        backlog::is_active,
         classify::{classify_answer, classify_send_error, record_engine_failure},
         guards::LoadGuard,
         pass_on::{pass_on, record_peer_failure},
@@ -324,7 +323,7 @@
 ) -> bool {
     let instance = &request.instance;
     let requirements = &request.requirements;
-    if !is_active(request) {
+    if !instance.machine().limits_engine_memory || requirements.model.is_none() {
         return false;
     }
     let now_ms = now_ms();
--- a/crates/gateway/src/callers/backlog.rs
+++ b/crates/gateway/src/callers/backlog.rs
@@ -183,12 +183,7 @@
     ))
 }
 
-/// Returns whether the work of the engines that run the request is bounded: their memory bounds
-/// what they hold, or they share their machines and name their pace.
+/// Returns whether the engines that run the request have a memory that bounds what they hold.
 pub(super) fn is_active(request: &CallerRequest) -> bool {
-    let instance = &request.instance;
-    let service = &request.requirements.service;
-    request.requirements.model.is_some()
-        && (instance.machine().limits_engine_memory
-            || instance.named_pace.borrow().contains(service))
+    request.requirements.model.is_some() && request.instance.machine().limits_engine_memory
 }
--- a/crates/gateway/src/instance/engine_paces.rs
+++ b/crates/gateway/src/instance/engine_paces.rs
@@ -20,9 +20,6 @@
         let Some(pace_percent) = load.pace_percent else {
             return;
         };
-        if !self.named_pace.borrow().contains(&engine.service) {
-            self.named_pace.borrow_mut().insert(engine.service.clone());
-        }
         let settings = &self.settings.paces;
         let mut engines = self.engines.borrow_mut();
         let report = engines.record_pace(incarnation, pace_percent, settings, now_ms);
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -25,7 +25,7 @@
     mangowalk_platform::{Freshness, MachineSettings},
     std::{
         cell::{Cell, RefCell},
-        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+        collections::{BTreeMap, HashMap, VecDeque},
         rc::Rc,
         sync::Arc,
     },
@@ -62,8 +62,6 @@
     /// Engines and their known state. Includes those whose entry is missing while
     /// their grace period lasts.
     pub engines: RefCell<EngineTable>,
-    /// Services whose engines name their pace.
-    pub named_pace: RefCell<BTreeSet<String>>,
     /// Arrivals of requests for engines whose memory bounds what they hold.
     pub arrivals: Cell<ArrivalRate>,
     /// Arrivals of those that are sent only within bounds on the engines' work.
@@ -177,7 +175,6 @@
             placements: RefCell::default(),
             routes: RefCell::default(),
             engines: RefCell::default(),
-            named_pace: RefCell::default(),
             arrivals: Cell::default(),
             bounded_arrivals: Cell::default(),
             brittle: RefCell::default(),
