Drop orders to former starts of engines

An engine that crashed during its load left an order that was never completed. It counted as a concurrent load and stood in each heartbeat for as long as the lease was held, asked a restarted engine of the same ID for a report at each poll, and renewed the pause of its present start.

--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -269,6 +269,12 @@
         engine.filter(|engine| engine.entry.incarnation == *start)
     }
 
+    /// Returns whether this start of an engine is the latest known one.
+    pub fn has_start(&self, start: &Incarnation) -> bool {
+        let engine = self.engines.get(&start.id);
+        engine.is_some_and(|engine| engine.entry.incarnation == *start)
+    }
+
     /// Sets what each engine may be used for because of its software version.
     pub fn assign_software_roles(&mut self, mut role: impl FnMut(&EngineEntry) -> SoftwareRole) {
         for engine in self.engines.values_mut() {
--- a/crates/core/tests/pool.rs
+++ b/crates/core/tests/pool.rs
@@ -565,3 +565,19 @@
         1
     ));
 }
+
+/// Guards against orders to a former start of an engine that are kept after it has started
+/// again under its ID, or has left.
+#[test]
+fn only_the_latest_start_of_an_engine_is_known() {
+    let mut table = EngineTable::default();
+    let former = entry("e", "a");
+    let mut present = former.clone();
+    present.incarnation.born_ms += 1;
+    assert!(!table.has_start(&former.incarnation));
+    table.apply_entry(former.clone());
+    assert!(table.has_start(&former.incarnation));
+    table.apply_entry(present.clone());
+    assert!(!table.has_start(&former.incarnation));
+    assert!(table.has_start(&present.incarnation));
+}
--- a/crates/gateway/src/weights/progress.rs
+++ b/crates/gateway/src/weights/progress.rs
@@ -457,6 +457,7 @@
     /// a while ago.
     pub(super) fn order_reports(&mut self) -> Vec<OrderReport> {
         let now_ms = now_ms();
+        self.drop_former_starts();
         self.orders.retain(|_, order| {
             order.phase != OrderPhase::Done || now_ms < order.since_ms + DONE_REPORT_MS
         });
@@ -476,6 +477,17 @@
         reports.collect()
     }
 
+    /// Drops what concerns former starts of engines. Their orders are never completed:
+    /// they would count as concurrent loads, ask the present start for a report at each
+    /// poll, and renew its pause, for as long as this instance holds the lease.
+    fn drop_former_starts(&mut self) {
+        let engines = self.instance.engines.borrow();
+        self.orders
+            .retain(|engine, order| order.phase == OrderPhase::Done || engines.has_start(engine));
+        self.accepted_orders
+            .retain(|engine, _| engines.has_start(engine));
+    }
+
     /// Drops pauses of engines that are gone or have the weights already. Those with
     /// long loads would otherwise be renewed at peers for as long as this instance
     /// holds the lease.
