--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -27,6 +27,8 @@
     pub(super) engines: BTreeMap<String, KnownEngine>,
     /// Names of the engines by the short hash that peers use.
     ids_by_hash: HashMap<u32, String>,
+    /// Names of the engines by the short hash of their latest start.
+    pub(super) ids_by_start: HashMap<u32, String>,
     departures: Departures,
     pub(super) notices: EngineNotices,
     pub(super) replacements: Replacements,
@@ -103,6 +105,8 @@
             let mut engine = KnownEngine::new(entry);
             engine.others = others;
             self.ids_by_hash.insert(engine.name_hash, id.clone());
+            let start = engine.entry.incarnation.short_hash();
+            self.ids_by_start.insert(start, id.clone());
             self.engines.insert(id, engine);
             return true;
         };
@@ -114,6 +118,10 @@
             if engine.entry.incarnation != entry.incarnation {
                 self.departures
                     .record_removal(&engine.entry, entry.revision);
+                let former = engine.entry.incarnation.short_hash();
+                self.ids_by_start.remove(&former);
+                let start = entry.incarnation.short_hash();
+                self.ids_by_start.insert(start, id);
             }
             let own = engine.own;
             *engine = KnownEngine::new(entry);
@@ -173,6 +181,8 @@
     fn remove(&mut self, id: &str) {
         if let Some(engine) = self.engines.remove(id) {
             self.ids_by_hash.remove(&engine.name_hash);
+            let start = engine.entry.incarnation.short_hash();
+            self.ids_by_start.remove(&start);
             let address = engine.entry.address;
             (self.replacements).set_listed(id, address, false, &self.engines);
         }
@@ -238,8 +248,7 @@
 
     /// Returns the engine with a short hash of its incarnation.
     fn find_incarnation(&self, start: u32) -> Option<&KnownEngine> {
-        let mut engines = self.engines.values();
-        engines.find(|engine| engine.entry.incarnation.short_hash() == start)
+        self.engines.get(self.ids_by_start.get(&start)?)
     }
 
     /// Returns the incarnations that the list lacks. Peers may know more:
--- a/crates/core/src/pool/table_paces.rs
+++ b/crates/core/src/pool/table_paces.rs
@@ -31,9 +31,8 @@
         settings: &PaceSettings,
         now_ms: u64,
     ) -> Option<&KnownEngine> {
-        let mut engines = self.engines.values_mut();
-        let reported =
-            engines.find(|engine| engine.entry.incarnation.short_hash() == report.start)?;
+        let id = self.ids_by_start.get(&report.start)?;
+        let reported = self.engines.get_mut(id)?;
         let is_news = reported.pace.apply_report(report, settings, now_ms);
         is_news.then_some(&*reported)
     }
--- a/crates/core/tests/engine_pace.rs
+++ b/crates/core/tests/engine_pace.rs
@@ -199,6 +199,29 @@
     assert!(table.slowed_engines(&settings, 5_000).next().is_none());
 }
 
+/// Guards against reports that aren't applied, or are applied to another engine, after engines
+/// were listed, started again and left.
+#[test]
+fn reports_find_the_latest_start_of_their_engine() {
+    let settings = PaceSettings::default();
+    let mut table = EngineTable::default();
+    let entries: Vec<EngineEntry> = (0..20).map(|number| entry(number, 1)).collect();
+    entries.iter().for_each(|entry| {
+        table.apply_entry(entry.clone());
+    });
+    let restarted = entry(3, 2);
+    table.apply_entry(restarted.clone());
+    let mut find = |start: &Incarnation| {
+        let found = table.apply_pace_report(&report(start, 300, 0), &settings, 5_000);
+        found.map(|engine| engine.entry.incarnation.clone())
+    };
+    for entry in entries.iter().filter(|entry| entry.incarnation.id != "e3") {
+        assert_eq!(find(&entry.incarnation).as_ref(), Some(&entry.incarnation));
+    }
+    assert_eq!(find(&entries[3].incarnation), None);
+    assert_eq!(find(&restarted.incarnation), Some(restarted.incarnation));
+}
+
 /// Guards against an engine that attracts all requests, or gets none, because of the pace that it
 /// names.
 #[test]
