Follow weights that take longer to load

Where the next weights took 1.3 times as long to load as the fastest load before, all loads seemed slowed by the storage. The limit fell to two and stayed there. Loads that take as long at a lowered limit now set the expected duration, and the limit returns.

--- a/crates/core/src/weights/loading_places.rs
+++ b/crates/core/src/weights/loading_places.rs
@@ -79,6 +79,8 @@
     limit: Option<usize>,
     /// Lowest limit at which loads were slow.
     slow_limit: Option<usize>,
+    /// Limit and median duration at the last decision, if that lowered the limit.
+    lowered_from: Option<(usize, f64)>,
     /// Number of decisions that `slow_limit` has kept from raising the limit.
     held_back: u32,
     /// When the limit was last changed, in milliseconds. Loads that were ordered
@@ -159,8 +161,9 @@
         window_ms.sort_unstable();
         let median_ms = window_ms[window_ms.len() / 2] as f64;
         let factor = median_ms / self.fastest_ms.unwrap_or(median_ms).max(1.0);
+        let lowered_from = self.lowered_from.take();
         let decided = if factor >= LOWER_FACTOR {
-            self.lowered(limit, load.concurrent, factor)
+            self.slowed(limit, load.concurrent, median_ms, lowered_from)
         } else if factor <= RAISE_FACTOR {
             self.raised(limit)
         } else {
@@ -205,6 +208,26 @@
         median_ms.unwrap_or_default() as f64 * MIN_PLAUSIBLE_SHARE
     }
 
+    /// Returns the new limit after slow loads, given the limit and median duration before
+    /// if that was lowered just now.
+    fn slowed(
+        &mut self,
+        limit: usize,
+        concurrent: usize,
+        median_ms: f64,
+        lowered_from: Option<(usize, f64)>,
+    ) -> usize {
+        let before = lowered_from.filter(|before| takes_as_long(limit, median_ms, *before));
+        if let Some((limit_before, _)) = before {
+            self.fastest_ms = Some(median_ms);
+            self.slow_limit = None;
+            return limit_before;
+        }
+        self.lowered_from = Some((limit, median_ms));
+        let factor = median_ms / self.fastest_ms.unwrap_or(median_ms).max(1.0);
+        self.lowered(limit, concurrent, factor)
+    }
+
     fn lowered(&mut self, limit: usize, concurrent: usize, factor: f64) -> usize {
         self.slow_limit = Some(limit.max(MIN_PLACES + 1));
         self.held_back = 0;
@@ -230,3 +253,14 @@
         limit + 1
     }
 }
+
+/// Returns whether loads at a lowered limit take about as long as at the limit before,
+/// both with their median durations in milliseconds.
+///
+/// Beyond the full-speed number, durations fall at least in proportion to the limit.
+/// Where they fall by less than half of that and are still slow, the weights themselves
+/// take longer to load.
+fn takes_as_long(limit: usize, median_ms: f64, (before, before_ms): (usize, f64)) -> bool {
+    let proportion = limit as f64 / before.max(1) as f64;
+    median_ms > before_ms * (1.0 + proportion) / 2.0
+}
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -859,3 +859,30 @@
         assert_eq!(places.expected_load_ms(&LONG_WEIGHTS), faster_ms);
     }
 }
+
+/// Guards against a limit that falls to its minimum and stays there, because the next weights
+/// take longer to load than the fastest load before: the change would never end in time.
+#[test]
+fn the_limit_recovers_when_weights_take_longer_to_load() {
+    for slower_ms in [2_500.0, 3_800.0] {
+        let mut places = LoadingPlaces::default();
+        let mut now_ms = 0;
+        for wave in 0..70 {
+            let full_speed_ms = if wave < 20 { 1_900.0 } else { slower_ms };
+            let limit = places.limit(90, 11_280, &LONG_WEIGHTS);
+            let slowdown = (limit as f64 / 12.0).max(1.0).powf(1.5);
+            let load = FinishedLoad {
+                ordered_ms: now_ms,
+                ended_ms: now_ms + (full_speed_ms * slowdown) as u64,
+                concurrent: limit,
+            };
+            for _ in 0..limit {
+                places.record_load(&load, 90, 11_280, &LONG_WEIGHTS);
+            }
+            now_ms = load.ended_ms + 1;
+        }
+        let limit = places.limit(90, 11_280, &LONG_WEIGHTS);
+        assert!((11..=14).contains(&limit), "{limit} at {slower_ms} ms");
+        assert_eq!(places.expected_load_ms(&LONG_WEIGHTS), slower_ms as u64);
+    }
+}
