--- a/crates/core/src/admission/backlog.rs
+++ b/crates/core/src/admission/backlog.rs
@@ -8,6 +8,9 @@
     /// cached them, and what is read twice there delays more short prompts than the bound
     /// protects.
     pub urgent_target_ratio: f64,
+    /// Part of the bound as which a longer prompt counts. Short prompts arrive all the time, so
+    /// one that needs an engine without unread prompts would never find any.
+    pub max_prompt_ratio: f64,
     /// Part of a request's time to its deadline for which it waits for an engine that has
     /// cached the shared part of its prompt, before one that has to read it may take it.
     pub cache_wait_ratio: f64,
@@ -20,6 +23,7 @@
     fn default() -> BacklogSettings {
         BacklogSettings {
             urgent_target_ratio: 1.0,
+            max_prompt_ratio: 0.75,
             cache_wait_ratio: 0.7,
             urgent_slot_ratio: 0.15,
         }
@@ -60,13 +64,16 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BacklogBound {
     max_read_ms: f64,
+    max_prompt_ms: f64,
 }
 
 impl BacklogBound {
     /// Returns the bound that protects a route with the target `urgent_target_ms`.
     pub fn new(urgent_target_ms: u64, settings: &BacklogSettings) -> BacklogBound {
+        let max_read_ms = urgent_target_ms as f64 * settings.urgent_target_ratio;
         BacklogBound {
-            max_read_ms: urgent_target_ms as f64 * settings.urgent_target_ratio,
+            max_read_ms,
+            max_prompt_ms: max_read_ms * settings.max_prompt_ratio,
         }
     }
 
@@ -81,7 +88,8 @@
     pub fn free_requests(&self, backlog: Backlog, own_tokens: u64, rate: &PrefillRate) -> f64 {
         let read_ms = |tokens: u64| rate.prefill_ms(tokens as f64) * backlog.slowdown;
         let left_ms = self.max_read_ms - read_ms(backlog.unread_tokens);
-        let free = (left_ms / read_ms(own_tokens.max(1))).max(0.0);
+        let own_ms = read_ms(own_tokens.max(1)).min(self.max_prompt_ms);
+        let free = (left_ms / own_ms).max(0.0);
         match backlog.unread_tokens {
             0 => free.max(1.0),
             _ => free,
@@ -96,6 +104,7 @@
         }
         let read_ms = |tokens: u64| rate.prefill_ms(tokens as f64) * backlog.slowdown;
         let unread_ms = read_ms(backlog.unread_tokens);
-        (unread_ms + read_ms(own_tokens) - self.max_read_ms).clamp(0.0, unread_ms)
+        let own_ms = read_ms(own_tokens).min(self.max_prompt_ms);
+        (unread_ms + own_ms - self.max_read_ms).clamp(0.0, unread_ms)
     }
 }
