Read one plain answer at a time over the bound on held bytes

Answers that were all read in part when the instance held too much waited for each other until their deadlines, were refused with 504 and counted as failures of their engines. One answer at a time is now read to its end, as long as no more than half of the bound is unsent.

--- a/crates/gateway/src/callers/buffered.rs
+++ b/crates/gateway/src/callers/buffered.rs
@@ -74,7 +74,8 @@
     TooLong,
 }
 
-/// Reads the body of an answer. While the instance holds too much, the engine has to wait.
+/// Reads the body of an answer. While the instance holds too much, the engine has to wait,
+/// unless the answer gets the permit to be read over the bound.
 ///
 /// The parts are copied, as small ones would each keep the buffer into which they were read.
 ///
@@ -89,6 +90,8 @@
     let expected = body.size_hint().exact().unwrap_or(0);
     let expected = usize::try_from(expected).unwrap_or(MAX_ANSWER_BYTES);
     let mut bytes = BytesMut::with_capacity(expected.min(MAX_ANSWER_BYTES));
+    let instance = &request.instance;
+    let mut permit = None;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BrokenAnswer::BrokenOff)?;
         let Ok(data) = frame.into_data() else {
@@ -99,8 +102,11 @@
         }
         bytes.extend_from_slice(&data);
         held.set(bytes.len());
-        while request.instance.holds_too_much() {
-            sleep(FULL_CHECK_INTERVAL).await;
+        while permit.is_none() && instance.holds_too_much() {
+            permit = instance.permit_over_bound();
+            if permit.is_none() {
+                sleep(FULL_CHECK_INTERVAL).await;
+            }
         }
     }
     Ok(bytes.freeze())
--- a/crates/gateway/src/instance/held_limit.rs
+++ b/crates/gateway/src/instance/held_limit.rs
@@ -1,4 +1,4 @@
-use super::Instance;
+use {super::Instance, crate::bounded::HeldKind, tokio::sync::SemaphorePermit};
 
 /// Part of the machine's memory that bytes held for callers and engines may take. Each costs
 /// up to a second one, in buffers of the operating system and in unused rest of allocated
@@ -26,6 +26,18 @@
         self.held.total() > self.max_held_bytes()
     }
 
+    /// Permits one answer at a time to be read to its end while too much is held. Otherwise
+    /// answers that are all read in part would wait for each other until their deadlines.
+    ///
+    /// Returns `None` while another answer has the permit, or while half of the bound is unsent:
+    /// callers that don't read would make the instance hold one complete answer after another.
+    pub fn permit_over_bound(&self) -> Option<SemaphorePermit<'_>> {
+        if self.held.of(HeldKind::Unsent) > self.max_held_bytes() / 2 {
+            return None;
+        }
+        self.over_bound.try_acquire().ok()
+    }
+
     /// Returns what is held and its bound in the Prometheus text format.
     pub fn render_held(&self) -> String {
         let max = self.max_held_bytes();
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -29,7 +29,7 @@
         rc::Rc,
         sync::Arc,
     },
-    tokio::sync::{Mutex, watch},
+    tokio::sync::{Mutex, Semaphore, watch},
 };
 
 /// Fraction of a team's permitted overdraft that all instances together may use
@@ -129,6 +129,8 @@
     pub weights_changes: RefCell<BTreeMap<String, ChangeProgress>>,
     /// Bytes that are held for callers and engines.
     pub held: Arc<HeldBytes>,
+    /// Permit of the answer that is read while too much is held.
+    pub over_bound: Semaphore,
     /// Metrics for operators.
     pub counters: Counters,
     /// Number of requests that were received and not yet answered in full.
@@ -204,6 +206,7 @@
             order_reports: RefCell::default(),
             weights_changes: RefCell::default(),
             held: Arc::default(),
+            over_bound: Semaphore::new(1),
             counters: Counters::default(),
             open_requests: Cell::new(0),
             drain,
--- a/crates/gateway/tests/bounded_bytes/slow_callers.rs
+++ b/crates/gateway/tests/bounded_bytes/slow_callers.rs
@@ -1,8 +1,9 @@
 use {
     super::{
         fake_engine::{Script, Seen, start_engine},
-        gateway::{Gateway, run},
+        gateway::{Gateway, Reply, run},
     },
+    futures_util::future::join_all,
     mangowalk_core::routing::RetryPolicy,
     mangowalk_gateway::{bounded::HeldKind, instance::GatewaySettings},
     std::{
@@ -138,6 +139,22 @@
     });
 }
 
+/// Guards against plain answers that are all read in part when the instance holds too much, and
+/// then wait for each other until their deadlines.
+#[test]
+fn large_answers_at_the_same_time_are_delivered() {
+    run(async || {
+        let engine = start_engine(large_answers(), Rc::new(Seen::default())).await;
+        let retry = RetryPolicy::Idempotent;
+        let gateway = Gateway::start(retry, &[engine], GatewaySettings::default()).await;
+        let ids: Vec<String> = (0..40).map(|number| format!("{number:x}")).collect();
+        let replies = join_all(ids.iter().map(|id| gateway.ask(id))).await;
+        let whole = |reply: &&Reply| reply.status() == 200 && reply.bytes.len() > 1 << 20;
+        assert_eq!(replies.iter().filter(whole).count(), 40);
+        assert_eq!(gateway.instance.held.total(), 0);
+    });
+}
+
 /// Guards against complete answers that are never read and are held until the process ends.
 #[test]
 fn an_answer_that_isnt_read_is_dropped() {
