Don't count a caller's pause as time of an unfinished event

The time within which an event has to end went on while the caller accepted what came before it. After a pause of the caller longer than max_event_ms, the next part of an event that arrives in several parts ended the stream as endless_event, although its engine was sound. The time now begins again once the caller has accepted the last bytes.

--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -42,7 +42,7 @@
     events: ForwardedEvents,
     /// Why the answer counts as endless.
     excess: Option<Excess>,
-    /// When the first bytes of an unfinished event arrived.
+    /// Since when the rest of an unfinished event has been awaited.
     unfinished_since_ms: Option<u64>,
     /// The incomplete event.
     partial_event: Hold,
@@ -210,6 +210,8 @@
     /// Fails if the stream was cut off and can't be resumed, or the deadline
     /// passed.
     async fn next(&mut self) -> Result<Option<Bytes>, StreamCut> {
+        // The time that the caller took to accept the last bytes isn't the engine's.
+        self.unfinished_since_ms = self.unfinished_since_ms.map(|_| now_ms());
         loop {
             let Some(answered) = &mut self.answered else {
                 return Ok(None);
--- a/crates/gateway/tests/bounded_bytes/gateway.rs
+++ b/crates/gateway/tests/bounded_bytes/gateway.rs
@@ -109,7 +109,8 @@
         self.send(connected.expect("the gateway listens"), id).await
     }
 
-    async fn send(&self, mut stream: TcpStream, id: &str) -> TcpStream {
+    /// Sends a request on a connection.
+    pub(super) async fn send(&self, mut stream: TcpStream, id: &str) -> TcpStream {
         let request = format!(
             "GET /a/1 HTTP/1.1\r\nHost: shop.example\r\nMangowalk-Request-Id: {id}\r\n\
              Mangowalk-Deadline-Ms: {}\r\nConnection: close\r\n\r\n",
--- a/crates/gateway/tests/bounded_bytes/slow_callers.rs
+++ b/crates/gateway/tests/bounded_bytes/slow_callers.rs
@@ -4,7 +4,7 @@
         gateway::{Gateway, Reply, run},
     },
     futures_util::future::join_all,
-    mangowalk_core::routing::RetryPolicy,
+    mangowalk_core::{routing::RetryPolicy, stream::EventBounds},
     mangowalk_gateway::{bounded::HeldKind, instance::GatewaySettings},
     std::{
         fs,
@@ -139,6 +139,46 @@
     });
 }
 
+/// Guards against an event being taken for endless because its caller didn't read for longer than
+/// an event may take to arrive.
+#[test]
+fn a_stream_of_large_events_goes_on_after_a_pause_of_its_caller() {
+    run(async || {
+        let seen = Rc::new(Seen::default());
+        // Each event arrives in several parts.
+        let content = format!("data: {}\n\n", "x".repeat(100_000)).repeat(40);
+        let length = content.len();
+        let sound = format!(
+            "{HEAD}Content-Type: text/event-stream\r\nContent-Length: {length}\r\n\r\n{content}"
+        );
+        let script = Script {
+            sound,
+            ..streams(0)
+        };
+        let engine = start_engine(script, seen.clone()).await;
+        let settings = GatewaySettings {
+            event_bounds: EventBounds {
+                max_event_ms: 300,
+                ..EventBounds::default()
+            },
+            ..GatewaySettings::default()
+        };
+        let gateway = Gateway::start(RetryPolicy::ResumableStream, &[engine], settings).await;
+        let connected = TcpStream::connect(gateway.address).await;
+        let connected = connected.expect("the gateway listens");
+        let mut caller = gateway.send(connected, "7a").await;
+        sleep(Duration::from_millis(600)).await;
+        let bytes = read_to_end(&mut caller).await;
+        assert_eq!(
+            seen.requests.get(),
+            1,
+            "the stream is sent to an engine again"
+        );
+        let is_unchanged = bytes.ends_with(content.as_bytes());
+        assert!(is_unchanged, "{} of {length} bytes", bytes.len());
+    });
+}
+
 /// Guards against plain answers that are all read in part when the instance holds too much, and
 /// then wait for each other until their deadlines.
 #[test]
