Give an answer that ends while it isn't read the time of an answer

The timer of a connection whose caller takes no byte was set once, for an open stream if it was one. A stream that became complete while its last part was unsent was closed after slow_stream_ms instead of unread_answer_ms, although no engine waited any more. The end is now taken from the present state.

With 200 ms for a stream and 600 ms for an answer, an answer that was complete after 100 ms was closed after 203 ms; it is now kept for 600 ms.

--- a/crates/gateway/src/bounded/caller_stream.rs
+++ b/crates/gateway/src/bounded/caller_stream.rs
@@ -11,7 +11,7 @@
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
-        time::{Sleep, sleep},
+        time::{Instant, Sleep, sleep},
     },
 };
 
@@ -32,7 +32,13 @@
     writes: Rc<CallerWrites>,
     limits: StallLimits,
     /// Set while the caller takes no byte.
-    stall: Option<Pin<Box<Sleep>>>,
+    stall: Option<Stall>,
+}
+
+/// A time in which the caller takes no byte.
+struct Stall {
+    began: Instant,
+    timer: Pin<Box<Sleep>>,
 }
 
 impl CallerStream {
@@ -75,8 +81,16 @@
             true => self.limits.stream,
             false => self.limits.answer,
         };
-        let stall = self.stall.get_or_insert_with(|| Box::pin(sleep(limit)));
-        ready!(stall.as_mut().poll(context));
+        let stall = self.stall.get_or_insert_with(|| Stall {
+            began: Instant::now(),
+            timer: Box::pin(sleep(limit)),
+        });
+        // The answer may have become complete since the timer was set.
+        let end = stall.began + limit;
+        if stall.timer.deadline() < end {
+            stall.timer.as_mut().reset(end);
+        }
+        ready!(stall.timer.as_mut().poll(context));
         self.writes.record_too_slow();
         Poll::Ready(Err(io::Error::new(
             io::ErrorKind::TimedOut,
--- a/crates/gateway/tests/bounded_bytes/slow_callers.rs
+++ b/crates/gateway/tests/bounded_bytes/slow_callers.rs
@@ -3,17 +3,22 @@
         fake_engine::{Script, Seen, start_engine},
         gateway::{Gateway, Reply, run},
     },
-    futures_util::future::join_all,
+    futures_util::future::{join, join_all},
     mangowalk_core::{routing::RetryPolicy, stream::EventBounds},
-    mangowalk_gateway::{bounded::HeldKind, instance::GatewaySettings},
+    mangowalk_gateway::{
+        bounded::{CallerStream, CallerWrites, HeldBytes, HeldKind, ReadMeter, StallLimits},
+        instance::GatewaySettings,
+    },
     std::{
         fs,
+        io::ErrorKind,
         rc::Rc,
+        sync::Arc,
         time::{Duration, Instant},
     },
     tokio::{
-        io::AsyncReadExt,
-        net::TcpStream,
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
         time::{sleep, timeout},
     },
 };
@@ -139,6 +144,38 @@
     });
 }
 
+/// Guards against an answer that becomes complete while its caller pauses, and for which the
+/// shorter time of an open stream goes on.
+#[test]
+fn a_stream_that_ends_while_it_isnt_read_has_the_time_of_an_answer() {
+    run(async || {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("it is bound");
+        let _caller = TcpStream::connect(address).await.expect("it listens");
+        let (stream, _) = listener.accept().await.expect("the caller has connected");
+        let held = Arc::new(HeldBytes::default());
+        let writes = Rc::new(CallerWrites::new(held.hold(HeldKind::Unsent)));
+        let meter = Arc::new(ReadMeter::new(held.hold(HeldKind::Received), 8_192));
+        let limits = StallLimits {
+            stream: Duration::from_millis(200),
+            answer: Duration::from_millis(600),
+        };
+        let mut stream = CallerStream::new(stream, meter, writes.clone(), limits);
+        writes.begin_answer("7a", true);
+        let began = Instant::now();
+        let unread = vec![0; 32 << 20];
+        let end = async {
+            sleep(Duration::from_millis(100)).await;
+            writes.end_answer();
+        };
+        let (written, ()) = join(stream.write_all(&unread), end).await;
+        assert!(written.is_err_and(|error| error.kind() == ErrorKind::TimedOut));
+        assert!(writes.is_too_slow());
+        let took = began.elapsed();
+        assert!(took >= limits.answer, "{took:?}");
+    });
+}
+
 /// Guards against an event being taken for endless because its caller didn't read for longer than
 /// an event may take to arrive.
 #[test]
