--- a/crates/gateway/tests/bounded_bytes/slow_callers.rs
+++ b/crates/gateway/tests/bounded_bytes/slow_callers.rs
@@ -1,18 +1,24 @@
 use {
     super::{
         fake_engine::{Script, Seen, start_engine},
-        gateway::{Gateway, run},
+        gateway::{Gateway, Reply, run},
+    },
+    futures_util::future::{join, join_all},
+    mangowalk_core::{routing::RetryPolicy, stream::EventBounds},
+    mangowalk_gateway::{
+        bounded::{CallerStream, CallerWrites, HeldBytes, HeldKind, ReadMeter, StallLimits},
+        instance::GatewaySettings,
     },
-    mangowalk_core::routing::RetryPolicy,
-    mangowalk_gateway::{bounded::HeldKind, instance::GatewaySettings},
     std::{
         fs,
+        io::ErrorKind,
         rc::Rc,
+        sync::Arc,
         time::{Duration, Instant},
     },
     tokio::{
-        io::AsyncReadExt,
-        net::TcpStream,
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
         time::{sleep, timeout},
     },
 };
@@ -138,6 +144,94 @@
     });
 }
 
+/// Guards against an answer that becomes complete while its caller pauses, and for which the
+/// shorter time of an open stream goes on.
+#[test]
+fn a_stream_that_ends_while_it_isnt_read_has_the_time_of_an_answer() {
+    run(async || {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("it is bound");
+        let _caller = TcpStream::connect(address).await.expect("it listens");
+        let (stream, _) = listener.accept().await.expect("the caller has connected");
+        let held = Arc::new(HeldBytes::default());
+        let writes = Rc::new(CallerWrites::new(held.hold(HeldKind::Unsent)));
+        let meter = Arc::new(ReadMeter::new(held.hold(HeldKind::Received), 8_192));
+        let limits = StallLimits {
+            stream: Duration::from_millis(200),
+            answer: Duration::from_millis(600),
+        };
+        let mut stream = CallerStream::new(stream, meter, writes.clone(), limits);
+        writes.begin_answer("7a", true);
+        let began = Instant::now();
+        let unread = vec![0; 32 << 20];
+        let end = async {
+            sleep(Duration::from_millis(100)).await;
+            writes.end_answer();
+        };
+        let (written, ()) = join(stream.write_all(&unread), end).await;
+        assert!(written.is_err_and(|error| error.kind() == ErrorKind::TimedOut));
+        assert!(writes.is_too_slow());
+        let took = began.elapsed();
+        assert!(took >= limits.answer, "{took:?}");
+    });
+}
+
+/// Guards against an event being taken for endless because its caller didn't read for longer than
+/// an event may take to arrive.
+#[test]
+fn a_stream_of_large_events_goes_on_after_a_pause_of_its_caller() {
+    run(async || {
+        let seen = Rc::new(Seen::default());
+        // Each event arrives in several parts.
+        let content = format!("data: {}\n\n", "x".repeat(100_000)).repeat(40);
+        let length = content.len();
+        let sound = format!(
+            "{HEAD}Content-Type: text/event-stream\r\nContent-Length: {length}\r\n\r\n{content}"
+        );
+        let script = Script {
+            sound,
+            ..streams(0)
+        };
+        let engine = start_engine(script, seen.clone()).await;
+        let settings = GatewaySettings {
+            event_bounds: EventBounds {
+                max_event_ms: 300,
+                ..EventBounds::default()
+            },
+            ..GatewaySettings::default()
+        };
+        let gateway = Gateway::start(RetryPolicy::ResumableStream, &[engine], settings).await;
+        let connected = TcpStream::connect(gateway.address).await;
+        let connected = connected.expect("the gateway listens");
+        let mut caller = gateway.send(connected, "7a").await;
+        sleep(Duration::from_millis(600)).await;
+        let bytes = read_to_end(&mut caller).await;
+        assert_eq!(
+            seen.requests.get(),
+            1,
+            "the stream is sent to an engine again"
+        );
+        let is_unchanged = bytes.ends_with(content.as_bytes());
+        assert!(is_unchanged, "{} of {length} bytes", bytes.len());
+    });
+}
+
+/// Guards against plain answers that are all read in part when the instance holds too much, and
+/// then wait for each other until their deadlines.
+#[test]
+fn large_answers_at_the_same_time_are_delivered() {
+    run(async || {
+        let engine = start_engine(large_answers(), Rc::new(Seen::default())).await;
+        let retry = RetryPolicy::Idempotent;
+        let gateway = Gateway::start(retry, &[engine], GatewaySettings::default()).await;
+        let ids: Vec<String> = (0..40).map(|number| format!("{number:x}")).collect();
+        let replies = join_all(ids.iter().map(|id| gateway.ask(id))).await;
+        let whole = |reply: &&Reply| reply.status() == 200 && reply.bytes.len() > 1 << 20;
+        assert_eq!(replies.iter().filter(whole).count(), 40);
+        assert_eq!(gateway.instance.held.total(), 0);
+    });
+}
+
 /// Guards against complete answers that are never read and are held until the process ends.
 #[test]
 fn an_answer_that_isnt_read_is_dropped() {
