--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -158,7 +158,7 @@
             address_ttl_s: 1,
             exit_margin_ms: 700,
             event_bounds: EventBounds::default(),
-            slow_stream_ms: 2_000,
+            slow_stream_ms: 5_000,
             unread_answer_ms: 10_000,
             min_remaining_ms: 15,
         }
