--- a/crates/core/src/weights/rolling_plan.rs
+++ b/crates/core/src/weights/rolling_plan.rs
@@ -4,6 +4,9 @@
 /// [`super::LoadingPlaces::is_long`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RollingSettings {
+    /// Whether changes whose loads take long are planned by these settings. Otherwise they are
+    /// planned like those with short loads.
+    pub plans_long_loads: bool,
     /// Times between the pause of an engine and its order.
     pub plan: PlanSettings,
     /// Mean time in milliseconds that an available engine may need to read the
@@ -33,6 +36,7 @@
 impl Default for RollingSettings {
     fn default() -> RollingSettings {
         RollingSettings {
+            plans_long_loads: false,
             plan: PlanSettings {
                 // Peers report one heartbeat (200 ms) late what they sent before
                 // they heard of the pause.
--- a/crates/gateway/src/weights/progress.rs
+++ b/crates/gateway/src/weights/progress.rs
@@ -138,7 +138,8 @@
 
     /// Returns whether loads take long; see [`LoadingPlaces::is_long`].
     pub(super) fn has_long_loads(&self) -> bool {
-        self.places.is_long(&self.instance.settings.weights)
+        let settings = &self.instance.settings;
+        settings.rolling.plans_long_loads && self.places.is_long(&settings.weights)
     }
 
     /// Returns how many of `engines` engines may and must load concurrently if
