--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -348,6 +348,7 @@
     let mut sampled_engines =
         mean_prompt.sample_size(choice.sampled_engines, requirements.prompt_tokens);
     let mut home_tokens = choice.home_tokens;
+    let mut newest_within = choice.newest_within_tokens;
     if is_active(request) {
         let arrivals = instance.arrivals_per_interval(now_ms) / engines.max(1) as f64;
         let routes = instance.routes.borrow();
@@ -357,6 +358,7 @@
         sampled_engines = sampled_engines.min(max_sample(arrivals, slots));
         // A home saves no more than the reading of the shared part.
         home_tokens = home_tokens.min(requirements.shared_tokens() as f64);
+        newest_within = newest_within_tokens(request);
     }
     ChoiceSettings {
         sampled_engines,
@@ -367,7 +369,7 @@
             instance.instance_count(),
             now_ms,
         ),
-        newest_within_tokens: newest_within_tokens(request),
+        newest_within_tokens: newest_within,
         ..choice
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,5 +21,5 @@
 pub use {
     clock::{now_ms, wall_ms},
     critical_tasks::CriticalTasks,
-    run::{RunError, read_settings, run},
+    run::{RunError, RunOptions, read_settings, run},
 };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,7 +18,7 @@
     mangowalk_core::{
         engine_notice::NoticeSettings,
         pool::Incarnation,
-        weights::{OrderLeaseSettings, WeightsSettings},
+        weights::{OrderLeaseSettings, RollingSettings, WeightsSettings},
     },
     mangowalk_platform::{MachineSettings, SettingsError, decode_settings},
     std::{fs, io, net::SocketAddr, path::Path, rc::Rc, time::Duration},
@@ -120,13 +120,21 @@
     decode_settings(&text).map_err(|source| RunError::Settings { source })
 }
 
+/// What operators choose for an instance beside the settings file of its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct RunOptions {
+    /// Whether changes of weights whose loads take long are planned by the known work; see
+    /// [`mangowalk_core::weights::plan_rolling`].
+    pub plans_long_loads: bool,
+}
+
 /// Runs an instance with the settings file at `path` until it receives SIGTERM
 /// or SIGINT, and then shuts it down.
 ///
 /// # Errors
 ///
 /// Fails if the instance can't start, or if one of its critical tasks ends.
-pub fn run(path: &Path) -> Result<(), RunError> {
+pub fn run(path: &Path, options: RunOptions) -> Result<(), RunError> {
     let machine = read_settings(path)?;
     logs::install(LogSettings::default(), &machine.name).map_err(|source| RunError::System {
         what: "a thread for the log",
@@ -140,7 +148,7 @@
             source,
         })?;
     let tasks = LocalSet::new();
-    tasks.block_on(&event_loop, serve(machine, path))
+    tasks.block_on(&event_loop, serve(machine, path, options))
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
@@ -155,7 +163,7 @@
         .map_err(|source| RunError::Listen { address, source })
 }
 
-async fn serve(machine: MachineSettings, path: &Path) -> Result<(), RunError> {
+async fn serve(machine: MachineSettings, path: &Path, options: RunOptions) -> Result<(), RunError> {
     let lease = OrderLeaseSettings {
         exclusion_ms: machine.lease_ms,
         ..OrderLeaseSettings::default()
@@ -170,7 +178,12 @@
         last_use_ms: machine.drain_ms / 2,
         ..defaults.notices
     };
+    let rolling = RollingSettings {
+        plans_long_loads: options.plans_long_loads,
+        ..defaults.rolling
+    };
     let settings = GatewaySettings {
+        rolling,
         lease,
         weights,
         notices,
--- a/crates/mangowalkd/src/cli/machine.rs
+++ b/crates/mangowalkd/src/cli/machine.rs
@@ -1,7 +1,7 @@
 use {
     super::{print_usage, usage::EXIT_USAGE},
     bpaf::{Bpaf, OptionParser},
-    mangowalk_gateway::{read_settings, run},
+    mangowalk_gateway::{RunOptions, read_settings, run},
     mangowalk_platform::SETTINGS_VARIABLE,
     std::{env, path::PathBuf, process::ExitCode},
 };
@@ -21,6 +21,10 @@
     /// sets, else /etc/mangowalk/node.conf.
     #[bpaf(argument("FILE"))]
     settings: Option<PathBuf>,
+    /// Plans changes of weights by the known work where loads take longer than answers on
+    /// older weights keep their value.
+    #[bpaf(env("MANGOWALK_ROLLING_WEIGHTS"))]
+    rolling_weights: bool,
     /// Checks the settings file and ends.
     check: bool,
 }
@@ -49,7 +53,10 @@
             Err(error) => usage(&error),
         };
     }
-    match run(&path) {
+    let options = RunOptions {
+        plans_long_loads: args.rolling_weights,
+    };
+    match run(&path, options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => usage(&error),
     }
--- a/crates/mangowalkd/tests/machines/weights.rs
+++ b/crates/mangowalkd/tests/machines/weights.rs
@@ -204,6 +204,7 @@
     }
     for machine in &mut deployment.machines {
         machine.change_settings(|text| text.replace("VersionMs=8000", "VersionMs=20000"));
+        machine.arguments.push("--rolling-weights".to_owned());
         machine.start();
     }
     deployment.wait_until_ready();
