--- a/crates/gateway/tests/bounded_bytes/endless_answers.rs
+++ b/crates/gateway/tests/bounded_bytes/endless_answers.rs
@@ -5,14 +5,11 @@
     },
     mangowalk_core::routing::RetryPolicy,
     mangowalk_gateway::instance::GatewaySettings,
+    mangowalk_platform_standins::ANSWER_HEAD as HEAD,
     std::{fmt::Write, rc::Rc, time::Duration},
     tokio::time::sleep,
 };
 
-/// Head of an answer, without its last line.
-const HEAD: &str = "HTTP/1.1 200 OK\r\nMangowalk-Request-Id: {id}\r\n\
-    Mangowalk-Instance-Id: e\r\nMangowalk-Response-Stamp: s\r\n";
-
 const CHUNKED: &str = "Transfer-Encoding: chunked\r\n\r\n";
 
 const EVENTS: &str = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/crates/gateway/tests/bounded_bytes/endless_requests.rs
+++ b/crates/gateway/tests/bounded_bytes/endless_requests.rs
@@ -2,6 +2,7 @@
     super::gateway::{DEADLINE, Gateway, run},
     mangowalk_core::routing::RetryPolicy,
     mangowalk_gateway::instance::GatewaySettings,
+    mangowalk_platform_standins::request_fields,
     std::{
         fmt::Write,
         time::{Duration, Instant},
@@ -67,9 +68,8 @@
 #[test]
 fn endless_requests_end_in_time() {
     let head = format!(
-        "POST /a/1 HTTP/1.1\r\nHost: shop.example\r\nMangowalk-Request-Id: 7a\r\n\
-         Mangowalk-Deadline-Ms: {}\r\n",
-        DEADLINE.as_millis()
+        "POST /a/1 HTTP/1.1\r\nHost: shop.example\r\n{}",
+        request_fields("7a", DEADLINE.as_millis())
     );
     let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
     let mut table = String::new();
--- a/crates/gateway/tests/bounded_bytes/fake_engine.rs
+++ b/crates/gateway/tests/bounded_bytes/fake_engine.rs
@@ -1,4 +1,5 @@
 use {
+    mangowalk_platform_standins::request_id,
     std::{
         cell::Cell,
         net::SocketAddr,
@@ -103,8 +104,6 @@
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
     }
-    let head = String::from_utf8(head).ok()?.to_ascii_lowercase();
-    let id = head.split("mangowalk-request-id: ").nth(1);
-    let id = id.and_then(|rest| rest.lines().next());
-    Some(id.unwrap_or_default().to_owned())
+    let head = String::from_utf8(head).ok()?;
+    Some(request_id(&head).unwrap_or_default().to_owned())
 }
--- a/crates/gateway/tests/bounded_bytes/gateway.rs
+++ b/crates/gateway/tests/bounded_bytes/gateway.rs
@@ -10,6 +10,7 @@
         upstreams::ConnectionPool,
     },
     mangowalk_platform::decode_settings,
+    mangowalk_platform_standins::request_fields,
     std::{
         net::SocketAddr,
         rc::Rc,
@@ -112,9 +113,8 @@
     /// Sends a request on a connection.
     pub(super) async fn send(&self, mut stream: TcpStream, id: &str) -> TcpStream {
         let request = format!(
-            "GET /a/1 HTTP/1.1\r\nHost: shop.example\r\nMangowalk-Request-Id: {id}\r\n\
-             Mangowalk-Deadline-Ms: {}\r\nConnection: close\r\n\r\n",
-            DEADLINE.as_millis(),
+            "GET /a/1 HTTP/1.1\r\nHost: shop.example\r\n{}Connection: close\r\n\r\n",
+            request_fields(id, DEADLINE.as_millis()),
         );
         stream
             .write_all(request.as_bytes())
--- a/crates/gateway/tests/bounded_bytes/slow_callers.rs
+++ b/crates/gateway/tests/bounded_bytes/slow_callers.rs
@@ -9,6 +9,7 @@
         bounded::{CallerStream, CallerWrites, HeldBytes, HeldKind, ReadMeter, StallLimits},
         instance::GatewaySettings,
     },
+    mangowalk_platform_standins::ANSWER_HEAD as HEAD,
     std::{
         fs,
         io::ErrorKind,
@@ -23,9 +24,6 @@
     },
 };
 
-const HEAD: &str = "HTTP/1.1 200 OK\r\nMangowalk-Request-Id: {id}\r\n\
-    Mangowalk-Instance-Id: e\r\nMangowalk-Response-Stamp: s\r\n";
-
 /// An event of a stream of 128 bytes, as one chunk.
 const EVENT: &[u8] = b"80\r\ndata: 0123456789abcdef0123456789abcdef0123456789abcdef0123456789ab\
     cdef0123456789abcdef0123456789abcdef0123456789abcdef01234567\n\n\r\n";
--- a/crates/gateway/tests/bounded_bytes/sound_answers.rs
+++ b/crates/gateway/tests/bounded_bytes/sound_answers.rs
@@ -5,12 +5,10 @@
     },
     mangowalk_core::routing::RetryPolicy,
     mangowalk_gateway::instance::GatewaySettings,
+    mangowalk_platform_standins::ANSWER_FIELDS as HEAD,
     std::{rc::Rc, time::Duration},
 };
 
-const HEAD: &str = "Mangowalk-Request-Id: {id}\r\nMangowalk-Instance-Id: e\r\n\
-    Mangowalk-Response-Stamp: s\r\n";
-
 /// Returns what callers get of an engine that answers each request with these bytes.
 fn answers(retry: RetryPolicy, sound: String, count: usize) -> (Vec<Reply>, Rc<Seen>) {
     let seen = Rc::new(Seen::default());
