Bound what all instances together have at an engine

Engines of some deployments crash if the requests that they hold exceed their memory. Instances learn of each other's work a heartbeat late, and a full engine only has a higher cost.

Add `engine_room`: the memory of an engine is divided into parts, which go round the instances by their ranks at the engine. An instance uses its own parts, and also counts what others have told. After a start, what may be left of former work is reserved.

--- a/crates/core/src/engine_notice/barrier.rs
+++ b/crates/core/src/engine_notice/barrier.rs
@@ -1,4 +1,4 @@
-use derive_more::Display;
+use {crate::engine_room::RoomBarrier, derive_more::Display};
 
 /// Why a request must not be sent to an engine now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -18,6 +18,9 @@
     /// Another engine listens at its address.
     #[display("Another engine listens at its address.")]
     Replaced,
+    /// It has no room in its memory.
+    #[display("{_0}")]
+    NoRoom(RoomBarrier),
 }
 
 impl SendBarrier {
@@ -27,6 +30,7 @@
             SendBarrier::Resting { .. } => "resting",
             SendBarrier::Leaving { .. } => "leaving",
             SendBarrier::Replaced => "replaced",
+            SendBarrier::NoRoom(barrier) => barrier.label(),
         }
     }
 }
--- a/crates/core/src/retries/share.rs
+++ b/crates/core/src/retries/share.rs
@@ -73,6 +73,11 @@
         self.lost_ms.remove(peer);
     }
 
+    /// Returns the names of the peers that were given up and may still be running.
+    pub fn lost(&self) -> impl Iterator<Item = &str> {
+        self.lost_ms.keys().map(String::as_str)
+    }
+
     /// Returns whether this instance, with this many known peers, has never heard of others
     /// and doesn't know that it is the only one.
     pub fn knows_nobody(&self, peers: usize) -> bool {
