Send an engine no more than it has room for

Cause: nothing kept instances from sending more to an engine than its memory holds, where the settings file says that engines crash then (`pressure`).

The choice of an engine and the last check before a send ask `Instance::room_barrier`. Where no engine has room, the attempt ends in `Outcome::NoRoom`, for now with a retry time as for a queue that is too long. Metrics tell the used and usable room, log lines why there is none.

--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -50,6 +50,9 @@
     /// The request would wait too long in an engine's queue. Holds the time in
     /// milliseconds after which the caller should retry.
     QueueTooLong(u64),
+    /// No engine that could take the request has room in its memory. Holds the time in
+    /// milliseconds after which the caller should retry.
+    NoRoom(u64),
 }
 
 impl Outcome {
@@ -60,7 +63,8 @@
             Outcome::NotSent(_)
             | Outcome::NoEngine
             | Outcome::EnginesRest(_)
-            | Outcome::QueueTooLong(_) => false,
+            | Outcome::QueueTooLong(_)
+            | Outcome::NoRoom(_) => false,
             Outcome::Answer(_)
             | Outcome::NotRun(_)
             | Outcome::MayHaveRun(_)
@@ -225,6 +229,7 @@
         Destination::Engine {
             entry: &engine,
             request_arrived_ms: request.arrived_ms,
+            room_need: request.room_need(context.is_resumed),
         },
         build_message,
     );
--- a/crates/gateway/src/callers/directory.rs
+++ b/crates/gateway/src/callers/directory.rs
@@ -105,6 +105,7 @@
     let mut text = instance.counters.render();
     text.push_str(&instance.mesh_traffic.render());
     text.push_str(&instance.render_notices(now_ms()));
+    text.push_str(&instance.render_rooms(now_ms()));
     Response::new(AnswerBody::buffered(text))
 }
 
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -5,6 +5,7 @@
         software_lane::{new_engines, software_lane},
     },
     mangowalk_core::{
+        engine_room::RoomBarrier,
         kv_store::kv_store_key,
         origin::EngineBuild,
         pool::{
@@ -14,7 +15,7 @@
         },
     },
     mangowalk_platform::{Forward, forward_headers},
-    std::net::SocketAddr,
+    std::{cell::Cell, net::SocketAddr},
 };
 
 /// Minimum number of shared tokens to be fetched from another engine. Setting up
@@ -57,8 +58,9 @@
 ///
 /// # Errors
 ///
-/// Returns [`Outcome::NoEngine`] if no engine can take the request, and
-/// [`Outcome::QueueTooLong`] if it would wait too long at the best one.
+/// Returns [`Outcome::NoEngine`] if no engine can take the request, [`Outcome::NoRoom`] if those
+/// that could have no room in their memory, and [`Outcome::QueueTooLong`] if it would wait too
+/// long at the best one.
 pub(super) fn choose_engine(
     request: &CallerRequest,
     context: &AttemptContext<'_>,
@@ -78,6 +80,7 @@
     let settings = &adapted_choice(request, memory_tokens, count, now_ms);
     let version_bounds = request.version_bounds(now_ms);
     let draw = rand::random();
+    let room_barrier = Cell::new(None);
     let choose_with = |standing: Standing, usable: &dyn Fn(&KnownEngine) -> bool| {
         choose(
             engines
@@ -92,6 +95,7 @@
                         && spares_brittle(request, known_engine, memory_tokens, now_ms)
                         && instance.is_within_limit(known_engine, now_ms)
                         && !is_barred(request, &engines, known_engine, now_ms)
+                        && has_room(request, context, known_engine, &room_barrier, now_ms)
                 }),
             requirements,
             version_bounds,
@@ -113,6 +117,9 @@
         None => choose_in_lane(lane, &new_engines, choose_among, admits),
     };
     let Some((chosen, lane)) = chosen else {
+        if let Some(barrier) = room_barrier.get() {
+            return Err(lack_of_room(request, context, barrier));
+        }
         return Err(lack_of_engines(request, context.build, &engines, now_ms));
     };
     if let Some(retry_ms) = queue_retry_ms(request, context, chosen) {
@@ -174,6 +181,40 @@
     barrier.is_some()
 }
 
+/// Returns whether an engine has room for a request in its memory. Sets `barrier` otherwise.
+/// Like [`is_barred`], this is no preference.
+fn has_room(
+    request: &CallerRequest,
+    context: &AttemptContext<'_>,
+    engine: &KnownEngine,
+    barrier: &Cell<Option<RoomBarrier>>,
+    now_ms: u64,
+) -> bool {
+    let Some(need) = request.room_need(context.is_resumed) else {
+        return true;
+    };
+    let found = request.instance.room_barrier(engine, need, false, now_ms);
+    barrier.set(found.or(barrier.get()));
+    found.is_none()
+}
+
+/// Counts and logs that no engine has room for a request, with why the last one has none.
+fn lack_of_room(
+    request: &CallerRequest,
+    context: &AttemptContext<'_>,
+    barrier: RoomBarrier,
+) -> Outcome {
+    let instance = &request.instance;
+    instance.counters.count("no_room", barrier.label());
+    log::info!(
+        "event=no_room request={} memory_tokens={} resumed={} last_engine=\"{barrier}\"",
+        request.id(),
+        request.requirements.memory_tokens,
+        context.is_resumed,
+    );
+    Outcome::NoRoom(instance.settings.rooms.retry_after_ms)
+}
+
 /// Returns why no engine takes a request: all that would, at the build where its stream goes
 /// on if there is one, have asked for rest, or there is none.
 pub(super) fn lack_of_engines(
@@ -377,7 +418,10 @@
     SendPlan {
         load: Load {
             requests: 1,
-            memory_tokens: requirements.memory_tokens as u32,
+            memory_tokens: request
+                .room_need(context.is_resumed)
+                .map_or(requirements.memory_tokens, |need| need.memory_tokens)
+                as u32,
             prefill_tokens: tokens_to_prefill(requirements, is_cached, fetched_tokens) as u32,
             must_finish: u32::from(!context.can_resume_elsewhere),
         },
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -10,6 +10,7 @@
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
     mangowalk_core::{
+        engine_room::RoomNeed,
         origin::{EngineBuild, StreamKey},
         pool::EngineRequirements,
         routing::{Route, RouteError, Tenant},
@@ -168,6 +169,12 @@
         self.tenant.as_ref().map_or(0, |tenant| tenant.cost(tokens))
     }
 
+    /// Returns what the request needs of an engine's memory; `None` where that isn't limited.
+    pub(super) fn room_need(&self, is_resumed: bool) -> Option<RoomNeed> {
+        let memory_tokens = self.requirements.memory_tokens;
+        self.instance.room_need(memory_tokens, is_resumed)
+    }
+
     /// Returns the bounds on the weights version that the request may run on.
     pub(super) fn version_bounds(&self, now_ms: u64) -> VersionBounds {
         let histories = self.instance.weights_histories.borrow();
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -41,7 +41,7 @@
     /// retry. `refusal` applies if the request may have run, or for want of another reason.
     fn refuse(&mut self, lack: Outcome, refusal: Refusal) -> Refusal {
         match (lack, refusal) {
-            (Outcome::QueueTooLong(retry_after_ms), _) => {
+            (Outcome::QueueTooLong(retry_after_ms) | Outcome::NoRoom(retry_after_ms), _) => {
                 self.retry_after_ms = Some(retry_after_ms);
                 Refusal::NoEngine
             }
@@ -208,7 +208,10 @@
                 }
             }
             Outcome::TimedOut => return failed_answer.ok_or(Refusal::TimedOut),
-            lack @ (Outcome::NoEngine | Outcome::EnginesRest(_) | Outcome::QueueTooLong(_)) => {
+            lack @ (Outcome::NoEngine
+            | Outcome::EnginesRest(_)
+            | Outcome::QueueTooLong(_)
+            | Outcome::NoRoom(_)) => {
                 return failed_answer.ok_or_else(|| attempts.refuse(lack, refusal));
             }
         }
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -7,6 +7,7 @@
 mod engine_limits;
 mod engine_notices;
 mod engine_paces;
+mod engine_room;
 mod heartbeats;
 mod loans;
 mod passed_on;
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -3,6 +3,7 @@
     crash_part::CrashPartSettings,
     engine_limit::EngineLimitSettings,
     engine_notice::NoticeSettings,
+    engine_room::RoomSettings,
     kv_store::KvStoreSettings,
     mesh::MeshSettings,
     origin::OriginSettings,
@@ -34,6 +35,8 @@
     pub engine_limits: EngineLimitSettings,
     /// How long what engines say of themselves holds.
     pub notices: NoticeSettings,
+    /// Bounds on what engines hold, where they crash beyond their memory.
+    pub rooms: RoomSettings,
     /// Loss of the path to the engines, and requests that are passed on to peers then.
     pub path: PathSettings,
     /// How long and where it is known where streams began.
@@ -108,6 +111,7 @@
             crash_parts: CrashPartSettings::default(),
             engine_limits: EngineLimitSettings::default(),
             notices: NoticeSettings::default(),
+            rooms: RoomSettings::default(),
             path: PathSettings::default(),
             origins: OriginSettings::default(),
             weights: WeightsSettings {
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -9,6 +9,7 @@
         canary::{CanarySettings, FleetReports, OrderId, SoftwareTable},
         engine_limit::{EngineLimitReport, EngineLimits},
         engine_notice::LeavingReport,
+        engine_room::EngineRooms,
         kv_store::KvStores,
         mesh::{Bundle, MemberTable, OrderReport, PACKS_VERSION, RelayBudget},
         path::{PeerPaths, ServicePaths},
@@ -63,6 +64,8 @@
     pub brittle: RefCell<BrittleEngines>,
     /// Limits that engines name on the requests of all instances.
     pub engine_limits: RefCell<EngineLimits>,
+    /// Place of this instance among those that share the engines' memory.
+    pub engine_rooms: RefCell<EngineRooms>,
     /// Limits of engines that peers are still to be told.
     pub limit_reports: RefCell<Vec<EngineLimitReport>>,
     /// Engines that leave, of which peers are still to be told.
@@ -161,6 +164,7 @@
             engines: RefCell::default(),
             brittle: RefCell::default(),
             engine_limits: RefCell::default(),
+            engine_rooms: RefCell::default(),
             limit_reports: RefCell::default(),
             leaving_reports: RefCell::default(),
             replaced_reports: RefCell::default(),
--- a/crates/gateway/src/upstreams/exchange.rs
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -11,6 +11,7 @@
     hyper::body::Incoming,
     mangowalk_core::{
         engine_notice::SendBarrier,
+        engine_room::RoomNeed,
         pool::{EngineEntry, Incarnation},
     },
     mangowalk_platform::{AnswerHead, BodyFraming},
@@ -62,6 +63,8 @@
         entry: &'a EngineEntry,
         /// When the request arrived at this instance.
         request_arrived_ms: u64,
+        /// What the request needs of the engine's memory, where that is limited.
+        room_need: Option<RoomNeed>,
     },
     /// A peer that sends the request to an engine.
     Peer {
@@ -80,17 +83,23 @@
         }
     }
 
-    /// Returns an error if the engine wants no such request now. It may have said so since it
-    /// was chosen, to another request.
+    /// Returns an error if the engine wants no such request now or has no room for it. It may
+    /// have said so since it was chosen, to another request.
     fn check_barrier(&self, instance: &Instance, now_ms: u64) -> Result<(), SendError> {
         let Destination::Engine {
             entry,
             request_arrived_ms,
+            room_need,
         } = self
         else {
             return Ok(());
         };
         let barrier = instance.send_barrier(&entry.incarnation, *request_arrived_ms, now_ms);
+        let lack_of_room = || {
+            let barrier = instance.room_barrier_at_send(&entry.incarnation, (*room_need)?, now_ms);
+            barrier.map(SendBarrier::NoRoom)
+        };
+        let barrier = barrier.or_else(lack_of_room);
         barrier.map_or(Ok(()), |barrier| Err(SendError::Barred(barrier)))
     }
 }
@@ -103,7 +112,7 @@
 ///
 /// # Errors
 ///
-/// Fails if the engine wants no request now, no connection can be opened or the
+/// Fails if the engine wants no request now or has no room for it, no connection can be opened or the
 /// connection ends before the head arrives. The error says whether the request may have run.
 pub async fn send(
     instance: &Instance,
