--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -7,6 +7,7 @@
 mod crashing_parts;
 mod endings;
 mod engine_limits;
+mod engine_room;
 mod input;
 mod kept;
 mod lagging;
