--- a/crates/gateway/src/callers/backlog.rs
+++ b/crates/gateway/src/callers/backlog.rs
@@ -12,8 +12,8 @@
     std::cell::Cell,
 };
 
-/// Keeps engines readable for the most urgent requests of their service while a request of a
-/// lower priority looks for an engine.
+/// Decides which engines a request of a lower priority may use, so that they read the prompts of
+/// the most urgent requests of their service in time.
 pub(super) struct UrgentProtection<'a> {
     request: &'a CallerRequest,
     /// `None` if the request is not bounded.
@@ -26,6 +26,7 @@
     waits_for_cache: bool,
     /// Requests that may use the same room.
     competition: Competition,
+    /// Hash of the request's ID, by which it is drawn among them.
     identity: u64,
     retention_ms: u64,
     now_ms: u64,
