Review case 1: orders of a third machine in a rolling restart break ONE

Cause: a machine that takes the lease from a holder that still waits for the one before goes by that holder's report alone, so it waits for nobody.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -4,6 +4,7 @@
     deployment::{Deployment, Failure, Ids, MODEL_SERVICE, Request, route, tenant, with_tenants},
     engine::MODEL,
     http::{response, wire},
+    json::{Json, object},
     record::Record,
 };
 use std::{
@@ -246,3 +247,154 @@
         false => Ok(count == 0),
     }
 }
+
+/// DRAIN: an entry of another writer that can't be read hides that an engine leaves.
+pub fn unreadable(root: &Path, record: Record, has_trouble: bool) -> Result<bool, Failure> {
+    const MACHINES: usize = 3;
+    const INTERVAL: Duration = Duration::from_millis(20);
+    /// Text that is cut within a character: JSON, but no text in Unicode.
+    const CUT_TEXT: &str = r#""alamo-\ud83d""#;
+
+    let routes = vec![route("order", "non_idempotent", PLAIN_SERVICE)];
+    let engines = (PLAIN_SERVICE, 4);
+    let start = Deployment::start(root, record.clone(), MACHINES, engines, routes, &["shop"]);
+    let mut deployment = start?;
+    let mut ids = Ids::new(7);
+    let mut number = 0;
+    let mut send_for = |deployment: &mut Deployment, time: Duration| {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            deployment.send(number % MACHINES, ids.request(), &order(number));
+            number += 1;
+            sleep(INTERVAL);
+        }
+    };
+    send_for(&mut deployment, Duration::from_secs(2));
+    if has_trouble {
+        let entry = object([
+            ("Service", PLAIN_SERVICE.into()),
+            ("Zone", Json::Raw(CUT_TEXT.to_owned())),
+            ("State", "ready".into()),
+            ("Seq", 1.into()),
+        ]);
+        deployment.store.write("servers", "other-writer", entry);
+        record.write("an entry of another writer is listed, whose zone can't be read");
+    }
+    send_for(&mut deployment, Duration::from_secs(1));
+    let leaving = deployment.engines[1].clone();
+    let accepted = leaving.drain();
+    record.write(&format!(
+        "the store has accepted that {} drains",
+        leaving.name
+    ));
+    send_for(&mut deployment, Duration::from_secs(6));
+    deployment.wait_for_clients();
+    let arrivals = leaving.arrivals.lock().expect("no thread panics").clone();
+    let sent = deployment.sent.lock().expect("no thread panics").clone();
+    let mut late: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut last_ms = 0;
+    for (at, id) in &arrivals {
+        let Some(by) = sent.get(id).map(|sent| sent.machine.as_str()) else {
+            continue;
+        };
+        if *at <= accepted + DRAIN {
+            continue;
+        }
+        *late.entry(by).or_default() += 1;
+        last_ms = (*at - accepted).as_millis();
+        record.write(&format!(
+            "DRAIN: {id} reached {} after {last_ms} ms, by {by}",
+            leaving.name
+        ));
+    }
+    let count: usize = late.values().sum();
+    println!(
+        "sent {}, to the leaving engine later than {} ms {count}, the last after {last_ms} ms, \
+         by {} machines",
+        sent.len(),
+        DRAIN.as_millis(),
+        late.len(),
+    );
+    match arrivals.len() < 20 {
+        true => Err("the leaving engine got too few requests before".into()),
+        false => Ok(count == 0),
+    }
+}
+
+/// ONE: in a rolling restart a third machine gives an engine orders too soon after the first.
+pub fn one(root: &Path, record: Record, has_trouble: bool) -> Result<bool, Failure> {
+    const MACHINES: usize = 4;
+    const ENGINES: usize = 1;
+    const LEASE: Duration = Duration::from_millis(3_000);
+    /// Pause between the SIGTERMs of the rolling restart.
+    const GAP: Duration = Duration::from_millis(1_200);
+    /// Time from the first SIGTERM to the acknowledgement of newer weights.
+    const NAMED_AFTER: Duration = Duration::from_millis(200);
+
+    let routes = vec![route("advice", "streaming", MODEL_SERVICE)];
+    let engines = (MODEL_SERVICE, ENGINES);
+    let start = Deployment::start(root, record.clone(), MACHINES, engines, routes, &["shop"]);
+    let mut deployment = start?;
+    sleep(Duration::from_secs(2));
+    deployment.name_version(2);
+    let until = Instant::now() + Duration::from_secs(8);
+    let engines = deployment.engines.clone();
+    while !engines.iter().all(|engine| engine.has_version(2)) {
+        if Instant::now() > until {
+            return Err("the engines don't get the new weights".into());
+        }
+        sleep(Duration::from_millis(20));
+    }
+    // The machine that has written to the store last, under a condition, goes first.
+    let first = deployment.holder();
+    let stopped = Instant::now();
+    if has_trouble {
+        deployment.terminate(&first);
+    }
+    sleep(NAMED_AFTER);
+    deployment.name_version(3);
+    sleep(GAP.saturating_sub(stopped.elapsed()));
+    while has_trouble && deployment.holder() == first && stopped.elapsed() < 2 * GAP {
+        sleep(Duration::from_millis(20));
+    }
+    if has_trouble {
+        let next = deployment.holder();
+        deployment.terminate(&next);
+    }
+    let until = Instant::now() + Duration::from_secs(12);
+    while Instant::now() < until {
+        deployment.restart_ended(root)?;
+        sleep(Duration::from_millis(100));
+    }
+    let (mut count, mut broken) = (0, 0);
+    for engine in &engines {
+        let orders = engine.orders.lock().expect("no thread panics").clone();
+        count += orders.len();
+        for pair in orders.windows(2) {
+            let (before, after) = (&pair[0], &pair[1]);
+            let apart = after.at - before.at;
+            if before.holder != after.holder && apart < LEASE {
+                broken += 1;
+                record.write(&format!(
+                    "ONE: {} gives {} an order {} ms after {}",
+                    after.holder,
+                    engine.name,
+                    apart.as_millis(),
+                    before.holder
+                ));
+            }
+            if after.fence < before.fence
+                || after.fence == before.fence && after.holder != before.holder
+            {
+                broken += 1;
+                let (after, before) = (after.fence, before.fence);
+                record.write(&format!("ONE: token {after} comes after {before}"));
+            }
+        }
+    }
+    println!("orders {count}, turns within 3000 ms or wrong tokens {broken}");
+    match count < 2 * ENGINES {
+        true => Err("too few orders were given".into()),
+        false => Ok(broken == 0),
+    }
+}
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -1,7 +1,7 @@
 //! A small deployment: a store, engines, machines with real processes, and clients.
 
 use crate::{
-    engine::{Engine, service},
+    engine::{Engine, MODEL, service},
     http::{exchange, wire},
     json::{Json, object},
     record::Record,
@@ -114,6 +114,33 @@
         exchange(self.address(READY_PORT), request.as_bytes(), within) == 200
     }
 
+    /// Sends the process SIGTERM, as the platform does to stop it.
+    fn terminate(&self) {
+        if let Some(process) = &self.process {
+            // Fails if the process has ended by itself.
+            let _ = Command::new("kill")
+                .args(["-TERM", &process.id().to_string()])
+                .status();
+        }
+    }
+
+    /// Starts the process again if it has ended.
+    fn restart_ended(&mut self, root: &Path) -> Result<bool, Failure> {
+        let ended = match &mut self.process {
+            Some(process) => process.try_wait()?.is_some(),
+            None => false,
+        };
+        if ended {
+            let text = fs::read_to_string(&self.settings)?;
+            fs::write(
+                &self.settings,
+                text.replace("Bootstrap=true", "Bootstrap=false"),
+            )?;
+            self.start(root)?;
+        }
+        Ok(ended)
+    }
+
     /// Kills the process, as a loss of power does.
     pub fn kill(&mut self) {
         if let Some(mut process) = self.process.take() {
@@ -232,6 +259,39 @@
         Ok(engine)
     }
 
+    /// Names new weights.
+    pub fn name_version(&self, version: u64) {
+        let named = object([("Model", MODEL.into()), ("Version", version.into())]);
+        self.store.write("versions", MODEL, named);
+        let text = format!("the store has accepted version {version}");
+        self.record.write(&text);
+    }
+
+    /// Returns the name of the machine that has last written the lease for orders.
+    pub fn holder(&self) -> String {
+        let holder = self.store.text("leases", "orders", "holder");
+        holder.unwrap_or_default()
+    }
+
+    /// Sends a machine SIGTERM.
+    pub fn terminate(&self, name: &str) {
+        let mut machines = self.machines.iter();
+        if let Some(machine) = machines.find(|machine| machine.name == name) {
+            machine.terminate();
+            self.record.write(&format!("{name} gets SIGTERM"));
+        }
+    }
+
+    /// Starts the processes that have ended again, as the platform does.
+    pub fn restart_ended(&mut self, root: &Path) -> Result<(), Failure> {
+        for machine in &mut self.machines {
+            if machine.restart_ended(root)? {
+                self.record.write(&format!("{} starts again", machine.name));
+            }
+        }
+        Ok(())
+    }
+
     /// Sends a request to a machine, in a thread of its own.
     pub fn send(&mut self, machine: usize, id: String, request: &Request) {
         let machine = &self.machines[machine];
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -14,7 +14,7 @@
         Arc, Mutex, OnceLock,
         atomic::{AtomicUsize, Ordering},
     },
-    thread::sleep,
+    thread::{self, sleep},
     time::{Duration, Instant},
 };
 
@@ -33,6 +33,36 @@
 /// Events of a stream.
 const EVENTS: usize = 5;
 
+/// Time that an engine takes to load new weights.
+const LOAD: Duration = Duration::from_millis(380);
+
+/// Age of what an engine reports.
+const REPORT_AGE: Duration = Duration::from_millis(200);
+
+/// An order that reached an engine.
+#[derive(Debug, Clone)]
+pub struct Order {
+    pub at: Instant,
+    pub holder: String,
+    pub fence: u64,
+}
+
+const FIRST_WEIGHTS: Weights = Weights {
+    version: 1,
+    loads: None,
+    accepted: 0,
+};
+
+/// Weights of an engine, and the orders that concern them.
+#[derive(Debug, Clone, Copy)]
+struct Weights {
+    version: u64,
+    /// Version that is being loaded.
+    loads: Option<u64>,
+    /// Number of accepted orders.
+    accepted: u64,
+}
+
 /// A use of a cached part of a prompt.
 #[derive(Debug, Clone)]
 pub struct PartUse {
@@ -64,6 +94,10 @@
     /// Requests that reached it, in order.
     pub arrivals: Mutex<Vec<(Instant, String)>>,
     pub fault: OnceLock<Fault>,
+    /// The weights at each change, oldest first.
+    weights: Mutex<Vec<(Instant, Weights)>>,
+    /// Orders that reached it.
+    pub orders: Mutex<Vec<Order>>,
     /// Tenant whose request made a part, by cache salt and the parts up to it.
     makers: Mutex<HashMap<(String, String), String>>,
     /// Engines from which it can fetch parts.
@@ -95,6 +129,8 @@
             runs: Mutex::default(),
             arrivals: Mutex::default(),
             fault: OnceLock::new(),
+            weights: Mutex::new(vec![(Instant::now(), FIRST_WEIGHTS)]),
+            orders: Mutex::default(),
             makers: Mutex::default(),
             fleet: OnceLock::new(),
             uses: Mutex::default(),
@@ -114,15 +150,9 @@
 
     /// Writes its entry. Later heartbeats change `Seq` alone, and so not the entry.
     fn list(&self, state: &str) {
-        let model = object([
-            ("Name", MODEL.into()),
-            ("Version", 1.into()),
-            ("Adapters", Vec::new().into()),
-        ]);
-        let models = if self.has_model {
-            vec![model]
-        } else {
-            Vec::new()
+        let models: Json = match self.has_model {
+            true => self.models(self.weights(Duration::ZERO).version),
+            false => Vec::new().into(),
         };
         let entry = object([
             ("Service", self.service.as_str().into()),
@@ -133,7 +163,7 @@
             ("State", state.into()),
             ("ColdLeftMs", 0.into()),
             ("Stage", "both".into()),
-            ("Models", models.into()),
+            ("Models", models),
             ("Seq", 1.into()),
         ]);
         self.store.write("servers", &self.name, entry);
@@ -153,14 +183,107 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream) -> io::Result<()> {
+    /// Returns the weights as they were before a time.
+    fn weights(&self, age: Duration) -> Weights {
+        let weights = self.weights.lock().expect("no thread panics");
+        let mut newest_first = weights.iter().rev();
+        let known = newest_first.find(|(at, _)| at.elapsed() >= age);
+        known.map_or(FIRST_WEIGHTS, |(_, weights)| *weights)
+    }
+
+    /// Returns whether it has loaded a version of its weights.
+    pub fn has_version(&self, version: u64) -> bool {
+        let weights = self.weights(Duration::ZERO);
+        weights.loads.is_none() && weights.version >= version
+    }
+
+    fn set_weights(&self, weights: Weights) {
+        let change = (Instant::now(), weights);
+        self.weights.lock().expect("no thread panics").push(change);
+    }
+
+    fn models(&self, version: u64) -> Json {
+        vec![object([
+            ("Name", MODEL.into()),
+            ("Version", version.into()),
+            ("Adapters", Vec::new().into()),
+        ])]
+        .into()
+    }
+
+    fn report(&self) -> Json {
+        let weights = self.weights(REPORT_AGE);
+        object([
+            ("Stage", "both".into()),
+            ("Models", self.models(weights.version)),
+            ("Busy", weights.loads.is_some().into()),
+            ("Seq", weights.accepted.into()),
+            ("Queued", 0.into()),
+            ("Running", 0.into()),
+            ("KvUsed", 0.into()),
+            ("KvTotal", 82_259.into()),
+            ("Handles", 0.into()),
+        ])
+    }
+
+    /// Takes an order, and returns the status of the answer.
+    fn take_order(self: &Arc<Self>, body: &str) -> u16 {
+        let order = Json::parse(body).unwrap_or(Json::Null);
+        let number = |name: &str| order.get(name).and_then(Json::number);
+        let holder = order.get("Holder").and_then(Json::text);
+        let (Some(holder), Some(fence), Some(version)) =
+            (holder, number("FencingToken"), number("Version"))
+        else {
+            return 400;
+        };
+        self.orders.lock().expect("no thread panics").push(Order {
+            at: Instant::now(),
+            holder: holder.to_owned(),
+            fence,
+        });
+        let weights = self.weights(Duration::ZERO);
+        let status = if weights.loads.is_none() && weights.version >= version {
+            200
+        } else if weights.loads.is_some()
+            || number("Expected").is_some_and(|expected| expected != weights.accepted)
+        {
+            409
+        } else {
+            202
+        };
+        self.record.write(&format!(
+            "order of {holder} with token {fence} for version {version} reaches {}: {status}",
+            self.name
+        ));
+        if status == 202 {
+            let loading = Weights {
+                loads: Some(version),
+                accepted: weights.accepted + 1,
+                ..weights
+            };
+            self.set_weights(loading);
+            let engine = self.clone();
+            thread::spawn(move || {
+                sleep(LOAD);
+                engine.set_weights(Weights {
+                    version,
+                    loads: None,
+                    ..loading
+                });
+                engine.list("ready");
+            });
+        }
+        status
+    }
+
+    fn serve(self: &Arc<Self>, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         // The last request that was answered on this connection.
         let mut answered = String::new();
         while let Some(head) = read_head(&mut reader)? {
-            read_body(&mut reader, &head)?;
+            let body = read_body(&mut reader, &head)?;
             let request = head.text(wire("request_id"));
             let arrival = (Instant::now(), request.clone());
             self.arrivals
@@ -174,6 +297,12 @@
                 writer.write_all(&response("200 OK", &[own], b""))?;
             } else if expected.is_some_and(|expected| expected != self.name) {
                 writer.write_all(&response("421 Misdirected Request", &[named, own], b""))?;
+            } else if head.first_line.contains(" /api/report ") {
+                let report = self.report().to_string();
+                writer.write_all(&response("200 OK", &[own], report.as_bytes()))?;
+            } else if head.first_line.contains(" /api/order ") {
+                let status = self.take_order(&String::from_utf8_lossy(&body));
+                writer.write_all(&response(&format!("{status} Answer"), &[own], b""))?;
             } else if self.running.fetch_add(1, Ordering::SeqCst) >= self.slots() {
                 self.running.fetch_sub(1, Ordering::SeqCst);
                 let not_run = (wire("not_executed"), "1");
--- a/review/standins/src/json.rs
+++ b/review/standins/src/json.rs
@@ -9,6 +9,8 @@
     Bool(bool),
     Number(String),
     Text(String),
+    /// A value that is written as it stands.
+    Raw(String),
     List(Vec<Json>),
     Object(Vec<(String, Json)>),
 }
@@ -84,7 +86,7 @@
         match self {
             Json::Null => formatter.write_str("null"),
             Json::Bool(value) => write!(formatter, "{value}"),
-            Json::Number(text) => formatter.write_str(text),
+            Json::Number(text) | Json::Raw(text) => formatter.write_str(text),
             Json::Text(text) => write_text(formatter, text),
             Json::List(values) => {
                 formatter.write_str("[")?;
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -25,6 +25,8 @@
     match case.as_str() {
         "twice" => cases::twice(root, record, has_trouble),
         "wall" => cases::wall(root, record, has_trouble),
+        "unreadable" => cases::unreadable(root, record, has_trouble),
+        "one" => cases::one(root, record, has_trouble),
         "drain" => cases::drain(root, record, has_trouble),
         _ => Err("there is no such case".into()),
     }
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -67,6 +67,13 @@
         self.shared.lock().lag = lag;
     }
 
+    /// Returns a text in the content of an object.
+    pub fn text(&self, kind: &str, name: &str, field: &str) -> Option<String> {
+        let state = self.shared.lock();
+        let stored = state.objects.get(&(kind.to_owned(), name.to_owned()))?;
+        stored.spec.get(field)?.text().map(str::to_owned)
+    }
+
     /// Writes an object unconditionally, as the operator and the engines do. It is accepted
     /// when this returns.
     pub fn write(&self, kind: &str, name: &str, spec: Json) {
