--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -297,10 +297,10 @@
                 writer.write_all(&response("200 OK", &[own], b""))?;
             } else if expected.is_some_and(|expected| expected != self.name) {
                 writer.write_all(&response("421 Misdirected Request", &[named, own], b""))?;
-            } else if head.first_line.contains(" /api/report ") {
+            } else if head.first_line.contains(wire("report_path")) {
                 let report = self.report().to_string();
                 writer.write_all(&response("200 OK", &[own], report.as_bytes()))?;
-            } else if head.first_line.contains(" /api/order ") {
+            } else if head.first_line.contains(wire("order_path")) {
                 let status = self.take_order(&String::from_utf8_lossy(&body));
                 writer.write_all(&response(&format!("{status} Answer"), &[own], b""))?;
             } else if self.running.fetch_add(1, Ordering::SeqCst) >= self.slots() {
