--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -118,9 +118,8 @@
     fn terminate(&self) {
         if let Some(process) = &self.process {
             // Fails if the process has ended by itself.
-            let _ = Command::new("kill")
-                .args(["-TERM", &process.id().to_string()])
-                .status();
+            let command = format!("kill -TERM {}", process.id());
+            let _ = Command::new("sh").args(["-c", &command]).status();
         }
     }
 
