--- a/crates/gateway/src/weights/lease.rs
+++ b/crates/gateway/src/weights/lease.rs
@@ -259,6 +259,17 @@
             .and_then(|record| self.holder_report(&record));
         let settings = &self.instance.settings.lease;
         let no_orders_since_ms = seen.check_takeover(report, settings, now_ms);
+        if let Some(no_orders_since_ms) = no_orders_since_ms {
+            log::info!(
+                "event=lease_available revision={} settled={is_settled} own={is_own} \
+                 reported={} restarted={} quiet_ms={} seen_ms={}",
+                stored.revision,
+                report.is_some(),
+                report.is_some_and(|report| report.is_restarted),
+                now_ms.saturating_sub(no_orders_since_ms),
+                now_ms.saturating_sub(seen.first_seen_ms),
+            );
+        }
         no_orders_since_ms.map_or(PreviousHolder::MayBeActive, PreviousHolder::Replaceable)
     }
 
