Keep the exclusion time of orders when a taker of the lease ends

Callers saw nothing at once; engines got orders of two instances 2.6 to 2.7 s apart in a rolling restart (exclusion time 3 s), in turns, which mixes weights where engines don't check fences.

Cause: what a new holder owes to the one before was in its memory alone. The next one went by this holder's report, "no order since my start", and ordered at once.

Now the record of a holder that hasn't settled tells the age of earlier orders, and the holder reports it in its heartbeats; the record's sequence number tells which reports came after it. An unsettled lease is renewed before its first order, so that the record alone proves that its holder has not ordered.

The check that a report of another process counts whenever it was received is replaced: after the clock was set back that process can be the one before the writer. The changed assertion wants None for it, and the former result for a report received afterwards.

--- a/crates/core/src/mesh/heartbeat.rs
+++ b/crates/core/src/mesh/heartbeat.rs
@@ -111,7 +111,9 @@
     /// Whether the instance holds the lease under which orders are sent to
     /// engines.
     pub holds_lease: bool,
-    /// Time since its last order; `None` if it has sent none since it started.
+    /// Time since its last order, or since the last one that an earlier holder may have
+    /// sent when the instance last tried to take the lease; `None` if there was neither
+    /// since it started.
     pub ordered_ago_ms: Option<u32>,
     /// Orders that the instance sends under the lease.
     pub orders: Vec<OrderReport>,
--- a/crates/core/src/weights/lease.rs
+++ b/crates/core/src/weights/lease.rs
@@ -1,3 +1,5 @@
+use crate::mesh::Heartbeat;
+
 /// Durations of the lease under which orders are sent to engines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct OrderLeaseSettings {
@@ -54,10 +56,28 @@
     pub fence: u64,
     /// Revision of the record, which the next renewal is conditional on.
     pub revision: u64,
+    /// Whether the record says that the exclusion time of earlier holders has passed.
+    is_settled: bool,
     renewal_sent_ms: u64,
     earliest_order_ms: u64,
 }
 
+/// What the record of a lease says about its holder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LeaseClaim {
+    /// Incarnation of the holder when it took the lease.
+    pub incarnation: u64,
+    /// Whether the holder has renewed the lease, which it does only after the exclusion
+    /// time of all earlier holders.
+    pub is_settled: bool,
+    /// Age of the last order of any earlier holder when the record was written, in
+    /// milliseconds; `None` if the record doesn't tell.
+    pub quiet_ms: Option<u64>,
+    /// Sequence number of the holder's last heartbeat before it last wrote the record;
+    /// `None` if the record doesn't tell.
+    pub heartbeat: Option<u64>,
+}
+
 /// Record of another holder, as observed by this instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ObservedRecord {
@@ -65,6 +85,8 @@
     pub revision: u64,
     /// When it was first read at this revision, in milliseconds.
     pub first_seen_ms: u64,
+    /// What the record says about its holder.
+    pub claim: LeaseClaim,
 }
 
 /// Lease under which orders are sent to engines, as a state machine.
@@ -90,6 +112,36 @@
     pub received_ms: u64,
     /// Whether it has restarted since it wrote the record.
     pub is_restarted: bool,
+    /// Whether it was sent after the holder took the lease, by the record's own word.
+    /// `no_orders_since_ms` then holds for all earlier holders, too.
+    pub is_after_claim: bool,
+}
+
+impl HolderReport {
+    /// Returns the report in the last heartbeat of a record's holder; `None` if the
+    /// holder still has the lease.
+    ///
+    /// If the holder has restarted or has sent no order since its start, its start
+    /// counts as the time of its last order: the process that sent earlier orders is gone.
+    pub fn new(claim: &LeaseClaim, last: &Heartbeat, received_ms: u64) -> Option<HolderReport> {
+        if last.holds_lease {
+            return None;
+        }
+        let is_restarted = last.incarnation != claim.incarnation;
+        let ago_ms = match last.ordered_ago_ms {
+            Some(ago_ms) if !is_restarted => ago_ms,
+            _ => last.up_ms,
+        };
+        let is_later = claim
+            .heartbeat
+            .is_some_and(|claimed| last.sequence > claimed);
+        Some(HolderReport {
+            no_orders_since_ms: received_ms.saturating_sub(u64::from(ago_ms)),
+            received_ms,
+            is_restarted,
+            is_after_claim: !is_restarted && is_later,
+        })
+    }
 }
 
 impl ObservedRecord {
@@ -100,35 +152,61 @@
         self.first_seen_ms + settings.valid_ms
     }
 
-    /// Returns the time since which the holder has sent no order, in
+    /// Returns the latest time, in milliseconds, at which an order may have been sent, as
+    /// far as a record tells whose holder has not settled. Such a holder has sent none
+    /// itself, so its own reports say nothing about earlier ones.
+    fn recorded_orders_ms(&self) -> Option<u64> {
+        let quiet_ms = self.claim.quiet_ms.filter(|_| !self.claim.is_settled)?;
+        // The record was written before it was first read.
+        Some(self.first_seen_ms.saturating_sub(quiet_ms))
+    }
+
+    /// Returns the time since which the holder and all earlier ones have sent no order, in
     /// milliseconds, if the record may be taken from it; `None` if it may not.
     ///
-    /// A report that was received before the record was first read may be older
-    /// than the record, because a heartbeat takes a second to reach all
-    /// instances of a large fleet; it counts only if the holder has restarted
-    /// since. Acting on such reports, instances would keep taking the lease from
-    /// each other, each waiting for the exclusion time of the one before, and no
-    /// orders would be sent.
+    /// Acting on a report that is older than the record, instances would keep taking the
+    /// lease from each other, each waiting for the exclusion time of the one before, and no
+    /// orders would be sent; or two would send them at once.
     pub fn check_takeover(
         &self,
         report: Option<HolderReport>,
         settings: &OrderLeaseSettings,
         now_ms: u64,
     ) -> Option<u64> {
-        let report =
-            report.filter(|report| report.is_restarted || report.received_ms >= self.first_seen_ms);
-        let (takeover_ms, no_orders_since_ms) = match report {
-            Some(report) => (
-                self.first_seen_ms + settings.released_wait_ms,
-                report.no_orders_since_ms,
-            ),
-            None => (
-                self.first_seen_ms + settings.silent_wait_ms(),
-                self.no_orders_since_ms(settings),
-            ),
+        let report = report.filter(|report| self.precedes(report));
+        let wait_ms = match report {
+            Some(_) => settings.released_wait_ms,
+            None => settings.silent_wait_ms(),
+        };
+        let no_orders_since_ms = match (report, self.recorded_orders_ms()) {
+            (Some(report), _) if report.is_after_claim => report.no_orders_since_ms,
+            (_, Some(recorded_ms)) => recorded_ms,
+            (Some(report), None) => self.reported_orders_ms(&report),
+            (None, None) => self.no_orders_since_ms(settings),
         };
+        let takeover_ms = self.first_seen_ms + wait_ms;
         (now_ms >= takeover_ms).then_some(no_orders_since_ms)
     }
+
+    /// Returns whether a report was sent after the record was written.
+    ///
+    /// Without the sequence number in the record, or if the holder has restarted, the time
+    /// of receipt decides, although a heartbeat takes up to a second to reach all instances
+    /// of a large fleet. That the reporting process differs from the record's writer doesn't
+    /// make it the later one: the clock by which incarnations are numbered can be set back.
+    fn precedes(&self, report: &HolderReport) -> bool {
+        let is_ordered = self.claim.heartbeat.is_some() && !report.is_restarted;
+        report.is_after_claim || !is_ordered && report.received_ms >= self.first_seen_ms
+    }
+
+    /// Returns the time of the last order by a report that may leave out earlier holders. A
+    /// record that doesn't tell their age may have been written just after an order.
+    fn reported_orders_ms(&self, report: &HolderReport) -> u64 {
+        match self.claim.is_settled {
+            true => report.no_orders_since_ms,
+            false => report.no_orders_since_ms.max(self.first_seen_ms),
+        }
+    }
 }
 
 impl OrderLease<Vacant> {
@@ -161,6 +239,7 @@
             state: OrderLeaseHeld {
                 fence,
                 revision,
+                is_settled: no_orders_since_ms.is_none(),
                 renewal_sent_ms: sent_ms,
                 earliest_order_ms,
             },
@@ -173,6 +252,7 @@
     /// it was sent.
     pub fn record_renewal(&mut self, revision: u64, sent_ms: u64) {
         self.state.revision = revision;
+        self.state.is_settled = true;
         self.state.renewal_sent_ms = sent_ms;
     }
 
@@ -183,8 +263,12 @@
     }
 
     /// Returns whether an order may be sent now.
+    ///
+    /// A lease that was taken from another instance has to be renewed first: the next holder
+    /// takes it from the record that this one has sent no order before.
     pub fn may_order(&self, now_ms: u64) -> bool {
-        now_ms >= self.state.earliest_order_ms
+        self.state.is_settled
+            && now_ms >= self.state.earliest_order_ms
             && now_ms < self.state.renewal_sent_ms + self.settings.valid_ms
     }
 
--- a/crates/core/src/weights/mod.rs
+++ b/crates/core/src/weights/mod.rs
@@ -13,7 +13,10 @@
 pub use {
     change_progress::ChangeProgress,
     history::{PublishedAt, VersionBounds, WeightsHistory, WeightsSettings},
-    lease::{HolderReport, ObservedRecord, OrderLease, OrderLeaseHeld, OrderLeaseSettings, Vacant},
+    lease::{
+        HolderReport, LeaseClaim, ObservedRecord, OrderLease, OrderLeaseHeld, OrderLeaseSettings,
+        Vacant,
+    },
     load_concurrency::LoadConcurrency,
     loading_places::{FinishedLoad, LoadingPlaces},
     plan::{OutdatedEngine, PlanSettings, Step, plan},
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -3,8 +3,8 @@
 
 use {
     mangowalk_core::weights::{
-        FinishedLoad, HolderReport, LoadBounds, LoadConcurrency, LoadingPlaces, ModelLoad,
-        ObservedRecord, OrderLease, OrderLeaseHeld, OrderLeaseSettings, OutdatedEngine,
+        FinishedLoad, HolderReport, LeaseClaim, LoadBounds, LoadConcurrency, LoadingPlaces,
+        ModelLoad, ObservedRecord, OrderLease, OrderLeaseHeld, OrderLeaseSettings, OutdatedEngine,
         PlanSettings, PublishedAt, RollingSettings, Step, Vacant, WeightsHistory, WeightsSettings,
         plan, plan_rolling,
     },
@@ -94,7 +94,11 @@
                     let instance = &mut instances[at];
                     let LeaseState::Vacant(vacant) = &instance.hold else { continue };
                     let seen = instance.seen.filter(|seen| seen.revision == record.revision);
-                    let seen = seen.unwrap_or(ObservedRecord { revision: record.revision, first_seen_ms: now_ms });
+                    let seen = seen.unwrap_or(ObservedRecord {
+                        revision: record.revision,
+                        first_seen_ms: now_ms,
+                        claim: LeaseClaim { is_settled: record.is_settled, ..LeaseClaim::default() },
+                    });
                     instance.seen = Some(seen);
                     let is_own = record.holder == Some(at) && record.is_settled;
                     let is_other = record.holder.is_some() && !is_own;
@@ -309,12 +313,17 @@
     let seen = ObservedRecord {
         revision: 7,
         first_seen_ms: 10_000,
+        claim: LeaseClaim {
+            is_settled: true,
+            ..LeaseClaim::default()
+        },
     };
     let report = |received_ms, is_restarted| {
         Some(HolderReport {
             no_orders_since_ms: 9_000,
             received_ms,
             is_restarted,
+            is_after_claim: false,
         })
     };
     let old = report(9_900, false);
@@ -327,8 +336,13 @@
         seen.check_takeover(report(10_200, false), &settings, 10_700),
         Some(9_000)
     );
+    // The process that sent an old report may be the one before the record's writer.
     assert_eq!(
         seen.check_takeover(report(9_900, true), &settings, 10_700),
+        None
+    );
+    assert_eq!(
+        seen.check_takeover(report(10_200, true), &settings, 10_700),
         Some(9_000)
     );
     // Without a report, the holder may be behind a partition, waiting for the
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -118,9 +118,12 @@
     pub relay_budget: Cell<RelayBudget>,
     /// Whether this instance holds the lease under which orders are sent.
     pub holds_lease: Cell<bool>,
-    /// When this instance sent its last order; `None` if it sent none since its
-    /// start.
+    /// When this instance sent its last order, or an earlier holder may have sent one
+    /// when this instance last tried to take the lease; `None` if there was neither since
+    /// its start.
     pub last_order_ms: Cell<Option<u64>>,
+    /// Sequence number of the last heartbeat of this instance.
+    pub heartbeat_sequence: Cell<u64>,
     /// Orders of this instance that are planned, sent or just completed, as reported
     /// in heartbeats. Empty without the lease.
     pub order_reports: RefCell<Vec<OrderReport>>,
@@ -203,6 +206,7 @@
             relay_budget: Cell::new(relay_budget),
             holds_lease: Cell::new(false),
             last_order_ms: Cell::new(None),
+            heartbeat_sequence: Cell::new(0),
             order_reports: RefCell::default(),
             weights_changes: RefCell::default(),
             held: Arc::default(),
@@ -311,6 +315,14 @@
         true
     }
 
+    /// Records until when earlier holders of the lease may have sent orders, which this
+    /// instance reports like an order of its own.
+    pub fn record_earlier_orders(&self, no_orders_since_ms: u64) {
+        let last_ms = self.last_order_ms.get().unwrap_or(0);
+        self.last_order_ms
+            .set(Some(last_ms.max(no_orders_since_ms)));
+    }
+
     /// Sends a heartbeat at once because the store has reported a change. In a large
     /// fleet only the instances that read current state do: all others hear of the
     /// change at about the same time, and would tell it to each other.
--- a/crates/gateway/src/mesh/exchange.rs
+++ b/crates/gateway/src/mesh/exchange.rs
@@ -225,8 +225,6 @@
 /// What this instance has sent so far.
 #[derive(Debug, Default)]
 struct Sent {
-    /// Sequence number of the last heartbeat.
-    sequence: Cell<u64>,
     /// When the last heartbeat was sent.
     heartbeat_ms: Cell<u64>,
     /// When the last pack of the group's heartbeats was sent.
@@ -262,8 +260,8 @@
         instance.forget_peer(peer, now_ms);
     }
     instance.update_share_peers(now_ms);
-    let turn = sent.sequence.get() + 1;
-    sent.sequence.set(turn);
+    let turn = instance.heartbeat_sequence.get() + 1;
+    instance.heartbeat_sequence.set(turn);
     sent.heartbeat_ms.set(now_ms);
     let domain = instance.machine().domain.clone();
     let heartbeat = Box::new(heartbeat(instance, turn, now_ms));
--- a/crates/gateway/src/weights/lease.rs
+++ b/crates/gateway/src/weights/lease.rs
@@ -4,7 +4,9 @@
         instance::{Drain, Instance},
         store::CallClient,
     },
-    mangowalk_core::weights::{HolderReport, ObservedRecord, OrderLease, OrderLeaseHeld, Vacant},
+    mangowalk_core::weights::{
+        HolderReport, LeaseClaim, ObservedRecord, OrderLease, OrderLeaseHeld, Vacant,
+    },
     mangowalk_platform::{
         Call, LeaseRecord, ObjectKind, StoredObject, decode_object, encode_create, encode_replace,
         path_of_object,
@@ -44,7 +46,8 @@
     /// This machine, in this or an earlier incarnation. Orders of one machine
     /// never conflict with each other.
     OwnRecord,
-    /// Another instance, which has sent no order since this time, in milliseconds.
+    /// Another instance. Neither it nor an earlier holder has sent an order since this
+    /// time, in milliseconds.
     Replaceable(u64),
     /// Another instance, which may still hold the lease.
     MayBeActive,
@@ -186,7 +189,7 @@
         let (no_orders_since_ms, write) = match self.store.call(&call, within_ms).await {
             Ok((404, _)) if self.is_own_turn(since_ms) => (
                 None,
-                encode_create(ObjectKind::Leases, RECORD_NAME, &self.record(1, 1, true)),
+                encode_create(ObjectKind::Leases, RECORD_NAME, &self.settled_record(1, 1)),
             ),
             Ok((200, body)) => {
                 let Ok(stored) = decode_object(&body) else {
@@ -194,11 +197,12 @@
                     return;
                 };
                 match self.previous_holder(&stored, now_ms()) {
-                    PreviousHolder::OwnRecord => (None, self.replacement(&stored, true)),
+                    PreviousHolder::OwnRecord => (None, self.replacement(&stored, None)),
                     PreviousHolder::Replaceable(no_orders_since_ms)
                         if self.is_own_turn(since_ms) =>
                     {
-                        (Some(no_orders_since_ms), self.replacement(&stored, false))
+                        let since_ms = Some(no_orders_since_ms);
+                        (since_ms, self.replacement(&stored, since_ms))
                     }
                     PreviousHolder::Replaceable(_) | PreviousHolder::MayBeActive => return,
                 }
@@ -210,6 +214,11 @@
 
     /// Writes the record, and holds the lease if the store accepts it.
     async fn write_record(&mut self, write: Call, no_orders_since_ms: Option<u64>) {
+        // Set before the write: its answer may be lost, and the next holder then goes by
+        // the heartbeats of this instance.
+        if let Some(no_orders_since_ms) = no_orders_since_ms {
+            self.instance.record_earlier_orders(no_orders_since_ms);
+        }
         let sent_ms = now_ms();
         let within_ms = self.instance.settings.store_call_timeout_ms;
         let Ok((200 | 201, body)) = self.store.call(&write, within_ms).await else {
@@ -236,27 +245,29 @@
     /// Returns the holder of a record, and remembers when its revision was first
     /// read.
     fn previous_holder(&mut self, stored: &StoredObject, now_ms: u64) -> PreviousHolder {
+        let record: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
+        let claim = record.as_ref().map(claim).unwrap_or_default();
         let seen = self
             .observed_record
             .filter(|seen| seen.revision == stored.revision);
         let seen = seen.unwrap_or(ObservedRecord {
             revision: stored.revision,
             first_seen_ms: now_ms,
+            claim,
         });
         self.observed_record = Some(seen);
-        let record: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
         let own = &self.instance.machine().name;
         let is_own = record.as_ref().is_some_and(|record| record.holder == *own);
         // A record of this machine that is not settled was taken from another
         // instance by a write whose answer was lost, or just before a restart;
         // the exclusion time of that instance may not have passed.
-        let is_settled = record.as_ref().is_some_and(|record| record.is_settled);
+        let is_settled = claim.is_settled;
         if is_own && is_settled {
             return PreviousHolder::OwnRecord;
         }
         let report = record
             .filter(|_| !is_own)
-            .and_then(|record| self.holder_report(&record));
+            .and_then(|record| self.holder_report(&record.holder, &claim));
         let settings = &self.instance.settings.lease;
         let no_orders_since_ms = seen.check_takeover(report, settings, now_ms);
         if let Some(no_orders_since_ms) = no_orders_since_ms {
@@ -273,47 +284,39 @@
         no_orders_since_ms.map_or(PreviousHolder::MayBeActive, PreviousHolder::Replaceable)
     }
 
-    /// Returns the report of a record's holder that it does not hold the lease,
-    /// with the time of its last order; `None` if there is no such report.
-    ///
-    /// If the holder has restarted or has sent no order since its start, its start
-    /// counts as that time: the process that sent earlier orders is gone.
-    fn holder_report(&self, record: &LeaseRecord) -> Option<HolderReport> {
+    /// Returns the report of a record's holder that it does not hold the lease; `None` if
+    /// there is no such report.
+    fn holder_report(&self, holder: &str, claim: &LeaseClaim) -> Option<HolderReport> {
         let members = self.instance.members.borrow();
         let mut members = members.iter();
-        let holder = members.find(|member| member.last_heartbeat.name == record.holder)?;
-        let last = &holder.last_heartbeat;
-        if last.holds_lease {
-            return None;
-        }
-        let up_ms = u64::from(last.up_ms);
-        let is_restarted = last.incarnation != record.incarnation;
-        let ago_ms = match last.ordered_ago_ms {
-            Some(ago_ms) if !is_restarted => u64::from(ago_ms),
-            _ => up_ms,
-        };
-        Some(HolderReport {
-            no_orders_since_ms: holder.received_ms.saturating_sub(ago_ms),
-            received_ms: holder.received_ms,
-            is_restarted,
-        })
+        let holder = members.find(|member| member.last_heartbeat.name == holder)?;
+        HolderReport::new(claim, &holder.last_heartbeat, holder.received_ms)
     }
 
-    fn record(&self, fence: u64, renewals: u64, is_settled: bool) -> LeaseRecord {
+    /// Returns the record of a holder that owes no earlier one any time.
+    fn settled_record(&self, fence: u64, renewals: u64) -> LeaseRecord {
         LeaseRecord {
             holder: self.instance.machine().name.clone(),
             incarnation: self.instance.incarnation,
             fence,
-            is_settled,
+            is_settled: true,
+            quiet_ms: None,
+            heartbeat: Some(self.instance.heartbeat_sequence.get()),
             renewals,
         }
     }
 
-    fn replacement(&self, stored: &StoredObject, is_settled: bool) -> Call {
+    /// Returns the write that replaces the record of another holder, or one of this
+    /// machine if `no_orders_since_ms` is `None`.
+    fn replacement(&self, stored: &StoredObject, no_orders_since_ms: Option<u64>) -> Call {
         let previous: Option<LeaseRecord> = serde_json::from_value(stored.spec.clone()).ok();
         let (fence, renewals) =
             previous.map_or((1, 1), |record| (record.fence + 1, record.renewals + 1));
-        let record = self.record(fence, renewals, is_settled);
+        let mut record = self.settled_record(fence, renewals);
+        if let Some(no_orders_since_ms) = no_orders_since_ms {
+            record.is_settled = false;
+            record.quiet_ms = Some(now_ms().saturating_sub(no_orders_since_ms));
+        }
         encode_replace(ObjectKind::Leases, RECORD_NAME, stored.revision, &record)
     }
 
@@ -324,7 +327,7 @@
             return false;
         };
         let (fence, revision) = (lease.state().fence, lease.state().revision);
-        let record = self.record(fence, revision, true);
+        let record = self.settled_record(fence, revision);
         let call = encode_replace(ObjectKind::Leases, RECORD_NAME, revision, &record);
         let sent_ms = now_ms();
         match self
@@ -379,6 +382,15 @@
     }
 }
 
+fn claim(record: &LeaseRecord) -> LeaseClaim {
+    LeaseClaim {
+        incarnation: record.incarnation,
+        is_settled: record.is_settled,
+        quiet_ms: record.quiet_ms,
+        heartbeat: record.heartbeat,
+    }
+}
+
 fn decode_record(body: &[u8]) -> Option<(StoredObject, LeaseRecord)> {
     let stored = decode_object(body).ok()?;
     let record = serde_json::from_value(stored.spec.clone()).ok()?;
--- a/crates/mangowalkd/tests/machines/weights.rs
+++ b/crates/mangowalkd/tests/machines/weights.rs
@@ -296,3 +296,107 @@
     });
     assert_one_holder_at_a_time(&orders(&deployment));
 }
+
+/// `Bounds.LeaseMs` in the tests of takers that stop while they wait.
+const LONG_LEASE: Duration = Duration::from_millis(3_000);
+
+/// How a machine ends that has taken the lease and still waits for the exclusion time of
+/// the holder before it.
+#[derive(Debug, Clone, Copy)]
+enum TakerEnd {
+    Stopped,
+    Killed,
+    KilledAndRestarted,
+}
+
+fn start_with_long_lease(machines: usize) -> Deployment {
+    let mut deployment = Deployment::prepare(PROGRAM, machines, 1);
+    for machine in &mut deployment.machines {
+        machine.change_settings(|text| text.replace("LeaseMs=1000", "LeaseMs=3000"));
+        machine.start();
+    }
+    deployment.wait_until_ready();
+    // From then on a report that an instance has sent no order since its start says nothing
+    // of orders within the lease time.
+    std::thread::sleep(LONG_LEASE);
+    deployment
+}
+
+fn lease_holder(deployment: &Deployment) -> Option<usize> {
+    let record = deployment.store.read("leases", "orders")?;
+    let mut machines = deployment.machines.iter();
+    machines.position(|machine| record["holder"] == machine.name())
+}
+
+/// Ends the lease holder after its order, publishes new weights, and ends each of `takers`
+/// instances that take the lease before the first one's order is old enough. Returns the
+/// orders once the engine has the new weights.
+fn orders_after_takers_end(takers: usize, end: TakerEnd) -> Vec<AcceptedOrder> {
+    let mut deployment = start_with_long_lease(takers + 3);
+    deployment.publish_weights(2);
+    wait_until("the engine has version 2", || {
+        all_engines_have(&deployment, 2)
+    });
+    let first = lease_holder(&deployment).expect("a holder ordered");
+    deployment.machines[first].signal(Signal::SIGTERM);
+    deployment.publish_weights(3);
+    let mut holder = first;
+    for _ in 0..takers {
+        wait_until("another instance takes the lease", || {
+            lease_holder(&deployment).is_some_and(|taker| taker != holder)
+        });
+        holder = lease_holder(&deployment).expect("an instance took it");
+        let machine = &mut deployment.machines[holder];
+        match end {
+            TakerEnd::Stopped => machine.signal(Signal::SIGTERM),
+            TakerEnd::Killed => machine.kill(),
+            TakerEnd::KilledAndRestarted => {
+                machine.kill();
+                machine.start();
+            }
+        }
+    }
+    wait_until("the engine has version 3", || {
+        all_engines_have(&deployment, 3)
+    });
+    orders(&deployment)
+}
+
+fn assert_takers_wait(takers: usize, end: TakerEnd) {
+    let orders = orders_after_takers_end(takers, end);
+    for pair in orders.windows(2) {
+        let gap = pair[1].accepted_at - pair[0].accepted_at;
+        assert!(
+            pair[0].holder == pair[1].holder || gap >= LONG_LEASE,
+            "{end:?}: {} and {} sent orders within {gap:?}",
+            pair[0].holder,
+            pair[1].holder,
+        );
+        assert!(pair[0].fence < pair[1].fence, "{orders:?}");
+    }
+}
+
+/// Guards against two instances that order the same engine in turns: one that takes the
+/// lease is stopped while it waits, and the next one must wait for the orders of the first.
+#[test]
+fn the_exclusion_time_outlasts_a_stopped_taker() {
+    assert_takers_wait(1, TakerEnd::Stopped);
+}
+
+/// Guards against an exclusion time that is lost, or that starts anew, in a chain of takers.
+#[test]
+fn the_exclusion_time_outlasts_a_chain_of_stopped_takers() {
+    assert_takers_wait(2, TakerEnd::Stopped);
+}
+
+/// Guards against an exclusion time that ends with the process that waited for it.
+#[test]
+fn the_exclusion_time_outlasts_a_killed_taker() {
+    assert_takers_wait(1, TakerEnd::Killed);
+}
+
+/// Guards against an exclusion time that ends because the taker has restarted since.
+#[test]
+fn the_exclusion_time_outlasts_a_taker_that_restarts() {
+    assert_takers_wait(1, TakerEnd::KilledAndRestarted);
+}
