Hear an instance that restarts after its clock was set back

Incarnations are numbered by the time of day. An instance that restarted while its clock was ahead, and again once it was back, had the lower number the second time, and its peers dropped its heartbeats for up to 30 s: it counted as silent, its loads and orders were unknown, and the lease was taken from it as from a dead holder.

A heartbeat with a lower incarnation now counts as a later start if that start began after the known one was last heard, and no heartbeat of that one can be on its way. The new test fails without the change (the heartbeat at 11,100 ms is dropped).

--- a/crates/core/src/mesh/members.rs
+++ b/crates/core/src/mesh/members.rs
@@ -19,6 +19,9 @@
 /// half for the time between two heartbeats of the instance that sends the next one.
 const SILENT_AFTER_PACKS: f64 = 4.5;
 
+/// Time within which a heartbeat reaches all instances of a large fleet, in milliseconds.
+const MAX_HEARTBEAT_DELAY_MS: u64 = 1_000;
+
 /// A peer and its last heartbeat.
 #[derive(Debug, Clone)]
 pub struct Member {
@@ -72,6 +75,18 @@
     mean_packed_bytes: f64,
 }
 
+/// Returns whether a heartbeat is of a later start of its sender than the one with the
+/// incarnation `known`, which was last heard at `heard_ms`.
+///
+/// Incarnations are numbered by the time of day. If an instance restarts after its clock was
+/// set back, the later start has the lower number; but it began after the earlier one was
+/// last heard, and it is still heard when no heartbeat of that one can be on its way.
+fn is_later_start(heartbeat: &Heartbeat, known: u64, heard_ms: u64, now_ms: u64) -> bool {
+    let started_ms = now_ms.saturating_sub(u64::from(heartbeat.up_ms));
+    let is_after = started_ms > heard_ms && now_ms > heard_ms + MAX_HEARTBEAT_DELAY_MS;
+    heartbeat.incarnation > known || heartbeat.incarnation < known && is_after
+}
+
 impl MemberTable {
     /// Returns an empty table of the instance `own_name` in a failure domain.
     pub fn new(own_name: &str, own_domain: &str) -> MemberTable {
@@ -93,7 +108,9 @@
     /// sender or belongs to a start that has stopped.
     pub fn receive(&mut self, heartbeat: impl Into<Rc<Heartbeat>>, now_ms: u64) -> bool {
         let heartbeat = heartbeat.into();
-        let is_out_of_date = |stopped: &Stopped| heartbeat.incarnation <= stopped.incarnation;
+        let is_out_of_date = |stopped: &Stopped| {
+            !is_later_start(&heartbeat, stopped.incarnation, stopped.received_ms, now_ms)
+        };
         if self
             .stopped
             .get(&heartbeat.name)
@@ -108,11 +125,12 @@
             }
         }
         if let Some(member) = self.members.get(&heartbeat.name) {
-            let old = (
-                member.last_heartbeat.incarnation,
-                member.last_heartbeat.sequence,
-            );
-            if (heartbeat.incarnation, heartbeat.sequence) <= old {
+            let last = &member.last_heartbeat;
+            let is_newer = match heartbeat.incarnation == last.incarnation {
+                true => heartbeat.sequence > last.sequence,
+                false => is_later_start(&heartbeat, last.incarnation, member.received_ms, now_ms),
+            };
+            if !is_newer {
                 return false;
             }
         }
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -229,6 +229,35 @@
     );
 }
 
+/// Guards against a peer that nobody hears for half a minute: it restarts after its clock was
+/// set back, so that its later start has the lower incarnation.
+#[test]
+fn a_peer_that_restarts_with_its_clock_set_back_is_heard() {
+    let beat = |incarnation, sequence, up_ms| Heartbeat {
+        up_ms,
+        ..heartbeat("p", incarnation, sequence)
+    };
+    let mut members = MemberTable::default();
+    assert!(members.receive(beat(9, 5, 2_000), 10_000));
+    assert!(
+        !members.receive(beat(4, 1, 300), 10_900),
+        "it may be the earlier start, heard late"
+    );
+    assert!(members.receive(beat(4, 1, 500), 11_100));
+    assert!(members.receive(beat(4, 2, 700), 11_300));
+    assert!(!members.receive(beat(4, 2, 700), 11_400), "a duplicate");
+    let stopped = Heartbeat {
+        stopped: true,
+        ..beat(4, 3, 1_000)
+    };
+    assert!(members.receive(stopped, 11_600));
+    assert!(
+        !members.receive(beat(4, 2, 700), 12_700),
+        "sent before the stop"
+    );
+    assert!(members.receive(beat(3, 1, 300), 12_700));
+}
+
 /// A peer stops sending. Callers must not be sent to it any more within a
 /// second, but its share of the budgets must stay reserved: it may still be
 /// serving behind a partition.
