Begin streams only at builds that outlast all instances

Callers could get a stream joined from two software versions: pieces 0 to 3 by v2 and 4 to 11 by v1, answered 200 and complete, after all instances had been killed while the instances that write the kept builds were frozen and v2 had just been listed.

Cause: a build was used as soon as it was listed and kept in the store some time later. If all instances are killed in between and its engines leave, the others take the remaining build for the only one that the service has had.

Streams now begin at engines whose build the object in the store names; instances that don't write it read it when a build is new. An instance that may lack a part of the list adds what it lists to an object that it has read instead of writing nothing. Without any accepting engine of a kept build the others are used.

a_version_that_was_not_kept_is_not_forgotten_with_all_instances failed before.

--- a/crates/core/src/origin/listed_builds.rs
+++ b/crates/core/src/origin/listed_builds.rs
@@ -30,6 +30,9 @@
     confirmed_ms: u64,
     /// When it was last read which builds the services had before.
     past_read_ms: Option<u64>,
+    /// Builds that the object in the store names, where they outlast all instances; `None`
+    /// while there is none that can be read.
+    kept: Option<BuildsByService>,
     /// When each build was last listed. The build of an entry that names no software
     /// version is `None`.
     listed_ms: BTreeMap<String, BTreeMap<Option<EngineBuild>, u64>>,
@@ -81,6 +84,41 @@
         )
     }
 
+    /// Records which builds the object in the store names.
+    pub fn set_kept(&mut self, kept: BuildsByService) {
+        self.kept = Some(kept);
+    }
+
+    /// Returns whether the object in the store has been read or written.
+    pub fn has_kept(&self) -> bool {
+        self.kept.is_some()
+    }
+
+    /// Returns whether the builds of a service that outlast all instances include this one;
+    /// `None` stands for that of engines that name none.
+    ///
+    /// If all instances are killed, those that start again take a build that isn't kept and
+    /// has left for one that never was, and a stream that it began for one of another build.
+    /// Without an object that can be read they take no build for the only one.
+    pub fn is_kept(&self, service: &str, build: Option<EngineBuild>) -> bool {
+        let Some(kept) = &self.kept else {
+            return true;
+        };
+        kept.get(service)
+            .is_some_and(|builds| builds.contains(&build))
+    }
+
+    /// Returns the builds that the object in the store names and those that are listed.
+    /// They are complete if those in the object were, whatever this instance has missed.
+    pub fn kept_and_listed(&self) -> Option<BuildsByService> {
+        let mut builds = self.kept.clone()?;
+        for (service, listed_ms) in &self.listed_ms {
+            let of_service = builds.entry(service.clone()).or_default();
+            of_service.extend(listed_ms.keys().copied());
+        }
+        Some(builds)
+    }
+
     /// Returns whether the past was read so lately that no other build can have been used
     /// since, as it is written as soon as one is listed.
     pub fn is_past_fresh(&self, settings: &OriginSettings, now_ms: u64) -> bool {
--- a/crates/core/src/pool/known_engine.rs
+++ b/crates/core/src/pool/known_engine.rs
@@ -54,6 +54,8 @@
     pub entry: EngineEntry,
     /// Its service and software version; `None` if its entry names no version.
     pub build: Option<EngineBuild>,
+    /// Whether its build outlasts all instances, so that streams may begin at it.
+    pub is_build_kept: bool,
     /// What it may be used for because of its software version.
     pub software_role: SoftwareRole,
     /// Short hash of its name, by which peers refer to it in heartbeats.
@@ -102,6 +104,7 @@
             name_hash: short_hash(&entry.incarnation.id),
             build: EngineBuild::of(&entry),
             entry,
+            is_build_kept: true,
             software_role: SoftwareRole::default(),
             own: Load::default(),
             others: Load::default(),
--- a/crates/core/src/pool/table.rs
+++ b/crates/core/src/pool/table.rs
@@ -291,6 +291,17 @@
         }
     }
 
+    /// Sets for each engine whether its build outlasts all instances. Returns whether all
+    /// do.
+    pub fn assign_kept_builds(&mut self, mut is_kept: impl FnMut(&KnownEngine) -> bool) -> bool {
+        let mut are_all_kept = true;
+        for engine in self.engines.values_mut() {
+            engine.is_build_kept = is_kept(engine);
+            are_all_kept &= engine.is_build_kept;
+        }
+        are_all_kept
+    }
+
     /// Returns the requests of this instance that run at engines of a service with
     /// another software version than `software`.
     pub fn unfinished_at_others(&self, service: &str, software: &str) -> u32 {
--- a/crates/core/tests/origins/knowledge.rs
+++ b/crates/core/tests/origins/knowledge.rs
@@ -258,3 +258,24 @@
     }
     insta::assert_snapshot!(report);
 }
+
+/// Guards against streams that begin at a build which is forgotten with all instances, as the
+/// object in the store doesn't name it yet.
+#[test]
+fn a_build_is_kept_once_the_object_in_the_store_names_it() {
+    let (v1, v2) = (Some(build("v1")), Some(build("v2")));
+    let two: &[(&str, &str)] = &[("e1", "v1"), ("e2", "v2")];
+    let mut builds = follow(ListedBuilds::default(), true, &[two]);
+    // Instances that start without an object take no build for the only one.
+    assert!(builds.is_kept("llm", v2));
+    assert_eq!(builds.kept_and_listed(), None);
+    let kept = BuildsByService::from([("llm".to_owned(), [v1].into())]);
+    builds.set_kept(kept);
+    assert!(builds.is_kept("llm", v1));
+    assert!(!builds.is_kept("llm", v2) && !builds.is_kept("llm", None));
+    assert!(!builds.is_kept("other", v1));
+    let both = BuildsByService::from([("llm".to_owned(), [v1, v2].into())]);
+    assert_eq!(builds.kept_and_listed(), Some(both.clone()));
+    builds.set_kept(both);
+    assert!(builds.is_kept("llm", v2));
+}
--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -82,10 +82,16 @@
     let settings = &adapted_choice(request, memory_tokens, count, now_ms);
     let version_bounds = request.version_bounds(now_ms);
     let draw = rand::random();
+    let begins_stream = context.build.is_none() && request.route.retry.is_stream();
+    let needs_kept_build = begins_stream
+        && engines
+            .accepting_engines(&requirements.service, now_ms)
+            .any(|known_engine| known_engine.is_build_kept);
     let is_open = |known_engine: &KnownEngine| {
         context
             .build
             .is_none_or(|build| known_engine.build == Some(build))
+            && (known_engine.is_build_kept || !needs_kept_build)
             && !context
                 .tried_engines
                 .contains(&known_engine.entry.incarnation.id)
--- a/crates/gateway/src/instance/stream_origins.rs
+++ b/crates/gateway/src/instance/stream_origins.rs
@@ -157,6 +157,23 @@
         builds.known(&settings.origins, settings.max_list_age_ms(), now_ms)
     }
 
+    /// Sets which engines have a build that is kept in the store, and returns whether all
+    /// have. New streams begin at these only: see [`ListedBuilds::is_kept`].
+    pub fn assign_kept_builds(&self) -> bool {
+        let builds = self.origins.listed_builds.borrow();
+        let mut engines = self.engines.borrow_mut();
+        engines.assign_kept_builds(|engine| builds.is_kept(&engine.entry.service, engine.build))
+    }
+
+    /// Records which builds are kept in the store.
+    pub fn record_kept_builds(&self, kept: &BuildsByService, now_ms: u64) {
+        let mut builds = self.origins.listed_builds.borrow_mut();
+        builds.set_kept(kept.clone());
+        drop(builds);
+        self.assign_kept_builds();
+        self.waiting.wake(now_ms);
+    }
+
     /// Returns whether a peer has this address.
     pub fn is_peer_address(&self, address: IpAddr) -> bool {
         let members = self.members.borrow();
--- a/crates/gateway/src/store/builds.rs
+++ b/crates/gateway/src/store/builds.rs
@@ -38,6 +38,18 @@
         BuildsByService::from(record)
     }
 
+    fn addition(instance: &Instance) -> Option<BuildsByService> {
+        instance.origins.listed_builds.borrow().kept_and_listed()
+    }
+
+    fn record_kept(&self, instance: &Instance, now_ms: u64) {
+        instance.record_kept_builds(self, now_ms);
+    }
+
+    fn is_awaited(instance: &Instance) -> bool {
+        !instance.assign_kept_builds() || !instance.origins.listed_builds.borrow().has_kept()
+    }
+
     fn wake_up(instance: &Instance) -> &Notify {
         &instance.wake_ups.builds
     }
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -191,6 +191,7 @@
     fn apply_news(&self, is_leaving: bool, now_ms: u64) {
         let instance = &self.instance;
         instance.assign_software_roles(now_ms);
+        instance.assign_kept_builds();
         instance.wake_ups.orders.notify_one();
         instance.wake_ups.builds.notify_one();
         instance.waiting.wake(now_ms);
--- a/crates/gateway/src/store/kept.rs
+++ b/crates/gateway/src/store/kept.rs
@@ -17,6 +17,16 @@
 /// written at once; what is no longer needed may stay for a while.
 const CHECK_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// First interval at which an instance reads the object while it waits for what another one
+/// writes; it doubles with each reading.
+const MIN_AWAITED_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Last such interval.
+const MAX_AWAITED_INTERVAL: Duration = Duration::from_millis(4_000);
+
+/// Least time after a change in which another instance may have written it.
+const MIN_READ_DELAY: Duration = Duration::from_millis(20);
+
 /// Content of a single object of the store, which outlasts all instances.
 pub(super) trait KeptContent: Default {
     /// The object as it is written.
@@ -43,6 +53,21 @@
     /// Returns the content of an object that was read.
     fn from_record(record: &Self::Record) -> Self;
 
+    /// Returns what may be written of an instance that may lack something: an addition to
+    /// the object in the store, which lacks nothing.
+    fn addition(_instance: &Instance) -> Option<Self> {
+        None
+    }
+
+    /// Records that this is the content of the object in the store.
+    fn record_kept(&self, _instance: &Instance, _now_ms: u64) {}
+
+    /// Returns whether this instance waits until something is in the store that another
+    /// one writes.
+    fn is_awaited(_instance: &Instance) -> bool {
+        false
+    }
+
     /// Returns the notification that something new is known.
     fn wake_up(instance: &Instance) -> &Notify;
 }
@@ -60,13 +85,28 @@
 /// write it.
 pub(super) async fn keep<C: KeptContent>(instance: &Instance, store: &CallClient) {
     let mut seen = read::<C>(instance, store).await;
+    let mut awaited_interval = MIN_AWAITED_INTERVAL;
     loop {
+        let is_awaited = C::is_awaited(instance);
+        let interval = match is_awaited {
+            true => awaited_interval,
+            false => CHECK_INTERVAL,
+        };
         // Times out unless something is new.
-        let _ = timeout(CHECK_INTERVAL, C::wake_up(instance).notified()).await;
+        let _ = timeout(interval, C::wake_up(instance).notified()).await;
         if instance.freshness(now_ms()) != Freshness::Current {
+            if C::is_awaited(instance) {
+                sleep(read_delay(instance)).await;
+                seen = read(instance, store).await;
+            }
+            awaited_interval = match is_awaited {
+                true => MAX_AWAITED_INTERVAL.min(2 * awaited_interval),
+                false => MIN_AWAITED_INTERVAL,
+            };
             continue;
         }
-        let Some(known) = C::known(instance, now_ms()) else {
+        let known = C::known(instance, now_ms()).or_else(|| C::addition(instance));
+        let Some(known) = known else {
             continue;
         };
         if seen.content.is_same(&known) {
@@ -82,6 +122,13 @@
     }
 }
 
+/// Returns a random delay that spreads the reads of all instances of a large fleet, which
+/// begin with the same change of the list, over the store's rate.
+fn read_delay(instance: &Instance) -> Duration {
+    let spread_ms = instance.instance_count() as u64;
+    MIN_READ_DELAY + Duration::from_millis(rand::random_range(0..=spread_ms))
+}
+
 /// Reads the object and adds its content to what this instance knows.
 async fn read<C: KeptContent>(instance: &Instance, store: &CallClient) -> Seen<C> {
     let mut backoff = Backoff::default();
@@ -123,6 +170,7 @@
         }
     };
     content.add_to(instance, now_ms());
+    content.record_kept(instance, now_ms());
     Seen { revision, content }
 }
 
@@ -143,6 +191,7 @@
     let (status, body) = store.call(&call, timeout_ms).await.ok()?;
     log::info!("event={}_written status={status}", C::KIND);
     let object = decode_object(&body).ok().filter(|_| status < 300)?;
+    content.record_kept(instance, now_ms());
     Some(Seen {
         revision: Some(object.revision),
         content,
--- a/crates/mangowalkd/tests/machines/versions.rs
+++ b/crates/mangowalkd/tests/machines/versions.rs
@@ -2,7 +2,10 @@
 
 use {
     super::PROGRAM,
-    mangowalk_platform_standins::{Caller, Deployment, EngineFaults, PathState, Reply, wait_until},
+    mangowalk_platform_standins::{
+        Caller, Deployment, Engine, EngineFaults, PathState, Reply, wait_until,
+    },
+    nix::sys::signal::Signal,
     std::{collections::BTreeSet, thread, time::Duration},
 };
 
@@ -235,6 +238,134 @@
     }
 }
 
+/// When the engines of the version that began the streams leave.
+#[derive(Debug, Clone, Copy)]
+enum OldVersionLeaves {
+    BeforeTheKill,
+    WhileAllAreDown,
+    AfterTheReturn,
+}
+
+fn remove_old_version(deployment: &Deployment) {
+    let engines = deployment.engines.iter();
+    for engine in engines.filter(|engine| engine.software() == "v1") {
+        deployment.store.remove("servers", engine.id());
+    }
+}
+
+fn kill_all(deployment: &mut Deployment) {
+    for machine in &mut deployment.machines {
+        machine.kill();
+    }
+}
+
+/// Takes all streams up at each machine as soon as it is ready.
+///
+/// # Panics
+///
+/// Panics if a stream is joined from two versions, or a refused one was run.
+fn take_up_at_all(deployment: &Deployment, streams: &[(String, Reply)]) {
+    for (machine, started) in deployment.machines.iter().enumerate() {
+        wait_until("the instance is ready", || started.is_ready());
+        let caller = deployment.caller(machine);
+        for (stream, (first_id, begun)) in streams.iter().enumerate() {
+            let id = Caller::new_request_id();
+            let next = caller.take_up(&path(stream), &id, first_id, begun);
+            let joined = begun.followed_by(&next);
+            if next.status == 200 {
+                assert!(joined.is_complete_stream(), "{joined:?}");
+            } else {
+                assert_eq!((next.status, deployment.times_run(&id)), (503, 0));
+            }
+        }
+    }
+}
+
+/// Guards against streams that are joined from two versions after all instances were killed
+/// beside a release: nobody is left who knows which version began them, and the list shows
+/// the new one only.
+#[test]
+fn no_stream_is_joined_from_two_versions_after_all_instances_were_killed() {
+    use OldVersionLeaves::*;
+    for leaves in [BeforeTheKill, WhileAllAreDown, AfterTheReturn] {
+        let mut deployment = Deployment::start_versions(PROGRAM, 3, &MIXED);
+        wait_until("the builds are kept in the store", || {
+            deployment.store.read("builds", "listed").is_some()
+        });
+        let begun = streams_during(&mut deployment, 0, |deployment| {
+            if matches!(leaves, BeforeTheKill) {
+                remove_old_version(deployment);
+                thread::sleep(Duration::from_millis(200));
+            }
+            kill_all(deployment);
+        });
+        assert!(begun.iter().all(|(_, reply)| !reply.is_complete));
+        if matches!(leaves, WhileAllAreDown) {
+            remove_old_version(&deployment);
+        }
+        for machine in &mut deployment.machines {
+            machine.start();
+        }
+        if matches!(leaves, AfterTheReturn) {
+            take_up_at_all(&deployment, &begun);
+            remove_old_version(&deployment);
+        }
+        // As soon as the instances are ready, and when they know each other and the list.
+        take_up_at_all(&deployment, &begun);
+        thread::sleep(Duration::from_millis(2_500));
+        take_up_at_all(&deployment, &begun);
+    }
+}
+
+/// Guards against streams that go on at another version than the one that began them, as that
+/// one was in service too shortly to be kept: the instances that write the kept builds are
+/// frozen when it appears, and it is gone again when all instances return.
+#[test]
+fn a_version_that_was_not_kept_is_not_forgotten_with_all_instances() {
+    let mut deployment = Deployment::start_versions(PROGRAM, 3, &["v1", "v1"]);
+    wait_until("the builds are kept in the store", || {
+        deployment.store.read("builds", "listed").is_some()
+    });
+    thread::sleep(Duration::from_millis(1_500));
+    for writer in &deployment.machines[..2] {
+        writer.signal(Signal::SIGSTOP);
+    }
+    let trial = Engine::start("e9", "llm", Some("model"), "a").with_software("v2");
+    let store = &deployment.store;
+    store.write("servers", trial.id(), trial.entry("ready"));
+    thread::sleep(Duration::from_millis(200));
+    deployment.engines.push(trial);
+    let begun = streams_during(&mut deployment, 2, kill_all);
+    deployment.store.remove("servers", "e9");
+    set_faults(&deployment, &EngineFaults::default());
+    for machine in &mut deployment.machines {
+        machine.start();
+    }
+    take_up_at_all(&deployment, &begun);
+    thread::sleep(Duration::from_millis(2_500));
+    take_up_at_all(&deployment, &begun);
+}
+
+/// Guards against a new version that gets no streams at instances that don't write the kept
+/// builds themselves.
+#[test]
+fn streams_begin_at_a_new_version_at_all_instances() {
+    let mut deployment = Deployment::start_versions(PROGRAM, 4, &["v1", "v1"]);
+    let new = Engine::start("e9", "llm", Some("model"), "a").with_software("v2");
+    deployment
+        .store
+        .write("servers", new.id(), new.entry("ready"));
+    deployment.engines.push(new);
+    for machine in 0..4 {
+        wait_until("a stream begins at the new version", || {
+            let streams = streams_during(&mut deployment, machine, |_| ());
+            assert!(streams.iter().all(|(_, reply)| reply.is_complete_stream()));
+            let mut versions = streams.iter().map(|(_, reply)| reply.software_versions());
+            versions.any(|versions| versions == BTreeSet::from(["v2"]))
+        });
+    }
+}
+
 /// Guards against KV cache that one software version wrote and another one reads, also by
 /// way of a KV cache store.
 #[test]
