Reword comments on kept builds, and a name in the lease of orders

Read again as a newcomer: precedes said which of two was older only on second reading, and two comments on kept builds had to be read twice.

--- a/crates/core/src/origin/listed_builds.rs
+++ b/crates/core/src/origin/listed_builds.rs
@@ -97,9 +97,9 @@
     /// Returns whether the builds of a service that outlast all instances include this one;
     /// `None` stands for that of engines that name none.
     ///
-    /// If all instances are killed, those that start again take a build that isn't kept and
-    /// has left for one that never was, and a stream that it began for one of another build.
-    /// Without an object that can be read they take no build for the only one.
+    /// Instances that start after a kill of all know nothing of a build that isn't kept and
+    /// whose engines have left. They would continue its streams at the remaining build.
+    /// Without an object that can be read they assume no single build, so all may be used.
     pub fn is_kept(&self, service: &str, build: Option<EngineBuild>) -> bool {
         let Some(kept) = &self.kept else {
             return true;
--- a/crates/core/src/weights/lease.rs
+++ b/crates/core/src/weights/lease.rs
@@ -173,7 +173,7 @@
         settings: &OrderLeaseSettings,
         now_ms: u64,
     ) -> Option<u64> {
-        let report = report.filter(|report| self.precedes(report));
+        let report = report.filter(|report| self.is_older_than(report));
         let wait_ms = match report {
             Some(_) => settings.released_wait_ms,
             None => settings.silent_wait_ms(),
@@ -188,13 +188,13 @@
         (now_ms >= takeover_ms).then_some(no_orders_since_ms)
     }
 
-    /// Returns whether a report was sent after the record was written.
+    /// Returns whether the record was written before a report was sent.
     ///
     /// Without the sequence number in the record, or if the holder has restarted, the time
     /// of receipt decides, although a heartbeat takes up to a second to reach all instances
     /// of a large fleet. That the reporting process differs from the record's writer doesn't
     /// make it the later one: the clock by which incarnations are numbered can be set back.
-    fn precedes(&self, report: &HolderReport) -> bool {
+    fn is_older_than(&self, report: &HolderReport) -> bool {
         let is_ordered = self.claim.heartbeat.is_some() && !report.is_restarted;
         report.is_after_claim || !is_ordered && report.received_ms >= self.first_seen_ms
     }
--- a/crates/gateway/src/store/kept.rs
+++ b/crates/gateway/src/store/kept.rs
@@ -53,13 +53,13 @@
     /// Returns the content of an object that was read.
     fn from_record(record: &Self::Record) -> Self;
 
-    /// Returns what may be written of an instance that may lack something: an addition to
-    /// the object in the store, which lacks nothing.
+    /// Returns the content of the object in the store with what this instance knows besides,
+    /// for an instance whose own knowledge may be incomplete.
     fn addition(_instance: &Instance) -> Option<Self> {
         None
     }
 
-    /// Records that this is the content of the object in the store.
+    /// Called with the content once it was read from the store or written to it.
     fn record_kept(&self, _instance: &Instance, _now_ms: u64) {}
 
     /// Returns whether this instance waits until something is in the store that another
