Log on what ground a stream that is taken up goes on

A stream that goes on at the wrong software version was logged as taken_up and sent, and no line told why the instance took that version for the one that began it: a record of its own, a record of a peer, or that the service has had one version only, by how old a list and with how many peers heard. The line stream_ground tells it, and the counter of that name counts it. No decision changes.

--- a/crates/core/src/origin/listed_builds.rs
+++ b/crates/core/src/origin/listed_builds.rs
@@ -126,6 +126,11 @@
             .is_some_and(|read_ms| now_ms < read_ms + settings.past_fresh_ms)
     }
 
+    /// Returns how long ago the store was last heard of; `None` if it never was.
+    pub fn list_age_ms(&self, now_ms: u64) -> Option<u64> {
+        (self.confirmed_ms > 0).then(|| now_ms.saturating_sub(self.confirmed_ms))
+    }
+
     fn is_long_followed(&self, settings: &OriginSettings, now_ms: u64) -> bool {
         self.followed_since_ms
             .is_some_and(|since_ms| since_ms == 0 || now_ms >= since_ms + settings.single_build_ms)
--- a/crates/core/src/origin/mod.rs
+++ b/crates/core/src/origin/mod.rs
@@ -11,6 +11,7 @@
 //! A build that isn't known counts as another one: the stream isn't resumed.
 
 mod build;
+mod ground;
 mod listed_builds;
 mod message;
 mod owners;
@@ -21,6 +22,7 @@
 
 pub use {
     build::EngineBuild,
+    ground::Ground,
     listed_builds::{BuildsByService, ListedBuilds, ServiceBuilds},
     message::{OriginAnswer, OriginMessage, OriginQuestion},
     owners::owners,
--- a/crates/core/src/origin/verdict.rs
+++ b/crates/core/src/origin/verdict.rs
@@ -1,4 +1,4 @@
-use super::{EngineBuild, OriginAnswer, ServiceBuilds, StreamOrigin};
+use super::{EngineBuild, Ground, OriginAnswer, ServiceBuilds, StreamOrigin};
 
 /// Where a stream began, by the answers that have arrived so far.
 ///
@@ -10,6 +10,7 @@
 pub struct Verdict {
     is_named: bool,
     origin: Option<StreamOrigin>,
+    has_own_record: bool,
     /// The first build that an instance lists.
     listed: Option<EngineBuild>,
     has_several: bool,
@@ -26,6 +27,7 @@
         Verdict {
             is_named,
             origin: None,
+            has_own_record: false,
             listed: None,
             has_several: false,
             is_long_known: false,
@@ -33,7 +35,13 @@
         }
     }
 
-    /// Adds what one instance knows.
+    /// Adds what this instance knows.
+    pub fn add_own(&mut self, answer: &OriginAnswer) {
+        self.has_own_record |= answer.origin.is_some();
+        self.add(answer);
+    }
+
+    /// Adds what a peer knows.
     pub fn add(&mut self, answer: &OriginAnswer) {
         if let Some(origin) = answer.origin {
             let merged = self.origin.map_or(origin, |known| known.merge(origin));
@@ -66,4 +74,16 @@
             }),
         }
     }
+
+    /// Returns the ground of [`Verdict::build`].
+    pub fn ground(&self) -> Ground {
+        match self.origin {
+            Some(StreamOrigin::Ambiguous) => Ground::Ambiguous,
+            Some(StreamOrigin::Build(_)) if self.has_own_record => Ground::OwnRecord,
+            Some(StreamOrigin::Build(_)) => Ground::PeerRecord,
+            None if self.has_several => Ground::SeveralBuilds,
+            None if self.build().is_some() => Ground::SingleBuild,
+            None => Ground::Unconfirmed,
+        }
+    }
 }
--- a/crates/gateway/src/callers/taken_up.rs
+++ b/crates/gateway/src/callers/taken_up.rs
@@ -3,7 +3,10 @@
         Refusal,
         request::{CallerRequest, Origin},
     },
-    crate::mesh::find_origin,
+    crate::{
+        clock::now_ms,
+        mesh::{FoundOrigin, find_origin},
+    },
     mangowalk_core::origin::{EngineBuild, StreamKey},
     mangowalk_platform::required_build,
 };
@@ -42,6 +45,7 @@
     Ok(())
 }
 
+/// Finds the build that began the stream, and logs on what ground.
 async fn find_build(request: &CallerRequest) -> Option<EngineBuild> {
     let named = request.head.resumes.as_deref();
     let key = named.map(|id| StreamKey::new(request.team(), id));
@@ -49,7 +53,28 @@
         [only] => only.service.as_str(),
         _ => "",
     };
-    find_origin(&request.instance, key, service).await
+    let instance = &request.instance;
+    let found = find_origin(instance, key, service).await;
+    log_found(request, &found);
+    instance
+        .counters
+        .count("stream_ground", found.ground.name());
+    found.build
+}
+
+fn log_found(request: &CallerRequest, found: &FoundOrigin) {
+    let builds = request.instance.origins.listed_builds.borrow();
+    log::info!(
+        "event=stream_ground request={} resumes={:?} ground={} build={} asked={} answered={} \
+         list_age_ms={:?}",
+        request.id(),
+        request.head.resumes,
+        found.ground,
+        found.build.map_or("unknown".to_owned(), |build| build.to_string()),
+        found.asked,
+        found.answered,
+        builds.list_age_ms(now_ms()),
+    );
 }
 
 /// Returns the service of the route that has engines of a build. The operator may have
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -17,7 +17,7 @@
     leaving::report_leaving_engines,
     limits::report_limits,
     loans::{exchange_loans, take_retry},
-    origins::{exchange_origins, find_origin, tell_origin},
+    origins::{FoundOrigin, exchange_origins, find_origin, tell_origin},
     paces::report_engine_paces,
     parts::exchange_parts,
     replaced::report_replaced_engines,
--- a/crates/gateway/src/mesh/origins.rs
+++ b/crates/gateway/src/mesh/origins.rs
@@ -8,7 +8,7 @@
     },
     mangowalk_core::{
         mesh::{Member, ORIGINS_VERSION},
-        origin::{EngineBuild, OriginMessage, OriginQuestion, StreamKey, Verdict, owners},
+        origin::{EngineBuild, Ground, OriginMessage, OriginQuestion, StreamKey, Verdict, owners},
     },
     std::{
         collections::BTreeSet,
@@ -73,42 +73,64 @@
     send(instance, &OriginMessage::Began { key, build }, &peers);
 }
 
-/// Returns the build at which a stream may go on, as this instance and its peers know it;
-/// `None` if it isn't known.
+/// What this instance and its peers know of where a stream began.
+#[derive(Debug)]
+pub struct FoundOrigin {
+    /// The build at which it may go on; `None` if it isn't known.
+    pub build: Option<EngineBuild>,
+    /// The ground of it.
+    pub ground: Ground,
+    /// Number of peers that were asked.
+    pub asked: usize,
+    /// Number of these that answered.
+    pub answered: usize,
+}
+
+/// Returns what this instance and its peers know of where a stream began.
 ///
 /// `service` is the one that may have begun the stream; empty if there are several.
 pub async fn find_origin(
     instance: &Instance,
     key: Option<StreamKey>,
     service: &str,
-) -> Option<EngineBuild> {
+) -> FoundOrigin {
     let mut question = OriginQuestion {
         number: 0,
         key,
         service: service.to_owned(),
     };
     let mut verdict = Verdict::new(key.is_some());
-    verdict.add(&instance.answer_origin(&question, now_ms()));
+    let (mut asked, mut answered) = (0, 0);
+    verdict.add_own(&instance.answer_origin(&question, now_ms()));
     if let Some(key) = key.filter(|_| !verdict.is_recorded()) {
         let asked_peers = instance.settings.origins.asked_peers;
         let peers = owner_addresses(instance, key, asked_peers, now_ms());
-        ask(instance, &mut question, peers, &mut verdict).await;
+        asked += peers.len();
+        answered += ask(instance, &mut question, peers, &mut verdict).await;
     }
     if !verdict.is_recorded() && verdict.build().is_none() && !service.is_empty() {
         let readers = reader_addresses(instance, now_ms());
-        ask(instance, &mut question, readers, &mut verdict).await;
+        asked += readers.len();
+        answered += ask(instance, &mut question, readers, &mut verdict).await;
+    }
+    FoundOrigin {
+        build: verdict.build(),
+        ground: verdict.ground(),
+        asked,
+        answered,
     }
-    verdict.build()
 }
 
 /// Asks peers, and returns once a record is found, all have answered or the time is up.
+/// Returns how many have answered.
 async fn ask(
     instance: &Instance,
     question: &mut OriginQuestion,
     peers: Vec<SocketAddr>,
     verdict: &mut Verdict,
-) {
+) -> usize {
     let settings = &instance.settings.origins;
+    let asked = peers.len();
     let mut open = instance.origins.open_question();
     question.number = open.number;
     let message = OriginMessage::Question(question.clone());
@@ -124,9 +146,10 @@
         let until = began_at + Duration::from_millis(wait_ms);
         gather(&mut open, &mut waiting, until, verdict).await;
         if verdict.is_recorded() || waiting.is_empty() {
-            return;
+            break;
         }
     }
+    asked - waiting.len()
 }
 
 async fn gather(
