--- a/crates/gateway/src/callers/taken_up.rs
+++ b/crates/gateway/src/callers/taken_up.rs
@@ -70,7 +70,9 @@
         request.id(),
         request.head.resumes,
         found.ground,
-        found.build.map_or("unknown".to_owned(), |build| build.to_string()),
+        found
+            .build
+            .map_or("unknown".to_owned(), |build| build.to_string()),
         found.asked,
         found.answered,
         builds.list_age_ms(now_ms()),
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod leaving_told;
 mod logs;
+mod out_of_step;
 mod paces;
 mod rates;
 mod replaced;
--- a/crates/mangowalkd/tests/machines/versions.rs
+++ b/crates/mangowalkd/tests/machines/versions.rs
@@ -13,15 +13,15 @@
 /// to get to the other one.
 const MIXED: [&str; 6] = ["v1", "v1", "v2", "v2", "v2", "v2"];
 
-const STREAMS: usize = 8;
+pub(super) const STREAMS: usize = 8;
 
 /// Returns the path of a stream. Streams that crash engines must not look like one request
 /// that crashes all of them.
-fn path(stream: usize) -> String {
+pub(super) fn path(stream: usize) -> String {
     format!("/reply/{stream}")
 }
 
-fn set_faults(deployment: &Deployment, faults: &EngineFaults) {
+pub(super) fn set_faults(deployment: &Deployment, faults: &EngineFaults) {
     for engine in &deployment.engines {
         engine.set_faults(faults.clone());
     }
@@ -33,17 +33,28 @@
     deployment: &mut Deployment,
     machine: usize,
     disturb: impl FnOnce(&mut Deployment),
+) -> Vec<(String, Reply)> {
+    let callers = vec![deployment.caller(machine); STREAMS];
+    streams_of(deployment, callers, disturb)
+}
+
+/// Starts a stream of each caller, and calls `disturb` while they run. Returns the request
+/// IDs and what arrived.
+pub(super) fn streams_of(
+    deployment: &mut Deployment,
+    callers: Vec<Caller>,
+    disturb: impl FnOnce(&mut Deployment),
 ) -> Vec<(String, Reply)> {
     let faults = EngineFaults {
         event_interval_ms: 100,
         ..EngineFaults::default()
     };
     set_faults(deployment, &faults);
-    let caller = deployment.caller(machine);
     thread::scope(|scope| {
-        let streams: Vec<_> = (0..STREAMS)
-            .map(|stream| {
-                let caller = caller.clone();
+        let streams: Vec<_> = callers
+            .into_iter()
+            .enumerate()
+            .map(|(stream, caller)| {
                 scope.spawn(move || {
                     let id = Caller::new_request_id();
                     let reply = caller.stream(&path(stream), &id);
@@ -61,7 +72,11 @@
 }
 
 /// Takes streams up at a machine, and returns those that are complete then.
-fn complete_streams(deployment: &Deployment, machine: usize, streams: &[(String, Reply)]) -> usize {
+pub(super) fn complete_streams(
+    deployment: &Deployment,
+    machine: usize,
+    streams: &[(String, Reply)],
+) -> usize {
     let caller = deployment.caller(machine);
     let joined = streams
         .iter()
