Continue streams without a record only by a later reading of the store

Cause: knowledge from before was taken for knowledge of now. Without a record, an instance went by its engine list if that was at most 5.7 s old, whether or not a peer had answered; one that had just started went by what it had read up to 2 s before. A build may be listed, kept, used, and the instance that used it killed, within milliseconds.

Streams begin only at builds that the object in the store names. So a reading of that object which begins after the stream was taken up names the build that began it, and nothing that an instance knew before can replace such a reading, whatever its age; no clock is involved. The list only refutes it. An instance that gets no answer within 150 ms asks three peers that read the store to read it, so one that is cut off from the store alone, or from its peers alone, still continues streams. All requests that arrive while a reading is under way share the next one, and the readings of a large fleet are spread by a millisecond an instance. Nothing is read at rest. Instances of an earlier version are asked for records only.

The time for which an instance that starts counted as current is gone, with the lines that tested it.

--- a/crates/core/src/mesh/message.rs
+++ b/crates/core/src/mesh/message.rs
@@ -25,8 +25,9 @@
 /// [`PeerMessage::PartToRelay`], version 9 [`PeerMessage::LeavingEngines`] and
 /// [`PeerMessage::LeavingEnginesToRelay`], and version 10 [`PeerMessage::EnginePaces`],
 /// [`PeerMessage::EnginePacesToRelay`], [`PeerMessage::ReplacedEngines`] and
-/// [`PeerMessage::ReplacedEnginesToRelay`].
-pub const EXCHANGE_VERSION: u8 = 10;
+/// [`PeerMessage::ReplacedEnginesToRelay`]. From version 11 on instances read the builds that
+/// are kept in the store for each other.
+pub const EXCHANGE_VERSION: u8 = 11;
 
 /// Version of the exchange from which on packs, reports on KV cache stores and partial
 /// reports on teams are understood.
@@ -66,6 +67,10 @@
 /// of engines that were replaced.
 pub const CAPACITY_VERSION: u8 = 10;
 
+/// Version of the exchange from which on instances read for each other which builds are kept
+/// in the store.
+pub const READINGS_VERSION: u8 = 11;
+
 /// Maximum size of a message before its compression: twice a datagram. The size that a
 /// datagram names is not trusted beyond it.
 const MAX_MESSAGE_BYTES: usize = 2 * MAX_DATAGRAM_BYTES;
--- a/crates/core/src/mesh/mod.rs
+++ b/crates/core/src/mesh/mod.rs
@@ -15,7 +15,7 @@
         BUNDLE_BYTES, CANARY_VERSION, CAPACITY_VERSION, COMPRESSION_VERSION, EXCHANGE_VERSION,
         GROUPS_VERSION, LEAVING_VERSION, LIMITS_VERSION, LOANS_VERSION, MAX_DATAGRAM_BYTES,
         MessageError, ORIGINS_VERSION, PACK_BYTES, PACKS_VERSION, PARTS_VERSION, PASSING_VERSION,
-        PeerMessage, split_packs,
+        PeerMessage, READINGS_VERSION, split_packs,
     },
     relay_budget::RelayBudget,
     settings::MeshSettings,
--- a/crates/core/src/origin/ground.rs
+++ b/crates/core/src/origin/ground.rs
@@ -8,13 +8,15 @@
     OwnRecord,
     /// A peer has a record of it.
     PeerRecord,
-    /// Its service has had a single build.
-    SingleBuild,
+    /// Its service has had a single build, by a reading of this instance.
+    OwnReading,
+    /// Its service has had a single build, by a reading of a peer.
+    PeerReading,
     /// Streams of two builds have been recorded under its request ID.
     Ambiguous,
     /// There is no record, and its service has had more than one build.
     SeveralBuilds,
-    /// There is no record, and nothing confirms that its service has had a single build.
+    /// There is no record, and no reading of the store tells the builds of its service.
     Unconfirmed,
 }
 
@@ -24,7 +26,8 @@
         match self {
             Ground::OwnRecord => "own_record",
             Ground::PeerRecord => "peer_record",
-            Ground::SingleBuild => "single_build",
+            Ground::OwnReading => "own_reading",
+            Ground::PeerReading => "peer_reading",
             Ground::Ambiguous => "ambiguous",
             Ground::SeveralBuilds => "several_builds",
             Ground::Unconfirmed => "unconfirmed",
--- a/crates/core/src/origin/listed_builds.rs
+++ b/crates/core/src/origin/listed_builds.rs
@@ -18,6 +18,22 @@
     Unknown,
 }
 
+impl ServiceBuilds {
+    /// Returns the builds of a service that a reading of the store names. An object without
+    /// the service tells nothing.
+    pub fn of_reading(builds: &BuildsByService, service: &str) -> ServiceBuilds {
+        let Some(builds) = builds.get(service) else {
+            return ServiceBuilds::Unknown;
+        };
+        let mut builds = builds.iter();
+        match (builds.next(), builds.next()) {
+            (Some(Some(build)), None) => ServiceBuilds::Single(*build),
+            (Some(_), Some(_)) => ServiceBuilds::Several,
+            _ => ServiceBuilds::Unknown,
+        }
+    }
+}
+
 /// Builds of each service; `None` stands for those of engines that name none.
 pub type BuildsByService = BTreeMap<String, BTreeSet<Option<EngineBuild>>>;
 
@@ -28,8 +44,6 @@
     /// `None` while the list isn't followed, or only a part of it.
     followed_since_ms: Option<u64>,
     confirmed_ms: u64,
-    /// When it was last read which builds the services had before.
-    past_read_ms: Option<u64>,
     /// Builds that the object in the store names, where they outlast all instances; `None`
     /// while there is none that can be read.
     kept: Option<BuildsByService>,
@@ -55,7 +69,6 @@
             let listed_ms = self.listed_ms.entry(service.clone()).or_default();
             listed_ms.extend(builds.iter().map(|build| (*build, now_ms)));
         }
-        self.past_read_ms = Some(now_ms);
         let is_unread = self.confirmed_ms == 0;
         if is_unread || self.followed_since_ms.is_some() {
             self.followed_since_ms = Some(0);
@@ -119,13 +132,6 @@
         Some(builds)
     }
 
-    /// Returns whether the past was read so lately that no other build can have been used
-    /// since, as it is written as soon as one is listed.
-    pub fn is_past_fresh(&self, settings: &OriginSettings, now_ms: u64) -> bool {
-        self.past_read_ms
-            .is_some_and(|read_ms| now_ms < read_ms + settings.past_fresh_ms)
-    }
-
     /// Returns how long ago the store was last heard of; `None` if it never was.
     pub fn list_age_ms(&self, now_ms: u64) -> Option<u64> {
         (self.confirmed_ms > 0).then(|| now_ms.saturating_sub(self.confirmed_ms))
--- a/crates/core/src/origin/message.rs
+++ b/crates/core/src/origin/message.rs
@@ -17,6 +17,10 @@
     Question(OriginQuestion),
     /// Answers a question.
     Answer(OriginAnswer),
+    /// Asks which builds a service has had.
+    ReadingQuestion(ReadingQuestion),
+    /// Answers it.
+    ReadingAnswer(ReadingAnswer),
 }
 
 /// Asks where a stream began.
@@ -30,6 +34,25 @@
     pub service: String,
 }
 
+/// Asks which builds a service has had, by a reading of the store that begins after the
+/// question has arrived.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadingQuestion {
+    /// Number by which the answer is told from others.
+    pub number: u64,
+    /// The service.
+    pub service: String,
+}
+
+/// The builds of a service by a reading of the store that began after the question.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadingAnswer {
+    /// Number of the question.
+    pub number: u64,
+    /// Builds that are kept in the store.
+    pub service_builds: ServiceBuilds,
+}
+
 /// What an instance knows of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginAnswer {
@@ -39,8 +62,8 @@
     pub origin: Option<StreamOrigin>,
     /// Builds of the service since the stream can have begun.
     pub service_builds: ServiceBuilds,
-    /// Whether the instance reads current state from the store, or has just read the builds
-    /// that are kept there.
+    /// Whether the instance reads current state from the store. Only instances of an earlier
+    /// version go by it.
     pub reads_current: bool,
 }
 
--- a/crates/core/src/origin/mod.rs
+++ b/crates/core/src/origin/mod.rs
@@ -8,6 +8,10 @@
 //! key, so what an instance sends and keeps depends on its own streams and not on the
 //! size of the fleet.
 //!
+//! Without a record, a stream goes on where the store names a single build of the service,
+//! by a reading that began after the stream was taken up. What an instance knows from before
+//! proves nothing, however lately it was in step: another build may have been used since.
+//!
 //! A build that isn't known counts as another one: the stream isn't resumed.
 
 mod build;
@@ -24,7 +28,7 @@
     build::EngineBuild,
     ground::Ground,
     listed_builds::{BuildsByService, ListedBuilds, ServiceBuilds},
-    message::{OriginAnswer, OriginMessage, OriginQuestion},
+    message::{OriginAnswer, OriginMessage, OriginQuestion, ReadingAnswer, ReadingQuestion},
     owners::owners,
     records::{OriginRecords, StreamOrigin},
     settings::OriginSettings,
--- a/crates/core/src/origin/settings.rs
+++ b/crates/core/src/origin/settings.rs
@@ -17,13 +17,21 @@
     /// Longest time without an answer of the store after which the engine list may have
     /// missed engines that came and left.
     pub max_list_gap_ms: u64,
-    /// Time for which what was read of the past counts as current: until an instance that
-    /// has just started knows which ones read current state.
-    pub past_fresh_ms: u64,
     /// Time after which a question is repeated, as datagrams may be lost.
     pub ask_again_ms: u64,
     /// Time after which peers that haven't answered are no longer waited for.
     pub ask_timeout_ms: u64,
+    /// Number of peers that are asked to read the store.
+    pub reading_peers: usize,
+    /// Time after which peers are asked to read the store, where this instance's own reading
+    /// hasn't been answered.
+    pub own_reading_ms: u64,
+    /// Time after which a reading of the store is given up. An instance of a large fleet waits
+    /// a millisecond longer for each instance, as their readings are spread by as much.
+    pub reading_timeout_ms: u64,
+    /// Least time between two readings of an instance. All requests that arrive in between
+    /// share one.
+    pub reading_interval_ms: u64,
 }
 
 impl Default for OriginSettings {
@@ -35,9 +43,12 @@
             max_records: 16_384,
             single_build_ms: 30_000,
             max_list_gap_ms: 3_000,
-            past_fresh_ms: 2_000,
             ask_again_ms: 40,
             ask_timeout_ms: 150,
+            reading_peers: 3,
+            own_reading_ms: 150,
+            reading_timeout_ms: 500,
+            reading_interval_ms: 20,
         }
     }
 }
--- a/crates/core/src/origin/verdict.rs
+++ b/crates/core/src/origin/verdict.rs
@@ -3,38 +3,22 @@
 /// Where a stream began, by the answers that have arrived so far.
 ///
 /// A record tells it. Without one, it is known only if the service has had a single build
-/// since the stream can have begun. Where the caller names no request, there is no record
-/// of a build that has just appeared either, so an instance that reads current state from
-/// the store has to confirm it: the lists of others lag.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// since the stream can have begun, which only a reading of the store tells that began after
+/// the stream was taken up: a stream begins at builds that are kept there. An engine list,
+/// however young, may lack a build that has appeared since, so it can refute a reading and
+/// not replace it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Verdict {
-    is_named: bool,
     origin: Option<StreamOrigin>,
     has_own_record: bool,
-    /// The first build that an instance lists.
+    /// The first build that an instance lists or a reading names.
     listed: Option<EngineBuild>,
     has_several: bool,
-    /// Whether an instance has followed its list for long enough.
-    is_long_known: bool,
-    /// Whether an instance that reads current state has confirmed it.
-    is_current: bool,
+    /// The ground of a single build that a reading has confirmed.
+    confirmed_by: Option<Ground>,
 }
 
 impl Verdict {
-    /// Returns a verdict without answers. `is_named` tells whether the caller names the
-    /// request that began the stream.
-    pub fn new(is_named: bool) -> Verdict {
-        Verdict {
-            is_named,
-            origin: None,
-            has_own_record: false,
-            listed: None,
-            has_several: false,
-            is_long_known: false,
-            is_current: false,
-        }
-    }
-
     /// Adds what this instance knows.
     pub fn add_own(&mut self, answer: &OriginAnswer) {
         self.has_own_record |= answer.origin.is_some();
@@ -47,15 +31,34 @@
             let merged = self.origin.map_or(origin, |known| known.merge(origin));
             self.origin = Some(merged);
         }
-        let (build, is_long_known) = match answer.service_builds {
-            ServiceBuilds::Single(build) => (build, true),
-            ServiceBuilds::SingleLately(build) => (build, false),
-            ServiceBuilds::Several => return self.has_several = true,
-            ServiceBuilds::Unknown => return,
-        };
-        self.has_several |= *self.listed.get_or_insert(build) != build;
-        self.is_long_known |= is_long_known;
-        self.is_current |= answer.reads_current;
+        self.add_builds(answer.service_builds);
+    }
+
+    /// Adds the builds by a reading of this instance that began after the stream was taken up.
+    pub fn add_own_reading(&mut self, builds: ServiceBuilds) {
+        self.add_reading(builds, Ground::OwnReading);
+    }
+
+    /// Adds the builds by such a reading of a peer.
+    pub fn add_peer_reading(&mut self, builds: ServiceBuilds) {
+        self.add_reading(builds, Ground::PeerReading);
+    }
+
+    fn add_reading(&mut self, builds: ServiceBuilds, ground: Ground) {
+        self.add_builds(builds);
+        if matches!(builds, ServiceBuilds::Single(_)) {
+            self.confirmed_by.get_or_insert(ground);
+        }
+    }
+
+    fn add_builds(&mut self, builds: ServiceBuilds) {
+        match builds {
+            ServiceBuilds::Single(build) | ServiceBuilds::SingleLately(build) => {
+                self.has_several |= *self.listed.get_or_insert(build) != build;
+            }
+            ServiceBuilds::Several => self.has_several = true,
+            ServiceBuilds::Unknown => {}
+        }
     }
 
     /// Returns whether a record tells the origin.
@@ -63,15 +66,17 @@
         self.origin.is_some()
     }
 
+    /// Returns whether a reading may still tell the origin.
+    pub fn needs_reading(&self) -> bool {
+        self.ground() == Ground::Unconfirmed
+    }
+
     /// Returns the build at which the stream may go on; `None` if it isn't known.
     pub fn build(&self) -> Option<EngineBuild> {
-        match self.origin {
-            Some(StreamOrigin::Build(build)) => Some(build),
-            Some(StreamOrigin::Ambiguous) => None,
-            None => self.listed.filter(|_| {
-                let is_confirmed = self.is_named || self.is_current;
-                self.is_long_known && is_confirmed && !self.has_several
-            }),
+        match (self.origin, self.ground()) {
+            (Some(StreamOrigin::Build(build)), _) => Some(build),
+            (None, Ground::OwnReading | Ground::PeerReading) => self.listed,
+            _ => None,
         }
     }
 
@@ -82,8 +87,7 @@
             Some(StreamOrigin::Build(_)) if self.has_own_record => Ground::OwnRecord,
             Some(StreamOrigin::Build(_)) => Ground::PeerRecord,
             None if self.has_several => Ground::SeveralBuilds,
-            None if self.build().is_some() => Ground::SingleBuild,
-            None => Ground::Unconfirmed,
+            None => self.confirmed_by.unwrap_or(Ground::Unconfirmed),
         }
     }
 }
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -1,5 +1,6 @@
 //! State that the tasks of an instance share, and its settings.
 
+mod build_readings;
 mod counters;
 mod crash_parts;
 mod crashes;
@@ -10,6 +11,7 @@
 mod heartbeats;
 mod held_limit;
 mod loans;
+mod open_questions;
 mod passed_on;
 mod paths;
 mod placements;
@@ -26,18 +28,20 @@
 mod weights_changes;
 
 pub use {
+    build_readings::BuildReadings,
     counters::Counters,
     crash_parts::{CrashParts, OutgoingPartMessage, PartRecipients},
     crashes::{CrashTracker, LostRequest, hash},
     drain::Drain,
     loans::{Loans, OpenLoan},
+    open_questions::{OpenQuestion, OpenQuestions},
     passed_on::{OpenPassGuard, PassedOn},
     reload::{ReloadOutcome, apply_reloadable},
     retry_budgets::RetryBudgets,
     settings::GatewaySettings,
     shared_state::Instance,
     store_availability::StoreAvailability,
-    stream_origins::{OpenQuestion, StreamOrigins},
+    stream_origins::StreamOrigins,
     waiting_room::{Arrival, WaitingRooms},
     wake_ups::WakeUps,
 };
--- a/crates/gateway/src/instance/stream_origins.rs
+++ b/crates/gateway/src/instance/stream_origins.rs
@@ -1,27 +1,18 @@
 use {
-    super::Instance,
+    super::{BuildReadings, Instance, OpenQuestions},
     mangowalk_core::origin::{
         BuildsByService, EngineBuild, ListedBuilds, OriginAnswer, OriginQuestion, OriginRecords,
-        OriginSettings, StreamKey, StreamOrigin,
+        OriginSettings, ReadingAnswer, StreamKey, StreamOrigin,
     },
     mangowalk_platform::Freshness,
     std::{
-        cell::{Cell, OnceCell, RefCell},
-        collections::HashMap,
-        net::{IpAddr, SocketAddr},
+        cell::{OnceCell, RefCell},
+        net::IpAddr,
         rc::Rc,
     },
-    tokio::{
-        net::UdpSocket,
-        sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
-    },
+    tokio::net::UdpSocket,
 };
 
-/// An answer of a peer and the address from which it came.
-type ReceivedAnswer = (SocketAddr, OriginAnswer);
-
-type OpenQuestions = Rc<RefCell<HashMap<u64, UnboundedSender<ReceivedAnswer>>>>;
-
 /// Where streams began, as far as this instance knows, and its questions to peers.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
@@ -29,9 +20,13 @@
     pub records: RefCell<OriginRecords>,
     /// Builds in the engine list.
     pub listed_builds: RefCell<ListedBuilds>,
+    /// Questions to peers of what they know of a stream.
+    pub open_questions: OpenQuestions<OriginAnswer>,
+    /// Questions to peers of what the store names.
+    pub open_readings: OpenQuestions<ReadingAnswer>,
+    /// Readings of the builds that are kept in the store.
+    pub readings: BuildReadings,
     socket: OnceCell<Rc<UdpSocket>>,
-    last_number: Cell<u64>,
-    open_questions: OpenQuestions,
 }
 
 impl StreamOrigins {
@@ -96,54 +91,13 @@
             reads_current,
         }
     }
-
-    /// Opens a question to peers; its answers arrive until it is dropped.
-    pub fn open_question(&self) -> OpenQuestion {
-        let number = self.last_number.get() + 1;
-        self.last_number.set(number);
-        let (sender, answers) = unbounded_channel();
-        self.open_questions.borrow_mut().insert(number, sender);
-        OpenQuestion {
-            number,
-            answers,
-            open_questions: self.open_questions.clone(),
-        }
-    }
-
-    /// Passes an answer of a peer on to whoever waits for it.
-    pub fn receive_answer(&self, from: SocketAddr, answer: OriginAnswer) {
-        let open_questions = self.open_questions.borrow();
-        if let Some(sender) = open_questions.get(&answer.number) {
-            // The one who asked has stopped waiting.
-            let _ = sender.send((from, answer));
-        }
-    }
-}
-
-/// A question to peers.
-#[derive(Debug)]
-pub struct OpenQuestion {
-    /// Number that the answers carry.
-    pub number: u64,
-    /// Answers as they arrive.
-    pub answers: UnboundedReceiver<ReceivedAnswer>,
-    open_questions: OpenQuestions,
-}
-
-impl Drop for OpenQuestion {
-    fn drop(&mut self) {
-        self.open_questions.borrow_mut().remove(&self.number);
-    }
 }
 
 impl Instance {
     /// Returns what this instance knows of a stream.
     pub fn answer_origin(&self, question: &OriginQuestion, now_ms: u64) -> OriginAnswer {
         let settings = &self.settings;
-        let builds = self.origins.listed_builds.borrow();
-        let reads_current = self.freshness(now_ms) == Freshness::Current
-            || builds.is_past_fresh(&settings.origins, now_ms);
-        drop(builds);
+        let reads_current = self.freshness(now_ms) == Freshness::Current;
         let max_list_age_ms = settings.max_list_age_ms();
         let origins = &settings.origins;
         self.origins
--- a/crates/gateway/src/mesh/mod.rs
+++ b/crates/gateway/src/mesh/mod.rs
@@ -8,6 +8,7 @@
 mod paces;
 mod parts;
 mod paths;
+mod readings;
 mod replaced;
 mod sending;
 mod traffic;
--- a/crates/gateway/src/mesh/origins.rs
+++ b/crates/gateway/src/mesh/origins.rs
@@ -1,14 +1,17 @@
 //! What instances tell and ask each other of where streams began.
 
 use {
-    super::Direction,
+    super::{Direction, readings},
     crate::{
         clock::now_ms,
         instance::{Instance, OpenQuestion},
     },
     mangowalk_core::{
         mesh::{Member, ORIGINS_VERSION},
-        origin::{EngineBuild, Ground, OriginMessage, OriginQuestion, StreamKey, Verdict, owners},
+        origin::{
+            EngineBuild, Ground, OriginAnswer, OriginMessage, OriginQuestion, StreamKey, Verdict,
+            owners,
+        },
     },
     std::{
         collections::BTreeSet,
@@ -18,6 +21,7 @@
     },
     tokio::{
         net::UdpSocket,
+        task::spawn_local,
         time::{Instant, timeout_at},
     },
 };
@@ -50,7 +54,7 @@
     }
 }
 
-fn handle(instance: &Instance, message: OriginMessage, from: SocketAddr, now_ms: u64) {
+fn handle(instance: &Rc<Instance>, message: OriginMessage, from: SocketAddr, now_ms: u64) {
     let origins = &instance.origins;
     match message {
         OriginMessage::Began { key, build } => {
@@ -60,7 +64,15 @@
             let answer = instance.answer_origin(&question, now_ms);
             send(instance, &OriginMessage::Answer(answer), &[from]);
         }
-        OriginMessage::Answer(answer) => origins.receive_answer(from, answer),
+        OriginMessage::Answer(answer) => {
+            origins.open_questions.receive(answer.number, from, answer);
+        }
+        OriginMessage::ReadingQuestion(question) => {
+            spawn_local(readings::answer(instance.clone(), question, from));
+        }
+        OriginMessage::ReadingAnswer(answer) => {
+            origins.open_readings.receive(answer.number, from, answer);
+        }
     }
 }
 
@@ -99,7 +111,7 @@
         key,
         service: service.to_owned(),
     };
-    let mut verdict = Verdict::new(key.is_some());
+    let mut verdict = Verdict::default();
     let (mut asked, mut answered) = (0, 0);
     verdict.add_own(&instance.answer_origin(&question, now_ms()));
     if let Some(key) = key.filter(|_| !verdict.is_recorded()) {
@@ -108,10 +120,8 @@
         asked += peers.len();
         answered += ask(instance, &mut question, peers, &mut verdict).await;
     }
-    if !verdict.is_recorded() && verdict.build().is_none() && !service.is_empty() {
-        let readers = reader_addresses(instance, now_ms());
-        asked += readers.len();
-        answered += ask(instance, &mut question, readers, &mut verdict).await;
+    if verdict.needs_reading() && !service.is_empty() {
+        readings::add(instance, service, &mut verdict).await;
     }
     FoundOrigin {
         build: verdict.build(),
@@ -131,7 +141,7 @@
 ) -> usize {
     let settings = &instance.settings.origins;
     let asked = peers.len();
-    let mut open = instance.origins.open_question();
+    let mut open = instance.origins.open_questions.open();
     question.number = open.number;
     let message = OriginMessage::Question(question.clone());
     let mut waiting: BTreeSet<SocketAddr> = peers.into_iter().collect();
@@ -153,7 +163,7 @@
 }
 
 async fn gather(
-    open: &mut OpenQuestion,
+    open: &mut OpenQuestion<OriginAnswer>,
     waiting: &mut BTreeSet<SocketAddr>,
     until: Instant,
     verdict: &mut Verdict,
@@ -187,27 +197,18 @@
     owners.map(|member| address(instance, member)).collect()
 }
 
-/// Returns the addresses of the peers that read current state from the store.
-fn reader_addresses(instance: &Instance, now_ms: u64) -> Vec<SocketAddr> {
-    let members = instance.members.borrow();
-    let mesh = &instance.settings.mesh;
-    let readers = members.first_readers(instance.settings.current_readers, mesh, now_ms);
-    let able = readers.filter(|member| understands_origins(member));
-    able.map(|member| address(instance, member)).collect()
-}
-
 fn understands_origins(member: &Member) -> bool {
     member.exchange_version >= ORIGINS_VERSION
 }
 
-fn address(instance: &Instance, member: &Member) -> SocketAddr {
+pub(super) fn address(instance: &Instance, member: &Member) -> SocketAddr {
     let ip: IpAddr = member.last_heartbeat.peer_address.ip();
     instance.machine().origins_address(ip)
 }
 
 /// Sends a datagram without waiting. One that doesn't fit the socket's buffer is lost like
 /// any other.
-fn send(instance: &Instance, message: &OriginMessage, peers: &[SocketAddr]) {
+pub(super) fn send(instance: &Instance, message: &OriginMessage, peers: &[SocketAddr]) {
     let Some(socket) = instance.origins.socket() else {
         return;
     };
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,8 +8,8 @@
         mesh,
         rollouts::run_rollouts,
         store::{
-            CallClient, keep_builds, keep_rejected_parts, register, watch_configuration,
-            watch_engines, watch_rollouts, watch_weights,
+            CallClient, keep_builds, keep_rejected_parts, read_builds, register,
+            watch_configuration, watch_engines, watch_rollouts, watch_weights,
         },
         upstreams::{ConnectionPool, probe_silent_engines, watch_kv_stores, watch_paths},
         weights::run_weights_updater,
@@ -289,6 +289,10 @@
             path.to_owned(),
         ),
     );
+    tasks.start(
+        "build_readings",
+        read_builds(instance.clone(), store.clone()),
+    );
     tasks.start("builds", keep_builds(instance.clone(), store.clone()));
     tasks.start(
         "rejected_parts",
--- a/crates/gateway/src/store/builds.rs
+++ b/crates/gateway/src/store/builds.rs
@@ -5,9 +5,9 @@
     },
     crate::instance::Instance,
     mangowalk_core::origin::BuildsByService,
-    mangowalk_platform::{BuildsRecord, ObjectKind},
-    std::rc::Rc,
-    tokio::sync::Notify,
+    mangowalk_platform::{BuildsRecord, Call, ObjectKind, decode_object, path_of_object},
+    std::{rc::Rc, time::Duration},
+    tokio::{sync::Notify, time::sleep},
 };
 
 impl KeptContent for BuildsByService {
@@ -55,6 +55,37 @@
     }
 }
 
+/// Reads the kept builds for requests that wait for a reading; never returns.
+///
+/// After a kill of many instances all others of a fleet have streams whose records are gone, so
+/// their readings are spread over the store's rate.
+pub async fn read_builds(instance: Rc<Instance>, store: Rc<CallClient>) {
+    let readings = &instance.origins.readings;
+    let interval_ms = instance.settings.origins.reading_interval_ms;
+    loop {
+        readings.asked().await;
+        let spread_ms = instance.instance_count() as u64;
+        sleep(Duration::from_millis(rand::random_range(0..=spread_ms))).await;
+        let number = readings.begin();
+        readings.end(number, read_once(&instance, &store).await);
+        sleep(Duration::from_millis(interval_ms.max(spread_ms))).await;
+    }
+}
+
+/// Returns the kept builds; `None` if there are none or they can't be read.
+async fn read_once(instance: &Instance, store: &CallClient) -> Option<BuildsByService> {
+    let call = Call::get(path_of_object(BuildsByService::KIND, BuildsByService::NAME));
+    let timeout_ms = instance.settings.origins.reading_timeout_ms;
+    let answer = store.call(&call, timeout_ms).await;
+    let is_read = matches!(answer, Ok((200, _)));
+    let outcome = if is_read { "read" } else { "failed" };
+    instance.counters.count("builds_reading", outcome);
+    let (_, body) = answer.ok().filter(|_| is_read)?;
+    let object = decode_object(&body).ok()?;
+    let record: BuildsRecord = serde_json::from_value(object.spec).ok()?;
+    Some(BuildsByService::from(&record))
+}
+
 /// Keeps the builds of all services in the store, where they outlast all instances; never
 /// returns. If all instances are killed at once, streams can still go on where the service
 /// has a single build.
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -11,7 +11,7 @@
 mod rejected_parts;
 
 pub use {
-    builds::keep_builds,
+    builds::{keep_builds, read_builds},
     client::{CallClient, CallError},
     followers::{watch_configuration, watch_engines, watch_rollouts, watch_weights},
     reading::{Listing, Reading},
