Decode each object of the store by itself

What callers saw: while one entry that can't be read stood in the store's list, no instance read the list or any change of it. An engine that drained kept getting requests, and an instance that started didn't become ready.

Cause: `decode_page` and `decode_changes` parsed a whole body before its objects. Nesting beyond the parser's limit, a number out of range, half a surrogate, a control character or bytes that are no UTF-8 in one object made the whole body malformed, and the instance read again without end.

Evidence on the code before: five of the seven tests of `odd_objects` failed ("nested 200 deep: The store's answer can't be read; the call is made again."), and all four process tests of `odd_entries`: "timed out waiting until an instance is ready", "timed out waiting until the engine is used", "requests after the change, left: 19".

The body is now split into its objects by its quotes, backslashes, brackets and commas alone, without recursion, and each object is decoded by itself. An object whose name can be read but not its content has a content of null, which is refused by each kind: an engine whose entry turns odd is removed. One without a readable name is left out. Two fields of one name make an object unreadable. Each revision of a refused entry is logged once, not at each reading, and counted (`entry_refused`).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod engine;
 pub mod engine_limit;
 pub mod engine_notice;
+pub mod json;
 pub mod kv_store;
 pub mod limits;
 pub mod membership;
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -3,6 +3,7 @@
         CallClient,
         backoff::Backoff,
         reading::{Listing, Reading},
+        refused::RefusedEntries,
     },
     crate::{clock::now_ms, instance::Instance},
     mangowalk_platform::{
@@ -25,6 +26,8 @@
 /// Receives the objects of one kind and their changes.
 pub(super) trait Follower {
     const KIND: ObjectKind;
+    /// Returns the entries of the kind that can't be used.
+    fn refused(&self) -> &RefusedEntries;
     /// Delay after changes, in which further changes are batched.
     fn batch_ms(&self) -> u64 {
         0
@@ -149,6 +152,7 @@
         };
         let mut changed = changes.changed;
         changed.retain(|(_, object)| is_new(object));
+        record_refused(instance, follower, &changed, changes.unnamed);
         revision = revision.max(changes.revision);
         follower.apply_changes(&changed, revision);
         if !follower.is_needed() {
@@ -160,9 +164,24 @@
     }
 }
 
+/// Records changes without a name, and forgets refused entries that were removed.
+fn record_refused<F: Follower>(
+    instance: &Instance,
+    follower: &F,
+    changed: &[(String, Option<StoredObject>)],
+    unnamed: usize,
+) {
+    let refused = follower.refused();
+    refused.record_unnamed(unnamed, &instance.counters);
+    for (name, _) in changed.iter().filter(|(_, object)| object.is_none()) {
+        refused.forget(name);
+    }
+}
+
 async fn read<F: Follower>(instance: &Instance, store: &CallClient, follower: &F) -> Option<u64> {
     let mut reading = Reading::new(follower.start());
     let freshness = follower.reading_freshness();
+    let mut unnamed = 0;
     loop {
         let page = read_page::<F>(instance, store, reading.after(), freshness).await?;
         // The list turns out to be long. By now a large fleet may be known as such.
@@ -173,8 +192,11 @@
                 continue;
             }
         }
+        unnamed += page.unnamed;
         match reading.add(page, |objects| follower.is_enough(objects)) {
             Ok(listing) => {
+                let (refused, counters) = (follower.refused(), &instance.counters);
+                refused.retain(&listing.objects, unnamed, counters);
                 follower.replace_all(&listing);
                 return Some(listing.revision);
             }
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -3,6 +3,7 @@
         CallClient,
         follow::{Follower, follow, follow_on_demand},
         reading::Listing,
+        refused::RefusedEntries,
     },
     crate::{
         clock::now_ms,
@@ -27,16 +28,21 @@
     tokio::time::sleep,
 };
 
-struct ConfigurationFollower(Rc<Instance>);
+struct ConfigurationFollower {
+    instance: Rc<Instance>,
+    refused: RefusedEntries,
+}
 
 impl ConfigurationFollower {
     fn apply(&self, object: &StoredObject) {
+        let instance = &self.instance;
         match decode_configuration(&object.spec) {
-            Ok(configuration) => self.0.apply_configuration(configuration, "store", now_ms()),
-            Err(error) => log::warn!(
+            Ok(configuration) => instance.apply_configuration(configuration, "store", now_ms()),
+            Err(error) if self.refused.record(object, &instance.counters) => log::warn!(
                 "event=configuration_refused name={} error=\"{error}\"",
                 object.name
             ),
+            Err(_) => {}
         }
     }
 }
@@ -44,6 +50,10 @@
 impl Follower for ConfigurationFollower {
     const KIND: ObjectKind = ObjectKind::Configuration;
 
+    fn refused(&self) -> &RefusedEntries {
+        &self.refused
+    }
+
     fn replace_all(&self, listing: &Listing) {
         for object in &listing.objects {
             self.apply(object);
@@ -57,7 +67,7 @@
     }
 
     async fn wait_until_behind(&self) {
-        let instance = &self.0;
+        let instance = &self.instance;
         loop {
             instance.wake_ups.configuration.notified().await;
             // All instances receive a change at about the same time. Only an
@@ -75,6 +85,7 @@
     /// When the store last reported a change of the kind, or that there was
     /// none.
     last_answer_ms: Cell<Option<u64>>,
+    refused: RefusedEntries,
 }
 
 impl WeightsFollower {
@@ -84,7 +95,10 @@
                 self.instance
                     .record_published_weights(&newest.model, newest.version, at, "store");
             }
-            None => log::warn!("event=weights_refused name={}", object.name),
+            None if self.refused.record(object, &self.instance.counters) => {
+                log::warn!("event=weights_refused name={}", object.name);
+            }
+            None => {}
         }
     }
 }
@@ -92,6 +106,10 @@
 impl Follower for WeightsFollower {
     const KIND: ObjectKind = ObjectKind::Weights;
 
+    fn refused(&self) -> &RefusedEntries {
+        &self.refused
+    }
+
     fn replace_all(&self, listing: &Listing) {
         let gap_ms = self
             .last_answer_ms
@@ -124,6 +142,7 @@
     part: RefCell<ListPart>,
     /// Form of the names, from which the start of a part is drawn.
     name_form: RefCell<NameForm>,
+    refused: RefusedEntries,
 }
 
 impl EnginesFollower {
@@ -132,6 +151,7 @@
             instance,
             part: RefCell::default(),
             name_form: RefCell::new(NameForm::of(ENGINE_NAME_SAMPLE)),
+            refused: RefusedEntries::new(ObjectKind::Engines),
         }
     }
 
@@ -151,7 +171,9 @@
             }
             Err(error) => {
                 engines.remove_unreadable(name);
-                log::warn!("event=engine_refused engine={name} error=\"{error}\"");
+                if self.refused.record(object, &self.instance.counters) {
+                    log::warn!("event=engine_refused engine={name} error=\"{error}\"");
+                }
                 false
             }
         }
@@ -252,6 +274,10 @@
 impl Follower for EnginesFollower {
     const KIND: ObjectKind = ObjectKind::Engines;
 
+    fn refused(&self) -> &RefusedEntries {
+        &self.refused
+    }
+
     fn batch_ms(&self) -> u64 {
         self.instance.settings.batch_ms
     }
@@ -346,13 +372,20 @@
 /// before this instance reads the orders itself.
 const UNKNOWN_ROLLOUT_MS: u64 = 800;
 
-struct RolloutsFollower(Rc<Instance>);
+struct RolloutsFollower {
+    instance: Rc<Instance>,
+    refused: RefusedEntries,
+}
 
 impl RolloutsFollower {
     fn decode(&self, object: &StoredObject) -> Option<CanaryOrder> {
         let (name, revision) = (&object.name, object.revision);
         let order = decode_rollout(object).inspect_err(|error| {
-            log::warn!("event=rollout_refused name={name} revision={revision} error=\"{error}\"")
+            if self.refused.record(object, &self.instance.counters) {
+                log::warn!(
+                    "event=rollout_refused name={name} revision={revision} error=\"{error}\""
+                );
+            }
         });
         let order = order.ok()?;
         log::info!(
@@ -370,10 +403,15 @@
 impl Follower for RolloutsFollower {
     const KIND: ObjectKind = ObjectKind::Rollouts;
 
+    fn refused(&self) -> &RefusedEntries {
+        &self.refused
+    }
+
     fn replace_all(&self, listing: &Listing) {
         let objects = listing.objects.iter();
         let orders: Vec<CanaryOrder> = objects.filter_map(|object| self.decode(object)).collect();
-        self.0.replace_rollouts(&orders, listing.revision, now_ms());
+        self.instance
+            .replace_rollouts(&orders, listing.revision, now_ms());
     }
 
     fn apply_changes(&self, changes: &[(String, Option<StoredObject>)], revision: u64) {
@@ -382,23 +420,23 @@
             match object {
                 Some(object) => {
                     if let Some(order) = self.decode(object) {
-                        self.0.update_rollout(&order, now_ms);
+                        self.instance.update_rollout(&order, now_ms);
                     }
                 }
-                None => self.0.withdraw_rollout(name, revision, now_ms),
+                None => self.instance.withdraw_rollout(name, revision, now_ms),
             }
         }
-        self.0.confirm_rollouts(revision, now_ms);
+        self.instance.confirm_rollouts(revision, now_ms);
     }
 
     /// The deciders always follow the orders. Others hear of them from these, and read
     /// them at their start and when they don't.
     fn is_needed(&self) -> bool {
         let now_ms = now_ms();
-        let software = self.0.software.borrow();
+        let software = self.instance.software.borrow();
         software.limits().is_some()
             && (software.view_revision().is_none()
-                || self.0.freshness(now_ms) == Freshness::Current
+                || self.instance.freshness(now_ms) == Freshness::Current
                 || software.needs_view(UNKNOWN_ROLLOUT_MS, now_ms))
     }
 }
@@ -408,12 +446,20 @@
     if instance.machine().exposure.is_none() {
         return pending().await;
     }
-    follow_on_demand(&instance, &store, RolloutsFollower(instance.clone())).await;
+    let follower = RolloutsFollower {
+        instance: instance.clone(),
+        refused: RefusedEntries::new(ObjectKind::Rollouts),
+    };
+    follow_on_demand(&instance, &store, follower).await;
 }
 
 /// Follows the operators' configuration; never returns.
 pub async fn watch_configuration(instance: Rc<Instance>, store: Rc<CallClient>) {
-    follow(&instance, &store, ConfigurationFollower(instance.clone())).await;
+    let follower = ConfigurationFollower {
+        instance: instance.clone(),
+        refused: RefusedEntries::new(ObjectKind::Configuration),
+    };
+    follow(&instance, &store, follower).await;
 }
 
 /// Follows the newest weights of each model; never returns.
@@ -421,6 +467,7 @@
     let follower = WeightsFollower {
         instance: instance.clone(),
         last_answer_ms: Cell::new(None),
+        refused: RefusedEntries::new(ObjectKind::Weights),
     };
     follow(&instance, &store, follower).await;
 }
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -7,6 +7,7 @@
 mod followers;
 mod kept;
 mod reading;
+mod refused;
 mod register;
 mod rejected_parts;
 
--- a/crates/gateway/tests/reading.rs
+++ b/crates/gateway/tests/reading.rs
@@ -16,6 +16,7 @@
     Page {
         has_more: rest.len() > 4,
         revision,
+        unnamed: 0,
         objects: rest
             .into_iter()
             .take(4)
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -13,6 +13,7 @@
 mod leaving;
 mod leaving_told;
 mod logs;
+mod odd_entries;
 mod paces;
 mod rates;
 mod replaced;
