Read answers of engines and the platform with the gateway's client

What callers saw: an answer that ended in its head was believed. An engine's answer that closed after "HTTP/1.1 2" or "HTTP/1.1 20" counted as a refusal "nothing ran", so the request ran again elsewhere or its caller was told that it had not run; an order or a write that may have taken effect counted as refused ("HTTP/1.1 40"); a record counted as deleted after any cut of "HTTP/1.1 404" and its headers; a refusal's Retry-After was read up to where it broke off (3 s of 30); bodies in chunks were taken without their last chunk. Plain services were not concerned: their client was hyper already.

Cause: minreq reports the end of the connection as the end of a line, of the head or of the body, and any number as a status. The absence of an error was taken for completeness; the check for a missing status line covered one byte range of many.

Evidence: cut_answers cuts each answer after each byte, closed and reset.

Why it works: a call has an answer only once hyper has parsed a whole head, and a body ends only with its declared length, its last chunk or, without either, its connection. One crate holds the blocking client for all edges, on one event loop a process: a loop for each open stream would cost several file descriptors.

--- /dev/null
+++ b/crates/http-client/src/answer_body.rs
@@ -0,0 +1,87 @@
+use {
+    super::open_connection::OpenConnection,
+    http_body_util::BodyExt,
+    hyper::body::{Bytes, Incoming},
+    mangowalk_core::edge::SendError,
+    mangowalk_gateway::bounded::MeteredBody,
+    std::io::{self, ErrorKind, Read},
+    tokio::{
+        runtime::Handle,
+        time::{Instant, timeout_at},
+    },
+};
+
+/// Body of an answer, as a blocking reader.
+///
+/// Its end is reported only for a complete body; one that breaks off is an error.
+pub struct AnswerBody {
+    event_loop: Handle,
+    body: MeteredBody,
+    /// Bytes that were received and not read yet.
+    received: Bytes,
+    until: Instant,
+    /// Keeps the connection open while the body is read.
+    _connection: OpenConnection,
+}
+
+impl AnswerBody {
+    pub(super) fn new(
+        event_loop: Handle,
+        body: Incoming,
+        until: Instant,
+        connection: OpenConnection,
+    ) -> AnswerBody {
+        AnswerBody {
+            event_loop,
+            body: MeteredBody::new(body, connection.0.meter.clone()),
+            received: Bytes::new(),
+            until,
+            _connection: connection,
+        }
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`SendError::Lost`] if the body breaks off or is longer than `max_bytes`, and
+    /// with [`SendError::TimedOut`] if the time of the call ends first.
+    pub fn read_whole(self, max_bytes: usize) -> Result<Vec<u8>, SendError> {
+        let mut bytes = Vec::new();
+        let read = self.take(max_bytes as u64 + 1).read_to_end(&mut bytes);
+        match read {
+            Ok(read) if read <= max_bytes => Ok(bytes),
+            Err(error) if error.kind() == ErrorKind::TimedOut => Err(SendError::TimedOut),
+            _ => Err(SendError::Lost),
+        }
+    }
+
+    /// Waits for further bytes. Returns whether there are any.
+    fn receive(&mut self) -> io::Result<bool> {
+        while self.received.is_empty() {
+            let body = &mut self.body;
+            let until = self.until;
+            let received = async { timeout_at(until, body.frame()).await };
+            let frame = match self.event_loop.block_on(received) {
+                Err(_) => return Err(ErrorKind::TimedOut.into()),
+                Ok(None) => return Ok(false),
+                Ok(Some(frame)) => frame.map_err(io::Error::other)?,
+            };
+            if let Ok(data) = frame.into_data() {
+                self.received = data;
+            }
+        }
+        Ok(true)
+    }
+}
+
+impl Read for AnswerBody {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        if buffer.is_empty() || !self.receive()? {
+            return Ok(0);
+        }
+        let read = buffer.len().min(self.received.len());
+        buffer[..read].copy_from_slice(&self.received.split_to(read));
+        Ok(read)
+    }
+}
--- /dev/null
+++ b/crates/http-client/src/lib.rs
@@ -0,0 +1,14 @@
+//! Blocking HTTP client of the threaded programs, on the connections of the gateway.
+//!
+//! A call opens a connection of its own, is sent once, follows no redirect, and is answered
+//! only by a complete head. The end of a body is told from its breaking off wherever the
+//! answer declares a length or comes in chunks.
+
+mod answer;
+mod answer_body;
+mod call;
+mod event_loop;
+mod open_connection;
+mod send;
+
+pub use {answer::HttpAnswer, answer_body::AnswerBody, call::HttpCall, send::send};
--- a/crates/mangowalkd/src/edge/engines.rs
+++ b/crates/mangowalkd/src/edge/engines.rs
@@ -2,7 +2,7 @@
     super::{
         Traffic,
         event_lines::EventLines,
-        http::{asked_rest_ms, check_answered, exchange, prepare, send_error},
+        http::{asked_rest_ms, exchange},
     },
     flume::{Receiver, RecvTimeoutError, Sender},
     mangowalk_core::{
@@ -12,6 +12,7 @@
             OrderReply,
         },
     },
+    mangowalk_http_client::{HttpCall, send},
     serde::{Serialize, de::DeserializeOwned},
     std::{io::BufReader, net::SocketAddr, sync::Arc, thread, time::Duration},
 };
@@ -38,8 +39,12 @@
         HttpEngines { traffic }
     }
 
-    fn call<T: DeserializeOwned>(&self, request: minreq::Request) -> Result<T, SendError> {
-        let (status, body) = exchange(request, CALL_TIMEOUT_MS)?;
+    fn call<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        call: &HttpCall<'_>,
+    ) -> Result<T, SendError> {
+        let (status, body) = exchange(address, call, CALL_TIMEOUT_MS)?;
         self.traffic.count_engine_call(body.len());
         if status != 200 {
             return Err(SendError::Refused { status, rest_ms: 0 });
@@ -71,12 +76,12 @@
 
     fn generate(&self, address: SocketAddr, request: &GenerateRequest) -> HttpEvents {
         let (sender, events) = flume::bounded(MAX_BUFFERED_EVENTS);
-        let request = post(address, "generate", request);
+        let body = to_body(request);
         let failed = sender.clone();
         let spawned = thread::Builder::new()
             .name("attempt".to_owned())
             .stack_size(READER_STACK_BYTES)
-            .spawn(move || read_events(request, &sender));
+            .spawn(move || read_events(address, &body, &sender));
         if spawned.is_err() {
             let _ = failed.try_send(Err(SendError::NotConnected));
         }
@@ -84,17 +89,17 @@
     }
 
     fn cancel(&self, address: SocketAddr, request: &CancelRequest) {
-        let request = post(address, "cancel", request);
+        let body = to_body(request);
         // Without a thread the attempt is not cancelled; the engine notices
         // the closed connection at its next token instead.
         let _ = thread::Builder::new()
             .name("cancel".to_owned())
             .stack_size(READER_STACK_BYTES)
-            .spawn(move || exchange(request, CALL_TIMEOUT_MS));
+            .spawn(move || exchange(address, &post("/cancel", &body), CALL_TIMEOUT_MS));
     }
 
     fn state(&self, address: SocketAddr) -> Result<EngineState, SendError> {
-        self.call(minreq::get(format!("http://{address}/state")))
+        self.call(address, &get("/state"))
     }
 
     fn cache_events(
@@ -102,43 +107,55 @@
         address: SocketAddr,
         from_sequence: u64,
     ) -> Result<CacheEvents, SendError> {
-        self.call(minreq::get(format!(
-            "http://{address}/events?from={from_sequence}"
-        )))
+        self.call(address, &get(&format!("/events?from={from_sequence}")))
     }
 
     fn order(&self, address: SocketAddr, order: &Order) -> Result<OrderReply, SendError> {
-        self.call(post(address, "order", order))
+        self.call(address, &post("/order", &to_body(order)))
+    }
+}
+
+fn get(path: &str) -> HttpCall<'_> {
+    HttpCall {
+        path,
+        ..HttpCall::default()
     }
 }
 
-fn post(address: SocketAddr, path: &str, body: &impl Serialize) -> minreq::Request {
-    let body = serde_json::to_vec(body).unwrap_or_default();
-    minreq::post(format!("http://{address}/{path}"))
-        .with_header("Content-Type", "application/json")
-        .with_body(body)
+fn post<'a>(path: &'a str, body: &'a [u8]) -> HttpCall<'a> {
+    HttpCall {
+        method: "POST",
+        path,
+        headers: &[("Content-Type", "application/json")],
+        body,
+    }
+}
+
+fn to_body(message: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(message).unwrap_or_default()
 }
 
 /// Reads events until the stream ends or the receiver is dropped.
-fn read_events(request: minreq::Request, sender: &Sender<Result<GenerateEvent, SendError>>) {
-    let response = match prepare(request, ATTEMPT_TIMEOUT_MS).send_lazy() {
-        Ok(response) => response,
+fn read_events(
+    address: SocketAddr,
+    body: &[u8],
+    sender: &Sender<Result<GenerateEvent, SendError>>,
+) {
+    let call = post("/generate", body);
+    let answer = match send(&address.to_string(), &call, ATTEMPT_TIMEOUT_MS) {
+        Ok(answer) => answer,
         Err(error) => {
-            let _ = sender.send(Err(send_error(&error)));
+            let _ = sender.send(Err(error));
             return;
         }
     };
-    if let Err(error) = check_answered(&response) {
-        let _ = sender.send(Err(error));
-        return;
-    }
-    let status = response.status_code;
+    let status = answer.status;
     if status != 200 {
-        let rest_ms = asked_rest_ms(&response);
+        let rest_ms = asked_rest_ms(&answer);
         let _ = sender.send(Err(SendError::Refused { status, rest_ms }));
         return;
     }
-    let mut lines = EventLines::new(BufReader::new(response));
+    let mut lines = EventLines::new(BufReader::new(answer.body));
     loop {
         let event = match lines.next_data() {
             Ok(Some(data)) => serde_json::from_str(data).map_err(|_| SendError::Unreadable),
--- a/crates/mangowalkd/src/edge/platform.rs
+++ b/crates/mangowalkd/src/edge/platform.rs
@@ -4,6 +4,7 @@
         edge::{Platform, PlatformError, SendError},
         platform::{ListReply, Object, ObjectKey, Precondition, WatchReply},
     },
+    mangowalk_http_client::HttpCall,
     serde::{Deserialize, de::DeserializeOwned},
     serde_json::Value,
     std::{net::SocketAddr, sync::Arc},
@@ -22,7 +23,7 @@
 /// HTTP client of the platform's object API.
 #[derive(Debug)]
 pub struct HttpPlatform {
-    base: String,
+    address: SocketAddr,
     traffic: Arc<Traffic>,
     call_timeout_ms: u64,
 }
@@ -37,7 +38,7 @@
     /// `traffic`.
     pub fn new(address: SocketAddr, traffic: Arc<Traffic>) -> HttpPlatform {
         HttpPlatform {
-            base: format!("http://{address}"),
+            address,
             traffic,
             call_timeout_ms: CALL_TIMEOUT_MS,
         }
@@ -51,17 +52,9 @@
         }
     }
 
-    fn object_url(&self, key: &ObjectKey, expect: Precondition) -> String {
-        let condition = match expect {
-            Precondition::Any => String::new(),
-            Precondition::Absent => "?absent=1".to_owned(),
-            Precondition::Version(version) => format!("?version={version}"),
-        };
-        format!("{}/objects/{}/{}{condition}", self.base, key.kind, key.name)
-    }
-
-    fn write(&self, request: minreq::Request) -> Result<u64, PlatformError> {
-        let (status, body) = exchange(request, self.call_timeout_ms).map_err(|e| match e {
+    fn write(&self, call: &HttpCall<'_>) -> Result<u64, PlatformError> {
+        let exchanged = exchange(self.address, call, self.call_timeout_ms);
+        let (status, body) = exchanged.map_err(|e| match e {
             SendError::NotConnected => PlatformError::Unreached,
             _ => PlatformError::Lost,
         })?;
@@ -79,9 +72,13 @@
         }
     }
 
-    fn read<T: DeserializeOwned>(&self, url: String, timeout_ms: u64) -> Result<T, PlatformError> {
-        let (status, body) =
-            exchange(minreq::get(url), timeout_ms).map_err(|_| PlatformError::Unreached)?;
+    fn read<T: DeserializeOwned>(&self, path: &str, timeout_ms: u64) -> Result<T, PlatformError> {
+        let call = HttpCall {
+            path,
+            ..HttpCall::default()
+        };
+        let exchanged = exchange(self.address, &call, timeout_ms);
+        let (status, body) = exchanged.map_err(|_| PlatformError::Unreached)?;
         self.traffic.count_platform_call(body.len());
         if status != 200 {
             return Err(PlatformError::Refused { status });
@@ -92,10 +89,8 @@
 
 impl Platform for HttpPlatform {
     fn get(&self, key: &ObjectKey) -> Result<Option<Object>, PlatformError> {
-        match self.read(
-            self.object_url(key, Precondition::Any),
-            self.call_timeout_ms,
-        ) {
+        let path = object_path(key, Precondition::Any);
+        match self.read(&path, self.call_timeout_ms) {
             Ok(object) => Ok(Some(object)),
             Err(PlatformError::Refused { status: 404 }) => Ok(None),
             Err(error) => Err(error),
@@ -108,16 +103,25 @@
         expect: Precondition,
         body: &Value,
     ) -> Result<u64, PlatformError> {
-        self.write(minreq::put(self.object_url(key, expect)).with_body(body.to_string()))
+        self.write(&HttpCall {
+            method: "PUT",
+            path: &object_path(key, expect),
+            body: body.to_string().as_bytes(),
+            ..HttpCall::default()
+        })
     }
 
     fn delete(&self, key: &ObjectKey, expect: Precondition) -> Result<u64, PlatformError> {
-        self.write(minreq::delete(self.object_url(key, expect)))
+        self.write(&HttpCall {
+            method: "DELETE",
+            path: &object_path(key, expect),
+            ..HttpCall::default()
+        })
     }
 
     fn list(&self, kinds: &[&str]) -> Result<ListReply, PlatformError> {
-        let url = format!("{}/list?kinds={}", self.base, kinds.join(","));
-        self.read(url, self.call_timeout_ms)
+        let path = format!("/list?kinds={}", kinds.join(","));
+        self.read(&path, self.call_timeout_ms)
     }
 
     fn watch(
@@ -127,14 +131,20 @@
         wait_ms: u64,
     ) -> Result<WatchReply, PlatformError> {
         let kinds = kinds.join(",");
-        let url = format!(
-            "{}/watch?kinds={kinds}&after={after_revision}&wait_ms={wait_ms}",
-            self.base
-        );
-        self.read(url, wait_ms + WATCH_MARGIN_MS)
+        let path = format!("/watch?kinds={kinds}&after={after_revision}&wait_ms={wait_ms}");
+        self.read(&path, wait_ms + WATCH_MARGIN_MS)
     }
 }
 
+fn object_path(key: &ObjectKey, expect: Precondition) -> String {
+    let condition = match expect {
+        Precondition::Any => String::new(),
+        Precondition::Absent => "?absent=1".to_owned(),
+        Precondition::Version(version) => format!("?version={version}"),
+    };
+    format!("/objects/{}/{}{condition}", key.kind, key.name)
+}
+
 fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, PlatformError> {
     serde_json::from_slice(body).map_err(|_| PlatformError::Lost)
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! is part of a shipped program.
 
 mod cache;
+mod endings;
 mod engine;
 mod fleet;
 mod http;
@@ -14,6 +15,7 @@
 mod service;
 
 pub use {
+    endings::{End, outcomes_of_cuts},
     engine::{EngineFaults, EngineSettings, EngineStandIn},
     fleet::{Answer, Fleet, FleetSettings, RawCaller, RouterProcess, eventually, free_address},
     platform::{PlatformFaults, PlatformStandIn},
