Report answers that end early as lost in the operators' client

What operators saw: `mangowalk ask` believed a refusal that broke off in its head. With "not run" and the first digits of a time to come back of 1,500 ms it sent the question again at once; "HTTP/1.1 50" was shown as status 50. Answers of instances in chunks were taken without their last chunk.

Cause: the same HTTP client as the router's edges to engines had. It is replaced by the same one.

--- a/crates/mangowalk/src/ask/addresses.rs
+++ b/crates/mangowalk/src/ask/addresses.rs
@@ -1,10 +1,14 @@
-use {serde::Deserialize, std::io::Read};
+use {
+    super::base_url::BaseUrl,
+    mangowalk_http_client::{HttpCall, send},
+    serde::Deserialize,
+};
 
-/// Timeout of the request for the address list, in seconds.
-const TIMEOUT_S: u64 = 3;
+/// Timeout of the request for the address list, in milliseconds.
+const TIMEOUT_MS: u64 = 3_000;
 
-/// Maximum number of bytes that are read of the list.
-const MAX_LIST_BYTES: u64 = 1 << 20;
+/// Maximum number of bytes of the list.
+const MAX_LIST_BYTES: usize = 1 << 20;
 
 #[derive(Deserialize)]
 struct Addresses {
@@ -15,17 +19,22 @@
 /// instance at `url` lists them; `url` alone if the list is empty or can't be
 /// read.
 pub(super) fn instance_urls(url: &str) -> Vec<String> {
-    let url = url.trim_end_matches('/');
-    let listed = minreq::get(format!("{url}/v1/addresses"))
-        .with_timeout(TIMEOUT_S)
-        .with_follow_redirects(false)
-        .send_lazy()
-        .ok()
-        .and_then(|reply| serde_json::from_reader::<_, Addresses>(reply.take(MAX_LIST_BYTES)).ok())
-        .map(|reply| reply.addresses)
-        .unwrap_or_default();
-    if listed.is_empty() {
-        return vec![url.to_owned()];
+    match listed(url) {
+        Some(listed) if !listed.is_empty() => {
+            listed.iter().map(|a| format!("http://{a}")).collect()
+        }
+        _ => vec![url.trim_end_matches('/').to_owned()],
     }
-    listed.iter().map(|a| format!("http://{a}")).collect()
+}
+
+fn listed(url: &str) -> Option<Vec<String>> {
+    let url = BaseUrl::parse(url)?;
+    let call = HttpCall {
+        path: &url.path_of("/v1/addresses"),
+        ..HttpCall::default()
+    };
+    let answer = send(&url.authority, &call, TIMEOUT_MS).ok()?;
+    let (_, body) = answer.read_whole(MAX_LIST_BYTES).ok()?;
+    let listed: Addresses = serde_json::from_slice(&body).ok()?;
+    Some(listed.addresses)
 }
--- a/crates/mangowalk/src/ask/mod.rs
+++ b/crates/mangowalk/src/ask/mod.rs
@@ -2,6 +2,7 @@
 
 mod addresses;
 mod answer;
+mod base_url;
 mod command;
 mod send;
 
--- a/crates/mangowalk/src/ask/send.rs
+++ b/crates/mangowalk/src/ask/send.rs
@@ -1,7 +1,9 @@
 use {
-    super::answer::Answer,
+    super::{answer::Answer, base_url::BaseUrl},
     crate::failure::Failure,
     error_stack::Report,
+    mangowalk_core::edge::SendError,
+    mangowalk_http_client::{HttpAnswer, HttpCall},
     serde_json::Value,
     std::{
         io::{self, BufRead, BufReader, Read, Write},
@@ -9,14 +11,14 @@
     },
 };
 
-/// Timeout of a chat request, in seconds.
-const TIMEOUT_S: u64 = 300;
+/// Timeout of a chat request, in milliseconds.
+const TIMEOUT_MS: u64 = 300_000;
 
 /// Maximum number of bytes that are read of an answer: far more than that of any model.
 const MAX_ANSWER_BYTES: u64 = 64 << 20;
 
-/// Maximum number of bytes that are read of a refusal, which holds a sentence.
-const MAX_REFUSAL_BYTES: u64 = 1 << 20;
+/// Maximum number of bytes of a refusal, which holds a sentence.
+const MAX_REFUSAL_BYTES: usize = 1 << 20;
 
 /// Data of the event that ends a complete stream.
 const STREAM_END: &str = "[DONE]";
@@ -57,26 +59,22 @@
 ///
 /// # Errors
 ///
-/// Returns [`Failure::NotAnswered`] if the request was refused and must not be
-/// retried, or if the connection was lost before the response head.
+/// Returns [`Failure::NotAnswered`] if the URL is not one of `http`, the request was refused
+/// and must not be retried, or the connection was lost before the end of the response head.
 pub(super) fn send(request: &ChatRequest<'_>) -> Result<Attempt, Report<Failure>> {
     let started = Instant::now();
-    let response = minreq::post(format!("{}/v1/chat/completions", request.url))
-        .with_header("Authorization", format!("Bearer {}", request.key))
-        .with_header("Content-Type", "application/json")
-        .with_header("Connection", "close")
-        .with_follow_redirects(false)
-        .with_timeout(TIMEOUT_S)
-        .with_body(request.body)
-        .send_lazy();
-    let response = match response {
+    let Some(url) = BaseUrl::parse(request.url) else {
+        return Err(not_answered(format!(
+            "{} is no URL of an instance; give --url as http://IP:PORT.",
+            request.url
+        )));
+    };
+    let response = match post(&url, request) {
         Ok(response) => response,
-        Err(minreq::Error::IoError(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
-            return Ok(Attempt::unreachable(request.url));
-        }
-        Err(error) => return Err(connection_lost(&error.to_string())),
+        Err(SendError::NotConnected) => return Ok(Attempt::unreachable(request.url)),
+        Err(error) => return Err(answer_lost(error)),
     };
-    if response.status_code != 200 {
+    if response.status != 200 {
         return classify_refusal(response);
     }
     let mut answer = Answer {
@@ -84,7 +82,7 @@
         request_id: header(&response, "x-request-id"),
         ..Answer::default()
     };
-    for line in BufReader::new(response.take(MAX_ANSWER_BYTES)).lines() {
+    for line in BufReader::new(response.body.take(MAX_ANSWER_BYTES)).lines() {
         let Ok(line) = line else { break };
         if let Some(data) = line.strip_prefix("data:") {
             apply_event(&mut answer, data.trim(), started, request.print);
@@ -93,6 +91,20 @@
     Ok(Attempt::Answered(answer))
 }
 
+fn post(url: &BaseUrl, request: &ChatRequest<'_>) -> Result<HttpAnswer, SendError> {
+    let key = format!("Bearer {}", request.key);
+    let call = HttpCall {
+        method: "POST",
+        path: &url.path_of("/v1/chat/completions"),
+        headers: &[
+            ("Authorization", &key),
+            ("Content-Type", "application/json"),
+        ],
+        body: request.body.as_bytes(),
+    };
+    mangowalk_http_client::send(&url.authority, &call, TIMEOUT_MS)
+}
+
 /// Applies the data of one stream event to the answer, and prints its text if
 /// `print` is set.
 fn apply_event(answer: &mut Answer, data: &str, started: Instant, print: bool) {
@@ -126,36 +138,38 @@
 
 /// Reads a refusal. The request may be retried only if the instance states that
 /// it did not run and after which time to retry.
-fn classify_refusal(response: minreq::ResponseLazy) -> Result<Attempt, Report<Failure>> {
-    let status = response.status_code;
+fn classify_refusal(response: HttpAnswer) -> Result<Attempt, Report<Failure>> {
     let outcome = header(&response, "x-mangowalk-outcome");
     let retry_ms = header(&response, "retry-after-ms").parse::<u64>().ok();
-    let mut body = String::new();
-    let _ = response.take(MAX_REFUSAL_BYTES).read_to_string(&mut body);
-    let body: Value = serde_json::from_str(&body).unwrap_or_default();
+    let (status, body) = response
+        .read_whole(MAX_REFUSAL_BYTES)
+        .map_err(answer_lost)?;
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
     let message = body["error"]["message"]
         .as_str()
         .unwrap_or("no reason given");
     let detail = format!("The request was refused with status {status}. {message}");
     match retry_ms {
         Some(retry_ms) if outcome == "not_run" => Ok(Attempt::NotRun { detail, retry_ms }),
-        _ => Err(Report::new(Failure::NotAnswered { detail })),
+        _ => Err(not_answered(detail)),
     }
 }
 
-/// Returns the failure of a request whose connection was lost.
-fn connection_lost(detail: &str) -> Report<Failure> {
-    Report::new(Failure::NotAnswered {
-        detail: format!("The answer was lost ({detail}); ask again."),
-    })
+/// Returns the failure of a request whose outcome isn't known.
+fn answer_lost(error: SendError) -> Report<Failure> {
+    let reason = match error {
+        SendError::TimedOut => "it did not arrive in time",
+        SendError::Unreadable => "it is no HTTP",
+        _ => "its connection ended early",
+    };
+    not_answered(format!("The answer was lost ({reason}); ask again."))
+}
+
+fn not_answered(detail: String) -> Report<Failure> {
+    Report::new(Failure::NotAnswered { detail })
 }
 
 /// Returns the value of a header, empty if it is missing.
-fn header(response: &minreq::ResponseLazy, name: &str) -> String {
-    response
-        .headers
-        .iter()
-        .find(|(n, _)| n.eq_ignore_ascii_case(name))
-        .map(|(_, v)| v.clone())
-        .unwrap_or_default()
+fn header(response: &HttpAnswer, name: &str) -> String {
+    response.header(name).unwrap_or_default().to_owned()
 }
--- a/crates/mangowalk/src/fleet/call.rs
+++ b/crates/mangowalk/src/fleet/call.rs
@@ -1,13 +1,14 @@
 use {
+    mangowalk_http_client::{HttpCall, send},
     serde::de::DeserializeOwned,
-    std::{io::Read, net::SocketAddr},
+    std::net::SocketAddr,
 };
 
-/// Timeout of a call to an instance, in seconds.
-const TIMEOUT_S: u64 = 3;
+/// Timeout of a call to an instance, in milliseconds.
+const TIMEOUT_MS: u64 = 3_000;
 
-/// Maximum number of bytes that are read of an answer.
-const MAX_ANSWER_BYTES: u64 = 16 << 20;
+/// Maximum number of bytes of an answer.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 
 const OK: u16 = 200;
 
@@ -23,22 +24,17 @@
     path: &str,
     body: Option<&str>,
 ) -> Result<T, String> {
-    let url = format!("http://{address}{path}");
-    let request = match body {
-        Some(body) => minreq::post(url).with_body(body),
-        None => minreq::get(url),
+    let call = HttpCall {
+        method: if body.is_some() { "POST" } else { "GET" },
+        path,
+        body: body.unwrap_or_default().as_bytes(),
+        ..HttpCall::default()
     };
-    let reply = request
-        .with_timeout(TIMEOUT_S)
-        .with_follow_redirects(false)
-        .with_header("Connection", "close")
-        .send_lazy()
-        .map_err(|e| e.to_string())?;
-    if reply.status_code != OK {
-        return Err(format!("it answered with status {}", reply.status_code));
+    let answer = send(&address.to_string(), &call, TIMEOUT_MS);
+    let answer = answer.and_then(|answer| answer.read_whole(MAX_ANSWER_BYTES));
+    let (status, body) = answer.map_err(|error| error.to_string())?;
+    if status != OK {
+        return Err(format!("it answered with status {status}"));
     }
-    let mut body = Vec::new();
-    let read = reply.take(MAX_ANSWER_BYTES).read_to_end(&mut body);
-    read.map_err(|e| e.to_string())?;
     serde_json::from_slice(&body).map_err(|e| format!("its answer can't be read: {e}"))
 }
