Count an end of the connection as the end of an answer only with a witness

Callers got 200 and a body framed as complete of streams and plain answers that their engine had not finished. An answer without a length or chunks ends with its connection, and a process that crashes closes its connections in order as well. Between two events, or anywhere in a plain answer, such an end was taken for the end of the answer.

An end that only the connection tells now needs a witness. The engine is asked for its report on a new connection, which names engine and start. The same process ends the answer as complete. A refused connection, another engine or start, or no answer within 700 ms break it off: a stream that may be resumed goes on behind its last event, also if it was complete, and then gets an empty rest; others are cut, and a request that must not run twice gets a 502. One call serves all answers of an engine that ended before it began, and its connection is used for the next request. Answers with a length, with chunks or without a body ask nothing.

--- a/crates/core/src/stream/mod.rs
+++ b/crates/core/src/stream/mod.rs
@@ -1,5 +1,6 @@
 //! Assembly of one answer from the events of its attempts.
 
+mod end_witness;
 mod event_bounds;
 mod event_scanner;
 mod event_splitter;
@@ -7,6 +8,7 @@
 mod stream_end;
 
 pub use {
+    end_witness::{EndFinding, EndWitness, EndWitnessSettings},
     event_bounds::{EventBounds, Excess},
     event_scanner::EventScanner,
     event_splitter::EventSplitter,
--- a/crates/core/tests/stream_ends.rs
+++ b/crates/core/tests/stream_ends.rs
@@ -1,7 +1,7 @@
 //! Ends of streams of server-sent events.
 
 use {
-    mangowalk_core::stream::{EventScanner, EventSplitter, StreamEnd},
+    mangowalk_core::stream::{EndFinding, EndWitness, EventScanner, EventSplitter, StreamEnd},
     proptest::prelude::*,
 };
 
@@ -43,6 +43,39 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Guards against a call that an engine answered before it crashed being the witness of an end
+/// that came later, and against each of many ends waiting for a call of its own.
+#[test]
+fn a_witness_holds_for_ends_before_its_call() {
+    let witness = |finding| EndWitness {
+        began: 5,
+        over: 8,
+        finding,
+    };
+    let (alive, gone) = (EndFinding::SameProcess, EndFinding::Refused);
+    let found = |finding, ended| witness(finding).finding_for(ended);
+    assert_eq!(
+        [3, 4, 6, 9].map(|ended| found(alive, ended)),
+        [Some(alive), Some(alive), None, None]
+    );
+    assert_eq!(
+        [3, 6, 7, 9].map(|ended| found(gone, ended)),
+        [Some(gone), Some(gone), Some(gone), None]
+    );
+}
+
+/// Guards against an engine that started again under its ID counting as the one that wrote the
+/// answer, and against engines that don't tell their start losing all answers.
+#[test]
+fn a_report_of_another_start_is_no_witness() {
+    let same = EndFinding::SameProcess;
+    assert_eq!(EndFinding::of_report(7, Some(7)), same);
+    assert_eq!(EndFinding::of_report(7, Some(9)), EndFinding::OtherProcess);
+    assert_eq!(EndFinding::of_report(7, Some(5)), EndFinding::OtherProcess);
+    assert_eq!(EndFinding::of_report(7, None), same);
+    assert_eq!(EndFinding::of_report(0, Some(9)), same);
+}
+
 proptest! {
     /// Guards against what a scanner finds depending on the pieces in which a stream
     /// arrives.
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -10,7 +10,7 @@
     crate::{
         clock::now_ms,
         instance::{Instance, OpenPassGuard},
-        upstreams::{Answer, Destination, SendError, check_silent, send},
+        upstreams::{Answer, Destination, SendError, check_silent, confirm_end, send},
     },
     derive_more::Display,
     http::Request,
@@ -133,6 +133,28 @@
         }
     }
 
+    /// Returns why an answer that has ended only with its connection counts as broken off, or
+    /// `None` if it is complete. Peers frame all their answers.
+    pub(super) async fn unconfirmed_end_reason(
+        &self,
+        request: &CallerRequest,
+    ) -> Option<&'static str> {
+        let AnswerSource::Engine { entry, .. } = &self.source else {
+            return Some("ended_unconfirmed");
+        };
+        let instance = &request.instance;
+        let began_ms = now_ms();
+        let finding = confirm_end(instance, &request.pool, entry, request.left_ms()).await;
+        log::info!(
+            "event=end_witnessed request={} engine={} finding={} waited_ms={}",
+            request.id(),
+            entry.incarnation.id,
+            finding.label(),
+            now_ms().saturating_sub(began_ms),
+        );
+        finding.break_reason()
+    }
+
     /// Records that the answer broke off or didn't come in time.
     pub(super) fn record_failure(&self, request: &CallerRequest, reason: &'static str) {
         match &self.source {
--- a/crates/gateway/src/callers/buffered.rs
+++ b/crates/gateway/src/callers/buffered.rs
@@ -42,7 +42,10 @@
         let body = read_answer(&request, &mut answered.answer.body, &held);
         let left = Duration::from_millis(request.left_ms());
         match timeout(left, body).await {
-            Ok(Ok(body)) => return finish(&request, answered, body),
+            Ok(Ok(body)) => match break_reason(&request, &answered).await {
+                None => return finish(&request, answered, body),
+                Some(reason) => answered.record_failure(&request, reason),
+            },
             Ok(Err(BrokenAnswer::BrokenOff)) => {
                 answered.record_failure(&request, "broken_answer");
             }
@@ -65,6 +68,15 @@
     }
 }
 
+/// Returns why an answer whose body has ended counts as broken off, or `None` if it is
+/// complete.
+async fn break_reason(request: &CallerRequest, answered: &EngineAnswer) -> Option<&'static str> {
+    match answered.answer.ends_with_connection {
+        true => answered.unconfirmed_end_reason(request).await,
+        false => None,
+    }
+}
+
 /// Why an answer can't be forwarded.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum BrokenAnswer {
--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -211,7 +211,7 @@
 /// Counts and logs a failure of an engine and records it in the engine's health.
 ///
 /// If the answer was lost before its head arrived, or a stream broke off or ended
-/// within or before its events, the request is also recorded as a possible cause of a
+/// within or before its events, or the engine was gone at its end, the request is also recorded as a possible cause of a
 /// crash. The engine is probed, except after an answer that isn't its own. While this
 /// instance reaches no engine of the service, a failure says nothing of the engine and is
 /// only logged. `body_began_ms` is when the body of the answer began, if it did.
@@ -247,7 +247,10 @@
     if reason != "not_connected" {
         record_loss(&request.instance, engine);
     }
-    let is_connection_lost = matches!(reason, "lost" | "broken_off" | "half_event" | "no_event");
+    let is_connection_lost = matches!(
+        reason,
+        "lost" | "broken_off" | "half_event" | "no_event" | "ended_refused" | "ended_replaced"
+    );
     let is_request_lost = is_connection_lost || reason == "fell_silent";
     if is_request_lost {
         let written_ms = request.instance.settings.crash_parts.written_ms;
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -27,7 +27,7 @@
         routing::RetryPolicy,
         stream::{EventScanner, EventSplitter, Excess, StreamEnd},
     },
-    mangowalk_platform::{AnswerHead, BodyFraming},
+    mangowalk_platform::AnswerHead,
     std::{rc::Rc, time::Duration},
     tokio::{task::yield_now, time::timeout},
 };
@@ -119,14 +119,12 @@
         }
     }
 
-    /// Returns why a stream that ends now was broken off, or `None` if it is complete.
-    fn break_reason(&self, framing: BodyFraming, is_resumed: bool) -> Option<&'static str> {
-        let scanner = self.scanner()?;
-        let ends_with_connection = framing == BodyFraming::Connection;
-        match StreamEnd::of(scanner, ends_with_connection, is_resumed) {
-            StreamEnd::Complete => None,
-            StreamEnd::InsideEvent => Some("half_event"),
-            StreamEnd::NoEvent => Some("no_event"),
+    /// Returns what an end now says of the stream.
+    fn end(&self, ends_with_connection: bool, is_resumed: bool) -> StreamEnd {
+        match self.scanner() {
+            Some(scanner) => StreamEnd::of(scanner, ends_with_connection, is_resumed),
+            None if ends_with_connection => StreamEnd::Unconfirmed,
+            None => StreamEnd::Complete,
         }
     }
 }
@@ -216,7 +214,6 @@
             let Some(answered) = &mut self.answered else {
                 return Ok(None);
             };
-            let framing = answered.answer.head.framing;
             let left_ms = self.request.left_ms();
             // An engine that always has more bytes lets no timeout pass.
             if left_ms == 0 {
@@ -253,7 +250,7 @@
                 }
                 Ok(Some(Err(_))) => self.resume("broken_off").await?,
                 Ok(None) => {
-                    let Some(reason) = self.events.break_reason(framing, self.is_resumed()) else {
+                    let Some(reason) = self.break_reason().await else {
                         self.finish();
                         return Ok(None);
                     };
@@ -263,6 +260,19 @@
         }
     }
 
+    /// Returns why the stream, whose answer has ended, was broken off, or `None` if it is
+    /// complete.
+    async fn break_reason(&self) -> Option<&'static str> {
+        let answered = self.answered.as_ref()?;
+        let ends_with_connection = answered.answer.ends_with_connection;
+        match self.events.end(ends_with_connection, self.is_resumed()) {
+            StreamEnd::Complete => None,
+            StreamEnd::InsideEvent => Some("half_event"),
+            StreamEnd::NoEvent => Some("no_event"),
+            StreamEnd::Unconfirmed => answered.unconfirmed_end_reason(&self.request).await,
+        }
+    }
+
     /// Checks the bounds on bytes that are no event. What was received up to them is forwarded
     /// first, as the stream is resumed behind it.
     fn check_bounds(&mut self, has_boundary: bool) {
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -4,6 +4,7 @@
 mod crash_parts;
 mod crashes;
 mod drain;
+mod end_witnesses;
 mod engine_limits;
 mod engine_notices;
 mod engine_paces;
@@ -30,6 +31,7 @@
     crash_parts::{CrashParts, OutgoingPartMessage, PartRecipients},
     crashes::{CrashTracker, LostRequest, hash},
     drain::Drain,
+    end_witnesses::EndWitnesses,
     loans::{Loans, OpenLoan},
     passed_on::{OpenPassGuard, PassedOn},
     reload::{ReloadOutcome, apply_reloadable},
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -10,7 +10,7 @@
     origin::OriginSettings,
     path::PathSettings,
     pool::{AdmitSettings, ChoiceSettings, ListPartSettings},
-    stream::EventBounds,
+    stream::{EndWitnessSettings, EventBounds},
     weights::{OrderLeaseSettings, PlanSettings, RollingSettings, WeightsSettings},
 };
 
@@ -103,6 +103,8 @@
     /// heartbeat and log lines and for timers that fire 100 ms late. With half of
     /// it some instances were killed before they logged that they had stopped.
     pub exit_margin_ms: u64,
+    /// Search for a witness of the end of an answer that ends with its connection.
+    pub end_witness: EndWitnessSettings,
     /// Bounds on bytes of a stream that are no event.
     pub event_bounds: EventBounds,
     /// Time without a byte taken by the caller of a stream after which its connection is
@@ -157,6 +159,7 @@
             store_call_timeout_ms: 1_000,
             address_ttl_s: 1,
             exit_margin_ms: 700,
+            end_witness: EndWitnessSettings::default(),
             event_bounds: EventBounds::default(),
             slow_stream_ms: 5_000,
             unread_answer_ms: 10_000,
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -1,7 +1,8 @@
 use {
     super::{
-        Counters, CrashParts, CrashTracker, Drain, GatewaySettings, PassedOn, ReloadOutcome,
-        RetryBudgets, StoreAvailability, StreamOrigins, WaitingRooms, WakeUps, apply_reloadable,
+        Counters, CrashParts, CrashTracker, Drain, EndWitnesses, GatewaySettings, PassedOn,
+        ReloadOutcome, RetryBudgets, StoreAvailability, StreamOrigins, WaitingRooms, WakeUps,
+        apply_reloadable,
     },
     crate::{bounded::HeldBytes, clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
@@ -82,6 +83,8 @@
     pub service_paths: RefCell<ServicePaths>,
     /// Locks by service, each held while it is checked whether the path is lost.
     pub path_checks: RefCell<HashMap<String, Rc<Mutex<()>>>>,
+    /// Calls that find out whether engines ended their answers themselves.
+    pub end_witnesses: EndWitnesses,
     /// Paths of the peers to the engines, as they report them.
     pub peer_paths: RefCell<PeerPaths>,
     /// Requests that were passed on to peers.
@@ -190,6 +193,7 @@
             pace_reports: RefCell::default(),
             service_paths: RefCell::default(),
             path_checks: RefCell::default(),
+            end_witnesses: EndWitnesses::default(),
             peer_paths: RefCell::default(),
             passed_on: PassedOn::default(),
             is_engine_list_read: Cell::new(false),
--- a/crates/gateway/src/upstreams/connection.rs
+++ b/crates/gateway/src/upstreams/connection.rs
@@ -47,6 +47,8 @@
     pub address: SocketAddr,
     /// Error from the operating system or the HTTP client.
     pub reason: String,
+    /// Whether nothing listens at the address.
+    pub is_refused: bool,
 }
 
 /// Opens a connection to an engine, and records that its service can be reached.
@@ -92,6 +94,7 @@
     let connect_error = |reason: &dyn std::fmt::Display| ConnectError {
         address,
         reason: reason.to_string(),
+        is_refused: false,
     };
     let settings = &instance.settings;
     let connect_timeout = Duration::from_millis(settings.connect_timeout_ms);
@@ -102,7 +105,10 @@
     let stream = timeout(connect_timeout, socket.connect(address))
         .await
         .map_err(|_| connect_error(&"time ran out"))?
-        .map_err(|error| connect_error(&error))?;
+        .map_err(|error| ConnectError {
+            is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
+            ..connect_error(&error)
+        })?;
     set_timeouts(&stream, settings).map_err(|error| connect_error(&error))?;
     let connection = handshake(stream, &instance.held).await;
     connection.map_err(|error| connect_error(&error))
--- a/crates/gateway/src/upstreams/exchange.rs
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -8,6 +8,7 @@
     bytes::Bytes,
     derive_more::{Display, Error},
     http::{Request, response},
+    http_body::Body,
     http_body_util::Full,
     mangowalk_core::{
         engine_notice::SendBarrier,
@@ -45,6 +46,8 @@
 pub struct Answer {
     /// Decoded fields of the response head.
     pub head: AnswerHead,
+    /// Whether only the end of the connection tells the end of the body.
+    pub ends_with_connection: bool,
     /// Status and headers as received.
     pub parts: response::Parts,
     /// Body of the response, as a stream.
@@ -154,7 +157,12 @@
     send_on(connection, build_request()).await
 }
 
-async fn send_on(
+/// Sends a request on a connection and waits for the head of the answer.
+///
+/// # Errors
+///
+/// Fails if the connection ends before the head arrives.
+pub(super) async fn send_on(
     mut connection: PooledConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<Answer, SendError> {
@@ -181,8 +189,11 @@
     if head.closes_connection || head.framing == BodyFraming::Connection {
         connection.set_closing();
     }
+    // Answers that can't have a body end with their head, whatever it says.
+    let ends_with_connection = head.framing == BodyFraming::Connection && !body.is_end_stream();
     Ok(Answer {
         head,
+        ends_with_connection,
         parts,
         body: MeteredBody::new(body, meter),
         connection,
--- a/crates/gateway/src/upstreams/mod.rs
+++ b/crates/gateway/src/upstreams/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to engines, requests on them, and probes of silent engines.
 
 mod connection;
+mod end_witness;
 mod exchange;
 mod kv_stores;
 mod path;
@@ -9,6 +10,7 @@
 
 pub use {
     connection::{ConnectError, Connection, connect_to_engine, connect_to_peer, handshake},
+    end_witness::confirm_end,
     exchange::{Answer, Destination, SendError, send},
     kv_stores::watch_kv_stores,
     path::watch_paths,
--- a/crates/mangowalkd/tests/machines/endings.rs
+++ b/crates/mangowalkd/tests/machines/endings.rs
@@ -3,9 +3,13 @@
 use {
     super::PROGRAM,
     mangowalk_platform_standins::{
-        Caller, Deployment, EngineFaults, PathState, RouteKind, wait_until,
+        AfterEarlyEnd, Caller, Deployment, Engine, EngineFaults, PathState, Reply, RouteKind,
+        wait_until,
+    },
+    std::{
+        thread,
+        time::{Duration, Instant},
     },
-    std::{thread, time::Duration},
 };
 
 /// An engine breaks off a stream after some events.
@@ -130,6 +134,8 @@
             assert_eq!(deployment.times_run(&id), 1);
         }
     }
+    let engines = deployment.engines.iter().chain(&deployment.services);
+    assert_eq!(engines.map(Engine::reports).sum::<usize>(), 24);
     let log = deployment.machines[0].log();
     assert!(!log.contains("event=engine_failed"), "{log}");
 }
@@ -195,3 +201,119 @@
         assert_eq!(deployment.times_run(&id), 1, "{kind:?}");
     }
 }
+
+/// Answers without a length whose engine ends behind some events, or some bytes of a plain
+/// answer, and closes its connections in order.
+fn ends_between_events(after: AfterEarlyEnd, events: usize) -> EngineFaults {
+    EngineFaults {
+        is_unframed: true,
+        ends_cleanly: true,
+        cut_after_bytes: Some(events),
+        after_early_end: after,
+        ..broken_off(events)
+    }
+}
+
+/// Sends requests until the first of two engines has run one, and returns its answer with
+/// its ID. All answers before it have to be whole.
+fn answer_of_the_first(
+    deployment: &Deployment,
+    engines: &[Engine],
+    mut send: impl FnMut(&str) -> Reply,
+) -> (String, Reply) {
+    for _ in 0..200 {
+        let id = Caller::new_request_id();
+        let reply = send(&id);
+        let runs = engines[0].runs();
+        if runs.iter().any(|run| run.request_id == id) {
+            return (id, reply);
+        }
+        assert!(reply.is_complete, "{reply:?}");
+        assert_eq!(deployment.times_run(&id), 1);
+    }
+    panic!("the first engine runs no request");
+}
+
+/// What becomes of an engine whose process ends.
+const PROCESS_ENDS: [AfterEarlyEnd; 3] = [
+    AfterEarlyEnd::Stops,
+    AfterEarlyEnd::Restarts,
+    AfterEarlyEnd::IsReplaced,
+];
+
+/// Guards against a stream looking complete whose engine crashed between two events: the
+/// operating system closes the connection in order, as at the end of an answer without a
+/// length.
+#[test]
+fn a_stream_whose_engine_crashed_between_events_never_looks_complete() {
+    for after in PROCESS_ENDS {
+        let deployment = Deployment::start(PROGRAM, 1, 2);
+        deployment.engines[0].set_faults(ends_between_events(after, 4));
+        let caller = deployment.caller(0);
+        let path = RouteKind::Stream.path();
+        let send = |id: &str| caller.stream(path, id);
+        let (id, reply) = answer_of_the_first(&deployment, &deployment.engines, send);
+        assert!(!reply.is_complete, "{after:?}: {reply:?}");
+        assert_eq!(reply.event_ids(), [0, 1, 2, 3], "{after:?}");
+        assert_eq!(deployment.times_run(&id), 1, "{after:?}");
+    }
+}
+
+/// Guards against a stream that may be resumed ending at a crash between two events, and
+/// against a complete one being lost with its engine's process.
+#[test]
+fn a_stream_whose_engine_crashed_between_events_resumes() {
+    for (after, events) in PROCESS_ENDS
+        .map(|after| (after, 4))
+        .into_iter()
+        .chain([(AfterEarlyEnd::Stops, 12)])
+    {
+        let deployment = Deployment::start(PROGRAM, 1, 2);
+        deployment.engines[0].set_faults(ends_between_events(after, events));
+        let caller = deployment.caller(0);
+        let path = RouteKind::Resumable.path();
+        let send = |id: &str| caller.stream(path, id);
+        let (id, reply) = answer_of_the_first(&deployment, &deployment.engines, send);
+        assert!(reply.is_complete_stream(), "{after:?}, {events}: {reply:?}");
+        assert_eq!(deployment.times_run(&id), 2, "{after:?}, {events}");
+    }
+}
+
+/// Guards against answers being broken off because the engine's report takes a while, and
+/// against callers waiting without a bound for one that doesn't come.
+#[test]
+fn an_end_waits_a_short_time_for_a_slow_report() {
+    for (report_delay_ms, runs) in [(300, 1), (5_000, 2)] {
+        let deployment = Deployment::start(PROGRAM, 1, 2);
+        deployment.engines[0].set_faults(EngineFaults {
+            is_unframed: true,
+            report_delay_ms,
+            ..EngineFaults::default()
+        });
+        let caller = deployment.caller(0);
+        let began = Instant::now();
+        let send = |id: &str| caller.stream(RouteKind::Resumable.path(), id);
+        let (id, reply) = answer_of_the_first(&deployment, &deployment.engines, send);
+        assert!(reply.is_complete_stream(), "{report_delay_ms}: {reply:?}");
+        assert_eq!(deployment.times_run(&id), runs, "{report_delay_ms}");
+        assert!(began.elapsed() < Duration::from_secs(2));
+    }
+}
+
+/// Guards against a plain answer without a length looking whole though its engine crashed,
+/// and against a request that may run only once being sent again, or refused as not run.
+#[test]
+fn a_plain_answer_whose_engine_crashed_never_looks_whole() {
+    for after in PROCESS_ENDS {
+        for (kind, status, runs) in [(RouteKind::Once, 502, 1), (RouteKind::Idempotent, 200, 2)] {
+            let deployment = Deployment::start(PROGRAM, 1, 2);
+            deployment.services[0].set_faults(ends_between_events(after, 4));
+            let caller = deployment.caller(0);
+            let send = |id: &str| caller.plain("POST", kind.path(), id);
+            let (id, reply) = answer_of_the_first(&deployment, &deployment.services, send);
+            assert_eq!(reply.status, status, "{after:?}, {kind:?}: {reply:?}");
+            assert_ne!(reply.body, "body", "{after:?}, {kind:?}");
+            assert_eq!(deployment.times_run(&id), runs, "{after:?}, {kind:?}");
+        }
+    }
+}
