--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -5,6 +5,7 @@
 mod crash_parts;
 mod crashes;
 mod drain;
+mod end_witnesses;
 mod engine_limits;
 mod engine_notices;
 mod engine_paces;
@@ -33,6 +34,7 @@
     crash_parts::{CrashParts, OutgoingPartMessage, PartRecipients},
     crashes::{CrashTracker, LostRequest, hash},
     drain::Drain,
+    end_witnesses::EndWitnesses,
     loans::{Loans, OpenLoan},
     open_questions::{OpenQuestion, OpenQuestions},
     passed_on::{OpenPassGuard, PassedOn},
