Show that an answer that ends in its head is never taken for a whole one

That the gateway's HTTP client fails there was only read.

A head is cut behind each of its bytes, closed in order and reset. For answers with a length behind a 103, and streams in chunks, on new and pooled connections, a request that may run only once gets 502 and is sent once. Plain answers that end with their connection and streams that may be resumed are replaced by another engine's. A stream whose resumed answer ends in its head is broken off. Calls, by which the store and reports of engines are read, fail in all framings, on new and pooled connections, without being repeated. Peers' answers come through the same function as those of engines.

--- a/crates/gateway/tests/bounded_bytes/fake_engine.rs
+++ b/crates/gateway/tests/bounded_bytes/fake_engine.rs
@@ -99,7 +99,7 @@
 }
 
 /// Reads a request without a body and returns its ID, which may be empty; `None` at the end of the connection.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub(super) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
--- a/crates/gateway/tests/bounded_bytes/main.rs
+++ b/crates/gateway/tests/bounded_bytes/main.rs
@@ -1,5 +1,6 @@
-//! Answers of engines whose bytes never end, and callers that don't read theirs.
+//! Answers of engines whose bytes never end or end in their head, and callers that don't read theirs.
 
+mod cut_heads;
 mod endless_answers;
 mod endless_calls;
 mod endless_requests;
