Keep each log message on one line of bounded length

What operators saw: a line break in the name of an entry of another writer began a line of its own, which could say anything; a name of 200,000 bytes made a line of 200,110 bytes, and two queues hold 2,048 lines each.

Cause: messages were written as they were.

Evidence: `an_engine_that_no_request_can_name_gets_none` failed before; its log held the line "event=forged software=v1 draining=false revision=7".

Control characters are replaced, and a message ends after 8 KiB.

--- a/crates/gateway/src/logs/sink.rs
+++ b/crates/gateway/src/logs/sink.rs
@@ -1,4 +1,5 @@
 use {
+    super::line::on_one_line,
     crate::clock::wall_ms,
     flume::{Receiver, Sender, TrySendError},
     log::{Level, LevelFilter, Log, Metadata, Record},
@@ -139,7 +140,7 @@
             "wall_ms={wall_ms} instance={} level={} {}",
             self.instance,
             record.level(),
-            record.args()
+            on_one_line(record.args().to_string())
         );
         if dropped > 0 {
             line.push_str(&format!(" dropped_lines={dropped}"));
--- a/crates/mangowalkd/tests/machines/odd_entries.rs
+++ b/crates/mangowalkd/tests/machines/odd_entries.rs
@@ -157,6 +157,38 @@
     check_processes(&deployment);
 }
 
+/// Guards against requests that are refused as an entry has a good address, but a name or a
+/// version that no request can carry.
+#[test]
+fn an_engine_that_no_request_can_name_gets_none() {
+    let deployment = Deployment::start(PROGRAM, 1, 1);
+    let entry = deployment.services[0].entry("ready");
+    deployment
+        .store
+        .write("servers", "odd \u{7f}", entry.clone());
+    deployment
+        .store
+        .write("servers", "odd\nevent=forged", entry.clone());
+    deployment
+        .store
+        .write("servers", &"x".repeat(200_000), entry.clone());
+    let mut odd_version = entry;
+    odd_version["Version"] = "v\u{1}".into();
+    deployment
+        .store
+        .write("servers", "i-odd-version", odd_version);
+    let log = || deployment.machines[0].log();
+    wait_until("the entry is logged", || {
+        log().contains("engine_refused engine=xxx")
+    });
+    send_for(&deployment, Duration::from_secs(1));
+    // A name must neither begin a line of its own nor fill the log.
+    let log = log();
+    let ends = log.lines().filter(|line| !line.starts_with("wall_ms="));
+    assert_eq!(ends.collect::<Vec<_>>(), Vec::<&str>::new());
+    assert!(log.lines().all(|line| line.len() < 10_000));
+}
+
 /// Guards against a log that repeats an odd entry at each reading, and against odd entries
 /// that nobody can see.
 #[test]
