Merge the decoding of each object of the platform by itself

The product's own stack reads lists and changes like the gateway: one object that can't be read hides no other.

--- a/crates/mangowalkd/src/edge/platform.rs
+++ b/crates/mangowalkd/src/edge/platform.rs
@@ -72,7 +72,7 @@
         }
     }
 
-    fn read<T: DeserializeOwned>(&self, path: &str, timeout_ms: u64) -> Result<T, PlatformError> {
+    fn read(&self, path: &str, timeout_ms: u64) -> Result<Vec<u8>, PlatformError> {
         let call = HttpCall {
             path,
             ..HttpCall::default()
@@ -83,7 +83,7 @@
         if status != 200 {
             return Err(PlatformError::Refused { status });
         }
-        decode(&body)
+        Ok(body)
     }
 }
 
@@ -91,7 +91,7 @@
     fn get(&self, key: &ObjectKey) -> Result<Option<Object>, PlatformError> {
         let path = object_path(key, Precondition::Any);
         match self.read(&path, self.call_timeout_ms) {
-            Ok(object) => Ok(Some(object)),
+            Ok(body) => decode(&body).map(Some),
             Err(PlatformError::Refused { status: 404 }) => Ok(None),
             Err(error) => Err(error),
         }
@@ -121,7 +121,8 @@
 
     fn list(&self, kinds: &[&str]) -> Result<ListReply, PlatformError> {
         let path = format!("/list?kinds={}", kinds.join(","));
-        self.read(&path, self.call_timeout_ms)
+        let body = self.read(&path, self.call_timeout_ms)?;
+        ListReply::decode(&body).ok_or(PlatformError::Lost)
     }
 
     fn watch(
@@ -132,7 +133,8 @@
     ) -> Result<WatchReply, PlatformError> {
         let kinds = kinds.join(",");
         let path = format!("/watch?kinds={kinds}&after={after_revision}&wait_ms={wait_ms}");
-        self.read(&path, wait_ms + WATCH_MARGIN_MS)
+        let body = self.read(&path, wait_ms + WATCH_MARGIN_MS)?;
+        WatchReply::decode(&body).ok_or(PlatformError::Lost)
     }
 }
 
