Let the tests' own caller tell a body that breaks off, and drop minreq

The stand-in of a caller reported `ended` for bodies that broke off, so tests that check it could not see an answer that the router cut short or framed wrongly. It used minreq; it uses the client of the product now, whose body stays broken after a failed read. minreq has no user left.

--- a/crates/http-client/src/answer_body.rs
+++ b/crates/http-client/src/answer_body.rs
@@ -20,6 +20,8 @@
     /// Bytes that were received and not read yet.
     received: Bytes,
     until: Instant,
+    /// Whether a read has failed, after which no end may be reported.
+    is_broken: bool,
     /// Keeps the connection open while the body is read.
     _connection: OpenConnection,
 }
@@ -36,6 +38,7 @@
             body: MeteredBody::new(body, connection.0.meter.clone()),
             received: Bytes::new(),
             until,
+            is_broken: false,
             _connection: connection,
         }
     }
@@ -58,6 +61,15 @@
 
     /// Waits for further bytes. Returns whether there are any.
     fn receive(&mut self) -> io::Result<bool> {
+        if self.is_broken {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+        let received = self.receive_data();
+        self.is_broken = received.is_err();
+        received
+    }
+
+    fn receive_data(&mut self) -> io::Result<bool> {
         while self.received.is_empty() {
             let body = &mut self.body;
             let until = self.until;
--- a/crates/standins/src/endings/end.rs
+++ b/crates/standins/src/endings/end.rs
@@ -13,7 +13,7 @@
 
 impl End {
     /// Ends a connection.
-    pub(super) fn apply(self, stream: TcpStream) {
+    pub fn apply(self, stream: TcpStream) {
         if self == End::Reset {
             let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
             linger.expect("the connection is open");
--- a/crates/standins/src/fleet/answer.rs
+++ b/crates/standins/src/fleet/answer.rs
@@ -1,10 +1,11 @@
 use {
+    mangowalk_http_client::{HttpAnswer, HttpCall},
     serde_json::Value,
     std::{io::Read, net::SocketAddr, time::Instant},
 };
 
 /// Timeout of a request that a test sends.
-const CALLER_TIMEOUT_S: u64 = 60;
+const CALLER_TIMEOUT_MS: u64 = 60_000;
 
 /// An HTTP response as a caller received it.
 #[derive(Debug, Clone, Default)]
@@ -24,49 +25,46 @@
 impl Answer {
     /// Sends a JSON body with POST and reads the response.
     pub fn post(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
-        let request = minreq::post(format!("http://{address}{path}"))
-            .with_header("Content-Type", "application/json")
-            .with_body(body);
-        Answer::send(request, headers)
+        let mut all = vec![("Content-Type", "application/json")];
+        all.extend(headers);
+        let call = HttpCall {
+            method: "POST",
+            path,
+            headers: &all,
+            body: body.as_bytes(),
+        };
+        Answer::send(address, &call)
     }
 
     /// Sends a GET request and reads the response.
     pub fn get(address: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Answer {
-        Answer::send(minreq::get(format!("http://{address}{path}")), headers)
+        let call = HttpCall {
+            path,
+            headers,
+            ..HttpCall::default()
+        };
+        Answer::send(address, &call)
     }
 
-    fn send(mut request: minreq::Request, headers: &[(&str, &str)]) -> Answer {
-        for (name, value) in headers {
-            request = request.with_header(*name, *value);
-        }
+    fn send(address: SocketAddr, call: &HttpCall<'_>) -> Answer {
         let started = Instant::now();
-        let request = request
-            .with_timeout(CALLER_TIMEOUT_S)
-            .with_header("Connection", "close");
-        let Ok(mut response) = request.send_lazy() else {
+        let address = address.to_string();
+        let Ok(response) = mangowalk_http_client::send(&address, call, CALLER_TIMEOUT_MS) else {
             return Answer::default();
         };
-        // `minreq` reports a connection that closed without a response with
-        // this reason phrase.
-        if response.reason_phrase == "Server did not provide a status line" {
-            return Answer::default();
-        }
         let mut answer = Answer {
-            status: response.status_code,
-            headers: response
-                .headers
-                .iter()
-                .map(|(n, v)| (n.to_ascii_lowercase(), v.clone()))
-                .collect(),
+            status: response.status,
+            headers: headers_of(&response),
             ..Answer::default()
         };
+        let mut body = response.body;
         let mut bytes = Vec::new();
         let mut first = [0];
-        if matches!(response.read(&mut first), Ok(1)) {
+        if matches!(body.read(&mut first), Ok(1)) {
             answer.first_byte_ms = started.elapsed().as_millis() as u64;
             bytes.push(first[0]);
         }
-        answer.ended = response.read_to_end(&mut bytes).is_ok();
+        answer.ended = body.read_to_end(&mut bytes).is_ok();
         answer.body = String::from_utf8_lossy(&bytes).into_owned();
         answer
     }
@@ -120,3 +118,11 @@
             .to_owned()
     }
 }
+
+fn headers_of(response: &HttpAnswer) -> Vec<(String, String)> {
+    let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
+    let headers = response.headers.iter();
+    headers
+        .map(|(name, value)| (name.as_str().to_owned(), text(value.as_bytes())))
+        .collect()
+}
