Send a request to a peer once

What callers could see: tokens of a team's rate that were lost. A peer that answers a request for tokens has deducted them; when its connection ended before the whole reply, nng sent the request again on the next connection, and the peer deducted once more.

Cause: a request socket of nng repeats requests unless it is told not to.

Evidence: requests_to_peers_are_sent_once_and_cut_answers_are_none ends a reply after each of its 16 bytes.

Why it works: without a time to resend, nng fails a request whose connection ends. The socket is dropped then, as after a timeout.

--- a/crates/mangowalkd/src/edge/peers.rs
+++ b/crates/mangowalkd/src/edge/peers.rs
@@ -6,7 +6,7 @@
     },
     nng::{
         Protocol, Socket,
-        options::{Options, RecvMaxSize, RecvTimeout, SendTimeout},
+        options::{Options, RecvMaxSize, RecvTimeout, SendTimeout, protocol::reqrep::ResendTime},
     },
     std::{
         collections::HashMap,
@@ -55,6 +55,9 @@
         }
         let socket = Socket::new(Protocol::Req0)?;
         socket.set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES)?;
+        // The library would send a request again on a new connection, although the peer may
+        // have taken it: a grant would be deducted twice.
+        socket.set_opt::<ResendTime>(None)?;
         socket.dial_async(&format!("tcp://{address}"))?;
         Ok(socket)
     }
