Refuse calls of plain services in chunks

What callers saw: an order in chunks whose connection closed within a chunk ran with the part of its body that had arrived.

Cause: tiny_http reads such a body to an end without an error, and fuses the reader, so that nothing tells it from a complete one. A body with a length is compared with it, one of a request for generated text is JSON and is refused if it breaks off, but a service's body can have any form.

Why it works: such a call is refused with 400, as not run, and nothing more is read from its connection. This takes away what worked for callers that send whole chunks; with another HTTP server it could come back.

--- a/crates/mangowalkd/src/caller/handler.rs
+++ b/crates/mangowalkd/src/caller/handler.rs
@@ -120,7 +120,7 @@
     /// Refuses a request whose body was not read. The server skips a body of
     /// known length, but would read the rest of a chunked one as the next
     /// request, so that connection becomes untrusted.
-    fn refuse_unread(&self, request: Request, refusal: &Refusal) {
+    pub(super) fn refuse_unread(&self, request: Request, refusal: &Refusal) {
         if header(&request, "Transfer-Encoding").is_some() {
             self.mark_untrusted(&request);
         }
--- a/crates/mangowalkd/src/caller/service.rs
+++ b/crates/mangowalkd/src/caller/service.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        body::malformed,
         handler::{Handler, header},
         reply::SOURCE_HEADER,
     },
@@ -12,7 +13,17 @@
 pub(super) const PREFIX: &str = "/v1/services/";
 
 /// Serves one call of a plain service and sends its response.
+///
+/// The HTTP server reports a body that breaks off within a chunk as a complete one. Of a request
+/// for generated text the rest is no valid JSON; a service's body can have any form, so it needs
+/// a declared length.
 pub(super) fn serve<E: Edges>(handler: &Handler<'_, E>, mut request: Request, team: &str) {
+    if header(&request, "Transfer-Encoding").is_some() {
+        let refusal = malformed(
+            "A call of a service can't be sent in chunks; send its `Content-Length`.".to_owned(),
+        );
+        return handler.refuse_unread(request, &refusal);
+    }
     let body = match handler.body(&mut request) {
         Ok(body) => body,
         Err(refusal) => return handler.refuse(request, &refusal),
