--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -2,6 +2,7 @@
 //! of the platform.
 
 mod answers;
+mod begun_versions;
 mod brittle;
 mod configuration;
 mod crashing_parts;
