Begin no stream at a version that came back by an old reading of the kept ones

Callers could get answers joined from two software versions: a version whose engines have left is dropped from the kept builds in the store after 30 s. Instances that don't write that object read it only if a build is missing, so they still took the version for kept when its engines came back, and began streams there at once.

Cause: what the object named at an earlier reading was taken for what it names now.

A build that an instance hasn't seen listed for 15 s is no longer known to be kept, until the object is read or written anew. An instance that writes the object reads it again too in this case, as another one may have written it while it stood still. After more than 15 s without the store, streams begin once the object has been read, which costs a call.

The test of the core shows the rule by the length of the gap.

--- a/crates/core/src/origin/listed_builds.rs
+++ b/crates/core/src/origin/listed_builds.rs
@@ -108,7 +108,8 @@
     }
 
     /// Returns whether the builds of a service that outlast all instances include this one;
-    /// `None` stands for that of engines that name none.
+    /// `None` stands for that of engines that name none. One that this instance hasn't seen
+    /// listed for a while isn't known to be kept until the object is read anew.
     ///
     /// Instances that start after a kill of all know nothing of a build that isn't kept and
     /// whose engines have left. They would continue its streams at the remaining build.
@@ -165,7 +166,7 @@
         let mut recorded = BTreeSet::new();
         for engine in engines.iter() {
             if engine.build.is_none() || recorded.insert(engine.build) {
-                self.record_entry(&engine.entry, engine.build, now_ms);
+                self.record_entry(&engine.entry, engine.build, settings, now_ms);
             }
         }
         for listed_ms in self.listed_ms.values_mut() {
@@ -173,13 +174,25 @@
         }
     }
 
-    fn record_entry(&mut self, entry: &EngineEntry, build: Option<EngineBuild>, now_ms: u64) {
-        if let Some(listed_ms) = self.listed_ms.get_mut(&entry.service) {
-            listed_ms.insert(build, now_ms);
+    fn record_entry(
+        &mut self,
+        entry: &EngineEntry,
+        build: Option<EngineBuild>,
+        settings: &OriginSettings,
+        now_ms: u64,
+    ) {
+        let listed_ms = self.listed_ms.entry(entry.service.clone()).or_default();
+        let before_ms = listed_ms.insert(build, now_ms);
+        let is_followed =
+            before_ms.is_some_and(|before_ms| now_ms < before_ms + settings.max_kept_gap_ms);
+        if is_followed {
             return;
         }
-        let listed_ms = BTreeMap::from([(build, now_ms)]);
-        self.listed_ms.insert(entry.service.clone(), listed_ms);
+        // Another instance may have dropped it from the object meanwhile.
+        let kept = self.kept.as_mut();
+        if let Some(kept) = kept.and_then(|kept| kept.get_mut(&entry.service)) {
+            kept.remove(&build);
+        }
     }
 
     /// Returns the builds that a service has had since the last stream began that may still
--- a/crates/core/src/origin/settings.rs
+++ b/crates/core/src/origin/settings.rs
@@ -17,6 +17,10 @@
     /// Longest time without an answer of the store after which the engine list may have
     /// missed engines that came and left.
     pub max_list_gap_ms: u64,
+    /// Time without a build in the engine list after which it isn't known to be kept any more.
+    /// It is shorter than `single_build_ms`, after which an instance that writes the kept
+    /// builds drops it, by more than the age of the list by which an instance does so.
+    pub max_kept_gap_ms: u64,
     /// Time after which a question is repeated, as datagrams may be lost.
     pub ask_again_ms: u64,
     /// Time after which peers that haven't answered are no longer waited for.
@@ -43,6 +47,7 @@
             max_records: 16_384,
             single_build_ms: 30_000,
             max_list_gap_ms: 3_000,
+            max_kept_gap_ms: 15_000,
             ask_again_ms: 40,
             ask_timeout_ms: 150,
             reading_peers: 3,
--- a/crates/core/tests/origins/knowledge.rs
+++ b/crates/core/tests/origins/knowledge.rs
@@ -267,3 +267,27 @@
     builds.set_kept(both);
     assert!(builds.is_kept("llm", v2));
 }
+
+/// Guards against streams that begin at a build which was dropped from the object in the store
+/// while no engine with it was listed, by an earlier reading of the object.
+#[test]
+fn a_build_that_comes_back_is_kept_once_the_object_is_read_anew() {
+    let settings = OriginSettings::default();
+    let (v1, v2) = (Some(build("v1")), Some(build("v2")));
+    let one: &[(&str, &str)] = &[("e1", "v1")];
+    let two: &[(&str, &str)] = &[("e1", "v1"), ("e2", "v2")];
+    let both = BuildsByService::from([("llm".to_owned(), [v1, v2].into())]);
+    let gap_s = settings.max_kept_gap_ms / 1_000;
+    for (away_s, is_kept) in [(gap_s - 1, true), (gap_s, false), (2 * gap_s, false)] {
+        let mut lists = vec![two; 2];
+        lists.extend(vec![one; away_s as usize - 1]);
+        let mut builds = follow(ListedBuilds::default(), true, &lists);
+        builds.set_kept(both.clone());
+        builds.record(&table(two), &settings, 1_000 * (2 + away_s));
+        assert!(builds.is_kept("llm", v1));
+        assert_eq!(builds.is_kept("llm", v2), is_kept, "away for {away_s} s");
+        assert_eq!(builds.kept_and_listed(), Some(both.clone()));
+        builds.set_kept(both.clone());
+        assert!(builds.is_kept("llm", v2));
+    }
+}
--- a/crates/gateway/src/store/kept.rs
+++ b/crates/gateway/src/store/kept.rs
@@ -92,6 +92,10 @@
             true => awaited_interval,
             false => CHECK_INTERVAL,
         };
+        awaited_interval = match is_awaited {
+            true => MAX_AWAITED_INTERVAL.min(2 * awaited_interval),
+            false => MIN_AWAITED_INTERVAL,
+        };
         // Times out unless something is new.
         let _ = timeout(interval, C::wake_up(instance).notified()).await;
         if instance.freshness(now_ms()) != Freshness::Current {
@@ -99,10 +103,6 @@
                 sleep(read_delay(instance)).await;
                 seen = read(instance, store).await;
             }
-            awaited_interval = match is_awaited {
-                true => MAX_AWAITED_INTERVAL.min(2 * awaited_interval),
-                false => MIN_AWAITED_INTERVAL,
-            };
             continue;
         }
         let known = C::known(instance, now_ms()).or_else(|| C::addition(instance));
@@ -110,6 +110,10 @@
             continue;
         };
         if seen.content.is_same(&known) {
+            if C::is_awaited(instance) {
+                // Another instance may have written it since it was read.
+                seen = read(instance, store).await;
+            }
             continue;
         }
         seen = match write(instance, store, seen.revision, known).await {
--- a/crates/mangowalkd/tests/machines/versions.rs
+++ b/crates/mangowalkd/tests/machines/versions.rs
@@ -361,6 +361,68 @@
     take_up_at_all(&deployment, &begun);
 }
 
+/// Begins streams while the instances that write the kept builds are frozen, and kills all.
+/// Returns those that were not refused.
+fn begin_beside_frozen_writers(
+    deployment: &mut Deployment,
+    change_list: impl FnOnce(&mut Deployment),
+) -> Vec<(String, Reply)> {
+    for writer in &deployment.machines[..2] {
+        writer.signal(Signal::SIGSTOP);
+    }
+    change_list(deployment);
+    thread::sleep(Duration::from_millis(200));
+    let mut streams = streams_during(deployment, 2, kill_all);
+    set_faults(deployment, &EngineFaults::default());
+    for (id, refused) in streams.extract_if(.., |(_, reply)| reply.status != 200) {
+        assert_eq!((refused.status, deployment.times_run(&id)), (503, 0));
+    }
+    streams
+}
+
+fn list_new_version(deployment: &mut Deployment) {
+    let new = Engine::start("e9", "llm", Some("model"), "a").with_software("v2");
+    deployment
+        .store
+        .write("servers", new.id(), new.entry("ready"));
+    deployment.engines.push(new);
+}
+
+fn start_and_take_up(deployment: &mut Deployment, begun: &[(String, Reply)]) {
+    for machine in &mut deployment.machines {
+        machine.start();
+    }
+    take_up_at_all(deployment, begun);
+    thread::sleep(Duration::from_millis(2_500));
+    take_up_at_all(deployment, begun);
+}
+
+/// Returns the number of builds of the model's service that are kept in the store.
+fn kept_builds(deployment: &Deployment) -> usize {
+    let kept = deployment.store.read("builds", "listed");
+    let builds = kept.and_then(|kept| kept["services"]["llm"].as_array().map(Vec::len));
+    builds.unwrap_or(0)
+}
+
+/// Guards against streams that begin at a version which comes back after it was dropped from
+/// the kept ones, as an instance that doesn't write these has read them before, and go on at
+/// the other one.
+#[test]
+fn no_stream_begins_at_a_version_that_is_no_longer_kept() {
+    let mut deployment = Deployment::start_versions(PROGRAM, 3, &["v1", "v1", "v2"]);
+    wait_until("the builds are kept in the store", || {
+        kept_builds(&deployment) == 2
+    });
+    thread::sleep(Duration::from_millis(1_500));
+    deployment.store.remove("servers", "e2");
+    // A build is dropped from the kept ones after 30 s.
+    thread::sleep(Duration::from_secs(31));
+    wait_until("the version is dropped", || kept_builds(&deployment) == 1);
+    let begun = begin_beside_frozen_writers(&mut deployment, list_new_version);
+    deployment.store.remove("servers", "e9");
+    start_and_take_up(&mut deployment, &begun);
+}
+
 /// Guards against a new version that gets no streams at instances that don't write the kept
 /// builds themselves.
 #[test]
