Begin no stream at a version that isn't kept while the kept one is drained

Callers could get answers joined from two software versions: where no engine with a kept version took requests, as in a release that drains the former version as the new one joins, streams began at a version that the object in the store didn't name yet.

Cause: a fallback in the choice of an engine let streams begin anywhere if no kept version was left, so a reading that begins after a stream was taken up didn't always name the version that began it.

The fallback is gone. A request for such a stream waits for the object, as one does for room, or is refused with a time after which to come back.

--- a/crates/gateway/src/callers/plan.rs
+++ b/crates/gateway/src/callers/plan.rs
@@ -28,6 +28,10 @@
 /// day.
 const MIN_STORE_TOKENS: u64 = 512;
 
+/// Time after which a caller may retry if no engine has a build that is kept in the store. It
+/// is written there as soon as its first engine is listed.
+const KEPT_RETRY_MS: u64 = 250;
+
 /// How a request is sent to the chosen engine.
 pub(super) struct SendPlan {
     /// Load that the request adds to the engine.
@@ -82,11 +86,7 @@
     let settings = &adapted_choice(request, memory_tokens, count, now_ms);
     let version_bounds = request.version_bounds(now_ms);
     let draw = rand::random();
-    let begins_stream = context.build.is_none() && request.route.retry.is_stream();
-    let needs_kept_build = begins_stream
-        && engines
-            .accepting_engines(&requirements.service, now_ms)
-            .any(|known_engine| known_engine.is_build_kept);
+    let needs_kept_build = context.build.is_none() && request.route.retry.is_stream();
     let is_open = |known_engine: &KnownEngine| {
         context
             .build
@@ -152,6 +152,10 @@
         if let Some(retry_ms) = protection.retry_ms() {
             return Err(Outcome::QueueTooLong(retry_ms));
         }
+        let mut accepting = engines.accepting_engines(&requirements.service, now_ms);
+        if needs_kept_build && accepting.any(|known_engine| !known_engine.is_build_kept) {
+            return Err(Outcome::QueueTooLong(KEPT_RETRY_MS));
+        }
         return Err(lack_of_engines(request, context.build, &engines, now_ms));
     };
     if let Some(retry_ms) = queue_retry_ms(chosen) {
--- a/crates/mangowalkd/tests/machines/versions.rs
+++ b/crates/mangowalkd/tests/machines/versions.rs
@@ -397,6 +397,30 @@
     take_up_at_all(deployment, begun);
 }
 
+/// Guards against streams that begin at a version which isn't kept, as the engines of the kept
+/// one take no requests, and go on at the kept one.
+#[test]
+fn no_stream_begins_at_a_version_that_is_not_kept_while_the_kept_one_is_drained() {
+    let mut deployment = Deployment::start_versions(PROGRAM, 3, &["v1", "v1"]);
+    wait_until("the builds are kept in the store", || {
+        deployment.store.read("builds", "listed").is_some()
+    });
+    thread::sleep(Duration::from_millis(1_500));
+    let set_old = |deployment: &Deployment, state: &str| {
+        for engine in &deployment.engines[..2] {
+            let store = &deployment.store;
+            store.write("servers", engine.id(), engine.entry(state));
+        }
+    };
+    let begun = begin_beside_frozen_writers(&mut deployment, |deployment| {
+        list_new_version(deployment);
+        set_old(deployment, "draining");
+    });
+    deployment.store.remove("servers", "e9");
+    set_old(&deployment, "ready");
+    start_and_take_up(&mut deployment, &begun);
+}
+
 /// Returns the number of builds of the model's service that are kept in the store.
 fn kept_builds(deployment: &Deployment) -> usize {
     let kept = deployment.store.read("builds", "listed");
