Number questions to peers apart from those before a restart

A stream could go on at the software version that began another stream, or by an earlier reading of the store, at an instance that had started again: its questions to peers were numbered from 1 after each start, and an answer names its question by the number alone. A peer that stood still answers the questions of both starts once it goes on, those from before first, and the first answer of a peer counts.

The numbers of each start now begin at a random one of 64 bits, so those of two starts don't meet.

Evidence: the test failed before (left: "before", right: "now") and passes now. It shows the mix-up at the list of open questions; it was not played with processes.

--- a/crates/gateway/src/instance/open_questions.rs
+++ b/crates/gateway/src/instance/open_questions.rs
@@ -20,7 +20,9 @@
 impl<A> Default for OpenQuestions<A> {
     fn default() -> OpenQuestions<A> {
         OpenQuestions {
-            last_number: Cell::default(),
+            // A peer may answer a question of an earlier start of this instance late, and
+            // numbers that begin anew would give that answer to another question.
+            last_number: Cell::new(rand::random()),
             senders: Rc::default(),
         }
     }
@@ -29,7 +31,7 @@
 impl<A> OpenQuestions<A> {
     /// Opens a question; its answers arrive until it is dropped.
     pub fn open(&self) -> OpenQuestion<A> {
-        let number = self.last_number.get() + 1;
+        let number = self.last_number.get().wrapping_add(1);
         self.last_number.set(number);
         let (sender, answers) = unbounded_channel();
         self.senders.borrow_mut().insert(number, sender);
