Show streams that go on at a service to which their route was moved

A process test kills all instances, moves the route of the streams to another service with a single version, and takes the streams up: they go on there, 200 and complete, pieces 0 to 3 by v1 and 4 to 11 by v2.

Cause: without a record, an instance asks the store for the builds of the service to which the route leads now. With a record such a stream is refused. No fix yet: which services a route has had outlasts no kill, unlike the builds of a service.

--- a/crates/mangowalkd/tests/machines/versions.rs
+++ b/crates/mangowalkd/tests/machines/versions.rs
@@ -6,6 +6,7 @@
         Caller, Deployment, Engine, EngineFaults, PathState, Reply, wait_until,
     },
     nix::sys::signal::Signal,
+    serde_json::json,
     std::{collections::BTreeSet, thread, time::Duration},
 };
 
@@ -447,6 +448,31 @@
     start_and_take_up(&mut deployment, &begun);
 }
 
+/// Guards against streams that go on at another service, to which their route was moved: nobody
+/// is left who knows where they began, and that service has a single version.
+#[test]
+fn no_stream_goes_on_at_a_service_to_which_its_route_was_moved() {
+    let mut deployment = Deployment::start_versions(PROGRAM, 3, &["v1", "v1"]);
+    let other = Engine::start("x0", "other", Some("model"), "a").with_software("v2");
+    let store = &deployment.store;
+    store.write("servers", other.id(), other.entry("ready"));
+    deployment.engines.push(other);
+    deployment.configure(|configuration| {
+        let mut service = configuration["Services"][0].clone();
+        service["Name"] = json!("other");
+        let services = configuration["Services"].as_array_mut();
+        services.expect("services are a list").push(service);
+    });
+    wait_until("the builds are kept in the store", || {
+        let kept = deployment.store.read("builds", "listed");
+        kept.is_some_and(|kept| kept["services"]["other"].is_array())
+    });
+    let begun = streams_during(&mut deployment, 0, kill_all);
+    set_faults(&deployment, &EngineFaults::default());
+    deployment.configure(|configuration| configuration["Routes"][0]["Service"] = json!("other"));
+    start_and_take_up(&mut deployment, &begun);
+}
+
 /// Guards against a new version that gets no streams at instances that don't write the kept
 /// builds themselves.
 #[test]
