--- a/crates/mangowalkd/tests/machines/versions.rs
+++ b/crates/mangowalkd/tests/machines/versions.rs
@@ -6,6 +6,7 @@
         Caller, Deployment, Engine, EngineFaults, PathState, Reply, wait_until,
     },
     nix::sys::signal::Signal,
+    serde_json::json,
     std::{collections::BTreeSet, thread, time::Duration},
 };
 
@@ -361,6 +362,117 @@
     take_up_at_all(&deployment, &begun);
 }
 
+/// Begins streams while the instances that write the kept builds are frozen, and kills all.
+/// Returns those that were not refused.
+fn begin_beside_frozen_writers(
+    deployment: &mut Deployment,
+    change_list: impl FnOnce(&mut Deployment),
+) -> Vec<(String, Reply)> {
+    for writer in &deployment.machines[..2] {
+        writer.signal(Signal::SIGSTOP);
+    }
+    change_list(deployment);
+    thread::sleep(Duration::from_millis(200));
+    let mut streams = streams_during(deployment, 2, kill_all);
+    set_faults(deployment, &EngineFaults::default());
+    for (id, refused) in streams.extract_if(.., |(_, reply)| reply.status != 200) {
+        assert_eq!((refused.status, deployment.times_run(&id)), (503, 0));
+    }
+    streams
+}
+
+fn list_new_version(deployment: &mut Deployment) {
+    let new = Engine::start("e9", "llm", Some("model"), "a").with_software("v2");
+    deployment
+        .store
+        .write("servers", new.id(), new.entry("ready"));
+    deployment.engines.push(new);
+}
+
+fn start_and_take_up(deployment: &mut Deployment, begun: &[(String, Reply)]) {
+    for machine in &mut deployment.machines {
+        machine.start();
+    }
+    take_up_at_all(deployment, begun);
+    thread::sleep(Duration::from_millis(2_500));
+    take_up_at_all(deployment, begun);
+}
+
+/// Guards against streams that begin at a version which isn't kept, as the engines of the kept
+/// one take no requests, and go on at the kept one.
+#[test]
+fn no_stream_begins_at_a_version_that_is_not_kept_while_the_kept_one_is_drained() {
+    let mut deployment = Deployment::start_versions(PROGRAM, 3, &["v1", "v1"]);
+    wait_until("the builds are kept in the store", || {
+        deployment.store.read("builds", "listed").is_some()
+    });
+    thread::sleep(Duration::from_millis(1_500));
+    let set_old = |deployment: &Deployment, state: &str| {
+        for engine in &deployment.engines[..2] {
+            let store = &deployment.store;
+            store.write("servers", engine.id(), engine.entry(state));
+        }
+    };
+    let begun = begin_beside_frozen_writers(&mut deployment, |deployment| {
+        list_new_version(deployment);
+        set_old(deployment, "draining");
+    });
+    deployment.store.remove("servers", "e9");
+    set_old(&deployment, "ready");
+    start_and_take_up(&mut deployment, &begun);
+}
+
+/// Returns the number of builds of the model's service that are kept in the store.
+fn kept_builds(deployment: &Deployment) -> usize {
+    let kept = deployment.store.read("builds", "listed");
+    let builds = kept.and_then(|kept| kept["services"]["llm"].as_array().map(Vec::len));
+    builds.unwrap_or(0)
+}
+
+/// Guards against streams that begin at a version which comes back after it was dropped from
+/// the kept ones, as an instance that doesn't write these has read them before, and go on at
+/// the other one.
+#[test]
+fn no_stream_begins_at_a_version_that_is_no_longer_kept() {
+    let mut deployment = Deployment::start_versions(PROGRAM, 3, &["v1", "v1", "v2"]);
+    wait_until("the builds are kept in the store", || {
+        kept_builds(&deployment) == 2
+    });
+    thread::sleep(Duration::from_millis(1_500));
+    deployment.store.remove("servers", "e2");
+    // A build is dropped from the kept ones after 30 s.
+    thread::sleep(Duration::from_secs(31));
+    wait_until("the version is dropped", || kept_builds(&deployment) == 1);
+    let begun = begin_beside_frozen_writers(&mut deployment, list_new_version);
+    deployment.store.remove("servers", "e9");
+    start_and_take_up(&mut deployment, &begun);
+}
+
+/// Guards against streams that go on at another service, to which their route was moved: nobody
+/// is left who knows where they began, and that service has a single version.
+#[test]
+fn no_stream_goes_on_at_a_service_to_which_its_route_was_moved() {
+    let mut deployment = Deployment::start_versions(PROGRAM, 3, &["v1", "v1"]);
+    let other = Engine::start("x0", "other", Some("model"), "a").with_software("v2");
+    let store = &deployment.store;
+    store.write("servers", other.id(), other.entry("ready"));
+    deployment.engines.push(other);
+    deployment.configure(|configuration| {
+        let mut service = configuration["Services"][0].clone();
+        service["Name"] = json!("other");
+        let services = configuration["Services"].as_array_mut();
+        services.expect("services are a list").push(service);
+    });
+    wait_until("the builds are kept in the store", || {
+        let kept = deployment.store.read("builds", "listed");
+        kept.is_some_and(|kept| kept["services"]["other"].is_array())
+    });
+    let begun = streams_during(&mut deployment, 0, kill_all);
+    set_faults(&deployment, &EngineFaults::default());
+    deployment.configure(|configuration| configuration["Routes"][0]["Service"] = json!("other"));
+    start_and_take_up(&mut deployment, &begun);
+}
+
 /// Guards against a new version that gets no streams at instances that don't write the kept
 /// builds themselves.
 #[test]
