Take any answer of the meant engine as the witness of an end

Callers of engines that know no reports, or can't give one now, lost each answer without a length: after 700 ms without a report it counted as broken off. The search for a witness waited for a whole report, which the protocol names for engines of models only.

Shown by a test that failed before:

an_engine_without_a_report_is_a_witness_by_its_id (Some(404), false): left: "The engine's answer was lost; the request may have run.", event=end_witnessed finding=no_answer waited_ms=701

The call names the engine that is meant, and others reject it with 421. Any other whole answer comes from the meant engine, whose start is compared where a report tells it. An answer with the ID of another engine counts as one of that engine.

--- a/crates/core/src/stream/end_witness.rs
+++ b/crates/core/src/stream/end_witness.rs
@@ -13,11 +13,11 @@
 }
 
 impl EndFinding {
-    /// Returns the finding of a report of an engine with the start `reported_born_ms`, where
-    /// the one with the start `born_ms` wrote the answer. Other engines reject the call, so
-    /// that without a start in the report or the entry (`born_ms` 0) the engine counts as the
-    /// same: to start again takes longer than the call may take.
-    pub fn of_report(born_ms: u64, reported_born_ms: Option<u64>) -> EndFinding {
+    /// Returns the finding of an answer to the call that reports the start `reported_born_ms`,
+    /// where the engine with the start `born_ms` wrote the answer that ended. Engines with
+    /// other IDs reject the call, so that without a start in the report or the entry (`born_ms`
+    /// 0) the engine counts as the same: to start again takes longer than the call may take.
+    pub fn of_answer(born_ms: u64, reported_born_ms: Option<u64>) -> EndFinding {
         match reported_born_ms {
             Some(reported_ms) if born_ms > 0 && reported_ms != born_ms => EndFinding::OtherProcess,
             _ => EndFinding::SameProcess,
--- a/crates/core/tests/stream_ends.rs
+++ b/crates/core/tests/stream_ends.rs
@@ -69,11 +69,11 @@
 #[test]
 fn a_report_of_another_start_is_no_witness() {
     let same = EndFinding::SameProcess;
-    assert_eq!(EndFinding::of_report(7, Some(7)), same);
-    assert_eq!(EndFinding::of_report(7, Some(9)), EndFinding::OtherProcess);
-    assert_eq!(EndFinding::of_report(7, Some(5)), EndFinding::OtherProcess);
-    assert_eq!(EndFinding::of_report(7, None), same);
-    assert_eq!(EndFinding::of_report(0, Some(9)), same);
+    assert_eq!(EndFinding::of_answer(7, Some(7)), same);
+    assert_eq!(EndFinding::of_answer(7, Some(9)), EndFinding::OtherProcess);
+    assert_eq!(EndFinding::of_answer(7, Some(5)), EndFinding::OtherProcess);
+    assert_eq!(EndFinding::of_answer(7, None), same);
+    assert_eq!(EndFinding::of_answer(0, Some(9)), same);
 }
 
 proptest! {
--- a/crates/gateway/src/upstreams/end_witness.rs
+++ b/crates/gateway/src/upstreams/end_witness.rs
@@ -95,16 +95,20 @@
     let to_body = |text| Full::new(Bytes::from(text));
     let request = call.to_request(entry.address, to_body).ok()?;
     let answer = send_on(connection, request).await.ok()?;
-    if answer.parts.status == StatusCode::MISDIRECTED_REQUEST {
+    let other = answer.head.engine.as_ref();
+    let is_other = other.is_some_and(|other| *other != entry.incarnation.id);
+    if is_other || answer.parts.status == StatusCode::MISDIRECTED_REQUEST {
         return Some(EndFinding::OtherProcess);
     }
-    let report = read_report(answer.body).await?;
+    // Engines of some services know no reports.
+    let report = decode_report(&read_body(answer.body).await?);
     answer.connection.return_to_pool(now_ms());
+    let reported_born_ms = report.and_then(|report| report.born_ms);
     let born_ms = entry.incarnation.born_ms;
-    Some(EndFinding::of_report(born_ms, report.born_ms))
+    Some(EndFinding::of_answer(born_ms, reported_born_ms))
 }
 
-async fn read_report(body: MeteredBody) -> Option<EngineReport> {
+async fn read_body(body: MeteredBody) -> Option<Bytes> {
     let body = Limited::new(body, MAX_REPORT_BYTES).collect().await.ok()?;
-    decode_report(&body.to_bytes())
+    Some(body.to_bytes())
 }
--- a/crates/mangowalkd/tests/machines/endings.rs
+++ b/crates/mangowalkd/tests/machines/endings.rs
@@ -300,6 +300,31 @@
     }
 }
 
+/// Guards against whole answers being lost of engines that know no reports or can't give one
+/// now: other engines than the one that is meant reject the call.
+#[test]
+fn an_engine_without_a_report_is_a_witness_by_its_id() {
+    for faults in [
+        (Some(404), false),
+        (Some(503), false),
+        (Some(200), false),
+        (None, true),
+    ] {
+        let (no_report_status, hides_start) = faults;
+        let deployment = Deployment::start(PROGRAM, 1, 2);
+        deployment.services[0].set_faults(EngineFaults {
+            is_unframed: true,
+            no_report_status,
+            hides_start,
+            ..EngineFaults::default()
+        });
+        let caller = deployment.caller(0);
+        let send = |id: &str| caller.plain("POST", RouteKind::Once.path(), id);
+        let (id, reply) = answer_of_the_first(&deployment, &deployment.services, send);
+        assert_eq!(reply.body, format!("body of {id}"), "{faults:?}");
+    }
+}
+
 /// Guards against a plain answer without a length looking whole though its engine crashed,
 /// and against a request that may run only once being sent again, or refused as not run.
 #[test]
