Cut instances off beside releases in the soak

Callers saw streams joined from two software versions after an instance that was cut off or stood still had gone on with them. The soak stopped and killed instances and added engines of new versions, but never cut an instance from its peers, and its streams ended before a fault could break them.

Callers hold 24 streams, of 80 ms an event, and take broken ones up at random instances, some without naming the first request. Datagrams and connections between instances are dropped by a socket filter: the test may duplicate the sockets of its children, so it needs no privilege.

New promises: a stream that isn't taken up wasn't run, and none is refused by an undisturbed instance while the service has had a single version. A machine that is cut off from its peers has no peer that could report a departure.

--- a/crates/mangowalkd/tests/soak/check.rs
+++ b/crates/mangowalkd/tests/soak/check.rs
@@ -4,6 +4,7 @@
         crashing_part::{CrashingRequest, check_crashing_part},
         faults::{Departure, Faults, Span},
         notices::check_notices,
+        out_of_step::{check_refused_take_up, refused_take_ups},
         traffic::SentRequest,
     },
     mangowalk_platform_standins::{RouteKind, Run},
@@ -14,7 +15,7 @@
 };
 
 /// Time after the last disturbance of a machine from which time bounds apply to it.
-const SETTLE_TIME: Duration = Duration::from_millis(3_000);
+pub(crate) const SETTLE_TIME: Duration = Duration::from_millis(3_000);
 
 /// Time after an engine's departure from which it must get no request, with an
 /// allowance for a request already on its way on a busy machine.
@@ -45,6 +46,7 @@
             of_request.push((engine.id(), run));
         }
     }
+    let refused = refused_take_ups(faults);
     let mut violations = Vec::new();
     for request in requests {
         let ran = runs.get(&request.id).map_or(&[][..], Vec::as_slice);
@@ -56,6 +58,7 @@
             check_team(request, ran),
             check_departed_engine(faults, request, ran),
             check_withdrawn_key(faults, request),
+            check_refused_take_up(faults, request, ran, &refused),
         ];
         let failures = checks.into_iter().flatten();
         violations.extend(failures.map(|failure| {
@@ -135,12 +138,17 @@
 }
 
 /// Returns whether a machine was running and at least one of its peers could read the
-/// store and report to it, undisturbed since a departure.
+/// store and report to it, undisturbed and not cut off since a departure.
 fn has_informed_peer(faults: &Faults, machine: usize, departure: &Departure, to: Instant) -> bool {
     let mut stopped = faults.stopped[machine].iter();
     let runs = stopped.all(|span| is_outside(span, to, to));
+    let is_connected = |machine: usize| {
+        let mut cuts = faults.peer_cuts.spans[machine].iter();
+        cuts.all(|span| is_outside(span, departure.at, to))
+    };
     let mut peers = (0..faults.disturbed.len()).filter(|peer| *peer != machine);
-    runs && peers.any(|peer| is_undisturbed(faults, peer, departure.at, to))
+    runs && is_connected(machine)
+        && peers.any(|peer| is_connected(peer) && is_undisturbed(faults, peer, departure.at, to))
 }
 
 fn check_departed_engine(
@@ -191,7 +199,8 @@
     let machines = faults.deployment.machines.iter().enumerate();
     let later = requests
         .iter()
-        .filter(|request| request.sent > recovered + Duration::from_secs(2));
+        .filter(|request| request.sent > recovered + Duration::from_secs(2))
+        .filter(|request| !(request.is_held && request.begun.is_some()));
     let failures = machines.filter_map(|(index, machine)| {
         let served = later.clone().filter(|request| request.machine == index);
         let (all, served) = served.fold((0, 0), |(all, served), request| {
--- a/crates/mangowalkd/tests/soak/faults.rs
+++ b/crates/mangowalkd/tests/soak/faults.rs
@@ -1,5 +1,10 @@
 use {
-    super::{crashing_part::with_crashing_part, schedule::Fault},
+    super::{
+        crashing_part::with_crashing_part,
+        out_of_step::{EVENT_INTERVAL_MS, has_instances_out_of_step},
+        peer_cuts::PeerCuts,
+        schedule::{Fault, PeerCut},
+    },
     mangowalk_platform_standins::{
         Deployment, Engine, EngineFaults, EnginePaths, PathState, StoreFault, StoreGate,
     },
@@ -13,7 +18,7 @@
 
 /// A scheduled later step of a fault. Machines are given by index, engines by ID.
 #[derive(Debug, Clone)]
-enum Action {
+pub(crate) enum Action {
     OpenGate(usize),
     Unfreeze(usize),
     StartInstance(usize),
@@ -27,6 +32,9 @@
     RestoreKey,
     RestorePaths(usize),
     Leave(String),
+    OpenPeers(usize, PeerCut),
+    LeaveAll { ids: Vec<String>, is_drained: bool },
+    RollBack(String),
 }
 
 /// Departure of an engine, at the time of the write that sets it to draining or removes
@@ -61,7 +69,7 @@
 
 /// Time from the draining state of an engine to the removal of its entry, in
 /// milliseconds.
-const DRAIN_MS: u64 = 2_200;
+pub(crate) const DRAIN_MS: u64 = 2_200;
 
 /// Returns tenths of a second as seconds.
 fn seconds(tenths_s: u32) -> String {
@@ -79,7 +87,7 @@
     /// Later steps of faults, with the time at which they are due.
     pending: Vec<(Instant, Action)>,
     /// IDs of the engines on the list. Engines that have left it keep serving.
-    listed: Vec<String>,
+    pub(crate) listed: Vec<String>,
     pub(crate) departures: Vec<Departure>,
     /// Intervals in which a machine or its access to the store was disturbed, by machine.
     pub(crate) disturbed: Vec<Vec<Span>>,
@@ -87,14 +95,14 @@
     pub(crate) stopped: Vec<Vec<Span>>,
     /// Intervals in which a machine was cut off from the engines, by machine.
     pub(crate) cut: Vec<Vec<Span>>,
-    /// Number of current `Fault::Refuse` per machine. They can overlap.
+    /// Number of current faults of the way to the store per machine. They can overlap.
     refusals: Vec<usize>,
     pub(crate) store_disturbed: Vec<Span>,
     pub(crate) withdrawn: Vec<Span>,
     pub(crate) limits: Vec<NamedLimit>,
     weights: u64,
     /// Whether the engines have different software versions.
-    is_mixed: bool,
+    pub(crate) is_mixed: bool,
     added_engines: usize,
     /// Whether model engines crash on a part of prompts.
     has_crashing_part: bool,
@@ -102,6 +110,15 @@
     pub(crate) crashes: Vec<Instant>,
     /// Whether entries have expired and must not be rewritten yet.
     entries_expired: bool,
+    pub(crate) peer_cuts: PeerCuts,
+    /// Whether engines take long for a stream, so that many streams run when a fault begins.
+    is_slow: bool,
+    /// Software version of engines that join where all have the same one.
+    pub(crate) software: String,
+    /// When the instances were ready.
+    pub(crate) started: Instant,
+    /// When engines of a new version joined.
+    pub(crate) releases: Vec<Instant>,
 }
 
 impl Faults {
@@ -111,6 +128,7 @@
         paths: Vec<Arc<EnginePaths>>,
         is_mixed: bool,
         has_crashing_part: bool,
+        seed: u64,
     ) -> Faults {
         let engines = deployment.engines.iter().chain(&deployment.services);
         let faults = Faults {
@@ -120,6 +138,7 @@
             cut: deployment.machines.iter().map(|_| Vec::new()).collect(),
             refusals: deployment.machines.iter().map(|_| 0).collect(),
             cuts: paths.iter().map(|_| 0).collect(),
+            peer_cuts: PeerCuts::new(&deployment.machines),
             deployment,
             gates,
             paths,
@@ -134,6 +153,10 @@
             has_crashing_part,
             crashes: Vec::new(),
             entries_expired: false,
+            is_slow: has_instances_out_of_step(seed),
+            software: "v1".to_owned(),
+            started: Instant::now(),
+            releases: Vec::new(),
         };
         for engine in &faults.deployment.engines {
             faults.set_faults(engine, EngineFaults::default());
@@ -144,6 +167,13 @@
     /// Replaces an engine's faults, but that model engines crash on the part.
     fn set_faults(&self, engine: &Engine, faults: EngineFaults) {
         let is_model = engine.id().starts_with('e');
+        let faults = match self.is_slow {
+            true => EngineFaults {
+                event_interval_ms: EVENT_INTERVAL_MS,
+                ..faults
+            },
+            false => faults,
+        };
         engine.set_faults(match self.has_crashing_part && is_model {
             true => with_crashing_part(faults),
             false => faults,
@@ -171,6 +201,7 @@
             self.run_action(action, now);
         }
         self.replace_crashed(now);
+        self.peer_cuts.apply(&self.deployment.machines, now);
         if !self.entries_expired {
             self.write_entries();
         }
@@ -193,7 +224,7 @@
         self.pending.is_empty()
     }
 
-    fn schedule(&mut self, now: Instant, ms: u64, action: Action) {
+    pub(crate) fn schedule(&mut self, now: Instant, ms: u64, action: Action) {
         self.pending.push((now + Duration::from_millis(ms), action));
     }
 
@@ -222,6 +253,27 @@
                 self.mark_disturbed(machine, now, for_ms);
                 self.schedule(now, for_ms, Action::OpenGate(machine));
             }
+            Fault::SilenceStore { machine, for_ms } => {
+                self.gates[machine].silence();
+                self.refusals[machine] += 1;
+                self.mark_disturbed(machine, now, for_ms);
+                self.schedule(now, for_ms, Action::OpenGate(machine));
+            }
+            Fault::CutPeers {
+                machine,
+                cut,
+                for_ms,
+            } => {
+                self.peer_cuts.begin(machine, cut, now, for_ms);
+                self.peer_cuts.apply(&self.deployment.machines, now);
+                self.mark_disturbed(machine, now, for_ms);
+                self.schedule(now, for_ms, Action::OpenPeers(machine, cut));
+            }
+            Fault::Release {
+                is_drained,
+                leave_ms,
+                return_ms,
+            } => self.release(is_drained, leave_ms, return_ms, now),
             Fault::Freeze { machine, for_ms } => {
                 self.deployment.machines[machine].signal(Signal::SIGSTOP);
                 self.mark_stopped(machine, now, for_ms);
@@ -398,6 +450,9 @@
             Action::EndReadLag => self.deployment.store.set_lagging(false),
             Action::RemoveEntry(id) => self.deployment.store.remove("servers", &id),
             Action::Leave(id) => self.leave(&id, now),
+            Action::OpenPeers(machine, cut) => self.peer_cuts.end(machine, cut),
+            Action::LeaveAll { ids, is_drained } => self.leave_all(&ids, is_drained, now),
+            Action::RollBack(software) => self.roll_back(software, now),
             Action::AddEngine { is_model } => self.add_engine(is_model),
             Action::ExpireEntries => {
                 self.entries_expired = true;
@@ -418,7 +473,7 @@
         }
     }
 
-    fn engine(&self, id: &str) -> Option<&Engine> {
+    pub(crate) fn engine(&self, id: &str) -> Option<&Engine> {
         let engines = &self.deployment.engines;
         let mut engines = engines.iter().chain(&self.deployment.services);
         engines.find(|engine| engine.id() == id)
@@ -457,16 +512,16 @@
         self.schedule(now, 500, Action::AddEngine { is_model });
     }
 
-    /// Returns the software version of the next engine that joins: two of each version.
+    /// Returns the software version of the next engine that joins: two of each version where
+    /// they differ.
     fn joining_software(&self) -> String {
-        let version = match self.is_mixed {
-            true => 2 + self.added_engines / 2,
-            false => 1,
-        };
-        format!("v{version}")
+        match self.is_mixed {
+            true => format!("v{}", 2 + self.added_engines / 2),
+            false => self.software.clone(),
+        }
     }
 
-    fn add_engine(&mut self, is_model: bool) {
+    pub(crate) fn add_engine(&mut self, is_model: bool) {
         self.added_engines += 1;
         let number = 100 + self.added_engines;
         let domain = ["a", "b", "c"][number % 3];
--- a/crates/mangowalkd/tests/soak/play.rs
+++ b/crates/mangowalkd/tests/soak/play.rs
@@ -4,6 +4,8 @@
         check::check,
         crashing_part::{has_crashing_part, send_crashing_requests},
         faults::Faults,
+        held_streams::hold_stream,
+        out_of_step::{has_instances_out_of_step, refused_take_ups},
         schedule::schedule,
         traffic::{SentRequest, send_requests},
     },
@@ -18,6 +20,9 @@
 
 const CALLERS: u64 = 6;
 
+/// Number of streams that callers hold at once in seeds with instances out of step.
+const HELD_STREAMS: u64 = 24;
+
 /// Time after the end of the last fault for which callers keep sending requests. All
 /// instances must recover within it.
 const RECOVERY: Duration = Duration::from_secs(5);
@@ -38,6 +43,17 @@
                 scope.spawn(move || send_requests(seed * CALLERS + caller, addresses, stop))
             })
             .collect();
+        let held = if has_instances_out_of_step(seed) {
+            HELD_STREAMS
+        } else {
+            0
+        };
+        let holders: Vec<_> = (0..held)
+            .map(|stream| {
+                let (addresses, stop) = (&addresses, &stop);
+                scope.spawn(move || hold_stream(seed * HELD_STREAMS + stream, addresses, stop))
+            })
+            .collect();
         let crashing = {
             let (addresses, stop) = (&addresses, &stop);
             scope.spawn(move || send_crashing_requests(seed, addresses, stop))
@@ -48,6 +64,7 @@
         stop.store(true, Ordering::Relaxed);
         let requests: Vec<SentRequest> = callers
             .into_iter()
+            .chain(holders)
             .flat_map(|caller| caller.join().expect("a caller doesn't panic"))
             .collect();
         let crashing = crashing.join().expect("a caller doesn't panic");
@@ -63,11 +80,14 @@
         .filter(|request| request.reply.status == 200);
     eprintln!(
         "seed {seed}: {} requests, {} answered with 200, {} streams taken up, {} went on, \
+         {} refused, {} releases, \
          {} engines left, {} crashed of {} requests, {} promises broken",
         requests.len(),
         answered.count(),
         taken_up.count(),
         goes_on.count(),
+        refused_take_ups(&faults).len(),
+        faults.releases.len(),
         faults.departures.len(),
         faults.crashes.len(),
         crashing.len(),
@@ -84,7 +104,7 @@
 /// Starts a deployment. Every other pair of seeds has engines with two software versions,
 /// and engines that join have newer ones.
 fn start(seed: u64, machines: usize) -> Faults {
-    let is_mixed = seed / 2 % 2 == 1;
+    let is_mixed = seed / 2 % 2 == 1 && !has_instances_out_of_step(seed);
     let crashes = has_crashing_part(seed);
     let versions: &[&str] = match (is_mixed, crashes) {
         (true, false) => &["v1", "v1", "v2", "v2"],
@@ -94,7 +114,7 @@
     };
     let prepared = Deployment::prepare_versions(PROGRAM, machines, versions);
     let (deployment, paths, gates) = prepared.start_on_paths();
-    Faults::new(deployment, gates, paths, is_mixed, crashes)
+    Faults::new(deployment, gates, paths, is_mixed, crashes, seed)
 }
 
 fn run_faults(faults: &mut Faults, seed: u64, faults_for: Duration) {
--- a/crates/mangowalkd/tests/soak/schedule.rs
+++ b/crates/mangowalkd/tests/soak/schedule.rs
@@ -1,9 +1,20 @@
 use {
-    super::notices::notice_schedule,
+    super::{
+        notices::notice_schedule,
+        out_of_step::{out_of_step_schedule, plays_out_of_step_only},
+    },
     mangowalk_platform_standins::PathState,
     rand::{Rng, SeedableRng, rngs::SmallRng},
 };
 
+/// Which datagrams and connections between an instance and its peers are lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PeerCut {
+    Both,
+    Inbound,
+    Outbound,
+}
+
 /// One fault. Machines are given by index, engines by whether they serve a model.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -68,6 +79,21 @@
     /// An engine says in its answers that it leaves, and does so after the time. Its entry
     /// stays as it is until then. Another one joins.
     SayLeaving { is_model: bool, for_ms: u64 },
+    /// A machine is cut off from all others.
+    CutPeers {
+        machine: usize,
+        cut: PeerCut,
+        for_ms: u64,
+    },
+    /// The store answers no calls of one machine.
+    SilenceStore { machine: usize, for_ms: u64 },
+    /// Engines with a new software version join, and the former ones leave after a time.
+    /// The former version may come back later.
+    Release {
+        is_drained: bool,
+        leave_ms: u64,
+        return_ms: Option<u64>,
+    },
     /// An engine of the plain service names a limit in tenths of a request a second.
     Limit { tenths_per_s: u32, for_ms: u64 },
 }
@@ -107,7 +133,11 @@
 
 /// Returns all schedules of a seed, in order of time.
 pub(crate) fn schedule(seed: u64, faults_ms: u64, machines: usize) -> Vec<ScheduledFault> {
-    let mut scheduled = first_schedule(seed, faults_ms, machines);
+    let mut scheduled = out_of_step_schedule(seed, faults_ms, machines);
+    if plays_out_of_step_only(seed) {
+        return scheduled;
+    }
+    scheduled.extend(first_schedule(seed, faults_ms, machines));
     scheduled.extend(path_schedule(seed, faults_ms, machines));
     scheduled.extend(load_schedule(seed, faults_ms));
     scheduled.extend(notice_schedule(seed, faults_ms));
--- a/crates/mangowalkd/tests/soak/traffic.rs
+++ b/crates/mangowalkd/tests/soak/traffic.rs
@@ -22,6 +22,8 @@
     pub(crate) sent: Instant,
     pub(crate) ended: Instant,
     pub(crate) reply: Reply,
+    /// Whether the caller holds several streams at once.
+    pub(crate) is_held: bool,
     /// What earlier tries of the caller brought of a stream that it takes up.
     pub(crate) begun: Option<Reply>,
 }
@@ -36,7 +38,7 @@
     }
 
     /// Returns whether the caller has events of the stream and not its end.
-    fn is_broken_stream(&self) -> bool {
+    pub(crate) fn is_broken_stream(&self) -> bool {
         let stream = self.stream();
         self.kind == RouteKind::Resumable
             && !(self.reply.status == 200 && self.reply.is_complete)
@@ -45,7 +47,7 @@
 }
 
 /// Deadline of the requests, in milliseconds.
-const DEADLINE_MS: u64 = 3_000;
+pub(crate) const DEADLINE_MS: u64 = 3_000;
 
 /// Number of times that a caller takes a broken stream up.
 const MAX_TRIES: usize = 2;
@@ -91,6 +93,7 @@
             sent,
             ended: Instant::now(),
             reply,
+            is_held: false,
             begun: None,
         };
         for _ in 0..MAX_TRIES {
@@ -113,6 +116,7 @@
                 sent,
                 ended: Instant::now(),
                 reply,
+                is_held: false,
                 begun: Some(begun),
             };
         }
