Break more streams beside releases in the soak

Its callers ran in step, as all streams took the same time, so a kill often broke none, and releases often began too late for streams of the new version to be running. The soak also fails at its start where the sockets can't be filtered.

--- a/crates/mangowalkd/tests/soak/held_streams.rs
+++ b/crates/mangowalkd/tests/soak/held_streams.rs
@@ -15,6 +15,9 @@
 /// Number of times that a caller takes a broken stream up.
 const MAX_TRIES: usize = 12;
 
+/// Maximum pause before a stream, in milliseconds.
+const MAX_PAUSE_MS: u64 = 400;
+
 /// Sends streams of a caller one after the other, each to a random machine, until `stop` is
 /// set, and returns them. A broken one is taken up at a random machine at once, mostly
 /// naming the request that began it.
@@ -28,6 +31,9 @@
     connections.resize_with(machines.len(), KeepAliveConnection::default);
     let mut requests: Vec<SentRequest> = Vec::new();
     while !stop.load(Ordering::Relaxed) {
+        // Streams of the same length that begin at the same time would all end at the same time,
+        // and a kill would often break none.
+        thread::sleep(Duration::from_millis(random.random_range(0..MAX_PAUSE_MS)));
         let first_id = Caller::new_request_id();
         // No part in common, which would place all streams at one engine.
         let parts = format!("{first_id}:1000");
--- a/crates/mangowalkd/tests/soak/out_of_step.rs
+++ b/crates/mangowalkd/tests/soak/out_of_step.rs
@@ -57,7 +57,7 @@
     while has_instances_out_of_step(seed) && at_ms < faults_ms {
         scheduled.extend(episode(&mut random, at_ms, machines));
         if has_releases(seed) && (at_ms == FIRST_MS || random.random_bool(0.7)) {
-            let at_ms = at_ms - 300 + random.random_range(0..1_500);
+            let at_ms = at_ms - 200 + random.random_range(0..800);
             let fault = release(&mut random, faults_ms.saturating_sub(at_ms));
             scheduled.push(ScheduledFault { at_ms, fault });
         }
@@ -77,7 +77,7 @@
     let kind = random.random_range(0..6);
     let kills_at_ms = match is_paused {
         true => at_ms + for_ms - 200 + random.random_range(0..500),
-        false => at_ms + random.random_range(for_ms / 3..for_ms),
+        false => at_ms + random.random_range(for_ms / 2..for_ms),
     };
     let faults = |machine: usize| match is_paused {
         true => pause(kind, machine % machines, for_ms),
--- a/crates/mangowalkd/tests/soak/peer_cuts.rs
+++ b/crates/mangowalkd/tests/soak/peer_cuts.rs
@@ -54,6 +54,17 @@
         }
     }
 
+    /// # Panics
+    ///
+    /// Panics if sockets of a machine can't be filtered, so that cuts would do nothing.
+    pub(crate) fn assert_possible(machines: &[Machine]) {
+        let filtered = machines.iter().map(|machine| attach(machine, &filter(&[])));
+        assert!(
+            filtered.min() > Some(0),
+            "the system denies this process the sockets of its children (pidfd_getfd)"
+        );
+    }
+
     /// Begins a cut.
     pub(crate) fn begin(&mut self, machine: usize, cut: PeerCut, now: Instant, for_ms: u64) {
         let to = now + Duration::from_millis(for_ms);
@@ -123,17 +134,18 @@
     filter
 }
 
-/// Attaches a filter to all sockets of a machine's address. A process or socket that ends
-/// meanwhile is passed over.
-fn attach(machine: &Machine, filter: &[SockFilter]) {
+/// Attaches a filter to all sockets of a machine's address, and returns their number. A
+/// process or socket that ends meanwhile is passed over.
+fn attach(machine: &Machine, filter: &[SockFilter]) -> usize {
     let own = IpAddr::V4(address(machine));
     let Some(process) = Pid::from_raw(machine.pid()) else {
-        return;
+        return 0;
     };
     let files = fs::read_dir(format!("/proc/{}/fd", machine.pid()));
     let (Ok(process), Ok(files)) = (pidfd_open(process, PidfdFlags::empty()), files) else {
-        return;
+        return 0;
     };
+    let mut attached = 0;
     for file in files.flatten() {
         let number = file.file_name().to_str().and_then(|name| name.parse().ok());
         let is_socket = fs::read_link(file.path())
@@ -147,8 +159,8 @@
         let socket = Socket::from(socket);
         let local = socket.local_addr().ok().and_then(|local| local.as_socket());
         if local.is_some_and(|local| local.ip() == own) {
-            // Fails on a socket that has just been closed.
-            let _ = socket.attach_filter(filter);
+            attached += usize::from(socket.attach_filter(filter).is_ok());
         }
     }
+    attached
 }
--- a/crates/mangowalkd/tests/soak/play.rs
+++ b/crates/mangowalkd/tests/soak/play.rs
@@ -6,6 +6,7 @@
         faults::Faults,
         held_streams::hold_stream,
         out_of_step::{has_instances_out_of_step, refused_take_ups},
+        peer_cuts::PeerCuts,
         schedule::schedule,
         traffic::{SentRequest, send_requests},
     },
@@ -21,7 +22,7 @@
 const CALLERS: u64 = 6;
 
 /// Number of streams that callers hold at once in seeds with instances out of step.
-const HELD_STREAMS: u64 = 24;
+const HELD_STREAMS: u64 = 40;
 
 /// Time after the end of the last fault for which callers keep sending requests. All
 /// instances must recover within it.
@@ -114,6 +115,9 @@
     };
     let prepared = Deployment::prepare_versions(PROGRAM, machines, versions);
     let (deployment, paths, gates) = prepared.start_on_paths();
+    if has_instances_out_of_step(seed) {
+        PeerCuts::assert_possible(&deployment.machines);
+    }
     Faults::new(deployment, gates, paths, is_mixed, crashes, seed)
 }
 
