--- a/crates/mangowalkd/tests/soak/play.rs
+++ b/crates/mangowalkd/tests/soak/play.rs
@@ -77,18 +77,20 @@
         .filter(|request| request.reply.status == 200);
     let taken_up = requests.iter().filter(|request| request.begun.is_some());
     let refused = taken_up.clone().filter(|request| request.is_refused());
+    let unanswered = taken_up.clone().filter(|request| request.reply.status == 0);
     let goes_on = taken_up
         .clone()
         .filter(|request| request.reply.status == 200);
     eprintln!(
         "seed {seed}: {} requests, {} answered with 200, {} streams taken up, {} went on, \
-         {} refused, {} releases, \
+         {} refused, {} got no answer, {} releases, \
          {} engines left, {} crashed of {} requests, {} promises broken",
         requests.len(),
         answered.count(),
         taken_up.count(),
         goes_on.count(),
         refused.count(),
+        unanswered.count(),
         faults.releases.len(),
         faults.departures.len(),
         faults.crashes.len(),
