--- a/crates/gateway/src/callers/classify.rs
+++ b/crates/gateway/src/callers/classify.rs
@@ -210,9 +210,9 @@
 
 /// Counts and logs a failure of an engine and records it in the engine's health.
 ///
-/// If the answer was lost before its head arrived, or a stream broke off or ended
-/// within or before its events, or the engine was gone at its end, the request is also recorded as a possible cause of a
-/// crash. The engine is probed, except after an answer that isn't its own. While this
+/// If the answer was lost before its head arrived, or a stream broke off or ended within or
+/// before its events, or the engine was gone at its end, the request is also recorded as a
+/// possible cause of a crash. The engine is probed, except after an answer that isn't its own. While this
 /// instance reaches no engine of the service, a failure says nothing of the engine and is
 /// only logged. `body_began_ms` is when the body of the answer began, if it did.
 pub(super) fn record_engine_failure(
