Log requests whose connections close before they are answered

A caller that left while an engine worked for it left no line, so that a close that wasn't seen, was seen late or wasn't told to the engine looked the same. `abandoned` tells where the request was and for how long, and `loop_delay` how late the event loop is; a deadline of ours that ends a run has its lines already (`engine_failed` and `stream_cut`, timed_out).

--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -4,6 +4,7 @@
         guards::LoadGuard,
         pass_on::{pass_on, record_peer_failure},
         plan::{choose_engine, headers},
+        progress::Stage,
         request::{CallerRequest, Origin},
         waiting::{WaitingPlace, charge_unless_waited},
     },
@@ -251,6 +252,8 @@
         request.origin,
         context.charge,
     );
+    let progress = &request.progress;
+    progress.enter_at(Stage::AtEngine, &engine.incarnation.id);
     let sending = send(
         &request.instance,
         &request.pool,
--- a/crates/gateway/src/callers/completion.rs
+++ b/crates/gateway/src/callers/completion.rs
@@ -25,6 +25,7 @@
 
 /// Records, counts and logs the end of a request that an engine answered.
 pub(super) fn record_answered_request(request: &CallerRequest, answered: &EngineAnswer) {
+    request.progress.end();
     let took_ms = now_ms().saturating_sub(request.arrived_ms);
     let mut crashes = request.instance.crashes.borrow_mut();
     if !crashes.is_empty() {
@@ -60,6 +61,7 @@
     refusal: Refusal,
     wait_ms: Option<u64>,
 ) -> Response<AnswerBody> {
+    request.progress.end();
     let sends_retry_time = matches!(
         refusal,
         Refusal::NoEngine
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -13,6 +13,7 @@
 mod listener;
 mod pass_on;
 mod plan;
+mod progress;
 mod rate_charge;
 mod refusal;
 mod request;
--- a/crates/gateway/src/callers/pass_on.rs
+++ b/crates/gateway/src/callers/pass_on.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         attempt::{AnswerSource, AttemptContext, EngineAnswer, Outcome},
+        progress::Stage,
         request::CallerRequest,
     },
     crate::{
@@ -70,6 +71,7 @@
         incarnation: &peer.incarnation,
         address: peer.address,
     };
+    request.progress.enter_at(Stage::AtPeer, name);
     let sending = send(&request.instance, &request.pool, destination, build_message);
     let give_up_ms = context.give_up_ms.unwrap_or(left_ms).min(left_ms);
     match timeout(Duration::from_millis(give_up_ms), sending).await {
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -1,5 +1,5 @@
 use {
-    super::Refusal,
+    super::{Refusal, progress::Progress},
     crate::{
         bounded::{HeldKind, Hold, MeteredBody},
         clock::now_ms,
@@ -52,6 +52,8 @@
     pub(super) requirements: EngineRequirements,
     /// Build at which the request has to run, as it takes up a stream that began there.
     pub(super) build: Option<EngineBuild>,
+    /// Where the request is.
+    pub(super) progress: Progress,
     pub(super) arrived_ms: u64,
     /// When the caller gives up or the route's timeout is reached, whichever is
     /// earlier.
@@ -258,6 +260,7 @@
         .await
         .map_err(|_| (Refusal::TooSlow, None))??;
     let requirements = requirements(&instance, &head, &route, tenant.as_deref());
+    let progress = Progress::new(&instance, &head.request_id, arrived_ms);
     Ok(CallerRequest {
         origin,
         instance,
@@ -272,6 +275,7 @@
         tenant,
         requirements,
         build: None,
+        progress,
         arrived_ms,
         deadline_ms,
     })
--- a/crates/gateway/src/callers/retry.rs
+++ b/crates/gateway/src/callers/retry.rs
@@ -3,6 +3,7 @@
         Refusal,
         attempt::{AttemptContext, EngineAnswer, Outcome, RetryCharge, attempt},
         plan::lack_of_engines,
+        progress::Stage,
         request::CallerRequest,
         waiting::{
             WaitRefusal, WaitingPlace, is_want_of_room, may_wait, must_let_others_go_first,
@@ -135,6 +136,7 @@
     // Whether the attempt for which a retry was taken has found no engine yet.
     let mut holds_retry = false;
     loop {
+        request.progress.enter(Stage::Deciding);
         let refusal = if may_have_run {
             Refusal::AnswerLost
         } else {
@@ -208,6 +210,8 @@
         attempts.may_have_arrived |= outcome.may_have_arrived();
         match outcome {
             Outcome::Answer(answered) => {
+                let progress = &request.progress;
+                progress.enter_at(Stage::Answering, answered.responder());
                 attempts.possible_run_count += 1;
                 attempts.tried_engines.push(answered.responder().to_owned());
                 let failed = answered.answer.parts.status.is_server_error();
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -482,6 +482,7 @@
     /// Counts and logs a stream that is cut off, and returns the error for the
     /// body.
     fn record_cut(&self, reason: &'static str) -> StreamCut {
+        self.request.progress.end();
         self.request.instance.counters.count("stream_cut", reason);
         log::warn!(
             "event=stream_cut request={} reason={reason}",
--- a/crates/gateway/src/callers/waiting.rs
+++ b/crates/gateway/src/callers/waiting.rs
@@ -3,6 +3,7 @@
         Refusal,
         attempt::{AttemptContext, Outcome},
         backlog::{backlog, is_active},
+        progress::Stage,
         request::{CallerRequest, Origin, STOPPING_RETRY_MS},
     },
     crate::{
@@ -158,6 +159,7 @@
             place.insert(entered)
         }
     };
+    request.progress.enter(Stage::Waiting);
     let instance = &request.instance;
     let mut drain = instance.drain.clone();
     let left_ms = latest_start_ms(request).saturating_sub(now_ms());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod clock;
 mod critical_tasks;
+mod loop_delay;
 mod run;
 
 pub use {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -5,6 +5,7 @@
         critical_tasks::CriticalTasks,
         instance::{Drain, GatewaySettings, Instance},
         logs::{self, LIFECYCLE, LogSettings},
+        loop_delay::measure_loop_delay,
         mesh,
         rollouts::run_rollouts,
         store::{
@@ -260,6 +261,7 @@
         "orders",
         run_weights_updater(instance.clone(), store.clone()),
     );
+    tasks.start("loop_delay", measure_loop_delay(instance.clone()));
     tasks.start("readiness", serve_ready(instance.clone(), ready));
     tasks.start("directory", serve_directory(instance.clone(), directory));
     tasks.start("metrics", serve_metrics(instance.clone(), metrics));
