Notice callers that leave with bytes behind their request

Callers saw nothing; engines went on working for callers that had left, in their queue, while they read the prompt and for the whole of a plain answer, and such a request was sent to a second engine at the cost of a retry.

Cause: the HTTP library looks for the end of a busy connection only while its read buffer is empty. One line end or the next request behind the open one hid the end until a write to the caller failed. Class: an end that can't be seen behind unread bytes. The connection now looks for its end itself as long as a request is open: it peeks, and if unread bytes wait before the end, asks each 100 ms whether the other side has ended.

Nine process tests, each with nothing, a line end, the next request and 40 kB of line ends behind the request: at the engine's queue, while the prompt is read, at a service, behind a peer, in the waiting room, while a stream is resumed, while the engine is probed, while the instance stops, and with a caller that ends its sending side alone.

--- a/crates/gateway/src/bounded/caller_stream.rs
+++ b/crates/gateway/src/bounded/caller_stream.rs
@@ -1,5 +1,6 @@
 use {
     super::{CallerWrites, ReadMeter},
+    futures_util::FutureExt,
     std::{
         io,
         pin::Pin,
@@ -9,12 +10,15 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncRead, AsyncWrite, ReadBuf},
+        io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
         net::TcpStream,
         time::{Instant, Sleep, sleep},
     },
 };
 
+/// Interval at which the end of a connection is looked for behind bytes that nobody reads yet.
+const HIDDEN_END_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Times after which a connection is closed whose caller takes no byte.
 #[derive(Debug, Clone, Copy)]
 pub struct StallLimits {
@@ -24,8 +28,8 @@
     pub answer: Duration,
 }
 
-/// A connection to a caller, which ends if the caller doesn't read, or sends bytes that are
-/// neither a head nor a body.
+/// A connection to a caller, which ends if the caller doesn't read, leaves before its answer, or
+/// sends bytes that are neither a head nor a body.
 pub struct CallerStream {
     stream: TcpStream,
     meter: Arc<ReadMeter>,
@@ -33,6 +37,8 @@
     limits: StallLimits,
     /// Set while the caller takes no byte.
     stall: Option<Stall>,
+    /// Set while bytes behind an open request may hide the end of the connection.
+    next_end_check: Option<Pin<Box<Sleep>>>,
 }
 
 /// A time in which the caller takes no byte.
@@ -56,6 +62,7 @@
             writes,
             limits,
             stall: None,
+            next_end_check: None,
         }
     }
 
@@ -64,6 +71,48 @@
         self.stream
     }
 
+    /// Looks for the end of the connection while a request is worked on.
+    ///
+    /// The HTTP library does so only as long as it holds no bytes behind the request. With a
+    /// line end or the next request there, an engine would work on for a caller that has left.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has closed its end or reset the connection.
+    fn check_end(&mut self, context: &mut Context<'_>) -> io::Result<()> {
+        if !self.writes.is_request_open() {
+            self.next_end_check = None;
+            return Ok(());
+        }
+        let mut byte = [0];
+        let Poll::Ready(peeked) = self.stream.poll_peek(context, &mut ReadBuf::new(&mut byte))
+        else {
+            return Ok(());
+        };
+        if peeked? == 0 || self.is_end_received() {
+            return Err(io::Error::new(
+                io::ErrorKind::ConnectionAborted,
+                "the caller has left",
+            ));
+        }
+        // No event tells of an end behind bytes that wait already.
+        loop {
+            let timer = self
+                .next_end_check
+                .get_or_insert_with(|| Box::pin(sleep(HIDDEN_END_INTERVAL)));
+            if timer.as_mut().poll(context).is_pending() {
+                return Ok(());
+            }
+            self.next_end_check = None;
+        }
+    }
+
+    /// Returns whether the caller has ended its side, whatever waits to be read before the end.
+    fn is_end_received(&self) -> bool {
+        let ready = self.stream.ready(Interest::READABLE).now_or_never();
+        ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+    }
+
     /// Records the result of a write. A write that has waited for too long fails.
     fn after_write(
         &mut self,
@@ -77,6 +126,7 @@
                 .remove(result.as_ref().map_or(0, |bytes| *bytes));
             return Poll::Ready(result);
         }
+        self.check_end(context)?;
         let limit = match self.writes.is_stream_open() {
             true => self.limits.stream,
             false => self.limits.answer,
@@ -142,6 +192,7 @@
     /// Is called once all queued bytes are written.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.writes.unsent.set(0);
+        self.check_end(context)?;
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
--- a/crates/gateway/src/bounded/caller_writes.rs
+++ b/crates/gateway/src/bounded/caller_writes.rs
@@ -7,6 +7,8 @@
 #[derive(Debug)]
 pub struct CallerWrites {
     pub(super) unsent: Hold,
+    /// Whether a request is worked on, whose answer isn't there in full.
+    is_request_open: Cell<bool>,
     /// Whether an engine waits until the rest of its stream is taken.
     is_stream_open: Cell<bool>,
     is_too_slow: Cell<bool>,
@@ -19,20 +21,28 @@
     pub fn new(unsent: Hold) -> CallerWrites {
         CallerWrites {
             unsent,
+            is_request_open: Cell::new(false),
             is_stream_open: Cell::new(false),
             is_too_slow: Cell::new(false),
             request_id: RefCell::default(),
         }
     }
 
-    /// Records that an answer begins.
+    /// Records that a request was received.
+    pub fn begin_request(&self) {
+        self.is_request_open.set(true);
+    }
+
+    /// Records that an answer begins. One that is no stream is there in full.
     pub fn begin_answer(&self, request_id: &str, is_stream: bool) {
+        self.is_request_open.set(is_stream);
         self.is_stream_open.set(is_stream);
         *self.request_id.borrow_mut() = request_id.to_owned();
     }
 
     /// Records that all of the answer is there to be written.
     pub fn end_answer(&self) {
+        self.is_request_open.set(false);
         self.is_stream_open.set(false);
     }
 
@@ -46,6 +56,11 @@
         self.is_too_slow.set(true);
     }
 
+    /// Returns whether a request is worked on, whose answer isn't there in full.
+    pub(super) fn is_request_open(&self) -> bool {
+        self.is_request_open.get()
+    }
+
     /// Returns whether an engine waits until the rest of its stream is taken.
     pub fn is_stream_open(&self) -> bool {
         self.is_stream_open.get()
--- a/crates/gateway/src/callers/listener.rs
+++ b/crates/gateway/src/callers/listener.rs
@@ -108,6 +108,7 @@
     let service = service_fn(|request: Request<Incoming>| {
         is_http_1_0.set(request.version() == Version::HTTP_10);
         meter.begin_message();
+        writes.begin_request();
         let request = request.map(|body| MeteredBody::new(body, meter.clone()));
         let (instance, pool, writes) = (instance.clone(), pool.clone(), writes.clone());
         async move {
--- a/crates/mangowalkd/tests/machines/main.rs
+++ b/crates/mangowalkd/tests/machines/main.rs
@@ -1,6 +1,7 @@
 //! Runs instances as real processes, as on the users' machines, against stand-ins
 //! of the platform.
 
+mod abandoned;
 mod answers;
 mod begun_versions;
 mod brittle;
