Take no request in a planned stop that can't be answered before its end

Callers of a stopping instance lost requests that came late in the grace period, among them requests that run at most once: the instance took them until half a second before its exit, whatever they needed, and closed their connections with no answer.

Cause: the time that is left was never compared with what a request needs. A request that runs at most once is now taken only if its deadline lies before the exit, one that may run again if one and a half times the longest of the last 32 answers of its route fits. Others are refused at once as not run, with a time to come back. What is open at the exit all the same gets 502, or 503 if no engine had it, instead of a closed connection; begun streams are cut.

The test sends all kinds of requests every 150 ms at graces of 1, 2, 4 and 8 s.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod rollout;
 pub mod routing;
 pub mod share;
+pub mod shutdown;
 pub mod status;
 pub mod stream;
 pub mod upstream;
--- a/crates/gateway/src/callers/completion.rs
+++ b/crates/gateway/src/callers/completion.rs
@@ -36,6 +36,8 @@
         request.record_completed_parts();
     }
     request.instance.counters.observe("request", took_ms);
+    let shutdown = &request.instance.shutdown;
+    shutdown.record_duration(&request.route.name, took_ms);
     request.instance.counters.count("answered", "engine");
     let framing = answered.answer.head.framing.label();
     request.instance.counters.count("answer_end", framing);
--- a/crates/gateway/src/callers/progress.rs
+++ b/crates/gateway/src/callers/progress.rs
@@ -6,6 +6,7 @@
     derive_more::Display,
     std::{
         cell::{Cell, RefCell},
+        fmt,
         rc::Rc,
     },
 };
@@ -53,6 +54,7 @@
     since_ms: Cell<u64>,
     /// Engine or peer that has the request; empty if none has it.
     upstream: RefCell<String>,
+    may_have_arrived: Cell<bool>,
     is_ended: Cell<bool>,
 }
 
@@ -66,17 +68,23 @@
             stage: Cell::new(Stage::Deciding),
             since_ms: Cell::new(arrived_ms),
             upstream: RefCell::default(),
+            may_have_arrived: Cell::new(false),
             is_ended: Cell::new(false),
         }
     }
 
     /// Records that no engine and no peer has the request.
     pub(super) fn enter(&self, stage: Stage) {
-        self.enter_at(stage, "");
+        self.set(stage, "");
     }
 
     /// Records that an engine or a peer has the request.
     pub(super) fn enter_at(&self, stage: Stage, upstream: &str) {
+        self.may_have_arrived.set(true);
+        self.set(stage, upstream);
+    }
+
+    fn set(&self, stage: Stage, upstream: &str) {
         self.stage.set(stage);
         self.since_ms.set(now_ms());
         let mut current = self.upstream.borrow_mut();
@@ -84,27 +92,40 @@
         current.push_str(upstream);
     }
 
+    /// Returns whether the request may have reached an engine.
+    pub(super) fn may_have_arrived(&self) -> bool {
+        self.may_have_arrived.get()
+    }
+
     /// Records that the caller gets an answer or a refusal, or that its stream is cut off.
     pub(super) fn end(&self) {
         self.is_ended.set(true);
     }
 }
 
+impl fmt::Display for Progress {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let now_ms = now_ms();
+        write!(
+            formatter,
+            "request={} stage={} upstream={} stage_ms={} after_ms={}",
+            self.request_id,
+            self.stage.get(),
+            self.upstream.borrow(),
+            now_ms.saturating_sub(self.since_ms.get()),
+            now_ms.saturating_sub(self.arrived_ms),
+        )
+    }
+}
+
 impl Drop for Progress {
     fn drop(&mut self) {
         let is_stopped = *self.instance.drain.borrow() == Drain::Stopped;
         if self.is_ended.get() || is_stopped {
             return;
         }
-        let stage = self.stage.get();
-        let now_ms = now_ms();
-        self.instance.counters.count("abandoned", stage.label());
-        log::info!(
-            "event=abandoned request={} stage={stage} upstream={} stage_ms={} after_ms={}",
-            self.request_id,
-            self.upstream.borrow(),
-            now_ms.saturating_sub(self.since_ms.get()),
-            now_ms.saturating_sub(self.arrived_ms),
-        );
+        let counters = &self.instance.counters;
+        counters.count("abandoned", self.stage.get().label());
+        log::info!("event=abandoned {self}");
     }
 }
--- a/crates/gateway/src/callers/request.rs
+++ b/crates/gateway/src/callers/request.rs
@@ -53,7 +53,7 @@
     /// Build at which the request has to run, as it takes up a stream that began there.
     pub(super) build: Option<EngineBuild>,
     /// Where the request is.
-    pub(super) progress: Progress,
+    pub(super) progress: Rc<Progress>,
     pub(super) arrived_ms: u64,
     /// When the caller gives up or the route's timeout is reached, whichever is
     /// earlier.
@@ -252,6 +252,9 @@
     let (route, tenant) = admitted.map_err(|error| (Refusal::from(error), None))?;
     let asked_ms = head.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS);
     let deadline_ms = arrived_ms + asked_ms.min(route.timeout_ms);
+    if !instance.can_finish(&route, deadline_ms) {
+        return Err((Refusal::Stopping, Some(STOPPING_RETRY_MS)));
+    }
     let limits = routes.configuration().limits;
     let left = Duration::from_millis(deadline_ms - arrived_ms);
     let held = instance.held.hold(HeldKind::Requests);
@@ -260,7 +263,7 @@
         .await
         .map_err(|_| (Refusal::TooSlow, None))??;
     let requirements = requirements(&instance, &head, &route, tenant.as_deref());
-    let progress = Progress::new(&instance, &head.request_id, arrived_ms);
+    let progress = Rc::new(Progress::new(&instance, &head.request_id, arrived_ms));
     Ok(CallerRequest {
         origin,
         instance,
--- a/crates/gateway/src/callers/serve.rs
+++ b/crates/gateway/src/callers/serve.rs
@@ -6,8 +6,9 @@
         buffered::forward_buffered,
         completion::refuse,
         guards::OpenRequestGuard,
+        progress::Progress,
         rate_charge::RateCharge,
-        request::{CallerRequest, Origin, read_request},
+        request::{CallerRequest, Origin, STOPPING_RETRY_MS, read_request},
         retry::{AttemptHistory, ResumePoint, send_with_retries},
         stream::forward_stream,
         taken_up::bind_taken_up,
@@ -39,7 +40,7 @@
     let mut response = match read_request(instance.clone(), pool, parts, body, origin).await {
         Ok(request) => {
             let id = AnsweredId(request.id().to_owned());
-            let mut response = handle_request(request, open_request).await;
+            let mut response = handle_until_exit(request, open_request).await;
             response.extensions_mut().insert(id);
             response
         }
@@ -59,6 +60,32 @@
     response
 }
 
+/// Handles a request until this instance exits. One that is open then is refused, so that its
+/// caller learns at once whether it may have run.
+async fn handle_until_exit(
+    request: CallerRequest,
+    open_request: OpenRequestGuard,
+) -> Response<AnswerBody> {
+    let progress = request.progress.clone();
+    let instance = request.instance.clone();
+    let mut drain = instance.drain.clone();
+    tokio::select! {
+        response = handle_request(request, open_request) => response,
+        () = Drain::wait_for_stopped(&mut drain) => refuse_at_exit(&instance, &progress),
+    }
+}
+
+fn refuse_at_exit(instance: &Instance, progress: &Progress) -> Response<AnswerBody> {
+    progress.end();
+    let (refusal, retry_after_ms) = match progress.may_have_arrived() {
+        true => (Refusal::AnswerLost, None),
+        false => (Refusal::Stopping, Some(STOPPING_RETRY_MS)),
+    };
+    instance.counters.count("refused", refusal.reason());
+    log::warn!("event=cut_at_exit {progress} reason={}", refusal.reason());
+    refusal.response(retry_after_ms)
+}
+
 /// Charges the team's rate, sends the request to engines and forwards the answer. Refunds
 /// the rate if no engine could take the request.
 async fn handle_request(
--- a/crates/gateway/src/instance/mod.rs
+++ b/crates/gateway/src/instance/mod.rs
@@ -21,6 +21,7 @@
 mod retry_budgets;
 mod settings;
 mod shared_state;
+mod shutdown;
 mod store_availability;
 mod store_reads;
 mod stream_origins;
@@ -42,6 +43,7 @@
     retry_budgets::RetryBudgets,
     settings::GatewaySettings,
     shared_state::Instance,
+    shutdown::Shutdown,
     store_availability::StoreAvailability,
     stream_origins::StreamOrigins,
     waiting_room::{Arrival, WaitingRooms},
--- a/crates/gateway/src/instance/shared_state.rs
+++ b/crates/gateway/src/instance/shared_state.rs
@@ -1,8 +1,8 @@
 use {
     super::{
         Counters, CrashParts, CrashTracker, Drain, EndWitnesses, GatewaySettings, PassedOn,
-        ReloadOutcome, RetryBudgets, StoreAvailability, StreamOrigins, WaitingRooms, WakeUps,
-        apply_reloadable,
+        ReloadOutcome, RetryBudgets, Shutdown, StoreAvailability, StreamOrigins, WaitingRooms,
+        WakeUps, apply_reloadable,
     },
     crate::{bounded::HeldBytes, clock::now_ms, mesh::MeshTraffic},
     mangowalk_core::{
@@ -89,6 +89,8 @@
     pub peer_paths: RefCell<PeerPaths>,
     /// Requests that were passed on to peers.
     pub passed_on: PassedOn,
+    /// When this instance exits if it is stopping, and how long requests take.
+    pub shutdown: Shutdown,
     /// Where streams began.
     pub origins: StreamOrigins,
     /// Whether the engine list was read since the start.
@@ -196,6 +198,7 @@
             end_witnesses: EndWitnesses::default(),
             peer_paths: RefCell::default(),
             passed_on: PassedOn::default(),
+            shutdown: Shutdown::default(),
             is_engine_list_read: Cell::new(false),
             store_availability: StoreAvailability::default(),
             prefill_rate: Cell::default(),
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -408,6 +408,7 @@
     let max_address_age_ms = 3 * 1_000 * instance.settings.address_ttl_s;
     let close_ms =
         (began_ms + max_address_age_ms - MAX_SIGNAL_DELAY_MS).min(deadline_ms.saturating_sub(500));
+    instance.shutdown.begin(deadline_ms);
     log::info!(target: LIFECYCLE, "event=stopping open={}", instance.open_requests.get());
     drain.send_replace(Drain::Departing);
     instance.wake_ups.heartbeat.notify_one();
--- a/crates/mangowalkd/tests/machines/stopping.rs
+++ b/crates/mangowalkd/tests/machines/stopping.rs
@@ -3,10 +3,10 @@
 use {
     super::PROGRAM,
     mangowalk_platform_standins::{
-        Caller, Deployment, EngineFaults, KeepAliveConnection, RouteKind, wait_until,
+        Caller, Deployment, EngineFaults, KeepAliveConnection, Reply, RouteKind, wait_until,
     },
     nix::sys::signal::Signal,
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 /// An instance gets SIGTERM while a stream runs. It must report that it isn't
@@ -79,6 +79,122 @@
     assert_eq!(deployment.times_run(&id), 0);
 }
 
+/// Sends a request of a kind to a machine.
+fn send(caller: &Caller, kind: RouteKind, id: &str) -> Reply {
+    match kind {
+        RouteKind::Idempotent => caller.plain("GET", kind.path(), id),
+        RouteKind::Once => caller.plain("POST", kind.path(), id),
+        RouteKind::Resumable | RouteKind::Stream => caller.stream(kind.path(), id),
+    }
+}
+
+const KINDS: [RouteKind; 4] = [
+    RouteKind::Once,
+    RouteKind::Idempotent,
+    RouteKind::Stream,
+    RouteKind::Resumable,
+];
+
+/// Returns a caller whose deadline is close to what its requests take.
+fn hurried(deployment: &Deployment) -> Caller {
+    Caller {
+        deadline_ms: 2_000,
+        ..deployment.caller(0)
+    }
+}
+
+/// Sends requests of all kinds to an instance until the end of its grace period, and returns
+/// them with their replies.
+fn send_until_exit(deployment: &Deployment, grace_s: u64) -> Vec<(RouteKind, String, Reply)> {
+    let caller = hurried(deployment);
+    let until = Instant::now() + Duration::from_secs(grace_s);
+    std::thread::scope(|scope| {
+        let mut sent = Vec::new();
+        while Instant::now() < until {
+            for kind in KINDS {
+                let (caller, id) = (caller.clone(), Caller::new_request_id());
+                sent.push(scope.spawn(move || (kind, id.clone(), send(&caller, kind, &id))));
+            }
+            std::thread::sleep(Duration::from_millis(150));
+        }
+        let sent = sent.into_iter();
+        sent.map(|request| request.join().expect("the caller ends"))
+            .collect()
+    })
+}
+
+/// Stops an instance under requests that take 0.6 and 1.4 s, and returns how many were answered.
+fn count_answered_while_stopping(grace_s: u64) -> usize {
+    let mut deployment = Deployment::prepare(PROGRAM, 1, 1).with_grace(grace_s);
+    for engine in deployment.engines.iter().chain(&deployment.services) {
+        engine.set_faults(EngineFaults {
+            plain_duration_ms: 600,
+            event_interval_ms: 120,
+            ..EngineFaults::default()
+        });
+    }
+    let caller = hurried(&deployment);
+    for kind in KINDS {
+        assert_eq!(send(&caller, kind, &Caller::new_request_id()).status, 200);
+    }
+    deployment.machines[0].signal(Signal::SIGTERM);
+    let requests = send_until_exit(&deployment, grace_s);
+    for (kind, id, reply) in &requests {
+        let runs = deployment.times_run(id);
+        let case = format!("grace of {grace_s} s, {kind:?}: {runs} runs, {reply:?}");
+        match reply.status {
+            200 => assert!(reply.is_complete, "{case}"),
+            503 => assert!(runs == 0 && reply.retry_after_s().is_some(), "{case}"),
+            0 => assert_eq!(runs, 0, "{case}"),
+            _ => panic!("{case}"),
+        }
+    }
+    let code = deployment.machines[0].wait_for_exit(Duration::from_secs(5));
+    assert_eq!(code, Some(0));
+    let replies = requests.iter().map(|(_, _, reply)| reply);
+    replies.filter(|reply| reply.status == 200).count()
+}
+
+/// Guards against requests that are taken late in the grace period and cut off at its end, with
+/// no answer: each is answered in full, or refused as not run with a time to come back, or not
+/// read.
+#[test]
+fn late_requests_to_a_stopping_instance_are_answered_or_not_run() {
+    let stops = [1, 2, 4, 8].map(|grace_s| {
+        std::thread::spawn(move || (grace_s, count_answered_while_stopping(grace_s)))
+    });
+    for stop in stops {
+        let (grace_s, answered) = stop.join().expect("the requests are answered or not run");
+        assert!(grace_s < 4 || answered > 0, "callers are served meanwhile");
+    }
+}
+
+/// Guards against closing the connections of requests that are open when the grace period ends:
+/// their callers get an answer that tells that the request may have run.
+#[test]
+fn requests_that_are_open_at_the_exit_get_an_answer() {
+    let mut deployment = Deployment::prepare(PROGRAM, 1, 1).with_grace(2);
+    for service in &deployment.services {
+        service.set_faults(EngineFaults {
+            plain_duration_ms: 4_000,
+            ..EngineFaults::default()
+        });
+    }
+    let caller = deployment.caller(0);
+    let id = Caller::new_request_id();
+    let open = {
+        let (caller, id) = (caller.clone(), id.clone());
+        std::thread::spawn(move || send(&caller, RouteKind::Once, &id))
+    };
+    std::thread::sleep(Duration::from_millis(300));
+    deployment.machines[0].signal(Signal::SIGTERM);
+    let reply = open.join().expect("the caller ends");
+    assert_eq!(reply.status, 502, "{reply:?}");
+    assert!(reply.is_complete, "{reply:?}");
+    let code = deployment.machines[0].wait_for_exit(Duration::from_secs(5));
+    assert_eq!(code, Some(0));
+}
+
 /// A killed instance can't announce its end. The others must remove it from their
 /// addresses, and list it again after it restarts.
 #[test]
