Notice callers of the threaded server that leave while nothing is written

Engines worked on for callers that had left: for all of an answer in one piece, until the first token of a stream and up to two seconds between tokens; queued requests were sent to engines, and calls of services that may be repeated went on.

Cause: the HTTP server gives no access to its sockets, so only a failed write told that a caller had left, and there was nothing to write. The operating system's list of connections tells it: while a request waits, its connection is looked up every 200 ms, from a reading at most 100 ms old, and counts as reset once two readings lack it. A queued request is taken out, an attempt is cancelled, a repeatable call is closed. Calls that run at most once go on, as their answers are kept for duplicates.

--- a/crates/core/src/edge/services.rs
+++ b/crates/core/src/edge/services.rs
@@ -33,7 +33,7 @@
 /// Client of plain services.
 pub trait Services: Send + Sync + 'static {
     /// Sends one call and waits up to `timeout_ms` milliseconds for the complete
-    /// answer.
+    /// answer, as long as `is_wanted` returns `true`.
     ///
     /// # Errors
     ///
@@ -44,5 +44,6 @@
         address: SocketAddr,
         call: &ServiceCall<'_>,
         timeout_ms: u64,
+        is_wanted: &dyn Fn() -> bool,
     ) -> Result<ServiceReply, SendError>;
 }
--- a/crates/http-client/src/lib.rs
+++ b/crates/http-client/src/lib.rs
@@ -8,7 +8,14 @@
 mod answer_body;
 mod call;
 mod event_loop;
+mod fetch;
 mod open_connection;
 mod send;
 
-pub use {answer::HttpAnswer, answer_body::AnswerBody, call::HttpCall, send::send};
+pub use {
+    answer::HttpAnswer,
+    answer_body::AnswerBody,
+    call::HttpCall,
+    fetch::{FetchedAnswer, fetch},
+    send::send,
+};
--- a/crates/http-client/src/send.rs
+++ b/crates/http-client/src/send.rs
@@ -49,7 +49,7 @@
 }
 
 /// Sends a request on a new connection and waits for the head of its answer.
-async fn exchange_heads(
+pub(super) async fn exchange_heads(
     authority: &str,
     request: Request<Full<Bytes>>,
 ) -> Result<(OpenConnection, Response<Incoming>), SendError> {
--- a/crates/mangowalkd/src/caller/chat.rs
+++ b/crates/mangowalkd/src/caller/chat.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         body::{self, Body, Endpoint},
+        connections::CallerWatch,
         handler::{Handler, bearer, header},
         reply::ResponseHeaders,
         response_format::ResponseFormat,
@@ -99,7 +100,10 @@
     mut head: ResponseHeaders,
     response_format: &ResponseFormat,
 ) {
-    let mut sink = CollectSink::default();
+    let mut sink = CollectSink {
+        text: String::new(),
+        watch: handler.connections.watch(request.remote_addr()),
+    };
     match handler.router.generate_counted(chat, &mut sink) {
         Ok(finished) => {
             let body = response_format
@@ -125,7 +129,8 @@
     response_format: ResponseFormat,
 ) {
     handler.add_rate(&mut head, &chat.team);
-    let mut sink = StreamSink::new(request, head, response_format);
+    let watch = handler.connections.watch(request.remote_addr());
+    let mut sink = StreamSink::new(request, watch, head, response_format);
     match handler.router.generate_counted(chat, &mut sink) {
         Ok(finished) => sink.finish(&finished),
         Err(refusal) => sink.refuse(&refusal),
@@ -133,9 +138,9 @@
 }
 
 /// Collects the tokens of an answer that is not streamed.
-#[derive(Default)]
 struct CollectSink {
     text: String,
+    watch: CallerWatch,
 }
 
 impl AnswerSink for CollectSink {
@@ -144,9 +149,7 @@
         Ok(())
     }
 
-    /// Does nothing: no byte is written before the answer is complete, so a
-    /// disconnected caller can't be detected.
-    fn silence(&mut self) -> io::Result<()> {
-        Ok(())
+    fn silence(&mut self, now_ms: u64) -> io::Result<()> {
+        self.watch.check(now_ms)
     }
 }
--- a/crates/mangowalkd/src/caller/handler.rs
+++ b/crates/mangowalkd/src/caller/handler.rs
@@ -2,7 +2,9 @@
     super::{
         addresses,
         body::{Endpoint, malformed},
-        chat, models,
+        chat,
+        connections::CallerConnections,
+        models,
         reply::ResponseHeaders,
         request_id, service,
         untrusted::UntrustedConnections,
@@ -10,7 +12,7 @@
     crate::serve::Router,
     log::info,
     mangowalk_core::{edge::Edges, limits::refill_ms, refusal::Refusal},
-    std::mem,
+    std::{mem, sync::Arc},
     tiny_http::{Method, Request},
 };
 
@@ -27,6 +29,7 @@
 pub(super) struct Handler<'a, E: Edges> {
     pub(super) router: &'a Router<E>,
     untrusted: &'a UntrustedConnections,
+    pub(super) connections: &'a Arc<CallerConnections>,
     /// Identity of the request towards upstreams, always generated here.
     pub(super) request_id: String,
     /// Headers of every response to this request.
@@ -37,6 +40,7 @@
     pub(super) fn new(
         router: &'a Router<E>,
         untrusted: &'a UntrustedConnections,
+        connections: &'a Arc<CallerConnections>,
         request: &Request,
     ) -> Handler<'a, E> {
         let generated_id = request_id::generate();
@@ -45,6 +49,7 @@
         Handler {
             router,
             untrusted,
+            connections,
             request_id: generated_id,
             head,
         }
--- a/crates/mangowalkd/src/caller/mod.rs
+++ b/crates/mangowalkd/src/caller/mod.rs
@@ -3,6 +3,7 @@
 mod addresses;
 mod body;
 mod chat;
+mod connections;
 mod error;
 mod framing;
 mod handler;
--- a/crates/mangowalkd/src/caller/server.rs
+++ b/crates/mangowalkd/src/caller/server.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        body::malformed, framing, handler::Handler, listener, reply::ResponseHeaders, request_id,
-        untrusted::UntrustedConnections,
+        body::malformed, connections::CallerConnections, framing, handler::Handler, listener,
+        reply::ResponseHeaders, request_id, untrusted::UntrustedConnections,
     },
     crate::serve::{Router, jittered_ms},
     log::{info, warn},
@@ -58,6 +58,7 @@
             listener,
             router,
             untrusted: UntrustedConnections::default(),
+            connections: Arc::new(CallerConnections::new(address)),
         });
         let first = callers.server()?;
         let waker = callers.clone();
@@ -79,6 +80,7 @@
     listener: TcpListener,
     router: Arc<Router<E>>,
     untrusted: UntrustedConnections,
+    connections: Arc<CallerConnections>,
 }
 
 impl<E: Edges> Callers<E> {
@@ -96,6 +98,10 @@
             .map(|_| ())
     }
 
+    fn handler(&self, request: &Request) -> Handler<'_, E> {
+        Handler::new(&self.router, &self.untrusted, &self.connections, request)
+    }
+
     fn is_stopped(&self) -> bool {
         self.router.shared().lifecycle.is_stopped()
     }
@@ -178,8 +184,7 @@
                 .stack_size(REQUEST_STACK_BYTES)
                 .spawn(move || {
                     let _guard = guard;
-                    Handler::new(&callers.router, &callers.untrusted, &request)
-                        .handle(request, refused);
+                    callers.handler(&request).handle(request, refused);
                 }),
             None => thread::Builder::new()
                 .name("refusal".to_owned())
--- a/crates/mangowalkd/src/caller/stream.rs
+++ b/crates/mangowalkd/src/caller/stream.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        error::ErrorBody, reply::ResponseHeaders, response_format::ResponseFormat, sse::SseWriter,
+        connections::CallerWatch, error::ErrorBody, reply::ResponseHeaders,
+        response_format::ResponseFormat, sse::SseWriter,
     },
     crate::serve::{AnswerSink, FinishedAnswer},
     log::info,
@@ -9,15 +10,19 @@
     tiny_http::Request,
 };
 
+/// Interval of the comments that keep a stream open while its engine sends nothing.
+const KEEPALIVE_INTERVAL_MS: u64 = 1_000;
+
 /// Streams an answer to a caller.
 ///
 /// The head of the response is written with the first token. Until then, a
-/// refusal is sent with its own status, and a disconnected caller is not
-/// detected, because the protocol has nothing that could be written. That time
-/// is bounded by the first-token timeout.
+/// refusal is sent with its own status.
 pub(super) struct StreamSink {
     request: Option<Request>,
     writer: Option<SseWriter>,
+    watch: CallerWatch,
+    /// When the last comment was written.
+    comment_ms: u64,
     head: ResponseHeaders,
     response_format: ResponseFormat,
 }
@@ -25,12 +30,15 @@
 impl StreamSink {
     pub(super) fn new(
         request: Request,
+        watch: CallerWatch,
         head: ResponseHeaders,
         response_format: ResponseFormat,
     ) -> StreamSink {
         StreamSink {
             request: Some(request),
             writer: None,
+            watch,
+            comment_ms: 0,
             head,
             response_format,
         }
@@ -90,10 +98,15 @@
         self.writer()?.event(&event)
     }
 
-    fn silence(&mut self) -> io::Result<()> {
-        match &mut self.writer {
-            Some(writer) => writer.comment(),
-            None => Ok(()),
+    fn silence(&mut self, now_ms: u64) -> io::Result<()> {
+        self.watch.check(now_ms)?;
+        let Some(writer) = &mut self.writer else {
+            return Ok(());
+        };
+        if now_ms < self.comment_ms + KEEPALIVE_INTERVAL_MS {
+            return Ok(());
         }
+        self.comment_ms = now_ms;
+        writer.comment()
     }
 }
--- a/crates/mangowalkd/src/edge/services.rs
+++ b/crates/mangowalkd/src/edge/services.rs
@@ -1,10 +1,12 @@
 use {
     super::http::MAX_BODY_BYTES,
     mangowalk_core::edge::{SendError, ServiceCall, ServiceReply, Services},
-    mangowalk_http_client::{HttpCall, send},
+    mangowalk_http_client::{HttpCall, fetch},
     std::net::SocketAddr,
 };
 
+const CONTENT_TYPE: &str = "Content-Type";
+
 /// HTTP client of plain services.
 #[derive(Debug, Default)]
 pub struct HttpServices;
@@ -15,9 +17,10 @@
         address: SocketAddr,
         call: &ServiceCall<'_>,
         timeout_ms: u64,
+        is_wanted: &dyn Fn() -> bool,
     ) -> Result<ServiceReply, SendError> {
         let mut headers = vec![
-            ("Content-Type", call.content_type),
+            (CONTENT_TYPE, call.content_type),
             ("X-Mangowalk-Team", call.team),
             ("X-Request-Id", call.request_id),
         ];
@@ -28,13 +31,21 @@
             headers: &headers,
             body: call.body,
         };
-        let answer = send(&address.to_string(), &http_call, timeout_ms).map_err(as_lost)?;
-        let content_type = answer.header("Content-Type").unwrap_or_default().to_owned();
-        let (status, body) = answer.read_whole(MAX_BODY_BYTES)?;
+        let authority = address.to_string();
+        let answer = fetch(
+            &authority,
+            &http_call,
+            MAX_BODY_BYTES,
+            timeout_ms,
+            is_wanted,
+        )
+        .map_err(as_lost)?;
+        let content_type = answer.headers.get(CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
         Ok(ServiceReply {
-            status,
-            content_type,
-            body,
+            status: answer.status,
+            content_type: content_type.unwrap_or_default().to_owned(),
+            body: answer.body.into(),
         })
     }
 }
--- a/crates/mangowalkd/src/serve/admit.rs
+++ b/crates/mangowalkd/src/serve/admit.rs
@@ -1,12 +1,16 @@
 use {
-    super::{ChatRequest, Router, attempt::Target, place::cache_salt},
+    super::{
+        AnswerSink, ChatRequest, Router,
+        attempt::{CALLER_CHECK_INTERVAL_MS, Target},
+        place::cache_salt,
+    },
     log::info,
     mangowalk_core::{
         admission::{Decision, Job},
         config::View,
         edge::{Clock, Edges},
         placement::{Choice, block_chain, estimate_tokens},
-        refusal::Refusal,
+        refusal::{Outcome, Refusal},
     },
     std::{collections::HashSet, time::Duration},
 };
@@ -22,6 +26,14 @@
 /// Weights versions that a request may wait for in turn during a rollout.
 const MAX_VERSION_ATTEMPTS: u32 = 3;
 
+/// Returns the result for a caller that has closed its connection.
+pub(super) fn caller_left(outcome: Outcome) -> Refusal {
+    Refusal::Lost {
+        remedy: "the caller closed the connection",
+        outcome,
+    }
+}
+
 impl<E: Edges> Router<E> {
     /// Waits in the queue until the request is placed on an engine.
     ///
@@ -30,10 +42,14 @@
     /// Refuses a request that would not be served in time, without waiting for
     /// that time to pass. Also fails if no engine serves the model, or if the
     /// key was withdrawn while the request was queued.
-    pub(super) fn admit(&self, request: &ChatRequest) -> Result<Target, Refusal> {
+    pub(super) fn admit(
+        &self,
+        request: &ChatRequest,
+        sink: &mut dyn AnswerSink,
+    ) -> Result<Target, Refusal> {
         let mut version = self.current_version(request)?;
         for _ in 1..MAX_VERSION_ATTEMPTS {
-            let refusal = match self.wait_for_version(request, &version) {
+            let refusal = match self.wait_for_version(request, &version, sink) {
                 Err(refusal @ Refusal::Unavailable { .. }) => refusal,
                 other => return other,
             };
@@ -46,7 +62,7 @@
             }
             version = current;
         }
-        self.wait_for_version(request, &version)
+        self.wait_for_version(request, &version, sink)
     }
 
     /// Returns the weights version for a request that arrives now.
@@ -64,9 +80,14 @@
 
     /// Waits in the queue until the request is placed on an engine that serves
     /// `version`.
-    fn wait_for_version(&self, request: &ChatRequest, version: &str) -> Result<Target, Refusal> {
+    fn wait_for_version(
+        &self,
+        request: &ChatRequest,
+        version: &str,
+        sink: &mut dyn AnswerSink,
+    ) -> Result<Target, Refusal> {
         let job = self.job(request, &self.shared.config.view(), version);
-        match self.wait_for_decision(job) {
+        match self.wait_for_decision(job, sink)? {
             Decision::Send { choice, .. } => self.start_dispatched(request, version, choice),
             Decision::Refuse { refusal, .. } => {
                 info!(
@@ -110,14 +131,27 @@
             })
     }
 
-    fn wait_for_decision(&self, job: Job) -> Decision {
+    /// Waits until the request is placed or refused.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its caller leaves meanwhile. It is taken out of the queue then.
+    fn wait_for_decision(&self, job: Job, sink: &mut dyn AnswerSink) -> Result<Decision, Refusal> {
         let dispatch = &self.shared.dispatch;
-        let decision = dispatch.submit(job, self.edges.clock().now_ms());
+        let (id, decision) = dispatch.submit(job, self.now_ms());
+        let mut next_check_ms = self.now_ms() + CALLER_CHECK_INTERVAL_MS;
         loop {
-            match decision.recv_timeout(QUEUE_POLL_INTERVAL) {
-                Ok(decision) => return decision,
-                Err(_) => dispatch.dispatch_queued(self.edges.clock().now_ms()),
+            if let Ok(decision) = decision.recv_timeout(QUEUE_POLL_INTERVAL) {
+                return Ok(decision);
+            }
+            let now_ms = self.now_ms();
+            if now_ms >= next_check_ms {
+                next_check_ms = now_ms + CALLER_CHECK_INTERVAL_MS;
+                if sink.silence(now_ms).is_err() && dispatch.withdraw(id) {
+                    return Err(caller_left(Outcome::NotRun));
+                }
             }
+            dispatch.dispatch_queued(now_ms);
         }
     }
 
--- a/crates/mangowalkd/src/serve/answer.rs
+++ b/crates/mangowalkd/src/serve/answer.rs
@@ -9,13 +9,13 @@
     /// Fails if the caller has disconnected or can't be written to.
     fn token(&mut self, text: &str) -> io::Result<()>;
 
-    /// Called when the engine has sent nothing for a while. A sink that can
-    /// check whether its caller is still connected does so.
+    /// Called while nothing is there to be written. Checks whether the caller is
+    /// still connected.
     ///
     /// # Errors
     ///
     /// Fails if the caller has disconnected or can't be written to.
-    fn silence(&mut self) -> io::Result<()>;
+    fn silence(&mut self, now_ms: u64) -> io::Result<()>;
 }
 
 /// How a complete answer ended.
--- a/crates/mangowalkd/src/serve/attempt.rs
+++ b/crates/mangowalkd/src/serve/attempt.rs
@@ -13,11 +13,10 @@
     },
 };
 
-/// Maximum time in which nothing is written to the caller of a stream.
-///
-/// A disconnected caller is detected only by a write. Without keepalive
-/// comments, a slow engine would keep working for it until its next token.
-const KEEPALIVE_INTERVAL_MS: u64 = 1_000;
+/// Interval at which it is checked whether the caller is still connected, while
+/// the engine sends nothing. Otherwise a slow engine would keep working for a
+/// disconnected caller until its next token.
+pub(super) const CALLER_CHECK_INTERVAL_MS: u64 = 200;
 
 /// Priority of a team that has no record.
 const DEFAULT_PRIORITY: u8 = 5;
@@ -143,6 +142,12 @@
             );
             self.refresh_state(engine);
         }
+        if ended.end() == AttemptEnd::CallerGone {
+            info!(
+                "serve: The caller of {id} left; attempt {attempt} on {} is cancelled.",
+                engine.name
+            );
+        }
         if ended.is_failure() {
             let end = ended.end();
             warn!(
@@ -256,15 +261,20 @@
         }
         match self
             .events
-            .wait(wait_ms.min(KEEPALIVE_INTERVAL_MS).min(left_ms))
+            .wait(wait_ms.min(CALLER_CHECK_INTERVAL_MS).min(left_ms))
         {
             Ok(Some(event)) => self.handle_event(&event),
-            Ok(None) if self.sink.silence().is_err() => WaitResult::End(AttemptEnd::CallerGone),
+            Ok(None) if self.has_caller_left() => WaitResult::End(AttemptEnd::CallerGone),
             Ok(None) => WaitResult::Silence,
             Err(error) => WaitResult::End(AttemptEnd::Send(error)),
         }
     }
 
+    fn has_caller_left(&mut self) -> bool {
+        let now_ms = self.now_ms();
+        self.sink.silence(now_ms).is_err()
+    }
+
     fn handle_event(&mut self, event: &GenerateEvent) -> WaitResult {
         match self.sequencer.process(event) {
             Step::Write(text) if self.sink.token(&text).is_err() => {
--- a/crates/mangowalkd/src/serve/attempts.rs
+++ b/crates/mangowalkd/src/serve/attempts.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        AnswerSink, ChatRequest, FinishedAnswer, Router, attempt::Target, poison::chat_identity,
+        AnswerSink, ChatRequest, FinishedAnswer, Router, admit::caller_left, attempt::Target,
+        poison::chat_identity,
     },
     mangowalk_core::{
         attempt::{AttemptEnd, EndedAttempt, Timeouts},
@@ -168,10 +169,7 @@
             match ended.end() {
                 AttemptEnd::OverTime => break,
                 AttemptEnd::CallerGone => {
-                    return Err(Refusal::Lost {
-                        remedy: "the caller closed the connection",
-                        outcome: history.outcome,
-                    });
+                    return Err(caller_left(history.outcome));
                 }
                 _ if !history.has_begun() && self.is_past_deadline(request, started_ms) => break,
                 _ => {}
@@ -226,7 +224,7 @@
         sink: &mut dyn AnswerSink,
     ) -> Result<Option<Target>, Refusal> {
         if history.tried.is_empty() {
-            return self.admit(request).map(Some);
+            return self.admit(request, sink).map(Some);
         }
         let mut left_ms = if history.has_begun() {
             self.settings.token_timeout_ms
@@ -237,7 +235,7 @@
             if let Some(target) = self.choose(request, history) {
                 return Ok(Some(target));
             }
-            if left_ms == 0 || sink.silence().is_err() {
+            if left_ms == 0 || sink.silence(self.now_ms()).is_err() {
                 return Ok(None);
             }
             thread::sleep(Duration::from_millis(RESUME_POLL_INTERVAL_MS));
--- a/crates/mangowalkd/src/serve/counted.rs
+++ b/crates/mangowalkd/src/serve/counted.rs
@@ -30,8 +30,8 @@
         result
     }
 
-    fn silence(&mut self) -> io::Result<()> {
-        let result = self.sink.silence();
+    fn silence(&mut self, now_ms: u64) -> io::Result<()> {
+        let result = self.sink.silence(now_ms);
         self.caller_disconnected |= result.is_err();
         result
     }
@@ -84,10 +84,15 @@
     /// # Errors
     ///
     /// Returns the refusal for the caller, with the known outcome of the call.
-    pub fn call_service_counted(&self, request: &ServiceRequest) -> Result<ServiceReply, Refusal> {
-        let result = self.call_service(request);
+    pub fn call_service_counted(
+        &self,
+        request: &ServiceRequest,
+        has_left: &dyn Fn() -> bool,
+    ) -> Result<ServiceReply, Refusal> {
+        let result = self.call_service(request, has_left);
         let end = match &result {
             Ok(_) => RequestEnd::Complete,
+            Err(_) if has_left() => RequestEnd::Abandoned,
             Err(refusal) => RequestEnd::from_refusal(refusal, false),
         };
         let observation = Observation {
--- a/crates/mangowalkd/src/serve/service.rs
+++ b/crates/mangowalkd/src/serve/service.rs
@@ -12,12 +12,17 @@
 const UNREACHABLE_RETRY_MS: u64 = 1_000;
 
 impl<E: Edges> Router<E> {
-    /// Serves one call of a plain service.
+    /// Serves one call of a plain service. One that may be repeated ends once its
+    /// caller has left; the answer to another one is kept for its duplicates.
     ///
     /// # Errors
     ///
     /// Returns the refusal for the caller, with the known outcome of the call.
-    pub fn call_service(&self, request: &ServiceRequest) -> Result<ServiceReply, Refusal> {
+    pub fn call_service(
+        &self,
+        request: &ServiceRequest,
+        has_left: &dyn Fn() -> bool,
+    ) -> Result<ServiceReply, Refusal> {
         let view = self.shared.config.view();
         let instances: Vec<&ServiceRecord> = view
             .services
@@ -34,7 +39,7 @@
         let tokens = request.tokens();
         let reservation = self.reserve(&request.team, tokens)?;
         let result = if first.repeatable && !request.marked_not_repeatable {
-            self.call_repeatable(request, &instances)
+            self.call_repeatable(request, &instances, has_left)
         } else {
             self.call_once(request, &instances)
         };
@@ -52,13 +57,17 @@
         &self,
         request: &ServiceRequest,
         instances: &[&ServiceRecord],
+        has_left: &dyn Fn() -> bool,
     ) -> Result<ServiceReply, Refusal> {
         let mut may_have_run = false;
         for service in instances {
-            match self.send(request, service) {
+            match self.send(request, service, &|| !has_left()) {
                 Ok(reply) => return Ok(reply),
                 Err(error) => may_have_run |= !means_not_run(error),
             }
+            if has_left() {
+                break;
+            }
             if may_have_run {
                 self.refuse_poisonous(call_identity(request), Outcome::Unknown)?;
             }
@@ -100,7 +109,7 @@
                     return Err(service_unreachable());
                 }
             };
-            match self.send(request, service) {
+            match self.send(request, service, &|| true) {
                 Ok(reply) => {
                     claims.settle(sent.ran(&reply));
                     return Ok(reply);
@@ -120,6 +129,7 @@
         &self,
         request: &ServiceRequest,
         service: &ServiceRecord,
+        is_wanted: &dyn Fn() -> bool,
     ) -> Result<ServiceReply, SendError> {
         let call = ServiceCall {
             path: &request.path,
@@ -132,10 +142,9 @@
         };
         let identity = call_identity(request);
         let _running = self.shared.poison.start(&service.name, identity);
-        let result =
-            self.edges
-                .services()
-                .call(service.address, &call, self.settings.request_timeout_ms);
+        let timeout_ms = self.settings.request_timeout_ms;
+        let services = self.edges.services();
+        let result = services.call(service.address, &call, timeout_ms, is_wanted);
         match &result {
             Ok(_) => self.shared.poison.completed(identity),
             Err(SendError::Lost) => self.record_lost_call(&service.name),
--- a/crates/mangowalkd/src/shared_state/admission.rs
+++ b/crates/mangowalkd/src/shared_state/admission.rs
@@ -111,9 +111,9 @@
             .cache_events(engine, events);
     }
 
-    /// Submits a new request. The returned channel delivers its decision, in
-    /// some cases before this call returns.
-    pub fn submit(&self, job: Job, now_ms: u64) -> Receiver<Decision> {
+    /// Submits a new request, and returns its ID and the channel that delivers its
+    /// decision, in some cases before this call returns.
+    pub fn submit(&self, job: Job, now_ms: u64) -> (u64, Receiver<Decision>) {
         let (sender, decision) = flume::bounded(1);
         let mut inner = lock(&self.inner);
         let id = inner.next_id;
@@ -126,7 +126,18 @@
             .dispatcher
             .submit(Job { id, ..job }, &is_usable, now_ms);
         inner.deliver(decisions, now_ms);
-        decision
+        (id, decision)
+    }
+
+    /// Takes a queued request out. Returns `false` if its decision was delivered
+    /// already.
+    pub fn withdraw(&self, id: u64) -> bool {
+        let mut inner = lock(&self.inner);
+        let is_queued = inner.waiters.remove(&id).is_some();
+        if is_queued {
+            inner.dispatcher.remove(id);
+        }
+        is_queued
     }
 
     /// Dispatches the queued requests that an engine has capacity for now, and
--- a/crates/mangowalkd/tests/cut_answers.rs
+++ b/crates/mangowalkd/tests/cut_answers.rs
@@ -53,7 +53,7 @@
         idempotency_key: Some("k1"),
         body: b"{}",
     };
-    match HttpServices.call(address, &call, WAIT_MS) {
+    match HttpServices.call(address, &call, WAIT_MS, &|| true) {
         Ok(reply) => format!("{} {}", reply.status, String::from_utf8_lossy(&reply.body)),
         Err(error) => format!("{error:?}"),
     }
--- a/crates/mangowalkd/tests/endless_upstreams.rs
+++ b/crates/mangowalkd/tests/endless_upstreams.rs
@@ -129,7 +129,7 @@
             idempotency_key: None,
             body: b"",
         };
-        match HttpServices.call(address, &call, 2_000) {
+        match HttpServices.call(address, &call, 2_000, &|| true) {
             Ok(reply) => reply.status.to_string(),
             Err(SendError::Lost) => "lost".to_owned(),
             Err(error) => format!("{error:?}"),
--- a/crates/mangowalkd/tests/service_endings.rs
+++ b/crates/mangowalkd/tests/service_endings.rs
@@ -33,7 +33,7 @@
         idempotency_key: None,
         body: b"",
     };
-    let reply = HttpServices.call(address, &call, 2_000);
+    let reply = HttpServices.call(address, &call, 2_000, &|| true);
     service.join().expect("the service doesn't panic");
     match reply {
         Ok(reply) => format!("{} {}", reply.status, String::from_utf8_lossy(&reply.body)),
