Take no request in a shutdown of the threaded router that may be cut off

As long as one request was open, an instance that had been told to stop took further ones after its grace, and cut off those that were open at the drain timeout, with no answer.

Cause: as on the event loop, the time left was not compared with what a request needs. It is now, by the request timeout for calls that run at most once, and by the longest of the last 32 answers, and half as much again, for the others. Others are refused as not run, with a time to come back.

The test sends three kinds of requests every 60 ms through a drain of 3 s. Before: failed, a call that ran got no answer (status 0). After: passes.

--- a/crates/mangowalkd/src/daemon.rs
+++ b/crates/mangowalkd/src/daemon.rs
@@ -127,7 +127,7 @@
         let clock = self.edges.clock();
         let departed_ms = clock.now_ms();
         let deadline_ms = departed_ms + self.settings.drain_timeout_ms;
-        self.shared.lifecycle.depart(departed_ms);
+        self.shared.lifecycle.depart(deadline_ms, departed_ms);
         let grace_ms = self.settings.depart_grace_ms;
         while !self.shared.lifecycle.try_stop(grace_ms, clock.now_ms())
             && clock.now_ms() < deadline_ms
--- a/crates/mangowalkd/src/serve/counted.rs
+++ b/crates/mangowalkd/src/serve/counted.rs
@@ -76,6 +76,10 @@
             tokens,
         };
         self.count(&request.team, &observation);
+        if result.is_ok() {
+            let took_ms = self.now_ms().saturating_sub(started_ms);
+            self.shared.lifecycle.record_duration(took_ms);
+        }
         result
     }
 
@@ -89,7 +93,12 @@
         request: &ServiceRequest,
         has_left: &dyn Fn() -> bool,
     ) -> Result<ServiceReply, Refusal> {
+        let started_ms = self.now_ms();
         let result = self.call_service(request, has_left);
+        if result.is_ok() {
+            let took_ms = self.now_ms().saturating_sub(started_ms);
+            self.shared.lifecycle.record_duration(took_ms);
+        }
         let end = match &result {
             Ok(_) => RequestEnd::Complete,
             Err(_) if has_left() => RequestEnd::Abandoned,
--- a/crates/mangowalkd/src/serve/generate.rs
+++ b/crates/mangowalkd/src/serve/generate.rs
@@ -26,6 +26,7 @@
                 name: request.model.clone(),
             });
         }
+        self.check_time_to_exit(true)?;
         self.refuse_poisonous(chat_identity(request), Outcome::NotRun)?;
         let reserved_tokens = estimate_tokens(&request.prompt) + u64::from(request.max_tokens);
         let reservation = self.reserve(&request.team, reserved_tokens)?;
--- a/crates/mangowalkd/src/serve/router.rs
+++ b/crates/mangowalkd/src/serve/router.rs
@@ -1,4 +1,5 @@
 use {
+    super::jittered_ms,
     crate::{cli::Settings, shared_state::SharedState},
     mangowalk_core::{
         edge::{Clock, Edges},
@@ -10,6 +11,10 @@
 /// When a caller should retry if this instance has no usable records.
 const NO_RECORDS_RETRY_MS: u64 = 1_000;
 
+/// Minimum time after which a caller of a stopping instance may retry. It is short, as
+/// the caller connects to another instance.
+const STOPPING_RETRY_MS: u64 = 20;
+
 /// Serves the requests of callers, using the shared state and the edges.
 pub struct Router<E: Edges> {
     pub(crate) edges: Arc<E>,
@@ -56,6 +61,23 @@
         self.edges.clock().now_ms()
     }
 
+    /// Checks that a request is answered before this instance exits.
+    ///
+    /// # Errors
+    ///
+    /// Refuses it if the instance drains and may exit before.
+    pub(super) fn check_time_to_exit(&self, may_run_again: bool) -> Result<(), Refusal> {
+        let timeout_ms = self.settings.request_timeout_ms;
+        let lifecycle = &self.shared.lifecycle;
+        match lifecycle.can_finish(timeout_ms, may_run_again, self.now_ms()) {
+            true => Ok(()),
+            false => Err(Refusal::Unavailable {
+                reason: "This instance is stopping; connect to another one",
+                retry_ms: jittered_ms(STOPPING_RETRY_MS),
+            }),
+        }
+    }
+
     /// Returns whether a key still authenticates a team. Called again right
     /// before a queued request is sent, as the key may have been withdrawn
     /// meanwhile.
--- a/crates/mangowalkd/src/serve/service.rs
+++ b/crates/mangowalkd/src/serve/service.rs
@@ -35,10 +35,12 @@
                 name: request.service.clone(),
             });
         };
+        let is_repeatable = first.repeatable && !request.marked_not_repeatable;
+        self.check_time_to_exit(is_repeatable)?;
         self.refuse_poisonous(call_identity(request), Outcome::NotRun)?;
         let tokens = request.tokens();
         let reservation = self.reserve(&request.team, tokens)?;
-        let result = if first.repeatable && !request.marked_not_repeatable {
+        let result = if is_repeatable {
             self.call_repeatable(request, &instances, has_left)
         } else {
             self.call_once(request, &instances)
--- a/crates/mangowalkd/src/shared_state/lifecycle.rs
+++ b/crates/mangowalkd/src/shared_state/lifecycle.rs
@@ -1,9 +1,12 @@
 use {
     super::lock,
-    mangowalk_core::membership::{Draining, Instance, Ready, Starting, StartingFacts, Stopped},
+    mangowalk_core::{
+        membership::{Draining, Instance, Ready, Starting, StartingFacts, Stopped},
+        shutdown::{RecentDurations, RequestTime, can_finish},
+    },
     std::sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -22,6 +25,9 @@
     phase: Mutex<Phase>,
     stopped: AtomicBool,
     open_requests: Arc<AtomicUsize>,
+    /// When a draining instance cuts off open requests; `u64::MAX` unless it drains.
+    exit_ms: AtomicU64,
+    durations: Mutex<RecentDurations>,
 }
 
 impl Default for Lifecycle {
@@ -30,6 +36,8 @@
             phase: Mutex::new(Phase::Starting(Instance::starting(0))),
             stopped: AtomicBool::default(),
             open_requests: Arc::default(),
+            exit_ms: AtomicU64::new(u64::MAX),
+            durations: Mutex::default(),
         }
     }
 }
@@ -50,8 +58,9 @@
     }
 
     /// Starts to drain: the instance is no longer ready, and callers are sent
-    /// to other instances.
-    pub fn depart(&self, now_ms: u64) {
+    /// to other instances. Requests that are open at `exit_ms` are cut off.
+    pub fn depart(&self, exit_ms: u64, now_ms: u64) {
+        self.exit_ms.store(exit_ms, Ordering::SeqCst);
         let mut phase = lock(&self.phase);
         *phase = match *phase {
             Phase::Starting(starting) => Phase::Draining(starting.drain(now_ms)),
@@ -90,6 +99,23 @@
         matches!(*lock(&self.phase), Phase::Draining(_) | Phase::Stopped(_))
     }
 
+    /// Records how long a request took until its answer was complete.
+    pub fn record_duration(&self, took_ms: u64) {
+        lock(&self.durations).record(took_ms);
+    }
+
+    /// Returns whether a request that may take `timeout_ms` is answered before the
+    /// instance cuts off open requests, as far as can be told.
+    pub fn can_finish(&self, timeout_ms: u64, may_run_again: bool, now_ms: u64) -> bool {
+        let until_exit_ms = self.exit_ms.load(Ordering::SeqCst).saturating_sub(now_ms);
+        let request = RequestTime {
+            left_ms: timeout_ms,
+            may_run_again,
+            longest_recent_ms: lock(&self.durations).longest_ms(),
+        };
+        can_finish(&request, until_exit_ms)
+    }
+
     /// Signals all controllers and servers to end.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::SeqCst);
--- a/crates/mangowalkd/tests/drain.rs
+++ b/crates/mangowalkd/tests/drain.rs
@@ -1,8 +1,12 @@
 //! Graceful shutdown of an instance.
 
 use {
-    mangowalk_standins::{Answer, Fleet, FleetSettings, eventually},
-    std::{net::SocketAddr, thread, time::Duration},
+    mangowalk_standins::{Answer, EngineFaults, Fleet, FleetSettings, ServiceFaults, eventually},
+    std::{
+        net::SocketAddr,
+        thread,
+        time::{Duration, Instant},
+    },
 };
 
 fn fleet() -> Fleet {
@@ -65,3 +69,97 @@
     let listed = |a: SocketAddr| fleet.platform.get("instance", &a.to_string()).is_some();
     assert!(!listed(leaving) && listed(staying));
 }
+
+/// Time that a departing instance waits for open requests.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Sends a request with this body, for a whole answer, a stream, or to a service.
+fn send(fleet: &Fleet, number: usize, text: &str) -> Answer {
+    if number % 3 < 2 {
+        return fleet.chat(0, text, 20, number % 3 == 1);
+    }
+    let bearer = format!("Bearer {}", Fleet::KEY);
+    let headers = [
+        ("Authorization", bearer.as_str()),
+        ("Idempotency-Key", text),
+    ];
+    Answer::post(
+        fleet.routers[0].address(),
+        "/v1/services/orders/book",
+        &headers,
+        text,
+    )
+}
+
+fn times_run(fleet: &Fleet, text: &str) -> u64 {
+    let prompts = fleet.engines.iter().flat_map(|engine| engine.prompts());
+    let counted = prompts.chain(fleet.service.runs());
+    counted
+        .filter(|(prompt, _)| prompt.contains(text))
+        .map(|(_, times)| times)
+        .sum()
+}
+
+/// Guards against requests that are taken late in a shutdown, as long as others are open, and
+/// cut off at its end with no answer.
+#[test]
+fn late_requests_of_a_shutdown_are_answered_or_not_run() {
+    let mut fleet = Fleet::start(&FleetSettings {
+        program: env!("CARGO_BIN_EXE_mangowalkd").to_owned(),
+        router_args: [
+            "--depart-grace-ms=500",
+            "--drain-timeout-ms=3000",
+            "--request-timeout-ms=20000",
+        ]
+        .map(str::to_owned)
+        .to_vec(),
+        ..FleetSettings::default()
+    });
+    fleet.wait_until_served();
+    for engine in &fleet.engines {
+        engine.set_faults(EngineFaults {
+            slow_factor: 10,
+            ..EngineFaults::default()
+        });
+    }
+    fleet.service.set_faults(ServiceFaults {
+        delay_ms: 800,
+        ..ServiceFaults::default()
+    });
+    assert_eq!(send(&fleet, 0, "before").status, 200);
+    fleet.routers[0].terminate();
+    let until = Instant::now() + DRAIN_TIMEOUT;
+    let answers: Vec<(String, Answer)> = thread::scope(|scope| {
+        let (fleet, mut sent) = (&fleet, Vec::new());
+        while Instant::now() < until {
+            let number = sent.len();
+            sent.push(scope.spawn(move || {
+                let text = format!("late-{number}-end");
+                let answer = send(fleet, number, &text);
+                (text, answer)
+            }));
+            thread::sleep(Duration::from_millis(60));
+        }
+        let sent = sent.into_iter();
+        sent.map(|request| request.join().expect("the caller ends"))
+            .collect()
+    });
+    let mut answered = 0;
+    for (text, answer) in answers {
+        let runs = times_run(&fleet, &text);
+        let case = format!("{text}: {runs} runs, {answer:?}");
+        match answer.status {
+            200 => assert!(answer.ended, "{case}"),
+            503 => assert!(
+                runs == 0 && answer.header("retry-after").is_some(),
+                "{case}"
+            ),
+            0 => assert_eq!(runs, 0, "{case}"),
+            _ => panic!("{case}"),
+        }
+        answered += usize::from(answer.status == 200);
+    }
+    assert!(answered > 0, "callers are served meanwhile");
+    let status = fleet.routers[0].wait().expect("a status");
+    assert!(status.success(), "{status}");
+}
