Bound engines' answers to reports and orders to 256 KiB

An instance that updates weights asks all engines for reports, and kept up to 8 MiB of each answer, the bound of the store's lists: eleven faulty engines that send bytes without end at the same time fill a machine of 88 MB, and the requests of its callers end with the process. A report has a few kilobytes; the witness of ends had the smaller bound already.

The test fails with the former bound (a megabyte of an engine is kept) and passes now.

--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -12,10 +12,14 @@
     tokio::{net::TcpStream, time::timeout},
 };
 
-/// Maximum size of a response body. A page of a list is about a megabyte at
+/// Maximum size of a response body of a store. A page of a list is about a megabyte at
 /// most.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 
+/// Maximum size of an engine's response to a report or an order. All engines may answer at
+/// once.
+const MAX_ENGINE_RESPONSE_BYTES: usize = 256 * 1024;
+
 /// Maximum number of idle connections kept for further calls.
 const MAX_IDLE_CONNECTIONS: usize = 2;
 
@@ -64,6 +68,7 @@
 pub struct CallClient {
     address: SocketAddr,
     connect_timeout_ms: u64,
+    max_response_bytes: usize,
     idle: RefCell<Vec<CallConnection>>,
 }
 
@@ -74,10 +79,19 @@
         CallClient {
             address,
             connect_timeout_ms,
+            max_response_bytes: MAX_RESPONSE_BYTES,
             idle: RefCell::default(),
         }
     }
 
+    /// Returns a client for an engine, whose responses are short.
+    pub fn to_engine(address: SocketAddr, connect_timeout_ms: u64) -> CallClient {
+        CallClient {
+            max_response_bytes: MAX_ENGINE_RESPONSE_BYTES,
+            ..CallClient::new(address, connect_timeout_ms)
+        }
+    }
+
     /// Makes a call and returns the status and the body of the response.
     ///
     /// # Errors
@@ -117,7 +131,7 @@
     }
 
     async fn read_body(&self, body: MeteredBody) -> Result<Bytes, CallError> {
-        let mut body = Limited::new(body, MAX_RESPONSE_BYTES);
+        let mut body = Limited::new(body, self.max_response_bytes);
         let mut bytes = BytesMut::new();
         loop {
             let frame = timeout(BODY_IDLE_TIMEOUT, body.frame()).await;
--- a/crates/gateway/src/weights/engine_calls.rs
+++ b/crates/gateway/src/weights/engine_calls.rs
@@ -17,7 +17,7 @@
 
 /// Requests an engine's report; `None` if it is not available. Logs a failure.
 pub(super) async fn fetch_report(engine: &EngineEntry) -> Option<EngineReport> {
-    let client = CallClient::new(engine.address, CONNECT_TIMEOUT_MS);
+    let client = CallClient::to_engine(engine.address, CONNECT_TIMEOUT_MS);
     let call = EngineReport::call(&engine.incarnation.id);
     match client.call(&call, CALL_TIMEOUT_MS).await {
         Ok((200, body)) => decode_report(&body),
@@ -41,7 +41,7 @@
 /// Sends an order to an engine and returns its answer; [`OrderAnswer::Unknown`]
 /// if there is none, which is logged.
 pub(super) async fn send_order(engine: &EngineEntry, order: &WeightsOrder<'_>) -> OrderAnswer {
-    let client = CallClient::new(engine.address, CONNECT_TIMEOUT_MS);
+    let client = CallClient::to_engine(engine.address, CONNECT_TIMEOUT_MS);
     match client.call(&encode_order(order), CALL_TIMEOUT_MS).await {
         Ok((status, _)) => decode_order_answer(status),
         Err(error) => {
--- a/crates/gateway/tests/bounded_bytes/endless_calls.rs
+++ b/crates/gateway/tests/bounded_bytes/endless_calls.rs
@@ -50,6 +50,31 @@
     });
 }
 
+/// Guards against answers of many engines to reports and orders that are kept at the same time
+/// and fill the memory of the instance: a report has a few kilobytes.
+#[test]
+fn long_answers_of_engines_to_calls_are_not_kept() {
+    run(async || {
+        const BODY_BYTES: usize = 1024 * 1024;
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {BODY_BYTES}\r\n\r\n");
+        let script = Script {
+            begin: head,
+            repeated: b"x",
+            pause: Duration::ZERO,
+            faulty_requests: usize::MAX,
+            sound: String::new(),
+        };
+        let address = start_engine(script, Rc::new(Seen::default())).await;
+        let call = EngineReport::call("e");
+        let to_engine = CallClient::to_engine(address, CALL_TIMEOUT_MS);
+        let answer = to_engine.call(&call, CALL_TIMEOUT_MS).await;
+        assert!(answer.is_err(), "a megabyte of an engine is kept");
+        let to_store = CallClient::new(address, CALL_TIMEOUT_MS);
+        let answer = to_store.call(&call, CALL_TIMEOUT_MS).await;
+        assert!(answer.is_ok_and(|(_, body)| body.len() == BODY_BYTES));
+    });
+}
+
 /// Guards against answers of the store or of engines to reports and orders that have no end and
 /// fill the memory of the instance.
 #[test]
