Test the memory of an instance at 200 endless answers at the same time

The bounds of single answers were tested, their sum over many engines wasn't: answers that have no end in their head, in heads of status 100, in no HTTP and in a body, from 100 engines to 200 requests, may grow the process by half of 88 MB.

--- a/crates/gateway/tests/bounded_bytes/slow_callers.rs
+++ b/crates/gateway/tests/bounded_bytes/slow_callers.rs
@@ -345,3 +345,58 @@
         });
     }
 }
+
+/// Memory that an instance of 88 MB may use beyond what it has at rest.
+const MAX_GROWTH_BYTES: usize = 44 << 20;
+
+/// Guards against faulty engines that fill the memory of an instance of 88 MB with bytes that are
+/// no answer, in heads or bodies without an end, to many requests at the same time.
+#[test]
+fn memory_at_200_endless_answers_is_bounded() {
+    let body = format!("{HEAD}\r\n");
+    for (name, begin, repeated) in [
+        ("head", "HTTP/1.1 200 OK\r\nX: ", &b"x"[..]),
+        ("heads of status 100", "", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        ("no HTTP", "", b"\x00\xff"),
+        ("body", body.as_str(), b"x"),
+    ] {
+        run(async || {
+            let script = Script {
+                begin: begin.to_owned(),
+                repeated,
+                pause: Duration::ZERO,
+                faulty_requests: usize::MAX,
+                sound: String::new(),
+            };
+            let (seen, mut engines) = (Rc::new(Seen::default()), Vec::new());
+            for _ in 0..100 {
+                engines.push(start_engine(script.clone(), seen.clone()).await);
+            }
+            let retry = RetryPolicy::Idempotent;
+            let gateway = Gateway::start(retry, &engines, GatewaySettings::default()).await;
+            let before = memory();
+            let mut callers = Vec::new();
+            for number in 0..200 {
+                callers.push(gateway.send_slowly(&format!("{number:x}")).await);
+            }
+            let (mut held, mut grown) = (0, 0);
+            for _ in 0..100 {
+                sleep(Duration::from_millis(20)).await;
+                held = held.max(gateway.instance.held.total());
+                grown = grown.max(memory().process.saturating_sub(before.process));
+            }
+            let answers = seen.requests.get();
+            println!(
+                "{name}: {answers} answers, held {} KiB, process +{} KiB",
+                held >> 10,
+                grown >> 10
+            );
+            // Above the bound, requests are refused before they reach engines.
+            let bound = gateway.instance.max_held_bytes();
+            assert!(answers >= 100 || held >= bound, "{name}: {answers} answers");
+            let max_held = bound + (8 << 20);
+            assert!(held < max_held, "{name}: {held} held");
+            assert!(grown < MAX_GROWTH_BYTES, "{name}: {grown} more bytes");
+        });
+    }
+}
