Look for a hidden end of a connection only behind a whole request

While a body arrives its bytes wait in the connection, and each look for the end found them and set a timer.

--- a/crates/gateway/src/bounded/caller_stream.rs
+++ b/crates/gateway/src/bounded/caller_stream.rs
@@ -80,7 +80,8 @@
     ///
     /// Fails if the caller has closed its end or reset the connection.
     fn check_end(&mut self, context: &mut Context<'_>) -> io::Result<()> {
-        if !self.writes.is_request_open() {
+        // Bytes that wait before that belong to the body, and the library reads on itself.
+        if !self.writes.is_request_open() || !self.meter.is_body_taken() {
             self.next_end_check = None;
             return Ok(());
         }
--- a/crates/gateway/src/bounded/metered_body.rs
+++ b/crates/gateway/src/bounded/metered_body.rs
@@ -42,7 +42,10 @@
                 self.meter.record_error(error);
                 self.meter.record_empty();
             }
-            Poll::Ready(None) => self.meter.record_empty(),
+            Poll::Ready(None) => {
+                self.meter.record_empty();
+                self.meter.record_body_end();
+            }
             Poll::Pending => {}
         }
         polled
--- a/crates/gateway/src/bounded/read_meter.rs
+++ b/crates/gateway/src/bounded/read_meter.rs
@@ -2,7 +2,7 @@
     super::{CutReason, Hold},
     std::{
         io,
-        sync::atomic::{AtomicUsize, Ordering},
+        sync::atomic::{AtomicBool, AtomicUsize, Ordering},
     },
 };
 
@@ -26,6 +26,8 @@
 pub struct ReadMeter {
     read_bytes: AtomicUsize,
     body_bytes: AtomicUsize,
+    /// Whether the body was taken to its end.
+    is_body_taken: AtomicBool,
     buffered: Hold,
     max_overhead_bytes: usize,
 }
@@ -37,6 +39,7 @@
         ReadMeter {
             read_bytes: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
+            is_body_taken: AtomicBool::new(false),
             buffered,
             max_overhead_bytes: buffer_bytes.saturating_mul(MAX_OVERHEAD_BUFFERS),
         }
@@ -46,6 +49,7 @@
     pub fn begin_message(&self) {
         self.read_bytes.store(0, Ordering::Relaxed);
         self.body_bytes.store(0, Ordering::Relaxed);
+        self.is_body_taken.store(false, Ordering::Relaxed);
         self.buffered.set(0);
     }
 
@@ -75,6 +79,16 @@
         self.body_bytes.fetch_add(bytes, Ordering::Relaxed);
     }
 
+    /// Records that the body was taken to its end.
+    pub(super) fn record_body_end(&self) {
+        self.is_body_taken.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the body of the last message was taken to its end.
+    pub(super) fn is_body_taken(&self) -> bool {
+        self.is_body_taken.load(Ordering::Relaxed)
+    }
+
     /// Counts a message that was cut off at a bound.
     pub fn record_error(&self, error: &hyper::Error) {
         if let Some(reason) = CutReason::of(error) {
