--- a/crates/gateway/tests/bounded_bytes/slow_callers.rs
+++ b/crates/gateway/tests/bounded_bytes/slow_callers.rs
@@ -122,6 +122,40 @@
     });
 }
 
+/// Guards against an engine that works on for a caller which reads nothing, so that all buffers
+/// are full, and then leaves.
+#[test]
+fn the_stream_of_a_caller_that_leaves_unread_bytes_ends() {
+    for (behind, is_closed) in [("", true), ("", false), ("\r\n", true), ("\r\n", false)] {
+        run(async || {
+            let seen = Rc::new(Seen::default());
+            let engine = start_engine(streams(usize::MAX), seen.clone()).await;
+            let settings = GatewaySettings::default();
+            let gateway = Gateway::start(RetryPolicy::Stream, &[engine], settings).await;
+            let mut caller = gateway.send_slowly("c0").await;
+            let written = caller.write_all(behind.as_bytes()).await;
+            written.expect("the connection is open");
+            sleep(Duration::from_millis(1_000)).await;
+            assert!(seen.closed_after.get().is_none(), "the engine writes");
+            let left = match is_closed {
+                true => {
+                    drop(caller);
+                    None
+                }
+                false => {
+                    let ended = caller.shutdown().await;
+                    ended.expect("the connection is open");
+                    Some(caller)
+                }
+            };
+            sleep(Duration::from_millis(500)).await;
+            let case = format!("{behind:?}, whole connection closed: {is_closed}");
+            assert!(seen.closed_after.get().is_some(), "{case}");
+            drop(left);
+        });
+    }
+}
+
 /// Guards against a caller that reads slowly and steadily being taken for one that doesn't read.
 #[test]
 fn a_stream_that_is_read_slowly_goes_on() {
--- a/crates/mangowalkd/tests/machines/abandoned.rs
+++ b/crates/mangowalkd/tests/machines/abandoned.rs
@@ -3,7 +3,7 @@
 use {
     super::PROGRAM,
     mangowalk_platform_standins::{
-        Caller, Deployment, EngineFaults, KEY, PathState, RouteKind, wait_until,
+        Caller, Deployment, EngineFaults, KEY, PathState, Reply, RouteKind, wait_until,
     },
     nix::sys::signal::Signal,
     std::{
@@ -269,3 +269,22 @@
     }
     assert_work_ends(&deployment, requests, ONE_RUN);
 }
+
+/// Guards against a caller that leaves unnoticed while it is looked up where its stream began.
+#[test]
+fn a_stream_is_not_taken_up_for_a_caller_that_left() {
+    let (deployment, _paths, gates) = Deployment::start_with_paths(PROGRAM, 1, 1);
+    gates[0].silence();
+    let caller = deployment.caller(0);
+    let taking_up = caller.taking_up("0000", &Reply::default());
+    let requests = begin_all(&taking_up, RouteKind::Resumable);
+    thread::sleep(Duration::from_millis(50));
+    assert_work_ends(
+        &deployment,
+        requests,
+        Work {
+            arrivals: 0,
+            ended: 0,
+        },
+    );
+}
