--- a/crates/gateway/src/callers/progress.rs
+++ b/crates/gateway/src/callers/progress.rs
@@ -3,7 +3,6 @@
         clock::now_ms,
         instance::{Drain, Instance},
     },
-    derive_more::Display,
     std::{
         cell::{Cell, RefCell},
         fmt,
@@ -12,22 +11,17 @@
 };
 
 /// Where a request is until its caller has the answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Stage {
     /// It is decided whether and where it is sent.
-    #[display("deciding")]
     Deciding,
     /// It waits in this instance until an engine has room.
-    #[display("waiting")]
     Waiting,
     /// It was sent to an engine, which hasn't begun its answer.
-    #[display("engine")]
     AtEngine,
     /// It was passed on to a peer, which hasn't begun its answer.
-    #[display("peer")]
     AtPeer,
     /// The answer is being read.
-    #[display("answer")]
     Answering,
 }
 
@@ -110,7 +104,7 @@
             formatter,
             "request={} stage={} upstream={} stage_ms={} after_ms={}",
             self.request_id,
-            self.stage.get(),
+            self.stage.get().label(),
             self.upstream.borrow(),
             now_ms.saturating_sub(self.since_ms.get()),
             now_ms.saturating_sub(self.arrived_ms),
--- a/crates/mangowalkd/src/caller/connections.rs
+++ b/crates/mangowalkd/src/caller/connections.rs
@@ -2,13 +2,11 @@
     log::warn,
     procfs::net::{TcpNetEntry, TcpState, tcp, tcp6},
     std::{
+        cell::Cell,
         collections::HashMap,
         io,
         net::SocketAddr,
-        sync::{
-            Arc, Mutex, PoisonError,
-            atomic::{AtomicU32, Ordering},
-        },
+        sync::{Arc, Mutex, PoisonError},
     },
 };
 
@@ -55,8 +53,8 @@
         CallerWatch {
             connections: self.clone(),
             caller: caller.copied(),
-            missing: AtomicU32::new(0),
-            last_reading: AtomicU32::new(0),
+            missing: Cell::new(0),
+            last_reading: Cell::new(0),
         }
     }
 
@@ -99,8 +97,8 @@
     connections: Arc<CallerConnections>,
     caller: Option<SocketAddr>,
     /// Readings in a row that lacked the connection.
-    missing: AtomicU32,
-    last_reading: AtomicU32,
+    missing: Cell<u32>,
+    last_reading: Cell<u32>,
 }
 
 impl CallerWatch {
@@ -128,7 +126,7 @@
         }
         match listed.is_closed.get(&caller) {
             Some(is_closed) => {
-                self.missing.store(0, Ordering::Relaxed);
+                self.missing.set(0);
                 *is_closed
             }
             None => self.is_missing(listed.reading),
@@ -136,9 +134,9 @@
     }
 
     fn is_missing(&self, reading: u32) -> bool {
-        if self.last_reading.swap(reading, Ordering::Relaxed) != reading {
-            self.missing.fetch_add(1, Ordering::Relaxed);
+        if self.last_reading.replace(reading) != reading {
+            self.missing.set(self.missing.get() + 1);
         }
-        self.missing.load(Ordering::Relaxed) >= MISSING_READINGS
+        self.missing.get() >= MISSING_READINGS
     }
 }
