Notice callers of whole answers that leave while their engine writes

An engine that writes a token at least every 200 ms is never silent, so the check of the caller's connection, which was made in silences only, wasn't made before the answer was whole: for an answer that isn't streamed nothing is written before. Found by reading the change again; the check is made by time now. The test failed before (two attempts at work 500 ms after their callers had left) and passes.

--- a/crates/mangowalkd/src/caller/chat.rs
+++ b/crates/mangowalkd/src/caller/chat.rs
@@ -149,7 +149,11 @@
         Ok(())
     }
 
-    fn silence(&mut self, now_ms: u64) -> io::Result<()> {
+    fn check_caller(&mut self, now_ms: u64) -> io::Result<()> {
         self.watch.check(now_ms)
     }
+
+    fn silence(&mut self, now_ms: u64) -> io::Result<()> {
+        self.check_caller(now_ms)
+    }
 }
--- a/crates/mangowalkd/src/caller/stream.rs
+++ b/crates/mangowalkd/src/caller/stream.rs
@@ -98,8 +98,12 @@
         self.writer()?.event(&event)
     }
 
+    fn check_caller(&mut self, now_ms: u64) -> io::Result<()> {
+        self.watch.check(now_ms)
+    }
+
     fn silence(&mut self, now_ms: u64) -> io::Result<()> {
-        self.watch.check(now_ms)?;
+        self.check_caller(now_ms)?;
         let Some(writer) = &mut self.writer else {
             return Ok(());
         };
--- a/crates/mangowalkd/src/serve/answer.rs
+++ b/crates/mangowalkd/src/serve/answer.rs
@@ -9,6 +9,13 @@
     /// Fails if the caller has disconnected or can't be written to.
     fn token(&mut self, text: &str) -> io::Result<()>;
 
+    /// Checks whether the caller is still connected.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the caller has disconnected.
+    fn check_caller(&mut self, now_ms: u64) -> io::Result<()>;
+
     /// Called while nothing is there to be written. Checks whether the caller is
     /// still connected.
     ///
--- a/crates/mangowalkd/src/serve/attempt.rs
+++ b/crates/mangowalkd/src/serve/attempt.rs
@@ -13,9 +13,8 @@
     },
 };
 
-/// Interval at which it is checked whether the caller is still connected, while
-/// the engine sends nothing. Otherwise a slow engine would keep working for a
-/// disconnected caller until its next token.
+/// Interval at which it is checked whether the caller is still connected. Writes
+/// alone would tell it with the next token, or with the end of a whole answer.
 pub(super) const CALLER_CHECK_INTERVAL_MS: u64 = 200;
 
 /// Priority of a team that has no record.
@@ -50,6 +49,8 @@
     timeouts: Timeouts,
     target: &'a Target,
     finished: Option<FinishedAnswer>,
+    /// When it is checked next whether the caller is still connected.
+    next_check_ms: u64,
 }
 
 impl<E: Edges> Router<E> {
@@ -81,6 +82,7 @@
             timeouts,
             target,
             finished: None,
+            next_check_ms: self.now_ms() + CALLER_CHECK_INTERVAL_MS,
         };
         let ended = run.until_first_token(sent, &upstream_attempt);
         let finished = run.finished;
@@ -259,20 +261,34 @@
         if wait_ms == 0 {
             return WaitResult::End(AttemptEnd::Send(SendError::TimedOut));
         }
+        if self.has_caller_left() {
+            return WaitResult::End(AttemptEnd::CallerGone);
+        }
         match self
             .events
             .wait(wait_ms.min(CALLER_CHECK_INTERVAL_MS).min(left_ms))
         {
             Ok(Some(event)) => self.handle_event(&event),
-            Ok(None) if self.has_caller_left() => WaitResult::End(AttemptEnd::CallerGone),
-            Ok(None) => WaitResult::Silence,
+            Ok(None) => self.handle_silence(),
             Err(error) => WaitResult::End(AttemptEnd::Send(error)),
         }
     }
 
     fn has_caller_left(&mut self) -> bool {
         let now_ms = self.now_ms();
-        self.sink.silence(now_ms).is_err()
+        if now_ms < self.next_check_ms {
+            return false;
+        }
+        self.next_check_ms = now_ms + CALLER_CHECK_INTERVAL_MS;
+        self.sink.check_caller(now_ms).is_err()
+    }
+
+    fn handle_silence(&mut self) -> WaitResult {
+        let now_ms = self.now_ms();
+        match self.sink.silence(now_ms) {
+            Ok(()) => WaitResult::Silence,
+            Err(_) => WaitResult::End(AttemptEnd::CallerGone),
+        }
     }
 
     fn handle_event(&mut self, event: &GenerateEvent) -> WaitResult {
--- a/crates/mangowalkd/src/serve/counted.rs
+++ b/crates/mangowalkd/src/serve/counted.rs
@@ -30,6 +30,12 @@
         result
     }
 
+    fn check_caller(&mut self, now_ms: u64) -> io::Result<()> {
+        let result = self.sink.check_caller(now_ms);
+        self.caller_disconnected |= result.is_err();
+        result
+    }
+
     fn silence(&mut self, now_ms: u64) -> io::Result<()> {
         let result = self.sink.silence(now_ms);
         self.caller_disconnected |= result.is_err();
--- a/crates/mangowalkd/tests/left_callers.rs
+++ b/crates/mangowalkd/tests/left_callers.rs
@@ -80,6 +80,19 @@
     assert_engines_are_freed(&fleet, callers.into());
 }
 
+/// Guards against an engine that is never silent, for a caller that has left and to whom nothing
+/// is written before the answer is whole.
+#[test]
+fn a_caller_that_leaves_while_its_whole_answer_is_written_frees_its_engine() {
+    let fleet = fleet(1, 8);
+    fleet.engines[0].set_faults(EngineFaults {
+        slow_factor: 30,
+        ..EngineFaults::default()
+    });
+    let callers = ["", "\r\n"].map(|behind| ask(&fleet, "gone", false, behind));
+    assert_engines_are_freed(&fleet, callers.into());
+}
+
 /// Guards against an engine that reads the prompt of a stream whose caller has left.
 #[test]
 fn a_caller_that_leaves_before_the_first_token_frees_its_engine() {
