--- a/crates/mangowalkd/tests/machines/stopping.rs
+++ b/crates/mangowalkd/tests/machines/stopping.rs
@@ -3,7 +3,8 @@
 use {
     super::PROGRAM,
     mangowalk_platform_standins::{
-        Caller, Deployment, EngineFaults, KeepAliveConnection, Reply, RouteKind, wait_until,
+        Caller, Deployment, EngineFaults, KeepAliveConnection, PathState, Reply, RouteKind,
+        wait_until,
     },
     nix::sys::signal::Signal,
     std::time::{Duration, Instant},
@@ -139,9 +140,22 @@
     }
     deployment.machines[0].signal(Signal::SIGTERM);
     let requests = send_until_exit(&deployment, grace_s);
-    for (kind, id, reply) in &requests {
+    let answered = count_answered(&deployment, &requests, &format!("grace of {grace_s} s"));
+    let code = deployment.machines[0].wait_for_exit(Duration::from_secs(5));
+    assert_eq!(code, Some(0));
+    answered
+}
+
+/// Checks that each request was answered in full, refused as not run with a time to come back,
+/// or not read, and returns how many were answered.
+fn count_answered(
+    deployment: &Deployment,
+    requests: &[(RouteKind, String, Reply)],
+    case: &str,
+) -> usize {
+    for (kind, id, reply) in requests {
         let runs = deployment.times_run(id);
-        let case = format!("grace of {grace_s} s, {kind:?}: {runs} runs, {reply:?}");
+        let case = format!("{case}, {kind:?}: {runs} runs, {reply:?}");
         match reply.status {
             200 => assert!(reply.is_complete, "{case}"),
             503 => assert!(runs == 0 && reply.retry_after_s().is_some(), "{case}"),
@@ -149,8 +163,6 @@
             _ => panic!("{case}"),
         }
     }
-    let code = deployment.machines[0].wait_for_exit(Duration::from_secs(5));
-    assert_eq!(code, Some(0));
     let replies = requests.iter().map(|(_, _, reply)| reply);
     replies.filter(|reply| reply.status == 200).count()
 }
@@ -169,6 +181,41 @@
     }
 }
 
+/// Guards against late requests that are cut off behind a peer, as the instance that passes them on
+/// stops, or the peer does.
+#[test]
+fn late_requests_behind_a_peer_are_answered_or_not_run() {
+    for stopping in [0, 1] {
+        let (mut deployment, paths, _gates) = Deployment::start_with_paths(PROGRAM, 2, 1);
+        paths[0].set(PathState::Reset);
+        let caller = hurried(&deployment);
+        wait_until("the instance passes requests on", || {
+            let replies = KINDS.map(|kind| send(&caller, kind, &Caller::new_request_id()));
+            let is_served = replies.iter().all(|reply| reply.status == 200);
+            is_served && deployment.machines[0].log().contains("event=passed_on")
+        });
+        for engine in deployment.engines.iter().chain(&deployment.services) {
+            engine.set_faults(EngineFaults {
+                plain_duration_ms: 600,
+                event_interval_ms: 120,
+                ..EngineFaults::default()
+            });
+        }
+        for kind in KINDS {
+            send(&caller, kind, &Caller::new_request_id());
+        }
+        deployment.machines[stopping].signal(Signal::SIGTERM);
+        let requests = send_until_exit(&deployment, 4);
+        count_answered(
+            &deployment,
+            &requests,
+            &format!("instance {stopping} stops"),
+        );
+        let code = deployment.machines[stopping].wait_for_exit(Duration::from_secs(5));
+        assert_eq!(code, Some(0));
+    }
+}
+
 /// Guards against closing the connections of requests that are open when the grace period ends:
 /// their callers get an answer that tells that the request may have run.
 #[test]
