Send all requests before the engines fall silent in a test of a probe

By its design the first stream made its engine refuse connections, so a later request could not get there; the test wanted one arrival of each. Now the engines fall silent after their first event, once all four requests have arrived; what is checked of each request is the same.

--- a/crates/mangowalkd/tests/machines/abandoned.rs
+++ b/crates/mangowalkd/tests/machines/abandoned.rs
@@ -231,12 +231,18 @@
 fn a_request_is_not_sent_again_for_a_caller_that_left_during_a_probe() {
     let deployment = Deployment::start(PROGRAM, 1, 2);
     let silent = EngineFaults {
-        silent_after_events: Some(0),
+        silent_after_events: Some(1),
+        event_interval_ms: 300,
         ..EngineFaults::default()
     };
     set_faults(&deployment, &silent);
     let requests = begin_all(&deployment.caller(0), RouteKind::Resumable);
-    thread::sleep(Duration::from_millis(100));
+    // A silent engine accepts no connection, so all requests have to be there before.
+    wait_until("the engines have the requests", || {
+        let mut ids = requests.iter().map(|(id, _)| id);
+        ids.all(|id| work(&deployment, id, Instant::now()).arrivals == 1)
+    });
+    thread::sleep(Duration::from_millis(700));
     assert_work_ends(&deployment, requests, ONE_RUN);
 }
 
