Take no answer whose head frames its body in an unknown way, or in two

Callers got bodies that were not the engine's, as complete answers: with a spoilt Transfer-Encoding (`chunkex`) the chunks as they were sent, and with chunks beside a Content-Length a body of one size under the length of another.

Cause: the HTTP library reads a body of an unknown coding to the end of the connection, and ignores a length beside chunks. Of a list of codings it looks at the last alone. All readers believed what it made of such a head: the router's callers, peers, calls to the store, reports, orders and the witness of an end, and with them the client of the threaded programs.

The head is checked in one place now, where each connection hands on an answer (`Connection::send`); its sender is private, so that no reader can go round it. A transfer coding other than chunked alone, and one beside a length, count like a head that can't be parsed: the connection is closed, and the request is sent again where it may be, or is refused with 502. RFC 9112 forbids senders a length beside a coding (6.2) and lets receivers treat it as an error (6.3); the router asks for no coding but chunked.

Tests: the upstream that sends scripted bytes got a module of its own and may keep the connection open; its reader of requests reads bodies.

--- a/crates/gateway/src/bounded/read_meter.rs
+++ b/crates/gateway/src/bounded/read_meter.rs
@@ -92,10 +92,15 @@
     /// Counts a message that was cut off at a bound.
     pub fn record_error(&self, error: &hyper::Error) {
         if let Some(reason) = CutReason::of(error) {
-            self.buffered.held().record_cut(reason);
+            self.record_cut(reason);
         }
     }
 
+    /// Counts a message that was cut off for this reason.
+    pub fn record_cut(&self, reason: CutReason) {
+        self.buffered.held().record_cut(reason);
+    }
+
     /// Records that all bytes that were read are handed on.
     pub(super) fn record_empty(&self) {
         self.buffered.set(0);
--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -42,7 +42,7 @@
         /// Error of the operating system, or the timeout.
         reason: String,
     },
-    /// The connection ended, or no complete response arrived in time.
+    /// The connection ended, the response is invalid, or no complete one arrived in time.
     #[display("No complete response from {address} ({reason}); the call may have been executed.")]
     NoAnswer {
         /// Address that was called.
@@ -60,7 +60,7 @@
 
 impl Drop for CallConnection {
     fn drop(&mut self) {
-        self.0.task.abort();
+        self.0.close();
     }
 }
 
@@ -97,7 +97,7 @@
     /// # Errors
     ///
     /// Fails if no connection could be established, the call could not be
-    /// encoded, no response began within `timeout_ms` or its body came to a halt.
+    /// encoded, no valid response began within `timeout_ms` or its body came to a halt.
     pub async fn call(&self, call: &Call, timeout_ms: u64) -> Result<(u16, Bytes), CallError> {
         let timed_out = |_| self.no_answer(&"timed out");
         let limit = Duration::from_millis(timeout_ms);
@@ -120,14 +120,9 @@
         let request = call
             .to_request(self.address, |body| Full::new(Bytes::from(body)))
             .map_err(|_| CallError::Unwritable)?;
-        let meter = connection.0.meter.clone();
-        meter.begin_message();
-        let response = connection.0.sender.send_request(request).await;
+        let response = connection.0.send(request).await;
         let response = response.map_err(|error| self.no_answer(&error))?;
-        Ok((
-            connection,
-            response.map(|body| MeteredBody::new(body, meter)),
-        ))
+        Ok((connection, response))
     }
 
     async fn read_body(&self, body: MeteredBody) -> Result<Bytes, CallError> {
@@ -150,7 +145,7 @@
         loop {
             let idle = self.idle.borrow_mut().pop();
             match idle {
-                Some(connection) if connection.0.sender.is_ready() => return Ok(connection),
+                Some(connection) if connection.0.is_ready() => return Ok(connection),
                 Some(_) => {}
                 None => return self.connect().await,
             }
--- a/crates/gateway/src/upstreams/connection.rs
+++ b/crates/gateway/src/upstreams/connection.rs
@@ -1,12 +1,16 @@
 use {
-    super::path::record_accepted,
+    super::{AnswerError, HeadFault, path::record_accepted},
     crate::{
-        bounded::{HeldBytes, HeldKind, MAX_READ_BUFFER_BYTES, MeteredStream, ReadMeter},
+        bounded::{
+            CutReason, HeldBytes, HeldKind, MAX_READ_BUFFER_BYTES, MeteredBody, MeteredStream,
+            ReadMeter,
+        },
         clock::now_ms,
         instance::{GatewaySettings, Instance},
     },
     bytes::Bytes,
     derive_more::{Display, Error},
+    http::{Request, Response},
     http_body_util::Full,
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
@@ -29,14 +33,61 @@
 /// machines are a few milliseconds apart.
 const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 
-/// An HTTP connection to an engine or a peer.
+/// An HTTP connection to any server. All answers that a process reads come through one.
 pub struct Connection {
-    /// Sends requests on the connection.
-    pub sender: SendRequest<Full<Bytes>>,
-    /// Closes the connection.
-    pub task: AbortHandle,
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
     /// Counts the bytes of its answers.
-    pub meter: Arc<ReadMeter>,
+    meter: Arc<ReadMeter>,
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its answer, whose body ends where the head
+    /// says.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection ends before the head arrives, or the head is invalid. The
+    /// connection can't be used again then.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<MeteredBody>, AnswerError> {
+        self.meter.begin_message();
+        let response = match self.sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(mut error) => {
+                self.meter.record_error(error.error());
+                let was_sent = error.take_message().is_none();
+                let error = error.into_error();
+                return Err(match was_sent {
+                    true => AnswerError::Lost(error),
+                    false => AnswerError::NotSent(error),
+                });
+            }
+        };
+        if let Some(fault) = HeadFault::of(response.headers()) {
+            self.meter.record_cut(CutReason::NoHttp);
+            self.close();
+            return Err(AnswerError::InvalidHead(fault));
+        }
+        Ok(response.map(|body| MeteredBody::new(body, self.meter.clone())))
+    }
+
+    /// Returns whether a request can be sent now.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Returns whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Closes the connection.
+    pub fn close(&self) {
+        self.task.abort();
+    }
 }
 
 /// Why a connection could not be opened. No byte of a request was sent.
--- a/crates/gateway/src/upstreams/exchange.rs
+++ b/crates/gateway/src/upstreams/exchange.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ConnectionPool, PooledConnection, connect_to_engine, connect_to_peer},
+    super::{AnswerError, ConnectionPool, PooledConnection, connect_to_engine, connect_to_peer},
     crate::{
         bounded::MeteredBody,
         clock::{now_ms, wall_ms},
@@ -27,10 +27,11 @@
         /// Error of the connection.
         reason: String,
     },
-    /// The connection ended after the request was sent, so it may have run.
+    /// The connection ended after the request was sent, or the head of the answer is
+    /// invalid, so it may have run.
     #[display("The request was sent and its connection ended: {reason}")]
     Lost {
-        /// Error of the connection.
+        /// Error of the connection or of the head.
         reason: String,
     },
     /// The engine accepts no connections and has sent nothing. It may have run the request.
@@ -42,6 +43,16 @@
     Barred(#[error(not(source))] SendBarrier),
 }
 
+impl SendError {
+    fn of_answer(error: AnswerError) -> SendError {
+        let reason = error.to_string();
+        match error {
+            AnswerError::NotSent(_) => SendError::NotSent { reason },
+            AnswerError::Lost(_) | AnswerError::InvalidHead(_) => SendError::Lost { reason },
+        }
+    }
+}
+
 /// An engine's answer whose body has not been read yet.
 pub struct Answer {
     /// Decoded fields of the response head.
@@ -106,8 +117,9 @@
 ///
 /// # Errors
 ///
-/// Fails if the engine wants no request now, no connection can be opened or the
-/// connection ends before the head arrives. The error says whether the request may have run.
+/// Fails if the engine wants no request now, no connection can be opened, the
+/// connection ends before the head arrives or the head is invalid. The error says whether the
+/// request may have run.
 pub async fn send(
     instance: &Instance,
     pool: &Rc<ConnectionPool>,
@@ -161,28 +173,17 @@
 ///
 /// # Errors
 ///
-/// Fails if the connection ends before the head arrives.
+/// Fails if the connection ends before the head arrives, or the head is invalid.
 pub(super) async fn send_on(
     mut connection: PooledConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<Answer, SendError> {
-    let (Some(meter), Some(sender)) = (connection.meter(), connection.sender()) else {
+    let Some(open) = connection.connection() else {
         return Err(SendError::NotSent {
             reason: "the connection is in use".to_owned(),
         });
     };
-    meter.begin_message();
-    let response = match sender.try_send_request(request).await {
-        Ok(response) => response,
-        Err(mut error) => {
-            meter.record_error(error.error());
-            let reason = error.error().to_string();
-            return Err(match error.take_message() {
-                Some(_) => SendError::NotSent { reason },
-                None => SendError::Lost { reason },
-            });
-        }
-    };
+    let response = open.send(request).await.map_err(SendError::of_answer)?;
     let (parts, body) = response.into_parts();
     let head = AnswerHead::decode(parts.status, &parts.headers, wall_ms());
     connection.set_keep_alive_s(head.keep_alive_s);
@@ -195,7 +196,7 @@
         head,
         ends_with_connection,
         parts,
-        body: MeteredBody::new(body, meter),
+        body,
         connection,
     })
 }
--- a/crates/gateway/src/upstreams/pool.rs
+++ b/crates/gateway/src/upstreams/pool.rs
@@ -1,15 +1,10 @@
 use {
     super::Connection,
-    crate::bounded::ReadMeter,
-    bytes::Bytes,
-    http_body_util::Full,
-    hyper::client::conn::http1::SendRequest,
     mangowalk_core::pool::Incarnation,
     std::{
         cell::RefCell,
         collections::HashMap,
         rc::{Rc, Weak},
-        sync::Arc,
     },
 };
 
@@ -32,10 +27,9 @@
 impl IdleConnection {
     /// Returns whether the connection may be used. Closes it otherwise.
     fn retain(&self, is_listed: bool, now_ms: u64) -> bool {
-        let is_usable =
-            is_listed && !self.connection.sender.is_closed() && now_ms < self.expires_ms;
+        let is_usable = is_listed && !self.connection.is_closed() && now_ms < self.expires_ms;
         if !is_usable {
-            self.connection.task.abort();
+            self.connection.close();
         }
         is_usable
     }
@@ -60,7 +54,7 @@
         connections.retain(|idle| idle.retain(true, now_ms));
         let index = connections
             .iter()
-            .rposition(|idle| idle.connection.sender.is_ready())?;
+            .rposition(|idle| idle.connection.is_ready())?;
         let idle = connections.remove(index);
         Some(self.wrap(engine, idle.connection))
     }
@@ -86,7 +80,7 @@
     pub fn close_idle(&self, engine: &Incarnation) {
         let connections = self.idle.borrow_mut().remove(engine);
         for idle in connections.unwrap_or_default() {
-            idle.connection.task.abort();
+            idle.connection.close();
         }
     }
 
@@ -115,17 +109,9 @@
 }
 
 impl PooledConnection {
-    /// Returns the sender of the connection, or `None` once it was returned to the
-    /// pool.
-    pub fn sender(&mut self) -> Option<&mut SendRequest<Full<Bytes>>> {
-        let connection = self.connection.as_mut();
-        connection.map(|connection| &mut connection.sender)
-    }
-
-    /// Returns the meter of the connection, or `None` once it was returned to the pool.
-    pub fn meter(&self) -> Option<Arc<ReadMeter>> {
-        let connection = self.connection.as_ref();
-        connection.map(|connection| connection.meter.clone())
+    /// Returns the connection, or `None` once it was returned to the pool.
+    pub fn connection(&mut self) -> Option<&mut Connection> {
+        self.connection.as_mut()
     }
 
     /// Sets the idle timeout that the engine named; `None` leaves it unchanged.
@@ -147,14 +133,14 @@
             return;
         };
         let expires_ms = now_ms + self.idle_timeout_ms.saturating_sub(IDLE_TIMEOUT_MARGIN_MS);
-        if self.is_closing || connection.sender.is_closed() || expires_ms <= now_ms {
-            connection.task.abort();
+        if self.is_closing || connection.is_closed() || expires_ms <= now_ms {
+            connection.close();
             return;
         }
         let mut idle = pool.idle.borrow_mut();
         let connections = idle.entry(self.engine.clone()).or_default();
         if connections.len() >= MAX_IDLE_PER_ENGINE {
-            connection.task.abort();
+            connection.close();
             return;
         }
         connections.push(IdleConnection {
@@ -167,7 +153,7 @@
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         if let Some(connection) = &self.connection {
-            connection.task.abort();
+            connection.close();
         }
     }
 }
--- a/crates/gateway/src/upstreams/probe.rs
+++ b/crates/gateway/src/upstreams/probe.rs
@@ -144,7 +144,7 @@
     let mut connection = connect_to_engine(instance, entry).await?;
     if reason == ProbeReason::RequestLost {
         sleep(CONFIRMATION_DELAY).await;
-        if connection.sender.is_closed() {
+        if connection.is_closed() {
             connection = connect_to_engine(instance, entry).await?;
         }
     }
--- /dev/null
+++ b/crates/gateway/tests/bounded_bytes/broken_heads.rs
@@ -0,0 +1,197 @@
+use {
+    super::{
+        gateway::{Gateway, engine_entry, run},
+        scripted_upstream::{Ending, Script, start_upstream},
+    },
+    http::Request,
+    http_body_util::Full,
+    mangowalk_core::{
+        pool::Incarnation,
+        routing::RetryPolicy,
+        stream::{EndFinding, EndWitnessSettings},
+    },
+    mangowalk_gateway::{
+        instance::GatewaySettings,
+        store::{CallClient, CallError},
+        upstreams::{ConnectionPool, Destination, SendError, confirm_end, send},
+    },
+    mangowalk_platform::{EngineReport, WeightsOrder, encode_order},
+    mangowalk_platform_standins::{AMBIGUOUS_FRAMINGS, ANSWER_FIELDS, BrokenHead},
+    std::{fmt::Debug, rc::Rc},
+};
+
+/// ID of all requests.
+const ID: &str = "7a";
+
+/// Content of all sound answers, which is one event.
+const SOUND: &str = "data: sound\n\n";
+
+/// Timeout of calls.
+const TIMEOUT_MS: u64 = 1_000;
+
+/// Time in which a witness is searched, less than until a second call to an engine.
+const WITNESS_WAIT_MS: u64 = 200;
+
+const ENDINGS: [Ending; 3] = [Ending::InOrder, Ending::Reset, Ending::KeptOpen];
+
+/// Returns fields of an answer of the first engine.
+fn sound_fields() -> String {
+    let fields = ANSWER_FIELDS.replace("{id}", ID);
+    let fields = fields.replace("Instance-Id: e", "Instance-Id: e0");
+    format!("{fields}Content-Type: text/event-stream\r\n")
+}
+
+fn sound_answer() -> String {
+    let (fields, length) = (sound_fields(), SOUND.len());
+    format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: {length}\r\n\r\n{SOUND}")
+}
+
+/// Plays each answer with each end of its connection, and checks that `play` finds what is
+/// expected.
+fn check_each<T: Debug + PartialEq>(
+    heads: &[BrokenHead],
+    expected: T,
+    play: impl AsyncFn(Rc<Script>) -> T,
+) {
+    let mut unexpected = Vec::new();
+    for head in heads {
+        let answer = head.answer(&sound_fields());
+        for ending in ENDINGS {
+            let script = Script::new(ending, &sound_answer());
+            script.send_next([&answer]);
+            run(async || {
+                let found = play(script).await;
+                if found != expected {
+                    let text = answer.escape_ascii();
+                    unexpected.push(format!("{ending:?} {text}: {found:?}"));
+                }
+            });
+        }
+    }
+    assert!(unexpected.is_empty(), "{expected:?}, not {unexpected:#?}");
+}
+
+/// Returns the status and the kind of body that a caller gets, and how many requests two engines
+/// of the service get.
+async fn ask(retry: RetryPolicy, script: Rc<Script>) -> (u16, String, usize) {
+    let addresses = [
+        start_upstream(script.clone()).await,
+        start_upstream(script.clone()).await,
+    ];
+    let gateway = Gateway::start(retry, &addresses, GatewaySettings::default()).await;
+    let reply = gateway.ask(ID).await;
+    let text = String::from_utf8_lossy(&reply.bytes);
+    let body = match text.contains(SOUND) {
+        true => SOUND.to_owned(),
+        false if reply.status() == 502 => String::new(),
+        false => text.into_owned(),
+    };
+    (reply.status(), body, script.requests.get())
+}
+
+/// Checks that requests whose first answer is broken are sent again where they may be, and
+/// refused otherwise.
+fn check_callers(heads: &[BrokenHead]) {
+    for retry in [RetryPolicy::AtMostOnce, RetryPolicy::Stream] {
+        let refused = (502, String::new(), 1);
+        check_each(heads, refused, async |script| ask(retry, script).await);
+    }
+    for retry in [RetryPolicy::Idempotent, RetryPolicy::ResumableStream] {
+        let sent_again = (200, SOUND.to_owned(), 2);
+        check_each(heads, sent_again, async |script| ask(retry, script).await);
+    }
+}
+
+/// Checks that a peer whose answer is broken counts as one that may have run the request.
+fn check_peers(heads: &[BrokenHead]) {
+    check_each(heads, "lost", async |script| {
+        let address = start_upstream(script).await;
+        let settings = GatewaySettings::default();
+        let gateway = Gateway::start(RetryPolicy::Idempotent, &[], settings).await;
+        let peer = Incarnation {
+            id: "p".to_owned(),
+            born_ms: 1,
+        };
+        let destination = Destination::Peer {
+            incarnation: &peer,
+            address,
+        };
+        let pool = Rc::new(ConnectionPool::default());
+        let build = || Request::new(Full::default());
+        match send(&gateway.instance, &pool, destination, build).await {
+            Ok(_) => "answered",
+            Err(SendError::Lost { .. }) => "lost",
+            Err(_) => "other",
+        }
+    });
+}
+
+/// Checks that calls for reports, orders and calls to the store have no answer if it is broken,
+/// and aren't made again.
+fn check_calls(heads: &[BrokenHead]) {
+    let order = WeightsOrder {
+        engine: "e",
+        model: "m",
+        version: 2,
+        cuts_off_running: false,
+        holder: "i",
+        fence: 1,
+        accepted_before: 0,
+    };
+    for call in [EngineReport::call("e"), encode_order(&order)] {
+        check_each(heads, ("lost", 1), async |script| {
+            let address = start_upstream(script.clone()).await;
+            let client = CallClient::new(address, TIMEOUT_MS);
+            let result = match client.call(&call, TIMEOUT_MS).await {
+                Ok(_) => "answered",
+                Err(CallError::NoAnswer { .. }) => "lost",
+                Err(_) => "other",
+            };
+            (result, script.requests.get())
+        });
+    }
+}
+
+/// Checks that a broken answer doesn't confirm the end of another one.
+fn check_witnesses(heads: &[BrokenHead]) {
+    check_each(heads, EndFinding::NoAnswer, async |script| {
+        let address = start_upstream(script).await;
+        let settings = GatewaySettings {
+            end_witness: EndWitnessSettings {
+                max_wait_ms: WITNESS_WAIT_MS,
+                retry_ms: TIMEOUT_MS,
+            },
+            ..GatewaySettings::default()
+        };
+        let gateway = Gateway::start(RetryPolicy::Idempotent, &[address], settings).await;
+        let pool = Rc::new(ConnectionPool::default());
+        let entry = engine_entry(0, address);
+        confirm_end(&gateway.instance, &pool, &entry, TIMEOUT_MS).await
+    });
+}
+
+/// Guards against a body that is framed by one field of its head being forwarded as another
+/// field frames it, or chunks of an unknown coding being forwarded as the body.
+#[test]
+fn answers_of_ambiguous_framing_are_lost() {
+    check_callers(&AMBIGUOUS_FRAMINGS);
+}
+
+/// Guards against the same answers being believed when a peer sends them.
+#[test]
+fn peers_answers_of_ambiguous_framing_are_lost() {
+    check_peers(&AMBIGUOUS_FRAMINGS);
+}
+
+/// Guards against the same answers being believed when the store sends them, or an engine to
+/// a call for its report or to an order.
+#[test]
+fn answers_to_calls_of_ambiguous_framing_are_lost() {
+    check_calls(&AMBIGUOUS_FRAMINGS);
+}
+
+/// Guards against the same answers confirming that an engine has ended an answer itself.
+#[test]
+fn answers_of_ambiguous_framing_are_no_witness() {
+    check_witnesses(&AMBIGUOUS_FRAMINGS);
+}
--- a/crates/gateway/tests/bounded_bytes/cut_heads.rs
+++ b/crates/gateway/tests/bounded_bytes/cut_heads.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        fake_engine::read_request,
         gateway::{Gateway, Reply, run},
+        scripted_upstream::{Ending, Script, start_upstream},
     },
     mangowalk_core::routing::RetryPolicy,
     mangowalk_gateway::{
@@ -10,86 +10,12 @@
     },
     mangowalk_platform::EngineReport,
     mangowalk_platform_standins::ANSWER_HEAD as HEAD,
-    socket2::SockRef,
-    std::{
-        cell::{Cell, RefCell},
-        collections::VecDeque,
-        net::SocketAddr,
-        rc::Rc,
-        time::Duration,
-    },
-    tokio::{
-        io::AsyncWriteExt,
-        net::{TcpListener, TcpStream},
-        task::spawn_local,
-    },
+    std::rc::Rc,
 };
 
 /// ID of all requests.
 const ID: &str = "7a";
 
-/// How a connection ends inside an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Ending {
-    InOrder,
-    Reset,
-}
-
-/// What upstreams send, and how many requests they got.
-struct Script {
-    /// Beginnings of the next answers, each with the end of its connection.
-    cut: RefCell<VecDeque<String>>,
-    ending: Ending,
-    /// What all other requests get.
-    sound: String,
-    requests: Cell<usize>,
-}
-
-impl Script {
-    fn new(ending: Ending, sound: &str) -> Rc<Script> {
-        Rc::new(Script {
-            cut: RefCell::default(),
-            ending,
-            sound: sound.to_owned(),
-            requests: Cell::new(0),
-        })
-    }
-
-    /// Sets the beginnings of the next answers, and counts requests from now on.
-    fn cut_next<const N: usize>(&self, beginnings: [&str; N]) {
-        *self.cut.borrow_mut() = beginnings.map(str::to_owned).into();
-        self.requests.set(0);
-    }
-}
-
-async fn start_upstream(script: Rc<Script>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("it is bound");
-    spawn_local(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            spawn_local(serve(stream, script.clone()));
-        }
-    });
-    address
-}
-
-async fn serve(mut stream: TcpStream, script: Rc<Script>) {
-    while read_request(&mut stream).await.is_some() {
-        script.requests.set(script.requests.get() + 1);
-        let cut = script.cut.borrow_mut().pop_front();
-        let is_cut = cut.is_some();
-        let bytes = cut.unwrap_or_else(|| script.sound.clone());
-        let written = stream.write_all(bytes.as_bytes()).await;
-        if is_cut && script.ending == Ending::Reset {
-            let lingering = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-            lingering.expect("the connection is open");
-        }
-        if is_cut || written.is_err() {
-            return;
-        }
-    }
-}
-
 /// Content of all sound answers, which is one event of a stream.
 const SOUND: &str = "data: sound\n\n";
 
@@ -133,7 +59,7 @@
             if is_pooled {
                 assert_eq!(gateway.ask(ID).await.status(), 200);
             }
-            script.cut_next([&head[..cut]]);
+            script.send_next([&head[..cut]]);
             let reply = gateway.ask(ID).await;
             check(&place, &reply, script.requests.get());
         });
@@ -209,7 +135,7 @@
         run(async || {
             let script = Script::new(ending, &sound());
             let gateway = start_gateway(RetryPolicy::ResumableStream, 2, &script).await;
-            script.cut_next([&begun, &head[..cut]]);
+            script.send_next([&begun, &head[..cut]]);
             let reply = gateway.ask(ID).await;
             assert!(!reply.has_last_chunk(), "{ending:?} {cut}: {reply:?}");
             assert_eq!(script.requests.get(), 2, "{ending:?} {cut}");
@@ -234,7 +160,7 @@
                         let sound = client.call(&call, TIMEOUT_MS).await;
                         assert_eq!(sound.expect("the answer is whole").0, 200);
                     }
-                    script.cut_next([&head[..cut]]);
+                    script.send_next([&head[..cut]]);
                     let result = client.call(&call, TIMEOUT_MS).await;
                     let is_lost = matches!(result, Err(CallError::NoAnswer { .. }));
                     let place = format!("{name} {ending:?} {is_pooled} {cut}");
--- a/crates/gateway/tests/bounded_bytes/fake_engine.rs
+++ b/crates/gateway/tests/bounded_bytes/fake_engine.rs
@@ -98,12 +98,17 @@
     }
 }
 
-/// Reads a request without a body and returns its ID, which may be empty; `None` at the end of the connection.
+/// Reads a request and returns its ID, which may be empty; `None` at the end of the connection.
 pub(super) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
     }
     let head = String::from_utf8(head).ok()?;
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    let length = lines.find(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+    let length = length.and_then(|(_, value)| value.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).await.ok()?;
     Some(request_id(&head).unwrap_or_default().to_owned())
 }
--- a/crates/gateway/tests/bounded_bytes/gateway.rs
+++ b/crates/gateway/tests/bounded_bytes/gateway.rs
@@ -86,7 +86,7 @@
         *instance.routes.borrow_mut() = Rc::new(RouteTable::new(configuration(retry)));
         for (index, address) in engines.iter().enumerate() {
             let mut known = instance.engines.borrow_mut();
-            known.apply_entry(entry(index, *address));
+            known.apply_entry(engine_entry(index, *address));
         }
         instance.is_engine_list_read.set(true);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -176,7 +176,8 @@
     }
 }
 
-fn entry(index: usize, address: SocketAddr) -> EngineEntry {
+/// Returns the entry of an engine at this address.
+pub(super) fn engine_entry(index: usize, address: SocketAddr) -> EngineEntry {
     EngineEntry {
         incarnation: Incarnation {
             id: format!("e{index}"),
--- a/crates/gateway/tests/bounded_bytes/main.rs
+++ b/crates/gateway/tests/bounded_bytes/main.rs
@@ -1,10 +1,12 @@
-//! Answers of engines whose bytes never end or end in their head, and callers that don't read theirs.
+//! Answers of engines that are broken or never end, and callers that don't read theirs.
 
+mod broken_heads;
 mod cut_heads;
 mod endless_answers;
 mod endless_calls;
 mod endless_requests;
 mod fake_engine;
 mod gateway;
+mod scripted_upstream;
 mod slow_callers;
 mod sound_answers;
--- a/crates/http-client/src/answer_body.rs
+++ b/crates/http-client/src/answer_body.rs
@@ -1,7 +1,7 @@
 use {
     super::open_connection::OpenConnection,
     http_body_util::BodyExt,
-    hyper::body::{Bytes, Incoming},
+    hyper::body::Bytes,
     mangowalk_core::edge::SendError,
     mangowalk_gateway::bounded::MeteredBody,
     std::io::{self, ErrorKind, Read},
@@ -29,13 +29,13 @@
 impl AnswerBody {
     pub(super) fn new(
         event_loop: Handle,
-        body: Incoming,
+        body: MeteredBody,
         until: Instant,
         connection: OpenConnection,
     ) -> AnswerBody {
         AnswerBody {
             event_loop,
-            body: MeteredBody::new(body, connection.0.meter.clone()),
+            body,
             received: Bytes::new(),
             until,
             is_broken: false,
--- a/crates/http-client/src/fetch.rs
+++ b/crates/http-client/src/fetch.rs
@@ -4,7 +4,6 @@
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Bytes,
     mangowalk_core::edge::SendError,
-    mangowalk_gateway::bounded::MeteredBody,
     std::{pin::pin, time::Duration},
     tokio::time::{Instant, timeout_at},
 };
@@ -64,9 +63,8 @@
     request: Request<Full<Bytes>>,
     max_bytes: usize,
 ) -> Result<FetchedAnswer, SendError> {
-    let (connection, answer) = exchange_heads(authority, request).await?;
+    let (_connection, answer) = exchange_heads(authority, request).await?;
     let (parts, body) = answer.into_parts();
-    let body = MeteredBody::new(body, connection.0.meter.clone());
     let body = Limited::new(body, max_bytes).collect().await;
     Ok(FetchedAnswer {
         status: parts.status.as_u16(),
--- a/crates/http-client/src/open_connection.rs
+++ b/crates/http-client/src/open_connection.rs
@@ -20,6 +20,6 @@
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0.task.abort();
+        self.0.close();
     }
 }
--- a/crates/http-client/src/send.rs
+++ b/crates/http-client/src/send.rs
@@ -4,8 +4,9 @@
     },
     http::{Request, Response},
     http_body_util::Full,
-    hyper::body::{Bytes, Incoming},
+    hyper::body::Bytes,
     mangowalk_core::edge::SendError,
+    mangowalk_gateway::{bounded::MeteredBody, upstreams::AnswerError},
     std::{
         io::{self, ErrorKind},
         time::Duration,
@@ -52,7 +53,7 @@
 pub(super) async fn exchange_heads(
     authority: &str,
     request: Request<Full<Bytes>>,
-) -> Result<(OpenConnection, Response<Incoming>), SendError> {
+) -> Result<(OpenConnection, Response<MeteredBody>), SendError> {
     let stream = TcpStream::connect(authority).await;
     let stream = stream.map_err(|error| connect_error(&error))?;
     // Without it the rest of a long request could wait for a delayed acknowledgement.
@@ -60,7 +61,7 @@
     without_delay.map_err(|_| SendError::NotConnected)?;
     let connection = OpenConnection::new(stream).await;
     let mut connection = connection.map_err(|_| SendError::NotConnected)?;
-    let answer = connection.0.sender.send_request(request).await;
+    let answer = connection.0.send(request).await;
     let answer = answer.map_err(|error| head_error(&error))?;
     Ok((connection, answer))
 }
@@ -74,9 +75,9 @@
     }
 }
 
-/// A head that ends early is lost; only one that is no HTTP or exceeds its bounds can't be read.
-fn head_error(error: &hyper::Error) -> SendError {
-    match error.is_parse() {
+/// A head that ends early is lost; only one that is invalid or exceeds its bounds can't be read.
+fn head_error(error: &AnswerError) -> SendError {
+    match error.is_unreadable() {
         true => SendError::Unreadable,
         false => SendError::Lost,
     }
--- a/crates/mangowalkd/tests/cut_answers.rs
+++ b/crates/mangowalkd/tests/cut_answers.rs
@@ -98,7 +98,7 @@
     };
     match end {
         End::Closed => format!("{received} events, {error:?}"),
-        End::Reset => format!("{error:?}"),
+        End::Reset | End::KeptOpen => format!("{error:?}"),
     }
 }
 
--- a/crates/standins/src/endings/cut_answer.rs
+++ b/crates/standins/src/endings/cut_answer.rs
@@ -37,7 +37,7 @@
     lines
 }
 
-fn has_waiting_connection(listener: &TcpListener) -> bool {
+pub(super) fn has_waiting_connection(listener: &TcpListener) -> bool {
     let set = listener.set_nonblocking(true);
     set.expect("the listener is open");
     listener.accept().is_ok()
@@ -45,7 +45,7 @@
 
 /// Reads a request, as unread bytes would turn an orderly end into a reset, and sends the
 /// beginning of an answer.
-fn serve(mut stream: TcpStream, begin: &[u8], end: End) {
+pub(super) fn serve(mut stream: TcpStream, begin: &[u8], end: End) {
     read_request(&stream);
     // The client may have given up at a part of the answer.
     let _ = stream.write_all(begin);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -15,7 +15,7 @@
 mod service;
 
 pub use {
-    endings::{End, outcomes_of_cuts},
+    endings::{End, outcome_of_answer, outcomes_of_cuts},
     engine::{EngineFaults, EngineSettings, EngineStandIn},
     fleet::{Answer, Fleet, FleetSettings, RawCaller, RouterProcess, eventually, free_address},
     platform::{PlatformFaults, PlatformStandIn},
