--- a/crates/gateway/tests/bounded_bytes/broken_heads.rs
+++ b/crates/gateway/tests/bounded_bytes/broken_heads.rs
@@ -16,7 +16,9 @@
         upstreams::{ConnectionPool, Destination, SendError, confirm_end, send},
     },
     mangowalk_platform::{EngineReport, WeightsOrder, encode_order},
-    mangowalk_platform_standins::{AMBIGUOUS_FRAMINGS, ANSWER_FIELDS, BrokenHead},
+    mangowalk_platform_standins::{
+        AMBIGUOUS_FRAMINGS, ANSWER_FIELDS, BrokenHead, INVALID_FIELDS, INVALID_STATUSES,
+    },
     std::{fmt::Debug, rc::Rc},
 };
 
@@ -195,3 +197,22 @@
 fn answers_of_ambiguous_framing_are_no_witness() {
     check_witnesses(&AMBIGUOUS_FRAMINGS);
 }
+
+/// Guards against a head with an invalid length or a line that is no field reaching callers,
+/// or any other reader believing it.
+#[test]
+fn answers_with_invalid_fields_are_lost() {
+    check_callers(&INVALID_FIELDS);
+    check_peers(&INVALID_FIELDS);
+    check_calls(&INVALID_FIELDS);
+    check_witnesses(&INVALID_FIELDS);
+}
+
+/// Guards against a status such as 000 reaching callers, or any other reader believing it.
+#[test]
+fn answers_with_invalid_statuses_are_lost() {
+    check_callers(&INVALID_STATUSES);
+    check_peers(&INVALID_STATUSES);
+    check_calls(&INVALID_STATUSES);
+    check_witnesses(&INVALID_STATUSES);
+}
--- a/crates/mangowalkd/tests/broken_heads.rs
+++ b/crates/mangowalkd/tests/broken_heads.rs
@@ -7,7 +7,9 @@
         platform::{ObjectKey, Precondition},
     },
     mangowalk_http_client::{HttpCall, send},
-    mangowalk_platform_standins::{AMBIGUOUS_FRAMINGS, BrokenHead},
+    mangowalk_platform_standins::{
+        AMBIGUOUS_FRAMINGS, BrokenHead, INVALID_FIELDS, INVALID_STATUSES,
+    },
     mangowalk_standins::{End, outcome_of_answer},
     mangowalkd::edge::{HttpEngines, HttpPlatform, HttpServices, Traffic},
     serde_json::json,
@@ -117,3 +119,15 @@
         assert!(is_lost, "{status}: {outcome:?}");
     }
 }
+
+/// Guards against a head with an invalid length or a line that is no field being believed.
+#[test]
+fn answers_with_invalid_fields_are_lost() {
+    check(&INVALID_FIELDS);
+}
+
+/// Guards against a status such as 000 being believed.
+#[test]
+fn answers_with_invalid_statuses_are_lost() {
+    check(&INVALID_STATUSES);
+}
