Take no answer with a status above 599, or one that switches protocols

Callers got answers of engines with a status of 600, 777 or 999 as they stood, and of 101 as the final answer of a request that asks for no other protocol. The router recorded such answers as complete ones of a sound engine, and a call to the store or the witness of an end believed them as well.

Cause: the HTTP library takes every number of three digits from 100 on for a status, and hands on a 101 as a final answer. Other answers with 1xx are skipped, which is right.

They count like a head that can't be parsed now, at the same place as ambiguous framings: RFC 9110, section 15, has a client treat a status outside of 100 to 599 as a server's error, and a 101 has to follow an Upgrade that the router never sends. A request that may run again gets the answer of another engine, any other a 502.

Evidence: four statuses, three ends of the connection, all readers.

--- a/crates/gateway/src/upstreams/answer_error.rs
+++ b/crates/gateway/src/upstreams/answer_error.rs
@@ -12,7 +12,7 @@
     /// The connection ended before the head of the answer, or the head can't be parsed.
     #[display("{_0}")]
     Lost(hyper::Error),
-    /// The head doesn't tell where the body ends.
+    /// The head doesn't tell the status or where the body ends.
     #[display("the head of the answer is invalid, {_0}")]
     InvalidHead(HeadFault),
 }
--- a/crates/gateway/src/upstreams/connection.rs
+++ b/crates/gateway/src/upstreams/connection.rs
@@ -66,7 +66,7 @@
                 });
             }
         };
-        if let Some(fault) = HeadFault::of(response.headers()) {
+        if let Some(fault) = HeadFault::of(response.status(), response.headers()) {
             self.meter.record_cut(CutReason::NoHttp);
             self.close();
             return Err(AnswerError::InvalidHead(fault));
--- a/crates/gateway/src/upstreams/head_fault.rs
+++ b/crates/gateway/src/upstreams/head_fault.rs
@@ -1,19 +1,25 @@
 use {
     derive_more::{Display, Error},
     http::{
-        HeaderMap,
+        HeaderMap, StatusCode,
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
     },
+    std::ops::RangeInclusive,
 };
 
-/// Why the head of an answer doesn't tell where its body ends, though it can be parsed.
+/// Why the head of an answer doesn't tell its status or where its body ends, though it can be
+/// parsed.
 ///
 /// The HTTP library reads a body of an unknown coding to the end of the connection, and ignores
 /// a length beside chunks. Neither need be the body that the sender meant. No request allows
 /// transfer codings other than chunked, and RFC 9112 forbids senders a length beside one
-/// (sections 6.1 and 6.2).
+/// (sections 6.1 and 6.2). It also takes every number of three digits for a status.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum HeadFault {
+    /// The status is in no class that RFC 9110 defines, or switches to another protocol, which
+    /// no request asks for.
+    #[display("its status isn't known")]
+    UnknownStatus,
     /// The body has a transfer coding other than chunked alone.
     #[display("its transfer coding isn't known")]
     UnknownCoding,
@@ -22,9 +28,15 @@
     CodingAndLength,
 }
 
+/// Statuses that end the exchange of a request.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 impl HeadFault {
-    /// Returns the fault of a head with these fields, or `None` if it has none.
-    pub fn of(headers: &HeaderMap) -> Option<HeadFault> {
+    /// Returns the fault of a head, or `None` if it has none.
+    pub fn of(status: StatusCode, headers: &HeaderMap) -> Option<HeadFault> {
+        if !FINAL_STATUSES.contains(&status.as_u16()) {
+            return Some(HeadFault::UnknownStatus);
+        }
         let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
         let coding = codings.next()?;
         let is_chunked = coding
--- a/crates/gateway/tests/bounded_bytes/broken_heads.rs
+++ b/crates/gateway/tests/bounded_bytes/broken_heads.rs
@@ -18,6 +18,7 @@
     mangowalk_platform::{EngineReport, WeightsOrder, encode_order},
     mangowalk_platform_standins::{
         AMBIGUOUS_FRAMINGS, ANSWER_FIELDS, BrokenHead, INVALID_FIELDS, INVALID_STATUSES,
+        UNKNOWN_STATUSES,
     },
     std::{fmt::Debug, rc::Rc},
 };
@@ -216,3 +217,13 @@
     check_calls(&INVALID_STATUSES);
     check_witnesses(&INVALID_STATUSES);
 }
+
+/// Guards against a status of no known class reaching callers as an answer, or any other reader
+/// believing it.
+#[test]
+fn answers_with_unknown_statuses_are_lost() {
+    check_callers(&UNKNOWN_STATUSES);
+    check_peers(&UNKNOWN_STATUSES);
+    check_calls(&UNKNOWN_STATUSES);
+    check_witnesses(&UNKNOWN_STATUSES);
+}
--- a/crates/mangowalkd/tests/broken_heads.rs
+++ b/crates/mangowalkd/tests/broken_heads.rs
@@ -8,7 +8,7 @@
     },
     mangowalk_http_client::{HttpCall, send},
     mangowalk_platform_standins::{
-        AMBIGUOUS_FRAMINGS, BrokenHead, INVALID_FIELDS, INVALID_STATUSES,
+        AMBIGUOUS_FRAMINGS, BrokenHead, INVALID_FIELDS, INVALID_STATUSES, UNKNOWN_STATUSES,
     },
     mangowalk_standins::{End, outcome_of_answer},
     mangowalkd::edge::{HttpEngines, HttpPlatform, HttpServices, Traffic},
@@ -131,3 +131,9 @@
 fn answers_with_invalid_statuses_are_lost() {
     check(&INVALID_STATUSES);
 }
+
+/// Guards against a status of no known class being believed.
+#[test]
+fn answers_with_unknown_statuses_are_lost() {
+    check(&UNKNOWN_STATUSES);
+}
