Test answers that break off while a long request is still being written

The part is lost or replaced for callers that upload in chunks, of a peer, and of plain services. Slow links weren't played.

--- a/crates/gateway/tests/bounded_bytes/gateway.rs
+++ b/crates/gateway/tests/bounded_bytes/gateway.rs
@@ -153,6 +153,31 @@
         self.send_by(stream, "GET", id).await
     }
 
+    /// Sends a request with a body in chunks, and reads the answer meanwhile.
+    pub(super) async fn upload(&self, id: &str, bytes: usize) -> Reply {
+        let began = Instant::now();
+        let connected = TcpStream::connect(self.address).await;
+        let (mut reader, mut writer) = connected.expect("the gateway listens").into_split();
+        let head = format!(
+            "POST /a/1 HTTP/1.1\r\nHost: shop.example\r\n{}Transfer-Encoding: chunked\r\n\
+             Connection: close\r\n\r\n{bytes:x}\r\n",
+            request_fields(id, DEADLINE.as_millis()),
+        );
+        let request = [head.as_bytes(), &vec![b'x'; bytes], b"\r\n0\r\n\r\n"].concat();
+        spawn_local(async move {
+            // The gateway may answer before it has read the whole request.
+            let _ = writer.write_all(&request).await;
+            sleep(MAX_READING).await;
+        });
+        let mut answer = Vec::new();
+        let read = timeout(MAX_READING, reader.read_to_end(&mut answer)).await;
+        Reply {
+            took: began.elapsed(),
+            has_ended: read.is_ok(),
+            bytes: answer,
+        }
+    }
+
     async fn send_by(&self, mut stream: TcpStream, method: &str, id: &str) -> TcpStream {
         let request = format!(
             "{method} /a/1 HTTP/1.1\r\nHost: shop.example\r\n{}Connection: close\r\n\r\n",
--- a/crates/gateway/tests/bounded_bytes/main.rs
+++ b/crates/gateway/tests/bounded_bytes/main.rs
@@ -2,6 +2,7 @@
 
 mod broken_heads;
 mod cut_heads;
+mod early_answers;
 mod endless_answers;
 mod endless_calls;
 mod endless_requests;
--- a/crates/gateway/tests/bounded_bytes/scripted_upstream.rs
+++ b/crates/gateway/tests/bounded_bytes/scripted_upstream.rs
@@ -24,6 +24,16 @@
     KeptOpen,
 }
 
+impl Ending {
+    /// Ends a connection.
+    pub(super) fn apply(self, stream: TcpStream) {
+        if self == Ending::Reset {
+            let lingering = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+            lingering.expect("the connection is open");
+        }
+    }
+}
+
 /// What upstreams send, and how many requests they got.
 pub(super) struct Script {
     /// The next answers, each with the end of its connection.
@@ -70,11 +80,10 @@
         let is_last = faulty.is_some() && script.ending != Ending::KeptOpen;
         let bytes = faulty.unwrap_or_else(|| script.sound.clone().into_bytes());
         let written = stream.write_all(&bytes).await;
-        if is_last && script.ending == Ending::Reset {
-            let lingering = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-            lingering.expect("the connection is open");
+        if is_last {
+            return script.ending.apply(stream);
         }
-        if is_last || written.is_err() {
+        if written.is_err() {
             return;
         }
     }
--- /dev/null
+++ b/crates/mangowalkd/tests/early_answers.rs
@@ -0,0 +1,88 @@
+//! Answers that a service sends and breaks off while the request is still being written.
+
+use {
+    mangowalk_core::edge::{SendError, ServiceCall, Services},
+    mangowalk_platform_standins::{EARLY_ANSWERS, EarlyAnswer},
+    mangowalk_standins::End,
+    mangowalkd::edge::HttpServices,
+    socket2::{Domain, Socket, Type},
+    std::{
+        io::{Read, Write},
+        net::{SocketAddr, TcpListener, TcpStream},
+        thread,
+        time::Duration,
+    },
+};
+
+/// Size of the buffer in which the operating system holds an upload for a service.
+const RECEIVE_BUFFER_BYTES: usize = 4 * 1024;
+
+/// Sizes of uploads.
+const UPLOAD_BYTES: [usize; 3] = [10_000, 300_000, 15_000_000];
+
+/// Time for which a call waits for its answer.
+const WAIT_MS: u64 = 5_000;
+
+/// Times from the answer to the end of the connection.
+const PAUSES_MS: [u64; 2] = [0, 30];
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is free");
+    let sized = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    sized.expect("the size is valid");
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&address.into()).expect("a free port");
+    socket.listen(4).expect("it is bound");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("it is bound");
+    (listener, address)
+}
+
+/// Reads a first part of a request, sends the beginning of the answer, and ends the connection.
+fn answer_early(mut stream: TcpStream, answer: EarlyAnswer, pause_ms: u64, end: End) {
+    let read = stream.read(&mut [0; 4_096]);
+    read.expect("the request arrives");
+    // The router may have closed the connection at a part of the answer.
+    let _ = stream.write_all(answer.part("").as_bytes());
+    thread::sleep(Duration::from_millis(pause_ms));
+    end.apply(stream);
+}
+
+fn outcome(answer: EarlyAnswer, bytes: usize, pause_ms: u64, end: End) -> Option<SendError> {
+    let (listener, address) = listen();
+    let service = thread::spawn(move || {
+        let (stream, _) = listener.accept().expect("the router connects");
+        answer_early(stream, answer, pause_ms, end);
+    });
+    let call = ServiceCall {
+        method: "POST",
+        path: "/book",
+        content_type: "application/json",
+        team: "shop",
+        request_id: "r1",
+        idempotency_key: None,
+        body: &vec![b'x'; bytes],
+    };
+    let reply = HttpServices.call(address, &call, WAIT_MS, &|| true);
+    service.join().expect("the service doesn't panic");
+    reply.err()
+}
+
+/// Guards against a part of an answer being taken for a whole one after its service has reset
+/// the connection on which the request is still being written.
+#[test]
+fn early_answers_of_services_that_break_off_are_lost() {
+    for (answer, bytes) in EARLY_ANSWERS
+        .into_iter()
+        .flat_map(|a| UPLOAD_BYTES.map(|b| (a, b)))
+    {
+        for (pause_ms, end) in PAUSES_MS
+            .into_iter()
+            .flat_map(|p| [(p, End::Closed), (p, End::Reset)])
+        {
+            let outcome = outcome(answer, bytes, pause_ms, end);
+            let place = format!("{answer:?} {bytes} {pause_ms} {end}");
+            assert_eq!(outcome, Some(SendError::Lost), "{place}");
+        }
+    }
+}
