--- a/crates/gateway/tests/bounded_bytes/broken_heads.rs
+++ b/crates/gateway/tests/bounded_bytes/broken_heads.rs
@@ -4,16 +4,14 @@
         scripted_upstream::{Ending, Script, start_upstream},
     },
     http::Request,
-    http_body_util::Full,
     mangowalk_core::{
-        pool::Incarnation,
         routing::RetryPolicy,
         stream::{EndFinding, EndWitnessSettings},
     },
     mangowalk_gateway::{
         instance::GatewaySettings,
         store::{CallClient, CallError},
-        upstreams::{ConnectionPool, Destination, SendError, confirm_end, send},
+        upstreams::{ConnectionPool, SendError, confirm_end},
     },
     mangowalk_platform::{EngineReport, WeightsOrder, encode_order},
     mangowalk_platform_standins::{
@@ -111,17 +109,7 @@
         let address = start_upstream(script).await;
         let settings = GatewaySettings::default();
         let gateway = Gateway::start(RetryPolicy::Idempotent, &[], settings).await;
-        let peer = Incarnation {
-            id: "p".to_owned(),
-            born_ms: 1,
-        };
-        let destination = Destination::Peer {
-            incarnation: &peer,
-            address,
-        };
-        let pool = Rc::new(ConnectionPool::default());
-        let build = || Request::new(Full::default());
-        match send(&gateway.instance, &pool, destination, build).await {
+        match gateway.ask_peer(address, Request::default).await {
             Ok(_) => "answered",
             Err(SendError::Lost { .. }) => "lost",
             Err(_) => "other",
--- a/crates/gateway/tests/bounded_bytes/early_answers.rs
+++ b/crates/gateway/tests/bounded_bytes/early_answers.rs
@@ -6,11 +6,8 @@
     },
     http::Request,
     http_body_util::{BodyExt, Full},
-    mangowalk_core::{pool::Incarnation, routing::RetryPolicy},
-    mangowalk_gateway::{
-        instance::GatewaySettings,
-        upstreams::{ConnectionPool, Destination, send},
-    },
+    mangowalk_core::routing::RetryPolicy,
+    mangowalk_gateway::instance::GatewaySettings,
     mangowalk_platform_standins::{ANSWER_FIELDS, EARLY_ANSWERS, EarlyAnswer},
     std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
@@ -171,20 +168,11 @@
             let address = upstream.start(Rc::default()).await;
             let settings = GatewaySettings::default();
             let gateway = Gateway::start(RetryPolicy::Idempotent, &[], settings).await;
-            let peer = Incarnation {
-                id: "p".to_owned(),
-                born_ms: 1,
-            };
-            let destination = Destination::Peer {
-                incarnation: &peer,
-                address,
-            };
-            let pool = Rc::new(ConnectionPool::default());
             let build = || {
                 let body = Full::from(vec![b'x'; bytes]);
                 Request::post("/a/1").body(body).expect("it is a request")
             };
-            let answer = send(&gateway.instance, &pool, destination, build).await;
+            let answer = gateway.ask_peer(address, build).await;
             let is_whole = match answer {
                 Ok(answer) => {
                     let is_framed = !answer.ends_with_connection;
--- a/crates/gateway/tests/bounded_bytes/gateway.rs
+++ b/crates/gateway/tests/bounded_bytes/gateway.rs
@@ -1,4 +1,7 @@
 use {
+    bytes::Bytes,
+    http::Request,
+    http_body_util::Full,
     mangowalk_core::{
         pool::{EngineEntry, Incarnation},
         routing::{Configuration, RetryPolicy, Route, RouteTable, Service, WeightedService},
@@ -7,7 +10,7 @@
         callers::serve_callers,
         instance::{Drain, GatewaySettings, Instance},
         now_ms,
-        upstreams::ConnectionPool,
+        upstreams::{Answer, ConnectionPool, Destination, SendError, send},
     },
     mangowalk_platform::decode_settings,
     mangowalk_platform_standins::request_fields,
@@ -153,6 +156,28 @@
         self.send_by(stream, "GET", id).await
     }
 
+    /// Sends a request to a peer at this address.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the peer's answer is lost.
+    pub(super) async fn ask_peer(
+        &self,
+        address: SocketAddr,
+        build_request: impl Fn() -> Request<Full<Bytes>>,
+    ) -> Result<Answer, SendError> {
+        let incarnation = Incarnation {
+            id: "p".to_owned(),
+            born_ms: 1,
+        };
+        let destination = Destination::Peer {
+            incarnation: &incarnation,
+            address,
+        };
+        let pool = Rc::new(ConnectionPool::default());
+        send(&self.instance, &pool, destination, build_request).await
+    }
+
     /// Sends a request with a body in chunks, and reads the answer meanwhile.
     pub(super) async fn upload(&self, id: &str, bytes: usize) -> Reply {
         let began = Instant::now();
