Keep what an open request holds as small as it was

The check of heads wrapped the send of a request in one more async function, whose future held the request a second time.

--- a/crates/gateway/src/upstreams/connection.rs
+++ b/crates/gateway/src/upstreams/connection.rs
@@ -10,9 +10,16 @@
     },
     bytes::Bytes,
     derive_more::{Display, Error},
+    futures_util::FutureExt,
     http::{Request, Response},
     http_body_util::Full,
-    hyper::client::conn::http1::{self, SendRequest},
+    hyper::{
+        body::Incoming,
+        client::conn::{
+            TrySendError,
+            http1::{self, SendRequest},
+        },
+    },
     hyper_util::rt::TokioIo,
     mangowalk_core::pool::EngineEntry,
     socket2::{SockRef, TcpKeepalive},
@@ -41,6 +48,9 @@
     meter: Arc<ReadMeter>,
 }
 
+/// What the HTTP library makes of a request on a connection.
+type Answered = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>;
+
 impl Connection {
     /// Sends a request and waits for the head of its answer, whose body ends where the head
     /// says.
@@ -49,23 +59,18 @@
     ///
     /// Fails if the connection ends before the head arrives, or the head is invalid. The
     /// connection can't be used again then.
-    pub async fn send(
+    pub fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<MeteredBody>, AnswerError> {
+    ) -> impl Future<Output = Result<Response<MeteredBody>, AnswerError>> {
         self.meter.begin_message();
-        let response = match self.sender.try_send_request(request).await {
-            Ok(response) => response,
-            Err(mut error) => {
-                self.meter.record_error(error.error());
-                let was_sent = error.take_message().is_none();
-                let error = error.into_error();
-                return Err(match was_sent {
-                    true => AnswerError::Lost(error),
-                    false => AnswerError::NotSent(error),
-                });
-            }
-        };
+        // An async block would hold the library's future twice, in each open request.
+        let sending = self.sender.try_send_request(request);
+        sending.map(|answered| self.check(answered))
+    }
+
+    fn check(&self, answered: Answered) -> Result<Response<MeteredBody>, AnswerError> {
+        let response = answered.map_err(|error| self.answer_error(error))?;
         if let Some(fault) = HeadFault::of(response.status(), response.headers()) {
             self.meter.record_cut(CutReason::NoHttp);
             self.close();
@@ -74,6 +79,14 @@
         Ok(response.map(|body| MeteredBody::new(body, self.meter.clone())))
     }
 
+    fn answer_error(&self, mut error: TrySendError<Request<Full<Bytes>>>) -> AnswerError {
+        self.meter.record_error(error.error());
+        match error.take_message() {
+            Some(_) => AnswerError::NotSent(error.into_error()),
+            None => AnswerError::Lost(error.into_error()),
+        }
+    }
+
     /// Returns whether a request can be sent now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
