--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -351,6 +351,7 @@
         self.store = store
         self.is_open = asyncio.Event()
         self.is_open.set()
+        self.tasks = []
 
     async def start(self, ip):
         self.server = await asyncio.start_server(self.serve, ip, 0)
@@ -363,6 +364,8 @@
         except OSError:
             writer.close()
             return
+        # Held here, as the event loop itself doesn't keep tasks that wait.
+        self.tasks.append(asyncio.current_task())
         await asyncio.gather(self.copy(reader, far_writer), self.copy(far_reader, writer))
 
     async def copy(self, reader, writer):
