--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -223,6 +223,8 @@
     at a time and rejects more. `extra` is called after each run with the request's ID and
     returns bytes that the engine sends when the next request on the connection has come."""
 
+    content_headers = ()
+
     def __init__(self, record, store, ident, service, zone, slots=6, work_s=0.03, extra=None):
         self.record, self.store, self.ident = record, store, ident
         self.service, self.zone, self.slots, self.work_s = service, zone, slots, work_s
@@ -266,6 +268,10 @@
             await asyncio.sleep(1.2)
             await self.beat()
 
+    def content(self, ident):
+        """Returns the body of a successful response."""
+        return f"result of {ident}".encode()
+
     def load(self):
         return ("Mangowalk-Server-Load", f"{self.running},0,{self.slots}")
 
@@ -337,8 +343,9 @@
                 ("Mangowalk-Response-Stamp", f"stamp.{self.ident}.{ident}"),
                 ("Mangowalk-Instance-Id", self.ident),
                 self.load(),
+                *self.content_headers,
             ],
-            f"result of {ident}".encode(),
+            self.content(ident),
         )
         return answer, ident, True
 
