--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -650,6 +650,9 @@
     record = Record(os.path.join(folder, "record.txt"))
     fleet = Fleet(record)
 
+    # The processes are ended on the way out, as in `play`.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
+
     async def play_and_exit():
         code = await play(case, record, fleet, trouble)
         record.line(["the rule held", "the rule was broken", "the case could not run"][code])
