review: silent connections to the store keep a removed key valid

Cause: a read that follows a watch which timed out takes an idle connection of the pool, which has been silent as long, and waits another second.

Change: case 7 with its stand-ins, and their build.

--- a/review/standins-3/src/caller.rs
+++ b/review/standins-3/src/caller.rs
@@ -14,7 +14,7 @@
 pub const HOST: &str = "jepu9.example";
 
 /// Pause of a caller between two requests.
-const PAUSE: Duration = Duration::from_millis(60);
+const PAUSE: Duration = Duration::from_millis(90);
 
 /// Pause of a caller whose connection ended or wasn't accepted.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
@@ -52,8 +52,6 @@
     pub path: &'static str,
     /// Its deadline in milliseconds.
     pub deadline_ms: u64,
-    /// Headers of its requests besides, each with its line end.
-    pub headers: String,
 }
 
 impl Caller {
@@ -116,7 +114,7 @@
 
     fn request(&self, id: &str) -> String {
         format!(
-            "POST {} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {}\r\n{}: {}\r\n{}\
+            "POST {} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {}\r\n{}: {}\r\n\
              Content-Length: 5\r\n\r\norder",
             self.path,
             wire("request_id"),
@@ -124,7 +122,6 @@
             self.deadline_ms,
             wire("key"),
             self.key,
-            self.headers,
         )
     }
 }
--- a/review/standins-3/src/deployment.rs
+++ b/review/standins-3/src/deployment.rs
@@ -1,9 +1,9 @@
-//! What all cases start: a folder, a record, a store and machines.
+//! What each play starts: a store and machines.
 
 use crate::machine::{Machine, Ports, hosts};
 use crate::record::Record;
 use crate::store::Store;
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::thread;
@@ -15,7 +15,7 @@
 /// Zones of the machines and engines, in their order.
 pub const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 
-/// The surroundings of a case.
+/// The surroundings of a play.
 pub struct Deployment {
     /// What was sent, answered and run.
     pub record: Arc<Record>,
@@ -23,51 +23,42 @@
     pub store: Store,
     /// Address of the stand-ins.
     pub own_host: String,
-    /// Whether the disruption is to happen.
-    pub has_trouble: bool,
     program: PathBuf,
     folder: PathBuf,
     machine_hosts: Vec<Ipv4Addr>,
 }
 
 impl Deployment {
-    /// Returns the surroundings that the arguments name: the program of the deploy file, a
-    /// temporary folder and the file of the record. `None` if they can't be used.
-    pub fn prepare(machines: u8, stale_age: Duration) -> Option<Deployment> {
-        let arguments: Vec<String> = std::env::args().collect();
-        let [_, program, folder, record] = arguments.as_slice() else {
-            eprintln!("Arguments: the program, a temporary folder and the file of the record.");
-            return None;
-        };
-        let record = Record::create(Path::new(record)).ok()?;
+    /// Returns the surroundings of a play, for the program of the deploy file and with settings
+    /// files in a folder.
+    pub fn new(
+        program: &Path,
+        folder: &Path,
+        record: Arc<Record>,
+        machines: u8,
+        stale_age: Duration,
+    ) -> Option<Deployment> {
         let mut machine_hosts = hosts(machines + 1);
         let own_host = machine_hosts.pop()?.to_string();
         Some(Deployment {
-            record: Arc::new(record),
+            record,
             store: Store::start(&own_host, stale_age),
             own_host,
-            has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
             program: program.into(),
             folder: folder.into(),
             machine_hosts,
         })
     }
 
-    /// Starts the machines and waits until all are ready; `None` if they don't get ready.
-    pub fn start_machines(&self) -> Option<Vec<Machine>> {
+    /// Starts the machines, which reach the store at an address, and waits until all are ready;
+    /// `None` if they don't get ready.
+    pub fn start_machines(&self, store: SocketAddr) -> Option<Vec<Machine>> {
         let hosts = &self.machine_hosts;
         let ports = Ports::find(hosts);
         let machines = hosts.iter().zip(ZONES).map(|(host, zone)| {
             let name = format!("edge-alamo-{zone}");
             let place = (*host, ports);
-            Machine::new(
-                &self.folder,
-                &self.program,
-                &name,
-                place,
-                hosts,
-                self.store.address,
-            )
+            Machine::new(&self.folder, &self.program, &name, place, hosts, store)
         });
         let mut machines: Vec<Machine> = machines.collect();
         for machine in &mut machines {
--- a/review/standins-3/src/lib.rs
+++ b/review/standins-3/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod deployment;
 pub mod engine;
+pub mod gate;
 pub mod http;
 pub mod json;
 pub mod machine;
--- a/review/standins-3/src/machine.rs
+++ b/review/standins-3/src/machine.rs
@@ -138,19 +138,6 @@
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
-    /// Kills the process, as a loss of power does.
-    pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        // The next start isn't the first one of the whole system.
-        if let Ok(text) = fs::read_to_string(&self.settings) {
-            let text = text.replace("Bootstrap=true", "Bootstrap=false");
-            fs::write(&self.settings, text).expect("the folder is writable");
-        }
-    }
-
     fn at(&self, offset: u16) -> SocketAddr {
         SocketAddr::from((self.host, self.ports.first + INTERNAL_PORTS + offset))
     }
@@ -158,7 +145,10 @@
 
 impl Drop for Machine {
     fn drop(&mut self) {
-        self.kill();
+        if let Some(child) = &mut self.child {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
     }
 }
 
