Close idle connections to the store once a call on one of them has timed out

Cause: a connection that falls silent shows it only by a time-out. The client closed the connection of the call that timed out, and the next call took an idle one, which had been silent as long, and waited for another second.

Change: a call that times out closes the idle connections, too, and `discard_idle` lets a caller do so that suspects them.

Evidence: after_a_call_without_an_answer_the_next_one_uses_a_new_connection failed without the change (the second call had no answer) and passes with it.

--- a/crates/gateway/src/store/client.rs
+++ b/crates/gateway/src/store/client.rs
@@ -99,7 +99,10 @@
     /// Fails if no connection could be established, the call could not be
     /// encoded, no valid response began within `timeout_ms` or its body came to a halt.
     pub async fn call(&self, call: &Call, timeout_ms: u64) -> Result<(u16, Bytes), CallError> {
-        let timed_out = |_| self.no_answer(&"timed out");
+        let timed_out = |_| {
+            self.discard_idle();
+            self.no_answer(&"timed out")
+        };
         let limit = Duration::from_millis(timeout_ms);
         let (connection, response) = timeout(limit, self.send(call)).await.map_err(timed_out)??;
         let status = response.status().as_u16();
@@ -112,6 +115,12 @@
         Ok((status, body))
     }
 
+    /// Closes the idle connections. They may have fallen silent together with one that is in
+    /// use, and nothing shows it until a call on them has timed out.
+    pub fn discard_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     async fn send(
         &self,
         call: &Call,
