Treat answers that end before their request was received as broken off

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent a part of its body, ended what it sends and reset the connection, with the upload still being written. The caller got the part as a complete answer, on routes that run once or may be repeated, on streams whose part ended between two events, and from plain services of the threaded router.

Cause: a reset that arrives behind the end of a stream doesn't show in a read, only as an error of the socket. The end was taken for that of the answer, and the socket was dropped before anything could be asked of it.

Change: the client keeps the socket of a connection that ended within an answer until the answer is judged. At its end it records whether the request had been written and acknowledged; a reset that came while the engine was asked whether it lives counts, too. An engine that has read the whole request has acknowledged it with its end, and stays served.

The system call for the send queue has no safe wrapper in a library; it stands in a module of its own.

--- a/crates/gateway/src/bounded/mod.rs
+++ b/crates/gateway/src/bounded/mod.rs
@@ -9,6 +9,7 @@
 mod metered_body;
 mod metered_stream;
 mod read_meter;
+mod send_queue;
 
 pub use {
     caller_stream::{CallerStream, StallLimits},
--- a/crates/gateway/src/callers/attempt.rs
+++ b/crates/gateway/src/callers/attempt.rs
@@ -9,6 +9,7 @@
         waiting::{WaitingPlace, charge_unless_waited},
     },
     crate::{
+        bounded::MeteredStream,
         clock::now_ms,
         instance::{Instance, OpenPassGuard},
         upstreams::{Answer, Destination, SendError, check_silent, confirm_end, send},
@@ -136,13 +137,21 @@
 
     /// Returns why an answer that has ended only with its connection counts as broken off, or
     /// `None` if it is complete. Peers frame all their answers.
+    ///
+    /// An engine that answers before it has received the whole request may end what it sends in
+    /// order and reset the connection after that.
     pub(super) async fn unconfirmed_end_reason(
-        &self,
+        &mut self,
         request: &CallerRequest,
     ) -> Option<&'static str> {
         let AnswerSource::Engine { entry, .. } = &self.source else {
             return Some("ended_unconfirmed");
         };
+        let ended = self.answer.connection.take_ended().await;
+        let was_cut = || ended.as_ref().is_some_and(MeteredStream::was_cut);
+        if was_cut() {
+            return Some("ended_early");
+        }
         let instance = &request.instance;
         let began_ms = now_ms();
         let finding = confirm_end(instance, &request.pool, entry, request.left_ms()).await;
@@ -153,7 +162,9 @@
             finding.label(),
             now_ms().saturating_sub(began_ms),
         );
-        finding.break_reason()
+        finding
+            .break_reason()
+            .or(was_cut().then_some("ended_reset"))
     }
 
     /// Records that the answer broke off or didn't come in time.
--- a/crates/gateway/src/callers/buffered.rs
+++ b/crates/gateway/src/callers/buffered.rs
@@ -42,7 +42,7 @@
         let body = read_answer(&request, &mut answered.answer.body, &held);
         let left = Duration::from_millis(request.left_ms());
         match timeout(left, body).await {
-            Ok(Ok(body)) => match break_reason(&request, &answered).await {
+            Ok(Ok(body)) => match break_reason(&request, &mut answered).await {
                 None => return finish(&request, answered, body),
                 Some(reason) => answered.record_failure(&request, reason),
             },
@@ -70,7 +70,10 @@
 
 /// Returns why an answer whose body has ended counts as broken off, or `None` if it is
 /// complete.
-async fn break_reason(request: &CallerRequest, answered: &EngineAnswer) -> Option<&'static str> {
+async fn break_reason(
+    request: &CallerRequest,
+    answered: &mut EngineAnswer,
+) -> Option<&'static str> {
     match answered.answer.ends_with_connection {
         true => answered.unconfirmed_end_reason(request).await,
         false => None,
--- a/crates/gateway/src/callers/stream.rs
+++ b/crates/gateway/src/callers/stream.rs
@@ -262,10 +262,11 @@
 
     /// Returns why the stream, whose answer has ended, was broken off, or `None` if it is
     /// complete.
-    async fn break_reason(&self) -> Option<&'static str> {
-        let answered = self.answered.as_ref()?;
+    async fn break_reason(&mut self) -> Option<&'static str> {
+        let is_resumed = self.is_resumed();
+        let answered = self.answered.as_mut()?;
         let ends_with_connection = answered.answer.ends_with_connection;
-        match self.events.end(ends_with_connection, self.is_resumed()) {
+        match self.events.end(ends_with_connection, is_resumed) {
             StreamEnd::Complete => None,
             StreamEnd::InsideEvent => Some("half_event"),
             StreamEnd::NoEvent => Some("no_event"),
--- a/crates/gateway/src/upstreams/connection.rs
+++ b/crates/gateway/src/upstreams/connection.rs
@@ -26,7 +26,7 @@
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpSocket, TcpStream},
-        task::AbortHandle,
+        task::{AbortHandle, JoinHandle},
         time::timeout,
     },
 };
@@ -44,6 +44,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// The result of the task: the stream, if it ended within an answer. `None` once taken.
+    ended: Option<JoinHandle<Option<MeteredStream>>>,
     /// Counts the bytes of its answers.
     meter: Arc<ReadMeter>,
 }
@@ -86,6 +88,13 @@
         }
     }
 
+    /// Returns the stream of a connection whose end was that of an answer; `None` if the answer
+    /// had its end before, the connection failed, or the stream was taken before. The stream is
+    /// kept as a reset that comes behind the end shows only there.
+    pub async fn take_ended(&mut self) -> Option<MeteredStream> {
+        self.ended.take()?.await.ok().flatten()
+    }
+
     /// Returns whether a request can be sent now.
     pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
@@ -193,12 +202,15 @@
         .handshake(TokioIo::new(stream))
         .await?;
     let task = tokio::spawn(async move {
-        // The sender reports the end of the connection to whoever awaits an answer.
-        let _ = connection.await;
+        // The sender reports an error to whoever awaits an answer.
+        let parts = connection.without_shutdown().await.ok()?;
+        let stream = parts.io.into_inner();
+        stream.has_ended_in_message().then_some(stream)
     });
     Ok(Connection {
         sender,
         task: task.abort_handle(),
+        ended: Some(task),
         meter,
     })
 }
--- a/crates/gateway/src/upstreams/pool.rs
+++ b/crates/gateway/src/upstreams/pool.rs
@@ -1,5 +1,6 @@
 use {
     super::Connection,
+    crate::bounded::MeteredStream,
     mangowalk_core::pool::Incarnation,
     std::{
         cell::RefCell,
@@ -114,6 +115,12 @@
         self.connection.as_mut()
     }
 
+    /// Returns the stream of a connection whose end was that of the answer; see
+    /// [`Connection::take_ended`].
+    pub async fn take_ended(&mut self) -> Option<MeteredStream> {
+        self.connection.as_mut()?.take_ended().await
+    }
+
     /// Sets the idle timeout that the engine named; `None` leaves it unchanged.
     pub fn set_keep_alive_s(&mut self, keep_alive_s: Option<u64>) {
         if let Some(keep_alive_s) = keep_alive_s {
--- a/crates/gateway/tests/bounded_bytes/early_answers.rs
+++ b/crates/gateway/tests/bounded_bytes/early_answers.rs
@@ -40,6 +40,8 @@
     /// Time from the answer to the end of the connection.
     pause: Duration,
     ending: Ending,
+    /// Time from the end of what is sent to that of the connection, if it is closed half.
+    half_closed: Option<Duration>,
 }
 
 impl EarlyUpstream {
@@ -51,15 +53,21 @@
                 read_bytes,
                 pause: Duration::from_millis(pause_ms),
                 ending,
+                half_closed: None,
             };
-            [
+            let half_closed = move |reset_after_ms| EarlyUpstream {
+                half_closed: Some(Duration::from_millis(reset_after_ms)),
+                ..upstream((Ending::Reset, 0, 0))
+            };
+            let closed = [
                 (Ending::InOrder, 0, 0),
                 (Ending::Reset, 0, 0),
                 (Ending::InOrder, 30, 5_000),
                 (Ending::Reset, 30, 0),
                 (Ending::Reset, 30, 5_000),
-            ]
-            .map(upstream)
+            ];
+            let closed = closed.map(upstream).into_iter();
+            closed.chain([0, 5, 50].map(half_closed))
         })
     }
 
@@ -106,6 +114,11 @@
         // The router may have closed the connection at a part of the answer.
         let _ = stream.write_all(answer.as_bytes()).await;
         sleep(self.pause).await;
+        if let Some(half_closed) = self.half_closed {
+            // Fails if the router has closed the connection.
+            let _ = stream.shutdown().await;
+            sleep(half_closed).await;
+        }
         self.ending.apply(stream);
     }
 }
@@ -160,7 +173,8 @@
     }
 }
 
-/// Guards against the same where a peer sends the part.
+/// Guards against the same where a peer sends the part, and against whole answers of peers being
+/// refused with it.
 #[test]
 fn early_answers_of_peers_that_break_off_are_lost() {
     for (upstream, bytes) in EarlyUpstream::all().flat_map(|all| UPLOAD_BYTES.map(|b| (all, b))) {
@@ -172,8 +186,7 @@
                 let body = Full::from(vec![b'x'; bytes]);
                 Request::post("/a/1").body(body).expect("it is a request")
             };
-            let answer = gateway.ask_peer(address, build).await;
-            let is_whole = match answer {
+            let is_whole = async || match gateway.ask_peer(address, build).await {
                 Ok(answer) => {
                     let is_framed = !answer.ends_with_connection;
                     let body = answer.body.collect().await;
@@ -182,7 +195,86 @@
                 }
                 Err(_) => false,
             };
-            assert!(!is_whole, "{bytes} {upstream:?}");
+            assert!(!is_whole().await, "{bytes} {upstream:?}");
+            assert!(is_whole().await, "{bytes} {upstream:?}");
         });
     }
 }
+
+/// Time that an upstream takes for a report, longer than it takes to reset a connection.
+const REPORT_TIME: Duration = Duration::from_millis(30);
+
+/// Time from the end of what an upstream sends to a reset.
+const RESET_TIME: Duration = Duration::from_millis(5);
+
+/// An upstream that reads each upload whole and ends its answer with its connection: in order,
+/// or with a reset behind the end.
+async fn start_closing_upstream(resets: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound");
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            spawn_local(async move {
+                let mut first = [0; 1];
+                let is_upload = stream.peek(&mut first).await.is_ok() && first == *b"P";
+                if !is_upload {
+                    sleep(REPORT_TIME).await;
+                    return answer(stream).await;
+                }
+                read_request(&mut stream).await;
+                let fields = ANSWER_FIELDS.replace("{id}", ID);
+                let head =
+                    format!("HTTP/1.1 200 OK\r\n{fields}Content-Type: text/event-stream\r\n");
+                // The router waits for the answer and its end.
+                let _ = stream
+                    .write_all(format!("{head}\r\n{SOUND}").as_bytes())
+                    .await;
+                if resets {
+                    let _ = stream.shutdown().await;
+                    sleep(RESET_TIME).await;
+                    Ending::Reset.apply(stream);
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Returns what callers get of such an upstream, by upload and route.
+fn uploads_to_closing_upstream(resets: bool) -> Vec<(String, Reply)> {
+    let mut replies = Vec::new();
+    for bytes in UPLOAD_BYTES {
+        for retry in [
+            RetryPolicy::AtMostOnce,
+            RetryPolicy::Stream,
+            RetryPolicy::Idempotent,
+        ] {
+            run(async || {
+                let address = start_closing_upstream(resets).await;
+                let gateway = Gateway::start(retry, &[address], GatewaySettings::default()).await;
+                let reply = gateway.upload(ID, bytes).await;
+                replies.push((format!("{retry:?} {bytes}: {reply:?}"), reply));
+            });
+        }
+    }
+    replies
+}
+
+/// Guards against answers of upstreams that have read the whole upload being refused together
+/// with the early ones.
+#[test]
+fn answers_that_end_with_their_connection_after_an_upload_are_whole() {
+    for (place, reply) in uploads_to_closing_upstream(false) {
+        assert_eq!(reply.status(), 200, "{place}");
+        assert_eq!(reply.body().as_deref(), Some(SOUND), "{place}");
+    }
+}
+
+/// Guards against an answer being taken for a whole one whose engine resets the connection
+/// while it is asked whether it has ended it.
+#[test]
+fn answers_whose_connection_is_reset_behind_their_end_are_lost() {
+    for (place, reply) in uploads_to_closing_upstream(true) {
+        assert!(reply.status() == 502 || reply.body().is_none(), "{place}");
+    }
+}
--- a/crates/http-client/src/answer_body.rs
+++ b/crates/http-client/src/answer_body.rs
@@ -23,7 +23,9 @@
     /// Whether a read has failed, after which no end may be reported.
     is_broken: bool,
     /// Keeps the connection open while the body is read.
-    _connection: OpenConnection,
+    connection: OpenConnection,
+    /// Whether only the end of the connection tells the end of the body.
+    ends_with_connection: bool,
 }
 
 impl AnswerBody {
@@ -32,6 +34,7 @@
         body: MeteredBody,
         until: Instant,
         connection: OpenConnection,
+        ends_with_connection: bool,
     ) -> AnswerBody {
         AnswerBody {
             event_loop,
@@ -39,7 +42,8 @@
             received: Bytes::new(),
             until,
             is_broken: false,
-            _connection: connection,
+            connection,
+            ends_with_connection,
         }
     }
 
@@ -69,6 +73,11 @@
         received
     }
 
+    /// Returns whether the end of the body is only that of its connection, which was cut.
+    fn was_cut(&mut self) -> bool {
+        self.ends_with_connection && self.event_loop.block_on(self.connection.was_cut())
+    }
+
     fn receive_data(&mut self) -> io::Result<bool> {
         while self.received.is_empty() {
             let body = &mut self.body;
@@ -76,6 +85,7 @@
             let received = async { timeout_at(until, body.frame()).await };
             let frame = match self.event_loop.block_on(received) {
                 Err(_) => return Err(ErrorKind::TimedOut.into()),
+                Ok(None) if self.was_cut() => return Err(ErrorKind::UnexpectedEof.into()),
                 Ok(None) => return Ok(false),
                 Ok(Some(frame)) => frame.map_err(io::Error::other)?,
             };
--- a/crates/http-client/src/fetch.rs
+++ b/crates/http-client/src/fetch.rs
@@ -1,5 +1,8 @@
 use {
-    super::{HttpCall, event_loop::event_loop, send::exchange_heads},
+    super::{
+        HttpCall, event_loop::event_loop, open_connection::ends_with_connection,
+        send::exchange_heads,
+    },
     http::{HeaderMap, Request},
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Bytes,
@@ -63,12 +66,17 @@
     request: Request<Full<Bytes>>,
     max_bytes: usize,
 ) -> Result<FetchedAnswer, SendError> {
-    let (_connection, answer) = exchange_heads(authority, request).await?;
+    let (mut connection, answer) = exchange_heads(authority, request).await?;
     let (parts, body) = answer.into_parts();
+    let is_open_ended = ends_with_connection(&parts.headers, &body);
     let body = Limited::new(body, max_bytes).collect().await;
+    let body = body.map_err(|_| SendError::Lost)?;
+    if is_open_ended && connection.was_cut().await {
+        return Err(SendError::Lost);
+    }
     Ok(FetchedAnswer {
         status: parts.status.as_u16(),
         headers: parts.headers,
-        body: body.map_err(|_| SendError::Lost)?.to_bytes(),
+        body: body.to_bytes(),
     })
 }
--- a/crates/http-client/src/send.rs
+++ b/crates/http-client/src/send.rs
@@ -1,6 +1,8 @@
 use {
     super::{
-        AnswerBody, HttpAnswer, HttpCall, event_loop::event_loop, open_connection::OpenConnection,
+        AnswerBody, HttpAnswer, HttpCall,
+        event_loop::event_loop,
+        open_connection::{OpenConnection, ends_with_connection},
     },
     http::{Request, Response},
     http_body_util::Full,
@@ -42,10 +44,11 @@
     });
     let (connection, answer) = answered?;
     let (parts, body) = answer.into_parts();
+    let is_open_ended = ends_with_connection(&parts.headers, &body);
     Ok(HttpAnswer {
         status: parts.status.as_u16(),
         headers: parts.headers,
-        body: AnswerBody::new(event_loop, body, until, connection),
+        body: AnswerBody::new(event_loop, body, until, connection, is_open_ended),
     })
 }
 
--- a/crates/mangowalkd/tests/early_answers.rs
+++ b/crates/mangowalkd/tests/early_answers.rs
@@ -8,7 +8,7 @@
     socket2::{Domain, Socket, Type},
     std::{
         io::{Read, Write},
-        net::{SocketAddr, TcpListener, TcpStream},
+        net::{Shutdown, SocketAddr, TcpListener, TcpStream},
         thread,
         time::Duration,
     },
@@ -26,6 +26,15 @@
 /// Times from the answer to the end of the connection.
 const PAUSES_MS: [u64; 2] = [0, 30];
 
+/// How a service ends the connection of an answer.
+#[derive(Debug, Clone, Copy)]
+enum Ending {
+    /// At once, in both directions.
+    Whole(End),
+    /// What it sends first, and the connection by a reset after the pause.
+    Halves,
+}
+
 fn listen() -> (TcpListener, SocketAddr) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket is free");
     let sized = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
@@ -39,20 +48,34 @@
 }
 
 /// Reads a first part of a request, sends the beginning of the answer, and ends the connection.
-fn answer_early(mut stream: TcpStream, answer: EarlyAnswer, pause_ms: u64, end: End) {
+fn answer_early(mut stream: TcpStream, answer: EarlyAnswer, pause_ms: u64, ending: Ending) {
     let read = stream.read(&mut [0; 4_096]);
     read.expect("the request arrives");
     // The router may have closed the connection at a part of the answer.
     let _ = stream.write_all(answer.part("").as_bytes());
+    if matches!(ending, Ending::Halves) {
+        // Fails if the router has closed the connection.
+        let _ = stream.shutdown(Shutdown::Write);
+    }
     thread::sleep(Duration::from_millis(pause_ms));
-    end.apply(stream);
+    match ending {
+        Ending::Whole(end) => end.apply(stream),
+        Ending::Halves => End::Reset.apply(stream),
+    }
 }
 
-fn outcome(answer: EarlyAnswer, bytes: usize, pause_ms: u64, end: End) -> Option<SendError> {
+fn outcome(answer: EarlyAnswer, bytes: usize, pause_ms: u64, ending: Ending) -> Option<SendError> {
+    call(bytes, move |stream| {
+        answer_early(stream, answer, pause_ms, ending)
+    })
+}
+
+/// Calls a service that treats its connection like this. Returns why there is no answer.
+fn call(bytes: usize, serve: impl FnOnce(TcpStream) + Send + 'static) -> Option<SendError> {
     let (listener, address) = listen();
     let service = thread::spawn(move || {
         let (stream, _) = listener.accept().expect("the router connects");
-        answer_early(stream, answer, pause_ms, end);
+        serve(stream);
     });
     let call = ServiceCall {
         method: "POST",
@@ -76,13 +99,53 @@
         .into_iter()
         .flat_map(|a| UPLOAD_BYTES.map(|b| (a, b)))
     {
-        for (pause_ms, end) in PAUSES_MS
+        let endings = [
+            Ending::Whole(End::Closed),
+            Ending::Whole(End::Reset),
+            Ending::Halves,
+        ];
+        for (pause_ms, ending) in PAUSES_MS
             .into_iter()
-            .flat_map(|p| [(p, End::Closed), (p, End::Reset)])
+            .flat_map(|p| endings.map(|ending| (p, ending)))
         {
-            let outcome = outcome(answer, bytes, pause_ms, end);
-            let place = format!("{answer:?} {bytes} {pause_ms} {end}");
+            let outcome = outcome(answer, bytes, pause_ms, ending);
+            let place = format!("{answer:?} {bytes} {pause_ms} {ending:?}");
             assert_eq!(outcome, Some(SendError::Lost), "{place}");
         }
     }
 }
+
+/// Reads a request and ends the answer with its connection.
+fn answer_whole(mut stream: TcpStream) {
+    let mut request = Vec::new();
+    while !has_whole_body(&request) {
+        let mut part = [0; 65_536];
+        let read = stream.read(&mut part).expect("the request arrives");
+        request.extend_from_slice(&part[..read]);
+    }
+    let written = stream.write_all(b"HTTP/1.1 200 OK\r\n\r\ndone");
+    written.expect("the router waits");
+}
+
+fn has_whole_body(request: &[u8]) -> bool {
+    let Some(end) = request.windows(4).position(|bytes| bytes == b"\r\n\r\n") else {
+        return false;
+    };
+    let head = String::from_utf8_lossy(&request[..end]).to_ascii_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    let length: usize = length
+        .and_then(|text| text.parse().ok())
+        .expect("it has a length");
+    request.len() >= end + 4 + length
+}
+
+/// Guards against answers of services that have read the whole request being refused together
+/// with the early ones.
+#[test]
+fn answers_of_services_that_end_with_their_connection_are_whole() {
+    for bytes in UPLOAD_BYTES {
+        assert_eq!(call(bytes, answer_whole), None, "{bytes}");
+    }
+}
