Take confirmations of a restarted peer, and spread the first readings

What callers would see: nothing wrong, as an instance that gets no confirmation reads for itself; the calls to the store would be many more.

Cause: reports were ordered by the number of their author's start, which is lower after a restart whose clock was set back, so that all its reports were ignored until its peers forgot it. And an instance that had no confirmation when it settled read at once, at the same moment as the rest of a fleet that started with it, instead of at its place.

Change: a report counts if it is of the peer's present start, as its heartbeats tell it, and is ordered within that start only. The spread of readings begins when an instance has settled.

Evidence: reports_of_another_start_count_from_their_own_beginning and instances_that_have_just_settled_read_one_after_the_other failed with the former code and pass. Found by reading.

The test of kinds that are confirmed apart said that it guards a bound on kept reports, which it can't show; it says now what it checks, with the same assertions.

--- a/crates/core/src/confirmation/confirmations.rs
+++ b/crates/core/src/confirmation/confirmations.rs
@@ -57,13 +57,16 @@
         }
     }
 
-    /// Takes a report of a peer, unless a newer one of the same author was taken. One that
-    /// was relayed late would seem younger than it is.
+    /// Takes a report of a peer's present start, unless a newer one of that start was taken.
+    /// One that was relayed late would seem younger than it is.
     pub fn receive(&mut self, report: &ConfirmationReport, own: &KnownState, now_ms: u64) {
         let number = (report.incarnation, report.sequence);
-        let last = self.last_reports.get_mut(&report.author);
-        match last {
-            Some(last) if *last >= number => return,
+        match self.last_reports.get_mut(&report.author) {
+            Some((incarnation, sequence))
+                if *incarnation == report.incarnation && *sequence >= report.sequence =>
+            {
+                return;
+            }
             Some(last) => *last = number,
             None => {
                 self.last_reports.insert(report.author.clone(), number);
@@ -120,18 +123,20 @@
     }
 
     /// Returns when this instance has to read the current state of a kind itself, unless it is
-    /// confirmed before. `place` is that of the instance among all, from 0 to 1: the first
-    /// ones read sooner and confirm to the others what these know.
+    /// confirmed before: `settled_ms`, from which on it knows who reads for all, at the
+    /// earliest. `place` is that of the instance among all, from 0 to 1: the first ones read
+    /// sooner and confirm to the others what these know.
     pub fn unconfirmed_at_ms(
         &self,
         kind: FollowedKind,
         settings: &ConfirmationSettings,
+        settled_ms: u64,
         place: f64,
     ) -> u64 {
         let bound = settings.bound(kind);
         let confirmed_ms = self.kinds[kind as usize].confirmed_ms.unwrap_or(0);
         let delay_ms = (bound.spread_ms as f64 * place.clamp(0.0, 1.0)) as u64;
-        confirmed_ms + bound.max_age_ms + delay_ms
+        settled_ms.max(confirmed_ms + bound.max_age_ms) + delay_ms
     }
 
     fn confirm(&mut self, kind: FollowedKind, as_of_ms: u64) {
--- a/crates/core/tests/confirmations.rs
+++ b/crates/core/tests/confirmations.rs
@@ -77,9 +77,10 @@
     assert_eq!(confirmations.age_ms(CONFIGURATION, 5_000), Some(4_100));
 }
 
-/// Guards against reports that tell of something unknown being kept without a bound.
+/// Guards against one kind being confirmed because another one is, and against one that stays
+/// unknown keeping the others from it.
 #[test]
-fn reports_that_are_never_covered_confirm_nothing() {
+fn kinds_are_confirmed_apart() {
     let mut confirmations = Confirmations::default();
     for sequence in 1..=100 {
         confirmations.receive(&report(sequence, state(8), 0), &state(7), sequence * 100);
@@ -88,6 +89,20 @@
     assert_eq!(confirmations.age_ms(ENGINES, 10_000), Some(0));
 }
 
+/// A peer restarts after its clock was set back, so that its start has a lower number. Guards
+/// against ignoring all that it confirms from then on.
+#[test]
+fn reports_of_another_start_count_from_their_own_beginning() {
+    let mut confirmations = Confirmations::default();
+    let restarted = ConfirmationReport {
+        incarnation: 0,
+        ..report(1, state(7), 0)
+    };
+    confirmations.receive(&report(9, state(7), 0), &state(7), 1_000);
+    confirmations.receive(&restarted, &state(7), 2_000);
+    assert_eq!(confirmations.age_ms(CONFIGURATION, 2_000), Some(0));
+}
+
 /// An instance that follows a part of the engine list doesn't see all engines leave. Guards
 /// against confirming to peers that none has.
 #[test]
@@ -103,6 +118,19 @@
     assert_eq!(told(&confirmations).len(), 3);
 }
 
+/// All instances of a fleet start together, and a part of a large fleet's engine list isn't
+/// confirmed by its first reading. Guards against all of them reading at the same moment.
+#[test]
+fn instances_that_have_just_settled_read_one_after_the_other() {
+    let settings = ConfirmationSettings::default();
+    let confirmations = Confirmations::default();
+    let at_ms = |place| confirmations.unconfirmed_at_ms(ENGINES, &settings, 50_000, place);
+    assert_eq!(
+        [at_ms(0.0), at_ms(0.5), at_ms(1.0)],
+        [50_000, 50_100, 50_200]
+    );
+}
+
 /// Guards against a chain of waits that is longer than the time within which changes must
 /// apply, on any deployment. A failed connection, the delay after it and an answer come last.
 #[test]
@@ -117,7 +145,7 @@
             ..ConfirmationSettings::default()
         };
         let confirmations = Confirmations::default();
-        let reads_at_ms = confirmations.unconfirmed_at_ms(CONFIGURATION, &settings, 1.0);
+        let reads_at_ms = confirmations.unconfirmed_at_ms(CONFIGURATION, &settings, 0, 1.0);
         let applied_ms = reads_at_ms + FAILED_CONNECTION_MS + BACKOFF_MS + ANSWER_MS;
         assert!(applied_ms <= apply_ms, "{applied_ms} of {apply_ms}");
         assert!(settings.pulse_ms() < bound.max_age_ms);
--- a/crates/core/tests/confirmations_at_scale.rs
+++ b/crates/core/tests/confirmations_at_scale.rs
@@ -94,7 +94,7 @@
             let phase_ms = pulse_ms * number as u64 / READERS as u64 / STEP_MS * STEP_MS;
             let asks = match is_reader {
                 true => (now_ms + phase_ms).is_multiple_of(pulse_ms),
-                false => now_ms >= instance.unconfirmed_at_ms(KIND, &settings, place),
+                false => now_ms >= instance.unconfirmed_at_ms(KIND, &settings, 0, place),
             };
             if !asks {
                 continue;
--- a/crates/gateway/src/instance/confirmations.rs
+++ b/crates/gateway/src/instance/confirmations.rs
@@ -35,9 +35,10 @@
         }
     }
 
-    /// Takes a peer's report on what it can confirm.
+    /// Takes a report on what a peer can confirm, unless it is of an earlier start of it.
     pub fn receive_confirmation(&self, report: &ConfirmationReport, now_ms: u64) {
-        if report.author != self.machine().name {
+        let incarnation = self.members.borrow().incarnation(&report.author);
+        if incarnation == Some(report.incarnation) {
             let own = self.known_state();
             let mut confirmations = self.confirmations.borrow_mut();
             confirmations.receive(report, &own, now_ms);
@@ -73,10 +74,9 @@
         let mut confirmations = self.confirmations.borrow_mut();
         confirmations.apply_pending(&own);
         let settings = &self.settings.confirmations;
-        let unconfirmed_ms = confirmations.unconfirmed_at_ms(kind, settings, place);
-        // Right after a start it isn't known yet who reads for all.
-        let settled_ms = now_ms + self.settles_in_ms(now_ms);
-        unconfirmed_ms.max(settled_ms).saturating_sub(now_ms)
+        let settled_ms = self.started_ms + self.settling_ms();
+        let unconfirmed_ms = confirmations.unconfirmed_at_ms(kind, settings, settled_ms, place);
+        unconfirmed_ms.saturating_sub(now_ms)
     }
 
     fn known_state(&self) -> KnownState {
--- a/crates/gateway/src/instance/store_reads.rs
+++ b/crates/gateway/src/instance/store_reads.rs
@@ -35,11 +35,16 @@
 
     /// Returns the time until this instance knows which peers read current state.
     pub fn settles_in_ms(&self, now_ms: u64) -> u64 {
-        let settling_ms = match self.is_large_fleet() {
+        (self.started_ms + self.settling_ms()).saturating_sub(now_ms)
+    }
+
+    /// Returns the time from the start after which this instance knows which peers read
+    /// current state.
+    pub(super) fn settling_ms(&self) -> u64 {
+        match self.is_large_fleet() {
             true => LARGE_FLEET_SETTLING_MS,
             false => SETTLING_MS,
-        };
-        (self.started_ms + settling_ms).saturating_sub(now_ms)
+        }
     }
 
     /// Returns whether the fleet is so large that its instances know a part of the
