--- a/crates/core/tests/confirmations_at_scale.rs
+++ b/crates/core/tests/confirmations_at_scale.rs
@@ -13,10 +13,12 @@
 const READERS: usize = 2;
 const STEP_MS: u64 = 5;
 
-/// Time after which all others have a report.
+/// A fleet in which changes have to apply in time.
 struct Fleet {
     instances: usize,
+    /// Time within which a change must apply.
     apply_ms: u64,
+    /// Time until all others have a report.
     report_ms: u64,
 }
 
--- a/crates/gateway/src/instance/settings.rs
+++ b/crates/gateway/src/instance/settings.rs
@@ -16,8 +16,8 @@
 };
 
 /// Settings of the router's behavior. The exclusion time of the lease, the bounds on
-/// weights and how long knowledge counts as confirmed are set from the platform's settings file at the start; the others
-/// don't depend on it.
+/// weights and how long knowledge counts as confirmed are set from the platform's settings
+/// file at the start; the others don't depend on it.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct GatewaySettings {
     /// Heartbeats, and when a peer counts as silent or gone.
--- a/crates/gateway/tests/store_calls.rs
+++ b/crates/gateway/tests/store_calls.rs
@@ -2,7 +2,7 @@
 
 use {
     mangowalk_gateway::store::CallClient,
-    mangowalk_platform::Call,
+    mangowalk_platform::{Freshness, ObjectKind, Page},
     std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -61,7 +61,7 @@
 }
 
 async fn is_answered(client: &CallClient) -> bool {
-    let call = Call::get("/api/objects/config".to_owned());
+    let call = Page::call(ObjectKind::Configuration, None, Freshness::Current);
     client.call(&call, TIMEOUT_MS).await.is_ok()
 }
 
