--- a/crates/core/src/confirmation/settings.rs
+++ b/crates/core/src/confirmation/settings.rs
@@ -2,10 +2,10 @@
 
 /// Part of the time within which a change must apply that may pass between two answers with
 /// current state.
-const PULSE_PART: f64 = 0.45;
+const INTERVAL_PART: f64 = 0.45;
 
 /// Part of that time after which what is known counts as unconfirmed. It exceeds
-/// [`PULSE_PART`] by the time that a slow answer or a lost datagram takes.
+/// [`INTERVAL_PART`] by the time that a slow answer or a lost datagram takes.
 const MAX_AGE_PART: f64 = 0.6;
 
 /// Part of that time over which the reads of all instances are spread once nobody has
@@ -16,7 +16,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConfirmationBound {
     /// Time between two answers with current state to an instance on which others rely.
-    pub pulse_ms: u64,
+    pub interval_ms: u64,
     /// Age from which on an instance reads current state itself.
     pub max_age_ms: u64,
     /// Time over which the instances that have to do so are spread.
@@ -33,7 +33,7 @@
     pub fn within(apply_ms: u64) -> ConfirmationBound {
         let part_ms = |part: f64| (apply_ms as f64 * part) as u64;
         ConfirmationBound {
-            pulse_ms: part_ms(PULSE_PART),
+            interval_ms: part_ms(INTERVAL_PART),
             max_age_ms: part_ms(MAX_AGE_PART),
             spread_ms: part_ms(SPREAD_PART),
         }
@@ -62,8 +62,8 @@
     }
 
     /// Returns the time between two answers with current state that suits all kinds.
-    pub fn pulse_ms(&self) -> u64 {
-        let bounds = FollowedKind::ALL.map(|kind| self.bound(kind).pulse_ms);
+    pub fn interval_ms(&self) -> u64 {
+        let bounds = FollowedKind::ALL.map(|kind| self.bound(kind).interval_ms);
         bounds.into_iter().fold(u64::MAX, u64::min)
     }
 }
--- a/crates/core/tests/confirmations.rs
+++ b/crates/core/tests/confirmations.rs
@@ -148,6 +148,6 @@
         let reads_at_ms = confirmations.unconfirmed_at_ms(CONFIGURATION, &settings, 0, 1.0);
         let applied_ms = reads_at_ms + FAILED_CONNECTION_MS + BACKOFF_MS + ANSWER_MS;
         assert!(applied_ms <= apply_ms, "{applied_ms} of {apply_ms}");
-        assert!(settings.pulse_ms() < bound.max_age_ms);
+        assert!(settings.interval_ms() < bound.max_age_ms);
     }
 }
--- a/crates/core/tests/confirmations_at_scale.rs
+++ b/crates/core/tests/confirmations_at_scale.rs
@@ -92,10 +92,10 @@
             let place = number as f64 / fleet.instances as f64;
             max_age_ms = max_age_ms.max(instance.age_ms(KIND, now_ms).unwrap_or(now_ms));
             // The watches of two readers don't begin together.
-            let pulse_ms = settings.pulse_ms() / STEP_MS * STEP_MS;
-            let phase_ms = pulse_ms * number as u64 / READERS as u64 / STEP_MS * STEP_MS;
+            let interval_ms = settings.interval_ms() / STEP_MS * STEP_MS;
+            let phase_ms = interval_ms * number as u64 / READERS as u64 / STEP_MS * STEP_MS;
             let asks = match is_reader {
-                true => (now_ms + phase_ms).is_multiple_of(pulse_ms),
+                true => (now_ms + phase_ms).is_multiple_of(interval_ms),
                 false => now_ms >= instance.unconfirmed_at_ms(KIND, &settings, 0, place),
             };
             if !asks {
--- a/crates/gateway/src/bounded/metered_stream.rs
+++ b/crates/gateway/src/bounded/metered_stream.rs
@@ -68,7 +68,7 @@
         if self.was_cut() {
             return true;
         }
-        // Neither a failure to wait nor a reset matters for itself.
+        // The state afterwards counts, however the wait ends.
         let _ = timeout(wait, self.stream.ready(Interest::ERROR)).await;
         self.was_cut()
     }
--- a/crates/gateway/src/mesh/confirmations.rs
+++ b/crates/gateway/src/mesh/confirmations.rs
@@ -15,7 +15,7 @@
 /// Tells all peers when the store has answered this instance with current state; never
 /// returns.
 pub async fn report_confirmations(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
-    let pause_ms = instance.settings.confirmations.pulse_ms() / PAUSE_PART;
+    let pause_ms = instance.settings.confirmations.interval_ms() / PAUSE_PART;
     for sequence in 1.. {
         instance.wake_ups.confirmation.notified().await;
         let report = instance.confirmation_report(sequence, now_ms());
--- a/crates/gateway/src/store/followers.rs
+++ b/crates/gateway/src/store/followers.rs
@@ -58,7 +58,7 @@
 
     /// Its answers confirm the other kinds, too, while the store's revision stays the same.
     fn current_wait_ms(&self, instance: &Instance) -> u64 {
-        instance.settings.confirmations.pulse_ms()
+        instance.settings.confirmations.interval_ms()
     }
 
     fn replace_all(&self, listing: &Listing) {
--- a/crates/gateway/tests/bounded_bytes/early_answers.rs
+++ b/crates/gateway/tests/bounded_bytes/early_answers.rs
@@ -40,7 +40,7 @@
     /// Time from the answer to the end of the connection.
     pause: Duration,
     ending: Ending,
-    /// Time from the end of what is sent to that of the connection, if it is closed half.
+    /// Time between the end of what is sent and a reset; `None` to close both directions at once.
     half_closed: Option<Duration>,
 }
 
